--- /dev/null
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems that geraniummount meets, for tests and benches.
--- /dev/null
+++ b/src/bin/geraniummount/main.rs
@@ -0,0 +1,3 @@
+//! Command line of geraniummount.
+
+fn main() {}
--- /dev/null
+++ b/src/geraniummount/core/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions: the domain's types and the state machines that act on them.
+//!
+//! Nothing here opens a socket, starts a thread, reads a clock or writes a
+//! log. Time comes in as an argument and randomness as a seeded generator, so
+//! that tests and benches drive each decision step by step.
+
+pub mod catalog;
+pub mod contract;
+pub mod coverage;
+pub mod failure;
+pub mod id;
+pub mod leaf;
+pub mod outcome;
+pub mod part;
+pub mod reason;
+pub mod reply;
+pub mod report;
+pub mod service;
+pub mod verdict;
+pub mod view;
+pub mod vm;
--- /dev/null
+++ b/src/geraniummount/edge/mod.rs
@@ -0,0 +1,1 @@
+//! Edges: callers, operators, leaves, peers and the platform.
--- /dev/null
+++ b/src/geraniummount/ops/mod.rs
@@ -0,0 +1,1 @@
+//! What each subcommand does.
--- /dev/null
+++ b/src/geraniummount/prelude.rs
@@ -0,0 +1,18 @@
+//! The types that most modules need.
+
+pub use crate::core::catalog::{Catalog, Record};
+pub use crate::core::failure::Failure;
+pub use crate::core::id::{
+    AttemptId, ChangeId, DomainName, Generation, Incarnation, LeafName, RequestId, Revision,
+    ServiceName, ShardName, SnapshotId, VmName,
+};
+pub use crate::core::leaf::Leaf;
+pub use crate::core::outcome::Outcome;
+pub use crate::core::part::Part;
+pub use crate::core::reason::Reason;
+pub use crate::core::reply::Reply;
+pub use crate::core::report::Report;
+pub use crate::core::service::Service;
+pub use crate::core::verdict::Verdict;
+pub use crate::core::view::View;
+pub use crate::core::vm::Vm;
--- /dev/null
+++ b/src/geraniummount/util/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers that know nothing of the domain.
+
+pub mod published;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests.
