Decide which VM owns a leaf

Each VM that connects by itself would leave no place to count a leaf's slots and connections. Ruled out: a lease, which a paused holder would betray.

--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod id;
 pub mod leaf;
 pub mod outcome;
+pub mod ownership;
 pub mod part;
 pub mod reason;
 pub mod reply;
--- a/src/geraniummount/core/view.rs
+++ b/src/geraniummount/core/view.rs
@@ -13,7 +13,8 @@
     pub failure_domain: DomainName,
     /// Configuration in force.
     pub catalog: Arc<Catalog>,
-    /// VMs of the own failure domain and known relays of the others, by name.
+    /// VMs of the own failure domain, this one among them, and known relays of
+    /// the others, by name.
     pub vms: Vec<Vm>,
     /// Leaves that are known to be leaving, whoever said so, by name.
     pub draining: Vec<LeafName>,
