--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod contract;
 pub mod coverage;
 pub mod failure;
+pub mod holding;
 pub mod id;
 pub mod leaf;
 pub mod outcome;
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -1,1 +1,3 @@
 //! Edges: callers, operators, leaves, peers and the platform.
+
+pub mod dispatcher;
--- a/src/geraniummount/prelude.rs
+++ b/src/geraniummount/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::core::catalog::{Catalog, Record};
 pub use crate::core::failure::Failure;
+pub use crate::core::holding::Holding;
 pub use crate::core::id::{
     AttemptId, ChangeId, DomainName, Generation, Incarnation, LeafName, RequestId, Revision,
     ServiceName, ShardName, SnapshotId, VmName,
