Queue the parts of one leaf at its owner

The queue counts slots and connections in one place, refuses what can't be served in time at once, and answers each part exactly once. Quantiles and the adaptive limit are the parts that it needs.

--- /dev/null
+++ b/src/geraniummount/core/leaf_queue.rs
@@ -0,0 +1,728 @@
+//! The queue in front of one leaf, held by the VM that owns the leaf.
+//!
+//! A part goes through it in three steps: it is submitted, it starts on a
+//! connection when the leaf has a free slot, and the connection tells how it
+//! ended. Each submitted part is answered exactly once, at the latest at its
+//! deadline. A part that can't be served in time is answered in the step that
+//! shows it, with the time after which coming back may help.
+//!
+//! Only here slots and connections are counted, so that all VMs together keep
+//! the leaf's contract.
+
+use std::time::{Duration, Instant};
+
+use crate::core::concurrency::Concurrency;
+use crate::core::contract::Contract;
+use crate::core::leaf::State;
+use crate::core::quantile::Quantile;
+use crate::prelude::*;
+
+/// Parts that wait at most.
+const MAX_QUEUED: usize = 256;
+
+/// Time between two looks at the leaf's health endpoint.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time at the leaf that is assumed before any answer came.
+const ASSUMED_MEDIAN: Duration = Duration::from_millis(5);
+
+/// An estimate older than this does not refuse parts for a free slot.
+const ESTIMATE_LIFE: Duration = Duration::from_secs(1);
+
+/// Failures in a row after which the leaf gets no parts for a pause.
+const FAILURES_TO_PAUSE: u32 = 3;
+
+/// First pause after failures in a row; each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Shortest wait after the leaf shed a part with no other part running.
+const SHED_WAIT: Duration = Duration::from_millis(10);
+
+/// Time for which an answer that says draining outweighs the health endpoint.
+const DRAINING_LIFE: Duration = Duration::from_secs(60);
+
+/// A running part is overdue beyond this many times the high quantile.
+const OVERDUE_FACTOR: u32 = 4;
+
+/// What the holder of the connections has to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send the part to the leaf.
+    Start {
+        /// The part.
+        part: Part,
+        /// Connection that it may use.
+        connection: Use,
+    },
+    /// Close the attempt's connection and tell the leaf that it is cancelled.
+    /// `finish` is still due, as the slot counts until then.
+    Abort(AttemptId),
+    /// Return the outcome to whoever submitted the part.
+    Answer(Outcome),
+    /// Close the connections that carry no part now.
+    CloseIdle,
+    /// Ask the health endpoint; `observe` is due.
+    Probe,
+}
+
+/// Connections that a part may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Use {
+    /// Any open one.
+    Any,
+    /// One opened, or proven alive, just before.
+    Proven,
+}
+
+/// How a started part ended on its connection.
+#[derive(Clone, Debug)]
+pub enum Ending {
+    /// The leaf sent a whole reply.
+    Replied {
+        /// Attempt that the reply names.
+        echo: Option<AttemptId>,
+        /// Snapshot that the reply names.
+        snapshot: Option<SnapshotId>,
+        /// The reply's body.
+        body: Vec<u8>,
+        /// State that the leaf told.
+        state: State,
+    },
+    /// The leaf refused it before running it.
+    Shed {
+        /// When the leaf wants to be asked again.
+        retry_after: Option<Duration>,
+        /// State that the leaf told.
+        state: State,
+    },
+    /// The leaf does not hold the snapshot; it did not run the part.
+    NotHeld {
+        /// Snapshots that it holds of the shard.
+        held: Vec<SnapshotId>,
+    },
+    /// No byte of the request left.
+    NotSent(Reason),
+    /// The connection broke, or the reply was not whole, after a byte may
+    /// have left.
+    Lost(Reason),
+    /// No reply came in time.
+    TimedOut,
+    /// The leaf answered with an error of its own.
+    Refused,
+}
+
+/// Answer of the health endpoint, which may lag or mislead.
+#[derive(Clone, Debug)]
+pub enum Health {
+    /// It answered.
+    Answered {
+        /// State that it told.
+        state: State,
+        /// Snapshots that it told, by shard.
+        held: Vec<Held>,
+    },
+    /// It did not answer in time.
+    Silent,
+}
+
+/// Snapshots that a leaf holds of one shard.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// The shard.
+    pub shard: ShardName,
+    /// Snapshots, ascending.
+    pub snapshots: Vec<SnapshotId>,
+}
+
+/// Queue, slots and state of one owned leaf.
+#[derive(Clone, Debug)]
+pub struct LeafQueue {
+    owner: VmName,
+    share: u16,
+    concurrency: Concurrency,
+    served: Quantile,
+    last_answer: Option<Instant>,
+    waiting: Vec<Waiting>,
+    running: Vec<Running>,
+    held: Vec<Held>,
+    told_draining: bool,
+    state: State,
+    /// When an answer, not the health endpoint, last said draining.
+    draining_answer: Option<Instant>,
+    failures: u32,
+    pause: Option<Pause>,
+    not_before: Option<Instant>,
+    next_probe: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    part: Part,
+    since: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    part: Part,
+    waited: Duration,
+    since: Instant,
+    answered: bool,
+}
+
+/// Time without parts after failures in a row.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Instant,
+    length: Duration,
+    reason: Reason,
+}
+
+impl LeafQueue {
+    /// Creates the queue of a leaf with a share of its connections.
+    pub fn new(owner: VmName, contract: Contract, share: u16, now: Instant) -> LeafQueue {
+        LeafQueue {
+            owner,
+            share,
+            concurrency: Concurrency::new(contract.slots),
+            served: Quantile::default(),
+            last_answer: None,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            held: Vec::new(),
+            told_draining: false,
+            state: State::Serving,
+            draining_answer: None,
+            failures: 0,
+            pause: None,
+            not_before: None,
+            next_probe: now,
+        }
+    }
+
+    /// Takes a part; an attempt that is already here is ignored.
+    pub fn submit(&mut self, part: Part, now: Instant) -> Vec<Action> {
+        if self.holds(part.attempt) {
+            return Vec::new();
+        }
+        if let Some(failure) = self.refusal(&part, now) {
+            return vec![self.answer_unsent(&part, Duration::ZERO, failure)];
+        }
+        self.waiting.push(Waiting { part, since: now });
+        self.advance(now)
+    }
+
+    /// Gives up an attempt; it is answered at once.
+    pub fn cancel(&mut self, attempt: AttemptId, now: Instant) -> Vec<Action> {
+        let waiting = self.waiting.iter();
+        if let Some(place) = waiting.clone().position(|w| w.part.attempt == attempt) {
+            let dropped = self.waiting.remove(place);
+            let waited = now.saturating_duration_since(dropped.since);
+            let failure = Failure::not_run(Reason::Cancelled);
+            let mut actions = vec![self.answer_unsent(&dropped.part, waited, failure)];
+            actions.extend(self.advance(now));
+            return actions;
+        }
+        let mut actions = self.abort(attempt, Reason::Cancelled, now);
+        if !actions.is_empty() && self.is_overdue(attempt, now) {
+            actions.push(Action::CloseIdle);
+        }
+        actions
+    }
+
+    /// Takes the end of a started attempt and frees its slot.
+    pub fn finish(&mut self, attempt: AttemptId, ending: Ending, now: Instant) -> Vec<Action> {
+        let place = self.running.iter().position(|r| r.part.attempt == attempt);
+        let Some(place) = place else {
+            return Vec::new();
+        };
+        let ended = self.running.remove(place);
+        let mut actions = self.learn(&ended, &ending, now);
+        if !ended.answered {
+            let served = now.saturating_duration_since(ended.since);
+            let result = judge(&ended.part, ending);
+            actions.push(self.answer(&ended.part, ended.waited, served, result));
+        }
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Takes an answer of the health endpoint.
+    pub fn observe(&mut self, health: Health, now: Instant) -> Vec<Action> {
+        match health {
+            Health::Answered { state, held } => {
+                self.held = held;
+                self.believe(state, now);
+                self.end_pause();
+            }
+            Health::Silent => {
+                self.draining_answer = None;
+                self.lengthen_pause(now);
+            }
+        }
+        self.advance(now)
+    }
+
+    /// Takes what the operator, the membership list or another VM says.
+    pub fn set_draining(&mut self, draining: bool, now: Instant) -> Vec<Action> {
+        self.told_draining = draining;
+        self.advance(now)
+    }
+
+    /// Takes over a changed contract or share of connections.
+    pub fn configure(&mut self, contract: Contract, share: u16, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if share < self.share {
+            actions.push(Action::CloseIdle);
+        }
+        self.share = share;
+        self.concurrency.declare(contract.slots);
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = self.abort_late(now);
+        if now >= self.next_probe {
+            self.next_probe = now + PROBE_PERIOD;
+            actions.push(Action::Probe);
+        }
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Returns when `tick` is due next.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let running = self.running.iter().filter(|r| !r.answered);
+        let deadlines = running.map(|r| r.part.deadline);
+        let useless = self.waiting.iter().map(|w| self.last_start(&w.part));
+        deadlines
+            .chain(useless)
+            .chain(self.not_before)
+            .chain([self.next_probe])
+            .min()
+    }
+
+    /// Returns the leaf's state for a part of a shard.
+    pub fn report(&self, shard: &str) -> Report {
+        Report {
+            owner: self.owner.clone(),
+            state: self.state(),
+            held: self.held(shard).to_vec(),
+            queued: self.waiting.len() as u32,
+            busy: self.running.len() as u16,
+            slots: self.slots(),
+            waited: Duration::ZERO,
+            served: Duration::ZERO,
+            median: self.median(),
+            high: self.high(),
+        }
+    }
+
+    /// Returns the snapshots that the leaf holds, by shard.
+    pub fn holdings(&self) -> &[Held] {
+        &self.held
+    }
+
+    /// Returns the leaf's state, whoever told it.
+    pub fn state(&self) -> State {
+        if self.told_draining {
+            return State::Draining;
+        }
+        self.state
+    }
+
+    /// Returns whether the leaf itself says that it is leaving.
+    pub fn says_draining(&self) -> bool {
+        self.state == State::Draining
+    }
+
+    /// Returns the number of parts that run or wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    /// Returns whether no part runs or waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn holds(&self, attempt: AttemptId) -> bool {
+        let waits = self.waiting.iter().any(|w| w.part.attempt == attempt);
+        waits || self.running.iter().any(|r| r.part.attempt == attempt)
+    }
+
+    fn held(&self, shard: &str) -> &[SnapshotId] {
+        let found = self.held.iter().find(|held| held.shard == shard);
+        found.map_or(&[], |held| &held.snapshots)
+    }
+
+    fn median(&self) -> Duration {
+        self.served.median().unwrap_or(ASSUMED_MEDIAN)
+    }
+
+    fn high(&self) -> Duration {
+        self.served.at(0.95).unwrap_or(ASSUMED_MEDIAN * 4)
+    }
+
+    /// Parts that may run at once: the adaptive limit within the share.
+    fn slots(&self) -> u16 {
+        self.concurrency.limit().min(self.share)
+    }
+
+    /// Why no part can be taken at all now.
+    fn closed(&self, now: Instant) -> Option<Failure> {
+        if self.state() == State::Draining {
+            return Some(Failure::not_run(Reason::Leaving));
+        }
+        if self.share == 0 {
+            return Some(Failure::not_run(Reason::NoOwner));
+        }
+        let pause = self.pause.filter(|pause| now < pause.until)?;
+        Some(Failure::not_run(pause.reason).retry_after(pause.until - now))
+    }
+
+    fn refusal(&self, part: &Part, now: Instant) -> Option<Failure> {
+        if now >= part.deadline {
+            return Some(Failure::not_run(Reason::Deadline));
+        }
+        if let Some(failure) = self.closed(now) {
+            return Some(failure);
+        }
+        let wait = self.expected_wait(self.waiting.len(), now);
+        if self.waiting.len() >= MAX_QUEUED || !self.in_time(part, wait, now) {
+            return Some(Failure::not_run(Reason::QueueFull).retry_after(wait.max(SHED_WAIT)));
+        }
+        None
+    }
+
+    /// Expected wait of a part with so many others ahead of it in the queue.
+    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        let slots = usize::from(self.slots()).max(1);
+        let paused = self
+            .not_before
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        let before = (ahead + self.running.len() + 1).saturating_sub(slots);
+        paused + self.median().mul_f64(before as f64 / slots as f64)
+    }
+
+    /// Whether a part still ends in time after a wait. A free slot is not
+    /// refused on an old estimate, as only a new answer can correct it.
+    fn in_time(&self, part: &Part, wait: Duration, now: Instant) -> bool {
+        if wait.is_zero() && !self.estimate_is_fresh(now) {
+            return now < part.deadline;
+        }
+        now + wait + self.median() <= part.deadline
+    }
+
+    fn estimate_is_fresh(&self, now: Instant) -> bool {
+        self.last_answer
+            .is_some_and(|at| now.saturating_duration_since(at) < ESTIMATE_LIFE)
+    }
+
+    /// When a waiting part has to start to end in time.
+    fn last_start(&self, part: &Part) -> Instant {
+        part.deadline
+            .checked_sub(self.median())
+            .unwrap_or(part.deadline)
+    }
+
+    /// Drops what has become hopeless, then starts what fits.
+    fn advance(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = self.drop_hopeless(now);
+        while let Some(start) = self.start_next(now) {
+            actions.push(start);
+        }
+        actions
+    }
+
+    fn drop_hopeless(&mut self, now: Instant) -> Vec<Action> {
+        let closed = self.closed(now);
+        let mut actions = Vec::new();
+        let mut ahead = 0;
+        while ahead < self.waiting.len() {
+            let failure = closed.or_else(|| self.hopeless(ahead, now));
+            let Some(failure) = failure else {
+                ahead += 1;
+                continue;
+            };
+            let dropped = self.waiting.remove(ahead);
+            let waited = now.saturating_duration_since(dropped.since);
+            actions.push(self.answer_unsent(&dropped.part, waited, failure));
+        }
+        actions
+    }
+
+    fn hopeless(&self, ahead: usize, now: Instant) -> Option<Failure> {
+        let wait = self.expected_wait(ahead, now);
+        if self.in_time(&self.waiting[ahead].part, wait, now) {
+            return None;
+        }
+        let back = self.expected_wait(self.waiting.len(), now).max(SHED_WAIT);
+        Some(Failure::not_run(Reason::QueueFull).retry_after(back))
+    }
+
+    fn start_next(&mut self, now: Instant) -> Option<Action> {
+        if self.waiting.is_empty() || self.running.len() >= usize::from(self.slots()) {
+            return None;
+        }
+        if self.not_before.is_some_and(|until| now < until) {
+            return None;
+        }
+        self.not_before = None;
+        let next = self.waiting.remove(0);
+        let connection = if next.part.idempotent {
+            Use::Any
+        } else {
+            Use::Proven
+        };
+        self.running.push(Running {
+            part: next.part.clone(),
+            waited: now.saturating_duration_since(next.since),
+            since: now,
+            answered: false,
+        });
+        Some(Action::Start {
+            part: next.part,
+            connection,
+        })
+    }
+
+    /// Answers a running attempt before its end.
+    fn abort(&mut self, attempt: AttemptId, reason: Reason, now: Instant) -> Vec<Action> {
+        let mut running = self.running.iter_mut();
+        let found = running.find(|r| r.part.attempt == attempt && !r.answered);
+        let Some(found) = found else {
+            return Vec::new();
+        };
+        found.answered = true;
+        let ended = found.clone();
+        let served = now.saturating_duration_since(ended.since);
+        let result = Err(Failure::may_have_run(reason));
+        let answer = self.answer(&ended.part, ended.waited, served, result);
+        vec![answer, Action::Abort(attempt)]
+    }
+
+    fn abort_late(&mut self, now: Instant) -> Vec<Action> {
+        let running = self.running.iter();
+        let late: Vec<AttemptId> = running
+            .filter(|r| !r.answered && now >= r.part.deadline)
+            .map(|r| r.part.attempt)
+            .collect();
+        let mut actions = Vec::new();
+        for &attempt in &late {
+            actions.extend(self.abort(attempt, Reason::Deadline, now));
+            if self.is_overdue(attempt, now) {
+                actions.push(Action::CloseIdle);
+            }
+        }
+        actions
+    }
+
+    /// Whether a running attempt takes so long that its connection, and those
+    /// that are older, may have gone silent.
+    fn is_overdue(&self, attempt: AttemptId, now: Instant) -> bool {
+        let found = self.running.iter().find(|r| r.part.attempt == attempt);
+        found.is_some_and(|r| now.saturating_duration_since(r.since) > self.high() * OVERDUE_FACTOR)
+    }
+
+    /// Learns from the end of an attempt what it shows of the leaf.
+    fn learn(&mut self, ended: &Running, ending: &Ending, now: Instant) -> Vec<Action> {
+        match ending {
+            Ending::Replied { state, .. } => {
+                self.note_answer(now.saturating_duration_since(ended.since), now);
+                self.hear(*state, now);
+                Vec::new()
+            }
+            Ending::Shed { retry_after, state } => {
+                self.failures = 0;
+                self.concurrency.on_shed();
+                self.hear(*state, now);
+                if self.running.is_empty() {
+                    let wait = retry_after.unwrap_or(SHED_WAIT);
+                    self.not_before = Some(now + wait.clamp(SHED_WAIT, LONGEST_PAUSE));
+                }
+                Vec::new()
+            }
+            Ending::NotHeld { held } => {
+                self.failures = 0;
+                self.set_held(&ended.part.shard, held);
+                Vec::new()
+            }
+            Ending::Refused => {
+                self.failures = 0;
+                Vec::new()
+            }
+            Ending::NotSent(reason) | Ending::Lost(reason) if !ended.answered => {
+                self.note_failure(*reason, now)
+            }
+            Ending::TimedOut if !ended.answered => self.note_failure(Reason::Unreachable, now),
+            Ending::TimedOut | Ending::NotSent(_) | Ending::Lost(_) => {
+                self.note_abandoned(ended, now)
+            }
+        }
+    }
+
+    fn note_answer(&mut self, served: Duration, now: Instant) {
+        self.failures = 0;
+        self.pause = None;
+        self.last_answer = Some(now);
+        self.served.record(served);
+        self.concurrency.on_answer(self.median());
+    }
+
+    /// An attempt that was given up shows that the leaf takes at least so
+    /// long, and when it passed its deadline counts as a failure.
+    fn note_abandoned(&mut self, ended: &Running, now: Instant) -> Vec<Action> {
+        let served = now.saturating_duration_since(ended.since);
+        if served > self.high() {
+            self.served.record(served);
+        }
+        if now < ended.part.deadline {
+            return Vec::new();
+        }
+        self.note_failure(Reason::Unreachable, now)
+    }
+
+    fn note_failure(&mut self, reason: Reason, now: Instant) -> Vec<Action> {
+        self.failures += 1;
+        match self.pause {
+            None if self.failures >= FAILURES_TO_PAUSE => {
+                self.start_pause(FIRST_PAUSE, reason, now);
+            }
+            Some(pause) if now >= pause.until => self.lengthen_pause(now),
+            _ => {}
+        }
+        vec![Action::CloseIdle]
+    }
+
+    fn start_pause(&mut self, length: Duration, reason: Reason, now: Instant) {
+        let until = now + length;
+        self.pause = Some(Pause {
+            until,
+            length,
+            reason,
+        });
+        self.concurrency.on_cold();
+        self.next_probe = self.next_probe.min(until);
+    }
+
+    fn lengthen_pause(&mut self, now: Instant) {
+        let Some(pause) = self.pause else {
+            return;
+        };
+        let length = (pause.length * 2).min(LONGEST_PAUSE);
+        self.start_pause(length, pause.reason, now);
+    }
+
+    /// The leaf answers again: it gets one part at a time at first.
+    fn end_pause(&mut self) {
+        if self.pause.take().is_some() {
+            self.failures = 0;
+        }
+    }
+
+    /// Takes the state that an answer of the leaf told.
+    fn hear(&mut self, state: State, now: Instant) {
+        if state == State::Draining {
+            self.draining_answer = Some(now);
+        }
+        self.set_state(state);
+    }
+
+    /// Takes the state that the health endpoint told; what answers showed
+    /// goes before.
+    fn believe(&mut self, state: State, now: Instant) {
+        let answered = self.draining_answer;
+        let drains = answered.is_some_and(|at| now.saturating_duration_since(at) < DRAINING_LIFE);
+        if !drains {
+            self.set_state(state);
+        }
+    }
+
+    fn set_state(&mut self, state: State) {
+        if state == State::Cold && self.state != State::Cold {
+            self.concurrency.on_cold();
+        }
+        self.state = state;
+    }
+
+    fn set_held(&mut self, shard: &str, snapshots: &[SnapshotId]) {
+        let mut snapshots = snapshots.to_vec();
+        snapshots.sort_unstable();
+        self.held.retain(|held| held.shard != shard);
+        self.held.push(Held {
+            shard: shard.to_owned(),
+            snapshots,
+        });
+    }
+
+    fn answer_unsent(&self, part: &Part, waited: Duration, failure: Failure) -> Action {
+        self.answer(part, waited, Duration::ZERO, Err(failure))
+    }
+
+    fn answer(
+        &self,
+        part: &Part,
+        waited: Duration,
+        served: Duration,
+        result: Result<Reply, Failure>,
+    ) -> Action {
+        let report = Report {
+            waited,
+            served,
+            ..self.report(&part.shard)
+        };
+        Action::Answer(Outcome {
+            attempt: part.attempt,
+            result,
+            report: Some(report),
+        })
+    }
+}
+
+/// Turns the end of an attempt into its result.
+fn judge(part: &Part, ending: Ending) -> Result<Reply, Failure> {
+    match ending {
+        Ending::Replied {
+            echo,
+            snapshot,
+            body,
+            ..
+        } => check_reply(part, echo, snapshot, body),
+        Ending::Shed { retry_after, .. } => {
+            let wait = retry_after.unwrap_or(SHED_WAIT);
+            Err(Failure::not_run(Reason::Shed).retry_after(wait))
+        }
+        Ending::NotHeld { .. } => Err(Failure::not_run(Reason::SnapshotNotHeld)),
+        Ending::NotSent(reason) => Err(Failure::not_run(reason)),
+        Ending::Lost(reason) => Err(Failure::may_have_run(reason)),
+        Ending::TimedOut => Err(Failure::may_have_run(Reason::Deadline)),
+        Ending::Refused => Err(Failure::may_have_run(Reason::LeafError)),
+    }
+}
+
+fn check_reply(
+    part: &Part,
+    echo: Option<AttemptId>,
+    snapshot: Option<SnapshotId>,
+    body: Vec<u8>,
+) -> Result<Reply, Failure> {
+    if echo != Some(part.attempt) {
+        return Err(Failure::may_have_run(Reason::ReplyMismatch));
+    }
+    if part.snapshot.is_some() && snapshot != part.snapshot {
+        return Err(Failure {
+            verdict: Verdict::Ran,
+            reason: Reason::SnapshotMismatch,
+            retry_after: None,
+        });
+    }
+    Ok(Reply {
+        snapshot: snapshot.unwrap_or_default(),
+        body,
+    })
+}
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -5,15 +5,18 @@
 //! that tests and benches drive each decision step by step.
 
 pub mod catalog;
+pub mod concurrency;
 pub mod contract;
 pub mod coverage;
 pub mod failure;
 pub mod holding;
 pub mod id;
 pub mod leaf;
+pub mod leaf_queue;
 pub mod outcome;
 pub mod ownership;
 pub mod part;
+pub mod quantile;
 pub mod reason;
 pub mod reply;
 pub mod report;
