Read settings whole and count what a process does

Cause: a process needs its settings checked before it starts, and every part needs one place that names the metrics.

Change: ops::settings reads an INI file with rust-ini and returns settings or all faults at once; the library gives no line numbers, so a scan of the lines finds them. edge::metrics holds all Prometheus metrics behind typed methods.

Ruled out: a reader that stops at the first fault, as an operator would need one start for each mistake.

Conclusion: other parts can build on Settings and Metrics.

--- /dev/null
+++ b/src/geraniummount/edge/metrics/label.rs
@@ -0,0 +1,111 @@
+//! Values of metric labels, as closed sets.
+
+use crate::core::vm;
+
+/// Why a part was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Try {
+    /// First attempt at a shard.
+    First,
+    /// Another attempt after a failure.
+    Retry,
+    /// Another attempt while the first is late.
+    Hedge,
+}
+
+impl Try {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Try::First => "first",
+            Try::Retry => "retry",
+            Try::Hedge => "hedge",
+        }
+    }
+}
+
+/// How a query ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// Answered with all shards.
+    Whole,
+    /// Answered with shards missing.
+    Partial,
+    /// Refused without having run.
+    Refused,
+    /// Failed after it may have run.
+    Failed,
+    /// Bad input.
+    Invalid,
+}
+
+impl Ending {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Ending::Whole => "whole",
+            Ending::Partial => "partial",
+            Ending::Refused => "refused",
+            Ending::Failed => "failed",
+            Ending::Invalid => "invalid",
+        }
+    }
+}
+
+/// What a call to the platform asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Read of a value.
+    Get,
+    /// Write of a value by compare-and-swap.
+    Put,
+    /// Wait for a change of a value.
+    Watch,
+    /// Read of the membership list.
+    Members,
+}
+
+impl Call {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Call::Get => "get",
+            Call::Put => "put",
+            Call::Watch => "watch",
+            Call::Members => "members",
+        }
+    }
+}
+
+/// How a call to a peer or the platform ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// Answered.
+    Ok,
+    /// Answered that another write came first.
+    Conflict,
+    /// Answered with a refusal or an error.
+    Refused,
+    /// No answer; it may have taken effect.
+    Lost,
+    /// Not sent.
+    NotSent,
+}
+
+impl Answer {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Answer::Ok => "ok",
+            Answer::Conflict => "conflict",
+            Answer::Refused => "refused",
+            Answer::Lost => "lost",
+            Answer::NotSent => "not-sent",
+        }
+    }
+}
+
+pub(super) fn vm_state(state: vm::State) -> &'static str {
+    match state {
+        vm::State::Live => "live",
+        vm::State::Suspect => "suspect",
+        vm::State::Leaving => "leaving",
+        vm::State::Dead => "dead",
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/metrics/mod.rs
@@ -0,0 +1,264 @@
+//! What one process counts, for Prometheus.
+//!
+//! A [`Metrics`] is cheap to clone; all clones count into one registry of the
+//! process. Parts of the process call one method an event and know nothing of
+//! names and labels, which stand here only.
+
+mod label;
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+pub use self::label::{Answer, Call, Ending, Try};
+
+use crate::core::vm;
+use crate::prelude::*;
+
+/// Upper bounds of the buckets of times, in seconds.
+const SECONDS: &[f64] = &[
+    0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.1, 0.13, 0.16, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Upper bounds of the buckets of coverage, as shares of one.
+const RATIOS: &[f64] = &[0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1.0];
+
+/// Counters of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    parts: IntCounterVec,
+    queries: IntCounterVec,
+    query_seconds: HistogramVec,
+    coverage: HistogramVec,
+    failures: IntCounterVec,
+    dropped_replies: IntCounterVec,
+    late_replies: IntCounter,
+    leaf_queue: IntGaugeVec,
+    leaf_busy: IntGaugeVec,
+    leaf_slots: IntGaugeVec,
+    leaf_connections: IntGaugeVec,
+    peer_calls: IntCounterVec,
+    platform_calls: IntCounterVec,
+    control_sent: IntCounter,
+    control_received: IntCounter,
+    revision: IntGauge,
+    members: IntGaugeVec,
+}
+
+/// State of a leaf's queue for the gauges.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Parts that wait.
+    pub queued: usize,
+    /// Parts that the leaf is running.
+    pub busy: usize,
+    /// Parts that it may run at once now.
+    pub slots: usize,
+    /// Open connections.
+    pub connections: usize,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics with a registry of their own.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let r = &registry;
+        Metrics {
+            parts: counters(
+                r,
+                "parts_total",
+                "Parts sent to leaves",
+                &["service", "kind"],
+            ),
+            queries: counters(r, "queries_total", "Queries ended", &["service", "result"]),
+            query_seconds: histograms(r, "query_seconds", "Time of a query", SECONDS),
+            coverage: histograms(r, "coverage_ratio", "Share of shards in an answer", RATIOS),
+            failures: counters(
+                r,
+                "failures_total",
+                "Failed attempts",
+                &["reason", "verdict"],
+            ),
+            dropped_replies: counters(r, "dropped_replies_total", "Replies not used", &["reason"]),
+            late_replies: counter(r, "late_replies_total", "Replies after their query's end"),
+            leaf_queue: gauges(r, "leaf_queue", "Parts that wait for a leaf", "leaf"),
+            leaf_busy: gauges(r, "leaf_busy", "Parts that a leaf is running", "leaf"),
+            leaf_slots: gauges(r, "leaf_slots", "Parts that a leaf may run at once", "leaf"),
+            leaf_connections: gauges(r, "leaf_connections", "Connections to a leaf", "leaf"),
+            peer_calls: counters(r, "peer_calls_total", "Calls to peers ended", &["result"]),
+            platform_calls: counters(
+                r,
+                "platform_calls_total",
+                "Calls to the platform ended",
+                &["kind", "result"],
+            ),
+            control_sent: counter(r, "control_sent_bytes_total", "Heartbeat bytes sent"),
+            control_received: counter(r, "control_received_bytes_total", "Heartbeat bytes read"),
+            revision: gauge(
+                r,
+                "config_revision",
+                "Revision of the configuration in force",
+            ),
+            members: gauges(r, "members", "Known VMs", "state"),
+            registry,
+        }
+    }
+
+    /// Counts a part that was sent towards a leaf.
+    pub fn part(&self, service: &str, kind: Try) {
+        let labels = [service, kind.as_str()];
+        self.parts.with_label_values(&labels).inc();
+    }
+
+    /// Counts a query's end and its time.
+    pub fn query(&self, service: &str, ending: Ending, elapsed: Duration) {
+        let labels = [service, ending.as_str()];
+        self.queries.with_label_values(&labels).inc();
+        let seconds = self.query_seconds.with_label_values(&[service]);
+        seconds.observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts the coverage of an answer, as a share of one.
+    pub fn coverage(&self, service: &str, ratio: f64) {
+        self.coverage.with_label_values(&[service]).observe(ratio);
+    }
+
+    /// Counts a failed attempt.
+    pub fn failure(&self, failure: &Failure) {
+        let labels = [failure.reason.as_str(), failure.verdict.as_str()];
+        self.failures.with_label_values(&labels).inc();
+    }
+
+    /// Counts a reply that was not used: mismatched, truncated and the like.
+    pub fn dropped_reply(&self, reason: Reason) {
+        let labels = [reason.as_str()];
+        self.dropped_replies.with_label_values(&labels).inc();
+    }
+
+    /// Counts a reply that came after its query had ended.
+    pub fn late_reply(&self) {
+        self.late_replies.inc();
+    }
+
+    /// Sets the gauges of a leaf that this VM owns.
+    pub fn leaf(&self, leaf: &str, load: Load) {
+        let set = |gauges: &IntGaugeVec, value: usize| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            gauges.with_label_values(&[leaf]).set(value);
+        };
+        set(&self.leaf_queue, load.queued);
+        set(&self.leaf_busy, load.busy);
+        set(&self.leaf_slots, load.slots);
+        set(&self.leaf_connections, load.connections);
+    }
+
+    /// Removes the gauges of a leaf that this VM holds no more.
+    pub fn leaf_gone(&self, leaf: &str) {
+        let all = [
+            &self.leaf_queue,
+            &self.leaf_busy,
+            &self.leaf_slots,
+            &self.leaf_connections,
+        ];
+        for gauges in all {
+            // A leaf without gauges is no error.
+            let _ = gauges.remove_label_values(&[leaf]);
+        }
+    }
+
+    /// Counts a call to a peer.
+    pub fn peer_call(&self, answer: Answer) {
+        let labels = [answer.as_str()];
+        self.peer_calls.with_label_values(&labels).inc();
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_call(&self, call: Call, answer: Answer) {
+        let labels = [call.as_str(), answer.as_str()];
+        self.platform_calls.with_label_values(&labels).inc();
+    }
+
+    /// Counts bytes of control traffic that were sent to peers.
+    pub fn control_sent(&self, bytes: usize) {
+        self.control_sent.inc_by(bytes as u64);
+    }
+
+    /// Counts bytes of control traffic that were read from peers.
+    pub fn control_received(&self, bytes: usize) {
+        self.control_received.inc_by(bytes as u64);
+    }
+
+    /// Sets the revision of the configuration in force.
+    pub fn revision(&self, revision: Revision) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Sets how many known VMs are in a state.
+    pub fn members(&self, state: vm::State, count: usize) {
+        let gauge = self.members.with_label_values(&[label::vm_state(state)]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Writes all metrics in Prometheus' text format.
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        match TextEncoder::new().encode(&families, &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# metrics can't be written: {error}\n"),
+        }
+    }
+}
+
+// Names and help texts are constants, so registration can't fail at run time
+// unless a name stands twice, which the first start of any test shows.
+
+fn full_name(name: &str) -> String {
+    format!("geraniummount_{name}")
+}
+
+fn register<M: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    made: prometheus::Result<M>,
+) -> M {
+    let metric = made.expect("metric has a valid name");
+    let boxed = Box::new(metric.clone());
+    registry
+        .register(boxed)
+        .expect("metric has a name of its own");
+    metric
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(full_name(name), help))
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(full_name(name), help);
+    register(registry, IntCounterVec::new(opts, labels))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(full_name(name), help))
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let opts = Opts::new(full_name(name), help);
+    register(registry, IntGaugeVec::new(opts, &[label]))
+}
+
+fn histograms(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> HistogramVec {
+    let opts = HistogramOpts::new(full_name(name), help).buckets(buckets.to_vec());
+    register(registry, HistogramVec::new(opts, &["service"]))
+}
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -1,1 +1,3 @@
 //! What each subcommand does.
+
+pub mod settings;
--- /dev/null
+++ b/src/geraniummount/ops/settings/document.rs
@@ -0,0 +1,122 @@
+//! An INI file as a list of entries that know their lines.
+
+use ini::{Ini, ParseOption};
+
+use super::fault::{Fault, Faults};
+
+/// Sections and entries of a file, in the file's order.
+#[derive(Debug, Default)]
+pub(super) struct Document {
+    /// Section headers.
+    pub(super) headers: Vec<Header>,
+    /// Keys with their values.
+    pub(super) entries: Vec<Entry>,
+}
+
+/// A section header.
+#[derive(Debug)]
+pub(super) struct Header {
+    pub(super) section: String,
+    pub(super) line: usize,
+}
+
+/// A key with its value.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) section: String,
+    pub(super) key: String,
+    pub(super) value: String,
+    pub(super) line: usize,
+}
+
+impl Document {
+    /// Parses a file; lines that can't be parsed become faults.
+    ///
+    /// The INI library gives values without lines, so a first pass finds the
+    /// line of each key, and each value takes the line of its key.
+    pub(super) fn parse(text: &str, faults: &mut Faults) -> Document {
+        let mut document = Document::default();
+        let mut places = document.scan(text, faults);
+        let parsed = match Ini::load_from_str_opt(text, plain_values()) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                faults.push(Fault {
+                    line: Some(error.line),
+                    key: "(line)".to_string(),
+                    found: error.msg.to_string(),
+                    allowed: "'[section]', 'key = value' or a comment".to_string(),
+                });
+                return document;
+            }
+        };
+        for (section, properties) in &parsed {
+            for (key, value) in properties.iter() {
+                document.take(&mut places, section.unwrap_or(""), key, value);
+            }
+        }
+        document.entries.sort_by_key(|entry| entry.line);
+        document
+    }
+
+    /// Returns the line of a key, where the file has it.
+    pub(super) fn line_of(&self, section: &str, key: &str) -> Option<usize> {
+        let mut entries = self.entries.iter();
+        let entry = entries.find(|entry| entry.section == section && entry.key == key);
+        entry.map(|entry| entry.line)
+    }
+
+    /// Finds headers and the places of keys, and refuses lines that are neither.
+    fn scan(&mut self, text: &str, faults: &mut Faults) -> Vec<Entry> {
+        let mut section = String::new();
+        let mut places = Vec::new();
+        for (index, text) in text.lines().enumerate() {
+            let line = index + 1;
+            let text = text.trim();
+            if text.is_empty() || text.starts_with([';', '#']) {
+                continue;
+            }
+            if let Some(name) = text.strip_prefix('[').and_then(|t| t.strip_suffix(']')) {
+                section = name.trim().to_string();
+                self.headers.push(Header {
+                    section: section.clone(),
+                    line,
+                });
+                continue;
+            }
+            match text.split_once(['=', ':']) {
+                Some((key, _)) => places.push(Entry {
+                    section: section.clone(),
+                    key: key.trim().to_string(),
+                    value: String::new(),
+                    line,
+                }),
+                None => faults.push(Fault {
+                    line: Some(line),
+                    key: "(line)".to_string(),
+                    found: format!("'{text}'"),
+                    allowed: "'[section]', 'key = value' or a comment".to_string(),
+                }),
+            }
+        }
+        places
+    }
+
+    /// Moves the first place of a key to the entries, with its value.
+    fn take(&mut self, places: &mut Vec<Entry>, section: &str, key: &str, value: &str) {
+        let same = |place: &Entry| place.section == section && place.key == key;
+        let Some(index) = places.iter().position(same) else {
+            return;
+        };
+        let mut entry = places.remove(index);
+        entry.value = value.trim().to_string();
+        self.entries.push(entry);
+    }
+}
+
+fn plain_values() -> ParseOption {
+    ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    }
+}
--- /dev/null
+++ b/src/geraniummount/ops/settings/mod.rs
@@ -0,0 +1,127 @@
+//! Settings of one process, read from an INI file.
+//!
+//! The file is checked whole before anything starts: [`Settings::parse`]
+//! returns either settings that can be used or every fault of the file at
+//! once, each with its line, key, what was found and what is allowed.
+
+mod caller;
+mod document;
+mod fault;
+mod limits;
+mod log;
+mod node;
+mod operator;
+mod platform;
+mod section;
+
+use std::path::Path;
+
+use error_stack::{Report, ResultExt};
+
+pub use self::caller::Caller;
+pub use self::fault::{Fault, Faults};
+pub use self::limits::Limits;
+pub use self::log::Log;
+pub use self::node::Node;
+pub use self::operator::Operator;
+pub use self::platform::Platform;
+
+use self::document::Document;
+use self::section::Section;
+
+/// Names of the sections that a settings file may have.
+const SECTIONS: &[&str] = &["node", "caller", "operator", "platform", "limits", "log"];
+
+/// Settings of one process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Who this process is and how peers reach it.
+    pub node: Node,
+    /// Where callers send queries.
+    pub caller: Caller,
+    /// Where operators declare resources and read state.
+    pub operator: Operator,
+    /// The platform's key-value service.
+    pub platform: Platform,
+    /// Bounds on what the process holds at once.
+    pub limits: Limits,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Settings, Report<Faults>> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| Faults::unreadable(&file, &cause))
+            .attach("give the path of a readable INI file with --settings")?;
+        Ok(Settings::parse(&file, &text)?)
+    }
+
+    /// Checks the text of a settings file; `file` is its name in faults.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
+        let mut faults = Faults::new(file);
+        let document = Document::parse(text, &mut faults);
+        let settings = read(&document, &mut faults);
+        faults.sort();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
+        }
+    }
+}
+
+/// Reads every section, so that the faults of all of them are found.
+fn read(document: &Document, faults: &mut Faults) -> Option<Settings> {
+    refuse_unknown_sections(document, faults);
+    let node = Node::read(&mut Section::new(document, "node", faults));
+    let caller = Caller::read(&mut Section::new(document, "caller", faults));
+    let operator = Operator::read(&mut Section::new(document, "operator", faults));
+    let platform = Platform::read(&mut Section::new(document, "platform", faults));
+    let limits = Limits::read(&mut Section::new(document, "limits", faults));
+    let log = Log::read(&mut Section::new(document, "log", faults));
+    let settings = Settings {
+        node: node?,
+        caller: caller?,
+        operator: operator?,
+        platform: platform?,
+        limits: limits?,
+        log: log?,
+    };
+    refuse_shared_address(document, &settings, faults);
+    Some(settings)
+}
+
+fn refuse_unknown_sections(document: &Document, faults: &mut Faults) {
+    for header in &document.headers {
+        if !SECTIONS.contains(&header.section.as_str()) {
+            faults.push(Fault {
+                line: Some(header.line),
+                key: format!("[{}]", header.section),
+                found: "an unknown section".to_string(),
+                allowed: format!("one of the sections {}", SECTIONS.join(", ")),
+            });
+        }
+    }
+}
+
+/// Two listeners of one process can't hold the same address and port.
+fn refuse_shared_address(document: &Document, settings: &Settings, faults: &mut Faults) {
+    let listeners = [
+        ("node", "peer_listen", settings.node.peer_listen),
+        ("caller", "listen", settings.caller.listen),
+        ("operator", "listen", settings.operator.listen),
+    ];
+    for (index, (section, key, address)) in listeners.iter().enumerate() {
+        let same = |other: &&(&str, &str, _)| address.port() != 0 && other.2 == *address;
+        if let Some((other_section, other_key, _)) = listeners[..index].iter().find(same) {
+            faults.push(Fault {
+                line: document.line_of(section, key),
+                key: format!("[{section}] {key}"),
+                found: format!("{address}, which [{other_section}] {other_key} has too"),
+                allowed: "an address and port of its own for each listener".to_string(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/ops/settings/node.rs
@@ -0,0 +1,65 @@
+//! Section `[node]`: who this process is and how peers reach it.
+
+use std::net::SocketAddr;
+
+use super::section::Section;
+use crate::prelude::*;
+
+/// Identity of this process among its peers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Node {
+    /// Name of this VM, unique in the fleet.
+    pub name: VmName,
+    /// Failure domain of this VM.
+    pub failure_domain: DomainName,
+    /// Where it listens for peers: TCP for calls, UDP for heartbeats.
+    pub peer_listen: SocketAddr,
+    /// Address that it tells its peers.
+    pub peer_advertise: SocketAddr,
+    /// Peers that it asks first, so that it starts while the platform is down.
+    pub first_peers: Vec<SocketAddr>,
+}
+
+impl Node {
+    pub(super) fn read(section: &mut Section<'_>) -> Option<Node> {
+        section.allow(&[
+            "name",
+            "failure_domain",
+            "peer_listen",
+            "peer_advertise",
+            "first_peers",
+        ]);
+        let name = section.name("name");
+        let failure_domain = section.name("failure_domain");
+        let peer_listen = section.listener("peer_listen");
+        let peer_advertise = section.optional_target("peer_advertise");
+        let first_peers = section.targets("first_peers");
+        let peer_listen = peer_listen?;
+        Some(Node {
+            peer_advertise: advertised(section, peer_listen, peer_advertise?)?,
+            name: name?,
+            failure_domain: failure_domain?,
+            peer_listen,
+            first_peers: first_peers?,
+        })
+    }
+}
+
+/// Takes the listener's address where no other one is given.
+fn advertised(
+    section: &mut Section<'_>,
+    listen: SocketAddr,
+    advertise: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    if listen.port() == 0 {
+        let allowed = "a fixed port, the same for TCP and UDP";
+        section.refuse("peer_listen", format!("'{listen}'"), allowed);
+        return None;
+    }
+    if advertise.is_none() && listen.ip().is_unspecified() {
+        let allowed = "an address that peers can dial, or one in peer_advertise";
+        section.refuse("peer_listen", format!("'{listen}'"), allowed);
+        return None;
+    }
+    Some(advertise.unwrap_or(listen))
+}
--- /dev/null
+++ b/src/geraniummount/ops/settings/operator.rs
@@ -0,0 +1,20 @@
+//! Section `[operator]`: where operators declare resources and read state.
+
+use std::net::SocketAddr;
+
+use super::section::Section;
+
+/// The operators' listener.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Operator {
+    /// Where it listens.
+    pub listen: SocketAddr,
+}
+
+impl Operator {
+    pub(super) fn read(section: &mut Section<'_>) -> Option<Operator> {
+        section.allow(&["listen"]);
+        let listen = section.listener("listen");
+        Some(Operator { listen: listen? })
+    }
+}
--- /dev/null
+++ b/src/geraniummount/ops/settings/section.rs
@@ -0,0 +1,210 @@
+//! Typed reading of one section.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use super::document::{Document, Entry};
+use super::fault::{Fault, Faults};
+
+const LONGEST_NAME: usize = 63;
+
+/// Reader of one section that notes every fault and goes on.
+pub(super) struct Section<'a> {
+    name: &'static str,
+    entries: Vec<&'a Entry>,
+    faults: &'a mut Faults,
+}
+
+impl<'a> Section<'a> {
+    pub(super) fn new(
+        document: &'a Document,
+        name: &'static str,
+        faults: &'a mut Faults,
+    ) -> Section<'a> {
+        let entries = document.entries.iter();
+        Section {
+            name,
+            entries: entries.filter(|entry| entry.section == name).collect(),
+            faults,
+        }
+    }
+
+    /// Refuses keys that are unknown or given twice.
+    pub(super) fn allow(&mut self, keys: &[&str]) {
+        let mut seen: Vec<&str> = Vec::new();
+        for entry in self.entries.clone() {
+            if !keys.contains(&entry.key.as_str()) {
+                let allowed = format!("one of the keys {}", keys.join(", "));
+                self.fault(entry, "an unknown key".to_string(), allowed);
+            } else if seen.contains(&entry.key.as_str()) {
+                let found = "the key a second time".to_string();
+                self.fault(entry, found, "each key once".to_string());
+            }
+            seen.push(&entry.key);
+        }
+    }
+
+    /// Reads a name of letters, digits, dots and hyphens.
+    pub(super) fn name(&mut self, key: &str) -> Option<String> {
+        let entry = self.required(key, "a name")?;
+        let letters = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '.';
+        let value = &entry.value;
+        if !value.is_empty() && value.len() <= LONGEST_NAME && value.chars().all(letters) {
+            return Some(value.clone());
+        }
+        let allowed = format!("1 to {LONGEST_NAME} letters, digits, dots or hyphens");
+        self.fault(entry, format!("'{value}'"), allowed);
+        None
+    }
+
+    /// Reads a path prefix of letters, digits, hyphens, dots and slashes.
+    pub(super) fn prefix(&mut self, key: &str, default: &str) -> Option<String> {
+        let Some(entry) = self.entry(key) else {
+            return Some(default.to_string());
+        };
+        let letters = |c: char| c.is_ascii_alphanumeric() || "-./".contains(c);
+        let value = &entry.value;
+        if !value.is_empty() && value.len() <= LONGEST_NAME && value.chars().all(letters) {
+            return Some(value.clone());
+        }
+        let allowed = format!("1 to {LONGEST_NAME} letters, digits, dots, hyphens or slashes");
+        self.fault(entry, format!("'{value}'"), allowed);
+        None
+    }
+
+    /// Reads an address to listen on; port 0 takes any free port.
+    pub(super) fn listener(&mut self, key: &str) -> Option<SocketAddr> {
+        let entry = self.required(key, "an IP address and port, such as 10.0.0.5:8080")?;
+        self.address(entry)
+    }
+
+    /// Reads an address that others dial.
+    pub(super) fn target(&mut self, key: &str) -> Option<SocketAddr> {
+        let entry = self.required(key, "an IP address and port, such as 10.0.0.5:8080")?;
+        self.dialled(entry, &entry.value)
+    }
+
+    /// Reads an address that others dial, where the file has it.
+    pub(super) fn optional_target(&mut self, key: &str) -> Option<Option<SocketAddr>> {
+        match self.entry(key) {
+            Some(entry) => self.dialled(entry, &entry.value).map(Some),
+            None => Some(None),
+        }
+    }
+
+    /// Reads addresses that are separated by commas; a missing key is none.
+    pub(super) fn targets(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
+        let Some(entry) = self.entry(key) else {
+            return Some(Vec::new());
+        };
+        let items = entry.value.split(',').map(str::trim);
+        let items: Vec<&str> = items.filter(|item| !item.is_empty()).collect();
+        let read: Vec<_> = items.iter().map(|item| self.dialled(entry, item)).collect();
+        read.into_iter().collect()
+    }
+
+    /// Reads a whole number; a missing key takes the default.
+    pub(super) fn number(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let Some(entry) = self.entry(key) else {
+            return Some(default);
+        };
+        if let Some(value) = entry.value.parse().ok().filter(|v| range.contains(v)) {
+            return Some(value);
+        }
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        self.fault(entry, format!("'{}'", entry.value), allowed);
+        None
+    }
+
+    /// Reads a count of things held in memory.
+    pub(super) fn count(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Option<usize> {
+        let number = self.number(key, default, range)?;
+        usize::try_from(number).ok()
+    }
+
+    /// Reads a time in milliseconds.
+    pub(super) fn millis(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Option<Duration> {
+        self.number(key, default, range).map(Duration::from_millis)
+    }
+
+    /// Reads one word of a closed set.
+    pub(super) fn word<T: FromStr>(&mut self, key: &str, default: T, words: &[&str]) -> Option<T> {
+        let Some(entry) = self.entry(key) else {
+            return Some(default);
+        };
+        let known = words.contains(&entry.value.as_str());
+        let value = entry.value.parse().ok().filter(|_| known);
+        if value.is_none() {
+            let allowed = format!("one of {}", words.join(", "));
+            self.fault(entry, format!("'{}'", entry.value), allowed);
+        }
+        value
+    }
+
+    /// Notes a fault of a key that can be read but not used.
+    pub(super) fn refuse(&mut self, key: &str, found: String, allowed: &str) {
+        let line = self.entry(key).map(|entry| entry.line);
+        self.push(line, key, found, allowed.to_string());
+    }
+
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.entries.iter().copied().find(|entry| entry.key == key)
+    }
+
+    fn required(&mut self, key: &str, allowed: &str) -> Option<&'a Entry> {
+        let entry = self.entry(key);
+        if entry.is_none() {
+            self.push(None, key, "no such key".to_string(), allowed.to_string());
+        }
+        entry
+    }
+
+    fn address(&mut self, entry: &Entry) -> Option<SocketAddr> {
+        let address = entry.value.parse();
+        if address.is_err() {
+            let allowed = "an IP address and port, such as 10.0.0.5:8080".to_string();
+            self.fault(entry, format!("'{}'", entry.value), allowed);
+        }
+        address.ok()
+    }
+
+    fn dialled(&mut self, entry: &Entry, value: &str) -> Option<SocketAddr> {
+        let usable = |address: &SocketAddr| address.port() != 0 && !address.ip().is_unspecified();
+        let address = value.parse().ok().filter(usable);
+        if address.is_none() {
+            let allowed = "an IP address and port that others can dial, such as 10.0.0.5:8080";
+            self.fault(entry, format!("'{value}'"), allowed.to_string());
+        }
+        address
+    }
+
+    fn fault(&mut self, entry: &Entry, found: String, allowed: String) {
+        self.push(Some(entry.line), &entry.key, found, allowed);
+    }
+
+    fn push(&mut self, line: Option<usize>, key: &str, found: String, allowed: String) {
+        self.faults.push(Fault {
+            line,
+            key: format!("[{}] {key}", self.name),
+            found,
+            allowed,
+        });
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,1 +1,3 @@
 //! Integration tests.
+
+mod settings;
