Decide how changes enter the configuration

A generation is the revision of the last change, so that it never comes twice, also after a delete and a new create; a count per resource was ruled out for that.

--- a/src/geraniummount/core/id.rs
+++ b/src/geraniummount/core/id.rs
@@ -10,7 +10,8 @@
 /// Name of a failure domain.
 pub type DomainName = String;
 
-/// Count of the accepted changes of one resource.
+/// Revision at which a resource was last changed, so that no generation comes
+/// twice, also when a resource is deleted and created again; 0 means none.
 pub type Generation = u64;
 
 /// Key with which a caller marks repeated sends of one non-idempotent request.
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -5,10 +5,13 @@
 //! that tests and benches drive each decision step by step.
 
 pub mod catalog;
+pub mod change;
+pub mod change_log;
 pub mod concurrency;
 pub mod contract;
 pub mod coverage;
 pub mod failure;
+pub mod fault;
 pub mod holding;
 pub mod id;
 pub mod leaf;
@@ -16,11 +19,14 @@
 pub mod outcome;
 pub mod ownership;
 pub mod part;
+pub mod proposal;
 pub mod quantile;
 pub mod reason;
 pub mod reply;
 pub mod report;
+pub mod resource;
 pub mod service;
+pub mod validation;
 pub mod verdict;
 pub mod view;
 pub mod vm;
--- /dev/null
+++ b/src/geraniummount/core/resource.rs
@@ -0,0 +1,87 @@
+//! What operators declare: one typed resource of a known kind.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::fault::Fault;
+use crate::prelude::*;
+
+/// Closed set of kinds of resources.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A [`Leaf`].
+    Leaf,
+    /// A [`Service`].
+    Service,
+}
+
+impl Kind {
+    /// All kinds, in the order in which a set of resources is applied.
+    pub const ALL: [Kind; 2] = [Kind::Leaf, Kind::Service];
+
+    /// Returns the kind as it is written in paths and files.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Leaf => "leaf",
+            Kind::Service => "service",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Kind {
+    type Err = Fault;
+
+    fn from_str(text: &str) -> Result<Kind, Fault> {
+        let found = Kind::ALL.into_iter().find(|kind| kind.as_str() == text);
+        found.ok_or_else(|| Fault::new("kind", format!("`{text}` is unknown"), "leaf, service"))
+    }
+}
+
+/// A resource as its operator declares it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Resource {
+    /// A leaf.
+    Leaf(Leaf),
+    /// A service.
+    Service(Service),
+}
+
+impl Resource {
+    /// Reads a spec of `kind` from JSON.
+    pub fn parse(kind: Kind, json: &str) -> Result<Resource, Fault> {
+        let parsed = match kind {
+            Kind::Leaf => serde_json::from_str(json).map(Resource::Leaf),
+            Kind::Service => serde_json::from_str(json).map(Resource::Service),
+        };
+        parsed.map_err(|error| {
+            let place = format!("line {}, column {}", error.line(), error.column());
+            Fault::new(place, error.to_string(), format!("a {kind} in JSON"))
+        })
+    }
+
+    /// Returns the resource's kind.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Resource::Leaf(_) => Kind::Leaf,
+            Resource::Service(_) => Kind::Service,
+        }
+    }
+
+    /// Returns the resource's name, unique within its kind.
+    pub fn name(&self) -> &str {
+        match self {
+            Resource::Leaf(leaf) => &leaf.name,
+            Resource::Service(service) => &service.name,
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/validation.rs
@@ -0,0 +1,272 @@
+//! Checks a change against the whole configuration before it is proposed.
+//!
+//! Every fault is reported, each with the field and what is allowed there, so
+//! that an operator mends all of them at once.
+
+use crate::core::change::{Action, Change};
+use crate::core::contract::Contract;
+use crate::core::fault::Fault;
+use crate::core::resource::{Kind, Resource};
+use crate::core::service::Shard;
+use crate::prelude::*;
+
+/// Longest name of a resource, shard or failure domain, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+/// Most leaves of a configuration.
+pub const MAX_LEAVES: usize = 20_000;
+/// Most services of a configuration.
+pub const MAX_SERVICES: usize = 2_000;
+/// Most shards that a service may cover, its own and those it includes.
+pub const MAX_SHARDS: usize = 1_024;
+/// Most replicas of a shard.
+pub const MAX_REPLICAS: usize = 16;
+/// Longest deadline of a service, in milliseconds.
+pub const MAX_DEADLINE_MS: u32 = 600_000;
+/// Longest time to open a connection, in milliseconds.
+pub const MAX_OPEN_MS: u32 = 60_000;
+/// Most retries and hedges, in percent of the parts sent first.
+pub const MAX_EXTRA_PERCENT: u8 = 50;
+
+/// Lists every fault of a change on top of `catalog`; empty when it is valid.
+pub fn check(catalog: &Catalog, change: &Change) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    match &change.action {
+        Action::Put(resource) => {
+            check_identity(change, resource, &mut faults);
+            match resource {
+                Resource::Leaf(leaf) => check_leaf(catalog, leaf, &mut faults),
+                Resource::Service(service) => check_service(catalog, service, &mut faults),
+            }
+        }
+        Action::Delete => check_delete(catalog, change, &mut faults),
+    }
+    faults
+}
+
+fn check_identity(change: &Change, resource: &Resource, faults: &mut Vec<Fault>) {
+    if resource.kind() != change.kind || resource.name() != change.name {
+        let problem = format!("`{}` differs from the path", resource.name());
+        faults.push(Fault::new("name", problem, change.name.as_str()));
+    }
+}
+
+fn check_name(field: &str, name: &str, faults: &mut Vec<Fault>) {
+    let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
+    let starts_plain = name.bytes().next().is_some_and(plain);
+    let all_allowed = name.bytes().all(|byte| plain(byte) || byte == b'-');
+    if starts_plain && all_allowed && name.len() <= MAX_NAME_BYTES {
+        return;
+    }
+    let allowed =
+        format!("1 to {MAX_NAME_BYTES} of a-z, 0-9 and `-`, starting with a letter or digit");
+    faults.push(Fault::new(field, format!("`{name}` is no name"), allowed));
+}
+
+fn check_range(field: &str, value: u64, allowed: (u64, u64), faults: &mut Vec<Fault>) {
+    let (low, high) = allowed;
+    if (low..=high).contains(&value) {
+        return;
+    }
+    let problem = format!("{value} is out of range");
+    faults.push(Fault::new(field, problem, format!("{low} to {high}")));
+}
+
+fn check_leaf(catalog: &Catalog, leaf: &Leaf, faults: &mut Vec<Fault>) {
+    check_name("name", &leaf.name, faults);
+    check_name("failure_domain", &leaf.failure_domain, faults);
+    check_address(catalog, leaf, faults);
+    check_contract(&leaf.contract, faults);
+    if catalog.leaf(&leaf.name).is_none() && catalog.leaves.len() >= MAX_LEAVES {
+        faults.push(Fault::new(
+            "name",
+            "too many leaves",
+            format!("at most {MAX_LEAVES} leaves"),
+        ));
+    }
+}
+
+fn check_address(catalog: &Catalog, leaf: &Leaf, faults: &mut Vec<Fault>) {
+    if leaf.address.port() == 0 || leaf.address.ip().is_unspecified() {
+        let problem = format!("{} can't be connected to", leaf.address);
+        faults.push(Fault::new("address", problem, "an IP number and port"));
+    }
+    let twin = catalog
+        .leaves
+        .iter()
+        .find(|other| other.spec.address == leaf.address && other.spec.name != leaf.name);
+    if let Some(twin) = twin {
+        let problem = format!("{} belongs to leaf `{}`", leaf.address, twin.spec.name);
+        faults.push(Fault::new("address", problem, "an address of its own"));
+    }
+}
+
+fn check_contract(contract: &Contract, faults: &mut Vec<Fault>) {
+    let most = u64::from(u16::MAX);
+    check_range("contract.slots", contract.slots.into(), (1, most), faults);
+    check_range(
+        "contract.connections",
+        contract.connections.into(),
+        (1, most),
+        faults,
+    );
+    let open_ms = u64::from(contract.open_ms);
+    check_range("contract.open_ms", open_ms, (0, MAX_OPEN_MS.into()), faults);
+}
+
+fn check_service(catalog: &Catalog, service: &Service, faults: &mut Vec<Fault>) {
+    check_name("name", &service.name, faults);
+    check_deadlines(service, faults);
+    if service.shards.is_empty() && service.includes.is_empty() {
+        faults.push(Fault::new(
+            "shards",
+            "the service covers nothing",
+            "a shard or an included service",
+        ));
+    }
+    for (index, shard) in service.shards.iter().enumerate() {
+        let first = &service.shards[..index];
+        check_shard(catalog, (index, shard), first, faults);
+    }
+    check_includes(catalog, service, faults);
+    if catalog.service(&service.name).is_none() && catalog.services.len() >= MAX_SERVICES {
+        faults.push(Fault::new(
+            "name",
+            "too many services",
+            format!("at most {MAX_SERVICES} services"),
+        ));
+    }
+}
+
+fn check_deadlines(service: &Service, faults: &mut Vec<Fault>) {
+    let most = u64::from(MAX_DEADLINE_MS);
+    let longest = service.max_deadline_ms.into();
+    check_range("max_deadline_ms", longest, (1, most), faults);
+    let usual = service.deadline_ms.into();
+    check_range("deadline_ms", usual, (1, longest.clamp(1, most)), faults);
+    let extra = service.extra_percent.into();
+    check_range(
+        "extra_percent",
+        extra,
+        (0, MAX_EXTRA_PERCENT.into()),
+        faults,
+    );
+}
+
+fn check_shard(
+    catalog: &Catalog,
+    (index, shard): (usize, &Shard),
+    earlier: &[Shard],
+    faults: &mut Vec<Fault>,
+) {
+    let field = format!("shards[{index}]");
+    check_name(&format!("{field}.name"), &shard.name, faults);
+    if earlier.iter().any(|other| other.name == shard.name) {
+        let problem = format!("`{}` stands twice", shard.name);
+        faults.push(Fault::new(
+            format!("{field}.name"),
+            problem,
+            "a name of its own",
+        ));
+    }
+    let count = shard.replicas.len() as u64;
+    let most = MAX_REPLICAS as u64;
+    check_range(
+        &format!("{field}.replicas (count)"),
+        count,
+        (1, most),
+        faults,
+    );
+    for (place, leaf) in shard.replicas.iter().enumerate() {
+        let field = format!("{field}.replicas[{place}]");
+        if catalog.leaf(leaf).is_none() {
+            let problem = format!("leaf `{leaf}` does not exist");
+            faults.push(Fault::new(&field, problem, "a declared leaf"));
+        }
+        if shard.replicas[..place].contains(leaf) {
+            let problem = format!("leaf `{leaf}` stands twice");
+            faults.push(Fault::new(&field, problem, "each leaf once"));
+        }
+    }
+}
+
+fn check_includes(catalog: &Catalog, service: &Service, faults: &mut Vec<Fault>) {
+    for (index, include) in service.includes.iter().enumerate() {
+        if *include != service.name && catalog.service(include).is_none() {
+            let problem = format!("service `{include}` does not exist");
+            faults.push(Fault::new(
+                format!("includes[{index}]"),
+                problem,
+                "a declared service",
+            ));
+        }
+    }
+    // The change also alters what the services cover that include this one.
+    let others = catalog.services.iter().map(|record| &record.spec);
+    let affected = others.filter(|other| other.name != service.name && !other.includes.is_empty());
+    for root in std::iter::once(service).chain(affected) {
+        check_cover(catalog, service, root, faults);
+    }
+}
+
+/// Checks all that `root` covers once `changed` is in force.
+fn check_cover(catalog: &Catalog, changed: &Service, root: &Service, faults: &mut Vec<Fault>) {
+    let mut reached = vec![root.name.as_str()];
+    let mut open = vec![root];
+    let mut shards = 0;
+    while let Some(service) = open.pop() {
+        shards += service.shards.len();
+        for include in &service.includes {
+            if reached.contains(&include.as_str()) {
+                let problem = format!("`{}` reaches service `{include}` twice", root.name);
+                faults.push(Fault::new(
+                    "includes",
+                    problem,
+                    "each service once, no cycles",
+                ));
+                return;
+            }
+            reached.push(include);
+            let next = if *include == changed.name {
+                Some(changed)
+            } else {
+                catalog.service(include).map(|record| &record.spec)
+            };
+            open.extend(next);
+        }
+    }
+    if shards > MAX_SHARDS {
+        let problem = format!("`{}` covers {shards} shards", root.name);
+        faults.push(Fault::new(
+            "shards",
+            problem,
+            format!("at most {MAX_SHARDS}"),
+        ));
+    }
+}
+
+fn check_delete(catalog: &Catalog, change: &Change, faults: &mut Vec<Fault>) {
+    if catalog.generation(change.kind, &change.name) == 0 {
+        let problem = format!("{} `{}` does not exist", change.kind, change.name);
+        faults.push(Fault::new("name", problem, "a declared resource"));
+    }
+    for record in &catalog.services {
+        if uses(&record.spec, change) {
+            let problem = format!("in use by service `{}`", record.spec.name);
+            faults.push(Fault::new(
+                "name",
+                problem,
+                "a resource that no service uses",
+            ));
+        }
+    }
+}
+
+fn uses(service: &Service, change: &Change) -> bool {
+    match change.kind {
+        Kind::Leaf => service
+            .shards
+            .iter()
+            .any(|shard| shard.replicas.contains(&change.name)),
+        Kind::Service => service.includes.contains(&change.name),
+    }
+}
