--- /dev/null
+++ b/crates/geraniummount-test-support/src/deployment.rs
@@ -0,0 +1,1 @@
+//! The users' deployments as resources.
--- /dev/null
+++ b/crates/geraniummount-test-support/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! A fleet of real processes.
--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -1,1 +1,15 @@
 //! Stand-ins for the systems that geraniummount meets, for tests and benches.
+//!
+//! [`leaf`] and [`platform`] speak the interfaces of `docs/LEAF_API.md` and
+//! `docs/PLATFORM_API.md` and can be told to fail; [`proxy`] stands for the
+//! network in front of one listener; [`fleet`] starts real processes between
+//! them; [`deployment`] holds the users' two deployments as resources.
+
+pub mod client;
+pub mod deployment;
+pub mod fleet;
+mod http;
+pub mod leaf;
+pub mod platform;
+pub mod proxy;
+mod signal;
--- /dev/null
+++ b/crates/geraniummount-test-support/src/platform/store.rs
@@ -0,0 +1,154 @@
+//! Values with versions, and leases that delete them.
+
+use std::time::{Duration, Instant};
+
+/// Keys, values and leases.
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    entries: Vec<Entry>,
+    leases: Vec<Lease>,
+    last_lease: u64,
+}
+
+/// A key; it stays after a deletion to remember its last version.
+#[derive(Debug)]
+struct Entry {
+    key: String,
+    version: u64,
+    value: Option<Vec<u8>>,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    id: u64,
+    ttl: Duration,
+    until: Instant,
+}
+
+/// A write that did not match: the current version and value.
+pub(super) type Conflict = (u64, Vec<u8>);
+
+impl Store {
+    /// Returns version and value; version 0 when the key is absent.
+    pub(super) fn get(&self, key: &str) -> (u64, Option<&[u8]>) {
+        match self.place(key) {
+            Ok(index) => match &self.entries[index] {
+                Entry {
+                    value: Some(value),
+                    version,
+                    ..
+                } => (*version, Some(value)),
+                _ => (0, None),
+            },
+            Err(_) => (0, None),
+        }
+    }
+
+    /// Writes a value when the version matches; returns the new version.
+    pub(super) fn put(
+        &mut self,
+        key: &str,
+        expected: u64,
+        value: Vec<u8>,
+        lease: Option<u64>,
+    ) -> Result<u64, Conflict> {
+        self.check(key, expected)?;
+        let index = match self.place(key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, Entry::new(key));
+                index
+            }
+        };
+        let entry = &mut self.entries[index];
+        entry.version += 1;
+        entry.value = Some(value);
+        entry.lease = lease;
+        Ok(entry.version)
+    }
+
+    /// Deletes a value when the version matches.
+    pub(super) fn delete(&mut self, key: &str, expected: u64) -> Result<(), Conflict> {
+        self.check(key, expected)?;
+        if let Ok(index) = self.place(key) {
+            self.entries[index].value = None;
+        }
+        Ok(())
+    }
+
+    /// Returns the keys that exist.
+    pub(super) fn keys(&self) -> Vec<String> {
+        let present = self.entries.iter().filter(|entry| entry.value.is_some());
+        present.map(|entry| entry.key.clone()).collect()
+    }
+
+    /// Grants a lease.
+    pub(super) fn grant(&mut self, ttl: Duration) -> u64 {
+        self.last_lease += 1;
+        self.leases.push(Lease {
+            id: self.last_lease,
+            ttl,
+            until: Instant::now() + ttl,
+        });
+        self.last_lease
+    }
+
+    /// Renews a lease; `None` when it has lapsed.
+    pub(super) fn renew(&mut self, id: u64) -> Option<Duration> {
+        let lease = self.leases.iter_mut().find(|lease| lease.id == id)?;
+        lease.until = Instant::now() + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Returns whether a lease holds.
+    pub(super) fn holds(&self, id: u64) -> bool {
+        self.leases.iter().any(|lease| lease.id == id)
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub(super) fn end(&mut self, id: u64) {
+        self.leases.retain(|lease| lease.id != id);
+        let held = self
+            .entries
+            .iter_mut()
+            .filter(|entry| entry.lease == Some(id));
+        for entry in held {
+            entry.value = None;
+            entry.lease = None;
+        }
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(super) fn lapse(&mut self) {
+        let now = Instant::now();
+        let past = self.leases.iter().filter(|lease| lease.until <= now);
+        let ids: Vec<u64> = past.map(|lease| lease.id).collect();
+        for id in ids {
+            self.end(id);
+        }
+    }
+
+    fn check(&self, key: &str, expected: u64) -> Result<(), Conflict> {
+        match self.get(key) {
+            (version, _) if version == expected => Ok(()),
+            (version, value) => Err((version, value.unwrap_or_default().to_vec())),
+        }
+    }
+
+    fn place(&self, key: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.key.as_str().cmp(key))
+    }
+}
+
+impl Entry {
+    fn new(key: &str) -> Entry {
+        Entry {
+            key: key.to_string(),
+            version: 0,
+            value: None,
+            lease: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniummount-test-support/src/proxy/mod.rs
@@ -0,0 +1,1 @@
+//! Fault-injecting proxy.
