Send parts to owned leaves over HTTP

Each owned leaf has a task thread that drives its queue; requests run on worker threads, one connection each. A transport watch tells whether bytes left, so that not-run is said only when none did or when a reply that names the attempt says so: a 410, 429 or 503 without the attempt's identity counts as may have run. A dropped part answers itself, so that each ends in exactly one outcome. ureq 3.5 sends a request once (read in its main loop: no retry); redirects and proxies are off.

Not proven by tests yet; parts for peers still end as no owner.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -71,4 +71,6 @@
   changes @3 (since :UInt64) -> (revision :UInt64, catalog :Data, entries :List(Data));
   # State of the peer and what it knows of others, as JSON.
   status @4 () -> (status :Data);
+  # Shows that the connection is alive.
+  ping @5 () -> ();
 }
--- a/schema/peer_capnp.rs
+++ b/schema/peer_capnp.rs
@@ -3050,6 +3050,9 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::status_params::Owned>;
     pub type StatusResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::status_results::Owned>;
+    pub type PingParams = ::capnp::capability::Params<crate::peer_capnp::peer::ping_params::Owned>;
+    pub type PingResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::ping_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3174,6 +3177,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn ping_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::ping_params::Owned,
+            crate::peer_capnp::peer::ping_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn dispatch(
@@ -3221,6 +3233,15 @@
                 "method peer::Server::status not implemented".to_string(),
             )))
         }
+        fn ping(
+            self: ::capnp::capability::Rc<Self>,
+            _: PingParams,
+            _: PingResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::ping not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3316,6 +3337,14 @@
                     )),
                     false,
                 ),
+                5 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::ping(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -6520,4 +6549,524 @@
             pub(crate) const TYPE_ID: u64 = 0x89fd_7665_06f2_a041;
         }
     }
+
+    pub mod ping_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(13, 9, 220, 233, 95, 47, 98, 199),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 110, 103, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xc762_2f5f_e9dc_090d;
+        }
+    }
+
+    pub mod ping_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(233, 215, 149, 96, 233, 61, 136, 149),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 110, 103, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x9588_3de9_6095_d7e9;
+        }
+    }
 }
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -5,15 +5,23 @@
 //! ends in exactly one outcome, at the latest shortly after its deadline.
 
 use std::net::IpAddr;
-use std::sync::Arc;
-use std::sync::mpsc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 
+use crate::core::ownership::{self, Route};
+use crate::edge::leaf;
+use crate::edge::pending::{Gauge, Pending};
 use crate::prelude::*;
 use crate::util::published::Published;
 
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
+const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
+
 /// Told when a leaf says that it is leaving (`true`) or serves again.
 pub type DrainingNotice = Box<dyn Fn(&LeafName, bool) + Send + Sync>;
 
@@ -52,9 +60,21 @@
 }
 
 struct Shared {
-    _options: Options,
-    _view: Arc<Published<View>>,
-    _draining: DrainingNotice,
+    view: Arc<Published<View>>,
+    leaves: leaf::Pool,
+    gauge: Gauge,
+    stopped: AtomicBool,
+}
+
+/// State of the dispatcher, for operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Dump {
+    /// Parts that have no outcome yet.
+    pub in_flight: usize,
+    /// Threads that carry requests to leaves.
+    pub worker_threads: usize,
+    /// Leaves that this VM holds queues of.
+    pub leaves: Vec<leaf::Dump>,
 }
 
 impl Dispatcher {
@@ -64,40 +84,100 @@
         view: Arc<Published<View>>,
         draining: DrainingNotice,
     ) -> Dispatcher {
+        let leaves = leaf::Pool::new(Arc::clone(&view), draining, options.max_body_bytes);
         Dispatcher {
             shared: Arc::new(Shared {
-                _options: options,
-                _view: view,
-                _draining: draining,
+                view,
+                leaves,
+                gauge: Gauge::default(),
+                stopped: AtomicBool::new(false),
             }),
         }
     }
 
     /// Sends a part to its leaf; the outcome goes to `reply`.
     pub fn dispatch(&self, part: Part, reply: ReplyTo) {
-        let failure = Failure::not_run(Reason::NoOwner);
-        reply.send(Outcome::failed(part.attempt, failure));
+        let shared = &self.shared;
+        let pending = Pending::new(part.attempt, reply, &shared.gauge);
+        if shared.stopped.load(Ordering::Acquire) {
+            return pending.fail(Failure::not_run(Reason::Stopping).retry_after(STOPPING_RETRY));
+        }
+        let view = shared.view.get();
+        let Some(record) = view.catalog.leaf(&part.leaf) else {
+            return pending.fail(Failure::not_run(Reason::NoReplica));
+        };
+        let leaf = &record.spec;
+        match ownership::route(&view, leaf) {
+            Route::Local => shared.leaves.submit(leaf, part, pending),
+            Route::Peer(_) | Route::Nowhere => {
+                pending.fail(Failure::not_run(Reason::NoOwner).retry_after(NO_OWNER_RETRY));
+            }
+        }
     }
 
     /// Gives up an attempt; its outcome still goes to its `reply`.
-    pub fn cancel(&self, _attempt: AttemptId, _leaf: &LeafName) {}
+    pub fn cancel(&self, attempt: AttemptId, leaf: &LeafName) {
+        self.shared.leaves.cancel(attempt, leaf);
+    }
 
     /// Asks the owners which snapshots the leaves of a service hold. Owners
     /// that do not answer within `wait` are left out.
-    pub fn holdings(&self, _service: &Service, _wait: Duration) -> Vec<Holding> {
-        Vec::new()
+    pub fn holdings(&self, service: &Service, wait: Duration) -> Vec<Holding> {
+        let deadline = Instant::now() + wait;
+        loop {
+            let (holdings, whole) = self.local_holdings(service);
+            if whole || Instant::now() >= deadline {
+                return holdings;
+            }
+            thread::sleep(HOLDINGS_PERIOD);
+        }
     }
 
     /// Counts the parts that have no outcome yet.
     pub fn in_flight(&self) -> usize {
-        Arc::strong_count(&self.shared) - Arc::strong_count(&self.shared)
+        self.shared.gauge.get()
     }
 
     /// Refuses new parts and ends the threads once those in flight are done.
-    pub fn stop(&self) {}
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::Release);
+        self.shared.leaves.stop();
+    }
+
+    /// Returns the state of leaf tasks and peer connections.
+    pub fn dump(&self) -> Dump {
+        Dump {
+            in_flight: self.in_flight(),
+            worker_threads: self.shared.leaves.worker_threads(),
+            leaves: self.shared.leaves.dump(),
+        }
+    }
 
-    /// Returns the state of leaf tasks and peer connections as JSON.
-    pub fn dump(&self) -> serde_json::Value {
-        serde_json::Value::Null
+    /// Returns what the leaves owned here hold of a service, and whether all
+    /// of them have been asked.
+    fn local_holdings(&self, service: &Service) -> (Vec<Holding>, bool) {
+        let view = self.shared.view.get();
+        let mut holdings = Vec::new();
+        let mut whole = true;
+        for shard in &service.shards {
+            for name in &shard.replicas {
+                let Some(record) = view.catalog.leaf(name) else {
+                    continue;
+                };
+                if ownership::route(&view, &record.spec) != Route::Local {
+                    continue;
+                }
+                match self.shared.leaves.held(&record.spec, &shard.name) {
+                    Some(snapshots) => holdings.push(Holding {
+                        service: service.name.clone(),
+                        shard: shard.name.clone(),
+                        leaf: name.clone(),
+                        snapshots,
+                    }),
+                    None => whole = false,
+                }
+            }
+        }
+        (holdings, whole)
     }
 }
--- /dev/null
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -0,0 +1,117 @@
+//! One HTTP connection to a leaf.
+//!
+//! Each connection has an agent of its own, so that no other request can use
+//! it, and watches its transport: a request whose bytes never left is known
+//! to be not run. The library sends each request once, on an idle connection
+//! that it finds open or on a new one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use ureq::Agent;
+use ureq::config::Config;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{
+    Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
+};
+
+const MAX_IDLE: Duration = Duration::from_secs(3600);
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// A connection; opened by its first request.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) agent: Agent,
+    pub(super) address: SocketAddr,
+    sent: Arc<AtomicBool>,
+    /// When it last carried a whole reply, or was made.
+    pub(super) proven: Instant,
+}
+
+impl Connection {
+    /// Makes a connection that opens with its first request.
+    pub fn new(address: SocketAddr, open_timeout: Duration, now: Instant) -> Connection {
+        let config = Config::builder()
+            .http_status_as_error(false)
+            .max_idle_age(MAX_IDLE)
+            .max_idle_connections(1)
+            .max_idle_connections_per_host(1)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .max_response_header_size(MAX_HEADER_BYTES)
+            .proxy(None)
+            .timeout_connect(Some(open_timeout))
+            .user_agent("geraniummount")
+            .build();
+        let sent = Arc::new(AtomicBool::new(false));
+        let watch = Watch {
+            sent: Arc::clone(&sent),
+        };
+        let connector = DefaultConnector::new().chain(watch);
+        Connection {
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
+            address,
+            sent,
+            proven: now,
+        }
+    }
+
+    /// Forgets what earlier requests sent.
+    pub(super) fn begin(&self) {
+        self.sent.store(false, Ordering::Release);
+    }
+
+    /// Returns whether bytes may have left since [`Connection::begin`].
+    pub(super) fn has_sent(&self) -> bool {
+        self.sent.load(Ordering::Acquire)
+    }
+}
+
+/// Notes when bytes leave on a connection.
+#[derive(Debug)]
+struct Watch {
+    sent: Arc<AtomicBool>,
+}
+
+impl<In: Transport> Connector<In> for Watch {
+    type Out = Watched<In>;
+
+    fn connect(
+        &self,
+        _details: &ConnectionDetails<'_>,
+        chained: Option<In>,
+    ) -> Result<Option<Watched<In>>, ureq::Error> {
+        let watched = chained.map(|inner| Watched {
+            inner,
+            sent: Arc::clone(&self.sent),
+        });
+        Ok(watched)
+    }
+}
+
+#[derive(Debug)]
+struct Watched<In> {
+    inner: In,
+    sent: Arc<AtomicBool>,
+}
+
+impl<In: Transport> Transport for Watched<In> {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.inner.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
+        self.sent.store(true, Ordering::Release);
+        self.inner.transmit_output(amount, timeout)
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
+        self.inner.await_input(timeout)
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.inner.is_open()
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/leaf/connections.rs
@@ -0,0 +1,144 @@
+//! The connections to one leaf, counted against this VM's share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use super::connection::Connection;
+use crate::core::leaf_queue::Use;
+
+/// A connection that carried a reply so recently needs no proof.
+const PROOF_LIFE: Duration = Duration::from_millis(50);
+
+/// A connection idle for so long is proven before it carries any request.
+const TRUSTED_IDLE: Duration = Duration::from_secs(2);
+
+/// A connection idle for so long is closed.
+const LONGEST_IDLE: Duration = Duration::from_secs(30);
+
+/// A connection together with its place in the share.
+#[derive(Debug)]
+pub struct Held {
+    /// The connection; closed before its place is given back.
+    pub connection: Connection,
+    /// Whether it has to be proven before its next request.
+    pub needs_proof: bool,
+    _place: Place,
+}
+
+#[derive(Debug)]
+struct Place(Arc<AtomicU16>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Idle connections, and the count of all.
+#[derive(Debug)]
+pub struct Connections {
+    address: SocketAddr,
+    open_timeout: Duration,
+    share: u16,
+    open: Arc<AtomicU16>,
+    /// Longest unproven first.
+    idle: Vec<Held>,
+}
+
+impl Connections {
+    /// Creates an empty set with a share of the leaf's connections.
+    pub fn new(address: SocketAddr, open_timeout: Duration, share: u16) -> Connections {
+        Connections {
+            address,
+            open_timeout,
+            share,
+            open: Arc::default(),
+            idle: Vec::new(),
+        }
+    }
+
+    /// Takes over a changed address or share.
+    pub fn configure(&mut self, address: SocketAddr, open_timeout: Duration, share: u16) {
+        if address != self.address {
+            self.close_idle();
+        }
+        self.address = address;
+        self.open_timeout = open_timeout;
+        self.share = share;
+        while self.open() > self.share && !self.idle.is_empty() {
+            self.idle.remove(0);
+        }
+    }
+
+    /// Takes a connection for a request, idle or new; `None` when the share is
+    /// used up.
+    pub fn take(&mut self, connection: Use, now: Instant) -> Option<Held> {
+        let Some(mut held) = self.idle.pop() else {
+            return self.open_new(now);
+        };
+        let trusted = match connection {
+            Use::Any => TRUSTED_IDLE,
+            Use::Proven => PROOF_LIFE,
+        };
+        held.needs_proof = now.saturating_duration_since(held.connection.proven) > trusted;
+        Some(held)
+    }
+
+    /// Takes the connection that needs a proof most, or a new one.
+    pub fn take_for_probe(&mut self, now: Instant) -> Option<Held> {
+        if self.idle.is_empty() {
+            return self.open_new(now);
+        }
+        Some(self.idle.remove(0))
+    }
+
+    /// Makes a connection; `None` when the share is used up.
+    pub fn open_new(&mut self, now: Instant) -> Option<Held> {
+        if self.open() >= self.share {
+            return None;
+        }
+        self.open.fetch_add(1, Ordering::AcqRel);
+        Some(Held {
+            connection: Connection::new(self.address, self.open_timeout, now),
+            needs_proof: false,
+            _place: Place(Arc::clone(&self.open)),
+        })
+    }
+
+    /// Takes back a connection that just carried a whole reply.
+    pub fn put(&mut self, mut held: Held, now: Instant) {
+        if held.connection.address != self.address || self.open() > self.share {
+            return;
+        }
+        held.connection.proven = now;
+        self.idle.push(held);
+    }
+
+    /// Returns whether [`Connections::take`] would give one.
+    pub fn has_room(&self) -> bool {
+        !self.idle.is_empty() || self.open() < self.share
+    }
+
+    /// Closes the connections that carry no request.
+    pub fn close_idle(&mut self) {
+        self.idle.clear();
+    }
+
+    /// Closes the connections that were idle for long.
+    pub fn close_old(&mut self, now: Instant) {
+        let idle = |held: &Held| now.saturating_duration_since(held.connection.proven);
+        self.idle.retain(|held| idle(held) < LONGEST_IDLE);
+    }
+
+    /// Returns the count of connections, with those that are still closing.
+    pub fn open(&self) -> u16 {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Returns the count of idle connections.
+    pub fn idle(&self) -> usize {
+        self.idle.len()
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/leaf/exchange.rs
@@ -0,0 +1,211 @@
+//! Requests to a leaf and what their replies mean.
+//!
+//! Each reply becomes one typed ending. Only a whole reply that names its
+//! attempt counts as a statement about that attempt: a refusal without the
+//! attempt's identity, or with another's, leaves open whether the request ran.
+
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+use ureq::http::{HeaderMap, Response};
+use ureq::{Body, Error, RequestBuilder};
+
+use super::connection::Connection;
+use crate::core::leaf::State;
+use crate::core::leaf_queue::{Ending, Health, Held};
+use crate::prelude::*;
+
+const MAX_HEALTH_BYTES: u64 = 1024 * 1024;
+const MAX_CANCEL_BYTES: u64 = 4096;
+
+/// Sends a part and waits for the reply until the part's deadline.
+///
+/// A connection that did not end in [`Ending::Replied`], [`Ending::Shed`] or
+/// [`Ending::NotHeld`] must not be used again.
+pub fn run(connection: &Connection, part: &Part, max_body_bytes: u64) -> Ending {
+    let remaining = part.deadline.saturating_duration_since(Instant::now());
+    if remaining.is_zero() {
+        return Ending::NotSent(Reason::Deadline);
+    }
+    connection.begin();
+    let sent = request(connection, part, remaining).send(&part.body[..]);
+    match sent {
+        Ok(response) => read_reply(part, response, max_body_bytes),
+        Err(error) => failed(connection, &error),
+    }
+}
+
+/// Asks the health endpoint; a connection that is silent must be closed.
+pub fn probe(connection: &Connection, timeout: Duration) -> Health {
+    connection.begin();
+    let url = format!("http://{}/health", connection.address);
+    let request = connection.agent.get(url).config();
+    let sent = request.timeout_global(Some(timeout)).build().call();
+    let Ok(mut response) = sent else {
+        return Health::Silent;
+    };
+    let body = read_body(&mut response, MAX_HEALTH_BYTES);
+    let health = body.ok().and_then(|body| parse_health(&body));
+    match health {
+        Some(health) if response.status() == 200 => health,
+        _ => Health::Silent,
+    }
+}
+
+/// Tells the leaf that an attempt is cancelled.
+pub fn cancel(connection: &Connection, attempt: AttemptId, timeout: Duration) {
+    connection.begin();
+    let url = format!("http://{}/attempts/{attempt}", connection.address);
+    let request = connection.agent.delete(url).config();
+    match request.timeout_global(Some(timeout)).build().call() {
+        Ok(mut response) => drop(read_body(&mut response, MAX_CANCEL_BYTES)),
+        Err(error) => log::debug!("leaf: cancel of attempt {attempt} failed: {error}"),
+    }
+}
+
+fn request(
+    connection: &Connection,
+    part: &Part,
+    remaining: Duration,
+) -> RequestBuilder<ureq::typestate::WithBody> {
+    let path = if part.idempotent { "search" } else { "execute" };
+    let url = format!("http://{}/{path}", connection.address);
+    let remaining_ms = remaining.as_millis().max(1);
+    let request = connection
+        .agent
+        .post(url)
+        .header("Content-Type", "application/json")
+        .header("Attempt-Id", part.attempt.to_string())
+        .header("Request-Id", &part.request)
+        .header("Shard", format!("{}/{}", part.service, part.shard))
+        .header("Deadline-Ms", remaining_ms.to_string());
+    let request = match part.snapshot {
+        Some(snapshot) => request.header("Snapshot", snapshot.to_string()),
+        None => request,
+    };
+    request.config().timeout_global(Some(remaining)).build()
+}
+
+fn failed(connection: &Connection, error: &Error) -> Ending {
+    log::debug!("leaf: request to {} failed: {error}", connection.address);
+    if !connection.has_sent() {
+        return Ending::NotSent(Reason::ConnectFailed);
+    }
+    match error {
+        Error::Timeout(_) => Ending::TimedOut,
+        Error::Protocol(_) | Error::LargeResponseHeader(..) => Ending::Lost(Reason::Truncated),
+        _ => Ending::Lost(Reason::ConnectionLost),
+    }
+}
+
+fn read_reply(part: &Part, mut response: Response<Body>, max_body_bytes: u64) -> Ending {
+    let body = match read_body(&mut response, max_body_bytes) {
+        Ok(body) => body,
+        Err(Error::Timeout(_)) => return Ending::TimedOut,
+        Err(_) => return Ending::Lost(Reason::Truncated),
+    };
+    let headers = response.headers();
+    let echo = number(headers, "Attempt-Id");
+    let status = response.status().as_u16();
+    if matches!(status, 410 | 429 | 503) && echo != Some(part.attempt) {
+        return Ending::Lost(Reason::ReplyMismatch);
+    }
+    match status {
+        200 => Ending::Replied {
+            echo,
+            snapshot: number(headers, "Snapshot"),
+            body,
+            state: state(headers).unwrap_or(State::Serving),
+        },
+        410 => Ending::NotHeld {
+            held: parse_held(&body),
+        },
+        429 => shed(headers, State::Serving),
+        503 => shed(headers, State::Draining),
+        _ => Ending::Refused,
+    }
+}
+
+fn shed(headers: &HeaderMap, state_if_untold: State) -> Ending {
+    Ending::Shed {
+        retry_after: number(headers, "Retry-After").map(Duration::from_secs),
+        state: state(headers).unwrap_or(state_if_untold),
+    }
+}
+
+/// Reads a body whose length is known, so that a part of it can't pass as whole.
+fn read_body(response: &mut Response<Body>, limit: u64) -> Result<Vec<u8>, Error> {
+    let headers = response.headers();
+    let framed =
+        headers.contains_key("Content-Length") || headers.contains_key("Transfer-Encoding");
+    if !framed && response.status() != 204 {
+        return Err(Error::ConnectionFailed);
+    }
+    let reader = response.body_mut().with_config().limit(limit);
+    reader.read_to_vec()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn state(headers: &HeaderMap) -> Option<State> {
+    match headers.get("Leaf-State")?.to_str().ok()? {
+        "serving" => Some(State::Serving),
+        "cold" => Some(State::Cold),
+        "draining" => Some(State::Draining),
+        _ => None,
+    }
+}
+
+#[derive(Deserialize)]
+struct HeldBody {
+    snapshots: Vec<SnapshotId>,
+}
+
+fn parse_held(body: &[u8]) -> Vec<SnapshotId> {
+    let parsed: Result<HeldBody, _> = serde_json::from_slice(body);
+    let mut held = parsed.map_or(Vec::new(), |body| body.snapshots);
+    held.sort_unstable();
+    held
+}
+
+#[derive(Deserialize)]
+struct HealthBody {
+    state: State,
+    #[serde(default)]
+    snapshots: Vec<HeldSnapshot>,
+}
+
+#[derive(Deserialize)]
+struct HeldSnapshot {
+    shard: String,
+    snapshot: SnapshotId,
+}
+
+fn parse_health(body: &[u8]) -> Option<Health> {
+    let body: HealthBody = serde_json::from_slice(body).ok()?;
+    let mut listed = body.snapshots;
+    listed.sort_unstable_by(|a, b| (&a.shard, a.snapshot).cmp(&(&b.shard, b.snapshot)));
+    let mut held: Vec<Held> = Vec::new();
+    for entry in listed {
+        let shard = shard_name(&entry.shard);
+        match held.iter_mut().find(|held| held.shard == shard) {
+            Some(held) => held.snapshots.push(entry.snapshot),
+            None => held.push(Held {
+                shard: shard.to_owned(),
+                snapshots: vec![entry.snapshot],
+            }),
+        }
+    }
+    Some(Health::Answered {
+        state: body.state,
+        held,
+    })
+}
+
+/// Leaves name a shard `service/shard`; within a leaf's queue the service is
+/// left out.
+fn shard_name(full: &str) -> &str {
+    full.split_once('/').map_or(full, |(_, shard)| shard)
+}
--- /dev/null
+++ b/src/geraniummount/edge/workers.rs
@@ -0,0 +1,97 @@
+//! Threads that run blocking jobs.
+//!
+//! A thread starts when a job finds none idle and ends after a while without
+//! work, so their count follows the requests under way, not the leaves owned.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+const IDLE_END: Duration = Duration::from_secs(10);
+const MAX_THREADS: usize = 1024;
+const STACK_BYTES: usize = 256 * 1024;
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// Pool of threads; clones share it.
+#[derive(Clone, Default)]
+pub struct Workers {
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    more: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    jobs: VecDeque<Job>,
+    idle: usize,
+    threads: usize,
+}
+
+impl Workers {
+    /// Runs a job on a thread of its own. Returns `false` and drops the job
+    /// when no thread can be had.
+    pub fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
+        let mut state = self.shared.lock();
+        if state.idle <= state.jobs.len() && !self.add_thread(&mut state) {
+            return false;
+        }
+        state.jobs.push_back(Box::new(job));
+        drop(state);
+        self.shared.more.notify_one();
+        true
+    }
+
+    /// Returns the count of threads.
+    pub fn threads(&self) -> usize {
+        self.shared.lock().threads
+    }
+
+    fn add_thread(&self, state: &mut State) -> bool {
+        if state.threads >= MAX_THREADS {
+            return false;
+        }
+        let shared = Arc::clone(&self.shared);
+        let thread = thread::Builder::new()
+            .name("worker".to_owned())
+            .stack_size(STACK_BYTES);
+        if let Err(error) = thread.spawn(move || shared.work()) {
+            log::error!("leaf: can't start a thread: {error}; raise the limit of threads");
+            return false;
+        }
+        state.threads += 1;
+        state.idle += 1;
+        true
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn work(&self) {
+        while let Some(job) = self.next() {
+            job();
+            self.lock().idle += 1;
+        }
+    }
+
+    fn next(&self) -> Option<Job> {
+        let state = self.lock();
+        let empty = |state: &mut State| state.jobs.is_empty();
+        let waited = self.more.wait_timeout_while(state, IDLE_END, empty);
+        let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.idle -= 1;
+        let job = state.jobs.pop_front();
+        if job.is_none() {
+            state.threads -= 1;
+        }
+        job
+    }
+}
