--- /dev/null
+++ b/src/geraniummount/core/gossip.rs
@@ -0,0 +1,68 @@
+//! What VMs tell each other in datagrams.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+/// Most VMs told of in one datagram.
+pub const MAX_VMS: usize = 8;
+/// Most leaves told of in one datagram.
+pub const MAX_NOTICES: usize = 8;
+
+/// One datagram.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Message {
+    /// The sender; it is answered at its own peer address.
+    pub from: Vm,
+    /// What the sender wants.
+    pub body: Body,
+    /// News and samples of other VMs.
+    pub vms: Vec<Vm>,
+    /// News and samples of leaves.
+    pub notices: Vec<Notice>,
+}
+
+/// What the sender of a datagram wants.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Body {
+    /// Asks for a sign of life.
+    Ping {
+        /// Returned by the answer.
+        probe: u64,
+    },
+    /// Gives a sign of life, the sender's own or that of the VM that it was
+    /// asked to probe.
+    Ack {
+        /// Probe that it answers.
+        probe: u64,
+    },
+    /// Asks to probe another VM, which the sender can't reach itself.
+    PingRequest {
+        /// Returned by the answer.
+        probe: u64,
+        /// Peer address of the VM to probe.
+        target: SocketAddr,
+    },
+    /// Asks for all members.
+    Join,
+    /// Only tells.
+    Push,
+}
+
+/// Whether a leaf is leaving, as some VM learnt from the leaf itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Notice {
+    /// The leaf.
+    pub leaf: LeafName,
+    /// Grows with each change; the larger one holds.
+    pub version: u64,
+    /// Whether the leaf is leaving.
+    pub draining: bool,
+}
+
+impl Notice {
+    /// Whether this notice overrides `other` of the same leaf.
+    pub fn overrides(&self, other: &Notice) -> bool {
+        (self.version, self.draining) > (other.version, other.draining)
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/membership.rs
@@ -0,0 +1,327 @@
+//! Who is alive, without a coordinator and at a constant cost per VM.
+//!
+//! Each period a VM probes one member of its failure domain and one VM of
+//! another. A member that does not answer is probed through others before it
+//! is suspected, and given up when it does not refute the suspicion by a
+//! higher incarnation. News rides on the probes, bounded in count; news that
+//! must not wait is pushed at once to a few VMs, and by them to a few more.
+//! Every datagram carries the sender's revision of the configuration, which
+//! heals a VM that missed a push.
+
+mod merge;
+mod probe;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+
+use crate::core::gossip::{Body, MAX_NOTICES, MAX_VMS, Message, Notice};
+use crate::core::relays::Relays;
+use crate::core::rumors::{Rumors, Subject};
+use crate::core::vm::State;
+use crate::prelude::*;
+
+/// Time between two probes of a member.
+pub const PERIOD: Duration = Duration::from_millis(500);
+/// Wait for a direct answer before others are asked to probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Wait for an answer by way of others.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Wait for a refutation before a suspect is given up.
+const SUSPICION: Duration = Duration::from_secs(3);
+/// Time for which a VM that was given up is remembered.
+const REMEMBER_DEAD: Duration = Duration::from_secs(600);
+/// Periods between two tries to reach VMs that are out of sight.
+const RECONNECT_PERIODS: u64 = 6;
+/// Members that an urgent piece of news is pushed to.
+const PUSH_MEMBERS: usize = 4;
+/// Failure domains that an urgent piece of news is pushed to.
+const PUSH_DOMAINS: usize = 4;
+/// Pushes between two periods.
+const MAX_PUSHES: u32 = 8;
+/// Random members told of in each datagram.
+const SAMPLE: usize = 2;
+/// Members of the own failure domain that are kept track of.
+const MAX_MEMBERS: usize = 1_000;
+/// Leaves whose notices are kept.
+const MAX_LEAF_NOTICES: usize = 20_000;
+
+/// What the control thread does for the membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// Peer address of the receiver.
+        to: SocketAddr,
+        /// What to send.
+        message: Message,
+    },
+    /// A VM has a newer revision: ask it for the changes.
+    Fetch(Vm),
+}
+
+/// One VM's knowledge of the others.
+#[derive(Debug)]
+pub struct Membership {
+    me: Vm,
+    first_peers: Vec<SocketAddr>,
+    hints: Vec<SocketAddr>,
+    members: Vec<Member>,
+    relays: Relays,
+    notices: Vec<Notice>,
+    rumors: Rumors,
+    probes: Vec<probe::Probe>,
+    order: Vec<VmName>,
+    next_period: Instant,
+    periods: u64,
+    pushes_left: u32,
+    push_due: bool,
+    changed: bool,
+    rng: SmallRng,
+}
+
+/// Another VM of the own failure domain.
+#[derive(Clone, Debug)]
+struct Member {
+    vm: Vm,
+    since: Instant,
+}
+
+impl Membership {
+    /// Starts to look for others; `me.incarnation` must be higher than at any
+    /// earlier start of this VM.
+    pub fn new(me: Vm, first_peers: Vec<SocketAddr>, seed: u64, now: Instant) -> Membership {
+        Membership {
+            me,
+            first_peers,
+            hints: Vec::new(),
+            members: Vec::new(),
+            relays: Relays::default(),
+            notices: Vec::new(),
+            rumors: Rumors::new(),
+            probes: Vec::new(),
+            order: Vec::new(),
+            next_period: now,
+            periods: 0,
+            pushes_left: MAX_PUSHES,
+            push_due: false,
+            changed: true,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns this VM as it tells of itself.
+    pub fn me(&self) -> &Vm {
+        &self.me
+    }
+
+    /// Returns all known VMs by name, this one among them.
+    pub fn vms(&self) -> Vec<Vm> {
+        let members = self.members.iter().map(|member| member.vm.clone());
+        let relays = self.relays.iter().map(|relay| relay.vm.clone());
+        let mut vms: Vec<Vm> = members.chain(relays).collect();
+        vms.push(self.me.clone());
+        vms.sort_by(|a, b| a.name.cmp(&b.name));
+        vms
+    }
+
+    /// Returns the leaves that are known to be leaving, by name.
+    pub fn draining(&self) -> Vec<LeafName> {
+        let draining = self.notices.iter().filter(|notice| notice.draining);
+        draining.map(|notice| notice.leaf.clone()).collect()
+    }
+
+    /// Whether members or notices have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Notes the revision in force here and tells others at once.
+    pub fn set_revision(&mut self, revision: Revision) -> Vec<Action> {
+        if revision <= self.me.revision {
+            return Vec::new();
+        }
+        self.me.revision = revision;
+        self.push_due = true;
+        self.flush()
+    }
+
+    /// Notes whether a leaf is leaving and tells others at once if it is news.
+    pub fn note_leaf(&mut self, leaf: &str, draining: bool) -> Vec<Action> {
+        let place = self.notice_place(leaf);
+        let known = place.ok().map(|place| &self.notices[place]);
+        if known.is_some_and(|known| known.draining) == draining {
+            return Vec::new();
+        }
+        let version = known.map_or(1, |known| known.version + 1);
+        self.merge_notice(Notice {
+            leaf: leaf.to_owned(),
+            version,
+            draining,
+        });
+        self.flush()
+    }
+
+    /// Forgets notices of leaves that no longer exist.
+    pub fn retain_leaves(&mut self, exists: impl Fn(&str) -> bool) {
+        self.notices.retain(|notice| exists(&notice.leaf));
+    }
+
+    /// Tells others that this VM stops.
+    pub fn announce_leaving(&mut self) -> Vec<Action> {
+        self.me.state = State::Leaving;
+        self.changed = true;
+        self.push_due = true;
+        self.pushes_left = MAX_PUSHES;
+        self.flush()
+    }
+
+    /// Takes addresses from the platform's lagging list: VMs among them that
+    /// are not known yet are asked whether they are there.
+    pub fn hint(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let known: Vec<SocketAddr> = self.vms().iter().map(|vm| vm.peer_address).collect();
+        let unknown = addresses
+            .into_iter()
+            .filter(|address| !known.contains(address));
+        self.hints = unknown.take(MAX_MEMBERS).collect();
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(&mut self, message: Message, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if message.from.name == self.me.name {
+            return actions;
+        }
+        let doubted = self.hear(&message.from, now);
+        for vm in message.vms.iter().take(MAX_VMS) {
+            self.merge_vm(vm, now);
+        }
+        for notice in message.notices.into_iter().take(MAX_NOTICES) {
+            self.merge_notice(notice);
+        }
+        if message.from.revision > self.me.revision {
+            actions.push(Action::Fetch(message.from.clone()));
+        }
+        self.answer(&message.from, message.body, now, &mut actions);
+        if doubted && matches!(message.body, Body::Ack { .. } | Body::Push) {
+            actions.push(self.send_to(&message.from, Body::Push));
+        }
+        actions.extend(self.flush());
+        actions
+    }
+
+    /// Pushes urgent news, if there is any, to a few VMs.
+    fn flush(&mut self) -> Vec<Action> {
+        if !self.push_due || self.pushes_left == 0 {
+            return Vec::new();
+        }
+        self.push_due = false;
+        self.pushes_left -= 1;
+        let mut targets = self.sample_members(PUSH_MEMBERS);
+        targets.extend(self.sample_domains());
+        let pushes = targets.iter().map(|vm| self.send_to(vm, Body::Push));
+        pushes.collect()
+    }
+
+    /// Picks one VM of some other failure domains.
+    fn sample_domains(&mut self) -> Vec<Vm> {
+        let reachable = self
+            .relays
+            .iter()
+            .filter(|relay| relay.vm.state == State::Live);
+        let mut vms: Vec<Vm> = reachable.map(|relay| relay.vm.clone()).collect();
+        let mut chosen: Vec<Vm> = Vec::new();
+        while !vms.is_empty() && chosen.len() < PUSH_DOMAINS {
+            let vm = vms.swap_remove(self.rng.random_range(..vms.len()));
+            vms.retain(|other| other.failure_domain != vm.failure_domain);
+            chosen.push(vm);
+        }
+        chosen
+    }
+
+    fn sample_members(&mut self, most: usize) -> Vec<Vm> {
+        let alive = |member: &&Member| member.vm.state != State::Dead;
+        let vms: Vec<&Vm> = self
+            .members
+            .iter()
+            .filter(alive)
+            .map(|member| &member.vm)
+            .collect();
+        vms.sample(&mut self.rng, most)
+            .map(|vm| (*vm).clone())
+            .collect()
+    }
+
+    fn send_to(&mut self, to: &Vm, body: Body) -> Action {
+        let same_domain = to.failure_domain == self.me.failure_domain;
+        Action::Send {
+            to: to.peer_address,
+            message: self.message(body, Some(to), same_domain),
+        }
+    }
+
+    /// Composes a datagram: news first, then random samples.
+    fn message(&mut self, body: Body, to: Option<&Vm>, same_domain: bool) -> Message {
+        let mut vms: Vec<Vm> = Vec::new();
+        let mut notices: Vec<Notice> = Vec::new();
+        // Lets the receiver refute what is held against it.
+        vms.extend(to.and_then(|vm| self.held_against(vm)));
+        let room = if same_domain { MAX_VMS - SAMPLE - 2 } else { 0 };
+        for subject in self.rumors.take(room.max(1), self.members.len()) {
+            match subject {
+                Subject::Leaf(leaf) => notices.extend(self.notice(&leaf)),
+                Subject::Vm(name) => vms.extend(self.known_vm(&name)),
+            }
+        }
+        vms.extend(self.sample_members(SAMPLE));
+        if same_domain {
+            vms.extend(self.sample_domains().into_iter().next());
+        }
+        if !self.notices.is_empty() {
+            let random = self.rng.random_range(..self.notices.len());
+            notices.push(self.notices[random].clone());
+        }
+        vms.sort_by(|a, b| a.name.cmp(&b.name));
+        vms.dedup_by(|a, b| a.name == b.name);
+        vms.truncate(MAX_VMS);
+        Message {
+            from: self.me.clone(),
+            body,
+            vms,
+            notices,
+        }
+    }
+
+    fn known_vm(&self, name: &str) -> Option<Vm> {
+        if name == self.me.name {
+            return None;
+        }
+        let place = self.member_place(name).ok()?;
+        Some(self.members[place].vm.clone())
+    }
+
+    /// Returns what is held against a VM that tells of itself as `told`.
+    fn held_against(&self, told: &Vm) -> Option<Vm> {
+        let known = self.known_vm(&told.name)?;
+        let outdated = known.incarnation > told.incarnation;
+        (outdated || known.state > told.state || known.state == State::Suspect).then_some(known)
+    }
+
+    fn notice(&self, leaf: &str) -> Option<Notice> {
+        let place = self.notice_place(leaf).ok()?;
+        Some(self.notices[place].clone())
+    }
+
+    fn notice_place(&self, leaf: &str) -> Result<usize, usize> {
+        self.notices
+            .binary_search_by(|notice| notice.leaf.as_str().cmp(leaf))
+    }
+
+    fn member_place(&self, name: &str) -> Result<usize, usize> {
+        self.members
+            .binary_search_by(|member| member.vm.name.as_str().cmp(name))
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/membership/merge.rs
@@ -0,0 +1,111 @@
+//! How news about VMs and leaves is taken in.
+
+use std::time::Instant;
+
+use super::{MAX_LEAF_NOTICES, MAX_MEMBERS, Member, Membership};
+use crate::core::gossip::Notice;
+use crate::core::rumors::Subject;
+use crate::core::vm::State;
+use crate::prelude::*;
+
+impl Membership {
+    /// Notes a datagram from `vm` itself. Returns whether the VM has to refute
+    /// what is held against it.
+    pub(super) fn hear(&mut self, vm: &Vm, now: Instant) -> bool {
+        self.hints.retain(|address| *address != vm.peer_address);
+        if vm.failure_domain != self.me.failure_domain {
+            self.changed |= self.relays.hear(vm, now);
+            return false;
+        }
+        self.merge_vm(vm, now);
+        self.held_against(vm).is_some()
+    }
+
+    /// Takes in what is told of a VM.
+    pub(super) fn merge_vm(&mut self, vm: &Vm, now: Instant) {
+        if vm.name == self.me.name {
+            self.refute(vm);
+            return;
+        }
+        if vm.failure_domain != self.me.failure_domain {
+            self.changed |= self.relays.consider(vm);
+            return;
+        }
+        match self.member_place(&vm.name) {
+            Ok(place) => self.update(place, vm, now),
+            Err(place) => self.insert(place, vm, now),
+        }
+    }
+
+    /// Takes in what is told of a leaf.
+    pub(super) fn merge_notice(&mut self, notice: Notice) {
+        match self.notice_place(&notice.leaf) {
+            Ok(place) if notice.overrides(&self.notices[place]) => {
+                self.notices[place] = notice.clone();
+            }
+            Err(place) if self.notices.len() < MAX_LEAF_NOTICES => {
+                self.notices.insert(place, notice.clone());
+            }
+            _ => return,
+        }
+        self.changed = true;
+        self.push_due = true;
+        self.rumors.spread(Subject::Leaf(notice.leaf));
+    }
+
+    /// Holds a member to be in `state`, unless newer news says otherwise.
+    pub(super) fn judge(&mut self, name: &str, state: State, now: Instant) {
+        let Ok(place) = self.member_place(name) else {
+            return;
+        };
+        let vm = Vm {
+            state,
+            ..self.members[place].vm.clone()
+        };
+        self.update(place, &vm, now);
+    }
+
+    /// Raises the own incarnation above any that others hold against it.
+    fn refute(&mut self, told: &Vm) {
+        let outdated = told.incarnation > self.me.incarnation;
+        let doubted = told.incarnation == self.me.incarnation && told.state != self.me.state;
+        // A live record of this incarnation is only older than the own leaving.
+        let harmless = self.me.state == State::Leaving && told.state < State::Leaving;
+        if outdated || (doubted && !harmless) {
+            self.me.incarnation = told.incarnation + 1;
+            self.push_due = true;
+        }
+    }
+
+    fn update(&mut self, place: usize, vm: &Vm, now: Instant) {
+        let member = &mut self.members[place];
+        let known = &mut member.vm;
+        if (vm.incarnation, vm.state) <= (known.incarnation, known.state) {
+            if vm.incarnation == known.incarnation {
+                known.revision = known.revision.max(vm.revision);
+            }
+            return;
+        }
+        let revision = known.revision.max(vm.revision);
+        let moved = (known.state, known.peer_address) != (vm.state, vm.peer_address);
+        *known = vm.clone();
+        known.revision = revision;
+        member.since = now;
+        self.changed |= moved;
+        self.push_due |= moved && vm.state == State::Leaving;
+        self.rumors.spread(Subject::Vm(vm.name.clone()));
+    }
+
+    fn insert(&mut self, place: usize, vm: &Vm, now: Instant) {
+        if vm.state == State::Dead || self.members.len() >= MAX_MEMBERS {
+            return;
+        }
+        let member = Member {
+            vm: vm.clone(),
+            since: now,
+        };
+        self.members.insert(place, member);
+        self.changed = true;
+        self.rumors.spread(Subject::Vm(vm.name.clone()));
+    }
+}
