Add proxy, fleet and deployments to the test support

Cause: the promises have to be proved with real processes behind links that can be slowed, cut and silenced one by one. Change: a proxy for TCP and UDP that knows the sender by its source address, a fleet of real processes with a proxy in front of every VM, leaf and platform, and both deployments at today's sizes as resources. A cut holds TCP bytes and delivers them when healed, as a retransmission would, so that late requests reach their target in the tests.

--- a/crates/geraniummount-test-support/src/deployment.rs
+++ b/crates/geraniummount-test-support/src/deployment.rs
@@ -1,1 +1,243 @@
-//! The users' deployments as resources.
+//! The users' two deployments as resources, at today's sizes.
+//!
+//! A service with two leaves has, by default, one shard with two replicas; the
+//! other reading, two shards with one replica each, is a [`Layout`]. A group
+//! of services such as counter-desk is one service that includes them all.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// How the leaves of a service hold its index.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Layout {
+    /// One shard; each leaf holds a replica.
+    Replicas,
+    /// A shard for each leaf.
+    Shards,
+}
+
+/// What an organisation gives up when a shard is late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Preference {
+    /// Answers sooner.
+    Latency,
+    /// Waits.
+    Coverage,
+}
+
+/// An organisation with its failure domains and services.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name.
+    pub name: &'static str,
+    /// Failure domains.
+    pub failure_domains: &'static [&'static str],
+    /// Delay between failure domains, one way, in milliseconds.
+    pub between_ms: u64,
+    /// Delay between callers and failure domains, one way, in milliseconds.
+    pub caller_ms: u64,
+    /// What its services prefer.
+    pub preference: Preference,
+    /// Groups of services.
+    pub groups: &'static [Group],
+}
+
+/// A group of services with equal leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Group {
+    /// Name; with more than one service, that of the service over them all.
+    pub name: &'static str,
+    /// Services, named `NAME-01` and so on when there are several.
+    pub services: usize,
+    /// Leaves of each service.
+    pub leaves: usize,
+    /// Requests that a leaf runs at once.
+    pub slots: u16,
+    /// Connections that a leaf accepts.
+    pub connections: u16,
+    /// Time to open a connection, in milliseconds.
+    pub open_ms: u32,
+}
+
+/// A leaf of a deployment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeafSite {
+    /// Name.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Shard that it holds, as `service/shard`.
+    pub shard: String,
+    /// Failure domain of its backend server.
+    pub failure_domain: String,
+    /// Its group, with the limits that it grants.
+    pub group: Group,
+}
+
+const ARUSHA_GROUPS: &[Group] = &[
+    Group::small("counter-desk", 20),
+    Group::small("parts-stock", 30),
+    Group::single("safety-cert", 5, 3, 100),
+    Group::single("guide-billing", 4, 3, 100),
+];
+
+const ALFOLD_REGIO_GROUPS: &[Group] = &[
+    Group::small("csaladi-bolt", 20),
+    Group::small("templom-rend", 30),
+    Group::single("pult-igazolo", 5, 6, 50),
+    Group::single("konyha-terv", 3, 6, 50),
+];
+
+const DEADLINE_MS: u32 = 1_000;
+const MAX_DEADLINE_MS: u32 = 10_000;
+
+impl Group {
+    /// Services of two leaves that take few connections and open them slowly.
+    const fn small(name: &'static str, services: usize) -> Group {
+        Group {
+            name,
+            services,
+            leaves: 2,
+            slots: 2,
+            connections: 25,
+            open_ms: 6,
+        }
+    }
+
+    /// One service whose leaves open connections fast.
+    const fn single(name: &'static str, leaves: usize, slots: u16, connections: u16) -> Group {
+        Group {
+            name,
+            services: 1,
+            leaves,
+            slots,
+            connections,
+            open_ms: 1,
+        }
+    }
+
+    /// Returns the names of its services.
+    pub fn service_names(&self) -> Vec<String> {
+        match self.services {
+            1 => vec![self.name.to_string()],
+            count => (1..=count)
+                .map(|n| format!("{}-{n:02}", self.name))
+                .collect(),
+        }
+    }
+}
+
+impl Deployment {
+    /// Kilele Gear Menders Ltd.
+    pub fn arusha() -> Deployment {
+        Deployment {
+            name: "arusha",
+            failure_domains: &["arusha-a", "arusha-b", "arusha-c", "arusha-d"],
+            between_ms: 4,
+            caller_ms: 3,
+            preference: Preference::Latency,
+            groups: ARUSHA_GROUPS,
+        }
+    }
+
+    /// Magyar Édességrendelők Szövetsége.
+    pub fn alfold_regio() -> Deployment {
+        Deployment {
+            name: "alfold-regio",
+            failure_domains: &["alfold-a", "alfold-b", "alfold-c"],
+            between_ms: 5,
+            caller_ms: 1,
+            preference: Preference::Coverage,
+            groups: ALFOLD_REGIO_GROUPS,
+        }
+    }
+
+    /// Returns its leaves; those of a service stand in different failure
+    /// domains as far as there are enough.
+    pub fn leaves(&self, layout: Layout) -> Vec<LeafSite> {
+        let mut sites = Vec::new();
+        for group in self.groups {
+            for service in group.service_names() {
+                let first = sites.len();
+                sites.extend((0..group.leaves).map(|index| {
+                    let domain = self.failure_domains[(first + index) % self.failure_domains.len()];
+                    LeafSite {
+                        name: format!("{service}-leaf-{}", index + 1),
+                        shard: format!("{service}/{}", shard_name(group, layout, index)),
+                        service: service.clone(),
+                        failure_domain: domain.to_string(),
+                        group: *group,
+                    }
+                }));
+            }
+        }
+        sites
+    }
+
+    /// Returns its services as resources, those that include others last.
+    pub fn services(&self, layout: Layout) -> Vec<Value> {
+        let sites = self.leaves(layout);
+        let names = self.groups.iter().flat_map(Group::service_names);
+        let single = names.map(|name| self.service(&name, &sites));
+        let groups = self.groups.iter().filter(|group| group.services > 1);
+        let over = groups.map(|group| self.resource(group.name, &[], &group.service_names()));
+        single.chain(over).collect()
+    }
+
+    fn service(&self, name: &str, sites: &[LeafSite]) -> Value {
+        let mut shards: Vec<(&str, Vec<&str>)> = Vec::new();
+        for site in sites.iter().filter(|site| site.service == name) {
+            let shard = site.shard.rsplit('/').next().unwrap_or_default();
+            match shards.iter_mut().find(|(other, _)| *other == shard) {
+                Some((_, replicas)) => replicas.push(&site.name),
+                None => shards.push((shard, vec![&site.name])),
+            }
+        }
+        let shards: Vec<Value> = shards
+            .into_iter()
+            .map(|(name, replicas)| json!({ "name": name, "replicas": replicas }))
+            .collect();
+        self.resource(name, &shards, &[])
+    }
+
+    fn resource(&self, name: &str, shards: &[Value], includes: &[String]) -> Value {
+        let prefer = match self.preference {
+            Preference::Latency => "latency",
+            Preference::Coverage => "coverage",
+        };
+        json!({
+            "name": name,
+            "shards": shards,
+            "includes": includes,
+            "deadline_ms": DEADLINE_MS,
+            "max_deadline_ms": MAX_DEADLINE_MS,
+            "prefer": prefer,
+        })
+    }
+}
+
+impl LeafSite {
+    /// Returns the leaf as a resource that listens at `address`.
+    pub fn resource(&self, address: SocketAddr) -> Value {
+        json!({
+            "name": self.name,
+            "address": address,
+            "failure_domain": self.failure_domain,
+            "contract": {
+                "slots": self.group.slots,
+                "connections": self.group.connections,
+                "open_ms": self.group.open_ms,
+            },
+        })
+    }
+}
+
+/// A service of two leaves is the one that the layout reads; the leaves of a
+/// larger one hold a shard each.
+fn shard_name(group: &Group, layout: Layout, index: usize) -> String {
+    match (group.leaves, layout) {
+        (2, Layout::Replicas) => "1".to_string(),
+        _ => (index + 1).to_string(),
+    }
+}
--- /dev/null
+++ b/crates/geraniummount-test-support/src/fleet/resource.rs
@@ -0,0 +1,53 @@
+//! Declaring resources through the operators' port of a fleet.
+
+use serde_json::Value;
+
+use super::{Fleet, PATIENCE, wait_until};
+use crate::client::Client;
+
+/// Declares resources and waits until each running VM has them.
+pub(super) fn apply(fleet: &Fleet, vm: &str, resources: &[(&str, Value)]) {
+    let operator = fleet.operator(vm);
+    for (kind, spec) in resources {
+        put(&operator, kind, spec);
+    }
+    for (kind, spec) in resources {
+        for vm in fleet.running() {
+            let client = fleet.operator(&vm.name);
+            let present = wait_until(PATIENCE, || holds(&client, kind, spec));
+            assert!(
+                present,
+                "VM {} did not get {kind} {}",
+                vm.name, spec["name"]
+            );
+        }
+    }
+}
+
+fn put(operator: &Client, kind: &str, spec: &Value) {
+    let path = path(kind, spec);
+    let reply = operator.call("PUT", &path, &[], spec.to_string());
+    let reply = reply.unwrap_or_else(|error| panic!("PUT {path} got no reply: {error}"));
+    assert!(
+        reply.is_success(),
+        "PUT {path} got {}: {}",
+        reply.status,
+        reply.text
+    );
+}
+
+/// Returns whether a VM has every field of a spec as declared.
+fn holds(operator: &Client, kind: &str, spec: &Value) -> bool {
+    let Ok(reply) = operator.get(&path(kind, spec)) else {
+        return false;
+    };
+    let fields = spec.as_object().expect("a spec is an object");
+    fields
+        .iter()
+        .all(|(key, value)| reply.body["spec"][key] == *value)
+}
+
+fn path(kind: &str, spec: &Value) -> String {
+    let name = spec["name"].as_str().expect("a spec has a name");
+    format!("/v1/resources/{kind}/{name}")
+}
--- /dev/null
+++ b/crates/geraniummount-test-support/src/fleet/vm.rs
@@ -0,0 +1,187 @@
+//! One VM: a real process with its addresses and proxies.
+
+use std::fs::File;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::wait_until;
+use crate::proxy::{Proxy, free_port};
+
+/// Longest part of a log that is printed when a test fails.
+const PRINTED_LOG_BYTES: usize = 16 * 1024;
+
+/// A VM of a fleet.
+#[derive(Debug)]
+pub struct Vm {
+    /// Name in its settings.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+    /// Where operators reach it.
+    pub operator: SocketAddr,
+    /// What stands between its peers and it.
+    pub peer_proxy: Proxy,
+    /// What stands between it and the platform.
+    pub platform_proxy: Proxy,
+    /// Source address of its calls to peers.
+    pub ip: IpAddr,
+    peer_listen: SocketAddr,
+    child: Option<Child>,
+    log: PathBuf,
+    state: State,
+}
+
+/// What a fleet last did to a VM's process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Placed,
+    Running,
+    Frozen,
+    Stopping,
+    Ended,
+}
+
+impl Vm {
+    /// Gives a VM its addresses and proxies, without a process yet.
+    pub(super) fn place(
+        name: &str,
+        failure_domain: &str,
+        (ip, proxy_ip): (IpAddr, IpAddr),
+        platform: SocketAddr,
+        seed: u64,
+    ) -> io::Result<Vm> {
+        let peer_listen = free_port(ip)?;
+        Ok(Vm {
+            name: name.to_string(),
+            failure_domain: failure_domain.to_string(),
+            caller: free_port(ip)?,
+            operator: free_port(ip)?,
+            peer_proxy: Proxy::start(proxy_ip, peer_listen, seed)?,
+            platform_proxy: Proxy::start(proxy_ip, platform, seed)?,
+            ip,
+            peer_listen,
+            child: None,
+            log: PathBuf::new(),
+            state: State::Placed,
+        })
+    }
+
+    /// Writes the settings and starts the process.
+    pub(super) fn launch(
+        &mut self,
+        binary: &Path,
+        folder: &Path,
+        first_peers: &[SocketAddr],
+        extra: &str,
+    ) -> io::Result<()> {
+        let settings = folder.join(format!("{}.ini", self.name));
+        std::fs::write(&settings, self.settings(first_peers) + extra)?;
+        self.log = folder.join(format!("{}.log", self.name));
+        let log = File::create(&self.log)?;
+        let child = Command::new(binary)
+            .arg("serve")
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.state = State::Running;
+        Ok(())
+    }
+
+    fn settings(&self, first_peers: &[SocketAddr]) -> String {
+        let peers: Vec<String> = first_peers.iter().map(SocketAddr::to_string).collect();
+        format!(
+            "[node]\nname = {}\nfailure_domain = {}\npeer_listen = {}\npeer_advertise = {}\n\
+             first_peers = {}\n\n[caller]\nlisten = {}\n\n[operator]\nlisten = {}\n\n\
+             [platform]\naddress = {}\n\n[log]\nlevel = debug\n\n",
+            self.name,
+            self.failure_domain,
+            self.peer_listen,
+            self.peer_proxy.address(),
+            peers.join(", "),
+            self.caller,
+            self.operator,
+            self.platform_proxy.address(),
+        )
+    }
+
+    pub(super) fn kill(&mut self) {
+        if let Some(child) = &mut self.child {
+            // Fails only when the process has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.child = None;
+        self.state = State::Ended;
+    }
+
+    pub(super) fn freeze(&mut self) {
+        self.signal(Signal::STOP);
+        self.state = State::Frozen;
+    }
+
+    pub(super) fn thaw(&mut self) {
+        self.signal(Signal::CONT);
+        self.state = State::Running;
+    }
+
+    pub(super) fn terminate(&mut self) {
+        self.signal(Signal::TERM);
+        self.state = State::Stopping;
+    }
+
+    pub(super) fn wait_exit(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let child = self.child.as_mut()?;
+        let mut status = None;
+        wait_until(limit, || {
+            status = child.try_wait().ok().flatten();
+            status.is_some()
+        });
+        if status.is_some() {
+            self.child = None;
+            self.state = State::Ended;
+        }
+        status
+    }
+
+    /// Returns whether the process runs as far as the fleet knows.
+    pub fn is_running(&self) -> bool {
+        self.state == State::Running
+    }
+
+    pub(super) fn was_started(&self) -> bool {
+        self.state != State::Placed
+    }
+
+    pub(super) fn was_told_to_stop(&self) -> bool {
+        self.state == State::Stopping
+    }
+
+    /// Returns the process's log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub(super) fn print_log(&self) {
+        let log = self.log();
+        let start = log.len().saturating_sub(PRINTED_LOG_BYTES);
+        let tail = log.get(start..).unwrap_or(&log);
+        eprintln!("---- log of {} ({:?})\n{tail}", self.name, self.state);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("VM has no process");
+        let pid = Pid::from_child(child);
+        kill_process(pid, signal).expect("VM's process can't be signalled");
+    }
+}
--- /dev/null
+++ b/crates/geraniummount-test-support/src/proxy/tcp.rs
@@ -0,0 +1,246 @@
+//! Connections through a proxy.
+//!
+//! Each direction has a thread that reads and one that writes, with a bounded
+//! queue between them in which bytes wait for their delay or for the end of a
+//! cut.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
+
+use super::{Connection, Flow, Link, State};
+use crate::signal::Signal;
+
+const CHUNK_BYTES: usize = 16 * 1024;
+const QUEUE_CHUNKS: usize = 256;
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Period in which a connection that was opened during a cut looks for its end.
+const CUT_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
+/// A wait without an end of its own.
+const FOREVER: Duration = Duration::from_secs(24 * 3600);
+
+/// Accepts connections until the proxy closes.
+pub(super) fn accept(listener: &TcpListener, upstream: SocketAddr, state: &Arc<Signal<State>>) {
+    for stream in listener.incoming() {
+        if state.lock().closed {
+            return;
+        }
+        let Ok(stream) = stream else { continue };
+        let state = Arc::clone(state);
+        spawn(move || open(stream, upstream, state));
+    }
+}
+
+fn spawn(work: impl FnOnce() + Send + 'static) {
+    let thread = std::thread::Builder::new().stack_size(STACK_BYTES);
+    thread
+        .spawn(work)
+        .expect("no thread for a proxy connection");
+}
+
+/// A direction of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+    Forward,
+    Back,
+}
+
+impl Direction {
+    fn flow(self, link: &Link) -> Flow {
+        match self {
+            Direction::Forward => link.forward,
+            Direction::Back => link.back,
+        }
+    }
+}
+
+/// Bytes that wait, and when they arrive; no bytes stand for the end.
+struct Chunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+/// Connects to the listener and starts both directions.
+fn open(client: TcpStream, upstream: SocketAddr, state: Arc<Signal<State>>) {
+    let Ok(source) = client.peer_addr() else {
+        return;
+    };
+    let source = source.ip();
+    let link = state.lock().link(source);
+    if link.refuse {
+        return;
+    }
+    let Some(early) = wait_for_handshake(&client, source, &state) else {
+        return;
+    };
+    std::thread::sleep(link.delay * 2);
+    let Ok(mut server) = TcpStream::connect(upstream) else {
+        return;
+    };
+    // Only costs latency when it fails.
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    if server.write_all(&early).is_err() {
+        return;
+    }
+    let silent = Arc::new(AtomicBool::new(false));
+    let (Ok(client_copy), Ok(server_copy)) = (client.try_clone(), server.try_clone()) else {
+        return;
+    };
+    state.update(|state| {
+        state.connections.push(Connection {
+            streams: [client_copy, server_copy],
+            silent: Arc::clone(&silent),
+        });
+    });
+    let ends = [
+        (Direction::Forward, client.try_clone(), server.try_clone()),
+        (Direction::Back, Ok(server), Ok(client)),
+    ];
+    for (direction, from, to) in ends {
+        let (Ok(from), Ok(to)) = (from, to) else {
+            return;
+        };
+        let pump = Pump {
+            direction,
+            source,
+            silent: Arc::clone(&silent),
+            state: Arc::clone(&state),
+        };
+        pump.start(from, to);
+    }
+}
+
+/// Waits until both directions work, as no connection opens before, and
+/// returns the bytes read meanwhile; `None` when the client has gone.
+fn wait_for_handshake(
+    mut client: &TcpStream,
+    source: IpAddr,
+    state: &Signal<State>,
+) -> Option<Vec<u8>> {
+    let mut early = Vec::new();
+    loop {
+        let (link, closed) = {
+            let state = state.lock();
+            (state.link(source), state.closed)
+        };
+        if closed {
+            return None;
+        }
+        if link.forward == Flow::Open && link.back == Flow::Open {
+            return Some(early);
+        }
+        client.set_read_timeout(Some(CUT_CHECK_PERIOD)).ok()?;
+        let mut chunk = [0; CHUNK_BYTES];
+        match client.read(&mut chunk) {
+            Ok(0) => return None,
+            Ok(count) => early.extend_from_slice(&chunk[..count]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return None,
+        }
+        client.set_read_timeout(None).ok()?;
+    }
+}
+
+/// One direction of a connection.
+#[derive(Clone)]
+struct Pump {
+    direction: Direction,
+    source: IpAddr,
+    silent: Arc<AtomicBool>,
+    state: Arc<Signal<State>>,
+}
+
+impl Pump {
+    fn start(self, from: TcpStream, to: TcpStream) {
+        let (sender, receiver) = sync_channel(QUEUE_CHUNKS);
+        let reader = self.clone();
+        spawn(move || reader.read(from, &sender));
+        spawn(move || self.write(&receiver, to));
+    }
+
+    /// Reads until the end and gives each chunk the time at which it arrives.
+    fn read(&self, mut from: TcpStream, queue: &SyncSender<Chunk>) {
+        let mut last = Instant::now();
+        let mut buffer = [0; CHUNK_BYTES];
+        loop {
+            let count = from.read(&mut buffer).unwrap_or(0);
+            last = last.max(Instant::now() + self.draw_delay());
+            let chunk = Chunk {
+                due: last,
+                bytes: buffer[..count].to_vec(),
+            };
+            if queue.send(chunk).is_err() || count == 0 {
+                return;
+            }
+        }
+    }
+
+    fn draw_delay(&self) -> Duration {
+        self.state.update(|state| {
+            let link = state.link(self.source);
+            let late = state.is_lost(&link);
+            let retransmission = if late {
+                link.retransmission
+            } else {
+                Duration::ZERO
+            };
+            state.draw_delay(&link) + retransmission
+        })
+    }
+
+    /// Writes each chunk when it is due and the link works.
+    fn write(&self, queue: &Receiver<Chunk>, mut to: TcpStream) {
+        for chunk in queue {
+            std::thread::sleep(chunk.due.saturating_duration_since(Instant::now()));
+            if !self.wait_for_flow() {
+                return;
+            }
+            if self.silent.load(Ordering::Relaxed) {
+                continue;
+            }
+            if chunk.bytes.is_empty() {
+                // The other end may have gone already.
+                let _ = to.shutdown(Shutdown::Write);
+                self.forget(&to);
+            } else if to.write_all(&chunk.bytes).is_err() {
+                // Tells the reading thread, and through it the sender.
+                let _ = to.shutdown(Shutdown::Both);
+                self.forget(&to);
+                return;
+            }
+        }
+    }
+
+    /// Waits for the end of a cut; false when the proxy has closed.
+    fn wait_for_flow(&self) -> bool {
+        let open = self.state.wait(Instant::now() + FOREVER, |state| {
+            if state.closed {
+                return Some(false);
+            }
+            let link = state.link(self.source);
+            (self.direction.flow(&link) == Flow::Open).then_some(true)
+        });
+        open.unwrap_or(false)
+    }
+
+    /// Forgets the connection once one of its ends has closed.
+    fn forget(&self, stream: &TcpStream) {
+        let address = stream.local_addr().ok();
+        self.state.update(|state| {
+            state.connections.retain(|connection| {
+                let mut ends = connection.streams.iter();
+                !ends.any(|end| end.local_addr().ok() == address && same_peer(end, stream))
+            });
+        });
+    }
+}
+
+fn same_peer(one: &TcpStream, other: &TcpStream) -> bool {
+    one.peer_addr().ok() == other.peer_addr().ok()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Integration tests.
 
 mod settings;
+mod stand_ins;
--- /dev/null
+++ b/tests/testsuite/stand_ins.rs
@@ -0,0 +1,266 @@
+//! The stand-ins keep to their written interfaces and fail as they are told.
+
+use std::net::{IpAddr, Ipv4Addr, UdpSocket};
+use std::time::Duration;
+
+use geraniummount_test_support::client::{Client, Reply};
+use geraniummount_test_support::deployment::{Deployment, Layout};
+use geraniummount_test_support::fleet::{PATIENCE, wait_until};
+use geraniummount_test_support::leaf::{Behaviour, Delay, Ending, Fault, Leaf};
+use geraniummount_test_support::platform::{Outage, Platform};
+use geraniummount_test_support::proxy::{Flow, Proxy};
+
+/// Longer than a stand-in takes, for calls that shall get no reply.
+const SHORT: Duration = Duration::from_millis(300);
+
+fn leaf(change: impl FnOnce(&mut Behaviour)) -> Leaf {
+    let mut behaviour = Behaviour {
+        shards: vec!["parts/1".to_string()],
+        snapshots: vec![7, 8],
+        ..Behaviour::default()
+    };
+    change(&mut behaviour);
+    Leaf::start("leaf-1", behaviour, 1).expect("leaf starts")
+}
+
+fn search(client: &Client, attempt: &str, snapshot: &str) -> Option<Reply> {
+    let headers = [
+        ("Attempt-Id", attempt),
+        ("Request-Id", "request-1"),
+        ("Shard", "parts/1"),
+        ("Snapshot", snapshot),
+        ("Deadline-Ms", "5000"),
+    ];
+    client.call("POST", "/search", &headers, "{}").ok()
+}
+
+#[test]
+fn stand_in_leaf_meets_each_fault_once() {
+    struct Case {
+        fault: Option<Fault>,
+        snapshot: &'static str,
+        status: Option<u16>,
+        echo: Option<&'static str>,
+        read: Option<&'static str>,
+        runs: bool,
+    }
+    let whole = |fault, read| Case {
+        fault,
+        snapshot: "7",
+        status: Some(200),
+        echo: Some("12"),
+        read: Some(read),
+        runs: true,
+    };
+    let none = |fault, runs| Case {
+        fault: Some(fault),
+        snapshot: "7",
+        status: None,
+        echo: None,
+        read: None,
+        runs,
+    };
+    let cases = [
+        whole(None, "7"),
+        whole(Some(Fault::WrongSnapshot), "8"),
+        whole(Some(Fault::DoubledReply), "7"),
+        whole(Some(Fault::Late(Duration::from_millis(20))), "7"),
+        Case {
+            echo: Some("13"),
+            ..whole(Some(Fault::WrongAttempt), "7")
+        },
+        none(Fault::CloseBeforeRead, false),
+        none(Fault::CloseAfterRead, false),
+        none(Fault::CloseAfterRun, true),
+        none(Fault::NoReply, true),
+        none(Fault::Truncated, true),
+        Case {
+            snapshot: "9",
+            status: Some(410),
+            read: None,
+            runs: false,
+            ..whole(None, "")
+        },
+    ];
+    for case in cases {
+        let leaf = leaf(|_| {});
+        let client = Client::with_timeout(leaf.address(), SHORT);
+        if let Some(fault) = case.fault {
+            leaf.inject(fault, 1);
+        }
+        let reply = search(&client, "12", case.snapshot);
+        let reply = reply.as_ref();
+        let context = format!("{:?}, snapshot {}", case.fault, case.snapshot);
+        assert_eq!(reply.map(|reply| reply.status), case.status, "{context}");
+        assert_eq!(
+            reply.and_then(|reply| reply.header("Attempt-Id")),
+            case.echo,
+            "{context}"
+        );
+        assert_eq!(
+            reply.and_then(|reply| reply.header("Snapshot")),
+            case.read,
+            "{context}"
+        );
+        assert_eq!(leaf.log().len(), usize::from(case.runs), "{context}");
+        assert_eq!(
+            search(&client, "14", "7").map(|reply| reply.status),
+            Some(200),
+            "{context}"
+        );
+    }
+}
+
+#[test]
+fn stand_in_leaf_sheds_cancels_and_limits_connections() {
+    let leaf = leaf(|behaviour| {
+        behaviour.slots = 1;
+        behaviour.connections = 2;
+        behaviour.delay = Delay::fixed(Duration::from_secs(60));
+    });
+    let client = Client::new(leaf.address());
+    std::thread::scope(|scope| {
+        let running = scope.spawn(|| search(&client, "1", "7"));
+        assert!(leaf.wait_for(PATIENCE, |entry| entry.attempt == 1));
+        assert_eq!(
+            search(&client, "2", "7").map(|reply| reply.status),
+            Some(429)
+        );
+        let held = std::net::TcpStream::connect(leaf.address()).expect("second connection");
+        assert!(wait_until(PATIENCE, || leaf.connections().open == 2));
+        assert!(
+            search(&client, "3", "7").is_none(),
+            "connection above the limit"
+        );
+        drop(held);
+        let cancelled = client
+            .call("DELETE", "/attempts/1", &[], "")
+            .expect("cancels");
+        assert_eq!(cancelled.body["ended"], "running");
+        let ended = running.join().expect("search").expect("reply");
+        assert_eq!(ended.status, 499);
+    });
+    let log = leaf.log();
+    assert_eq!(log.len(), 1);
+    assert_eq!(
+        log[0].end.map(|(ending, _)| ending),
+        Some(Ending::Cancelled)
+    );
+    assert_eq!(leaf.connections().violations, 1);
+    assert_eq!(leaf.connections().most, 3);
+}
+
+#[test]
+fn stand_in_platform_compares_and_swaps() {
+    let platform = Platform::start().expect("platform starts");
+    let client = Client::with_timeout(platform.address(), SHORT);
+    let put = |expected: &str, value: &str| {
+        client
+            .call("PUT", "/kv/a/b", &[("If-Version", expected)], value)
+            .ok()
+    };
+    let version = |reply: &Reply| reply.header("Version").map(str::to_string);
+    let absent = client.get("/kv/a/b").expect("reply");
+    assert_eq!(
+        (absent.status, version(&absent).as_deref()),
+        (404, Some("0"))
+    );
+    let created = put("0", "one").expect("reply");
+    assert_eq!(
+        (created.status, version(&created).as_deref()),
+        (200, Some("1"))
+    );
+    let refused = put("0", "two").expect("reply");
+    assert_eq!((refused.status, refused.text.as_str()), (409, "one"));
+    let waited = client.get("/kv/a/b?watch=1&wait_ms=50").expect("reply");
+    assert_eq!(waited.status, 304);
+    platform.change(|behaviour| behaviour.lost_replies = 1);
+    assert!(put("1", "two").is_none(), "reply is lost");
+    assert_eq!(platform.value("a/b"), Some((2, b"two".to_vec())));
+    platform.change(|behaviour| behaviour.outage = Outage::Refuse);
+    assert_eq!(put("2", "three").map(|reply| reply.status), Some(503));
+    platform.change(|behaviour| behaviour.outage = Outage::Silence);
+    assert!(put("2", "three").is_none(), "platform is silent");
+    platform.change(|behaviour| behaviour.outage = Outage::None);
+    let seen = client.get("/kv/a/b?watch=1&wait_ms=50").expect("reply");
+    assert_eq!((seen.status, seen.text.as_str()), (200, "two"));
+    assert_eq!(platform.calls().watches, 2);
+}
+
+#[test]
+fn stand_in_proxy_cuts_and_silences() {
+    let leaf = leaf(|_| {});
+    let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), 1).expect("proxy starts");
+    let client = Client::with_timeout(proxy.address(), SHORT);
+    let status = |attempt| search(&client, attempt, "7").map(|reply| reply.status);
+    assert_eq!(status("1"), Some(200));
+    proxy.change_all(|link| link.back = Flow::Cut);
+    assert_eq!(status("2"), None, "cut");
+    proxy.change_all(|link| link.back = Flow::Open);
+    assert_eq!(status("3"), Some(200));
+    proxy.change_all(|link| link.refuse = true);
+    assert_eq!(status("4"), None, "refused");
+    proxy.change_all(|link| link.refuse = false);
+    leaf.change(|behaviour| behaviour.delay = Delay::fixed(Duration::from_millis(100)));
+    let silenced = std::thread::scope(|scope| {
+        let call = scope.spawn(|| status("5"));
+        assert!(leaf.wait_for(PATIENCE, |entry| entry.attempt == 5));
+        proxy.silence_open();
+        call.join().expect("search")
+    });
+    assert_eq!(silenced, None, "silent");
+    assert_eq!(status("6"), Some(200));
+    let ran: Vec<u64> = leaf.log().iter().map(|entry| entry.attempt).collect();
+    assert_eq!(ran, [1, 3, 5, 6]);
+}
+
+#[test]
+fn stand_in_proxy_drops_datagrams_of_one_source() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").expect("binds");
+    receiver.set_read_timeout(Some(SHORT)).expect("timeout");
+    let upstream = receiver.local_addr().expect("address");
+    let proxy = Proxy::start(Ipv4Addr::LOCALHOST, upstream, 1).expect("proxy starts");
+    let cut: IpAddr = Ipv4Addr::new(127, 0, 0, 2).into();
+    proxy.change(cut, |link| link.forward = Flow::Cut);
+    for ip in [cut, Ipv4Addr::new(127, 0, 0, 3).into()] {
+        let sender = UdpSocket::bind((ip, 0)).expect("binds");
+        let text = ip.to_string();
+        sender
+            .send_to(text.as_bytes(), proxy.address())
+            .expect("sends");
+    }
+    let mut buffer = [0; 64];
+    let length = receiver.recv(&mut buffer).expect("one datagram");
+    assert_eq!(&buffer[..length], b"127.0.0.3");
+    assert!(
+        receiver.recv(&mut buffer).is_err(),
+        "the other one is dropped"
+    );
+}
+
+#[test]
+fn stand_in_deployments_have_todays_sizes() {
+    struct Case {
+        deployment: Deployment,
+        leaves: usize,
+        services: usize,
+    }
+    let cases = [
+        Case {
+            deployment: Deployment::arusha(),
+            leaves: 109,
+            services: 54,
+        },
+        Case {
+            deployment: Deployment::alfold_regio(),
+            leaves: 108,
+            services: 54,
+        },
+    ];
+    for case in cases {
+        for layout in [Layout::Replicas, Layout::Shards] {
+            assert_eq!(case.deployment.leaves(layout).len(), case.leaves);
+            assert_eq!(case.deployment.services(layout).len(), case.services);
+        }
+    }
+}
