--- /dev/null
+++ b/src/geraniummount/core/execution.rs
@@ -0,0 +1,182 @@
+//! One non-idempotent request: it runs on one shard, at most once.
+//!
+//! It is never hedged, and tried on another replica only after the one before
+//! certainly did not run it. Whatever is unclear ends as may-have-run.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::core::answer::{Answer, ShardResult};
+use crate::core::coverage::Coverage;
+use crate::core::fan_out::{Action, Query};
+use crate::core::layout::Shard;
+use crate::core::margin;
+use crate::core::traffic::Traffic;
+use crate::prelude::*;
+
+/// Replicas that one request may be sent to.
+const MAX_ATTEMPTS: usize = 3;
+
+/// VMs that a part may pass through.
+const MAX_HOPS: u8 = 3;
+
+/// State of one non-idempotent request.
+#[derive(Debug)]
+pub struct Execution {
+    query: Query,
+    view: Arc<View>,
+    shard: Shard,
+    answer_by: Instant,
+    open: Option<Attempt>,
+    tried: Vec<LeafName>,
+    finished: bool,
+}
+
+/// The attempt that may be running.
+#[derive(Clone, Debug)]
+struct Attempt {
+    id: AttemptId,
+    leaf: LeafName,
+    sent: Instant,
+}
+
+impl Execution {
+    /// Prepares a request for one shard of a pinned layout.
+    pub fn new(query: Query, shard: Shard, view: Arc<View>, now: Instant) -> Execution {
+        Execution {
+            answer_by: margin::answer_by(query.deadline, now),
+            query,
+            view,
+            shard,
+            open: None,
+            tried: Vec::new(),
+            finished: false,
+        }
+    }
+
+    /// Sends the request to the best replica.
+    pub fn start(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        if now >= self.answer_by {
+            return self.fail(Failure::not_run(Reason::Deadline));
+        }
+        self.send_next(Failure::not_run(Reason::NoReplica), traffic, now)
+    }
+
+    /// Takes the end of an attempt.
+    pub fn on_outcome(
+        &mut self,
+        outcome: Outcome,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Vec<Action> {
+        let ours = self.open.as_ref().is_some_and(|o| o.id == outcome.attempt);
+        let Some(attempt) = self.open.take_if(|_| ours) else {
+            return Vec::new();
+        };
+        let elapsed = now.saturating_duration_since(attempt.sent);
+        let ranking = &mut traffic.ranking;
+        ranking.on_outcome(&attempt.leaf, &outcome, elapsed, true, now);
+        match outcome.result {
+            Ok(reply) => self.succeed(reply),
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                self.send_next(failure, traffic, now)
+            }
+            Err(failure) => self.fail(failure),
+        }
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        if self.finished || now < self.answer_by {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        if let Some(attempt) = self.open.take() {
+            let elapsed = now.saturating_duration_since(attempt.sent);
+            traffic.ranking.on_abandon(&attempt.leaf, elapsed, now);
+            actions.push(Action::Cancel {
+                attempt: attempt.id,
+                leaf: attempt.leaf,
+            });
+        }
+        actions.extend(self.fail(Failure::may_have_run(Reason::Deadline)));
+        actions
+    }
+
+    /// Returns when `tick` is due next; `None` when the request is over.
+    pub fn next_wake(&self) -> Option<Instant> {
+        (!self.finished).then_some(self.answer_by)
+    }
+
+    /// Sends the request to the next replica, or ends it with the failure of
+    /// the one before, which did not run it.
+    fn send_next(&mut self, last: Failure, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        let remaining = self.answer_by.saturating_duration_since(now);
+        if self.tried.len() >= MAX_ATTEMPTS || remaining.is_zero() {
+            return self.fail(last);
+        }
+        let untried: Vec<LeafName> = self.untried();
+        let is_far = |leaf: &LeafName| self.view.is_far(leaf);
+        let choices = traffic.ranking.order(&untried, is_far, now);
+        let Some(choice) = choices.into_iter().next() else {
+            return self.fail(last);
+        };
+        let id = traffic.draw_attempt();
+        traffic.ranking.on_send(&choice.leaf, now);
+        self.tried.push(choice.leaf.clone());
+        self.open = Some(Attempt {
+            id,
+            leaf: choice.leaf.clone(),
+            sent: now,
+        });
+        vec![Action::Send(self.part(id, choice.leaf, now))]
+    }
+
+    fn untried(&self) -> Vec<LeafName> {
+        let replicas = self.shard.replicas.iter();
+        replicas
+            .filter(|leaf| !self.tried.contains(leaf) && !self.view.is_leaving(leaf))
+            .cloned()
+            .collect()
+    }
+
+    /// The part ends before the request does, so that the owner can still
+    /// tell whether it ran.
+    fn part(&self, attempt: AttemptId, leaf: LeafName, now: Instant) -> Part {
+        Part {
+            attempt,
+            request: self.query.request.clone(),
+            service: self.shard.service.clone(),
+            shard: self.shard.shard.clone(),
+            leaf,
+            snapshot: None,
+            deadline: margin::answer_by(self.answer_by, now),
+            idempotent: false,
+            hops_left: MAX_HOPS,
+            body: Arc::clone(&self.query.body),
+        }
+    }
+
+    fn succeed(&mut self, reply: Reply) -> Vec<Action> {
+        self.finished = true;
+        let answer = Answer {
+            request: self.query.request.clone(),
+            snapshot: reply.snapshot,
+            revision: self.view.catalog.revision,
+            coverage: Coverage {
+                included: vec![self.shard.name.clone()],
+                missing: Vec::new(),
+            },
+            results: vec![ShardResult {
+                shard: self.shard.name.clone(),
+                body: reply.body,
+            }],
+        };
+        vec![Action::Finish(Ok(answer))]
+    }
+
+    fn fail(&mut self, failure: Failure) -> Vec<Action> {
+        self.finished = true;
+        vec![Action::Finish(Err(failure))]
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -0,0 +1,342 @@
+//! One query: a part to each shard, and one answer from what came back.
+//!
+//! The layout and the revision are pinned when the query is admitted, and one
+//! snapshot is fixed for all parts. A reply read from any other snapshot is
+//! not merged. If too many shards have dropped the snapshot, the query starts
+//! again on another. Coverage is computed from the replies merged, so that
+//! each shard is either included or missing with a reason.
+//!
+//! A late part is hedged on another replica and a failed one tried there
+//! again, both from the service's budget. The answer goes out when every
+//! shard is settled, when waiting longer does not pay under the service's
+//! preference, or just before the deadline.
+
+mod action;
+mod counters;
+mod finish;
+mod hedge;
+mod query;
+mod restart;
+mod send;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::core::answer::Trace;
+use crate::core::holding::Holding;
+use crate::core::layout::Layout;
+use crate::core::margin;
+use crate::core::service::Preference;
+use crate::core::shard_state::{Settled, ShardState};
+use crate::core::traffic::Traffic;
+use crate::prelude::*;
+
+pub use self::action::Action;
+pub use self::counters::Counters;
+pub use self::query::Query;
+
+/// Under `latency` an answer may lack at most this share of the shards while
+/// time remains.
+const TOLERATED_LATE_SHARE: f64 = 0.2;
+
+/// A shard is not worth waiting for beyond the others' time by this factor.
+const PATIENCE_FACTOR: f64 = 2.5;
+
+/// Time to come back where the failure itself names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// State of one query.
+#[derive(Debug)]
+pub struct FanOut {
+    query: Query,
+    view: Arc<View>,
+    layout: Layout,
+    shards: Vec<ShardState>,
+    snapshot: SnapshotId,
+    snapshots_tried: Vec<SnapshotId>,
+    started: Instant,
+    finish_at: Instant,
+    /// Worst verdict of attempts that a restart dropped.
+    dropped: Verdict,
+    counters: Counters,
+    finished: bool,
+}
+
+impl FanOut {
+    /// Prepares a query on a pinned layout.
+    pub fn new(query: Query, layout: Layout, view: Arc<View>, now: Instant) -> FanOut {
+        let finish_at = margin::answer_by(query.deadline, now);
+        let shards = layout.shards.iter().map(|_| ShardState::default());
+        FanOut {
+            shards: shards.collect(),
+            query,
+            view,
+            layout,
+            snapshot: 0,
+            snapshots_tried: Vec::new(),
+            started: now,
+            finish_at,
+            dropped: Verdict::NotRun,
+            counters: Counters::default(),
+            finished: false,
+        }
+    }
+
+    /// Chooses the snapshot and sends the first part of each shard.
+    pub fn start(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        if self.shards.is_empty() {
+            return self.fail(Failure::not_run(Reason::NoReplica));
+        }
+        if now >= self.finish_at {
+            return self.fail(Failure::not_run(Reason::Deadline));
+        }
+        let usable = |leaf: &LeafName| self.usable(traffic, leaf, now);
+        let chosen = traffic.holdings.choose(&self.layout, &[], usable);
+        let Some(chosen) = chosen else {
+            let failure = Failure::not_run(Reason::SnapshotNotHeld);
+            return self.fail(failure.retry_after(DEFAULT_RETRY_AFTER));
+        };
+        self.snapshot = chosen.snapshot;
+        self.send_all(traffic, now)
+    }
+
+    /// Takes the end of an attempt.
+    pub fn on_outcome(
+        &mut self,
+        outcome: Outcome,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some(index) = self.close_attempt(&outcome, traffic, now) else {
+            self.counters.ignored += 1;
+            return Vec::new();
+        };
+        self.learn(index, &outcome, traffic);
+        let owner = outcome.report.map(|report| report.owner);
+        let mut actions = match self.check_snapshot(outcome.result) {
+            Ok(reply) => self.merge(index, reply, traffic, now),
+            Err(failure) => self.try_elsewhere(index, failure, traffic, now),
+        };
+        let shard = &mut self.shards[index];
+        if shard.settled.is_some() {
+            shard.owner = owner;
+        }
+        actions.extend(self.advance(traffic, now));
+        actions
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        self.advance(traffic, now)
+    }
+
+    /// Gives up the query, as nobody waits for its answer.
+    pub fn caller_gone(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        self.finished = true;
+        self.cancel_all(traffic, now)
+    }
+
+    /// Returns when `tick` is due next; `None` when the query is over.
+    pub fn next_wake(&self) -> Option<Instant> {
+        if self.finished {
+            return None;
+        }
+        let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
+        let hedges = hedges.filter(|_| self.may_hedge());
+        hedges
+            .chain(self.patience_end())
+            .chain([self.finish_at])
+            .min()
+    }
+
+    /// Returns the counters so far.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns how each shard went so far.
+    pub fn traces(&self) -> Vec<Trace> {
+        let shards = self.shards.iter().zip(&self.layout.shards);
+        shards
+            .map(|(state, shard)| state.trace(&shard.name, self.started))
+            .collect()
+    }
+
+    /// Closes the outcome's attempt and returns its shard.
+    fn close_attempt(
+        &mut self,
+        outcome: &Outcome,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Option<usize> {
+        if self.finished {
+            return None;
+        }
+        let mut shards = self.shards.iter_mut().enumerate();
+        let (index, attempt) = shards.find_map(|(index, shard)| {
+            let attempt = shard.close(outcome.attempt)?;
+            Some((index, attempt))
+        })?;
+        let elapsed = now.saturating_duration_since(attempt.sent);
+        let ranking = &mut traffic.ranking;
+        ranking.on_outcome(&attempt.leaf, outcome, elapsed, true, now);
+        self.shards[index].leaf = Some(attempt.leaf);
+        Some(index)
+    }
+
+    /// Notes which snapshots the replica holds.
+    fn learn(&self, index: usize, outcome: &Outcome, traffic: &mut Traffic) {
+        let shard = &self.layout.shards[index];
+        let Some(leaf) = &self.shards[index].leaf else {
+            return;
+        };
+        if let Some(report) = &outcome.report
+            && !report.held.is_empty()
+        {
+            traffic.holdings.set(Holding {
+                service: shard.service.clone(),
+                shard: shard.shard.clone(),
+                leaf: leaf.clone(),
+                snapshots: report.held.clone(),
+            });
+        }
+        if let Err(failure) = &outcome.result
+            && failure.reason == Reason::SnapshotNotHeld
+        {
+            traffic.holdings.drop_snapshot(shard, leaf, self.snapshot);
+        }
+    }
+
+    fn check_snapshot(&mut self, result: Result<Reply, Failure>) -> Result<Reply, Failure> {
+        let reply = result?;
+        if reply.snapshot == self.snapshot {
+            return Ok(reply);
+        }
+        self.counters.mismatches += 1;
+        Err(Failure {
+            verdict: Verdict::Ran,
+            reason: Reason::SnapshotMismatch,
+            retry_after: None,
+        })
+    }
+
+    fn merge(
+        &mut self,
+        index: usize,
+        reply: Reply,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Vec<Action> {
+        let cancels = self.cancel_shard(index, traffic, now);
+        self.shards[index].settle(Settled::Included(reply.body), now);
+        cancels
+    }
+
+    /// Sends a failed part to another replica, or settles its shard.
+    fn try_elsewhere(
+        &mut self,
+        index: usize,
+        failure: Failure,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Vec<Action> {
+        let shard = &mut self.shards[index];
+        shard.note_failure(failure);
+        if !shard.open.is_empty() {
+            return Vec::new();
+        }
+        let again = self.retry_kind(index, &failure);
+        if let Some(kind) = again
+            && let Some(choice) = self.other_replica(index, traffic, now)
+            && self.pay(kind, traffic)
+        {
+            return vec![self.send(index, choice, kind, traffic, now)];
+        }
+        self.shards[index].settle(Settled::Missing(failure.reason), now);
+        Vec::new()
+    }
+
+    /// Restarts, hedges or finishes where that is due.
+    fn advance(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        if let Some(actions) = self.restart(traffic, now) {
+            return actions;
+        }
+        if self.open_shards() == 0 {
+            return self.finish();
+        }
+        let mut actions = self.hedge(traffic, now);
+        let reason = if now >= self.finish_at {
+            Reason::Deadline
+        } else if self.patience_end().is_some_and(|end| now >= end) {
+            Reason::NotWorthWaiting
+        } else {
+            return actions;
+        };
+        actions.extend(self.cancel_all(traffic, now));
+        self.settle_open(reason, now);
+        actions.extend(self.finish());
+        actions
+    }
+
+    fn open_shards(&self) -> usize {
+        let open = self.shards.iter().filter(|shard| shard.settled.is_none());
+        open.count()
+    }
+
+    /// When waiting for the open shards no longer pays.
+    fn patience_end(&self) -> Option<Instant> {
+        if self.query.prefer != Preference::Latency {
+            return None;
+        }
+        let unanswered = self.shards.iter().filter(|s| !s.is_included()).count();
+        if unanswered as f64 > self.shards.len() as f64 * TOLERATED_LATE_SHARE {
+            return None;
+        }
+        let included = self.shards.iter().filter(|s| s.is_included());
+        let slowest = included.filter_map(|s| s.settled_at).max()?;
+        let others = slowest.saturating_duration_since(self.started);
+        let open = self.shards.iter().filter(|s| s.settled.is_none());
+        let last = open.filter_map(ShardState::expected_end).max();
+        let end = self.started + others.mul_f64(PATIENCE_FACTOR);
+        Some(last.map_or(end, |last| last.max(end)))
+    }
+
+    fn cancel_shard(&mut self, index: usize, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        let shard = &mut self.shards[index];
+        shard.hedge_at = None;
+        let open = std::mem::take(&mut shard.open);
+        if !open.is_empty() {
+            shard.worst = shard.worst.max(Verdict::MayHaveRun);
+        }
+        let cancels = open.into_iter().map(|attempt| {
+            let elapsed = now.saturating_duration_since(attempt.sent);
+            traffic.ranking.on_abandon(&attempt.leaf, elapsed, now);
+            Action::Cancel {
+                attempt: attempt.id,
+                leaf: attempt.leaf,
+            }
+        });
+        cancels.collect()
+    }
+
+    fn cancel_all(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.shards.len() {
+            actions.extend(self.cancel_shard(index, traffic, now));
+        }
+        actions
+    }
+
+    fn settle_open(&mut self, reason: Reason, now: Instant) {
+        let open = self.shards.iter_mut().filter(|s| s.settled.is_none());
+        for shard in open {
+            shard.settle(Settled::Missing(reason), now);
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/fan_out/restart.rs
@@ -0,0 +1,60 @@
+//! Starting a query again when its snapshot was dropped.
+
+use std::time::Instant;
+
+use super::{Action, FanOut};
+use crate::core::service::Preference;
+use crate::core::shard_state::ShardState;
+use crate::core::traffic::Traffic;
+use crate::prelude::*;
+
+/// Times that a query may start again on another snapshot.
+const MAX_RESTARTS: u32 = 2;
+
+/// Share of the shards that may lack the snapshot under `latency` before the
+/// query starts again.
+const TOLERATED_LOST_SHARE: f64 = 0.1;
+
+impl FanOut {
+    /// Starts again on another snapshot if too many shards lack this one and
+    /// another is held by more.
+    pub(super) fn restart(&mut self, traffic: &mut Traffic, now: Instant) -> Option<Vec<Action>> {
+        let total = self.shards.len();
+        let lost = self.shards.iter().filter(|s| s.lost_snapshot()).count();
+        let tolerated = match self.query.prefer {
+            Preference::Coverage => 0.0,
+            Preference::Latency => TOLERATED_LOST_SHARE,
+        };
+        let half = self.started + self.finish_at.saturating_duration_since(self.started) / 2;
+        if lost as f64 <= total as f64 * tolerated || now >= half {
+            return None;
+        }
+        if self.counters.restarts >= MAX_RESTARTS {
+            return None;
+        }
+        let mut tried = self.snapshots_tried.clone();
+        tried.push(self.snapshot);
+        let usable = |leaf: &LeafName| self.usable(traffic, leaf, now);
+        let chosen = traffic.holdings.choose(&self.layout, &tried, usable)?;
+        let missing = self.shards.iter().filter(|s| s.is_missing()).count();
+        if chosen.shards <= total - missing {
+            return None;
+        }
+        let mut actions = self.cancel_all(traffic, now);
+        self.drop_replies();
+        self.snapshots_tried = tried;
+        self.snapshot = chosen.snapshot;
+        self.counters.restarts += 1;
+        actions.extend(self.send_all(traffic, now));
+        Some(actions)
+    }
+
+    /// Forgets all replies; the verdict keeps that they ran.
+    fn drop_replies(&mut self) {
+        let worst = self.shards.iter().map(ShardState::verdict).max();
+        self.dropped = self.dropped.max(worst.unwrap_or(Verdict::NotRun));
+        for shard in &mut self.shards {
+            *shard = ShardState::default();
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -0,0 +1,170 @@
+//! Which replica a part goes to, and when it goes to another one.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::{Action, FanOut};
+use crate::core::ranking::Choice;
+use crate::core::shard_state::{Attempt, Kind, Settled};
+use crate::core::traffic::Traffic;
+use crate::prelude::*;
+
+/// VMs that a part may pass through.
+const MAX_HOPS: u8 = 3;
+
+/// Other replicas tried for parts that never reached a leaf.
+const MAX_REDIRECTS: u32 = 2;
+
+impl FanOut {
+    pub(super) fn retry_kind(&self, index: usize, failure: &Failure) -> Option<Kind> {
+        let redirects = self.shards[index].redirects;
+        match never_reached_leaf(failure) {
+            true if redirects < MAX_REDIRECTS => Some(Kind::Redirect),
+            true => None,
+            false => Some(Kind::Retry),
+        }
+    }
+
+    /// Draws an extra part from the service's budget. A part that never
+    /// reached a leaf has put no load on one, so that sending it elsewhere is
+    /// no extra load.
+    pub(super) fn pay(&self, kind: Kind, traffic: &mut Traffic) -> bool {
+        match kind {
+            Kind::First | Kind::Redirect => true,
+            Kind::Hedge | Kind::Retry => traffic
+                .budget(&self.query.service, self.query.extra_percent)
+                .take(),
+        }
+    }
+
+    /// Finds the best replica that was not tried and can still answer in time.
+    pub(super) fn other_replica(
+        &self,
+        index: usize,
+        traffic: &Traffic,
+        now: Instant,
+    ) -> Option<Choice> {
+        let remaining = self.finish_at.saturating_duration_since(now);
+        let mut choices = self.choices(index, traffic, now).into_iter();
+        choices.find(|c| !c.suspended && c.expected < remaining)
+    }
+
+    /// Orders the untried replicas of a shard: those that hold the snapshot,
+    /// or may, before those known to lack it.
+    fn choices(&self, index: usize, traffic: &Traffic, now: Instant) -> Vec<Choice> {
+        let shard = &self.layout.shards[index];
+        let state = &self.shards[index];
+        let untried: Vec<LeafName> = shard
+            .replicas
+            .iter()
+            .filter(|leaf| !state.tried.contains(leaf) && !self.view.is_leaving(leaf))
+            .cloned()
+            .collect();
+        let is_far = |leaf: &LeafName| self.view.is_far(leaf);
+        let mut choices = traffic.ranking.order(&untried, is_far, now);
+        choices.sort_by_key(|choice| {
+            let held = traffic.holdings.of(shard, &choice.leaf);
+            let lacks = !held.is_empty() && !held.contains(&self.snapshot);
+            (choice.suspended, lacks)
+        });
+        choices
+    }
+
+    pub(super) fn usable(&self, traffic: &Traffic, leaf: &LeafName, now: Instant) -> bool {
+        !self.view.is_leaving(leaf) && !traffic.ranking.is_suspended(leaf, now)
+    }
+
+    /// Sends the first part of every shard.
+    pub(super) fn send_all(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.shards.len() {
+            actions.extend(self.send_first(index, traffic, now));
+        }
+        let sent = actions.len();
+        traffic
+            .budget(&self.query.service, self.query.extra_percent)
+            .earn(sent);
+        actions.extend(self.advance(traffic, now));
+        actions
+    }
+
+    fn send_first(&mut self, index: usize, traffic: &mut Traffic, now: Instant) -> Option<Action> {
+        let choice = self.choices(index, traffic, now).into_iter().next();
+        let reason = match &choice {
+            None => Reason::NoReplica,
+            Some(choice) if choice.suspended => Reason::Unreachable,
+            Some(_) => {
+                return choice.map(|c| self.send(index, c, Kind::First, traffic, now));
+            }
+        };
+        let shard = &mut self.shards[index];
+        shard.note_failure(Failure::not_run(reason));
+        shard.settle(Settled::Missing(reason), now);
+        None
+    }
+
+    pub(super) fn send(
+        &mut self,
+        index: usize,
+        choice: Choice,
+        kind: Kind,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Action {
+        let id = traffic.draw_attempt();
+        traffic.ranking.on_send(&choice.leaf, now);
+        self.count(kind);
+        let attempt = Attempt {
+            id,
+            leaf: choice.leaf.clone(),
+            sent: now,
+        };
+        let late = traffic.ranking.late_after(&choice.leaf);
+        let remaining = self.finish_at.saturating_duration_since(now);
+        let shard = &mut self.shards[index];
+        shard.begin(attempt, kind);
+        shard.late = late;
+        let can_hedge = kind != Kind::Hedge && shard.hedges == 0;
+        shard.hedge_at = can_hedge.then(|| now + late.unwrap_or(remaining / 2));
+        Action::Send(self.part(index, id, choice.leaf))
+    }
+
+    fn count(&mut self, kind: Kind) {
+        let counter = match kind {
+            Kind::First => &mut self.counters.first,
+            Kind::Hedge => &mut self.counters.hedges,
+            Kind::Redirect => &mut self.counters.redirects,
+            Kind::Retry => &mut self.counters.retries,
+        };
+        *counter += 1;
+    }
+
+    fn part(&self, index: usize, attempt: AttemptId, leaf: LeafName) -> Part {
+        let shard = &self.layout.shards[index];
+        Part {
+            attempt,
+            request: self.query.request.clone(),
+            service: shard.service.clone(),
+            shard: shard.shard.clone(),
+            leaf,
+            snapshot: Some(self.snapshot),
+            deadline: self.finish_at,
+            idempotent: true,
+            hops_left: MAX_HOPS,
+            body: Arc::clone(&self.query.body),
+        }
+    }
+}
+
+/// Whether a part certainly reached no leaf, and not for want of room there.
+fn never_reached_leaf(failure: &Failure) -> bool {
+    let unreached = matches!(
+        failure.reason,
+        Reason::ConnectFailed
+            | Reason::Leaving
+            | Reason::NoOwner
+            | Reason::Stopping
+            | Reason::Unreachable
+    );
+    unreached && failure.verdict == Verdict::NotRun
+}
--- /dev/null
+++ b/src/geraniummount/core/holdings.rs
@@ -0,0 +1,155 @@
+//! Which replicas hold which snapshots, as this VM last heard, and the choice
+//! of the one snapshot that a query reads.
+//!
+//! Replies keep it up to date for the replicas in use; a survey among the
+//! owners of the leaves does so for the rest.
+
+use std::time::{Duration, Instant};
+
+use crate::core::holding::Holding;
+use crate::core::layout::{Layout, Shard};
+use crate::prelude::*;
+
+/// Time after which a service in use is surveyed again.
+pub const SURVEY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Share of the best-held snapshot's replicas that a newer one needs, so
+/// that a snapshot that only just arrives does not overload its few holders.
+const MIN_REPLICA_SHARE: f64 = 0.75;
+
+/// Snapshots held, by service, shard and leaf.
+#[derive(Clone, Debug, Default)]
+pub struct Holdings {
+    held: Vec<Holding>,
+    surveyed: Vec<(ServiceName, Instant)>,
+}
+
+/// How well a snapshot is held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// The snapshot.
+    pub snapshot: SnapshotId,
+    /// Shards of which at least one usable replica holds it.
+    pub shards: usize,
+    /// Usable replicas of all shards that hold it.
+    pub replicas: usize,
+}
+
+impl Holdings {
+    /// Takes the result of a survey of a service.
+    pub fn survey(&mut self, service: &str, held: Vec<Holding>, now: Instant) {
+        for holding in held {
+            self.set(holding);
+        }
+        match self
+            .surveyed
+            .binary_search_by(|s| s.0.as_str().cmp(service))
+        {
+            Ok(place) => self.surveyed[place].1 = now,
+            Err(place) => self.surveyed.insert(place, (service.to_owned(), now)),
+        }
+    }
+
+    /// Takes what one replica holds of a shard.
+    pub fn set(&mut self, mut holding: Holding) {
+        holding.snapshots.sort_unstable();
+        match self.find(&holding.service, &holding.shard, &holding.leaf) {
+            Ok(place) => self.held[place] = holding,
+            Err(place) => self.held.insert(place, holding),
+        }
+    }
+
+    /// Notes that a replica refused a snapshot.
+    pub fn drop_snapshot(&mut self, shard: &Shard, leaf: &str, snapshot: SnapshotId) {
+        if let Ok(place) = self.find(&shard.service, &shard.shard, leaf) {
+            self.held[place].snapshots.retain(|&held| held != snapshot);
+        }
+    }
+
+    /// Returns whether a service has never been surveyed.
+    pub fn unknown(&self, service: &str) -> bool {
+        self.surveyed_at(service).is_none()
+    }
+
+    /// Returns whether a service is to be surveyed again.
+    pub fn survey_due(&self, service: &str, now: Instant) -> bool {
+        self.surveyed_at(service)
+            .is_none_or(|at| now.saturating_duration_since(at) >= SURVEY_PERIOD)
+    }
+
+    /// Returns the snapshots that a replica is known to hold.
+    pub fn of(&self, shard: &Shard, leaf: &str) -> &[SnapshotId] {
+        let found = self.find(&shard.service, &shard.shard, leaf);
+        found.map_or(&[], |place| &self.held[place].snapshots)
+    }
+
+    /// Chooses the newest snapshot among those that the most shards hold.
+    ///
+    /// Only replicas that `usable` accepts count, and no snapshot in `except`
+    /// is chosen. Returns `None` if no replica is known to hold any.
+    pub fn choose(
+        &self,
+        layout: &Layout,
+        except: &[SnapshotId],
+        usable: impl Fn(&LeafName) -> bool,
+    ) -> Option<Candidate> {
+        let candidates = self.candidates(layout, except, usable);
+        let shards = candidates.iter().map(|c| c.shards).max()?;
+        let best = candidates.into_iter().filter(|c| c.shards == shards);
+        let replicas = best.clone().map(|c| c.replicas).max()?;
+        let enough = replicas as f64 * MIN_REPLICA_SHARE;
+        best.filter(|c| c.replicas as f64 >= enough)
+            .max_by_key(|c| c.snapshot)
+    }
+
+    fn candidates(
+        &self,
+        layout: &Layout,
+        except: &[SnapshotId],
+        usable: impl Fn(&LeafName) -> bool,
+    ) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for shard in &layout.shards {
+            let replicas = shard.replicas.iter().filter(|leaf| usable(leaf));
+            let mut held: Vec<SnapshotId> = replicas
+                .flat_map(|leaf| self.of(shard, leaf).iter().copied())
+                .filter(|snapshot| !except.contains(snapshot))
+                .collect();
+            held.sort_unstable();
+            for same in held.chunk_by(|a, b| a == b) {
+                count(&mut candidates, same[0], same.len());
+            }
+        }
+        candidates
+    }
+
+    fn surveyed_at(&self, service: &str) -> Option<Instant> {
+        let place = self
+            .surveyed
+            .binary_search_by(|s| s.0.as_str().cmp(service));
+        place.ok().map(|index| self.surveyed[index].1)
+    }
+
+    fn find(&self, service: &str, shard: &str, leaf: &str) -> Result<usize, usize> {
+        self.held.binary_search_by(|h| {
+            (h.service.as_str(), h.shard.as_str(), h.leaf.as_str()).cmp(&(service, shard, leaf))
+        })
+    }
+}
+
+fn count(candidates: &mut Vec<Candidate>, snapshot: SnapshotId, replicas: usize) {
+    match candidates.binary_search_by_key(&snapshot, |c| c.snapshot) {
+        Ok(place) => {
+            candidates[place].shards += 1;
+            candidates[place].replicas += replicas;
+        }
+        Err(place) => candidates.insert(
+            place,
+            Candidate {
+                snapshot,
+                shards: 1,
+                replicas,
+            },
+        ),
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/layout.rs
@@ -0,0 +1,98 @@
+//! All shards that a service covers, as the configuration had them when a
+//! query was admitted.
+
+use crate::core::service;
+use crate::prelude::*;
+
+/// Depth to which services may include others.
+const MAX_DEPTH: usize = 8;
+
+/// Shards of a service and of those it includes, pinned at one revision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Layout {
+    /// Revision of the configuration that it was read from.
+    pub revision: Revision,
+    /// Shards, ascending by name.
+    pub shards: Vec<Shard>,
+}
+
+/// A shard as a query sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Shard {
+    /// Name in the answer: `shard` for an own one, `service/shard` for one of
+    /// an included service.
+    pub name: ShardName,
+    /// Service that declares it.
+    pub service: ServiceName,
+    /// Name within that service.
+    pub shard: ShardName,
+    /// Leaves that hold it, in the operator's order.
+    pub replicas: Vec<LeafName>,
+}
+
+impl Layout {
+    /// Collects the shards of a service; `None` if there is no such service.
+    pub fn new(catalog: &Catalog, service: &str) -> Option<Layout> {
+        let spec = &catalog.service(service)?.spec;
+        let mut shards: Vec<Shard> = spec.shards.iter().map(|s| own(service, s)).collect();
+        let mut seen = vec![spec.name.clone()];
+        for included in &spec.includes {
+            collect(catalog, included, MAX_DEPTH, &mut seen, &mut shards);
+        }
+        shards.sort_by(|a, b| a.name.cmp(&b.name));
+        shards.dedup_by(|a, b| a.name == b.name);
+        Some(Layout {
+            revision: catalog.revision,
+            shards,
+        })
+    }
+
+    /// Finds a shard by its name in the answer.
+    pub fn shard(&self, name: &str) -> Option<&Shard> {
+        let place = self.shards.binary_search_by(|s| s.name.as_str().cmp(name));
+        place.ok().map(|index| &self.shards[index])
+    }
+
+    /// Returns the services that declare the shards, ascending.
+    pub fn services(&self) -> Vec<ServiceName> {
+        let mut services: Vec<ServiceName> =
+            self.shards.iter().map(|s| s.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+}
+
+fn own(service: &str, shard: &service::Shard) -> Shard {
+    Shard {
+        name: shard.name.clone(),
+        service: service.to_owned(),
+        shard: shard.name.clone(),
+        replicas: shard.replicas.clone(),
+    }
+}
+
+fn collect(
+    catalog: &Catalog,
+    service: &str,
+    depth: usize,
+    seen: &mut Vec<ServiceName>,
+    shards: &mut Vec<Shard>,
+) {
+    if depth == 0 || seen.iter().any(|name| name == service) {
+        return;
+    }
+    seen.push(service.to_owned());
+    let Some(record) = catalog.service(service) else {
+        return;
+    };
+    for shard in &record.spec.shards {
+        shards.push(Shard {
+            name: format!("{service}/{}", shard.name),
+            ..own(service, shard)
+        });
+    }
+    for included in &record.spec.includes {
+        collect(catalog, included, depth - 1, seen, shards);
+    }
+}
--- a/src/geraniummount/core/leaf_queue.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -9,6 +9,11 @@
 //! Only here slots and connections are counted, so that all VMs together keep
 //! the leaf's contract.
 
+mod action;
+mod ending;
+mod health;
+mod learning;
+
 use std::time::{Duration, Instant};
 
 use crate::core::concurrency::Concurrency;
@@ -17,6 +22,13 @@
 use crate::core::quantile::Quantile;
 use crate::prelude::*;
 
+use self::ending::judge;
+use self::learning::Pause;
+
+pub use self::action::{Action, Use};
+pub use self::ending::Ending;
+pub use self::health::{Health, Held};
+
 /// Parts that wait at most.
 const MAX_QUEUED: usize = 256;
 
@@ -29,114 +41,15 @@
 /// An estimate older than this does not refuse parts for a free slot.
 const ESTIMATE_LIFE: Duration = Duration::from_secs(1);
 
-/// Failures in a row after which the leaf gets no parts for a pause.
-const FAILURES_TO_PAUSE: u32 = 3;
-
-/// First pause after failures in a row; each further one is twice as long.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// Shortest wait after the leaf shed a part with no other part running.
 const SHED_WAIT: Duration = Duration::from_millis(10);
 
-/// Time for which an answer that says draining outweighs the health endpoint.
-const DRAINING_LIFE: Duration = Duration::from_secs(60);
-
 /// A running part is overdue beyond this many times the high quantile.
 const OVERDUE_FACTOR: u32 = 4;
 
-/// What the holder of the connections has to do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Send the part to the leaf.
-    Start {
-        /// The part.
-        part: Part,
-        /// Connection that it may use.
-        connection: Use,
-    },
-    /// Close the attempt's connection and tell the leaf that it is cancelled.
-    /// `finish` is still due, as the slot counts until then.
-    Abort(AttemptId),
-    /// Return the outcome to whoever submitted the part.
-    Answer(Outcome),
-    /// Close the connections that carry no part now.
-    CloseIdle,
-    /// Ask the health endpoint; `observe` is due.
-    Probe,
-}
-
-/// Connections that a part may use.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Use {
-    /// Any open one.
-    Any,
-    /// One opened, or proven alive, just before.
-    Proven,
-}
-
-/// How a started part ended on its connection.
-#[derive(Clone, Debug)]
-pub enum Ending {
-    /// The leaf sent a whole reply.
-    Replied {
-        /// Attempt that the reply names.
-        echo: Option<AttemptId>,
-        /// Snapshot that the reply names.
-        snapshot: Option<SnapshotId>,
-        /// The reply's body.
-        body: Vec<u8>,
-        /// State that the leaf told.
-        state: State,
-    },
-    /// The leaf refused it before running it.
-    Shed {
-        /// When the leaf wants to be asked again.
-        retry_after: Option<Duration>,
-        /// State that the leaf told.
-        state: State,
-    },
-    /// The leaf does not hold the snapshot; it did not run the part.
-    NotHeld {
-        /// Snapshots that it holds of the shard.
-        held: Vec<SnapshotId>,
-    },
-    /// No byte of the request left.
-    NotSent(Reason),
-    /// The connection broke, or the reply was not whole, after a byte may
-    /// have left.
-    Lost(Reason),
-    /// No reply came in time.
-    TimedOut,
-    /// The leaf answered with an error of its own.
-    Refused,
-}
-
-/// Answer of the health endpoint, which may lag or mislead.
-#[derive(Clone, Debug)]
-pub enum Health {
-    /// It answered.
-    Answered {
-        /// State that it told.
-        state: State,
-        /// Snapshots that it told, by shard.
-        held: Vec<Held>,
-    },
-    /// It did not answer in time.
-    Silent,
-}
-
-/// Snapshots that a leaf holds of one shard.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Held {
-    /// The shard.
-    pub shard: ShardName,
-    /// Snapshots, ascending.
-    pub snapshots: Vec<SnapshotId>,
-}
-
 /// Queue, slots and state of one owned leaf.
 #[derive(Clone, Debug)]
 pub struct LeafQueue {
@@ -172,14 +85,6 @@
     answered: bool,
 }
 
-/// Time without parts after failures in a row.
-#[derive(Clone, Copy, Debug)]
-struct Pause {
-    until: Instant,
-    length: Duration,
-    reason: Reason,
-}
-
 impl LeafQueue {
     /// Creates the queue of a leaf with a share of its connections.
     pub fn new(owner: VmName, contract: Contract, share: u16, now: Instant) -> LeafQueue {
@@ -529,137 +434,6 @@
         found.is_some_and(|r| now.saturating_duration_since(r.since) > self.high() * OVERDUE_FACTOR)
     }
 
-    /// Learns from the end of an attempt what it shows of the leaf.
-    fn learn(&mut self, ended: &Running, ending: &Ending, now: Instant) -> Vec<Action> {
-        match ending {
-            Ending::Replied { state, .. } => {
-                self.note_answer(now.saturating_duration_since(ended.since), now);
-                self.hear(*state, now);
-                Vec::new()
-            }
-            Ending::Shed { retry_after, state } => {
-                self.failures = 0;
-                self.concurrency.on_shed();
-                self.hear(*state, now);
-                if self.running.is_empty() {
-                    let wait = retry_after.unwrap_or(SHED_WAIT);
-                    self.not_before = Some(now + wait.clamp(SHED_WAIT, LONGEST_PAUSE));
-                }
-                Vec::new()
-            }
-            Ending::NotHeld { held } => {
-                self.failures = 0;
-                self.set_held(&ended.part.shard, held);
-                Vec::new()
-            }
-            Ending::Refused => {
-                self.failures = 0;
-                Vec::new()
-            }
-            Ending::NotSent(reason) | Ending::Lost(reason) if !ended.answered => {
-                self.note_failure(*reason, now)
-            }
-            Ending::TimedOut if !ended.answered => self.note_failure(Reason::Unreachable, now),
-            Ending::TimedOut | Ending::NotSent(_) | Ending::Lost(_) => {
-                self.note_abandoned(ended, now)
-            }
-        }
-    }
-
-    fn note_answer(&mut self, served: Duration, now: Instant) {
-        self.failures = 0;
-        self.pause = None;
-        self.last_answer = Some(now);
-        self.served.record(served);
-        self.concurrency.on_answer(self.median());
-    }
-
-    /// An attempt that was given up shows that the leaf takes at least so
-    /// long, and when it passed its deadline counts as a failure.
-    fn note_abandoned(&mut self, ended: &Running, now: Instant) -> Vec<Action> {
-        let served = now.saturating_duration_since(ended.since);
-        if served > self.high() {
-            self.served.record(served);
-        }
-        if now < ended.part.deadline {
-            return Vec::new();
-        }
-        self.note_failure(Reason::Unreachable, now)
-    }
-
-    fn note_failure(&mut self, reason: Reason, now: Instant) -> Vec<Action> {
-        self.failures += 1;
-        match self.pause {
-            None if self.failures >= FAILURES_TO_PAUSE => {
-                self.start_pause(FIRST_PAUSE, reason, now);
-            }
-            Some(pause) if now >= pause.until => self.lengthen_pause(now),
-            _ => {}
-        }
-        vec![Action::CloseIdle]
-    }
-
-    fn start_pause(&mut self, length: Duration, reason: Reason, now: Instant) {
-        let until = now + length;
-        self.pause = Some(Pause {
-            until,
-            length,
-            reason,
-        });
-        self.concurrency.on_cold();
-        self.next_probe = self.next_probe.min(until);
-    }
-
-    fn lengthen_pause(&mut self, now: Instant) {
-        let Some(pause) = self.pause else {
-            return;
-        };
-        let length = (pause.length * 2).min(LONGEST_PAUSE);
-        self.start_pause(length, pause.reason, now);
-    }
-
-    /// The leaf answers again: it gets one part at a time at first.
-    fn end_pause(&mut self) {
-        if self.pause.take().is_some() {
-            self.failures = 0;
-        }
-    }
-
-    /// Takes the state that an answer of the leaf told.
-    fn hear(&mut self, state: State, now: Instant) {
-        if state == State::Draining {
-            self.draining_answer = Some(now);
-        }
-        self.set_state(state);
-    }
-
-    /// Takes the state that the health endpoint told; what answers showed
-    /// goes before.
-    fn believe(&mut self, state: State, now: Instant) {
-        let answered = self.draining_answer;
-        let drains = answered.is_some_and(|at| now.saturating_duration_since(at) < DRAINING_LIFE);
-        if !drains {
-            self.set_state(state);
-        }
-    }
-
-    fn set_state(&mut self, state: State) {
-        if state == State::Cold && self.state != State::Cold {
-            self.concurrency.on_cold();
-        }
-        self.state = state;
-    }
-
-    fn set_held(&mut self, shard: &str, snapshots: &[SnapshotId]) {
-        let mut snapshots = snapshots.to_vec();
-        snapshots.sort_unstable();
-        self.held.retain(|held| held.shard != shard);
-        self.held.push(Held {
-            shard: shard.to_owned(),
-            snapshots,
-        });
-    }
-
     fn answer_unsent(&self, part: &Part, waited: Duration, failure: Failure) -> Action {
         self.answer(part, waited, Duration::ZERO, Err(failure))
     }
@@ -683,46 +457,3 @@
         })
     }
 }
-
-/// Turns the end of an attempt into its result.
-fn judge(part: &Part, ending: Ending) -> Result<Reply, Failure> {
-    match ending {
-        Ending::Replied {
-            echo,
-            snapshot,
-            body,
-            ..
-        } => check_reply(part, echo, snapshot, body),
-        Ending::Shed { retry_after, .. } => {
-            let wait = retry_after.unwrap_or(SHED_WAIT);
-            Err(Failure::not_run(Reason::Shed).retry_after(wait))
-        }
-        Ending::NotHeld { .. } => Err(Failure::not_run(Reason::SnapshotNotHeld)),
-        Ending::NotSent(reason) => Err(Failure::not_run(reason)),
-        Ending::Lost(reason) => Err(Failure::may_have_run(reason)),
-        Ending::TimedOut => Err(Failure::may_have_run(Reason::Deadline)),
-        Ending::Refused => Err(Failure::may_have_run(Reason::LeafError)),
-    }
-}
-
-fn check_reply(
-    part: &Part,
-    echo: Option<AttemptId>,
-    snapshot: Option<SnapshotId>,
-    body: Vec<u8>,
-) -> Result<Reply, Failure> {
-    if echo != Some(part.attempt) {
-        return Err(Failure::may_have_run(Reason::ReplyMismatch));
-    }
-    if part.snapshot.is_some() && snapshot != part.snapshot {
-        return Err(Failure {
-            verdict: Verdict::Ran,
-            reason: Reason::SnapshotMismatch,
-            retry_after: None,
-        });
-    }
-    Ok(Reply {
-        snapshot: snapshot.unwrap_or_default(),
-        body,
-    })
-}
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -4,6 +4,7 @@
 //! log. Time comes in as an argument and randomness as a seeded generator, so
 //! that tests and benches drive each decision step by step.
 
+pub mod answer;
 pub mod catalog;
 pub mod change;
 pub mod change_log;
@@ -11,26 +12,35 @@
 pub mod concurrency;
 pub mod contract;
 pub mod coverage;
+pub mod execution;
 pub mod failure;
+pub mod fan_out;
 pub mod fault;
 pub mod gossip;
 pub mod holding;
+pub mod holdings;
 pub mod id;
+pub mod layout;
 pub mod leaf;
 pub mod leaf_queue;
+pub mod margin;
 pub mod membership;
 pub mod outcome;
 pub mod ownership;
 pub mod part;
 pub mod proposal;
 pub mod quantile;
+pub mod ranking;
 pub mod reason;
 pub mod relays;
 pub mod reply;
 pub mod report;
 pub mod resource;
+pub mod retry_budget;
 pub mod rumors;
 pub mod service;
+mod shard_state;
+pub mod traffic;
 pub mod validation;
 pub mod verdict;
 pub mod view;
--- /dev/null
+++ b/src/geraniummount/core/ranking.rs
@@ -0,0 +1,292 @@
+//! Order in which an entry VM tries the replicas of a shard.
+//!
+//! Replicas are ranked by the time in which they are expected to answer: the
+//! delay to the owner, the queue there, the leaf's recent median, and a
+//! charge for a link between failure domains. All of it comes from outcomes
+//! that this VM received itself. A replica whose owner or leaf stops answering
+//! is suspended for a pause that grows, and then gets single probes.
+
+use std::time::{Duration, Instant};
+
+use crate::core::leaf::State;
+use crate::core::quantile::Quantile;
+use crate::prelude::*;
+
+/// Time to answer that is assumed before any outcome came.
+const ASSUMED_TIME: Duration = Duration::from_millis(10);
+
+/// Charge for a link between failure domains.
+const FAR_CHARGE: Duration = Duration::from_millis(2);
+
+/// First pause of a replica that failed; each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause of a replica that keeps failing.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
+/// Pause of a replica whose leaf is leaving.
+const LEAVING_PAUSE: Duration = Duration::from_secs(2);
+
+/// Attempts without any answer in a row that suspend a replica.
+const SILENT_TO_SUSPEND: u32 = 3;
+
+/// Time after which a reported queue no longer counts.
+const REPORT_LIFE: Duration = Duration::from_millis(250);
+
+/// Share of recent answers after which a part counts as late.
+const LATE_SHARE: f64 = 0.97;
+
+/// Weight of the newest sample in the link delay.
+const DELAY_WEIGHT: f64 = 0.1;
+
+/// What an entry VM knows of the replicas that it uses.
+#[derive(Clone, Debug, Default)]
+pub struct Ranking {
+    standings: Vec<Standing>,
+}
+
+/// A replica in the order in which it is to be tried.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The replica.
+    pub leaf: LeafName,
+    /// Time in which it is expected to answer.
+    pub expected: Duration,
+    /// Whether it is suspended now.
+    pub suspended: bool,
+}
+
+/// What is known of one replica.
+#[derive(Clone, Debug)]
+struct Standing {
+    leaf: LeafName,
+    report: Option<(Report, Instant)>,
+    /// Smoothed time on the way to the owner and back.
+    delay: Option<Duration>,
+    /// Recent times from sending a part to its outcome.
+    elapsed: Quantile,
+    /// Parts of this VM under way.
+    open: u32,
+    /// Parts sent after the last report was received.
+    sent_since: u32,
+    silent: u32,
+    pause: Option<Pause>,
+}
+
+/// Time without parts.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Instant,
+    length: Duration,
+    /// Whether the single probe after it is under way.
+    probing: bool,
+}
+
+impl Ranking {
+    /// Orders replicas: usable ones first, each group by expected time.
+    pub fn order(
+        &self,
+        replicas: &[LeafName],
+        is_far: impl Fn(&LeafName) -> bool,
+        now: Instant,
+    ) -> Vec<Choice> {
+        let choices = replicas.iter().map(|leaf| {
+            let standing = self.standing(leaf);
+            let charge = if is_far(leaf) {
+                FAR_CHARGE
+            } else {
+                Duration::ZERO
+            };
+            Choice {
+                leaf: leaf.clone(),
+                expected: charge + standing.map_or(ASSUMED_TIME, |s| s.expected(now)),
+                suspended: standing.is_some_and(|s| s.is_suspended(now)),
+            }
+        });
+        let mut choices: Vec<Choice> = choices.collect();
+        choices.sort_by_key(|choice| (choice.suspended, choice.expected));
+        choices
+    }
+
+    /// Returns whether a replica is suspended.
+    pub fn is_suspended(&self, leaf: &str, now: Instant) -> bool {
+        self.standing(leaf).is_some_and(|s| s.is_suspended(now))
+    }
+
+    /// Returns the time after which a part sent to a replica counts as late.
+    pub fn late_after(&self, leaf: &str) -> Option<Duration> {
+        self.standing(leaf)?.elapsed.at(LATE_SHARE)
+    }
+
+    /// Returns the last report of a replica, if it is recent.
+    pub fn report(&self, leaf: &str, now: Instant) -> Option<&Report> {
+        self.standing(leaf)?.fresh_report(now)
+    }
+
+    /// Notes a part sent to a replica.
+    pub fn on_send(&mut self, leaf: &str, now: Instant) {
+        let standing = self.standing_mut(leaf);
+        standing.open += 1;
+        standing.sent_since += 1;
+        if let Some(pause) = &mut standing.pause
+            && now >= pause.until
+        {
+            pause.probing = true;
+        }
+    }
+
+    /// Notes the outcome of a part that was sent some time ago. `counted`
+    /// tells whether the part still counts as under way.
+    pub fn on_outcome(
+        &mut self,
+        leaf: &str,
+        outcome: &Outcome,
+        elapsed: Duration,
+        counted: bool,
+        now: Instant,
+    ) {
+        let standing = self.standing_mut(leaf);
+        if counted {
+            standing.open = standing.open.saturating_sub(1);
+        }
+        if let Some(report) = &outcome.report {
+            standing.hear(report, elapsed, now);
+        }
+        match &outcome.result {
+            Ok(_) => {
+                standing.elapsed.record(elapsed);
+                standing.pause = None;
+            }
+            Err(failure) => standing.note_failure(failure, now),
+        }
+    }
+
+    /// Notes a part that this VM gave up after some time without an outcome.
+    pub fn on_abandon(&mut self, leaf: &str, elapsed: Duration, now: Instant) {
+        let standing = self.standing_mut(leaf);
+        standing.open = standing.open.saturating_sub(1);
+        let late = standing.elapsed.at(LATE_SHARE).unwrap_or(ASSUMED_TIME);
+        if elapsed <= late {
+            standing.end_probe();
+            return;
+        }
+        standing.elapsed.record(elapsed);
+        standing.silent += 1;
+        if standing.silent >= SILENT_TO_SUSPEND || standing.pause.is_some() {
+            standing.suspend(now);
+        }
+    }
+
+    fn standing(&self, leaf: &str) -> Option<&Standing> {
+        let place = self.find(leaf).ok()?;
+        Some(&self.standings[place])
+    }
+
+    fn standing_mut(&mut self, leaf: &str) -> &mut Standing {
+        let place = self.find(leaf).unwrap_or_else(|place| {
+            self.standings.insert(place, Standing::new(leaf));
+            place
+        });
+        &mut self.standings[place]
+    }
+
+    fn find(&self, leaf: &str) -> Result<usize, usize> {
+        self.standings
+            .binary_search_by(|s| s.leaf.as_str().cmp(leaf))
+    }
+}
+
+impl Standing {
+    fn new(leaf: &str) -> Standing {
+        Standing {
+            leaf: leaf.to_owned(),
+            report: None,
+            delay: None,
+            elapsed: Quantile::default(),
+            open: 0,
+            sent_since: 0,
+            silent: 0,
+            pause: None,
+        }
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<&Report> {
+        let (report, at) = self.report.as_ref()?;
+        let fresh = now.saturating_duration_since(*at) < REPORT_LIFE;
+        fresh.then_some(report)
+    }
+
+    fn expected(&self, now: Instant) -> Duration {
+        let Some((report, _)) = &self.report else {
+            let typical = self.elapsed.median().unwrap_or(ASSUMED_TIME);
+            return typical + typical.mul_f64(f64::from(self.open));
+        };
+        let reported = self
+            .fresh_report(now)
+            .map_or(0, |fresh| fresh.queued + u32::from(fresh.busy));
+        let load = (reported + self.sent_since).max(self.open);
+        let slots = f64::from(report.slots.max(1));
+        let rounds = 1.0 + f64::from(load) / slots;
+        self.delay.unwrap_or_default() + report.median.mul_f64(rounds)
+    }
+
+    fn is_suspended(&self, now: Instant) -> bool {
+        self.pause
+            .is_some_and(|pause| pause.probing || now < pause.until)
+    }
+
+    fn hear(&mut self, report: &Report, elapsed: Duration, now: Instant) {
+        let sample = elapsed.saturating_sub(report.waited + report.served);
+        let delay = self.delay.map_or(sample, |delay| {
+            delay.mul_f64(1.0 - DELAY_WEIGHT) + sample.mul_f64(DELAY_WEIGHT)
+        });
+        self.delay = Some(delay);
+        self.silent = 0;
+        self.sent_since = 0;
+        self.report = Some((report.clone(), now));
+        if report.state == State::Draining {
+            self.pause_for(LEAVING_PAUSE, now);
+        }
+    }
+
+    fn note_failure(&mut self, failure: &Failure, now: Instant) {
+        match failure.reason {
+            Reason::ConnectFailed
+            | Reason::NoOwner
+            | Reason::Stopping
+            | Reason::Unreachable
+            | Reason::ConnectionLost => self.suspend(now),
+            Reason::Leaving => self.pause_for(LEAVING_PAUSE, now),
+            Reason::Deadline => {
+                self.silent += 1;
+                if self.silent >= SILENT_TO_SUSPEND || self.pause.is_some() {
+                    self.suspend(now);
+                }
+            }
+            _ => self.end_probe(),
+        }
+    }
+
+    fn suspend(&mut self, now: Instant) {
+        let last = self.pause.filter(|pause| now >= pause.until);
+        if self.pause.is_some() && last.is_none() {
+            return;
+        }
+        let length = last.map_or(FIRST_PAUSE, |pause| (pause.length * 2).min(LONGEST_PAUSE));
+        self.pause_for(length, now);
+    }
+
+    fn pause_for(&mut self, length: Duration, now: Instant) {
+        self.pause = Some(Pause {
+            until: now + length,
+            length,
+            probing: false,
+        });
+    }
+
+    fn end_probe(&mut self) {
+        if let Some(pause) = &mut self.pause {
+            pause.probing = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/shard_state.rs
@@ -0,0 +1,186 @@
+//! How far one shard of a query is.
+
+use std::time::{Duration, Instant};
+
+use crate::core::answer::Trace;
+use crate::prelude::*;
+
+/// Time after a late mark that an attempt gets before it is given up.
+const LATE_FACTOR: u32 = 2;
+
+/// One shard of a query.
+#[derive(Debug)]
+pub(crate) struct ShardState {
+    /// Attempts without an outcome.
+    pub(crate) open: Vec<Attempt>,
+    /// Replicas that attempts were sent to.
+    pub(crate) tried: Vec<LeafName>,
+    /// Attempts sent.
+    pub(crate) attempts: u32,
+    /// Hedges among them.
+    pub(crate) hedges: u32,
+    /// Redirects among them.
+    pub(crate) redirects: u32,
+    /// When a hedge is due.
+    pub(crate) hedge_at: Option<Instant>,
+    /// Time after which the last attempt counts as late.
+    pub(crate) late: Option<Duration>,
+    /// The reply, or why there will be none.
+    pub(crate) settled: Option<Settled>,
+    /// When it was settled.
+    pub(crate) settled_at: Option<Instant>,
+    /// Worst verdict of the attempts that failed or were given up.
+    pub(crate) worst: Verdict,
+    /// Longest time to come back that a failure named.
+    pub(crate) retry_after: Option<Duration>,
+    /// Replica of the last outcome.
+    pub(crate) leaf: Option<LeafName>,
+    /// VM that sent the outcome that settled it.
+    pub(crate) owner: Option<VmName>,
+    last_sent: Option<Instant>,
+}
+
+/// An attempt without an outcome.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    /// Its number.
+    pub(crate) id: AttemptId,
+    /// Leaf that it was sent to.
+    pub(crate) leaf: LeafName,
+    /// When it was sent.
+    pub(crate) sent: Instant,
+}
+
+/// Why an attempt is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    /// The shard's first.
+    First,
+    /// The first one is late.
+    Hedge,
+    /// The one before never reached a leaf.
+    Redirect,
+    /// The one before failed.
+    Retry,
+}
+
+/// What became of a shard.
+#[derive(Debug)]
+pub(crate) enum Settled {
+    /// Its reply's body.
+    Included(Vec<u8>),
+    /// Why it has none.
+    Missing(Reason),
+}
+
+impl Default for ShardState {
+    fn default() -> ShardState {
+        ShardState {
+            open: Vec::new(),
+            tried: Vec::new(),
+            attempts: 0,
+            hedges: 0,
+            redirects: 0,
+            hedge_at: None,
+            late: None,
+            settled: None,
+            settled_at: None,
+            worst: Verdict::NotRun,
+            retry_after: None,
+            leaf: None,
+            owner: None,
+            last_sent: None,
+        }
+    }
+}
+
+impl ShardState {
+    /// Adds an attempt that is being sent.
+    pub(crate) fn begin(&mut self, attempt: Attempt, kind: Kind) {
+        self.attempts += 1;
+        match kind {
+            Kind::Hedge => self.hedges += 1,
+            Kind::Redirect => self.redirects += 1,
+            Kind::First | Kind::Retry => {}
+        }
+        self.tried.push(attempt.leaf.clone());
+        self.last_sent = Some(attempt.sent);
+        self.open.push(attempt);
+    }
+
+    /// Removes an open attempt.
+    pub(crate) fn close(&mut self, id: AttemptId) -> Option<Attempt> {
+        let place = self.open.iter().position(|attempt| attempt.id == id)?;
+        Some(self.open.remove(place))
+    }
+
+    /// Notes that an attempt failed.
+    pub(crate) fn note_failure(&mut self, failure: Failure) {
+        self.worst = self.worst.max(failure.verdict);
+        self.retry_after = self.retry_after.max(failure.retry_after);
+    }
+
+    /// Fixes what became of the shard.
+    pub(crate) fn settle(&mut self, settled: Settled, now: Instant) {
+        self.hedge_at = None;
+        self.settled_at = Some(now);
+        self.settled = Some(settled);
+    }
+
+    /// Returns whether its reply is merged.
+    pub(crate) fn is_included(&self) -> bool {
+        matches!(self.settled, Some(Settled::Included(_)))
+    }
+
+    /// Returns whether it is settled without a reply.
+    pub(crate) fn is_missing(&self) -> bool {
+        self.missing_reason().is_some()
+    }
+
+    /// Returns why it is settled without a reply.
+    pub(crate) fn missing_reason(&self) -> Option<Reason> {
+        match self.settled {
+            Some(Settled::Missing(reason)) => Some(reason),
+            _ => None,
+        }
+    }
+
+    /// Returns whether no replica would read the snapshot.
+    pub(crate) fn lost_snapshot(&self) -> bool {
+        matches!(
+            self.missing_reason(),
+            Some(Reason::SnapshotMismatch | Reason::SnapshotNotHeld)
+        )
+    }
+
+    /// Returns whether the query may have run on it.
+    pub(crate) fn verdict(&self) -> Verdict {
+        if self.is_included() {
+            return Verdict::Ran;
+        }
+        if !self.open.is_empty() {
+            return self.worst.max(Verdict::MayHaveRun);
+        }
+        self.worst
+    }
+
+    /// Returns when its last attempt should have answered, even if late.
+    pub(crate) fn expected_end(&self) -> Option<Instant> {
+        Some(self.last_sent? + self.late? * LATE_FACTOR)
+    }
+
+    /// Returns how it went.
+    pub(crate) fn trace(&self, shard: &str, started: Instant) -> Trace {
+        let took = self
+            .settled_at
+            .map(|at| at.saturating_duration_since(started));
+        Trace {
+            shard: shard.to_owned(),
+            leaf: self.leaf.clone(),
+            owner: self.owner.clone(),
+            attempts: self.attempts,
+            hedges: self.hedges,
+            took,
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/traffic.rs
@@ -0,0 +1,53 @@
+//! What the queries of one VM share: what it learnt of leaves and snapshots,
+//! and the budgets for extra load.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::core::holdings::Holdings;
+use crate::core::ranking::Ranking;
+use crate::core::retry_budget::RetryBudget;
+use crate::prelude::*;
+
+/// Knowledge and budgets that outlive one query.
+#[derive(Debug)]
+pub struct Traffic {
+    /// Which replicas hold which snapshots.
+    pub holdings: Holdings,
+    /// How replicas answer.
+    pub ranking: Ranking,
+    budgets: Vec<(ServiceName, RetryBudget)>,
+    generator: StdRng,
+}
+
+impl Traffic {
+    /// Starts without knowledge; attempts are numbered from the seed.
+    pub fn new(seed: u64) -> Traffic {
+        Traffic {
+            holdings: Holdings::default(),
+            ranking: Ranking::default(),
+            budgets: Vec::new(),
+            generator: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Draws the number of a new attempt.
+    pub fn draw_attempt(&mut self) -> AttemptId {
+        self.generator.next_u64()
+    }
+
+    /// Returns the budget of a service.
+    pub fn budget(&mut self, service: &str, extra_percent: u8) -> &mut RetryBudget {
+        let found = self
+            .budgets
+            .binary_search_by(|budget| budget.0.as_str().cmp(service));
+        let place = found.unwrap_or_else(|place| {
+            let budget = (service.to_owned(), RetryBudget::new(extra_percent));
+            self.budgets.insert(place, budget);
+            place
+        });
+        let budget = &mut self.budgets[place].1;
+        budget.configure(extra_percent);
+        budget
+    }
+}
--- a/src/geraniummount/core/view.rs
+++ b/src/geraniummount/core/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::core::leaf::State;
 use crate::prelude::*;
 
 /// State that the control thread publishes and traffic threads read.
@@ -21,3 +22,18 @@
     /// Whether this VM is stopping.
     pub stopping: bool,
 }
+
+impl View {
+    /// Returns whether a leaf takes no new work, whoever said so.
+    pub fn is_leaving(&self, leaf: &LeafName) -> bool {
+        let declared = self.catalog.leaf(leaf);
+        let told = self.draining.binary_search(leaf).is_ok();
+        told || declared.is_some_and(|record| record.spec.state == State::Draining)
+    }
+
+    /// Returns whether a leaf is in another failure domain.
+    pub fn is_far(&self, leaf: &LeafName) -> bool {
+        let declared = self.catalog.leaf(leaf);
+        declared.is_some_and(|record| record.spec.failure_domain != self.failure_domain)
+    }
+}
