--- a/tests/testsuite/stand_ins.rs
+++ b/tests/testsuite/stand_ins.rs
@@ -34,81 +34,88 @@
     client.call("POST", "/search", &headers, "{}").ok()
 }
 
+/// A fault, and what a client and the log see of a request that meets it.
+struct FaultCase {
+    fault: Option<Fault>,
+    snapshot: &'static str,
+    status: Option<u16>,
+    echo: Option<&'static str>,
+    read: Option<&'static str>,
+    runs: bool,
+}
+
+impl FaultCase {
+    fn whole(fault: Option<Fault>) -> FaultCase {
+        FaultCase {
+            fault,
+            snapshot: "7",
+            status: Some(200),
+            echo: Some("12"),
+            read: Some("7"),
+            runs: true,
+        }
+    }
+
+    fn no_reply(fault: Fault, runs: bool) -> FaultCase {
+        FaultCase {
+            fault: Some(fault),
+            snapshot: "7",
+            status: None,
+            echo: None,
+            read: None,
+            runs,
+        }
+    }
+}
+
 #[test]
 fn stand_in_leaf_meets_each_fault_once() {
-    struct Case {
-        fault: Option<Fault>,
-        snapshot: &'static str,
-        status: Option<u16>,
-        echo: Option<&'static str>,
-        read: Option<&'static str>,
-        runs: bool,
-    }
-    let whole = |fault, read| Case {
-        fault,
-        snapshot: "7",
-        status: Some(200),
-        echo: Some("12"),
-        read: Some(read),
-        runs: true,
-    };
-    let none = |fault, runs| Case {
-        fault: Some(fault),
-        snapshot: "7",
-        status: None,
-        echo: None,
-        read: None,
-        runs,
-    };
     let cases = [
-        whole(None, "7"),
-        whole(Some(Fault::WrongSnapshot), "8"),
-        whole(Some(Fault::DoubledReply), "7"),
-        whole(Some(Fault::Late(Duration::from_millis(20))), "7"),
-        Case {
+        FaultCase::whole(None),
+        FaultCase::whole(Some(Fault::DoubledReply)),
+        FaultCase::whole(Some(Fault::Late(Duration::from_millis(20)))),
+        FaultCase {
+            read: Some("8"),
+            ..FaultCase::whole(Some(Fault::WrongSnapshot))
+        },
+        FaultCase {
             echo: Some("13"),
-            ..whole(Some(Fault::WrongAttempt), "7")
+            ..FaultCase::whole(Some(Fault::WrongAttempt))
         },
-        none(Fault::CloseBeforeRead, false),
-        none(Fault::CloseAfterRead, false),
-        none(Fault::CloseAfterRun, true),
-        none(Fault::NoReply, true),
-        none(Fault::Truncated, true),
-        Case {
+        FaultCase {
             snapshot: "9",
             status: Some(410),
             read: None,
             runs: false,
-            ..whole(None, "")
+            ..FaultCase::whole(None)
         },
+        FaultCase::no_reply(Fault::CloseBeforeRead, false),
+        FaultCase::no_reply(Fault::CloseAfterRead, false),
+        FaultCase::no_reply(Fault::CloseAfterRun, true),
+        FaultCase::no_reply(Fault::NoReply, true),
+        FaultCase::no_reply(Fault::Truncated, true),
     ];
     for case in cases {
-        let leaf = leaf(|_| {});
-        let client = Client::with_timeout(leaf.address(), SHORT);
-        if let Some(fault) = case.fault {
-            leaf.inject(fault, 1);
-        }
-        let reply = search(&client, "12", case.snapshot);
-        let reply = reply.as_ref();
-        let context = format!("{:?}, snapshot {}", case.fault, case.snapshot);
-        assert_eq!(reply.map(|reply| reply.status), case.status, "{context}");
-        assert_eq!(
-            reply.and_then(|reply| reply.header("Attempt-Id")),
-            case.echo,
-            "{context}"
-        );
-        assert_eq!(
-            reply.and_then(|reply| reply.header("Snapshot")),
-            case.read,
-            "{context}"
-        );
-        assert_eq!(leaf.log().len(), usize::from(case.runs), "{context}");
-        assert_eq!(
-            search(&client, "14", "7").map(|reply| reply.status),
-            Some(200),
-            "{context}"
-        );
+        check_fault(&case);
+    }
+}
+
+fn check_fault(case: &FaultCase) {
+    let leaf = leaf(|_| {});
+    let client = Client::with_timeout(leaf.address(), SHORT);
+    if let Some(fault) = case.fault {
+        leaf.inject(fault, 1);
     }
+    let reply = search(&client, "12", case.snapshot);
+    let header = |name| reply.as_ref().and_then(|reply| reply.header(name));
+    let context = format!("{:?}, snapshot {}", case.fault, case.snapshot);
+    let status = reply.as_ref().map(|reply| reply.status);
+    assert_eq!(status, case.status, "{context}");
+    assert_eq!(header("Attempt-Id"), case.echo, "{context}");
+    assert_eq!(header("Snapshot"), case.read, "{context}");
+    assert_eq!(leaf.log().len(), usize::from(case.runs), "{context}");
+    let next = search(&client, "14", "7").map(|reply| reply.status);
+    assert_eq!(next, Some(200), "{context}");
 }
 
 #[test]
