Add the command line and the operators' listener

Cause: operators had no way to declare resources or read state.

Change: each subcommand is a file with its arguments and one call into ops; failures have an exit code by kind. The operators' listener routes a request to a Backend and writes refusals with their faults, generations, verdict and time to come back; waiting watches hold at most half of its workers. Output is aligned text or JSON.

Ruled out: rouille's own stoppable loop, as it looks for the stop only when no request comes for a second.

Result: 5 tests with tables of 33 cases pass against the real binary and a backend in memory that uses the configuration's own checks.

Conclusion: the registry and serve can be wired behind Backend.

--- /dev/null
+++ b/src/bin/geraniummount/cli.rs
@@ -0,0 +1,74 @@
+//! Arguments of the command line.
+
+use clap::{Parser, Subcommand};
+use error_stack::Report;
+use geraniummount::ops::exit::Exit;
+
+use crate::commands::{apply, check, delete, dump, get, query, serve, status, watch};
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0   done
+  1   another failure
+  2   the command line can't be understood
+  3   settings, a resource or a request are not valid
+  4   the resource was changed by someone else
+  5   the server can't be reached
+  6   the change was sent, but its outcome is not known
+  7   refused; it was not run
+  8   failed; it may have run
+  9   there is no such resource
+  10  it ran, but the answer was lost
+
+First steps:
+  geraniummount check --settings a1.ini      check a settings file
+  geraniummount serve --settings a1.ini      run a process with it
+  geraniummount apply -f resources.json      declare leaves and services
+  geraniummount query my-service --body '{}' ask a service";
+
+/// Query tier in front of many shards.
+#[derive(Debug, Parser)]
+#[command(after_help = EXIT_CODES, name = "geraniummount", version)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run the process of an entry VM until it is told to stop
+    Serve(serve::Args),
+    /// Check a settings file as serve would
+    Check(check::Args),
+    /// Declare the resources of a file
+    Apply(apply::Args),
+    /// Show one resource, or all of a kind
+    Get(get::Args),
+    /// Show changes as they come into force
+    Watch(watch::Args),
+    /// Remove a resource
+    Delete(delete::Args),
+    /// Show what actually holds in the fleet
+    Status(status::Args),
+    /// Show the state of one process
+    Dump(dump::Args),
+    /// Send one request as a caller would
+    Query(query::Args),
+}
+
+impl Cli {
+    /// Runs the chosen subcommand.
+    pub fn exec(self) -> Result<(), Report<Exit>> {
+        match self.command {
+            Command::Serve(args) => args.exec(),
+            Command::Check(args) => args.exec(),
+            Command::Apply(args) => args.exec(),
+            Command::Get(args) => args.exec(),
+            Command::Watch(args) => args.exec(),
+            Command::Delete(args) => args.exec(),
+            Command::Status(args) => args.exec(),
+            Command::Dump(args) => args.exec(),
+            Command::Query(args) => args.exec(),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -0,0 +1,12 @@
+//! One subcommand a file: its arguments and `exec`.
+
+pub mod apply;
+pub mod check;
+pub mod delete;
+pub mod dump;
+pub mod get;
+pub mod operator;
+pub mod query;
+pub mod serve;
+pub mod status;
+pub mod watch;
--- /dev/null
+++ b/src/bin/geraniummount/commands/serve.rs
@@ -0,0 +1,32 @@
+//! `geraniummount serve`.
+
+use std::path::PathBuf;
+
+use error_stack::Report;
+use geraniummount::ops::check;
+use geraniummount::ops::exit::Exit;
+
+const NOTES: &str = "\
+Example:
+  geraniummount serve --settings a1.ini
+
+SIGTERM stops it gracefully: it takes no new work, finishes what it holds and
+exits with 0. RUST_LOG overrides the level of the settings' [log] section.";
+
+/// Runs the process of an entry VM until it is told to stop.
+#[derive(Debug, clap::Args)]
+#[command(after_help = NOTES)]
+pub struct Args {
+    /// INI file with the settings of this VM
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+impl Args {
+    /// Runs the subcommand.
+    pub fn exec(&self) -> Result<(), Report<Exit>> {
+        let settings = check::load(&self.settings)?;
+        geraniummount::ops::logs::start(settings.log.level);
+        Err(Report::new(Exit::Other).attach("serve is not wired up yet"))
+    }
+}
--- /dev/null
+++ b/src/bin/geraniummount/commands/status.rs
@@ -0,0 +1,24 @@
+//! `geraniummount status`.
+
+use error_stack::Report;
+use geraniummount::ops::exit::Exit;
+use geraniummount::ops::status;
+
+use super::operator;
+
+/// Shows what actually holds: the revision in force in each failure domain,
+/// VMs that lag, and what can't be known from the VM asked.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example:\n  geraniummount status --server 127.0.0.1:9090")]
+pub struct Args {
+    #[command(flatten)]
+    operator: operator::Args,
+}
+
+impl Args {
+    /// Runs the subcommand.
+    pub fn exec(&self) -> Result<(), Report<Exit>> {
+        let form = self.operator.form();
+        status::status(self.operator.server, form, &mut std::io::stdout())
+    }
+}
--- a/src/geraniummount/core/fault.rs
+++ b/src/geraniummount/core/fault.rs
@@ -40,3 +40,5 @@
         write!(f, "{field}: {problem}; allowed: {allowed}")
     }
 }
+
+impl std::error::Error for Fault {}
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -1,7 +1,9 @@
 //! Edges: callers, operators, leaves, peers and the platform.
 
+pub mod client;
 pub mod dispatcher;
 pub mod leaf;
 pub mod metrics;
+pub mod operator;
 pub mod pending;
 pub mod workers;
--- /dev/null
+++ b/src/geraniummount/edge/operator/refusal.rs
@@ -0,0 +1,140 @@
+//! Why an operator's request is refused, and how that is written.
+
+use std::time::Duration;
+
+use rouille::Response;
+use serde_json::{Value, json};
+
+use crate::core::fault::Fault;
+use crate::prelude::*;
+
+/// A request that was not, or perhaps not, carried out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The request itself can't be understood.
+    Malformed(String),
+    /// There is no such resource or path.
+    NotFound(String),
+    /// The path has no such method.
+    Method {
+        /// Methods that it has.
+        allowed: &'static str,
+    },
+    /// The body is longer than is read, in bytes.
+    TooLarge {
+        /// Longest body.
+        limit: usize,
+    },
+    /// The resource is not valid.
+    Invalid(Vec<Fault>),
+    /// The resource has another generation than the change was made for.
+    Conflict {
+        /// Generation that the change was made for.
+        expected: Generation,
+        /// Generation that the resource has; 0 where there is none.
+        actual: Generation,
+    },
+    /// The change was sent to the platform, but its outcome is not known.
+    Undecided {
+        /// Number of the change.
+        change: ChangeId,
+    },
+    /// The platform does not answer; the change has not taken effect.
+    PlatformDown {
+        /// When trying again may help.
+        retry_after: Duration,
+    },
+    /// This process has no worker to spare for it.
+    Busy {
+        /// When trying again may help.
+        retry_after: Duration,
+    },
+}
+
+impl Refusal {
+    /// Writes the refusal as an answer.
+    pub(super) fn response(&self) -> Response {
+        let body = self.body();
+        let mut response = Response::json(&body).with_status_code(self.status());
+        match self {
+            Refusal::Method { allowed } => {
+                response = response.with_unique_header("Allow", *allowed);
+            }
+            Refusal::PlatformDown { retry_after } | Refusal::Busy { retry_after } => {
+                let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+                response = response.with_unique_header("Retry-After", seconds.to_string());
+            }
+            _ => {}
+        }
+        response
+    }
+
+    fn status(&self) -> u16 {
+        match self {
+            Refusal::Malformed(_) => 400,
+            Refusal::NotFound(_) => 404,
+            Refusal::Method { .. } => 405,
+            Refusal::TooLarge { .. } => 413,
+            Refusal::Invalid(_) => 422,
+            Refusal::Conflict { .. } => 409,
+            Refusal::Undecided { .. } => 202,
+            Refusal::PlatformDown { .. } | Refusal::Busy { .. } => 503,
+        }
+    }
+
+    fn body(&self) -> Value {
+        match self {
+            Refusal::Malformed(error) | Refusal::NotFound(error) => {
+                json!({"error": error, "faults": [], "verdict": Verdict::NotRun})
+            }
+            Refusal::Method { allowed } => json!({
+                "error": format!("no such method here; allowed: {allowed}"),
+                "faults": [],
+                "verdict": Verdict::NotRun,
+            }),
+            Refusal::TooLarge { limit } => json!({
+                "error": format!("the body is longer than {limit} bytes"),
+                "faults": [],
+                "verdict": Verdict::NotRun,
+            }),
+            Refusal::Invalid(faults) => json!({
+                "error": format!("the resource has {} fault(s)", faults.len()),
+                "faults": faults,
+                "verdict": Verdict::NotRun,
+            }),
+            Refusal::Conflict { expected, actual } => json!({
+                "error": format!(
+                    "the change was made for generation {expected}, but the resource has \
+                     generation {actual}"
+                ),
+                "faults": [],
+                "verdict": Verdict::NotRun,
+                "expected": expected,
+                "actual": actual,
+            }),
+            Refusal::Undecided { change } => json!({
+                "error": "the platform did not say whether the change took effect; read the \
+                          resource before sending it again",
+                "faults": [],
+                "verdict": Verdict::MayHaveRun,
+                "change": change.to_string(),
+            }),
+            Refusal::PlatformDown { retry_after } => waiting(
+                "the platform's key-value service does not answer; the change has not taken effect",
+                *retry_after,
+            ),
+            Refusal::Busy { retry_after } => {
+                waiting("too many operators' requests wait here", *retry_after)
+            }
+        }
+    }
+}
+
+fn waiting(error: &str, retry_after: Duration) -> Value {
+    json!({
+        "error": error,
+        "faults": [],
+        "verdict": Verdict::NotRun,
+        "retry_after_ms": u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+    })
+}
--- /dev/null
+++ b/src/geraniummount/edge/operator/route.rs
@@ -0,0 +1,102 @@
+//! Which request an operator means.
+
+use std::time::Duration;
+
+use crate::core::resource::Kind;
+use crate::edge::operator::Refusal;
+use crate::prelude::*;
+
+/// Longest time that a watch waits.
+const LONGEST_WATCH: Duration = Duration::from_secs(60);
+
+const DEFAULT_WATCH: Duration = Duration::from_secs(20);
+
+const PATHS: &str = "/v1/resources/{kind}, /v1/resources/{kind}/{name}, \
+                     /v1/resources?watch=REVISION, /v1/status, /v1/state, /metrics, /health";
+
+/// A request that can be carried out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Route {
+    List(Kind),
+    Get(Kind, String),
+    Put(Kind, String, Option<Generation>),
+    Delete(Kind, String, Option<Generation>),
+    Watch(Revision, Duration),
+    Status,
+    State,
+    Metrics,
+    Health,
+}
+
+impl Route {
+    /// Reads method, path and headers of a request.
+    pub(super) fn read(request: &rouille::Request) -> Result<Route, Refusal> {
+        let url = request.url();
+        let segments: Vec<&str> = url.split('/').filter(|s| !s.is_empty()).collect();
+        match segments.as_slice() {
+            ["v1", "resources"] => only_get(request, watch(request)?),
+            ["v1", "resources", kind] => only_get(request, Route::List(read_kind(kind)?)),
+            ["v1", "resources", kind, name] => resource(request, read_kind(kind)?, name),
+            ["v1", "status"] => only_get(request, Route::Status),
+            ["v1", "state"] => only_get(request, Route::State),
+            ["metrics"] => only_get(request, Route::Metrics),
+            ["health"] => only_get(request, Route::Health),
+            _ => Err(Refusal::NotFound(format!(
+                "no such path: {url}; allowed: {PATHS}"
+            ))),
+        }
+    }
+}
+
+fn only_get(request: &rouille::Request, route: Route) -> Result<Route, Refusal> {
+    if request.method() == "GET" {
+        return Ok(route);
+    }
+    Err(Refusal::Method { allowed: "GET" })
+}
+
+fn resource(request: &rouille::Request, kind: Kind, name: &str) -> Result<Route, Refusal> {
+    let name = name.to_string();
+    match request.method() {
+        "GET" => Ok(Route::Get(kind, name)),
+        "PUT" => Ok(Route::Put(kind, name, if_match(request)?)),
+        "DELETE" => Ok(Route::Delete(kind, name, if_match(request)?)),
+        _ => Err(Refusal::Method {
+            allowed: "GET, PUT, DELETE",
+        }),
+    }
+}
+
+fn read_kind(text: &str) -> Result<Kind, Refusal> {
+    text.parse()
+        .map_err(|fault| Refusal::NotFound(format!("{fault}")))
+}
+
+fn if_match(request: &rouille::Request) -> Result<Option<Generation>, Refusal> {
+    let Some(text) = request.header("If-Match") else {
+        return Ok(None);
+    };
+    let generation = text.trim().trim_matches('"').parse();
+    generation.map(Some).map_err(|_| {
+        Refusal::Malformed(format!(
+            "If-Match: '{text}'; allowed: a generation, or 0 where there is no resource yet"
+        ))
+    })
+}
+
+fn watch(request: &rouille::Request) -> Result<Route, Refusal> {
+    let after = number(request, "watch")?.ok_or_else(|| {
+        Refusal::Malformed("/v1/resources needs a kind, or ?watch=REVISION".to_string())
+    })?;
+    let wait = number(request, "wait_ms")?.map_or(DEFAULT_WATCH, Duration::from_millis);
+    Ok(Route::Watch(after, wait.min(LONGEST_WATCH)))
+}
+
+fn number(request: &rouille::Request, name: &str) -> Result<Option<u64>, Refusal> {
+    let Some(text) = request.get_param(name) else {
+        return Ok(None);
+    };
+    text.parse()
+        .map(Some)
+        .map_err(|_| Refusal::Malformed(format!("{name}: '{text}'; allowed: a whole number")))
+}
--- /dev/null
+++ b/src/geraniummount/ops/apply.rs
@@ -0,0 +1,203 @@
+//! `apply`: declares the resources of a file.
+//!
+//! The file holds one resource, such as `{"leaf": {...}}`, or a list of them.
+//! All are read before the first is sent. Leaves go before the services that
+//! name them, and services before those that include them.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use error_stack::{Report, ResultExt};
+use serde_json::Value;
+
+use crate::core::resource::{Kind, Resource};
+use crate::ops::exit::Exit;
+use crate::ops::output::{self, Form};
+use crate::ops::remote::Remote;
+use crate::prelude::*;
+use crate::util::table::Table;
+
+/// What to apply and where.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Operators' listener.
+    pub server: SocketAddr,
+    /// File with the resources.
+    pub file: PathBuf,
+    /// Generation that the one resource of the file must have; 0: none yet.
+    pub if_generation: Option<Generation>,
+    /// Form of the result.
+    pub form: Form,
+}
+
+/// What came of one resource.
+#[derive(Clone, Debug, serde::Serialize)]
+struct Applied {
+    kind: Kind,
+    name: String,
+    generation: Option<Generation>,
+    result: &'static str,
+}
+
+/// Applies a file and reports each resource.
+pub fn apply(options: &Options, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    let resources = in_order(read(&options.file)?);
+    if options.if_generation.is_some() && resources.len() != 1 {
+        return Err(Report::new(Exit::Usage)
+            .attach(format!(
+                "{}: has {} resources, but --if-generation speaks of one",
+                options.file.display(),
+                resources.len()
+            ))
+            .attach("do: put the resource into a file of its own"));
+    }
+    let remote = Remote::new(options.server);
+    let mut applied = Vec::new();
+    let mut failure: Option<Report<Exit>> = None;
+    for resource in &resources {
+        let stopped = failure.as_ref().is_some_and(is_general);
+        let result = if stopped {
+            None
+        } else {
+            Some(put(&remote, resource, options.if_generation))
+        };
+        applied.push(outcome(resource, result.as_ref()));
+        if let (Some(Err(report)), None) = (result, &failure) {
+            failure = Some(report);
+        }
+    }
+    write(&applied, options.form, out)?;
+    failure.map_or(Ok(()), Err)
+}
+
+/// Reads all resources of a file, or names every one that is at fault.
+fn read(path: &Path) -> Result<Vec<Resource>, Report<Exit>> {
+    let text = std::fs::read_to_string(path)
+        .change_context(Exit::Invalid)
+        .attach_with(|| format!("{}: can't be read", path.display()))
+        .attach("do: name a JSON file with -f")?;
+    let document: Value = serde_json::from_str(&text)
+        .change_context(Exit::Invalid)
+        .attach_with(|| format!("{}: is not JSON", path.display()))
+        .attach("do: write one resource, {\"leaf\": {...}}, or a list of them")?;
+    let items = match document {
+        Value::Array(items) => items,
+        item => vec![item],
+    };
+    let mut resources = Vec::new();
+    let mut faults = Vec::new();
+    for (index, item) in items.into_iter().enumerate() {
+        match serde_json::from_value::<Resource>(item) {
+            Ok(resource) => resources.push(resource),
+            Err(error) => faults.push(format!("{}: item {index}: {error}", path.display())),
+        }
+    }
+    if faults.is_empty() {
+        return Ok(resources);
+    }
+    let report = faults
+        .into_iter()
+        .fold(Report::new(Exit::Invalid), |report, fault| {
+            report.attach(fault)
+        });
+    Err(report.attach("do: mend each item; nothing was applied"))
+}
+
+/// Puts every resource behind those that it names.
+fn in_order(resources: Vec<Resource>) -> Vec<Resource> {
+    let (mut ordered, mut waiting): (Vec<Resource>, Vec<Resource>) = resources
+        .into_iter()
+        .partition(|resource| resource.kind() == Kind::Leaf);
+    while !waiting.is_empty() {
+        let names: Vec<String> = waiting.iter().map(|r| r.name().to_string()).collect();
+        let (later, ready): (Vec<Resource>, Vec<Resource>) = waiting
+            .into_iter()
+            .partition(|resource| includes_any(resource, &names));
+        if ready.is_empty() {
+            // A cycle: the server names the fault.
+            ordered.extend(later);
+            break;
+        }
+        ordered.extend(ready);
+        waiting = later;
+    }
+    ordered
+}
+
+fn includes_any(resource: &Resource, names: &[String]) -> bool {
+    match resource {
+        Resource::Leaf(_) => false,
+        Resource::Service(service) => service.includes.iter().any(|name| names.contains(name)),
+    }
+}
+
+fn put(
+    remote: &Remote,
+    resource: &Resource,
+    generation: Option<Generation>,
+) -> Result<Value, Report<Exit>> {
+    let path = format!("/v1/resources/{}/{}", resource.kind(), resource.name());
+    let spec = match resource {
+        Resource::Leaf(leaf) => serde_json::to_vec(leaf),
+        Resource::Service(service) => serde_json::to_vec(service),
+    };
+    remote.change("PUT", &path, generation, spec.change_context(Exit::Other)?)
+}
+
+/// Whether a failure would meet every further resource too.
+fn is_general(report: &Report<Exit>) -> bool {
+    match report.current_context() {
+        Exit::Invalid | Exit::Conflict | Exit::NotFound => false,
+        Exit::Other
+        | Exit::Usage
+        | Exit::Unreachable
+        | Exit::Undecided
+        | Exit::NotRun
+        | Exit::MayHaveRun
+        | Exit::Ran => true,
+    }
+}
+
+fn outcome(resource: &Resource, result: Option<&Result<Value, Report<Exit>>>) -> Applied {
+    let (generation, result) = match result {
+        Some(Ok(answer)) => (answer["generation"].as_u64(), "applied"),
+        Some(Err(report)) => (None, word(*report.current_context())),
+        None => (None, "not tried"),
+    };
+    Applied {
+        kind: resource.kind(),
+        name: resource.name().to_string(),
+        generation,
+        result,
+    }
+}
+
+fn word(exit: Exit) -> &'static str {
+    match exit {
+        Exit::Invalid => "invalid",
+        Exit::Conflict => "conflict",
+        Exit::Undecided => "undecided",
+        Exit::NotRun => "refused",
+        Exit::Unreachable => "not sent",
+        Exit::Other | Exit::Usage | Exit::MayHaveRun | Exit::NotFound | Exit::Ran => "failed",
+    }
+}
+
+fn write(applied: &[Applied], form: Form, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    if form == Form::Json {
+        let value = serde_json::to_value(applied).change_context(Exit::Other)?;
+        return output::json(out, &value);
+    }
+    let mut table = Table::new(&["KIND", "NAME", "GENERATION", "RESULT"]);
+    for item in applied {
+        let generation = item.generation.map_or("-".to_string(), |g| g.to_string());
+        table.push([
+            item.kind.to_string(),
+            item.name.clone(),
+            generation,
+            item.result.to_string(),
+        ]);
+    }
+    output::text(out, &table.text(""))
+}
--- /dev/null
+++ b/src/geraniummount/ops/check.rs
@@ -0,0 +1,34 @@
+//! `check`: checks a settings file as `serve` would.
+
+use std::io::Write;
+use std::path::Path;
+
+use error_stack::{Report, ResultExt};
+
+use crate::ops::exit::Exit;
+use crate::ops::output;
+use crate::ops::settings::Settings;
+
+/// Reads and checks a settings file, or names all its faults.
+pub fn load(path: &Path) -> Result<Settings, Report<Exit>> {
+    Settings::load(path)
+        .change_context(Exit::Invalid)
+        .attach("do: mend each line named above; 'geraniummount check' checks the file again")
+}
+
+/// Checks a settings file and says who the process would be.
+pub fn check(path: &Path, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    let settings = load(path)?;
+    let node = &settings.node;
+    let text = format!(
+        "{}: no fault\nVM {} in failure domain {}; peers {}, callers {}, operators {}, platform {}\n",
+        path.display(),
+        node.name,
+        node.failure_domain,
+        node.peer_advertise,
+        settings.caller.listen,
+        settings.operator.listen,
+        settings.platform.address,
+    );
+    output::text(out, &text)
+}
--- /dev/null
+++ b/src/geraniummount/ops/delete.rs
@@ -0,0 +1,44 @@
+//! `delete`: removes a resource.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use error_stack::Report;
+
+use crate::core::resource::Kind;
+use crate::ops::exit::Exit;
+use crate::ops::output::{self, Form};
+use crate::ops::remote::Remote;
+use crate::prelude::*;
+use crate::util::table;
+
+/// What to remove and where.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Operators' listener.
+    pub server: SocketAddr,
+    /// Kind of the resource.
+    pub kind: Kind,
+    /// Name of the resource.
+    pub name: String,
+    /// Generation that the resource must have.
+    pub if_generation: Option<Generation>,
+    /// Form of the result.
+    pub form: Form,
+}
+
+/// Removes a resource.
+pub fn delete(options: &Options, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    let remote = Remote::new(options.server);
+    let path = format!("/v1/resources/{}/{}", options.kind, options.name);
+    let answer = remote.change("DELETE", &path, options.if_generation, Vec::new())?;
+    if options.form == Form::Json {
+        return output::json(out, &answer);
+    }
+    let revision = table::cell(&answer["revision"]);
+    let text = format!(
+        "{} {} deleted, revision {revision}\n",
+        options.kind, options.name
+    );
+    output::text(out, &text)
+}
--- /dev/null
+++ b/src/geraniummount/ops/get.rs
@@ -0,0 +1,92 @@
+//! `get`: shows resources as they are in force at the VM asked.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use error_stack::Report;
+use serde_json::Value;
+
+use crate::core::resource::Kind;
+use crate::ops::exit::Exit;
+use crate::ops::output::{self, Form};
+use crate::ops::remote::Remote;
+use crate::util::table::{self, Table};
+
+/// What to show and from where.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Operators' listener.
+    pub server: SocketAddr,
+    /// Kind of the resources.
+    pub kind: Kind,
+    /// One resource; all of the kind where none is named.
+    pub name: Option<String>,
+    /// Form of the result.
+    pub form: Form,
+}
+
+/// Shows one resource or all of a kind.
+pub fn get(options: &Options, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    let remote = Remote::new(options.server);
+    let path = match &options.name {
+        Some(name) => format!("/v1/resources/{}/{name}", options.kind),
+        None => format!("/v1/resources/{}", options.kind),
+    };
+    let answer = remote.get(&path)?;
+    match (options.form, &options.name) {
+        (Form::Json, _) => output::json(out, &answer),
+        (Form::Text, Some(_)) => output::text(out, &table::outline(&answer)),
+        (Form::Text, None) => output::text(out, &list(options.kind, &answer)),
+    }
+}
+
+fn list(kind: Kind, answer: &Value) -> String {
+    let mut table = match kind {
+        Kind::Leaf => Table::new(&[
+            "NAME",
+            "GENERATION",
+            "DOMAIN",
+            "ADDRESS",
+            "STATE",
+            "SLOTS",
+            "CONNECTIONS",
+        ]),
+        Kind::Service => Table::new(&[
+            "NAME",
+            "GENERATION",
+            "SHARDS",
+            "INCLUDES",
+            "DEADLINE-MS",
+            "PREFER",
+        ]),
+    };
+    for item in answer["items"].as_array().into_iter().flatten() {
+        table.push(row(kind, item));
+    }
+    table.text("")
+}
+
+fn row(kind: Kind, item: &Value) -> Vec<String> {
+    let spec = &item["spec"];
+    let count = |list: &Value| list.as_array().map_or(0, Vec::len).to_string();
+    let cell = table::cell;
+    match kind {
+        Kind::Leaf => vec![
+            cell(&spec["name"]),
+            cell(&item["generation"]),
+            cell(&spec["failure_domain"]),
+            cell(&spec["address"]),
+            cell(&spec["state"]),
+            cell(&spec["contract"]["slots"]),
+            cell(&spec["contract"]["connections"]),
+        ],
+        Kind::Service => vec![
+            cell(&spec["name"]),
+            cell(&item["generation"]),
+            count(&spec["shards"]),
+            count(&spec["includes"]),
+            cell(&spec["deadline_ms"]),
+            cell(&spec["prefer"]),
+        ],
+    }
+}
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -1,3 +1,15 @@
 //! What each subcommand does.
 
+pub mod apply;
+pub mod check;
+pub mod delete;
+pub mod dump;
+pub mod exit;
+pub mod get;
+pub mod logs;
+pub mod output;
+pub mod query;
+pub mod remote;
 pub mod settings;
+pub mod status;
+pub mod watch;
--- /dev/null
+++ b/src/geraniummount/ops/output.rs
@@ -0,0 +1,30 @@
+//! How results are written.
+
+use std::io::Write;
+
+use error_stack::{Report, ResultExt};
+use serde_json::Value;
+
+use crate::ops::exit::Exit;
+
+/// Form of a result.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Form {
+    /// Aligned text for people.
+    Text,
+    /// JSON for programs.
+    Json,
+}
+
+/// Writes text as it is.
+pub fn text(out: &mut impl Write, text: &str) -> Result<(), Report<Exit>> {
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    written
+        .change_context(Exit::Other)
+        .attach("the result can't be written")
+}
+
+/// Writes JSON on several lines.
+pub fn json(out: &mut impl Write, value: &Value) -> Result<(), Report<Exit>> {
+    text(out, &format!("{value:#}\n"))
+}
--- /dev/null
+++ b/tests/testsuite/bad_input.rs
@@ -0,0 +1,213 @@
+//! Bad resources and bad operators' requests: each gets a clear error that
+//! names the place, what was wrong and what is allowed.
+
+use std::time::Duration;
+
+use geraniummount::edge::client::{Client, Request};
+
+use crate::memory_backend::{Memory, Platform};
+
+const LEAF: &str = r#"{"name": "l1", "address": "10.0.0.9:8000", "failure_domain": "d1",
+    "contract": {"slots": 2, "connections": 25, "open_ms": 6}}"#;
+
+const SERVICE: &str = r#"{"name": "s1", "deadline_ms": 200, "max_deadline_ms": 2000,
+    "shards": [{"name": "a", "replicas": ["l1"]}]}"#;
+
+/// A request to a listener that holds the leaf `l1` and the service `s1`.
+struct Case {
+    name: &'static str,
+    request: &'static str,
+    if_match: &'static str,
+    body: &'static str,
+    status: u16,
+    error: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "unknown path",
+        request: "GET /v2/resources",
+        if_match: "",
+        body: "",
+        status: 404,
+        error: "no such path: /v2/resources; allowed: /v1/resources/{kind}",
+    },
+    Case {
+        name: "unknown kind",
+        request: "GET /v1/resources/shelf",
+        if_match: "",
+        body: "",
+        status: 404,
+        error: "kind: `shelf` is unknown; allowed: leaf, service",
+    },
+    Case {
+        name: "unknown name",
+        request: "GET /v1/resources/leaf/l9",
+        if_match: "",
+        body: "",
+        status: 404,
+        error: "no leaf `l9`",
+    },
+    Case {
+        name: "method that a resource has not",
+        request: "POST /v1/resources/leaf/l1",
+        if_match: "",
+        body: "{}",
+        status: 405,
+        error: "no such method here; allowed: GET, PUT, DELETE",
+    },
+    Case {
+        name: "generation that is no number",
+        request: "PUT /v1/resources/leaf/l1",
+        if_match: "latest",
+        body: LEAF,
+        status: 400,
+        error: "If-Match: 'latest'; allowed: a generation",
+    },
+    Case {
+        name: "another generation",
+        request: "DELETE /v1/resources/service/s1",
+        if_match: "9",
+        body: "",
+        status: 409,
+        error: "made for generation 9, but the resource has generation 2",
+    },
+    Case {
+        name: "created before",
+        request: "PUT /v1/resources/leaf/l1",
+        if_match: "0",
+        body: LEAF,
+        status: 409,
+        error: "made for generation 0, but the resource has generation 1",
+    },
+    Case {
+        name: "watch of no revision",
+        request: "GET /v1/resources?watch=now",
+        if_match: "",
+        body: "",
+        status: 400,
+        error: "watch: 'now'; allowed: a whole number",
+    },
+    Case {
+        name: "body that is not JSON",
+        request: "PUT /v1/resources/leaf/l2",
+        if_match: "",
+        body: "{",
+        status: 422,
+        error: "EOF while parsing an object",
+    },
+    Case {
+        name: "field that does not exist",
+        request: "PUT /v1/resources/leaf/l1",
+        if_match: "",
+        body: r#"{"name": "l1", "adress": "10.0.0.9:8000"}"#,
+        status: 422,
+        error: "unknown field `adress`, expected one of `name`, `address`",
+    },
+    Case {
+        name: "name that differs from the path",
+        request: "PUT /v1/resources/leaf/l2",
+        if_match: "",
+        body: LEAF,
+        status: 422,
+        error: "`l1` differs from the path",
+    },
+    Case {
+        name: "replica that does not exist",
+        request: "PUT /v1/resources/service/s2",
+        if_match: "",
+        body: r#"{"name": "s2", "deadline_ms": 200, "max_deadline_ms": 2000,
+            "shards": [{"name": "a", "replicas": ["l1", "l7"]}]}"#,
+        status: 422,
+        error: "leaf `l7` does not exist",
+    },
+    Case {
+        name: "deadline above its maximum",
+        request: "PUT /v1/resources/service/s1",
+        if_match: "",
+        body: r#"{"name": "s1", "deadline_ms": 3000, "max_deadline_ms": 2000,
+            "shards": [{"name": "a", "replicas": ["l1"]}]}"#,
+        status: 422,
+        error: "1 to 2000",
+    },
+    Case {
+        name: "leaf in use",
+        request: "DELETE /v1/resources/leaf/l1",
+        if_match: "",
+        body: "",
+        status: 422,
+        error: "in use by service `s1`",
+    },
+];
+
+/// Listener with one leaf and one service.
+fn prepared(memory: &Memory) -> (geraniummount::edge::operator::Server, Client) {
+    let server = memory.serve();
+    let client = Client::new(server.address(), Duration::from_secs(20));
+    for (path, body) in [
+        ("/v1/resources/leaf/l1", LEAF),
+        ("/v1/resources/service/s1", SERVICE),
+    ] {
+        let answer = send(&client, &format!("PUT {path}"), "", body);
+        assert_eq!(answer.status, 200, "{path}: {}", answer.text);
+    }
+    (server, client)
+}
+
+fn send(
+    client: &Client,
+    request: &str,
+    if_match: &str,
+    body: &str,
+) -> geraniummount::edge::client::Answer {
+    let (method, path) = request.split_once(' ').expect("method and path");
+    let headers = match if_match {
+        "" => Vec::new(),
+        value => vec![("If-Match", value.to_string())],
+    };
+    let request = Request {
+        method,
+        path,
+        headers,
+        body: body.as_bytes().to_vec(),
+    };
+    client.send(&request).expect("answer")
+}
+
+#[test]
+fn bad_requests_are_named() {
+    let (_server, client) = prepared(&Memory::default());
+    for case in CASES {
+        let answer = send(&client, case.request, case.if_match, case.body);
+        assert_eq!(answer.status, case.status, "{}: {}", case.name, answer.text);
+        let text = answer.json().to_string().replace("\\\"", "\"");
+        assert!(text.contains(case.error), "{}: {text}", case.name);
+        assert_eq!(answer.json()["verdict"], "not-run", "{}", case.name);
+    }
+    let listing = send(&client, "GET /v1/resources/leaf", "", "").json();
+    assert_eq!(listing["revision"], 2, "bad requests changed something");
+}
+
+#[test]
+fn body_beyond_the_limit_is_refused() {
+    let (_server, client) = prepared(&Memory::default());
+    let body = " ".repeat((1 << 20) + 1);
+    let answer = send(&client, "PUT /v1/resources/leaf/l1", "", &body);
+    assert_eq!(answer.status, 413, "{}", answer.text);
+}
+
+#[test]
+fn platform_failures_are_told_apart() {
+    let memory = Memory::default();
+    let (_server, client) = prepared(&memory);
+    memory.set_platform(Platform::Down);
+    let down = send(&client, "PUT /v1/resources/leaf/l1", "", LEAF);
+    assert_eq!(down.status, 503);
+    assert_eq!(down.json()["verdict"], "not-run");
+    assert_eq!(down.json()["retry_after_ms"], 1_500);
+    memory.set_platform(Platform::LosesReplies);
+    let undecided = send(&client, "PUT /v1/resources/leaf/l1", "", LEAF);
+    assert_eq!(undecided.status, 202);
+    assert_eq!(undecided.json()["verdict"], "may-have-run");
+    assert_eq!(undecided.json()["change"], "7");
+}
--- /dev/null
+++ b/tests/testsuite/command_line.rs
@@ -0,0 +1,235 @@
+//! The command line as its users meet it: the real binary, its exit codes and
+//! the errors that it prints.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use crate::memory_backend::{Memory, Platform};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_geraniummount");
+
+const RESOURCES: &str = r#"[
+    {"service": {"name": "all", "deadline_ms": 200, "max_deadline_ms": 2000,
+        "includes": ["s1"]}},
+    {"service": {"name": "s1", "deadline_ms": 200, "max_deadline_ms": 2000,
+        "shards": [{"name": "a", "replicas": ["l1"]}]}},
+    {"leaf": {"name": "l1", "address": "10.0.0.9:8000", "failure_domain": "d1",
+        "contract": {"slots": 2, "connections": 25, "open_ms": 6}}}
+]"#;
+
+const LEAF: &str = r#"{"leaf": {"name": "l1", "address": "10.0.0.9:8001", "failure_domain": "d1",
+    "contract": {"slots": 2, "connections": 25, "open_ms": 6}}}"#;
+
+/// Files of one test, removed at its end.
+struct Files {
+    folder: PathBuf,
+}
+
+impl Files {
+    fn new(test: &str) -> Files {
+        let name = format!("geraniummount-{test}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("folder");
+        Files { folder }
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        std::fs::write(self.folder.join(name), text).expect("file");
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        // What stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A call of the binary, its exit code and what it prints.
+struct Case {
+    name: &'static str,
+    arguments: &'static [&'static str],
+    code: i32,
+    prints: &'static str,
+}
+
+fn check(files: &Files, server: &str, cases: &[Case]) {
+    for case in cases {
+        let output = Command::new(BINARY)
+            .args(case.arguments)
+            .current_dir(&files.folder)
+            .env("GERANIUMMOUNT_SERVER", server)
+            .env("GERANIUMMOUNT_CALLER", server)
+            .output()
+            .expect("binary runs");
+        let printed = [output.stdout, output.stderr].concat();
+        let printed = String::from_utf8_lossy(&printed);
+        let code = output.status.code();
+        assert_eq!(code, Some(case.code), "{}: {printed}", case.name);
+        assert!(printed.contains(case.prints), "{}: {printed}", case.name);
+    }
+}
+
+const WITHOUT_SERVER: &[Case] = &[
+    Case {
+        name: "no subcommand",
+        arguments: &[],
+        code: 2,
+        prints: "Usage: geraniummount",
+    },
+    Case {
+        name: "unknown kind",
+        arguments: &["get", "shelf"],
+        code: 2,
+        prints: "kind: `shelf` is unknown; allowed: leaf, service",
+    },
+    Case {
+        name: "bad settings",
+        arguments: &["check", "--settings", "bad.ini"],
+        code: 3,
+        prints: "bad.ini:2: [node] name: found 'a 1'",
+    },
+    Case {
+        name: "serve with bad settings",
+        arguments: &["serve", "--settings", "bad.ini"],
+        code: 3,
+        prints: "[platform] address: found no such key",
+    },
+    Case {
+        name: "missing settings",
+        arguments: &["check", "--settings", "no-such.ini"],
+        code: 3,
+        prints: "no-such.ini: (file): found No such file",
+    },
+    Case {
+        name: "missing resources",
+        arguments: &["apply", "-f", "no-such.json"],
+        code: 3,
+        prints: "no-such.json: can't be read",
+    },
+    Case {
+        name: "items that are no resources",
+        arguments: &["apply", "-f", "broken.json"],
+        code: 3,
+        prints: "item 1: unknown variant `shelf`, expected `leaf` or `service`",
+    },
+    Case {
+        name: "one generation for three resources",
+        arguments: &["apply", "-f", "resources.json", "--if-generation", "1"],
+        code: 2,
+        prints: "has 3 resources, but --if-generation speaks of one",
+    },
+    Case {
+        name: "no server",
+        arguments: &["get", "leaf"],
+        code: 5,
+        prints: "do: name the operators' listener of a live VM",
+    },
+    Case {
+        name: "query to no server",
+        arguments: &["query", "s1"],
+        code: 5,
+        prints: "do: name the callers' listener of a live VM",
+    },
+    Case {
+        name: "query that is not JSON",
+        arguments: &["query", "s1", "--body", "rope"],
+        code: 3,
+        prints: "--body is not JSON",
+    },
+];
+
+#[test]
+fn failures_without_a_server_have_their_codes() {
+    let files = Files::new("no-server");
+    files.write("bad.ini", "[node]\nname = a 1\n");
+    files.write("resources.json", RESOURCES);
+    files.write(
+        "broken.json",
+        r#"[{"leaf": {"name": "l1"}}, {"shelf": {}}]"#,
+    );
+    check(&files, "127.0.0.1:9", WITHOUT_SERVER);
+}
+
+const WITH_SERVER: &[Case] = &[
+    Case {
+        name: "leaves first, then services by what they include",
+        arguments: &["apply", "-f", "resources.json"],
+        code: 0,
+        prints: "KIND     NAME  GENERATION  RESULT\n\
+                     leaf     l1    1           applied\n\
+                     service  s1    2           applied\n\
+                     service  all   3           applied\n",
+    },
+    Case {
+        name: "list",
+        arguments: &["get", "leaf"],
+        code: 0,
+        prints: "l1    1           d1      10.0.0.9:8000  serving  2      25\n",
+    },
+    Case {
+        name: "one in JSON",
+        arguments: &["get", "service", "s1", "--json"],
+        code: 0,
+        prints: "\"generation\": 2",
+    },
+    Case {
+        name: "no such resource",
+        arguments: &["get", "leaf", "l9"],
+        code: 9,
+        prints: "no leaf `l9`",
+    },
+    Case {
+        name: "stale generation",
+        arguments: &["apply", "-f", "leaf.json", "--if-generation", "9"],
+        code: 4,
+        prints: "made for generation 9, but the resource has generation 1",
+    },
+    Case {
+        name: "leaf in use",
+        arguments: &["delete", "leaf", "l1"],
+        code: 3,
+        prints: "fault: name: in use by service `s1`; allowed: a resource that no service uses",
+    },
+    Case {
+        name: "dump as aligned text",
+        arguments: &["dump"],
+        code: 0,
+        prints: "leaves\n  leaf  queued\n  l1    3\n  l2    10\n",
+    },
+    Case {
+        name: "watch of a revision that is past",
+        arguments: &["watch", "--from", "0", "--count", "1"],
+        code: 0,
+        prints: "revision 3\n",
+    },
+];
+
+const PLATFORM_DOWN: &[Case] = &[Case {
+    name: "platform down",
+    arguments: &["apply", "-f", "leaf.json"],
+    code: 7,
+    prints: "do: try again in 1500 ms",
+}];
+
+const REPLY_LOST: &[Case] = &[Case {
+    name: "reply of the platform lost",
+    arguments: &["delete", "service", "all"],
+    code: 6,
+    prints: "change 7 was sent to the platform, but no answer came back",
+}];
+
+#[test]
+fn answers_of_a_server_have_their_codes() {
+    let files = Files::new("server");
+    files.write("resources.json", RESOURCES);
+    files.write("leaf.json", LEAF);
+    let memory = Memory::default();
+    let server = memory.serve();
+    let address = server.address().to_string();
+    check(&files, &address, WITH_SERVER);
+    memory.set_platform(Platform::Down);
+    check(&files, &address, PLATFORM_DOWN);
+    memory.set_platform(Platform::LosesReplies);
+    check(&files, &address, REPLY_LOST);
+}
