Speak to the platform and to peers by datagram

The platform's client says of each write whether it took effect, may have, or did not. The log of changes, its checkpoints and the claims are values of the service; a registry carries operators' changes into the log; claims of idempotency keys go many to a write. Datagrams are packed Cap'n Proto, answered at the address that the sender states.

--- a/src/geraniummount/core/change_log.rs
+++ b/src/geraniummount/core/change_log.rs
@@ -55,6 +55,13 @@
         self.checkpoint.as_ref()
     }
 
+    /// Returns the entry of a revision if it is still kept.
+    pub fn entry(&self, revision: Revision) -> Option<&Arc<Entry>> {
+        let first = self.tail.front()?.revision;
+        let place = revision.checked_sub(first)?;
+        self.tail.get(usize::try_from(place).ok()?)
+    }
+
     /// Takes in an entry; only the one that follows the revision in force
     /// has an effect. Returns whether it had.
     pub fn learn(&mut self, entry: impl Into<Arc<Entry>>) -> bool {
--- a/src/geraniummount/core/gossip.rs
+++ b/src/geraniummount/core/gossip.rs
@@ -49,19 +49,30 @@
     Push,
 }
 
-/// Whether a leaf is leaving, as some VM learnt from the leaf itself.
+/// Whether a leaf is leaving, as one source says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Notice {
     /// The leaf.
     pub leaf: LeafName,
+    /// Who says so; no source takes back what another one says.
+    pub source: Source,
     /// Grows with each change; the larger one holds.
     pub version: u64,
     /// Whether the leaf is leaving.
     pub draining: bool,
 }
 
+/// Who says that a leaf is leaving, beside its operator.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// The leaf, by an answer or its health endpoint.
+    Leaf,
+    /// The platform's membership list.
+    Members,
+}
+
 impl Notice {
-    /// Whether this notice overrides `other` of the same leaf.
+    /// Whether this notice overrides `other` of the same leaf and source.
     pub fn overrides(&self, other: &Notice) -> bool {
         (self.version, self.draining) > (other.version, other.draining)
     }
--- a/src/geraniummount/core/membership.rs
+++ b/src/geraniummount/core/membership.rs
@@ -18,7 +18,7 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
-use crate::core::gossip::{Body, MAX_NOTICES, MAX_VMS, Message, Notice};
+use crate::core::gossip::{Body, MAX_NOTICES, MAX_VMS, Message, Notice, Source};
 use crate::core::relays::Relays;
 use crate::core::rumors::{Rumors, Subject};
 use crate::core::vm::State;
@@ -131,7 +131,9 @@
     /// Returns the leaves that are known to be leaving, by name.
     pub fn draining(&self) -> Vec<LeafName> {
         let draining = self.notices.iter().filter(|notice| notice.draining);
-        draining.map(|notice| notice.leaf.clone()).collect()
+        let mut leaves: Vec<LeafName> = draining.map(|notice| notice.leaf.clone()).collect();
+        leaves.dedup();
+        leaves
     }
 
     /// Whether members or notices have changed since the last call.
@@ -150,8 +152,8 @@
     }
 
     /// Notes whether a leaf is leaving and tells others at once if it is news.
-    pub fn note_leaf(&mut self, leaf: &str, draining: bool) -> Vec<Action> {
-        let place = self.notice_place(leaf);
+    pub fn note_leaf(&mut self, leaf: &str, source: Source, draining: bool) -> Vec<Action> {
+        let place = self.notice_place(leaf, source);
         let known = place.ok().map(|place| &self.notices[place]);
         if known.is_some_and(|known| known.draining) == draining {
             return Vec::new();
@@ -159,6 +161,7 @@
         let version = known.map_or(1, |known| known.version + 1);
         self.merge_notice(Notice {
             leaf: leaf.to_owned(),
+            source,
             version,
             draining,
         });
@@ -272,7 +275,7 @@
         let room = if same_domain { MAX_VMS - SAMPLE - 2 } else { 0 };
         for subject in self.rumors.take(room.max(1), self.members.len()) {
             match subject {
-                Subject::Leaf(leaf) => notices.extend(self.notice(&leaf)),
+                Subject::Leaf(leaf, source) => notices.extend(self.notice(&leaf, source)),
                 Subject::Vm(name) => vms.extend(self.known_vm(&name)),
             }
         }
@@ -310,14 +313,14 @@
         (outdated || known.state > told.state || known.state == State::Suspect).then_some(known)
     }
 
-    fn notice(&self, leaf: &str) -> Option<Notice> {
-        let place = self.notice_place(leaf).ok()?;
+    fn notice(&self, leaf: &str, source: Source) -> Option<Notice> {
+        let place = self.notice_place(leaf, source).ok()?;
         Some(self.notices[place].clone())
     }
 
-    fn notice_place(&self, leaf: &str) -> Result<usize, usize> {
+    fn notice_place(&self, leaf: &str, source: Source) -> Result<usize, usize> {
         self.notices
-            .binary_search_by(|notice| notice.leaf.as_str().cmp(leaf))
+            .binary_search_by(|notice| (notice.leaf.as_str(), notice.source).cmp(&(leaf, source)))
     }
 
     fn member_place(&self, name: &str) -> Result<usize, usize> {
--- a/src/geraniummount/core/membership/merge.rs
+++ b/src/geraniummount/core/membership/merge.rs
@@ -39,7 +39,7 @@
 
     /// Takes in what is told of a leaf.
     pub(super) fn merge_notice(&mut self, notice: Notice) {
-        match self.notice_place(&notice.leaf) {
+        match self.notice_place(&notice.leaf, notice.source) {
             Ok(place) if notice.overrides(&self.notices[place]) => {
                 self.notices[place] = notice.clone();
             }
@@ -50,7 +50,8 @@
         }
         self.changed = true;
         self.push_due = true;
-        self.rumors.spread(Subject::Leaf(notice.leaf));
+        self.rumors
+            .spread(Subject::Leaf(notice.leaf, notice.source));
     }
 
     /// Holds a member to be in `state`, unless newer news says otherwise.
--- a/src/geraniummount/core/proposal.rs
+++ b/src/geraniummount/core/proposal.rs
@@ -98,9 +98,9 @@
         (proposal, action)
     }
 
-    /// Returns the configuration that the change is checked against.
-    pub fn catalog(&self) -> &Catalog {
-        &self.catalog
+    /// Returns the revision that the change is to have.
+    pub fn revision(&self) -> Revision {
+        self.catalog.revision + 1
     }
 
     /// Goes on after a slot was read; `None` when the platform did not answer.
--- a/src/geraniummount/core/rumors.rs
+++ b/src/geraniummount/core/rumors.rs
@@ -1,5 +1,8 @@
 //! News that waits to be told to some more VMs.
 
+use crate::core::gossip::Source;
+use crate::prelude::*;
+
 /// Bounded list of news; the news told least goes first.
 #[derive(Clone, Debug)]
 pub struct Rumors {
@@ -16,10 +19,10 @@
 /// is told.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Subject {
-    /// A leaf by name.
-    Leaf(String),
+    /// A leaf by name, as one source has it.
+    Leaf(LeafName, Source),
     /// A VM by name.
-    Vm(String),
+    Vm(VmName),
 }
 
 /// Most subjects that wait at once.
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -1,9 +1,13 @@
 //! Edges: callers, operators, leaves, peers and the platform.
 
+pub mod claims;
 pub mod client;
 pub mod dispatcher;
+pub mod gossip;
 pub mod leaf;
 pub mod metrics;
 pub mod operator;
 pub mod pending;
+pub mod platform;
+pub mod registry;
 pub mod workers;
--- /dev/null
+++ b/src/geraniummount/edge/platform/log_store.rs
@@ -0,0 +1,195 @@
+//! The log of changes and its checkpoints as values of the platform's service.
+//!
+//! - `log/{n modulo SLOTS}`: entry of revision n, as JSON.
+//! - `checkpoint`: which checkpoint holds, as JSON.
+//! - `checkpoint/{area}/{part}`: a part of a checkpoint's JSON, after a line
+//!   with its revision; areas take turns. A part is only replaced by one of a
+//!   higher revision, and a checkpoint of one revision has the same bytes
+//!   whoever writes it, so that writers can't mix theirs.
+
+use std::time::Duration;
+
+use log::warn;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Platform, Value, Watched, Written};
+use crate::core::change::Entry;
+use crate::core::change_log::{CHECKPOINT_EVERY, SLOTS};
+use crate::core::proposal::{Append, Slot, Write};
+use crate::prelude::*;
+
+const HEAD_KEY: &str = "checkpoint";
+/// Checkpoints whose parts stand side by side.
+const AREAS: u64 = 4;
+/// Bytes of a checkpoint in one value.
+const PART_BYTES: usize = 512 * 1024;
+/// Tries to read a checkpoint that is replaced meanwhile.
+const LOAD_TRIES: usize = 3;
+
+/// The log in the platform's service.
+#[derive(Clone, Debug)]
+pub struct LogStore {
+    platform: Platform,
+}
+
+/// Which checkpoint holds.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+struct Head {
+    revision: Revision,
+    parts: usize,
+    hash: u64,
+}
+
+impl LogStore {
+    /// Makes the log's store.
+    pub fn new(platform: Platform) -> LogStore {
+        LogStore { platform }
+    }
+
+    /// Reads the slot of a revision; `None` when the service did not answer.
+    pub fn read(&self, revision: Revision) -> Option<Slot> {
+        parse_slot(self.platform.get(&slot_key(revision))?)
+    }
+
+    /// Waits for the slot of a revision to change from `version`.
+    pub fn watch(&self, revision: Revision, version: u64, wait: Duration) -> Option<Option<Slot>> {
+        match self.platform.watch(&slot_key(revision), version, wait)? {
+            Watched::Same => Some(None),
+            Watched::Changed(value) => parse_slot(value).map(Some),
+        }
+    }
+
+    /// Writes an entry into its slot.
+    pub fn append(&self, append: &Append) -> Write {
+        let Ok(body) = serde_json::to_vec(&append.entry) else {
+            return Write::Refused;
+        };
+        let key = slot_key(append.entry.revision);
+        match self.platform.put(&key, append.version, &body) {
+            Written::Done(_) => Write::Done,
+            Written::Mismatch => Write::Mismatch,
+            Written::Unknown => Write::Unknown,
+            Written::Refused => Write::Refused,
+        }
+    }
+
+    /// Returns the revision of the checkpoint that holds; 0 where none does.
+    pub fn checkpoint_revision(&self) -> Option<Revision> {
+        let (_, head) = self.head()?;
+        Some(head.revision)
+    }
+
+    /// Loads the checkpoint that holds; an empty configuration where none
+    /// does. `None` when the service did not answer.
+    pub fn load_checkpoint(&self) -> Option<Catalog> {
+        for _ in 0..LOAD_TRIES {
+            let (_, head) = self.head()?;
+            if head.revision == 0 {
+                return Some(Catalog::default());
+            }
+            if let Some(catalog) = self.load_parts(&head)? {
+                return Some(catalog);
+            }
+        }
+        warn!("platform: the checkpoint can't be read; it is tried again");
+        None
+    }
+
+    /// Writes a checkpoint unless a newer one holds. Returns whether one at
+    /// least as new holds now.
+    pub fn save_checkpoint(&self, catalog: &Catalog) -> Option<()> {
+        let (version, head) = self.head()?;
+        if head.revision >= catalog.revision {
+            return Some(());
+        }
+        let json = serde_json::to_vec(catalog).ok()?;
+        let parts: Vec<&[u8]> = json.chunks(PART_BYTES).collect();
+        for (index, part) in parts.iter().enumerate() {
+            self.save_part(catalog.revision, index, part)?;
+        }
+        let head = Head {
+            revision: catalog.revision,
+            parts: parts.len(),
+            hash: xxh3_64(&json),
+        };
+        let body = serde_json::to_vec(&head).ok()?;
+        match self.platform.put(HEAD_KEY, version, &body) {
+            Written::Done(_) => Some(()),
+            Written::Mismatch | Written::Unknown | Written::Refused => None,
+        }
+    }
+
+    fn head(&self) -> Option<(u64, Head)> {
+        let value = self.platform.get(HEAD_KEY)?;
+        if value.version == 0 {
+            return Some((0, Head::default()));
+        }
+        let head = serde_json::from_slice(&value.body);
+        head.ok().map(|head| (value.version, head))
+    }
+
+    /// Reads the parts of a checkpoint; `Some(None)` when they were replaced.
+    fn load_parts(&self, head: &Head) -> Option<Option<Catalog>> {
+        let mut json = Vec::new();
+        for index in 0..head.parts {
+            let value = self.platform.get(&part_key(head.revision, index))?;
+            match split_part(&value.body) {
+                Some((revision, part)) if revision == head.revision => {
+                    json.extend_from_slice(part);
+                }
+                _ => return Some(None),
+            }
+        }
+        if xxh3_64(&json) != head.hash {
+            return Some(None);
+        }
+        Some(serde_json::from_slice(&json).ok())
+    }
+
+    fn save_part(&self, revision: Revision, index: usize, part: &[u8]) -> Option<()> {
+        let key = part_key(revision, index);
+        let present = self.platform.get(&key)?;
+        if split_part(&present.body).is_some_and(|(known, _)| known >= revision) {
+            return Some(());
+        }
+        let mut body = format!("{revision}\n").into_bytes();
+        body.extend_from_slice(part);
+        match self.platform.put(&key, present.version, &body) {
+            Written::Done(_) => Some(()),
+            Written::Mismatch | Written::Unknown | Written::Refused => None,
+        }
+    }
+}
+
+fn slot_key(revision: Revision) -> String {
+    format!("log/{}", revision % SLOTS)
+}
+
+fn part_key(revision: Revision, index: usize) -> String {
+    let area = revision / CHECKPOINT_EVERY % AREAS;
+    format!("checkpoint/{area}/{index}")
+}
+
+fn split_part(body: &[u8]) -> Option<(Revision, &[u8])> {
+    let end = body.iter().position(|byte| *byte == b'\n')?;
+    let revision = std::str::from_utf8(&body[..end]).ok()?.parse().ok()?;
+    Some((revision, &body[end + 1..]))
+}
+
+fn parse_slot(value: Value) -> Option<Slot> {
+    if value.version == 0 {
+        return Some(Slot {
+            version: 0,
+            entry: None,
+        });
+    }
+    let entry: Result<Entry, _> = serde_json::from_slice(&value.body);
+    if let Err(error) = &entry {
+        warn!("platform: an entry of the log can't be read: {error}");
+    }
+    Some(Slot {
+        version: value.version,
+        entry: Some(entry.ok()?),
+    })
+}
--- a/src/geraniummount/lib.rs
+++ b/src/geraniummount/lib.rs
@@ -18,3 +18,7 @@
 #[allow(clippy::all, missing_docs, unused_qualifications)]
 #[path = "../../schema/peer_capnp.rs"]
 pub mod peer_capnp;
+
+#[allow(clippy::all, missing_docs, unused_qualifications)]
+#[path = "../../schema/gossip_capnp.rs"]
+pub mod gossip_capnp;
