Prove the edge to leaves by a table of faults

Each reply of a leaf, whole, truncated, mismatched, shed, late or missing, is checked for its verdict and reason against the leaf's execution log, both for idempotent parts and others; connections, cancelling, draining, silence and stopping have a test each.

Found on the way: the cancel test took 20 s in about one run of six. Cause: the stand-in starts an execution inside Signal::wait, which woke nobody, so that a test's wait for the log slept until its limit; ruled out: the product's cancel (its answer came in milliseconds in the slow run too). Signal::wait now wakes the others when its condition takes effect.

--- a/crates/geraniummount-test-support/src/signal.rs
+++ b/crates/geraniummount-test-support/src/signal.rs
@@ -40,6 +40,8 @@
         let mut guard = self.lock();
         loop {
             if let Some(result) = ready(&mut guard) {
+                // `ready` may have changed the value that others wait on.
+                self.changed.notify_all();
                 return Some(result);
             }
             let left = until.saturating_duration_since(Instant::now());
--- /dev/null
+++ b/tests/testsuite/leaf_edge.rs
@@ -0,0 +1,404 @@
+//! The edge to leaves: what each reply means, and the counting of connections.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::contract::Contract;
+use geraniummount::core::{leaf, vm};
+use geraniummount::edge::dispatcher::{Dispatcher, Options, ReplyTo};
+use geraniummount::prelude::*;
+use geraniummount::util::published::Published;
+use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay, Fault};
+
+const DEADLINE: Duration = Duration::from_millis(400);
+const LIMIT: Duration = Duration::from_secs(20);
+const SHARD: &str = "tickets/a";
+
+static NEXT_ATTEMPT: AtomicUsize = AtomicUsize::new(1);
+
+/// One stand-in leaf and a dispatcher that owns it.
+struct Bench {
+    stand_in: stand_in::Leaf,
+    view: Arc<Published<View>>,
+    dispatcher: Dispatcher,
+    notices: Arc<Mutex<Vec<bool>>>,
+}
+
+impl Bench {
+    fn start(behaviour: Behaviour) -> Bench {
+        let connections = behaviour.connections as u16;
+        let slots = behaviour.slots as u16;
+        let behaviour = Behaviour {
+            shards: vec![SHARD.to_owned()],
+            ..behaviour
+        };
+        let stand_in = stand_in::Leaf::start("leaf-1", behaviour, 7).unwrap();
+        let leaf = Leaf {
+            name: "leaf-1".to_owned(),
+            address: stand_in.address(),
+            failure_domain: "east".to_owned(),
+            contract: Contract {
+                slots,
+                connections,
+                open_ms: 1,
+            },
+            state: leaf::State::Serving,
+        };
+        let view = Arc::new(Published::new(view_of(leaf)));
+        let notices = Arc::new(Mutex::new(Vec::new()));
+        let heard = Arc::clone(&notices);
+        let notice = Box::new(move |_: &LeafName, draining| heard.lock().unwrap().push(draining));
+        let options = Options {
+            bind: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            max_body_bytes: 64 * 1024,
+        };
+        Bench {
+            dispatcher: Dispatcher::new(options, Arc::clone(&view), notice),
+            stand_in,
+            view,
+            notices,
+        }
+    }
+
+    fn send(&self, part: Part) -> mpsc::Receiver<Outcome> {
+        let (sender, receiver) = mpsc::channel();
+        self.dispatcher.dispatch(part, ReplyTo::Caller(sender));
+        receiver
+    }
+
+    fn ask(&self, part: Part) -> Outcome {
+        let outcome = self.send(part).recv_timeout(LIMIT);
+        outcome.expect("part has no outcome")
+    }
+
+    fn executions(&self) -> usize {
+        self.stand_in.log().len()
+    }
+}
+
+fn view_of(leaf: Leaf) -> View {
+    let me = Vm {
+        name: "vm-1".to_owned(),
+        failure_domain: "east".to_owned(),
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: 1,
+        state: vm::State::Live,
+        revision: 1,
+    };
+    let record = Record {
+        generation: 1,
+        spec: leaf,
+    };
+    View {
+        me: me.name.clone(),
+        failure_domain: me.failure_domain.clone(),
+        catalog: Arc::new(Catalog {
+            revision: 1,
+            leaves: vec![record],
+            services: Vec::new(),
+        }),
+        vms: vec![me],
+        draining: Vec::new(),
+        stopping: false,
+    }
+}
+
+fn part(idempotent: bool, deadline: Duration) -> Part {
+    Part {
+        attempt: NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed) as u64,
+        request: "request".to_owned(),
+        service: "tickets".to_owned(),
+        shard: "a".to_owned(),
+        leaf: "leaf-1".to_owned(),
+        snapshot: idempotent.then_some(1),
+        deadline: Instant::now() + deadline,
+        idempotent,
+        hops_left: 0,
+        body: Arc::from(&b"{}"[..]),
+    }
+}
+
+fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < end, "never seen: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// One part that meets a fault.
+struct Case {
+    name: &'static str,
+    fault: Option<Fault>,
+    change: fn(&mut Behaviour),
+    snapshot: Option<SnapshotId>,
+    expected: Result<SnapshotId, (Verdict, Reason)>,
+    runs: usize,
+}
+
+const USUAL: Case = Case {
+    name: "usual",
+    fault: None,
+    change: |_| {},
+    snapshot: Some(1),
+    expected: Ok(1),
+    runs: 1,
+};
+
+const CASES: &[Case] = &[
+    USUAL,
+    Case {
+        name: "truncated reply",
+        fault: Some(Fault::Truncated),
+        expected: Err((Verdict::MayHaveRun, Reason::Truncated)),
+        ..USUAL
+    },
+    Case {
+        name: "another attempt's reply",
+        fault: Some(Fault::WrongAttempt),
+        expected: Err((Verdict::MayHaveRun, Reason::ReplyMismatch)),
+        ..USUAL
+    },
+    Case {
+        name: "read from another snapshot",
+        fault: Some(Fault::WrongSnapshot),
+        change: |behaviour| behaviour.snapshots = vec![1, 2],
+        expected: Err((Verdict::Ran, Reason::SnapshotMismatch)),
+        ..USUAL
+    },
+    Case {
+        name: "snapshot not held",
+        snapshot: Some(9),
+        expected: Err((Verdict::NotRun, Reason::SnapshotNotHeld)),
+        runs: 0,
+        ..USUAL
+    },
+    Case {
+        name: "shed",
+        change: |behaviour| behaviour.slots = 0,
+        expected: Err((Verdict::NotRun, Reason::Shed)),
+        runs: 0,
+        ..USUAL
+    },
+    Case {
+        name: "closed before reading",
+        fault: Some(Fault::CloseBeforeRead),
+        expected: Err((Verdict::MayHaveRun, Reason::ConnectionLost)),
+        runs: 0,
+        ..USUAL
+    },
+    Case {
+        name: "closed after reading",
+        fault: Some(Fault::CloseAfterRead),
+        expected: Err((Verdict::MayHaveRun, Reason::ConnectionLost)),
+        runs: 0,
+        ..USUAL
+    },
+    Case {
+        name: "closed after running",
+        fault: Some(Fault::CloseAfterRun),
+        expected: Err((Verdict::MayHaveRun, Reason::ConnectionLost)),
+        ..USUAL
+    },
+    Case {
+        name: "never answered",
+        fault: Some(Fault::NoReply),
+        expected: Err((Verdict::MayHaveRun, Reason::Deadline)),
+        ..USUAL
+    },
+];
+
+#[test]
+fn each_reply_has_its_meaning() {
+    for case in CASES {
+        for idempotent in [true, false] {
+            let bench = Bench::start(Behaviour::default());
+            bench.stand_in.change(case.change);
+            if let Some(fault) = case.fault {
+                bench.stand_in.inject(fault, 1);
+            }
+            let mut part = part(idempotent, DEADLINE);
+            part.snapshot = case.snapshot;
+            let attempt = part.attempt;
+            let outcome = bench.ask(part);
+            assert_eq!(outcome.attempt, attempt, "{}", case.name);
+            let result = outcome.result.map(|reply| reply.snapshot);
+            let result = result.map_err(|failure| (failure.verdict, failure.reason));
+            assert_eq!(result, case.expected, "{} {idempotent}", case.name);
+            assert_eq!(bench.executions(), case.runs, "{} {idempotent}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_late_or_doubled_reply_goes_to_no_other_part() {
+    let bench = Bench::start(Behaviour::default());
+    bench.stand_in.inject(Fault::Late(DEADLINE), 1);
+    let late = bench.ask(part(true, DEADLINE / 2));
+    let failure = late.result.unwrap_err();
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+    bench.stand_in.inject(Fault::DoubledReply, 8);
+    for _ in 0..16 {
+        let part = part(true, LIMIT);
+        let attempt = part.attempt;
+        let outcome = bench.ask(part);
+        assert_eq!(outcome.attempt, attempt);
+        outcome.result.expect("reply after a doubled one");
+    }
+}
+
+#[test]
+fn a_leaf_that_can_not_be_reached_ran_nothing() {
+    let mut bench = Bench::start(Behaviour::default());
+    bench.ask(part(true, DEADLINE)).result.unwrap();
+    bench.stand_in.kill();
+    wait_until("failure that is not run", || {
+        let failure = bench.ask(part(false, DEADLINE)).result.unwrap_err();
+        failure.verdict == Verdict::NotRun
+    });
+    bench.stand_in.revive().unwrap();
+    wait_until("answer after the leaf is back", || {
+        bench.ask(part(false, DEADLINE)).result.is_ok()
+    });
+}
+
+#[test]
+fn connections_stay_within_the_share() {
+    const PARTS: usize = 200;
+    let behaviour = Behaviour {
+        slots: 8,
+        connections: 9,
+        delay: Delay::fixed(Duration::from_millis(1)),
+        ..Behaviour::default()
+    };
+    let bench = Bench::start(behaviour);
+    // A VM that is first of three in the order holds a third of them.
+    const SHARE: usize = 3;
+    let faults = [Fault::NoReply, Fault::CloseAfterRun, Fault::Truncated];
+    for fault in faults {
+        bench.stand_in.inject(fault, 3);
+        let waits: Vec<_> = (0..PARTS)
+            .map(|_| bench.send(part(true, DEADLINE)))
+            .collect();
+        for wait in waits {
+            wait.recv_timeout(LIMIT)
+                .expect("part has no outcome")
+                .result
+                .ok();
+        }
+    }
+    let connections = bench.stand_in.connections();
+    assert_eq!(connections.violations, 0);
+    assert!(connections.most <= SHARE, "{connections:?}");
+    assert!(bench.stand_in.most_busy() <= SHARE);
+    wait_until("no part in flight", || bench.dispatcher.in_flight() == 0);
+}
+
+#[test]
+fn a_cancelled_part_ends_at_once_and_at_the_leaf() {
+    let behaviour = Behaviour {
+        delay: Delay::fixed(LIMIT),
+        ..Behaviour::default()
+    };
+    let bench = Bench::start(behaviour);
+    let part = part(true, LIMIT * 2);
+    let attempt = part.attempt;
+    let wait = bench.send(part);
+    let found = bench.stand_in.wait_for(LIMIT, |run| run.attempt == attempt);
+    assert!(found, "part never ran");
+    bench.dispatcher.cancel(attempt, &"leaf-1".to_owned());
+    let outcome = wait.recv_timeout(LIMIT).expect("no outcome");
+    let failure = outcome.result.unwrap_err();
+    assert_eq!(failure, Failure::may_have_run(Reason::Cancelled));
+    let cancelled = |run: &stand_in::Execution| {
+        let end = run.end.map(|(ending, _)| ending);
+        run.attempt == attempt && end == Some(stand_in::Ending::Cancelled)
+    };
+    assert!(bench.stand_in.wait_for(LIMIT, cancelled));
+}
+
+#[test]
+fn a_silent_leaf_is_answered_for_at_the_deadline_and_used_again() {
+    let bench = Bench::start(Behaviour::default());
+    for _ in 0..4 {
+        bench.ask(part(true, DEADLINE)).result.unwrap();
+    }
+    bench.stand_in.freeze();
+    let waits: Vec<_> = (0..8).map(|_| bench.send(part(true, DEADLINE))).collect();
+    for wait in waits {
+        let outcome = wait.recv_timeout(LIMIT).expect("no outcome");
+        assert!(outcome.result.is_err());
+    }
+    bench.stand_in.thaw();
+    wait_until("answer after the freeze", || {
+        bench.ask(part(false, DEADLINE)).result.is_ok()
+    });
+}
+
+#[test]
+fn a_leaf_that_leaves_gets_no_new_part() {
+    let bench = Bench::start(Behaviour::default());
+    bench.ask(part(true, DEADLINE)).result.unwrap();
+    bench.stand_in.change(|behaviour| {
+        behaviour.state = stand_in::State::Draining;
+        behaviour.health = stand_in::Health::Always(stand_in::State::Serving);
+    });
+    bench.ask(part(true, DEADLINE)).result.ok();
+    wait_until("notice", || bench.notices.lock().unwrap().contains(&true));
+    let before = bench.executions();
+    let failure = bench.ask(part(true, DEADLINE)).result.unwrap_err();
+    assert_eq!(failure, Failure::not_run(Reason::Leaving));
+    assert_eq!(bench.executions(), before);
+}
+
+#[test]
+fn a_leaf_that_the_operator_drains_gets_no_new_part() {
+    let bench = Bench::start(Behaviour::default());
+    bench.ask(part(true, DEADLINE)).result.unwrap();
+    let mut view = View::clone(&bench.view.get());
+    view.draining.push("leaf-1".to_owned());
+    bench.view.set(view);
+    wait_until("refusal", || {
+        let outcome = bench.ask(part(true, DEADLINE));
+        outcome.result == Err(Failure::not_run(Reason::Leaving))
+    });
+}
+
+#[test]
+fn holdings_are_known_before_the_first_part() {
+    let bench = Bench::start(Behaviour {
+        snapshots: vec![3, 4],
+        ..Behaviour::default()
+    });
+    let service: Service = serde_json::from_str(
+        r#"{"name": "tickets", "deadline_ms": 100, "max_deadline_ms": 1000,
+            "shards": [{"name": "a", "replicas": ["leaf-1"]}]}"#,
+    )
+    .unwrap();
+    let holdings = bench.dispatcher.holdings(&service, LIMIT);
+    let expected = Holding {
+        service: "tickets".to_owned(),
+        shard: "a".to_owned(),
+        leaf: "leaf-1".to_owned(),
+        snapshots: vec![3, 4],
+    };
+    assert_eq!(holdings, [expected]);
+}
+
+#[test]
+fn stopping_refuses_new_parts_and_ends_those_in_flight() {
+    let bench = Bench::start(Behaviour {
+        delay: Delay::fixed(Duration::from_millis(50)),
+        ..Behaviour::default()
+    });
+    let wait = bench.send(part(true, LIMIT));
+    wait_until("part at the leaf", || bench.executions() == 1);
+    bench.dispatcher.stop();
+    let failure = bench.ask(part(true, LIMIT)).result.unwrap_err();
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    let outcome = wait.recv_timeout(LIMIT).expect("no outcome");
+    outcome.result.expect("part in flight was cut off");
+}
