Serve callers over HTTP

rouille and tiny_http read a head without a limit, wait for a body without a time limit, and allocate whatever Content-Length a refused request claims (EqualReader's drop); one request could end the process. Not tested yet.

--- a/src/geraniummount/core/holdings.rs
+++ b/src/geraniummount/core/holdings.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 
 /// Time after which a service in use is surveyed again.
-pub const SURVEY_PERIOD: Duration = Duration::from_millis(500);
+pub const SURVEY_PERIOD: Duration = Duration::from_secs(2);
 
 /// Share of the best-held snapshot's replicas that a newer one needs, so
 /// that a snapshot that only just arrives does not overload its few holders.
--- /dev/null
+++ b/src/geraniummount/edge/caller/ask.rs
@@ -0,0 +1,161 @@
+//! A caller's request, checked.
+
+use std::time::Duration;
+
+use super::http::Request;
+use crate::core::layout::Layout;
+use crate::prelude::*;
+
+/// Longest name that a caller may give.
+const MAX_NAME_BYTES: usize = 128;
+
+/// A query or a non-idempotent request that is fit to be run.
+#[derive(Clone, Debug)]
+pub(super) struct Ask {
+    /// Name of the request.
+    pub(super) request: RequestId,
+    /// Service asked.
+    pub(super) service: Service,
+    /// Its shards at the revision of admission.
+    pub(super) layout: Layout,
+    /// Time to answer.
+    pub(super) time: Duration,
+    /// How it is run.
+    pub(super) mode: Mode,
+    /// Whether the answer tells how each shard went.
+    pub(super) explain: bool,
+    /// JSON body.
+    pub(super) body: Vec<u8>,
+}
+
+/// How a request is run.
+#[derive(Clone, Debug)]
+pub(super) enum Mode {
+    /// On all shards; running it twice is harmless.
+    Query,
+    /// On one shard, at most once.
+    Execution {
+        /// The shard, as the layout names it.
+        shard: ShardName,
+        /// Key that marks repeated sends of it.
+        key: Option<String>,
+    },
+}
+
+/// Why a request is not fit to be run.
+#[derive(Clone, Debug)]
+pub(super) struct Fault {
+    /// Status code.
+    pub(super) status: u16,
+    /// What was wrong and what to do.
+    pub(super) reason: String,
+}
+
+impl Ask {
+    /// Checks a request against the configuration.
+    pub(super) fn new(
+        service: &str,
+        request: RequestId,
+        http: &mut Request,
+        catalog: &Catalog,
+    ) -> Result<Ask, Fault> {
+        let Some(record) = catalog.service(service) else {
+            let reason = format!("service `{service}` is not declared; see the operators' list");
+            return Err(Fault::new(404, reason));
+        };
+        let layout = Layout::new(catalog, service);
+        let layout = layout.ok_or_else(|| Fault::new(404, "service is not declared"))?;
+        let time = read_deadline(http, &record.spec)?;
+        let mode = read_mode(http, &layout)?;
+        check_json(&http.body)?;
+        Ok(Ask {
+            request,
+            service: record.spec.clone(),
+            layout,
+            time,
+            mode,
+            explain: http.query.split('&').any(|pair| pair == "explain=true"),
+            body: std::mem::take(&mut http.body),
+        })
+    }
+}
+
+impl Fault {
+    /// Makes a fault.
+    pub(super) fn new(status: u16, reason: impl Into<String>) -> Fault {
+        Fault {
+            status,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Reads the request's name; `drawn` is used where it has none.
+pub(super) fn read_request_id(http: &Request, drawn: RequestId) -> Result<RequestId, Fault> {
+    let Some(name) = http.header("request-id") else {
+        return Ok(drawn);
+    };
+    check_name("Request-Id", name)?;
+    Ok(name.to_owned())
+}
+
+fn check_name(header: &str, name: &str) -> Result<(), Fault> {
+    let fits = !name.is_empty() && name.len() <= MAX_NAME_BYTES;
+    if fits && name.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Ok(());
+    }
+    let reason = format!("{header} must be 1 to {MAX_NAME_BYTES} printable ASCII characters");
+    Err(Fault::new(400, reason))
+}
+
+fn read_deadline(http: &Request, service: &Service) -> Result<Duration, Fault> {
+    let Some(text) = http.header("deadline-ms") else {
+        return Ok(Duration::from_millis(service.deadline_ms.into()));
+    };
+    let most = u64::from(service.max_deadline_ms);
+    match text.parse::<u64>() {
+        Ok(millis) if (1..=most).contains(&millis) => Ok(Duration::from_millis(millis)),
+        _ => {
+            let reason = format!("Deadline-Ms is `{text}`; send a whole number from 1 to {most}");
+            Err(Fault::new(400, reason))
+        }
+    }
+}
+
+fn read_mode(http: &Request, layout: &Layout) -> Result<Mode, Fault> {
+    match http.header("idempotent") {
+        None | Some("true") => return Ok(Mode::Query),
+        Some("false") => {}
+        Some(other) => {
+            let reason = format!("Idempotent is `{other}`; send `true` or `false`");
+            return Err(Fault::new(400, reason));
+        }
+    }
+    let Some(shard) = http.header("shard") else {
+        let reason = "Shard is not given; a request that is not idempotent names its one shard";
+        return Err(Fault::new(400, reason));
+    };
+    if layout.shard(shard).is_none() {
+        let reason = format!("shard `{shard}` is not in the service; name one of its shards");
+        return Err(Fault::new(404, reason));
+    }
+    let key = http.header("idempotency-key");
+    if let Some(key) = key {
+        check_name("Idempotency-Key", key)?;
+    }
+    Ok(Mode::Execution {
+        shard: shard.to_owned(),
+        key: key.map(str::to_owned),
+    })
+}
+
+fn check_json(body: &[u8]) -> Result<(), Fault> {
+    let parsed: Result<serde::de::IgnoredAny, _> = serde_json::from_slice(body);
+    match parsed {
+        Ok(_) => Ok(()),
+        Err(error) => {
+            let reason = format!("body is not JSON: {error}; mend it");
+            Err(Fault::new(400, reason))
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/caller/response.rs
@@ -0,0 +1,115 @@
+//! Answers and failures as callers read them.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::ask::Fault;
+use super::http::Response;
+use crate::core::answer::{Answer, Trace};
+use crate::prelude::*;
+
+/// Writes an answer. Bodies of leaves go in unchanged.
+pub(super) fn answer(answer: &Answer, explain: Option<&[Trace]>) -> Response {
+    let mut body = b"{\"request_id\":".to_vec();
+    push(&mut body, &json!(answer.request));
+    body.extend_from_slice(b",\"snapshot\":");
+    push(&mut body, &json!(answer.snapshot));
+    body.extend_from_slice(b",\"revision\":");
+    push(&mut body, &json!(answer.revision));
+    body.extend_from_slice(b",\"coverage\":");
+    push(&mut body, &json!(answer.coverage));
+    body.extend_from_slice(b",\"results\":[");
+    for (place, result) in answer.results.iter().enumerate() {
+        if place > 0 {
+            body.push(b',');
+        }
+        body.extend_from_slice(b"{\"shard\":");
+        push(&mut body, &json!(result.shard));
+        body.extend_from_slice(b",\"body\":");
+        push_body(&mut body, &result.body);
+        body.push(b'}');
+    }
+    body.push(b']');
+    if let Some(traces) = explain {
+        body.extend_from_slice(b",\"explain\":");
+        push(&mut body, &Value::Array(traces.iter().map(trace).collect()));
+    }
+    body.push(b'}');
+    Response {
+        status: 200,
+        headers: Vec::new(),
+        body,
+    }
+}
+
+/// Writes a failure, with its verdict in a header too.
+pub(super) fn failure(request: &str, failure: &Failure) -> Response {
+    let body = json!({
+        "request_id": request,
+        "verdict": failure.verdict.as_str(),
+        "reason": failure.reason.as_str(),
+        "retry_after_ms": failure.retry_after.map(millis),
+    });
+    refusal(status(failure), body, failure.verdict, failure.retry_after)
+}
+
+/// Writes what was wrong with a request, which was not run.
+pub(super) fn fault(request: &str, fault: &Fault) -> Response {
+    let body = json!({
+        "request_id": request,
+        "verdict": Verdict::NotRun.as_str(),
+        "reason": fault.reason,
+        "retry_after_ms": null,
+    });
+    refusal(fault.status, body, Verdict::NotRun, None)
+}
+
+fn refusal(status: u16, body: Value, verdict: Verdict, wait: Option<Duration>) -> Response {
+    let mut headers = vec![("Verdict", verdict.as_str().to_owned())];
+    if let Some(wait) = wait {
+        headers.push(("Retry-After", millis(wait).div_ceil(1000).to_string()));
+    }
+    Response {
+        status,
+        headers,
+        body: body.to_string().into_bytes(),
+    }
+}
+
+fn status(failure: &Failure) -> u16 {
+    match (failure.verdict, failure.reason) {
+        (_, Reason::DuplicateKey) => 409,
+        (_, Reason::Deadline) => 504,
+        (Verdict::NotRun, _) => 503,
+        (Verdict::MayHaveRun | Verdict::Ran, _) => 502,
+    }
+}
+
+fn trace(trace: &Trace) -> Value {
+    json!({
+        "shard": trace.shard,
+        "leaf": trace.leaf,
+        "owner": trace.owner,
+        "attempts": trace.attempts,
+        "hedges": trace.hedges,
+        "took_ms": trace.took.map(|took| took.as_secs_f64() * 1e3),
+    })
+}
+
+fn push(body: &mut Vec<u8>, value: &Value) {
+    body.extend_from_slice(value.to_string().as_bytes());
+}
+
+/// Adds a leaf's body as it is if it is JSON, else as a JSON string.
+fn push_body(body: &mut Vec<u8>, reply: &[u8]) {
+    let parsed: Result<serde::de::IgnoredAny, _> = serde_json::from_slice(reply);
+    match parsed {
+        Ok(_) => body.extend_from_slice(reply),
+        Err(_) => push(body, &json!(String::from_utf8_lossy(reply))),
+    }
+}
+
+fn millis(wait: Duration) -> u64 {
+    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1)
+}
--- /dev/null
+++ b/src/geraniummount/edge/caller/run.rs
@@ -0,0 +1,137 @@
+//! Runs one request: carries the actions of its state machine out and brings
+//! the outcomes back to it.
+
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::core::answer::Answer;
+use crate::core::execution::Execution;
+use crate::core::fan_out::{Action, FanOut};
+use crate::core::traffic::Traffic;
+use crate::edge::dispatcher::{Dispatcher, ReplyTo};
+use crate::prelude::*;
+
+/// Step in which a running query looks whether its caller is still there.
+const GONE_STEP: Duration = Duration::from_millis(20);
+
+/// The two state machines that a request can be.
+pub(super) enum Machine {
+    /// A query over all shards.
+    Query(Box<FanOut>),
+    /// A request that runs on one shard, at most once.
+    Execution(Box<Execution>),
+}
+
+impl Machine {
+    fn start(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        match self {
+            Machine::Query(fan_out) => fan_out.start(traffic, now),
+            Machine::Execution(execution) => execution.start(traffic, now),
+        }
+    }
+
+    fn on_outcome(&mut self, outcome: Outcome, traffic: &mut Traffic) -> Vec<Action> {
+        let now = Instant::now();
+        match self {
+            Machine::Query(fan_out) => fan_out.on_outcome(outcome, traffic, now),
+            Machine::Execution(execution) => execution.on_outcome(outcome, traffic, now),
+        }
+    }
+
+    fn tick(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        match self {
+            Machine::Query(fan_out) => fan_out.tick(traffic, now),
+            Machine::Execution(execution) => execution.tick(traffic, now),
+        }
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        match self {
+            Machine::Query(fan_out) => fan_out.next_wake(),
+            Machine::Execution(execution) => execution.next_wake(),
+        }
+    }
+
+    /// Gives up a query that nobody waits for. A non-idempotent request goes
+    /// on, as its caller may come back and ask with the same key.
+    fn caller_gone(&mut self, traffic: &mut Traffic, now: Instant) -> Option<Vec<Action>> {
+        match self {
+            Machine::Query(fan_out) => Some(fan_out.caller_gone(traffic, now)),
+            Machine::Execution(_) => None,
+        }
+    }
+}
+
+/// One request under way.
+pub(super) struct Run<'a> {
+    dispatcher: &'a Dispatcher,
+    traffic: &'a Mutex<Traffic>,
+    sender: Sender<Outcome>,
+    outcomes: Receiver<Outcome>,
+}
+
+impl<'a> Run<'a> {
+    /// Prepares a run.
+    pub(super) fn new(dispatcher: &'a Dispatcher, traffic: &'a Mutex<Traffic>) -> Run<'a> {
+        let (sender, outcomes) = mpsc::channel();
+        Run {
+            dispatcher,
+            traffic,
+            sender,
+            outcomes,
+        }
+    }
+
+    /// Runs a request to its end. Returns `None` if its caller is gone.
+    pub(super) fn to_end(
+        &self,
+        machine: &mut Machine,
+        is_gone: impl Fn() -> bool,
+    ) -> Option<Result<Answer, Failure>> {
+        let mut actions = machine.start(&mut self.traffic(), Instant::now());
+        let mut gone_check = Instant::now() + GONE_STEP;
+        loop {
+            if let Some(end) = self.carry_out(actions) {
+                return Some(end);
+            }
+            let now = Instant::now();
+            if now >= gone_check {
+                gone_check = now + GONE_STEP;
+                if is_gone()
+                    && let Some(cancels) = machine.caller_gone(&mut self.traffic(), now)
+                {
+                    self.carry_out(cancels);
+                    return None;
+                }
+            }
+            let wake = machine.next_wake()?.min(gone_check);
+            let wait = wake.saturating_duration_since(now);
+            actions = match self.outcomes.recv_timeout(wait) {
+                Ok(outcome) => machine.on_outcome(outcome, &mut self.traffic()),
+                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                    machine.tick(&mut self.traffic(), Instant::now())
+                }
+            };
+        }
+    }
+
+    fn traffic(&self) -> MutexGuard<'a, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn carry_out(&self, actions: Vec<Action>) -> Option<Result<Answer, Failure>> {
+        let mut end = None;
+        for action in actions {
+            match action {
+                Action::Send(part) => {
+                    let reply = ReplyTo::Caller(self.sender.clone());
+                    self.dispatcher.dispatch(part, reply);
+                }
+                Action::Cancel { attempt, leaf } => self.dispatcher.cancel(attempt, &leaf),
+                Action::Finish(result) => end = Some(result),
+            }
+        }
+        end
+    }
+}
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -1,5 +1,6 @@
 //! Edges: callers, operators, leaves, peers and the platform.
 
+pub mod caller;
 pub mod claims;
 pub mod client;
 pub mod dispatcher;
