Run membership and configuration on one control thread

One thread owns the membership and the copy of the log; datagrams, what peers and the platform tell, and what leaves say reach it over one bounded channel, and it publishes the view that traffic goes by.

--- a/src/geraniummount/core/membership/merge.rs
+++ b/src/geraniummount/core/membership/merge.rs
@@ -82,8 +82,9 @@
         let member = &mut self.members[place];
         let known = &mut member.vm;
         if (vm.incarnation, vm.state) <= (known.incarnation, known.state) {
-            if vm.incarnation == known.incarnation {
-                known.revision = known.revision.max(vm.revision);
+            if vm.incarnation == known.incarnation && vm.revision > known.revision {
+                known.revision = vm.revision;
+                self.changed = true;
             }
             return;
         }
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -40,6 +40,7 @@
 pub mod rumors;
 pub mod service;
 mod shard_state;
+pub mod status;
 pub mod traffic;
 pub mod validation;
 pub mod verdict;
--- a/src/geraniummount/core/relays.rs
+++ b/src/geraniummount/core/relays.rs
@@ -103,7 +103,8 @@
         if vm.incarnation < known.incarnation {
             return false;
         }
-        let changed = (known.state, known.peer_address) != (vm.state, vm.peer_address);
+        let fields = |vm: &Vm| (vm.state, vm.peer_address, vm.revision);
+        let changed = fields(known) != fields(vm);
         let revision = known.revision.max(vm.revision);
         *known = vm.clone();
         known.revision = revision;
--- /dev/null
+++ b/src/geraniummount/ops/control/shared.rs
@@ -0,0 +1,58 @@
+//! What the control thread publishes.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use crate::core::change_log::ChangeLog;
+use crate::prelude::*;
+use crate::util::published::Published;
+
+/// Published state, shared by all threads of a process.
+#[derive(Clone, Debug)]
+pub(super) struct Shared {
+    /// What traffic goes by.
+    pub(super) view: Arc<Published<View>>,
+    /// This VM's copy of the log of changes.
+    pub(super) log: Arc<Published<ChangeLog>>,
+    watches: Arc<AtomicBool>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Shared {
+    /// Publishes the state of a VM that knows nothing yet.
+    pub(super) fn new(me: &Vm) -> Shared {
+        let log = ChangeLog::default();
+        let view = View {
+            me: me.name.clone(),
+            failure_domain: me.failure_domain.clone(),
+            catalog: Arc::clone(log.catalog()),
+            vms: vec![me.clone()],
+            draining: Vec::new(),
+            stopping: false,
+        };
+        Shared {
+            view: Arc::new(Published::new(view)),
+            log: Arc::new(Published::new(log)),
+            watches: Arc::new(AtomicBool::new(false)),
+            stopped: Arc::new(AtomicBool::new(false)),
+        }
+    }
+
+    /// Whether this VM is one of those that watch the platform.
+    pub(super) fn watches(&self) -> bool {
+        self.watches.load(Ordering::Acquire)
+    }
+
+    pub(super) fn set_watches(&self, watches: bool) {
+        self.watches.store(watches, Ordering::Release);
+    }
+
+    /// Whether the process's control is to end.
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    pub(super) fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/src/geraniummount/ops/control/watcher.rs
@@ -0,0 +1,185 @@
+//! Reads the platform on behalf of a failure domain.
+//!
+//! Only the VMs that the control thread has chosen watch; all others learn
+//! from their peers, so that the calls on the platform grow with the number
+//! of failure domains and not with the fleet.
+
+use std::sync::Arc;
+use std::sync::mpsc::SyncSender;
+use std::thread;
+use std::time::Duration;
+
+use log::{info, warn};
+
+use super::event::Event;
+use super::shared::Shared;
+use crate::core::change_log::Delta;
+use crate::core::gossip::Source;
+use crate::core::proposal::Slot;
+use crate::edge::platform::log_store::LogStore;
+use crate::edge::platform::{MemberState, Members, Platform};
+use crate::prelude::*;
+
+/// How long one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause of a VM that does not watch.
+const IDLE: Duration = Duration::from_millis(250);
+/// First and longest pause while the platform does not answer.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+/// Wait for the control thread to take in what was read.
+const LEARN_WAIT: Duration = Duration::from_millis(500);
+
+/// Follows the log of changes.
+pub(super) struct LogWatcher {
+    pub(super) store: LogStore,
+    pub(super) shared: Shared,
+    pub(super) events: SyncSender<Event>,
+}
+
+impl LogWatcher {
+    /// Runs until the process's control ends.
+    pub(super) fn run(self) {
+        let mut backoff = Backoff::default();
+        let mut saved = 0;
+        while !self.shared.is_stopped() {
+            if !self.shared.watches() {
+                thread::sleep(IDLE);
+                continue;
+            }
+            match self.step(&mut saved) {
+                Some(()) => backoff.reset("the log of changes"),
+                None => backoff.wait("the log of changes"),
+            }
+        }
+    }
+
+    /// Reads on; `None` when the platform did not answer.
+    fn step(&self, saved: &mut Revision) -> Option<()> {
+        self.save_checkpoint(saved)?;
+        let next = self.shared.log.get().revision() + 1;
+        let slot = self.store.read(next)?;
+        if let Some(version) = self.take(next, slot)? {
+            let changed = self.store.watch(next, version, WATCH_WAIT)?;
+            changed.map_or(Some(None), |slot| self.take(next, slot))?;
+        }
+        Some(())
+    }
+
+    /// Takes in what a slot holds; returns its version if that is nothing new.
+    fn take(&self, next: Revision, slot: Slot) -> Option<Option<u64>> {
+        let entry = slot.entry.filter(|entry| entry.revision >= next);
+        let Some(entry) = entry else {
+            return Some(Some(slot.version));
+        };
+        let delta = if entry.revision == next {
+            Delta {
+                revision: next,
+                catalog: None,
+                entries: vec![Arc::new(entry)],
+            }
+        } else {
+            let catalog = self.store.load_checkpoint()?;
+            Delta {
+                revision: catalog.revision,
+                catalog: Some(Arc::new(catalog)),
+                entries: Vec::new(),
+            }
+        };
+        self.events.send(Event::Learned(delta)).ok()?;
+        let learnt = |log: &crate::core::change_log::ChangeLog| log.revision() >= next;
+        self.shared.log.wait_until(learnt, LEARN_WAIT);
+        Some(None)
+    }
+
+    fn save_checkpoint(&self, saved: &mut Revision) -> Option<()> {
+        let log = self.shared.log.get();
+        let due = log.checkpoint().filter(|due| due.revision > *saved);
+        if let Some(due) = due {
+            self.store.save_checkpoint(due)?;
+            *saved = due.revision;
+        }
+        Some(())
+    }
+}
+
+/// Follows the platform's list of members, which lags: only its changes are
+/// taken as news.
+pub(super) struct MembersWatcher {
+    pub(super) platform: Platform,
+    pub(super) shared: Shared,
+    pub(super) events: SyncSender<Event>,
+}
+
+impl MembersWatcher {
+    /// Runs until the process's control ends.
+    pub(super) fn run(self) {
+        let mut backoff = Backoff::default();
+        let mut known: Option<Members> = None;
+        while !self.shared.is_stopped() {
+            if !self.shared.watches() {
+                thread::sleep(IDLE);
+                continue;
+            }
+            let version = known.as_ref().map(|members| members.version);
+            match self.platform.members(version, WATCH_WAIT) {
+                Some(Some(members)) => {
+                    self.tell(known.as_ref(), &members);
+                    known = Some(members);
+                    backoff.reset("the list of members");
+                }
+                Some(None) => backoff.reset("the list of members"),
+                None => backoff.wait("the list of members"),
+            }
+        }
+    }
+
+    fn tell(&self, before: Option<&Members>, now: &Members) {
+        let addresses = now.members.iter().map(|member| member.address);
+        let _ = self.events.send(Event::Hints(addresses.collect()));
+        let catalog = Arc::clone(&self.shared.view.get().catalog);
+        for record in &catalog.leaves {
+            let leaf = &record.spec;
+            let draining = is_leaving(now, leaf);
+            let was_draining = before.is_some_and(|before| is_leaving(before, leaf));
+            if draining != was_draining {
+                let _ = self.events.send(Event::LeafDraining {
+                    leaf: leaf.name.clone(),
+                    source: Source::Members,
+                    draining,
+                });
+            }
+        }
+    }
+}
+
+fn is_leaving(members: &Members, leaf: &Leaf) -> bool {
+    members.members.iter().any(|member| {
+        let same = member.name == leaf.name || member.address == leaf.address;
+        same && member.state == MemberState::Leaving
+    })
+}
+
+/// Pauses that grow while the platform does not answer.
+#[derive(Default)]
+struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    fn reset(&mut self, what: &str) {
+        if self.failures > 0 {
+            info!("platform: {what} can be read again");
+        }
+        self.failures = 0;
+    }
+
+    fn wait(&mut self, what: &str) {
+        if self.failures == 0 {
+            warn!("platform: {what} can't be read; peers are asked, and it is tried again");
+        }
+        let (first, longest) = BACKOFF;
+        let pause = first.saturating_mul(1 << self.failures.min(8)).min(longest);
+        self.failures = self.failures.saturating_add(1);
+        thread::sleep(pause.mul_f64(rand::random_range(0.5..1.0)));
+    }
+}
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod control;
 pub mod delete;
 pub mod dump;
 pub mod exit;
