--- a/src/geraniummount/edge/caller/mod.rs
+++ b/src/geraniummount/edge/caller/mod.rs
@@ -6,7 +6,6 @@
 
 mod ask;
 mod http;
-mod keys;
 mod response;
 mod run;
 mod serve;
@@ -21,10 +20,10 @@
 use std::time::{Duration, Instant};
 
 use self::http::Connection;
-pub use self::keys::Keys;
 use self::serve::Handler;
 use self::shared::{Permit, Shared};
 use crate::core::traffic::Traffic;
+use crate::edge::claims::Claims;
 use crate::edge::dispatcher::Dispatcher;
 use crate::edge::metrics::Metrics;
 use crate::prelude::*;
@@ -63,7 +62,7 @@
     /// What the process counts.
     pub metrics: Metrics,
     /// Claims of idempotency keys.
-    pub keys: Arc<dyn Keys>,
+    pub claims: Claims,
 }
 
 /// The callers' server.
@@ -93,7 +92,7 @@
         });
         let handler = Handler {
             shared: Arc::clone(&shared),
-            keys: parts.keys,
+            claims: parts.claims,
         };
         spawn("caller-accept", move || {
             accept(&listener, &handler, connections);
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -7,7 +7,6 @@
 
 use super::ask::{self, Ask, Fault, Mode};
 use super::http::{Bounds, Connection, Ended, Request, Response};
-use super::keys::Keys;
 use super::response;
 use super::run::{Machine, Run};
 use super::shared::{Permit, Shared};
@@ -15,6 +14,8 @@
 use crate::core::answer::Answer;
 use crate::core::execution::Execution;
 use crate::core::fan_out::{Counters, FanOut, Query};
+use crate::core::margin;
+use crate::edge::claims::Claims;
 use crate::edge::metrics::{Ending, Try};
 use crate::prelude::*;
 
@@ -30,7 +31,7 @@
     /// What all connections share.
     pub(super) shared: Arc<Shared>,
     /// Claims of idempotency keys.
-    pub(super) keys: Arc<dyn Keys>,
+    pub(super) claims: Claims,
 }
 
 impl Handler {
@@ -200,11 +201,9 @@
             return self.fail(ask, &Failure::not_run(Reason::NoReplica), started);
         };
         let service = ask.service.name.as_str();
-        let claim = key.map(|key| {
-            let claimed = self.keys.claim(service, key, &ask.request, query.deadline);
-            claimed.map(|claim| (key, claim))
-        });
-        let claim = match claim.transpose() {
+        let answer_by = margin::answer_by(query.deadline, started);
+        let claim = |key: &str| self.claims.claim(service, key, &ask.request, answer_by);
+        let claim = match key.map(claim).transpose() {
             Ok(claim) => claim,
             Err(failure) => return self.fail(ask, &failure, started),
         };
@@ -221,9 +220,9 @@
             }
             Err(failure) => {
                 if failure.verdict == Verdict::NotRun
-                    && let Some((key, claim)) = claim
+                    && let Some(claim) = claim
                 {
-                    self.keys.release(service, key, claim);
+                    self.claims.release(claim);
                 }
                 self.fail(ask, &failure, started)
             }
