Serve operators from the registry, and add a load command

Cause: the registry has landed, so the listener's own backend trait and the tests' configuration in memory stood for something that exists.

Change: the listener takes a Process: registry, metrics and three sources for status, state and stopping. The tests run it against the stand-in platform; a lost reply is made by holding the write until the platform refuses all later calls. 'load' sends queries open-loop and reports quantiles, coverage and refusals.

Ruled out: keeping the trait for tests only, as it would test a second registry.

Conclusion: serve can be wired with Server::start(listen, Process).

--- a/src/bin/geraniummount/cli.rs
+++ b/src/bin/geraniummount/cli.rs
@@ -4,7 +4,7 @@
 use error_stack::Report;
 use geraniummount::ops::exit::Exit;
 
-use crate::commands::{apply, check, delete, dump, get, query, serve, status, watch};
+use crate::commands::{apply, check, delete, dump, get, load, query, serve, status, watch};
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -54,6 +54,8 @@
     Dump(dump::Args),
     /// Send one request as a caller would
     Query(query::Args),
+    /// Send queries at a steady rate and show latency and coverage
+    Load(load::Args),
 }
 
 impl Cli {
@@ -69,6 +71,7 @@
             Command::Status(args) => args.exec(),
             Command::Dump(args) => args.exec(),
             Command::Query(args) => args.exec(),
+            Command::Load(args) => args.exec(),
         }
     }
 }
--- /dev/null
+++ b/src/bin/geraniummount/commands/load.rs
@@ -0,0 +1,71 @@
+//! `geraniummount load`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use error_stack::Report;
+use geraniummount::ops::exit::Exit;
+use geraniummount::ops::load;
+
+use super::operator;
+
+const EXAMPLES: &str = "\
+Examples:
+  geraniummount load shelf --rate 100 --seconds 10
+  geraniummount load shelf --server 10.0.0.5:8080 --server 10.0.0.6:8080 --deadline-ms 200";
+
+/// Sends queries at a steady rate and shows latency, coverage and refusals.
+///
+/// A query's time counts from when it was due, so that waiting counts.
+#[derive(Debug, clap::Args)]
+#[command(after_help = EXAMPLES)]
+pub struct Args {
+    /// Service to ask
+    service: String,
+
+    /// JSON body of each query
+    #[arg(default_value = "{}", long, value_name = "JSON")]
+    body: String,
+
+    /// Deadline in milliseconds; the service's own by default
+    #[arg(long, value_name = "MS")]
+    deadline_ms: Option<u32>,
+
+    /// Queries a second
+    #[arg(default_value_t = 50, long, value_parser = clap::value_parser!(u32).range(1..=100_000))]
+    rate: u32,
+
+    /// Length of the run
+    #[arg(default_value_t = 10, long, value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    seconds: u64,
+
+    /// Queries open at once; one that is due beyond them waits
+    #[arg(default_value_t = 64, long, value_parser = clap::value_parser!(u16).range(1..=1_024))]
+    open: u16,
+
+    /// Callers' listener of a VM, as IP:PORT; several are used in turn
+    #[arg(env = "GERANIUMMOUNT_CALLER", long, value_name = "IP:PORT")]
+    #[arg(default_value = "127.0.0.1:8080")]
+    server: Vec<SocketAddr>,
+
+    /// Write JSON in place of aligned text
+    #[arg(long)]
+    json: bool,
+}
+
+impl Args {
+    /// Runs the subcommand.
+    pub fn exec(self) -> Result<(), Report<Exit>> {
+        let options = load::Options {
+            servers: self.server,
+            service: self.service,
+            body: self.body,
+            deadline_ms: self.deadline_ms,
+            rate: self.rate,
+            length: Duration::from_secs(self.seconds),
+            open: self.open.into(),
+            form: operator::form(self.json),
+        };
+        load::load(&options, &mut std::io::stdout())
+    }
+}
--- a/src/bin/geraniummount/commands/mod.rs
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod delete;
 pub mod dump;
 pub mod get;
+pub mod load;
 pub mod operator;
 pub mod query;
 pub mod serve;
--- a/src/geraniummount/edge/operator/refusal.rs
+++ b/src/geraniummount/edge/operator/refusal.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 
 use crate::core::fault::Fault;
+use crate::core::resource::Kind;
+use crate::edge::registry;
 use crate::prelude::*;
 
 /// A request that was not, or perhaps not, carried out.
@@ -52,6 +54,19 @@
 }
 
 impl Refusal {
+    /// Turns an error of the registry into a refusal.
+    pub(super) fn new(kind: Kind, name: &str, error: registry::Error) -> Refusal {
+        match error {
+            registry::Error::NotFound => Refusal::NotFound(format!("no {kind} `{name}`")),
+            registry::Error::Invalid { faults } => Refusal::Invalid(faults),
+            registry::Error::Conflict { expected, actual } => {
+                Refusal::Conflict { expected, actual }
+            }
+            registry::Error::Undecided { change } => Refusal::Undecided { change },
+            registry::Error::PlatformDown { retry_after } => Refusal::PlatformDown { retry_after },
+        }
+    }
+
     /// Writes the refusal as an answer.
     pub(super) fn response(&self) -> Response {
         let body = self.body();
--- a/src/geraniummount/edge/operator/route.rs
+++ b/src/geraniummount/edge/operator/route.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use super::refusal::Refusal;
 use crate::core::resource::Kind;
-use crate::edge::operator::Refusal;
 use crate::prelude::*;
 
 /// Longest time that a watch waits.
--- a/src/geraniummount/edge/operator/server.rs
+++ b/src/geraniummount/edge/operator/server.rs
@@ -8,13 +8,15 @@
 use std::time::Duration;
 
 use rouille::{Request, Response};
-use serde::Serialize;
 use serde_json::json;
 
+use super::listing::{Changes, Item, Listing};
+use super::process::Process;
+use super::refusal::Refusal;
 use super::route::Route;
 use super::watches::Watches;
-use crate::edge::metrics::Metrics;
-use crate::edge::operator::{Backend, Refusal};
+use crate::core::resource::Kind;
+use crate::prelude::*;
 
 const WORKERS: usize = 16;
 
@@ -38,9 +40,8 @@
 }
 
 /// What every request needs.
-struct Context<B> {
-    backend: B,
-    metrics: Metrics,
+struct Context {
+    process: Process,
     watches: Watches,
 }
 
@@ -48,12 +49,10 @@
     /// Listens on `listen`; port 0 takes any free port.
     pub fn start(
         listen: SocketAddr,
-        backend: impl Backend,
-        metrics: Metrics,
+        process: Process,
     ) -> Result<Server, Box<dyn std::error::Error + Send + Sync>> {
         let context = Arc::new(Context {
-            backend,
-            metrics,
+            process,
             watches: Watches::new(MAX_WATCHES),
         });
         let server = rouille::Server::new(listen, move |request| context.answer(request))?;
@@ -91,7 +90,7 @@
     }
 }
 
-impl<B: Backend> Context<B> {
+impl Context {
     fn answer(&self, request: &Request) -> Response {
         let answer = Route::read(request).and_then(|route| self.carry_out(route, request));
         answer.unwrap_or_else(|refusal| {
@@ -102,39 +101,58 @@
     }
 
     fn carry_out(&self, route: Route, request: &Request) -> Result<Response, Refusal> {
-        let backend = &self.backend;
+        let process = &self.process;
+        let registry = &process.registry;
         match route {
-            Route::List(kind) => Ok(Response::json(&backend.list(kind))),
-            Route::Get(kind, name) => {
-                let entry = backend.get(kind, &name)?;
-                Ok(Response::json(&entry)
-                    .with_unique_header("ETag", format!("\"{}\"", entry.generation)))
-            }
+            Route::List(kind) => Ok(self.list(kind)),
+            Route::Get(kind, name) => self.get(kind, &name),
             Route::Put(kind, name, if_match) => {
-                let spec = body(request)?;
-                json_of(backend.put(kind, &name, &spec, if_match))
+                let accepted = registry.put(kind, &name, &body(request)?, if_match);
+                let accepted = accepted.map_err(|error| Refusal::new(kind, &name, error))?;
+                Ok(Response::json(&accepted))
             }
-            Route::Delete(kind, name, if_match) => json_of(backend.delete(kind, &name, if_match)),
-            Route::Watch(after, wait) => {
-                let busy = Refusal::Busy {
-                    retry_after: BUSY_RETRY_AFTER,
-                };
-                let _place = self.watches.enter().ok_or(busy)?;
-                Ok(Response::json(&backend.wait_for(after, wait)))
+            Route::Delete(kind, name, if_match) => {
+                let accepted = registry.delete(kind, &name, if_match);
+                let accepted = accepted.map_err(|error| Refusal::new(kind, &name, error))?;
+                Ok(Response::json(&accepted))
             }
-            Route::Status => Ok(Response::json(&backend.status())),
-            Route::State => Ok(Response::json(&backend.state())),
+            Route::Watch(after, wait) => self.watch(after, wait),
+            Route::Status => Ok(Response::json(&(process.status)())),
+            Route::State => Ok(Response::json(&(process.state)())),
             Route::Metrics => {
-                let text = self.metrics.text();
+                let text = process.metrics.text();
                 Ok(Response::from_data("text/plain; version=0.0.4", text))
             }
-            Route::Health => Ok(health(backend.is_stopping())),
+            Route::Health => Ok(health((process.is_stopping)())),
         }
     }
-}
 
-fn json_of(answer: Result<impl Serialize, Refusal>) -> Result<Response, Refusal> {
-    answer.map(|answer| Response::json(&answer))
+    fn list(&self, kind: Kind) -> Response {
+        let registry = &self.process.registry;
+        // The revision is read first, so that a watch from it misses nothing.
+        let revision = registry.catalog().revision;
+        let items = registry.list(kind).iter().map(Item::new).collect();
+        Response::json(&Listing { revision, items })
+    }
+
+    fn get(&self, kind: Kind, name: &str) -> Result<Response, Refusal> {
+        let record = self.process.registry.get(kind, name);
+        let item = Item::new(&record.map_err(|error| Refusal::new(kind, name, error))?);
+        let tag = format!("\"{}\"", item.generation);
+        Ok(Response::json(&item).with_unique_header("ETag", tag))
+    }
+
+    fn watch(&self, after: Revision, wait: Duration) -> Result<Response, Refusal> {
+        let busy = Refusal::Busy {
+            retry_after: BUSY_RETRY_AFTER,
+        };
+        let _place = self.watches.enter().ok_or(busy)?;
+        let registry = &self.process.registry;
+        registry.wait_for(after, wait);
+        Ok(Response::json(&Changes::new(
+            &registry.changes_since(after),
+        )))
+    }
 }
 
 fn health(stopping: bool) -> Response {
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod dump;
 pub mod exit;
 pub mod get;
+pub mod load;
 pub mod logs;
 pub mod output;
 pub mod query;
--- /dev/null
+++ b/tests/testsuite/operators_listener.rs
@@ -0,0 +1,82 @@
+//! An operators' listener in this process, on a registry that writes to a
+//! stand-in platform.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use geraniummount::core::change_log::{ChangeLog, Delta};
+use geraniummount::edge::metrics::Metrics;
+use geraniummount::edge::operator::{Process, Server};
+use geraniummount::edge::platform;
+use geraniummount::edge::platform::log_store::LogStore;
+use geraniummount::edge::registry::Registry;
+use geraniummount::util::published::Published;
+use geraniummount_test_support::platform::{Outage, Platform};
+use serde_json::json;
+
+/// Long enough to change the platform while it holds a call.
+const SLOWNESS: Duration = Duration::from_millis(400);
+
+const POLL_PERIOD: Duration = Duration::from_millis(5);
+
+/// A listener and its platform.
+pub struct Listener {
+    /// The listener.
+    pub server: Server,
+    /// The platform.
+    pub platform: Platform,
+}
+
+impl Listener {
+    /// Starts both on free ports.
+    pub fn start() -> Listener {
+        let platform = Platform::start().expect("platform");
+        let listen = "127.0.0.1:0".parse().expect("address");
+        let process = process(&platform);
+        let server = Server::start(listen, process).expect("listener");
+        Listener { server, platform }
+    }
+
+    /// Runs `change`, whose write takes effect; its reply is lost, and the
+    /// platform refuses every later call.
+    pub fn lose_reply<T>(&self, change: impl FnOnce() -> T) -> T {
+        self.platform.change(|behaviour| {
+            behaviour.slowness = SLOWNESS;
+            behaviour.lost_replies = 1;
+        });
+        let writes = self.platform.calls().writes;
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                while self.platform.calls().writes == writes {
+                    std::thread::sleep(POLL_PERIOD);
+                }
+                self.platform
+                    .change(|behaviour| behaviour.outage = Outage::Refuse);
+            });
+            change()
+        })
+    }
+}
+
+fn process(platform: &Platform) -> Process {
+    let metrics = Metrics::new();
+    let client = platform::Platform::new(platform.address(), "test", metrics.clone());
+    let log = Arc::new(Published::new(ChangeLog::default()));
+    let learner = (Arc::clone(&log), Mutex::new(()));
+    let learn = move |delta: Delta| {
+        let (log, one_at_a_time) = &learner;
+        let _held = one_at_a_time.lock().expect("lock");
+        let mut next = ChangeLog::clone(&log.get());
+        next.merge(delta);
+        log.set(next);
+    };
+    Process {
+        registry: Registry::new(log, LogStore::new(client), Box::new(learn)),
+        metrics,
+        status: Box::new(|| json!({"revision": 0})),
+        state: Box::new(
+            || json!({"leaves": [{"leaf": "l1", "queued": 3}, {"leaf": "l2", "queued": 10}]}),
+        ),
+        is_stopping: Box::new(|| false),
+    }
+}
