--- a/src/geraniummount/core/validation.rs
+++ b/src/geraniummount/core/validation.rs
@@ -50,16 +50,27 @@
     }
 }
 
-fn check_name(field: &str, name: &str, faults: &mut Vec<Fault>) {
+/// Whether `name` can name a resource, shard, VM or failure domain.
+pub fn is_name(name: &str) -> bool {
     let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
     let starts_plain = name.bytes().next().is_some_and(plain);
     let all_allowed = name.bytes().all(|byte| plain(byte) || byte == b'-');
-    if starts_plain && all_allowed && name.len() <= MAX_NAME_BYTES {
-        return;
+    starts_plain && all_allowed && name.len() <= MAX_NAME_BYTES
+}
+
+/// Says which names [`is_name`] allows.
+pub fn name_rule() -> String {
+    format!("1 to {MAX_NAME_BYTES} of a-z, 0-9 and `-`, starting with a letter or digit")
+}
+
+fn check_name(field: &str, name: &str, faults: &mut Vec<Fault>) {
+    if !is_name(name) {
+        faults.push(Fault::new(
+            field,
+            format!("`{name}` is no name"),
+            name_rule(),
+        ));
     }
-    let allowed =
-        format!("1 to {MAX_NAME_BYTES} of a-z, 0-9 and `-`, starting with a letter or digit");
-    faults.push(Fault::new(field, format!("`{name}` is no name"), allowed));
 }
 
 fn check_range(field: &str, value: u64, allowed: (u64, u64), faults: &mut Vec<Fault>) {
--- a/src/geraniummount/ops/query.rs
+++ b/src/geraniummount/ops/query.rs
@@ -56,7 +56,8 @@
         .map(u64::from)
         .map(Duration::from_millis);
     let client = Client::new(options.server, deadline.unwrap_or(LONGEST) + MARGIN);
-    let path = format!("/v1/services/{}/query", options.service);
+    let explain = if options.explain { "?explain=true" } else { "" };
+    let path = format!("/v1/services/{}/query{explain}", options.service);
     let request = Request {
         method: "POST",
         path: &path,
@@ -98,9 +99,6 @@
             headers.push(("Idempotency-Key", key.clone()));
         }
     }
-    if options.explain {
-        headers.push(("Explain", "true".to_string()));
-    }
     headers
 }
 
@@ -131,10 +129,8 @@
     let mut report = Report::new(exit)
         .attach(format!("service {service}: {reason}"))
         .attach(format!("verdict: {verdict}"));
-    for key in ["error", "message", "detail", "request_id"] {
-        if let Some(text) = body[key].as_str() {
-            report = report.attach(format!("{key}: {text}"));
-        }
+    if let Some(id) = body["request_id"].as_str() {
+        report = report.attach(format!("request: {id}"));
     }
     match body["retry_after_ms"].as_u64() {
         Some(wait) => report.attach(format!("do: try again in {wait} ms")),
--- a/src/geraniummount/ops/settings/section.rs
+++ b/src/geraniummount/ops/settings/section.rs
@@ -7,8 +7,9 @@
 
 use super::document::{Document, Entry};
 use super::fault::{Fault, Faults};
+use crate::core::validation;
 
-const LONGEST_NAME: usize = 63;
+const LONGEST_PREFIX: usize = 63;
 
 /// Reader of one section that notes every fault and goes on.
 pub(super) struct Section<'a> {
@@ -46,16 +47,14 @@
         }
     }
 
-    /// Reads a name of letters, digits, dots and hyphens.
+    /// Reads a name, by the rule for names of resources.
     pub(super) fn name(&mut self, key: &str) -> Option<String> {
         let entry = self.required(key, "a name")?;
-        let letters = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '.';
         let value = &entry.value;
-        if !value.is_empty() && value.len() <= LONGEST_NAME && value.chars().all(letters) {
+        if validation::is_name(value) {
             return Some(value.clone());
         }
-        let allowed = format!("1 to {LONGEST_NAME} letters, digits, dots or hyphens");
-        self.fault(entry, format!("'{value}'"), allowed);
+        self.fault(entry, format!("'{value}'"), validation::name_rule());
         None
     }
 
@@ -66,10 +65,10 @@
         };
         let letters = |c: char| c.is_ascii_alphanumeric() || "-./".contains(c);
         let value = &entry.value;
-        if !value.is_empty() && value.len() <= LONGEST_NAME && value.chars().all(letters) {
+        if !value.is_empty() && value.len() <= LONGEST_PREFIX && value.chars().all(letters) {
             return Some(value.clone());
         }
-        let allowed = format!("1 to {LONGEST_NAME} letters, digits, dots, hyphens or slashes");
+        let allowed = format!("1 to {LONGEST_PREFIX} letters, digits, dots, hyphens or slashes");
         self.fault(entry, format!("'{value}'"), allowed);
         None
     }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -67,8 +67,8 @@
         name: "name with a space",
         replace: "name = a1",
         by: "name = a 1",
-        fault: "file.ini:2: [node] name: found 'a 1'; allowed: 1 to 63 letters, digits, dots or \
-                hyphens",
+        fault: "file.ini:2: [node] name: found 'a 1'; allowed: 1 to 63 of a-z, 0-9 and `-`, \
+                starting with a letter or digit",
     },
     Case {
         name: "host name in place of an address",
