Test change log, claims, membership and ownership

Random histories under a fixed seed over calls and datagrams that are lost, late, doubled and out of order.

--- /dev/null
+++ b/tests/testsuite/control_change_log.rs
@@ -0,0 +1,317 @@
+//! The log of changes: proposals over a platform that loses, delays and
+//! doubles calls, and copies that hear of changes late and out of order.
+
+use std::sync::Arc;
+
+use geraniummount::core::change::{self, Change, Entry};
+use geraniummount::core::change_log::{ChangeLog, Delta};
+use geraniummount::core::contract::Contract;
+use geraniummount::core::leaf;
+use geraniummount::core::proposal::{Action, Append, Decision, Proposal, Slot, Write};
+use geraniummount::core::resource::{Kind, Resource};
+use geraniummount::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const PROPOSERS: usize = 3;
+const NAMES: [&str; 3] = ["ada", "bela", "csilla"];
+
+pub fn leaf_put(id: ChangeId, name: &str, port: u16, base: Generation) -> Change {
+    Change {
+        id,
+        kind: Kind::Leaf,
+        name: name.to_owned(),
+        base,
+        action: change::Action::Put(Resource::Leaf(Leaf {
+            name: name.to_owned(),
+            address: ([10, 0, 0, 1], port).into(),
+            failure_domain: "east".to_owned(),
+            contract: Contract {
+                slots: 2,
+                connections: 25,
+                open_ms: 6,
+            },
+            state: leaf::State::Serving,
+        })),
+    }
+}
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Whole,
+    LostOnTheWay,
+    ReplyLost,
+    Late,
+    Doubled,
+    GivenUp,
+}
+
+/// One step of a random history.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A proposer goes on, or starts a change.
+    Call(usize, Fate),
+    /// A late write lands.
+    Land(usize),
+    /// A copy is sent what another one has, now or some time later.
+    Tell { from: usize, to: usize },
+    /// An old delta arrives again.
+    Repeat { delta: usize, to: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        8 => Just(Fate::Whole),
+        1 => Just(Fate::LostOnTheWay),
+        1 => Just(Fate::ReplyLost),
+        1 => Just(Fate::Late),
+        1 => Just(Fate::Doubled),
+        1 => Just(Fate::GivenUp),
+    ];
+    prop_oneof![
+        8 => (0..PROPOSERS, fate).prop_map(|(vm, fate)| Step::Call(vm, fate)),
+        1 => any::<usize>().prop_map(Step::Land),
+        1 => (0..PROPOSERS, 0..PROPOSERS).prop_map(|(from, to)| Step::Tell { from, to }),
+        1 => (any::<usize>(), 0..PROPOSERS).prop_map(|(delta, to)| Step::Repeat { delta, to }),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    slots: Vec<Slot>,
+    late: Vec<Append>,
+    logs: [ChangeLog; PROPOSERS],
+    running: [Option<(ChangeId, Proposal, Action)>; PROPOSERS],
+    ended: Vec<(ChangeId, Decision)>,
+    deltas: Vec<Delta>,
+    next_id: ChangeId,
+}
+
+impl World {
+    fn slot(&mut self, revision: Revision) -> &mut Slot {
+        let empty = Slot {
+            version: 0,
+            entry: None,
+        };
+        let needed = revision as usize + 1;
+        if self.slots.len() < needed {
+            self.slots.resize(needed, empty);
+        }
+        &mut self.slots[revision as usize]
+    }
+
+    fn write(&mut self, append: &Append) -> Write {
+        let slot = self.slot(append.entry.revision);
+        if slot.version != append.version {
+            return Write::Mismatch;
+        }
+        slot.version += 1;
+        slot.entry = Some(append.entry.clone());
+        Write::Done
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Call(vm, fate) => self.call(vm, fate),
+            Step::Land(index) if !self.late.is_empty() => {
+                let append = self.late.swap_remove(index % self.late.len());
+                self.write(&append);
+            }
+            Step::Tell { from, to } => {
+                let delta = self.logs[from].since(self.logs[to].revision());
+                self.deltas.push(delta.clone());
+                self.merge(to, delta);
+            }
+            Step::Repeat { delta, to } if !self.deltas.is_empty() => {
+                let delta = self.deltas[delta % self.deltas.len()].clone();
+                self.merge(to, delta);
+            }
+            Step::Land(_) | Step::Repeat { .. } => {}
+        }
+    }
+
+    fn merge(&mut self, vm: usize, delta: Delta) {
+        let before = self.logs[vm].revision();
+        self.logs[vm].merge(delta);
+        assert!(self.logs[vm].revision() >= before, "a revision fell");
+    }
+
+    fn call(&mut self, vm: usize, fate: Fate) {
+        let Some((id, mut proposal, action)) = self.running[vm].take() else {
+            self.running[vm] = Some(self.start(vm));
+            return;
+        };
+        let next = match (action, fate) {
+            (Action::Done(decision), _) => {
+                self.ended.push((id, decision));
+                return;
+            }
+            (_, Fate::GivenUp) => {
+                self.ended.push((id, proposal.give_up()));
+                return;
+            }
+            (Action::Read(revision), Fate::LostOnTheWay | Fate::ReplyLost) => {
+                Action::Read(revision)
+            }
+            (Action::Read(revision), _) => {
+                let slot = self.slot(revision).clone();
+                if let Some(entry) = &slot.entry {
+                    self.logs[vm].learn(entry.clone());
+                }
+                proposal.slot_read(Some(slot))
+            }
+            (Action::Append(append), fate) => proposal.written(self.send(append, fate)),
+            (Action::CatchUp, _) => proposal.caught_up(None),
+        };
+        self.running[vm] = Some((id, proposal, next));
+    }
+
+    fn start(&mut self, vm: usize) -> (ChangeId, Proposal, Action) {
+        self.next_id += 1;
+        let id = self.next_id;
+        let name = NAMES[id as usize % NAMES.len()];
+        let catalog = self.logs[vm].catalog();
+        let base = catalog.generation(Kind::Leaf, name);
+        let change = leaf_put(id, name, 1_000 + id as u16, base);
+        let (proposal, action) = Proposal::start(change, Catalog::clone(catalog));
+        (id, proposal, action)
+    }
+
+    fn send(&mut self, append: Append, fate: Fate) -> Write {
+        match fate {
+            Fate::Whole | Fate::GivenUp => self.write(&append),
+            Fate::Doubled => {
+                let first = self.write(&append);
+                self.write(&append);
+                first
+            }
+            Fate::LostOnTheWay => Write::Unknown,
+            Fate::ReplyLost => {
+                self.write(&append);
+                Write::Unknown
+            }
+            Fate::Late => {
+                self.late.push(append);
+                Write::Unknown
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        for append in std::mem::take(&mut self.late) {
+            self.write(&append);
+        }
+        let entries: Vec<Entry> = self.slots.iter().filter_map(|s| s.entry.clone()).collect();
+        let mut history = vec![Catalog::default()];
+        for (index, entry) in entries.iter().enumerate() {
+            let mut catalog = history[index].clone();
+            let current = catalog.generation(Kind::Leaf, &entry.change.name);
+            assert_eq!(entry.revision, index as u64 + 1, "a hole in the log");
+            assert_eq!(entry.change.base, current, "a lost update");
+            catalog.apply(entry);
+            history.push(catalog);
+        }
+        for log in &self.logs {
+            let expected = &history[log.revision() as usize];
+            assert_eq!(&**log.catalog(), expected, "a copy differs from the log");
+        }
+        for (id, decision) in &self.ended {
+            let found: Vec<&Entry> = entries.iter().filter(|e| e.change.id == *id).collect();
+            match decision {
+                Decision::Accepted(entry) => assert_eq!(found, [entry], "accepted once"),
+                Decision::Undecided => assert!(found.len() <= 1, "doubled"),
+                Decision::Conflict { .. } | Decision::Invalid(_) | Decision::NotApplied => {
+                    assert!(found.is_empty(), "{decision:?}, but in the log");
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn accepted_changes_keep_their_order(steps in prop::collection::vec(step(), 1..200)) {
+        let mut world = World::default();
+        for step in steps {
+            world.step(step);
+        }
+        world.check();
+    }
+}
+
+#[test]
+fn a_race_has_one_winner() {
+    struct Case {
+        name: &'static str,
+        winner: &'static str,
+        loser: &'static str,
+        expected: fn(&Action) -> bool,
+    }
+    let cases = [
+        Case {
+            name: "same resource: refused with both generations",
+            winner: "ada",
+            loser: "ada",
+            expected: |action| {
+                let conflict = Decision::Conflict {
+                    expected: 0,
+                    actual: 1,
+                };
+                *action == Action::Done(conflict)
+            },
+        },
+        Case {
+            name: "another resource: goes on after the winner",
+            winner: "ada",
+            loser: "bela",
+            expected: |action| *action == Action::Read(2),
+        },
+    ];
+    for case in cases {
+        let winner = Entry {
+            revision: 1,
+            change: leaf_put(1, case.winner, 1_001, 0),
+        };
+        let change = leaf_put(2, case.loser, 1_002, 0);
+        let (mut proposal, first) = Proposal::start(change, Catalog::default());
+        assert_eq!(first, Action::Read(1), "{}", case.name);
+        let next = proposal.slot_read(Some(Slot {
+            version: 1,
+            entry: Some(winner),
+        }));
+        assert!((case.expected)(&next), "{}: {next:?}", case.name);
+    }
+}
+
+#[test]
+fn a_copy_that_lags_gets_entries_or_the_whole() {
+    let mut log = ChangeLog::default();
+    for revision in 1..=600 {
+        let base = log.catalog().generation(Kind::Leaf, "ada");
+        let change = leaf_put(revision, "ada", 1_000 + revision as u16, base);
+        assert!(log.learn(Entry { revision, change }));
+    }
+    for (since, entries, whole) in [(600, 0, false), (590, 10, false), (10, 0, true)] {
+        let delta = log.since(since);
+        assert_eq!(delta.entries.len(), entries, "since {since}");
+        assert_eq!(delta.catalog.is_some(), whole, "since {since}");
+    }
+    let mut newer = ChangeLog::default();
+    assert!(newer.merge(log.since(0)));
+    assert_eq!(newer.revision(), 600);
+    let old = Delta {
+        revision: 0,
+        catalog: Some(Arc::new(Catalog::default())),
+        entries: Vec::new(),
+    };
+    assert!(!newer.merge(old));
+    assert_eq!(newer.revision(), 600);
+}
--- /dev/null
+++ b/tests/testsuite/control_claims.rs
@@ -0,0 +1,252 @@
+//! Claims of idempotency keys over a platform that loses, delays and doubles
+//! writes: no key's request runs twice.
+
+use geraniummount::core::claims::{Action, Answer, CLOCK_MARGIN, Claim, Claims, WINDOW};
+use geraniummount::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const VMS: usize = 3;
+const KEYS: u128 = 3;
+const NOW_MS: u64 = 10_000_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Whole,
+    LostOnTheWay,
+    ReplyLost,
+    Late,
+    Doubled,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Claim(usize, u128),
+    GiveUp(usize),
+    Call(usize, Fate),
+    Land(usize),
+    /// A request that holds its key was certainly not run.
+    NotRun(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        6 => Just(Fate::Whole),
+        1 => Just(Fate::LostOnTheWay),
+        1 => Just(Fate::ReplyLost),
+        2 => Just(Fate::Late),
+        1 => Just(Fate::Doubled),
+    ];
+    prop_oneof![
+        4 => (0..VMS, 0..KEYS).prop_map(|(vm, key)| Step::Claim(vm, key)),
+        1 => (0..VMS).prop_map(Step::GiveUp),
+        8 => (0..VMS, fate).prop_map(|(vm, fate)| Step::Call(vm, fate)),
+        2 => any::<usize>().prop_map(Step::Land),
+        1 => (0..VMS).prop_map(Step::NotRun),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    version: u64,
+    value: Vec<Claim>,
+    late: Vec<(u64, Vec<Claim>)>,
+    vms: [Vm; VMS],
+    next_attempt: AttemptId,
+    executed: Vec<(u128, AttemptId)>,
+}
+
+#[derive(Default)]
+struct Vm {
+    claims: Claims,
+    waiting: Vec<(u128, AttemptId)>,
+    granted: Vec<(u128, AttemptId)>,
+    call: Option<Action>,
+}
+
+impl World {
+    fn write(&mut self, version: u64, claims: Vec<Claim>) -> bool {
+        let fits = self.version == version;
+        if fits {
+            self.version += 1;
+            self.value = claims;
+        }
+        fits
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Claim(vm, key) => {
+                self.next_attempt += 1;
+                let attempt = self.next_attempt;
+                let claim = Claim {
+                    key,
+                    attempt,
+                    at_ms: NOW_MS,
+                };
+                self.vms[vm].waiting.push((key, attempt));
+                assert_eq!(self.vms[vm].claims.claim(claim), None);
+            }
+            Step::GiveUp(vm) => {
+                if let Some((key, attempt)) = self.vms[vm].waiting.pop() {
+                    self.vms[vm].claims.release(key, attempt);
+                }
+            }
+            Step::NotRun(vm) => {
+                if let Some((key, attempt)) = self.vms[vm].granted.pop() {
+                    self.vms[vm].claims.release(key, attempt);
+                }
+            }
+            Step::Land(index) if !self.late.is_empty() => {
+                let (version, claims) = self.late.swap_remove(index % self.late.len());
+                self.write(version, claims);
+            }
+            Step::Land(_) => {}
+            Step::Call(vm, fate) => self.call(vm, fate),
+        }
+    }
+
+    fn call(&mut self, vm: usize, fate: Fate) {
+        match self.vms[vm].call.take() {
+            None => self.advance(vm),
+            Some(Action::Read) if matches!(fate, Fate::LostOnTheWay | Fate::ReplyLost) => {
+                self.vms[vm].claims.unsettled();
+            }
+            Some(Action::Read) => {
+                let claims = self.value.clone();
+                self.vms[vm].claims.read(self.version, claims);
+            }
+            Some(Action::Write { version, claims }) => {
+                let done = match fate {
+                    Fate::Whole => self.write(version, claims),
+                    Fate::Doubled => {
+                        let done = self.write(version, claims.clone());
+                        self.write(version, claims);
+                        done
+                    }
+                    Fate::LostOnTheWay => false,
+                    Fate::ReplyLost => {
+                        self.write(version, claims);
+                        false
+                    }
+                    Fate::Late => {
+                        self.late.push((version, claims));
+                        false
+                    }
+                };
+                let machine = &mut self.vms[vm].claims;
+                if done {
+                    machine.written(version + 1);
+                } else {
+                    machine.unsettled();
+                }
+            }
+            Some(Action::Answer(..)) => unreachable!("answers are no calls"),
+        }
+    }
+
+    fn advance(&mut self, vm: usize) {
+        let vm = &mut self.vms[vm];
+        for action in vm.claims.advance(NOW_MS) {
+            match action {
+                Action::Answer(attempt, answer) => {
+                    let place = vm.waiting.iter().position(|wait| wait.1 == attempt);
+                    let held = vm.waiting.swap_remove(place.expect("answered once"));
+                    if answer == Answer::Granted {
+                        vm.granted.push(held);
+                    }
+                }
+                call => vm.call = Some(call),
+            }
+        }
+        // Runs what was granted earlier, so that some can still be not run.
+        while vm.granted.len() > 1 {
+            self.executed.push(vm.granted.remove(0));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_runs_at_most_once(steps in prop::collection::vec(step(), 1..250)) {
+        let mut world = World::default();
+        for step in steps {
+            world.step(step);
+        }
+        for vm in &world.vms {
+            world.executed.extend(&vm.granted);
+        }
+        for key in 0..KEYS {
+            let runs = world.executed.iter().filter(|run| run.0 == key).count();
+            prop_assert!(runs <= 1, "key {key} ran {runs} times");
+        }
+    }
+}
+
+#[test]
+fn a_claim_ends_as_the_value_says() {
+    struct Case {
+        name: &'static str,
+        held: Option<(AttemptId, u64)>,
+        answer: Option<Answer>,
+    }
+    let kept_ms = (WINDOW + CLOCK_MARGIN).as_millis() as u64;
+    let cases = [
+        Case {
+            name: "free: has to be written",
+            held: None,
+            answer: None,
+        },
+        Case {
+            name: "held by the own attempt: its write took effect",
+            held: Some((7, NOW_MS)),
+            answer: Some(Answer::Granted),
+        },
+        Case {
+            name: "held by another attempt",
+            held: Some((8, NOW_MS)),
+            answer: Some(Answer::Duplicate),
+        },
+        Case {
+            name: "held by another attempt, within the window and the margin",
+            held: Some((8, NOW_MS - kept_ms + 1)),
+            answer: Some(Answer::Duplicate),
+        },
+        Case {
+            name: "held by another attempt beyond the window: has to be written",
+            held: Some((8, NOW_MS - kept_ms)),
+            answer: None,
+        },
+    ];
+    for case in cases {
+        let mut claims = Claims::default();
+        let wanted = Claim {
+            key: 1,
+            attempt: 7,
+            at_ms: NOW_MS,
+        };
+        assert_eq!(claims.claim(wanted), None, "{}", case.name);
+        assert_eq!(claims.advance(NOW_MS), [Action::Read], "{}", case.name);
+        let held = case.held.map(|(attempt, at_ms)| Claim {
+            key: 1,
+            attempt,
+            at_ms,
+        });
+        claims.read(4, held.into_iter().collect());
+        let expected = match case.answer {
+            Some(answer) => Action::Answer(7, answer),
+            None => Action::Write {
+                version: 4,
+                claims: vec![wanted],
+            },
+        };
+        assert_eq!(claims.advance(NOW_MS), [expected], "{}", case.name);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/control_membership.rs
@@ -0,0 +1,365 @@
+//! Membership over a network that loses, doubles and reorders datagrams.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::gossip::{Message, Source};
+use geraniummount::core::membership::{Action, Membership};
+use geraniummount::core::vm::State;
+use geraniummount::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const STEP: Duration = Duration::from_millis(10);
+const DOMAINS: [&str; 3] = ["east", "north", "west"];
+
+/// A datagram on its way.
+struct Flight {
+    at: Instant,
+    to: SocketAddr,
+    message: Message,
+}
+
+/// VMs in three failure domains between which datagrams go astray.
+struct Network {
+    now: Instant,
+    vms: Vec<Option<Membership>>,
+    flights: Vec<Flight>,
+    loss: f64,
+    rng: SmallRng,
+    frozen: Vec<usize>,
+    /// A failure domain that is cut off from the others.
+    cut: Option<&'static str>,
+}
+
+fn address(index: usize) -> SocketAddr {
+    ([10, 0, 0, 1], 7_000 + index as u16).into()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 7_000
+}
+
+fn domain_of(index: usize) -> &'static str {
+    DOMAINS[index % DOMAINS.len()]
+}
+
+impl Network {
+    fn new(count: usize, loss: f64, seed: u64) -> Network {
+        let mut network = Network {
+            now: Instant::now(),
+            vms: Vec::new(),
+            flights: Vec::new(),
+            loss,
+            rng: SmallRng::seed_from_u64(seed),
+            frozen: Vec::new(),
+            cut: None,
+        };
+        for _ in 0..count {
+            network.start();
+        }
+        network
+    }
+
+    fn start(&mut self) -> usize {
+        let index = self.vms.len();
+        let me = Vm {
+            name: format!("vm-{index}"),
+            failure_domain: domain_of(index).to_owned(),
+            peer_address: address(index),
+            incarnation: 1,
+            state: State::Live,
+            revision: 0,
+        };
+        let first_peers = vec![address(0), address(1)];
+        let membership = Membership::new(me, first_peers, index as u64, self.now);
+        self.vms.push(Some(membership));
+        index
+    }
+
+    fn vm(&mut self, index: usize) -> &mut Membership {
+        self.vms[index].as_mut().expect("a running VM")
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            for index in 0..self.vms.len() {
+                if self.frozen.contains(&index) {
+                    continue;
+                }
+                let now = self.now;
+                let Some(vm) = &mut self.vms[index] else {
+                    continue;
+                };
+                if vm.next_wake() <= now {
+                    let actions = vm.tick(now);
+                    self.perform(index, actions);
+                }
+            }
+        }
+    }
+
+    /// Runs until `wanted` holds; panics when it does not within `limit`.
+    fn run_until(&mut self, limit: Duration, what: &str, wanted: impl Fn(&Network) -> bool) {
+        let end = self.now + limit;
+        while !wanted(self) {
+            assert!(self.now < end, "not within {limit:?}: {what}");
+            self.run(STEP);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let frozen = self.frozen.clone();
+        let due = |flight: &mut Flight| flight.at <= now && !frozen.contains(&index_of(flight.to));
+        let due: Vec<Flight> = self.flights.extract_if(.., due).collect();
+        for flight in due {
+            let index = index_of(flight.to);
+            if let Some(vm) = &mut self.vms[index] {
+                let before = vm.me().revision;
+                let actions = vm.receive(flight.message, now);
+                assert!(vm.me().revision >= before);
+                self.perform(index, actions);
+            }
+        }
+    }
+
+    fn perform(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(from, to, message),
+                Action::Fetch(vm) => {
+                    let actions = self.vm(from).set_revision(vm.revision);
+                    self.perform(from, actions);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let (here, there) = (domain_of(from), domain_of(index_of(to)));
+        let is_cut = here != there && self.cut.is_some_and(|cut| cut == here || cut == there);
+        if is_cut || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.loss) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = Duration::from_millis(self.rng.random_range(1..30));
+            self.flights.push(Flight {
+                at: self.now + delay,
+                to,
+                message: message.clone(),
+            });
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Membership> {
+        self.vms.iter().flatten()
+    }
+
+    /// Whether every running VM holds exactly the running VMs of its failure
+    /// domain live, and some live VM of each other one.
+    fn agrees(&self) -> bool {
+        self.running().all(|vm| {
+            let known = vm.vms();
+            let live = |vm: &&Vm| vm.state == State::Live;
+            let expected = self
+                .running()
+                .filter(|other| other.me().failure_domain == vm.me().failure_domain);
+            let own = known
+                .iter()
+                .filter(|other| other.failure_domain == vm.me().failure_domain);
+            let own: Vec<&VmName> = own.filter(live).map(|other| &other.name).collect();
+            let mut expected: Vec<&VmName> = expected.map(|other| &other.me().name).collect();
+            expected.sort();
+            let reaches = |domain: &&str| {
+                known
+                    .iter()
+                    .any(|vm| vm.failure_domain == **domain && vm.state == State::Live)
+            };
+            own == expected && DOMAINS.iter().all(reaches)
+        })
+    }
+
+    /// What `index` holds of a VM.
+    fn state(&self, index: usize, of: &str) -> Option<State> {
+        let vm = self.vms[index].as_ref()?;
+        vm.vms()
+            .into_iter()
+            .find(|vm| vm.name == of)
+            .map(|vm| vm.state)
+    }
+}
+
+struct Case {
+    name: &'static str,
+    act: fn(&mut Network),
+    limit: Duration,
+    wanted: fn(&Network) -> bool,
+}
+
+fn lost_vms() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a killed VM is given up",
+            act: |network| network.vms[3] = None,
+            limit: Duration::from_secs(10),
+            wanted: |network| network.agrees() && network.state(0, "vm-3") == Some(State::Dead),
+        },
+        Case {
+            name: "a frozen VM is given up, and taken back when it wakes",
+            act: |network| {
+                network.frozen = vec![3];
+                let given_up = |network: &Network| network.state(0, "vm-3") == Some(State::Dead);
+                network.run_until(Duration::from_secs(10), "given up", given_up);
+                network.frozen.clear();
+            },
+            limit: Duration::from_secs(10),
+            wanted: Network::agrees,
+        },
+        Case {
+            name: "a leaving VM is known to leave at once",
+            act: |network| {
+                let actions = network.vm(3).announce_leaving();
+                network.perform(3, actions);
+            },
+            limit: Duration::from_secs(1),
+            wanted: |network| {
+                [0, 6]
+                    .iter()
+                    .all(|vm| network.state(*vm, "vm-3") == Some(State::Leaving))
+            },
+        },
+    ]
+}
+
+fn cuts() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a cut makes nobody spread a death, and heals",
+            act: |network| {
+                network.cut = Some("west");
+                network.run(Duration::from_secs(60));
+                for index in 0..9 {
+                    let vms = network.vm(index).vms();
+                    assert!(vms.iter().all(|vm| vm.state != State::Dead), "{vms:?}");
+                }
+                network.cut = None;
+            },
+            limit: Duration::from_secs(20),
+            wanted: Network::agrees,
+        },
+        Case {
+            name: "all VMs of a domain are replaced while it is cut off",
+            act: |network| {
+                network.cut = Some("west");
+                network.run(Duration::from_secs(5));
+                for old in [2, 5, 8] {
+                    network.vms[old] = None;
+                    while domain_of(network.vms.len()) != "west" {
+                        let extra = network.start();
+                        network.vms[extra] = None;
+                    }
+                    network.start();
+                    network.run(Duration::from_secs(2));
+                }
+                network.cut = None;
+            },
+            limit: Duration::from_secs(60),
+            wanted: Network::agrees,
+        },
+    ]
+}
+
+fn news() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a leaf that leaves is known everywhere, and so is its return",
+            act: |network| {
+                let actions = network.vm(0).note_leaf("leaf", Source::Leaf, true);
+                network.perform(0, actions);
+                let known =
+                    |network: &Network| network.running().all(|vm| !vm.draining().is_empty());
+                network.run_until(Duration::from_secs(3), "leaving", known);
+                let actions = network.vm(5).note_leaf("leaf", Source::Leaf, false);
+                network.perform(5, actions);
+            },
+            limit: Duration::from_secs(3),
+            wanted: |network| network.running().all(|vm| vm.draining().is_empty()),
+        },
+        Case {
+            name: "a new revision is known everywhere",
+            act: |network| {
+                let actions = network.vm(4).set_revision(7);
+                network.perform(4, actions);
+            },
+            limit: Duration::from_secs(2),
+            wanted: |network| network.running().all(|vm| vm.me().revision == 7),
+        },
+    ]
+}
+
+#[test]
+fn membership_follows_each_kind_of_change() {
+    for case in [lost_vms(), cuts(), news()].into_iter().flatten() {
+        let mut network = Network::new(9, 0.05, 11);
+        network.run_until(Duration::from_secs(10), case.name, Network::agrees);
+        (case.act)(&mut network);
+        network.run_until(case.limit, case.name, case.wanted);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn membership_agrees_once_the_faults_end(
+        seed in any::<u64>(),
+        loss in 0.0..0.3,
+        faults in prop::collection::vec((0..6u8, 2..9usize), 1..8),
+    ) {
+        let mut network = Network::new(9, loss, seed);
+        network.run(Duration::from_secs(3));
+        let mut revision = 0;
+        for (kind, vm) in faults {
+            match kind {
+                0 => network.vms[vm] = None,
+                1 => network.frozen = vec![vm],
+                2 => network.frozen.clear(),
+                3 => network.cut = Some(domain_of(vm)),
+                4 => network.cut = None,
+                _ => {
+                    revision += 1;
+                    let actions = network.vm(0).set_revision(revision);
+                    network.perform(0, actions);
+                }
+            }
+            network.run(Duration::from_secs(4));
+        }
+        network.frozen.clear();
+        network.cut = None;
+        network.loss = 0.01;
+        // Each failure domain that lost all its VMs gets a new one.
+        for _ in 0..3 {
+            network.start();
+        }
+        network.run_until(Duration::from_secs(90), "agreement", Network::agrees);
+        network.run_until(Duration::from_secs(5), "revision", |network| {
+            network.running().all(|vm| vm.me().revision == revision)
+        });
+    }
+}
--- /dev/null
+++ b/tests/testsuite/control_ownership.rs
@@ -0,0 +1,160 @@
+//! Who owns a leaf, and how many connections each VM may hold to it.
+
+use std::sync::Arc;
+
+use geraniummount::core::contract::Contract;
+use geraniummount::core::leaf;
+use geraniummount::core::ownership::{self, Route};
+use geraniummount::core::vm::State;
+use geraniummount::prelude::*;
+
+fn vm(name: &str, domain: &str, state: State) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        failure_domain: domain.to_owned(),
+        peer_address: ([10, 0, 0, 1], 7_000).into(),
+        incarnation: 1,
+        state,
+        revision: 0,
+    }
+}
+
+fn view(me: &str, vms: &[Vm]) -> View {
+    let own = vms.iter().find(|vm| vm.name == me).expect("own record");
+    View {
+        me: me.to_owned(),
+        failure_domain: own.failure_domain.clone(),
+        catalog: Arc::default(),
+        vms: vms.to_vec(),
+        draining: Vec::new(),
+        stopping: false,
+    }
+}
+
+fn leaf(name: &str) -> Leaf {
+    Leaf {
+        name: name.to_owned(),
+        address: ([10, 0, 0, 2], 80).into(),
+        failure_domain: "east".to_owned(),
+        contract: Contract {
+            slots: 2,
+            connections: 25,
+            open_ms: 6,
+        },
+        state: leaf::State::Serving,
+    }
+}
+
+/// The name that `me` routes a leaf to.
+fn owner(me: &str, vms: &[Vm], leaf: &Leaf) -> Option<VmName> {
+    match ownership::route(&view(me, vms), leaf) {
+        Route::Local => Some(me.to_owned()),
+        Route::Peer(vm) => Some(vm.name),
+        Route::Nowhere => None,
+    }
+}
+
+#[test]
+fn all_vms_agree_and_moves_are_few() {
+    let names = ["a", "b", "c", "d"];
+    let before: Vec<Vm> = names.map(|name| vm(name, "east", State::Live)).into();
+    let mut after = before.clone();
+    after[1].state = State::Leaving;
+    let mut owned = [0; 4];
+    for index in 0..400 {
+        let leaf = leaf(&format!("leaf-{index}"));
+        let owners = names.map(|me| owner(me, &before, &leaf));
+        assert!(owners.iter().all(|other| *other == owners[0]));
+        let first = owners[0].clone().expect("an owner");
+        owned[names.iter().position(|name| *name == first).expect("known")] += 1;
+        let next = owner("a", &after, &leaf);
+        if first == "b" {
+            assert_ne!(next.as_deref(), Some("b"));
+        } else {
+            assert_eq!(next, Some(first), "moved without need");
+        }
+    }
+    assert!(
+        owned.iter().all(|count| (60..=140).contains(count)),
+        "{owned:?}"
+    );
+}
+
+#[test]
+fn routes_by_what_is_known_of_the_domain() {
+    struct Case {
+        name: &'static str,
+        me: &'static str,
+        vms: Vec<Vm>,
+        expected: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "no VM known there",
+            me: "w",
+            vms: vec![vm("w", "west", State::Live)],
+            expected: None,
+        },
+        Case {
+            name: "a dead VM is none",
+            me: "w",
+            vms: vec![vm("e", "east", State::Dead), vm("w", "west", State::Live)],
+            expected: None,
+        },
+        Case {
+            name: "a suspect is better than none",
+            me: "w",
+            vms: vec![
+                vm("e", "east", State::Suspect),
+                vm("w", "west", State::Live),
+            ],
+            expected: Some("e"),
+        },
+        Case {
+            name: "the last of its domain finishes its own while it stops",
+            me: "e",
+            vms: vec![
+                vm("e", "east", State::Leaving),
+                vm("w", "west", State::Live),
+            ],
+            expected: Some("e"),
+        },
+        Case {
+            name: "one that stops hands over",
+            me: "e",
+            vms: vec![
+                vm("e", "east", State::Leaving),
+                vm("f", "east", State::Live),
+            ],
+            expected: Some("f"),
+        },
+    ];
+    for case in cases {
+        let found = owner(case.me, &case.vms, &leaf("one"));
+        assert_eq!(found.as_deref(), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn shares_stay_within_the_limit() {
+    for connections in [1, 2, 3, 25, 100] {
+        let contract = Contract {
+            slots: 2,
+            connections,
+            open_ms: 6,
+        };
+        let share = |rank| ownership::connection_share(&contract, rank);
+        assert_eq!((0..3).map(share).sum::<u16>(), connections);
+        assert!(share(0) > 0);
+        assert_eq!(share(3), 0);
+    }
+    let vms: Vec<Vm> = ["a", "b", "c", "d"]
+        .map(|name| vm(name, "east", State::Live))
+        .into();
+    let mut ranks: Vec<usize> = ["a", "b", "c", "d"]
+        .iter()
+        .filter_map(|me| ownership::rank(&view(me, &vms), &leaf("one")))
+        .collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, [0, 1, 2, 3]);
+}
