Read the gauges of leaves at each scrape

Cause: no part of the process set them, and each change of a queue is too often for a gauge that is read every few seconds.

Change: the operators' listener asks the process for its queues when it is scraped and replaces all gauges of leaves by them, so that a leaf that moved away leaves none behind.

--- a/src/geraniummount/edge/metrics/mod.rs
+++ b/src/geraniummount/edge/metrics/mod.rs
@@ -16,6 +16,7 @@
 pub use self::label::{Answer, Call, Ending, Try};
 
 use crate::core::vm;
+use crate::edge::leaf;
 use crate::prelude::*;
 
 /// Upper bounds of the buckets of times, in seconds.
@@ -50,16 +51,30 @@
 }
 
 /// State of a leaf's queue for the gauges.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Load {
+    /// The leaf.
+    pub leaf: LeafName,
     /// Parts that wait.
-    pub queued: usize,
+    pub queued: u32,
     /// Parts that the leaf is running.
-    pub busy: usize,
+    pub busy: u16,
     /// Parts that it may run at once now.
-    pub slots: usize,
+    pub slots: u16,
     /// Open connections.
-    pub connections: usize,
+    pub connections: u16,
+}
+
+impl From<&leaf::Dump> for Load {
+    fn from(dump: &leaf::Dump) -> Load {
+        Load {
+            leaf: dump.leaf.clone(),
+            queued: dump.queued,
+            busy: dump.busy,
+            slots: dump.slots,
+            connections: dump.connections,
+        }
+    }
 }
 
 impl Default for Metrics {
@@ -86,7 +101,7 @@
             failures: counters(
                 r,
                 "failures_total",
-                "Failed attempts",
+                "Requests that failed",
                 &["reason", "verdict"],
             ),
             dropped_replies: counters(r, "dropped_replies_total", "Replies not used", &["reason"]),
@@ -133,7 +148,7 @@
         self.coverage.with_label_values(&[service]).observe(ratio);
     }
 
-    /// Counts a failed attempt.
+    /// Counts a request that failed.
     pub fn failure(&self, failure: &Failure) {
         let labels = [failure.reason.as_str(), failure.verdict.as_str()];
         self.failures.with_label_values(&labels).inc();
@@ -150,29 +165,25 @@
         self.late_replies.inc();
     }
 
-    /// Sets the gauges of a leaf that this VM owns.
-    pub fn leaf(&self, leaf: &str, load: Load) {
-        let set = |gauges: &IntGaugeVec, value: usize| {
-            let value = i64::try_from(value).unwrap_or(i64::MAX);
-            gauges.with_label_values(&[leaf]).set(value);
-        };
-        set(&self.leaf_queue, load.queued);
-        set(&self.leaf_busy, load.busy);
-        set(&self.leaf_slots, load.slots);
-        set(&self.leaf_connections, load.connections);
-    }
-
-    /// Removes the gauges of a leaf that this VM holds no more.
-    pub fn leaf_gone(&self, leaf: &str) {
-        let all = [
+    /// Sets the gauges of the leaves that this VM owns, and drops all others.
+    pub fn leaves(&self, loads: impl IntoIterator<Item = Load>) {
+        let gauges = [
             &self.leaf_queue,
             &self.leaf_busy,
             &self.leaf_slots,
             &self.leaf_connections,
         ];
-        for gauges in all {
-            // A leaf without gauges is no error.
-            let _ = gauges.remove_label_values(&[leaf]);
+        gauges.iter().for_each(|gauge| gauge.reset());
+        for load in loads {
+            let values = [
+                i64::from(load.queued),
+                i64::from(load.busy),
+                i64::from(load.slots),
+                i64::from(load.connections),
+            ];
+            for (gauge, value) in gauges.iter().zip(values) {
+                gauge.with_label_values(&[&load.leaf]).set(value);
+            }
         }
     }
 
--- a/src/geraniummount/edge/operator/process.rs
+++ b/src/geraniummount/edge/operator/process.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::edge::metrics::Metrics;
+use crate::edge::metrics::{Load, Metrics};
 use crate::edge::registry::Registry;
 
 /// Writes a part of the process's state as JSON.
@@ -16,6 +16,8 @@
     pub registry: Registry,
     /// Counters.
     pub metrics: Metrics,
+    /// Queues of the leaves that this process owns, read at each scrape.
+    pub loads: Box<dyn Fn() -> Vec<Load> + Send + Sync>,
     /// What holds in the fleet, as far as this process knows.
     pub status: Source,
     /// Everything that this process holds.
--- a/src/geraniummount/edge/operator/server.rs
+++ b/src/geraniummount/edge/operator/server.rs
@@ -120,6 +120,7 @@
             Route::Status => Ok(Response::json(&(process.status)())),
             Route::State => Ok(Response::json(&(process.state)())),
             Route::Metrics => {
+                process.metrics.leaves((process.loads)());
                 let text = process.metrics.text();
                 Ok(Response::from_data("text/plain; version=0.0.4", text))
             }
--- a/tests/testsuite/operators_listener.rs
+++ b/tests/testsuite/operators_listener.rs
@@ -73,6 +73,7 @@
     Process {
         registry: Registry::new(log, LogStore::new(client), Box::new(learn)),
         metrics,
+        loads: Box::new(Vec::new),
         status: Box::new(|| json!({"revision": 0})),
         state: Box::new(
             || json!({"leaves": [{"leaf": "l1", "queued": 3}, {"leaf": "l2", "queued": 10}]}),
