Carry parts to the owners of their leaves over capnp-rpc

Calls between VMs run on two client threads and two server threads, whatever the number of peers: a thread a peer would grow with the fleet. A connection opens with the first call, from the own address. Pings find a silent connection within about 0.75 s while it is in use; one that was quiet for 0.6 s is proven before a part goes out on it, and replaced if it is silent. A part on a closed connection ends as may have run; one that still waited for a connection goes on the next. A dropped call cancels its part at the peer.

Interfaces: peer::Client (changes, status, holdings, dispatch, cancel) and peer::Server::start(listen, dispatcher, Hooks { changes, status }). Not proven by tests yet.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -65,7 +65,7 @@
   dispatch @0 (part :Part) -> (outcome :Outcome);
   cancel @1 (attempt :UInt64, leaf :Text) -> ();
   # Which snapshots the leaves of a service hold; answered from memory.
-  holdings @2 (service :Text, hopsLeft :UInt8) -> (holdings :List(Holding));
+  holdings @2 (service :Text, hopsLeft :UInt8, waitUs :UInt64) -> (holdings :List(Holding));
   # Accepted changes after a revision, as JSON; a whole catalog where the
   # entries are no longer at hand.
   changes @3 (since :UInt64) -> (revision :UInt64, catalog :Data, entries :List(Data));
--- a/schema/peer_capnp.rs
+++ b/schema/peer_capnp.rs
@@ -4732,6 +4732,10 @@
             pub fn get_hops_left(self) -> u8 {
                 self.reader.get_data_field::<u8>(0)
             }
+            #[inline]
+            pub fn get_wait_us(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -4740,7 +4744,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 1,
+                    data: 2,
                     pointers: 1,
                 };
         }
@@ -4863,6 +4867,14 @@
             pub fn set_hops_left(&mut self, value: u8) {
                 self.builder.set_data_field::<u8>(0, value);
             }
+            #[inline]
+            pub fn get_wait_us(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_wait_us(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -4877,38 +4889,45 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(122, 203, 205, 25, 174, 89, 86, 176),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(104, 111, 108, 100, 105, 110, 103, 115),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4926,11 +4945,20 @@
                 ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 105, 116, 85, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4949,9 +4977,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0xb056_59ae_19cd_cb7a;
         }
     }
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -11,15 +11,21 @@
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
+use futures::executor::block_on;
+use futures::future::join_all;
 
 use crate::core::ownership::{self, Route};
-use crate::edge::leaf;
+use crate::core::service::Shard;
 use crate::edge::pending::{Gauge, Pending};
+use crate::edge::{leaf, peer};
 use crate::prelude::*;
 use crate::util::published::Published;
 
 const STOPPING_RETRY: Duration = Duration::from_millis(100);
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
+/// Hops of a question for holdings: to another failure domain, and there to
+/// the owner.
+const ASKED_HOPS: u8 = 2;
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
 
 /// Told when a leaf says that it is leaving (`true`) or serves again.
@@ -62,6 +68,7 @@
 struct Shared {
     view: Arc<Published<View>>,
     leaves: leaf::Pool,
+    peers: peer::Client,
     gauge: Gauge,
     stopped: AtomicBool,
 }
@@ -75,6 +82,8 @@
     pub worker_threads: usize,
     /// Leaves that this VM holds queues of.
     pub leaves: Vec<leaf::Dump>,
+    /// Peers that this VM calls.
+    pub peers: Vec<peer::Dump>,
 }
 
 impl Dispatcher {
@@ -89,6 +98,7 @@
             shared: Arc::new(Shared {
                 view,
                 leaves,
+                peers: peer::Client::new(options.bind),
                 gauge: Gauge::default(),
                 stopped: AtomicBool::new(false),
             }),
@@ -109,6 +119,18 @@
         let leaf = &record.spec;
         match ownership::route(&view, leaf) {
             Route::Local => shared.leaves.submit(leaf, part, pending),
+            Route::Peer(vm) if part.hops_left > 0 => {
+                let part = Part {
+                    hops_left: part.hops_left - 1,
+                    ..part
+                };
+                shared.peers.dispatch(vm.peer_address, part, pending);
+            }
+            // Views differ for a moment while an owner changes; whoever may
+            // hold connections to the leaf serves the part.
+            Route::Peer(_) if has_share(&view, leaf) => {
+                shared.leaves.submit(leaf, part, pending);
+            }
             Route::Peer(_) | Route::Nowhere => {
                 pending.fail(Failure::not_run(Reason::NoOwner).retry_after(NO_OWNER_RETRY));
             }
@@ -118,19 +140,37 @@
     /// Gives up an attempt; its outcome still goes to its `reply`.
     pub fn cancel(&self, attempt: AttemptId, leaf: &LeafName) {
         self.shared.leaves.cancel(attempt, leaf);
+        let view = self.shared.view.get();
+        let Some(record) = view.catalog.leaf(leaf) else {
+            return;
+        };
+        if let Route::Peer(vm) = ownership::route(&view, &record.spec) {
+            self.shared.peers.cancel(vm.peer_address, attempt);
+        }
     }
 
     /// Asks the owners which snapshots the leaves of a service hold. Owners
     /// that do not answer within `wait` are left out.
     pub fn holdings(&self, service: &Service, wait: Duration) -> Vec<Holding> {
         let deadline = Instant::now() + wait;
-        loop {
-            let (holdings, whole) = self.local_holdings(service);
+        let asked = self.ask_owners(&service.name, ASKED_HOPS, wait);
+        let mut holdings = loop {
+            let (holdings, whole) = self.local_holdings(&service.name);
             if whole || Instant::now() >= deadline {
-                return holdings;
+                break holdings;
             }
             thread::sleep(HOLDINGS_PERIOD);
-        }
+        };
+        let answers = block_on(join_all(asked));
+        holdings.extend(answers.into_iter().flatten().flatten());
+        holdings.sort_unstable();
+        holdings.dedup();
+        holdings
+    }
+
+    /// Returns the client for calls to peers.
+    pub fn peers(&self) -> &peer::Client {
+        &self.shared.peers
     }
 
     /// Counts the parts that have no outcome yet.
@@ -150,28 +190,60 @@
             in_flight: self.in_flight(),
             worker_threads: self.shared.leaves.worker_threads(),
             leaves: self.shared.leaves.dump(),
+            peers: self.shared.peers.dump(),
         }
     }
 
+    /// Asks the owners that this VM knows for the leaves of a service. With
+    /// one hop left only those of the own failure domain are asked.
+    pub(super) fn ask_owners(
+        &self,
+        service: &str,
+        hops_left: u8,
+        wait: Duration,
+    ) -> Vec<oneshot::Receiver<Vec<Holding>>> {
+        let view = self.shared.view.get();
+        let Some(record) = view.catalog.service(service) else {
+            return Vec::new();
+        };
+        let mut owners = Vec::new();
+        for leaf in replicas(&view.catalog, &record.spec) {
+            let near = leaf.failure_domain == view.failure_domain;
+            if hops_left == 0 || (!near && hops_left < ASKED_HOPS) {
+                continue;
+            }
+            if let Route::Peer(vm) = ownership::route(&view, leaf) {
+                let hops = if near { 0 } else { hops_left - 1 };
+                owners.push((vm.peer_address, hops));
+            }
+        }
+        owners.sort_unstable();
+        owners.dedup();
+        let ask = |(address, hops)| {
+            self.shared
+                .peers
+                .holdings(address, &record.spec, hops, wait)
+        };
+        owners.into_iter().map(ask).collect()
+    }
+
     /// Returns what the leaves owned here hold of a service, and whether all
     /// of them have been asked.
-    fn local_holdings(&self, service: &Service) -> (Vec<Holding>, bool) {
+    pub(super) fn local_holdings(&self, service: &str) -> (Vec<Holding>, bool) {
         let view = self.shared.view.get();
+        let Some(record) = view.catalog.service(service) else {
+            return (Vec::new(), true);
+        };
+        let service = &record.spec;
         let mut holdings = Vec::new();
         let mut whole = true;
         for shard in &service.shards {
-            for name in &shard.replicas {
-                let Some(record) = view.catalog.leaf(name) else {
-                    continue;
-                };
-                if ownership::route(&view, &record.spec) != Route::Local {
-                    continue;
-                }
-                match self.shared.leaves.held(&record.spec, &shard.name) {
+            for leaf in owned(&view, shard) {
+                match self.shared.leaves.held(leaf, &shard.name) {
                     Some(snapshots) => holdings.push(Holding {
                         service: service.name.clone(),
                         shard: shard.name.clone(),
-                        leaf: name.clone(),
+                        leaf: leaf.name.clone(),
                         snapshots,
                     }),
                     None => whole = false,
@@ -181,3 +253,22 @@
         (holdings, whole)
     }
 }
+
+fn has_share(view: &View, leaf: &Leaf) -> bool {
+    let rank = ownership::rank(view, leaf);
+    rank.is_some_and(|rank| ownership::connection_share(&leaf.contract, rank) > 0)
+}
+
+fn replicas<'a>(catalog: &'a Catalog, service: &'a Service) -> impl Iterator<Item = &'a Leaf> {
+    let names = service.shards.iter().flat_map(|shard| &shard.replicas);
+    names.filter_map(|name| catalog.leaf(name).map(|record| &record.spec))
+}
+
+fn owned<'a>(view: &'a View, shard: &'a Shard) -> impl Iterator<Item = &'a Leaf> {
+    let records = shard
+        .replicas
+        .iter()
+        .filter_map(|name| view.catalog.leaf(name));
+    let leaves = records.map(|record| &record.spec);
+    leaves.filter(|leaf| ownership::route(view, leaf) == Route::Local)
+}
--- /dev/null
+++ b/src/geraniummount/edge/peer/client.rs
@@ -0,0 +1,220 @@
+//! Calls to all peers, from any thread.
+
+use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::{Arc, OnceLock, mpsc};
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use futures::executor::block_on;
+use futures::future::{FutureExt, LocalBoxFuture};
+
+use super::link::{Dump, Link};
+use super::{Changes, wire};
+use crate::edge::executor::{Executor, Spawner};
+use crate::edge::pending::Pending;
+use crate::prelude::*;
+
+/// Threads that carry calls; each peer stays on one of them.
+const THREADS: usize = 2;
+
+/// A link without use for so long is forgotten.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// Time for a peer to answer beyond the wait that it was asked for.
+const ANSWER_MARGIN: Duration = Duration::from_millis(50);
+
+const DUMP_WAIT: Duration = Duration::from_millis(100);
+
+/// Caller of all peers; clones share its connections.
+#[derive(Clone)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    from: IpAddr,
+    executors: [OnceLock<Option<Executor<Links>>>; THREADS],
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        let started = self.executors.iter().filter_map(OnceLock::get).flatten();
+        started.for_each(Executor::stop);
+    }
+}
+
+impl Client {
+    /// Makes a client whose connections come from an own address.
+    pub fn new(from: IpAddr) -> Client {
+        let shared = Shared {
+            from,
+            executors: [const { OnceLock::new() }; THREADS],
+        };
+        Client {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Sends a part to a peer.
+    pub fn dispatch(&self, to: SocketAddr, part: Part, pending: Pending) {
+        self.start(to, move |link| link.carry(part, pending).boxed_local());
+    }
+
+    /// Gives up an attempt at a peer.
+    pub fn cancel(&self, to: SocketAddr, attempt: AttemptId) {
+        self.start(to, move |link| {
+            link.cancel(attempt);
+            futures::future::ready(()).boxed_local()
+        });
+    }
+
+    /// Asks a peer what the leaves of a service hold; it answers within `wait`.
+    pub fn holdings(
+        &self,
+        to: SocketAddr,
+        service: &Service,
+        hops_left: u8,
+        wait: Duration,
+    ) -> oneshot::Receiver<Vec<Holding>> {
+        let service = service.name.clone();
+        self.ask(to, wait + ANSWER_MARGIN, move |client| {
+            let mut request = client.holdings_request();
+            request.get().set_service(service.as_str());
+            request.get().set_hops_left(hops_left);
+            request.get().set_wait_us(wait.as_micros() as u64);
+            let answer = request.send().promise;
+            async move {
+                let response = answer.await?;
+                let list = response.get()?.get_holdings()?;
+                list.iter().map(wire::read_holding).collect()
+            }
+        })
+    }
+
+    /// Asks a peer for the accepted changes after a revision.
+    pub fn changes(&self, to: SocketAddr, since: Revision, timeout: Duration) -> Option<Changes> {
+        let answer = self.ask(to, timeout, move |client| {
+            let mut request = client.changes_request();
+            request.get().set_since(since);
+            let answer = request.send().promise;
+            async move { Changes::read(answer.await?.get()?) }
+        });
+        block_on(answer).ok()
+    }
+
+    /// Asks a peer for its state and what it knows of others, as JSON.
+    pub fn status(&self, to: SocketAddr, timeout: Duration) -> Option<Vec<u8>> {
+        let answer = self.ask(to, timeout, move |client| {
+            let answer = client.status_request().send().promise;
+            async move { Ok(answer.await?.get()?.get_status()?.to_vec()) }
+        });
+        block_on(answer).ok()
+    }
+
+    /// Returns the state of the traffic to each peer.
+    pub fn dump(&self) -> Vec<Dump> {
+        let (sender, receiver) = mpsc::channel();
+        for executor in self
+            .shared
+            .executors
+            .iter()
+            .filter_map(OnceLock::get)
+            .flatten()
+        {
+            let sender = sender.clone();
+            executor.run(move |links, _| drop(sender.send(links.dump())));
+        }
+        drop(sender);
+        let mut dumps = Vec::new();
+        while let Ok(some) = receiver.recv_timeout(DUMP_WAIT) {
+            dumps.extend(some);
+        }
+        dumps.sort_by_key(|dump| dump.address);
+        dumps
+    }
+
+    /// Makes a call whose result comes over the channel; the channel closes
+    /// when the peer does not answer in time.
+    fn ask<T, F>(
+        &self,
+        to: SocketAddr,
+        limit: Duration,
+        call: impl FnOnce(&crate::peer_capnp::peer::Client) -> F + Send + 'static,
+    ) -> oneshot::Receiver<T>
+    where
+        T: Send + 'static,
+        F: Future<Output = capnp::Result<T>> + 'static,
+    {
+        let (sender, receiver) = oneshot::channel();
+        self.start(to, move |link| {
+            let answer = async move {
+                if let Some(result) = link.call(limit, call).await {
+                    drop(sender.send(result));
+                }
+            };
+            answer.boxed_local()
+        });
+        receiver
+    }
+
+    /// Starts a future on the peer's link.
+    fn start(
+        &self,
+        to: SocketAddr,
+        start: impl FnOnce(Rc<Link>) -> LocalBoxFuture<'static, ()> + Send + 'static,
+    ) {
+        let Some(executor) = self.executor(to) else {
+            return;
+        };
+        executor.run(move |links, spawner| {
+            let future = start(links.get(to, spawner));
+            drop(spawner.unbounded_send(future));
+        });
+    }
+
+    fn executor(&self, to: SocketAddr) -> Option<&Executor<Links>> {
+        let place = xxhash_rust::xxh3::xxh3_64(to.to_string().as_bytes()) as usize % THREADS;
+        let from = self.shared.from;
+        let slot = &self.shared.executors[place];
+        let executor = slot.get_or_init(|| {
+            let started = Executor::start("peer-client", move || Links::new(from));
+            let failed =
+                |error: &std::io::Error| log::error!("peer: can't start a thread: {error}");
+            started.inspect_err(failed).ok()
+        });
+        executor.as_ref()
+    }
+}
+
+/// The links of one thread, by address.
+struct Links {
+    from: IpAddr,
+    links: RefCell<Vec<Rc<Link>>>,
+}
+
+impl Links {
+    fn new(from: IpAddr) -> Links {
+        Links {
+            from,
+            links: RefCell::default(),
+        }
+    }
+
+    fn get(&self, to: SocketAddr, spawner: &Spawner) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        if let Ok(place) = links.binary_search_by_key(&to, |link| link.address()) {
+            return Rc::clone(&links[place]);
+        }
+        links.retain(|link| !link.is_unused(FORGET));
+        let place = links.partition_point(|link| link.address() < to);
+        let link = Link::new(self.from, to, spawner.clone());
+        links.insert(place, Rc::clone(&link));
+        link
+    }
+
+    fn dump(&self) -> Vec<Dump> {
+        self.links.borrow().iter().map(|link| link.dump()).collect()
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/peer/connection.rs
@@ -0,0 +1,230 @@
+//! One open connection to a peer, as its caller holds it.
+//!
+//! A connection is taken for closed as soon as it ends or a ping on it has no
+//! answer in time: something between the two ends may have lost track of it
+//! while new connections work.
+
+use std::cell::Cell;
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::channel::oneshot;
+use futures::future::{self, Either, FutureExt, Shared};
+use futures::io::{AsyncReadExt, BufReader, BufWriter};
+use socket2::{Domain, Socket, Type};
+
+use crate::peer_capnp::peer;
+
+/// Time after which a connection attempt is given up; a lost first packet is
+/// repeated only after a second, so that a second attempt comes sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+const CONNECT_ATTEMPTS: u32 = 3;
+
+/// A connection on which nothing was heard for so long is pinged.
+const PING_PERIOD: Duration = Duration::from_millis(250);
+
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection that was heard from so recently needs no proof.
+const TRUSTED_QUIET: Duration = Duration::from_millis(600);
+
+/// After the last use pings go on for so long.
+const PINGED_IDLE: Duration = Duration::from_secs(10);
+
+/// After the last use the connection is closed.
+const LONGEST_IDLE: Duration = Duration::from_secs(60);
+
+const PACKET_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Limit of one message in 8-byte words, as a guard against a broken peer.
+const MAX_MESSAGE_WORDS: usize = 8 * 1024 * 1024;
+
+/// An open connection.
+pub struct Connection {
+    client: peer::Client,
+    closed: Shared<oneshot::Receiver<()>>,
+    is_closed: Cell<bool>,
+    close: Cell<Option<oneshot::Sender<()>>>,
+    heard: Cell<Instant>,
+    used: Cell<Instant>,
+    round_trip: Cell<Duration>,
+}
+
+impl Connection {
+    /// Connects from an own address.
+    ///
+    /// Returns the connection and the future that has to be driven for it;
+    /// that future ends when the connection is closed.
+    pub async fn open(
+        from: IpAddr,
+        to: SocketAddr,
+    ) -> io::Result<(Rc<Connection>, impl Future<Output = ()> + 'static)> {
+        let mut failure = io::Error::from(io::ErrorKind::TimedOut);
+        for _ in 0..CONNECT_ATTEMPTS {
+            let started = Instant::now();
+            match timeout(CONNECT_TIMEOUT, connect(from, to)).await {
+                Some(Ok(stream)) => return Ok(Connection::start(stream, started)),
+                Some(Err(error)) => return Err(error),
+                None => failure = io::Error::from(io::ErrorKind::TimedOut),
+            }
+        }
+        Err(failure)
+    }
+
+    fn start(
+        stream: Async<TcpStream>,
+        started: Instant,
+    ) -> (Rc<Connection>, impl Future<Output = ()> + 'static) {
+        let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+        let (close, closed) = oneshot::channel();
+        let now = Instant::now();
+        let connection = Rc::new(Connection {
+            client: system.bootstrap(Side::Server),
+            closed: closed.shared(),
+            is_closed: Cell::new(false),
+            close: Cell::new(Some(close)),
+            heard: Cell::new(now),
+            used: Cell::new(now),
+            round_trip: Cell::new(now.saturating_duration_since(started)),
+        });
+        let driven = Rc::clone(&connection);
+        let drive = async move {
+            let ended = future::select(system, driven.closed.clone());
+            future::select(ended, Box::pin(driven.keep_proving())).await;
+            driven.close();
+        };
+        (connection, drive)
+    }
+
+    /// Returns the peer's interface for a call.
+    pub fn client(&self) -> &peer::Client {
+        self.used.set(Instant::now());
+        &self.client
+    }
+
+    /// Resolves when the connection is closed.
+    pub fn closed(&self) -> impl Future<Output = ()> + Unpin + use<> {
+        self.closed.clone().map(|_| ())
+    }
+
+    /// Whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
+    /// Closes the connection; calls that wait on it fail.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+        drop(self.close.take());
+    }
+
+    /// Notes that the peer answered a call.
+    pub fn note_heard(&self) {
+        self.heard.set(Instant::now());
+    }
+
+    /// Returns the usual time for a message to the peer and back.
+    pub fn round_trip(&self) -> Duration {
+        self.round_trip.get()
+    }
+
+    /// Makes sure that the peer still answers; closes the connection if not.
+    pub async fn prove(&self) -> bool {
+        if self.heard.get().elapsed() < TRUSTED_QUIET {
+            return !self.is_closed();
+        }
+        self.ping().await
+    }
+
+    async fn ping(&self) -> bool {
+        let sent = Instant::now();
+        let call = self.client.ping_request().send().promise;
+        let answered = matches!(timeout(PING_TIMEOUT, call).await, Some(Ok(_)));
+        if answered {
+            self.note_heard();
+            self.note_round_trip(sent.elapsed());
+        } else if self.heard.get() < sent {
+            self.close();
+        }
+        !self.is_closed()
+    }
+
+    /// Moves the estimate an eighth of the way to a new sample.
+    fn note_round_trip(&self, sample: Duration) {
+        let smoothed = self.round_trip.get() * 7 / 8 + sample / 8;
+        self.round_trip.set(smoothed);
+    }
+
+    async fn keep_proving(&self) {
+        while !self.is_closed() && self.used.get().elapsed() < LONGEST_IDLE {
+            let quiet = self.heard.get().elapsed();
+            let used_lately = self.used.get().elapsed() < PINGED_IDLE;
+            if quiet < PING_PERIOD {
+                Timer::after(PING_PERIOD - quiet).await;
+            } else if used_lately {
+                self.ping().await;
+            } else {
+                Timer::after(PING_PERIOD).await;
+            }
+        }
+    }
+}
+
+/// Wraps one end of a stream for capnp-rpc.
+pub fn network(
+    stream: Async<TcpStream>,
+    side: Side,
+) -> twoparty::VatNetwork<BufReader<impl futures::AsyncRead + Unpin + 'static>> {
+    let (reader, writer) = stream.split();
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    let reader = BufReader::with_capacity(PACKET_BUFFER_BYTES, reader);
+    let writer = BufWriter::with_capacity(PACKET_BUFFER_BYTES, writer);
+    twoparty::VatNetwork::new(reader, writer, side, options)
+}
+
+/// Waits for a future for a while at most.
+pub async fn timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let future = Box::pin(future);
+    match future::select(future, Timer::after(limit)).await {
+        Either::Left((value, _)) => Some(value),
+        Either::Right(_) => None,
+    }
+}
+
+/// Sets the options that both ends of a connection need.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)
+}
+
+async fn connect(from: IpAddr, to: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(from, 0).into())?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(error) if is_in_progress(&error) => {}
+        Err(error) => return Err(error),
+    }
+    let stream = TcpStream::from(socket);
+    prepare(&stream)?;
+    let stream = Async::new_nonblocking(stream)?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
+}
+
+/// `connect` on a non-blocking socket says that it goes on.
+fn is_in_progress(error: &io::Error) -> bool {
+    const EINPROGRESS: i32 = 115;
+    error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
+}
--- /dev/null
+++ b/src/geraniummount/edge/peer/link.rs
@@ -0,0 +1,339 @@
+//! All traffic of this VM to one peer.
+//!
+//! A connection opens with the first call and is replaced when it closes, so
+//! that calls that were not sent yet go on the new one. A part that was sent
+//! on a connection that closed ends as may have run.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures::channel::oneshot;
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
+
+use super::connection::{Connection, timeout};
+use super::wire;
+use crate::edge::executor::Spawner;
+use crate::edge::pending::Pending;
+use crate::peer_capnp::peer;
+use crate::prelude::*;
+
+/// Parts that one peer holds for this VM at most.
+const MAX_IN_FLIGHT: usize = 4096;
+
+/// Time without new attempts after a peer could not be reached.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+
+/// A peer's answer at the deadline tells more than none; it is waited for
+/// so long.
+const ANSWER_GRACE: Duration = Duration::from_millis(20);
+
+const CANCEL_GRACE: Duration = Duration::from_millis(100);
+
+/// Connections that are tried for a part before it is given up unsent.
+const CONNECTIONS_TRIED: u32 = 2;
+
+/// State of the traffic to one peer, for operators.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Dump {
+    /// Where the peer is.
+    pub address: SocketAddr,
+    /// Whether a connection is open.
+    pub connected: bool,
+    /// Connections opened so far.
+    pub opened: u64,
+    /// Parts at the peer.
+    pub in_flight: usize,
+    /// Usual time for a message to the peer and back in microseconds.
+    pub round_trip_us: u64,
+}
+
+/// Traffic to one peer.
+pub struct Link {
+    from: IpAddr,
+    to: SocketAddr,
+    spawner: Spawner,
+    state: RefCell<State>,
+    opened: Cell<u64>,
+    last_used: Cell<Instant>,
+    /// Cancellation of each part in flight, by attempt.
+    cancels: RefCell<Vec<(AttemptId, oneshot::Sender<()>)>>,
+}
+
+type Opening = Shared<LocalBoxFuture<'static, Option<Rc<Connection>>>>;
+
+enum State {
+    Closed,
+    Opening(Opening),
+    Open(Rc<Connection>),
+    Failed(Instant),
+}
+
+impl Link {
+    /// Makes a link without a connection.
+    pub fn new(from: IpAddr, to: SocketAddr, spawner: Spawner) -> Rc<Link> {
+        Rc::new(Link {
+            from,
+            to,
+            spawner,
+            state: RefCell::new(State::Closed),
+            opened: Cell::new(0),
+            last_used: Cell::new(Instant::now()),
+            cancels: RefCell::default(),
+        })
+    }
+
+    /// Returns where the peer is.
+    pub fn address(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// Whether nothing uses the link and nothing has for a while.
+    pub fn is_unused(&self, longer_than: Duration) -> bool {
+        self.cancels.borrow().is_empty() && self.last_used.get().elapsed() > longer_than
+    }
+
+    /// Carries a part to the peer and its outcome back.
+    pub async fn carry(self: Rc<Link>, part: Part, mut pending: Pending) {
+        let Some((_entry, mut cancelled)) = self.enter(part.attempt) else {
+            return pending.fail(Failure::not_run(Reason::QueueFull).retry_after(FAILED_PAUSE));
+        };
+        let mut late = Timer::at(part.deadline).fuse();
+        let connection = futures::select_biased! {
+            connection = Box::pin(self.ready()).fuse() => connection,
+            _ = late => return pending.fail(Failure::not_run(Reason::Deadline)),
+            _ = cancelled => return pending.fail(Failure::not_run(Reason::Cancelled)),
+        };
+        let Some(connection) = connection else {
+            let failure = Failure::not_run(Reason::ConnectFailed).retry_after(FAILED_PAUSE);
+            return pending.fail(failure);
+        };
+        let travel = connection.round_trip() / 2;
+        let left = part.deadline.saturating_duration_since(Instant::now());
+        let Some(remaining) = left.checked_sub(travel) else {
+            return pending.fail(Failure::not_run(Reason::Deadline));
+        };
+        pending.mark_sent();
+        match self
+            .exchange(&connection, &part, remaining, cancelled)
+            .await
+        {
+            Ok(outcome) => pending.answer(outcome),
+            Err(reason) => pending.fail(Failure::may_have_run(reason)),
+        }
+    }
+
+    /// Sends a part and waits for its outcome.
+    async fn exchange(
+        &self,
+        connection: &Connection,
+        part: &Part,
+        remaining: Duration,
+        mut cancelled: oneshot::Receiver<()>,
+    ) -> Result<Outcome, Reason> {
+        let mut request = connection.client().dispatch_request();
+        wire::write_part(part, remaining, request.get().init_part());
+        let mut answer = request.send().promise.fuse();
+        let mut closed = connection.closed().fuse();
+        let mut late = Timer::at(part.deadline + ANSWER_GRACE).fuse();
+        let mut reason = Reason::Deadline;
+        loop {
+            futures::select_biased! {
+                answer = answer => {
+                    let response = answer.map_err(|error| self.lost(&error))?;
+                    connection.note_heard();
+                    return self.read_outcome(part, &response);
+                }
+                () = closed => return Err(Reason::Unreachable),
+                _ = late => return Err(reason),
+                _ = cancelled => {
+                    reason = Reason::Cancelled;
+                    late = Timer::after(connection.round_trip() + CANCEL_GRACE).fuse();
+                    self.send_cancel(connection, part);
+                }
+            }
+        }
+    }
+
+    fn lost(&self, error: &capnp::Error) -> Reason {
+        log::debug!("peer: call to {} failed: {error}", self.to);
+        Reason::Unreachable
+    }
+
+    fn read_outcome(
+        &self,
+        part: &Part,
+        response: &capnp::capability::Response<peer::dispatch_results::Owned>,
+    ) -> Result<Outcome, Reason> {
+        let results = response.get().and_then(|results| results.get_outcome());
+        let outcome = results.and_then(wire::read_outcome);
+        let outcome = outcome.map_err(|error| self.lost(&error))?;
+        if outcome.attempt != part.attempt {
+            log::error!("peer: {} answered for another attempt", self.to);
+            return Err(Reason::ReplyMismatch);
+        }
+        Ok(outcome)
+    }
+
+    fn send_cancel(&self, connection: &Connection, part: &Part) {
+        let mut request = connection.client().cancel_request();
+        request.get().set_attempt(part.attempt);
+        request.get().set_leaf(part.leaf.as_str());
+        let answer = timeout(CANCEL_GRACE, request.send().promise);
+        let sent = self
+            .spawner
+            .unbounded_send(answer.map(|_| ()).boxed_local());
+        drop(sent);
+    }
+
+    /// Gives up a part; its outcome still comes.
+    pub fn cancel(&self, attempt: AttemptId) {
+        let mut cancels = self.cancels.borrow_mut();
+        if let Ok(place) = cancels.binary_search_by_key(&attempt, |entry| entry.0) {
+            let (dummy, _) = oneshot::channel();
+            let cancel = std::mem::replace(&mut cancels[place].1, dummy);
+            let _ = cancel.send(());
+        }
+    }
+
+    /// Makes another call within a time limit.
+    pub async fn call<T, F>(
+        self: Rc<Link>,
+        limit: Duration,
+        call: impl FnOnce(&peer::Client) -> F,
+    ) -> Option<T>
+    where
+        F: Future<Output = capnp::Result<T>>,
+    {
+        let whole = async {
+            let connection = self.ready().await?;
+            let result = call(connection.client()).await;
+            connection.note_heard();
+            result.map_err(|error| self.lost(&error)).ok()
+        };
+        timeout(limit, whole).await.flatten()
+    }
+
+    /// Returns the state for operators.
+    pub fn dump(&self) -> Dump {
+        let connection = match &*self.state.borrow() {
+            State::Open(connection) => Some(Rc::clone(connection)),
+            _ => None,
+        };
+        let connection = connection.filter(|connection| !connection.is_closed());
+        let round_trip = connection
+            .as_ref()
+            .map(|connection| connection.round_trip());
+        Dump {
+            address: self.to,
+            connected: connection.is_some(),
+            opened: self.opened.get(),
+            in_flight: self.cancels.borrow().len(),
+            round_trip_us: round_trip.map_or(0, |time| time.as_micros() as u64),
+        }
+    }
+
+    /// Returns a connection that was heard from just now, or a new one.
+    async fn ready(self: &Rc<Link>) -> Option<Rc<Connection>> {
+        for _ in 0..CONNECTIONS_TRIED {
+            let connection = self.connection().await?;
+            if connection.prove().await {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connection(self: &Rc<Link>) -> Option<Rc<Connection>> {
+        let opening = {
+            let mut state = self.state.borrow_mut();
+            match &*state {
+                State::Open(connection) if !connection.is_closed() => {
+                    return Some(Rc::clone(connection));
+                }
+                State::Failed(at) if at.elapsed() < FAILED_PAUSE => return None,
+                State::Opening(opening) => opening.clone(),
+                State::Closed | State::Failed(_) | State::Open(_) => {
+                    let opening = self.start_opening();
+                    *state = State::Opening(opening.clone());
+                    opening
+                }
+            }
+        };
+        opening.await
+    }
+
+    /// Opens a connection in a future of its own, whoever still waits for it.
+    fn start_opening(self: &Rc<Link>) -> Opening {
+        let (sender, receiver) = oneshot::channel();
+        let link = Rc::clone(self);
+        let open = async move {
+            let opened = Connection::open(link.from, link.to).await;
+            let connection = link.note_opened(opened);
+            drop(sender.send(connection));
+        };
+        drop(self.spawner.unbounded_send(open.boxed_local()));
+        receiver
+            .map(|opened| opened.ok().flatten())
+            .boxed_local()
+            .shared()
+    }
+
+    fn note_opened(
+        &self,
+        opened: std::io::Result<(Rc<Connection>, impl Future<Output = ()> + 'static)>,
+    ) -> Option<Rc<Connection>> {
+        let mut state = self.state.borrow_mut();
+        match opened {
+            Ok((connection, drive)) => {
+                log::debug!("peer: connected to {}", self.to);
+                drop(self.spawner.unbounded_send(drive.boxed_local()));
+                self.opened.set(self.opened.get() + 1);
+                *state = State::Open(Rc::clone(&connection));
+                Some(connection)
+            }
+            Err(error) => {
+                log::warn!("peer: no connection to {}: {error}", self.to);
+                *state = State::Failed(Instant::now());
+                None
+            }
+        }
+    }
+
+    /// Registers a part in flight; `None` when there are too many or it is
+    /// here already.
+    fn enter(self: &Rc<Link>, attempt: AttemptId) -> Option<(Entry, oneshot::Receiver<()>)> {
+        self.last_used.set(Instant::now());
+        let mut cancels = self.cancels.borrow_mut();
+        if cancels.len() >= MAX_IN_FLIGHT {
+            return None;
+        }
+        let place = cancels
+            .binary_search_by_key(&attempt, |entry| entry.0)
+            .err()?;
+        let (sender, receiver) = oneshot::channel();
+        cancels.insert(place, (attempt, sender));
+        let entry = Entry {
+            link: Rc::clone(self),
+            attempt,
+        };
+        Some((entry, receiver))
+    }
+}
+
+/// Registration of a part in flight.
+struct Entry {
+    link: Rc<Link>,
+    attempt: AttemptId,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let mut cancels = self.link.cancels.borrow_mut();
+        if let Ok(place) = cancels.binary_search_by_key(&self.attempt, |entry| entry.0) {
+            cancels.remove(place);
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/peer/server.rs
@@ -0,0 +1,129 @@
+//! Accepts peers' connections.
+
+use std::cell::Cell;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use futures::future::FutureExt;
+
+use super::connection::network;
+use super::service::Service;
+use super::{Hooks, connection};
+use crate::edge::dispatcher::Dispatcher;
+use crate::edge::executor::Executor;
+use crate::peer_capnp::peer;
+
+/// Threads that serve connections.
+const THREADS: usize = 2;
+
+/// Connections that one thread serves at most.
+const MAX_CONNECTIONS: usize = 4096;
+
+/// Pause after a failed accept, as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Server for peers; dropping it closes its connections.
+pub struct Server {
+    address: SocketAddr,
+    executors: Vec<Executor<Serving>>,
+}
+
+/// State of one thread.
+struct Serving {
+    service: Rc<Service>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Server {
+    /// Listens for peers and serves them.
+    pub fn start(listen: SocketAddr, dispatcher: &Dispatcher, hooks: Hooks) -> io::Result<Server> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let hooks = Arc::new(hooks);
+        let mut executors = Vec::new();
+        for _ in 0..THREADS {
+            let (dispatcher, hooks) = (dispatcher.clone(), Arc::clone(&hooks));
+            let init = move || Serving {
+                service: Rc::new(Service::new(dispatcher, hooks)),
+                open: Rc::default(),
+            };
+            executors.push(Executor::start("peer-server", init)?);
+        }
+        let others = executors.clone();
+        executors[0].run(move |_, spawner| {
+            drop(spawner.unbounded_send(accept(listener, others).boxed_local()));
+        });
+        Ok(Server { address, executors })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections.
+    pub fn stop(&self) {
+        self.executors.iter().for_each(Executor::stop);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+async fn accept(listener: TcpListener, executors: Vec<Executor<Serving>>) {
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => return log::error!("peer: can't listen: {error}"),
+    };
+    for executor in executors.iter().cycle() {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let Ok(stream) = stream.into_inner() else {
+                    continue;
+                };
+                executor.run(move |serving, spawner| {
+                    let future = serve(stream, Rc::clone(&serving.service), &serving.open);
+                    drop(spawner.unbounded_send(future.boxed_local()));
+                });
+            }
+            Err(error) => {
+                log::warn!("peer: accept failed: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    service: Rc<Service>,
+    open: &Rc<Cell<usize>>,
+) -> impl Future<Output = ()> + 'static {
+    let open = Rc::clone(open);
+    async move {
+        if open.get() >= MAX_CONNECTIONS {
+            return log::warn!("peer: too many connections, one is refused");
+        }
+        open.set(open.get() + 1);
+        if let Err(error) = connection::prepare(&stream) {
+            log::debug!("peer: connection lost at once: {error}");
+        } else if let Ok(stream) = Async::new(stream) {
+            let client: peer::Client = capnp_rpc::new_client_from_rc(service);
+            let system =
+                RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
+            if let Err(error) = system.await {
+                log::debug!("peer: connection ends: {error}");
+            }
+        }
+        open.set(open.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/peer/service.rs
@@ -0,0 +1,135 @@
+//! What this VM does for its peers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures::channel::oneshot;
+use futures::future::join_all;
+
+use super::{Hooks, wire};
+use crate::edge::dispatcher::{Dispatcher, ReplyTo};
+use crate::peer_capnp::peer;
+use crate::prelude::*;
+
+const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
+const LONGEST_HOLDINGS_WAIT: Duration = Duration::from_secs(10);
+
+/// Implementation of the peers' interface.
+pub struct Service {
+    dispatcher: Dispatcher,
+    hooks: Arc<Hooks>,
+}
+
+impl Service {
+    /// Serves peers from a dispatcher.
+    pub fn new(dispatcher: Dispatcher, hooks: Arc<Hooks>) -> Service {
+        Service { dispatcher, hooks }
+    }
+}
+
+/// Cancels a part when the peer is gone or wants it no longer: the call's
+/// future is then dropped before its end.
+struct Call {
+    dispatcher: Dispatcher,
+    attempt: AttemptId,
+    leaf: LeafName,
+    ended: bool,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.dispatcher.cancel(self.attempt, &self.leaf);
+        }
+    }
+}
+
+impl peer::Server for Service {
+    async fn dispatch(
+        self: Rc<Self>,
+        params: peer::DispatchParams,
+        mut results: peer::DispatchResults,
+    ) -> Result<(), capnp::Error> {
+        let part = wire::read_part(params.get()?.get_part()?, Instant::now())?;
+        let mut call = Call {
+            dispatcher: self.dispatcher.clone(),
+            attempt: part.attempt,
+            leaf: part.leaf.clone(),
+            ended: false,
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.dispatcher.dispatch(part, ReplyTo::Peer(sender));
+        let outcome = receiver.await;
+        call.ended = true;
+        let outcome = outcome.map_err(|_| capnp::Error::failed("no outcome".to_owned()))?;
+        wire::write_outcome(&outcome, results.get().init_outcome());
+        Ok(())
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: peer::CancelParams,
+        _results: peer::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let leaf = params.get_leaf()?.to_string()?;
+        self.dispatcher.cancel(params.get_attempt(), &leaf);
+        Ok(())
+    }
+
+    async fn holdings(
+        self: Rc<Self>,
+        params: peer::HoldingsParams,
+        mut results: peer::HoldingsResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let service = params.get_service()?.to_string()?;
+        let wait = Duration::from_micros(params.get_wait_us()).min(LONGEST_HOLDINGS_WAIT);
+        let deadline = Instant::now() + wait;
+        let relayed = self
+            .dispatcher
+            .ask_owners(&service, params.get_hops_left(), wait);
+        let mut holdings = loop {
+            let (holdings, whole) = self.dispatcher.local_holdings(&service);
+            if whole || Instant::now() >= deadline {
+                break holdings;
+            }
+            Timer::after(HOLDINGS_PERIOD).await;
+        };
+        holdings.extend(join_all(relayed).await.into_iter().flatten().flatten());
+        let mut list = results.get().init_holdings(holdings.len() as u32);
+        for (place, holding) in holdings.iter().enumerate() {
+            wire::write_holding(holding, list.reborrow().get(place as u32));
+        }
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: peer::ChangesParams,
+        mut results: peer::ChangesResults,
+    ) -> Result<(), capnp::Error> {
+        let changes = (self.hooks.changes)(params.get()?.get_since());
+        changes.write(results.get());
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _params: peer::StatusParams,
+        mut results: peer::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        results.get().set_status(&(self.hooks.status)());
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: peer::PingParams,
+        _results: peer::PingResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+}
