Prove the edge to peers behind the proxy

Entry and owner in one process, a proxy between, a stand-in leaf: replies to their own attempts, not-run read back against the leaf's log while the way breaks in six ways, recovery, silent connections, cancelling by the caller and by a lost connection, holdings, changes and status.

--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -153,9 +153,9 @@
     /// that do not answer within `wait` are left out.
     pub fn holdings(&self, service: &Service, wait: Duration) -> Vec<Holding> {
         let deadline = Instant::now() + wait;
-        let asked = self.ask_owners(&service.name, ASKED_HOPS, wait);
+        let asked = self.ask_owners(service, ASKED_HOPS, wait);
         let mut holdings = loop {
-            let (holdings, whole) = self.local_holdings(&service.name);
+            let (holdings, whole) = self.local_holdings(service);
             if whole || Instant::now() >= deadline {
                 break holdings;
             }
@@ -194,20 +194,23 @@
         }
     }
 
+    /// Returns a service of the configuration in force.
+    pub(super) fn service(&self, name: &str) -> Option<Service> {
+        let view = self.shared.view.get();
+        view.catalog.service(name).map(|record| record.spec.clone())
+    }
+
     /// Asks the owners that this VM knows for the leaves of a service. With
     /// one hop left only those of the own failure domain are asked.
     pub(super) fn ask_owners(
         &self,
-        service: &str,
+        service: &Service,
         hops_left: u8,
         wait: Duration,
     ) -> Vec<oneshot::Receiver<Vec<Holding>>> {
         let view = self.shared.view.get();
-        let Some(record) = view.catalog.service(service) else {
-            return Vec::new();
-        };
         let mut owners = Vec::new();
-        for leaf in replicas(&view.catalog, &record.spec) {
+        for leaf in replicas(&view.catalog, service) {
             let near = leaf.failure_domain == view.failure_domain;
             if hops_left == 0 || (!near && hops_left < ASKED_HOPS) {
                 continue;
@@ -219,22 +222,14 @@
         }
         owners.sort_unstable();
         owners.dedup();
-        let ask = |(address, hops)| {
-            self.shared
-                .peers
-                .holdings(address, &record.spec, hops, wait)
-        };
+        let ask = |(address, hops)| self.shared.peers.holdings(address, service, hops, wait);
         owners.into_iter().map(ask).collect()
     }
 
     /// Returns what the leaves owned here hold of a service, and whether all
     /// of them have been asked.
-    pub(super) fn local_holdings(&self, service: &str) -> (Vec<Holding>, bool) {
+    pub(super) fn local_holdings(&self, service: &Service) -> (Vec<Holding>, bool) {
         let view = self.shared.view.get();
-        let Some(record) = view.catalog.service(service) else {
-            return (Vec::new(), true);
-        };
-        let service = &record.spec;
         let mut holdings = Vec::new();
         let mut whole = true;
         for shard in &service.shards {
--- a/src/geraniummount/edge/peer/service.rs
+++ b/src/geraniummount/edge/peer/service.rs
@@ -85,7 +85,10 @@
         mut results: peer::HoldingsResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let service = params.get_service()?.to_string()?;
+        let name = params.get_service()?.to_str()?;
+        let Some(service) = self.dispatcher.service(name) else {
+            return Ok(());
+        };
         let wait = Duration::from_micros(params.get_wait_us()).min(LONGEST_HOLDINGS_WAIT);
         let deadline = Instant::now() + wait;
         let relayed = self
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod control_validation;
 mod leaf_edge;
 mod operators_listener;
+mod peer_edge;
 mod settings;
 mod stand_ins;
