Wire one process together: serve

Cause: the parts were there, but nothing started them as one process. Change: ops::serve starts control, claims, peers, callers and operators, and stops them in steps (tell the others, linger, finish, end); limits.linger_ms.

--- a/src/bin/geraniummount/commands/serve.rs
+++ b/src/bin/geraniummount/commands/serve.rs
@@ -5,6 +5,7 @@
 use error_stack::Report;
 use geraniummount::ops::check;
 use geraniummount::ops::exit::Exit;
+use geraniummount::ops::serve;
 
 const NOTES: &str = "\
 Example:
@@ -27,6 +28,6 @@
     pub fn exec(&self) -> Result<(), Report<Exit>> {
         let settings = check::load(&self.settings)?;
         geraniummount::ops::logs::start(settings.log.level);
-        Err(Report::new(Exit::Other).attach("serve is not wired up yet"))
+        serve::run(settings)
     }
 }
--- a/src/geraniummount/edge/operator/mod.rs
+++ b/src/geraniummount/edge/operator/mod.rs
@@ -13,6 +13,6 @@
 mod server;
 mod watches;
 
-pub use self::process::Process;
+pub use self::process::{Process, Source};
 pub use self::refusal::Refusal;
 pub use self::server::Server;
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -12,6 +12,7 @@
 pub mod output;
 pub mod query;
 pub mod remote;
+pub mod serve;
 pub mod settings;
 pub mod status;
 pub mod watch;
--- a/src/geraniummount/ops/settings/limits.rs
+++ b/src/geraniummount/ops/settings/limits.rs
@@ -10,6 +10,7 @@
 const DEFAULT_PEER_CALLS: u64 = 4096;
 const DEFAULT_BODY_READ_MS: u64 = 2_000;
 const DEFAULT_DRAIN_MS: u64 = 10_000;
+const DEFAULT_LINGER_MS: u64 = 2_000;
 
 /// Bounds on what the process holds at once.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +27,8 @@
     pub body_read: Duration,
     /// Time that a planned stop waits for the requests in flight.
     pub drain: Duration,
+    /// Time that a planned stop goes on taking requests after readiness fails.
+    pub linger: Duration,
 }
 
 impl Limits {
@@ -37,6 +40,7 @@
             "peer_calls",
             "body_read_ms",
             "drain_ms",
+            "linger_ms",
         ]);
         let max_body_bytes = section.count("max_body_bytes", DEFAULT_MAX_BODY_BYTES, 1..=1 << 20);
         let queries = section.count("queries", DEFAULT_QUERIES, 1..=100_000);
@@ -44,6 +48,7 @@
         let peer_calls = section.count("peer_calls", DEFAULT_PEER_CALLS, 1..=100_000);
         let body_read = section.millis("body_read_ms", DEFAULT_BODY_READ_MS, 10..=60_000);
         let drain = section.millis("drain_ms", DEFAULT_DRAIN_MS, 0..=600_000);
+        let linger = section.millis("linger_ms", DEFAULT_LINGER_MS, 0..=600_000);
         Some(Limits {
             max_body_bytes: max_body_bytes?,
             queries: queries?,
@@ -51,6 +56,7 @@
             peer_calls: peer_calls?,
             body_read: body_read?,
             drain: drain?,
+            linger: linger?,
         })
     }
 }
