--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -25,7 +25,7 @@
 use crate::core::change_log::Delta;
 use crate::edge::claims::Claims;
 use crate::edge::dispatcher::{self, Dispatcher};
-use crate::edge::metrics::Metrics;
+use crate::edge::metrics::{Load, Metrics};
 use crate::edge::{caller, operator, peer};
 use crate::ops::control::{self, Control, Fetch, Handle};
 use crate::ops::exit::Exit;
@@ -197,6 +197,7 @@
         metrics: metrics.clone(),
         status: status_source(handle),
         state: state_source(handle, dispatcher, callers),
+        loads: load_source(dispatcher),
         is_stopping: Box::new(move || view.get().stopping),
     };
     operator::Server::start(settings.operator.listen, process).map_err(|cause| {
@@ -215,6 +216,11 @@
     })
 }
 
+fn load_source(dispatcher: &Dispatcher) -> Box<dyn Fn() -> Vec<Load> + Send + Sync> {
+    let dispatcher = dispatcher.clone();
+    Box::new(move || dispatcher.dump().leaves.iter().map(Load::from).collect())
+}
+
 fn state_source(
     handle: &Handle,
     dispatcher: &Dispatcher,
