Serve callers by hyper in place of own HTTP code

Cause: the callers' edge read HTTP/1.1 with code of its own, against the house style (HTTP by library), and its promises were not tested. Ruled out: rouille, whose server reads heads without a limit, waits for bodies without a time limit, allocates what a refused request claims to have, and can't end a kept-alive connection between two requests. Change: hyper's HTTP/1 server on the thread of each connection; a planned stop ends each connection after the response in hand; a body has a time limit.

--- a/src/geraniummount/edge/caller/mod.rs
+++ b/src/geraniummount/edge/caller/mod.rs
@@ -12,14 +12,18 @@
 mod shared;
 mod survey;
 
+use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use self::http::Connection;
+use futures::channel::oneshot;
+use futures::future::FutureExt;
+
+use self::http::{Bounds, Stop};
 use self::serve::Handler;
 use self::shared::{Permit, Shared};
 use crate::core::traffic::Traffic;
@@ -29,6 +33,15 @@
 use crate::prelude::*;
 use crate::util::published::Published;
 
+/// Connections above the limit that are told so; more are closed at once.
+const REFUSALS: usize = 64;
+
+/// Time for the next request on a connection.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time for a request on a connection that is one too many.
+const REFUSED_LIMIT: Duration = Duration::from_secs(1);
+
 /// Stack of a connection's thread.
 const STACK_BYTES: usize = 512 * 1024;
 
@@ -49,10 +62,17 @@
     pub queries: usize,
     /// Longest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Time that a caller has to send a request.
+    /// Time that a caller has to send a request's body.
     pub read_limit: Duration,
 }
 
+impl Options {
+    /// Connections that are served at once.
+    fn connections(&self) -> usize {
+        self.queries + self.spare_connections
+    }
+}
+
 /// What the server needs of the rest of the process.
 pub struct Parts {
     /// What this VM knows.
@@ -69,7 +89,7 @@
 pub struct Server {
     shared: Arc<Shared>,
     address: SocketAddr,
-    connections: usize,
+    stop: Mutex<Option<oneshot::Sender<Infallible>>>,
 }
 
 impl Server {
@@ -77,7 +97,7 @@
     pub fn start(options: Options, parts: Parts) -> io::Result<Server> {
         let listener = TcpListener::bind(options.listen)?;
         let address = listener.local_addr()?;
-        let connections = options.queries + options.spare_connections;
+        let (stop, stopped) = oneshot::channel();
         let shared = Arc::new(Shared {
             options,
             view: parts.view,
@@ -86,7 +106,6 @@
             traffic: Mutex::new(Traffic::new(rand::random())),
             stopping: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
-            in_flight: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             used: Mutex::new(Vec::new()),
         });
@@ -94,8 +113,9 @@
             shared: Arc::clone(&shared),
             claims: parts.claims,
         };
+        let stopped = stopped.shared();
         spawn("caller-accept", move || {
-            accept(&listener, &handler, connections);
+            accept(&listener, &handler, &stopped)
         })?;
         let surveyed = Arc::clone(&shared);
         spawn("caller-survey", move || survey::in_background(&surveyed))?;
@@ -103,7 +123,7 @@
         Ok(Server {
             shared,
             address,
-            connections,
+            stop: Mutex::new(Some(stop)),
         })
     }
 
@@ -112,21 +132,25 @@
         self.address
     }
 
-    /// Returns the requests that were read and not yet answered.
-    pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::Acquire)
-    }
-
-    /// Reads no further request and waits for those in flight to be answered.
-    /// Returns whether all were before the time was over.
+    /// Reads no further request, waits for those in flight to be answered and
+    /// closes the connections. Returns whether all ended before the time was
+    /// over.
     pub fn stop(&self, wait: Duration) -> bool {
         self.shared.stopping.store(true, Ordering::Release);
+        let stop = self
+            .stop
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        drop(stop);
+        // Wakes the accepting thread.
         drop(TcpStream::connect_timeout(&self.address, STOP_STEP));
         let end = Instant::now() + wait;
-        while self.in_flight() > 0 && Instant::now() < end {
+        let open = || self.shared.connections.load(Ordering::Acquire);
+        while open() > 0 && Instant::now() < end {
             thread::sleep(STOP_STEP);
         }
-        self.in_flight() == 0
+        open() == 0
     }
 
     /// Returns the server's state for a dump.
@@ -134,8 +158,7 @@
         let count = |counter: &AtomicUsize| counter.load(Ordering::Acquire);
         serde_json::json!({
             "connections": count(&self.shared.connections),
-            "connections_limit": self.connections,
-            "in_flight": count(&self.shared.in_flight),
+            "connections_limit": self.shared.options.connections(),
             "queries_running": count(&self.shared.running),
             "queries_limit": self.shared.options.queries,
         })
@@ -148,14 +171,14 @@
     Ok(())
 }
 
-fn accept(listener: &TcpListener, handler: &Handler, connections: usize) {
+fn accept(listener: &TcpListener, handler: &Handler, stop: &Stop) {
     loop {
         let accepted = listener.accept();
         if handler.shared.stopping.load(Ordering::Acquire) {
             return;
         }
         match accepted {
-            Ok((stream, _)) => serve(stream, handler, connections),
+            Ok((stream, _)) => serve(stream, handler, stop),
             Err(error) => {
                 log::warn!("caller: can't accept a connection: {error}");
                 thread::sleep(ACCEPT_PAUSE);
@@ -164,17 +187,11 @@
     }
 }
 
-fn serve(stream: TcpStream, handler: &Handler, connections: usize) {
-    let handler = handler.clone();
+fn serve(stream: TcpStream, handler: &Handler, stop: &Stop) {
+    let (handler, stop) = (handler.clone(), stop.clone());
     let spawned = spawn("caller", move || {
-        let shared = Arc::clone(&handler.shared);
-        let permit = Permit::take(&shared.connections, connections);
-        let Ok(connection) = Connection::new(stream) else {
-            return;
-        };
-        match permit {
-            Some(_permit) => handler.serve(connection),
-            None => handler.refuse(connection),
+        if let Err(error) = serve_connection(stream, &handler, stop) {
+            log::debug!("caller: a connection was lost at once: {error}");
         }
     });
     if let Err(error) = spawned {
@@ -182,3 +199,25 @@
         thread::sleep(ACCEPT_PAUSE);
     }
 }
+
+/// Serves a connection. One above the limit is told so, one far above it is
+/// closed.
+fn serve_connection(stream: TcpStream, handler: &Handler, stop: Stop) -> io::Result<()> {
+    let options = &handler.shared.options;
+    let open = &handler.shared.connections;
+    let Some(_permit) = Permit::take(open, options.connections() + REFUSALS) else {
+        return Ok(());
+    };
+    let refuses = open.load(Ordering::Acquire) > options.connections();
+    let bounds = Bounds {
+        body_bytes: options.max_body_bytes,
+        body: options.read_limit,
+        head: if refuses { REFUSED_LIMIT } else { IDLE_LIMIT },
+    };
+    http::serve(stream, bounds, stop, |request, caller| {
+        if refuses {
+            return Some(handler.refuse());
+        }
+        handler.respond(request, caller)
+    })
+}
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -1,4 +1,4 @@
-//! Serves the requests of one connection, one after the other.
+//! Answers callers' requests.
 
 use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::ask::{self, Ask, Fault, Mode};
-use super::http::{Bounds, Connection, Ended, Request, Response};
+use super::http::{Caller, Request, Response};
 use super::response;
 use super::run::{Machine, Run};
 use super::shared::{Permit, Shared};
@@ -25,7 +25,7 @@
 /// Time to come back when this VM stops; the balancer then knows.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Serves callers' connections.
+/// Answers the requests of all connections.
 #[derive(Clone)]
 pub(super) struct Handler {
     /// What all connections share.
@@ -35,48 +35,18 @@
 }
 
 impl Handler {
-    /// Serves a connection until it ends.
-    pub(super) fn serve(&self, mut connection: Connection) {
-        let bounds = Bounds {
-            body_bytes: self.shared.options.max_body_bytes,
-            read: self.shared.options.read_limit,
+    /// Answers a request, or what was wrong with it; a panic costs that
+    /// request only. Returns `None` if its caller is gone.
+    pub(super) fn respond(
+        &self,
+        request: Result<Request, Fault>,
+        caller: &Caller,
+    ) -> Option<Response> {
+        let mut request = match request {
+            Ok(request) => request,
+            Err(fault) => return Some(self.invalid("", &fault, Instant::now())),
         };
-        loop {
-            let stops = || self.shared.stopping.load(Ordering::Acquire);
-            let read = connection.read(bounds, stops);
-            let _in_flight = Permit::take(&self.shared.in_flight, usize::MAX);
-            let (response, closes) = match read {
-                Ok(mut request) => {
-                    let closes = request.closes || stops();
-                    (self.respond(&mut request, &connection), closes)
-                }
-                Err(Ended::Closed) => return,
-                Err(Ended::Bad { status, reason }) => {
-                    let fault = Fault::new(status, reason);
-                    (Some(response::fault("", &fault)), true)
-                }
-            };
-            let Some(response) = response else {
-                return;
-            };
-            if connection.write(&response, closes).is_err() || closes {
-                return;
-            }
-        }
-    }
-
-    /// Answers a connection that is one too many.
-    pub(super) fn refuse(&self, mut connection: Connection) {
-        let failure = Failure::not_run(Reason::Shed).retry_after(FULL_RETRY_AFTER);
-        self.shared.metrics.failure(&failure);
-        let response = response::failure("", &failure);
-        // The caller may have gone; there is nobody else to tell.
-        drop(connection.write(&response, true));
-    }
-
-    /// Answers a request; a panic costs that request only.
-    fn respond(&self, http: &mut Request, connection: &Connection) -> Option<Response> {
-        let served = AssertUnwindSafe(|| self.route(http, connection));
+        let served = AssertUnwindSafe(|| self.route(&mut request, caller));
         panic::catch_unwind(served).unwrap_or_else(|_| {
             log::error!("caller: a request failed by a fault of this program; report it");
             let failure = Failure::may_have_run(Reason::LeafError);
@@ -87,7 +57,14 @@
         })
     }
 
-    fn route(&self, http: &mut Request, connection: &Connection) -> Option<Response> {
+    /// Refuses a request on a connection that is one too many.
+    pub(super) fn refuse(&self) -> Response {
+        let failure = Failure::not_run(Reason::Shed).retry_after(FULL_RETRY_AFTER);
+        self.shared.metrics.failure(&failure);
+        response::failure("", &failure)
+    }
+
+    fn route(&self, http: &mut Request, caller: &Caller) -> Option<Response> {
         if http.path == "/ready" {
             return Some(self.ready(http));
         }
@@ -101,7 +78,7 @@
             let fault = Fault::new(405, "method is not allowed here; use POST");
             return Some(response::fault("", &fault));
         }
-        self.query(&service, http, connection)
+        self.query(&service, http, caller)
     }
 
     fn ready(&self, http: &Request) -> Response {
@@ -124,12 +101,7 @@
         self.shared.stopping.load(Ordering::Acquire) || self.shared.view.get().stopping
     }
 
-    fn query(
-        &self,
-        service: &str,
-        http: &mut Request,
-        connection: &Connection,
-    ) -> Option<Response> {
+    fn query(&self, service: &str, http: &mut Request, caller: &Caller) -> Option<Response> {
         let started = Instant::now();
         let drawn = format!("r-{:016x}", rand::random::<u64>());
         let named = ask::read_request_id(http, drawn);
@@ -153,7 +125,7 @@
         };
         let mode = ask.mode.clone();
         match mode {
-            Mode::Query => self.fan_out(&ask, view, started, connection),
+            Mode::Query => self.fan_out(&ask, view, started, caller),
             Mode::Execution { shard, key } => {
                 Some(self.execute(&ask, &shard, key.as_deref(), view, started))
             }
@@ -165,14 +137,14 @@
         ask: &Ask,
         view: Arc<View>,
         started: Instant,
-        connection: &Connection,
+        caller: &Caller,
     ) -> Option<Response> {
         survey::before_query(&self.shared, &ask.layout, ask.time);
         let query = to_query(ask, started);
         let fan_out = FanOut::new(query, ask.layout.clone(), view, started);
         let mut machine = Machine::Query(Box::new(fan_out));
         let run = Run::new(&self.shared.dispatcher, &self.shared.traffic);
-        let end = run.to_end(&mut machine, || connection.is_gone());
+        let end = run.to_end(&mut machine, || caller.is_gone());
         let Machine::Query(fan_out) = machine else {
             return None;
         };
--- a/src/geraniummount/edge/caller/shared.rs
+++ b/src/geraniummount/edge/caller/shared.rs
@@ -27,8 +27,6 @@
     pub(super) stopping: AtomicBool,
     /// Open connections.
     pub(super) connections: AtomicUsize,
-    /// Requests that were read and not yet answered.
-    pub(super) in_flight: AtomicUsize,
     /// Queries that run now.
     pub(super) running: AtomicUsize,
     /// Services asked for, with the time of the last query.
--- /dev/null
+++ b/tests/testsuite/callers_listener.rs
@@ -0,0 +1,295 @@
+//! The callers' listener: bad requests, slow senders and a planned stop.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use geraniummount::ops::serve::Server;
+use geraniummount::ops::settings::Settings;
+use geraniummount_test_support::leaf::{Behaviour, Leaf};
+use geraniummount_test_support::platform::Platform;
+use serde_json::{Value, json};
+
+const PEER_PORT: u16 = 7001;
+
+/// Longest wait of a test for bytes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One VM over one leaf, in this process.
+struct Single {
+    server: Server,
+    _platform: Platform,
+    _leaf: Leaf,
+}
+
+impl Single {
+    fn start() -> Single {
+        let platform = Platform::start().unwrap();
+        let behaviour = Behaviour {
+            shards: vec!["desk/1".to_owned()],
+            ..Behaviour::default()
+        };
+        let leaf = Leaf::start("l1", behaviour, 1).unwrap();
+        let peer = own_address();
+        let text = format!(
+            "[node]\nname = a1\nfailure_domain = d1\npeer_listen = {peer}\n\
+             [caller]\nlisten = 127.0.0.1:0\n[operator]\nlisten = 127.0.0.1:0\n\
+             [platform]\naddress = {}\n\
+             [limits]\nmax_body_bytes = 1000\nbody_read_ms = 200\nlinger_ms = 0\n",
+            platform.address()
+        );
+        let server = Server::start(Settings::parse("a1.ini", &text).unwrap()).unwrap();
+        let contract = json!({"slots": 2, "connections": 25, "open_ms": 1});
+        let operators = server.operator_address();
+        let spec = json!({"name": "l1", "address": leaf.address(), "failure_domain": "d1",
+            "contract": contract});
+        put(operators, "leaf/l1", &spec);
+        let shards = json!([{"name": "1", "replicas": ["l1"]}]);
+        let spec = json!({"name": "desk", "shards": shards, "deadline_ms": 5000,
+            "max_deadline_ms": 20000});
+        put(operators, "service/desk", &spec);
+        Single {
+            server,
+            _platform: platform,
+            _leaf: leaf,
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.server.caller_address()).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+}
+
+/// An address that no other test uses, in this process or another.
+fn own_address() -> SocketAddr {
+    static USED: AtomicU8 = AtomicU8::new(0);
+    let pid = std::process::id();
+    let (high, low) = ((pid >> 8) as u8, pid as u8);
+    let network = 64 + USED.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, network, high, low.max(1)], PEER_PORT))
+}
+
+fn put(operators: SocketAddr, path: &str, spec: &Value) {
+    let body = spec.to_string();
+    let answer = exchange(
+        operators,
+        &request("PUT", &format!("/v1/resources/{path}"), "", &body),
+    );
+    assert_eq!(answer.status, 200, "{path}: {}", answer.body);
+}
+
+fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    head: String,
+    body: String,
+}
+
+fn exchange(to: SocketAddr, text: &str) -> Answer {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    read_answer(&mut stream)
+}
+
+fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        assert_eq!(stream.read(&mut byte).unwrap(), 1, "ended in {head:?}");
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let lower = head.to_lowercase();
+    let length = lower.split("content-length: ").nth(1).unwrap();
+    let length = length.split("\r\n").next().unwrap().parse().unwrap();
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    Answer {
+        status: head.split(' ').nth(1).unwrap().parse().unwrap(),
+        head: lower,
+        body: String::from_utf8(body).unwrap(),
+    }
+}
+
+/// A request that is refused before it runs.
+struct Refusal {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    headers: &'static str,
+    body: &'static str,
+    status: u16,
+    reason: &'static str,
+}
+
+const DESK: &str = "/v1/services/desk/query";
+
+const REFUSALS: &[Refusal] = &[
+    Refusal {
+        name: "unknown path",
+        method: "GET",
+        path: "/v1/desk",
+        headers: "",
+        body: "",
+        status: 404,
+        reason: "path is unknown",
+    },
+    Refusal {
+        name: "wrong method",
+        method: "GET",
+        path: DESK,
+        headers: "",
+        body: "",
+        status: 405,
+        reason: "use POST",
+    },
+    Refusal {
+        name: "unknown service",
+        method: "POST",
+        path: "/v1/services/dusk/query",
+        headers: "",
+        body: "{}",
+        status: 404,
+        reason: "dusk",
+    },
+    Refusal {
+        name: "malformed JSON",
+        method: "POST",
+        path: DESK,
+        headers: "",
+        body: "{\"q\":",
+        status: 400,
+        reason: "JSON",
+    },
+    Refusal {
+        name: "no deadline at all",
+        method: "POST",
+        path: DESK,
+        headers: "Deadline-Ms: 0\r\n",
+        body: "{}",
+        status: 400,
+        reason: "Deadline-Ms",
+    },
+    Refusal {
+        name: "deadline beyond the service's longest",
+        method: "POST",
+        path: DESK,
+        headers: "Deadline-Ms: 99999999\r\n",
+        body: "{}",
+        status: 400,
+        reason: "20000",
+    },
+    Refusal {
+        name: "deadline that is no number",
+        method: "POST",
+        path: DESK,
+        headers: "Deadline-Ms: soon\r\n",
+        body: "{}",
+        status: 400,
+        reason: "Deadline-Ms",
+    },
+    Refusal {
+        name: "not idempotent and no shard",
+        method: "POST",
+        path: DESK,
+        headers: "Idempotent: false\r\n",
+        body: "{}",
+        status: 400,
+        reason: "Shard",
+    },
+    Refusal {
+        name: "not idempotent at an unknown shard",
+        method: "POST",
+        path: DESK,
+        headers: "Idempotent: false\r\nShard: 9\r\n",
+        body: "{}",
+        status: 404,
+        reason: "9",
+    },
+    Refusal {
+        name: "idempotent neither true nor false",
+        method: "POST",
+        path: DESK,
+        headers: "Idempotent: perhaps\r\n",
+        body: "{}",
+        status: 400,
+        reason: "Idempotent",
+    },
+];
+
+#[test]
+fn callers_bad_requests_get_a_clear_refusal() {
+    let single = Single::start();
+    for case in REFUSALS {
+        let text = request(case.method, case.path, case.headers, case.body);
+        let answer = exchange(single.server.caller_address(), &text);
+        let name = case.name;
+        assert_eq!(answer.status, case.status, "{name}: {}", answer.body);
+        assert!(
+            answer.head.contains("verdict: not-run"),
+            "{name}: {}",
+            answer.head
+        );
+        let body: Value = serde_json::from_str(&answer.body).unwrap();
+        let reason = body["reason"].as_str().unwrap();
+        assert!(reason.contains(case.reason), "{name}: {reason}");
+        assert_eq!(body["verdict"], "not-run", "{name}");
+    }
+    assert!(single.server.stop());
+}
+
+#[test]
+fn callers_oversized_and_slow_bodies_do_not_hold_the_listener() {
+    let single = Single::start();
+    let head = format!("POST {DESK} HTTP/1.1\r\nHost: a\r\n");
+    let cases = [
+        ("too long", "Content-Length: 1001\r\n\r\n", 413),
+        (
+            "absurdly long",
+            "Content-Length: 99999999999999\r\n\r\n",
+            413,
+        ),
+        ("never whole", "Content-Length: 10\r\n\r\n{", 408),
+    ];
+    for (name, rest, status) in cases {
+        let mut stream = single.connect();
+        stream
+            .write_all(format!("{head}{rest}").as_bytes())
+            .unwrap();
+        let answer = read_answer(&mut stream);
+        assert_eq!(answer.status, status, "{name}: {}", answer.body);
+        assert!(answer.head.contains("verdict: not-run"), "{name}");
+        // The connection is of no more use.
+        assert_eq!(stream.read(&mut [0]).unwrap_or(0), 0, "{name}");
+    }
+    assert!(single.server.stop());
+}
+
+#[test]
+fn callers_connection_is_kept_and_ends_without_cutting_a_request() {
+    let single = Single::start();
+    let mut used = single.connect();
+    for number in 0..3 {
+        let id = format!("Request-Id: r{number}\r\n");
+        used.write_all(request("POST", DESK, &id, "{}").as_bytes())
+            .unwrap();
+        let answer = read_answer(&mut used);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        let body: Value = serde_json::from_str(&answer.body).unwrap();
+        assert_eq!(body["request_id"], format!("r{number}"));
+        assert_eq!(body["coverage"]["included"], json!(["1"]));
+    }
+    assert!(single.server.stop(), "an idle connection held up the stop");
+    assert_eq!(used.read(&mut [0]).unwrap(), 0);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests.
 
 mod bad_input;
+mod callers_listener;
 mod command_line;
 mod control_change_log;
 mod control_claims;
