Let each limit in the settings have an effect

Cause: leaf_queue and peer_calls were read and never used, and a leaf's reply had the limit of a caller's request (64 KiB), so that a longer page would always have counted as not whole. Change: the two keys are gone; max_reply_bytes (4 MiB) limits replies.

--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -56,7 +56,7 @@
     /// Address that connections to peers come from.
     pub bind: IpAddr,
     /// Longest reply body of a leaf in bytes.
-    pub max_body_bytes: usize,
+    pub max_reply_bytes: usize,
 }
 
 /// Entry to the leaves of the whole fleet; clones share one state.
@@ -93,7 +93,7 @@
         view: Arc<Published<View>>,
         draining: DrainingNotice,
     ) -> Dispatcher {
-        let leaves = leaf::Pool::new(Arc::clone(&view), draining, options.max_body_bytes);
+        let leaves = leaf::Pool::new(Arc::clone(&view), draining, options.max_reply_bytes);
         Dispatcher {
             shared: Arc::new(Shared {
                 view,
--- a/src/geraniummount/edge/leaf/exchange.rs
+++ b/src/geraniummount/edge/leaf/exchange.rs
@@ -22,7 +22,7 @@
 ///
 /// A connection that did not end in [`Ending::Replied`], [`Ending::Shed`] or
 /// [`Ending::NotHeld`] must not be used again.
-pub fn run(connection: &Connection, part: &Part, max_body_bytes: u64) -> Ending {
+pub fn run(connection: &Connection, part: &Part, max_reply_bytes: u64) -> Ending {
     let remaining = part.deadline.saturating_duration_since(Instant::now());
     if remaining.is_zero() {
         return Ending::NotSent(Reason::Deadline);
@@ -30,7 +30,7 @@
     connection.begin();
     let sent = request(connection, part, remaining).send(&part.body[..]);
     match sent {
-        Ok(response) => read_reply(part, response, max_body_bytes),
+        Ok(response) => read_reply(part, response, max_reply_bytes),
         Err(error) => failed(connection, &error),
     }
 }
@@ -98,8 +98,8 @@
     }
 }
 
-fn read_reply(part: &Part, mut response: Response<Body>, max_body_bytes: u64) -> Ending {
-    let body = match read_body(&mut response, max_body_bytes) {
+fn read_reply(part: &Part, mut response: Response<Body>, max_reply_bytes: u64) -> Ending {
+    let body = match read_body(&mut response, max_reply_bytes) {
         Ok(body) => body,
         Err(Error::Timeout(_)) => return Ending::TimedOut,
         Err(_) => return Ending::Lost(Reason::Truncated),
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -38,7 +38,7 @@
 pub(super) struct Shared {
     pub(super) view: Arc<Published<View>>,
     pub(super) draining: DrainingNotice,
-    pub(super) max_body_bytes: u64,
+    pub(super) max_reply_bytes: u64,
     pub(super) workers: Workers,
     tasks: RwLock<Vec<Entry>>,
 }
@@ -59,12 +59,12 @@
     pub fn new(
         view: Arc<Published<View>>,
         draining: DrainingNotice,
-        max_body_bytes: usize,
+        max_reply_bytes: usize,
     ) -> Pool {
         let shared = Shared {
             view,
             draining,
-            max_body_bytes: max_body_bytes as u64,
+            max_reply_bytes: max_reply_bytes as u64,
             workers: Workers::default(),
             tasks: RwLock::default(),
         };
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -221,7 +221,7 @@
         };
         let attempt = part.attempt;
         let agent = held.connection.agent.clone();
-        let limit = self.max_body_bytes();
+        let limit = self.max_reply_bytes();
         let job = move |sender: &SyncSender<Event>| {
             let (ending, held) = carry(held, &part, limit);
             drop(sender.send(Event::Ended(part.attempt, ending, held)));
@@ -365,9 +365,9 @@
             .binary_search_by_key(&attempt, Pending::attempt)
     }
 
-    fn max_body_bytes(&self) -> u64 {
+    fn max_reply_bytes(&self) -> u64 {
         let pool = self.pool.upgrade();
-        pool.map_or(0, |pool| pool.max_body_bytes)
+        pool.map_or(0, |pool| pool.max_reply_bytes)
     }
 
     fn dump(&self) -> Dump {
@@ -400,11 +400,11 @@
 /// Sends a part on a connection, proven before where needed. A failed proof
 /// closes the connection, and the part opens a new one. Returns the connection
 /// if it can be used again.
-fn carry(held: Held, part: &Part, max_body_bytes: u64) -> (Ending, Option<Held>) {
+fn carry(held: Held, part: &Part, max_reply_bytes: u64) -> (Ending, Option<Held>) {
     if held.needs_proof {
         exchange::probe(&held.connection, PROOF_TIMEOUT);
     }
-    let ending = exchange::run(&held.connection, part, max_body_bytes);
+    let ending = exchange::run(&held.connection, part, max_reply_bytes);
     let whole = match &ending {
         Ending::Replied { echo, .. } => *echo == Some(part.attempt),
         Ending::Shed { .. } | Ending::NotHeld { .. } => true,
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -129,7 +129,7 @@
 fn start_dispatcher(settings: &Settings, handle: &Handle) -> Dispatcher {
     let options = dispatcher::Options {
         bind: settings.node.peer_listen.ip(),
-        max_body_bytes: settings.limits.max_body_bytes,
+        max_reply_bytes: settings.limits.max_reply_bytes,
     };
     let control = handle.clone();
     let notice = move |leaf: &LeafName, draining: bool| control.leaf_draining(leaf, draining);
--- a/src/geraniummount/ops/settings/limits.rs
+++ b/src/geraniummount/ops/settings/limits.rs
@@ -6,8 +6,8 @@
 
 const DEFAULT_MAX_BODY_BYTES: u64 = 64 * 1024;
 const DEFAULT_QUERIES: u64 = 512;
-const DEFAULT_LEAF_QUEUE: u64 = 256;
-const DEFAULT_PEER_CALLS: u64 = 4096;
+const DEFAULT_MAX_REPLY_BYTES: u64 = 4 * 1024 * 1024;
+const MOST_REPLY_BYTES: u64 = 32 * 1024 * 1024;
 const DEFAULT_BODY_READ_MS: u64 = 2_000;
 const DEFAULT_DRAIN_MS: u64 = 10_000;
 const DEFAULT_LINGER_MS: u64 = 2_000;
@@ -17,12 +17,10 @@
 pub struct Limits {
     /// Longest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Longest reply of a leaf, in bytes; a longer one counts as not whole.
+    pub max_reply_bytes: usize,
     /// Queries that this process runs at once; more are refused.
     pub queries: usize,
-    /// Parts that wait for one leaf; more are refused.
-    pub leaf_queue: usize,
-    /// Calls that wait for one peer; more are refused.
-    pub peer_calls: usize,
     /// Time that a caller has to send its request's body.
     pub body_read: Duration,
     /// Time that a planned stop waits for the requests in flight.
@@ -35,25 +33,26 @@
     pub(super) fn read(section: &mut Section<'_>) -> Option<Limits> {
         section.allow(&[
             "max_body_bytes",
+            "max_reply_bytes",
             "queries",
-            "leaf_queue",
-            "peer_calls",
             "body_read_ms",
             "drain_ms",
             "linger_ms",
         ]);
         let max_body_bytes = section.count("max_body_bytes", DEFAULT_MAX_BODY_BYTES, 1..=1 << 20);
+        let max_reply_bytes = section.count(
+            "max_reply_bytes",
+            DEFAULT_MAX_REPLY_BYTES,
+            1..=MOST_REPLY_BYTES,
+        );
         let queries = section.count("queries", DEFAULT_QUERIES, 1..=100_000);
-        let leaf_queue = section.count("leaf_queue", DEFAULT_LEAF_QUEUE, 1..=100_000);
-        let peer_calls = section.count("peer_calls", DEFAULT_PEER_CALLS, 1..=100_000);
         let body_read = section.millis("body_read_ms", DEFAULT_BODY_READ_MS, 10..=60_000);
         let drain = section.millis("drain_ms", DEFAULT_DRAIN_MS, 0..=600_000);
         let linger = section.millis("linger_ms", DEFAULT_LINGER_MS, 0..=600_000);
         Some(Limits {
             max_body_bytes: max_body_bytes?,
+            max_reply_bytes: max_reply_bytes?,
             queries: queries?,
-            leaf_queue: leaf_queue?,
-            peer_calls: peer_calls?,
             body_read: body_read?,
             drain: drain?,
             linger: linger?,
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -53,7 +53,7 @@
         let notice = Box::new(move |_: &LeafName, draining| heard.lock().unwrap().push(draining));
         let options = Options {
             bind: IpAddr::V4(Ipv4Addr::LOCALHOST),
-            max_body_bytes: 64 * 1024,
+            max_reply_bytes: 64 * 1024,
         };
         Bench {
             dispatcher: Dispatcher::new(options, Arc::clone(&view), notice),
--- a/tests/testsuite/peer_edge.rs
+++ b/tests/testsuite/peer_edge.rs
@@ -42,7 +42,7 @@
         let view = Arc::new(Published::new(view));
         let options = Options {
             bind: ip,
-            max_body_bytes: 64 * 1024,
+            max_reply_bytes: 64 * 1024,
         };
         let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _| {}));
         let mut node = Node {
