Heal members that miss news, and measure membership

Ruled out: more news a datagram, which costs in every datagram. Change: probes and answers carry a digest of the members; after four different ones in a row all members are asked for. With that healing, one random sample a datagram does in place of two, and VMs of other domains are probed every second period.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,257 @@
+//! What membership costs a VM, by the number of members of its failure domain.
+//!
+//! Drives `core::membership` and the datagrams' codec in one thread over a
+//! simple queue, without loss, in a fleet of ten failure domains of which one
+//! is measured. Prints a table; the slopes stand in docs/CAPACITY.md. Fails
+//! where a VM's bytes or processor time pass its share for control.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::membership::{Action, Membership};
+use geraniummount::core::vm::State;
+use geraniummount::edge::gossip;
+use geraniummount::prelude::*;
+
+const SIZES: [usize; 4] = [10, 30, 100, 300];
+/// VMs of each of the other failure domains.
+const OTHERS: [usize; 9] = [3; 9];
+const WARM_UP: Duration = Duration::from_secs(60);
+const MEASURED: Duration = Duration::from_secs(240);
+/// One VM of the measured failure domain is replaced this often; at the target
+/// it is one in 230 seconds.
+const REPLACE_EVERY: Duration = Duration::from_secs(60);
+/// IP and UDP headers of a datagram.
+const HEADER_BYTES: usize = 28;
+const STEP: Duration = Duration::from_millis(5);
+/// A VM's share for control, as the target states it.
+const MAX_BYTES_PER_SECOND: f64 = 4_096.0;
+const MAX_CORE_SHARE: f64 = 0.011;
+
+struct Node {
+    membership: Membership,
+    measured: bool,
+}
+
+#[derive(Default)]
+struct Count {
+    datagrams: u64,
+    sent_bytes: u64,
+    received_bytes: u64,
+    busy: Duration,
+}
+
+struct Fleet {
+    now: Instant,
+    nodes: Vec<Option<Node>>,
+    queue: VecDeque<(usize, Vec<u8>)>,
+    count: Count,
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [high, low] = (index as u16).to_be_bytes();
+    ([10, 0, high, low], 7_000).into()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            usize::from(u16::from_be_bytes([high, low]))
+        }
+        SocketAddr::V6(_) => unreachable!("only IPv4 is used"),
+    }
+}
+
+impl Fleet {
+    fn start(members: usize) -> Fleet {
+        let mut fleet = Fleet {
+            now: Instant::now(),
+            nodes: Vec::new(),
+            queue: VecDeque::new(),
+            count: Count::default(),
+        };
+        for _ in 0..members {
+            fleet.add("domain-0".to_owned(), true);
+        }
+        for (index, vms) in OTHERS.into_iter().enumerate() {
+            for _ in 0..vms {
+                fleet.add(format!("domain-{}", index + 1), false);
+            }
+        }
+        fleet
+    }
+
+    fn add(&mut self, failure_domain: DomainName, measured: bool) {
+        let index = self.nodes.len();
+        let me = Vm {
+            name: format!("{failure_domain}-{index}"),
+            failure_domain,
+            peer_address: address(index),
+            incarnation: 1_765_000_000_000,
+            state: State::Live,
+            revision: 1,
+        };
+        let first_peers = vec![address(0), address(1), address(2)];
+        let membership = Membership::new(me, first_peers, index as u64, self.now);
+        self.nodes.push(Some(Node {
+            membership,
+            measured,
+        }));
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.nodes.len() {
+                let now = self.now;
+                self.act(index, |membership| {
+                    let is_due = membership.next_wake() <= now;
+                    if is_due {
+                        membership.tick(now)
+                    } else {
+                        Vec::new()
+                    }
+                });
+            }
+            while let Some((to, bytes)) = self.queue.pop_front() {
+                self.deliver(to, &bytes);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, bytes: &[u8]) {
+        let now = self.now;
+        if self.nodes[to].as_ref().is_some_and(|node| node.measured) {
+            self.count.received_bytes += (bytes.len() + HEADER_BYTES) as u64;
+        }
+        self.act(to, |membership| match gossip::decode(bytes) {
+            Some(message) => membership.receive(message, now),
+            None => Vec::new(),
+        });
+    }
+
+    /// Lets one VM act, with its time and datagrams counted.
+    fn act(&mut self, index: usize, act: impl FnOnce(&mut Membership) -> Vec<Action>) {
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        let began = Instant::now();
+        let mut datagrams: Vec<(usize, Vec<u8>)> = Vec::new();
+        for action in act(&mut node.membership) {
+            if let Action::Send { to, message } = action {
+                datagrams.extend(gossip::encode(&message).map(|bytes| (index_of(to), bytes)));
+            }
+        }
+        if node.measured {
+            self.count.busy += began.elapsed();
+            self.count.datagrams += datagrams.len() as u64;
+            let bytes = datagrams
+                .iter()
+                .map(|(_, bytes)| bytes.len() + HEADER_BYTES);
+            self.count.sent_bytes += bytes.sum::<usize>() as u64;
+        }
+        self.queue.extend(datagrams);
+    }
+
+    /// Replaces the oldest VM of the measured failure domain.
+    fn replace_one(&mut self) {
+        let oldest = self
+            .nodes
+            .iter()
+            .skip(3)
+            .position(|node| node.as_ref().is_some_and(|node| node.measured));
+        if let Some(oldest) = oldest {
+            self.nodes[oldest + 3] = None;
+            self.add("domain-0".to_owned(), true);
+        }
+    }
+
+    /// Whether every measured VM holds exactly the running ones live.
+    fn agrees(&self) -> bool {
+        let measured = || self.nodes.iter().flatten().filter(|node| node.measured);
+        let expected = measured().count();
+        measured().all(|node| {
+            let vms = node.membership.vms();
+            let own = vms.iter().filter(|vm| vm.failure_domain == "domain-0");
+            own.filter(|vm| vm.state == State::Live).count() == expected
+        })
+    }
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: Option<u64> = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or_default() * 4_096
+}
+
+struct Row {
+    members: usize,
+    joined: Duration,
+    datagrams: f64,
+    sent: f64,
+    received: f64,
+    core_share: f64,
+    memory_kib: u64,
+}
+
+fn measure(members: usize) -> Row {
+    let before = resident();
+    let mut fleet = Fleet::start(members);
+    let began = fleet.now;
+    while !fleet.agrees() {
+        fleet.run(Duration::from_millis(100));
+        assert!(
+            fleet.now < began + WARM_UP,
+            "{members} members do not agree"
+        );
+    }
+    let joined = fleet.now - began;
+    fleet.run(WARM_UP);
+    fleet.count = Count::default();
+    let began = fleet.now;
+    while fleet.now < began + MEASURED {
+        fleet.replace_one();
+        fleet.run(REPLACE_EVERY);
+    }
+    let seconds = (fleet.now - began).as_secs_f64() * members as f64;
+    let vms = (members + OTHERS.iter().sum::<usize>()) as u64;
+    Row {
+        members,
+        joined,
+        datagrams: fleet.count.datagrams as f64 / seconds,
+        sent: fleet.count.sent_bytes as f64 / seconds,
+        received: fleet.count.received_bytes as f64 / seconds,
+        core_share: fleet.count.busy.as_secs_f64() / seconds,
+        memory_kib: resident().saturating_sub(before) / vms / 1024,
+    }
+}
+
+fn main() {
+    println!("membership, one VM of a failure domain; one VM replaced every {REPLACE_EVERY:?}");
+    println!("members  all known  datagrams/s  sent B/s  received B/s  % of a core  KiB");
+    let mut failed = false;
+    for members in SIZES {
+        let row = measure(members);
+        println!(
+            "{:>7}  {:>7.1} s  {:>11.1}  {:>8.0}  {:>12.0}  {:>11.4}  {:>3}",
+            row.members,
+            row.joined.as_secs_f64(),
+            row.datagrams,
+            row.sent,
+            row.received,
+            row.core_share * 100.0,
+            row.memory_kib,
+        );
+        failed |= row.sent + row.received > MAX_BYTES_PER_SECOND || row.core_share > MAX_CORE_SHARE;
+    }
+    if failed {
+        println!(
+            "a VM's share for control is passed: {MAX_BYTES_PER_SECOND} B/s sent, 1.1% of a core"
+        );
+        std::process::exit(1);
+    }
+}
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -46,4 +46,6 @@
     join @8 :Void;
     push @9 :Void;
   }
+  # Digest of the members of the sender's failure domain.
+  digest @10 :UInt64;
 }
--- a/schema/gossip_capnp.rs
+++ b/schema/gossip_capnp.rs
@@ -1249,6 +1249,10 @@
         pub fn get_body(self) -> crate::gossip_capnp::message::body::Reader<'a> {
             self.reader.into()
         }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1257,7 +1261,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 3,
                 pointers: 4,
             };
     }
@@ -1449,6 +1453,14 @@
             self.builder.set_data_field::<u16>(5, 0u16);
             self.builder.into()
         }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1470,52 +1482,59 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(120, 119, 134, 135, 31, 82, 183, 248),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(72, 123, 110, 145, 240, 163, 197, 210),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 115, 115, 105, 112, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 77, 101, 115),
             ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(249, 18, 249, 201, 31, 99, 102, 232),
-            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(206, 237, 149, 79, 235, 38, 54, 134),
@@ -1549,6 +1568,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1556,6 +1583,7 @@
                 1 => <::capnp::struct_list::Owned<crate::gossip_capnp::vm::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::gossip_capnp::notice::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::gossip_capnp::message::body::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1574,9 +1602,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 0, 2, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 0, 2, 1];
         pub(crate) const TYPE_ID: u64 = 0xf8b7_521f_8786_7778;
     }
 
@@ -1708,7 +1736,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 2,
+                    data: 3,
                     pointers: 4,
                 };
         }
@@ -1852,7 +1880,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 86] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(249, 18, 249, 201, 31, 99, 102, 232),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(120, 119, 134, 135, 31, 82, 183, 248),
                 ::capnp::word(4, 0, 7, 0, 1, 0, 5, 0),
                 ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
@@ -2113,7 +2141,7 @@
             impl ::capnp::traits::HasStructSize for Builder<'_> {
                 const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                     ::capnp::private::layout::StructSize {
-                        data: 2,
+                        data: 3,
                         pointers: 4,
                     };
             }
@@ -2253,7 +2281,7 @@
                 pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                     ::capnp::word(204, 197, 20, 117, 160, 231, 75, 162),
-                    ::capnp::word(26, 0, 0, 0, 1, 0, 2, 0),
+                    ::capnp::word(26, 0, 0, 0, 1, 0, 3, 0),
                     ::capnp::word(249, 18, 249, 201, 31, 99, 102, 232),
                     ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/src/geraniummount/core/gossip.rs
+++ b/src/geraniummount/core/gossip.rs
@@ -16,6 +16,8 @@
     pub from: Vm,
     /// What the sender wants.
     pub body: Body,
+    /// Digest of the members of the sender's failure domain, as it knows them.
+    pub digest: u64,
     /// News and samples of other VMs.
     pub vms: Vec<Vm>,
     /// News and samples of leaves.
@@ -43,7 +45,7 @@
         /// Peer address of the VM to probe.
         target: SocketAddr,
     },
-    /// Asks for all members.
+    /// Asks for all members and notices.
     Join,
     /// Only tells.
     Push,
--- a/src/geraniummount/core/membership.rs
+++ b/src/geraniummount/core/membership.rs
@@ -43,7 +43,12 @@
 /// Pushes between two periods.
 const MAX_PUSHES: u32 = 8;
 /// Random members told of in each datagram.
-const SAMPLE: usize = 2;
+const SAMPLE: usize = 1;
+/// Datagrams from one to the next that tells of a VM of another domain.
+const RELAY_EVERY: u32 = 4;
+/// Probes and answers in a row with another digest of the members before all
+/// members are asked for.
+const MAX_DIFFERENT: u32 = 4;
 /// Members of the own failure domain that are kept track of.
 const MAX_MEMBERS: usize = 1_000;
 /// Leaves whose notices are kept.
@@ -80,6 +85,8 @@
     pushes_left: u32,
     push_due: bool,
     changed: bool,
+    digest: Option<u64>,
+    different: u32,
     rng: SmallRng,
 }
 
@@ -109,6 +116,8 @@
             pushes_left: MAX_PUSHES,
             push_due: false,
             changed: true,
+            digest: None,
+            different: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -176,6 +185,7 @@
     /// Tells others that this VM stops.
     pub fn announce_leaving(&mut self) -> Vec<Action> {
         self.me.state = State::Leaving;
+        self.digest = None;
         self.changed = true;
         self.push_due = true;
         self.pushes_left = MAX_PUSHES;
@@ -208,6 +218,7 @@
         if message.from.revision > self.me.revision {
             actions.push(Action::Fetch(message.from.clone()));
         }
+        self.compare(&message.from, message.body, message.digest, &mut actions);
         self.answer(&message.from, message.body, now, &mut actions);
         if doubted && matches!(message.body, Body::Ack { .. } | Body::Push) {
             actions.push(self.send_to(&message.from, Body::Push));
@@ -280,7 +291,7 @@
             }
         }
         vms.extend(self.sample_members(SAMPLE));
-        if same_domain {
+        if same_domain && self.rng.random_ratio(1, RELAY_EVERY) {
             vms.extend(self.sample_domains().into_iter().next());
         }
         if !self.notices.is_empty() {
@@ -293,6 +304,7 @@
         Message {
             from: self.me.clone(),
             body,
+            digest: self.digest(),
             vms,
             notices,
         }
--- a/src/geraniummount/core/membership/merge.rs
+++ b/src/geraniummount/core/membership/merge.rs
@@ -2,8 +2,10 @@
 
 use std::time::Instant;
 
-use super::{MAX_LEAF_NOTICES, MAX_MEMBERS, Member, Membership};
-use crate::core::gossip::Notice;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Action, MAX_DIFFERENT, MAX_LEAF_NOTICES, MAX_MEMBERS, Member, Membership};
+use crate::core::gossip::{Body, Notice};
 use crate::core::rumors::Subject;
 use crate::core::vm::State;
 use crate::prelude::*;
@@ -66,6 +68,44 @@
         self.update(place, &vm, now);
     }
 
+    /// Asks a member for all that it knows when both have differed for long:
+    /// news that rides on probes does not reach everyone after many changes
+    /// at once.
+    pub(super) fn compare(
+        &mut self,
+        from: &Vm,
+        body: Body,
+        digest: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_probe = matches!(body, Body::Ping { .. } | Body::Ack { .. });
+        if !is_probe || from.failure_domain != self.me.failure_domain {
+            return;
+        }
+        if digest == self.digest() {
+            self.different = 0;
+            return;
+        }
+        self.different += 1;
+        if self.different >= MAX_DIFFERENT {
+            self.different = 0;
+            actions.push(self.send_to(from, Body::Join));
+        }
+    }
+
+    /// Returns a digest of the members that are not given up, suspects alike
+    /// with the live ones.
+    pub(super) fn digest(&mut self) -> u64 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let members = self.members.iter().map(|member| &member.vm);
+        let kept = members.filter(|vm| vm.state != State::Dead);
+        let digest = kept.fold(digest_of(&self.me), |sum, vm| sum ^ digest_of(vm));
+        self.digest = Some(digest);
+        digest
+    }
+
     /// Raises the own incarnation above any that others hold against it.
     fn refute(&mut self, told: &Vm) {
         let outdated = told.incarnation > self.me.incarnation;
@@ -74,6 +114,7 @@
         let harmless = self.me.state == State::Leaving && told.state < State::Leaving;
         if outdated || (doubted && !harmless) {
             self.me.incarnation = told.incarnation + 1;
+            self.digest = None;
             self.push_due = true;
         }
     }
@@ -93,6 +134,7 @@
         *known = vm.clone();
         known.revision = revision;
         member.since = now;
+        self.digest = None;
         self.changed |= moved;
         self.push_due |= moved && vm.state == State::Leaving;
         self.rumors.spread(Subject::Vm(vm.name.clone()));
@@ -107,7 +149,13 @@
             since: now,
         };
         self.members.insert(place, member);
+        self.digest = None;
         self.changed = true;
         self.rumors.spread(Subject::Vm(vm.name.clone()));
     }
 }
+
+fn digest_of(vm: &Vm) -> u64 {
+    let is_leaving = u64::from(vm.state == State::Leaving);
+    xxh3_64_with_seed(vm.name.as_bytes(), vm.incarnation << 1 | is_leaving)
+}
--- a/src/geraniummount/core/membership/probe.rs
+++ b/src/geraniummount/core/membership/probe.rs
@@ -18,6 +18,8 @@
 const HELPERS: usize = 2;
 /// Probes that are followed at once, own ones and those for others.
 const MAX_PROBES: usize = 64;
+/// Periods between two probes of VMs of other failure domains.
+const RELAY_PERIODS: u64 = 2;
 /// First peers and lost VMs that are tried at once.
 const MAX_RECONNECTS: usize = 8;
 
@@ -237,6 +239,9 @@
     }
 
     fn probe_relay(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.periods.is_multiple_of(RELAY_PERIODS) {
+            return;
+        }
         if let Some(vm) = self.relays.next_to_probe(now) {
             actions.extend(self.send_probe(vm, Purpose::Direct, now));
         }
@@ -282,6 +287,7 @@
             let message = Message {
                 from: self.me.clone(),
                 body: Body::Push,
+                digest: self.digest(),
                 vms,
                 notices: page_of(&notices, page, super::MAX_NOTICES),
             };
--- a/src/geraniummount/edge/gossip/codec.rs
+++ b/src/geraniummount/edge/gossip/codec.rs
@@ -28,6 +28,7 @@
     for (index, notice) in (0..count).zip(&message.notices) {
         write_notice(notices.reborrow().get(index), notice);
     }
+    root.set_digest(message.digest);
     write_body(root.init_body(), message.body);
     let mut bytes = Vec::new();
     serialize_packed::write_message(&mut bytes, &builder)?;
@@ -48,6 +49,7 @@
     Ok(Message {
         from: read_vm(root.get_from()?)?,
         body: read_body(root.get_body())?,
+        digest: root.get_digest(),
         vms: vms.collect::<Result<_, _>>()?,
         notices: notices.collect::<Result<_, _>>()?,
     })
--- a/src/geraniummount/edge/gossip/mod.rs
+++ b/src/geraniummount/edge/gossip/mod.rs
@@ -67,8 +67,13 @@
     }
 }
 
+/// Decodes a datagram; `None` when it is bad.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    codec::decode(bytes).ok()
+}
+
 /// Encodes a message, with fewer of its samples where it is too long.
-fn encode(message: &Message) -> Option<Vec<u8>> {
+pub fn encode(message: &Message) -> Option<Vec<u8>> {
     let mut message = message.clone();
     loop {
         let bytes = codec::encode(&message).ok()?;
