Close the connection of a cancelled attempt, whatever its reply

A cancellation closes the attempt's connection once the leaf has been told; when the reply came first, the connection was already at work for the next part, which lost it. Ruled out: a refused connection (the log says 'Agent is shut down'). Change: a connection whose attempt was cancelled is not used again.

--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -57,6 +57,8 @@
 struct Running {
     attempt: AttemptId,
     agent: Agent,
+    /// Whether its connection is being closed, whatever its reply.
+    aborted: bool,
 }
 
 /// State of the thread.
@@ -172,8 +174,10 @@
     }
 
     fn end(&mut self, attempt: AttemptId, ending: Ending, held: Option<Held>, now: Instant) {
-        self.running.retain(|running| running.attempt != attempt);
-        if let Some(held) = held {
+        let place = self.running.iter().position(|r| r.attempt == attempt);
+        let running = place.map(|place| self.running.swap_remove(place));
+        let aborted = running.is_some_and(|running| running.aborted);
+        if let Some(held) = held.filter(|_| !aborted) {
             self.connections.put(held, now);
         }
         let not_held = matches!(ending, Ending::NotHeld { .. });
@@ -226,7 +230,11 @@
             let (ending, held) = carry(held, &part, limit);
             drop(sender.send(Event::Ended(part.attempt, ending, held)));
         };
-        self.running.push(Running { attempt, agent });
+        self.running.push(Running {
+            attempt,
+            agent,
+            aborted: false,
+        });
         if self.spawn(job) {
             if let Ok(place) = self.find_pending(attempt) {
                 self.pending[place].mark_sent();
@@ -251,10 +259,12 @@
             let ending = Ending::NotSent(Reason::Cancelled);
             return self.end(attempt, ending, None, Instant::now());
         }
-        let found = self.running.iter().find(|r| r.attempt == attempt);
-        let Some(agent) = found.map(|running| running.agent.clone()) else {
+        let mut running = self.running.iter_mut();
+        let Some(found) = running.find(|r| r.attempt == attempt) else {
             return;
         };
+        found.aborted = true;
+        let agent = found.agent.clone();
         let Some(held) = self.connections.open_new(Instant::now()) else {
             return agent.shutdown();
         };
