Prove the path and the promises of a request with real processes

A scene of three processes, ten leaves and proxies runs under load through kill, freeze and cut of entry, owner and leaf, silent connections and platform outages; what callers were told is compared with the leaves' execution logs after everything held back has arrived.

--- a/crates/geraniummount-test-support/src/fleet/vm.rs
+++ b/crates/geraniummount-test-support/src/fleet/vm.rs
@@ -15,6 +15,9 @@
 /// Longest part of a log that is printed when a test fails.
 const PRINTED_LOG_BYTES: usize = 16 * 1024;
 
+/// What processes log: their own lines, and only warnings of libraries.
+const LOG_FILTER: &str = "warn,geraniummount=debug";
+
 /// A VM of a fleet.
 #[derive(Debug)]
 pub struct Vm {
@@ -89,6 +92,7 @@
             .arg("serve")
             .arg("--settings")
             .arg(&settings)
+            .env("RUST_LOG", LOG_FILTER)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/geraniummount-test-support/src/leaf/mod.rs
+++ b/crates/geraniummount-test-support/src/leaf/mod.rs
@@ -30,6 +30,19 @@
     accepting: Option<JoinHandle<()>>,
 }
 
+/// Changes a leaf from another thread, also while it is dead.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    state: Arc<Signal<state::State>>,
+}
+
+impl Handle {
+    /// Changes the behaviour.
+    pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
+        self.state.update(|state| change(&mut state.behaviour));
+    }
+}
+
 /// What a leaf counted of its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Connections {
@@ -78,9 +91,16 @@
         self.address
     }
 
+    /// Returns a handle to change the leaf with.
+    pub fn handle(&self) -> Handle {
+        Handle {
+            state: Arc::clone(&self.state),
+        }
+    }
+
     /// Changes the behaviour.
     pub fn change(&self, change: impl FnOnce(&mut Behaviour)) {
-        self.state.update(|state| change(&mut state.behaviour));
+        self.handle().change(change);
     }
 
     /// Lets the next `count` requests that run work meet a fault.
--- /dev/null
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -0,0 +1,67 @@
+//! Promise: a request marked as non-idempotent runs at most once.
+//!
+//! Counted in the leaves' execution logs. Requests with a caller's key are
+//! sent three times through two VMs, two of them at a time, and count as one.
+
+use std::collections::HashMap;
+
+use crate::load::{Kind, Record, run_through};
+use crate::scene::{Scene, Trouble, body_id, for_each};
+
+/// Checks that nothing ran twice and that whatever was answered ran.
+fn check(scene: &Scene, records: &[Record], context: &str) {
+    let mut runs: HashMap<String, Vec<String>> = HashMap::new();
+    for entry in scene.executions() {
+        assert!(!entry.idempotent, "{context}: ran as idempotent: {entry:?}");
+        let attempts = runs.entry(body_id(&entry.body)).or_default();
+        attempts.push(format!("{} attempt {}", entry.request, entry.attempt));
+    }
+    let twice: Vec<_> = runs
+        .iter()
+        .filter(|(_, attempts)| attempts.len() > 1)
+        .collect();
+    assert!(twice.is_empty(), "{context}: ran more than once: {twice:?}");
+    let answered: Vec<&Record> = records.iter().filter(|r| r.answer().is_some()).collect();
+    assert!(!answered.is_empty(), "{context}: nothing was answered");
+    for record in answered {
+        assert!(
+            runs.contains_key(&record.id),
+            "{context}: did not run: {record:?}"
+        );
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    trouble: Trouble,
+    kind: Kind,
+}
+
+fn run(cases: &[Case], seed: u64) {
+    for_each(cases, |case| {
+        let mut scene = Scene::start(seed);
+        let records = run_through(&mut scene, case.trouble, case.kind);
+        check(&scene, &records, &format!("{case:?}"));
+    });
+}
+
+#[test]
+fn promise_at_most_once_holds_under_kill_freeze_and_cut() {
+    let cases = Trouble::PATH.map(|trouble| Case {
+        trouble,
+        kind: Kind::Orders,
+    });
+    run(&cases, 21);
+}
+
+#[test]
+fn promise_at_most_once_holds_for_one_key_through_two_vms() {
+    let troubles = Trouble::PATH.iter().chain(&Trouble::PLATFORM);
+    let cases: Vec<Case> = troubles
+        .map(|&trouble| Case {
+            trouble,
+            kind: Kind::KeyedOrders,
+        })
+        .collect();
+    run(&cases, 22);
+}
--- /dev/null
+++ b/tests/testsuite/promise_coverage.rs
@@ -0,0 +1,187 @@
+//! Promise: every answer states its coverage truly.
+//!
+//! Each shard of the layout is either included, and then its result is in the
+//! answer and a leaf ran it to the end for this request, or missing with a
+//! reason.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use geraniummount_test_support::leaf::{Delay, Ending, Execution, Fault};
+use serde_json::Value;
+
+use crate::load::{Kind, Record, run_through, send};
+use crate::scene::{ENTRY, PARTS, Scene, Trouble, for_each};
+
+/// Checks the coverage of every answer of a run; returns how many lack shards.
+fn check(scene: &Scene, records: &[Record], context: &str) -> usize {
+    let done: HashSet<(String, String, u64)> = scene
+        .executions()
+        .into_iter()
+        .filter(|entry| entry.end.is_some_and(|(ending, _)| ending == Ending::Done))
+        .map(|entry: Execution| (entry.request, entry.shard, entry.attempt))
+        .collect();
+    let answers = records
+        .iter()
+        .filter_map(|record| Some((record, record.answer()?)));
+    let mut partial = 0;
+    let mut count = 0;
+    for (record, answer) in answers {
+        let included = check_lists(answer, context);
+        count += 1;
+        partial += usize::from(included.len() < PARTS.len());
+        for result in answer["results"].as_array().expect("results") {
+            let attempt = result["body"]["attempt"].as_u64().expect("attempt");
+            let shard = result["body"]["shard"].as_str().expect("shard").to_string();
+            assert!(
+                shard.ends_with(result["shard"].as_str().expect("shard")),
+                "{answer}"
+            );
+            let run = (record.request.clone(), shard, attempt);
+            assert!(
+                done.contains(&run),
+                "{context}: no leaf ran {run:?}: {answer}"
+            );
+        }
+    }
+    assert!(count > 0, "{context}: nothing was answered");
+    partial
+}
+
+/// Checks that the lists of an answer agree; returns the included shards.
+fn check_lists(answer: &Value, context: &str) -> Vec<String> {
+    let list = |value: &Value| -> Vec<String> {
+        let entries = value.as_array().expect("a list").iter();
+        let names = entries.map(|entry| entry.as_str().or(entry["shard"].as_str()));
+        names
+            .map(|name| name.expect("a shard").to_string())
+            .collect()
+    };
+    let included = list(&answer["coverage"]["included"]);
+    let missing = list(&answer["coverage"]["missing"]);
+    assert_eq!(list(&answer["results"]), included, "{context}: {answer}");
+    let mut all = [included.clone(), missing].concat();
+    all.sort();
+    assert_eq!(all, PARTS, "{context}: {answer}");
+    for entry in answer["coverage"]["missing"].as_array().expect("a list") {
+        assert!(
+            entry["reason"]
+                .as_str()
+                .is_some_and(|reason| !reason.is_empty()),
+            "{answer}"
+        );
+    }
+    included
+}
+
+#[test]
+fn promise_coverage_is_true_under_kill_freeze_and_cut() {
+    for_each(&Trouble::PATH, |trouble| {
+        let mut scene = Scene::start(31);
+        let records = run_through(&mut scene, *trouble, Kind::Queries);
+        check(&scene, &records, &format!("{trouble:?}"));
+    });
+}
+
+/// Replicas of one shard that fail in the same way, and what an answer says.
+#[derive(Debug)]
+struct Case {
+    fault: Fault,
+    prefer: &'static str,
+}
+
+/// Both replicas of shard 3 fail while the others answer: every answer lacks
+/// just that shard.
+#[test]
+fn promise_coverage_lacks_a_shard_whose_replicas_fail() {
+    let late = Duration::from_secs(3);
+    let cases = [
+        Case {
+            fault: Fault::Truncated,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::Truncated,
+            prefer: "latency",
+        },
+        Case {
+            fault: Fault::WrongAttempt,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::WrongSnapshot,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::NoReply,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::CloseAfterRun,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::CloseBeforeRead,
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::Late(late),
+            prefer: "coverage",
+        },
+        Case {
+            fault: Fault::Late(late),
+            prefer: "latency",
+        },
+    ];
+    for_each(&cases, |case| {
+        let scene = Scene::start_preferring(case.prefer, 32);
+        for domain in ["near", "far"] {
+            let name = format!("parts-{domain}-3");
+            scene.fleet.leaf(&name).leaf.inject_always(Some(case.fault));
+        }
+        let address = scene.fleet.vm(ENTRY).caller;
+        let records: Vec<Record> = (0..20)
+            .map(|number| send(address, Kind::Queries, number, 0))
+            .collect();
+        let context = format!("{case:?}");
+        let partial = check(&scene, &records, &context);
+        assert_eq!(partial, records.len(), "{context}: {records:?}");
+        for record in &records {
+            let answer = record.answer().expect("an answer");
+            assert_eq!(answer["coverage"]["missing"][0]["shard"], "3", "{context}");
+        }
+    });
+}
+
+/// One slow replica makes the entry VM hedge; both replies arrive, and each
+/// shard is merged once.
+#[test]
+fn promise_coverage_counts_a_hedged_shard_once() {
+    let scene = Scene::start(33);
+    let near = &scene.fleet.leaf("parts-near-2").leaf;
+    let far = &scene.fleet.leaf("parts-far-2").leaf;
+    for leaf in [near, far] {
+        leaf.change(|behaviour| {
+            behaviour.delay = Delay {
+                straggler_share: 0.2,
+                straggler_factor: 20.0,
+                ..behaviour.delay
+            };
+        });
+    }
+    let address = scene.fleet.vm(ENTRY).caller;
+    let records: Vec<Record> = (0..200)
+        .map(|number| send(address, Kind::Queries, number, 0))
+        .collect();
+    let partial = check(&scene, &records, "hedge");
+    assert_eq!(partial, 0, "a replica was there for every shard");
+    let hedged = records.iter().filter(|record| {
+        let ran = |leaf: &geraniummount_test_support::leaf::Leaf| {
+            leaf.log()
+                .iter()
+                .any(|entry| entry.request == record.request)
+        };
+        ran(near) && ran(far)
+    });
+    assert!(hedged.count() > 0, "no request was hedged");
+}
--- /dev/null
+++ b/tests/testsuite/promise_reply.rs
@@ -0,0 +1,186 @@
+//! Promise: each caller receives the whole answer to its own request.
+//!
+//! Leaves write the request's id and body into their replies, so that every
+//! answer can be matched with its request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geraniummount_test_support::client::Client;
+use geraniummount_test_support::fleet::{PATIENCE, wait_until};
+use geraniummount_test_support::leaf::{Delay, Ending, Fault};
+use serde_json::json;
+
+use crate::load::{Kind, Record, run_through, send};
+use crate::scene::{ENTRY, Scene, Trouble, for_each};
+
+/// Checks that every answer belongs to its request.
+fn check(records: &[Record], context: &str) {
+    let mut answered = 0;
+    for record in records {
+        let Some(answer) = record.answer() else {
+            continue;
+        };
+        answered += 1;
+        assert_eq!(answer["request_id"], record.request, "{context}: {answer}");
+        let results = answer["results"].as_array().expect("results");
+        assert!(!results.is_empty(), "{context}: {answer}");
+        for result in results {
+            let body = &result["body"];
+            assert_eq!(body["request"], record.request, "{context}: {answer}");
+            assert_eq!(body["query"]["id"], record.id, "{context}: {answer}");
+            let shard = body["shard"].as_str().expect("a shard");
+            let place = result["shard"].as_str().expect("a shard");
+            assert_eq!(shard.rsplit('/').next(), Some(place), "{context}: {answer}");
+        }
+    }
+    assert!(answered > 0, "{context}: nothing was answered");
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    trouble: Trouble,
+    kind: Kind,
+}
+
+#[test]
+fn promise_reply_is_the_callers_own_under_kill_freeze_and_cut() {
+    let cases = Trouble::PATH.map(|trouble| Case {
+        trouble,
+        kind: Kind::Queries,
+    });
+    for_each(&cases, |case| {
+        let mut scene = Scene::start(51);
+        let records = run_through(&mut scene, case.trouble, case.kind);
+        check(&records, &format!("{case:?}"));
+    });
+}
+
+/// Every few requests, some leaf's reply comes late, twice, in part, under
+/// another attempt's id or not at all.
+#[test]
+fn promise_reply_is_the_callers_own_when_leaves_misbehave() {
+    let faults = [
+        Fault::CloseAfterRun,
+        Fault::DoubledReply,
+        Fault::Late(Duration::from_millis(100)),
+        Fault::Late(Duration::from_millis(700)),
+        Fault::NoReply,
+        Fault::Truncated,
+        Fault::WrongAttempt,
+    ];
+    let cases: Vec<(Fault, Kind)> = faults
+        .into_iter()
+        .flat_map(|fault| [(fault, Kind::Queries), (fault, Kind::Orders)])
+        .collect();
+    for_each(&cases, |(fault, kind)| {
+        let scene = Scene::start(52);
+        let addresses: Vec<SocketAddr> = scene.fleet.running().map(|vm| vm.caller).collect();
+        let records: Vec<Record> = std::thread::scope(|scope| {
+            let callers: Vec<_> = (0..4)
+                .map(|caller| {
+                    let (scene, addresses) = (&scene, &addresses);
+                    scope.spawn(move || misbehave(scene, addresses, caller, *fault, *kind))
+                })
+                .collect();
+            let records = callers
+                .into_iter()
+                .map(|caller| caller.join().expect("caller"));
+            records.flatten().collect()
+        });
+        check(&records, &format!("{fault:?} {kind:?}"));
+        scene.wait_whole();
+    });
+}
+
+const REQUESTS: usize = 40;
+const FAULT_PERIOD: usize = 5;
+
+fn misbehave(
+    scene: &Scene,
+    addresses: &[SocketAddr],
+    caller: usize,
+    fault: Fault,
+    kind: Kind,
+) -> Vec<Record> {
+    let numbers = (0..REQUESTS).map(|index| caller * REQUESTS + index);
+    let records = numbers.map(|number| {
+        if number % FAULT_PERIOD == 0 {
+            let leaf = number / FAULT_PERIOD % scene.fleet.leaves.len();
+            scene.fleet.leaves[leaf].leaf.inject(fault, 1);
+        }
+        send(addresses[number % addresses.len()], kind, number, 0)
+    });
+    records.collect()
+}
+
+/// Two callers may choose the same request id; each gets its own answer.
+#[test]
+fn promise_reply_tells_callers_with_one_request_id_apart() {
+    let scene = Scene::start(53);
+    let answers: Vec<(String, serde_json::Value)> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|caller| {
+                let client = scene.fleet.caller(ENTRY);
+                scope.spawn(move || {
+                    let sent = (0..20).map(|index| {
+                        let id = format!("body-{caller}-{index}");
+                        let headers = [("Request-Id", "same")];
+                        let reply = client.query("parts", &headers, &json!({ "id": id }));
+                        (id, reply.expect("a reply").body)
+                    });
+                    sent.collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .flat_map(|caller| caller.join().expect("caller"))
+            .collect()
+    });
+    let whole: HashMap<&str, usize> = answers
+        .iter()
+        .map(|(id, answer)| {
+            let results = answer["results"].as_array().expect("results");
+            assert!(
+                results
+                    .iter()
+                    .all(|result| result["body"]["query"]["id"] == **id),
+                "{answer}"
+            );
+            (id.as_str(), results.len())
+        })
+        .collect();
+    assert_eq!(whole.len(), answers.len());
+    assert!(whole.values().all(|count| *count > 0));
+}
+
+/// A caller that goes away gets its query cancelled at the leaves, and the next
+/// one on the same VM its own answer.
+#[test]
+fn promise_reply_is_not_left_to_the_next_caller() {
+    let scene = Scene::start(54);
+    scene.change_leaves(|behaviour| {
+        behaviour.delay = Delay::fixed(Duration::from_millis(400));
+    });
+    let address = scene.fleet.vm(ENTRY).caller;
+    let gone = Client::with_timeout(address, Duration::from_millis(150));
+    let reply = gone.query("parts", &[("Request-Id", "gone")], &json!({"id": "gone"}));
+    assert!(reply.is_err(), "caller went too late: {reply:?}");
+    let cancelled = wait_until(PATIENCE, || {
+        let ran = scene.executions();
+        let mut ran = ran.iter().filter(|entry| entry.request == "gone");
+        ran.any(|entry| {
+            entry
+                .end
+                .is_some_and(|(ending, _)| ending == Ending::Cancelled)
+        })
+    });
+    assert!(cancelled, "no leaf was told: {:?}", scene.executions());
+    scene.change_leaves(|behaviour| behaviour.delay = Delay::default());
+    let records: Vec<Record> = (0..20)
+        .map(|number| send(address, Kind::Queries, number, 0))
+        .collect();
+    check(&records, "after a caller has gone");
+}
--- /dev/null
+++ b/tests/testsuite/promise_snapshot.rs
@@ -0,0 +1,179 @@
+//! Promise: every answer comes from one snapshot of the index.
+//!
+//! The leaves say in each reply which snapshot they read; all results of an
+//! answer name the one that the answer states.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use geraniummount_test_support::leaf::{Fault, Handle};
+use serde_json::{Value, json};
+
+use crate::load::{Kind, Record, run_through, send};
+use crate::scene::{ENTRY, FIRST_SNAPSHOT, PARTS, Scene, Trouble, for_each};
+
+/// Time between two leaves that switch.
+const SWITCH_PERIOD: Duration = Duration::from_millis(40);
+
+/// Checks every answer; returns the snapshots that were seen.
+fn check(records: &[Record], context: &str) -> Vec<u64> {
+    let mut seen = Vec::new();
+    for answer in records.iter().filter_map(Record::answer) {
+        let snapshot = answer["snapshot"].as_u64().expect("a snapshot");
+        let results = answer["results"].as_array().expect("results");
+        assert!(!results.is_empty(), "{context}: {answer}");
+        for result in results {
+            assert_eq!(result["body"]["snapshot"], snapshot, "{context}: {answer}");
+        }
+        seen.push(snapshot);
+    }
+    seen.sort_unstable();
+    seen.dedup();
+    assert!(!seen.is_empty(), "{context}: nothing was answered");
+    seen
+}
+
+/// Lets all leaves of a scene switch one by one, again and again, until it is
+/// dropped. A leaf holds two snapshots for a while, then only the newer one.
+struct Switching {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Switching {
+    fn start(scene: &Scene) -> Switching {
+        let leaves = scene.fleet.leaves.iter();
+        let leaves: Vec<Handle> = leaves.map(|other| other.leaf.handle()).collect();
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let thread = std::thread::spawn(move || {
+            for round in 1.. {
+                for leaf in &leaves {
+                    if stopped.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    switch(leaf, round);
+                    std::thread::sleep(SWITCH_PERIOD);
+                }
+            }
+        });
+        Switching {
+            stop,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Switching {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let ended = self.thread.take().map(JoinHandle::join);
+        assert!(ended.is_some_and(|end| end.is_ok()), "switching failed");
+    }
+}
+
+/// Takes a leaf into a round of switching.
+fn switch(leaf: &Handle, round: u64) {
+    let newest = FIRST_SNAPSHOT + round / 2;
+    leaf.change(|behaviour| {
+        behaviour.snapshots = match round % 2 {
+            0 => vec![newest],
+            _ => vec![newest, newest + 1],
+        };
+    });
+}
+
+#[test]
+fn promise_snapshot_is_one_while_leaves_switch() {
+    for_each(&Trouble::PATH, |trouble| {
+        let mut scene = Scene::start(41);
+        let switching = Switching::start(&scene);
+        let records = run_through(&mut scene, *trouble, Kind::Queries);
+        drop(switching);
+        let seen = check(&records, &format!("{trouble:?}"));
+        assert!(
+            seen.len() > 1,
+            "{trouble:?}: only snapshots {seen:?} were read"
+        );
+    });
+}
+
+/// One replica of a shard reads another snapshot than asked; its replies are
+/// not merged, and the other replica's are.
+#[test]
+fn promise_snapshot_is_one_when_a_leaf_reads_another() {
+    let cases = ["parts-near-1", "parts-far-1"];
+    for_each(&cases, |name| {
+        let scene = Scene::start(42);
+        scene
+            .fleet
+            .leaf(name)
+            .leaf
+            .inject_always(Some(Fault::WrongSnapshot));
+        let address = scene.fleet.vm(ENTRY).caller;
+        let records: Vec<Record> = (0..100)
+            .map(|number| send(address, Kind::Queries, number, 0))
+            .collect();
+        assert_eq!(check(&records, name), [FIRST_SNAPSHOT]);
+        let wrong = scene.executions().into_iter();
+        let wrong = wrong
+            .filter(|entry| entry.snapshot != FIRST_SNAPSHOT)
+            .count();
+        assert!(
+            wrong > 0 || *name != "parts-near-1",
+            "{name}: it was never asked"
+        );
+    });
+}
+
+/// The service's layout changes while queries run: each answer has either the
+/// old shards or the new ones, and one snapshot.
+#[test]
+fn promise_snapshot_is_one_while_a_service_is_repartitioned() {
+    let scene = Scene::start(43);
+    let old = scene
+        .fleet
+        .operator(ENTRY)
+        .get("/v1/resources/service/parts");
+    let old = old.expect("reply").body["spec"].clone();
+    let mut new = old.clone();
+    let shards = new["shards"].as_array_mut().expect("shards");
+    shards.truncate(PARTS.len() / 2);
+    let stop = AtomicBool::new(false);
+    let vms = [ENTRY, "far-2"].map(|vm| scene.fleet.vm(vm).caller);
+    let records: Vec<Record> = std::thread::scope(|scope| {
+        let callers = vms.map(|address| {
+            let stop = &stop;
+            scope.spawn(move || {
+                let numbers = (0..).take_while(|_| !stop.load(Ordering::Relaxed));
+                let sent = numbers.map(|number| send(address, Kind::Queries, number, 0));
+                sent.collect::<Vec<_>>()
+            })
+        });
+        for round in 0..6 {
+            let spec = if round % 2 == 0 { &new } else { &old };
+            scene.fleet.apply(ENTRY, &[("service", spec.clone())]);
+        }
+        stop.store(true, Ordering::Relaxed);
+        callers
+            .into_iter()
+            .flat_map(|caller| caller.join().expect("caller"))
+            .collect()
+    });
+    check(&records, "repartitioned");
+    let mut layouts: Vec<Vec<Value>> = Vec::new();
+    for answer in records.iter().filter_map(Record::answer) {
+        let coverage = &answer["coverage"];
+        assert_eq!(coverage["missing"], json!([]), "{answer}");
+        let included = coverage["included"].as_array().expect("a list").clone();
+        if !layouts.contains(&included) {
+            layouts.push(included);
+        }
+    }
+    layouts.sort_by_key(Vec::len);
+    let whole = |count: usize| PARTS[..count].iter().map(|shard| json!(shard)).collect();
+    let expected: [Vec<Value>; 2] = [whole(PARTS.len() / 2), whole(PARTS.len())];
+    assert_eq!(layouts, expected);
+}
