--- /dev/null
+++ b/examples/quickstart/main.rs
@@ -0,0 +1,93 @@
+//! Quickstart: both deployments of the users, each with its stand-ins and a
+//! small fleet, inside one process on loopback.
+//!
+//! For each deployment it starts a platform, all leaves at today's sizes and
+//! four VMs in two failure domains, declares the resources through the
+//! operators' HTTP, sends queries and one order through the callers' HTTP, and
+//! prints snapshot, coverage and latency of the answers.
+//!
+//! Run it with `cargo run --release --example quickstart`.
+
+mod fleet;
+mod traffic;
+
+use std::error::Error;
+use std::time::Instant;
+
+use geraniummount_test_support::deployment::Deployment;
+
+use crate::fleet::Fleet;
+
+/// Services that are asked, and the one that takes the order.
+struct Tour {
+    deployment: Deployment,
+    queries: &'static [&'static str],
+    order: &'static str,
+}
+
+fn tours() -> [Tour; 2] {
+    [
+        Tour {
+            deployment: Deployment::arusha(),
+            queries: &[
+                "counter-desk-01",
+                "counter-desk",
+                "parts-stock",
+                "safety-cert",
+            ],
+            order: "guide-billing",
+        },
+        Tour {
+            deployment: Deployment::alfold_regio(),
+            queries: &[
+                "csaladi-bolt-01",
+                "csaladi-bolt",
+                "templom-rend",
+                "konyha-terv",
+            ],
+            order: "pult-igazolo",
+        },
+    ]
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    geraniummount::ops::logs::start(log::LevelFilter::Error);
+    let start = Instant::now();
+    for tour in tours() {
+        visit(&tour)?;
+    }
+    println!("Done in {:.1} s.", start.elapsed().as_secs_f64());
+    println!();
+    println!("Where to look next:");
+    println!("  README.md            a first service by hand");
+    println!("  docs/OPERATIONS.md   settings, resources, metrics, failures");
+    println!("  docs/DESIGN.md       how it works, and why so");
+    println!("  cargo test --locked  the proofs");
+    Ok(())
+}
+
+fn visit(tour: &Tour) -> Result<(), Box<dyn Error>> {
+    let name = tour.deployment.name;
+    let fleet = Fleet::start(&tour.deployment)?;
+    println!(
+        "{name}: {} VMs in failure domains {}, {} leaves",
+        fleet.vms.len(),
+        fleet::domains(&tour.deployment).join(" and "),
+        fleet.leaves.len(),
+    );
+    let declared = Instant::now();
+    let revision = fleet.declare(&tour.deployment)?;
+    fleet.wait_for(revision)?;
+    println!(
+        "{name}: revision {revision} in force on every VM, {:.1} s after the first change",
+        declared.elapsed().as_secs_f64(),
+    );
+    for (index, service) in tour.queries.iter().enumerate() {
+        traffic::query(fleet.caller(index), service)?;
+    }
+    traffic::order(fleet.caller(0), fleet.caller(1), tour.order)?;
+    traffic::latency(&fleet, tour.queries[1])?;
+    fleet.stop();
+    println!();
+    Ok(())
+}
