--- /dev/null
+++ b/benches/path.rs
@@ -0,0 +1,248 @@
+//! Cost of the path from an entry VM to leaves that answer at once.
+//!
+//! Parts run in a closed loop, first to leaves that the VM owns and then
+//! through one peer, and the processor time of the product's threads is read
+//! from the system by thread name. The bound is the share of one VM at the
+//! target: 560,000 queries a second to 61 leaves each on 2,700 VMs.
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+
+use geraniummount::core::contract::Contract;
+use geraniummount::core::{leaf, vm};
+use geraniummount::edge::dispatcher::{Dispatcher, Options, ReplyTo};
+use geraniummount::edge::peer::{Changes, Hooks, Server};
+use geraniummount::prelude::*;
+use geraniummount::util::published::Published;
+use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay};
+use hdrhistogram::Histogram;
+
+const LEAVES: usize = 16;
+const SLOTS: usize = 4;
+const WARM_UP: Duration = Duration::from_secs(1);
+const MEASURED: Duration = Duration::from_secs(4);
+const DEADLINE: Duration = Duration::from_secs(2);
+const OUTSTANDING: [usize; 3] = [1, 16, 48];
+const TARGET_PARTS_PER_SECOND: f64 = 560_000.0 * 61.0 / 2_700.0;
+const ENTRY: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 8, 1));
+const OWNER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 8, 2));
+const THREADS: [&str; 4] = ["leaf", "worker", "peer-client", "peer-server"];
+
+struct Node {
+    dispatcher: Dispatcher,
+    view: Arc<Published<View>>,
+    server: Server,
+}
+
+impl Node {
+    fn start(me: &str, ip: IpAddr) -> Node {
+        let view = View {
+            me: me.to_owned(),
+            failure_domain: me.to_owned(),
+            catalog: Arc::default(),
+            vms: Vec::new(),
+            draining: Vec::new(),
+            stopping: false,
+        };
+        let view = Arc::new(Published::new(view));
+        let options = Options {
+            bind: ip,
+            max_body_bytes: 64 * 1024,
+        };
+        let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _| {}));
+        let hooks = Hooks {
+            changes: Box::new(|_| Changes::default()),
+            status: Box::new(Vec::new),
+        };
+        let server = Server::start(SocketAddr::new(ip, 0), &dispatcher, hooks).unwrap();
+        Node {
+            dispatcher,
+            view,
+            server,
+        }
+    }
+
+    fn vm(&self) -> Vm {
+        let name = self.view.get().me.clone();
+        Vm {
+            failure_domain: name.clone(),
+            name,
+            peer_address: self.server.address(),
+            incarnation: 1,
+            state: vm::State::Live,
+            revision: 1,
+        }
+    }
+
+    fn publish(&self, catalog: &Catalog, vms: &[Vm]) {
+        let mut view = View::clone(&self.view.get());
+        view.catalog = Arc::new(catalog.clone());
+        view.vms = vms.to_vec();
+        self.view.set(view);
+    }
+}
+
+fn start_leaves(failure_domain: &str) -> (Vec<stand_in::Leaf>, Catalog) {
+    let mut stand_ins = Vec::new();
+    let mut catalog = Catalog {
+        revision: 1,
+        ..Catalog::default()
+    };
+    for place in 0..LEAVES {
+        let behaviour = Behaviour {
+            slots: SLOTS,
+            connections: 100,
+            delay: Delay::fixed(Duration::ZERO),
+            shards: vec!["tickets/a".to_owned()],
+            ..Behaviour::default()
+        };
+        let name = format!("leaf-{place:02}");
+        let stand_in = stand_in::Leaf::start(&name, behaviour, 7).unwrap();
+        let spec = Leaf {
+            name,
+            address: stand_in.address(),
+            failure_domain: failure_domain.to_owned(),
+            contract: Contract {
+                slots: SLOTS as u16,
+                connections: 100,
+                open_ms: 1,
+            },
+            state: leaf::State::Serving,
+        };
+        catalog.leaves.push(Record {
+            generation: 1,
+            spec,
+        });
+        stand_ins.push(stand_in);
+    }
+    (stand_ins, catalog)
+}
+
+fn part(attempt: AttemptId) -> Part {
+    Part {
+        attempt,
+        request: "request".to_owned(),
+        service: "tickets".to_owned(),
+        shard: "a".to_owned(),
+        leaf: format!("leaf-{:02}", attempt as usize % LEAVES),
+        snapshot: Some(1),
+        deadline: Instant::now() + DEADLINE,
+        idempotent: true,
+        hops_left: 2,
+        body: Arc::from(&br#"{"text": "harness"}"#[..]),
+    }
+}
+
+/// What one run showed.
+struct Figures {
+    parts_per_second: f64,
+    latency: Histogram<u64>,
+    failed: u64,
+    /// Processor time a part in microseconds, by thread name.
+    processor_us: Vec<f64>,
+}
+
+fn run(dispatcher: &Dispatcher, outstanding: usize, next: &mut AttemptId) -> Figures {
+    drive(dispatcher, outstanding, WARM_UP, next);
+    let before = processor_ns();
+    let started = Instant::now();
+    let (latency, failed) = drive(dispatcher, outstanding, MEASURED, next);
+    let elapsed = started.elapsed().as_secs_f64();
+    let parts = (latency.len() + failed) as f64;
+    let used = processor_ns().into_iter().zip(before);
+    Figures {
+        parts_per_second: parts / elapsed,
+        processor_us: used
+            .map(|(now, then)| (now - then) / 1000.0 / parts)
+            .collect(),
+        latency,
+        failed,
+    }
+}
+
+fn drive(
+    dispatcher: &Dispatcher,
+    outstanding: usize,
+    time: Duration,
+    next: &mut AttemptId,
+) -> (Histogram<u64>, u64) {
+    let (sender, receiver) = mpsc::channel();
+    let mut latency = Histogram::new(3).unwrap();
+    let mut failed = 0;
+    let mut sent: Vec<(AttemptId, Instant)> = Vec::new();
+    let end = Instant::now() + time;
+    loop {
+        while sent.len() < outstanding && Instant::now() < end {
+            *next += 1;
+            sent.push((*next, Instant::now()));
+            dispatcher.dispatch(part(*next), ReplyTo::Caller(sender.clone()));
+        }
+        if sent.is_empty() {
+            return (latency, failed);
+        }
+        let outcome = receiver.recv().unwrap();
+        let place = sent
+            .iter()
+            .position(|(attempt, _)| *attempt == outcome.attempt);
+        let (_, since) = sent.swap_remove(place.expect("outcome of a part in flight"));
+        match outcome.result {
+            Ok(_) => latency.record(since.elapsed().as_micros() as u64).unwrap(),
+            Err(_) => failed += 1,
+        }
+    }
+}
+
+/// Processor time of the product's threads so far, by thread name.
+fn processor_ns() -> Vec<f64> {
+    let mut sums = vec![0.0; THREADS.len()];
+    for task in fs::read_dir("/proc/self/task").unwrap().flatten() {
+        let name = fs::read_to_string(task.path().join("comm")).unwrap_or_default();
+        let stat = fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        let place = THREADS.iter().position(|thread| *thread == name.trim());
+        let used: Option<f64> = stat.split(' ').next().and_then(|ns| ns.parse().ok());
+        if let (Some(place), Some(used)) = (place, used) {
+            sums[place] += used;
+        }
+    }
+    sums
+}
+
+fn main() -> ExitCode {
+    let mut worst = f64::MAX;
+    println!(
+        "path, outstanding, parts/s, p50 us, p99 us, failed, processor us a part: {THREADS:?}"
+    );
+    for (name, failure_domain) in [("local", "west"), ("one hop", "east")] {
+        let (stand_ins, catalog) = start_leaves(failure_domain);
+        let entry = Node::start("west", ENTRY);
+        let owner = Node::start("east", OWNER);
+        let vms = [owner.vm(), entry.vm()];
+        entry.publish(&catalog, &vms);
+        owner.publish(&catalog, &vms);
+        let mut next = 0;
+        let mut most: f64 = 0.0;
+        for outstanding in OUTSTANDING {
+            let figures = run(&entry.dispatcher, outstanding, &mut next);
+            most = most.max(figures.parts_per_second);
+            println!(
+                "{name}, {outstanding}, {:.0}, {}, {}, {}, {:.1?}",
+                figures.parts_per_second,
+                figures.latency.value_at_quantile(0.5),
+                figures.latency.value_at_quantile(0.99),
+                figures.failed,
+                figures.processor_us,
+            );
+        }
+        worst = worst.min(most);
+        drop(stand_ins);
+    }
+    println!("bound: {TARGET_PARTS_PER_SECOND:.0} parts/s on each path");
+    if worst < TARGET_PARTS_PER_SECOND {
+        println!("FAILED: {worst:.0} parts/s");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -140,13 +140,7 @@
     /// Gives up an attempt; its outcome still goes to its `reply`.
     pub fn cancel(&self, attempt: AttemptId, leaf: &LeafName) {
         self.shared.leaves.cancel(attempt, leaf);
-        let view = self.shared.view.get();
-        let Some(record) = view.catalog.leaf(leaf) else {
-            return;
-        };
-        if let Route::Peer(vm) = ownership::route(&view, &record.spec) {
-            self.shared.peers.cancel(vm.peer_address, attempt);
-        }
+        self.shared.peers.cancel(attempt);
     }
 
     /// Asks the owners which snapshots the leaves of a service hold. Owners
--- a/src/geraniummount/edge/executor.rs
+++ b/src/geraniummount/edge/executor.rs
@@ -58,12 +58,12 @@
     let mut running = FuturesUnordered::new();
     loop {
         futures::select_biased! {
+            future = spawned.select_next_some() => running.push(future),
+            () = running.select_next_some() => {}
             job = jobs.next() => match job {
                 Some(job) => job(&state, &spawner),
                 None => return,
             },
-            future = spawned.select_next_some() => running.push(future),
-            () = running.select_next_some() => {}
         }
     }
 }
--- a/src/geraniummount/edge/peer/client.rs
+++ b/src/geraniummount/edge/peer/client.rs
@@ -59,15 +59,14 @@
 
     /// Sends a part to a peer.
     pub fn dispatch(&self, to: SocketAddr, part: Part, pending: Pending) {
-        self.start(to, move |link| link.carry(part, pending).boxed_local());
+        self.start(to, move |link| link.carry(part, pending));
     }
 
-    /// Gives up an attempt at a peer.
-    pub fn cancel(&self, to: SocketAddr, attempt: AttemptId) {
-        self.start(to, move |link| {
-            link.cancel(attempt);
-            futures::future::ready(()).boxed_local()
-        });
+    /// Gives up an attempt at whichever peer it went to.
+    pub fn cancel(&self, attempt: AttemptId) {
+        for executor in self.started() {
+            executor.run(move |links, _| links.cancel(attempt));
+        }
     }
 
     /// Asks a peer what the leaves of a service hold; it answers within `wait`.
@@ -116,13 +115,7 @@
     /// Returns the state of the traffic to each peer.
     pub fn dump(&self) -> Vec<Dump> {
         let (sender, receiver) = mpsc::channel();
-        for executor in self
-            .shared
-            .executors
-            .iter()
-            .filter_map(OnceLock::get)
-            .flatten()
-        {
+        for executor in self.started() {
             let sender = sender.clone();
             executor.run(move |links, _| drop(sender.send(links.dump())));
         }
@@ -174,6 +167,11 @@
         });
     }
 
+    fn started(&self) -> impl Iterator<Item = &Executor<Links>> {
+        let executors = self.shared.executors.iter();
+        executors.filter_map(OnceLock::get).flatten()
+    }
+
     fn executor(&self, to: SocketAddr) -> Option<&Executor<Links>> {
         let place = xxhash_rust::xxh3::xxh3_64(to.to_string().as_bytes()) as usize % THREADS;
         let from = self.shared.from;
@@ -214,6 +212,12 @@
         link
     }
 
+    fn cancel(&self, attempt: AttemptId) {
+        for link in self.links.borrow().iter() {
+            link.cancel(attempt);
+        }
+    }
+
     fn dump(&self) -> Vec<Dump> {
         self.links.borrow().iter().map(|link| link.dump()).collect()
     }
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -11,7 +11,7 @@
 
 use async_io::Timer;
 use futures::channel::oneshot;
-use futures::future::{FutureExt, LocalBoxFuture, Shared};
+use futures::future::{self, FutureExt, LocalBoxFuture, Shared};
 
 use super::connection::{Connection, timeout};
 use super::wire;
@@ -95,11 +95,26 @@
         self.cancels.borrow().is_empty() && self.last_used.get().elapsed() > longer_than
     }
 
-    /// Carries a part to the peer and its outcome back.
-    pub async fn carry(self: Rc<Link>, part: Part, mut pending: Pending) {
-        let Some((_entry, mut cancelled)) = self.enter(part.attempt) else {
-            return pending.fail(Failure::not_run(Reason::QueueFull).retry_after(FAILED_PAUSE));
+    /// Takes on a part, which can be cancelled from then on; the future
+    /// carries it to the peer and its outcome back.
+    pub fn carry(self: Rc<Link>, part: Part, pending: Pending) -> LocalBoxFuture<'static, ()> {
+        let Some((entry, cancelled)) = self.enter(part.attempt) else {
+            pending.fail(Failure::not_run(Reason::QueueFull).retry_after(FAILED_PAUSE));
+            return future::ready(()).boxed_local();
         };
+        let carried = async move {
+            self.carry_entered(part, pending, cancelled).await;
+            drop(entry);
+        };
+        carried.boxed_local()
+    }
+
+    async fn carry_entered(
+        self: &Rc<Link>,
+        part: Part,
+        mut pending: Pending,
+        mut cancelled: oneshot::Receiver<()>,
+    ) {
         let mut late = Timer::at(part.deadline).fuse();
         let connection = futures::select_biased! {
             connection = Box::pin(self.ready()).fuse() => connection,
