Name the leaf's address to the HTTP library

Cause: the path bench showed 120 to 168 us of processor time a part in the workers; a profile showed thread stacks mapped and unmapped there. The library's resolver starts a thread for each request with a time limit, also for an address that is a number. Ruled out: growth of the worker pool. Change: a resolver that returns the leaf's address.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -7,6 +7,7 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
@@ -50,7 +51,7 @@
         let view = Arc::new(Published::new(view));
         let options = Options {
             bind: ip,
-            max_body_bytes: 64 * 1024,
+            max_reply_bytes: 64 * 1024,
         };
         let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _| {}));
         let hooks = Hooks {
@@ -152,12 +153,10 @@
     let (latency, failed) = drive(dispatcher, outstanding, MEASURED, next);
     let elapsed = started.elapsed().as_secs_f64();
     let parts = (latency.len() + failed) as f64;
-    let used = processor_ns().into_iter().zip(before);
+    let used = used_since(&before).into_iter();
     Figures {
         parts_per_second: parts / elapsed,
-        processor_us: used
-            .map(|(now, then)| (now - then) / 1000.0 / parts)
-            .collect(),
+        processor_us: used.map(|ns| ns / 1000.0 / parts).collect(),
         latency,
         failed,
     }
@@ -195,17 +194,35 @@
     }
 }
 
-/// Processor time of the product's threads so far, by thread name.
-fn processor_ns() -> Vec<f64> {
+/// Processor time of a thread so far.
+struct Used {
+    thread: u64,
+    name: usize,
+    ns: f64,
+}
+
+/// Processor time of the product's threads so far.
+fn processor_ns() -> Vec<Used> {
+    let tasks = fs::read_dir("/proc/self/task").unwrap().flatten();
+    tasks.filter_map(|task| used(&task.path())).collect()
+}
+
+fn used(task: &Path) -> Option<Used> {
+    let name = fs::read_to_string(task.join("comm")).ok()?;
+    let stat = fs::read_to_string(task.join("schedstat")).ok()?;
+    Some(Used {
+        thread: task.file_name()?.to_str()?.parse().ok()?,
+        name: THREADS.iter().position(|thread| *thread == name.trim())?,
+        ns: stat.split(' ').next()?.parse().ok()?,
+    })
+}
+
+/// Sums by name what threads used since; those that ended are left out.
+fn used_since(before: &[Used]) -> Vec<f64> {
     let mut sums = vec![0.0; THREADS.len()];
-    for task in fs::read_dir("/proc/self/task").unwrap().flatten() {
-        let name = fs::read_to_string(task.path().join("comm")).unwrap_or_default();
-        let stat = fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
-        let place = THREADS.iter().position(|thread| *thread == name.trim());
-        let used: Option<f64> = stat.split(' ').next().and_then(|ns| ns.parse().ok());
-        if let (Some(place), Some(used)) = (place, used) {
-            sums[place] += used;
-        }
+    for now in processor_ns() {
+        let then = before.iter().find(|used| used.thread == now.thread);
+        sums[now.name] += now.ns - then.map_or(0.0, |used| used.ns);
     }
     sums
 }
--- a/src/geraniummount/edge/leaf/connection.rs
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -12,7 +12,8 @@
 
 use ureq::Agent;
 use ureq::config::Config;
-use ureq::unversioned::resolver::DefaultResolver;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
 };
@@ -51,7 +52,7 @@
         };
         let connector = DefaultConnector::new().chain(watch);
         Connection {
-            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
+            agent: Agent::with_parts(config, connector, Fixed(address)),
             address,
             sent,
             proven: now,
@@ -69,6 +70,24 @@
     }
 }
 
+/// Names the leaf's address; the library's own resolver starts a thread for
+/// each request that has a time limit.
+#[derive(Debug)]
+struct Fixed(SocketAddr);
+
+impl Resolver for Fixed {
+    fn resolve(
+        &self,
+        _uri: &Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let mut addresses = self.empty();
+        addresses.push(self.0);
+        Ok(addresses)
+    }
+}
+
 /// Notes when bytes leave on a connection.
 #[derive(Debug)]
 struct Watch {
