Test the queue and the fan-out in random orders; stop a spin

Found by the new property tests: after a shed the queue's next wake stayed in the past while nothing waited, so that a leaf's task span without pause (keeps_its_promises_in_any_order never ended); and a part could start exactly at its deadline. Ruled out for the spin: the deadlines of running parts and the probe, which both move on with each tick. The wait after a shed is now dropped once it is over, and a part whose deadline is reached never starts.

--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -317,8 +317,11 @@
     /// Whether a part still ends in time after a wait. A free slot is not
     /// refused on an old estimate, as only a new answer can correct it.
     fn in_time(&self, part: &Part, wait: Duration, now: Instant) -> bool {
+        if now >= part.deadline {
+            return false;
+        }
         if wait.is_zero() && !self.estimate_is_fresh(now) {
-            return now < part.deadline;
+            return true;
         }
         now + wait + self.median() <= part.deadline
     }
@@ -337,6 +340,7 @@
 
     /// Drops what has become hopeless, then starts what fits.
     fn advance(&mut self, now: Instant) -> Vec<Action> {
+        self.not_before = self.not_before.filter(|&until| now < until);
         let mut actions = self.drop_hopeless(now);
         while let Some(start) = self.start_next(now) {
             actions.push(start);
@@ -374,10 +378,9 @@
         if self.waiting.is_empty() || self.running.len() >= usize::from(self.slots()) {
             return None;
         }
-        if self.not_before.is_some_and(|until| now < until) {
+        if self.not_before.is_some() {
             return None;
         }
-        self.not_before = None;
         let next = self.waiting.remove(0);
         let connection = if next.part.idempotent {
             Use::Any
--- /dev/null
+++ b/tests/testsuite/fan_out.rs
@@ -0,0 +1,465 @@
+//! One query under random orders of events: snapshot, coverage, extra load
+//! and verdict.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::answer::Answer;
+use geraniummount::core::contract::Contract;
+use geraniummount::core::execution::Execution;
+use geraniummount::core::fan_out::{Action, FanOut, Query};
+use geraniummount::core::holding::Holding;
+use geraniummount::core::layout::Layout;
+use geraniummount::core::leaf::State;
+use geraniummount::core::service::{Preference, Shard};
+use geraniummount::core::traffic::Traffic;
+use geraniummount::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+use crate::leaf_queue::config;
+
+const SERVICE: &str = "service";
+
+/// Most extra parts: the burst of the budget and its share of first parts.
+fn most_extra(first: u32, extra_percent: u8) -> f64 {
+    10.0 + f64::from(first) * f64::from(extra_percent) / 100.0
+}
+
+fn leaf(name: String, failure_domain: &str) -> Record<Leaf> {
+    Record {
+        generation: 1,
+        spec: Leaf {
+            name,
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: failure_domain.to_owned(),
+            contract: Contract {
+                slots: 2,
+                connections: 25,
+                open_ms: 6,
+            },
+            state: State::Serving,
+        },
+    }
+}
+
+/// A service of shards with two replicas, one in each failure domain.
+pub fn view(shards: usize, prefer: Preference) -> View {
+    let mut catalog = Catalog {
+        revision: 7,
+        ..Catalog::default()
+    };
+    let mut layout = Vec::new();
+    for shard in 0..shards {
+        let replicas = ["near", "far"].map(|domain| format!("leaf-{shard:02}-{domain}"));
+        for (name, domain) in replicas.iter().zip(["near", "far"]) {
+            catalog.leaves.push(leaf(name.clone(), domain));
+        }
+        layout.push(Shard {
+            name: format!("shard-{shard:02}"),
+            replicas: replicas.to_vec(),
+        });
+    }
+    catalog.leaves.sort_by(|a, b| a.spec.name.cmp(&b.spec.name));
+    catalog.services.push(Record {
+        generation: 1,
+        spec: Service {
+            name: SERVICE.to_owned(),
+            shards: layout,
+            includes: Vec::new(),
+            deadline_ms: 200,
+            max_deadline_ms: 1000,
+            prefer,
+            extra_percent: 4,
+        },
+    });
+    View {
+        me: "vm".to_owned(),
+        failure_domain: "near".to_owned(),
+        catalog: Arc::new(catalog),
+        vms: Vec::new(),
+        draining: Vec::new(),
+        stopping: false,
+    }
+}
+
+/// Knowledge in which every leaf holds the snapshots.
+pub fn traffic(view: &View, snapshots: &[SnapshotId], now: Instant) -> Traffic {
+    let mut traffic = Traffic::new(3);
+    let mut held = Vec::new();
+    for shard in &view.catalog.services[0].spec.shards {
+        for leaf in &shard.replicas {
+            held.push(Holding {
+                service: SERVICE.to_owned(),
+                shard: shard.name.clone(),
+                leaf: leaf.clone(),
+                snapshots: snapshots.to_vec(),
+            });
+        }
+    }
+    traffic.holdings.survey(SERVICE, held, now);
+    traffic
+}
+
+fn query(prefer: Preference, now: Instant) -> Query {
+    Query {
+        request: "request".to_owned(),
+        service: SERVICE.to_owned(),
+        body: Arc::from(&b"{}"[..]),
+        deadline: now + Duration::from_millis(200),
+        prefer,
+        extra_percent: 4,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// The end of some attempt, also one that ended before.
+    Outcome {
+        place: usize,
+        kind: u8,
+    },
+    Unknown,
+    Pass(u64),
+    Gone,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        12 => (0_usize..1000, 0_u8..24).prop_map(|(place, kind)| Step::Outcome { place, kind }),
+        1 => Just(Step::Unknown),
+        4 => (1_u64..20).prop_map(Step::Pass),
+        1 => prop::bool::weighted(0.05).prop_map(|gone| if gone { Step::Gone } else { Step::Unknown }),
+    ]
+}
+
+fn result(kind: u8, part: &Part) -> Result<Reply, Failure> {
+    let reply = |snapshot| Reply {
+        snapshot,
+        body: format!("{}#{}#{snapshot}", part.attempt, part.shard).into_bytes(),
+    };
+    let asked = part.snapshot.unwrap_or(1);
+    match kind {
+        0 => Ok(reply(asked + 1)),
+        1 => Err(Failure::not_run(Reason::SnapshotNotHeld)),
+        2 => Err(Failure::not_run(Reason::Unreachable)),
+        3 => Err(Failure::not_run(Reason::QueueFull).retry_after(Duration::from_millis(30))),
+        4 => Err(Failure::may_have_run(Reason::ConnectionLost)),
+        5 => Err(Failure::may_have_run(Reason::Deadline)),
+        6 => Err(Failure::not_run(Reason::Leaving)),
+        7 => Err(Failure {
+            verdict: Verdict::Ran,
+            reason: Reason::SnapshotMismatch,
+            retry_after: None,
+        }),
+        _ => Ok(reply(asked)),
+    }
+}
+
+/// What the test knows of one attempt.
+struct Sent {
+    part: Part,
+    /// First outcome handed in: its kind.
+    outcome: Option<u8>,
+}
+
+/// Drives a query and keeps what it did.
+struct Driver {
+    fan_out: FanOut,
+    traffic: Traffic,
+    layout: Layout,
+    now: Instant,
+    deadline: Instant,
+    sent: Vec<Sent>,
+    end: Option<Result<Answer, Failure>>,
+    gone: bool,
+}
+
+impl Driver {
+    fn new(prefer: Preference) -> Driver {
+        let now = Instant::now();
+        let view = view(6, prefer);
+        let layout = Layout::new(&view.catalog, SERVICE).expect("service is declared");
+        let traffic = traffic(&view, &[1, 2], now);
+        let query = query(prefer, now);
+        let deadline = query.deadline;
+        let mut driver = Driver {
+            fan_out: FanOut::new(query, layout.clone(), Arc::new(view), now),
+            traffic,
+            layout,
+            now,
+            deadline,
+            sent: Vec::new(),
+            end: None,
+            gone: false,
+        };
+        let actions = driver.fan_out.start(&mut driver.traffic, now);
+        driver.check(actions);
+        driver
+    }
+
+    fn take(&mut self, step: Step) {
+        let actions = match step {
+            Step::Outcome { place, kind } => self.outcome(place, kind),
+            Step::Unknown => {
+                let failure = Failure::may_have_run(Reason::Deadline);
+                let outcome = Outcome::failed(1, failure);
+                self.fan_out
+                    .on_outcome(outcome, &mut self.traffic, self.now)
+            }
+            Step::Pass(millis) => return self.pass(Duration::from_millis(millis)),
+            Step::Gone => {
+                self.gone |= self.end.is_none();
+                self.fan_out.caller_gone(&mut self.traffic, self.now)
+            }
+        };
+        self.check(actions);
+    }
+
+    fn outcome(&mut self, place: usize, kind: u8) -> Vec<Action> {
+        let place = place % self.sent.len();
+        let sent = &mut self.sent[place];
+        let outcome = Outcome {
+            attempt: sent.part.attempt,
+            result: result(kind, &sent.part),
+            report: (kind % 2 == 0).then(|| Report {
+                owner: "vm".to_owned(),
+                held: vec![1, 2],
+                slots: 2,
+                ..Report::default()
+            }),
+        };
+        sent.outcome.get_or_insert(kind);
+        self.fan_out
+            .on_outcome(outcome, &mut self.traffic, self.now)
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(wake) = self.fan_out.next_wake().filter(|&wake| wake <= end) {
+            self.now = self.now.max(wake) + Duration::from_micros(1);
+            let actions = self.fan_out.tick(&mut self.traffic, self.now);
+            self.check(actions);
+        }
+        self.now = self.now.max(end);
+        let over = self.end.is_some() || self.gone;
+        assert!(
+            over || self.now < self.deadline,
+            "no answer by the deadline"
+        );
+    }
+
+    fn check(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            assert!(self.end.is_none(), "{action:?} after the end");
+            match action {
+                Action::Send(part) => {
+                    assert!(!self.gone, "nothing is sent for a caller who is gone");
+                    self.sent.push(Sent {
+                        part,
+                        outcome: None,
+                    });
+                }
+                Action::Cancel { attempt, .. } => {
+                    assert!(self.sent.iter().any(|s| s.part.attempt == attempt));
+                }
+                Action::Finish(result) => {
+                    self.check_end(&result);
+                    self.end = Some(result);
+                }
+            }
+        }
+    }
+
+    fn check_end(&self, result: &Result<Answer, Failure>) {
+        let counters = self.fan_out.counters();
+        let extra = f64::from(counters.hedges + counters.retries);
+        assert!(extra <= most_extra(counters.first, 4), "{counters:?}");
+        match result {
+            Ok(answer) => self.check_answer(answer),
+            Err(failure) => self.check_failure(failure),
+        }
+    }
+
+    fn check_answer(&self, answer: &Answer) {
+        let missing = answer.coverage.missing.iter().map(|m| m.shard.as_str());
+        let included = answer.coverage.included.iter().map(String::as_str);
+        let mut told: Vec<&str> = included.chain(missing).collect();
+        told.sort_unstable();
+        let layout: Vec<&str> = self.layout.shards.iter().map(|s| s.name.as_str()).collect();
+        assert_eq!(told, layout, "each shard is told once");
+        let merged: Vec<&String> = answer.results.iter().map(|r| &r.shard).collect();
+        let included: Vec<&String> = answer.coverage.included.iter().collect();
+        assert_eq!(merged, included, "coverage is what was merged");
+        for result in &answer.results {
+            let body = String::from_utf8_lossy(&result.body).into_owned();
+            let fields: Vec<&str> = body.split('#').collect();
+            let [attempt, shard, snapshot] = fields[..] else {
+                panic!("unknown body {body}");
+            };
+            assert_eq!(shard, result.shard);
+            assert_eq!(snapshot, answer.snapshot.to_string());
+            let attempt = attempt.parse::<AttemptId>().expect("a number");
+            let sent = self.sent.iter().find(|s| s.part.attempt == attempt);
+            let sent = sent.expect("an attempt of this query");
+            assert!(sent.outcome.is_some_and(|kind| kind >= 8));
+        }
+    }
+
+    fn check_failure(&self, failure: &Failure) {
+        assert!(failure.retry_after.is_some(), "{failure:?}");
+        if failure.verdict != Verdict::NotRun {
+            return;
+        }
+        for sent in &self.sent {
+            let result = sent.outcome.map(|kind| result(kind, &sent.part));
+            let did_not_run = matches!(result, Some(Err(f)) if f.verdict == Verdict::NotRun);
+            assert!(did_not_run, "an attempt may have run: {failure:?}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(400))]
+
+    #[test]
+    fn query_keeps_its_promises_in_any_order(
+        coverage in any::<bool>(),
+        steps in vec(step(), 1..80),
+    ) {
+        let prefer = if coverage { Preference::Coverage } else { Preference::Latency };
+        let mut driver = Driver::new(prefer);
+        for step in steps {
+            driver.take(step);
+        }
+        driver.pass(Duration::from_millis(250));
+        assert!(driver.end.is_some() || driver.gone);
+    }
+
+    #[test]
+    fn non_idempotent_request_is_sent_again_only_after_it_did_not_run(
+        kinds in vec((0_u8..12, 0_u64..80), 1..8),
+    ) {
+        let mut now = Instant::now();
+        let view = view(2, Preference::Coverage);
+        let layout = Layout::new(&view.catalog, SERVICE).expect("service is declared");
+        let mut traffic = traffic(&view, &[1], now);
+        let query = query(Preference::Coverage, now);
+        let shard = layout.shards[0].clone();
+        let mut execution = Execution::new(query, shard, Arc::new(view), now);
+        let mut actions = execution.start(&mut traffic, now);
+        let mut open: Option<Part> = None;
+        let mut ends = Vec::new();
+        let mut all_not_run = true;
+        for (kind, pass) in kinds {
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send(part) => {
+                        assert!(open.is_none() && all_not_run && !part.idempotent);
+                        open = Some(part);
+                    }
+                    Action::Cancel { .. } => {}
+                    Action::Finish(result) => ends.push(result),
+                }
+            }
+            now += Duration::from_millis(pass);
+            if execution.next_wake().is_some_and(|wake| wake <= now) {
+                all_not_run &= open.is_none();
+                actions = execution.tick(&mut traffic, now);
+                continue;
+            }
+            let Some(part) = open.take() else { continue };
+            let result = result(kind, &part);
+            all_not_run &= matches!(&result, Err(f) if f.verdict == Verdict::NotRun);
+            let outcome = Outcome { attempt: part.attempt, result, report: None };
+            actions = execution.on_outcome(outcome.clone(), &mut traffic, now);
+            let again = execution.on_outcome(outcome, &mut traffic, now);
+            assert!(again.is_empty(), "a doubled outcome does nothing");
+        }
+        let late = |action: Action| match action {
+            Action::Finish(result) => Some(result),
+            _ => None,
+        };
+        ends.extend(actions.into_iter().filter_map(late));
+        assert!(ends.len() <= 1);
+        if let Some(Err(failure)) = ends.first() {
+            let not_run = failure.verdict == Verdict::NotRun;
+            assert!(!not_run || all_not_run, "{failure:?}");
+        }
+    }
+}
+
+#[test]
+fn snapshot_choice_is_the_newest_that_most_shards_hold() {
+    struct Case {
+        /// Snapshots held by shard and replica.
+        held: [[&'static [SnapshotId]; 2]; 3],
+        chosen: Option<SnapshotId>,
+    }
+    let cases = [
+        Case {
+            held: [[&[1, 2], &[1, 2]], [&[1, 2], &[1, 2]], [&[1, 2], &[1, 2]]],
+            chosen: Some(2),
+        },
+        Case {
+            held: [[&[1, 2], &[1]], [&[1, 2], &[1]], [&[1], &[1]]],
+            chosen: Some(1),
+        },
+        Case {
+            held: [[&[1, 2], &[1]], [&[1, 2], &[1]], [&[1, 2], &[1]]],
+            chosen: Some(1),
+        },
+        Case {
+            held: [[&[2], &[2]], [&[2], &[2]], [&[1], &[1]]],
+            chosen: Some(2),
+        },
+        Case {
+            held: [[&[], &[]], [&[], &[]], [&[], &[]]],
+            chosen: None,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let view = view(3, Preference::Coverage);
+        let layout = Layout::new(&view.catalog, SERVICE).expect("service is declared");
+        let mut traffic = traffic(&view, &[], now);
+        for (shard, held) in layout.shards.iter().zip(case.held) {
+            for (leaf, snapshots) in shard.replicas.iter().zip(held) {
+                traffic.holdings.set(Holding {
+                    service: SERVICE.to_owned(),
+                    shard: shard.shard.clone(),
+                    leaf: leaf.clone(),
+                    snapshots: snapshots.to_vec(),
+                });
+            }
+        }
+        let chosen = traffic.holdings.choose(&layout, &[], |_| true);
+        let chosen = chosen.map(|candidate| candidate.snapshot);
+        assert_eq!(chosen, case.chosen, "{:?}", case.held);
+    }
+}
+
+#[test]
+fn query_starts_again_when_its_snapshot_was_dropped() {
+    let mut driver = Driver::new(Preference::Coverage);
+    let mut answered: BTreeMap<AttemptId, ()> = BTreeMap::new();
+    while driver.end.is_none() {
+        let open = driver.sent.iter();
+        let next = open
+            .map(|sent| (sent.part.attempt, sent.part.snapshot))
+            .position(|(attempt, _)| !answered.contains_key(&attempt));
+        let place = next.expect("an attempt without an outcome");
+        let part = driver.sent[place].part.clone();
+        answered.insert(part.attempt, ());
+        let dropped = part.snapshot == Some(2) && part.shard == "shard-00";
+        let kind = if dropped { 1 } else { 9 };
+        driver.take(Step::Outcome { place, kind });
+    }
+    let Some(Ok(answer)) = &driver.end else {
+        panic!("no answer");
+    };
+    assert_eq!(answer.snapshot, 1);
+    assert!(answer.coverage.missing.is_empty());
+    assert_eq!(driver.fan_out.counters().restarts, 1);
+}
--- /dev/null
+++ b/tests/testsuite/leaf_queue.rs
@@ -0,0 +1,381 @@
+//! The queue of one leaf under random orders of events, and what it does in
+//! cases that matter one by one.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::contract::Contract;
+use geraniummount::core::leaf::State;
+use geraniummount::core::leaf_queue::{Action, Ending, Health, LeafQueue, Use};
+use geraniummount::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+
+const SEED: u64 = 20261203;
+
+const CONTRACT: Contract = Contract {
+    slots: 2,
+    connections: 25,
+    open_ms: 6,
+};
+
+pub fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+fn part(attempt: AttemptId, deadline: Instant, idempotent: bool) -> Part {
+    Part {
+        attempt,
+        request: "request".to_owned(),
+        service: "service".to_owned(),
+        shard: "shard".to_owned(),
+        leaf: "leaf".to_owned(),
+        snapshot: idempotent.then_some(1),
+        deadline,
+        idempotent,
+        hops_left: 1,
+        body: Arc::from(&b"{}"[..]),
+    }
+}
+
+fn ending(kind: u8, attempt: AttemptId) -> Ending {
+    let replied = |echo, snapshot, state| Ending::Replied {
+        echo: Some(echo),
+        snapshot: Some(snapshot),
+        body: b"{}".to_vec(),
+        state,
+    };
+    match kind {
+        0 => replied(attempt + 1, 1, State::Serving),
+        1 => replied(attempt, 2, State::Serving),
+        2 => Ending::Shed {
+            retry_after: None,
+            state: State::Serving,
+        },
+        3 => Ending::NotHeld { held: vec![2] },
+        4 => Ending::NotSent(Reason::ConnectFailed),
+        5 => Ending::Lost(Reason::ConnectionLost),
+        6 => Ending::TimedOut,
+        7 => Ending::Refused,
+        8 => replied(attempt, 1, State::Draining),
+        9 => replied(attempt, 1, State::Cold),
+        _ => replied(attempt, 1, State::Serving),
+    }
+}
+
+/// Whether an ending shows that the leaf did not run the part.
+fn did_not_run(kind: u8) -> bool {
+    (2..=4).contains(&kind)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit { life_ms: u64, idempotent: bool },
+    Cancel(usize),
+    Finish { place: usize, kind: u8 },
+    Observe(u8),
+    Drain(bool),
+    Configure { slots: u16, share: u16 },
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (1_u64..80, any::<bool>()).prop_map(|(life_ms, idempotent)| Step::Submit {
+            life_ms,
+            idempotent
+        }),
+        1 => (0_usize..64).prop_map(Step::Cancel),
+        6 => (0_usize..8, 0_u8..20).prop_map(|(place, kind)| Step::Finish { place, kind }),
+        1 => (0_u8..4).prop_map(Step::Observe),
+        1 => prop::bool::weighted(0.2).prop_map(Step::Drain),
+        1 => (1_u16..5, 0_u16..6).prop_map(|(slots, share)| Step::Configure { slots, share }),
+        4 => (1_u64..30).prop_map(Step::Pass),
+    ]
+}
+
+/// One attempt as the test saw it.
+#[derive(Debug)]
+struct Seen {
+    part: Part,
+    starts: u32,
+    answers: u32,
+    /// Kind of the ending that was handed in.
+    ended: Option<u8>,
+}
+
+/// Drives a queue and checks each action against what must hold.
+struct Driver {
+    queue: LeafQueue,
+    now: Instant,
+    slots: u16,
+    share: u16,
+    seen: Vec<Seen>,
+    running: Vec<usize>,
+}
+
+impl Driver {
+    fn new() -> Driver {
+        let now = Instant::now();
+        Driver {
+            queue: LeafQueue::new("vm".to_owned(), CONTRACT, 8, now),
+            now,
+            slots: CONTRACT.slots,
+            share: 8,
+            seen: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        let now = self.now;
+        let actions = match step {
+            Step::Submit {
+                life_ms,
+                idempotent,
+            } => self.submit(Duration::from_millis(life_ms), idempotent),
+            Step::Cancel(place) => self.queue.cancel(place as AttemptId, now),
+            Step::Finish { place, kind } => return self.finish(place, kind),
+            Step::Observe(kind) => self.queue.observe(health(kind), now),
+            Step::Drain(draining) => self.queue.set_draining(draining, now),
+            Step::Configure { slots, share } => {
+                self.slots = slots;
+                self.share = share;
+                let contract = Contract { slots, ..CONTRACT };
+                self.queue.configure(contract, share, now)
+            }
+            Step::Pass(millis) => return self.pass(Duration::from_millis(millis)),
+        };
+        self.check(actions);
+    }
+
+    fn submit(&mut self, life: Duration, idempotent: bool) -> Vec<Action> {
+        let attempt = self.seen.len() as AttemptId;
+        let part = part(attempt, self.now + life, idempotent);
+        self.seen.push(Seen {
+            part: part.clone(),
+            starts: 0,
+            answers: 0,
+            ended: None,
+        });
+        self.queue.submit(part, self.now)
+    }
+
+    fn finish(&mut self, place: usize, kind: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let index = self.running.remove(place % self.running.len());
+        self.seen[index].ended = Some(kind);
+        let attempt = index as AttemptId;
+        let actions = self.queue.finish(attempt, ending(kind, attempt), self.now);
+        self.check(actions);
+    }
+
+    /// Lets time pass and ticks exactly when the queue asks for it.
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(wake) = self.queue.next_wake().filter(|&wake| wake <= end) {
+            self.now = self.now.max(wake);
+            let actions = self.queue.tick(self.now);
+            self.check(actions);
+            self.check_deadlines();
+            if wake <= self.now && self.queue.next_wake().is_some_and(|next| next <= wake) {
+                self.now += Duration::from_micros(100);
+            }
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn check_deadlines(&self) {
+        for seen in &self.seen {
+            let late = self.now > seen.part.deadline + Duration::from_millis(1);
+            assert!(
+                !late || seen.answers == 1,
+                "{seen:?} is not answered in time"
+            );
+        }
+    }
+
+    fn check(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start { part, connection } => self.check_start(&part, connection),
+                Action::Answer(outcome) => self.check_answer(&outcome),
+                Action::Abort(_) | Action::CloseIdle | Action::Probe => {}
+            }
+        }
+    }
+
+    fn check_start(&mut self, part: &Part, connection: Use) {
+        let index = part.attempt as usize;
+        self.running.push(index);
+        let limit = usize::from(self.slots.min(self.share));
+        assert!(self.running.len() <= limit, "slots and share are kept");
+        let seen = &mut self.seen[index];
+        seen.starts += 1;
+        assert_eq!(seen.starts, 1, "{seen:?} started twice");
+        assert_eq!(seen.answers, 0, "{seen:?} started after its answer");
+        assert!(self.now < part.deadline, "{seen:?} started too late");
+        let proven = connection == Use::Proven;
+        assert_eq!(proven, !part.idempotent, "{seen:?}");
+    }
+
+    fn check_answer(&mut self, outcome: &Outcome) {
+        let seen = &mut self.seen[outcome.attempt as usize];
+        seen.answers += 1;
+        assert_eq!(seen.answers, 1, "{seen:?} answered twice");
+        match &outcome.result {
+            Ok(reply) => {
+                let asked = seen.part.snapshot;
+                assert_eq!(reply.snapshot, asked.unwrap_or(reply.snapshot), "{seen:?}");
+                let own = |kind| kind >= 8 || (kind == 1 && asked.is_none());
+                assert!(seen.ended.is_some_and(own), "{seen:?}");
+            }
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                let proof = seen.starts == 0 || seen.ended.is_some_and(did_not_run);
+                assert!(proof, "{seen:?} may have run: {failure:?}");
+            }
+            Err(_) => assert_eq!(seen.starts, 1, "{seen:?} was never sent"),
+        }
+    }
+}
+
+fn health(kind: u8) -> Health {
+    let state = match kind {
+        0 => return Health::Silent,
+        1 => State::Draining,
+        _ => State::Serving,
+    };
+    Health::Answered {
+        state,
+        held: Vec::new(),
+    }
+}
+
+proptest! {
+    #![proptest_config(config(300))]
+
+    #[test]
+    fn keeps_its_promises_in_any_order(steps in vec(step(), 1..250)) {
+        let mut driver = Driver::new();
+        for step in steps {
+            driver.take(step);
+        }
+        driver.pass(Duration::from_secs(1));
+        assert!(driver.seen.iter().all(|seen| seen.answers == 1));
+    }
+}
+
+/// A queue in which answers took a given time so far.
+fn warm_queue(served: Duration, now: &mut Instant) -> LeafQueue {
+    let mut queue = LeafQueue::new("vm".to_owned(), CONTRACT, 8, *now);
+    for attempt in 1000..1020 {
+        queue.submit(part(attempt, *now + served * 4, true), *now);
+        *now += served;
+        queue.finish(attempt, ending(99, attempt), *now);
+    }
+    queue
+}
+
+fn failures(actions: &[Action]) -> Vec<Failure> {
+    let answers = actions.iter().filter_map(|action| match action {
+        Action::Answer(outcome) => outcome.result.clone().err(),
+        _ => None,
+    });
+    answers.collect()
+}
+
+#[test]
+fn refuses_what_cannot_end_in_time() {
+    struct Case {
+        ahead: u64,
+        life_ms: u64,
+        refused: bool,
+    }
+    let cases = [
+        Case {
+            ahead: 0,
+            life_ms: 15,
+            refused: false,
+        },
+        Case {
+            ahead: 0,
+            life_ms: 5,
+            refused: true,
+        },
+        Case {
+            ahead: 6,
+            life_ms: 25,
+            refused: true,
+        },
+        Case {
+            ahead: 6,
+            life_ms: 100,
+            refused: false,
+        },
+    ];
+    for case in cases {
+        let mut now = Instant::now();
+        let mut queue = warm_queue(Duration::from_millis(10), &mut now);
+        for attempt in 0..case.ahead {
+            queue.submit(part(attempt, now + Duration::from_secs(1), true), now);
+        }
+        let life = Duration::from_millis(case.life_ms);
+        let actions = queue.submit(part(99, now + life, true), now);
+        let failures = failures(&actions);
+        assert_eq!(failures.len(), usize::from(case.refused), "{}", case.ahead);
+        for failure in failures {
+            assert_eq!(failure.verdict, Verdict::NotRun);
+            assert_eq!(failure.reason, Reason::QueueFull);
+            assert!(failure.retry_after.is_some());
+        }
+    }
+}
+
+#[test]
+fn answers_that_say_draining_outweigh_the_health_endpoint() {
+    let mut now = Instant::now();
+    let mut queue = warm_queue(Duration::from_millis(5), &mut now);
+    let deadline = now + Duration::from_secs(1);
+    queue.submit(part(1, deadline, true), now);
+    queue.submit(part(2, deadline, true), now);
+    queue.submit(part(3, deadline, true), now);
+    let actions = queue.finish(1, ending(8, 1), now);
+    let waiting = failures(&actions);
+    assert_eq!(waiting[0].reason, Reason::Leaving);
+    queue.observe(health(2), now);
+    let refused = failures(&queue.submit(part(4, deadline, true), now));
+    assert_eq!(refused[0].reason, Reason::Leaving);
+    assert_eq!(refused[0].verdict, Verdict::NotRun);
+}
+
+#[test]
+fn silent_leaf_gets_one_part_at_a_time_until_it_answers() {
+    let mut now = Instant::now();
+    let mut queue = warm_queue(Duration::from_millis(5), &mut now);
+    for attempt in 0..3 {
+        queue.submit(part(attempt, now + Duration::from_millis(50), true), now);
+        now += Duration::from_millis(60);
+        let mut actions = queue.tick(now);
+        actions.extend(queue.finish(attempt, Ending::TimedOut, now));
+        let closes = actions.iter().any(|a| matches!(a, Action::CloseIdle));
+        assert!(closes, "a silent connection makes the others suspect");
+    }
+    let life = Duration::from_secs(1);
+    let refused = failures(&queue.submit(part(10, now + life, true), now));
+    assert_eq!(refused[0].verdict, Verdict::NotRun);
+    assert!(refused[0].retry_after.is_some());
+    now += Duration::from_millis(150);
+    let first = queue.submit(part(11, now + life, true), now);
+    let second = queue.submit(part(12, now + life, true), now);
+    assert!(matches!(first[..], [Action::Start { .. }]));
+    assert!(second.is_empty(), "one part at a time: {second:?}");
+}
