--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -223,7 +223,7 @@
         let outcome = Outcome {
             attempt: sent.part.attempt,
             result: result(kind, &sent.part),
-            report: (kind % 2 == 0).then(|| Report {
+            report: kind.is_multiple_of(2).then(|| Report {
                 owner: "vm".to_owned(),
                 held: vec![1, 2],
                 slots: 2,
