Prove at-most-once and not-run under two troubles at once

Change: pairs of troubles, queries under overload, the third send of a key through a third VM, and after every run no leaf may have seen more connections than it grants. The other promise modules take the connection check from the shared scene.

--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -31,7 +31,7 @@
     /// Non-idempotent requests to `orders`.
     Orders,
     /// Non-idempotent requests to `orders`, each sent twice at a time with one
-    /// key through two VMs, and once more later.
+    /// key through two VMs, and once more later through a third.
     KeyedOrders,
 }
 
@@ -86,9 +86,9 @@
     }
 }
 
-/// Sends requests while a trouble begins and ends; returns every record once
-/// all that was held back has been handled and the fleet serves again.
-pub fn run_through(scene: &mut Scene, trouble: Trouble, kind: Kind) -> Vec<Record> {
+/// Sends requests while troubles begin together and end; returns every record
+/// once all that was held back has been handled and the fleet serves again.
+pub fn run_through(scene: &mut Scene, troubles: &[Trouble], kind: Kind) -> Vec<Record> {
     let addresses: Vec<SocketAddr> = scene.fleet.running().map(|vm| vm.caller).collect();
     let stop = AtomicBool::new(false);
     let number = AtomicUsize::new(0);
@@ -97,9 +97,13 @@
             .map(|_| scope.spawn(|| send_until(&addresses, kind, &stop, &number)))
             .collect();
         std::thread::sleep(BEFORE);
-        trouble.begin(&mut scene.fleet);
+        for trouble in troubles {
+            trouble.begin(&mut scene.fleet);
+        }
         std::thread::sleep(DURING);
-        trouble.end(&mut scene.fleet);
+        for trouble in troubles.iter().rev() {
+            trouble.end(&mut scene.fleet);
+        }
         std::thread::sleep(AFTER);
         stop.store(true, Ordering::Relaxed);
         let records = callers
@@ -109,6 +113,7 @@
     });
     scene.settle();
     scene.wait_whole();
+    scene.check_connections();
     records
 }
 
@@ -131,7 +136,8 @@
                     [send(other, kind, number, 1), first.join().expect("caller")]
                 });
                 records.extend(both);
-                records.push(send(address, kind, number, 2));
+                let third = addresses[(number + 2) % addresses.len()];
+                records.push(send(third, kind, number, 2));
             }
         }
         std::thread::sleep(PAUSE);
--- a/tests/testsuite/promise_at_most_once.rs
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -1,7 +1,7 @@
 //! Promise: a request marked as non-idempotent runs at most once.
 //!
 //! Counted in the leaves' execution logs. Requests with a caller's key are
-//! sent three times through two VMs, two of them at a time, and count as one.
+//! sent three times through several VMs, two of them at a time, and count as one.
 
 use std::collections::HashMap;
 
@@ -31,37 +31,37 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Case {
-    trouble: Trouble,
+    troubles: Vec<Trouble>,
     kind: Kind,
 }
 
-fn run(cases: &[Case], seed: u64) {
-    for_each(cases, |case| {
+fn run(troubles: impl IntoIterator<Item = Vec<Trouble>>, kind: Kind, seed: u64) {
+    let troubles = troubles.into_iter();
+    let cases: Vec<Case> = troubles.map(|troubles| Case { troubles, kind }).collect();
+    for_each(&cases, |case| {
         let mut scene = Scene::start(seed);
-        let records = run_through(&mut scene, case.trouble, case.kind);
+        let records = run_through(&mut scene, &case.troubles, case.kind);
         check(&scene, &records, &format!("{case:?}"));
     });
 }
 
 #[test]
 fn promise_at_most_once_holds_under_kill_freeze_and_cut() {
-    let cases = Trouble::PATH.map(|trouble| Case {
-        trouble,
-        kind: Kind::Orders,
-    });
-    run(&cases, 21);
+    let troubles = Trouble::PATH.map(|trouble| vec![trouble]);
+    run(troubles, Kind::Orders, 21);
 }
 
 #[test]
-fn promise_at_most_once_holds_for_one_key_through_two_vms() {
+fn promise_at_most_once_holds_for_one_key_through_several_vms() {
     let troubles = Trouble::PATH.iter().chain(&Trouble::PLATFORM);
-    let cases: Vec<Case> = troubles
-        .map(|&trouble| Case {
-            trouble,
-            kind: Kind::KeyedOrders,
-        })
-        .collect();
-    run(&cases, 22);
+    let troubles = troubles.map(|&trouble| vec![trouble]);
+    run(troubles, Kind::KeyedOrders, 22);
+}
+
+#[test]
+fn promise_at_most_once_holds_under_two_troubles() {
+    let troubles = Trouble::PAIRS.map(|pair| pair.to_vec());
+    run(troubles, Kind::KeyedOrders, 23);
 }
--- a/tests/testsuite/promise_coverage.rs
+++ b/tests/testsuite/promise_coverage.rs
@@ -78,7 +78,7 @@
 fn promise_coverage_is_true_under_kill_freeze_and_cut() {
     for_each(&Trouble::PATH, |trouble| {
         let mut scene = Scene::start(31);
-        let records = run_through(&mut scene, *trouble, Kind::Queries);
+        let records = run_through(&mut scene, &[*trouble], Kind::Queries);
         check(&scene, &records, &format!("{trouble:?}"));
     });
 }
--- a/tests/testsuite/promise_not_run.rs
+++ b/tests/testsuite/promise_not_run.rs
@@ -34,22 +34,24 @@
     refused.len()
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Case {
-    trouble: Trouble,
+    troubles: Vec<Trouble>,
     kind: Kind,
 }
 
-#[test]
-fn promise_not_run_holds_under_kill_freeze_and_cut() {
-    let kinds = [Kind::Orders, Kind::Queries];
-    let cases: Vec<Case> = Trouble::PATH
-        .iter()
-        .flat_map(|&trouble| kinds.map(|kind| Case { trouble, kind }))
-        .collect();
+fn run(troubles: impl IntoIterator<Item = Vec<Trouble>>, kinds: &[Kind], seed: u64) {
+    let of_kinds = |troubles: Vec<Trouble>| {
+        let cases = kinds.iter().map(move |&kind| Case {
+            troubles: troubles.clone(),
+            kind,
+        });
+        cases.collect::<Vec<_>>()
+    };
+    let cases: Vec<Case> = troubles.into_iter().flat_map(of_kinds).collect();
     for_each(&cases, |case| {
-        let mut scene = Scene::start(11);
-        let records = run_through(&mut scene, case.trouble, case.kind);
+        let mut scene = Scene::start(seed);
+        let records = run_through(&mut scene, &case.troubles, case.kind);
         let refused = check(&scene, &records, &format!("{case:?}"));
         let mut reasons: Vec<_> = records.iter().filter_map(Record::failure).collect();
         reasons.sort_unstable();
@@ -59,11 +61,27 @@
     });
 }
 
+#[test]
+fn promise_not_run_holds_under_kill_freeze_and_cut() {
+    let troubles = Trouble::PATH.map(|trouble| vec![trouble]);
+    run(troubles, &[Kind::Orders, Kind::Queries], 11);
+}
+
+#[test]
+fn promise_not_run_holds_under_two_troubles() {
+    let troubles = Trouble::PAIRS.map(|pair| pair.to_vec());
+    run(troubles, &[Kind::Orders], 13);
+}
+
 /// Leaves that can't keep up shed, and owners refuse what would come too late.
 #[test]
 fn promise_not_run_holds_under_overload() {
-    let cases = [Overload::Queue, Overload::Shed];
-    for_each(&cases, |overload| {
+    let kinds = [Kind::Orders, Kind::Queries];
+    let cases: Vec<(Overload, Kind)> = [Overload::Queue, Overload::Shed]
+        .iter()
+        .flat_map(|&overload| kinds.map(|kind| (overload, kind)))
+        .collect();
+    for_each(&cases, |(overload, kind)| {
         let mut scene = Scene::start(12);
         scene.change_leaves(|behaviour| {
             behaviour.slots = 1;
@@ -73,8 +91,9 @@
                 ..Delay::default()
             };
         });
-        let records = run_through(&mut scene, Trouble::KillOwner, Kind::Orders);
-        let refused = check(&scene, &records, &format!("{overload:?}"));
-        assert!(refused > 0, "{overload:?}: nothing was refused as not run");
+        let records = run_through(&mut scene, &[Trouble::KillOwner], *kind);
+        let context = format!("{overload:?} {kind:?}");
+        let refused = check(&scene, &records, &context);
+        assert!(refused > 0, "{context}: nothing was refused as not run");
     });
 }
--- a/tests/testsuite/promise_reply.rs
+++ b/tests/testsuite/promise_reply.rs
@@ -38,22 +38,12 @@
     assert!(answered > 0, "{context}: nothing was answered");
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Case {
-    trouble: Trouble,
-    kind: Kind,
-}
-
 #[test]
 fn promise_reply_is_the_callers_own_under_kill_freeze_and_cut() {
-    let cases = Trouble::PATH.map(|trouble| Case {
-        trouble,
-        kind: Kind::Queries,
-    });
-    for_each(&cases, |case| {
+    for_each(&Trouble::PATH, |trouble| {
         let mut scene = Scene::start(51);
-        let records = run_through(&mut scene, case.trouble, case.kind);
-        check(&records, &format!("{case:?}"));
+        let records = run_through(&mut scene, &[*trouble], Kind::Queries);
+        check(&records, &format!("{trouble:?}"));
     });
 }
 
--- a/tests/testsuite/promise_snapshot.rs
+++ b/tests/testsuite/promise_snapshot.rs
@@ -90,7 +90,7 @@
     for_each(&Trouble::PATH, |trouble| {
         let mut scene = Scene::start(41);
         let switching = Switching::start(&scene);
-        let records = run_through(&mut scene, *trouble, Kind::Queries);
+        let records = run_through(&mut scene, &[*trouble], Kind::Queries);
         drop(switching);
         let seen = check(&records, &format!("{trouble:?}"));
         assert!(
--- a/tests/testsuite/scene.rs
+++ b/tests/testsuite/scene.rs
@@ -133,6 +133,15 @@
         std::thread::sleep(SETTLE);
     }
 
+    /// Checks that no leaf ever saw more connections than it grants.
+    pub fn check_connections(&self) {
+        for other in &self.fleet.leaves {
+            let connections = other.leaf.connections();
+            let name = other.leaf.name();
+            assert_eq!(connections.violations, 0, "{name}: {connections:?}");
+        }
+    }
+
     /// Returns what all leaves ran, without the requests of the scene itself.
     pub fn executions(&self) -> Vec<Execution> {
         let logs = self.fleet.leaves.iter().flat_map(|other| other.leaf.log());
@@ -250,6 +259,16 @@
         Trouble::SilencePlatform,
     ];
 
+    /// Troubles that come together.
+    pub const PAIRS: [[Trouble; 2]; 6] = [
+        [Trouble::KillOwner, Trouble::SilencePlatform],
+        [Trouble::FreezeOwner, Trouble::CutOwners],
+        [Trouble::FreezeEntry, Trouble::LosePlatformReplies],
+        [Trouble::KillEntry, Trouble::RefusePlatform],
+        [Trouble::SilenceLeaves, Trouble::KillOwner],
+        [Trouble::FreezeLeaves, Trouble::CutFromOwners],
+    ];
+
     /// Troubles on the path of a request.
     pub const PATH: [Trouble; 12] = [
         Trouble::CutOwners,
