Test queries of the command line, and mend load's histogram

Cause: 'load' showed 0.002 ms for every quantile: a histogram that grows by itself does not grow when values are recorded saturating. At level debug the HTTP libraries' lines drowned the process's own.

Change: the histogram has a fixed range of 600 s. The level of the settings holds for geraniummount, libraries write warnings. A table of cases drives query and load against a real process.

--- a/src/geraniummount/ops/load.rs
+++ b/src/geraniummount/ops/load.rs
@@ -22,6 +22,9 @@
 /// Time that an answer may take before its query counts as lost.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time that the histogram tells apart.
+const LONGEST: Duration = Duration::from_secs(600);
+
 /// Significant digits of the histogram.
 const DIGITS: u8 = 3;
 
@@ -151,7 +154,8 @@
     options: &Options,
     samples: Receiver<Sample>,
 ) -> Result<Value, hdrhistogram::CreationError> {
-    let mut histogram = Histogram::<u64>::new(DIGITS)?;
+    let longest = u64::try_from(LONGEST.as_micros()).unwrap_or(u64::MAX);
+    let mut histogram = Histogram::<u64>::new_with_max(longest, DIGITS)?;
     let (mut sent, mut answered, mut whole, mut refused, mut failed) = (0, 0, 0, 0, 0);
     let mut shares = 0.0;
     for sample in samples {
--- a/src/geraniummount/ops/logs.rs
+++ b/src/geraniummount/ops/logs.rs
@@ -4,8 +4,11 @@
 use log::LevelFilter;
 
 /// Starts to write logs to standard error; `RUST_LOG` overrides the level.
+///
+/// Of the libraries only warnings are written, as they log every request.
 pub fn start(level: LevelFilter) {
-    let env = Env::default().default_filter_or(level.as_str().to_lowercase());
+    let libraries = level.min(LevelFilter::Warn);
+    let env = Env::default().default_filter_or(format!("{libraries},geraniummount={level}"));
     let started = env_logger::Builder::from_env(env)
         .format_timestamp_millis()
         .format_target(false)
--- a/src/geraniummount/util/table.rs
+++ b/src/geraniummount/util/table.rs
@@ -115,6 +115,9 @@
             items.iter().map(cell).collect::<Vec<_>>().join(",")
         }
         Value::Object(fields) if fields.is_empty() => "none".to_string(),
+        Value::Number(number) if number.is_f64() => number
+            .as_f64()
+            .map_or_else(String::new, |value| format!("{value:.2}")),
         other => other.to_string(),
     }
 }
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -4,7 +4,10 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+use geraniummount_test_support::fleet::{Fleet, Plan};
+use geraniummount_test_support::leaf::Behaviour;
 use geraniummount_test_support::platform::Outage;
+use serde_json::json;
 
 use crate::operators_listener::Listener;
 
@@ -235,3 +238,115 @@
     platform.change(|behaviour| behaviour.outage = Outage::None);
     listener.lose_reply(|| check(&files, &address, REPLY_LOST));
 }
+
+const QUERIES: &[Case] = &[
+    Case {
+        name: "query of two shards",
+        arguments: &[
+            "query",
+            "desk",
+            "--body",
+            "{\"text\": \"rope\"}",
+            "--request-id",
+            "r-7",
+        ],
+        code: 0,
+        prints: "request   r-7\nsnapshot  1\nrevision  3\ncoverage  2 of 2 shards\n",
+    },
+    Case {
+        name: "owner, replica and attempts of each shard",
+        arguments: &["query", "desk", "--explain"],
+        code: 0,
+        prints: "shard  leaf    owner  attempts  hedges  took_ms\n",
+    },
+    Case {
+        name: "answer in JSON",
+        arguments: &["query", "desk", "--json"],
+        code: 0,
+        prints: "\"missing\": []",
+    },
+    Case {
+        name: "order",
+        arguments: &[
+            "query",
+            "desk",
+            "--non-idempotent",
+            "--shard",
+            "1",
+            "--key",
+            "order-7",
+        ],
+        code: 0,
+        prints: "coverage  1 of 1 shards\n",
+    },
+    Case {
+        name: "the same order again",
+        arguments: &[
+            "query",
+            "desk",
+            "--non-idempotent",
+            "--shard",
+            "1",
+            "--key",
+            "order-7",
+        ],
+        code: 8,
+        prints: "service desk: duplicate-key",
+    },
+    Case {
+        name: "order without its shard",
+        arguments: &["query", "desk", "--non-idempotent"],
+        code: 2,
+        prints: "--shard <SHARD>",
+    },
+    Case {
+        name: "order at a shard that does not exist",
+        arguments: &["query", "desk", "--non-idempotent", "--shard", "9"],
+        code: 9,
+        prints: "shard `9` is not in the service",
+    },
+    Case {
+        name: "unknown service",
+        arguments: &["query", "shelf"],
+        code: 9,
+        prints: "service `shelf` is not declared",
+    },
+    Case {
+        name: "deadline beyond the service's longest",
+        arguments: &["query", "desk", "--deadline-ms", "60000"],
+        code: 3,
+        prints: "send a whole number from 1 to 20000",
+    },
+    Case {
+        name: "load",
+        arguments: &["load", "desk", "--rate", "20", "--seconds", "1"],
+        code: 0,
+        prints: "sent           20\nanswered       20\n",
+    },
+];
+
+#[test]
+fn queries_tell_what_became_of_them() {
+    let files = Files::new("queries");
+    let mut plan = Plan::new(BINARY).domain("d1", 1);
+    for number in 1..=2 {
+        let behaviour = Behaviour {
+            shards: vec![format!("desk/{number}")],
+            ..Behaviour::default()
+        };
+        plan = plan.leaf(&format!("desk-{number}"), "d1", behaviour);
+    }
+    let fleet = Fleet::start(plan).expect("fleet starts");
+    let entry = &fleet.vms_in("d1")[0];
+    let service = json!({
+        "name": "desk",
+        "shards": [
+            {"name": "1", "replicas": ["desk-1"]},
+            {"name": "2", "replicas": ["desk-2"]},
+        ],
+        "deadline_ms": 20_000,
+        "max_deadline_ms": 20_000,
+    });
+    fleet.apply_with_leaves(entry, &[service]);
+    check(&files, &fleet.vm(entry).caller.to_string(), QUERIES);
+}
