Answer peers' parts before the peer listener closes

Cause: a planned stop closed peer connections as soon as no part was in flight, while the last outcomes were still on their way to the connection, so that a peer saw them as may have run. Change: Server::finish waits for the answers and the time to write them.

--- a/src/geraniummount/edge/peer/server.rs
+++ b/src/geraniummount/edge/peer/server.rs
@@ -5,7 +5,9 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use capnp_rpc::RpcSystem;
@@ -25,6 +27,14 @@
 /// Connections that one thread serves at most.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Longest wait for parts that are not answered yet.
+const LONGEST_FINISH: Duration = Duration::from_secs(2);
+
+const FINISH_STEP: Duration = Duration::from_millis(5);
+
+/// Time to write an answer to a connection.
+const WRITE_TIME: Duration = Duration::from_millis(50);
+
 /// Pause after a failed accept, as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,6 +42,7 @@
 pub struct Server {
     address: SocketAddr,
     executors: Vec<Executor<Serving>>,
+    calls: Arc<AtomicUsize>,
 }
 
 /// State of one thread.
@@ -46,11 +57,13 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let hooks = Arc::new(hooks);
+        let calls = Arc::new(AtomicUsize::new(0));
         let mut executors = Vec::new();
         for _ in 0..THREADS {
             let (dispatcher, hooks) = (dispatcher.clone(), Arc::clone(&hooks));
+            let calls = Arc::clone(&calls);
             let init = move || Serving {
-                service: Rc::new(Service::new(dispatcher, hooks)),
+                service: Rc::new(Service::new(dispatcher, hooks, calls)),
                 open: Rc::default(),
             };
             executors.push(Executor::start("peer-server", init)?);
@@ -59,7 +72,11 @@
         executors[0].run(move |_, spawner| {
             drop(spawner.unbounded_send(accept(listener, others).boxed_local()));
         });
-        Ok(Server { address, executors })
+        Ok(Server {
+            address,
+            executors,
+            calls,
+        })
     }
 
     /// Returns where it listens.
@@ -67,6 +84,18 @@
         self.address
     }
 
+    /// Waits until the parts of peers are answered, a while at most, then
+    /// closes the listener and all connections.
+    pub fn finish(&self) {
+        let end = Instant::now() + LONGEST_FINISH;
+        while self.calls.load(Ordering::Acquire) > 0 && Instant::now() < end {
+            thread::sleep(FINISH_STEP);
+        }
+        // The last answers are still being written.
+        thread::sleep(WRITE_TIME);
+        self.stop();
+    }
+
     /// Closes the listener and all connections.
     pub fn stop(&self) {
         self.executors.iter().for_each(Executor::stop);
--- a/src/geraniummount/edge/peer/service.rs
+++ b/src/geraniummount/edge/peer/service.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -20,12 +21,28 @@
 pub struct Service {
     dispatcher: Dispatcher,
     hooks: Arc<Hooks>,
+    calls: Arc<AtomicUsize>,
 }
 
 impl Service {
-    /// Serves peers from a dispatcher.
-    pub fn new(dispatcher: Dispatcher, hooks: Arc<Hooks>) -> Service {
-        Service { dispatcher, hooks }
+    /// Serves peers from a dispatcher; `calls` counts the parts not answered.
+    pub fn new(dispatcher: Dispatcher, hooks: Arc<Hooks>, calls: Arc<AtomicUsize>) -> Service {
+        Service {
+            dispatcher,
+            hooks,
+            calls,
+        }
+    }
+
+    fn begin(&self, part: &Part) -> Call {
+        self.calls.fetch_add(1, Ordering::AcqRel);
+        Call {
+            dispatcher: self.dispatcher.clone(),
+            attempt: part.attempt,
+            leaf: part.leaf.clone(),
+            ended: false,
+            calls: Arc::clone(&self.calls),
+        }
     }
 }
 
@@ -36,10 +53,12 @@
     attempt: AttemptId,
     leaf: LeafName,
     ended: bool,
+    calls: Arc<AtomicUsize>,
 }
 
 impl Drop for Call {
     fn drop(&mut self) {
+        self.calls.fetch_sub(1, Ordering::AcqRel);
         if !self.ended {
             self.dispatcher.cancel(self.attempt, &self.leaf);
         }
@@ -53,12 +72,7 @@
         mut results: peer::DispatchResults,
     ) -> Result<(), capnp::Error> {
         let part = wire::read_part(params.get()?.get_part()?, Instant::now())?;
-        let mut call = Call {
-            dispatcher: self.dispatcher.clone(),
-            attempt: part.attempt,
-            leaf: part.leaf.clone(),
-            ended: false,
-        };
+        let mut call = self.begin(&part);
         let (sender, receiver) = oneshot::channel();
         self.dispatcher.dispatch(part, ReplyTo::Peer(sender));
         let outcome = receiver.await;
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -114,7 +114,7 @@
             warn!("serve: {left} parts are still in flight");
         }
         self.dispatcher.stop();
-        self.peers.stop();
+        self.peers.finish();
         drop(self.operators);
         self.control.stop();
         info!("serve: stopped");
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -12,6 +12,7 @@
 use geraniummount::prelude::*;
 use geraniummount::util::published::Published;
 use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay, Fault};
+use geraniummount_test_support::proxy::Proxy;
 
 const DEADLINE: Duration = Duration::from_millis(400);
 const LIMIT: Duration = Duration::from_secs(20);
@@ -63,6 +64,16 @@
         }
     }
 
+    fn put_proxy_before_the_leaf(&mut self) -> Proxy {
+        let proxy = Proxy::start(Ipv4Addr::LOCALHOST, self.stand_in.address(), 7).unwrap();
+        let mut view = View::clone(&self.view.get());
+        let mut catalog = Catalog::clone(&view.catalog);
+        catalog.leaves[0].spec.address = proxy.address();
+        view.catalog = Arc::new(catalog);
+        self.view.set(view);
+        proxy
+    }
+
     fn send(&self, part: Part) -> mpsc::Receiver<Outcome> {
         let (sender, receiver) = mpsc::channel();
         self.dispatcher.dispatch(part, ReplyTo::Caller(sender));
@@ -338,6 +349,51 @@
     });
 }
 
+#[test]
+fn a_silent_connection_carries_no_part_that_may_run_once() {
+    let mut bench = Bench::start(Behaviour::default());
+    let proxy = bench.put_proxy_before_the_leaf();
+    wait_until("answer through the proxy", || {
+        let answered = bench.ask(part(false, DEADLINE)).result.is_ok();
+        answered && proxy.open_connections() > 0
+    });
+    for idle in [Duration::ZERO, Duration::from_millis(200)] {
+        proxy.silence_open();
+        // Longer than a connection counts as proven by its last reply.
+        thread::sleep(Duration::from_millis(60) + idle);
+        let outcome = bench.ask(part(false, LIMIT));
+        outcome.result.expect("reply on a new connection");
+    }
+}
+
+#[test]
+fn a_cold_leaf_gets_few_parts_at_first() {
+    const PARTS: usize = 16;
+    let bench = Bench::start(Behaviour {
+        slots: 8,
+        state: stand_in::State::Cold,
+        cold_factor: 1.0,
+        delay: Delay::fixed(Duration::from_millis(20)),
+        ..Behaviour::default()
+    });
+    bench.ask(part(true, LIMIT)).result.expect("first reply");
+    let send = || (0..PARTS).map(|_| bench.send(part(true, LIMIT)));
+    let waits: Vec<_> = send().collect();
+    wait_until("a second part", || bench.executions() > 1);
+    assert!(bench.stand_in.most_busy() <= 2, "cold leaf got a burst");
+    for wait in waits {
+        wait.recv_timeout(LIMIT).expect("no outcome").result.ok();
+    }
+    bench
+        .stand_in
+        .change(|behaviour| behaviour.state = stand_in::State::Serving);
+    wait_until("all slots in use", || {
+        let waits: Vec<_> = send().collect();
+        waits.iter().for_each(|wait| drop(wait.recv_timeout(LIMIT)));
+        bench.stand_in.most_busy() > 2
+    });
+}
+
 #[test]
 fn a_leaf_that_leaves_gets_no_new_part() {
     let bench = Bench::start(Behaviour::default());
