Prove the promises of a request while leaves misbehave

Cause: faults of a single leaf (closed, doubled, late, truncated, mismatched and missing replies) were tried for replies only; replies larger than one read not at all. Change: one runner with a fault of a leaf every few requests, used for reply, not-run and at-most-once, with orders, keyed orders and queries; a test with replies of 300 kB. No product change needed.

--- a/crates/geraniummount-test-support/src/leaf/behaviour.rs
+++ b/crates/geraniummount-test-support/src/leaf/behaviour.rs
@@ -29,6 +29,8 @@
     pub shards: Vec<String>,
     /// Snapshots that it holds of each shard, ascending.
     pub snapshots: Vec<u64>,
+    /// Length of the text that fills up its replies.
+    pub padding_bytes: usize,
 }
 
 impl Default for Behaviour {
@@ -45,6 +47,7 @@
             health: Health::True,
             shards: Vec::new(),
             snapshots: vec![1],
+            padding_bytes: 0,
         }
     }
 }
--- a/crates/geraniummount-test-support/src/leaf/server.rs
+++ b/crates/geraniummount-test-support/src/leaf/server.rs
@@ -350,6 +350,7 @@
         "request": request.header("Request-Id"),
         "attempt": work.attempt,
         "query": query,
+        "padding": "x".repeat(state.behaviour.padding_bytes),
     });
     Response::json(200, &body)
         .with("Attempt-Id", work.attempt)
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use geraniummount_test_support::client::{Client, Reply};
+use geraniummount_test_support::leaf::Fault;
 use serde_json::{Value, json};
 
 use crate::scene::{Scene, Trouble};
@@ -23,6 +24,12 @@
 
 const CALLERS: usize = 6;
 
+/// Callers, rounds of each, and rounds between two faults, while leaves
+/// misbehave.
+const FAULT_CALLERS: usize = 4;
+const FAULT_ROUNDS: usize = 40;
+const FAULT_PERIOD: usize = 5;
+
 /// What the callers send.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -117,6 +124,60 @@
     records
 }
 
+/// Every fault of a leaf, with each of some kinds of requests.
+pub fn faults_with(kinds: &[Kind]) -> Vec<(Fault, Kind)> {
+    let faults = [
+        Fault::CloseAfterRead,
+        Fault::CloseAfterRun,
+        Fault::CloseBeforeRead,
+        Fault::DoubledReply,
+        Fault::Late(Duration::from_millis(100)),
+        Fault::Late(Duration::from_millis(700)),
+        Fault::NoReply,
+        Fault::Truncated,
+        Fault::WrongAttempt,
+        Fault::WrongSnapshot,
+    ];
+    let of_fault = |fault| kinds.iter().map(move |&kind| (fault, kind));
+    faults.into_iter().flat_map(of_fault).collect()
+}
+
+/// Sends requests to all VMs while every few of them meet a fault at a leaf.
+pub fn run_with_fault(scene: &Scene, fault: Fault, kind: Kind) -> Vec<Record> {
+    let addresses: Vec<SocketAddr> = scene.fleet.running().map(|vm| vm.caller).collect();
+    let number = AtomicUsize::new(0);
+    let serve = || {
+        let mut records = Vec::new();
+        for _ in 0..FAULT_ROUNDS {
+            let round = number.fetch_add(1, Ordering::Relaxed);
+            if round.is_multiple_of(FAULT_PERIOD) {
+                inject(scene, fault, kind, round / FAULT_PERIOD);
+            }
+            records.extend(send_round(&addresses, kind, round));
+        }
+        records
+    };
+    let records = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..FAULT_CALLERS).map(|_| scope.spawn(serve)).collect();
+        let records = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("caller"));
+        records.flatten().collect()
+    });
+    scene.settle();
+    scene.wait_whole();
+    scene.check_connections();
+    records
+}
+
+/// Lets the next request of one leaf of the kind's service meet a fault.
+fn inject(scene: &Scene, fault: Fault, kind: Kind, turn: usize) {
+    let leaves = scene.fleet.leaves.iter();
+    let is_asked = |name: &str| name.starts_with(service(kind));
+    let leaves: Vec<_> = leaves.filter(|other| is_asked(other.leaf.name())).collect();
+    leaves[turn % leaves.len()].leaf.inject(fault, 1);
+}
+
 fn send_until(
     addresses: &[SocketAddr],
     kind: Kind,
@@ -126,42 +187,46 @@
     let mut records = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let number = number.fetch_add(1, Ordering::Relaxed);
-        let address = addresses[number % addresses.len()];
-        match kind {
-            Kind::Queries | Kind::Orders => records.push(send(address, kind, number, 0)),
-            Kind::KeyedOrders => {
-                let other = addresses[(number + 1) % addresses.len()];
-                let both = std::thread::scope(|scope| {
-                    let first = scope.spawn(|| send(address, kind, number, 0));
-                    [send(other, kind, number, 1), first.join().expect("caller")]
-                });
-                records.extend(both);
-                let third = addresses[(number + 2) % addresses.len()];
-                records.push(send(third, kind, number, 2));
-            }
-        }
+        records.extend(send_round(addresses, kind, number));
         std::thread::sleep(PAUSE);
     }
     records
 }
 
+/// Sends one request, or with a key all of its copies.
+fn send_round(addresses: &[SocketAddr], kind: Kind, number: usize) -> Vec<Record> {
+    let address = |copy: usize| addresses[(number + copy) % addresses.len()];
+    match kind {
+        Kind::Queries | Kind::Orders => vec![send(address(0), kind, number, 0)],
+        Kind::KeyedOrders => std::thread::scope(|scope| {
+            let first = scope.spawn(|| send(address(0), kind, number, 0));
+            let second = send(address(1), kind, number, 1);
+            let first = first.join().expect("caller");
+            vec![first, second, send(address(2), kind, number, 2)]
+        }),
+    }
+}
+
+fn service(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Queries => "parts",
+        Kind::Orders | Kind::KeyedOrders => "orders",
+    }
+}
+
 /// Sends one copy of a request and notes what came back.
 pub fn send(address: SocketAddr, kind: Kind, number: usize, copy: usize) -> Record {
     let id = format!("request-{number}");
     let request = format!("{id}-{copy}");
     let mut headers = vec![("Request-Id", request.as_str())];
-    let service = match kind {
-        Kind::Queries => "parts",
-        Kind::Orders | Kind::KeyedOrders => {
-            headers.extend([("Idempotent", "false"), ("Shard", "1")]);
-            "orders"
-        }
-    };
+    if kind != Kind::Queries {
+        headers.extend([("Idempotent", "false"), ("Shard", "1")]);
+    }
     if kind == Kind::KeyedOrders {
         headers.push(("Idempotency-Key", id.as_str()));
     }
     let client = Client::with_timeout(address, CALL_TIMEOUT);
-    let reply = client.query(service, &headers, &json!({ "id": id }));
+    let reply = client.query(service(kind), &headers, &json!({ "id": id }));
     Record {
         told: reply.map_or(Told::Nothing, told),
         id,
--- a/tests/testsuite/promise_at_most_once.rs
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-use crate::load::{Kind, Record, run_through};
+use crate::load::{Kind, Record, faults_with, run_through, run_with_fault};
 use crate::scene::{Scene, Trouble, body_id, for_each};
 
 /// Checks that nothing ran twice and that whatever was answered ran.
@@ -65,3 +65,13 @@
     let troubles = Trouble::PAIRS.map(|pair| pair.to_vec());
     run(troubles, Kind::KeyedOrders, 23);
 }
+
+#[test]
+fn promise_at_most_once_holds_when_leaves_misbehave() {
+    let cases = faults_with(&[Kind::Orders, Kind::KeyedOrders]);
+    for_each(&cases, |(fault, kind)| {
+        let scene = Scene::start(24);
+        let records = run_with_fault(&scene, *fault, *kind);
+        check(&scene, &records, &format!("{fault:?} {kind:?}"));
+    });
+}
--- a/tests/testsuite/promise_not_run.rs
+++ b/tests/testsuite/promise_not_run.rs
@@ -9,7 +9,7 @@
 
 use geraniummount_test_support::leaf::{Delay, Overload};
 
-use crate::load::{Kind, Record, run_through};
+use crate::load::{Kind, Record, faults_with, run_through, run_with_fault};
 use crate::scene::{Scene, Trouble, for_each};
 
 /// Checks the refusals of a run; returns their number.
@@ -73,6 +73,16 @@
     run(troubles, &[Kind::Orders], 13);
 }
 
+#[test]
+fn promise_not_run_holds_when_leaves_misbehave() {
+    let cases = faults_with(&[Kind::Orders, Kind::Queries]);
+    for_each(&cases, |(fault, kind)| {
+        let scene = Scene::start(14);
+        let records = run_with_fault(&scene, *fault, *kind);
+        check(&scene, &records, &format!("{fault:?} {kind:?}"));
+    });
+}
+
 /// Leaves that can't keep up shed, and owners refuse what would come too late.
 #[test]
 fn promise_not_run_holds_under_overload() {
--- a/tests/testsuite/promise_reply.rs
+++ b/tests/testsuite/promise_reply.rs
@@ -4,7 +4,6 @@
 //! answer can be matched with its request.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use geraniummount_test_support::client::Client;
@@ -12,7 +11,7 @@
 use geraniummount_test_support::leaf::{Delay, Ending, Fault};
 use serde_json::json;
 
-use crate::load::{Kind, Record, run_through, send};
+use crate::load::{Kind, Record, faults_with, run_through, run_with_fault, send};
 use crate::scene::{ENTRY, Scene, Trouble, for_each};
 
 /// Checks that every answer belongs to its request.
@@ -51,58 +50,28 @@
 /// another attempt's id or not at all.
 #[test]
 fn promise_reply_is_the_callers_own_when_leaves_misbehave() {
-    let faults = [
-        Fault::CloseAfterRun,
-        Fault::DoubledReply,
-        Fault::Late(Duration::from_millis(100)),
-        Fault::Late(Duration::from_millis(700)),
-        Fault::NoReply,
-        Fault::Truncated,
-        Fault::WrongAttempt,
-    ];
-    let cases: Vec<(Fault, Kind)> = faults
-        .into_iter()
-        .flat_map(|fault| [(fault, Kind::Queries), (fault, Kind::Orders)])
-        .collect();
+    let cases = faults_with(&[Kind::Queries, Kind::Orders]);
     for_each(&cases, |(fault, kind)| {
         let scene = Scene::start(52);
-        let addresses: Vec<SocketAddr> = scene.fleet.running().map(|vm| vm.caller).collect();
-        let records: Vec<Record> = std::thread::scope(|scope| {
-            let callers: Vec<_> = (0..4)
-                .map(|caller| {
-                    let (scene, addresses) = (&scene, &addresses);
-                    scope.spawn(move || misbehave(scene, addresses, caller, *fault, *kind))
-                })
-                .collect();
-            let records = callers
-                .into_iter()
-                .map(|caller| caller.join().expect("caller"));
-            records.flatten().collect()
-        });
+        let records = run_with_fault(&scene, *fault, *kind);
         check(&records, &format!("{fault:?} {kind:?}"));
-        scene.wait_whole();
     });
 }
 
-const REQUESTS: usize = 40;
-const FAULT_PERIOD: usize = 5;
-
-fn misbehave(
-    scene: &Scene,
-    addresses: &[SocketAddr],
-    caller: usize,
-    fault: Fault,
-    kind: Kind,
-) -> Vec<Record> {
-    let numbers = (0..REQUESTS).map(|index| caller * REQUESTS + index);
-    let records = numbers.map(|number| {
-        if number % FAULT_PERIOD == 0 {
-            let leaf = number / FAULT_PERIOD % scene.fleet.leaves.len();
-            scene.fleet.leaves[leaf].leaf.inject(fault, 1);
-        }
-        send(addresses[number % addresses.len()], kind, number, 0)
-    });
-    records.collect()
+/// Replies far above the size of one read, in many pieces on every link.
+#[test]
+fn promise_reply_is_whole_when_it_is_large() {
+    const PADDING_BYTES: usize = 300_000;
+    let scene = Scene::start(55);
+    scene.change_leaves(|behaviour| behaviour.padding_bytes = PADDING_BYTES);
+    let records = run_with_fault(&scene, Fault::Truncated, Kind::Queries);
+    check(&records, "large");
+    let answers = records.iter().filter_map(Record::answer);
+    let results = answers.flat_map(|answer| answer["results"].as_array().expect("results"));
+    for result in results {
+        let padding = result["body"]["padding"].as_str().map(str::len);
+        assert_eq!(padding, Some(PADDING_BYTES));
+    }
 }
 
 /// Two callers may choose the same request id; each gets its own answer.
--- a/tests/testsuite/scene.rs
+++ b/tests/testsuite/scene.rs
@@ -40,7 +40,7 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Scenes that run at once on a machine of ten cores.
-const MOST_SCENES: usize = 5;
+const MOST_SCENES: usize = 6;
 
 /// Scenes that run now.
 static SCENES: Mutex<usize> = Mutex::new(0);
