Prove leaving and graceful stops with real processes

promise_graceful_stop: one VM stopped under load beside six kinds of trouble, every VM replaced in turn under load, and long requests in flight. promise_leaving: each source beside a lying health endpoint, a platform that is down, a cut failure domain and owners that are all replaced.

Also an answer 'serving' to work on its way took back what the health endpoint said, and an owner that took over did not know that the leaf had said it. Change: answers and health endpoint count each for itself; the endpoint takes back an answer only if it has said the same since, was silent in between, or 600 s have passed; a new owner inherits what was noted. Ruled out: trusting the endpoint at once, as it lags and lies.

--- a/src/geraniummount/core/leaf_queue/learning.rs
+++ b/src/geraniummount/core/leaf_queue/learning.rs
@@ -12,9 +12,6 @@
 /// First pause after failures in a row; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time for which an answer that says draining outweighs the health endpoint.
-const DRAINING_LIFE: Duration = Duration::from_secs(60);
-
 /// Time without parts after failures in a row.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pause {
@@ -122,18 +119,16 @@
 
     /// Takes the state that an answer of the leaf told.
     fn hear(&mut self, state: State, now: Instant) {
-        if state == State::Draining {
-            self.draining_answer = Some(now);
+        match state {
+            State::Draining => self.drain.answer(now),
+            State::Cold | State::Serving => self.set_state(state),
         }
-        self.set_state(state);
     }
 
-    /// Takes the state that the health endpoint told; what answers showed
-    /// goes before.
+    /// Takes the state that the health endpoint told.
     pub(super) fn believe(&mut self, state: State, now: Instant) {
-        let answered = self.draining_answer;
-        let drains = answered.is_some_and(|at| now.saturating_duration_since(at) < DRAINING_LIFE);
-        if !drains {
+        self.drain.health(state == State::Draining, now);
+        if state != State::Draining {
             self.set_state(state);
         }
     }
--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -10,6 +10,7 @@
 //! the leaf's contract.
 
 mod action;
+mod drain;
 mod ending;
 mod health;
 mod learning;
@@ -22,6 +23,7 @@
 use crate::core::quantile::Quantile;
 use crate::prelude::*;
 
+use self::drain::Drain;
 use self::ending::judge;
 use self::learning::Pause;
 
@@ -63,8 +65,7 @@
     held: Vec<Held>,
     told_draining: bool,
     state: State,
-    /// When an answer, not the health endpoint, last said draining.
-    draining_answer: Option<Instant>,
+    drain: Drain,
     failures: u32,
     pause: Option<Pause>,
     not_before: Option<Instant>,
@@ -99,7 +100,7 @@
             held: Vec::new(),
             told_draining: false,
             state: State::Serving,
-            draining_answer: None,
+            drain: Drain::default(),
             failures: 0,
             pause: None,
             not_before: None,
@@ -163,7 +164,7 @@
                 self.end_pause();
             }
             Health::Silent => {
-                self.draining_answer = None;
+                self.drain.silence();
                 self.lengthen_pause(now);
             }
         }
@@ -234,7 +235,7 @@
 
     /// Returns the leaf's state, whoever told it.
     pub fn state(&self) -> State {
-        if self.told_draining {
+        if self.told_draining || self.drain.is_draining() {
             return State::Draining;
         }
         self.state
@@ -242,7 +243,12 @@
 
     /// Returns whether the leaf itself says that it is leaving.
     pub fn says_draining(&self) -> bool {
-        self.state == State::Draining
+        self.drain.is_draining()
+    }
+
+    /// Takes over what another owner heard the leaf say: that it is leaving.
+    pub fn inherit_draining(&mut self, now: Instant) {
+        self.drain.answer(now);
     }
 
     /// Returns the number of parts that run or wait.
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -13,6 +13,7 @@
 use super::connections::{Connections, Held};
 use super::pool::{self, Shared};
 use super::{Dump, exchange};
+use crate::core::leaf::State as LeafState;
 use crate::core::leaf_queue::{Action, Ending, Health, LeafQueue, Use};
 use crate::core::ownership;
 use crate::edge::pending::Pending;
@@ -114,6 +115,9 @@
 
     /// Runs until the channel closes, or until the leaf is not used any more.
     pub(super) fn run(mut self) {
+        if self.is_noted(&self.seen) {
+            self.inherit_draining();
+        }
         let told = self.told_draining();
         let first = self.queue.set_draining(told, Instant::now());
         self.perform(first);
@@ -305,7 +309,11 @@
         if Arc::ptr_eq(&view, &self.seen) {
             return;
         }
+        let is_news = !self.is_noted(&self.seen) && self.is_noted(&view);
         self.seen = view;
+        if is_news && !self.says_draining {
+            self.inherit_draining();
+        }
         if let Some(record) = self.seen.catalog.leaf(&self.leaf.name) {
             self.leaf = record.spec.clone();
         }
@@ -320,12 +328,27 @@
         self.perform(actions);
     }
 
+    /// Whether the leaf is known to be leaving by another source than its
+    /// declaration.
+    fn is_noted(&self, view: &View) -> bool {
+        let record = view.catalog.leaf(&self.leaf.name);
+        let declared = record.is_some_and(|record| record.spec.state == LeafState::Draining);
+        !declared && view.draining.contains(&self.leaf.name)
+    }
+
+    /// Takes what another owner noted as said by the leaf to this VM, so that
+    /// this VM takes it back when the leaf does.
+    fn inherit_draining(&mut self) {
+        self.says_draining = true;
+        self.queue.inherit_draining(Instant::now());
+    }
+
     /// Whether operator, membership list or another VM say that it leaves.
     fn told_draining(&self) -> bool {
         let Some(record) = self.seen.catalog.leaf(&self.leaf.name) else {
             return true;
         };
-        let declared = record.spec.state == crate::core::leaf::State::Draining;
+        let declared = record.spec.state == LeafState::Draining;
         declared || (!self.says_draining && self.seen.draining.contains(&self.leaf.name))
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests.
 
 mod bad_input;
+mod balanced;
 mod callers_listener;
 mod command_line;
 mod control_change_log;
@@ -17,6 +18,8 @@
 mod peer_edge;
 mod promise_at_most_once;
 mod promise_coverage;
+mod promise_graceful_stop;
+mod promise_leaving;
 mod promise_not_run;
 mod promise_reply;
 mod promise_snapshot;
--- a/tests/testsuite/scene.rs
+++ b/tests/testsuite/scene.rs
@@ -54,10 +54,11 @@
 }
 
 /// The right to run a scene.
-struct Permit;
+pub struct Permit;
 
 impl Permit {
-    fn take() -> Permit {
+    /// Waits for the right to run a scene.
+    pub fn take() -> Permit {
         let scenes = SCENES.lock().unwrap_or_else(PoisonError::into_inner);
         let waited = SCENE_ENDED.wait_while(scenes, |scenes| *scenes >= MOST_SCENES);
         *waited.unwrap_or_else(PoisonError::into_inner) += 1;
