Measure what a real process costs by size

Cause: docs/CAPACITY.md has to rest on slopes of real processes. Change: benches/processes: idle cost by members, memory and start by resources, memory and threads by owned leaves, processor time by rate and shards. Its bounds cover the idle process only.

--- /dev/null
+++ b/benches/processes/configuration.rs
@@ -0,0 +1,50 @@
+//! Memory and time by the number of resources.
+
+use std::time::Instant;
+
+use geraniummount_test_support::platform::Platform;
+use serde_json::{Value, json};
+
+use crate::process::Process;
+
+const SIZES: [u64; 4] = [100, 1_000, 4_000, 11_000];
+
+/// Grows one configuration and prints a row a size.
+pub fn run() -> bool {
+    println!("leaves  memory MB  ms a change  start s  platform MB");
+    let folder = tempfile::tempdir().unwrap();
+    let platform = Platform::start().unwrap();
+    let first = Process::start(0, platform.address(), folder.path());
+    let operator = first.operator();
+    let mut declared = 0;
+    for size in SIZES {
+        let started = Instant::now();
+        let added = size - declared;
+        while declared < size {
+            first.put(&operator, &format!("leaf/leaf-{declared}"), &leaf(declared));
+            declared += 1;
+        }
+        let change_ms = started.elapsed().as_secs_f64() * 1e3 / added as f64;
+        let started = Instant::now();
+        let second = Process::start(1, platform.address(), folder.path());
+        second.wait_until(|state: &Value| state["revision"] == declared);
+        let start = started.elapsed().as_secs_f64();
+        let memory = first.usage().memory as f64 / 1024.0 / 1024.0;
+        let keys = platform.keys();
+        let bytes = keys.iter().filter_map(|key| platform.value(key));
+        let stored: usize = bytes.map(|(_, value)| value.len()).sum();
+        let stored = stored as f64 / 1024.0 / 1024.0;
+        println!("{size:6}  {memory:9.1}  {change_ms:11.2}  {start:7.2}  {stored:11.2}");
+    }
+    true
+}
+
+fn leaf(index: u64) -> Value {
+    let [.., a, b, c] = index.to_be_bytes();
+    json!({
+        "name": format!("leaf-{index}"),
+        "address": format!("10.{a}.{b}.{c}:8000"),
+        "failure_domain": "d2",
+        "contract": {"slots": 2, "connections": 25, "open_ms": 6},
+    })
+}
--- /dev/null
+++ b/benches/processes/leaves.rs
@@ -0,0 +1,44 @@
+//! Memory, threads and processor time by the leaves that a process owns.
+
+use std::thread;
+use std::time::Duration;
+
+use geraniummount_test_support::platform::Platform;
+
+use crate::process::Process;
+use crate::queries::{Load, Stage};
+
+const SIZES: [usize; 3] = [10, 100, 400];
+const RATE: f64 = 5.0;
+const MEASURED: Duration = Duration::from_secs(10);
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Prints a row a size: idle, and with each leaf in use.
+pub fn run() -> bool {
+    println!(
+        "leaves  memory MB  threads  core % at {RATE} queries/s over all  p50 ms  p99 ms  whole %"
+    );
+    for size in SIZES {
+        let folder = tempfile::tempdir().unwrap();
+        let platform = Platform::start().unwrap();
+        let process = Process::start(0, platform.address(), folder.path());
+        let stage = Stage::new(&process, size);
+        let load = Load {
+            rate: RATE,
+            time: MEASURED,
+        };
+        let result = load.run(&process, &stage);
+        thread::sleep(SETTLE);
+        let usage = process.usage();
+        println!(
+            "{size:6}  {:9.1}  {:7}  {:32.1}  {:6.1}  {:6.1}  {:7.1}",
+            usage.memory as f64 / 1024.0 / 1024.0,
+            usage.threads,
+            result.core * 100.0,
+            result.p50_ms,
+            result.p99_ms,
+            result.whole * 100.0,
+        );
+    }
+    true
+}
--- /dev/null
+++ b/benches/processes/main.rs
@@ -0,0 +1,60 @@
+//! What a real process costs, by size: members of its failure domain,
+//! resources, leaves that it owns, queries a second, shards of a query.
+//!
+//! Each table is one slope of docs/CAPACITY.md. Stand-ins run in this process,
+//! so that the figures of the started processes are theirs alone. Name tables
+//! to run only these: `cargo bench --bench processes -- members leaves`.
+//! Fails where an idle process passes its share for control.
+
+mod configuration;
+mod leaves;
+mod members;
+mod process;
+mod queries;
+mod usage;
+
+use std::process::ExitCode;
+
+/// A table by name.
+struct Table {
+    name: &'static str,
+    run: fn() -> bool,
+}
+
+const TABLES: [Table; 4] = [
+    Table {
+        name: "members",
+        run: members::run,
+    },
+    Table {
+        name: "configuration",
+        run: configuration::run,
+    },
+    Table {
+        name: "leaves",
+        run: leaves::run,
+    },
+    Table {
+        name: "queries",
+        run: queries::run,
+    },
+];
+
+fn main() -> ExitCode {
+    // Cargo adds flags of its own; only words name tables.
+    let words: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with('-'))
+        .collect();
+    let wanted = |table: &&Table| words.is_empty() || words.iter().any(|w| w == table.name);
+    let mut within = true;
+    for table in TABLES.iter().filter(wanted) {
+        println!("\n{}", table.name);
+        within &= (table.run)();
+    }
+    if within {
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("a bound was passed");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/benches/processes/members.rs
@@ -0,0 +1,68 @@
+//! Control cost of an idle process by the members of its failure domain.
+
+use std::thread;
+use std::time::Duration;
+
+use geraniummount_test_support::platform::Platform;
+use serde_json::Value;
+
+use crate::process::Process;
+
+const SIZES: [u16; 4] = [10, 30, 100, 200];
+const SETTLE: Duration = Duration::from_secs(5);
+const MEASURED: Duration = Duration::from_secs(20);
+
+/// Shares of one VM for control, as the target states them.
+const MAX_CORE_SHARE: f64 = 0.011;
+const MAX_MEMORY: f64 = 64.0 * 1024.0 * 1024.0;
+const MAX_BYTES_PER_SECOND: f64 = 4_096.0;
+
+/// Prints the table; returns whether every row is within the shares.
+pub fn run() -> bool {
+    println!("members  core %  memory MB  threads  sent B/s  received B/s  platform calls/s (all)");
+    let rows = SIZES.map(measure);
+    rows.into_iter().all(|within| within)
+}
+
+fn measure(size: u16) -> bool {
+    let folder = tempfile::tempdir().unwrap();
+    let platform = Platform::start().unwrap();
+    let start = |index| Process::start(index, platform.address(), folder.path());
+    let processes: Vec<Process> = (0..size).map(start).collect();
+    let live = |state: &Value| {
+        let vms = state["vms"].as_array();
+        vms.is_some_and(|vms| vms.iter().filter(|vm| vm["state"] == "live").count() >= size.into())
+    };
+    processes
+        .iter()
+        .for_each(|process| process.wait_until(live));
+    thread::sleep(SETTLE);
+    let totals = || {
+        let busy: Duration = processes.iter().map(|p| p.usage().busy).sum();
+        let sum = |name| processes.iter().map(|p| p.counter(name)).sum::<f64>();
+        let calls = platform.calls();
+        (
+            busy.as_secs_f64(),
+            sum("geraniummount_control_sent_bytes_total"),
+            sum("geraniummount_control_received_bytes_total"),
+            calls.reads + calls.watches + calls.writes + calls.members,
+        )
+    };
+    let before = totals();
+    thread::sleep(MEASURED);
+    let after = totals();
+    let per_process = |from: f64, to: f64| (to - from) / f64::from(size) / MEASURED.as_secs_f64();
+    let core = per_process(before.0, after.0);
+    let sent = per_process(before.1, after.1);
+    let received = per_process(before.2, after.2);
+    let calls = (after.3 - before.3) as f64 / MEASURED.as_secs_f64();
+    let usage = processes.iter().map(Process::usage);
+    let memory = usage.clone().map(|usage| usage.memory).max().unwrap_or(0) as f64;
+    let threads = usage.map(|usage| usage.threads).max().unwrap_or(0);
+    println!(
+        "{size:7}  {:6.2}  {:9.1}  {threads:7}  {sent:8.0}  {received:12.0}  {calls:22.2}",
+        core * 100.0,
+        memory / 1024.0 / 1024.0
+    );
+    core <= MAX_CORE_SHARE && memory <= MAX_MEMORY && sent.max(received) <= MAX_BYTES_PER_SECOND
+}
--- /dev/null
+++ b/benches/processes/process.rs
@@ -0,0 +1,113 @@
+//! A process of the product that a table starts and ends.
+
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::client::Client;
+use serde_json::Value;
+
+use crate::usage::Usage;
+
+const PEER_PORT: u16 = 7001;
+const CALLER_PORT: u16 = 8080;
+const OPERATOR_PORT: u16 = 9090;
+const PATIENCE: Duration = Duration::from_secs(120);
+const POLL_PERIOD: Duration = Duration::from_millis(50);
+
+/// A started process; dropping it ends it.
+pub struct Process {
+    child: Child,
+    ip: IpAddr,
+}
+
+impl Process {
+    /// Starts VM `index` of failure domain `d1`; VMs 0 and 1 are first peers.
+    pub fn start(index: u16, platform: SocketAddr, folder: &Path) -> Process {
+        let ip = address(index);
+        let settings = folder.join(format!("vm{index}.ini"));
+        let text = format!(
+            "[node]\nname = vm{index:03}\nfailure_domain = d1\npeer_listen = {ip}:{PEER_PORT}\n\
+             first_peers = {}:{PEER_PORT}, {}:{PEER_PORT}\n\
+             [caller]\nlisten = {ip}:{CALLER_PORT}\n[operator]\nlisten = {ip}:{OPERATOR_PORT}\n\
+             [platform]\naddress = {platform}\n[log]\nlevel = warn\n[limits]\nlinger_ms = 0\n",
+            address(0),
+            address(1),
+        );
+        std::fs::write(&settings, text).unwrap();
+        let log = File::create(folder.join(format!("vm{index}.log"))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_geraniummount"))
+            .args(["serve", "--settings"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let process = Process { child, ip };
+        process.wait_until(|state| state["vm"].is_string());
+        process
+    }
+
+    /// Client of the callers' listener.
+    pub fn caller(&self) -> Client {
+        Client::new(SocketAddr::new(self.ip, CALLER_PORT))
+    }
+
+    /// Client of the operators' listener.
+    pub fn operator(&self) -> Client {
+        Client::new(SocketAddr::new(self.ip, OPERATOR_PORT))
+    }
+
+    /// Declares a resource.
+    pub fn put(&self, operator: &Client, path: &str, spec: &Value) {
+        let path = format!("/v1/resources/{path}");
+        let body = spec.to_string();
+        let reply = operator.call("PUT", &path, &[], body.as_bytes()).unwrap();
+        assert!(reply.is_success(), "{path}: {reply:?}");
+    }
+
+    /// Waits until the process's state meets a condition.
+    pub fn wait_until(&self, condition: impl Fn(&Value) -> bool) {
+        let operator = self.operator();
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let reply = operator.get("/v1/state");
+            if reply.is_ok_and(|reply| condition(&reply.body)) {
+                return;
+            }
+            thread::sleep(POLL_PERIOD);
+        }
+        panic!("{} did not get there", self.ip);
+    }
+
+    /// What the process has used so far.
+    pub fn usage(&self) -> Usage {
+        Usage::of(self.child.id())
+    }
+
+    /// Sum of a counter over its labels.
+    pub fn counter(&self, name: &str) -> f64 {
+        let reply = self.operator().get("/metrics").unwrap();
+        let lines = reply.text.lines().filter(|line| line.starts_with(name));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Fails only when the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn address(index: u16) -> IpAddr {
+    let [high, low] = (index + 1).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 9, high, low))
+}
--- /dev/null
+++ b/benches/processes/queries.rs
@@ -0,0 +1,166 @@
+//! Processor time by queries a second and by shards of a query.
+
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::client::Client;
+use geraniummount_test_support::leaf::{Behaviour, Delay, Leaf};
+use geraniummount_test_support::platform::Platform;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use crate::process::Process;
+
+const MEASURED: Duration = Duration::from_secs(6);
+const WARM_UP: Duration = Duration::from_secs(1);
+/// Threads that send queries.
+const SENDERS: usize = 64;
+const LEAF_TIME: Duration = Duration::from_millis(1);
+const SLOTS: usize = 16;
+const CONNECTIONS: usize = 100;
+
+/// Rates and shards of the rows.
+const ROWS: [(f64, usize); 6] = [
+    (50.0, 8),
+    (100.0, 8),
+    (200.0, 8),
+    (50.0, 2),
+    (50.0, 16),
+    (50.0, 61),
+];
+
+/// Leaves and the service over them.
+pub struct Stage {
+    _leaves: Vec<Leaf>,
+}
+
+/// Queries sent at a rate, whether or not earlier ones were answered.
+pub struct Load {
+    /// Queries a second.
+    pub rate: f64,
+    /// Time of the load.
+    pub time: Duration,
+}
+
+/// What a load showed.
+pub struct Outcome {
+    /// Cores that the process kept busy.
+    pub core: f64,
+    /// Median latency from the planned sending time.
+    pub p50_ms: f64,
+    /// 99th percentile of the same.
+    pub p99_ms: f64,
+    /// Share of the queries that were answered with every shard.
+    pub whole: f64,
+}
+
+/// Prints a row a rate and a row a number of shards.
+pub fn run() -> bool {
+    println!(
+        "queries/s  shards  core %  ms of a core a query  us of a core a part  p50 ms  p99 ms  whole %"
+    );
+    for (rate, shards) in ROWS {
+        let folder = tempfile::tempdir().unwrap();
+        let platform = Platform::start().unwrap();
+        let process = Process::start(0, platform.address(), folder.path());
+        let stage = Stage::new(&process, shards);
+        let load = |time| Load { rate, time }.run(&process, &stage);
+        load(WARM_UP);
+        let result = load(MEASURED);
+        println!(
+            "{rate:9.0}  {shards:6}  {:6.1}  {:21.2}  {:19.0}  {:6.1}  {:6.1}  {:7.1}",
+            result.core * 100.0,
+            result.core / rate * 1e3,
+            result.core / rate / shards as f64 * 1e6,
+            result.p50_ms,
+            result.p99_ms,
+            result.whole * 100.0,
+        );
+    }
+    true
+}
+
+impl Stage {
+    /// Starts leaves that answer within a millisecond and declares a service
+    /// `all` with a shard on each.
+    pub fn new(process: &Process, leaves: usize) -> Stage {
+        let operator = process.operator();
+        let mut shards: Vec<Value> = Vec::new();
+        let mut started = Vec::new();
+        for index in 0..leaves {
+            let name = format!("leaf-{index}");
+            let behaviour = Behaviour {
+                shards: vec![format!("all/{index}")],
+                slots: SLOTS,
+                connections: CONNECTIONS,
+                delay: Delay::fixed(LEAF_TIME),
+                ..Behaviour::default()
+            };
+            let leaf = Leaf::start(&name, behaviour, index as u64).unwrap();
+            let spec = json!({
+                "name": name,
+                "address": leaf.address(),
+                "failure_domain": "d1",
+                "contract": {"slots": SLOTS, "connections": CONNECTIONS, "open_ms": 1},
+            });
+            process.put(&operator, &format!("leaf/{name}"), &spec);
+            shards.push(json!({"name": index.to_string(), "replicas": [name]}));
+            started.push(leaf);
+        }
+        let spec = json!({
+            "name": "all",
+            "shards": shards,
+            "deadline_ms": 2000,
+            "max_deadline_ms": 5000,
+        });
+        process.put(&operator, "service/all", &spec);
+        Stage { _leaves: started }
+    }
+}
+
+impl Load {
+    /// Sends the queries and waits for the answers.
+    pub fn run(&self, process: &Process, _stage: &Stage) -> Outcome {
+        let total = (self.rate * self.time.as_secs_f64()) as u32;
+        let before = process.usage();
+        let start = Instant::now();
+        let (ends, ended) = mpsc::channel();
+        thread::scope(|scope| {
+            for sender in 0..SENDERS as u32 {
+                let (ends, caller) = (ends.clone(), process.caller());
+                scope.spawn(move || {
+                    for number in (sender..total).step_by(SENDERS) {
+                        let planned =
+                            start + Duration::from_secs_f64(f64::from(number) / self.rate);
+                        thread::sleep(planned.saturating_duration_since(Instant::now()));
+                        let whole = query(&caller);
+                        let _ = ends.send((planned.elapsed(), whole));
+                    }
+                });
+            }
+            drop(ends);
+        });
+        let elapsed = start.elapsed().as_secs_f64();
+        let busy = process.usage().busy - before.busy;
+        let mut latencies: Histogram<u64> = Histogram::new(3).unwrap();
+        let mut whole = 0;
+        for (latency, is_whole) in ended {
+            latencies.record(latency.as_micros() as u64).unwrap();
+            whole += u32::from(is_whole);
+        }
+        let ms = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
+        Outcome {
+            core: busy.as_secs_f64() / elapsed,
+            p50_ms: ms(0.5),
+            p99_ms: ms(0.99),
+            whole: f64::from(whole) / f64::from(total.max(1)),
+        }
+    }
+}
+
+fn query(caller: &Client) -> bool {
+    let path = "/v1/services/all/query";
+    let reply = caller.call("POST", path, &[], b"{\"q\":\"rope\"}");
+    reply.is_ok_and(|reply| reply.is_success() && reply.body["coverage"]["missing"] == json!([]))
+}
