Give connections to leaves small buffers

Cause: 400 leaves in use took 512 MB in one VM. The HTTP library's buffers are 128 KiB for each direction of each connection. Change: 16 KiB each.

--- a/src/geraniummount/edge/leaf/connection.rs
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -20,6 +20,8 @@
 
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Buffers of a connection, of which a VM holds thousands.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// A connection; opened by its first request.
 #[derive(Debug)]
@@ -36,6 +38,8 @@
     pub fn new(address: SocketAddr, open_timeout: Duration, now: Instant) -> Connection {
         let config = Config::builder()
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .max_idle_age(MAX_IDLE)
             .max_idle_connections(1)
             .max_idle_connections_per_host(1)
