Prove that accepted changes are in force everywhere and stay

Nine troubles while three changes are made, racing operators with and without lost replies, an outage during which VMs start and a whole failure domain is replaced, and a change whose reply is lost; revisions of all VMs are watched throughout and may only grow. An undecided change's number is text in the status too, as in the refusal that named it.

--- a/src/geraniummount/edge/registry.rs
+++ b/src/geraniummount/edge/registry.rs
@@ -48,7 +48,9 @@
 /// A change whose write had no reply.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
 pub struct Undecided {
-    /// The change's number.
+    /// The change's number, written as text as not every reader of JSON keeps
+    /// all digits of a number.
+    #[serde(serialize_with = "write_as_text")]
     pub change: ChangeId,
     /// Kind of its resource.
     pub kind: Kind,
@@ -346,6 +348,10 @@
     }
 }
 
+fn write_as_text<S: serde::Serializer>(id: &ChangeId, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(id)
+}
+
 fn wrap<T: Clone>(records: &[Record<T>], variant: fn(T) -> Resource) -> Vec<Record<Resource>> {
     let wrap_one = |record: &Record<T>| Record {
         generation: record.generation,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod path;
 mod peer_edge;
 mod promise_at_most_once;
+mod promise_configuration;
 mod promise_coverage;
 mod promise_graceful_stop;
 mod promise_leaving;
