Stand-ins for four VMs, and load says why queries were not answered

Cause: a run by hand against two VMs that were not there showed 1000 failed queries and no reason; two VMs are too few to replace one at a time.

Change: load counts the reasons and tells a query that was never sent from one that failed; stand_ins writes settings of four VMs.

--- a/examples/stand_ins.rs
+++ b/examples/stand_ins.rs
@@ -1,7 +1,7 @@
 //! A platform and four leaves to try the command line against.
 //!
 //! `cargo run --release --example stand_ins -- FOLDER` starts them on free
-//! ports of loopback, writes settings of two VMs and resources that fit them
+//! ports of loopback, writes settings of four VMs and resources that fit them
 //! into FOLDER, and goes on until it is ended.
 
 use std::error::Error;
@@ -20,6 +20,9 @@
     ("desk-2", "d2", "desk/2"),
 ];
 
+/// Names and failure domains of the VMs.
+const VMS: [(&str, &str); 4] = [("a1", "d1"), ("b1", "d2"), ("a2", "d1"), ("b2", "d2")];
+
 fn main() -> Result<(), Box<dyn Error>> {
     let folder = std::env::args().nth(1);
     let folder = folder.ok_or("name a folder: cargo run --example stand_ins -- FOLDER")?;
@@ -30,20 +33,17 @@
         .iter()
         .map(|(name, _, shard)| start_leaf(name, shard));
     let leaves = leaves.collect::<Result<Vec<Leaf>, _>>()?;
-    std::fs::write(
-        folder.join("a1.ini"),
-        settings("a1", "d1", 0, platform.address()),
-    )?;
-    std::fs::write(
-        folder.join("b1.ini"),
-        settings("b1", "d2", 1, platform.address()),
-    )?;
+    for (index, (name, domain)) in (0..).zip(VMS) {
+        let text = settings(name, domain, index, platform.address());
+        std::fs::write(folder.join(format!("{name}.ini")), text)?;
+    }
     let resources = format!("{:#}\n", resources(&leaves));
     std::fs::write(folder.join("resources.json"), resources)?;
     println!(
-        "platform at {}, {} leaves; wrote a1.ini, b1.ini and resources.json to {}",
+        "platform at {}, {} leaves; wrote settings of {} VMs and resources.json to {}",
         platform.address(),
         leaves.len(),
+        VMS.len(),
         folder.display()
     );
     loop {
@@ -66,7 +66,7 @@
          name = {name}\n\
          failure_domain = {domain}\n\
          peer_listen = 127.0.0.1:{peer}\n\
-         first_peers = 127.0.0.1:7001, 127.0.0.1:7002\n\
+         first_peers = 127.0.0.1:7001, 127.0.0.1:7002, 127.0.0.1:7003\n\
          \n\
          [caller]\n\
          listen = 127.0.0.1:{caller}\n\
--- a/src/geraniummount/ops/load.rs
+++ b/src/geraniummount/ops/load.rs
@@ -14,7 +14,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
-use crate::edge::client::{Client, Request};
+use crate::edge::client::{Client, Error, Request};
 use crate::ops::exit::Exit;
 use crate::ops::output::{self, Form};
 use crate::util::table;
@@ -56,14 +56,21 @@
 }
 
 /// End of a query as its caller sees it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 enum Ending {
     /// Answered with a share of its shards.
     Answered(f64),
-    /// Refused without having run.
-    NotRun,
-    /// Failed, or no answer came.
-    Failed,
+    /// Refused without having run, with the reason.
+    NotRun(String),
+    /// Failed, with the reason, or no answer came.
+    Failed(String),
+}
+
+/// How often queries were not answered for one reason.
+#[derive(Clone, Debug, serde::Serialize)]
+struct Unanswered {
+    reason: String,
+    count: u64,
 }
 
 /// Sends queries for the length of the run and reports.
@@ -130,16 +137,19 @@
         headers,
         body: options.body.clone().into_bytes(),
     };
-    let Ok(answer) = client.send(&request) else {
-        return Ending::Failed;
+    let answer = match client.send(&request) {
+        Ok(answer) => answer,
+        Err(Error::NotSent(cause)) => return Ending::NotRun(cause),
+        Err(Error::Lost(cause)) => return Ending::Failed(cause),
     };
     let body = answer.json();
     if answer.is_success() {
         return Ending::Answered(ratio(&body["coverage"]));
     }
+    let reason = table::cell(&body["reason"]);
     match body["verdict"].as_str() {
-        Some("not-run") => Ending::NotRun,
-        _ => Ending::Failed,
+        Some("not-run") => Ending::NotRun(reason),
+        _ => Ending::Failed(reason),
     }
 }
 
@@ -158,6 +168,7 @@
     let mut histogram = Histogram::<u64>::new_with_max(longest, DIGITS)?;
     let (mut sent, mut answered, mut whole, mut refused, mut failed) = (0, 0, 0, 0, 0);
     let mut shares = 0.0;
+    let mut unanswered = Vec::new();
     for sample in samples {
         sent += 1;
         match sample.ending {
@@ -168,8 +179,14 @@
                 let micros = u64::try_from(sample.took.as_micros()).unwrap_or(u64::MAX);
                 histogram.saturating_record(micros);
             }
-            Ending::NotRun => refused += 1,
-            Ending::Failed => failed += 1,
+            Ending::NotRun(reason) => {
+                refused += 1;
+                count(&mut unanswered, reason);
+            }
+            Ending::Failed(reason) => {
+                failed += 1;
+                count(&mut unanswered, reason);
+            }
         }
     }
     let millis = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
@@ -186,5 +203,13 @@
         "p99_ms": millis(0.99),
         "p99.9_ms": millis(0.999),
         "max_ms": histogram.max() as f64 / 1e3,
+        "unanswered": unanswered,
     }))
 }
+
+fn count(unanswered: &mut Vec<Unanswered>, reason: String) {
+    match unanswered.binary_search_by(|other| other.reason.cmp(&reason)) {
+        Ok(place) => unanswered[place].count += 1,
+        Err(place) => unanswered.insert(place, Unanswered { reason, count: 1 }),
+    }
+}
