--- a/src/geraniummount/edge/metrics/label.rs
+++ b/src/geraniummount/edge/metrics/label.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// How a call to a peer or the platform ended.
+/// How a call to the platform ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Answer {
     /// Answered.
--- a/src/geraniummount/edge/metrics/mod.rs
+++ b/src/geraniummount/edge/metrics/mod.rs
@@ -42,7 +42,6 @@
     leaf_busy: IntGaugeVec,
     leaf_slots: IntGaugeVec,
     leaf_connections: IntGaugeVec,
-    peer_calls: IntCounterVec,
     platform_calls: IntCounterVec,
     control_sent: IntCounter,
     control_received: IntCounter,
@@ -110,7 +109,6 @@
             leaf_busy: gauges(r, "leaf_busy", "Parts that a leaf is running", "leaf"),
             leaf_slots: gauges(r, "leaf_slots", "Parts that a leaf may run at once", "leaf"),
             leaf_connections: gauges(r, "leaf_connections", "Connections to a leaf", "leaf"),
-            peer_calls: counters(r, "peer_calls_total", "Calls to peers ended", &["result"]),
             platform_calls: counters(
                 r,
                 "platform_calls_total",
@@ -187,12 +185,6 @@
         }
     }
 
-    /// Counts a call to a peer.
-    pub fn peer_call(&self, answer: Answer) {
-        let labels = [answer.as_str()];
-        self.peer_calls.with_label_values(&labels).inc();
-    }
-
     /// Counts a call to the platform.
     pub fn platform_call(&self, call: Call, answer: Answer) {
         let labels = [call.as_str(), answer.as_str()];
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -169,7 +169,7 @@
 ) -> Result<Arc<caller::Server>, Report<Error>> {
     let options = caller::Options {
         listen: settings.caller.listen,
-        spare_connections: settings.caller.threads,
+        spare_connections: settings.caller.spare_connections,
         queries: settings.limits.queries,
         max_body_bytes: settings.limits.max_body_bytes,
         read_limit: settings.limits.body_read,
--- a/src/geraniummount/ops/settings/caller.rs
+++ b/src/geraniummount/ops/settings/caller.rs
@@ -4,26 +4,30 @@
 
 use super::section::Section;
 
-const DEFAULT_THREADS: u64 = 64;
-const MOST_THREADS: u64 = 1024;
+const DEFAULT_SPARE_CONNECTIONS: u64 = 64;
+const MOST_SPARE_CONNECTIONS: u64 = 1024;
 
 /// The callers' listener.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Caller {
     /// Where it listens.
     pub listen: SocketAddr,
-    /// Threads that read requests and write answers.
-    pub threads: usize,
+    /// Connections that may be open besides those whose query runs.
+    pub spare_connections: usize,
 }
 
 impl Caller {
     pub(super) fn read(section: &mut Section<'_>) -> Option<Caller> {
-        section.allow(&["listen", "threads"]);
+        section.allow(&["listen", "spare_connections"]);
         let listen = section.listener("listen");
-        let threads = section.count("threads", DEFAULT_THREADS, 1..=MOST_THREADS);
+        let spare_connections = section.count(
+            "spare_connections",
+            DEFAULT_SPARE_CONNECTIONS,
+            1..=MOST_SPARE_CONNECTIONS,
+        );
         Some(Caller {
             listen: listen?,
-            threads: threads?,
+            spare_connections: spare_connections?,
         })
     }
 }
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -43,7 +43,7 @@
         replace: "[caller]",
         by: "[caller]\nport = 80",
         fault: "file.ini:8: [caller] port: found an unknown key; allowed: one of the keys \
-                listen, threads",
+                listen, spare_connections",
     },
     Case {
         name: "key given twice",
@@ -86,8 +86,8 @@
     Case {
         name: "number out of range",
         replace: "[caller]",
-        by: "[caller]\nthreads = 0",
-        fault: "file.ini:8: [caller] threads: found '0'; allowed: a whole number from 1 to 1024",
+        by: "[caller]\nspare_connections = 0",
+        fault: "file.ini:8: [caller] spare_connections: found '0'; allowed: a whole number from 1 to 1024",
     },
     Case {
         name: "unknown word",
