Write a peer's messages of one turn in one write

Cause: capnp-rpc flushes after each message, so that a query's parts to one peer, and their outcomes, each took a system call and a packet. Change: messages collect in an outbox that is written once a turn.

--- a/src/geraniummount/edge/peer/connection.rs
+++ b/src/geraniummount/edge/peer/connection.rs
@@ -12,13 +12,15 @@
 
 use async_io::{Async, Timer};
 use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
+use capnp_rpc::twoparty::VatNetwork;
 use futures::channel::oneshot;
 use futures::future::{self, Either, FutureExt, Shared};
-use futures::io::{AsyncReadExt, BufReader, BufWriter};
+use futures::io::{AsyncReadExt, BufReader, ReadHalf};
 use socket2::{Domain, Socket, Type};
 
+use super::outbox::outbox;
 use crate::peer_capnp::peer;
 
 /// Time after which a connection attempt is given up; a lost first packet is
@@ -41,11 +43,14 @@
 /// After the last use the connection is closed.
 const LONGEST_IDLE: Duration = Duration::from_secs(60);
 
-const PACKET_BUFFER_BYTES: usize = 16 * 1024;
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Limit of one message in 8-byte words, as a guard against a broken peer.
 const MAX_MESSAGE_WORDS: usize = 8 * 1024 * 1024;
 
+/// One end of a connection, as capnp-rpc reads and writes it.
+pub type Network = VatNetwork<BufReader<ReadHalf<Async<TcpStream>>>>;
+
 /// An open connection.
 pub struct Connection {
     client: peer::Client,
@@ -82,7 +87,8 @@
         stream: Async<TcpStream>,
         started: Instant,
     ) -> (Rc<Connection>, impl Future<Output = ()> + 'static) {
-        let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+        let (network, flusher) = network(stream, Side::Client);
+        let mut system = RpcSystem::new(Box::new(network), None);
         let (close, closed) = oneshot::channel();
         let now = Instant::now();
         let connection = Rc::new(Connection {
@@ -96,7 +102,8 @@
         });
         let driven = Rc::clone(&connection);
         let drive = async move {
-            let ended = future::select(system, driven.closed.clone());
+            let ended = future::select(system, flusher);
+            let ended = future::select(ended, driven.closed.clone());
             future::select(ended, Box::pin(driven.keep_proving())).await;
             driven.close();
         };
@@ -177,17 +184,18 @@
     }
 }
 
-/// Wraps one end of a stream for capnp-rpc.
+/// Wraps one end of a stream for capnp-rpc. The future that is returned writes
+/// to the stream and has to be driven after the network.
 pub fn network(
     stream: Async<TcpStream>,
     side: Side,
-) -> twoparty::VatNetwork<BufReader<impl futures::AsyncRead + Unpin + 'static>> {
-    let (reader, writer) = stream.split();
+) -> (Network, impl Future<Output = io::Error> + Unpin) {
+    let (reader, stream) = stream.split();
+    let (writer, flusher) = outbox(stream);
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
-    let reader = BufReader::with_capacity(PACKET_BUFFER_BYTES, reader);
-    let writer = BufWriter::with_capacity(PACKET_BUFFER_BYTES, writer);
-    twoparty::VatNetwork::new(reader, writer, side, options)
+    let reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
+    (VatNetwork::new(reader, writer, side, options), flusher)
 }
 
 /// Waits for a future for a while at most.
--- /dev/null
+++ b/src/geraniummount/edge/peer/outbox.rs
@@ -0,0 +1,124 @@
+//! Bytes that wait to be written to a peer.
+//!
+//! capnp-rpc flushes after each message. Messages that are sent in one turn of
+//! the executor collect here instead and leave in one write, which spares
+//! system calls and, on a link that loses packets, chances to lose one.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+use futures::AsyncWrite;
+
+/// Bytes that wait at most before a writer has to wait too.
+const FULL_BYTES: usize = 256 * 1024;
+
+/// A larger buffer is given back when it is empty.
+const KEPT_BYTES: usize = 32 * 1024;
+
+#[derive(Debug, Default)]
+struct State {
+    bytes: Vec<u8>,
+    /// Bytes at the front that are written already.
+    written: usize,
+    failed: bool,
+    writer: Option<Waker>,
+    flusher: Option<Waker>,
+}
+
+/// The end that messages are written to; a flush of it does not wait.
+#[derive(Debug)]
+pub struct Writer {
+    state: Rc<RefCell<State>>,
+}
+
+/// The future that writes the bytes to the stream; ends when that fails.
+#[derive(Debug)]
+pub struct Flusher<W> {
+    stream: W,
+    state: Rc<RefCell<State>>,
+}
+
+/// Puts an outbox before a stream.
+pub fn outbox<W: AsyncWrite + Unpin>(stream: W) -> (Writer, Flusher<W>) {
+    let state = Rc::default();
+    let writer = Writer {
+        state: Rc::clone(&state),
+    };
+    (writer, Flusher { stream, state })
+}
+
+impl AsyncWrite for Writer {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut state = self.state.borrow_mut();
+        if state.failed {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        if state.bytes.len() - state.written >= FULL_BYTES {
+            state.writer = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        state.bytes.extend_from_slice(bytes);
+        if let Some(flusher) = state.flusher.take() {
+            flusher.wake();
+        }
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<W: AsyncWrite + Unpin> Future for Flusher<W> {
+    type Output = io::Error;
+
+    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Error> {
+        let flusher = self.get_mut();
+        let mut state = flusher.state.borrow_mut();
+        while state.written < state.bytes.len() {
+            let waiting = &state.bytes[state.written..];
+            match Pin::new(&mut flusher.stream).poll_write(context, waiting) {
+                Poll::Ready(Ok(count)) if count > 0 => state.written += count,
+                Poll::Ready(result) => return Poll::Ready(state.fail(result)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        state.empty();
+        state.flusher = Some(context.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl State {
+    fn fail(&mut self, result: io::Result<usize>) -> io::Error {
+        self.failed = true;
+        self.wake_writer();
+        result
+            .err()
+            .unwrap_or_else(|| io::ErrorKind::WriteZero.into())
+    }
+
+    fn empty(&mut self) {
+        self.bytes.clear();
+        self.bytes.shrink_to(KEPT_BYTES);
+        self.written = 0;
+        self.wake_writer();
+    }
+
+    fn wake_writer(&mut self) {
+        if let Some(writer) = self.writer.take() {
+            writer.wake();
+        }
+    }
+}
--- a/src/geraniummount/edge/peer/server.rs
+++ b/src/geraniummount/edge/peer/server.rs
@@ -12,7 +12,7 @@
 use async_io::{Async, Timer};
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use futures::future::FutureExt;
+use futures::future::{self, FutureExt};
 
 use super::connection::network;
 use super::service::Service;
@@ -147,11 +147,9 @@
             log::debug!("peer: connection lost at once: {error}");
         } else if let Ok(stream) = Async::new(stream) {
             let client: peer::Client = capnp_rpc::new_client_from_rc(service);
-            let system =
-                RpcSystem::new(Box::new(network(stream, Side::Server)), Some(client.client));
-            if let Err(error) = system.await {
-                log::debug!("peer: connection ends: {error}");
-            }
+            let (network, flusher) = network(stream, Side::Server);
+            let system = RpcSystem::new(Box::new(network), Some(client.client));
+            future::select(system, flusher).await;
         }
         open.set(open.get() - 1);
     }
