Freeze a stand-in leaf whole, and split scene and fleet

A frozen stand-in went on accepting while its other threads could not see that connections had been closed; a process under SIGSTOP accepts nothing. Ruled out: the tier holding too many; the two VMs of the domain share 17. Change: accepting freezes too. The check stays at no violation. Refusals that say when to come back are now checked for the time; troubles and cuts have files of their own.

--- a/crates/geraniummount-test-support/src/fleet/mod.rs
+++ b/crates/geraniummount-test-support/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! test can slow, cut or silence any link. A fleet ends its own processes, and
 //! only these, when it is dropped, and prints their logs when a test fails.
 
+mod cut;
 mod plan;
 mod resource;
 mod vm;
@@ -17,6 +18,8 @@
 
 use tempfile::TempDir;
 
+use self::cut::Cut;
+pub use self::cut::Place;
 pub use self::plan::{Contract, Domain, LeafPlan, Plan};
 pub use self::vm::Vm;
 use crate::client::Client;
@@ -59,44 +62,6 @@
     contract: Contract,
 }
 
-/// A direction in which nothing passes between VMs.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Cut {
-    from: Place,
-    to: Place,
-}
-
-/// One end of a cut.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Place {
-    /// All VMs of a failure domain.
-    Domain(String),
-    /// One VM.
-    Vm(String),
-    /// Every VM.
-    All,
-}
-
-impl Place {
-    /// All VMs of a failure domain.
-    pub fn domain(name: impl Into<String>) -> Place {
-        Place::Domain(name.into())
-    }
-
-    /// One VM.
-    pub fn vm(name: impl Into<String>) -> Place {
-        Place::Vm(name.into())
-    }
-
-    fn has(&self, vm: &Vm) -> bool {
-        match self {
-            Place::Domain(name) => *name == vm.failure_domain,
-            Place::Vm(name) => *name == vm.name,
-            Place::All => true,
-        }
-    }
-}
-
 impl Fleet {
     /// Starts everything in the plan and waits until each VM is ready.
     pub fn start(plan: Plan) -> io::Result<Fleet> {
--- a/crates/geraniummount-test-support/src/leaf/server.rs
+++ b/crates/geraniummount-test-support/src/leaf/server.rs
@@ -29,7 +29,8 @@
 pub(super) fn accept(listener: &TcpListener, state: &Arc<Signal<State>>, life: u64) {
     for stream in listener.incoming() {
         let Ok(stream) = stream else { continue };
-        if !state.lock().lives(life) {
+        // A frozen process takes no connection in either.
+        if wait_while_frozen(state, life).is_err() {
             return;
         }
         let until = Instant::now() + CLOSE_GRACE;
@@ -50,6 +51,17 @@
     }
 }
 
+/// Waits for the end of a freeze; fails when the life has ended.
+fn wait_while_frozen(state: &Signal<State>, life: u64) -> io::Result<()> {
+    let wait = state.wait(Instant::now() + FOREVER, |state| {
+        if !state.lives(life) {
+            return Some(Err(io::Error::other("leaf was killed")));
+        }
+        (!state.frozen).then_some(Ok(()))
+    });
+    wait.unwrap_or(Ok(()))
+}
+
 /// What happens to the connection after a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
@@ -110,16 +122,8 @@
         Ok(Next::Keep)
     }
 
-    /// Waits for the end of a freeze; fails when the life has ended.
     fn wait_while_frozen(&self) -> io::Result<()> {
-        let life = self.life;
-        let wait = self.state.wait(Instant::now() + FOREVER, |state| {
-            if !state.lives(life) {
-                return Some(Err(io::Error::other("leaf was killed")));
-            }
-            (!state.frozen).then_some(Ok(()))
-        });
-        wait.unwrap_or(Ok(()))
+        wait_while_frozen(&self.state, self.life)
     }
 
     fn cancel(&mut self, path: &str) -> io::Result<()> {
--- a/tests/testsuite/load.rs
+++ b/tests/testsuite/load.rs
@@ -9,7 +9,8 @@
 use geraniummount_test_support::leaf::Fault;
 use serde_json::{Value, json};
 
-use crate::scene::{Scene, Trouble};
+use crate::scene::Scene;
+use crate::trouble::Trouble;
 
 /// Patience of a caller with one call, above the services' deadline.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -24,6 +25,9 @@
 
 const CALLERS: usize = 6;
 
+/// Reasons of a refusal that tells when to come back.
+const COME_BACK: [&str; 3] = ["platform-down", "queue-full", "shed"];
+
 /// Callers, rounds of each, and rounds between two faults, while leaves
 /// misbehave.
 const FAULT_CALLERS: usize = 4;
@@ -252,5 +256,10 @@
         "failure without a reason: {}",
         reply.text
     );
+    let comes_back = verdict == "not-run" && COME_BACK.contains(&reason.as_str());
+    if comes_back {
+        assert!(reply.body["retry_after_ms"].is_u64(), "{}", reply.text);
+        assert!(reply.header("Retry-After").is_some(), "{}", reply.text);
+    }
     Told::Failure { verdict, reason }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,3 +27,4 @@
 mod scene;
 mod settings;
 mod stand_ins;
+mod trouble;
--- a/tests/testsuite/promise_at_most_once.rs
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -6,7 +6,8 @@
 use std::collections::HashMap;
 
 use crate::load::{Kind, Record, faults_with, run_through, run_with_fault};
-use crate::scene::{Scene, Trouble, body_id, for_each};
+use crate::scene::{Scene, body_id, for_each};
+use crate::trouble::Trouble;
 
 /// Checks that nothing ran twice and that whatever was answered ran.
 fn check(scene: &Scene, records: &[Record], context: &str) {
--- a/tests/testsuite/promise_coverage.rs
+++ b/tests/testsuite/promise_coverage.rs
@@ -11,7 +11,8 @@
 use serde_json::Value;
 
 use crate::load::{Kind, Record, run_through, send};
-use crate::scene::{ENTRY, PARTS, Scene, Trouble, for_each};
+use crate::scene::{ENTRY, PARTS, Scene, for_each};
+use crate::trouble::Trouble;
 
 /// Checks the coverage of every answer of a run; returns how many lack shards.
 fn check(scene: &Scene, records: &[Record], context: &str) -> usize {
--- a/tests/testsuite/promise_not_run.rs
+++ b/tests/testsuite/promise_not_run.rs
@@ -10,7 +10,8 @@
 use geraniummount_test_support::leaf::{Delay, Overload};
 
 use crate::load::{Kind, Record, faults_with, run_through, run_with_fault};
-use crate::scene::{Scene, Trouble, for_each};
+use crate::scene::{Scene, for_each};
+use crate::trouble::Trouble;
 
 /// Checks the refusals of a run; returns their number.
 fn check(scene: &Scene, records: &[Record], context: &str) -> usize {
--- a/tests/testsuite/promise_reply.rs
+++ b/tests/testsuite/promise_reply.rs
@@ -12,7 +12,8 @@
 use serde_json::json;
 
 use crate::load::{Kind, Record, faults_with, run_through, run_with_fault, send};
-use crate::scene::{ENTRY, Scene, Trouble, for_each};
+use crate::scene::{ENTRY, Scene, for_each};
+use crate::trouble::Trouble;
 
 /// Checks that every answer belongs to its request.
 fn check(records: &[Record], context: &str) {
--- a/tests/testsuite/promise_snapshot.rs
+++ b/tests/testsuite/promise_snapshot.rs
@@ -12,7 +12,8 @@
 use serde_json::{Value, json};
 
 use crate::load::{Kind, Record, run_through, send};
-use crate::scene::{ENTRY, FIRST_SNAPSHOT, PARTS, Scene, Trouble, for_each};
+use crate::scene::{ENTRY, FIRST_SNAPSHOT, PARTS, Scene, for_each};
+use crate::trouble::Trouble;
 
 /// Time between two leaves that switch.
 const SWITCH_PERIOD: Duration = Duration::from_millis(40);
