Measure control on nine processes, and test the log's slots

Also: what a leaf says of its leaving no longer gets lost when the control thread's queue is full, as it is said only once.

--- /dev/null
+++ b/benches/control/watchers.rs
@@ -0,0 +1,97 @@
+//! Operators that watch the configuration of every VM.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::client::Client;
+use geraniummount_test_support::fleet::Fleet;
+
+const WATCH_MS: u64 = 1_000;
+
+/// Revision that a VM was seen to have, and when it was.
+#[derive(Clone, Copy)]
+struct Sight {
+    vm: usize,
+    revision: u64,
+    at: Instant,
+}
+
+/// One watch a VM; ends when dropped.
+pub struct Watchers {
+    stopped: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    sights: Receiver<Sight>,
+    /// The last sight of each VM.
+    latest: Mutex<Vec<Sight>>,
+}
+
+impl Watchers {
+    /// Starts a watch on each running VM.
+    pub fn start(fleet: &Fleet) -> Watchers {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (sender, sights) = mpsc::channel();
+        let mut threads = Vec::new();
+        for (index, vm) in fleet.running().enumerate() {
+            let (address, sender, stopped) = (vm.operator, sender.clone(), Arc::clone(&stopped));
+            threads.push(thread::spawn(move || {
+                watch(index, address, &sender, &stopped)
+            }));
+        }
+        let at = Instant::now();
+        let first = (0..threads.len()).map(|vm| Sight {
+            vm,
+            revision: 0,
+            at,
+        });
+        Watchers {
+            stopped,
+            latest: Mutex::new(first.collect()),
+            threads,
+            sights,
+        }
+    }
+
+    /// Waits until all VMs have a revision; returns when the last one had it.
+    pub fn wait_for(&self, revision: u64, limit: Duration) -> Option<Instant> {
+        let deadline = Instant::now() + limit;
+        let mut latest = self.latest.lock().expect("no other user");
+        while latest.iter().any(|sight| sight.revision < revision) {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let sight = self.sights.recv_timeout(left).ok()?;
+            latest[sight.vm] = sight;
+        }
+        latest.iter().map(|sight| sight.at).max()
+    }
+}
+
+impl Drop for Watchers {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
+            // A watch that failed is reported by what it did not see.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn watch(vm: usize, address: SocketAddr, sights: &Sender<Sight>, stopped: &AtomicBool) {
+    let client = Client::new(address);
+    let mut revision = 0;
+    while !stopped.load(Ordering::Acquire) {
+        let path = format!("/v1/resources?watch={revision}&wait_ms={WATCH_MS}");
+        let Ok(reply) = client.get(&path) else {
+            continue;
+        };
+        let now = reply.body["revision"].as_u64().unwrap_or(revision);
+        if now > revision {
+            revision = now;
+            let at = Instant::now();
+            // Nobody looks any more once the watchers are dropped.
+            let _ = sights.send(Sight { vm, revision, at });
+        }
+    }
+}
--- a/crates/geraniummount-test-support/src/fleet/vm.rs
+++ b/crates/geraniummount-test-support/src/fleet/vm.rs
@@ -171,6 +171,11 @@
         self.state == State::Stopping
     }
 
+    /// Returns the process's id; `None` while there is no process.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the process's log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/src/geraniummount/ops/control/handle.rs
+++ b/src/geraniummount/ops/control/handle.rs
@@ -55,8 +55,8 @@
             source: Source::Leaf,
             draining,
         };
-        // Said again by the leaf's next answer when the queue is full.
-        let _ = self.events.try_send(event);
+        // Fails only when the process's control has ended.
+        let _ = self.events.send(event);
     }
 
     /// Tells the other VMs that this one stops. Returns once the published
--- /dev/null
+++ b/tests/testsuite/control_store.rs
@@ -0,0 +1,136 @@
+//! The log of changes in the platform's service: slots that are used again,
+//! and checkpoints in several values.
+
+use std::sync::{Arc, Mutex};
+
+use geraniummount::core::change::Entry;
+use geraniummount::core::change_log::{CHECKPOINT_EVERY, ChangeLog, Delta, SLOTS};
+use geraniummount::core::resource::Kind;
+use geraniummount::edge::metrics::Metrics;
+use geraniummount::edge::platform::Platform;
+use geraniummount::edge::platform::log_store::LogStore;
+use geraniummount::edge::registry::{Error, Registry};
+use geraniummount::prelude::*;
+use geraniummount::util::published::Published;
+use geraniummount_test_support::platform::{self, Outage};
+
+use crate::control_change_log::leaf_put;
+
+fn store(platform: &platform::Platform) -> LogStore {
+    let client = Platform::new(platform.address(), "test", Metrics::default());
+    LogStore::new(client)
+}
+
+/// A registry whose copy of the log takes in what it learns at once.
+fn registry(store: &LogStore) -> Registry {
+    let log = Arc::new(Published::new(ChangeLog::default()));
+    let copy = Mutex::new(ChangeLog::default());
+    let published = Arc::clone(&log);
+    let learn = move |delta: Delta| {
+        let mut copy = copy.lock().expect("no panic");
+        if copy.merge(delta) {
+            published.set(copy.clone());
+        }
+    };
+    Registry::new(log, store.clone(), Box::new(learn))
+}
+
+fn spec(open_ms: u64) -> String {
+    format!(
+        r#"{{"name": "one", "address": "10.0.0.1:80", "failure_domain": "east",
+            "contract": {{"slots": 2, "connections": 25, "open_ms": {open_ms}}}}}"#
+    )
+}
+
+#[test]
+fn slots_are_used_again_once_a_checkpoint_covers_them() {
+    let platform = platform::Platform::start().expect("platform starts");
+    let store = store(&platform);
+    let registry = registry(&store);
+    let last = SLOTS + CHECKPOINT_EVERY / 2;
+    for revision in 1..=last {
+        let accepted = registry.put(Kind::Leaf, "one", &spec(revision), None);
+        assert_eq!(accepted.map(|accepted| accepted.revision), Ok(revision));
+    }
+    // A VM that starts now loads the checkpoint and reads on from there.
+    let mut log = ChangeLog::default();
+    assert!(log.adopt(store.load_checkpoint().expect("a checkpoint")));
+    assert_eq!(log.revision() % CHECKPOINT_EVERY, 0);
+    while let Some(entry) = store.read(log.revision() + 1).and_then(|slot| slot.entry) {
+        if !log.learn(entry) {
+            break;
+        }
+    }
+    assert_eq!(log.catalog(), &registry.catalog());
+    assert_eq!(log.revision(), last);
+}
+
+#[test]
+fn a_slot_is_used_again_only_if_a_checkpoint_covers_it() {
+    struct Case {
+        name: &'static str,
+        /// Revision of a copy that came whole from a peer.
+        copy: Revision,
+        accepted: bool,
+    }
+    let cases = [
+        Case {
+            name: "the copy is due to be a checkpoint, and is written as one",
+            copy: SLOTS,
+            accepted: true,
+        },
+        Case {
+            name: "no checkpoint is known",
+            copy: SLOTS + 1,
+            accepted: false,
+        },
+    ];
+    for case in cases {
+        let platform = platform::Platform::start().expect("platform starts");
+        let store = store(&platform);
+        let mut copy = ChangeLog::default();
+        copy.adopt(Catalog {
+            revision: case.copy,
+            ..Catalog::default()
+        });
+        let log = Arc::new(Published::new(copy));
+        let registry = Registry::new(log, store.clone(), Box::new(|_| {}));
+        let answer = registry.put(Kind::Leaf, "one", &spec(1), None);
+        if case.accepted {
+            let accepted = answer.map(|accepted| accepted.revision);
+            assert_eq!(accepted, Ok(case.copy + 1), "{}", case.name);
+            assert_eq!(store.checkpoint_revision(), Some(SLOTS), "{}", case.name);
+        } else {
+            let refused = matches!(answer, Err(Error::PlatformDown { .. }));
+            assert!(refused, "{}: {answer:?}", case.name);
+            assert_eq!(platform.calls().writes, 0, "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_checkpoint_is_read_back_whole() {
+    let platform = platform::Platform::start().expect("platform starts");
+    let store = store(&platform);
+    let mut catalog = Catalog::default();
+    for revision in 1..=8 * CHECKPOINT_EVERY {
+        let change = leaf_put(revision, &format!("leaf-{revision}"), revision as u16, 0);
+        catalog.apply(&Entry { revision, change });
+    }
+    // Long names make it larger than one value.
+    for record in &mut catalog.leaves {
+        record.spec.failure_domain = "d".repeat(400);
+    }
+    assert_eq!(store.load_checkpoint(), Some(Catalog::default()));
+    assert_eq!(store.save_checkpoint(&catalog), Some(()));
+    assert_eq!(store.load_checkpoint().as_ref(), Some(&catalog));
+    // An older one does not take its place.
+    let older = Catalog {
+        revision: CHECKPOINT_EVERY,
+        ..Catalog::default()
+    };
+    assert_eq!(store.save_checkpoint(&older), Some(()));
+    assert_eq!(store.load_checkpoint().as_ref(), Some(&catalog));
+    platform.change(|behaviour| behaviour.outage = Outage::Refuse);
+    assert_eq!(store.load_checkpoint(), None);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod control_claims;
 mod control_membership;
 mod control_ownership;
+mod control_store;
 mod control_validation;
 mod fan_out;
 mod leaf_edge;
