Find the ports of a stand-in VM together

Cause: a_leaving_leaf_gets_no_new_work failed in a run of all promise modules: VM b-4 got one port for peers and for callers, as the first was free again when the second was looked for. Change: the three ports are held until all are found.

--- a/crates/geraniummount-test-support/src/fleet/vm.rs
+++ b/crates/geraniummount-test-support/src/fleet/vm.rs
@@ -10,7 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use super::wait_until;
-use crate::proxy::{Proxy, free_port};
+use crate::proxy::{Proxy, free_ports};
 
 /// Longest part of a log that is printed when a test fails.
 const PRINTED_LOG_BYTES: usize = 16 * 1024;
@@ -60,12 +60,12 @@
         platform: SocketAddr,
         seed: u64,
     ) -> io::Result<Vm> {
-        let peer_listen = free_port(ip)?;
+        let [peer_listen, caller, operator] = free_ports(ip)?;
         Ok(Vm {
             name: name.to_string(),
             failure_domain: failure_domain.to_string(),
-            caller: free_port(ip)?,
-            operator: free_port(ip)?,
+            caller,
+            operator,
             peer_proxy: Proxy::start(proxy_ip, peer_listen, seed)?,
             platform_proxy: Proxy::start(proxy_ip, platform, seed)?,
             ip,
--- a/crates/geraniummount-test-support/src/proxy/mod.rs
+++ b/crates/geraniummount-test-support/src/proxy/mod.rs
@@ -216,7 +216,15 @@
     Err(last)
 }
 
-/// Finds a port of `ip` that is free for TCP and UDP.
-pub(crate) fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    bind(ip)?.0.local_addr()
+/// Finds ports of `ip` that are free for TCP and UDP, all different.
+pub(crate) fn free_ports<const N: usize>(ip: IpAddr) -> io::Result<[SocketAddr; N]> {
+    let mut addresses = [SocketAddr::new(ip, 0); N];
+    // Held until all are found, so that no port comes twice.
+    let mut held = Vec::new();
+    for address in &mut addresses {
+        let (listener, socket) = bind(ip)?;
+        *address = listener.local_addr()?;
+        held.push((listener, socket));
+    }
+    Ok(addresses)
 }
