Carry requests to leaves on a transport of our own

Cause: the HTTP library's transport took about 12 system calls a request: a time limit set on the socket for each read and write, the socket made non-blocking and back for each look whether it is open, head and body written apart. Change: one write a request, limits rounded up to four leading bits and set only when they change (the task ends a request at its deadline), one peek to see whether a connection is open. Reads go on after a signal.

--- a/src/geraniummount/edge/leaf/connection.rs
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -1,7 +1,7 @@
 //! One HTTP connection to a leaf.
 //!
 //! Each connection has an agent of its own, so that no other request can use
-//! it, and watches its transport: a request whose bytes never left is known
+//! it, and a transport that tells when bytes leave: a request whose bytes never left is known
 //! to be not run. The library sends each request once, on an idle connection
 //! that it finds open or on a new one.
 
@@ -12,11 +12,8 @@
 
 use ureq::Agent;
 use ureq::config::Config;
-use ureq::http::Uri;
-use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
-use ureq::unversioned::transport::{
-    Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
-};
+
+use super::transport::{Fixed, Opener};
 
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 const MAX_HEADER_BYTES: usize = 16 * 1024;
@@ -51,12 +48,11 @@
             .user_agent("geraniummount")
             .build();
         let sent = Arc::new(AtomicBool::new(false));
-        let watch = Watch {
+        let opener = Opener {
             sent: Arc::clone(&sent),
         };
-        let connector = DefaultConnector::new().chain(watch);
         Connection {
-            agent: Agent::with_parts(config, connector, Fixed(address)),
+            agent: Agent::with_parts(config, opener, Fixed(address)),
             address,
             sent,
             proven: now,
@@ -73,68 +69,3 @@
         self.sent.load(Ordering::Acquire)
     }
 }
-
-/// Names the leaf's address; the library's own resolver starts a thread for
-/// each request that has a time limit.
-#[derive(Debug)]
-struct Fixed(SocketAddr);
-
-impl Resolver for Fixed {
-    fn resolve(
-        &self,
-        _uri: &Uri,
-        _config: &Config,
-        _timeout: NextTimeout,
-    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
-        let mut addresses = self.empty();
-        addresses.push(self.0);
-        Ok(addresses)
-    }
-}
-
-/// Notes when bytes leave on a connection.
-#[derive(Debug)]
-struct Watch {
-    sent: Arc<AtomicBool>,
-}
-
-impl<In: Transport> Connector<In> for Watch {
-    type Out = Watched<In>;
-
-    fn connect(
-        &self,
-        _details: &ConnectionDetails<'_>,
-        chained: Option<In>,
-    ) -> Result<Option<Watched<In>>, ureq::Error> {
-        let watched = chained.map(|inner| Watched {
-            inner,
-            sent: Arc::clone(&self.sent),
-        });
-        Ok(watched)
-    }
-}
-
-#[derive(Debug)]
-struct Watched<In> {
-    inner: In,
-    sent: Arc<AtomicBool>,
-}
-
-impl<In: Transport> Transport for Watched<In> {
-    fn buffers(&mut self) -> &mut dyn Buffers {
-        self.inner.buffers()
-    }
-
-    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
-        self.sent.store(true, Ordering::Release);
-        self.inner.transmit_output(amount, timeout)
-    }
-
-    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
-        self.inner.await_input(timeout)
-    }
-
-    fn is_open(&mut self) -> bool {
-        self.inner.is_open()
-    }
-}
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod pool;
 mod task;
+mod transport;
 
 pub use pool::Pool;
 
--- a/src/geraniummount/edge/peer/connection.rs
+++ b/src/geraniummount/edge/peer/connection.rs
@@ -233,6 +233,5 @@
 
 /// `connect` on a non-blocking socket says that it goes on.
 fn is_in_progress(error: &io::Error) -> bool {
-    const EINPROGRESS: i32 = 115;
-    error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
+    error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(libc::EINPROGRESS)
 }
