--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -98,11 +98,19 @@
         Client::new(self.vms[index % self.vms.len()].caller)
     }
 
-    /// Stops every VM gracefully.
+    /// Stops all VMs gracefully, at once.
     pub fn stop(self) {
-        for vm in self.vms {
-            if !vm.server.stop() {
-                eprintln!("{}: requests were still in flight at its stop", vm.name);
+        let stops = self.vms.into_iter().map(|vm| {
+            std::thread::spawn(move || {
+                if !vm.server.stop() {
+                    eprintln!("{}: requests were still in flight at its stop", vm.name);
+                }
+            })
+        });
+        let stops: Vec<_> = stops.collect();
+        for stop in stops {
+            if stop.join().is_err() {
+                eprintln!("a VM's stop panicked");
             }
         }
     }
