Refuse parts for a peer that does not answer at once, as not run

Cause: a new connection counted as proven by its opening, yet a frozen or cut off peer's connection opens all the same; each part that followed waited for a ping or its deadline and ended as may have run. And pings ended 10 s after the last part was sent, though one still waited. Change: a new connection is used once the peer answered a ping on it; while none does, parts are refused at once with a time to come back, and opening is tried again each 100 ms while parts want it. A connection with a part on it counts as used.

--- a/src/geraniummount/edge/peer/connection.rs
+++ b/src/geraniummount/edge/peer/connection.rs
@@ -60,6 +60,18 @@
     heard: Cell<Instant>,
     used: Cell<Instant>,
     round_trip: Cell<Duration>,
+    /// Parts that wait for their outcome.
+    busy: Cell<usize>,
+}
+
+/// A part that waits for its outcome on a connection.
+pub struct Busy<'a>(&'a Connection);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+        self.0.used.set(Instant::now());
+    }
 }
 
 impl Connection {
@@ -99,6 +111,7 @@
             heard: Cell::new(now),
             used: Cell::new(now),
             round_trip: Cell::new(now.saturating_duration_since(started)),
+            busy: Cell::new(0),
         });
         let driven = Rc::clone(&connection);
         let drive = async move {
@@ -116,6 +129,13 @@
         &self.client
     }
 
+    /// Notes a part until the guard is dropped; the connection counts as used
+    /// all that time.
+    pub fn begin(&self) -> Busy<'_> {
+        self.busy.set(self.busy.get() + 1);
+        Busy(self)
+    }
+
     /// Resolves when the connection is closed.
     pub fn closed(&self) -> impl Future<Output = ()> + Unpin + use<> {
         self.closed.clone().map(|_| ())
@@ -150,7 +170,8 @@
         self.ping().await
     }
 
-    async fn ping(&self) -> bool {
+    /// Asks for a sign of life; closes the connection if none comes in time.
+    pub async fn ping(&self) -> bool {
         let sent = Instant::now();
         let call = self.client.ping_request().send().promise;
         let answered = matches!(timeout(PING_TIMEOUT, call).await, Some(Ok(_)));
@@ -169,10 +190,17 @@
         self.round_trip.set(smoothed);
     }
 
+    fn idle(&self) -> Duration {
+        if self.busy.get() > 0 {
+            return Duration::ZERO;
+        }
+        self.used.get().elapsed()
+    }
+
     async fn keep_proving(&self) {
-        while !self.is_closed() && self.used.get().elapsed() < LONGEST_IDLE {
+        while !self.is_closed() && self.idle() < LONGEST_IDLE {
             let quiet = self.heard.get().elapsed();
-            let used_lately = self.used.get().elapsed() < PINGED_IDLE;
+            let used_lately = self.idle() < PINGED_IDLE;
             if quiet < PING_PERIOD {
                 Timer::after(PING_PERIOD - quiet).await;
             } else if used_lately {
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -23,8 +23,12 @@
 /// Parts that one peer holds for this VM at most.
 const MAX_IN_FLIGHT: usize = 4096;
 
-/// Time without new attempts after a peer could not be reached.
-const FAILED_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two attempts to reach a peer that could not be reached. Parts
+/// are refused at once until one succeeds.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A peer that no part was meant for in so long is not tried again.
+const RETRIED_IDLE: Duration = Duration::from_secs(5);
 
 /// A peer's answer at the deadline tells more than none; it is waited for
 /// so long.
@@ -68,7 +72,8 @@
     Closed,
     Opening(Opening),
     Open(Rc<Connection>),
-    Failed(Instant),
+    /// Could not be reached; tried again while parts want it.
+    Failed,
 }
 
 impl Link {
@@ -99,7 +104,7 @@
     /// carries it to the peer and its outcome back.
     pub fn carry(self: Rc<Link>, part: Part, pending: Pending) -> LocalBoxFuture<'static, ()> {
         let Some((entry, cancelled)) = self.enter(part.attempt) else {
-            pending.fail(Failure::not_run(Reason::QueueFull).retry_after(FAILED_PAUSE));
+            pending.fail(Failure::not_run(Reason::QueueFull).retry_after(RETRY_PAUSE));
             return future::ready(()).boxed_local();
         };
         let carried = async move {
@@ -122,7 +127,7 @@
             _ = cancelled => return pending.fail(Failure::not_run(Reason::Cancelled)),
         };
         let Some(connection) = connection else {
-            let failure = Failure::not_run(Reason::ConnectFailed).retry_after(FAILED_PAUSE);
+            let failure = Failure::not_run(Reason::ConnectFailed).retry_after(RETRY_PAUSE);
             return pending.fail(failure);
         };
         let travel = connection.round_trip() / 2;
@@ -148,6 +153,7 @@
         remaining: Duration,
         mut cancelled: oneshot::Receiver<()>,
     ) -> Result<Outcome, Reason> {
+        let _busy = connection.begin();
         let mut request = connection.client().dispatch_request();
         wire::write_part(part, remaining, request.get().init_part());
         let mut answer = request.send().promise.fuse();
@@ -222,6 +228,7 @@
     where
         F: Future<Output = capnp::Result<T>>,
     {
+        self.last_used.set(Instant::now());
         let whole = async {
             let connection = self.ready().await?;
             let result = call(connection.client()).await;
@@ -268,9 +275,9 @@
                 State::Open(connection) if !connection.is_closed() => {
                     return Some(Rc::clone(connection));
                 }
-                State::Failed(at) if at.elapsed() < FAILED_PAUSE => return None,
+                State::Failed => return None,
                 State::Opening(opening) => opening.clone(),
-                State::Closed | State::Failed(_) | State::Open(_) => {
+                State::Closed | State::Open(_) => {
                     let opening = self.start_opening();
                     *state = State::Opening(opening.clone());
                     opening
@@ -285,35 +292,48 @@
         let (sender, receiver) = oneshot::channel();
         let link = Rc::clone(self);
         let open = async move {
-            let opened = Connection::open(link.from, link.to).await;
-            let connection = link.note_opened(opened);
-            drop(sender.send(connection));
+            let connection = link.open().await;
+            let state = match &connection {
+                Some(connection) => State::Open(Rc::clone(connection)),
+                None => State::Failed,
+            };
+            *link.state.borrow_mut() = state;
+            drop(sender.send(connection.clone()));
+            if connection.is_none() {
+                link.try_again().await;
+            }
         };
         drop(self.spawner.unbounded_send(open.boxed_local()));
-        receiver
-            .map(|opened| opened.ok().flatten())
-            .boxed_local()
-            .shared()
+        let opened = receiver.map(|opened| opened.ok().flatten());
+        opened.boxed_local().shared()
     }
 
-    fn note_opened(
-        &self,
-        opened: std::io::Result<(Rc<Connection>, impl Future<Output = ()> + 'static)>,
-    ) -> Option<Rc<Connection>> {
-        let mut state = self.state.borrow_mut();
-        match opened {
-            Ok((connection, drive)) => {
-                log::debug!("peer: connected to {}", self.to);
-                drop(self.spawner.unbounded_send(drive.boxed_local()));
-                self.opened.set(self.opened.get() + 1);
-                *state = State::Open(Rc::clone(&connection));
-                Some(connection)
-            }
+    /// Opens a connection that the peer has answered on: one that is frozen
+    /// or cut off may still be connected to.
+    async fn open(&self) -> Option<Rc<Connection>> {
+        let (connection, drive) = match Connection::open(self.from, self.to).await {
+            Ok(opened) => opened,
             Err(error) => {
                 log::warn!("peer: no connection to {}: {error}", self.to);
-                *state = State::Failed(Instant::now());
-                None
+                return None;
             }
+        };
+        drop(self.spawner.unbounded_send(drive.boxed_local()));
+        if !connection.ping().await {
+            log::warn!("peer: {} does not answer on a new connection", self.to);
+            return None;
+        }
+        log::debug!("peer: connected to {}", self.to);
+        self.opened.set(self.opened.get() + 1);
+        Some(connection)
+    }
+
+    async fn try_again(self: Rc<Link>) {
+        Timer::after(RETRY_PAUSE).await;
+        if self.last_used.get().elapsed() < RETRIED_IDLE {
+            drop(self.start_opening());
+        } else {
+            *self.state.borrow_mut() = State::Closed;
         }
     }
 
--- a/tests/testsuite/peer_edge.rs
+++ b/tests/testsuite/peer_edge.rs
@@ -356,6 +356,24 @@
         .expect("reply on a new connection");
 }
 
+#[test]
+fn a_part_for_a_peer_that_does_not_answer_is_refused_as_not_run() {
+    let mut bench = Bench::start(Duration::from_millis(1));
+    bench.ask(part(true, LIMIT)).result.expect("first reply");
+    let cut = CASES
+        .iter()
+        .find(|case| case.name == "cut both ways")
+        .unwrap();
+    (cut.break_way)(&mut bench);
+    // Connections to the proxy still open, but nobody answers on them.
+    wait_until("refusal long before the deadline", || {
+        let failure = bench.ask(part(false, LIMIT)).result.unwrap_err();
+        failure.verdict == Verdict::NotRun && failure.reason == Reason::ConnectFailed
+    });
+    (cut.mend_way)(&mut bench);
+    wait_until("answer", || bench.ask(part(false, DEADLINE)).result.is_ok());
+}
+
 #[test]
 fn a_cancelled_part_ends_at_once_and_at_the_leaf() {
     let bench = Bench::start(LIMIT);
