Measure coverage while the owner of leaves is lost

Cause: the Association weighs coverage first, and what a lost owner costs was not measured. Change: benches/failover: an owner is stopped, killed, frozen or cut off under 100 queries/s to 8 single-replica shards.

--- /dev/null
+++ b/benches/failover.rs
@@ -0,0 +1,172 @@
+//! Coverage and latency while the owner of leaves is lost.
+//!
+//! One entry VM in a failure domain sends queries at a rate to leaves of
+//! another, each the only replica of its shard, so that a lost owner shows in
+//! coverage at once. After a while one of the owners is killed, frozen, cut
+//! off or told to stop. Prints a row a case; no bound, as the target states
+//! none for the moment of a loss.
+
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::client::Client;
+use geraniummount_test_support::fleet::{Fleet, Place, Plan, wait_until};
+use geraniummount_test_support::leaf::{Behaviour, Delay};
+use geraniummount_test_support::proxy::Link;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+const SHARDS: usize = 8;
+const OWNERS: usize = 3;
+const RATE: f64 = 100.0;
+const BEFORE: Duration = Duration::from_secs(3);
+const AFTER: Duration = Duration::from_secs(7);
+const DEADLINE_MS: u64 = 1_000;
+const SENDERS: usize = 64;
+const PATIENCE: Duration = Duration::from_secs(30);
+const LINK_DELAY: Duration = Duration::from_millis(4);
+const LEAF_TIME: Duration = Duration::from_millis(5);
+const SEED: u64 = 41;
+
+/// What happens to the first owner.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    None,
+    Stop,
+    Kill,
+    Freeze,
+    Cut,
+}
+
+/// One query: when it was planned, how long it took, what it lacked.
+struct Query {
+    planned: Duration,
+    took: Duration,
+    missing: usize,
+}
+
+fn main() {
+    println!("loss    prefer    lacking  failed  shards missing  last lacking s  p50 ms  p99 ms");
+    for prefer in ["coverage", "latency"] {
+        for loss in [Loss::None, Loss::Stop, Loss::Kill, Loss::Freeze, Loss::Cut] {
+            measure(loss, prefer);
+        }
+    }
+}
+
+fn measure(loss: Loss, prefer: &str) {
+    let mut fleet = start(prefer);
+    let caller = fleet.vm("near-1").caller;
+    let began = Instant::now();
+    let (ends, ended) = mpsc::channel();
+    let total = (RATE * (BEFORE + AFTER).as_secs_f64()) as usize;
+    thread::scope(|scope| {
+        for sender in 0..SENDERS {
+            let ends = ends.clone();
+            scope.spawn(move || {
+                let caller = Client::new(caller);
+                for number in (sender..total).step_by(SENDERS) {
+                    let planned = Duration::from_secs_f64(number as f64 / RATE);
+                    thread::sleep(planned.saturating_sub(began.elapsed()));
+                    let missing = query(&caller);
+                    let took = began.elapsed() - planned;
+                    let _ = ends.send(Query {
+                        planned,
+                        took,
+                        missing,
+                    });
+                }
+            });
+        }
+        drop(ends);
+        thread::sleep(BEFORE.saturating_sub(began.elapsed()));
+        lose(&mut fleet, loss);
+    });
+    print(loss, prefer, ended.iter().collect());
+}
+
+fn lose(fleet: &mut Fleet, loss: Loss) {
+    let owner = fleet.vms_in("far")[0].clone();
+    match loss {
+        Loss::None => {}
+        Loss::Stop => fleet.terminate(&owner),
+        Loss::Kill => fleet.kill(&owner),
+        Loss::Freeze => fleet.freeze(&owner),
+        Loss::Cut => fleet.cut(&Place::vm(owner), &Place::All),
+    }
+}
+
+fn print(loss: Loss, prefer: &str, queries: Vec<Query>) {
+    let mut latencies: Histogram<u64> = Histogram::new(3).unwrap();
+    let mut last = Duration::ZERO;
+    for query in &queries {
+        latencies.record(query.took.as_micros() as u64).unwrap();
+        if query.missing > 0 {
+            last = last.max(query.planned.saturating_sub(BEFORE));
+        }
+    }
+    let failed = queries
+        .iter()
+        .filter(|query| query.missing == SHARDS)
+        .count();
+    let lacking = queries.iter().filter(|query| query.missing > 0).count() - failed;
+    let missing: usize = queries.iter().map(|query| query.missing).sum();
+    let ms = |quantile| latencies.value_at_quantile(quantile) as f64 / 1e3;
+    println!(
+        "{:6}  {prefer:8}  {lacking:7}  {failed:6}  {missing:14}  {:14.2}  {:6.1}  {:6.1}",
+        format!("{loss:?}"),
+        last.as_secs_f64(),
+        ms(0.5),
+        ms(0.99)
+    );
+}
+
+/// Returns how many shards the answer lacks; all for a failure.
+fn query(caller: &Client) -> usize {
+    let reply = caller.query("all", &[], &json!({"q": "rope"}));
+    let Ok(reply) = reply.map(|reply| reply.body) else {
+        return SHARDS;
+    };
+    let missing = reply["coverage"]["missing"].as_array();
+    missing.map_or(SHARDS, Vec::len)
+}
+
+fn start(prefer: &str) -> Fleet {
+    let link = Link {
+        delay: LINK_DELAY,
+        ..Link::default()
+    };
+    let mut plan = Plan::new(env!("CARGO_BIN_EXE_geraniummount"))
+        .seed(SEED)
+        .between(link)
+        .domain("near", 1)
+        .domain("far", OWNERS);
+    let name = |shard: usize| format!("leaf-{shard}");
+    for shard in 0..SHARDS {
+        plan = plan.leaf(&name(shard), "far", behaviour(shard));
+    }
+    let fleet = Fleet::start(plan).unwrap();
+    let shard = |shard: usize| json!({"name": shard.to_string(), "replicas": [name(shard)]});
+    let shards: Vec<Value> = (0..SHARDS).map(shard).collect();
+    let service = json!({
+        "name": "all",
+        "shards": shards,
+        "deadline_ms": DEADLINE_MS,
+        "max_deadline_ms": DEADLINE_MS,
+        "prefer": prefer,
+    });
+    fleet.apply_with_leaves("near-1", &[service]);
+    let caller = fleet.caller("near-1");
+    assert!(wait_until(PATIENCE, || query(&caller) == 0));
+    fleet
+}
+
+fn behaviour(shard: usize) -> Behaviour {
+    Behaviour {
+        slots: 8,
+        delay: Delay::fixed(LEAF_TIME),
+        shards: vec![format!("all/{shard}")],
+        ..Behaviour::default()
+    }
+}
