Go around an owner that does not answer

Cause: answers lacked the shards of a lost owner until membership had moved its leaves, and the leaf was suspended for the owner's silence on top. Ruled out: a faster suspicion in membership, which would give up VMs that are only slow and still costs a probe period; retries from the budget alone, as they went to the same owner. Change: a peer that refuses, breaks or goes silent is lost until it answers a ping on a new connection. Parts that were not sent go to the next VM in the hash order, marked to be served there; an idempotent part that was lost with the owner may go to the same leaf again, from the budget. An owner's silence is no longer held against its leaf.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -133,6 +133,7 @@
         deadline: Instant::now() + DEADLINE,
         idempotent: true,
         hops_left: 2,
+        takeover: false,
         body: Arc::from(&br#"{"text": "harness"}"#[..]),
     }
 }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,6 +20,9 @@
   idempotent @8 :Bool;
   hopsLeft @9 :UInt8;
   body @10 :Data;
+  # The first owner does not answer the sender: to be served by the receiver,
+  # if it may hold connections to the leaf.
+  takeover @11 :Bool;
 }
 
 struct Report {
--- a/schema/peer_capnp.rs
+++ b/schema/peer_capnp.rs
@@ -278,6 +278,10 @@
         pub fn has_body(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_takeover(self) -> bool {
+            self.reader.get_bool_field(66)
+        }
     }
 
     pub struct Builder<'a> {
@@ -541,6 +545,14 @@
         pub fn has_body(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_takeover(self) -> bool {
+            self.builder.get_bool_field(66)
+        }
+        #[inline]
+        pub fn set_takeover(&mut self, value: bool) {
+            self.builder.set_bool_field(66, value);
+        }
     }
 
     pub struct Pipeline {
@@ -555,7 +567,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 186] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 202] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(59, 154, 156, 12, 49, 216, 52, 140),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -565,90 +577,97 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 97, 114, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -742,6 +761,15 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 107, 101, 111, 118, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -756,6 +784,7 @@
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -774,9 +803,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 10, 5, 9, 8, 4, 7, 1, 2, 3, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 10, 5, 9, 8, 4, 7, 1, 2, 3, 6, 11];
         pub(crate) const TYPE_ID: u64 = 0x8c34_d831_0c9c_9a3b;
     }
 }
--- a/src/geraniummount/core/execution.rs
+++ b/src/geraniummount/core/execution.rs
@@ -153,6 +153,7 @@
             deadline: margin::answer_by(self.answer_by, now),
             idempotent: false,
             hops_left: MAX_HOPS,
+            takeover: false,
             body: Arc::clone(&self.query.body),
         }
     }
--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -112,6 +112,9 @@
             return Vec::new();
         };
         self.learn(index, &outcome, traffic);
+        if outcome.lost_owner() {
+            self.shards[index].allow_again();
+        }
         let owner = outcome.report.map(|report| report.owner);
         let mut actions = match self.check_snapshot(outcome.result) {
             Ok(reply) => self.merge(index, reply, traffic, now),
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -151,6 +151,7 @@
             deadline: self.finish_at,
             idempotent: true,
             hops_left: MAX_HOPS,
+            takeover: false,
             body: Arc::clone(&self.query.body),
         }
     }
--- a/src/geraniummount/core/outcome.rs
+++ b/src/geraniummount/core/outcome.rs
@@ -14,6 +14,19 @@
 }
 
 impl Outcome {
+    /// Whether the owner was lost with the attempt, which says nothing of the
+    /// leaf.
+    pub fn lost_owner(&self) -> bool {
+        let lost = |failure: &Failure| {
+            let reason = failure.reason;
+            matches!(
+                reason,
+                Reason::ConnectFailed | Reason::NoOwner | Reason::Unreachable
+            )
+        };
+        self.report.is_none() && self.result.as_ref().is_err_and(lost)
+    }
+
     /// An attempt that failed before its owner was reached.
     pub fn failed(attempt: AttemptId, failure: Failure) -> Outcome {
         Outcome {
--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -24,15 +24,20 @@
     Local,
     /// The owner, or in another failure domain a VM that knows the owner.
     Peer(Vm),
-    /// No VM is known in the leaf's failure domain.
+    /// No VM is known in the leaf's failure domain, or none answers.
     Nowhere,
 }
 
 /// Finds where a part for `leaf` goes.
 pub fn route(view: &View, leaf: &Leaf) -> Route {
+    route_around(view, leaf, |_| false)
+}
+
+/// Finds where a part for `leaf` goes while some VMs are lost to this one.
+pub fn route_around(view: &View, leaf: &Leaf, is_lost: impl Fn(&Vm) -> bool) -> Route {
     let first = [State::Live, State::Suspect]
         .into_iter()
-        .find_map(|state| first_in_order(view, leaf, state));
+        .find_map(|state| first_in_order(view, leaf, state, &is_lost));
     match first {
         Some(vm) if vm.name == view.me => Route::Local,
         Some(vm) => Route::Peer(vm.clone()),
@@ -65,9 +70,14 @@
     share + u16::from(rank < remainder)
 }
 
-fn first_in_order<'a>(view: &'a View, leaf: &Leaf, state: State) -> Option<&'a Vm> {
+fn first_in_order<'a>(
+    view: &'a View,
+    leaf: &Leaf,
+    state: State,
+    is_lost: impl Fn(&Vm) -> bool,
+) -> Option<&'a Vm> {
     members(view, leaf)
-        .filter(|vm| vm.state == state)
+        .filter(|vm| vm.state == state && !is_lost(vm))
         .min_by_key(|vm| order_key(&vm.name, leaf))
 }
 
--- a/src/geraniummount/core/part.rs
+++ b/src/geraniummount/core/part.rs
@@ -27,6 +27,9 @@
     pub idempotent: bool,
     /// VMs that it may still pass through.
     pub hops_left: u8,
+    /// Set when the leaf's owner does not answer: whoever gets it serves it,
+    /// if it may hold connections to the leaf.
+    pub takeover: bool,
     /// The caller's JSON body.
     pub body: Arc<[u8]>,
 }
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -152,6 +152,10 @@
         if let Some(report) = &outcome.report {
             standing.hear(report, elapsed, now);
         }
+        if outcome.lost_owner() {
+            standing.forget_silence();
+            return;
+        }
         match &outcome.result {
             Ok(_) => {
                 standing.elapsed.record(elapsed);
@@ -284,6 +288,12 @@
         });
     }
 
+    /// Takes back what the owner's silence was held against the leaf for.
+    fn forget_silence(&mut self) {
+        self.silent = 0;
+        self.pause = None;
+    }
+
     fn end_probe(&mut self) {
         if let Some(pause) = &mut self.pause {
             pause.probing = false;
--- a/src/geraniummount/core/shard_state.rs
+++ b/src/geraniummount/core/shard_state.rs
@@ -8,6 +8,9 @@
 /// Time after a late mark that an attempt gets before it is given up.
 const LATE_FACTOR: u32 = 2;
 
+/// Attempts after which a replica is not tried again.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// One shard of a query.
 #[derive(Debug)]
 pub(crate) struct ShardState {
@@ -114,6 +117,14 @@
         Some(self.open.remove(place))
     }
 
+    /// Allows the replica of the last outcome to be tried again by way of
+    /// another owner.
+    pub(crate) fn allow_again(&mut self) {
+        let few = self.attempts < MAX_ATTEMPTS;
+        let leaf = self.leaf.as_ref().filter(|_| few);
+        self.tried.retain(|tried| Some(tried) != leaf);
+    }
+
     /// Notes that an attempt failed.
     pub(crate) fn note_failure(&mut self, failure: Failure) {
         self.worst = self.worst.max(failure.verdict);
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, Weak, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,7 @@
 use crate::util::published::Published;
 
 const STOPPING_RETRY: Duration = Duration::from_millis(100);
+const LOST_RETRY: Duration = Duration::from_millis(250);
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
 /// Hops of a question for holdings: to another failure domain, and there to
 /// the owner.
@@ -94,47 +95,27 @@
         draining: DrainingNotice,
     ) -> Dispatcher {
         let leaves = leaf::Pool::new(Arc::clone(&view), draining, options.max_reply_bytes);
-        Dispatcher {
-            shared: Arc::new(Shared {
+        let shared = Arc::new_cyclic(|shared: &Weak<Shared>| {
+            let shared = Weak::clone(shared);
+            let unsent = move |part, pending| match shared.upgrade() {
+                Some(shared) => shared.carry(part, pending),
+                None => drop(pending),
+            };
+            Shared {
                 view,
                 leaves,
-                peers: peer::Client::new(options.bind),
+                peers: peer::Client::new(options.bind, Box::new(unsent)),
                 gauge: Gauge::default(),
                 stopped: AtomicBool::new(false),
-            }),
-        }
+            }
+        });
+        Dispatcher { shared }
     }
 
     /// Sends a part to its leaf; the outcome goes to `reply`.
     pub fn dispatch(&self, part: Part, reply: ReplyTo) {
-        let shared = &self.shared;
-        let pending = Pending::new(part.attempt, reply, &shared.gauge);
-        if shared.stopped.load(Ordering::Acquire) {
-            return pending.fail(Failure::not_run(Reason::Stopping).retry_after(STOPPING_RETRY));
-        }
-        let view = shared.view.get();
-        let Some(record) = view.catalog.leaf(&part.leaf) else {
-            return pending.fail(Failure::not_run(Reason::NoReplica));
-        };
-        let leaf = &record.spec;
-        match ownership::route(&view, leaf) {
-            Route::Local => shared.leaves.submit(leaf, part, pending),
-            Route::Peer(vm) if part.hops_left > 0 => {
-                let part = Part {
-                    hops_left: part.hops_left - 1,
-                    ..part
-                };
-                shared.peers.dispatch(vm.peer_address, part, pending);
-            }
-            // Views differ for a moment while an owner changes; whoever may
-            // hold connections to the leaf serves the part.
-            Route::Peer(_) if has_share(&view, leaf) => {
-                shared.leaves.submit(leaf, part, pending);
-            }
-            Route::Peer(_) | Route::Nowhere => {
-                pending.fail(Failure::not_run(Reason::NoOwner).retry_after(NO_OWNER_RETRY));
-            }
-        }
+        let pending = Pending::new(part.attempt, reply, &self.shared.gauge);
+        self.shared.carry(part, pending);
     }
 
     /// Gives up an attempt; its outcome still goes to its `reply`.
@@ -243,6 +224,55 @@
     }
 }
 
+impl Shared {
+    /// Sends a part on its way, around peers that are lost.
+    fn carry(&self, part: Part, pending: Pending) {
+        if self.stopped.load(Ordering::Acquire) {
+            return pending.fail(Failure::not_run(Reason::Stopping).retry_after(STOPPING_RETRY));
+        }
+        let view = self.view.get();
+        let Some(record) = view.catalog.leaf(&part.leaf) else {
+            return pending.fail(Failure::not_run(Reason::NoReplica));
+        };
+        let leaf = &record.spec;
+        let (route, takeover) = self.route(&view, leaf, part.takeover);
+        match route {
+            Route::Local => self.leaves.submit(leaf, part, pending),
+            Route::Peer(vm) if part.hops_left > 0 => {
+                let part = Part {
+                    hops_left: part.hops_left - 1,
+                    takeover,
+                    ..part
+                };
+                self.peers.dispatch(vm.peer_address, part, pending);
+            }
+            // Views differ for a moment while an owner changes; whoever may
+            // hold connections to the leaf serves the part.
+            Route::Peer(_) if has_share(&view, leaf) => {
+                self.leaves.submit(leaf, part, pending);
+            }
+            Route::Nowhere if takeover => {
+                pending.fail(Failure::not_run(Reason::ConnectFailed).retry_after(LOST_RETRY));
+            }
+            Route::Peer(_) | Route::Nowhere => {
+                pending.fail(Failure::not_run(Reason::NoOwner).retry_after(NO_OWNER_RETRY));
+            }
+        }
+    }
+
+    /// Finds the way of a part, and whether it is one around a lost owner.
+    fn route(&self, view: &View, leaf: &Leaf, takeover: bool) -> (Route, bool) {
+        if takeover && has_share(view, leaf) {
+            return (Route::Local, true);
+        }
+        let is_lost = |vm: &Vm| self.peers.has_lost(vm.peer_address);
+        match ownership::route(view, leaf) {
+            Route::Peer(vm) if is_lost(&vm) => (ownership::route_around(view, leaf, is_lost), true),
+            route => (route, takeover),
+        }
+    }
+}
+
 fn has_share(view: &View, leaf: &Leaf) -> bool {
     let rank = ownership::rank(view, leaf);
     rank.is_some_and(|rank| ownership::connection_share(&leaf.contract, rank) > 0)
--- a/src/geraniummount/edge/peer/client.rs
+++ b/src/geraniummount/edge/peer/client.rs
@@ -11,6 +11,7 @@
 use futures::future::{FutureExt, LocalBoxFuture};
 
 use super::link::{Dump, Link};
+use super::lost::Lost;
 use super::{Changes, wire};
 use crate::edge::executor::{Executor, Spawner};
 use crate::edge::pending::Pending;
@@ -33,8 +34,13 @@
     shared: Arc<Shared>,
 }
 
+/// Takes back a part that could not be sent to a peer which is lost now.
+pub type Unsent = Box<dyn Fn(Part, Pending) + Send + Sync>;
+
 struct Shared {
     from: IpAddr,
+    lost: Lost,
+    unsent: Arc<Unsent>,
     executors: [OnceLock<Option<Executor<Links>>>; THREADS],
 }
 
@@ -46,10 +52,13 @@
 }
 
 impl Client {
-    /// Makes a client whose connections come from an own address.
-    pub fn new(from: IpAddr) -> Client {
+    /// Makes a client whose connections come from an own address. Parts that
+    /// could not be sent to a lost peer go to `unsent`.
+    pub fn new(from: IpAddr, unsent: Unsent) -> Client {
         let shared = Shared {
             from,
+            lost: Lost::default(),
+            unsent: Arc::new(unsent),
             executors: [const { OnceLock::new() }; THREADS],
         };
         Client {
@@ -59,7 +68,13 @@
 
     /// Sends a part to a peer.
     pub fn dispatch(&self, to: SocketAddr, part: Part, pending: Pending) {
-        self.start(to, move |link| link.carry(part, pending));
+        let unsent = Arc::clone(&self.shared.unsent);
+        self.start(to, move |link| link.carry(part, pending, unsent));
+    }
+
+    /// Whether a peer does not answer now.
+    pub fn has_lost(&self, peer: SocketAddr) -> bool {
+        self.shared.lost.has(peer)
     }
 
     /// Gives up an attempt at whichever peer it went to.
@@ -174,10 +189,10 @@
 
     fn executor(&self, to: SocketAddr) -> Option<&Executor<Links>> {
         let place = xxhash_rust::xxh3::xxh3_64(to.to_string().as_bytes()) as usize % THREADS;
-        let from = self.shared.from;
+        let (from, lost) = (self.shared.from, self.shared.lost.clone());
         let slot = &self.shared.executors[place];
         let executor = slot.get_or_init(|| {
-            let started = Executor::start("peer-client", move || Links::new(from));
+            let started = Executor::start("peer-client", move || Links::new(from, lost));
             let failed =
                 |error: &std::io::Error| log::error!("peer: can't start a thread: {error}");
             started.inspect_err(failed).ok()
@@ -189,13 +204,15 @@
 /// The links of one thread, by address.
 struct Links {
     from: IpAddr,
+    lost: Lost,
     links: RefCell<Vec<Rc<Link>>>,
 }
 
 impl Links {
-    fn new(from: IpAddr) -> Links {
+    fn new(from: IpAddr, lost: Lost) -> Links {
         Links {
             from,
+            lost,
             links: RefCell::default(),
         }
     }
@@ -207,7 +224,7 @@
         }
         links.retain(|link| !link.is_unused(FORGET));
         let place = links.partition_point(|link| link.address() < to);
-        let link = Link::new(self.from, to, spawner.clone());
+        let link = Link::new(self.from, to, self.lost.clone(), spawner.clone());
         links.insert(place, Rc::clone(&link));
         link
     }
--- a/src/geraniummount/edge/peer/connection.rs
+++ b/src/geraniummount/edge/peer/connection.rs
@@ -170,6 +170,11 @@
         self.ping().await
     }
 
+    /// Whether it was of no use for so long that it may be closed.
+    pub fn is_idle(&self) -> bool {
+        self.idle() >= LONGEST_IDLE
+    }
+
     /// Asks for a sign of life; closes the connection if none comes in time.
     pub async fn ping(&self) -> bool {
         let sent = Instant::now();
@@ -198,7 +203,7 @@
     }
 
     async fn keep_proving(&self) {
-        while !self.is_closed() && self.idle() < LONGEST_IDLE {
+        while !self.is_closed() && !self.is_idle() {
             let quiet = self.heard.get().elapsed();
             let used_lately = self.idle() < PINGED_IDLE;
             if quiet < PING_PERIOD {
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -7,13 +7,16 @@
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures::channel::oneshot;
 use futures::future::{self, FutureExt, LocalBoxFuture, Shared};
 
+use super::client::Unsent;
 use super::connection::{Connection, timeout};
+use super::lost::Lost;
 use super::wire;
 use crate::edge::executor::Spawner;
 use crate::edge::pending::Pending;
@@ -36,6 +39,14 @@
 
 const CANCEL_GRACE: Duration = Duration::from_millis(100);
 
+/// Pauses between two pings of a lost peer.
+const FIRST_REGAIN_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_REGAIN_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time after which a lost peer is no longer pinged; by then its membership
+/// has ended.
+const REGAIN_LIMIT: Duration = Duration::from_secs(120);
+
 /// Connections that are tried for a part before it is given up unsent.
 const CONNECTIONS_TRIED: u32 = 2;
 
@@ -62,6 +73,9 @@
     state: RefCell<State>,
     opened: Cell<u64>,
     last_used: Cell<Instant>,
+    lost: Lost,
+    /// Whether the peer is lost and pinged until it answers.
+    regaining: Cell<bool>,
     /// Cancellation of each part in flight, by attempt.
     cancels: RefCell<Vec<(AttemptId, oneshot::Sender<()>)>>,
 }
@@ -78,7 +92,7 @@
 
 impl Link {
     /// Makes a link without a connection.
-    pub fn new(from: IpAddr, to: SocketAddr, spawner: Spawner) -> Rc<Link> {
+    pub fn new(from: IpAddr, to: SocketAddr, lost: Lost, spawner: Spawner) -> Rc<Link> {
         Rc::new(Link {
             from,
             to,
@@ -86,6 +100,8 @@
             state: RefCell::new(State::Closed),
             opened: Cell::new(0),
             last_used: Cell::new(Instant::now()),
+            lost,
+            regaining: Cell::new(false),
             cancels: RefCell::default(),
         })
     }
@@ -101,39 +117,47 @@
     }
 
     /// Takes on a part, which can be cancelled from then on; the future
-    /// carries it to the peer and its outcome back.
-    pub fn carry(self: Rc<Link>, part: Part, pending: Pending) -> LocalBoxFuture<'static, ()> {
+    /// carries it to the peer and its outcome back, or gives it to `unsent`.
+    pub fn carry(
+        self: Rc<Link>,
+        part: Part,
+        pending: Pending,
+        unsent: Arc<Unsent>,
+    ) -> LocalBoxFuture<'static, ()> {
         let Some((entry, cancelled)) = self.enter(part.attempt) else {
             pending.fail(Failure::not_run(Reason::QueueFull).retry_after(RETRY_PAUSE));
             return future::ready(()).boxed_local();
         };
         let carried = async move {
-            self.carry_entered(part, pending, cancelled).await;
+            let left = self.carry_entered(part, pending, cancelled).await;
             drop(entry);
+            if let Some((part, pending)) = left {
+                unsent(part, pending);
+            }
         };
         carried.boxed_local()
     }
 
+    /// Returns a part that could not be sent, as the peer is lost.
     async fn carry_entered(
         self: &Rc<Link>,
         part: Part,
         mut pending: Pending,
         mut cancelled: oneshot::Receiver<()>,
-    ) {
+    ) -> Option<(Part, Pending)> {
         let mut late = Timer::at(part.deadline).fuse();
         let connection = futures::select_biased! {
             connection = Box::pin(self.ready()).fuse() => connection,
-            _ = late => return pending.fail(Failure::not_run(Reason::Deadline)),
-            _ = cancelled => return pending.fail(Failure::not_run(Reason::Cancelled)),
+            _ = late => return refuse(pending, Reason::Deadline),
+            _ = cancelled => return refuse(pending, Reason::Cancelled),
         };
         let Some(connection) = connection else {
-            let failure = Failure::not_run(Reason::ConnectFailed).retry_after(RETRY_PAUSE);
-            return pending.fail(failure);
+            return Some((part, pending));
         };
         let travel = connection.round_trip() / 2;
         let left = part.deadline.saturating_duration_since(Instant::now());
         let Some(remaining) = left.checked_sub(travel) else {
-            return pending.fail(Failure::not_run(Reason::Deadline));
+            return refuse(pending, Reason::Deadline);
         };
         pending.mark_sent();
         match self
@@ -143,6 +167,7 @@
             Ok(outcome) => pending.answer(outcome),
             Err(reason) => pending.fail(Failure::may_have_run(reason)),
         }
+        None
     }
 
     /// Sends a part and waits for its outcome.
@@ -261,13 +286,45 @@
     async fn ready(self: &Rc<Link>) -> Option<Rc<Connection>> {
         for _ in 0..CONNECTIONS_TRIED {
             let connection = self.connection().await?;
-            if connection.prove().await {
+            let proven = match self.regaining.get() {
+                true => connection.ping().await,
+                false => connection.prove().await,
+            };
+            if proven {
                 return Some(connection);
             }
+            self.note_lost();
         }
         None
     }
 
+    /// Lets traffic go around the peer until it answers a ping.
+    fn note_lost(self: &Rc<Link>) {
+        if self.regaining.replace(true) {
+            return;
+        }
+        log::warn!("peer: {} does not answer; traffic goes around it", self.to);
+        self.lost.add(self.to);
+        let link = Rc::clone(self);
+        let regain = async move { link.regain().await };
+        drop(self.spawner.unbounded_send(regain.boxed_local()));
+    }
+
+    async fn regain(self: &Rc<Link>) {
+        let given_up = Instant::now() + REGAIN_LIMIT;
+        let mut pause = FIRST_REGAIN_PAUSE;
+        while Instant::now() < given_up {
+            Timer::after(pause).await;
+            pause = (pause * 2).min(LONGEST_REGAIN_PAUSE);
+            if self.answers_ping().await {
+                log::info!("peer: {} answers again", self.to);
+                break;
+            }
+        }
+        self.regaining.set(false);
+        self.lost.remove(self.to);
+    }
+
     async fn connection(self: &Rc<Link>) -> Option<Rc<Connection>> {
         let opening = {
             let mut state = self.state.borrow_mut();
@@ -287,6 +344,13 @@
         opening.await
     }
 
+    async fn answers_ping(self: &Rc<Link>) -> bool {
+        match self.connection().await {
+            Some(connection) => connection.ping().await,
+            None => false,
+        }
+    }
+
     /// Opens a connection in a future of its own, whoever still waits for it.
     fn start_opening(self: &Rc<Link>) -> Opening {
         let (sender, receiver) = oneshot::channel();
@@ -300,6 +364,7 @@
             *link.state.borrow_mut() = state;
             drop(sender.send(connection.clone()));
             if connection.is_none() {
+                link.note_lost();
                 link.try_again().await;
             }
         };
@@ -310,17 +375,24 @@
 
     /// Opens a connection that the peer has answered on: one that is frozen
     /// or cut off may still be connected to.
-    async fn open(&self) -> Option<Rc<Connection>> {
+    async fn open(self: &Rc<Link>) -> Option<Rc<Connection>> {
         let (connection, drive) = match Connection::open(self.from, self.to).await {
             Ok(opened) => opened,
             Err(error) => {
-                log::warn!("peer: no connection to {}: {error}", self.to);
+                log::debug!("peer: no connection to {}: {error}", self.to);
                 return None;
             }
         };
+        let (link, driven) = (Rc::clone(self), Rc::clone(&connection));
+        let drive = async move {
+            drive.await;
+            if !driven.is_idle() {
+                link.note_lost();
+            }
+        };
         drop(self.spawner.unbounded_send(drive.boxed_local()));
         if !connection.ping().await {
-            log::warn!("peer: {} does not answer on a new connection", self.to);
+            log::debug!("peer: {} does not answer on a new connection", self.to);
             return None;
         }
         log::debug!("peer: connected to {}", self.to);
@@ -358,6 +430,12 @@
     }
 }
 
+/// Answers a part that was not sent.
+fn refuse<T>(pending: Pending, reason: Reason) -> Option<T> {
+    pending.fail(Failure::not_run(reason));
+    None
+}
+
 /// Registration of a part in flight.
 struct Entry {
     link: Rc<Link>,
--- a/src/geraniummount/edge/peer/mod.rs
+++ b/src/geraniummount/edge/peer/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod connection;
 mod link;
+mod lost;
 mod outbox;
 mod server;
 mod service;
--- a/src/geraniummount/edge/peer/wire.rs
+++ b/src/geraniummount/edge/peer/wire.rs
@@ -26,6 +26,7 @@
     builder.set_remaining_us(remaining.as_micros() as u64);
     builder.set_idempotent(part.idempotent);
     builder.set_hops_left(part.hops_left);
+    builder.set_takeover(part.takeover);
     builder.set_body(&part.body);
 }
 
@@ -43,6 +44,7 @@
         deadline: now + remaining.min(LONGEST_REMAINING),
         idempotent: reader.get_idempotent(),
         hops_left: reader.get_hops_left(),
+        takeover: reader.get_takeover(),
         body: Arc::from(reader.get_body()?),
     })
 }
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -128,6 +128,7 @@
         deadline: Instant::now() + deadline,
         idempotent,
         hops_left: 0,
+        takeover: false,
         body: Arc::from(&b"{}"[..]),
     }
 }
--- a/tests/testsuite/leaf_queue.rs
+++ b/tests/testsuite/leaf_queue.rs
@@ -41,6 +41,7 @@
         deadline,
         idempotent,
         hops_left: 1,
+        takeover: false,
         body: Arc::from(&b"{}"[..]),
     }
 }
--- a/tests/testsuite/peer_edge.rs
+++ b/tests/testsuite/peer_edge.rs
@@ -1,83 +1,22 @@
 //! The edge to peers: an entry VM, an owner in another failure domain, a leaf.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, mpsc};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniummount::core::contract::Contract;
-use geraniummount::core::{leaf, vm};
-use geraniummount::edge::dispatcher::{Dispatcher, Options, ReplyTo};
-use geraniummount::edge::peer::{Changes, Hooks, Server};
+use geraniummount::edge::dispatcher::ReplyTo;
 use geraniummount::prelude::*;
-use geraniummount::util::published::Published;
-use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay};
+use geraniummount_test_support::leaf::{self as stand_in};
 use geraniummount_test_support::proxy::{Flow, Proxy};
 
+use crate::node::{Node, behaviour, catalog, part, vm_of};
+
 const DEADLINE: Duration = Duration::from_millis(400);
 const LIMIT: Duration = Duration::from_secs(20);
 const ENTRY: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 7, 1));
 const OWNER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 7, 2));
 
-static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
-
-/// One VM: its dispatcher, and the server for its peers.
-struct Node {
-    dispatcher: Dispatcher,
-    view: Arc<Published<View>>,
-    server: Option<Server>,
-}
-
-impl Node {
-    fn start(me: &str, ip: IpAddr) -> Node {
-        let view = View {
-            me: me.to_owned(),
-            failure_domain: me.to_owned(),
-            catalog: Arc::default(),
-            vms: Vec::new(),
-            draining: Vec::new(),
-            stopping: false,
-        };
-        let view = Arc::new(Published::new(view));
-        let options = Options {
-            bind: ip,
-            max_reply_bytes: 64 * 1024,
-        };
-        let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _| {}));
-        let mut node = Node {
-            dispatcher,
-            view,
-            server: None,
-        };
-        node.listen(SocketAddr::new(ip, 0));
-        node
-    }
-
-    fn listen(&mut self, address: SocketAddr) {
-        let hooks = Hooks {
-            changes: Box::new(|since| Changes {
-                revision: since + 2,
-                catalog: Vec::new(),
-                entries: vec![b"one".to_vec(), b"two".to_vec()],
-            }),
-            status: Box::new(|| b"{}".to_vec()),
-        };
-        self.server = Some(Server::start(address, &self.dispatcher, hooks).unwrap());
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.server.as_ref().unwrap().address()
-    }
-
-    fn publish(&self, catalog: &Catalog, vms: &[Vm]) {
-        let mut view = View::clone(&self.view.get());
-        view.catalog = Arc::new(catalog.clone());
-        view.vms = vms.to_vec();
-        self.view.set(view);
-    }
-}
-
 /// An entry VM "west", an owner VM "east" behind a proxy, and a leaf there.
 struct Bench {
     entry: Node,
@@ -89,14 +28,7 @@
 
 impl Bench {
     fn start(delay: Duration) -> Bench {
-        let behaviour = Behaviour {
-            slots: 8,
-            connections: 100,
-            delay: Delay::fixed(delay),
-            shards: vec!["tickets/a".to_owned()],
-            ..Behaviour::default()
-        };
-        let stand_in = stand_in::Leaf::start("leaf-1", behaviour, 7).unwrap();
+        let stand_in = stand_in::Leaf::start("leaf-1", behaviour(delay), 7).unwrap();
         let entry = Node::start("west", ENTRY);
         let owner = Node::start("east", OWNER);
         let proxy = Proxy::start(OWNER, owner.address(), 7).unwrap();
@@ -136,62 +68,6 @@
     }
 }
 
-fn catalog(leaf_address: SocketAddr) -> Catalog {
-    let leaf = Leaf {
-        name: "leaf-1".to_owned(),
-        address: leaf_address,
-        failure_domain: "east".to_owned(),
-        contract: Contract {
-            slots: 8,
-            connections: 100,
-            open_ms: 1,
-        },
-        state: leaf::State::Serving,
-    };
-    let service = serde_json::from_str(
-        r#"{"name": "tickets", "deadline_ms": 100, "max_deadline_ms": 1000,
-            "shards": [{"name": "a", "replicas": ["leaf-1"]}]}"#,
-    );
-    Catalog {
-        revision: 1,
-        leaves: vec![record(leaf)],
-        services: vec![record(service.unwrap())],
-    }
-}
-
-fn record<T>(spec: T) -> Record<T> {
-    Record {
-        generation: 1,
-        spec,
-    }
-}
-
-fn vm_of(name: &str, peer_address: SocketAddr) -> Vm {
-    Vm {
-        name: name.to_owned(),
-        failure_domain: name.to_owned(),
-        peer_address,
-        incarnation: 1,
-        state: vm::State::Live,
-        revision: 1,
-    }
-}
-
-fn part(idempotent: bool, deadline: Duration) -> Part {
-    Part {
-        attempt: NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed),
-        request: "request".to_owned(),
-        service: "tickets".to_owned(),
-        shard: "a".to_owned(),
-        leaf: "leaf-1".to_owned(),
-        snapshot: idempotent.then_some(1),
-        deadline: Instant::now() + deadline,
-        idempotent,
-        hops_left: 2,
-        body: Arc::from(&b"{}"[..]),
-    }
-}
-
 fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let end = Instant::now() + LIMIT;
     while !condition() {
