Wait under coverage for a replica lost a moment ago

Change: a shard whose replicas were all suspended, but none for the longest pause yet, is looked at again every 25 ms for at most half of the query's time. Parts that reach no leaf are sent again without extra load on one. Under latency nothing changes.

--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -88,13 +88,24 @@
         actions
     }
 
-    fn send_first(&mut self, index: usize, traffic: &mut Traffic, now: Instant) -> Option<Action> {
+    pub(super) fn send_first(
+        &mut self,
+        index: usize,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Option<Action> {
         let choice = self.choices(index, traffic, now).into_iter().next();
         let reason = match &choice {
             None => Reason::NoReplica,
-            Some(choice) if choice.suspended => Reason::Unreachable,
+            Some(choice) if choice.suspended => {
+                if self.park(index, traffic, now) {
+                    return None;
+                }
+                Reason::Unreachable
+            }
             Some(_) => {
-                return choice.map(|c| self.send(index, c, Kind::First, traffic, now));
+                let kind = self.shards[index].next_kind();
+                return choice.map(|c| self.send(index, c, kind, traffic, now));
             }
         };
         let shard = &mut self.shards[index];
@@ -158,7 +169,7 @@
 }
 
 /// Whether a part certainly reached no leaf, and not for want of room there.
-fn never_reached_leaf(failure: &Failure) -> bool {
+pub(super) fn never_reached_leaf(failure: &Failure) -> bool {
     let unreached = matches!(
         failure.reason,
         Reason::ConnectFailed
--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -463,3 +463,82 @@
     assert!(answer.coverage.missing.is_empty());
     assert_eq!(driver.fan_out.counters().restarts, 1);
 }
+
+#[test]
+fn a_replica_lost_a_moment_ago_is_waited_for_under_coverage() {
+    struct Case {
+        prefer: Preference,
+        /// Queries before that found both replicas unreachable.
+        failed_before: u32,
+        waits: bool,
+    }
+    let case = |prefer, failed_before, waits| Case {
+        prefer,
+        failed_before,
+        waits,
+    };
+    let cases = [
+        case(Preference::Coverage, 0, true),
+        case(Preference::Coverage, 1, true),
+        case(Preference::Coverage, 8, false),
+        case(Preference::Latency, 0, false),
+    ];
+    for case in cases {
+        let mut now = Instant::now();
+        let view = Arc::new(view(1, case.prefer));
+        let mut traffic = traffic(&view, &[1], now);
+        for _ in 0..case.failed_before {
+            lose_both_replicas(&view, &mut traffic, Preference::Latency, &mut now);
+            now += Duration::from_secs(5);
+        }
+        let (mut fan_out, ended) = lose_both_replicas(&view, &mut traffic, case.prefer, &mut now);
+        assert_eq!(ended, !case.waits, "{} before", case.failed_before);
+        if !case.waits {
+            continue;
+        }
+        // Each replica gets one part again once its pause is over.
+        let mut sent = 0;
+        while sent == 0 {
+            now = fan_out.next_wake().expect("the query goes on");
+            let actions = fan_out.tick(&mut traffic, now);
+            sent = actions
+                .iter()
+                .filter(|a| matches!(a, Action::Send(_)))
+                .count();
+            assert!(!actions.iter().any(|a| matches!(a, Action::Finish(_))));
+        }
+    }
+}
+
+/// Runs a query whose parts find no replica; returns whether it ended.
+fn lose_both_replicas(
+    view: &Arc<View>,
+    traffic: &mut Traffic,
+    prefer: Preference,
+    now: &mut Instant,
+) -> (FanOut, bool) {
+    let layout = Layout::new(&view.catalog, SERVICE).expect("service is declared");
+    let query = Query {
+        deadline: *now + Duration::from_secs(8),
+        ..query(prefer, *now)
+    };
+    let mut fan_out = FanOut::new(query, layout, Arc::clone(view), *now);
+    let mut actions = fan_out.start(traffic, *now);
+    let mut ended = false;
+    while let Some(action) = actions.pop() {
+        match action {
+            Action::Send(part) => {
+                *now += Duration::from_millis(1);
+                let outcome = Outcome {
+                    attempt: part.attempt,
+                    result: Err(Failure::not_run(Reason::Unreachable)),
+                    report: None,
+                };
+                actions.extend(fan_out.on_outcome(outcome, traffic, *now));
+            }
+            Action::Finish(_) => ended = true,
+            Action::Cancel { .. } => {}
+        }
+    }
+    (fan_out, ended)
+}
