Take back the wait for a replica lost a moment ago

Left: when no VM of a failure domain can be reached for a moment, coverage is still given up at once. Waiting then needs to know how long the domain has been lost, so that an hour's cut does not cost each query half its time; edge/peer/lost.rs knows that and the fan-out does not yet.

--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -15,7 +15,6 @@
 mod counters;
 mod finish;
 mod hedge;
-mod park;
 mod query;
 mod restart;
 mod send;
@@ -32,8 +31,6 @@
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
 
-use self::send::never_reached_leaf;
-
 pub use self::action::Action;
 pub use self::counters::Counters;
 pub use self::query::Query;
@@ -152,9 +149,7 @@
         }
         let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
         let hedges = hedges.filter(|_| self.may_hedge());
-        let looks = self.shards.iter().filter_map(|shard| shard.look_at);
         hedges
-            .chain(looks)
             .chain(self.patience_end())
             .chain([self.finish_at])
             .min()
@@ -263,9 +258,6 @@
         {
             return vec![self.send(index, choice, kind, traffic, now)];
         }
-        if never_reached_leaf(&failure) && self.park(index, traffic, now) {
-            return Vec::new();
-        }
         self.shards[index].settle(Settled::Missing(failure.reason), now);
         Vec::new()
     }
@@ -278,11 +270,10 @@
         if let Some(actions) = self.restart(traffic, now) {
             return actions;
         }
-        let mut actions = self.unpark(traffic, now);
         if self.open_shards() == 0 {
             return self.finish();
         }
-        actions.extend(self.hedge(traffic, now));
+        let mut actions = self.hedge(traffic, now);
         let reason = if now >= self.finish_at {
             Reason::Deadline
         } else if self.patience_end().is_some_and(|end| now >= end) {
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -88,24 +88,13 @@
         actions
     }
 
-    pub(super) fn send_first(
-        &mut self,
-        index: usize,
-        traffic: &mut Traffic,
-        now: Instant,
-    ) -> Option<Action> {
+    fn send_first(&mut self, index: usize, traffic: &mut Traffic, now: Instant) -> Option<Action> {
         let choice = self.choices(index, traffic, now).into_iter().next();
         let reason = match &choice {
             None => Reason::NoReplica,
-            Some(choice) if choice.suspended => {
-                if self.park(index, traffic, now) {
-                    return None;
-                }
-                Reason::Unreachable
-            }
+            Some(choice) if choice.suspended => Reason::Unreachable,
             Some(_) => {
-                let kind = self.shards[index].next_kind();
-                return choice.map(|c| self.send(index, c, kind, traffic, now));
+                return choice.map(|c| self.send(index, c, Kind::First, traffic, now));
             }
         };
         let shard = &mut self.shards[index];
@@ -169,7 +158,7 @@
 }
 
 /// Whether a part certainly reached no leaf, and not for want of room there.
-pub(super) fn never_reached_leaf(failure: &Failure) -> bool {
+fn never_reached_leaf(failure: &Failure) -> bool {
     let unreached = matches!(
         failure.reason,
         Reason::ConnectFailed
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -113,12 +113,6 @@
         self.standing(leaf).is_some_and(|s| s.is_suspended(now))
     }
 
-    /// Returns whether a replica is suspended since a moment ago only.
-    pub fn is_briefly_suspended(&self, leaf: &str, now: Instant) -> bool {
-        let standing = self.standing(leaf);
-        standing.is_some_and(|s| s.is_suspended(now) && !s.has_longest_pause())
-    }
-
     /// Returns the time after which a part sent to a replica counts as late.
     pub fn late_after(&self, leaf: &str) -> Option<Duration> {
         self.standing(leaf)?.elapsed.at(LATE_SHARE)
@@ -240,11 +234,6 @@
         self.delay.unwrap_or_default() + report.median.mul_f64(rounds)
     }
 
-    fn has_longest_pause(&self) -> bool {
-        self.pause
-            .is_some_and(|pause| pause.length >= LONGEST_PAUSE)
-    }
-
     fn is_suspended(&self, now: Instant) -> bool {
         self.pause
             .is_some_and(|pause| pause.probing || now < pause.until)
--- a/src/geraniummount/core/shard_state.rs
+++ b/src/geraniummount/core/shard_state.rs
@@ -26,8 +26,6 @@
     pub(crate) redirects: u32,
     /// When a hedge is due.
     pub(crate) hedge_at: Option<Instant>,
-    /// When the replicas are looked at again, as none can be used now.
-    pub(crate) look_at: Option<Instant>,
     /// Time after which the last attempt counts as late.
     pub(crate) late: Option<Duration>,
     /// The reply, or why there will be none.
@@ -87,7 +85,6 @@
             hedges: 0,
             redirects: 0,
             hedge_at: None,
-            look_at: None,
             late: None,
             settled: None,
             settled_at: None,
@@ -114,15 +111,6 @@
         self.open.push(attempt);
     }
 
-    /// Returns what an attempt is that follows no failure at a leaf.
-    pub(crate) fn next_kind(&self) -> Kind {
-        if self.attempts == 0 {
-            Kind::First
-        } else {
-            Kind::Redirect
-        }
-    }
-
     /// Removes an open attempt.
     pub(crate) fn close(&mut self, id: AttemptId) -> Option<Attempt> {
         let place = self.open.iter().position(|attempt| attempt.id == id)?;
@@ -146,7 +134,6 @@
     /// Fixes what became of the shard.
     pub(crate) fn settle(&mut self, settled: Settled, now: Instant) {
         self.hedge_at = None;
-        self.look_at = None;
         self.settled_at = Some(now);
         self.settled = Some(settled);
     }
