Split the long files of the edges

task.rs loses its messages to event.rs and the carrying of a part to connections.rs; link.rs loses the parts in flight to in_flight.rs. No change in what they do.

--- a/src/geraniummount/edge/leaf/connections.rs
+++ b/src/geraniummount/edge/leaf/connections.rs
@@ -6,11 +6,15 @@
 use std::time::{Duration, Instant};
 
 use super::connection::Connection;
-use crate::core::leaf_queue::Use;
+use super::exchange;
+use crate::core::leaf_queue::{Ending, Use};
+use crate::prelude::*;
 
 /// A connection that carried a reply so recently needs no proof.
 const PROOF_LIFE: Duration = Duration::from_millis(50);
 
+const PROOF_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A connection idle for so long is proven before it carries any request.
 const TRUSTED_IDLE: Duration = Duration::from_secs(2);
 
@@ -27,6 +31,24 @@
     _place: Place,
 }
 
+impl Held {
+    /// Sends a part on a connection, proven before where needed. A failed proof
+    /// closes the connection, and the part opens a new one. Returns the connection
+    /// if it can be used again.
+    pub fn carry(self, part: &Part, max_reply_bytes: u64) -> (Ending, Option<Held>) {
+        if self.needs_proof {
+            exchange::probe(&self.connection, PROOF_TIMEOUT);
+        }
+        let ending = exchange::run(&self.connection, part, max_reply_bytes);
+        let whole = match &ending {
+            Ending::Replied { echo, .. } => *echo == Some(part.attempt),
+            Ending::Shed { .. } | Ending::NotHeld { .. } => true,
+            _ => false,
+        };
+        (ending, whole.then_some(self))
+    }
+}
+
 #[derive(Debug)]
 struct Place(Arc<AtomicU16>);
 
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -7,6 +7,7 @@
 
 mod connection;
 mod connections;
+mod event;
 mod exchange;
 mod pool;
 mod task;
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use super::Dump;
-use super::task::{Event, Task};
+use super::event::Event;
+use super::task::Task;
 use crate::core::leaf_queue;
 use crate::edge::dispatcher::DrainingNotice;
 use crate::edge::pending::Pending;
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -11,6 +11,7 @@
 use ureq::Agent;
 
 use super::connections::{Connections, Held};
+use super::event::Event;
 use super::pool::{self, Shared};
 use super::{Dump, exchange};
 use crate::core::leaf::State as LeafState;
@@ -30,30 +31,10 @@
 const MOVED_END: Duration = Duration::from_secs(5);
 
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-const PROOF_TIMEOUT: Duration = Duration::from_millis(100);
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(250);
 const SHORTEST_OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 const OPEN_TIMEOUT_FACTOR: u32 = 20;
 
-/// What a task is told.
-#[derive(Debug)]
-pub(super) enum Event {
-    /// A new part.
-    Submit(Part, Pending),
-    /// An attempt is no longer wanted.
-    Cancel(AttemptId),
-    /// A worker ended; the connection comes back if it can be used again.
-    Ended(AttemptId, Ending, Option<Held>),
-    /// The health endpoint answered or did not.
-    Probed(Health, Option<Held>),
-    /// A connection for a side job is closed.
-    Released,
-    /// Wants the task's state.
-    Dump(SyncSender<Dump>),
-    /// Keeps the task alive while its leaf's snapshots are asked for.
-    Touch,
-}
-
 /// A part on a worker.
 struct Running {
     attempt: AttemptId,
@@ -231,7 +212,7 @@
         let agent = held.connection.agent.clone();
         let limit = self.max_reply_bytes();
         let job = move |sender: &SyncSender<Event>| {
-            let (ending, held) = carry(held, &part, limit);
+            let (ending, held) = held.carry(&part, limit);
             drop(sender.send(Event::Ended(part.attempt, ending, held)));
         };
         self.running.push(Running {
@@ -429,19 +410,3 @@
     let usual = Duration::from_millis(u64::from(leaf.contract.open_ms));
     SHORTEST_OPEN_TIMEOUT.max(usual * OPEN_TIMEOUT_FACTOR)
 }
-
-/// Sends a part on a connection, proven before where needed. A failed proof
-/// closes the connection, and the part opens a new one. Returns the connection
-/// if it can be used again.
-fn carry(held: Held, part: &Part, max_reply_bytes: u64) -> (Ending, Option<Held>) {
-    if held.needs_proof {
-        exchange::probe(&held.connection, PROOF_TIMEOUT);
-    }
-    let ending = exchange::run(&held.connection, part, max_reply_bytes);
-    let whole = match &ending {
-        Ending::Replied { echo, .. } => *echo == Some(part.attempt),
-        Ending::Shed { .. } | Ending::NotHeld { .. } => true,
-        _ => false,
-    };
-    (ending, whole.then_some(held))
-}
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -16,6 +16,7 @@
 
 use super::client::Unsent;
 use super::connection::{Connection, timeout};
+use super::in_flight::InFlight;
 use super::lost::Lost;
 use super::wire;
 use crate::edge::executor::Spawner;
@@ -23,9 +24,6 @@
 use crate::peer_capnp::peer;
 use crate::prelude::*;
 
-/// Parts that one peer holds for this VM at most.
-const MAX_IN_FLIGHT: usize = 4096;
-
 /// Time between two attempts to reach a peer that could not be reached. Parts
 /// are refused at once until one succeeds.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -76,8 +74,7 @@
     lost: Lost,
     /// Whether the peer is lost and pinged until it answers.
     regaining: Cell<bool>,
-    /// Cancellation of each part in flight, by attempt.
-    cancels: RefCell<Vec<(AttemptId, oneshot::Sender<()>)>>,
+    in_flight: Rc<InFlight>,
 }
 
 type Opening = Shared<LocalBoxFuture<'static, Option<Rc<Connection>>>>;
@@ -102,7 +99,7 @@
             last_used: Cell::new(Instant::now()),
             lost,
             regaining: Cell::new(false),
-            cancels: RefCell::default(),
+            in_flight: Rc::default(),
         })
     }
 
@@ -113,7 +110,7 @@
 
     /// Whether nothing uses the link and nothing has for a while.
     pub fn is_unused(&self, longer_than: Duration) -> bool {
-        self.cancels.borrow().is_empty() && self.last_used.get().elapsed() > longer_than
+        self.in_flight.is_empty() && self.last_used.get().elapsed() > longer_than
     }
 
     /// Takes on a part, which can be cancelled from then on; the future
@@ -124,7 +121,8 @@
         pending: Pending,
         unsent: Arc<Unsent>,
     ) -> LocalBoxFuture<'static, ()> {
-        let Some((entry, cancelled)) = self.enter(part.attempt) else {
+        self.last_used.set(Instant::now());
+        let Some((entry, cancelled)) = self.in_flight.enter(part.attempt) else {
             pending.fail(Failure::not_run(Reason::QueueFull).retry_after(RETRY_PAUSE));
             return future::ready(()).boxed_local();
         };
@@ -236,12 +234,7 @@
 
     /// Gives up a part; its outcome still comes.
     pub fn cancel(&self, attempt: AttemptId) {
-        let mut cancels = self.cancels.borrow_mut();
-        if let Ok(place) = cancels.binary_search_by_key(&attempt, |entry| entry.0) {
-            let (dummy, _) = oneshot::channel();
-            let cancel = std::mem::replace(&mut cancels[place].1, dummy);
-            let _ = cancel.send(());
-        }
+        self.in_flight.cancel(attempt);
     }
 
     /// Makes another call within a time limit.
@@ -277,7 +270,7 @@
             address: self.to,
             connected: connection.is_some(),
             opened: self.opened.get(),
-            in_flight: self.cancels.borrow().len(),
+            in_flight: self.in_flight.len(),
             round_trip_us: round_trip.map_or(0, |time| time.as_micros() as u64),
         }
     }
@@ -408,26 +401,6 @@
             *self.state.borrow_mut() = State::Closed;
         }
     }
-
-    /// Registers a part in flight; `None` when there are too many or it is
-    /// here already.
-    fn enter(self: &Rc<Link>, attempt: AttemptId) -> Option<(Entry, oneshot::Receiver<()>)> {
-        self.last_used.set(Instant::now());
-        let mut cancels = self.cancels.borrow_mut();
-        if cancels.len() >= MAX_IN_FLIGHT {
-            return None;
-        }
-        let place = cancels
-            .binary_search_by_key(&attempt, |entry| entry.0)
-            .err()?;
-        let (sender, receiver) = oneshot::channel();
-        cancels.insert(place, (attempt, sender));
-        let entry = Entry {
-            link: Rc::clone(self),
-            attempt,
-        };
-        Some((entry, receiver))
-    }
 }
 
 /// Answers a part that was not sent.
@@ -435,18 +408,3 @@
     pending.fail(Failure::not_run(reason));
     None
 }
-
-/// Registration of a part in flight.
-struct Entry {
-    link: Rc<Link>,
-    attempt: AttemptId,
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        let mut cancels = self.link.cancels.borrow_mut();
-        if let Ok(place) = cancels.binary_search_by_key(&self.attempt, |entry| entry.0) {
-            cancels.remove(place);
-        }
-    }
-}
--- a/src/geraniummount/edge/peer/mod.rs
+++ b/src/geraniummount/edge/peer/mod.rs
@@ -8,6 +8,7 @@
 mod changes;
 mod client;
 mod connection;
+mod in_flight;
 mod link;
 mod lost;
 mod outbox;
