--- a/crates/geraniummount-test-support/src/fleet/mod.rs
+++ b/crates/geraniummount-test-support/src/fleet/mod.rs
@@ -32,6 +32,10 @@
 
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Third number of the leaves' addresses. Nothing connects from these, so that
+/// a leaf that comes back finds its port free.
+const LEAF_SUBNET: u8 = 201;
+
 /// Fleets started by this process; each gets its own addresses.
 static FLEETS: AtomicU8 = AtomicU8::new(0);
 
@@ -90,10 +94,12 @@
         // Processes of other test runs on the same machine differ in their id.
         let network = (std::process::id() as u8)
             .wrapping_mul(31)
-            .wrapping_add(number);
+            .wrapping_add(number)
+            .max(1);
         let mut leaves = Vec::new();
         for (index, planned) in plan.leaves.iter().enumerate() {
-            leaves.push(StandIn::start(planned, plan.seed + index as u64)?);
+            let ip = Ipv4Addr::new(127, network, LEAF_SUBNET, index as u8 + 1);
+            leaves.push(StandIn::start(ip, planned, plan.seed + index as u64)?);
         }
         Ok(Fleet {
             platform: Platform::start()?,
@@ -101,7 +107,7 @@
             vms: Vec::new(),
             cuts: Vec::new(),
             folder: tempfile::tempdir()?,
-            network: network.max(1),
+            network,
             started: 0,
             plan,
         })
@@ -339,8 +345,8 @@
 }
 
 impl StandIn {
-    fn start(plan: &LeafPlan, seed: u64) -> io::Result<StandIn> {
-        let leaf = Leaf::start(&plan.name, plan.behaviour.clone(), seed)?;
+    fn start(ip: Ipv4Addr, plan: &LeafPlan, seed: u64) -> io::Result<StandIn> {
+        let leaf = Leaf::start_on(ip, &plan.name, plan.behaviour.clone(), seed)?;
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), seed)?;
         Ok(StandIn {
             leaf,
