Bring about an undecided change in its test

The test cut the way back from the platform, so that the change was refused before any write and never undecided. Now the write takes effect, its reply is lost and the platform falls silent: the operator is told 202 and may-have-run, and the change is in force once and listed as accepted later.

--- a/tests/testsuite/promise_configuration.rs
+++ b/tests/testsuite/promise_configuration.rs
@@ -329,25 +329,47 @@
     let entry = fleet.vms_in("a")[0].clone();
     let operator = fleet.operator(&entry);
     let base = resource(&operator)["spec"].clone();
-    // Only the way back is cut: the write takes effect, nothing is known.
-    let vm = fleet.vm(&entry);
-    vm.platform_proxy.change_all(|link| link.back = Flow::Cut);
-    let reply = put(&operator, &base, 2_601, None);
-    assert!([202, 503].contains(&reply.status), "{}", reply.text);
-    vm.platform_proxy.change_all(|link| link.back = Flow::Open);
-    if reply.status == 202 {
-        let change = reply.body["change"].clone();
-        let settled = wait_until(PATIENCE, || {
-            let status = status(&fleet, &entry);
-            let all = status["undecided"].as_array().expect("undecided").clone();
-            let found = all.iter().find(|other| other["change"] == change);
-            found.is_some_and(|other| other["state"] != json!("undecided"))
-        });
-        assert!(settled, "{}", status(&fleet, &entry));
-    }
-    let accepted = wait_until(PATIENCE, || {
-        put(&operator, &base, 2_602, None).status == 200
+    let reply = put_while_the_platform_goes_down(&fleet, &operator, &base, 2_601);
+    assert_eq!(reply.status, 202, "{}", reply.text);
+    assert_eq!(reply.body["verdict"], json!("may-have-run"));
+    fleet.platform.change(|b| b.outage = Outage::None);
+    // The write did take effect: it is in force once, and the status says so.
+    wait_in_force(&fleet, 2_601, &[], "undecided");
+    let change = reply.body["change"].clone();
+    let settled = wait_until(PATIENCE, || {
+        let status = status(&fleet, &entry);
+        let undecided = status["undecided"].as_array().expect("undecided");
+        let accepted = json!("accepted");
+        let mut undecided = undecided.iter();
+        undecided.any(|other| other["change"] == change && other["state"] == accepted)
     });
-    assert!(accepted);
-    wait_in_force(&fleet, 2_602, &[], "afterwards");
+    assert!(settled, "{}", status(&fleet, &entry));
+    let revision = status(&fleet, &entry)["revision"].clone();
+    assert_eq!(resource(&operator)["generation"], revision);
+}
+
+/// Proposes a change whose write takes effect and loses its reply, after which
+/// the platform is silent.
+fn put_while_the_platform_goes_down(
+    fleet: &Fleet,
+    operator: &Client,
+    base: &Value,
+    deadline_ms: u64,
+) -> Reply {
+    let written = fleet.platform.calls().writes;
+    fleet.platform.change(|behaviour| {
+        behaviour.slowness = Duration::from_millis(500);
+        behaviour.lost_replies = 1;
+    });
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let came = wait_until(PATIENCE, || fleet.platform.calls().writes > written);
+            assert!(came, "no write came");
+            fleet.platform.change(|behaviour| {
+                behaviour.slowness = Duration::ZERO;
+                behaviour.outage = Outage::Silence;
+            });
+        });
+        put(operator, base, deadline_ms, None)
+    })
 }
