Refuse a query on arrival for long queues only, not for a broken shard

Only the owners' queues count now, not the time at the leaves, and more than a quarter of the shards have to wait long.

--- a/src/geraniummount/core/fan_out/admission.rs
+++ b/src/geraniummount/core/fan_out/admission.rs
@@ -10,32 +10,35 @@
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
 
-/// Share of a query's time within which its shards have to be expected; the
-/// rest is for those that take longer than usual.
-const ADMITTED_SHARE: f64 = 0.25;
+/// Share of a query's time that its shards may be expected to wait in queues.
+const QUEUED_SHARE: f64 = 0.15;
 
-/// Share of the shards that may be expected later than that.
-const TOLERATED_SHARE: f64 = 0.1;
+/// Share of the shards that may be expected to wait longer. Fewer are a fault
+/// of their leaves, for which the answer lacks those shards.
+const TOLERATED_SHARE: f64 = 0.25;
 
 /// Shortest time to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 impl FanOut {
-    /// Why the query is refused, if the leaves are too busy for it.
+    /// Why the query is refused, if the leaves' queues are too long for it.
+    ///
+    /// Only the queues count, not the time at the leaves: queues are known to
+    /// shrink while nothing is sent, so that a refusal never lasts for good.
     pub(super) fn refusal(&self, traffic: &Traffic, now: Instant) -> Option<Failure> {
         let time = self.finish_at.saturating_duration_since(now);
-        let limit = time.mul_f64(ADMITTED_SHARE);
-        let expected = (0..self.shards.len()).filter_map(|index| {
+        let limit = time.mul_f64(QUEUED_SHARE);
+        let waits = (0..self.shards.len()).filter_map(|index| {
             let choices = self.choices(index, traffic, now);
             let usable = choices.into_iter().find(|choice| !choice.suspended);
-            usable.map(|choice| choice.expected)
+            usable.map(|choice| choice.queued)
         });
-        let mut late: Vec<Duration> = expected.filter(|&expected| expected > limit).collect();
-        if late.len() as f64 <= self.shards.len() as f64 * TOLERATED_SHARE {
+        let mut long: Vec<Duration> = waits.filter(|&wait| wait > limit).collect();
+        if long.len() as f64 <= self.shards.len() as f64 * TOLERATED_SHARE {
             return None;
         }
-        late.sort_unstable();
-        let wait = late[late.len() / 2].saturating_sub(limit);
+        long.sort_unstable();
+        let wait = long[long.len() / 2].saturating_sub(limit);
         let failure = Failure::not_run(Reason::QueueFull);
         Some(failure.retry_after(wait.max(MIN_RETRY_AFTER)))
     }
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -56,6 +56,8 @@
     pub leaf: LeafName,
     /// Time in which it is expected to answer.
     pub expected: Duration,
+    /// Time of it in the owner's queue.
+    pub queued: Duration,
     /// Whether it is suspended now.
     pub suspended: bool,
 }
@@ -104,6 +106,7 @@
             Choice {
                 leaf: leaf.clone(),
                 expected: charge + standing.map_or(ASSUMED_TIME, |s| s.expected(now)),
+                queued: standing.map_or(Duration::ZERO, |s| s.expected_queueing(now)),
                 suspended: standing.is_some_and(|s| s.is_suspended(now)),
             }
         });
@@ -224,9 +227,15 @@
             let typical = self.elapsed.median().unwrap_or(ASSUMED_TIME);
             return typical + typical.mul_f64(f64::from(self.open));
         };
-        let load = self.expected_load(now);
-        let rounds = 1.0 + load / f64::from(report.slots.max(1));
-        self.delay.unwrap_or_default() + report.median.mul_f64(rounds)
+        self.delay.unwrap_or_default() + report.median + self.expected_queueing(now)
+    }
+
+    fn expected_queueing(&self, now: Instant) -> Duration {
+        let Some((report, _)) = &self.report else {
+            return Duration::ZERO;
+        };
+        let rounds = self.expected_load(now) / f64::from(report.slots.max(1));
+        report.median.mul_f64(rounds)
     }
 
     /// Parts that wait or run at the owner now: those last reported, less
