Count every dropped reply, and spare the platform's client a thread a call

Change: outcomes are counted where they come back; the fixed resolver has a file of its own and serves both clients.

--- a/src/geraniummount/edge/caller/run.rs
+++ b/src/geraniummount/edge/caller/run.rs
@@ -1,15 +1,16 @@
 //! Runs one request: carries the actions of its state machine out and brings
 //! the outcomes back to it.
 
+use std::sync::MutexGuard;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::shared::Shared;
 use crate::core::answer::Answer;
 use crate::core::execution::Execution;
 use crate::core::fan_out::{Action, FanOut};
 use crate::core::traffic::Traffic;
-use crate::edge::dispatcher::{Dispatcher, ReplyTo};
+use crate::edge::dispatcher::ReplyTo;
 use crate::prelude::*;
 
 /// Step in which a running query looks whether its caller is still there.
@@ -65,19 +66,17 @@
 
 /// One request under way.
 pub(super) struct Run<'a> {
-    dispatcher: &'a Dispatcher,
-    traffic: &'a Mutex<Traffic>,
+    shared: &'a Shared,
     sender: Sender<Outcome>,
     outcomes: Receiver<Outcome>,
 }
 
 impl<'a> Run<'a> {
     /// Prepares a run.
-    pub(super) fn new(dispatcher: &'a Dispatcher, traffic: &'a Mutex<Traffic>) -> Run<'a> {
+    pub(super) fn new(shared: &'a Shared) -> Run<'a> {
         let (sender, outcomes) = mpsc::channel();
         Run {
-            dispatcher,
-            traffic,
+            shared,
             sender,
             outcomes,
         }
@@ -108,7 +107,10 @@
             let wake = machine.next_wake()?.min(gone_check);
             let wait = wake.saturating_duration_since(now);
             actions = match self.outcomes.recv_timeout(wait) {
-                Ok(outcome) => machine.on_outcome(outcome, &mut self.traffic()),
+                Ok(outcome) => {
+                    self.count(&outcome);
+                    machine.on_outcome(outcome, &mut self.traffic())
+                }
                 Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
                     machine.tick(&mut self.traffic(), Instant::now())
                 }
@@ -116,8 +118,21 @@
         }
     }
 
+    /// Counts a reply that its owner dropped.
+    fn count(&self, outcome: &Outcome) {
+        let Err(failure) = &outcome.result else {
+            return;
+        };
+        match failure.reason {
+            Reason::ReplyMismatch | Reason::SnapshotMismatch | Reason::Truncated => {
+                self.shared.metrics.dropped_reply(failure.reason);
+            }
+            _ => {}
+        }
+    }
+
     fn traffic(&self) -> MutexGuard<'a, Traffic> {
-        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+        self.shared.traffic()
     }
 
     fn carry_out(&self, actions: Vec<Action>) -> Option<Result<Answer, Failure>> {
@@ -126,9 +141,9 @@
             match action {
                 Action::Send(part) => {
                     let reply = ReplyTo::Caller(self.sender.clone());
-                    self.dispatcher.dispatch(part, reply);
+                    self.shared.dispatcher.dispatch(part, reply);
                 }
-                Action::Cancel { attempt, leaf } => self.dispatcher.cancel(attempt, &leaf),
+                Action::Cancel { attempt, leaf } => self.shared.dispatcher.cancel(attempt, &leaf),
                 Action::Finish(result) => end = Some(result),
             }
         }
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -143,7 +143,7 @@
         let query = to_query(ask, started);
         let fan_out = FanOut::new(query, ask.layout.clone(), view, started);
         let mut machine = Machine::Query(Box::new(fan_out));
-        let run = Run::new(&self.shared.dispatcher, &self.shared.traffic);
+        let run = Run::new(&self.shared);
         let end = run.to_end(&mut machine, || caller.is_gone());
         let Machine::Query(fan_out) = machine else {
             return None;
@@ -181,7 +181,7 @@
         };
         let execution = Execution::new(query, shard.clone(), view, started);
         let mut machine = Machine::Execution(Box::new(execution));
-        let run = Run::new(&self.shared.dispatcher, &self.shared.traffic);
+        let run = Run::new(&self.shared);
         let end = run.to_end(&mut machine, || false);
         let end = end.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
         self.shared.metrics.part(service, Try::First);
--- a/src/geraniummount/edge/leaf/connection.rs
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -13,7 +13,8 @@
 use ureq::Agent;
 use ureq::config::Config;
 
-use super::transport::{Fixed, Opener};
+use super::transport::Opener;
+use crate::util::fixed::Fixed;
 
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 const MAX_HEADER_BYTES: usize = 16 * 1024;
--- a/src/geraniummount/edge/leaf/transport.rs
+++ b/src/geraniummount/edge/leaf/transport.rs
@@ -8,16 +8,13 @@
 
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use socket2::SockRef;
 use ureq::Timeout;
-use ureq::config::Config;
-use ureq::http::Uri;
-use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, ShutdownHandle, Transport,
 };
@@ -28,24 +25,6 @@
 /// Leading bits of a time limit that count; the rest is rounded up.
 const TIMEOUT_BITS: u32 = 4;
 
-/// Names the leaf's address; the library's own resolver starts a thread for
-/// each request that has a time limit.
-#[derive(Debug)]
-pub(super) struct Fixed(pub(super) SocketAddr);
-
-impl Resolver for Fixed {
-    fn resolve(
-        &self,
-        _uri: &Uri,
-        _config: &Config,
-        _timeout: NextTimeout,
-    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
-        let mut addresses = self.empty();
-        addresses.push(self.0);
-        Ok(addresses)
-    }
-}
-
 /// Opens streams, which note in `sent` when bytes may have left.
 #[derive(Debug)]
 pub(super) struct Opener {
--- a/src/geraniummount/edge/platform/mod.rs
+++ b/src/geraniummount/edge/platform/mod.rs
@@ -13,9 +13,11 @@
 use serde::Deserialize;
 use ureq::Agent;
 use ureq::http::Response;
+use ureq::unversioned::transport::DefaultConnector;
 use ureq::{Body, Error, Timeout};
 
 use crate::edge::metrics::{Answer, Call, Metrics};
+use crate::util::fixed::Fixed;
 
 /// Wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -98,7 +100,7 @@
             .user_agent("geraniummount")
             .build();
         Platform {
-            agent: config.into(),
+            agent: Agent::with_parts(config, DefaultConnector::new(), Fixed(address)),
             address,
             prefix: prefix.into(),
             metrics,
--- a/src/geraniummount/util/mod.rs
+++ b/src/geraniummount/util/mod.rs
@@ -1,4 +1,5 @@
 //! Helpers that know nothing of the domain.
 
+pub mod fixed;
 pub mod published;
 pub mod table;
