Try suspended replicas where coverage is preferred

A few abandoned hedges had suspended the only replica that was not leaving. Ruled out: waiting for the replica, taken back in, as it holds every query up while a leaf is down for long. Change: under coverage a shard whose replicas are all suspended is sent to the best of them; the owner of a leaf that is down refuses at once. Under latency nothing changes.

--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::core::answer::Trace;
 use crate::core::holding::Holding;
+use crate::core::holdings::Candidate;
 use crate::core::layout::Layout;
 use crate::core::margin;
 use crate::core::service::Preference;
@@ -93,6 +94,7 @@
         }
         let usable = |leaf: &LeafName| self.usable(traffic, leaf, now);
         let chosen = traffic.holdings.choose(&self.layout, &[], usable);
+        let chosen = chosen.or_else(|| self.choose_among_suspended(traffic));
         let Some(chosen) = chosen else {
             let failure = Failure::not_run(Reason::SnapshotNotHeld);
             return self.fail(failure.retry_after(DEFAULT_RETRY_AFTER));
@@ -104,6 +106,11 @@
         self.send_all(traffic, now)
     }
 
+    fn choose_among_suspended(&self, traffic: &Traffic) -> Option<Candidate> {
+        let usable = |leaf: &LeafName| self.tries_suspended() && !self.view.is_leaving(leaf);
+        traffic.holdings.choose(&self.layout, &[], usable)
+    }
+
     /// Takes the end of an attempt.
     pub fn on_outcome(
         &mut self,
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -5,6 +5,7 @@
 
 use super::{Action, FanOut};
 use crate::core::ranking::Choice;
+use crate::core::service::Preference;
 use crate::core::shard_state::{Attempt, Kind, Settled};
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
@@ -92,7 +93,7 @@
         let choice = self.choices(index, traffic, now).into_iter().next();
         let reason = match &choice {
             None => Reason::NoReplica,
-            Some(choice) if choice.suspended => Reason::Unreachable,
+            Some(choice) if choice.suspended && !self.tries_suspended() => Reason::Unreachable,
             Some(_) => {
                 return choice.map(|c| self.send(index, c, Kind::First, traffic, now));
             }
@@ -103,6 +104,13 @@
         None
     }
 
+    /// Whether a shard whose replicas are all suspended is tried all the same.
+    /// It costs a leaf that is down nothing, as its owner refuses at once, and
+    /// one that was only slow a moment ago still answers.
+    pub(super) fn tries_suspended(&self) -> bool {
+        self.query.prefer == Preference::Coverage
+    }
+
     pub(super) fn send(
         &mut self,
         index: usize,
--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -463,3 +463,31 @@
     assert!(answer.coverage.missing.is_empty());
     assert_eq!(driver.fan_out.counters().restarts, 1);
 }
+
+#[test]
+fn suspended_replicas_are_tried_where_coverage_is_preferred() {
+    let cases = [(Preference::Coverage, 1), (Preference::Latency, 0)];
+    for (prefer, expected) in cases {
+        let now = Instant::now();
+        let view = view(2, prefer);
+        let layout = Layout::new(&view.catalog, SERVICE).expect("service is declared");
+        let mut traffic = traffic(&view, &[1], now);
+        for leaf in &layout.shards[0].replicas {
+            let lost = Failure::may_have_run(Reason::ConnectionLost);
+            let outcome = Outcome::failed(1, lost);
+            traffic
+                .ranking
+                .on_outcome(leaf, &outcome, Duration::ZERO, false, now);
+            assert!(traffic.ranking.is_suspended(leaf, now));
+        }
+        let mut fan_out = FanOut::new(query(prefer, now), layout, Arc::new(view), now);
+        let actions = fan_out.start(&mut traffic, now);
+        let to_first =
+            |action: &&Action| matches!(action, Action::Send(part) if part.shard == "shard-00");
+        assert_eq!(
+            actions.iter().filter(to_first).count(),
+            expected,
+            "{prefer:?}"
+        );
+    }
+}
