Ask the other replica first, and let an expected queue shrink unreported

Parts that ended without a report kept counting in the expected queue, and what is refused brings no report. Change: a replica whose owner was lost is tried again only when no other is left; all parts since the last report count as ended at the leaf's pace.

--- /dev/null
+++ b/benches/traffic/world/leaves.rs
@@ -0,0 +1,122 @@
+//! Leaves: how long a request takes there, and what comes back.
+
+use super::*;
+
+impl World {
+    pub(super) fn at_leaf(&mut self, attempt: AttemptId, leaf: usize, owner: usize) {
+        self.count_leaf_request(attempt);
+        let slots = usize::from(self.run.workload.slots);
+        if self.leaves[leaf].busy.len() >= slots {
+            let ending = Ending::Shed {
+                retry_after: None,
+                state: State::Serving,
+            };
+            let delay = self.leaf_delay(owner, leaf);
+            return self.schedule(
+                delay,
+                Event::AtOwnerAgain {
+                    attempt,
+                    leaf,
+                    owner,
+                    ending,
+                },
+            );
+        }
+        if !self.ran.insert(attempt) {
+            self.broken("an attempt ran twice");
+        }
+        self.leaves[leaf].busy.push(attempt);
+        let time = self.service_time();
+        self.schedule(
+            time,
+            Event::LeafDone {
+                attempt,
+                leaf,
+                owner,
+            },
+        );
+    }
+
+    pub(super) fn service_time(&mut self) -> Duration {
+        if self.random.random::<f64>() < self.run.stragglers {
+            return STRAGGLER;
+        }
+        let (a, b): (f64, f64) = (self.random.random(), self.random.random());
+        let normal = (-2.0 * a.max(1e-12).ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+        Duration::from_secs_f64(MEDIAN_MS * (SIGMA * normal).exp() / 1e3)
+    }
+
+    pub(super) fn count_leaf_request(&mut self, attempt: AttemptId) {
+        let Some(origin) = self.origins.get(&attempt) else {
+            return;
+        };
+        if !self.queries[origin.query].measured {
+            return;
+        }
+        self.figures.leaf_requests += 1;
+        if self.reached.insert((origin.query, origin.shard.clone())) {
+            self.figures.leaf_needed += 1;
+        }
+    }
+
+    pub(super) fn leaf_done(&mut self, attempt: AttemptId, leaf: usize, owner: usize) {
+        let busy = &mut self.leaves[leaf].busy;
+        let Some(place) = busy.iter().position(|&running| running == attempt) else {
+            return;
+        };
+        busy.remove(place);
+        let ending = Ending::Replied {
+            echo: Some(attempt),
+            snapshot: Some(SNAPSHOT),
+            body: b"{}".to_vec(),
+            state: State::Serving,
+        };
+        let delay = self.leaf_delay(owner, leaf);
+        self.schedule(
+            delay,
+            Event::AtOwnerAgain {
+                attempt,
+                leaf,
+                owner,
+                ending,
+            },
+        );
+    }
+
+    pub(super) fn at_owner_again(
+        &mut self,
+        attempt: AttemptId,
+        leaf: usize,
+        owner: usize,
+        ending: Ending,
+    ) {
+        let aborted = self.aborted.contains(&attempt);
+        let by_abort = matches!(ending, Ending::TimedOut);
+        if aborted != by_abort || !self.vms[owner].alive {
+            return;
+        }
+        if !aborted {
+            let owned = self.queues.get_mut(&(leaf, owner)).expect("is there");
+            owned.idle += 1;
+        }
+        let now = self.now;
+        self.with_queue(leaf, owner, |queue| queue.finish(attempt, ending, now));
+    }
+
+    pub(super) fn health(&mut self, leaf: usize, owner: usize) {
+        let held = self.layout.shards.iter().map(|shard| Held {
+            shard: shard.shard.clone(),
+            snapshots: vec![SNAPSHOT],
+        });
+        let name = leaf_name(leaf);
+        let shards = self.layout.shards.iter().zip(held);
+        let held = shards.filter(|(shard, _)| shard.replicas.contains(&name));
+        let held = held.map(|(_, held)| held).collect();
+        let health = Health::Answered {
+            state: State::Serving,
+            held,
+        };
+        let now = self.now;
+        self.with_queue(leaf, owner, |queue| queue.observe(health, now));
+    }
+}
--- /dev/null
+++ b/benches/traffic/world/links.rs
@@ -0,0 +1,63 @@
+//! Links: who owns a leaf, and how long a message takes.
+
+use super::*;
+
+impl World {
+    /// VM that holds a leaf's queue, as the other VMs know it.
+    pub(super) fn owner(&self, leaf: usize, entry: usize) -> usize {
+        if self.run.policy == Policy::OwnConnections {
+            return entry;
+        }
+        let domain = self.leaves[leaf].failure_domain;
+        let domains = self.run.workload.deployment.failure_domains;
+        let members: Vec<usize> = (0..self.vms.len())
+            .filter(|vm| vm % domains == domain && !self.vms[*vm].known_dead)
+            .collect();
+        members[(leaf / domains) % members.len()]
+    }
+
+    pub(super) fn link(&mut self, from: usize, to: usize) -> Duration {
+        if from == to {
+            return NEAR;
+        }
+        let between = self.run.workload.deployment.between;
+        between.mul_f64(1.0 + JITTER * self.random.random::<f64>())
+    }
+
+    pub(super) fn vm_delay(&mut self, from: usize, to: usize) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.link(self.vms[from].failure_domain, self.vms[to].failure_domain)
+    }
+
+    pub(super) fn leaf_delay(&mut self, vm: usize, leaf: usize) -> Duration {
+        self.link(
+            self.vms[vm].failure_domain,
+            self.leaves[leaf].failure_domain,
+        )
+    }
+
+    pub(super) fn send(&mut self, query: usize, part: Part) {
+        let vm = self.queries[query].vm;
+        let leaf = leaf_index(&part.leaf);
+        let owner = self.owner(leaf, vm);
+        let delay = self.vm_delay(vm, owner);
+        self.schedule(delay, Event::AtOwner { part, query, owner });
+    }
+
+    pub(super) fn cancel(&mut self, query: usize, attempt: AttemptId, leaf: &str) {
+        let vm = self.queries[query].vm;
+        let leaf = leaf_index(leaf);
+        let owner = self.owner(leaf, vm);
+        let delay = self.vm_delay(vm, owner);
+        self.schedule(
+            delay,
+            Event::CancelAtOwner {
+                attempt,
+                leaf,
+                owner,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/benches/traffic/world/owners.rs
@@ -0,0 +1,134 @@
+//! Owners: the queue in front of each leaf.
+
+use super::*;
+
+impl World {
+    pub(super) fn at_owner(&mut self, part: Part, query: usize, owner: usize) {
+        let origin = Origin {
+            query,
+            shard: part.shard.clone(),
+        };
+        self.origins.insert(part.attempt, origin);
+        let leaf = leaf_index(&part.leaf);
+        let now = self.now;
+        self.with_queue(leaf, owner, |queue| queue.submit(part, now));
+    }
+
+    pub(super) fn new_owned(&self) -> Owned {
+        let workload = &self.run.workload;
+        let contract = Contract {
+            slots: workload.slots,
+            connections: workload.connections,
+            open_ms: workload.open.as_millis() as u32,
+        };
+        let sharers = match self.run.policy {
+            Policy::OwnConnections => self.vms.len(),
+            _ => CONNECTED_VMS,
+        };
+        let share = workload.connections / sharers as u16;
+        let queue = match self.run.policy {
+            Policy::Fifo => Queue::Fifo(Fifo::new(workload.slots)),
+            _ => Queue::product(contract, share, self.now),
+        };
+        Owned {
+            queue,
+            idle: 0,
+            woken: None,
+        }
+    }
+
+    pub(super) fn with_queue(
+        &mut self,
+        leaf: usize,
+        owner: usize,
+        step: impl FnOnce(&mut Queue) -> Vec<leaf_queue::Action>,
+    ) {
+        if !self.vms[owner].alive {
+            return;
+        }
+        if !self.queues.contains_key(&(leaf, owner)) {
+            let owned = self.new_owned();
+            self.queues.insert((leaf, owner), owned);
+        }
+        let owned = self.queues.get_mut(&(leaf, owner)).expect("was inserted");
+        let actions = step(&mut owned.queue);
+        for action in actions {
+            self.queue_action(leaf, owner, action);
+        }
+        let owned = self.queues.get_mut(&(leaf, owner)).expect("was inserted");
+        let Some(wake) = owned.queue.next_wake() else {
+            return;
+        };
+        if owned.woken.is_none_or(|woken| wake < woken)
+            && self.now < self.start + WARM_UP * 2 + MEASURED
+        {
+            owned.woken = Some(wake);
+            let delay = wake.saturating_duration_since(self.now);
+            self.schedule(delay, Event::WakeQueue { leaf, owner });
+        }
+    }
+
+    pub(super) fn queue_action(&mut self, leaf: usize, owner: usize, action: leaf_queue::Action) {
+        match action {
+            leaf_queue::Action::Start { part, .. } => self.start_part(leaf, owner, part.attempt),
+            leaf_queue::Action::Abort(attempt) => {
+                let delay = self.leaf_delay(owner, leaf);
+                self.schedule(delay, Event::CancelAtLeaf { attempt, leaf });
+                let ending = Ending::TimedOut;
+                self.aborted.insert(attempt);
+                self.leaves[leaf].connections -= 1;
+                self.schedule(
+                    Duration::ZERO,
+                    Event::AtOwnerAgain {
+                        attempt,
+                        leaf,
+                        owner,
+                        ending,
+                    },
+                );
+            }
+            leaf_queue::Action::Answer(outcome) => self.answer(owner, outcome),
+            leaf_queue::Action::CloseIdle => {
+                let owned = self.queues.get_mut(&(leaf, owner)).expect("is there");
+                self.leaves[leaf].connections -= owned.idle;
+                owned.idle = 0;
+            }
+            leaf_queue::Action::Probe => {
+                let delay = self.leaf_delay(owner, leaf) * 2;
+                self.schedule(delay, Event::Health { leaf, owner });
+            }
+        }
+    }
+
+    pub(super) fn start_part(&mut self, leaf: usize, owner: usize, attempt: AttemptId) {
+        let owned = self.queues.get_mut(&(leaf, owner)).expect("is there");
+        let open = if owned.idle > 0 {
+            owned.idle -= 1;
+            Duration::ZERO
+        } else {
+            self.leaves[leaf].connections += 1;
+            self.run.workload.open
+        };
+        let connections = self.leaves[leaf].connections;
+        self.figures.connections = self.figures.connections.max(connections);
+        let delay = open + self.leaf_delay(owner, leaf);
+        self.schedule(
+            delay,
+            Event::AtLeaf {
+                attempt,
+                leaf,
+                owner,
+            },
+        );
+    }
+
+    pub(super) fn answer(&mut self, owner: usize, outcome: Outcome) {
+        let Some(origin) = self.origins.get(&outcome.attempt) else {
+            return;
+        };
+        let query = origin.query;
+        let vm = self.queries[query].vm;
+        let delay = self.vm_delay(owner, vm);
+        self.schedule(delay, Event::Outcome { query, outcome });
+    }
+}
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -55,10 +55,9 @@
     pub(super) fn choices(&self, index: usize, traffic: &Traffic, now: Instant) -> Vec<Choice> {
         let shard = &self.layout.shards[index];
         let state = &self.shards[index];
-        let untried: Vec<LeafName> = shard
-            .replicas
-            .iter()
-            .filter(|leaf| !state.tried.contains(leaf) && !self.view.is_leaving(leaf))
+        let untried = state.left_to_try(&shard.replicas).into_iter();
+        let untried: Vec<LeafName> = untried
+            .filter(|leaf| !self.view.is_leaving(leaf))
             .cloned()
             .collect();
         let is_far = |leaf: &LeafName| self.view.is_far(leaf);
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -238,8 +238,10 @@
         report.median.mul_f64(rounds)
     }
 
-    /// Parts that wait or run at the owner now: those last reported, less
-    /// those that ended since at the usual pace, and those sent since.
+    /// Parts that wait or run at the owner now: those last reported and those
+    /// sent since, less those that ended since at the usual pace. It shrinks
+    /// while nothing is sent, also when no report comes: what is refused for a
+    /// long queue brings none.
     fn expected_load(&self, now: Instant) -> f64 {
         let Some((report, at)) = &self.report else {
             return f64::from(self.open);
@@ -247,8 +249,8 @@
         let reported = f64::from(report.queued) + f64::from(report.busy);
         let age = now.saturating_duration_since(*at).as_secs_f64();
         let pace = f64::from(report.slots) / report.median.as_secs_f64().max(MIN_MEDIAN_SECS);
-        let left = (reported - age * pace).max(0.0);
-        (left + f64::from(self.sent_since)).max(f64::from(self.open))
+        let left = reported + f64::from(self.sent_since) - age * pace;
+        left.max(f64::from(self.open))
     }
 
     fn is_suspended(&self, now: Instant) -> bool {
--- a/src/geraniummount/core/shard_state.rs
+++ b/src/geraniummount/core/shard_state.rs
@@ -18,6 +18,8 @@
     pub(crate) open: Vec<Attempt>,
     /// Replicas that attempts were sent to.
     pub(crate) tried: Vec<LeafName>,
+    /// Replica whose owner was lost with the attempt.
+    again: Option<LeafName>,
     /// Attempts sent.
     pub(crate) attempts: u32,
     /// Hedges among them.
@@ -81,6 +83,7 @@
         ShardState {
             open: Vec::new(),
             tried: Vec::new(),
+            again: None,
             attempts: 0,
             hedges: 0,
             redirects: 0,
@@ -106,6 +109,7 @@
             Kind::Redirect => self.redirects += 1,
             Kind::First | Kind::Retry => {}
         }
+        self.again.take_if(|again| *again == attempt.leaf);
         self.tried.push(attempt.leaf.clone());
         self.last_sent = Some(attempt.sent);
         self.open.push(attempt);
@@ -118,11 +122,22 @@
     }
 
     /// Allows the replica of the last outcome to be tried again by way of
-    /// another owner.
+    /// another owner, once no other replica is left.
     pub(crate) fn allow_again(&mut self) {
-        let few = self.attempts < MAX_ATTEMPTS;
-        let leaf = self.leaf.as_ref().filter(|_| few);
-        self.tried.retain(|tried| Some(tried) != leaf);
+        if self.attempts < MAX_ATTEMPTS {
+            self.again = self.leaf.clone();
+        }
+    }
+
+    /// Returns the replicas that may be tried: those that were not, or else
+    /// the one whose owner was lost.
+    pub(crate) fn left_to_try<'a>(&'a self, replicas: &'a [LeafName]) -> Vec<&'a LeafName> {
+        let untried = replicas.iter().filter(|leaf| !self.tried.contains(leaf));
+        let untried: Vec<&LeafName> = untried.collect();
+        if untried.is_empty() {
+            return self.again.iter().collect();
+        }
+        untried
     }
 
     /// Notes that an attempt failed.
--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -491,3 +491,48 @@
         );
     }
 }
+
+#[test]
+fn replica_without_an_owner_is_left_for_the_other() {
+    let mut driver = Driver::new(Preference::Coverage);
+    let first = driver.sent[0].part.clone();
+    let failure = Failure::not_run(Reason::NoOwner);
+    let outcome = Outcome::failed(first.attempt, failure);
+    let actions = driver
+        .fan_out
+        .on_outcome(outcome, &mut driver.traffic, driver.now);
+    let next = actions.iter().find_map(|action| match action {
+        Action::Send(part) => Some(part),
+        _ => None,
+    });
+    let next = next.expect("the other replica is asked");
+    assert_eq!(next.shard, first.shard);
+    assert_ne!(next.leaf, first.leaf);
+}
+
+#[test]
+fn expected_queue_shrinks_without_reports() {
+    let now = Instant::now();
+    let leaf = "leaf".to_owned();
+    let mut traffic = Traffic::new(1);
+    let report = Report {
+        queued: 50,
+        busy: 2,
+        slots: 2,
+        median: Duration::from_millis(100),
+        ..Report::default()
+    };
+    let outcome = Outcome {
+        report: Some(report),
+        ..Outcome::failed(1, Failure::not_run(Reason::Shed))
+    };
+    let ranking = &mut traffic.ranking;
+    ranking.on_outcome(&leaf, &outcome, Duration::ZERO, false, now);
+    for _ in 0..100 {
+        ranking.on_send(&leaf, now);
+        ranking.on_abandon(&leaf, Duration::ZERO, now);
+    }
+    let queued = |now| ranking.order(std::slice::from_ref(&leaf), |_| false, now)[0].queued;
+    assert!(queued(now) > Duration::from_secs(5));
+    assert_eq!(queued(now + Duration::from_secs(10)), Duration::ZERO);
+}
