Tell new owners whether a leaf's health endpoint confirmed its leaving

Ruled out: a shorter wait for all endpoints, which gives a leaving leaf behind a lying one work each time it passes. Change: the endpoint is a source of its own in the notices; a new owner that finds it there believes it when it says serving.

--- a/benches/capacity/ownership.rs
+++ b/benches/capacity/ownership.rs
@@ -56,6 +56,7 @@
         catalog: Arc::default(),
         vms: vms.collect(),
         draining: Vec::new(),
+        health_draining: Vec::new(),
         stopping: false,
     }
 }
--- a/benches/traffic/world/catalog.rs
+++ b/benches/traffic/world/catalog.rs
@@ -82,6 +82,7 @@
             catalog: Arc::clone(catalog),
             vms: Vec::new(),
             draining: Vec::new(),
+            health_draining: Vec::new(),
             stopping: false,
         }),
     }
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -29,6 +29,7 @@
 enum Source {
   leaf @0;
   members @1;
+  health @2;
 }
 
 struct Message {
--- a/schema/gossip_capnp.rs
+++ b/schema/gossip_capnp.rs
@@ -1023,6 +1023,7 @@
 pub enum Source {
     Leaf = 0,
     Members = 1,
+    Health = 2,
 }
 
 impl ::capnp::introspect::Introspect for Source {
@@ -1052,6 +1053,7 @@
         match value {
             0 => ::core::result::Result::Ok(Self::Leaf),
             1 => ::core::result::Result::Ok(Self::Members),
+            2 => ::core::result::Result::Ok(Self::Health),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -1066,7 +1068,7 @@
     const TYPE_ID: u64 = 0xdb83_81c7_f113_184au64;
 }
 mod source {
-    pub(crate) static ENCODED_NODE: [::capnp::Word; 25] = [
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(74, 24, 19, 241, 199, 129, 131, 219),
         ::capnp::word(13, 0, 0, 0, 2, 0, 0, 0),
@@ -1076,22 +1078,26 @@
         ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
         ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(103, 111, 115, 115, 105, 112, 46, 99),
         ::capnp::word(97, 112, 110, 112, 58, 83, 111, 117),
         ::capnp::word(114, 99, 101, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-        ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(108, 101, 97, 102, 0, 0, 0, 0),
         ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
+        ::capnp::word(104, 101, 97, 108, 116, 104, 0, 0),
     ];
     pub(crate) fn get_annotation_types(
         child_index: Option<u16>,
--- a/src/geraniummount/core/gossip.rs
+++ b/src/geraniummount/core/gossip.rs
@@ -69,6 +69,9 @@
 pub enum Source {
     /// The leaf, by an answer or its health endpoint.
     Leaf,
+    /// The leaf's health endpoint: that it says so shows a later owner that
+    /// it does not lie, and may be believed when it takes that back.
+    Health,
     /// The platform's membership list.
     Members,
 }
--- a/src/geraniummount/core/leaf_queue/drain.rs
+++ b/src/geraniummount/core/leaf_queue/drain.rs
@@ -25,6 +25,17 @@
         self.answered.is_some() || self.by_health
     }
 
+    /// Whether it is leaving and the health endpoint has said so.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.by_health || (self.confirmed && self.answered.is_some())
+    }
+
+    /// Takes over what another owner knows.
+    pub(super) fn inherit(&mut self, confirmed: bool, now: Instant) {
+        self.answer(now);
+        self.confirmed = confirmed;
+    }
+
     /// Notes an answer that says draining.
     pub(super) fn answer(&mut self, now: Instant) {
         self.answered = Some(now);
--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -246,9 +246,15 @@
         self.drain.is_draining()
     }
 
-    /// Takes over what another owner heard the leaf say: that it is leaving.
-    pub fn inherit_draining(&mut self, now: Instant) {
-        self.drain.answer(now);
+    /// Returns whether the leaf's health endpoint has confirmed that.
+    pub fn health_says_draining(&self) -> bool {
+        self.drain.is_confirmed()
+    }
+
+    /// Takes over what another owner heard the leaf say: that it is leaving,
+    /// and whether its health endpoint has confirmed that.
+    pub fn inherit_draining(&mut self, confirmed: bool, now: Instant) {
+        self.drain.inherit(confirmed, now);
     }
 
     /// Returns the number of parts that run or wait.
--- a/src/geraniummount/core/membership.rs
+++ b/src/geraniummount/core/membership.rs
@@ -139,8 +139,18 @@
 
     /// Returns the leaves that are known to be leaving, by name.
     pub fn draining(&self) -> Vec<LeafName> {
-        let draining = self.notices.iter().filter(|notice| notice.draining);
-        let mut leaves: Vec<LeafName> = draining.map(|notice| notice.leaf.clone()).collect();
+        self.said(|source| source != Source::Health)
+    }
+
+    /// Returns the leaves whose health endpoint says so, by name.
+    pub fn health_draining(&self) -> Vec<LeafName> {
+        self.said(|source| source == Source::Health)
+    }
+
+    fn said(&self, by: impl Fn(Source) -> bool) -> Vec<LeafName> {
+        let said = |notice: &&Notice| notice.draining && by(notice.source);
+        let notices = self.notices.iter().filter(said);
+        let mut leaves: Vec<LeafName> = notices.map(|notice| notice.leaf.clone()).collect();
         leaves.dedup();
         leaves
     }
--- a/src/geraniummount/core/view.rs
+++ b/src/geraniummount/core/view.rs
@@ -19,6 +19,8 @@
     pub vms: Vec<Vm>,
     /// Leaves that are known to be leaving, whoever said so, by name.
     pub draining: Vec<LeafName>,
+    /// Leaves whose health endpoint says that they are leaving, by name.
+    pub health_draining: Vec<LeafName>,
     /// Whether this VM is stopping.
     pub stopping: bool,
 }
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -14,6 +14,7 @@
 use futures::executor::block_on;
 use futures::future::join_all;
 
+use crate::core::gossip::Source;
 use crate::core::ownership::{self, Route};
 use crate::core::service::Shard;
 use crate::edge::pending::{Gauge, Pending};
@@ -29,8 +30,9 @@
 const ASKED_HOPS: u8 = 2;
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
 
-/// Told when a leaf says that it is leaving (`true`) or serves again.
-pub type DrainingNotice = Box<dyn Fn(&LeafName, bool) + Send + Sync>;
+/// Told when a leaf says that it is leaving (`true`) or serves again, and
+/// whether its health endpoint says so.
+pub type DrainingNotice = Box<dyn Fn(&LeafName, Source, bool) + Send + Sync>;
 
 /// Where the outcome of a part goes. A receiver that is gone is no fault.
 #[derive(Debug)]
--- a/src/geraniummount/edge/gossip/codec.rs
+++ b/src/geraniummount/edge/gossip/codec.rs
@@ -91,6 +91,7 @@
     builder.set_version(notice.version);
     builder.set_draining(notice.draining);
     builder.set_source(match notice.source {
+        Source::Health => wire::Source::Health,
         Source::Leaf => wire::Source::Leaf,
         Source::Members => wire::Source::Members,
     });
@@ -100,6 +101,7 @@
     Ok(Notice {
         leaf: reader.get_leaf()?.to_string()?,
         source: match reader.get_source()? {
+            wire::Source::Health => Source::Health,
             wire::Source::Leaf => Source::Leaf,
             wire::Source::Members => Source::Members,
         },
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -14,6 +14,7 @@
 use super::event::Event;
 use super::pool::{self, Shared};
 use super::{Dump, exchange};
+use crate::core::gossip::Source;
 use crate::core::leaf::State as LeafState;
 use crate::core::leaf_queue::{Action, Ending, Health, LeafQueue, Use};
 use crate::core::ownership;
@@ -57,6 +58,7 @@
     /// Parts that the queue started while the share was used up.
     blocked: Vec<(Part, Use)>,
     says_draining: bool,
+    health_says_draining: bool,
     last_used: Instant,
     held: Arc<Published<pool::Known>>,
     events: Receiver<Event>,
@@ -87,6 +89,7 @@
             running: Vec::new(),
             blocked: Vec::new(),
             says_draining: false,
+            health_says_draining: false,
             last_used: now,
             held,
             events,
@@ -320,8 +323,10 @@
     /// Takes what another owner noted as said by the leaf to this VM, so that
     /// this VM takes it back when the leaf does.
     fn inherit_draining(&mut self) {
+        let confirmed = self.seen.health_draining.contains(&self.leaf.name);
         self.says_draining = true;
-        self.queue.inherit_draining(Instant::now());
+        self.health_says_draining = confirmed;
+        self.queue.inherit_draining(confirmed, Instant::now());
     }
 
     /// Whether operator, membership list or another VM say that it leaves.
@@ -335,12 +340,22 @@
 
     fn notice_draining(&mut self) {
         let draining = self.queue.says_draining();
-        if draining == self.says_draining {
-            return;
+        let by_health = self.queue.health_says_draining();
+        // The endpoint goes first, so that whoever hears of the leaving later
+        // knows of its confirmation.
+        if by_health != self.health_says_draining {
+            self.health_says_draining = by_health;
+            self.tell(Source::Health, by_health);
+        }
+        if draining != self.says_draining {
+            self.says_draining = draining;
+            self.tell(Source::Leaf, draining);
         }
-        self.says_draining = draining;
+    }
+
+    fn tell(&self, source: Source, draining: bool) {
         if let Some(pool) = self.pool.upgrade() {
-            (pool.draining)(&self.leaf.name, draining);
+            (pool.draining)(&self.leaf.name, source, draining);
         }
     }
 
--- a/src/geraniummount/ops/control/handle.rs
+++ b/src/geraniummount/ops/control/handle.rs
@@ -49,10 +49,10 @@
     }
 
     /// Notes that a leaf says that it is leaving (`true`) or serves again.
-    pub fn leaf_draining(&self, leaf: &LeafName, draining: bool) {
+    pub fn leaf_draining(&self, leaf: &LeafName, source: Source, draining: bool) {
         let event = Event::LeafDraining {
             leaf: leaf.clone(),
-            source: Source::Leaf,
+            source,
             draining,
         };
         // Fails only when the process's control has ended.
--- a/src/geraniummount/ops/control/mod.rs
+++ b/src/geraniummount/ops/control/mod.rs
@@ -269,6 +269,7 @@
             failure_domain: me.failure_domain.clone(),
             catalog: Arc::clone(self.log.catalog()),
             draining: self.draining(),
+            health_draining: self.membership.health_draining(),
             vms,
             stopping: me.state == State::Leaving,
         });
--- a/src/geraniummount/ops/control/shared.rs
+++ b/src/geraniummount/ops/control/shared.rs
@@ -28,6 +28,7 @@
             catalog: Arc::clone(log.catalog()),
             vms: vec![me.clone()],
             draining: Vec::new(),
+            health_draining: Vec::new(),
             stopping: false,
         };
         Shared {
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -23,6 +23,7 @@
 pub use self::error::Error;
 
 use crate::core::change_log::Delta;
+use crate::core::gossip::Source;
 use crate::edge::claims::Claims;
 use crate::edge::dispatcher::{self, Dispatcher};
 use crate::edge::metrics::{Load, Metrics};
@@ -132,7 +133,9 @@
         max_reply_bytes: settings.limits.max_reply_bytes,
     };
     let control = handle.clone();
-    let notice = move |leaf: &LeafName, draining: bool| control.leaf_draining(leaf, draining);
+    let notice = move |leaf: &LeafName, source: Source, draining: bool| {
+        control.leaf_draining(leaf, source, draining);
+    };
     Dispatcher::new(options, handle.view(), Box::new(notice))
 }
 
--- a/tests/testsuite/control_ownership.rs
+++ b/tests/testsuite/control_ownership.rs
@@ -27,6 +27,7 @@
         catalog: Arc::default(),
         vms: vms.to_vec(),
         draining: Vec::new(),
+        health_draining: Vec::new(),
         stopping: false,
     }
 }
--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -80,6 +80,7 @@
         catalog: Arc::new(catalog),
         vms: Vec::new(),
         draining: Vec::new(),
+        health_draining: Vec::new(),
         stopping: false,
     }
 }
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use geraniummount::core::contract::Contract;
+use geraniummount::core::gossip::Source;
 use geraniummount::core::{leaf, vm};
 use geraniummount::edge::dispatcher::{Dispatcher, Options, ReplyTo};
 use geraniummount::prelude::*;
@@ -51,7 +52,11 @@
         let view = Arc::new(Published::new(view_of(leaf)));
         let notices = Arc::new(Mutex::new(Vec::new()));
         let heard = Arc::clone(&notices);
-        let notice = Box::new(move |_: &LeafName, draining| heard.lock().unwrap().push(draining));
+        let notice = Box::new(move |_: &LeafName, source, draining| {
+            if source == Source::Leaf {
+                heard.lock().unwrap().push(draining);
+            }
+        });
         let options = Options {
             bind: IpAddr::V4(Ipv4Addr::LOCALHOST),
             max_reply_bytes: 64 * 1024,
@@ -113,6 +118,7 @@
         }),
         vms: vec![me],
         draining: Vec::new(),
+        health_draining: Vec::new(),
         stopping: false,
     }
 }
--- a/tests/testsuite/leaf_queue.rs
+++ b/tests/testsuite/leaf_queue.rs
@@ -380,3 +380,24 @@
     assert!(matches!(first[..], [Action::Start { .. }]));
     assert!(second.is_empty(), "one part at a time: {second:?}");
 }
+
+#[test]
+fn new_owner_believes_a_health_endpoint_that_was_honest_before() {
+    for confirmed in [true, false] {
+        let now = Instant::now();
+        let contract = Contract {
+            slots: 2,
+            connections: 25,
+            open_ms: 6,
+        };
+        let mut queue = LeafQueue::new("vm".to_owned(), contract, 9, now);
+        queue.inherit_draining(confirmed, now);
+        assert!(queue.says_draining());
+        let serving = Health::Answered {
+            state: State::Serving,
+            held: Vec::new(),
+        };
+        queue.observe(serving, now + Duration::from_secs(1));
+        assert_eq!(queue.says_draining(), !confirmed);
+    }
+}
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -37,6 +37,7 @@
             catalog: Arc::default(),
             vms: Vec::new(),
             draining: Vec::new(),
+            health_draining: Vec::new(),
             stopping: false,
         };
         let view = Arc::new(Published::new(view));
@@ -44,7 +45,7 @@
             bind: ip,
             max_reply_bytes: 64 * 1024,
         };
-        let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _| {}));
+        let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _, _| {}));
         let mut node = Node {
             dispatcher,
             view,
