--- a/benches/processes/configuration.rs
+++ b/benches/processes/configuration.rs
@@ -11,7 +11,7 @@
 
 /// Grows one configuration and prints a row a size.
 pub fn run() -> bool {
-    println!("leaves  memory MB  ms a change  start s  platform MB");
+    println!("leaves  memory MB  of a VM that started  ms a change  start s  platform MB");
     let folder = tempfile::tempdir().unwrap();
     let platform = Platform::start().unwrap();
     let first = Process::start(0, platform.address(), folder.path());
@@ -29,12 +29,15 @@
         let second = Process::start(1, platform.address(), folder.path());
         second.wait_until(|state: &Value| state["revision"] == declared);
         let start = started.elapsed().as_secs_f64();
-        let memory = first.usage().memory as f64 / 1024.0 / 1024.0;
+        let memory = |process: &Process| process.usage().memory as f64 / 1024.0 / 1024.0;
+        let (memory, started) = (memory(&first), memory(&second));
         let keys = platform.keys();
         let bytes = keys.iter().filter_map(|key| platform.value(key));
         let stored: usize = bytes.map(|(_, value)| value.len()).sum();
         let stored = stored as f64 / 1024.0 / 1024.0;
-        println!("{size:6}  {memory:9.1}  {change_ms:11.2}  {start:7.2}  {stored:11.2}");
+        println!(
+            "{size:6}  {memory:9.1}  {started:20.1}  {change_ms:11.2}  {start:7.2}  {stored:11.2}"
+        );
     }
     true
 }
