Share a VM's node between tests and the path bench

Change: the bench uses the tests' module, started processes and their usage moved to the support crate, catalog and parts of the tests to a module sample.

--- a/benches/path.rs
+++ b/benches/path.rs
@@ -5,8 +5,11 @@
 //! from the system by thread name. The bound is the share of one VM at the
 //! target: 560,000 queries a second to 61 leaves each on 2,700 VMs.
 
+#[path = "../tests/testsuite/node.rs"]
+mod node;
+
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr};
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::{Arc, mpsc};
@@ -14,13 +17,13 @@
 
 use geraniummount::core::contract::Contract;
 use geraniummount::core::{leaf, vm};
-use geraniummount::edge::dispatcher::{Dispatcher, Options, ReplyTo};
-use geraniummount::edge::peer::{Changes, Hooks, Server};
+use geraniummount::edge::dispatcher::{Dispatcher, ReplyTo};
 use geraniummount::prelude::*;
-use geraniummount::util::published::Published;
 use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay};
 use hdrhistogram::Histogram;
 
+use crate::node::Node;
+
 const LEAVES: usize = 16;
 const SLOTS: usize = 4;
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -32,58 +35,16 @@
 const OWNER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 8, 2));
 const THREADS: [&str; 4] = ["leaf", "worker", "peer-client", "peer-server"];
 
-struct Node {
-    dispatcher: Dispatcher,
-    view: Arc<Published<View>>,
-    server: Server,
-}
-
-impl Node {
-    fn start(me: &str, ip: IpAddr) -> Node {
-        let view = View {
-            me: me.to_owned(),
-            failure_domain: me.to_owned(),
-            catalog: Arc::default(),
-            vms: Vec::new(),
-            draining: Vec::new(),
-            health_draining: Vec::new(),
-            stopping: false,
-        };
-        let view = Arc::new(Published::new(view));
-        let options = Options {
-            bind: ip,
-            max_reply_bytes: 64 * 1024,
-        };
-        let dispatcher = Dispatcher::new(options, Arc::clone(&view), Box::new(|_, _, _| {}));
-        let hooks = Hooks {
-            changes: Box::new(|_| Changes::default()),
-            status: Box::new(Vec::new),
-        };
-        let server = Server::start(SocketAddr::new(ip, 0), &dispatcher, hooks).unwrap();
-        Node {
-            dispatcher,
-            view,
-            server,
-        }
-    }
-
-    fn vm(&self) -> Vm {
-        let name = self.view.get().me.clone();
-        Vm {
-            failure_domain: name.clone(),
-            name,
-            peer_address: self.server.address(),
-            incarnation: 1,
-            state: vm::State::Live,
-            revision: 1,
-        }
-    }
-
-    fn publish(&self, catalog: &Catalog, vms: &[Vm]) {
-        let mut view = View::clone(&self.view.get());
-        view.catalog = Arc::new(catalog.clone());
-        view.vms = vms.to_vec();
-        self.view.set(view);
+/// How a VM tells of another, in a failure domain of its own name.
+fn vm(node: &Node) -> Vm {
+    let name = node.view.get().me.clone();
+    Vm {
+        failure_domain: name.clone(),
+        name,
+        peer_address: node.address(),
+        incarnation: 1,
+        state: vm::State::Live,
+        revision: 1,
     }
 }
 
@@ -238,7 +199,7 @@
         let (stand_ins, catalog) = start_leaves(failure_domain);
         let entry = Node::start("west", ENTRY);
         let owner = Node::start("east", OWNER);
-        let vms = [owner.vm(), entry.vm()];
+        let vms = [vm(&owner), vm(&entry)];
         entry.publish(&catalog, &vms);
         owner.publish(&catalog, &vms);
         let mut next = 0;
--- a/benches/processes/configuration.rs
+++ b/benches/processes/configuration.rs
@@ -5,7 +5,9 @@
 use geraniummount_test_support::platform::Platform;
 use serde_json::{Value, json};
 
-use crate::process::Process;
+use geraniummount_test_support::process::Process;
+
+use crate::BINARY;
 
 const SIZES: [u64; 4] = [100, 1_000, 4_000, 11_000];
 
@@ -14,7 +16,7 @@
     println!("leaves  memory MB  of a VM that started  ms a change  start s  platform MB");
     let folder = tempfile::tempdir().unwrap();
     let platform = Platform::start().unwrap();
-    let first = Process::start(0, platform.address(), folder.path());
+    let first = Process::start(BINARY, 0, platform.address(), folder.path());
     let operator = first.operator();
     let mut declared = 0;
     for size in SIZES {
@@ -26,7 +28,7 @@
         }
         let change_ms = started.elapsed().as_secs_f64() * 1e3 / added as f64;
         let started = Instant::now();
-        let second = Process::start(1, platform.address(), folder.path());
+        let second = Process::start(BINARY, 1, platform.address(), folder.path());
         second.wait_until(|state: &Value| state["revision"] == declared);
         let start = started.elapsed().as_secs_f64();
         let memory = |process: &Process| process.usage().memory as f64 / 1024.0 / 1024.0;
--- a/benches/processes/leaves.rs
+++ b/benches/processes/leaves.rs
@@ -5,7 +5,9 @@
 
 use geraniummount_test_support::platform::Platform;
 
-use crate::process::Process;
+use geraniummount_test_support::process::Process;
+
+use crate::BINARY;
 use crate::queries::{Load, Stage};
 
 const SIZES: [usize; 3] = [10, 100, 400];
@@ -21,7 +23,7 @@
     for size in SIZES {
         let folder = tempfile::tempdir().unwrap();
         let platform = Platform::start().unwrap();
-        let process = Process::start(0, platform.address(), folder.path());
+        let process = Process::start(BINARY, 0, platform.address(), folder.path());
         let stage = Stage::new(&process, size);
         let load = Load {
             rate: RATE,
--- a/benches/processes/main.rs
+++ b/benches/processes/main.rs
@@ -9,12 +9,13 @@
 mod configuration;
 mod leaves;
 mod members;
-mod process;
 mod queries;
-mod usage;
 
 use std::process::ExitCode;
 
+/// The program that is measured.
+const BINARY: &str = env!("CARGO_BIN_EXE_geraniummount");
+
 /// A table by name.
 struct Table {
     name: &'static str,
--- a/benches/processes/members.rs
+++ b/benches/processes/members.rs
@@ -6,7 +6,9 @@
 use geraniummount_test_support::platform::Platform;
 use serde_json::Value;
 
-use crate::process::Process;
+use geraniummount_test_support::process::Process;
+
+use crate::BINARY;
 
 const SIZES: [u16; 4] = [10, 30, 100, 200];
 const SETTLE: Duration = Duration::from_secs(5);
@@ -27,7 +29,7 @@
 fn measure(size: u16) -> bool {
     let folder = tempfile::tempdir().unwrap();
     let platform = Platform::start().unwrap();
-    let start = |index| Process::start(index, platform.address(), folder.path());
+    let start = |index| Process::start(BINARY, index, platform.address(), folder.path());
     let processes: Vec<Process> = (0..size).map(start).collect();
     let live = |state: &Value| {
         let vms = state["vms"].as_array();
--- a/benches/processes/queries.rs
+++ b/benches/processes/queries.rs
@@ -10,7 +10,9 @@
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
-use crate::process::Process;
+use geraniummount_test_support::process::Process;
+
+use crate::BINARY;
 
 const MEASURED: Duration = Duration::from_secs(6);
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -63,7 +65,7 @@
     for (rate, shards) in ROWS {
         let folder = tempfile::tempdir().unwrap();
         let platform = Platform::start().unwrap();
-        let process = Process::start(0, platform.address(), folder.path());
+        let process = Process::start(BINARY, 0, platform.address(), folder.path());
         let stage = Stage::new(&process, shards);
         let load = |time| Load { rate, time }.run(&process, &stage);
         load(WARM_UP);
--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -11,5 +11,7 @@
 mod http;
 pub mod leaf;
 pub mod platform;
+pub mod process;
 pub mod proxy;
 mod signal;
+pub mod usage;
--- a/benches/processes/process.rs
+++ b/crates/geraniummount-test-support/src/process.rs
@@ -1,4 +1,5 @@
-//! A process of the product that a table starts and ends.
+//! A process of the product that a measurement starts and ends, without
+//! proxies around it.
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -7,9 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniummount_test_support::client::Client;
 use serde_json::Value;
 
+use crate::client::Client;
 use crate::usage::Usage;
 
 const PEER_PORT: u16 = 7001;
@@ -19,6 +20,7 @@
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// A started process; dropping it ends it.
+#[derive(Debug)]
 pub struct Process {
     child: Child,
     ip: IpAddr,
@@ -26,7 +28,7 @@
 
 impl Process {
     /// Starts VM `index` of failure domain `d1`; VMs 0 and 1 are first peers.
-    pub fn start(index: u16, platform: SocketAddr, folder: &Path) -> Process {
+    pub fn start(binary: &str, index: u16, platform: SocketAddr, folder: &Path) -> Process {
         let ip = address(index);
         let settings = folder.join(format!("vm{index}.ini"));
         let text = format!(
@@ -39,7 +41,7 @@
         );
         std::fs::write(&settings, text).unwrap();
         let log = File::create(folder.join(format!("vm{index}.log"))).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_geraniummount"))
+        let child = Command::new(binary)
             .args(["serve", "--settings"])
             .arg(&settings)
             .stdin(Stdio::null())
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -1,20 +1,12 @@
-//! A VM's dispatcher and peer listener in this process, and a leaf `leaf-1`
-//! in the failure domain `east` that holds the one shard of `tickets`.
+//! A VM's dispatcher and peer listener in this process.
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
 
-use geraniummount::core::contract::Contract;
-use geraniummount::core::{leaf, vm};
 use geraniummount::edge::dispatcher::{Dispatcher, Options};
 use geraniummount::edge::peer::{Changes, Hooks, Server};
 use geraniummount::prelude::*;
 use geraniummount::util::published::Published;
-use geraniummount_test_support::leaf::{Behaviour, Delay};
-
-static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
 
 /// One VM: its dispatcher, and the server for its peers.
 pub struct Node {
@@ -78,71 +70,3 @@
         self.view.set(view);
     }
 }
-
-/// A stand-in leaf that answers after a delay.
-pub fn behaviour(delay: Duration) -> Behaviour {
-    Behaviour {
-        slots: 8,
-        connections: 100,
-        delay: Delay::fixed(delay),
-        shards: vec!["tickets/a".to_owned()],
-        ..Behaviour::default()
-    }
-}
-
-pub fn catalog(leaf_address: SocketAddr) -> Catalog {
-    let leaf = Leaf {
-        name: "leaf-1".to_owned(),
-        address: leaf_address,
-        failure_domain: "east".to_owned(),
-        contract: Contract {
-            slots: 8,
-            connections: 100,
-            open_ms: 1,
-        },
-        state: leaf::State::Serving,
-    };
-    let service = serde_json::from_str(
-        r#"{"name": "tickets", "deadline_ms": 100, "max_deadline_ms": 1000,
-            "shards": [{"name": "a", "replicas": ["leaf-1"]}]}"#,
-    );
-    Catalog {
-        revision: 1,
-        leaves: vec![record(leaf)],
-        services: vec![record(service.unwrap())],
-    }
-}
-
-fn record<T>(spec: T) -> Record<T> {
-    Record {
-        generation: 1,
-        spec,
-    }
-}
-
-pub fn vm_of(name: &str, peer_address: SocketAddr) -> Vm {
-    Vm {
-        name: name.to_owned(),
-        failure_domain: name.to_owned(),
-        peer_address,
-        incarnation: 1,
-        state: vm::State::Live,
-        revision: 1,
-    }
-}
-
-pub fn part(idempotent: bool, deadline: Duration) -> Part {
-    Part {
-        attempt: NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed),
-        request: "request".to_owned(),
-        service: "tickets".to_owned(),
-        shard: "a".to_owned(),
-        leaf: "leaf-1".to_owned(),
-        snapshot: idempotent.then_some(1),
-        deadline: Instant::now() + deadline,
-        idempotent,
-        hops_left: 2,
-        takeover: false,
-        body: Arc::from(&b"{}"[..]),
-    }
-}
--- a/tests/testsuite/peer_edge.rs
+++ b/tests/testsuite/peer_edge.rs
@@ -10,7 +10,8 @@
 use geraniummount_test_support::leaf::{self as stand_in};
 use geraniummount_test_support::proxy::{Flow, Proxy};
 
-use crate::node::{Node, behaviour, catalog, part, vm_of};
+use crate::node::Node;
+use crate::sample::{behaviour, catalog, part, vm_of};
 
 const DEADLINE: Duration = Duration::from_millis(400);
 const LIMIT: Duration = Duration::from_secs(20);
--- a/tests/testsuite/takeover.rs
+++ b/tests/testsuite/takeover.rs
@@ -11,7 +11,8 @@
 use geraniummount_test_support::leaf as stand_in;
 use geraniummount_test_support::proxy::{Flow, Proxy};
 
-use crate::node::{Node, behaviour, catalog, part, vm_of};
+use crate::node::Node;
+use crate::sample::{behaviour, catalog, part, vm_of};
 
 const LIMIT: Duration = Duration::from_secs(20);
 const ENTRY: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 6, 1));
