--- a/tests/testsuite/promise_graceful_stop.rs
+++ b/tests/testsuite/promise_graceful_stop.rs
@@ -98,22 +98,36 @@
 #[test]
 fn replacing_every_vm_under_load_loses_nothing() {
     let (_permit, mut fleet) = balanced::start(200);
-    let callers = Callers::start(&fleet);
+    let records = replace_every_vm(&mut fleet);
+    check("rolling replacement", true, records.iter());
+    check_orders("rolling replacement", &fleet, &records);
+}
+
+#[test]
+fn replacing_every_vm_during_a_cut_cuts_off_nothing() {
+    let (_permit, mut fleet) = balanced::start(210);
+    Beside::OtherDomainCut.begin(&mut fleet, "");
+    let records = replace_every_vm(&mut fleet);
+    check("rolling replacement in a cut", false, records.iter());
+    check_orders("rolling replacement in a cut", &fleet, &records);
+}
+
+/// Replaces one VM after the other under load; each has to exit with 0.
+fn replace_every_vm(fleet: &mut Fleet) -> Vec<Record> {
+    let callers = Callers::start(fleet);
     for old in fleet.vm_names() {
         let domain = fleet.vm(&old).failure_domain.clone();
         fleet.add_vm(&domain).expect("VM starts");
-        callers.retarget(&fleet);
+        callers.retarget(fleet);
         callers.wait_for_more(20);
         fleet.terminate(&old);
         let status = fleet.wait_exit(&old);
         assert!(status.success(), "VM {old}: {status}");
         fleet.forget(&old);
-        callers.retarget(&fleet);
+        callers.retarget(fleet);
         callers.wait_for_more(20);
     }
-    let records = callers.stop();
-    check("rolling replacement", true, records.iter());
-    check_orders("rolling replacement", &fleet, &records);
+    callers.stop()
 }
 
 #[test]
