--- a/tests/testsuite/control_change_log.rs
+++ b/tests/testsuite/control_change_log.rs
@@ -11,7 +11,8 @@
 use geraniummount::core::resource::{Kind, Resource};
 use geraniummount::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+use crate::seeded::config;
 
 const PROPOSERS: usize = 3;
 const NAMES: [&str; 3] = ["ada", "bela", "csilla"];
@@ -230,12 +231,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 400,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(config(400))]
 
     #[test]
     fn accepted_changes_keep_their_order(steps in prop::collection::vec(step(), 1..200)) {
--- a/tests/testsuite/control_claims.rs
+++ b/tests/testsuite/control_claims.rs
@@ -4,7 +4,8 @@
 use geraniummount::core::claims::{Action, Answer, CLOCK_MARGIN, Claim, Claims, WINDOW};
 use geraniummount::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+use crate::seeded::config;
 
 const VMS: usize = 3;
 const KEYS: u128 = 3;
@@ -167,12 +168,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(config(500))]
 
     #[test]
     fn a_key_runs_at_most_once(steps in prop::collection::vec(step(), 1..250)) {
--- a/tests/testsuite/control_membership.rs
+++ b/tests/testsuite/control_membership.rs
@@ -8,7 +8,8 @@
 use geraniummount::core::vm::State;
 use geraniummount::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+use crate::seeded::config;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -319,12 +320,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 24,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20_261_203),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(config(24))]
 
     #[test]
     fn membership_agrees_once_the_faults_end(
--- a/tests/testsuite/fan_out.rs
+++ b/tests/testsuite/fan_out.rs
@@ -18,7 +18,7 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 
-use crate::leaf_queue::config;
+use crate::seeded::config;
 
 const SERVICE: &str = "service";
 
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -1,7 +1,6 @@
 //! The edge to leaves: what each reply means, and the counting of connections.
 
 use std::net::{IpAddr, Ipv4Addr};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,12 +14,12 @@
 use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay, Fault};
 use geraniummount_test_support::proxy::Proxy;
 
+use crate::sample;
+
 const DEADLINE: Duration = Duration::from_millis(400);
 const LIMIT: Duration = Duration::from_secs(20);
 const SHARD: &str = "tickets/a";
 
-static NEXT_ATTEMPT: AtomicUsize = AtomicUsize::new(1);
-
 /// One stand-in leaf and a dispatcher that owns it.
 struct Bench {
     stand_in: stand_in::Leaf,
@@ -125,17 +124,8 @@
 
 fn part(idempotent: bool, deadline: Duration) -> Part {
     Part {
-        attempt: NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed) as u64,
-        request: "request".to_owned(),
-        service: "tickets".to_owned(),
-        shard: "a".to_owned(),
-        leaf: "leaf-1".to_owned(),
-        snapshot: idempotent.then_some(1),
-        deadline: Instant::now() + deadline,
-        idempotent,
         hops_left: 0,
-        takeover: false,
-        body: Arc::from(&b"{}"[..]),
+        ..sample::part(idempotent, deadline)
     }
 }
 
--- a/tests/testsuite/leaf_queue.rs
+++ b/tests/testsuite/leaf_queue.rs
@@ -10,9 +10,8 @@
 use geraniummount::prelude::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::{RngAlgorithm, RngSeed};
 
-const SEED: u64 = 20261203;
+use crate::seeded::config;
 
 const CONTRACT: Contract = Contract {
     slots: 2,
@@ -20,16 +19,6 @@
     open_ms: 6,
 };
 
-pub fn config(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        failure_persistence: None,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(SEED),
-        ..ProptestConfig::default()
-    }
-}
-
 fn part(attempt: AttemptId, deadline: Instant, idempotent: bool) -> Part {
     Part {
         attempt,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod promise_snapshot;
 mod sample;
 mod scene;
+mod seeded;
 mod settings;
 mod stand_ins;
 mod takeover;
