Send callers to a VM only once it can serve them

The VM a-2 had asked for the others when it started, before those of domain b were up; after that it tried one unseen address every 3 s, and the platform's list was silent. For 2.5 s it knew no VM of b, and all that time `/ready` said yes. When the leaf in its own domain began to drain, the healthy replica in b had no route.

Change: a VM that starts is ready once it has the newest revision it has heard of and knows a VM of each failure domain with leaves (core::readiness); after 5 s it serves what it can, but never before it has heard of any configuration. Until then it asks a member and all unseen first peers each half second. An unknown service is `starting` (503, not run, with a time to come back) and no longer 404 while the VM isn't ready. Every VM reads the log of changes once at its start, whoever watches.

Conclusion: readiness belongs to what a VM knows, not to its listeners.

--- a/crates/geraniummount-test-support/src/fleet/mod.rs
+++ b/crates/geraniummount-test-support/src/fleet/mod.rs
@@ -155,11 +155,17 @@
 
     /// Starts one more VM and waits until it is ready; returns its name.
     pub fn add_vm(&mut self, domain: &str) -> io::Result<String> {
+        let name = self.begin_vm(domain)?;
+        self.wait_ready(&name);
+        Ok(name)
+    }
+
+    /// Starts one more VM; returns its name.
+    pub fn begin_vm(&mut self, domain: &str) -> io::Result<String> {
         let name = self.place_vm(domain)?;
         self.relink();
         self.publish_members();
         self.launch(&name)?;
-        self.wait_ready(&name);
         Ok(name)
     }
 
@@ -278,7 +284,7 @@
     fn launch(&mut self, name: &str) -> io::Result<()> {
         let others = self.vms.iter().filter(|vm| vm.name != name);
         let first_peers: Vec<SocketAddr> = others
-            .filter(|vm| vm.is_running() || !vm.was_started())
+            .filter(|vm| vm.is_first_peer())
             .map(|vm| vm.peer_proxy.address())
             .collect();
         let (binary, extra) = (self.plan.binary.clone(), self.plan.settings.clone());
@@ -287,7 +293,8 @@
         vm.launch(&binary, &folder, &first_peers, &extra)
     }
 
-    fn wait_ready(&mut self, name: &str) {
+    /// Waits until a VM says that it is ready.
+    pub fn wait_ready(&self, name: &str) {
         let client = self.caller(name);
         let ready = wait_until(PATIENCE, || {
             client.get("/ready").is_ok_and(|reply| reply.is_success())
--- a/crates/geraniummount-test-support/src/fleet/vm.rs
+++ b/crates/geraniummount-test-support/src/fleet/vm.rs
@@ -163,8 +163,9 @@
         self.state == State::Running
     }
 
-    pub(super) fn was_started(&self) -> bool {
-        self.state != State::Placed
+    /// Whether its address is given to VMs that start.
+    pub(super) fn is_first_peer(&self) -> bool {
+        !matches!(self.state, State::Ended | State::Stopping)
     }
 
     pub(super) fn was_told_to_stop(&self) -> bool {
--- a/src/geraniummount/core/catalog.rs
+++ b/src/geraniummount/core/catalog.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    /// Returns the failure domains that have leaves, by name.
+    pub fn failure_domains(&self) -> Vec<DomainName> {
+        let mut domains: Vec<&DomainName> = self
+            .leaves
+            .iter()
+            .map(|record| &record.spec.failure_domain)
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.into_iter().cloned().collect()
+    }
+
     /// Applies the entry that follows this revision.
     pub fn apply(&mut self, entry: &Entry) {
         debug_assert_eq!(entry.revision, self.revision + 1);
--- a/src/geraniummount/core/membership.rs
+++ b/src/geraniummount/core/membership.rs
@@ -36,6 +36,8 @@
 const REMEMBER_DEAD: Duration = Duration::from_secs(600);
 /// Periods between two tries to reach VMs that are out of sight.
 const RECONNECT_PERIODS: u64 = 6;
+/// Periods after a start in which a VM looks for VMs of all failure domains.
+const START_PERIODS: u64 = 20;
 /// Members that an urgent piece of news is pushed to.
 const PUSH_MEMBERS: usize = 4;
 /// Failure domains that an urgent piece of news is pushed to.
@@ -74,6 +76,8 @@
     me: Vm,
     first_peers: Vec<SocketAddr>,
     hints: Vec<SocketAddr>,
+    /// Failure domains that have leaves.
+    domains: Vec<DomainName>,
     members: Vec<Member>,
     relays: Relays,
     notices: Vec<Notice>,
@@ -105,6 +109,7 @@
             me,
             first_peers,
             hints: Vec::new(),
+            domains: Vec::new(),
             members: Vec::new(),
             relays: Relays::default(),
             notices: Vec::new(),
@@ -212,6 +217,11 @@
         self.hints = unknown.take(MAX_MEMBERS).collect();
     }
 
+    /// Notes the failure domains that have leaves; some VM of each is wanted.
+    pub fn expect(&mut self, domains: Vec<DomainName>) {
+        self.domains = domains;
+    }
+
     /// Takes in a datagram.
     pub fn receive(&mut self, message: Message, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/src/geraniummount/core/membership/probe.rs
+++ b/src/geraniummount/core/membership/probe.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Action, INDIRECT_TIMEOUT, MAX_PUSHES, Membership, PERIOD, PROBE_TIMEOUT, RECONNECT_PERIODS,
-    REMEMBER_DEAD, SUSPICION,
+    REMEMBER_DEAD, START_PERIODS, SUSPICION,
 };
 use crate::core::gossip::{Body, MAX_VMS, Message};
 use crate::core::vm::State;
@@ -251,7 +251,8 @@
     fn reconnect(&mut self, actions: &mut Vec<Action>) {
         let vms = self.vms();
         let alone = vms.iter().filter(|vm| vm.state == State::Live).count() <= 1;
-        if !alone && !self.periods.is_multiple_of(RECONNECT_PERIODS) {
+        let searches = alone || self.is_starting(&vms);
+        if !searches && !self.periods.is_multiple_of(RECONNECT_PERIODS) {
             return;
         }
         let lost = vms.iter().filter(|vm| vm.state == State::Dead);
@@ -260,13 +261,25 @@
         let unseen = self.first_peers.iter().chain(&self.hints);
         targets.extend(unseen.filter(|address| !seen(address)));
         targets.shuffle(&mut self.rng);
-        targets.truncate(if alone { MAX_RECONNECTS } else { 1 });
+        targets.truncate(if searches { MAX_RECONNECTS } else { 1 });
+        if searches {
+            // A member may know more by now than when it was asked first.
+            let members = self.sample_members(1);
+            targets.extend(members.iter().map(|vm| vm.peer_address));
+        }
         for to in targets {
             let message = self.message(Body::Join, None, false);
             actions.push(Action::Send { to, message });
         }
     }
 
+    /// Whether this VM started a moment ago and knows no VM of some failure
+    /// domain yet.
+    fn is_starting(&self, vms: &[Vm]) -> bool {
+        let is_known = |domain: &DomainName| vms.iter().any(|vm| vm.failure_domain == *domain);
+        self.periods <= START_PERIODS && !self.domains.iter().all(is_known)
+    }
+
     /// Tells a VM that joins all that it needs.
     fn introduce(&mut self, to: &Vm, actions: &mut Vec<Action>) {
         let same_domain = |vm: &&Vm| vm.failure_domain == to.failure_domain;
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -31,6 +31,7 @@
 pub mod proposal;
 pub mod quantile;
 pub mod ranking;
+pub mod readiness;
 pub mod reason;
 pub mod relays;
 pub mod reply;
--- a/src/geraniummount/core/reason.rs
+++ b/src/geraniummount/core/reason.rs
@@ -40,6 +40,8 @@
     SnapshotMismatch,
     /// The leaf does not hold the snapshot.
     SnapshotNotHeld,
+    /// The VM has just started and does not know the configuration yet.
+    Starting,
     /// The VM is stopping and takes no new work.
     Stopping,
     /// The reply ended before it was whole.
@@ -68,6 +70,7 @@
             Reason::Shed => "shed",
             Reason::SnapshotMismatch => "snapshot-mismatch",
             Reason::SnapshotNotHeld => "snapshot-not-held",
+            Reason::Starting => "starting",
             Reason::Stopping => "stopping",
             Reason::Truncated => "truncated",
             Reason::Unreachable => "unreachable",
--- a/src/geraniummount/edge/caller/mod.rs
+++ b/src/geraniummount/edge/caller/mod.rs
@@ -73,6 +73,9 @@
     }
 }
 
+/// Tells whether this VM knows enough to be sent callers.
+pub type Ready = Box<dyn Fn() -> bool + Send + Sync>;
+
 /// What the server needs of the rest of the process.
 pub struct Parts {
     /// What this VM knows.
@@ -83,6 +86,8 @@
     pub metrics: Metrics,
     /// Claims of idempotency keys.
     pub claims: Claims,
+    /// Whether the VM is ready.
+    pub ready: Ready,
 }
 
 /// The callers' server.
@@ -103,6 +108,7 @@
             view: parts.view,
             dispatcher: parts.dispatcher,
             metrics: parts.metrics,
+            ready: parts.ready,
             traffic: Mutex::new(Traffic::new(rand::random())),
             stopping: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -25,6 +25,9 @@
 /// Time to come back when this VM stops; the balancer then knows.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time to come back to a VM that starts.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Answers the requests of all connections.
 #[derive(Clone)]
 pub(super) struct Handler {
@@ -90,6 +93,10 @@
             let failure = Failure::not_run(Reason::Stopping);
             return response::failure("", &failure.retry_after(STOPPING_RETRY_AFTER));
         }
+        if !self.shared.is_ready() {
+            let failure = Failure::not_run(Reason::Starting);
+            return response::failure("", &failure.retry_after(STARTING_RETRY_AFTER));
+        }
         Response {
             status: 200,
             headers: Vec::new(),
@@ -110,6 +117,12 @@
             Err(fault) => return Some(self.invalid("", &fault, started)),
         };
         let view = self.shared.view.get();
+        if view.catalog.service(service).is_none() && !self.shared.is_ready() {
+            let failure = Failure::not_run(Reason::Starting);
+            let failure = failure.retry_after(STARTING_RETRY_AFTER);
+            self.shared.metrics.failure(&failure);
+            return Some(response::failure(&request, &failure));
+        }
         let ask = match Ask::new(service, request.clone(), http, &view.catalog) {
             Ok(ask) => ask,
             Err(fault) => return Some(self.invalid(&request, &fault, started)),
--- a/src/geraniummount/edge/caller/shared.rs
+++ b/src/geraniummount/edge/caller/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use super::Options;
+use super::{Options, Ready};
 use crate::core::traffic::Traffic;
 use crate::edge::dispatcher::Dispatcher;
 use crate::edge::metrics::Metrics;
@@ -23,6 +23,8 @@
     pub(super) metrics: Metrics,
     /// What queries learnt.
     pub(super) traffic: Mutex<Traffic>,
+    /// Whether this VM knows enough to be sent callers.
+    pub(super) ready: Ready,
     /// Set when no further request is read.
     pub(super) stopping: AtomicBool,
     /// Open connections.
@@ -34,6 +36,11 @@
 }
 
 impl Shared {
+    /// Whether this VM knows enough to be sent callers.
+    pub(super) fn is_ready(&self) -> bool {
+        (self.ready)()
+    }
+
     /// Locks what queries learnt.
     pub(super) fn traffic(&self) -> MutexGuard<'_, Traffic> {
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/geraniummount/ops/control/event.rs
+++ b/src/geraniummount/ops/control/event.rs
@@ -13,6 +13,8 @@
     Datagram(Message),
     /// The platform or a peer told of changes.
     Learned(Delta),
+    /// The platform holds no change that this VM lacks.
+    Confirmed,
     /// A source says whether a leaf is leaving.
     LeafDraining {
         leaf: LeafName,
--- a/src/geraniummount/ops/control/handle.rs
+++ b/src/geraniummount/ops/control/handle.rs
@@ -59,6 +59,11 @@
         let _ = self.events.send(event);
     }
 
+    /// Returns whether this VM knows enough to be sent callers.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Tells the other VMs that this one stops. Returns once the published
     /// view says so.
     pub fn announce_leaving(&self) {
--- a/src/geraniummount/ops/control/mod.rs
+++ b/src/geraniummount/ops/control/mod.rs
@@ -32,6 +32,7 @@
 use crate::core::change_log::{ChangeLog, Delta};
 use crate::core::leaf;
 use crate::core::membership::{Action, Membership};
+use crate::core::readiness::Readiness;
 use crate::core::vm::State;
 use crate::edge::gossip::Socket;
 use crate::edge::metrics::Metrics;
@@ -138,6 +139,7 @@
         let task = Task {
             membership: self.membership,
             log: ChangeLog::default(),
+            readiness: Readiness::new(Instant::now()),
             socket: self.socket,
             shared,
             wanted,
@@ -172,6 +174,7 @@
 struct Task {
     membership: Membership,
     log: ChangeLog,
+    readiness: Readiness,
     socket: Socket,
     shared: Shared,
     wanted: SyncSender<Vm>,
@@ -201,6 +204,19 @@
             if self.membership.take_changed() {
                 self.publish();
             }
+            self.look_whether_ready();
+        }
+    }
+
+    fn look_whether_ready(&mut self) {
+        if self.shared.is_ready() {
+            return;
+        }
+        let vms = self.membership.vms();
+        let now = Instant::now();
+        if self.readiness.update(self.log.catalog(), &vms, now) {
+            info!("control: this VM is ready for callers");
+            self.shared.set_ready();
         }
     }
 
@@ -209,6 +225,10 @@
         let actions = match event {
             Event::Datagram(message) => self.membership.receive(message, now),
             Event::Learned(delta) => self.learn(delta),
+            Event::Confirmed => {
+                self.readiness.confirm();
+                Vec::new()
+            }
             Event::LeafDraining {
                 leaf,
                 source,
@@ -243,6 +263,7 @@
         let catalog = Arc::clone(self.log.catalog());
         let exists = |leaf: &str| catalog.leaf(leaf).is_some();
         self.membership.retain_leaves(exists);
+        self.membership.expect(catalog.failure_domains());
         let actions = self.membership.set_revision(revision);
         self.publish();
         actions
--- a/src/geraniummount/ops/control/shared.rs
+++ b/src/geraniummount/ops/control/shared.rs
@@ -14,6 +14,7 @@
     pub(super) view: Arc<Published<View>>,
     /// This VM's copy of the log of changes.
     pub(super) log: Arc<Published<ChangeLog>>,
+    ready: Arc<AtomicBool>,
     watches: Arc<AtomicBool>,
     stopped: Arc<AtomicBool>,
 }
@@ -34,11 +35,21 @@
         Shared {
             view: Arc::new(Published::new(view)),
             log: Arc::new(Published::new(log)),
+            ready: Arc::new(AtomicBool::new(false)),
             watches: Arc::new(AtomicBool::new(false)),
             stopped: Arc::new(AtomicBool::new(false)),
         }
     }
 
+    /// Whether this VM knows enough to be sent callers.
+    pub(super) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    pub(super) fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
     /// Whether this VM is one of those that watch the platform.
     pub(super) fn watches(&self) -> bool {
         self.watches.load(Ordering::Acquire)
--- a/src/geraniummount/ops/control/watcher.rs
+++ b/src/geraniummount/ops/control/watcher.rs
@@ -2,7 +2,8 @@
 //!
 //! Only the VMs that the control thread has chosen watch; all others learn
 //! from their peers, so that the calls on the platform grow with the number
-//! of failure domains and not with the fleet.
+//! of failure domains and not with the fleet. A VM that starts reads the log
+//! once, whoever watches.
 
 use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
@@ -42,7 +43,7 @@
         let mut backoff = Backoff::default();
         let mut saved = 0;
         while !self.shared.is_stopped() {
-            if !self.shared.watches() {
+            if !self.shared.watches() && self.shared.is_ready() {
                 thread::sleep(IDLE);
                 continue;
             }
@@ -59,6 +60,7 @@
         let next = self.shared.log.get().revision() + 1;
         let slot = self.store.read(next)?;
         if let Some(version) = self.take(next, slot)? {
+            self.events.send(Event::Confirmed).ok()?;
             let changed = self.store.watch(next, version, WATCH_WAIT)?;
             changed.map_or(Some(None), |slot| self.take(next, slot))?;
         }
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -177,11 +177,13 @@
         max_body_bytes: settings.limits.max_body_bytes,
         read_limit: settings.limits.body_read,
     };
+    let control = handle.clone();
     let parts = caller::Parts {
         view: handle.view(),
         dispatcher: dispatcher.clone(),
         metrics: metrics.clone(),
         claims,
+        ready: Box::new(move || control.is_ready()),
     };
     let server = caller::Server::start(options, parts).change_context(Error::Callers)?;
     Ok(Arc::new(server))
--- a/tests/testsuite/control_membership.rs
+++ b/tests/testsuite/control_membership.rs
@@ -75,7 +75,8 @@
             revision: 0,
         };
         let first_peers = vec![address(0), address(1)];
-        let membership = Membership::new(me, first_peers, index as u64, self.now);
+        let mut membership = Membership::new(me, first_peers, index as u64, self.now);
+        membership.expect(DOMAINS.map(str::to_owned).to_vec());
         self.vms.push(Some(membership));
         index
     }
@@ -121,7 +122,7 @@
         let due: Vec<Flight> = self.flights.extract_if(.., due).collect();
         for flight in due {
             let index = index_of(flight.to);
-            if let Some(vm) = &mut self.vms[index] {
+            if let Some(Some(vm)) = self.vms.get_mut(index) {
                 let before = vm.me().revision;
                 let actions = vm.receive(flight.message, now);
                 assert!(vm.me().revision >= before);
@@ -167,6 +168,15 @@
         self.vms.iter().flatten()
     }
 
+    /// Whether every running VM knows some VM of each failure domain.
+    fn knows_all_domains(&self) -> bool {
+        self.running().all(|vm| {
+            let known = vm.vms();
+            let is_known = |domain: &&str| known.iter().any(|vm| vm.failure_domain == **domain);
+            DOMAINS.iter().all(is_known)
+        })
+    }
+
     /// Whether every running VM holds exactly the running VMs of its failure
     /// domain live, and some live VM of each other one.
     fn agrees(&self) -> bool {
@@ -319,6 +329,22 @@
     }
 }
 
+#[test]
+fn membership_knows_all_domains_soon_after_a_start() {
+    for seed in 0..50 {
+        let mut network = Network::new(0, 0.05, seed);
+        for _ in 0..9 {
+            network.start();
+            network.run(Duration::from_millis(60));
+        }
+        network.run_until(
+            Duration::from_millis(1_200),
+            "known",
+            Network::knows_all_domains,
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(config(24))]
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod promise_not_run;
 mod promise_reply;
 mod promise_snapshot;
+mod readiness;
 mod sample;
 mod scene;
 mod seeded;
