Write refusals and sources in words, share callers' arguments

Change: `Refusal` and `Source` have a `Display`, used in bodies and logs alike; `commands::caller` holds the shared arguments.

--- a/src/bin/geraniummount/commands/load.rs
+++ b/src/bin/geraniummount/commands/load.rs
@@ -7,7 +7,7 @@
 use geraniummount::ops::exit::Exit;
 use geraniummount::ops::load;
 
-use super::operator;
+use super::caller;
 
 const EXAMPLES: &str = "\
 Examples:
@@ -20,16 +20,8 @@
 #[derive(Debug, clap::Args)]
 #[command(after_help = EXAMPLES)]
 pub struct Args {
-    /// Service to ask
-    service: String,
-
-    /// JSON body of each query
-    #[arg(default_value = "{}", long, value_name = "JSON")]
-    body: String,
-
-    /// Deadline in milliseconds; the service's own by default
-    #[arg(long, value_name = "MS")]
-    deadline_ms: Option<u32>,
+    #[command(flatten)]
+    caller: caller::Args,
 
     /// Queries a second
     #[arg(default_value_t = 50, long, value_parser = clap::value_parser!(u32).range(1..=100_000))]
@@ -47,24 +39,21 @@
     #[arg(env = "GERANIUMMOUNT_CALLER", long, value_name = "IP:PORT")]
     #[arg(default_value = "127.0.0.1:8080")]
     server: Vec<SocketAddr>,
-
-    /// Write JSON in place of aligned text
-    #[arg(long)]
-    json: bool,
 }
 
 impl Args {
     /// Runs the subcommand.
     pub fn exec(self) -> Result<(), Report<Exit>> {
+        let form = self.caller.form();
         let options = load::Options {
             servers: self.server,
-            service: self.service,
-            body: self.body,
-            deadline_ms: self.deadline_ms,
+            service: self.caller.service,
+            body: self.caller.body,
+            deadline_ms: self.caller.deadline_ms,
             rate: self.rate,
             length: Duration::from_secs(self.seconds),
             open: self.open.into(),
-            form: operator::form(self.json),
+            form,
         };
         load::load(&options, &mut std::io::stdout())
     }
--- a/src/bin/geraniummount/commands/mod.rs
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One subcommand a file: its arguments and `exec`.
 
 pub mod apply;
+pub mod caller;
 pub mod check;
 pub mod delete;
 pub mod dump;
--- a/src/bin/geraniummount/commands/query.rs
+++ b/src/bin/geraniummount/commands/query.rs
@@ -6,7 +6,7 @@
 use geraniummount::ops::exit::Exit;
 use geraniummount::ops::query;
 
-use super::operator;
+use super::caller;
 
 const EXAMPLES: &str = "\
 Examples:
@@ -17,16 +17,8 @@
 #[derive(Debug, clap::Args)]
 #[command(after_help = EXAMPLES)]
 pub struct Args {
-    /// Service to ask
-    service: String,
-
-    /// JSON body of the request
-    #[arg(default_value = "{}", long, value_name = "JSON")]
-    body: String,
-
-    /// Deadline in milliseconds; the service's own by default
-    #[arg(long, value_name = "MS")]
-    deadline_ms: Option<u32>,
+    #[command(flatten)]
+    caller: caller::Args,
 
     /// Name of the request; drawn by the server by default
     #[arg(long, value_name = "ID")]
@@ -52,25 +44,22 @@
     #[arg(env = "GERANIUMMOUNT_CALLER", long, value_name = "IP:PORT")]
     #[arg(default_value = "127.0.0.1:8080")]
     server: SocketAddr,
-
-    /// Write JSON in place of aligned text
-    #[arg(long)]
-    json: bool,
 }
 
 impl Args {
     /// Runs the subcommand.
     pub fn exec(self) -> Result<(), Report<Exit>> {
         let key = self.key;
+        let form = self.caller.form();
         let options = query::Options {
             server: self.server,
-            service: self.service,
-            body: self.body,
-            deadline_ms: self.deadline_ms,
+            service: self.caller.service,
+            body: self.caller.body,
+            deadline_ms: self.caller.deadline_ms,
             request_id: self.request_id,
             once: self.shard.map(|shard| query::Once { shard, key }),
             explain: self.explain,
-            form: operator::form(self.json),
+            form,
         };
         query::query(&options, &mut std::io::stdout())
     }
--- a/src/geraniummount/core/gossip.rs
+++ b/src/geraniummount/core/gossip.rs
@@ -1,5 +1,6 @@
 //! What VMs tell each other in datagrams.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use crate::prelude::*;
@@ -76,6 +77,16 @@
     Members,
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Source::Leaf => "the leaf",
+            Source::Health => "its health endpoint",
+            Source::Members => "the platform's list",
+        })
+    }
+}
+
 impl Notice {
     /// Whether this notice overrides `other` of the same leaf and source.
     pub fn overrides(&self, other: &Notice) -> bool {
--- a/src/geraniummount/edge/operator/refusal.rs
+++ b/src/geraniummount/edge/operator/refusal.rs
@@ -1,5 +1,6 @@
 //! Why an operator's request is refused, and how that is written.
 
+use std::fmt;
 use std::time::Duration;
 
 use rouille::Response;
@@ -98,58 +99,54 @@
     }
 
     fn body(&self) -> Value {
+        let mut body = json!({
+            "error": self.to_string(),
+            "faults": [],
+            "verdict": Verdict::NotRun,
+        });
         match self {
-            Refusal::Malformed(error) | Refusal::NotFound(error) => {
-                json!({"error": error, "faults": [], "verdict": Verdict::NotRun})
+            Refusal::Invalid(faults) => body["faults"] = json!(faults),
+            Refusal::Conflict { expected, actual } => {
+                body["expected"] = json!(expected);
+                body["actual"] = json!(actual);
             }
-            Refusal::Method { allowed } => json!({
-                "error": format!("no such method here; allowed: {allowed}"),
-                "faults": [],
-                "verdict": Verdict::NotRun,
-            }),
-            Refusal::TooLarge { limit } => json!({
-                "error": format!("the body is longer than {limit} bytes"),
-                "faults": [],
-                "verdict": Verdict::NotRun,
-            }),
-            Refusal::Invalid(faults) => json!({
-                "error": format!("the resource has {} fault(s)", faults.len()),
-                "faults": faults,
-                "verdict": Verdict::NotRun,
-            }),
-            Refusal::Conflict { expected, actual } => json!({
-                "error": format!(
-                    "the change was made for generation {expected}, but the resource has \
-                     generation {actual}"
-                ),
-                "faults": [],
-                "verdict": Verdict::NotRun,
-                "expected": expected,
-                "actual": actual,
-            }),
-            Refusal::Undecided { change } => json!({
-                "error": "the platform did not say whether the change took effect; read the \
-                          resource before sending it again",
-                "faults": [],
-                "verdict": Verdict::MayHaveRun,
-                "change": change.to_string(),
-            }),
-            Refusal::PlatformDown { retry_after } => waiting(
-                "the platform's key-value service does not answer; the change has not taken effect",
-                *retry_after,
-            ),
-            Refusal::Busy { retry_after } => {
-                waiting("too many operators' requests wait here", *retry_after)
+            Refusal::Undecided { change } => {
+                body["verdict"] = json!(Verdict::MayHaveRun);
+                body["change"] = json!(change.to_string());
+            }
+            Refusal::PlatformDown { retry_after } | Refusal::Busy { retry_after } => {
+                let millis = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                body["retry_after_ms"] = json!(millis);
             }
+            Refusal::Malformed(_)
+            | Refusal::NotFound(_)
+            | Refusal::Method { .. }
+            | Refusal::TooLarge { .. } => {}
         }
+        body
     }
 }
 
-fn waiting(error: &str, retry_after: Duration) -> Value {
-    json!({
-        "error": error,
-        "faults": [],
-        "verdict": Verdict::NotRun,
-        "retry_after_ms": u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
-    })
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Malformed(error) | Refusal::NotFound(error) => f.write_str(error),
+            Refusal::Method { allowed } => write!(f, "no such method here; allowed: {allowed}"),
+            Refusal::TooLarge { limit } => write!(f, "the body is longer than {limit} bytes"),
+            Refusal::Invalid(faults) => write!(f, "the resource has {} fault(s)", faults.len()),
+            Refusal::Conflict { expected, actual } => write!(
+                f,
+                "the change was made for generation {expected}, but the resource has \
+                 generation {actual}"
+            ),
+            Refusal::Undecided { .. } => f.write_str(
+                "the platform did not say whether the change took effect; read the resource \
+                 before sending it again",
+            ),
+            Refusal::PlatformDown { .. } => f.write_str(
+                "the platform's key-value service does not answer; the change has not taken effect",
+            ),
+            Refusal::Busy { .. } => f.write_str("too many operators' requests wait here"),
+        }
+    }
 }
--- a/src/geraniummount/edge/operator/server.rs
+++ b/src/geraniummount/edge/operator/server.rs
@@ -95,7 +95,7 @@
         let answer = Route::read(request).and_then(|route| self.carry_out(route, request));
         answer.unwrap_or_else(|refusal| {
             let (method, url) = (request.method(), request.url());
-            log::info!("operator: {method} {url} refused: {refusal:?}");
+            log::info!("operator: {method} {url} refused: {refusal}");
             refusal.response()
         })
     }
--- a/src/geraniummount/ops/control/mod.rs
+++ b/src/geraniummount/ops/control/mod.rs
@@ -236,7 +236,12 @@
             } => {
                 let actions = self.membership.note_leaf(&leaf, source, draining);
                 if !actions.is_empty() {
-                    info!("control: leaf {leaf} leaving: {draining}, as {source:?} says");
+                    let what = if draining {
+                        "is leaving"
+                    } else {
+                        "serves again"
+                    };
+                    info!("control: leaf {leaf} {what}, as {source} says");
                 }
                 actions
             }
