--- a/crates/geraniummount-test-support/src/leaf/behaviour.rs
+++ b/crates/geraniummount-test-support/src/leaf/behaviour.rs
@@ -162,7 +162,8 @@
     NoReply,
     /// Runs it and closes the connection in the middle of the reply.
     Truncated,
-    /// Runs it and echoes another attempt's id.
+    /// Runs it and sends the reply to another request that ran here, or, where
+    /// there was none, its own under another attempt's id.
     WrongAttempt,
     /// Runs it on another snapshot than asked, and says which.
     WrongSnapshot,
--- a/crates/geraniummount-test-support/src/leaf/server.rs
+++ b/crates/geraniummount-test-support/src/leaf/server.rs
@@ -223,7 +223,7 @@
         self.state.update(|state| state.finish(index, ending));
         let state = self.state.lock();
         Ok(match ending {
-            Ending::Done => answer(&state, request, work),
+            Ending::Done => answer(&state, &state.log[index]),
             Ending::Cancelled => self
                 .stamp(499, work.attempt, &state)
                 .with("Cancelled", "running"),
@@ -323,12 +323,22 @@
                 return Ok(Next::Close);
             }
             Some(Fault::WrongAttempt) => {
-                let other = response.clone().replace("Attempt-Id", work.attempt ^ 1);
-                self.connection.write(&other)?;
+                let other = self.reply_to_another(work);
+                let made_up = || response.clone().replace("Attempt-Id", work.attempt ^ 1);
+                self.connection.write(&other.unwrap_or_else(made_up))?;
             }
         }
         Ok(Next::Keep)
     }
+
+    /// Returns the whole reply to another request that ran here, the last one
+    /// where there are more.
+    fn reply_to_another(&self, work: &Work) -> Option<Response> {
+        let state = self.state.lock();
+        let mut others = state.log.iter().rev();
+        let other = others.find(|other| other.attempt != work.attempt);
+        other.map(|other| answer(&state, other))
+    }
 }
 
 fn execution(request: &Request, work: &Work) -> Execution {
@@ -345,20 +355,20 @@
 }
 
 /// The reply to work that was done; it names everything that a test can check.
-fn answer(state: &State, request: &Request, work: &Work) -> Response {
-    let query: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+fn answer(state: &State, ran: &Execution) -> Response {
+    let query: serde_json::Value = serde_json::from_str(&ran.body).unwrap_or_default();
     let body = json!({
         "leaf": state.name,
-        "shard": work.shard,
-        "snapshot": work.snapshot,
-        "request": request.header("Request-Id"),
-        "attempt": work.attempt,
+        "shard": ran.shard,
+        "snapshot": ran.snapshot,
+        "request": ran.request,
+        "attempt": ran.attempt,
         "query": query,
         "padding": "x".repeat(state.behaviour.padding_bytes),
     });
     Response::json(200, &body)
-        .with("Attempt-Id", work.attempt)
-        .with("Snapshot", work.snapshot)
+        .with("Attempt-Id", ran.attempt)
+        .with("Snapshot", ran.snapshot)
         .with("Leaf-State", state.behaviour.state.as_str())
 }
 
