Prove an hour's cut, clocks that differ and exit code 10

Cause: the longest cut of a test was a minute, clocks that differ had no case beyond the margin itself, and nothing brought exit code 10 about.

Ruled out: real processes for the hour; the decisions of membership are in core, where time is a parameter.

Conclusion: clocks that differ by 5 min or less keep the window of 15 min; a clock that is behind by 20 min or more leaves a key without protection.

--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -5,7 +5,7 @@
 use std::process::Command;
 
 use geraniummount_test_support::fleet::{Fleet, Plan};
-use geraniummount_test_support::leaf::Behaviour;
+use geraniummount_test_support::leaf::{Behaviour, Fault};
 use geraniummount_test_support::platform::Outage;
 use serde_json::json;
 
@@ -325,6 +325,13 @@
     },
 ];
 
+const RAN: &[Case] = &[Case {
+    name: "answers that all were read from another snapshot",
+    arguments: &["query", "desk", "--deadline-ms", "2000"],
+    code: 10,
+    prints: "it ran, but the answer was lost",
+}];
+
 #[test]
 fn queries_tell_what_became_of_them() {
     let files = Files::new("queries");
@@ -348,5 +355,10 @@
         "max_deadline_ms": 20_000,
     });
     fleet.apply_with_leaves(entry, &[service]);
-    check(&files, &fleet.vm(entry).caller.to_string(), QUERIES);
+    let server = fleet.vm(entry).caller.to_string();
+    check(&files, &server, QUERIES);
+    for other in &fleet.leaves {
+        other.leaf.inject_always(Some(Fault::WrongSnapshot));
+    }
+    check(&files, &server, RAN);
 }
--- a/tests/testsuite/control_claims.rs
+++ b/tests/testsuite/control_claims.rs
@@ -194,6 +194,11 @@
         answer: Option<Answer>,
     }
     let kept_ms = (WINDOW + CLOCK_MARGIN).as_millis() as u64;
+    // Claimed some minutes ago, by a clock that is behind by some minutes.
+    let skewed = |ago: i64, behind: i64| {
+        let at_ms = NOW_MS.checked_add_signed(-(ago + behind) * 60_000);
+        Some((8, at_ms.expect("a time")))
+    };
     let cases = [
         Case {
             name: "free: has to be written",
@@ -220,6 +225,26 @@
             held: Some((8, NOW_MS - kept_ms)),
             answer: None,
         },
+        Case {
+            name: "clocks that differ by less than the margin: refused for the window",
+            held: skewed(14, 5),
+            answer: Some(Answer::Duplicate),
+        },
+        Case {
+            name: "clocks that differ by more than the margin: refused less long",
+            held: skewed(14, 6),
+            answer: None,
+        },
+        Case {
+            name: "a clock that is behind by window and margin: not refused at all",
+            held: skewed(0, 20),
+            answer: None,
+        },
+        Case {
+            name: "a clock an hour ahead: refused for an hour more",
+            held: skewed(79, -60),
+            answer: Some(Answer::Duplicate),
+        },
     ];
     for case in cases {
         let mut claims = Claims::default();
--- a/tests/testsuite/control_membership.rs
+++ b/tests/testsuite/control_membership.rs
@@ -66,19 +66,36 @@
 
     fn start(&mut self) -> usize {
         let index = self.vms.len();
+        self.vms.push(None);
+        self.launch(index, 1);
+        index
+    }
+
+    /// Starts the process of a VM, without what an earlier one knew.
+    fn launch(&mut self, index: usize, incarnation: u64) {
         let me = Vm {
             name: format!("vm-{index}"),
             failure_domain: domain_of(index).to_owned(),
             peer_address: address(index),
-            incarnation: 1,
+            incarnation,
             state: State::Live,
             revision: 0,
         };
         let first_peers = vec![address(0), address(1)];
         let mut membership = Membership::new(me, first_peers, index as u64, self.now);
         membership.expect(DOMAINS.map(str::to_owned).to_vec());
-        self.vms.push(Some(membership));
-        index
+        self.vms[index] = Some(membership);
+    }
+
+    /// Tells one VM of an accepted change.
+    fn accept(&mut self, index: usize, revision: u64) {
+        let actions = self.vm(index).set_revision(revision);
+        self.perform(index, actions);
+    }
+
+    /// Whether all VMs know each other and have a revision in force.
+    fn agrees_on(&self, revision: u64) -> bool {
+        self.agrees() && self.running().all(|vm| vm.me().revision == revision)
     }
 
     fn vm(&mut self, index: usize) -> &mut Membership {
@@ -288,6 +305,21 @@
             limit: Duration::from_secs(60),
             wanted: Network::agrees,
         },
+        Case {
+            name: "an hour's cut, while VMs restart and changes reach both sides",
+            act: |network| {
+                network.cut = Some("west");
+                for round in 1..=12 {
+                    network.launch(round % 9, 1 + round as u64);
+                    network.accept(2, 2 * round as u64 - 1);
+                    network.accept(3, 2 * round as u64);
+                    network.run(Duration::from_secs(300));
+                }
+                network.cut = None;
+            },
+            limit: Duration::from_secs(60),
+            wanted: |network| network.agrees_on(24),
+        },
     ]
 }
 
@@ -310,11 +342,10 @@
         Case {
             name: "a new revision is known everywhere",
             act: |network| {
-                let actions = network.vm(4).set_revision(7);
-                network.perform(4, actions);
+                network.accept(4, 7);
             },
             limit: Duration::from_secs(2),
-            wanted: |network| network.running().all(|vm| vm.me().revision == 7),
+            wanted: |network| network.agrees_on(7),
         },
     ]
 }
@@ -366,8 +397,7 @@
                 4 => network.cut = None,
                 _ => {
                     revision += 1;
-                    let actions = network.vm(0).set_revision(revision);
-                    network.perform(0, actions);
+                    network.accept(0, revision);
                 }
             }
             network.run(Duration::from_secs(4));
@@ -380,8 +410,7 @@
             network.start();
         }
         network.run_until(Duration::from_secs(90), "agreement", Network::agrees);
-        network.run_until(Duration::from_secs(5), "revision", |network| {
-            network.running().all(|vm| vm.me().revision == revision)
-        });
+        let limit = Duration::from_secs(5);
+        network.run_until(limit, "revision", |network| network.agrees_on(revision));
     }
 }
