Bound what operators' requests may cost

Cause of a fault found: one request to the operators' listener, GET /health with Content-Length:, ended the whole VM (exit by signal 6): the server below rouille allocates the length that an unread body claims. 16 requests whose body never came, PUT or GET, held all 16 workers for good: GET /health then had no answer within 5 s.

Ruled out: a read limit on the socket, a bound on bodies at once or a limit in our handler. rouille makes its listener itself, and the server below it reads what is left of a body after our handler has returned.

Change: operators' connections are served as callers' are, by edge::http (moved from edge::caller): a head of 16 KiB, a body of 1 MiB within 5 s, 64 connections. rouille keeps the form of requests and responses. A body that comes too slowly is answered with 408, one too long with 413, both not-run.

Result: callers_listener::operators_oversized_and_slow_bodies_hold_nobody: 48 slow bodies and two absurd lengths; health and a caller's query are answered meanwhile.

Conclusion: no sender holds the operators' listener for longer than 60 s, and none touches callers.

--- a/src/geraniummount/edge/caller/ask.rs
+++ b/src/geraniummount/edge/caller/ask.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::http::Request;
 use crate::core::layout::Layout;
+use crate::edge::http::{Fault, Request};
 use crate::prelude::*;
 
 /// Longest name that a caller may give.
@@ -42,15 +42,6 @@
     },
 }
 
-/// Why a request is not fit to be run.
-#[derive(Clone, Debug)]
-pub(super) struct Fault {
-    /// Status code.
-    pub(super) status: u16,
-    /// What was wrong and what to do.
-    pub(super) reason: String,
-}
-
 impl Ask {
     /// Checks a request against the configuration.
     pub(super) fn new(
@@ -80,16 +71,6 @@
     }
 }
 
-impl Fault {
-    /// Makes a fault.
-    pub(super) fn new(status: u16, reason: impl Into<String>) -> Fault {
-        Fault {
-            status,
-            reason: reason.into(),
-        }
-    }
-}
-
 /// Reads the request's name; `drawn` is used where it has none.
 pub(super) fn read_request_id(http: &Request, drawn: RequestId) -> Result<RequestId, Fault> {
     let Some(name) = http.header("request-id") else {
--- a/src/geraniummount/edge/caller/mod.rs
+++ b/src/geraniummount/edge/caller/mod.rs
@@ -5,7 +5,6 @@
 //! run, with a time to come back. A sender that is slow loses its connection.
 
 mod ask;
-mod http;
 mod response;
 mod run;
 mod serve;
@@ -23,12 +22,12 @@
 use futures::channel::oneshot;
 use futures::future::FutureExt;
 
-use self::http::{Bounds, Stop};
 use self::serve::Handler;
 use self::shared::{Permit, Shared};
 use crate::core::traffic::Traffic;
 use crate::edge::claims::Claims;
 use crate::edge::dispatcher::Dispatcher;
+use crate::edge::http::{self, Bounds, Stop};
 use crate::edge::metrics::Metrics;
 use crate::prelude::*;
 use crate::util::published::Published;
--- a/src/geraniummount/edge/caller/response.rs
+++ b/src/geraniummount/edge/caller/response.rs
@@ -4,9 +4,8 @@
 
 use serde_json::{Value, json};
 
-use super::ask::Fault;
-use super::http::Response;
 use crate::core::answer::{Answer, Trace};
+use crate::edge::http::{Fault, Response};
 use crate::prelude::*;
 
 /// Writes an answer. Bodies of leaves go in unchanged.
@@ -66,9 +65,12 @@
 }
 
 fn refusal(status: u16, body: Value, verdict: Verdict, wait: Option<Duration>) -> Response {
-    let mut headers = vec![("Verdict", verdict.as_str().to_owned())];
+    let mut headers = vec![("Verdict".into(), verdict.as_str().to_owned())];
     if let Some(wait) = wait {
-        headers.push(("Retry-After", millis(wait).div_ceil(1000).to_string()));
+        headers.push((
+            "Retry-After".into(),
+            millis(wait).div_ceil(1000).to_string(),
+        ));
     }
     Response {
         status,
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -5,8 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::ask::{self, Ask, Fault, Mode};
-use super::http::{Caller, Request, Response};
+use super::ask::{self, Ask, Mode};
 use super::response;
 use super::run::{Machine, Run};
 use super::shared::{Permit, Shared};
@@ -16,6 +15,7 @@
 use crate::core::fan_out::{Counters, FanOut, Query};
 use crate::core::margin;
 use crate::edge::claims::Claims;
+use crate::edge::http::{Caller, Fault, Request, Response};
 use crate::edge::metrics::{Ending, Try};
 use crate::prelude::*;
 
--- a/src/geraniummount/edge/caller/http.rs
+++ b/src/geraniummount/edge/http.rs
@@ -1,11 +1,13 @@
 //! HTTP/1.1 on one connection, by `hyper`, with bounds on sizes and times.
 //!
-//! `rouille` serves operators, but does not fit callers, who are not trusted
-//! as far: the server below it reads a request's head without a limit, waits
-//! for a body without a time limit, allocates whatever length a request it
-//! turns away claims to have, and can't end a kept-alive connection between
-//! two requests, so that a planned stop would cut off the next one.
-
+//! Serves callers and operators. The server of `rouille` fits neither: it reads
+//! a request's head without a limit, waits for a body without a time limit,
+//! allocates whatever length a request that it turns away claims to have, which
+//! ends the process where there is not as much memory, and can't end a kept-alive
+//! connection between two requests, so that a planned stop would cut off the
+//! next one.
+
+use std::borrow::Cow;
 use std::convert::Infallible;
 use std::io;
 use std::net::TcpStream;
@@ -17,14 +19,12 @@
 use futures::future::{Either, Shared, select};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use socket2::SockRef;
 
-use super::ask::Fault;
-
 /// Longest head of a request.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -59,17 +59,36 @@
     }
 }
 
-/// A response with a JSON body.
+/// A response, with a JSON body unless its headers say otherwise.
 #[derive(Clone, Debug)]
 pub(super) struct Response {
     /// Status code.
     pub(super) status: u16,
     /// Further header lines.
-    pub(super) headers: Vec<(&'static str, String)>,
-    /// JSON body.
+    pub(super) headers: Vec<(Cow<'static, str>, String)>,
+    /// Body.
     pub(super) body: Vec<u8>,
 }
 
+/// Why a request is not fit to be run.
+#[derive(Clone, Debug)]
+pub(super) struct Fault {
+    /// Status code.
+    pub(super) status: u16,
+    /// What was wrong and what to do.
+    pub(super) reason: String,
+}
+
+impl Fault {
+    /// Makes a fault.
+    pub(super) fn new(status: u16, reason: impl Into<String>) -> Fault {
+        Fault {
+            status,
+            reason: reason.into(),
+        }
+    }
+}
+
 /// Bounds on one request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Bounds {
@@ -170,7 +189,8 @@
     let headers = written.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     for (name, value) in response.headers {
-        if let Ok(value) = HeaderValue::from_str(&value) {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&value)) {
             headers.insert(name, value);
         }
     }
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -6,6 +6,7 @@
 pub mod dispatcher;
 pub mod executor;
 pub mod gossip;
+mod http;
 pub mod leaf;
 pub mod metrics;
 pub mod operator;
--- a/src/geraniummount/edge/operator/mod.rs
+++ b/src/geraniummount/edge/operator/mod.rs
@@ -7,11 +7,11 @@
 //! may hold one.
 
 mod listing;
+mod places;
 mod process;
 mod refusal;
 mod route;
 mod server;
-mod watches;
 
 pub use self::process::{Process, Source};
 pub use self::refusal::Refusal;
--- a/src/geraniummount/edge/operator/refusal.rs
+++ b/src/geraniummount/edge/operator/refusal.rs
@@ -23,10 +23,12 @@
         /// Methods that it has.
         allowed: &'static str,
     },
-    /// The body is longer than is read, in bytes.
-    TooLarge {
-        /// Longest body.
-        limit: usize,
+    /// The request was not read to its end.
+    Unread {
+        /// Status code.
+        status: u16,
+        /// What was wrong and what to do.
+        reason: String,
     },
     /// The resource is not valid.
     Invalid(Vec<Fault>),
@@ -90,7 +92,7 @@
             Refusal::Malformed(_) => 400,
             Refusal::NotFound(_) => 404,
             Refusal::Method { .. } => 405,
-            Refusal::TooLarge { .. } => 413,
+            Refusal::Unread { status, .. } => *status,
             Refusal::Invalid(_) => 422,
             Refusal::Conflict { .. } => 409,
             Refusal::Undecided { .. } => 202,
@@ -121,7 +123,7 @@
             Refusal::Malformed(_)
             | Refusal::NotFound(_)
             | Refusal::Method { .. }
-            | Refusal::TooLarge { .. } => {}
+            | Refusal::Unread { .. } => {}
         }
         body
     }
@@ -130,9 +132,10 @@
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Refusal::Malformed(error) | Refusal::NotFound(error) => f.write_str(error),
+            Refusal::Malformed(reason)
+            | Refusal::NotFound(reason)
+            | Refusal::Unread { reason, .. } => f.write_str(reason),
             Refusal::Method { allowed } => write!(f, "no such method here; allowed: {allowed}"),
-            Refusal::TooLarge { limit } => write!(f, "the body is longer than {limit} bytes"),
             Refusal::Invalid(faults) => write!(f, "the resource has {} fault(s)", faults.len()),
             Refusal::Conflict { expected, actual } => write!(
                 f,
--- a/src/geraniummount/edge/operator/server.rs
+++ b/src/geraniummount/edge/operator/server.rs
@@ -1,33 +1,49 @@
 //! The operators' listener.
-
-use std::io::Read;
-use std::net::SocketAddr;
+//!
+//! `rouille` gives the form of requests and responses; they are read and
+//! written within bounds by [`http`]. Each connection has a thread, and their
+//! number is bounded.
+
+use std::convert::Infallible;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::mpsc::{Sender, TryRecvError, channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use futures::channel::oneshot;
+use futures::future::FutureExt;
+use hyper::header::HeaderValue;
 use rouille::{Request, Response};
 use serde_json::json;
 
 use super::listing::{Changes, Item, Listing};
+use super::places::Places;
 use super::process::Process;
 use super::refusal::Refusal;
 use super::route::Route;
-use super::watches::Watches;
 use crate::core::resource::Kind;
+use crate::edge::http::{self, Bounds, Stop};
 use crate::prelude::*;
 
-const WORKERS: usize = 16;
+/// Connections at once; one more is closed.
+const MAX_CONNECTIONS: usize = 64;
 
-/// Watches that may wait at once; the other workers stay free for changes.
+/// Watches that may wait at once; the other connections stay free for changes.
 const MAX_WATCHES: usize = 8;
 
-/// Longest body of a change.
-const MAX_BODY_BYTES: usize = 1 << 20;
+/// Bounds on a request. Those who wait or are slow lose their connection.
+const BOUNDS: Bounds = Bounds {
+    body_bytes: 1 << 20,
+    body: Duration::from_secs(5),
+    head: Duration::from_secs(60),
+};
+
+/// Pause after the system refused a connection or a thread.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// How often the listener looks whether it is to stop.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Longest wait of a stop for its own connection.
+const WAKE_LIMIT: Duration = Duration::from_secs(1);
 
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -35,36 +51,30 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    stop: Option<Sender<()>>,
+    stop: Option<oneshot::Sender<Infallible>>,
     thread: Option<JoinHandle<()>>,
 }
 
 /// What every request needs.
 struct Context {
     process: Process,
-    watches: Watches,
+    connections: Places,
+    watches: Places,
 }
 
 impl Server {
     /// Listens on `listen`; port 0 takes any free port.
-    pub fn start(
-        listen: SocketAddr,
-        process: Process,
-    ) -> Result<Server, Box<dyn std::error::Error + Send + Sync>> {
+    pub fn start(listen: SocketAddr, process: Process) -> io::Result<Server> {
         let context = Arc::new(Context {
             process,
-            watches: Watches::new(MAX_WATCHES),
+            connections: Places::new(MAX_CONNECTIONS),
+            watches: Places::new(MAX_WATCHES),
         });
-        let server = rouille::Server::new(listen, move |request| context.answer(request))?;
-        let server = server.pool_size(WORKERS);
-        let address = server.server_addr();
-        let (stop, stopped) = channel();
-        let thread = std::thread::Builder::new().name("operator".to_string());
-        let thread = thread.spawn(move || {
-            while stopped.try_recv() == Err(TryRecvError::Empty) {
-                server.poll_timeout(POLL_PERIOD);
-            }
-        })?;
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let stopped = stopped.shared();
+        let thread = spawn(move || accept(&listener, &context, &stopped))?;
         log::info!("operator: listening on {address}");
         Ok(Server {
             address,
@@ -82,6 +92,8 @@
 impl Drop for Server {
     fn drop(&mut self) {
         drop(self.stop.take());
+        // Wakes the accepting thread.
+        drop(TcpStream::connect_timeout(&self.address, WAKE_LIMIT));
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
@@ -90,7 +102,45 @@
     }
 }
 
+fn spawn(task: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    let thread = std::thread::Builder::new().name("operator".to_string());
+    thread.spawn(task)
+}
+
+fn accept(listener: &TcpListener, context: &Arc<Context>, stop: &Stop) {
+    loop {
+        let accepted = listener.accept();
+        if stop.clone().now_or_never().is_some() {
+            return;
+        }
+        let (context, stop) = (Arc::clone(context), stop.clone());
+        let serve = |(stream, _)| spawn(move || context.serve(stream, stop));
+        if let Err(error) = accepted.and_then(serve) {
+            log::warn!("operator: can't serve a connection: {error}");
+            std::thread::sleep(ACCEPT_PAUSE);
+        }
+    }
+}
+
 impl Context {
+    fn serve(&self, stream: TcpStream, stop: Stop) {
+        let Some(_place) = self.connections.enter() else {
+            return;
+        };
+        let served = http::serve(stream, BOUNDS, stop, |request, _| {
+            let response = match request {
+                Ok(request) => self.answer(&convert(request)),
+                Err(http::Fault { status, reason }) => {
+                    Refusal::Unread { status, reason }.response()
+                }
+            };
+            Some(write(response))
+        });
+        if let Err(error) = served {
+            log::debug!("operator: a connection was lost at once: {error}");
+        }
+    }
+
     fn answer(&self, request: &Request) -> Response {
         let answer = Route::read(request).and_then(|route| self.carry_out(route, request));
         answer.unwrap_or_else(|refusal| {
@@ -163,16 +213,36 @@
     Response::json(&json!({"state": "serving"}))
 }
 
-/// Reads the body, up to the limit.
+/// Reads the body.
 fn body(request: &Request) -> Result<String, Refusal> {
-    let limit = MAX_BODY_BYTES;
-    let mut bytes = Vec::new();
+    let mut text = String::new();
     let data = request.data();
-    let data = data.ok_or_else(|| Refusal::Malformed("the body was read before".to_string()))?;
-    let read = data.take(limit as u64 + 1).read_to_end(&mut bytes);
-    read.map_err(|cause| Refusal::Malformed(format!("the body can't be read: {cause}")))?;
-    if bytes.len() > limit {
-        return Err(Refusal::TooLarge { limit });
+    let mut data =
+        data.ok_or_else(|| Refusal::Malformed("the body was read before".to_string()))?;
+    let read = data.read_to_string(&mut text);
+    read.map_err(|_| Refusal::Malformed("the body is not UTF-8".to_string()))?;
+    Ok(text)
+}
+
+fn convert(request: http::Request) -> Request {
+    let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+    let headers = request.headers.iter();
+    let headers = headers.map(|(name, value)| (name.to_string(), text(value)));
+    let url = format!("{}?{}", request.path, request.query);
+    Request::fake_http(request.method, url, headers.collect(), request.body)
+}
+
+fn write(response: Response) -> http::Response {
+    let mut body = Vec::new();
+    let (mut data, _) = response.data.into_reader_and_size();
+    if let Err(error) = data.read_to_end(&mut body) {
+        log::error!("operator: a response can't be written: {error}");
+    }
+    let headers = response.headers.into_iter();
+    let headers = headers.map(|(name, value)| (name, value.into_owned()));
+    http::Response {
+        status: response.status_code,
+        headers: headers.collect(),
+        body,
     }
-    String::from_utf8(bytes).map_err(|_| Refusal::Malformed("the body is not UTF-8".to_string()))
 }
--- a/tests/testsuite/callers_listener.rs
+++ b/tests/testsuite/callers_listener.rs
@@ -1,4 +1,5 @@
-//! The callers' listener: bad requests, slow senders and a planned stop.
+//! The callers' listener: bad requests, slow senders and a planned stop; and
+//! slow senders at the operators' listener.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -276,6 +277,42 @@
     assert!(single.server.stop());
 }
 
+#[test]
+fn operators_oversized_and_slow_bodies_hold_nobody() {
+    const SLOW: usize = 24;
+    let single = Single::start();
+    let operators = single.server.operator_address();
+    let begin = |method: &str, length: u64| {
+        let mut stream = TcpStream::connect(operators).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let head = format!("{method} /v1/resources/leaf/l1 HTTP/1.1\r\nHost: a\r\n");
+        let rest = format!("Content-Length: {length}\r\n\r\n{{");
+        stream
+            .write_all(format!("{head}{rest}").as_bytes())
+            .unwrap();
+        stream
+    };
+    let slow: Vec<TcpStream> = ["GET", "PUT"]
+        .iter()
+        .flat_map(|method| (0..SLOW).map(|_| begin(method, 5_000)))
+        .collect();
+    for method in ["GET", "PUT"] {
+        let answer = read_answer(&mut begin(method, 99_999_999_999_999));
+        assert_eq!(answer.status, 413, "{method}: {}", answer.body);
+    }
+    let health = exchange(operators, &request("GET", "/health", "", ""));
+    assert_eq!(health.status, 200, "{}", health.body);
+    let query = request("POST", DESK, "", "{}");
+    let answer = exchange(single.server.caller_address(), &query);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    for mut stream in slow {
+        let answer = read_answer(&mut stream);
+        assert_eq!(answer.status, 408, "{}", answer.body);
+        assert!(answer.body.contains("not-run"), "{}", answer.body);
+    }
+    assert!(single.server.stop());
+}
+
 #[test]
 fn callers_connection_is_kept_and_ends_without_cutting_a_request() {
     let single = Single::start();
--- a/tests/testsuite/control_claims.rs
+++ b/tests/testsuite/control_claims.rs
@@ -186,19 +186,16 @@
     }
 }
 
+/// A claim of attempt 7 on a key that may be held by an attempt since a time.
+struct Case {
+    name: &'static str,
+    held: Option<(AttemptId, u64)>,
+    answer: Option<Answer>,
+}
+
 #[test]
 fn a_claim_ends_as_the_value_says() {
-    struct Case {
-        name: &'static str,
-        held: Option<(AttemptId, u64)>,
-        answer: Option<Answer>,
-    }
     let kept_ms = (WINDOW + CLOCK_MARGIN).as_millis() as u64;
-    // Claimed some minutes ago, by a clock that is behind by some minutes.
-    let skewed = |ago: i64, behind: i64| {
-        let at_ms = NOW_MS.checked_add_signed(-(ago + behind) * 60_000);
-        Some((8, at_ms.expect("a time")))
-    };
     let cases = [
         Case {
             name: "free: has to be written",
@@ -225,6 +222,18 @@
             held: Some((8, NOW_MS - kept_ms)),
             answer: None,
         },
+    ];
+    check(&cases);
+}
+
+#[test]
+fn clocks_that_differ_change_how_long_a_key_is_refused() {
+    // Claimed some minutes ago, by a clock that is behind by some minutes.
+    let skewed = |ago: i64, behind: i64| {
+        let at_ms = NOW_MS.checked_add_signed(-(ago + behind) * 60_000);
+        Some((8, at_ms.expect("a time")))
+    };
+    let cases = [
         Case {
             name: "clocks that differ by less than the margin: refused for the window",
             held: skewed(14, 5),
@@ -246,6 +255,10 @@
             answer: Some(Answer::Duplicate),
         },
     ];
+    check(&cases);
+}
+
+fn check(cases: &[Case]) {
     for case in cases {
         let mut claims = Claims::default();
         let wanted = Claim {
