Share the tests' fleets, and stop a VM with requests that outlive its linger

Change: the fleets balanced and scene with their callers, troubles and the bound on cases at once stand in the test-support crate beside the fleet that they start; they hold no check. The long requests take 2.8 s.

--- a/tests/testsuite/balanced.rs
+++ b/crates/geraniummount-test-support/src/balanced.rs
@@ -11,14 +11,16 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use geraniummount_test_support::client::Client;
-use geraniummount_test_support::fleet::{Fleet, PATIENCE, Plan, wait_until};
-use geraniummount_test_support::leaf::{Behaviour, Delay};
-use geraniummount_test_support::proxy::Link;
 use serde_json::{Value, json};
 
-use crate::scene::Permit;
+use crate::cases::Permit;
+use crate::client::Client;
+use crate::fleet::{Fleet, PATIENCE, Plan, wait_until};
+use crate::leaf::{Behaviour, Delay};
+use crate::process;
+use crate::proxy::Link;
 
+/// Failure domains, each with two VMs.
 pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const VMS_PER_DOMAIN: usize = 2;
 const SHARDS: usize = 4;
@@ -47,7 +49,7 @@
         jitter: Duration::from_millis(1),
         ..Link::default()
     };
-    let mut plan = Plan::new(env!("CARGO_BIN_EXE_geraniummount"))
+    let mut plan = Plan::new(process::binary("geraniummount"))
         .seed(seed)
         .settings(LIMITS)
         .between(link);
@@ -90,6 +92,7 @@
     service("orders", vec![shard])
 }
 
+/// A service with the fleet's deadlines.
 pub fn service(name: &str, shards: Vec<Value>) -> Value {
     json!({
         "name": name,
@@ -124,8 +127,11 @@
 /// A request and what its caller was told.
 #[derive(Clone, Debug)]
 pub struct Record {
+    /// What was sent.
     pub kind: Kind,
+    /// Request id.
     pub id: String,
+    /// VM to which it was sent.
     pub target: SocketAddr,
     /// Status and body; the error where no whole reply came.
     pub reply: Result<(u16, Value), String>,
--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -4,14 +4,23 @@
 //! `docs/PLATFORM_API.md` and can be told to fail; [`proxy`] stands for the
 //! network in front of one listener; [`fleet`] starts real processes between
 //! them; [`deployment`] holds the users' two deployments as resources.
+//!
+//! [`scene`] and [`balanced`] are the two fleets in which the promises are tried,
+//! with callers ([`load`]) and what befalls them ([`trouble`]); [`cases`] bounds
+//! how many of them run at once.
 
+pub mod balanced;
+pub mod cases;
 pub mod client;
 pub mod deployment;
 pub mod fleet;
 mod http;
 pub mod leaf;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod scene;
 mod signal;
+pub mod trouble;
 pub mod usage;
--- a/tests/testsuite/load.rs
+++ b/crates/geraniummount-test-support/src/load.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use geraniummount_test_support::client::{Client, Reply};
-use geraniummount_test_support::leaf::Fault;
 use serde_json::{Value, json};
 
+use crate::client::{Client, Reply};
+use crate::leaf::Fault;
 use crate::scene::Scene;
 use crate::trouble::Trouble;
 
--- a/crates/geraniummount-test-support/src/process.rs
+++ b/crates/geraniummount-test-support/src/process.rs
@@ -3,7 +3,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,6 +19,14 @@
 const PATIENCE: Duration = Duration::from_secs(120);
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// Returns a program of the build to which the running test belongs, which
+/// stands in the folder above the test's own.
+pub fn binary(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the test's path");
+    let folder = test.ancestors().nth(2).expect("a folder of the build");
+    folder.join(name)
+}
+
 /// A started process; dropping it ends it.
 #[derive(Debug)]
 pub struct Process {
--- a/tests/testsuite/scene.rs
+++ b/crates/geraniummount-test-support/src/scene.rs
@@ -6,14 +6,16 @@
 //! `orders` has one shard with both replicas in `far`, so that a request which
 //! is sent again where it must not be has somewhere to go.
 
-use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use geraniummount_test_support::fleet::{Fleet, PATIENCE, Plan, wait_until};
-use geraniummount_test_support::leaf::{Behaviour, Delay, Execution};
-use geraniummount_test_support::proxy::Link;
 use serde_json::{Value, json};
 
+pub use crate::cases::{Permit, for_each};
+use crate::fleet::{Fleet, PATIENCE, Plan, wait_until};
+use crate::leaf::{Behaviour, Delay, Execution};
+use crate::process;
+use crate::proxy::Link;
+
 /// VM where most requests enter.
 pub const ENTRY: &str = "near-1";
 
@@ -35,13 +37,6 @@
 /// Time for bytes that a cut or a freeze held back to arrive and be handled.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
-/// Scenes that run at once on a machine of ten cores.
-const MOST_SCENES: usize = 6;
-
-/// Scenes that run now.
-static SCENES: Mutex<usize> = Mutex::new(0);
-static SCENE_ENDED: Condvar = Condvar::new();
-
 /// The fleet with its leaves declared and serving.
 pub struct Scene {
     /// The fleet.
@@ -49,40 +44,6 @@
     _permit: Permit,
 }
 
-/// The right to run a scene.
-pub struct Permit;
-
-impl Permit {
-    /// Waits for the right to run a scene.
-    pub fn take() -> Permit {
-        let scenes = SCENES.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = SCENE_ENDED.wait_while(scenes, |scenes| *scenes >= MOST_SCENES);
-        *waited.unwrap_or_else(PoisonError::into_inner) += 1;
-        Permit
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        *SCENES.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        SCENE_ENDED.notify_one();
-    }
-}
-
-/// Runs a check for each case, as many at once as scenes may run.
-pub fn for_each<C: std::fmt::Debug + Sync>(cases: &[C], check: impl Fn(&C) + Sync) {
-    let failed: Vec<String> = std::thread::scope(|scope| {
-        let runs: Vec<_> = cases
-            .iter()
-            .map(|case| (case, scope.spawn(|| check(case))))
-            .collect();
-        let ended = runs.into_iter().map(|(case, run)| (case, run.join()));
-        let failed = ended.filter(|(_, end)| end.is_err());
-        failed.map(|(case, _)| format!("{case:?}")).collect()
-    });
-    assert!(failed.is_empty(), "failed cases: {failed:?}");
-}
-
 impl Scene {
     /// Starts the fleet and waits until it serves whole answers.
     pub fn start(seed: u64) -> Scene {
@@ -161,7 +122,7 @@
 }
 
 fn plan(seed: u64) -> Plan {
-    let mut plan = Plan::new(env!("CARGO_BIN_EXE_geraniummount"))
+    let mut plan = Plan::new(process::binary("geraniummount"))
         .seed(seed)
         .domain("near", 1)
         .domain("far", 2)
--- a/tests/testsuite/trouble.rs
+++ b/crates/geraniummount-test-support/src/trouble.rs
@@ -1,10 +1,9 @@
 //! Troubles that begin and end in a scene: kills, freezes, cuts, silent
 //! connections and outages of the platform.
 
-use geraniummount_test_support::fleet::{Fleet, Place};
-use geraniummount_test_support::platform::Outage;
-use geraniummount_test_support::proxy::Flow;
-
+use crate::fleet::{Fleet, Place};
+use crate::platform::Outage;
+use crate::proxy::Flow;
 use crate::scene::{ENTRY, OWNERS};
 
 /// Writes of the platform's service that lose their reply.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,7 +1,8 @@
 //! Integration tests.
 
+use geraniummount_test_support::{balanced, load, scene, trouble};
+
 mod bad_input;
-mod balanced;
 mod callers_listener;
 mod command_line;
 mod control_change_log;
@@ -13,7 +14,6 @@
 mod fan_out;
 mod leaf_edge;
 mod leaf_queue;
-mod load;
 mod node;
 mod operators_listener;
 mod path;
@@ -28,9 +28,7 @@
 mod promise_snapshot;
 mod readiness;
 mod sample;
-mod scene;
 mod seeded;
 mod settings;
 mod stand_ins;
 mod takeover;
-mod trouble;
--- a/tests/testsuite/promise_graceful_stop.rs
+++ b/tests/testsuite/promise_graceful_stop.rs
@@ -9,6 +9,10 @@
 use crate::balanced::{self, Callers, Kind, Record};
 use crate::scene::for_each;
 
+/// Time of a request that a VM has to wait for, as it outlives the 1.5 s for
+/// which a VM that stops still serves; below the services' deadline.
+const LONGER_THAN_LINGER: Duration = Duration::from_millis(2_800);
+
 /// What goes on beside the planned stops.
 #[derive(Clone, Copy, Debug)]
 enum Beside {
@@ -135,7 +139,7 @@
     let (_permit, mut fleet) = balanced::start(300);
     let [stopped, entry] = ["a", "b"].map(|domain| fleet.vms_in(domain)[0].clone());
     for other in &fleet.leaves {
-        let slow = Delay::fixed(Duration::from_millis(1_500));
+        let slow = Delay::fixed(LONGER_THAN_LINGER);
         other.leaf.change(|behaviour| behaviour.delay = slow);
     }
     // Some enter at the VM that stops; some only pass through it as owner.
