Report a load run by the second, with its extra load and a picture

Cause: `load` told totals only.

The file is created before the run; a VM that is killed during it is left out and named.

Conclusion: a drill explains itself without a second tool.

--- a/src/bin/geraniummount/commands/load.rs
+++ b/src/bin/geraniummount/commands/load.rs
@@ -1,6 +1,7 @@
 //! `geraniummount load`.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -12,6 +13,7 @@
 const EXAMPLES: &str = "\
 Examples:
   geraniummount load shelf --rate 100 --seconds 10
+  geraniummount load shelf --seconds 60 --operator 10.0.0.5:9090 --timeline --plot run.svg
   geraniummount load shelf --server 10.0.0.5:8080 --server 10.0.0.6:8080 --deadline-ms 200";
 
 /// Sends queries at a steady rate and shows latency, coverage and refusals.
@@ -39,6 +41,18 @@
     #[arg(env = "GERANIUMMOUNT_CALLER", long, value_name = "IP:PORT")]
     #[arg(default_value = "127.0.0.1:8080")]
     server: Vec<SocketAddr>,
+
+    /// Operators' listeners of all VMs, to show the extra load on leaves
+    #[arg(long, value_name = "IP:PORT")]
+    operator: Vec<SocketAddr>,
+
+    /// Show each second of the run
+    #[arg(long)]
+    timeline: bool,
+
+    /// Draw the run into an SVG file
+    #[arg(long, value_name = "FILE")]
+    plot: Option<PathBuf>,
 }
 
 impl Args {
@@ -53,6 +67,9 @@
             rate: self.rate,
             length: Duration::from_secs(self.seconds),
             open: self.open.into(),
+            operators: self.operator,
+            timeline: self.timeline,
+            plot: self.plot,
             form,
         };
         load::load(&options, &mut std::io::stdout())
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -1,13 +1,14 @@
 //! The command line as its users meet it: the real binary, its exit codes and
 //! the errors that it prints.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
 
 use geraniummount_test_support::fleet::{Fleet, Plan};
 use geraniummount_test_support::leaf::{Behaviour, Fault};
 use geraniummount_test_support::platform::Outage;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::operators_listener::Listener;
 
@@ -323,6 +324,18 @@
         code: 0,
         prints: "sent           20\nanswered       20\n",
     },
+    Case {
+        name: "load, second by second, into a picture that can't be written",
+        arguments: &["load", "desk", "--timeline", "--plot", "nowhere/run.svg"],
+        code: 3,
+        prints: "nowhere/run.svg: can't be written",
+    },
+    Case {
+        name: "load, with the extra load of a VM that is not there",
+        arguments: &["load", "desk", "--operator", "127.0.0.1:1"],
+        code: 5,
+        prints: "metrics of 127.0.0.1:1",
+    },
 ];
 
 const RAN: &[Case] = &[Case {
@@ -357,8 +370,35 @@
     fleet.apply_with_leaves(entry, &[service]);
     let server = fleet.vm(entry).caller.to_string();
     check(&files, &server, QUERIES);
+    check_report(&files, fleet.vm(entry).caller, fleet.vm(entry).operator);
     for other in &fleet.leaves {
         other.leaf.inject_always(Some(Fault::WrongSnapshot));
     }
     check(&files, &server, RAN);
 }
+
+/// A run's report: totals, a line a second, extra load and a picture.
+fn check_report(files: &Files, caller: SocketAddr, operator: SocketAddr) {
+    let flags = "load desk --rate 20 --seconds 3 --json --timeline --plot run.svg";
+    let output = Command::new(BINARY)
+        .args(flags.split(' '))
+        .args([
+            "--server",
+            &caller.to_string(),
+            "--operator",
+            &operator.to_string(),
+        ])
+        .current_dir(&files.folder)
+        .output()
+        .expect("binary runs");
+    let result: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(result["sent"], 60, "{result}");
+    assert!(result["extra_percent"].is_number(), "{result}");
+    assert_eq!(result["metrics_unknown"], json!([]), "{result}");
+    let lines = result["timeline"].as_array().expect("lines");
+    assert_eq!(lines.len(), 3, "{result}");
+    let sent: u64 = lines.iter().filter_map(|line| line["sent"].as_u64()).sum();
+    assert_eq!(sent, 60, "{result}");
+    let plot = std::fs::read_to_string(files.folder.join("run.svg")).expect("plot");
+    assert!(plot.starts_with("<svg") && plot.contains("mean coverage"));
+}
