Refuse counts that no VM can have reached, found by fuzzing datagrams

Cause: one operators' request had ended a whole VM, so every port was tried with bytes that no process sends. membership_survives_any_messages found: a datagram that tells of this VM with incarnation 2^64 - 1 ends the control thread ("attempt to add with overflow"); in a release build the incarnation wraps to 0, and the VM can never refute what is held against it.

Ruled out: the packed codec itself (damaged datagrams are refused or read); garbage on the TCP ports (200 payloads each, with absurd lengths).

Change: incarnations, revisions and versions above 2^48 make a datagram a bad one. Tests: module fuzz.

Conclusion: what is counted up must leave room above what is believed.

--- a/src/geraniummount/edge/gossip/codec.rs
+++ b/src/geraniummount/edge/gossip/codec.rs
@@ -6,7 +6,7 @@
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize_packed;
 
-use crate::core::gossip::{Body, MAX_NOTICES, MAX_VMS, Message, Notice, Source};
+use crate::core::gossip::{Body, MAX_COUNT, MAX_NOTICES, MAX_VMS, Message, Notice, Source};
 use crate::core::vm::State;
 use crate::gossip_capnp as wire;
 use crate::prelude::*;
@@ -75,14 +75,14 @@
         name: reader.get_name()?.to_string()?,
         failure_domain: reader.get_failure_domain()?.to_string()?,
         peer_address: read_address(reader.get_ip()?, reader.get_port())?,
-        incarnation: reader.get_incarnation(),
+        incarnation: read_count(reader.get_incarnation())?,
         state: match reader.get_state()? {
             wire::State::Live => State::Live,
             wire::State::Suspect => State::Suspect,
             wire::State::Leaving => State::Leaving,
             wire::State::Dead => State::Dead,
         },
-        revision: reader.get_revision(),
+        revision: read_count(reader.get_revision())?,
     })
 }
 
@@ -105,7 +105,7 @@
             wire::Source::Leaf => Source::Leaf,
             wire::Source::Members => Source::Members,
         },
-        version: reader.get_version(),
+        version: read_count(reader.get_version())?,
         draining: reader.get_draining(),
     })
 }
@@ -138,6 +138,13 @@
     })
 }
 
+fn read_count(count: u64) -> Result<u64, Error> {
+    if count > MAX_COUNT {
+        return Err(Error::failed(format!("{count} is more than any VM counts")));
+    }
+    Ok(count)
+}
+
 fn ip_bytes(ip: IpAddr) -> Vec<u8> {
     match ip {
         IpAddr::V4(ip) => ip.octets().to_vec(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod control_store;
 mod control_validation;
 mod fan_out;
+mod fuzz;
 mod leaf_edge;
 mod leaf_queue;
 mod node;
