Split refusals and aborts off the leaf's queue

Change: `admission` says which parts are refused or hopeless, `abort` gives up parts that run; nothing else changed.

--- /dev/null
+++ b/src/geraniummount/core/leaf_queue/abort.rs
@@ -0,0 +1,54 @@
+//! Parts that are given up while the leaf runs them.
+
+use std::time::Instant;
+
+use super::{Action, LeafQueue};
+use crate::prelude::*;
+
+/// A running part is overdue beyond this many times the high quantile.
+const OVERDUE_FACTOR: u32 = 4;
+
+impl LeafQueue {
+    /// Answers a running attempt before its end.
+    pub(super) fn abort(
+        &mut self,
+        attempt: AttemptId,
+        reason: Reason,
+        now: Instant,
+    ) -> Vec<Action> {
+        let mut running = self.running.iter_mut();
+        let found = running.find(|r| r.part.attempt == attempt && !r.answered);
+        let Some(found) = found else {
+            return Vec::new();
+        };
+        found.answered = true;
+        let ended = found.clone();
+        let served = now.saturating_duration_since(ended.since);
+        let result = Err(Failure::may_have_run(reason));
+        let answer = self.answer(&ended.part, ended.waited, served, result);
+        vec![answer, Action::Abort(attempt)]
+    }
+
+    pub(super) fn abort_late(&mut self, now: Instant) -> Vec<Action> {
+        let running = self.running.iter();
+        let late: Vec<AttemptId> = running
+            .filter(|r| !r.answered && now >= r.part.deadline)
+            .map(|r| r.part.attempt)
+            .collect();
+        let mut actions = Vec::new();
+        for &attempt in &late {
+            actions.extend(self.abort(attempt, Reason::Deadline, now));
+            if self.is_overdue(attempt, now) {
+                actions.push(Action::CloseIdle);
+            }
+        }
+        actions
+    }
+
+    /// Whether a running attempt takes so long that its connection, and those
+    /// that are older, may have gone silent.
+    pub(super) fn is_overdue(&self, attempt: AttemptId, now: Instant) -> bool {
+        let found = self.running.iter().find(|r| r.part.attempt == attempt);
+        found.is_some_and(|r| now.saturating_duration_since(r.since) > self.high() * OVERDUE_FACTOR)
+    }
+}
--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -9,7 +9,9 @@
 //! Only here slots and connections are counted, so that all VMs together keep
 //! the leaf's contract.
 
+mod abort;
 mod action;
+mod admission;
 mod drain;
 mod ending;
 mod health;
@@ -31,27 +33,18 @@
 pub use self::ending::Ending;
 pub use self::health::{Health, Held};
 
-/// Parts that wait at most.
-const MAX_QUEUED: usize = 256;
-
 /// Time between two looks at the leaf's health endpoint.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Time at the leaf that is assumed before any answer came.
 const ASSUMED_MEDIAN: Duration = Duration::from_millis(5);
 
-/// An estimate older than this does not refuse parts for a free slot.
-const ESTIMATE_LIFE: Duration = Duration::from_secs(1);
-
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// Shortest wait after the leaf shed a part with no other part running.
 const SHED_WAIT: Duration = Duration::from_millis(10);
 
-/// A running part is overdue beyond this many times the high quantile.
-const OVERDUE_FACTOR: u32 = 4;
-
 /// Queue, slots and state of one owned leaf.
 #[derive(Clone, Debug)]
 pub struct LeafQueue {
@@ -290,66 +283,6 @@
         self.concurrency.limit().min(self.share)
     }
 
-    /// Why no part can be taken at all now.
-    fn closed(&self, now: Instant) -> Option<Failure> {
-        if self.state() == State::Draining {
-            return Some(Failure::not_run(Reason::Leaving));
-        }
-        if self.share == 0 {
-            return Some(Failure::not_run(Reason::NoOwner));
-        }
-        let pause = self.pause.filter(|pause| now < pause.until)?;
-        Some(Failure::not_run(pause.reason).retry_after(pause.until - now))
-    }
-
-    fn refusal(&self, part: &Part, now: Instant) -> Option<Failure> {
-        if now >= part.deadline {
-            return Some(Failure::not_run(Reason::Deadline));
-        }
-        if let Some(failure) = self.closed(now) {
-            return Some(failure);
-        }
-        let wait = self.expected_wait(self.waiting.len(), now);
-        if self.waiting.len() >= MAX_QUEUED || !self.in_time(part, wait, now) {
-            return Some(Failure::not_run(Reason::QueueFull).retry_after(wait.max(SHED_WAIT)));
-        }
-        None
-    }
-
-    /// Expected wait of a part with so many others ahead of it in the queue.
-    fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
-        let slots = usize::from(self.slots()).max(1);
-        let paused = self
-            .not_before
-            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let before = (ahead + self.running.len() + 1).saturating_sub(slots);
-        paused + self.median().mul_f64(before as f64 / slots as f64)
-    }
-
-    /// Whether a part still ends in time after a wait. A free slot is not
-    /// refused on an old estimate, as only a new answer can correct it.
-    fn in_time(&self, part: &Part, wait: Duration, now: Instant) -> bool {
-        if now >= part.deadline {
-            return false;
-        }
-        if wait.is_zero() && !self.estimate_is_fresh(now) {
-            return true;
-        }
-        now + wait + self.median() <= part.deadline
-    }
-
-    fn estimate_is_fresh(&self, now: Instant) -> bool {
-        self.last_answer
-            .is_some_and(|at| now.saturating_duration_since(at) < ESTIMATE_LIFE)
-    }
-
-    /// When a waiting part has to start to end in time.
-    fn last_start(&self, part: &Part) -> Instant {
-        part.deadline
-            .checked_sub(self.median())
-            .unwrap_or(part.deadline)
-    }
-
     /// Drops what has become hopeless, then starts what fits.
     fn advance(&mut self, now: Instant) -> Vec<Action> {
         self.not_before = self.not_before.filter(|&until| now < until);
@@ -377,15 +310,6 @@
         actions
     }
 
-    fn hopeless(&self, ahead: usize, now: Instant) -> Option<Failure> {
-        let wait = self.expected_wait(ahead, now);
-        if self.in_time(&self.waiting[ahead].part, wait, now) {
-            return None;
-        }
-        let back = self.expected_wait(self.waiting.len(), now).max(SHED_WAIT);
-        Some(Failure::not_run(Reason::QueueFull).retry_after(back))
-    }
-
     fn start_next(&mut self, now: Instant) -> Option<Action> {
         if self.waiting.is_empty() || self.running.len() >= usize::from(self.slots()) {
             return None;
@@ -411,44 +335,6 @@
         })
     }
 
-    /// Answers a running attempt before its end.
-    fn abort(&mut self, attempt: AttemptId, reason: Reason, now: Instant) -> Vec<Action> {
-        let mut running = self.running.iter_mut();
-        let found = running.find(|r| r.part.attempt == attempt && !r.answered);
-        let Some(found) = found else {
-            return Vec::new();
-        };
-        found.answered = true;
-        let ended = found.clone();
-        let served = now.saturating_duration_since(ended.since);
-        let result = Err(Failure::may_have_run(reason));
-        let answer = self.answer(&ended.part, ended.waited, served, result);
-        vec![answer, Action::Abort(attempt)]
-    }
-
-    fn abort_late(&mut self, now: Instant) -> Vec<Action> {
-        let running = self.running.iter();
-        let late: Vec<AttemptId> = running
-            .filter(|r| !r.answered && now >= r.part.deadline)
-            .map(|r| r.part.attempt)
-            .collect();
-        let mut actions = Vec::new();
-        for &attempt in &late {
-            actions.extend(self.abort(attempt, Reason::Deadline, now));
-            if self.is_overdue(attempt, now) {
-                actions.push(Action::CloseIdle);
-            }
-        }
-        actions
-    }
-
-    /// Whether a running attempt takes so long that its connection, and those
-    /// that are older, may have gone silent.
-    fn is_overdue(&self, attempt: AttemptId, now: Instant) -> bool {
-        let found = self.running.iter().find(|r| r.part.attempt == attempt);
-        found.is_some_and(|r| now.saturating_duration_since(r.since) > self.high() * OVERDUE_FACTOR)
-    }
-
     fn answer_unsent(&self, part: &Part, waited: Duration, failure: Failure) -> Action {
         self.answer(part, waited, Duration::ZERO, Err(failure))
     }
