Try a leaf again although its health endpoint stays silent

Cause: after three parts in a row had failed, a leaf was without parts until its health endpoint answered, as each silent probe lengthened the pause right at its end.

Ruled out: the entry VM's ranking, which sends single probes after at most 3 s; the owner refused them.

Change: silence of the endpoint keeps the leaf paused for 10 s after the last part that failed; then one part is tried.

Conclusion: what answers show goes before what the endpoint says, also when it says nothing.

--- a/src/geraniummount/core/leaf_queue/learning.rs
+++ b/src/geraniummount/core/leaf_queue/learning.rs
@@ -12,6 +12,10 @@
 /// First pause after failures in a row; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after a failed part in which a silent health endpoint keeps the leaf
+/// without parts.
+const CONFIRMED_LIFE: Duration = Duration::from_secs(10);
+
 /// Time without parts after failures in a row.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pause {
@@ -81,6 +85,7 @@
 
     fn note_failure(&mut self, reason: Reason, now: Instant) -> Vec<Action> {
         self.failures += 1;
+        self.last_failure = Some(now);
         match self.pause {
             None if self.failures >= FAILURES_TO_PAUSE => {
                 self.start_pause(FIRST_PAUSE, reason, now);
@@ -91,6 +96,14 @@
         vec![Action::CloseIdle]
     }
 
+    /// Whether a part failed so lately that a silent health endpoint confirms
+    /// it. Later a part is tried all the same, as the endpoint may be silent
+    /// while the leaf serves.
+    pub(super) fn failed_lately(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.last_failure.is_some_and(|at| age(at) < CONFIRMED_LIFE)
+    }
+
     fn start_pause(&mut self, length: Duration, reason: Reason, now: Instant) {
         let until = now + length;
         self.pause = Some(Pause {
--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -60,6 +60,7 @@
     state: State,
     drain: Drain,
     failures: u32,
+    last_failure: Option<Instant>,
     pause: Option<Pause>,
     not_before: Option<Instant>,
     next_probe: Instant,
@@ -95,6 +96,7 @@
             state: State::Serving,
             drain: Drain::default(),
             failures: 0,
+            last_failure: None,
             pause: None,
             not_before: None,
             next_probe: now,
@@ -158,7 +160,9 @@
             }
             Health::Silent => {
                 self.drain.silence();
-                self.lengthen_pause(now);
+                if self.failed_lately(now) {
+                    self.lengthen_pause(now);
+                }
             }
         }
         self.advance(now)
--- a/tests/testsuite/leaf_queue.rs
+++ b/tests/testsuite/leaf_queue.rs
@@ -390,3 +390,28 @@
         assert_eq!(queue.says_draining(), !confirmed);
     }
 }
+
+#[test]
+fn leaf_without_a_health_endpoint_is_tried_again_by_a_part() {
+    let mut now = Instant::now();
+    let mut queue = warm_queue(Duration::from_millis(5), &mut now);
+    let mut attempts = 0..;
+    let mut tried = Vec::new();
+    let begun = now;
+    while now < begun + Duration::from_secs(60) {
+        now += Duration::from_millis(100);
+        let due = queue.tick(now);
+        if due.iter().any(|action| matches!(action, Action::Probe)) {
+            queue.observe(Health::Silent, now);
+        }
+        let attempt = attempts.next().expect("an attempt");
+        let life = now + Duration::from_secs(1);
+        let actions = queue.submit(part(attempt, life, true), now);
+        if matches!(actions[..], [Action::Start { .. }]) {
+            tried.push((now - begun).as_secs());
+            queue.finish(attempt, Ending::NotSent(Reason::ConnectFailed), now);
+        }
+    }
+    let later: Vec<u64> = tried.into_iter().filter(|second| *second > 1).collect();
+    assert!((3..=6).contains(&later.len()), "tried at {later:?}");
+}
