Let tests wait for conditions, not for a quick machine

Cause: a slow machine could fail tests whose limit was not what they prove: parts with a deadline of 400 ms that are to be answered (leaf_edge), whole replies awaited for 300 ms (stand_ins), and a caller that left after 150 ms whose query had to be at a leaf by then (promise_reply).

Ruled out: FEW_SECONDS of promise_leaving, which is the promise itself; the deadline of the scene's services, on which the late replies of the tests rest.

Change: only what shall time out has a short limit; the leaving caller waits 2 s before leaves that take 8 s; a copy must refuse an entry that skips others.

Conclusion: what remains with a time in it is a promise or a trouble.

--- a/tests/testsuite/control_change_log.rs
+++ b/tests/testsuite/control_change_log.rs
@@ -301,6 +301,8 @@
         assert_eq!(delta.catalog.is_some(), whole, "since {since}");
     }
     let mut newer = ChangeLog::default();
+    let skipping = log.entry(590).expect("an entry").clone();
+    assert!(!newer.learn(skipping), "589 changes were left out");
     assert!(newer.merge(log.since(0)));
     assert_eq!(newer.revision(), 600);
     let old = Delta {
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -228,7 +228,10 @@
             if let Some(fault) = case.fault {
                 bench.stand_in.inject(fault, 1);
             }
-            let mut part = part(idempotent, DEADLINE);
+            // Only a part that gets no answer has to meet its deadline.
+            let unanswered = case.fault == Some(Fault::NoReply);
+            let deadline = if unanswered { DEADLINE } else { LIMIT };
+            let mut part = part(idempotent, deadline);
             part.snapshot = case.snapshot;
             let attempt = part.attempt;
             let outcome = bench.ask(part);
@@ -264,7 +267,7 @@
 #[test]
 fn a_leaf_that_can_not_be_reached_ran_nothing() {
     let mut bench = Bench::start(Behaviour::default());
-    bench.ask(part(true, DEADLINE)).result.unwrap();
+    bench.ask(part(true, LIMIT)).result.unwrap();
     bench.stand_in.kill();
     wait_until("failure that is not run", || {
         let failure = bench.ask(part(false, DEADLINE)).result.unwrap_err();
@@ -335,7 +338,7 @@
 fn a_silent_leaf_is_answered_for_at_the_deadline_and_used_again() {
     let bench = Bench::start(Behaviour::default());
     for _ in 0..4 {
-        bench.ask(part(true, DEADLINE)).result.unwrap();
+        bench.ask(part(true, LIMIT)).result.unwrap();
     }
     bench.stand_in.freeze();
     let waits: Vec<_> = (0..8).map(|_| bench.send(part(true, DEADLINE))).collect();
@@ -397,12 +400,12 @@
 #[test]
 fn a_leaf_that_leaves_gets_no_new_part() {
     let bench = Bench::start(Behaviour::default());
-    bench.ask(part(true, DEADLINE)).result.unwrap();
+    bench.ask(part(true, LIMIT)).result.unwrap();
     bench.stand_in.change(|behaviour| {
         behaviour.state = stand_in::State::Draining;
         behaviour.health = stand_in::Health::Always(stand_in::State::Serving);
     });
-    bench.ask(part(true, DEADLINE)).result.ok();
+    bench.ask(part(true, LIMIT)).result.ok();
     wait_until("notice", || bench.notices.lock().unwrap().contains(&true));
     let before = bench.executions();
     let failure = bench.ask(part(true, DEADLINE)).result.unwrap_err();
@@ -413,7 +416,7 @@
 #[test]
 fn a_leaf_that_the_operator_drains_gets_no_new_part() {
     let bench = Bench::start(Behaviour::default());
-    bench.ask(part(true, DEADLINE)).result.unwrap();
+    bench.ask(part(true, LIMIT)).result.unwrap();
     let mut view = View::clone(&bench.view.get());
     view.draining.push("leaf-1".to_owned());
     bench.view.set(view);
--- a/tests/testsuite/promise_reply.rs
+++ b/tests/testsuite/promise_reply.rs
@@ -122,11 +122,13 @@
 fn promise_reply_is_not_left_to_the_next_caller() {
     let scene = Scene::start(54);
     scene.change_leaves(|behaviour| {
-        behaviour.delay = Delay::fixed(Duration::from_millis(400));
+        behaviour.delay = Delay::fixed(Duration::from_secs(8));
     });
     let address = scene.fleet.vm(ENTRY).caller;
-    let gone = Client::with_timeout(address, Duration::from_millis(150));
-    let reply = gone.query("parts", &[("Request-Id", "gone")], &json!({"id": "gone"}));
+    // Time enough to reach a leaf, also on a busy machine.
+    let gone = Client::with_timeout(address, Duration::from_secs(2));
+    let headers = [("Request-Id", "gone"), ("Deadline-Ms", "9000")];
+    let reply = gone.query("parts", &headers, &json!({"id": "gone"}));
     assert!(reply.is_err(), "caller went too late: {reply:?}");
     let cancelled = wait_until(PATIENCE, || {
         let ran = scene.executions();
--- a/tests/testsuite/stand_ins.rs
+++ b/tests/testsuite/stand_ins.rs
@@ -102,7 +102,11 @@
 
 fn check_fault(case: &FaultCase) {
     let leaf = leaf(|_| {});
-    let client = Client::with_timeout(leaf.address(), SHORT);
+    let patient = Client::new(leaf.address());
+    let client = match case.status {
+        Some(_) => patient.clone(),
+        None => Client::with_timeout(leaf.address(), SHORT),
+    };
     if let Some(fault) = case.fault {
         leaf.inject(fault, 1);
     }
@@ -114,7 +118,7 @@
     assert_eq!(header("Attempt-Id"), case.echo, "{context}");
     assert_eq!(header("Snapshot"), case.read, "{context}");
     assert_eq!(leaf.log().len(), usize::from(case.runs), "{context}");
-    let next = search(&client, "14", "7").map(|reply| reply.status);
+    let next = search(&patient, "14", "7").map(|reply| reply.status);
     assert_eq!(next, Some(200), "{context}");
 }
 
