--- a/benches/traffic/world/leaves.rs
+++ b/benches/traffic/world/leaves.rs
@@ -105,6 +105,7 @@
 
     pub(super) fn health(&mut self, leaf: usize, owner: usize) {
         let held = self.layout.shards.iter().map(|shard| Held {
+            service: shard.service.clone(),
             shard: shard.shard.clone(),
             snapshots: vec![SNAPSHOT],
         });
--- a/src/geraniummount/core/leaf_queue/health.rs
+++ b/src/geraniummount/core/leaf_queue/health.rs
@@ -20,8 +20,18 @@
 /// Snapshots that a leaf holds of one shard.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Held {
+    /// Service that declares the shard.
+    pub service: ServiceName,
     /// The shard.
     pub shard: ShardName,
     /// Snapshots, ascending.
     pub snapshots: Vec<SnapshotId>,
 }
+
+impl Held {
+    /// Returns whether these are the snapshots of a service's shard; two
+    /// services may name theirs alike.
+    pub fn is_of(&self, service: &str, shard: &str) -> bool {
+        self.service == service && self.shard == shard
+    }
+}
--- a/src/geraniummount/core/leaf_queue/learning.rs
+++ b/src/geraniummount/core/leaf_queue/learning.rs
@@ -45,7 +45,7 @@
             }
             Ending::NotHeld { held } => {
                 self.failures = 0;
-                self.set_held(&ended.part.shard, held);
+                self.set_held(&ended.part, held);
                 Vec::new()
             }
             Ending::Refused => {
@@ -153,12 +153,14 @@
         self.state = state;
     }
 
-    fn set_held(&mut self, shard: &str, snapshots: &[SnapshotId]) {
+    fn set_held(&mut self, part: &Part, snapshots: &[SnapshotId]) {
         let mut snapshots = snapshots.to_vec();
         snapshots.sort_unstable();
-        self.held.retain(|held| held.shard != shard);
+        let (service, shard) = (&part.service, &part.shard);
+        self.held.retain(|held| !held.is_of(service, shard));
         self.held.push(Held {
-            shard: shard.to_owned(),
+            service: service.clone(),
+            shard: shard.clone(),
             snapshots,
         });
     }
--- a/src/geraniummount/core/leaf_queue/mod.rs
+++ b/src/geraniummount/core/leaf_queue/mod.rs
@@ -210,11 +210,11 @@
     }
 
     /// Returns the leaf's state for a part of a shard.
-    pub fn report(&self, shard: &str) -> Report {
+    pub fn report(&self, service: &str, shard: &str) -> Report {
         Report {
             owner: self.owner.clone(),
             state: self.state(),
-            held: self.held(shard).to_vec(),
+            held: self.held(service, shard).to_vec(),
             queued: self.waiting.len() as u32,
             busy: self.running.len() as u16,
             slots: self.slots(),
@@ -269,8 +269,8 @@
         waits || self.running.iter().any(|r| r.part.attempt == attempt)
     }
 
-    fn held(&self, shard: &str) -> &[SnapshotId] {
-        let found = self.held.iter().find(|held| held.shard == shard);
+    fn held(&self, service: &str, shard: &str) -> &[SnapshotId] {
+        let found = self.held.iter().find(|held| held.is_of(service, shard));
         found.map_or(&[], |held| &held.snapshots)
     }
 
@@ -353,7 +353,7 @@
         let report = Report {
             waited,
             served,
-            ..self.report(&part.shard)
+            ..self.report(&part.service, &part.shard)
         };
         Action::Answer(Outcome {
             attempt: part.attempt,
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -211,7 +211,7 @@
         let mut whole = true;
         for shard in &service.shards {
             for leaf in owned(&view, shard) {
-                match self.shared.leaves.held(leaf, &shard.name) {
+                match self.shared.leaves.held(leaf, &service.name, &shard.name) {
                     Some(snapshots) => holdings.push(Holding {
                         service: service.name.clone(),
                         shard: shard.name.clone(),
--- a/src/geraniummount/edge/leaf/exchange.rs
+++ b/src/geraniummount/edge/leaf/exchange.rs
@@ -189,10 +189,14 @@
     listed.sort_unstable_by(|a, b| (&a.shard, a.snapshot).cmp(&(&b.shard, b.snapshot)));
     let mut held: Vec<Held> = Vec::new();
     for entry in listed {
-        let shard = shard_name(&entry.shard);
-        match held.iter_mut().find(|held| held.shard == shard) {
+        // Leaves name a shard `service/shard`.
+        let Some((service, shard)) = entry.shard.split_once('/') else {
+            continue;
+        };
+        match held.iter_mut().find(|held| held.is_of(service, shard)) {
             Some(held) => held.snapshots.push(entry.snapshot),
             None => held.push(Held {
+                service: service.to_owned(),
                 shard: shard.to_owned(),
                 snapshots: vec![entry.snapshot],
             }),
@@ -203,9 +207,3 @@
         held,
     })
 }
-
-/// Leaves name a shard `service/shard`; within a leaf's queue the service is
-/// left out.
-fn shard_name(full: &str) -> &str {
-    full.split_once('/').map_or(full, |(_, shard)| shard)
-}
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -87,13 +87,13 @@
         }
     }
 
-    /// Returns what the leaf holds of a shard; `None` until it was asked.
-    pub fn held(&self, leaf: &Leaf, shard: &str) -> Option<Vec<SnapshotId>> {
+    /// Returns what the leaf holds of a service's shard; `None` until it was asked.
+    pub fn held(&self, leaf: &Leaf, service: &str, shard: &str) -> Option<Vec<SnapshotId>> {
         self.send(leaf, Event::Touch);
         let tasks = self.shared.read();
         let place = find(&tasks, &leaf.name).ok()?;
         let known = tasks[place].known.get();
-        let held = known.held.iter().find(|held| held.shard == shard);
+        let held = known.held.iter().find(|held| held.is_of(service, shard));
         let snapshots = held.map_or(Vec::new(), |held| held.snapshots.clone());
         known.observed.then_some(snapshots)
     }
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -400,7 +400,7 @@
     }
 
     fn dump(&self) -> Dump {
-        let report = self.queue.report("");
+        let report = self.queue.report("", "");
         Dump {
             leaf: self.leaf.name.clone(),
             state: report.state,
--- a/tests/testsuite/leaf_queue.rs
+++ b/tests/testsuite/leaf_queue.rs
@@ -392,6 +392,7 @@
 }
 
 #[test]
+
 fn leaf_without_a_health_endpoint_is_tried_again_by_a_part() {
     let mut now = Instant::now();
     let mut queue = warm_queue(Duration::from_millis(5), &mut now);
@@ -415,3 +416,25 @@
     let later: Vec<u64> = tried.into_iter().filter(|second| *second > 1).collect();
     assert!((3..=6).contains(&later.len()), "tried at {later:?}");
 }
+
+#[test]
+fn snapshots_of_shards_named_alike_in_two_services_stay_apart() {
+    let now = Instant::now();
+    let mut queue = LeafQueue::new("vm".to_owned(), CONTRACT, 8, now);
+    // Attempt, service, and the snapshots that the leaf then says it holds.
+    let refused = [(1, "parts", vec![7, 8]), (2, "desk", vec![5])];
+    for (attempt, service, held) in refused {
+        let service = service.to_owned();
+        let part = part(attempt, now + Duration::from_secs(1), true);
+        queue.submit(Part { service, ..part }, now);
+        let actions = queue.finish(attempt, Ending::NotHeld { held: held.clone() }, now);
+        let told = actions.iter().find_map(|action| match action {
+            Action::Answer(outcome) => outcome.report.clone(),
+            _ => None,
+        });
+        assert_eq!(told.expect("a report").held, held);
+    }
+    let held = |service| queue.report(service, "shard").held;
+    assert_eq!((held("parts"), held("desk")), (vec![7, 8], vec![5]));
+    assert!(held("none").is_empty());
+}
