--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -44,6 +44,7 @@
 pub mod service;
 mod shard_state;
 pub mod status;
+pub mod survey;
 pub mod traffic;
 pub mod validation;
 pub mod verdict;
--- /dev/null
+++ b/src/geraniummount/core/survey.rs
@@ -0,0 +1,98 @@
+//! Which VMs of other failure domains are asked which snapshots the leaves of
+//! a service hold.
+//!
+//! Any VM of a failure domain knows all owners there. So one is asked, and the
+//! next only if that one fails, leaves out leaves or takes long.
+
+use std::net::SocketAddr;
+
+use crate::core::ownership::{self, Route};
+use crate::prelude::*;
+
+/// Questions about one service, by failure domain.
+#[derive(Clone, Debug)]
+pub struct Survey {
+    domains: Vec<Domain>,
+}
+
+#[derive(Clone, Debug)]
+struct Domain {
+    /// By its name the VMs of the domain are put in order.
+    first: Leaf,
+    /// Leaves that no answer has told of, by name.
+    untold: Vec<LeafName>,
+    asked: Vec<SocketAddr>,
+}
+
+impl Survey {
+    /// Begins a survey of the failure domains other than the own one.
+    pub fn new(view: &View, service: &Service) -> Survey {
+        let mut domains: Vec<Domain> = Vec::new();
+        let shards = service.shards.iter();
+        for leaf in shards.flat_map(|shard| &shard.replicas) {
+            if !view.is_far(leaf) {
+                continue;
+            }
+            let Some(record) = view.catalog.leaf(leaf) else {
+                continue;
+            };
+            add(&mut domains, &record.spec);
+        }
+        Survey { domains }
+    }
+
+    /// Returns the number of failure domains.
+    pub fn domains(&self) -> usize {
+        self.domains.len()
+    }
+
+    /// Returns the next VM to ask for a failure domain; `None` where all leaves
+    /// are told of, or no other VM is known that answers.
+    pub fn next(
+        &mut self,
+        domain: usize,
+        view: &View,
+        is_lost: impl Fn(&Vm) -> bool,
+    ) -> Option<SocketAddr> {
+        let domain = self.domains.get_mut(domain)?;
+        if domain.untold.is_empty() {
+            return None;
+        }
+        let passed = |vm: &Vm| domain.asked.contains(&vm.peer_address) || is_lost(vm);
+        match ownership::route_around(view, &domain.first, passed) {
+            Route::Peer(vm) => {
+                domain.asked.push(vm.peer_address);
+                Some(vm.peer_address)
+            }
+            Route::Local | Route::Nowhere => None,
+        }
+    }
+
+    /// Takes an answer about a failure domain.
+    pub fn hear(&mut self, domain: usize, held: &[Holding]) {
+        if let Some(domain) = self.domains.get_mut(domain) {
+            let told = |leaf: &LeafName| held.iter().any(|holding| holding.leaf == *leaf);
+            domain.untold.retain(|leaf| !told(leaf));
+        }
+    }
+}
+
+fn add(domains: &mut Vec<Domain>, leaf: &Leaf) {
+    let name = &leaf.failure_domain;
+    match domains.binary_search_by(|domain| domain.first.failure_domain.cmp(name)) {
+        Ok(place) => {
+            let untold = &mut domains[place].untold;
+            if let Err(place) = untold.binary_search(&leaf.name) {
+                untold.insert(place, leaf.name.clone());
+            }
+        }
+        Err(place) => domains.insert(
+            place,
+            Domain {
+                first: leaf.clone(),
+                untold: vec![leaf.name.clone()],
+                asked: Vec::new(),
+            },
+        ),
+    }
+}
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -11,12 +11,11 @@
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
-use futures::executor::block_on;
-use futures::future::join_all;
 
 use crate::core::gossip::Source;
 use crate::core::ownership::{self, Route};
 use crate::core::service::Shard;
+use crate::edge::inquiry::Inquiry;
 use crate::edge::pending::{Gauge, Pending};
 use crate::edge::{leaf, peer};
 use crate::prelude::*;
@@ -25,9 +24,7 @@
 const STOPPING_RETRY: Duration = Duration::from_millis(100);
 const LOST_RETRY: Duration = Duration::from_millis(250);
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
-/// Hops of a question for holdings: to another failure domain, and there to
-/// the owner.
-const ASKED_HOPS: u8 = 2;
+/// How often answers for holdings are looked for.
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
 
 /// Told when a leaf says that it is leaving (`true`) or serves again, and
@@ -130,16 +127,23 @@
     /// that do not answer within `wait` are left out.
     pub fn holdings(&self, service: &Service, wait: Duration) -> Vec<Holding> {
         let deadline = Instant::now() + wait;
-        let asked = self.ask_owners(service, ASKED_HOPS, wait);
-        let mut holdings = loop {
-            let (holdings, whole) = self.local_holdings(service);
-            if whole || Instant::now() >= deadline {
-                break holdings;
+        let view = self.shared.view.get();
+        let near = self.ask_owners(service, wait);
+        let mut inquiry = Inquiry::start(&view, &self.shared.peers, service, near, wait);
+        let mut local = self.local_holdings(service);
+        loop {
+            let now = Instant::now();
+            let answered = inquiry.advance(now);
+            if answered && (local.1 || now >= deadline) {
+                break;
             }
             thread::sleep(HOLDINGS_PERIOD);
-        };
-        let answers = block_on(join_all(asked));
-        holdings.extend(answers.into_iter().flatten().flatten());
+            if !local.1 {
+                local = self.local_holdings(service);
+            }
+        }
+        let mut holdings = inquiry.finish();
+        holdings.extend(local.0);
         holdings.sort_unstable();
         holdings.dedup();
         holdings
@@ -177,29 +181,25 @@
         view.catalog.service(name).map(|record| record.spec.clone())
     }
 
-    /// Asks the owners that this VM knows for the leaves of a service. With
-    /// one hop left only those of the own failure domain are asked.
+    /// Asks the owners of a service's leaves in the own failure domain.
     pub(super) fn ask_owners(
         &self,
         service: &Service,
-        hops_left: u8,
         wait: Duration,
     ) -> Vec<oneshot::Receiver<Vec<Holding>>> {
         let view = self.shared.view.get();
         let mut owners = Vec::new();
         for leaf in replicas(&view.catalog, service) {
-            let near = leaf.failure_domain == view.failure_domain;
-            if hops_left == 0 || (!near && hops_left < ASKED_HOPS) {
+            if leaf.failure_domain != view.failure_domain {
                 continue;
             }
             if let Route::Peer(vm) = ownership::route(&view, leaf) {
-                let hops = if near { 0 } else { hops_left - 1 };
-                owners.push((vm.peer_address, hops));
+                owners.push(vm.peer_address);
             }
         }
         owners.sort_unstable();
         owners.dedup();
-        let ask = |(address, hops)| self.shared.peers.holdings(address, service, hops, wait);
+        let ask = |address| self.shared.peers.holdings(address, service, 0, wait);
         owners.into_iter().map(ask).collect()
     }
 
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod executor;
 pub mod gossip;
 mod http;
+mod inquiry;
 pub mod leaf;
 pub mod metrics;
 pub mod operator;
--- a/src/geraniummount/edge/peer/service.rs
+++ b/src/geraniummount/edge/peer/service.rs
@@ -105,9 +105,11 @@
         };
         let wait = Duration::from_micros(params.get_wait_us()).min(LONGEST_HOLDINGS_WAIT);
         let deadline = Instant::now() + wait;
-        let relayed = self
-            .dispatcher
-            .ask_owners(&service, params.get_hops_left(), wait);
+        // A VM of another failure domain does not know the owners here.
+        let relayed = match params.get_hops_left() {
+            0 => Vec::new(),
+            _ => self.dispatcher.ask_owners(&service, wait),
+        };
         let mut holdings = loop {
             let (holdings, whole) = self.dispatcher.local_holdings(&service);
             if whole || Instant::now() >= deadline {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,4 +32,5 @@
 mod seeded;
 mod settings;
 mod stand_ins;
+mod survey;
 mod takeover;
--- a/tests/testsuite/takeover.rs
+++ b/tests/testsuite/takeover.rs
@@ -149,6 +149,33 @@
     }
 }
 
+#[test]
+fn a_survey_asks_the_next_vm_of_a_domain_while_the_first_does_not_answer() {
+    for case in CASES {
+        let bench = Bench::start();
+        let mut first = None;
+        wait_until(LIMIT, || {
+            first = bench.serving();
+            first.is_some()
+        });
+        let first = first.expect("served at first");
+        // The other VM there has noticed the loss, the entry VM has not.
+        let view = bench.entry.view.get();
+        let (_, vms): (Vec<Vm>, Vec<Vm>) =
+            view.vms.iter().cloned().partition(|vm| vm.name == first);
+        let other = &bench.owners[usize::from(first == "east-1")].0;
+        other.publish(&view.catalog, &vms);
+        (case.lose)(bench.proxy_of(&first));
+        let service = &view.catalog.service("tickets").unwrap().spec;
+        let held = bench
+            .entry
+            .dispatcher
+            .holdings(service, Duration::from_secs(1));
+        assert_eq!(held.len(), 1, "{}", case.name);
+        assert_eq!(held[0].snapshots, [1], "{}", case.name);
+    }
+}
+
 /// Shards behind relays, each with two replicas there.
 const SHARDS: usize = 16;
 
