--- a/tests/testsuite/control_membership.rs
+++ b/tests/testsuite/control_membership.rs
@@ -343,6 +343,8 @@
             name: "a new revision is known everywhere",
             act: |network| {
                 network.accept(4, 7);
+                network.accept(4, 3);
+                assert_eq!(network.vm(4).me().revision, 7);
             },
             limit: Duration::from_secs(2),
             wanted: |network| network.agrees_on(7),
