--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod control_change_log;
 mod control_claims;
+mod control_claims_forward;
 mod control_membership;
 mod control_ownership;
 mod control_store;
--- a/tests/testsuite/node.rs
+++ b/tests/testsuite/node.rs
@@ -3,8 +3,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use geraniummount::edge::claims::Claims;
 use geraniummount::edge::dispatcher::{Dispatcher, Options};
+use geraniummount::edge::metrics::Metrics;
 use geraniummount::edge::peer::{Changes, Hooks, Server};
+use geraniummount::edge::platform::Platform;
 use geraniummount::prelude::*;
 use geraniummount::util::published::Published;
 
@@ -55,10 +58,19 @@
                 entries: vec![b"one".to_vec(), b"two".to_vec()],
             }),
             status: Box::new(|| b"{}".to_vec()),
+            claims: self.claims(),
         };
         self.server = Some(Server::start(address, &self.dispatcher, hooks).unwrap());
     }
 
+    /// Claims over a platform that does not answer.
+    fn claims(&self) -> Claims {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let platform = Platform::new(nowhere, "none", Metrics::default());
+        let peers = self.dispatcher.peers().clone();
+        Claims::start(&platform, Arc::clone(&self.view), peers, Metrics::default())
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.server.as_ref().unwrap().address()
     }
--- a/tests/testsuite/promise_at_most_once.rs
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -4,6 +4,10 @@
 //! sent three times through several VMs, two of them at a time, and count as one.
 
 use std::collections::HashMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use geraniummount::core::claims::{Claim, VALUES};
+use geraniummount_test_support::client::Client;
 
 use crate::load::{Kind, Record, faults_with, run_through, run_with_fault};
 use crate::scene::{Scene, body_id, for_each};
@@ -76,3 +80,61 @@
         check(&scene, &records, &format!("{fault:?} {kind:?}"));
     });
 }
+
+#[test]
+fn promise_at_most_once_holds_while_one_vm_claims_for_others() {
+    let troubles = [
+        Trouble::CutFromOwners,
+        Trouble::CutTowardsOwners,
+        Trouble::CutOwners,
+        Trouble::FreezeOwner,
+        Trouble::KillOwner,
+        Trouble::LosePlatformReplies,
+    ];
+    // Calls so slow that many are between write and answer when a trouble
+    // begins, and that claims take as long as they are waited for.
+    let slowness = [25, 110].map(Duration::from_millis);
+    let cases: Vec<_> = troubles
+        .into_iter()
+        .flat_map(|trouble| slowness.map(|slowness| (trouble, slowness)))
+        .collect();
+    for_each(&cases, |(trouble, slowness)| {
+        let mut scene = Scene::start(25);
+        contend(&scene);
+        scene.fleet.platform.change(|p| p.slowness = *slowness);
+        let records = run_through(&mut scene, &[*trouble], Kind::KeyedOrders);
+        let context = format!("{trouble:?} {slowness:?}");
+        check(&scene, &records, &context);
+        let forwarded = scene
+            .fleet
+            .running()
+            .any(|vm| claims_by_peers(&scene, &vm.name));
+        assert!(forwarded, "{context}: nothing was claimed by another VM");
+    });
+}
+
+/// Fills the platform's values as a fleet does that claims many keys.
+fn contend(scene: &Scene) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let in_a_minute = now.expect("time").as_millis() as u64 + 60_000;
+    let claim = |key| Claim {
+        key,
+        attempt: 1,
+        at_ms: in_a_minute,
+    };
+    let claims: Vec<Claim> = (1..=20).map(claim).collect();
+    let body = serde_json::to_vec(&claims).expect("JSON");
+    let platform = Client::new(scene.fleet.platform.address());
+    for value in 0..VALUES {
+        let path = format!("/kv/geraniummount/claims/{value}");
+        let reply = platform.call("PUT", &path, &[("If-Version", "0")], body.clone());
+        assert!(reply.expect("platform answers").is_success(), "{path}");
+    }
+}
+
+fn claims_by_peers(scene: &Scene, vm: &str) -> bool {
+    let reply = scene.fleet.operator(vm).get("/metrics").expect("metrics");
+    reply
+        .text
+        .contains("geraniummount_claims_total{by=\"peer\",result=\"granted\"}")
+}
