Measure claims of many VMs in simulated time

Cause: the limit of keyed requests was worked out, not measured.

Ruled out: 2,700 processes (not possible here) and real time.

--- /dev/null
+++ b/benches/claims/fleet.rs
@@ -0,0 +1,62 @@
+//! VMs in failure domains, and what each knows of the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniummount::core::relays::PER_DOMAIN;
+use geraniummount::core::vm::State;
+use geraniummount::prelude::*;
+
+/// VMs of a failure domain, where there are enough.
+const PER_DOMAIN_VMS: usize = 3;
+const MAX_DOMAINS: usize = 10;
+/// Links one way.
+const NEAR: Duration = Duration::from_micros(250);
+const FAR: Duration = Duration::from_millis(5);
+
+/// Returns the view of each VM.
+pub fn views(count: usize) -> Vec<View> {
+    let domains = count.div_ceil(PER_DOMAIN_VMS).min(MAX_DOMAINS);
+    let vms: Vec<Vm> = (0..count).map(|index| vm(index, index % domains)).collect();
+    let view = |me: &Vm| {
+        let known = vms.iter().enumerate().filter(|(index, vm)| {
+            let is_relay = index / domains < PER_DOMAIN;
+            vm.failure_domain == me.failure_domain || is_relay
+        });
+        View {
+            me: me.name.clone(),
+            failure_domain: me.failure_domain.clone(),
+            catalog: Arc::default(),
+            vms: known.map(|(_, vm)| vm.clone()).collect::<Vec<_>>().into(),
+            draining: Vec::new(),
+            health_draining: Vec::new(),
+            stopping: false,
+        }
+    };
+    vms.iter().map(view).collect()
+}
+
+/// Returns a VM's index from its name.
+pub fn index(vm: &Vm) -> usize {
+    vm.name.parse().expect("a name is a number")
+}
+
+/// Time from one VM to another.
+pub fn travel(one: &View, other: &View) -> Duration {
+    if one.failure_domain == other.failure_domain {
+        NEAR
+    } else {
+        FAR
+    }
+}
+
+fn vm(index: usize, domain: usize) -> Vm {
+    Vm {
+        name: format!("{index:05}"),
+        failure_domain: format!("domain-{domain}"),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        state: State::Live,
+        revision: 1,
+    }
+}
--- /dev/null
+++ b/benches/claims/platform.rs
@@ -0,0 +1,78 @@
+//! The platform's service: values, rates and latency.
+
+use std::time::Duration;
+
+use geraniummount::core::claims::{Claim, VALUES};
+
+/// Calls of each kind a second above which it refuses. The brief says several
+/// hundred writes and about two thousand reads.
+const WRITES: u32 = 300;
+const READS: u32 = 2_000;
+/// Longest value.
+pub const MAX_VALUE_BYTES: u64 = 1024 * 1024;
+/// Time of a call to the platform and back, and for each byte at 1 Gbit/s.
+const CALL: Duration = Duration::from_millis(3);
+const BYTE: Duration = Duration::from_nanos(8);
+
+/// The service; times count from the start of the run.
+pub struct Platform {
+    values: Vec<(u64, Vec<Claim>)>,
+    /// Bytes of each value at this rate of claims, with those that are kept
+    /// from before the run.
+    pub value_bytes: u64,
+    second: u64,
+    writes: u32,
+    reads: u32,
+}
+
+impl Platform {
+    pub fn new(value_bytes: u64) -> Platform {
+        Platform {
+            values: vec![(0, Vec::new()); VALUES as usize],
+            value_bytes,
+            second: 0,
+            writes: 0,
+            reads: 0,
+        }
+    }
+
+    /// Time of a call that carries a value.
+    pub fn call_time(&self) -> Duration {
+        CALL + BYTE * self.value_bytes as u32
+    }
+
+    /// Reads a value; `None` above the rate.
+    pub fn read(&mut self, value: u64, now: Duration) -> Option<(u64, Vec<Claim>)> {
+        self.count(now);
+        self.reads += 1;
+        (self.reads <= READS).then(|| self.values[value as usize].clone())
+    }
+
+    /// Writes a value; `None` above the rate, `Some(None)` when the version is
+    /// another.
+    pub fn write(
+        &mut self,
+        value: u64,
+        version: u64,
+        claims: Vec<Claim>,
+        now: Duration,
+    ) -> Option<Option<u64>> {
+        self.count(now);
+        self.writes += 1;
+        if self.writes > WRITES {
+            return None;
+        }
+        let held = &mut self.values[value as usize];
+        if held.0 != version {
+            return Some(None);
+        }
+        *held = (version + 1, claims);
+        Some(Some(version + 1))
+    }
+
+    fn count(&mut self, now: Duration) {
+        if now.as_secs() != self.second {
+            (self.second, self.writes, self.reads) = (now.as_secs(), 0, 0);
+        }
+    }
+}
--- /dev/null
+++ b/benches/claims/world/calls.rs
@@ -0,0 +1,147 @@
+//! The calls of the VMs' workers to the platform, and the answers that follow.
+
+use std::time::{Duration, Instant};
+
+use geraniummount::core::claims::{Action, Answer, value_index};
+use geraniummount::prelude::*;
+
+use super::{Event, MAX_FAILURES, RELEASE_RETRY, Reply, Request, WORKERS, World};
+
+impl World {
+    /// Lets a worker go on with the first of its values that needs a call.
+    pub(super) fn work(&mut self, vm: usize, worker: u64) {
+        if self.vms[vm].busy[worker as usize] {
+            return;
+        }
+        let (now, wall_ms) = (self.at(), self.wall_ms());
+        let values: Vec<u64> = self.vms[vm].values.keys().copied().collect();
+        let mut wake: Option<Instant> = None;
+        for index in values.into_iter().filter(|value| value % WORKERS == worker) {
+            let value = self.vms[vm].values.get_mut(&index).expect("held");
+            if !value.claims.is_busy() {
+                continue;
+            }
+            let mut due = value.pace.due(now);
+            if !value.claims.is_waited_for() && value.retry_at > self.now {
+                due = self.start + value.retry_at;
+                wake = Some(wake.map_or(due, |wake| wake.min(due)));
+                continue;
+            }
+            let may_write = !self.run.product || due <= now;
+            let actions = value.claims.advance(wall_ms, may_write);
+            for action in actions {
+                match action {
+                    Action::Answer(attempt, answer) => self.answer(vm, attempt, answer),
+                    call => return self.send(vm, index, call),
+                }
+            }
+            let value = &self.vms[vm].values[&index];
+            if value.claims.is_busy() {
+                wake = Some(wake.map_or(due, |wake| wake.min(due)));
+            }
+        }
+        if let Some(at) = wake {
+            let wait = at.saturating_duration_since(now);
+            self.after(
+                wait.max(Duration::from_micros(100)),
+                Event::Wake(vm, worker),
+            );
+        }
+    }
+
+    fn send(&mut self, vm: usize, value: u64, call: Action) {
+        self.vms[vm].busy[(value % WORKERS) as usize] = true;
+        let half = self.platform.call_time() / 2;
+        self.after(half, Event::Effect(vm, value, call));
+    }
+
+    pub(super) fn effect(&mut self, vm: usize, value: u64, call: Action) {
+        let measured = u64::from(self.is_measured());
+        let reply = match call {
+            Action::Write { version, claims } => {
+                self.writes += measured;
+                Reply::Written(self.platform.write(value, version, claims, self.now))
+            }
+            Action::Read | Action::Answer(..) => {
+                self.reads += measured;
+                Reply::Read(self.platform.read(value, self.now))
+            }
+        };
+        let half = self.platform.call_time() / 2;
+        self.after(half, Event::Reply(vm, value, reply));
+    }
+
+    pub(super) fn reply(&mut self, vm: usize, index: u64, reply: Reply) {
+        self.vms[vm].busy[(index % WORKERS) as usize] = false;
+        let now = self.at();
+        let value = self.vms[vm].values.get_mut(&index).expect("held");
+        let limited = matches!(reply, Reply::Written(None));
+        if matches!(reply, Reply::Written(Some(Some(_)) | None)) {
+            value.pace.note(now);
+        }
+        let answered = match reply {
+            Reply::Read(Some((version, claims))) => {
+                value.claims.read(version, claims);
+                true
+            }
+            Reply::Read(None) => false,
+            Reply::Written(Some(Some(version))) => {
+                value.claims.written(version);
+                true
+            }
+            Reply::Written(Some(None)) => {
+                value.claims.unsettled();
+                true
+            }
+            Reply::Written(None) => {
+                value.claims.refused();
+                false
+            }
+        };
+        value.failures = if answered { 0 } else { value.failures + 1 };
+        let answer = match limited {
+            true => Answer::Full,
+            false => Answer::PlatformDown,
+        };
+        if limited || value.failures >= MAX_FAILURES {
+            value.failures = 0;
+            value.retry_at = self.now + RELEASE_RETRY;
+            for (key, attempt) in std::mem::take(&mut value.waiting) {
+                let value = self.vms[vm].values.get_mut(&index).expect("held");
+                value.claims.release(key, attempt);
+                self.tell(vm, attempt, answer);
+            }
+        }
+        self.work(vm, index % WORKERS);
+    }
+
+    pub(super) fn answer(&mut self, vm: usize, attempt: AttemptId, answer: Answer) {
+        let key = self.requests[attempt as usize / 2].key;
+        let value = self.vms[vm].values.get_mut(&value_index(key));
+        let waiting = &mut value.expect("held").waiting;
+        if let Some(place) = waiting.iter().position(|wait| wait.1 == attempt) {
+            waiting.swap_remove(place);
+            self.tell(vm, attempt, answer);
+        }
+    }
+
+    pub(super) fn tell(&mut self, vm: usize, attempt: AttemptId, answer: Answer) {
+        let request = attempt as usize / 2;
+        let Request { key, way, .. } = self.requests[request];
+        let contended = self.vms[vm].values[&value_index(key)].claims.is_contended();
+        let contended = contended || answer == Answer::Full;
+        if attempt.is_multiple_of(2) {
+            return self.after(way, Event::Answered(request, answer, contended));
+        }
+        let now = self.at();
+        let forward = &mut self.vms[vm].forward;
+        forward.note(contended, now);
+        if answer == Answer::PlatformDown {
+            forward.note_failure(now);
+        } else if let Some(by) = self.requests[request].forwarded_to {
+            let name = self.views[by].me.clone();
+            forward.avoid(&name, now);
+        }
+        self.end(request, answer);
+    }
+}
