Split a part's way off the link, and leaving off the leaf's task

Ruled out: nothing else was weighed; a change of behaviour is not meant.

Change: peer/carry.rs holds the way of one part to a peer and of its outcome back, the link keeps its connection and the return of a lost peer. leaf/draining.rs holds what a task knows of its leaf's leaving and whom it tells. Functions are moved as they are; fields that both files use are visible within their module.

Conclusion: one job a file.

--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -7,6 +7,7 @@
 
 mod connection;
 mod connections;
+mod draining;
 mod event;
 mod exchange;
 mod pool;
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -14,8 +14,6 @@
 use super::event::Event;
 use super::pool::{self, Shared};
 use super::{Dump, exchange};
-use crate::core::gossip::Source;
-use crate::core::leaf::State as LeafState;
 use crate::core::leaf_queue::{Action, Ending, Health, LeafQueue, Use};
 use crate::core::ownership;
 use crate::edge::pending::Pending;
@@ -46,19 +44,19 @@
 
 /// State of the thread.
 pub(super) struct Task {
-    leaf: Leaf,
-    pool: Weak<Shared>,
+    pub(super) leaf: Leaf,
+    pub(super) pool: Weak<Shared>,
     view: Arc<Published<View>>,
-    seen: Arc<View>,
-    queue: LeafQueue,
+    pub(super) seen: Arc<View>,
+    pub(super) queue: LeafQueue,
     connections: Connections,
     /// By attempt.
     pending: Vec<Pending>,
     running: Vec<Running>,
     /// Parts that the queue started while the share was used up.
     blocked: Vec<(Part, Use)>,
-    says_draining: bool,
-    health_says_draining: bool,
+    pub(super) says_draining: bool,
+    pub(super) health_says_draining: bool,
     last_used: Instant,
     held: Arc<Published<pool::Known>>,
     events: Receiver<Event>,
@@ -312,53 +310,6 @@
         self.perform(actions);
     }
 
-    /// Whether the leaf is known to be leaving by another source than its
-    /// declaration.
-    fn is_noted(&self, view: &View) -> bool {
-        let record = view.catalog.leaf(&self.leaf.name);
-        let declared = record.is_some_and(|record| record.spec.state == LeafState::Draining);
-        !declared && view.draining.contains(&self.leaf.name)
-    }
-
-    /// Takes what another owner noted as said by the leaf to this VM, so that
-    /// this VM takes it back when the leaf does.
-    fn inherit_draining(&mut self) {
-        let confirmed = self.seen.health_draining.contains(&self.leaf.name);
-        self.says_draining = true;
-        self.health_says_draining = confirmed;
-        self.queue.inherit_draining(confirmed, Instant::now());
-    }
-
-    /// Whether operator, membership list or another VM say that it leaves.
-    fn told_draining(&self) -> bool {
-        let Some(record) = self.seen.catalog.leaf(&self.leaf.name) else {
-            return true;
-        };
-        let declared = record.spec.state == LeafState::Draining;
-        declared || (!self.says_draining && self.seen.draining.contains(&self.leaf.name))
-    }
-
-    fn notice_draining(&mut self) {
-        let draining = self.queue.says_draining();
-        let by_health = self.queue.health_says_draining();
-        // The endpoint goes first, so that whoever hears of the leaving later
-        // knows of its confirmation.
-        if by_health != self.health_says_draining {
-            self.health_says_draining = by_health;
-            self.tell(Source::Health, by_health);
-        }
-        if draining != self.says_draining {
-            self.says_draining = draining;
-            self.tell(Source::Leaf, draining);
-        }
-    }
-
-    fn tell(&self, source: Source, draining: bool) {
-        if let Some(pool) = self.pool.upgrade() {
-            (pool.draining)(&self.leaf.name, source, draining);
-        }
-    }
-
     fn publish_held(&self) {
         let held = self.queue.holdings().to_vec();
         let known = self.held.get();
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -1,42 +1,31 @@
 //! All traffic of this VM to one peer.
 //!
 //! A connection opens with the first call and is replaced when it closes, so
-//! that calls that were not sent yet go on the new one. A part that was sent
-//! on a connection that closed ends as may have run.
+//! that calls that were not sent yet go on the new one.
 
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures::channel::oneshot;
-use futures::future::{self, FutureExt, LocalBoxFuture, Shared};
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
 
-use super::client::Unsent;
 use super::connection::{Connection, timeout};
 use super::in_flight::InFlight;
 use super::lost::Lost;
-use super::wire;
 use crate::edge::executor::Spawner;
-use crate::edge::pending::Pending;
 use crate::peer_capnp::peer;
 use crate::prelude::*;
 
 /// Time between two attempts to reach a peer that could not be reached. Parts
 /// are refused at once until one succeeds.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// A peer that no part was meant for in so long is not tried again.
 const RETRIED_IDLE: Duration = Duration::from_secs(5);
 
-/// A peer's answer at the deadline tells more than none; it is waited for
-/// so long.
-const ANSWER_GRACE: Duration = Duration::from_millis(20);
-
-const CANCEL_GRACE: Duration = Duration::from_millis(100);
-
 /// Pauses between two pings of a lost peer.
 const FIRST_REGAIN_PAUSE: Duration = Duration::from_millis(250);
 const LONGEST_REGAIN_PAUSE: Duration = Duration::from_secs(2);
@@ -67,14 +56,14 @@
 pub struct Link {
     from: IpAddr,
     to: SocketAddr,
-    spawner: Spawner,
+    pub(super) spawner: Spawner,
     state: RefCell<State>,
     opened: Cell<u64>,
-    last_used: Cell<Instant>,
+    pub(super) last_used: Cell<Instant>,
     lost: Lost,
     /// Whether the peer is lost and pinged until it answers.
     regaining: Cell<bool>,
-    in_flight: Rc<InFlight>,
+    pub(super) in_flight: Rc<InFlight>,
 }
 
 type Opening = Shared<LocalBoxFuture<'static, Option<Rc<Connection>>>>;
@@ -113,130 +102,6 @@
         self.in_flight.is_empty() && self.last_used.get().elapsed() > longer_than
     }
 
-    /// Takes on a part, which can be cancelled from then on; the future
-    /// carries it to the peer and its outcome back, or gives it to `unsent`.
-    pub fn carry(
-        self: Rc<Link>,
-        part: Part,
-        pending: Pending,
-        unsent: Arc<Unsent>,
-    ) -> LocalBoxFuture<'static, ()> {
-        self.last_used.set(Instant::now());
-        let Some((entry, cancelled)) = self.in_flight.enter(part.attempt) else {
-            pending.fail(Failure::not_run(Reason::QueueFull).retry_after(RETRY_PAUSE));
-            return future::ready(()).boxed_local();
-        };
-        let carried = async move {
-            let left = self.carry_entered(part, pending, cancelled).await;
-            drop(entry);
-            if let Some((part, pending)) = left {
-                unsent(part, pending);
-            }
-        };
-        carried.boxed_local()
-    }
-
-    /// Returns a part that could not be sent, as the peer is lost.
-    async fn carry_entered(
-        self: &Rc<Link>,
-        part: Part,
-        mut pending: Pending,
-        mut cancelled: oneshot::Receiver<()>,
-    ) -> Option<(Part, Pending)> {
-        let mut late = Timer::at(part.deadline).fuse();
-        let connection = futures::select_biased! {
-            connection = Box::pin(self.ready()).fuse() => connection,
-            _ = late => return refuse(pending, Reason::Deadline),
-            _ = cancelled => return refuse(pending, Reason::Cancelled),
-        };
-        let Some(connection) = connection else {
-            return Some((part, pending));
-        };
-        let travel = connection.round_trip() / 2;
-        let left = part.deadline.saturating_duration_since(Instant::now());
-        let Some(remaining) = left.checked_sub(travel) else {
-            return refuse(pending, Reason::Deadline);
-        };
-        pending.mark_sent();
-        match self
-            .exchange(&connection, &part, remaining, cancelled)
-            .await
-        {
-            Ok(outcome) => pending.answer(outcome),
-            Err(reason) => pending.fail(Failure::may_have_run(reason)),
-        }
-        None
-    }
-
-    /// Sends a part and waits for its outcome.
-    async fn exchange(
-        &self,
-        connection: &Connection,
-        part: &Part,
-        remaining: Duration,
-        mut cancelled: oneshot::Receiver<()>,
-    ) -> Result<Outcome, Reason> {
-        let _busy = connection.begin();
-        let mut request = connection.client().dispatch_request();
-        wire::write_part(part, remaining, request.get().init_part());
-        let mut answer = request.send().promise.fuse();
-        let mut closed = connection.closed().fuse();
-        let mut late = Timer::at(part.deadline + ANSWER_GRACE).fuse();
-        let mut reason = Reason::Deadline;
-        loop {
-            futures::select_biased! {
-                answer = answer => {
-                    let response = answer.map_err(|error| self.lost(&error))?;
-                    connection.note_heard();
-                    return self.read_outcome(part, &response);
-                }
-                () = closed => return Err(Reason::Unreachable),
-                _ = late => return Err(reason),
-                _ = cancelled => {
-                    reason = Reason::Cancelled;
-                    late = Timer::after(connection.round_trip() + CANCEL_GRACE).fuse();
-                    self.send_cancel(connection, part);
-                }
-            }
-        }
-    }
-
-    fn lost(&self, error: &capnp::Error) -> Reason {
-        log::debug!("peer: call to {} failed: {error}", self.to);
-        Reason::Unreachable
-    }
-
-    fn read_outcome(
-        &self,
-        part: &Part,
-        response: &capnp::capability::Response<peer::dispatch_results::Owned>,
-    ) -> Result<Outcome, Reason> {
-        let results = response.get().and_then(|results| results.get_outcome());
-        let outcome = results.and_then(wire::read_outcome);
-        let outcome = outcome.map_err(|error| self.lost(&error))?;
-        if outcome.attempt != part.attempt {
-            log::error!("peer: {} answered for another attempt", self.to);
-            return Err(Reason::ReplyMismatch);
-        }
-        Ok(outcome)
-    }
-
-    fn send_cancel(&self, connection: &Connection, part: &Part) {
-        let mut request = connection.client().cancel_request();
-        request.get().set_attempt(part.attempt);
-        request.get().set_leaf(part.leaf.as_str());
-        let answer = timeout(CANCEL_GRACE, request.send().promise);
-        let sent = self
-            .spawner
-            .unbounded_send(answer.map(|_| ()).boxed_local());
-        drop(sent);
-    }
-
-    /// Gives up a part; its outcome still comes.
-    pub fn cancel(&self, attempt: AttemptId) {
-        self.in_flight.cancel(attempt);
-    }
-
     /// Makes another call within a time limit.
     pub async fn call<T, F>(
         self: Rc<Link>,
@@ -256,6 +121,12 @@
         timeout(limit, whole).await.flatten()
     }
 
+    /// Notes a call that failed.
+    pub(super) fn lost(&self, error: &capnp::Error) -> Reason {
+        log::debug!("peer: call to {} failed: {error}", self.to);
+        Reason::Unreachable
+    }
+
     /// Returns the state for operators.
     pub fn dump(&self) -> Dump {
         let connection = match &*self.state.borrow() {
@@ -276,7 +147,7 @@
     }
 
     /// Returns a connection that was heard from just now, or a new one.
-    async fn ready(self: &Rc<Link>) -> Option<Rc<Connection>> {
+    pub(super) async fn ready(self: &Rc<Link>) -> Option<Rc<Connection>> {
         for _ in 0..CONNECTIONS_TRIED {
             let connection = self.connection().await?;
             let proven = match self.regaining.get() {
@@ -402,9 +273,3 @@
         }
     }
 }
-
-/// Answers a part that was not sent.
-fn refuse<T>(pending: Pending, reason: Reason) -> Option<T> {
-    pending.fail(Failure::not_run(reason));
-    None
-}
--- a/src/geraniummount/edge/peer/mod.rs
+++ b/src/geraniummount/edge/peer/mod.rs
@@ -5,6 +5,7 @@
 //! time that remains with it, less its way. When a caller is gone, or drops a
 //! call, the part that it sent is cancelled.
 
+mod carry;
 mod changes;
 mod claim;
 mod client;
