Try one timer for all parts at a peer

Cause: each part at a peer has a timer of its own, and async-io wakes the thread that waits for timers with each one that is set: one write to an event descriptor a part was expected to be saved.

Ruled out: a wheel of timers or a tick (late parts would end late).

Change: the parts in flight share one timer, which goes by the part that is due first and is set again when an earlier one comes.

--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -82,13 +82,13 @@
         Rc::new(Link {
             from,
             to,
-            spawner,
+            spawner: spawner.clone(),
             state: RefCell::new(State::Closed),
             opened: Cell::new(0),
             last_used: Cell::new(Instant::now()),
             lost,
             regaining: Cell::new(false),
-            in_flight: Rc::default(),
+            in_flight: InFlight::new(spawner),
         })
     }
 
