--- a/src/geraniummount/edge/peer/carry.rs
+++ b/src/geraniummount/edge/peer/carry.rs
@@ -8,11 +8,10 @@
 
 use async_io::Timer;
 use futures::channel::oneshot;
-use futures::future::{self, Fuse, FutureExt, LocalBoxFuture};
+use futures::future::{self, FutureExt, LocalBoxFuture};
 
 use super::client::Unsent;
 use super::connection::{Connection, timeout};
-use super::in_flight::Stop;
 use super::link::{Link, RETRY_PAUSE};
 use super::wire;
 use crate::edge::pending::Pending;
@@ -35,13 +34,12 @@
         unsent: Arc<Unsent>,
     ) -> LocalBoxFuture<'static, ()> {
         self.last_used.set(Instant::now());
-        let due = part.deadline + ANSWER_GRACE;
-        let Some((entry, stopped)) = self.in_flight.enter(part.attempt, due) else {
+        let Some((entry, cancelled)) = self.in_flight.enter(part.attempt) else {
             pending.fail(Failure::not_run(Reason::QueueFull).retry_after(RETRY_PAUSE));
             return future::ready(()).boxed_local();
         };
         let carried = async move {
-            let left = self.carry_entered(part, pending, stopped).await;
+            let left = self.carry_entered(part, pending, cancelled).await;
             drop(entry);
             if let Some((part, pending)) = left {
                 unsent(part, pending);
@@ -55,13 +53,13 @@
         self: &Rc<Link>,
         part: Part,
         mut pending: Pending,
-        mut stopped: oneshot::Receiver<Stop>,
+        mut cancelled: oneshot::Receiver<()>,
     ) -> Option<(Part, Pending)> {
         let mut late = Timer::at(part.deadline).fuse();
         let connection = futures::select_biased! {
             connection = Box::pin(self.ready()).fuse() => connection,
             _ = late => return refuse(pending, Reason::Deadline),
-            _ = stopped => return refuse(pending, Reason::Cancelled),
+            _ = cancelled => return refuse(pending, Reason::Cancelled),
         };
         let Some(connection) = connection else {
             return Some((part, pending));
@@ -72,7 +70,10 @@
             return refuse(pending, Reason::Deadline);
         };
         pending.mark_sent();
-        match self.exchange(&connection, &part, remaining, stopped).await {
+        match self
+            .exchange(&connection, &part, remaining, cancelled)
+            .await
+        {
             Ok(outcome) => pending.answer(outcome),
             Err(reason) => pending.fail(Failure::may_have_run(reason)),
         }
@@ -85,14 +86,15 @@
         connection: &Connection,
         part: &Part,
         remaining: Duration,
-        mut stopped: oneshot::Receiver<Stop>,
+        mut cancelled: oneshot::Receiver<()>,
     ) -> Result<Outcome, Reason> {
         let _busy = connection.begin();
         let mut request = connection.client().dispatch_request();
         wire::write_part(part, remaining, request.get().init_part());
         let mut answer = request.send().promise.fuse();
         let mut closed = connection.closed().fuse();
-        let mut grace = Fuse::terminated();
+        let mut late = Timer::at(part.deadline + ANSWER_GRACE).fuse();
+        let mut reason = Reason::Deadline;
         loop {
             futures::select_biased! {
                 answer = answer => {
@@ -101,12 +103,10 @@
                     return self.read_outcome(part, &response);
                 }
                 () = closed => return Err(Reason::Unreachable),
-                _ = grace => return Err(Reason::Cancelled),
-                stop = stopped => {
-                    if stop != Ok(Stop::Cancelled) {
-                        return Err(Reason::Deadline);
-                    }
-                    grace = Timer::after(connection.round_trip() + CANCEL_GRACE).fuse();
+                _ = late => return Err(reason),
+                _ = cancelled => {
+                    reason = Reason::Cancelled;
+                    late = Timer::after(connection.round_trip() + CANCEL_GRACE).fuse();
                     self.send_cancel(connection, part);
                 }
             }
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -82,13 +82,13 @@
         Rc::new(Link {
             from,
             to,
-            spawner: spawner.clone(),
+            spawner,
             state: RefCell::new(State::Closed),
             opened: Cell::new(0),
             last_used: Cell::new(Instant::now()),
             lost,
             regaining: Cell::new(false),
-            in_flight: InFlight::new(spawner),
+            in_flight: Rc::default(),
         })
     }
 
