Count a connection's trust from its reply, not from when the task hears of it

Cause: leaf_edge::a_silent_connection_carries_no_part_that_may_run_once failed once at a load of 115: a non-idempotent part took a connection that had gone silent. A connection needs no proof for 50 ms after a whole reply, but these were counted from when the leaf's task took the reply in, and whether a proof is due was decided there too, before the worker ran. On a busy machine both come late, and the trust lasted longer than it says.

Ruled out: the proof itself, which closes a silent connection.

Change: the thread that carries a request notes when the reply came, and decides right before the next request whether a proof is due.

No test brings the late task about by itself.

Conclusion: what may have gone silent is judged where bytes are sent.

--- a/src/geraniummount/edge/leaf/connections.rs
+++ b/src/geraniummount/edge/leaf/connections.rs
@@ -7,7 +7,7 @@
 
 use super::connection::Connection;
 use super::exchange;
-use crate::core::leaf_queue::{Ending, Use};
+use crate::core::leaf_queue::{Ending, Health, Use};
 use crate::prelude::*;
 
 /// A connection that carried a reply so recently needs no proof.
@@ -26,8 +26,8 @@
 pub struct Held {
     /// The connection; closed before its place is given back.
     pub connection: Connection,
-    /// Whether it has to be proven before its next request.
-    pub needs_proof: bool,
+    /// Time after its last reply in which it needs no proof.
+    trusted: Duration,
     _place: Place,
 }
 
@@ -35,8 +35,8 @@
     /// Sends a part on a connection, proven before where needed. A failed proof
     /// closes the connection, and the part opens a new one. Returns the connection
     /// if it can be used again.
-    pub fn carry(self, part: &Part, max_reply_bytes: u64) -> (Ending, Option<Held>) {
-        if self.needs_proof {
+    pub fn carry(mut self, part: &Part, max_reply_bytes: u64) -> (Ending, Option<Held>) {
+        if self.connection.proven.elapsed() > self.trusted {
             exchange::probe(&self.connection, PROOF_TIMEOUT);
         }
         let ending = exchange::run(&self.connection, part, max_reply_bytes);
@@ -45,8 +45,24 @@
             Ending::Shed { .. } | Ending::NotHeld { .. } => true,
             _ => false,
         };
+        self.note_reply(whole);
         (ending, whole.then_some(self))
     }
+
+    /// Asks the leaf's health endpoint. Returns the connection if it answered.
+    pub fn probe(mut self, timeout: Duration) -> (Health, Option<Held>) {
+        let health = exchange::probe(&self.connection, timeout);
+        let is_alive = matches!(health, Health::Answered { .. });
+        self.note_reply(is_alive);
+        (health, is_alive.then_some(self))
+    }
+
+    /// Counts the trust from the reply itself, as the task may hear of it late.
+    fn note_reply(&mut self, is_whole: bool) {
+        if is_whole {
+            self.connection.proven = Instant::now();
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -100,11 +116,10 @@
         let Some(mut held) = self.idle.pop() else {
             return self.open_new(now);
         };
-        let trusted = match connection {
+        held.trusted = match connection {
             Use::Any => TRUSTED_IDLE,
             Use::Proven => PROOF_LIFE,
         };
-        held.needs_proof = now.saturating_duration_since(held.connection.proven) > trusted;
         Some(held)
     }
 
@@ -124,17 +139,16 @@
         self.open.fetch_add(1, Ordering::AcqRel);
         Some(Held {
             connection: Connection::new(self.address, self.open_timeout, now),
-            needs_proof: false,
+            trusted: Duration::MAX,
             _place: Place(Arc::clone(&self.open)),
         })
     }
 
     /// Takes back a connection that just carried a whole reply.
-    pub fn put(&mut self, mut held: Held, now: Instant) {
+    pub fn put(&mut self, held: Held) {
         if held.connection.address != self.address || self.open() > self.share {
             return;
         }
-        held.connection.proven = now;
         self.idle.push(held);
     }
 
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -164,7 +164,7 @@
         let running = place.map(|place| self.running.swap_remove(place));
         let aborted = running.is_some_and(|running| running.aborted);
         if let Some(held) = held.filter(|_| !aborted) {
-            self.connections.put(held, now);
+            self.connections.put(held);
         }
         let not_held = matches!(ending, Ending::NotHeld { .. });
         let actions = self.queue.finish(attempt, ending, now);
@@ -177,7 +177,7 @@
 
     fn observe(&mut self, health: Health, held: Option<Held>, now: Instant) {
         match (&health, held) {
-            (Health::Answered { .. }, Some(held)) => self.connections.put(held, now),
+            (Health::Answered { .. }, Some(held)) => self.connections.put(held),
             _ => self.connections.close_idle(),
         }
         let actions = self.queue.observe(health, now);
@@ -271,9 +271,7 @@
             return;
         };
         self.spawn(move |sender: &SyncSender<Event>| {
-            let health = exchange::probe(&held.connection, PROBE_TIMEOUT);
-            let alive = matches!(health, Health::Answered { .. });
-            let held = alive.then_some(held);
+            let (health, held) = held.probe(PROBE_TIMEOUT);
             drop(sender.send(Event::Probed(health, held)));
         });
     }
