Measure what a loss costs the queries after it

Cause: that shards end missing after a loss of a failure domain, though the other replica would answer, was seen in tests and not measured.

--- a/benches/traffic/figures.rs
+++ b/benches/traffic/figures.rs
@@ -4,6 +4,33 @@
 
 use hdrhistogram::Histogram;
 
+/// Figures of the queries that came after a loss.
+pub struct AfterLoss {
+    pub latency: Histogram<u64>,
+    /// Shards missing from answers, by the second after the loss in which the
+    /// query came; the last counts all later ones.
+    pub missing: [u64; 3],
+}
+
+impl AfterLoss {
+    fn new() -> AfterLoss {
+        AfterLoss {
+            latency: Histogram::new(3).expect("three digits are allowed"),
+            missing: [0; 3],
+        }
+    }
+
+    pub fn count(&mut self, since: Duration, missing: u64, micros: u64) {
+        let last = self.missing.len() - 1;
+        self.missing[(since.as_secs() as usize).min(last)] += missing;
+        self.latency.record(micros).expect("it resizes itself");
+    }
+
+    pub fn millis(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
 /// Figures of one run, without its warm-up.
 pub struct Figures {
     /// Times from a client's send to its answer, in microseconds.
@@ -27,6 +54,8 @@
     pub leaf_needed: u64,
     /// Longest time to refuse a query of which nothing was sent to a leaf.
     pub slowest_refusal: Duration,
+    /// What queries after a loss showed.
+    pub after_loss: AfterLoss,
     /// Answers after the deadline.
     pub late: u64,
     /// Most connections at one leaf.
@@ -51,6 +80,7 @@
             leaf_requests: 0,
             leaf_needed: 0,
             slowest_refusal: Duration::ZERO,
+            after_loss: AfterLoss::new(),
             late: 0,
             connections: 0,
             broken: Vec::new(),
--- a/benches/traffic/main.rs
+++ b/benches/traffic/main.rs
@@ -7,6 +7,7 @@
 
 mod fifo;
 mod figures;
+mod losses;
 mod queue;
 mod scenario;
 mod world;
@@ -17,7 +18,7 @@
 use std::thread;
 
 use crate::figures::Figures;
-use crate::scenario::{Policy, Run, WORKLOADS, Workload};
+use crate::scenario::{Loss, Policy, Run, WORKLOADS, Workload};
 use crate::world::World;
 
 const THREADS: usize = 3;
@@ -28,27 +29,27 @@
 const MAX_REFUSAL_SHARE: f64 = 0.1;
 
 fn runs_of(workload: Workload) -> Vec<Run> {
-    let run = |policy, load, stragglers, kill| Run {
+    let run = |policy, load, stragglers, loss| Run {
         workload,
         policy,
         load,
         stragglers,
-        kill,
+        loss,
     };
     let mut runs = vec![
-        run(Policy::Product, 0.5, 0.0, false),
-        run(Policy::Product, 0.5, 0.01, false),
-        run(Policy::NoHedge, 0.5, 0.01, false),
-        run(Policy::OwnConnections, 0.5, 0.01, false),
-        run(Policy::Product, 0.8, 0.01, false),
-        run(Policy::NoHedge, 0.8, 0.01, false),
-        run(Policy::OwnConnections, 0.8, 0.01, false),
-        run(Policy::Fifo, 0.8, 0.01, false),
-        run(Policy::Product, 1.0, 0.01, false),
-        run(Policy::Product, 1.2, 0.01, false),
-        run(Policy::OwnConnections, 1.2, 0.01, false),
-        run(Policy::Fifo, 1.2, 0.01, false),
-        run(Policy::Product, 0.5, 0.01, true),
+        run(Policy::Product, 0.5, 0.0, Loss::None),
+        run(Policy::Product, 0.5, 0.01, Loss::None),
+        run(Policy::NoHedge, 0.5, 0.01, Loss::None),
+        run(Policy::OwnConnections, 0.5, 0.01, Loss::None),
+        run(Policy::Product, 0.8, 0.01, Loss::None),
+        run(Policy::NoHedge, 0.8, 0.01, Loss::None),
+        run(Policy::OwnConnections, 0.8, 0.01, Loss::None),
+        run(Policy::Fifo, 0.8, 0.01, Loss::None),
+        run(Policy::Product, 1.0, 0.01, Loss::None),
+        run(Policy::Product, 1.2, 0.01, Loss::None),
+        run(Policy::OwnConnections, 1.2, 0.01, Loss::None),
+        run(Policy::Fifo, 1.2, 0.01, Loss::None),
+        run(Policy::Product, 0.5, 0.01, Loss::KilledVm),
     ];
     if workload.name != "counter-desk" && workload.name != "csaladi-bolt" {
         runs.retain(|run| run.policy == Policy::Product);
@@ -64,7 +65,8 @@
     let runs: Vec<Run> = chosen.flat_map(runs_of).collect();
     let figures = measure(&runs);
     print_table(&runs, &figures);
-    let faults = faults(&runs, &figures);
+    let mut faults = faults(&runs, &figures);
+    faults.extend(losses::measure(only.as_deref()));
     for fault in &faults {
         println!("outside its bound: {fault}");
     }
@@ -75,7 +77,7 @@
     ExitCode::FAILURE
 }
 
-fn measure(runs: &[Run]) -> Vec<Figures> {
+pub fn measure(runs: &[Run]) -> Vec<Figures> {
     let next = AtomicUsize::new(0);
     let done: Mutex<Vec<(usize, Figures)>> = Mutex::new(Vec::new());
     thread::scope(|scope| {
@@ -125,7 +127,11 @@
             run.policy.name(),
             run.load * 100.0,
             run.stragglers * 100.0,
-            if run.kill { "yes" } else { "no" },
+            if run.loss == Loss::KilledVm {
+                "yes"
+            } else {
+                "no"
+            },
             f.millis(0.5),
             f.millis(0.99),
             f.millis(0.999),
@@ -150,7 +156,7 @@
                 && run.policy == Policy::Product
                 && run.load == load
                 && run.stragglers == stragglers
-                && !run.kill
+                && run.loss == Loss::None
         });
         place.map(|index| &figures[index])
     };
@@ -168,7 +174,11 @@
             continue;
         }
         check_run(run, f, &name, &mut faults);
-        if run.load == 0.5 && run.stragglers > 0.0 && !run.kill && run.workload.replicas > 1 {
+        if run.load == 0.5
+            && run.stragglers > 0.0
+            && run.loss == Loss::None
+            && run.workload.replicas > 1
+        {
             let without = find(run, 0.5, 0.0).map_or(f64::MAX, |f| f.millis(0.99));
             let with = f.millis(0.99);
             if with > without * MAX_STRAGGLER_FACTOR {
@@ -190,7 +200,7 @@
     faults
 }
 
-fn check_run(run: &Run, f: &Figures, name: &str, faults: &mut Vec<String>) {
+pub fn check_run(run: &Run, f: &Figures, name: &str, faults: &mut Vec<String>) {
     if f.extra() > MAX_EXTRA_PERCENT {
         faults.push(format!("{name}: extra load {:.2}%", f.extra()));
     }
--- a/benches/traffic/scenario.rs
+++ b/benches/traffic/scenario.rs
@@ -119,6 +119,34 @@
     }
 }
 
+/// What is lost in the middle of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    None,
+    KilledVm,
+    /// One leaf takes requests and does not answer.
+    FrozenLeaf,
+    /// Every leaf of a failure domain does so.
+    FrozenLeaves,
+    /// Nothing gets into a failure domain or out of it.
+    CutDomain,
+    /// One VM takes parts and does not answer.
+    FrozenOwner,
+}
+
+impl Loss {
+    pub fn name(self) -> &'static str {
+        match self {
+            Loss::None => "no",
+            Loss::KilledVm => "killed VM",
+            Loss::FrozenLeaf => "frozen leaf",
+            Loss::FrozenLeaves => "frozen leaves",
+            Loss::CutDomain => "cut domain",
+            Loss::FrozenOwner => "frozen owner",
+        }
+    }
+}
+
 /// One run.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
@@ -128,6 +156,6 @@
     pub load: f64,
     /// Share of the leaf requests that straggle.
     pub stragglers: f64,
-    /// Whether one VM is killed in the middle.
-    pub kill: bool,
+    /// What is lost in the middle, for the rest of the run.
+    pub loss: Loss,
 }
--- a/benches/traffic/world/event.rs
+++ b/benches/traffic/world/event.rs
@@ -47,8 +47,12 @@
         leaf: usize,
         owner: usize,
     },
-    Kill(usize),
-    Detected(usize),
+    HealthSilent {
+        leaf: usize,
+        owner: usize,
+    },
+    Lose,
+    Detected(Vec<usize>),
 }
 
 pub(super) struct Timed {
--- a/benches/traffic/world/leaves.rs
+++ b/benches/traffic/world/leaves.rs
@@ -5,6 +5,9 @@
 impl World {
     pub(super) fn at_leaf(&mut self, attempt: AttemptId, leaf: usize, owner: usize) {
         self.count_leaf_request(attempt);
+        if self.is_frozen_leaf(leaf) {
+            return;
+        }
         let slots = usize::from(self.run.workload.slots);
         if self.leaves[leaf].busy.len() >= slots {
             let ending = Ending::Shed {
@@ -60,6 +63,9 @@
     }
 
     pub(super) fn leaf_done(&mut self, attempt: AttemptId, leaf: usize, owner: usize) {
+        if self.is_frozen_leaf(leaf) {
+            return;
+        }
         let busy = &mut self.leaves[leaf].busy;
         let Some(place) = busy.iter().position(|&running| running == attempt) else {
             return;
@@ -104,6 +110,9 @@
     }
 
     pub(super) fn health(&mut self, leaf: usize, owner: usize) {
+        if self.is_frozen_leaf(leaf) {
+            return self.health_silent(leaf, owner);
+        }
         let held = self.layout.shards.iter().map(|shard| Held {
             service: shard.service.clone(),
             shard: shard.shard.clone(),
--- a/benches/traffic/world/mod.rs
+++ b/benches/traffic/world/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod leaves;
 mod links;
+mod loss;
 mod owners;
 mod queries;
 
@@ -29,7 +30,7 @@
 use crate::fifo::Fifo;
 use crate::figures::Figures;
 use crate::queue::Queue;
-use crate::scenario::{Policy, Run};
+use crate::scenario::{Loss, Policy, Run};
 
 const SEED: u64 = 4;
 const SERVICE: &str = "service";
@@ -105,6 +106,9 @@
     aborted: HashSet<AttemptId>,
     ran: HashSet<AttemptId>,
     reached: HashSet<(usize, ShardName)>,
+    lost_at: Option<Instant>,
+    /// Attempts, with their queries, that went to VMs which are silent.
+    silent: HashMap<AttemptId, usize>,
     layout: Layout,
     gap: f64,
     figures: Figures,
@@ -140,6 +144,8 @@
             aborted: HashSet::new(),
             ran: HashSet::new(),
             reached: HashSet::new(),
+            lost_at: None,
+            silent: HashMap::new(),
             layout,
             figures: Figures::new(MEASURED),
         }
@@ -147,8 +153,8 @@
 
     pub fn run(mut self) -> Figures {
         self.schedule(Duration::ZERO, Event::Arrive);
-        if self.run.kill {
-            self.schedule(WARM_UP + MEASURED / 2, Event::Kill(0));
+        if self.run.loss != Loss::None {
+            self.schedule(WARM_UP + MEASURED / 2, Event::Lose);
         }
         while let Some(Reverse(next)) = self.events.pop() {
             self.now = next.at;
@@ -207,11 +213,12 @@
                 }
                 self.with_queue(leaf, owner, |queue| queue.tick(now));
             }
-            Event::Kill(vm) => {
-                self.vms[vm].alive = false;
-                self.schedule(DETECTION, Event::Detected(vm));
+            Event::HealthSilent { leaf, owner } => {
+                let now = self.now;
+                self.with_queue(leaf, owner, |queue| queue.observe(Health::Silent, now));
             }
-            Event::Detected(vm) => self.vms[vm].known_dead = true,
+            Event::Lose => self.begin_loss(),
+            Event::Detected(vms) => self.detected(&vms),
         }
     }
 
--- a/benches/traffic/world/owners.rs
+++ b/benches/traffic/world/owners.rs
@@ -128,6 +128,10 @@
         };
         let query = origin.query;
         let vm = self.queries[query].vm;
+        if self.is_silent_vm(owner) && vm != owner {
+            self.silent.insert(outcome.attempt, query);
+            return;
+        }
         let delay = self.vm_delay(owner, vm);
         self.schedule(delay, Event::Outcome { query, outcome });
     }
--- a/benches/traffic/world/queries.rs
+++ b/benches/traffic/world/queries.rs
@@ -10,7 +10,7 @@
         let gap = -self.random.random::<f64>().max(1e-12).ln() * self.gap;
         self.schedule(Duration::from_secs_f64(gap), Event::Arrive);
         let live: Vec<usize> = (0..self.vms.len())
-            .filter(|&vm| self.vms[vm].alive)
+            .filter(|&vm| self.is_asked(vm))
             .collect();
         let vm = live[self.random.random_range(0..live.len())];
         let workload = &self.run.workload;
@@ -118,6 +118,9 @@
         if !query.measured {
             return;
         }
+        let since_loss = self
+            .lost_at
+            .and_then(|at| query.arrived.checked_duration_since(at));
         let figures = &mut self.figures;
         let all = self.layout.shards.len() as u64;
         figures.queries += 1;
@@ -138,6 +141,11 @@
                 let total = elapsed + self.run.workload.deployment.to_clients * 2;
                 let micros = total.as_micros() as u64;
                 figures.latency.record(micros).expect("it resizes itself");
+                if let Some(since) = since_loss {
+                    figures
+                        .after_loss
+                        .count(since, all - included as u64, micros);
+                }
                 if !honest || answer.snapshot != SNAPSHOT {
                     self.broken("an answer's coverage or snapshot is not true");
                 }
