Leave lost replicas at once and try fresh losses again

Cause: traces of failing queries after a loss showed an empty budget, replicas left only after three given-up parts each, and no hedge while more than a quarter of the shards was open, so that parts waited for the deadline. Under coverage a shard or an order that nothing could be sent to ended at once.

Change: two late parts of one owner or leaf without an answer in between make it silent; its parts are hedged at once, from what the budget earned while it was full (total still 4% and the first 10), and later ones go elsewhere but for single probes that the budget can pay. Under coverage what was lost less than 3 s ago is tried again after pauses, also a non-idempotent request that did not run. Under latency only the first part applies.

--- a/benches/traffic/main.rs
+++ b/benches/traffic/main.rs
@@ -77,7 +77,7 @@
     ExitCode::FAILURE
 }
 
-pub fn measure(runs: &[Run]) -> Vec<Figures> {
+pub(crate) fn measure(runs: &[Run]) -> Vec<Figures> {
     let next = AtomicUsize::new(0);
     let done: Mutex<Vec<(usize, Figures)>> = Mutex::new(Vec::new());
     thread::scope(|scope| {
@@ -200,7 +200,7 @@
     faults
 }
 
-pub fn check_run(run: &Run, f: &Figures, name: &str, faults: &mut Vec<String>) {
+pub(crate) fn check_run(run: &Run, f: &Figures, name: &str, faults: &mut Vec<String>) {
     if f.extra() > MAX_EXTRA_PERCENT {
         faults.push(format!("{name}: extra load {:.2}%", f.extra()));
     }
--- a/benches/traffic/queue.rs
+++ b/benches/traffic/queue.rs
@@ -14,8 +14,8 @@
 }
 
 impl Queue {
-    pub fn product(contract: Contract, share: u16, now: Instant) -> Queue {
-        let queue = LeafQueue::new(String::new(), contract, share, now);
+    pub fn product(owner: VmName, contract: Contract, share: u16, now: Instant) -> Queue {
+        let queue = LeafQueue::new(owner, contract, share, now);
         Queue::Product(Box::new(queue))
     }
 
--- a/benches/traffic/world/owners.rs
+++ b/benches/traffic/world/owners.rs
@@ -14,7 +14,7 @@
         self.with_queue(leaf, owner, |queue| queue.submit(part, now));
     }
 
-    pub(super) fn new_owned(&self) -> Owned {
+    pub(super) fn new_owned(&self, owner: usize) -> Owned {
         let workload = &self.run.workload;
         let contract = Contract {
             slots: workload.slots,
@@ -28,7 +28,7 @@
         let share = workload.connections / sharers as u16;
         let queue = match self.run.policy {
             Policy::Fifo => Queue::Fifo(Fifo::new(workload.slots)),
-            _ => Queue::product(contract, share, self.now),
+            _ => Queue::product(format!("vm-{owner}"), contract, share, self.now),
         };
         Owned {
             queue,
@@ -47,7 +47,7 @@
             return;
         }
         if !self.queues.contains_key(&(leaf, owner)) {
-            let owned = self.new_owned();
+            let owned = self.new_owned(owner);
             self.queues.insert((leaf, owner), owned);
         }
         let owned = self.queues.get_mut(&(leaf, owner)).expect("was inserted");
--- a/src/geraniummount/core/execution.rs
+++ b/src/geraniummount/core/execution.rs
@@ -8,9 +8,10 @@
 
 use crate::core::answer::{Answer, ShardResult};
 use crate::core::coverage::Coverage;
-use crate::core::fan_out::{Action, Query};
+use crate::core::fan_out::{Action, Query, wait};
 use crate::core::layout::Shard;
 use crate::core::margin;
+use crate::core::service::Preference;
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
 
@@ -29,6 +30,11 @@
     answer_by: Instant,
     open: Option<Attempt>,
     tried: Vec<LeafName>,
+    /// Replicas of them that nothing could be sent to.
+    unreached: Vec<LeafName>,
+    /// When it is sent again, and the failure before, which did not run it.
+    waiting: Option<(Instant, Failure)>,
+    waits: u32,
     finished: bool,
 }
 
@@ -50,6 +56,9 @@
             shard,
             open: None,
             tried: Vec::new(),
+            unreached: Vec::new(),
+            waiting: None,
+            waits: 0,
             finished: false,
         }
     }
@@ -76,6 +85,9 @@
         let elapsed = now.saturating_duration_since(attempt.sent);
         let ranking = &mut traffic.ranking;
         ranking.on_outcome(&attempt.leaf, &outcome, elapsed, true, now);
+        if outcome.result.as_ref().is_err_and(wait::is_unreached) {
+            self.unreached.push(attempt.leaf);
+        }
         match outcome.result {
             Ok(reply) => self.succeed(reply),
             Err(failure) if failure.verdict == Verdict::NotRun => {
@@ -87,7 +99,15 @@
 
     /// Does what has become due.
     pub fn tick(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
-        if self.finished || now < self.answer_by {
+        if self.finished {
+            return Vec::new();
+        }
+        if let Some((_, last)) = self.waiting.take_if(|(at, _)| now >= *at) {
+            let unreached = std::mem::take(&mut self.unreached);
+            self.tried.retain(|leaf| !unreached.contains(leaf));
+            return self.send_next(last, traffic, now);
+        }
+        if now < self.answer_by {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -105,21 +125,25 @@
 
     /// Returns when `tick` is due next; `None` when the request is over.
     pub fn next_wake(&self) -> Option<Instant> {
-        (!self.finished).then_some(self.answer_by)
+        let again = self.waiting.map_or(self.answer_by, |(at, _)| at);
+        (!self.finished).then_some(again)
     }
 
     /// Sends the request to the next replica, or ends it with the failure of
     /// the one before, which did not run it.
     fn send_next(&mut self, last: Failure, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
         let remaining = self.answer_by.saturating_duration_since(now);
-        if self.tried.len() >= MAX_ATTEMPTS || remaining.is_zero() {
+        if remaining.is_zero() {
             return self.fail(last);
         }
+        if self.tried.len() >= MAX_ATTEMPTS {
+            return self.wait_or_fail(last, traffic, now);
+        }
         let untried: Vec<LeafName> = self.untried();
         let is_far = |leaf: &LeafName| self.view.is_far(leaf);
         let choices = traffic.ranking.order(&untried, is_far, now);
         let Some(choice) = choices.into_iter().next() else {
-            return self.fail(last);
+            return self.wait_or_fail(last, traffic, now);
         };
         let id = traffic.draw_attempt();
         traffic.ranking.on_send(&choice.leaf, now);
@@ -132,6 +156,21 @@
         vec![Action::Send(self.part(id, choice.leaf, now))]
     }
 
+    /// Waits to send the request again if the loss of its replicas is fresh.
+    /// It always ends before the request's time does.
+    fn wait_or_fail(&mut self, last: Failure, traffic: &Traffic, now: Instant) -> Vec<Action> {
+        let mut unreached = self.unreached.iter();
+        let is_fresh = unreached.any(|leaf| traffic.ranking.is_fresh_loss(leaf, now));
+        let again = now + wait::pause(self.waits);
+        let waits = self.query.prefer == Preference::Coverage && is_fresh;
+        if !waits || again >= self.answer_by {
+            return self.fail(last);
+        }
+        self.waits += 1;
+        self.waiting = Some((again, last));
+        Vec::new()
+    }
+
     fn untried(&self) -> Vec<LeafName> {
         let replicas = self.shard.replicas.iter();
         replicas
--- a/src/geraniummount/core/fan_out/hedge.rs
+++ b/src/geraniummount/core/fan_out/hedge.rs
@@ -10,21 +10,22 @@
 const HEDGE_OPEN_SHARE: f64 = 0.25;
 
 /// Wait before a hedge that the budget refused is tried again.
-const HEDGE_RECHECK: Duration = Duration::from_millis(10);
+pub(super) const HEDGE_RECHECK: Duration = Duration::from_millis(10);
 
 impl FanOut {
     pub(super) fn may_hedge(&self) -> bool {
         let most = (self.shards.len() as f64 * HEDGE_OPEN_SHARE).max(1.0);
-        self.open_shards() as f64 <= most
+        let at_replicas = self.shards.iter().filter(|s| !s.open.is_empty());
+        at_replicas.count() as f64 <= most
     }
 
     pub(super) fn hedge(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
-        if !self.may_hedge() {
-            return Vec::new();
-        }
+        self.checked = now;
+        let may_hedge = self.may_hedge();
         let mut actions = Vec::new();
         for index in 0..self.shards.len() {
-            if self.shards[index].hedge_at.is_some_and(|at| now >= at) {
+            let due = self.shards[index].hedge_at.is_some_and(|at| now >= at);
+            if due && (may_hedge || self.is_lost(index, traffic, now)) {
                 actions.extend(self.hedge_shard(index, traffic, now));
             }
         }
@@ -36,17 +37,26 @@
             self.shards[index].hedge_at = None;
             return None;
         };
-        if let Some(later) = self.scarce_until(index, traffic)
+        let is_lost = self.is_lost(index, traffic, now);
+        if !is_lost
+            && let Some(later) = self.scarce_until(index, traffic)
             && now < later
         {
             self.shards[index].hedge_at = Some(later);
             return None;
         }
-        if !self.pay(Kind::Hedge, traffic) {
+        let kind = if is_lost { Kind::Rescue } else { Kind::Hedge };
+        if !self.pay(kind, traffic) {
             self.shards[index].hedge_at = Some(now + HEDGE_RECHECK);
             return None;
         }
-        Some(self.send(index, choice, Kind::Hedge, traffic, now))
+        Some(self.send(index, choice, kind, traffic, now))
+    }
+
+    /// Whether the replica that a shard's part is at has gone silent.
+    fn is_lost(&self, index: usize, traffic: &Traffic, now: Instant) -> bool {
+        let mut open = self.shards[index].open.iter();
+        open.any(|attempt| traffic.ranking.is_lost(&attempt.leaf, now))
     }
 
     /// When a late part may be hedged if the budget is scarce: the emptier it
--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -19,6 +19,7 @@
 mod query;
 mod restart;
 mod send;
+pub(in crate::core) mod wait;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -60,6 +61,8 @@
     finish_at: Instant,
     /// Worst verdict of attempts that a restart dropped.
     dropped: Verdict,
+    /// When late parts were last looked at.
+    checked: Instant,
     counters: Counters,
     finished: bool,
 }
@@ -79,6 +82,7 @@
             started: now,
             finish_at,
             dropped: Verdict::NotRun,
+            checked: now,
             counters: Counters::default(),
             finished: false,
         }
@@ -159,8 +163,12 @@
             return None;
         }
         let hedges = self.shards.iter().filter_map(|shard| shard.hedge_at);
-        let hedges = hedges.filter(|_| self.may_hedge());
+        let may_hedge = self.may_hedge();
+        let recheck = self.checked + hedge::HEDGE_RECHECK;
+        let hedges = hedges.map(|at| if may_hedge { at } else { at.max(recheck) });
+        let waiting = self.shards.iter().filter_map(|shard| shard.waiting);
         hedges
+            .chain(waiting.map(|(at, _)| at))
             .chain(self.patience_end())
             .chain([self.finish_at])
             .min()
@@ -259,6 +267,9 @@
     ) -> Vec<Action> {
         let shard = &mut self.shards[index];
         shard.note_failure(failure);
+        if wait::is_unreached(&failure) {
+            shard.unreached.extend(shard.leaf.clone());
+        }
         if !shard.open.is_empty() {
             return Vec::new();
         }
@@ -269,7 +280,9 @@
         {
             return vec![self.send(index, choice, kind, traffic, now)];
         }
-        self.shards[index].settle(Settled::Missing(failure.reason), now);
+        if !self.wait(index, &failure, traffic, now) {
+            self.shards[index].settle(Settled::Missing(failure.reason), now);
+        }
         Vec::new()
     }
 
@@ -281,10 +294,12 @@
         if let Some(actions) = self.restart(traffic, now) {
             return actions;
         }
+        let mut actions = self.try_waiting(traffic, now);
         if self.open_shards() == 0 {
-            return self.finish();
+            actions.extend(self.finish());
+            return actions;
         }
-        let mut actions = self.hedge(traffic, now);
+        actions.extend(self.hedge(traffic, now));
         let reason = if now >= self.finish_at {
             Reason::Deadline
         } else if self.patience_end().is_some_and(|end| now >= end) {
@@ -350,6 +365,7 @@
     fn settle_open(&mut self, reason: Reason, now: Instant) {
         let open = self.shards.iter_mut().filter(|s| s.settled.is_none());
         for shard in open {
+            let reason = shard.waiting.map_or(reason, |(_, unreached)| unreached);
             shard.settle(Settled::Missing(reason), now);
         }
     }
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -5,6 +5,7 @@
 
 use super::{Action, FanOut};
 use crate::core::ranking::Choice;
+use crate::core::retry_budget::RetryBudget;
 use crate::core::service::Preference;
 use crate::core::shard_state::{Attempt, Kind, Settled};
 use crate::core::traffic::Traffic;
@@ -32,12 +33,15 @@
     pub(super) fn pay(&self, kind: Kind, traffic: &mut Traffic) -> bool {
         match kind {
             Kind::First | Kind::Redirect => true,
-            Kind::Hedge | Kind::Retry => traffic
-                .budget(&self.query.service, self.query.extra_percent)
-                .take(),
+            Kind::Hedge | Kind::Retry => self.budget(traffic).take(),
+            Kind::Rescue => self.budget(traffic).take_for_lost(),
         }
     }
 
+    fn budget<'a>(&self, traffic: &'a mut Traffic) -> &'a mut RetryBudget {
+        traffic.budget(&self.query.service, self.query.extra_percent)
+    }
+
     /// Finds the best replica that was not tried and can still answer in time.
     pub(super) fn other_replica(
         &self,
@@ -62,10 +66,12 @@
             .collect();
         let is_far = |leaf: &LeafName| self.view.is_far(leaf);
         let mut choices = traffic.ranking.order(&untried, is_far, now);
+        let can_probe = traffic.can_hedge(&self.query.service);
         choices.sort_by_key(|choice| {
+            let avoided = choice.silent || (choice.probed && !can_probe);
             let held = traffic.holdings.of(shard, &choice.leaf);
             let lacks = !held.is_empty() && !held.contains(&self.snapshot);
-            (choice.suspended, lacks)
+            (choice.suspended, avoided, lacks)
         });
         choices
     }
@@ -81,9 +87,7 @@
             actions.extend(self.send_first(index, traffic, now));
         }
         let sent = actions.len();
-        traffic
-            .budget(&self.query.service, self.query.extra_percent)
-            .earn(sent);
+        self.budget(traffic).earn(sent);
         actions.extend(self.advance(traffic, now));
         actions
     }
@@ -131,7 +135,7 @@
         let shard = &mut self.shards[index];
         shard.begin(attempt, kind);
         shard.late = late;
-        let can_hedge = kind != Kind::Hedge && shard.hedges == 0;
+        let can_hedge = !kind.is_hedge() && shard.hedges == 0;
         shard.hedge_at = can_hedge.then(|| now + late.unwrap_or(remaining / 2));
         Action::Send(self.part(index, id, choice.leaf))
     }
@@ -139,7 +143,7 @@
     fn count(&mut self, kind: Kind) {
         let counter = match kind {
             Kind::First => &mut self.counters.first,
-            Kind::Hedge => &mut self.counters.hedges,
+            Kind::Hedge | Kind::Rescue => &mut self.counters.hedges,
             Kind::Redirect => &mut self.counters.redirects,
             Kind::Retry => &mut self.counters.retries,
         };
--- /dev/null
+++ b/src/geraniummount/core/fan_out/wait.rs
@@ -0,0 +1,79 @@
+//! Trying a shard again that could not be reached a moment ago.
+//!
+//! A VM or a leaf that restarts, or a link that is cut for a moment, is often
+//! back before the deadline. Under `coverage` such a shard is tried again
+//! after pauses. What has been gone for longer is said missing at once.
+
+use std::time::{Duration, Instant};
+
+use super::{Action, FanOut};
+use crate::core::service::Preference;
+use crate::core::shard_state::{Kind, Settled};
+use crate::core::traffic::Traffic;
+use crate::prelude::*;
+
+/// First pause before a shard is tried again; each further one is twice as
+/// long.
+const FIRST_PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest pause before a shard is tried again.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Returns the pause after so many earlier ones.
+pub(in crate::core) fn pause(earlier: u32) -> Duration {
+    let factor = 2_u32.saturating_pow(earlier);
+    FIRST_PAUSE.saturating_mul(factor).min(LONGEST_PAUSE)
+}
+
+/// Whether a failure says that nothing was there to take the part.
+pub(in crate::core) fn is_unreached(failure: &Failure) -> bool {
+    let unreached = matches!(
+        failure.reason,
+        Reason::ConnectFailed | Reason::NoOwner | Reason::Unreachable
+    );
+    unreached && failure.verdict == Verdict::NotRun
+}
+
+impl FanOut {
+    /// Lets a shard wait for another try, if its loss is fresh.
+    pub(super) fn wait(
+        &mut self,
+        index: usize,
+        failure: &Failure,
+        traffic: &Traffic,
+        now: Instant,
+    ) -> bool {
+        if self.query.prefer != Preference::Coverage || !is_unreached(failure) {
+            return false;
+        }
+        let shard = &mut self.shards[index];
+        let mut unreached = shard.unreached.iter();
+        let is_fresh = unreached.any(|leaf| traffic.ranking.is_fresh_loss(leaf, now));
+        let again = now + pause(shard.waits);
+        if !is_fresh || again >= self.finish_at {
+            return false;
+        }
+        shard.wait_until(again, failure.reason);
+        true
+    }
+
+    /// Tries the shards again that have waited.
+    pub(super) fn try_waiting(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.shards.len() {
+            let shard = &mut self.shards[index];
+            let Some((_, reason)) = shard.waiting.take_if(|(at, _)| now >= *at) else {
+                continue;
+            };
+            shard.try_unreached_again();
+            let choice = self.choices(index, traffic, now).into_iter().next();
+            match choice {
+                Some(choice) => {
+                    actions.push(self.send(index, choice, Kind::Redirect, traffic, now));
+                }
+                None => self.shards[index].settle(Settled::Missing(reason), now),
+            }
+        }
+        actions
+    }
+}
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -43,6 +43,7 @@
 pub mod rumors;
 pub mod service;
 mod shard_state;
+mod silence;
 pub mod status;
 pub mod survey;
 pub mod traffic;
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -8,8 +8,10 @@
 
 use std::time::{Duration, Instant};
 
+use crate::core::fan_out::wait::is_unreached;
 use crate::core::leaf::State;
 use crate::core::quantile::Quantile;
+use crate::core::silence::{Silence, is_from_leaf};
 use crate::prelude::*;
 
 /// Time to answer that is assumed before any outcome came.
@@ -30,6 +32,12 @@
 /// Attempts without any answer in a row that suspend a replica.
 const SILENT_TO_SUSPEND: u32 = 3;
 
+/// A part is no sign of a silent owner before it is so late.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(10);
+
+/// A replica that could not be reached for longer is not waited for.
+const FRESH_LOSS: Duration = Duration::from_secs(3);
+
 /// Least median with which the pace of a leaf is computed, in seconds.
 const MIN_MEDIAN_SECS: f64 = 1e-4;
 
@@ -47,6 +55,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ranking {
     standings: Vec<Standing>,
+    silent_owners: Silence,
+    silent_leaves: Silence,
 }
 
 /// A replica in the order in which it is to be tried.
@@ -60,6 +70,10 @@
     pub queued: Duration,
     /// Whether it is suspended now.
     pub suspended: bool,
+    /// Whether nothing comes from it or its owner any more.
+    pub silent: bool,
+    /// Whether a part sent to it is the single probe after a pause.
+    pub probed: bool,
 }
 
 /// What is known of one replica.
@@ -77,6 +91,8 @@
     sent_since: u32,
     silent: u32,
     pause: Option<Pause>,
+    /// Since when nothing could be sent to it.
+    unreached_since: Option<Instant>,
 }
 
 /// Time without parts.
@@ -108,18 +124,44 @@
                 expected: charge + standing.map_or(ASSUMED_TIME, |s| s.expected(now)),
                 queued: standing.map_or(Duration::ZERO, |s| s.expected_queueing(now)),
                 suspended: standing.is_some_and(|s| s.is_suspended(now)),
+                silent: standing.is_some_and(|s| self.is_silent(s, now)),
+                probed: standing.is_some_and(|s| self.is_probe_due(s, now)),
             }
         });
         let mut choices: Vec<Choice> = choices.collect();
-        choices.sort_by_key(|choice| (choice.suspended, choice.expected));
+        choices.sort_by_key(|choice| (choice.suspended, choice.silent, choice.expected));
         choices
     }
 
+    /// Returns whether nothing comes from a replica or its owner any more.
+    pub fn is_lost(&self, leaf: &str, now: Instant) -> bool {
+        self.standing(leaf).is_some_and(|s| self.is_silent(s, now))
+    }
+
+    fn is_probe_due(&self, standing: &Standing, now: Instant) -> bool {
+        let owner = standing.owner();
+        let owner = owner.is_some_and(|owner| self.silent_owners.is_probe_due(owner, now));
+        let leaf = self.silent_leaves.is_probe_due(&standing.leaf, now);
+        owner || leaf || standing.pause.is_some_and(|pause| now >= pause.until)
+    }
+
+    fn is_silent(&self, standing: &Standing, now: Instant) -> bool {
+        let owner = standing.owner();
+        let owner = owner.is_some_and(|owner| self.silent_owners.is_silent(owner, now));
+        owner || self.silent_leaves.is_silent(&standing.leaf, now)
+    }
+
     /// Returns whether a replica is suspended.
     pub fn is_suspended(&self, leaf: &str, now: Instant) -> bool {
         self.standing(leaf).is_some_and(|s| s.is_suspended(now))
     }
 
+    /// Returns whether a replica can't be reached, and could a moment ago.
+    pub fn is_fresh_loss(&self, leaf: &str, now: Instant) -> bool {
+        let since = self.standing(leaf).and_then(|s| s.unreached_since);
+        since.is_some_and(|since| now < since + FRESH_LOSS)
+    }
+
     /// Returns the time after which a part sent to a replica counts as late.
     pub fn late_after(&self, leaf: &str) -> Option<Duration> {
         self.standing(leaf)?.late_after()
@@ -127,7 +169,14 @@
 
     /// Notes a part sent to a replica.
     pub fn on_send(&mut self, leaf: &str, now: Instant) {
-        let standing = self.standing_mut(leaf);
+        let place = self.place(leaf);
+        let standing = &mut self.standings[place];
+        let late = standing.late_after().unwrap_or(ASSUMED_TIME);
+        let late = now + late.max(SHORTEST_SILENCE);
+        if let Some(owner) = standing.owner() {
+            self.silent_owners.on_send(owner, leaf, late, now);
+        }
+        self.silent_leaves.on_send(leaf, leaf, late, now);
         standing.open += 1;
         standing.sent_since += 1;
         if let Some(pause) = &mut standing.pause
@@ -147,7 +196,14 @@
         counted: bool,
         now: Instant,
     ) {
-        let standing = self.standing_mut(leaf);
+        let place = self.place(leaf);
+        let standing = &mut self.standings[place];
+        if outcome.lost_owner() || is_from_leaf(&outcome.result) {
+            self.silent_leaves.on_answer(leaf);
+            let owner = standing.owner();
+            owner.inspect(|owner| self.silent_owners.on_answer(owner));
+        }
+        standing.note_reach(&outcome.result, now);
         if counted {
             standing.open = standing.open.saturating_sub(1);
         }
@@ -169,11 +225,15 @@
 
     /// Notes a part that this VM gave up after some time without an outcome.
     pub fn on_abandon(&mut self, leaf: &str, elapsed: Duration, now: Instant) {
-        let standing = self.standing_mut(leaf);
+        let place = self.place(leaf);
+        let standing = &mut self.standings[place];
         standing.open = standing.open.saturating_sub(1);
         let late = standing.late_after().unwrap_or(ASSUMED_TIME);
         if elapsed <= late {
             standing.end_probe();
+            self.silent_leaves.forget(leaf, leaf);
+            let owner = standing.owner();
+            owner.inspect(|owner| self.silent_owners.forget(owner, leaf));
             return;
         }
         standing.elapsed.record(elapsed);
@@ -188,12 +248,11 @@
         Some(&self.standings[place])
     }
 
-    fn standing_mut(&mut self, leaf: &str) -> &mut Standing {
-        let place = self.find(leaf).unwrap_or_else(|place| {
+    fn place(&mut self, leaf: &str) -> usize {
+        self.find(leaf).unwrap_or_else(|place| {
             self.standings.insert(place, Standing::new(leaf));
             place
-        });
-        &mut self.standings[place]
+        })
     }
 
     fn find(&self, leaf: &str) -> Result<usize, usize> {
@@ -213,9 +272,16 @@
             sent_since: 0,
             silent: 0,
             pause: None,
+            unreached_since: None,
         }
     }
 
+    /// VM that owned the leaf when it last told.
+    fn owner(&self) -> Option<&str> {
+        let (report, _) = self.report.as_ref()?;
+        (!report.owner.is_empty()).then_some(report.owner.as_str())
+    }
+
     fn late_after(&self) -> Option<Duration> {
         let median = self.elapsed.median()?;
         let high = self.elapsed.at(LATE_SHARE)?;
@@ -272,6 +338,16 @@
         }
     }
 
+    fn note_reach(&mut self, result: &Result<Reply, Failure>, now: Instant) {
+        match result {
+            Err(failure) if is_unreached(failure) => {
+                self.unreached_since.get_or_insert(now);
+            }
+            result if is_from_leaf(result) => self.unreached_since = None,
+            _ => {}
+        }
+    }
+
     fn note_failure(&mut self, failure: &Failure, now: Instant) {
         match failure.reason {
             Reason::ConnectFailed
--- a/src/geraniummount/core/retry_budget.rs
+++ b/src/geraniummount/core/retry_budget.rs
@@ -7,11 +7,16 @@
 /// Extra parts that may be saved up while none are needed.
 const BURST: f64 = 10.0;
 
+/// Extra parts that may be kept beyond those, for parts at lost owners only.
+const MOST_RESERVED: f64 = 40.0;
+
 /// Budget for the retries and hedges of one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
     saved: f64,
+    /// What was earned while the budget was full.
+    reserved: f64,
 }
 
 impl RetryBudget {
@@ -20,6 +25,7 @@
         let mut budget = RetryBudget {
             share: 0.0,
             saved: BURST,
+            reserved: 0.0,
         };
         budget.configure(extra_percent);
         budget
@@ -30,12 +36,15 @@
         self.share = f64::from(extra_percent) / 100.0;
         if extra_percent == 0 {
             self.saved = 0.0;
+            self.reserved = 0.0;
         }
     }
 
     /// Notes parts that were sent first.
     pub fn earn(&mut self, parts: usize) {
-        self.saved = (self.saved + self.share * parts as f64).min(BURST);
+        let saved = self.saved + self.share * parts as f64;
+        self.saved = saved.min(BURST);
+        self.reserved = (self.reserved + saved - self.saved).min(MOST_RESERVED);
     }
 
     /// Returns how full the budget is, from 0 to 1.
@@ -43,6 +52,11 @@
         self.saved / BURST
     }
 
+    /// Returns whether it has an extra part, or never gets any.
+    pub fn can_hedge(&self) -> bool {
+        self.saved >= 1.0 || self.share == 0.0
+    }
+
     /// Takes one extra part, if the budget has it.
     pub fn take(&mut self) -> bool {
         if self.saved < 1.0 {
@@ -51,4 +65,13 @@
         self.saved -= 1.0;
         true
     }
+
+    /// Takes one extra part for one that is at a lost owner.
+    pub fn take_for_lost(&mut self) -> bool {
+        if self.reserved < 1.0 {
+            return self.take();
+        }
+        self.reserved -= 1.0;
+        true
+    }
 }
--- a/src/geraniummount/core/shard_state.rs
+++ b/src/geraniummount/core/shard_state.rs
@@ -18,6 +18,12 @@
     pub(crate) open: Vec<Attempt>,
     /// Replicas that attempts were sent to.
     pub(crate) tried: Vec<LeafName>,
+    /// Replicas of them that nothing could be sent to.
+    pub(crate) unreached: Vec<LeafName>,
+    /// When it is tried again, and why it could not be reached before.
+    pub(crate) waiting: Option<(Instant, Reason)>,
+    /// Times that it waited to be tried again.
+    pub(crate) waits: u32,
     /// Replica whose owner was lost with the attempt.
     again: Option<LeafName>,
     /// Attempts sent.
@@ -65,10 +71,19 @@
     Hedge,
     /// The one before never reached a leaf.
     Redirect,
+    /// The first one is at an owner that went silent.
+    Rescue,
     /// The one before failed.
     Retry,
 }
 
+impl Kind {
+    /// Whether it is sent beside an attempt that is still open.
+    pub(crate) fn is_hedge(self) -> bool {
+        matches!(self, Kind::Hedge | Kind::Rescue)
+    }
+}
+
 /// What became of a shard.
 #[derive(Debug)]
 pub(crate) enum Settled {
@@ -83,6 +98,9 @@
         ShardState {
             open: Vec::new(),
             tried: Vec::new(),
+            unreached: Vec::new(),
+            waiting: None,
+            waits: 0,
             again: None,
             attempts: 0,
             hedges: 0,
@@ -105,7 +123,7 @@
     pub(crate) fn begin(&mut self, attempt: Attempt, kind: Kind) {
         self.attempts += 1;
         match kind {
-            Kind::Hedge => self.hedges += 1,
+            Kind::Hedge | Kind::Rescue => self.hedges += 1,
             Kind::Redirect => self.redirects += 1,
             Kind::First | Kind::Retry => {}
         }
@@ -129,6 +147,19 @@
         }
     }
 
+    /// Lets it wait for another try.
+    pub(crate) fn wait_until(&mut self, at: Instant, reason: Reason) {
+        self.waits += 1;
+        self.waiting = Some((at, reason));
+    }
+
+    /// Allows the replicas again that nothing could be sent to.
+    pub(crate) fn try_unreached_again(&mut self) {
+        let unreached = std::mem::take(&mut self.unreached);
+        self.tried.retain(|leaf| !unreached.contains(leaf));
+        self.redirects = 0;
+    }
+
     /// Returns the replicas that may be tried: those that were not, or else
     /// the one whose owner was lost.
     pub(crate) fn left_to_try<'a>(&'a self, replicas: &'a [LeafName]) -> Vec<&'a LeafName> {
@@ -149,6 +180,7 @@
     /// Fixes what became of the shard.
     pub(crate) fn settle(&mut self, settled: Settled, now: Instant) {
         self.hedge_at = None;
+        self.waiting = None;
         self.settled_at = Some(now);
         self.settled = Some(settled);
     }
--- a/src/geraniummount/core/traffic.rs
+++ b/src/geraniummount/core/traffic.rs
@@ -36,6 +36,14 @@
         self.generator.next_u64()
     }
 
+    /// Returns whether the budget of a service has room for a hedge, or none
+    /// is ever paid.
+    pub fn can_hedge(&self, service: &str) -> bool {
+        let mut budgets = self.budgets.iter();
+        let found = budgets.find(|(name, _)| name == service);
+        found.is_none_or(|(_, budget)| budget.can_hedge())
+    }
+
     /// Returns the budget of a service.
     pub fn budget(&mut self, service: &str, extra_percent: u8) -> &mut RetryBudget {
         let found = self
