Give the tests after a loss a module of their own, and tables a line a case

Change: fan_out_losses holds the tests of silent owners and of replicas that nothing can be sent to; the tables of it and of readiness have a line a case.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod control_store;
 mod control_validation;
 mod fan_out;
+mod fan_out_losses;
 mod fuzz;
 mod leaf_edge;
 mod leaf_queue;
--- a/tests/testsuite/readiness.rs
+++ b/tests/testsuite/readiness.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use geraniummount::core::readiness::{self, Readiness};
-use geraniummount::core::vm::State;
+use geraniummount::core::vm::State::{self, Dead, Live, Suspect};
 use geraniummount::prelude::*;
 use geraniummount_test_support::fleet::{PATIENCE, wait_until};
 use geraniummount_test_support::platform::Outage;
@@ -21,77 +21,78 @@
     /// Failure domains with leaves.
     leaves: &'static [&'static str],
     /// Failure domains of the other VMs, with what they say of themselves.
-    others: &'static [(&'static str, State, Revision)],
+    others: Others,
     ready: bool,
 }
 
 const CASES: [Case; 8] = [
-    Case {
-        name: "knows nothing",
-        confirmed: false,
-        revision: 0,
-        leaves: &[],
-        others: &[],
-        ready: false,
-    },
-    Case {
-        name: "the platform holds nothing",
-        confirmed: true,
-        revision: 0,
-        leaves: &[],
-        others: &[],
-        ready: true,
-    },
-    Case {
-        name: "another VM has a newer revision",
-        confirmed: true,
-        revision: 3,
-        leaves: &["east"],
-        others: &[("east", State::Live, 4)],
-        ready: false,
-    },
-    Case {
-        name: "learnt all from peers",
-        confirmed: false,
-        revision: 4,
-        leaves: &["east"],
-        others: &[("east", State::Live, 4)],
-        ready: true,
-    },
-    Case {
-        name: "knows no VM of a failure domain with leaves",
-        confirmed: true,
-        revision: 4,
-        leaves: &["east", "west"],
-        others: &[("east", State::Live, 4)],
-        ready: false,
-    },
-    Case {
-        name: "knows a dead one there",
-        confirmed: true,
-        revision: 4,
-        leaves: &["east", "west"],
-        others: &[("west", State::Dead, 4)],
-        ready: false,
-    },
-    Case {
-        name: "knows one there that does not answer",
-        confirmed: true,
-        revision: 4,
-        leaves: &["east", "west"],
-        others: &[("west", State::Suspect, 2)],
-        ready: true,
-    },
-    Case {
-        name: "knows a VM wherever leaves are",
-        confirmed: false,
-        revision: 4,
-        leaves: &["east", "west"],
-        others: &[("north", State::Live, 4), ("west", State::Live, 4)],
-        ready: true,
-    },
+    case("knows nothing", (false, 0), &[], &[], false),
+    case("the platform holds nothing", (true, 0), &[], &[], true),
+    case(
+        "has heard of a newer revision",
+        (true, 3),
+        &["east"],
+        &[("east", Live, 4)],
+        false,
+    ),
+    case(
+        "learnt all from peers",
+        (false, 4),
+        &["east"],
+        &[("east", Live, 4)],
+        true,
+    ),
+    case(
+        "knows no VM at some leaves",
+        (true, 4),
+        BOTH,
+        &[("east", Live, 4)],
+        false,
+    ),
+    case(
+        "knows a dead one there",
+        (true, 4),
+        BOTH,
+        &[("west", Dead, 4)],
+        false,
+    ),
+    case(
+        "knows a silent one there",
+        (true, 4),
+        BOTH,
+        &[("west", Suspect, 2)],
+        true,
+    ),
+    case(
+        "knows VMs at all leaves",
+        (false, 4),
+        BOTH,
+        &[("north", Live, 4), ("west", Live, 4)],
+        true,
+    ),
 ];
 
+const BOTH: &[&str] = &["east", "west"];
+
+type Others = &'static [(&'static str, State, Revision)];
+
+const fn case(
+    name: &'static str,
+    (confirmed, revision): (bool, Revision),
+    leaves: &'static [&'static str],
+    others: Others,
+    ready: bool,
+) -> Case {
+    Case {
+        name,
+        confirmed,
+        revision,
+        leaves,
+        others,
+        ready,
+    }
+}
+
 impl Case {
     fn catalog(&self) -> Catalog {
         let record = |(index, domain): (usize, &&str)| {
