--- a/tests/testsuite/control_ownership.rs
+++ b/tests/testsuite/control_ownership.rs
@@ -93,46 +93,33 @@
         vms: Vec<Vm>,
         expected: Option<&'static str>,
     }
+    let case = |name, me, vms, expected| Case {
+        name,
+        me,
+        vms,
+        expected,
+    };
+    let east = |state| vm("e", "east", state);
+    let west = || vm("w", "west", State::Live);
+    let other = || vm("f", "east", State::Live);
+    let (dead, leaving, suspect) = (State::Dead, State::Leaving, State::Suspect);
+    let finishes = "the last of its domain finishes its own while it stops";
     let cases = [
-        Case {
-            name: "no VM known there",
-            me: "w",
-            vms: vec![vm("w", "west", State::Live)],
-            expected: None,
-        },
-        Case {
-            name: "a dead VM is none",
-            me: "w",
-            vms: vec![vm("e", "east", State::Dead), vm("w", "west", State::Live)],
-            expected: None,
-        },
-        Case {
-            name: "a suspect is better than none",
-            me: "w",
-            vms: vec![
-                vm("e", "east", State::Suspect),
-                vm("w", "west", State::Live),
-            ],
-            expected: Some("e"),
-        },
-        Case {
-            name: "the last of its domain finishes its own while it stops",
-            me: "e",
-            vms: vec![
-                vm("e", "east", State::Leaving),
-                vm("w", "west", State::Live),
-            ],
-            expected: Some("e"),
-        },
-        Case {
-            name: "one that stops hands over",
-            me: "e",
-            vms: vec![
-                vm("e", "east", State::Leaving),
-                vm("f", "east", State::Live),
-            ],
-            expected: Some("f"),
-        },
+        case("no VM known there", "w", vec![west()], None),
+        case("a dead VM is none", "w", vec![east(dead), west()], None),
+        case(
+            "a suspect helps",
+            "w",
+            vec![east(suspect), west()],
+            Some("e"),
+        ),
+        case(finishes, "e", vec![east(leaving), west()], Some("e")),
+        case(
+            "one that stops",
+            "e",
+            vec![east(leaving), other()],
+            Some("f"),
+        ),
     ];
     for case in cases {
         let found = owner(case.me, &case.vms, &leaf("one"));
