--- a/src/bin/geraniummount/cli.rs
+++ b/src/bin/geraniummount/cli.rs
@@ -4,7 +4,9 @@
 use error_stack::Report;
 use geraniummount::ops::exit::Exit;
 
-use crate::commands::{apply, check, delete, dump, get, load, query, serve, status, watch};
+use crate::commands::{
+    apply, check, delete, dump, gateway, get, load, query, serve, status, watch,
+};
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -38,6 +40,8 @@
 enum Command {
     /// Run the process of an entry VM until it is told to stop
     Serve(serve::Args),
+    /// Route callers' requests by host and path until told to stop
+    Gateway(gateway::Args),
     /// Check a settings file as serve would
     Check(check::Args),
     /// Declare the resources of a file
@@ -63,6 +67,7 @@
     pub fn exec(self) -> Result<(), Report<Exit>> {
         match self.command {
             Command::Serve(args) => args.exec(),
+            Command::Gateway(args) => args.exec(),
             Command::Check(args) => args.exec(),
             Command::Apply(args) => args.exec(),
             Command::Get(args) => args.exec(),
--- a/src/bin/geraniummount/commands/mod.rs
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod delete;
 pub mod dump;
+pub mod gateway;
 pub mod get;
 pub mod load;
 pub mod operator;
--- /dev/null
+++ b/src/geraniummount/core/call/finish.rs
@@ -0,0 +1,116 @@
+//! When a request ends, and how.
+
+use std::time::{Duration, Instant};
+
+use super::shard::Settled;
+use super::{Action, Call, End, Refusal, Response};
+use crate::core::placement::Placement;
+
+/// Shortest time to come back that a caller is told.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(30);
+
+/// Longest time to come back that a caller is told.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Time to come back where no leaf is known.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl Call {
+    /// Hedges what is late and finishes what is due.
+    pub(super) fn advance(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        let included = self.included();
+        let unsettled = self.unsettled();
+        let enough = included >= self.plan.least();
+        if unsettled == 0 || included + unsettled < self.plan.least() {
+            return self.finish(enough, placement, now);
+        }
+        if now >= self.plan.end_by || (enough && now >= self.plan.answer_by) {
+            return self.finish(enough, placement, now);
+        }
+        let mut actions = self.hedge(placement, now);
+        if self.unsettled() < unsettled {
+            actions.extend(self.advance(placement, now));
+        }
+        actions
+    }
+
+    /// Ends the request as one that was not run.
+    pub(super) fn refuse(
+        &mut self,
+        refusal: Refusal,
+        placement: &Placement,
+        now: Instant,
+    ) -> Vec<Action> {
+        self.finished = true;
+        vec![Action::Finish(End::Refuse {
+            refusal,
+            retry_after: self.retry_after(placement, now),
+        })]
+    }
+
+    fn finish(&mut self, enough: bool, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        let mut actions = self.abandon_all(placement, now);
+        if enough {
+            self.finished = true;
+            actions.push(Action::Finish(self.success()));
+            return actions;
+        }
+        if !self
+            .shards
+            .iter()
+            .any(|shard| shard.may_have_run || shard.is_included())
+        {
+            actions.extend(self.refuse(Refusal::AllRejected, placement, now));
+            return actions;
+        }
+        self.finished = true;
+        actions.push(Action::Finish(self.failure(now)));
+        actions
+    }
+
+    fn success(&mut self) -> End {
+        let count = self.shards.len();
+        let mut parts: Vec<Response> = Vec::with_capacity(count);
+        for shard in &mut self.shards {
+            if let Some(Settled::Included(part)) = &mut shard.settled {
+                parts.push(std::mem::take(part));
+            }
+        }
+        match self.plan.gather {
+            Some(coverage) => End::Gathered {
+                missing: count - parts.len(),
+                parts,
+                top: coverage.top,
+            },
+            None => End::Forward(parts.swap_remove(0)),
+        }
+    }
+
+    fn failure(&mut self, now: Instant) -> End {
+        if !self.plan.is_gather()
+            && let Some(failure) = self.shards[0].failure.take()
+        {
+            return End::Forward(failure);
+        }
+        if now >= self.plan.end_by {
+            return End::TimeOut;
+        }
+        End::Fail
+    }
+
+    /// When enough shards have a leaf that is due to be tried again.
+    fn retry_after(&self, placement: &Placement, now: Instant) -> Duration {
+        let shards = self.shards.iter();
+        let times = shards.map(|shard| placement.usable_at(&shard.service, now));
+        let mut waits: Vec<Duration> = times
+            .map(|at| at.map_or(UNKNOWN_RETRY_AFTER, |at| at.saturating_duration_since(now)))
+            .collect();
+        waits.sort_unstable();
+        let place = self.plan.least().min(waits.len()).saturating_sub(1);
+        let wait = waits.get(place).copied().unwrap_or(UNKNOWN_RETRY_AFTER);
+        wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/call/mod.rs
@@ -0,0 +1,213 @@
+//! One caller's request: sent to a leaf of one service, or of each shard.
+//!
+//! Load pattern: nearly every query over many shards meets a leaf that pauses
+//! just then. A part that is late is therefore sent to a second leaf early,
+//! within the service's budget, and an answer that covers enough shards goes
+//! out in time rather than wait for the last one. What can't reach enough
+//! shards ends at once.
+//!
+//! Events and the time go in, [`Action`]s come out. A request that may run
+//! only once is sent again only where the first leaf certainly did not run it.
+
+mod action;
+mod finish;
+mod plan;
+mod reply;
+mod send;
+mod shard;
+
+use std::time::Instant;
+
+use self::shard::{Settled, Shard};
+use crate::core::placement::{Ending, Placement};
+use crate::core::route::Repeat;
+use crate::prelude::*;
+
+pub use self::action::{Action, End, Refusal};
+pub use self::plan::{Coverage, Plan};
+pub use self::reply::{Reply, Response};
+pub use self::shard::Story;
+
+/// State of one request.
+#[derive(Debug)]
+pub struct Call {
+    plan: Plan,
+    shards: Vec<Shard>,
+    finished: bool,
+}
+
+impl Call {
+    /// Prepares a request.
+    pub fn new(plan: Plan) -> Call {
+        let shards = plan.services.iter().cloned().map(Shard::new).collect();
+        Call {
+            plan,
+            shards,
+            finished: false,
+        }
+    }
+
+    /// Returns what the request asks for.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Sends the first attempt of each shard, or refuses the request.
+    pub fn start(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        let can_serve = |shard: &&Shard| placement.can_serve(&shard.service, now);
+        let servable = self.shards.iter().filter(can_serve).count();
+        if servable < self.plan.least() || servable == 0 {
+            return self.refuse(Refusal::NoLeaf, placement, now);
+        }
+        if now >= self.plan.end_by {
+            return self.refuse(Refusal::NoTime, placement, now);
+        }
+        let mut actions = Vec::with_capacity(self.shards.len());
+        for index in 0..self.shards.len() {
+            let service = &self.shards[index].service;
+            placement.earn(service);
+            match placement.choose(service, &[], now) {
+                Some(replica) => actions.push(self.send(index, replica, placement, now)),
+                None => self.shards[index].settle(Settled::Missing),
+            }
+        }
+        actions
+    }
+
+    /// Notes that the leaf may have the request from now on.
+    pub fn on_sent(&mut self, attempt: AttemptId) {
+        let mut open = self.shards.iter_mut().flat_map(|shard| &mut shard.open);
+        if let Some(open) = open.find(|open| open.attempt == attempt) {
+            open.sent = true;
+        }
+    }
+
+    /// Takes the end of an attempt.
+    pub fn on_reply(
+        &mut self,
+        attempt: AttemptId,
+        reply: Reply,
+        placement: &mut Placement,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some((index, replica)) = self.close(attempt) else {
+            return Vec::new();
+        };
+        let service = &self.shards[index].service;
+        placement.end(service, replica, attempt, reply.ending(), now);
+        if self.finished {
+            return Vec::new();
+        }
+        let mut actions = match reply {
+            Reply::Success(response) => self.include(index, response, placement, now),
+            Reply::Failure(response) => {
+                let shard = &mut self.shards[index];
+                shard.may_have_run = true;
+                shard.failure = Some(response);
+                self.try_elsewhere(index, placement, now)
+            }
+            Reply::Lost => {
+                self.shards[index].may_have_run = true;
+                self.try_elsewhere(index, placement, now)
+            }
+            Reply::Rejected | Reply::Misdirected => self.try_elsewhere(index, placement, now),
+            Reply::Unreachable => {
+                self.shards[index].sends -= 1;
+                self.try_elsewhere(index, placement, now)
+            }
+        };
+        actions.extend(self.advance(placement, now));
+        actions
+    }
+
+    /// Does what has become due.
+    pub fn tick(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        self.advance(placement, now)
+    }
+
+    /// Gives up the request, as nobody waits for its answer.
+    pub fn caller_gone(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        self.finished = true;
+        self.abandon_all(placement, now)
+    }
+
+    /// Returns when `tick` is due next; `None` when the request is over.
+    pub fn next_wake(&self) -> Option<Instant> {
+        if self.finished {
+            return None;
+        }
+        let again = self.shards.iter().filter_map(|shard| shard.again_at);
+        let in_time = self.plan.is_gather().then_some(self.plan.answer_by);
+        let in_time = in_time.filter(|_| self.included() >= self.plan.least());
+        again.chain(in_time).chain([self.plan.end_by]).min()
+    }
+
+    /// Returns how each shard went so far, for logs.
+    pub fn stories(&self) -> Vec<Story<'_>> {
+        self.shards.iter().map(Shard::story).collect()
+    }
+
+    /// Returns the number of shards whose part is in.
+    pub fn included(&self) -> usize {
+        let included = self.shards.iter().filter(|shard| shard.is_included());
+        included.count()
+    }
+
+    fn unsettled(&self) -> usize {
+        let unsettled = self.shards.iter().filter(|shard| shard.settled.is_none());
+        unsettled.count()
+    }
+
+    fn close(&mut self, attempt: AttemptId) -> Option<(usize, crate::core::placement::Key)> {
+        let mut shards = self.shards.iter_mut().enumerate();
+        shards.find_map(|(index, shard)| Some((index, shard.close(attempt)?)))
+    }
+
+    fn include(
+        &mut self,
+        index: usize,
+        response: Response,
+        placement: &mut Placement,
+        now: Instant,
+    ) -> Vec<Action> {
+        let actions = self.abandon(index, placement, now);
+        self.shards[index].settle(Settled::Included(response));
+        actions
+    }
+
+    fn abandon(&mut self, index: usize, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        let shard = &mut self.shards[index];
+        let open = std::mem::take(&mut shard.open);
+        let service = &shard.service;
+        let mut actions = Vec::with_capacity(open.len());
+        for open in open {
+            shard.may_have_run |= open.sent;
+            placement.end(service, open.replica, open.attempt, Ending::Abandoned, now);
+            actions.push(Action::Abandon {
+                attempt: open.attempt,
+            });
+        }
+        actions
+    }
+
+    fn abandon_all(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.shards.len() {
+            actions.extend(self.abandon(index, placement, now));
+        }
+        actions
+    }
+
+    fn may_repeat(&self, index: usize) -> bool {
+        match self.plan.repeat {
+            Repeat::Idempotent => true,
+            Repeat::AtMostOnce => {
+                let shard = &self.shards[index];
+                !shard.may_have_run && shard.open.is_empty()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/call/plan.rs
@@ -0,0 +1,82 @@
+//! What a request asks for, and until when.
+
+use std::time::{Duration, Instant};
+
+use crate::core::margin;
+use crate::core::route::{Gather, Repeat, Route};
+use crate::prelude::*;
+
+/// Time kept back from the aim for the answer's way to the caller.
+const AIM_MARGIN: Duration = Duration::from_millis(11);
+
+/// The margin is at least the aim divided by this.
+const AIM_MARGIN_DIVISOR: u32 = 8;
+
+/// What a request asks for, and until when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The service, or the services that hold a shard each.
+    pub services: Vec<ServiceName>,
+    /// Records in the answer and the least number of shards, for a query over
+    /// many shards.
+    pub gather: Option<Coverage>,
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+    /// Leaves that each part may be sent to.
+    pub attempts: u32,
+    /// When an answer that covers enough shards goes out.
+    pub answer_by: Instant,
+    /// When the request ends without an answer.
+    pub end_by: Instant,
+}
+
+/// What an answer over many shards consists of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Coverage {
+    /// Records in the answer.
+    pub top: usize,
+    /// Shards that it has to include.
+    pub least: usize,
+}
+
+impl Plan {
+    /// Plans a request of a route; `service` is the one chosen for it, where
+    /// the route does not gather. `patience` is how long the caller waits.
+    pub fn new(
+        route: &Route,
+        service: Option<ServiceName>,
+        gather: Option<&Gather>,
+        patience: Option<Duration>,
+        now: Instant,
+    ) -> Plan {
+        let patience = patience.map_or(route.timeout, |time| time.min(route.timeout));
+        let end_by = margin::answer_by(now + patience, now);
+        let kept = AIM_MARGIN.max(route.aim / AIM_MARGIN_DIVISOR);
+        let answer_by = now + route.aim.saturating_sub(kept);
+        let services = match gather {
+            Some(gather) => gather.shards.clone(),
+            None => service.into_iter().collect(),
+        };
+        Plan {
+            services,
+            gather: gather.map(|gather| Coverage {
+                top: gather.top,
+                least: gather.least(),
+            }),
+            repeat: route.repeat,
+            attempts: route.attempts.max(1),
+            answer_by: answer_by.min(end_by),
+            end_by,
+        }
+    }
+
+    /// Returns whether the request goes to many shards.
+    pub fn is_gather(&self) -> bool {
+        self.gather.is_some()
+    }
+
+    /// Returns how many shards an answer has to include.
+    pub fn least(&self) -> usize {
+        self.gather.map_or(1, |coverage| coverage.least)
+    }
+}
--- /dev/null
+++ b/src/geraniummount/core/placement/mod.rs
@@ -0,0 +1,213 @@
+//! Which leaf of a service gets a request, from what this VM has seen.
+//!
+//! Load pattern: a leaf answers in a few milliseconds, pauses for a hundred
+//! now and then, and at times is slow, silent or gone. A VM sees only its own
+//! requests, so the choice rests on three things it knows for sure: how long
+//! its last requests took there, how many of them are open, and how long the
+//! oldest of these has been waiting. The last one shows a pause while it lasts.
+
+mod group;
+mod replica;
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+
+use crate::core::instance::Instance;
+use crate::core::retry_budget::RetryBudget;
+use crate::prelude::*;
+
+pub use self::group::Group;
+pub use self::replica::{Ending, Key, Replica};
+
+/// Share of a service's requests that may be sent once more.
+pub const EXTRA_SHARE: f64 = 0.2;
+
+/// Requests that this VM may send once more beyond the share. All VMs of a
+/// service add up to less than the users' allowance of some 50.
+pub const EXTRA_BURST: f64 = 3.0;
+
+/// Time that a leaf which is no longer registered is kept as the last choice.
+/// Registrations that were lost while the store was away come back within it.
+pub const LAPSE: Duration = Duration::from_millis(2_200);
+
+/// Two replicas whose expected times differ by less share the load.
+const TIE: f64 = 0.1;
+
+/// All services and their leaves, as this VM knows them.
+#[derive(Debug)]
+pub struct Placement {
+    /// Domain of this VM; its leaves are nearest.
+    domain: DomainName,
+    /// Sorted by name of the service.
+    groups: Vec<Group>,
+    next_key: Key,
+    next_attempt: AttemptId,
+    rng: rand::rngs::SmallRng,
+}
+
+impl Placement {
+    /// Starts without any leaf.
+    pub fn new(domain: impl Into<DomainName>, rng: rand::rngs::SmallRng) -> Placement {
+        Placement {
+            domain: domain.into(),
+            groups: Vec::new(),
+            next_key: 0,
+            next_attempt: 0,
+            rng,
+        }
+    }
+
+    /// Takes over the leaves that are registered now. Returns whether some are
+    /// no longer registered; [`Placement::drop_lapsed`] is due for these.
+    pub fn update(&mut self, instances: &[Instance], now: Instant) -> bool {
+        for group in &mut self.groups {
+            group.mark_all(now);
+        }
+        for instance in instances {
+            let place = self.place(&instance.service);
+            let near = instance.domain == self.domain;
+            if self.groups[place].take(instance, near, self.next_key, now) {
+                self.next_key += 1;
+            }
+        }
+        self.groups.iter().any(Group::has_lapsed)
+    }
+
+    /// Forgets the leaves that have not been registered for [`LAPSE`], and
+    /// returns their keys.
+    pub fn drop_lapsed(&mut self, now: Instant) -> Vec<Key> {
+        let groups = self.groups.iter_mut();
+        groups.flat_map(|group| group.sweep(now)).collect()
+    }
+
+    /// Notes that a leaf did not even answer late.
+    pub fn stay_silent(&mut self, key: Key, now: Instant) {
+        let mut groups = self.groups.iter_mut();
+        if let Some(replica) = groups.find_map(|group| group.replica_mut(key)) {
+            replica.stay_silent(now);
+        }
+    }
+
+    /// Returns the leaves of a service.
+    pub fn group(&self, service: &str) -> Option<&Group> {
+        let place = self.search(service).ok()?;
+        Some(&self.groups[place])
+    }
+
+    /// Returns a leaf.
+    pub fn replica(&self, service: &str, key: Key) -> Option<&Replica> {
+        self.group(service)?.replica(key)
+    }
+
+    /// Notes a request that is sent to a leaf; returns the attempt's number.
+    pub fn begin(&mut self, service: &str, key: Key, now: Instant) -> AttemptId {
+        self.next_attempt += 1;
+        let attempt = self.next_attempt;
+        if let Some(replica) = self.replica_mut(service, key) {
+            replica.begin(attempt, now);
+        }
+        attempt
+    }
+
+    /// Notes the end of an attempt.
+    pub fn end(
+        &mut self,
+        service: &str,
+        key: Key,
+        attempt: AttemptId,
+        ending: Ending,
+        now: Instant,
+    ) {
+        let Ok(place) = self.search(service) else {
+            return;
+        };
+        let group = &mut self.groups[place];
+        let replica = group.replica_mut(key);
+        let elapsed = replica.and_then(|replica| replica.end(attempt, ending, now));
+        if let Some(elapsed) = elapsed
+            && ending == Ending::Answered
+        {
+            group.record(elapsed);
+        }
+    }
+
+    /// Returns a leaf for changes.
+    pub fn replica_mut(&mut self, service: &str, key: Key) -> Option<&mut Replica> {
+        let place = self.search(service).ok()?;
+        self.groups[place].replica_mut(key)
+    }
+
+    /// Returns whether some leaf of the service can be tried now.
+    pub fn can_serve(&self, service: &str, now: Instant) -> bool {
+        let group = self.group(service);
+        group.is_some_and(|group| group.replicas().iter().any(|r| r.is_usable(now)))
+    }
+
+    /// Returns when some leaf of the service is due to be tried again; `None`
+    /// where none is known.
+    pub fn usable_at(&self, service: &str, now: Instant) -> Option<Instant> {
+        let replicas = self.group(service)?.replicas();
+        let taking = replicas.iter().filter(|r| !r.instance.leaving);
+        taking.map(|r| r.suspended_until.unwrap_or(now)).min()
+    }
+
+    /// Chooses the leaf that is expected to answer first, other than those
+    /// already tried.
+    pub fn choose(&mut self, service: &str, tried: &[Key], now: Instant) -> Option<Key> {
+        let place = self.search(service).ok()?;
+        let typical = self.groups[place].typical();
+        let mut best: Option<(bool, f64, Key)> = None;
+        for replica in self.groups[place].replicas() {
+            if tried.contains(&replica.key) || !replica.is_usable(now) {
+                continue;
+            }
+            let spread: f64 = self.rng.random_range(1.0..1.0 + TIE);
+            let expected = replica.expected(typical, now).as_secs_f64() * spread;
+            let found = (replica.has_lapsed(), expected, replica.key);
+            if best.is_none_or(|least| (found.0, found.1) < (least.0, least.1)) {
+                best = Some(found);
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    /// Returns how long an answer of the service usually takes.
+    pub fn typical(&self, service: &str) -> Duration {
+        self.group(service)
+            .map_or(group::DEFAULT_TYPICAL, Group::typical)
+    }
+
+    /// Notes a request that was sent to the service for the first time.
+    pub fn earn(&mut self, service: &str) {
+        if let Ok(place) = self.search(service) {
+            self.groups[place].budget.earn(1);
+        }
+    }
+
+    /// Takes the right to send a request once more, if the budget has it.
+    pub fn take_extra(&mut self, service: &str) -> bool {
+        let place = self.search(service);
+        place.is_ok_and(|place| self.groups[place].budget.take())
+    }
+
+    /// Returns whether the budget has a request to send once more.
+    pub fn has_extra(&self, service: &str) -> bool {
+        self.group(service)
+            .is_some_and(|group| group.budget.can_hedge())
+    }
+
+    fn search(&self, service: &str) -> Result<usize, usize> {
+        let order = |group: &Group| group.service.as_str().cmp(service);
+        self.groups.binary_search_by(order)
+    }
+
+    fn place(&mut self, service: &ServiceName) -> usize {
+        self.search(service).unwrap_or_else(|place| {
+            let budget = RetryBudget::with_burst(EXTRA_SHARE, EXTRA_BURST);
+            self.groups
+                .insert(place, Group::new(service.clone(), budget));
+            place
+        })
+    }
+}
--- a/src/geraniummount/core/retry_budget.rs
+++ b/src/geraniummount/core/retry_budget.rs
@@ -14,6 +14,10 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
+    /// Most that may be saved.
+    burst: f64,
+    /// Most that may be reserved.
+    most_reserved: f64,
     saved: f64,
     /// What was earned while the budget was full.
     reserved: f64,
@@ -24,6 +28,8 @@
     pub fn new(extra_percent: u8) -> RetryBudget {
         let mut budget = RetryBudget {
             share: 0.0,
+            burst: BURST,
+            most_reserved: MOST_RESERVED,
             saved: BURST,
             reserved: 0.0,
         };
@@ -31,6 +37,19 @@
         budget
     }
 
+    /// Starts with a full budget of which at most `burst` is saved, and
+    /// nothing reserved, so that no time span sees more than the share and
+    /// the burst.
+    pub fn with_burst(share: f64, burst: f64) -> RetryBudget {
+        RetryBudget {
+            share,
+            burst,
+            most_reserved: 0.0,
+            saved: burst,
+            reserved: 0.0,
+        }
+    }
+
     /// Takes over a changed share of the parts sent first.
     pub fn configure(&mut self, extra_percent: u8) {
         self.share = f64::from(extra_percent) / 100.0;
@@ -43,13 +62,13 @@
     /// Notes parts that were sent first.
     pub fn earn(&mut self, parts: usize) {
         let saved = self.saved + self.share * parts as f64;
-        self.saved = saved.min(BURST);
-        self.reserved = (self.reserved + saved - self.saved).min(MOST_RESERVED);
+        self.saved = saved.min(self.burst);
+        self.reserved = (self.reserved + saved - self.saved).min(self.most_reserved);
     }
 
     /// Returns how full the budget is, from 0 to 1.
     pub fn fill(&self) -> f64 {
-        self.saved / BURST
+        self.saved / self.burst
     }
 
     /// Returns whether it has an extra part, or never gets any.
--- /dev/null
+++ b/src/geraniummount/core/route/table.rs
@@ -0,0 +1,73 @@
+//! All routes of one version of the configuration.
+
+use super::{Limits, Route};
+use crate::prelude::*;
+
+/// Routes in force, with the limits on callers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    /// Version of the configuration; a larger one is newer.
+    pub version: u64,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Sorted by host and prefix.
+    routes: Vec<Route>,
+    /// Sorted by name.
+    services: Vec<Backend>,
+}
+
+/// What the configuration says of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Backend {
+    /// The service.
+    pub name: ServiceName,
+    /// Connections that one of its leaves takes from all VMs together.
+    pub max_connections: usize,
+}
+
+impl Table {
+    /// Builds the table of a version. Hosts are compared in lower case.
+    pub fn new(
+        version: u64,
+        limits: Limits,
+        mut routes: Vec<Route>,
+        mut services: Vec<Backend>,
+    ) -> Table {
+        for route in &mut routes {
+            route.host.make_ascii_lowercase();
+        }
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        Table {
+            version,
+            limits,
+            routes,
+            services,
+        }
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.to_ascii_lowercase();
+        let slashes = path.rmatch_indices('/');
+        let mut prefixes = slashes.map(|(at, _)| &path[..=at]);
+        prefixes.find_map(|prefix| {
+            let key = (host.as_str(), prefix);
+            let order = |route: &Route| (route.host.as_str(), route.prefix.as_str()).cmp(&key);
+            let place = self.routes.binary_search_by(order).ok()?;
+            Some(&self.routes[place])
+        })
+    }
+
+    /// Returns the connections that a leaf of the service takes.
+    pub fn max_connections(&self, service: &str) -> Option<usize> {
+        let order = |backend: &Backend| backend.name.as_str().cmp(service);
+        let place = self.services.binary_search_by(order).ok()?;
+        Some(self.services[place].max_connections)
+    }
+
+    /// Returns all routes, sorted by host and prefix.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -0,0 +1,178 @@
+//! Requests that are being worked on, and their attempts at leaves.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use log::info;
+
+use super::Gateway;
+use super::timers::Timer;
+use crate::core::call::{Action, Call, Reply};
+use crate::core::placement::Key;
+use crate::prelude::*;
+use crate::util::h1::Field;
+
+/// What is forwarded to each leaf.
+#[derive(Debug)]
+pub(super) struct Forward {
+    pub(super) id: RequestId,
+    pub(super) method: String,
+    pub(super) target: String,
+    pub(super) fields: Vec<Field>,
+    pub(super) content: Vec<u8>,
+}
+
+/// A request that is being worked on.
+#[derive(Debug)]
+pub(super) struct CallState {
+    pub(super) serial: u64,
+    pub(super) caller: usize,
+    pub(super) call: Call,
+    pub(super) forward: Rc<Forward>,
+    pub(super) route: String,
+    /// Version of the routes that it was planned with.
+    pub(super) version: u64,
+    pub(super) started: Instant,
+    /// Earliest wake-up that is set.
+    wake: Option<Instant>,
+    pub(super) sends: u32,
+}
+
+/// An attempt at a leaf.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) call: usize,
+    pub(super) service: ServiceName,
+    pub(super) replica: Key,
+    /// The leaf's connection, once it has one.
+    pub(super) connection: Option<usize>,
+}
+
+/// All attempts that are open. A map, as the numbers are looked up at random
+/// some thousand times a second.
+pub(super) type Attempts = HashMap<AttemptId, Attempt>;
+
+impl CallState {
+    pub(super) fn new(
+        serial: u64,
+        caller: usize,
+        call: Call,
+        forward: Rc<Forward>,
+        route: String,
+        version: u64,
+        now: Instant,
+    ) -> CallState {
+        CallState {
+            serial,
+            caller,
+            call,
+            forward,
+            route,
+            version,
+            started: now,
+            wake: None,
+            sends: 0,
+        }
+    }
+}
+
+impl Gateway {
+    /// Does what a request wants done.
+    pub(super) fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    attempt,
+                    service,
+                    replica,
+                } => {
+                    self.calls[index].sends += 1;
+                    let open = Attempt {
+                        call: index,
+                        service,
+                        replica,
+                        connection: None,
+                    };
+                    self.attempts.insert(attempt, open);
+                    self.dispatch(attempt);
+                }
+                Action::Abandon { attempt } => self.abandon(attempt),
+                Action::Finish(end) => return self.answer(index, end),
+            }
+        }
+        self.set_wake(index);
+    }
+
+    /// Tells a request how an attempt ended.
+    pub(super) fn deliver(&mut self, attempt: AttemptId, reply: Reply) {
+        let Some(open) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.counts.count_attempt(reply.as_str());
+        let call = &mut self.calls[open.call];
+        if !matches!(reply, Reply::Success(_)) {
+            let id = &call.forward.id;
+            let took = self.now.saturating_duration_since(call.started).as_millis();
+            let leaf = self.placement.replica(&open.service, open.replica);
+            let leaf = leaf.map_or("gone", |replica| replica.instance.id.as_str());
+            let (service, outcome) = (&open.service, reply.as_str());
+            info!("attempt id={id} service={service} leaf={leaf} outcome={outcome} at_ms={took}");
+        }
+        let actions = call
+            .call
+            .on_reply(attempt, reply, &mut self.placement, self.now);
+        self.act(open.call, actions);
+    }
+
+    /// Notes that a leaf may have an attempt's request.
+    pub(super) fn mark_sent(&mut self, attempt: AttemptId) {
+        if let Some(open) = self.attempts.get(&attempt) {
+            self.calls[open.call].call.on_sent(attempt);
+        }
+    }
+
+    pub(super) fn tick_call(&mut self, index: usize, serial: u64) {
+        let Some(state) = self.calls.get_mut(index) else {
+            return;
+        };
+        if state.serial != serial {
+            return;
+        }
+        state.wake = None;
+        let actions = state.call.tick(&mut self.placement, self.now);
+        self.act(index, actions);
+    }
+
+    /// Gives up a request whose caller has left.
+    pub(super) fn give_up_call(&mut self, index: usize) {
+        let state = &mut self.calls[index];
+        let actions = state.call.caller_gone(&mut self.placement, self.now);
+        for action in actions {
+            if let Action::Abandon { attempt } = action {
+                self.abandon(attempt);
+            }
+        }
+        let state = self.calls.remove(index);
+        let took = self
+            .now
+            .saturating_duration_since(state.started)
+            .as_millis();
+        let (id, route) = (&state.forward.id, &state.route);
+        info!("request id={id} route={route} outcome=caller-left ms={took}");
+        self.counts.count_answer("caller-left");
+    }
+
+    fn set_wake(&mut self, index: usize) {
+        let Some(state) = self.calls.get_mut(index) else {
+            return;
+        };
+        let Some(next) = state.call.next_wake() else {
+            return;
+        };
+        if state.wake.is_none_or(|set| next < set) {
+            state.wake = Some(next);
+            self.timers.add(next, Timer::Call(index, state.serial));
+        }
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/counts.rs
@@ -0,0 +1,117 @@
+//! What the gateway counts, for Prometheus.
+
+use std::time::Duration;
+
+use log::warn;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the buckets of times, in seconds.
+const SECONDS: &[f64] = &[
+    0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.16, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0,
+];
+
+/// Counters of one gateway.
+#[derive(Debug)]
+pub(super) struct Counts {
+    registry: Registry,
+    answers: IntCounterVec,
+    answer_seconds: Histogram,
+    attempts: IntCounterVec,
+    pub(super) caller_connections: IntCounter,
+    pub(super) leaf_connections: IntCounter,
+    pub(super) version: IntGauge,
+    pub(super) leaves: IntGauge,
+}
+
+impl Default for Counts {
+    fn default() -> Counts {
+        let registry = Registry::new();
+        let answers = by_outcome(
+            &registry,
+            "gateway_answers_total",
+            "Requests by what the caller got.",
+        );
+        let attempts = by_outcome(
+            &registry,
+            "gateway_attempts_total",
+            "Attempts at leaves by how they ended.",
+        );
+        let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
+        let answer_seconds = Histogram::with_opts(options.buckets(SECONDS.to_vec()));
+        let answer_seconds = answer_seconds.expect("name and buckets are constants");
+        enter(&registry, Box::new(answer_seconds.clone()));
+        Counts {
+            caller_connections: counter(
+                &registry,
+                "gateway_caller_connections_total",
+                "Connections from callers.",
+            ),
+            leaf_connections: counter(
+                &registry,
+                "gateway_leaf_connections_total",
+                "Connections to leaves.",
+            ),
+            version: gauge(
+                &registry,
+                "gateway_routes_version",
+                "Version of the routes in force.",
+            ),
+            leaves: gauge(&registry, "gateway_leaves", "Leaves that are registered."),
+            registry,
+            answers,
+            answer_seconds,
+            attempts,
+        }
+    }
+}
+
+impl Counts {
+    pub(super) fn count_answer(&self, outcome: &str) {
+        self.answers.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn record_answer(&self, took: Duration) {
+        self.answer_seconds.observe(took.as_secs_f64());
+    }
+
+    pub(super) fn count_attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Returns all counters in the text format of Prometheus.
+    pub(super) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            warn!("metrics outcome=not-written error=\"{error}\"");
+        }
+        text
+    }
+}
+
+fn enter(registry: &Registry, collector: Box<dyn prometheus::core::Collector>) {
+    registry
+        .register(collector)
+        .expect("each name is registered once");
+}
+
+fn by_outcome(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), &["outcome"]);
+    let counters = counters.expect("names are constants");
+    enter(registry, Box::new(counters.clone()));
+    counters
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("names are constants");
+    enter(registry, Box::new(counter.clone()));
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("names are constants");
+    enter(registry, Box::new(gauge.clone()));
+    gauge
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/probe.rs
@@ -0,0 +1,97 @@
+//! Readiness and metrics, for the platform and for operators.
+
+use log::debug;
+use mio::Interest;
+
+use super::Gateway;
+use super::socket::{Flow, Socket};
+use super::token::Owner;
+use crate::platform;
+use crate::util::h1::{self, Parsed, Request};
+
+/// Connections of this kind that are open at once.
+const MOST_PROBES: usize = 64;
+
+/// A connection that asks for readiness or metrics.
+#[derive(Debug)]
+pub(super) struct Probe {
+    socket: Socket,
+}
+
+impl Gateway {
+    pub(super) fn accept_probes(&mut self) {
+        let metrics = self.metrics_listener.as_ref();
+        let listeners = [Some(&self.ready_listener), metrics];
+        let mut accepted = Vec::new();
+        for listener in listeners.into_iter().flatten() {
+            while let Ok((stream, _)) = listener.accept() {
+                accepted.push(stream);
+            }
+        }
+        for stream in accepted {
+            self.add_probe(stream);
+        }
+    }
+
+    fn add_probe(&mut self, stream: mio::net::TcpStream) {
+        if self.probes.len() >= MOST_PROBES {
+            debug!("probe outcome=refused open={MOST_PROBES}");
+            return;
+        }
+        let entry = self.probes.vacant_entry();
+        let key = entry.key();
+        let mut socket = Socket::new(stream);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let token = Owner::Probe(key).token();
+        if let Err(error) = self
+            .poll
+            .registry()
+            .register(&mut socket.stream, token, interest)
+        {
+            return self.accept_failed("probes", &error);
+        }
+        entry.insert(Probe { socket });
+        self.serve_probe(key);
+    }
+
+    /// Reads requests and answers them; ends the connection with its sender.
+    pub(super) fn serve_probe(&mut self, key: usize) {
+        let Some(probe) = self.probes.get_mut(key) else {
+            return;
+        };
+        let flow = probe.socket.read(&mut self.scratch, true);
+        loop {
+            let probe = &mut self.probes[key];
+            let (request, length) = match Request::parse(&probe.socket.input) {
+                Ok(Parsed::Whole(request, length)) => (request, length),
+                Ok(Parsed::Partial) => break,
+                Err(_) => {
+                    self.probes.remove(key);
+                    return;
+                }
+            };
+            probe.socket.input.drain(..length);
+            let answer = self.probe_answer(&request);
+            self.probes[key].socket.queue(&answer);
+        }
+        let probe = &mut self.probes[key];
+        if probe.socket.flush().is_err() || flow != Flow::Open {
+            self.probes.remove(key);
+        }
+    }
+
+    fn probe_answer(&self, request: &Request) -> Vec<u8> {
+        let (status, body) = match request.path() {
+            platform::READY_PATH if self.is_ready() => (200, b"ready\n".to_vec()),
+            platform::READY_PATH => (503, b"not ready\n".to_vec()),
+            "/metrics" => (200, self.counts.text()),
+            _ => (404, b"unknown path; ask for /metrics\n".to_vec()),
+        };
+        let mut answer = Vec::with_capacity(128 + body.len());
+        h1::status_line(&mut answer, status);
+        h1::number_field(&mut answer, "Content-Length", body.len() as u64);
+        h1::end_head(&mut answer);
+        answer.extend_from_slice(&body);
+        answer
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/stop.rs
@@ -0,0 +1,81 @@
+//! A planned stop: nothing that was read is left without an answer.
+//!
+//! Readiness fails at once, and each answer closes its connection. Connections
+//! are taken until the platform has noticed, then the listener and unused
+//! connections end. The process ends when all requests are answered.
+
+use std::time::{Duration, Instant};
+
+use log::info;
+
+use super::Gateway;
+use super::caller::State;
+use super::timers::Timer;
+
+/// Pause between looks whether a stop is over.
+const STEP: Duration = Duration::from_millis(20);
+
+/// A planned stop that has begun.
+#[derive(Debug)]
+pub(super) struct Stop {
+    /// When no further connection is taken.
+    close_at: Instant,
+    /// When requests are left unanswered.
+    end_at: Instant,
+}
+
+impl Gateway {
+    pub(super) fn begin_stop(&mut self) {
+        if self.stop.is_some() {
+            return;
+        }
+        let open = self.calls.len();
+        info!("stop event=begun open={open}");
+        self.stop = Some(Stop {
+            close_at: self.now + self.options.linger,
+            end_at: self.now + self.options.drain,
+        });
+        self.timers.add(self.now + STEP, Timer::Stop);
+    }
+
+    pub(super) fn tick_stop(&mut self) {
+        let Some(stop) = &self.stop else {
+            return;
+        };
+        if self.now >= stop.close_at && self.callers_listener.is_some() {
+            self.accept_callers();
+            self.callers_listener = None;
+            self.close_unused();
+        }
+        self.timers.add(self.now + STEP, Timer::Stop);
+    }
+
+    /// Returns, once the stop is over, whether all requests were answered.
+    pub(super) fn finished(&self) -> Option<bool> {
+        let stop = self.stop.as_ref()?;
+        if self.now >= stop.end_at {
+            let open = self.calls.len();
+            info!("stop event=ended open={open}");
+            return Some(open == 0);
+        }
+        let is_over = self.callers_listener.is_none() && self.callers.is_empty();
+        if is_over {
+            info!("stop event=ended open=0");
+        }
+        is_over.then_some(true)
+    }
+
+    /// Ends connections without a request, after a last look.
+    fn close_unused(&mut self) {
+        let keys: Vec<usize> = self.callers.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.read_caller(key, false);
+            let unused = |caller: &super::caller::Caller| {
+                matches!(caller.state, State::Idle) && !caller.socket.is_blocked()
+            };
+            if self.callers.get(key).is_some_and(unused) {
+                self.callers.remove(key);
+            }
+        }
+    }
+}
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod dispatcher;
 pub mod executor;
+pub mod gateway;
 pub mod gossip;
 mod http;
 mod inquiry;
--- a/src/geraniummount/lib.rs
+++ b/src/geraniummount/lib.rs
@@ -7,11 +7,13 @@
 //!    threads, clock, randomness of its own, or logging.
 //! 2. [`edge`] speaks to the outside: callers, operators, leaves, peers and
 //!    the platform.
+//!    [`platform`] translates the users' platform for it.
 //! 3. [`ops`] is what each subcommand does; it wires edges to decisions.
 
 pub mod core;
 pub mod edge;
 pub mod ops;
+pub mod platform;
 pub mod prelude;
 pub mod util;
 
--- /dev/null
+++ b/src/geraniummount/ops/gateway.rs
@@ -0,0 +1,80 @@
+//! `gateway`: one process that routes callers' requests by host and path.
+
+use std::path::Path;
+use std::thread;
+
+use error_stack::{Report, ResultExt};
+use log::info;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::edge::gateway::{Gateway, Sender, Update};
+use crate::ops::exit::Exit;
+use crate::ops::{logs, settings};
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// The settings have faults, an address is taken, or requests were left
+/// unanswered at the end.
+pub fn run(path: &Path) -> Result<(), Report<Exit>> {
+    let settings = settings::Gateway::load(path)
+        .change_context(Exit::Invalid)
+        .attach("mend each line named above")?;
+    logs::start_lines(settings.log.level, &settings.options.name);
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context(Exit::Other)?;
+    let gateway = Gateway::bind(settings.options.clone())
+        .change_context(Exit::Other)
+        .attach("check the addresses of [gateway]")?;
+    info!(
+        "start domain={} callers={}",
+        settings.options.domain, settings.options.callers
+    );
+    let sender = gateway.sender();
+    let file = path.to_path_buf();
+    let thread = thread::Builder::new().name("signals".to_string());
+    thread
+        .spawn(move || follow(signals, &sender, &file, &settings))
+        .change_context(Exit::Other)?;
+    let answered = gateway.run().change_context(Exit::Other)?;
+    log::logger().flush();
+    if answered {
+        return Ok(());
+    }
+    let advice = "requests were still open when drain_ms was over; raise it in [limits]";
+    Err(Report::new(Exit::Other).attach(advice))
+}
+
+/// Tells the gateway what signals ask for.
+fn follow(mut signals: Signals, sender: &Sender, file: &Path, settings: &settings::Gateway) {
+    for signal in signals.forever() {
+        match signal {
+            SIGHUP => reload(file, settings),
+            _ => {
+                info!("stop signal={signal}");
+                if !sender.send(Update::Stop) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Takes over the level of the logs; addresses stay until the next start.
+fn reload(file: &Path, running: &settings::Gateway) {
+    match settings::Gateway::load(file) {
+        Ok(settings) => {
+            log::set_max_level(settings.log.level);
+            let changed = settings.options != running.options;
+            info!(
+                "reload outcome=done level={} needs_restart={changed}",
+                settings.log.level
+            );
+        }
+        Err(report) => {
+            let faults = report.to_string();
+            log::warn!("reload outcome=kept-last error=\"{faults}\"");
+        }
+    }
+}
--- a/src/geraniummount/ops/logs.rs
+++ b/src/geraniummount/ops/logs.rs
@@ -1,8 +1,12 @@
 //! Logs of a process.
 
+mod lines;
+
 use env_logger::{Env, Target};
 use log::LevelFilter;
 
+pub use self::lines::{Lines, suppressed};
+
 /// Starts to write logs to standard error; `RUST_LOG` overrides the level.
 ///
 /// Of the libraries only warnings are written, as they log every request.
@@ -18,3 +22,17 @@
         log::debug!("log: a logger was set before");
     }
 }
+
+/// Starts to write structured lines to standard output.
+///
+/// A line is `t=SECONDS level=LEVEL vm=NAME KIND key=value ...`. Writing never
+/// blocks who logs: lines that don't fit are dropped and counted.
+pub fn start_lines(level: LevelFilter, vm: &str) {
+    let lines = match Lines::start(vm, level) {
+        Ok(lines) => lines,
+        Err(error) => return eprintln!("log: no thread for writing lines: {error}"),
+    };
+    if log::set_boxed_logger(Box::new(lines)).is_ok() {
+        log::set_max_level(level);
+    }
+}
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod delete;
 pub mod dump;
 pub mod exit;
+pub mod gateway;
 pub mod get;
 pub mod load;
 pub mod logs;
--- /dev/null
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -0,0 +1,128 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::Report;
+
+use super::document::Document;
+use super::fault::Faults;
+use super::section::Section;
+use super::{Log, load_text, refuse_unknown_sections};
+use crate::edge::gateway::Options;
+
+/// Names of the sections that a settings file may have.
+const SECTIONS: &[&str] = &["gateway", "platform", "limits", "log"];
+
+const DEFAULT_LINGER_MS: u64 = 2_300;
+const DEFAULT_DRAIN_MS: u64 = 5_400;
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Gateway {
+    /// What it is started with.
+    pub options: Options,
+    /// What is logged.
+    pub log: Log,
+}
+
+impl Gateway {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the file.
+    pub fn load(path: &Path) -> Result<Gateway, Report<Faults>> {
+        let (file, text) = load_text(path)?;
+        Ok(Gateway::parse(&file, &text)?)
+    }
+
+    /// Checks the text of a settings file; `file` is its name in faults.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the file.
+    pub fn parse(file: &str, text: &str) -> Result<Gateway, Faults> {
+        let mut faults = Faults::new(file);
+        let document = Document::parse(text, &mut faults);
+        refuse_unknown_sections(&document, SECTIONS, &mut faults);
+        let settings = read(&document, &mut faults);
+        faults.sort();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
+        }
+    }
+}
+
+fn read(document: &Document, faults: &mut Faults) -> Option<Gateway> {
+    let own = Own::read(&mut Section::new(document, "gateway", faults));
+    let store = read_store(&mut Section::new(document, "platform", faults));
+    let limits = Stop::read(&mut Section::new(document, "limits", faults));
+    let log = Log::read(&mut Section::new(document, "log", faults));
+    let (own, limits) = (own?, limits?);
+    Some(Gateway {
+        options: Options {
+            name: own.name,
+            domain: own.failure_domain,
+            callers: own.callers,
+            ready: own.ready,
+            metrics: own.metrics,
+            store: store?,
+            linger: limits.linger,
+            drain: limits.drain,
+        },
+        log: log?,
+    })
+}
+
+fn read_store(section: &mut Section<'_>) -> Option<SocketAddr> {
+    section.allow(&["address"]);
+    section.target("address")
+}
+
+/// Section `[gateway]`: who this process is and where it listens.
+struct Own {
+    name: String,
+    failure_domain: String,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: Option<SocketAddr>,
+}
+
+impl Own {
+    fn read(section: &mut Section<'_>) -> Option<Own> {
+        section.allow(&["name", "failure_domain", "callers", "ready", "metrics"]);
+        let name = section.name("name");
+        let failure_domain = section.name("failure_domain");
+        let callers = section.listener("callers");
+        let ready = section.listener("ready");
+        let metrics = section.optional_target("metrics");
+        Some(Own {
+            name: name?,
+            failure_domain: failure_domain?,
+            callers: callers?,
+            ready: ready?,
+            metrics: metrics?,
+        })
+    }
+}
+
+/// Section `[limits]`: the steps of a planned stop.
+struct Stop {
+    linger: Duration,
+    drain: Duration,
+}
+
+impl Stop {
+    fn read(section: &mut Section<'_>) -> Option<Stop> {
+        section.allow(&["linger_ms", "drain_ms"]);
+        let linger = section.millis("linger_ms", DEFAULT_LINGER_MS, 0..=600_000);
+        let drain = section.millis("drain_ms", DEFAULT_DRAIN_MS, 0..=600_000);
+        Some(Stop {
+            linger: linger?,
+            drain: drain?,
+        })
+    }
+}
--- a/src/geraniummount/ops/settings/mod.rs
+++ b/src/geraniummount/ops/settings/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod document;
 mod fault;
+mod gateway;
 mod limits;
 mod log;
 mod node;
@@ -20,6 +21,7 @@
 
 pub use self::caller::Caller;
 pub use self::fault::{Fault, Faults};
+pub use self::gateway::Gateway;
 pub use self::limits::Limits;
 pub use self::log::Log;
 pub use self::node::Node;
@@ -52,10 +54,7 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Settings, Report<Faults>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|cause| Faults::unreadable(&file, &cause))
-            .attach("give the path of a readable INI file with --settings")?;
+        let (file, text) = load_text(path)?;
         Ok(Settings::parse(&file, &text)?)
     }
 
@@ -72,9 +71,18 @@
     }
 }
 
+/// Reads a file; returns its name in faults, and its text.
+fn load_text(path: &Path) -> Result<(String, String), Report<Faults>> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|cause| Faults::unreadable(&file, &cause))
+        .attach("give the path of a readable INI file with --settings")?;
+    Ok((file, text))
+}
+
 /// Reads every section, so that the faults of all of them are found.
 fn read(document: &Document, faults: &mut Faults) -> Option<Settings> {
-    refuse_unknown_sections(document, faults);
+    refuse_unknown_sections(document, SECTIONS, faults);
     let node = Node::read(&mut Section::new(document, "node", faults));
     let caller = Caller::read(&mut Section::new(document, "caller", faults));
     let operator = Operator::read(&mut Section::new(document, "operator", faults));
@@ -93,14 +101,14 @@
     Some(settings)
 }
 
-fn refuse_unknown_sections(document: &Document, faults: &mut Faults) {
+fn refuse_unknown_sections(document: &Document, known: &[&str], faults: &mut Faults) {
     for header in &document.headers {
-        if !SECTIONS.contains(&header.section.as_str()) {
+        if !known.contains(&header.section.as_str()) {
             faults.push(Fault {
                 line: Some(header.line),
                 key: format!("[{}]", header.section),
                 found: "an unknown section".to_string(),
-                allowed: format!("one of the sections {}", SECTIONS.join(", ")),
+                allowed: format!("one of the sections {}", known.join(", ")),
             });
         }
     }
--- /dev/null
+++ b/src/geraniummount/platform/document.rs
@@ -0,0 +1,132 @@
+//! The operator's configuration.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::core::route::{Backend, Gather, Limits, Repeat, Route, Table, Target, Weighted};
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    version: u64,
+    routes: Vec<RouteEntry>,
+    services: Vec<ServiceEntry>,
+    limits: LimitEntry,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteEntry {
+    name: String,
+    host: String,
+    prefix: String,
+    #[serde(rename = "type")]
+    kind: Kind,
+    timeout_ms: u64,
+    target_latency_ms: u64,
+    #[serde(default)]
+    priority: u32,
+    attempts: u32,
+    /// The service, where there is one only.
+    backend: Option<String>,
+    traffic_split: Option<Vec<SplitEntry>>,
+    /// The services that hold a shard each.
+    gather: Option<Vec<String>>,
+    #[serde(default)]
+    top_k: usize,
+    #[serde(default)]
+    min_coverage: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Idempotent,
+    NonIdempotent,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitEntry {
+    backend: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceEntry {
+    name: String,
+    max_conns: usize,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitEntry {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+/// Reads the operator's configuration.
+///
+/// # Errors
+///
+/// The document can't be read; the one before it holds.
+pub fn read(value: &[u8]) -> Result<Table, serde_json::Error> {
+    let document: Document = serde_json::from_slice(value)?;
+    let routes: Result<Vec<Route>, _> = document.routes.into_iter().map(route).collect();
+    let services = document.services.into_iter().map(|service| Backend {
+        name: service.name,
+        max_connections: service.max_conns,
+    });
+    let limits = Limits {
+        head_bytes: document.limits.max_header_bytes,
+        body_bytes: document.limits.max_body_bytes,
+        read: Duration::from_millis(document.limits.header_timeout_ms),
+        idle: Duration::from_millis(document.limits.idle_timeout_ms),
+    };
+    Ok(Table::new(
+        document.version,
+        limits,
+        routes?,
+        services.collect(),
+    ))
+}
+
+fn route(entry: RouteEntry) -> Result<Route, serde_json::Error> {
+    let target = match (entry.backend, entry.traffic_split, entry.gather) {
+        (Some(service), None, None) => Target::Service(service),
+        (None, Some(parts), None) => Target::Split(parts.into_iter().map(weighted).collect()),
+        (None, None, Some(shards)) => Target::Gather(Gather {
+            shards,
+            top: entry.top_k,
+            min_coverage: entry.min_coverage,
+        }),
+        _ => {
+            let name = entry.name;
+            let problem = format!("route {name} names no target, or several");
+            return Err(serde::de::Error::custom(problem));
+        }
+    };
+    Ok(Route {
+        name: entry.name,
+        host: entry.host,
+        prefix: entry.prefix,
+        target,
+        repeat: match entry.kind {
+            Kind::Idempotent => Repeat::Idempotent,
+            Kind::NonIdempotent => Repeat::AtMostOnce,
+        },
+        attempts: entry.attempts,
+        timeout: Duration::from_millis(entry.timeout_ms),
+        aim: Duration::from_millis(entry.target_latency_ms),
+        rank: entry.priority,
+    })
+}
+
+fn weighted(entry: SplitEntry) -> Weighted {
+    Weighted {
+        service: entry.backend,
+        weight: entry.weight,
+    }
+}
--- /dev/null
+++ b/src/geraniummount/util/h1/fault.rs
@@ -0,0 +1,32 @@
+//! What is wrong with a message.
+
+use std::fmt;
+
+/// What is wrong with a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The head is no HTTP/1.1.
+    Head,
+    /// The head has too many fields.
+    Fields,
+    /// The length is no number, or there are several.
+    Length,
+    /// The transfer coding is unknown, or stands beside a length.
+    Coding,
+    /// A chunk is malformed.
+    Chunk,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Fault::Head => "the head is not HTTP/1.1",
+            Fault::Fields => "the head has too many fields",
+            Fault::Length => "the length is ambiguous or not a number",
+            Fault::Coding => "the transfer coding is unknown or stands beside a length",
+            Fault::Chunk => "a chunk is malformed",
+        })
+    }
+}
+
+impl std::error::Error for Fault {}
--- /dev/null
+++ b/src/geraniummount/util/h1/mod.rs
@@ -0,0 +1,131 @@
+//! HTTP/1.1 as bytes: heads and bodies, without sockets.
+//!
+//! The gateway forwards what it reads, so it has to agree with both sides
+//! about where a message ends. Whatever is ambiguous is refused: two lengths,
+//! a length beside chunks, an unknown transfer coding. `httparse` splits
+//! heads into lines; the rules about lengths stand here.
+
+mod body;
+mod fault;
+mod field;
+mod request;
+mod response;
+mod write;
+
+pub use self::body::{Body, Chunk};
+pub use self::fault::Fault;
+pub use self::field::Field;
+pub use self::request::Request;
+pub use self::response::{Head, Response};
+pub use self::write::{end_head, field, number_field, request_line, status_line};
+
+/// Fields of one head that are read at most.
+const MAX_FIELDS: usize = 100;
+
+/// What is at the beginning of a buffer.
+#[derive(Debug)]
+pub enum Parsed<T> {
+    /// The beginning of a message.
+    Partial,
+    /// A whole message, with its length in bytes.
+    Whole(T, usize),
+}
+
+/// Fields that concern one connection only, in lower case.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns the values of a field, in order.
+pub fn values<'a>(fields: &'a [Field], name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+    let same = move |field: &&Field| field.name.eq_ignore_ascii_case(name);
+    fields
+        .iter()
+        .filter(same)
+        .map(|field| field.value.as_slice())
+}
+
+/// Returns the first value of a field as text.
+pub fn text<'a>(fields: &'a [Field], name: &'a str) -> Option<&'a str> {
+    let value = values(fields, name).next()?;
+    std::str::from_utf8(value).ok()
+}
+
+/// Returns the comma-separated words of a field, in lower case.
+fn words(fields: &[Field], name: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    for value in values(fields, name) {
+        let value = String::from_utf8_lossy(value);
+        let split = value
+            .split(',')
+            .map(|word| word.trim().to_ascii_lowercase());
+        words.extend(split.filter(|word| !word.is_empty()));
+    }
+    words
+}
+
+/// Removes the fields that concern one connection only.
+pub fn strip_hop_by_hop(fields: &mut Vec<Field>) {
+    let named = words(fields, "connection");
+    fields.retain(|field| {
+        let name = field.name.to_ascii_lowercase();
+        !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(&name)
+    });
+}
+
+fn copy_fields(headers: &[httparse::Header<'_>]) -> Vec<Field> {
+    let copied = headers.iter().map(|header| Field {
+        name: header.name.to_string(),
+        value: header.value.to_vec(),
+    });
+    copied.collect()
+}
+
+/// Reads the length that a head declares; `None` where it declares none.
+fn declared_length(fields: &[Field]) -> Result<Option<u64>, Fault> {
+    let mut length = None;
+    for value in values(fields, "content-length") {
+        let value = std::str::from_utf8(value).map_err(|_| Fault::Length)?;
+        for word in value.split(',').map(str::trim) {
+            if word.is_empty() || !word.bytes().all(|byte| byte.is_ascii_digit()) {
+                return Err(Fault::Length);
+            }
+            let number: u64 = word.parse().map_err(|_| Fault::Length)?;
+            if length.is_some_and(|known| known != number) {
+                return Err(Fault::Length);
+            }
+            length = Some(number);
+        }
+    }
+    Ok(length)
+}
+
+/// Returns whether the body comes in chunks.
+fn is_chunked(fields: &[Field]) -> Result<bool, Fault> {
+    let codings = words(fields, "transfer-encoding");
+    match codings.as_slice() {
+        [] if values(fields, "transfer-encoding").next().is_some() => Err(Fault::Coding),
+        [] => Ok(false),
+        [coding] if coding == "chunked" => Ok(true),
+        _ => Err(Fault::Coding),
+    }
+}
+
+/// Returns whether the connection may carry another message after this one.
+fn is_kept(fields: &[Field], minor_version: u8) -> bool {
+    let words = words(fields, "connection");
+    let has = |wanted: &str| words.iter().any(|word| word == wanted);
+    match minor_version {
+        0 => has("keep-alive") && !has("close"),
+        _ => !has("close"),
+    }
+}
--- /dev/null
+++ b/src/geraniummount/util/h1/request.rs
@@ -0,0 +1,82 @@
+//! Heads of requests.
+
+use super::{
+    Body, Fault, Field, MAX_FIELDS, Parsed, copy_fields, declared_length, is_chunked, is_kept,
+};
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Method, as it came.
+    pub method: String,
+    /// Path and query, as they came.
+    pub target: String,
+    /// All fields.
+    pub fields: Vec<Field>,
+    /// How the body comes.
+    pub body: Body,
+    /// Whether the connection may carry another request.
+    pub kept: bool,
+    /// Whether the sender waits for a sign before it sends the body.
+    pub awaits_continue: bool,
+}
+
+impl Request {
+    /// Parses the head at the beginning of a buffer.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed, or it is not clear where the body ends.
+    pub fn parse(buffer: &[u8]) -> Result<Parsed<Request>, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut head = httparse::Request::new(&mut headers);
+        let length = match head.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(Parsed::Partial),
+            Err(httparse::Error::TooManyHeaders) => return Err(Fault::Fields),
+            Err(_) => return Err(Fault::Head),
+        };
+        let (Some(method), Some(target), Some(minor)) = (head.method, head.path, head.version)
+        else {
+            return Err(Fault::Head);
+        };
+        let fields = copy_fields(head.headers);
+        let declared = declared_length(&fields)?;
+        let body = match (is_chunked(&fields)?, declared) {
+            (true, Some(_)) => return Err(Fault::Coding),
+            (true, None) if minor == 0 => return Err(Fault::Coding),
+            (true, None) => Body::chunked(),
+            (false, length) => Body::Length(length.unwrap_or(0)),
+        };
+        let expects = super::words(&fields, "expect");
+        let request = Request {
+            method: method.to_string(),
+            target: target.to_string(),
+            kept: is_kept(&fields, minor),
+            awaits_continue: minor > 0 && expects.iter().any(|word| word == "100-continue"),
+            fields,
+            body,
+        };
+        Ok(Parsed::Whole(request, length))
+    }
+
+    /// Returns the host that the request names, without a port.
+    pub fn host(&self) -> Option<&str> {
+        let mut hosts = super::values(&self.fields, "host");
+        let host = hosts.next()?;
+        if hosts.next().is_some() {
+            return None;
+        }
+        let host = std::str::from_utf8(host).ok()?.trim();
+        match host.rsplit_once(':') {
+            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => Some(name),
+            _ => Some(host),
+        }
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target.as_str();
+        target.split_once('?').map_or(target, |(path, _)| path)
+    }
+}
--- /dev/null
+++ b/src/geraniummount/util/h1/response.rs
@@ -0,0 +1,87 @@
+//! Heads of responses.
+
+use std::time::Duration;
+
+use super::{
+    Body, Fault, Field, MAX_FIELDS, Parsed, copy_fields, declared_length, is_chunked, is_kept,
+};
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Status.
+    pub status: u16,
+    /// All fields.
+    pub fields: Vec<Field>,
+    /// How the body comes.
+    pub body: Body,
+    /// Whether the connection may carry another response.
+    pub kept: bool,
+}
+
+/// A whole response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub content: Vec<u8>,
+}
+
+impl Head {
+    /// Parses the head at the beginning of a buffer; interim responses are
+    /// heads of their own.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed, or it is not clear where the body ends.
+    pub fn parse(buffer: &[u8], to_head_request: bool) -> Result<Parsed<Head>, Fault> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut head = httparse::Response::new(&mut headers);
+        let length = match head.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(Parsed::Partial),
+            Err(httparse::Error::TooManyHeaders) => return Err(Fault::Fields),
+            Err(_) => return Err(Fault::Head),
+        };
+        let (Some(status), Some(minor)) = (head.code, head.version) else {
+            return Err(Fault::Head);
+        };
+        let fields = copy_fields(head.headers);
+        let declared = declared_length(&fields)?;
+        let chunked = is_chunked(&fields)?;
+        if chunked && declared.is_some() {
+            return Err(Fault::Coding);
+        }
+        let is_empty = to_head_request || matches!(status, 100..=199 | 204 | 304);
+        let body = match declared {
+            _ if is_empty => Body::Length(0),
+            _ if chunked => Body::chunked(),
+            Some(length) => Body::Length(length),
+            None => Body::UntilClose,
+        };
+        let kept = is_kept(&fields, minor) && body != Body::UntilClose;
+        let head = Head {
+            status,
+            fields,
+            body,
+            kept,
+        };
+        Ok(Parsed::Whole(head, length))
+    }
+
+    /// Returns whether another head follows for the same request.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status) && self.status != 101
+    }
+
+    /// Returns how long the sender keeps the connection without a request.
+    pub fn keep_alive(&self) -> Option<Duration> {
+        let words = super::words(&self.fields, "keep-alive");
+        let mut times = words
+            .iter()
+            .filter_map(|word| word.strip_prefix("timeout="));
+        let seconds = times.next()?.trim().parse().ok()?;
+        Some(Duration::from_secs(seconds))
+    }
+}
--- /dev/null
+++ b/src/geraniummount/util/h1/write.rs
@@ -0,0 +1,52 @@
+//! Writing heads.
+
+use std::io::Write;
+
+/// Starts the head of a request.
+pub fn request_line(out: &mut Vec<u8>, method: &str, target: &str) {
+    out.extend_from_slice(method.as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+}
+
+/// Starts the head of a response.
+pub fn status_line(out: &mut Vec<u8>, status: u16) {
+    let reason = match status {
+        100 => "Continue",
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    };
+    // Writing to memory can't fail.
+    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\n");
+}
+
+/// Adds a field.
+pub fn field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Adds a field with a number.
+pub fn number_field(out: &mut Vec<u8>, name: &str, value: u64) {
+    // Writing to memory can't fail.
+    let _ = write!(out, "{name}: {value}\r\n");
+}
+
+/// Ends a head.
+pub fn end_head(out: &mut Vec<u8>) {
+    out.extend_from_slice(b"\r\n");
+}
--- a/src/geraniummount/util/mod.rs
+++ b/src/geraniummount/util/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers that know nothing of the domain.
 
 pub mod fixed;
+pub mod h1;
 pub mod published;
 pub mod table;
