Read all keys again after the store was lost

Ruled out: a slow reconnect (the leaves' thread of the same process read again 90 ms later); the pause between watches (250 ms).

Change: after a failed call a watcher reads all keys and watches from there. Test: platform_store_versions_come_into_force, fourth case, fails without it.

--- a/crates/geraniummount-test-support/src/http.rs
+++ b/crates/geraniummount-test-support/src/http.rs
@@ -147,6 +147,11 @@
         self.stream.write_all(&response.to_bytes())
     }
 
+    /// Writes bytes as they are.
+    pub(crate) fn write_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     /// Writes a reply without the second half of its body.
     pub(crate) fn write_truncated(&mut self, response: &Response) -> io::Result<()> {
         let bytes = response.to_bytes();
--- a/crates/geraniummount-test-support/src/platform/mod.rs
+++ b/crates/geraniummount-test-support/src/platform/mod.rs
@@ -7,6 +7,7 @@
 
 mod server;
 mod store;
+pub mod users;
 
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for the users' platform: its key-value store and leaves that
+//! register there.
+//!
+//! They speak the pages under which the product's `platform` folder stands.
+//! Faults are set while they run.
+
+mod leaf;
+mod serving;
+mod store;
+
+pub use self::leaf::{Answer, Leaf, signature};
+pub use self::store::{Hearing, Store};
--- a/src/geraniummount/edge/gateway/admit.rs
+++ b/src/geraniummount/edge/gateway/admit.rs
@@ -1,6 +1,6 @@
 //! A whole request: its route, its plan, its start.
 
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
@@ -52,7 +52,7 @@
         self.start_call(
             key,
             call,
-            Rc::new(forward),
+            Arc::new(forward),
             route.name.clone(),
             table.version,
         );
@@ -62,7 +62,7 @@
         &mut self,
         key: usize,
         call: Call,
-        forward: Rc<Forward>,
+        forward: Arc<Forward>,
         route: String,
         version: u64,
     ) {
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -1,7 +1,7 @@
 //! Requests that are being worked on, and their attempts at leaves.
 
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use log::info;
@@ -29,7 +29,7 @@
     pub(super) serial: u64,
     pub(super) caller: usize,
     pub(super) call: Call,
-    pub(super) forward: Rc<Forward>,
+    pub(super) forward: Arc<Forward>,
     pub(super) route: String,
     /// Version of the routes that it was planned with.
     pub(super) version: u64,
@@ -58,7 +58,7 @@
         serial: u64,
         caller: usize,
         call: Call,
-        forward: Rc<Forward>,
+        forward: Arc<Forward>,
         route: String,
         version: u64,
         now: Instant,
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -27,7 +27,7 @@
 mod watch;
 
 use std::io;
-use std::sync::mpsc;
+use std::sync::{Arc, mpsc};
 use std::time::Instant;
 
 use log::warn;
@@ -72,7 +72,7 @@
     attempts: calls::Attempts,
     timers: Timers,
     placement: Placement,
-    table: Option<std::rc::Rc<Table>>,
+    table: Option<Arc<Table>>,
     leaves_known: bool,
     split: Split,
     counts: Counts,
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use log::info;
@@ -54,7 +54,7 @@
         self.counts
             .version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.table = Some(Rc::new(table));
+        self.table = Some(Arc::new(table));
     }
 
     /// Takes over the leaves that are registered now.
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -192,7 +192,10 @@
         self.sender.send(Update::Leaves(instances))
     }
 
+    /// Pauses after a failed call. What changed around it may never be told,
+    /// so all keys are read again.
     fn lost(&mut self, error: &Error) {
+        self.feed.restart();
         let topic = self.topic.name();
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod operators_listener;
 mod path;
 mod peer_edge;
+mod platform;
 mod promise_at_most_once;
 mod promise_configuration;
 mod promise_coverage;
--- /dev/null
+++ b/tests/testsuite/platform/mod.rs
@@ -0,0 +1,4 @@
+//! The gateway on the users' platform, against stand-ins that speak its pages.
+
+mod scene;
+mod store;
--- /dev/null
+++ b/tests/testsuite/platform/scene.rs
@@ -0,0 +1,215 @@
+//! A gateway between a stand-in store, stand-in leaves and a caller.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
+use geraniummount_test_support::platform::users::{Leaf, Store};
+use serde_json::{Value, json};
+
+/// Longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Host of all routes.
+pub const HOST: &str = "shop.example";
+
+/// A running gateway with its store.
+pub struct Scene {
+    pub store: Store,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    sender: Sender,
+    running: Option<JoinHandle<bool>>,
+}
+
+/// A caller's answer.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Scene {
+    /// Starts a store and a gateway in failure domain `near`.
+    pub fn start() -> Scene {
+        let store = Store::start();
+        let options = Options {
+            name: "vm1".to_string(),
+            domain: "near".to_string(),
+            callers: free_address(),
+            ready: free_address(),
+            metrics: None,
+            store: store.address(),
+            linger: Duration::from_millis(200),
+            drain: Duration::from_secs(10),
+        };
+        let (callers, ready) = (options.callers, options.ready);
+        let gateway = Gateway::bind(options).unwrap();
+        let sender = gateway.sender();
+        let running = std::thread::spawn(move || gateway.run().unwrap());
+        Scene {
+            store,
+            callers,
+            ready,
+            sender,
+            running: Some(running),
+        }
+    }
+
+    /// Writes the configuration and waits until it is in force.
+    pub fn configure(&self, version: u64, routes: &[Value]) {
+        self.store.put("op/config", document(version, routes));
+        let marker = format!("/v{version}/");
+        self.wait(|scene| scene.is_ready() && scene.get(&marker, 1000).status != 404);
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.sender.send(Update::Stop);
+    }
+
+    /// Waits for the end of a planned stop; returns whether all were answered.
+    pub fn join(&mut self) -> bool {
+        self.running.take().unwrap().join().unwrap()
+    }
+
+    pub fn wait(&self, condition: impl Fn(&Scene) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !condition(self) {
+            assert!(Instant::now() < end, "the condition was not met in time");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Waits until the gateway knows a leaf of a service, by a request.
+    pub fn wait_for(&self, path: &str) {
+        self.wait(|scene| scene.get(path, 1000).status == 200);
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let request = format!("GET /api/ready HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+        exchange(self.ready, request.as_bytes()).is_some_and(|reply| reply.status == 200)
+    }
+
+    /// Sends one request on a connection of its own.
+    pub fn get(&self, path: &str, deadline_ms: u64) -> Reply {
+        self.send("GET", path, deadline_ms, b"")
+    }
+
+    pub fn send(&self, method: &str, path: &str, deadline_ms: u64, body: &[u8]) -> Reply {
+        let request = request(method, path, deadline_ms, body);
+        exchange(self.callers, &request).expect("a whole answer")
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Reply {
+    /// Value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        values.next().map(|(_, value)| value)
+    }
+}
+
+/// A request as bytes, with a fresh id.
+pub fn request(method: &str, path: &str, deadline_ms: u64, body: &[u8]) -> Vec<u8> {
+    let id: u64 = rand::random();
+    let mut request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id:016x}\r\n\
+         Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    request.extend_from_slice(body);
+    request
+}
+
+/// Sends bytes on a new connection and reads one answer.
+pub fn exchange(address: SocketAddr, request: &[u8]) -> Option<Reply> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(request).ok()?;
+    read_reply(&mut stream)
+}
+
+/// Reads one answer with a length.
+pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        read_some(stream, &mut bytes)?;
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut reply = Reply {
+        status: head.split(' ').nth(1)?.parse().ok()?,
+        head,
+        body: Vec::new(),
+    };
+    let length: usize = reply.field("Content-Length").unwrap_or("0").parse().ok()?;
+    while bytes.len() < end + length {
+        read_some(stream, &mut bytes)?;
+    }
+    assert_eq!(bytes.len(), end + length, "bytes behind an answer");
+    reply.body = bytes.split_off(end);
+    Some(reply)
+}
+
+fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 4096];
+    let count = stream.read(&mut chunk).ok()?;
+    bytes.extend_from_slice(&chunk[..count]);
+    (count > 0).then_some(())
+}
+
+/// A configuration as the operator writes it. A route `/vN/` of version N
+/// shows which version is in force.
+pub fn document(version: u64, routes: &[Value]) -> String {
+    let mut routes = routes.to_vec();
+    routes.push(service_route(
+        &format!("/v{version}/"),
+        "idempotent",
+        "none",
+    ));
+    json!({
+        "version": version, "routes": routes,
+        "services": [{"name": "one", "healthPath": "/health", "maxConns": 26,
+                      "protocol": "h1", "tls": false}],
+        "limits": {"maxHeaderBytes": 2048, "maxBodyBytes": 4096,
+                   "headerTimeoutMs": 1000, "idleTimeoutMs": 10_000},
+    })
+    .to_string()
+}
+
+/// A route to one service.
+pub fn service_route(prefix: &str, kind: &str, service: &str) -> Value {
+    json!({"name": prefix, "host": HOST, "prefix": prefix, "type": kind, "timeoutMs": 3000,
+           "targetLatencyMs": 400, "priority": 1, "backend": service, "attempts": 2})
+}
+
+/// A route to many shards.
+pub fn gather_route(prefix: &str, shards: &[&str], top: usize, least: f64) -> Value {
+    json!({"name": prefix, "host": HOST, "prefix": prefix, "type": "idempotent",
+           "timeoutMs": 3000, "targetLatencyMs": 400, "priority": 1, "gather": shards,
+           "attempts": 2, "topK": top, "minCoverage": least})
+}
+
+/// Starts a leaf in failure domain `near`.
+pub fn leaf(scene: &Scene, service: &str, records: &[u8]) -> Leaf {
+    Leaf::start(&scene.store, service, "near", records)
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
