--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -18,6 +18,17 @@
         /// The leaf.
         replica: Key,
     },
+    /// Let another VM collect some of the shards.
+    Delegate {
+        /// Number of the attempt.
+        attempt: AttemptId,
+        /// Group of the VM.
+        group: ServiceName,
+        /// The VM.
+        vm: Key,
+        /// Places of the shards.
+        shards: Vec<usize>,
+    },
     /// Stop waiting for an attempt.
     Abandon {
         /// Number of the attempt.
@@ -32,8 +43,8 @@
 pub enum End {
     /// With the parts of enough shards.
     Gathered {
-        /// The parts, in the order of the shards.
-        parts: Vec<Response>,
+        /// The parts with the places of their shards, ascending.
+        parts: Vec<(usize, Response)>,
         /// Number of shards that are left out.
         missing: usize,
         /// Records in the answer.
--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -21,16 +21,20 @@
         if self.finished {
             return Vec::new();
         }
+        let mut actions = self.drop_lost_bundles(placement, now);
+        self.looked_at = now;
         let included = self.included();
         let unsettled = self.unsettled();
         let enough = included >= self.plan.least();
         if unsettled == 0 || included + unsettled < self.plan.least() {
-            return self.finish(enough, placement, now);
+            actions.extend(self.finish(enough, placement, now));
+            return actions;
         }
         if now >= self.plan.end_by || (enough && now >= self.plan.answer_by) {
-            return self.finish(enough, placement, now);
+            actions.extend(self.finish(enough, placement, now));
+            return actions;
         }
-        let mut actions = self.hedge(placement, now);
+        actions.extend(self.hedge(placement, now));
         if self.unsettled() < unsettled {
             actions.extend(self.advance(placement, now));
         }
@@ -73,10 +77,10 @@
 
     fn success(&mut self) -> End {
         let count = self.shards.len();
-        let mut parts: Vec<Response> = Vec::with_capacity(count);
-        for shard in &mut self.shards {
+        let mut parts: Vec<(usize, Response)> = Vec::with_capacity(count);
+        for (place, shard) in self.shards.iter_mut().enumerate() {
             if let Some(Settled::Included(part)) = &mut shard.settled {
-                parts.push(std::mem::take(part));
+                parts.push((place, std::mem::take(part)));
             }
         }
         match self.plan.gather {
@@ -85,7 +89,7 @@
                 parts,
                 top: coverage.top,
             },
-            None => End::Forward(parts.swap_remove(0)),
+            None => End::Forward(parts.swap_remove(0).1),
         }
     }
 
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -10,6 +10,7 @@
 //! only once is sent again only where the first leaf certainly did not run it.
 
 mod action;
+mod delegate;
 mod finish;
 mod plan;
 mod reply;
@@ -18,6 +19,7 @@
 
 use std::time::Instant;
 
+use self::delegate::Bundle;
 use self::shard::{Settled, Shard};
 use crate::core::placement::{Ending, Placement};
 use crate::core::route::Repeat;
@@ -25,7 +27,7 @@
 
 pub use self::action::{Action, End, Refusal};
 pub use self::plan::{Coverage, Plan};
-pub use self::reply::{Reply, Response};
+pub use self::reply::{Parts, Reply, Response};
 pub use self::shard::Story;
 
 /// State of one request.
@@ -33,16 +35,21 @@
 pub struct Call {
     plan: Plan,
     shards: Vec<Shard>,
+    bundles: Vec<Bundle>,
+    /// When late VMs were last looked at.
+    looked_at: Instant,
     finished: bool,
 }
 
 impl Call {
     /// Prepares a request.
-    pub fn new(plan: Plan) -> Call {
+    pub fn new(plan: Plan, now: Instant) -> Call {
         let shards = plan.services.iter().cloned().map(Shard::new).collect();
         Call {
             plan,
             shards,
+            bundles: Vec::new(),
+            looked_at: now,
             finished: false,
         }
     }
@@ -52,7 +59,8 @@
         &self.plan
     }
 
-    /// Sends the first attempt of each shard, or refuses the request.
+    /// Sends the first attempt of each shard, from here or from a VM nearer to
+    /// its replicas, or refuses the request.
     pub fn start(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
         let can_serve = |shard: &&Shard| placement.can_serve(&shard.service, now);
         let servable = self.shards.iter().filter(can_serve).count();
@@ -62,18 +70,31 @@
         if now >= self.plan.end_by {
             return self.refuse(Refusal::NoTime, placement, now);
         }
-        let mut actions = Vec::with_capacity(self.shards.len());
+        let mut actions = self.delegate(placement, now);
         for index in 0..self.shards.len() {
-            let service = &self.shards[index].service;
-            placement.earn(service);
-            match placement.choose(service, &[], now) {
-                Some(replica) => actions.push(self.send(index, replica, placement, now)),
-                None => self.shards[index].settle(Settled::Missing),
+            if !self.shards[index].bundled {
+                actions.extend(self.send_first(index, placement, now));
             }
         }
         actions
     }
 
+    /// Sends the first attempt of a shard.
+    fn send_first(
+        &mut self,
+        index: usize,
+        placement: &mut Placement,
+        now: Instant,
+    ) -> Option<Action> {
+        let service = &self.shards[index].service;
+        placement.earn(service);
+        let Some(replica) = placement.choose(service, &[], now) else {
+            self.shards[index].settle(Settled::Missing);
+            return None;
+        };
+        Some(self.send(index, replica, placement, now))
+    }
+
     /// Notes that the leaf may have the request from now on.
     pub fn on_sent(&mut self, attempt: AttemptId) {
         let mut open = self.shards.iter_mut().flat_map(|shard| &mut shard.open);
@@ -90,6 +111,14 @@
         placement: &mut Placement,
         now: Instant,
     ) -> Vec<Action> {
+        if let Some(shards) = self.take_bundle(attempt, reply.ending(), placement, now) {
+            if self.finished {
+                return Vec::new();
+            }
+            let mut actions = self.on_bundle(&shards, reply, placement, now);
+            actions.extend(self.advance(placement, now));
+            return actions;
+        }
         let Some((index, replica)) = self.close(attempt) else {
             return Vec::new();
         };
@@ -106,7 +135,7 @@
                 shard.failure = Some(response);
                 self.try_elsewhere(index, placement, now)
             }
-            Reply::Lost => {
+            Reply::Lost | Reply::Parts(_) => {
                 self.shards[index].may_have_run = true;
                 self.try_elsewhere(index, placement, now)
             }
@@ -142,7 +171,12 @@
         let again = self.shards.iter().filter_map(|shard| shard.again_at);
         let in_time = self.plan.is_gather().then_some(self.plan.answer_by);
         let in_time = in_time.filter(|_| self.included() >= self.plan.least());
-        again.chain(in_time).chain([self.plan.end_by]).min()
+        let lost = self.next_lost_bundle(self.looked_at);
+        again
+            .chain(in_time)
+            .chain(lost)
+            .chain([self.plan.end_by])
+            .min()
     }
 
     /// Returns how each shard went so far, for logs.
@@ -194,7 +228,7 @@
     }
 
     fn abandon_all(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.abandon_bundles(placement, now);
         for index in 0..self.shards.len() {
             actions.extend(self.abandon(index, placement, now));
         }
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -23,6 +23,7 @@
 pub mod holdings;
 pub mod id;
 pub mod instance;
+pub mod isolation;
 pub mod layout;
 pub mod leaf;
 pub mod leaf_queue;
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -6,17 +6,20 @@
 //! its last requests took there, how many of them are open, and how long the
 //! oldest of these has been waiting. The last one shows a pause while it lasts.
 
+mod delegation;
 mod group;
 mod replica;
 
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use rand::rngs::SmallRng;
 
 use crate::core::instance::Instance;
 use crate::core::retry_budget::RetryBudget;
 use crate::prelude::*;
 
+pub use self::delegation::{Delegation, is_vm_group, vm_group};
 pub use self::group::Group;
 pub use self::replica::{Ending, Key, Replica};
 
@@ -29,7 +32,7 @@
 
 /// Time that a leaf which is no longer registered is kept as the last choice.
 /// Registrations that were lost while the store was away come back within it.
-pub const LAPSE: Duration = Duration::from_millis(2_200);
+pub const LAPSE: Duration = Duration::from_millis(2_000);
 
 /// Two replicas whose expected times differ by less share the load.
 const TIE: f64 = 0.1;
@@ -43,12 +46,12 @@
     groups: Vec<Group>,
     next_key: Key,
     next_attempt: AttemptId,
-    rng: rand::rngs::SmallRng,
+    rng: SmallRng,
 }
 
 impl Placement {
     /// Starts without any leaf.
-    pub fn new(domain: impl Into<DomainName>, rng: rand::rngs::SmallRng) -> Placement {
+    pub fn new(domain: impl Into<DomainName>, rng: SmallRng) -> Placement {
         Placement {
             domain: domain.into(),
             groups: Vec::new(),
@@ -110,6 +113,12 @@
         attempt
     }
 
+    /// Returns whether a leaf or VM has answered since a time.
+    pub fn has_answered_since(&self, service: &str, key: Key, since: Instant) -> bool {
+        let replica = self.replica(service, key);
+        replica.is_some_and(|replica| replica.answered_at.is_some_and(|at| at >= since))
+    }
+
     /// Notes the end of an attempt.
     pub fn end(
         &mut self,
@@ -132,6 +141,12 @@
         }
     }
 
+    /// Returns whether a leaf stands in another failure domain than this VM.
+    pub fn is_far(&self, service: &str, key: Key) -> bool {
+        let replica = self.replica(service, key);
+        replica.is_some_and(|replica| replica.instance.domain != self.domain)
+    }
+
     /// Returns a leaf for changes.
     pub fn replica_mut(&mut self, service: &str, key: Key) -> Option<&mut Replica> {
         let place = self.search(service).ok()?;
@@ -162,7 +177,7 @@
             if tried.contains(&replica.key) || !replica.is_usable(now) {
                 continue;
             }
-            let spread: f64 = self.rng.random_range(1.0..1.0 + TIE);
+            let spread = spread(&mut self.rng);
             let expected = replica.expected(typical, now).as_secs_f64() * spread;
             let found = (replica.has_lapsed(), expected, replica.key);
             if best.is_none_or(|least| (found.0, found.1) < (least.0, least.1)) {
@@ -211,3 +226,8 @@
         })
     }
 }
+
+/// Returns a factor that makes close calls fall either way.
+fn spread(rng: &mut SmallRng) -> f64 {
+    rng.random_range(1.0..1.0 + TIE)
+}
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -25,6 +25,17 @@
 /// Failures in a row after which a leaf is left alone for a while.
 const TOLERATED_FAILURES: u32 = 2;
 
+/// Weight of a new ending in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// Usual times that a failed attempt costs, with the attempt that follows it.
+const FAILURE_COST: f64 = 2.5;
+
+/// Rejections in a row after which a leaf is left alone for a while. A leaf
+/// that sheds some of its work still does the rest, which may be just what the
+/// others can't take.
+const TOLERATED_REJECTIONS: u32 = 8;
+
 /// First pause after failures; doubles with each further one.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
 
@@ -61,11 +72,18 @@
     pub suspended_until: Option<Instant>,
     /// Since when the registry no longer names it.
     pub(super) lapsed_at: Option<Instant>,
+    /// When it answered last.
+    pub(super) answered_at: Option<Instant>,
     near: bool,
     /// Moving average of the time of its answers.
     average: Option<Duration>,
     measured: Instant,
+    /// Failures in a row.
     failures: u32,
+    /// Rejections in a row.
+    rejections: u32,
+    /// Moving average of the share of attempts that failed.
+    failure_share: f64,
     /// Open requests with the time at which they were sent.
     open: Vec<(AttemptId, Instant)>,
     added: Instant,
@@ -78,10 +96,13 @@
             instance,
             suspended_until: None,
             lapsed_at: None,
+            answered_at: None,
             near,
             average: None,
             measured: now,
             failures: 0,
+            rejections: 0,
+            failure_share: 0.0,
             open: Vec::new(),
             added: now,
         }
@@ -120,11 +141,12 @@
     /// Returns how long a request that is sent now is expected to take.
     pub fn expected(&self, typical: Duration, now: Instant) -> Duration {
         let prior = if self.near { typical } else { typical + FAR };
+        let age = now.saturating_duration_since(self.measured);
+        let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
         let known = self.average.map_or(prior, |average| {
-            let age = now.saturating_duration_since(self.measured);
-            let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
             average.mul_f64(weight) + prior.mul_f64(1.0 - weight)
         });
+        let known = known + typical.mul_f64(self.failure_share * weight * FAILURE_COST);
         let oldest = self.open.iter().map(|(_, sent)| *sent).min();
         let waiting = oldest.map_or(Duration::ZERO, |sent| now.saturating_duration_since(sent));
         let known = if waiting > known.mul_f64(PAUSE_FACTOR) {
@@ -151,10 +173,14 @@
         match ending {
             Ending::Answered => {
                 self.failures = 0;
+                self.rejections = 0;
+                self.answered_at = Some(now);
+                self.failure_share *= 1.0 - FAILURE_WEIGHT;
                 self.suspended_until = None;
                 self.measure(elapsed, now);
             }
-            Ending::Failed | Ending::Rejected | Ending::Lost => self.fail(now),
+            Ending::Rejected => self.reject(now),
+            Ending::Failed | Ending::Lost => self.fail(now),
             Ending::Unreachable | Ending::Misdirected => {
                 self.failures = self.failures.max(TOLERATED_FAILURES - 1);
                 self.fail(now);
@@ -185,8 +211,22 @@
         self.measured = now;
     }
 
+    fn reject(&mut self, now: Instant) {
+        self.rejections += 1;
+        self.note_failure(now);
+        if self.rejections >= TOLERATED_REJECTIONS {
+            self.suspended_until = Some(now + FIRST_SUSPENSION);
+        }
+    }
+
+    fn note_failure(&mut self, now: Instant) {
+        self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+        self.measured = now;
+    }
+
     fn fail(&mut self, now: Instant) {
         self.failures += 1;
+        self.note_failure(now);
         if self.failures < TOLERATED_FAILURES {
             return;
         }
--- a/src/geraniummount/edge/gateway/admit.rs
+++ b/src/geraniummount/edge/gateway/admit.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use super::caller::State;
 use super::calls::{CallState, Forward};
+use super::relay;
 use crate::core::call::{Call, Plan};
 use crate::core::route::Target;
 use crate::platform::headers;
@@ -39,9 +40,21 @@
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
             Target::Gather(gather) => (None, Some(gather)),
         };
-        let plan = Plan::new(route, service, gather, caller.patience, self.now);
+        let mut plan = Plan::new(route, service, gather, caller.patience, self.now);
+        let mut asked = None;
+        if self.callers[key].is_vm {
+            let query = relay::read(&request.fields, table.version);
+            let Some(query) = query.filter(|query| plan.keep_shards(&query.shards)) else {
+                let version = table.version;
+                info!("request id={id} outcome=refused status=503 why=version version={version}");
+                return self.write_plain(key, 503, "it has not run; another version", None);
+            };
+            plan.answer_by = plan.answer_by.min(self.now + query.aim);
+            asked = Some(query.shards);
+        }
         headers::strip_request(&mut request.fields);
-        let call = Call::new(plan);
+        relay::strip(&mut request.fields);
+        let call = Call::new(plan, self.now);
         let forward = Forward {
             id: caller.id,
             method: request.method,
@@ -49,25 +62,16 @@
             fields: request.fields,
             content,
         };
-        self.start_call(
-            key,
-            call,
-            Arc::new(forward),
-            route.name.clone(),
-            table.version,
-        );
+        let (name, version) = (route.name.clone(), table.version);
+        let serial = self.serial();
+        let forward = Arc::new(forward);
+        let mut state = CallState::new(serial, key, call, forward, name, version, self.now);
+        state.asked = asked;
+        self.start_call(state);
     }
 
-    fn start_call(
-        &mut self,
-        key: usize,
-        call: Call,
-        forward: Arc<Forward>,
-        route: String,
-        version: u64,
-    ) {
-        let serial = self.serial();
-        let state = CallState::new(serial, key, call, forward, route, version, self.now);
+    fn start_call(&mut self, state: CallState) {
+        let key = state.caller;
         let index = self.calls.insert(state);
         let caller = &mut self.callers[key];
         caller.state = State::Waiting { call: index };
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -6,6 +6,7 @@
 
 use super::Gateway;
 use super::calls::CallState;
+use super::relay;
 use crate::core::call::{End, Response};
 use crate::core::top;
 use crate::platform::headers;
@@ -28,7 +29,7 @@
                 parts,
                 missing,
                 top,
-            } => self.write_gathered(caller, &parts, missing, top),
+            } => self.write_gathered(&state, &parts, missing, top),
             End::Forward(response) => self.write_forwarded(caller, &state, &response),
             End::Refuse {
                 refusal,
@@ -60,16 +61,22 @@
 
     fn write_gathered(
         &mut self,
-        caller: usize,
-        parts: &[Response],
+        state: &CallState,
+        parts: &[(usize, Response)],
         missing: usize,
         most: usize,
     ) -> Outcome {
-        let body = top::merge(parts.iter().map(|part| part.body.as_slice()), most);
+        let caller = state.caller;
+        let body = top::merge(parts.iter().map(|(_, part)| part.body.as_slice()), most);
         let mut answer = Vec::with_capacity(256 + parts.len() * 40 + body.len());
         h1::status_line(&mut answer, 200);
-        let signatures = parts.iter().map(|part| part.signature.as_str());
-        headers::write_gathered(&mut answer, signatures, missing);
+        match &state.asked {
+            Some(asked) => relay::write_parts(&mut answer, asked, parts),
+            None => {
+                let signatures = parts.iter().map(|(_, part)| part.signature.as_str());
+                headers::write_gathered(&mut answer, signatures, missing);
+            }
+        }
         h1::number_field(&mut answer, "Content-Length", body.len() as u64);
         if self.is_last(caller) {
             h1::field(&mut answer, "Connection", b"close");
@@ -122,6 +129,12 @@
         let plan = state.call.plan();
         let in_time = self.now <= plan.answer_by + LATE_SLACK;
         self.counts.count_answer(outcome.word);
+        let unserved = matches!(
+            outcome.word,
+            "no-leaf" | "all-rejected" | "failed" | "timed-out"
+        );
+        self.isolation.on_request(!unserved && outcome.status < 500);
+        self.look_around();
         self.counts.record_answer(took);
         let (id, route, version) = (&state.forward.id, &state.route, state.version);
         let (word, status, missing) = (outcome.word, outcome.status, outcome.missing);
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -2,8 +2,9 @@
 
 use std::time::Instant;
 
-use log::debug;
+use log::{debug, warn};
 use mio::Interest;
+use mio::net::{TcpListener, TcpStream};
 
 use super::Gateway;
 use super::socket::{Flow, Socket};
@@ -30,6 +31,8 @@
     pub(super) since: Instant,
     /// Whether the connection ends after the answer that is being written.
     pub(super) last: bool,
+    /// Whether it is another VM that hands over queries.
+    pub(super) is_vm: bool,
 }
 
 /// What a caller's connection is doing.
@@ -54,22 +57,32 @@
     Closing,
 }
 
+/// Accepts a connection, if one waits.
+fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
+    loop {
+        match listener?.accept() {
+            Ok((stream, _)) => return Some(stream),
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return None,
+            Err(error) => {
+                warn!("accept outcome=failed error=\"{error}\"");
+                return None;
+            }
+        }
+    }
+}
+
 impl Gateway {
     pub(super) fn accept_callers(&mut self) {
-        loop {
-            let Some(listener) = &self.callers_listener else {
-                return;
-            };
-            match listener.accept() {
-                Ok((stream, _)) => self.add_caller(stream),
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
-                Err(error) => return self.accept_failed("callers", &error),
-            }
+        while let Some(stream) = accept(self.callers_listener.as_ref()) {
+            self.add_caller(stream, false);
+        }
+        while let Some(stream) = accept(self.peers_listener.as_ref()) {
+            self.add_caller(stream, true);
         }
     }
 
-    fn add_caller(&mut self, stream: mio::net::TcpStream) {
+    fn add_caller(&mut self, stream: TcpStream, is_vm: bool) {
         let serial = self.serial();
         let entry = self.callers.vacant_entry();
         let key = entry.key();
@@ -91,6 +104,7 @@
             state: State::Idle,
             since: self.now,
             last: false,
+            is_vm,
         });
         self.counts.caller_connections.inc();
         self.watch_caller(key);
@@ -247,11 +261,11 @@
 
     /// Writes a whole answer and waits for the next request.
     pub(super) fn respond(&mut self, key: usize, answer: &[u8]) {
-        let stopping = self.stop.is_some();
+        let leaving = self.is_leaving();
         let Some(caller) = self.callers.get_mut(key) else {
             return;
         };
-        caller.last |= stopping;
+        caller.last |= leaving;
         caller.socket.queue(answer);
         caller.since = self.now;
         if !matches!(caller.state, State::Closing) {
@@ -263,9 +277,14 @@
         }
     }
 
+    /// Returns whether callers should go to other VMs.
+    fn is_leaving(&self) -> bool {
+        self.stop.is_some() || self.isolation.is_isolated()
+    }
+
     /// Returns whether the answer being written is the connection's last one.
     pub(super) fn is_last(&self, key: usize) -> bool {
-        self.stop.is_some() || self.callers.get(key).is_some_and(|caller| caller.last)
+        self.is_leaving() || self.callers.get(key).is_some_and(|caller| caller.last)
     }
 
     pub(super) fn write_plain(
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -37,6 +37,8 @@
     /// Earliest wake-up that is set.
     wake: Option<Instant>,
     pub(super) sends: u32,
+    /// Places in the route of the shards that another VM asked for.
+    pub(super) asked: Option<Vec<usize>>,
 }
 
 /// An attempt at a leaf.
@@ -44,6 +46,8 @@
 pub(super) struct Attempt {
     pub(super) call: usize,
     pub(super) service: ServiceName,
+    /// Places of the shards that another VM collects.
+    pub(super) shards: Vec<usize>,
     pub(super) replica: Key,
     /// The leaf's connection, once it has one.
     pub(super) connection: Option<usize>,
@@ -73,6 +77,7 @@
             started: now,
             wake: None,
             sends: 0,
+            asked: None,
         }
     }
 }
@@ -89,6 +94,7 @@
                 } => {
                     self.calls[index].sends += 1;
                     let open = Attempt {
+                        shards: Vec::new(),
                         call: index,
                         service,
                         replica,
@@ -97,6 +103,23 @@
                     self.attempts.insert(attempt, open);
                     self.dispatch(attempt);
                 }
+                Action::Delegate {
+                    attempt,
+                    group,
+                    vm,
+                    shards,
+                } => {
+                    self.calls[index].sends += 1;
+                    let open = Attempt {
+                        shards,
+                        call: index,
+                        service: group,
+                        replica: vm,
+                        connection: None,
+                    };
+                    self.attempts.insert(attempt, open);
+                    self.dispatch(attempt);
+                }
                 Action::Abandon { attempt } => self.abandon(attempt),
                 Action::Finish(end) => return self.answer(index, end),
             }
@@ -110,8 +133,12 @@
             return;
         };
         self.counts.count_attempt(reply.as_str());
+        if self.placement.is_far(&open.service, open.replica) {
+            let answered = !matches!(reply, Reply::Lost | Reply::Unreachable);
+            self.isolation.on_attempt(answered);
+        }
         let call = &mut self.calls[open.call];
-        if !matches!(reply, Reply::Success(_)) {
+        if !matches!(reply, Reply::Success(_) | Reply::Parts(_)) {
             let id = &call.forward.id;
             let took = self.now.saturating_duration_since(call.started).as_millis();
             let leaf = self.placement.replica(&open.service, open.replica);
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -9,11 +9,12 @@
 use socket2::SockRef;
 
 use super::Gateway;
+use super::relay;
 use super::socket::{Flow, Socket};
 use super::timers::Timer;
 use super::token::Owner;
 use crate::core::call::Reply;
-use crate::core::placement::Key;
+use crate::core::placement::{Key, is_vm_group};
 use crate::platform::headers::{self, Answer};
 use crate::prelude::*;
 use crate::util::h1::{self, Body, Fault, Head, Parsed};
@@ -41,6 +42,8 @@
     /// Id of the request whose answer is to come.
     request_id: RequestId,
     to_head_request: bool,
+    /// Whether the other side is a VM.
+    to_vm: bool,
     connected: bool,
     opened: Instant,
     /// Whether part of the request was written.
@@ -81,6 +84,7 @@
             awaited: false,
             request_id: RequestId::new(),
             to_head_request: false,
+            to_vm: false,
             connected: false,
             opened: now,
             sent: false,
@@ -170,7 +174,15 @@
         for field in &forward.fields {
             h1::field(&mut request, &field.name, &field.value);
         }
-        headers::write_to_leaf(&mut request, left, wanted);
+        let to_vm = is_vm_group(&open.service);
+        if to_vm {
+            let aim = state.call.plan().answer_by;
+            let aim = aim.saturating_duration_since(self.now);
+            headers::write_patience(&mut request, left);
+            relay::write(&mut request, state.version, aim, &open.shards);
+        } else {
+            headers::write_to_leaf(&mut request, left, wanted);
+        }
         if !forward.content.is_empty() || forward.method != "GET" {
             h1::number_field(&mut request, "Content-Length", forward.content.len() as u64);
         }
@@ -178,6 +190,7 @@
         request.extend_from_slice(&forward.content);
         let leaf = &mut self.leaves[connection];
         leaf.request_id.clone_from(&forward.id);
+        leaf.to_vm = to_vm;
         leaf.to_head_request = forward.method == "HEAD";
         leaf.attempt = Some(attempt);
         leaf.awaited = true;
@@ -256,7 +269,11 @@
     /// Takes a whole answer; the connection is kept where nothing is left on it.
     fn take_response(&mut self, connection: usize, response: h1::Response, flow: Flow) {
         let leaf = &mut self.leaves[connection];
-        let reply = match headers::read_answer(response, &leaf.request_id) {
+        let answer = match leaf.to_vm {
+            true => Answer::Own(relay::read_answer(response)),
+            false => headers::read_answer(response, &leaf.request_id),
+        };
+        let reply = match answer {
             Answer::Own(reply) => reply,
             Answer::Foreign => {
                 leaf.spoiled = true;
@@ -288,6 +305,10 @@
         };
         let leaf = &mut self.leaves[connection];
         leaf.attempt = None;
+        if leaf.to_vm {
+            // Its leaves are told by the end of the connection.
+            return self.end_leaf(connection);
+        }
         leaf.abandoned_at = Some(self.now);
         let timer = Timer::Leaf(connection, leaf.serial);
         self.timers.add(self.now + LINGER, timer);
@@ -308,6 +329,7 @@
         if leaf.abandoned_at.is_some_and(is_over) {
             let replica = leaf.replica;
             self.placement.stay_silent(replica, now);
+            self.isolation.on_attempt(false);
             return self.end_leaf(connection);
         }
         let until = self.kept_until(leaf.replica, connection);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -19,6 +19,9 @@
 mod options;
 mod pool;
 mod probe;
+mod reach;
+mod registration;
+mod relay;
 mod socket;
 mod stop;
 mod timers;
@@ -32,7 +35,7 @@
 
 use log::warn;
 use mio::event::Event;
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -48,6 +51,8 @@
 use self::probe::Probe;
 use self::timers::{Timer, Timers};
 use self::token::Owner;
+use crate::core::instance::Instance;
+use crate::core::isolation::Isolation;
 use crate::core::placement::Placement;
 use crate::core::route::{Split, Table};
 
@@ -61,6 +66,7 @@
     updates: mpsc::Receiver<Update>,
     sender: Sender,
     callers_listener: Option<TcpListener>,
+    peers_listener: Option<TcpListener>,
     ready_listener: TcpListener,
     metrics_listener: Option<TcpListener>,
     callers: Slab<caller::Caller>,
@@ -73,9 +79,16 @@
     timers: Timers,
     placement: Placement,
     table: Option<Arc<Table>>,
+    /// Leaves that are registered now.
+    registered: Vec<Instance>,
+    /// Other VMs that are registered now.
+    vms: Vec<Instance>,
     leaves_known: bool,
     split: Split,
     counts: Counts,
+    isolation: Isolation,
+    /// Connection to the store by which this VM sees whether it is cut off.
+    check: Option<(TcpStream, Instant)>,
     stop: Option<stop::Stop>,
     next_serial: u64,
     /// Callers whose answer has been written; what they sent ahead is due.
@@ -98,6 +111,7 @@
         let metrics = options.metrics.map(TcpListener::bind).transpose()?;
         let mut gateway = Gateway {
             callers_listener: Some(TcpListener::bind(options.callers)?),
+            peers_listener: options.peers.map(TcpListener::bind).transpose()?,
             ready_listener: TcpListener::bind(options.ready)?,
             metrics_listener: metrics,
             placement: Placement::new(options.domain.clone(), rng),
@@ -113,9 +127,13 @@
             attempts: calls::Attempts::default(),
             timers: Timers::default(),
             table: None,
+            registered: Vec::new(),
+            vms: Vec::new(),
             leaves_known: false,
             split,
             counts: Counts::default(),
+            isolation: Isolation::default(),
+            check: None,
             stop: None,
             next_serial: 0,
             answered: Vec::new(),
@@ -138,7 +156,7 @@
     ///
     /// The operating system refuses to wait for events.
     pub fn run(mut self) -> io::Result<bool> {
-        watch::start(self.options.store, &self.sender)?;
+        watch::start(&self.options, &self.sender)?;
         let mut events = Events::with_capacity(EVENTS);
         loop {
             let wait = self.timers.wait(Instant::now());
@@ -164,6 +182,9 @@
         if let Some(listener) = &mut self.callers_listener {
             registry.register(listener, Owner::Callers.token(), Interest::READABLE)?;
         }
+        if let Some(listener) = &mut self.peers_listener {
+            registry.register(listener, Owner::Peers.token(), Interest::READABLE)?;
+        }
         let ready = &mut self.ready_listener;
         registry.register(ready, Owner::Ready.token(), Interest::READABLE)?;
         if let Some(listener) = &mut self.metrics_listener {
@@ -176,7 +197,7 @@
         let closed = event.is_read_closed() || event.is_error();
         match Owner::of(event.token()) {
             Owner::Updates => self.take_updates(),
-            Owner::Callers => self.accept_callers(),
+            Owner::Callers | Owner::Peers => self.accept_callers(),
             Owner::Ready | Owner::Metrics => self.accept_probes(),
             Owner::Caller(key) => {
                 if event.is_writable() {
@@ -195,6 +216,7 @@
                 }
             }
             Owner::Probe(key) => self.serve_probe(key),
+            Owner::Check => self.on_check_event(),
         }
     }
 
@@ -205,6 +227,7 @@
                 Timer::Caller(key, serial) => self.tick_caller(key, serial),
                 Timer::Leaf(key, serial) => self.tick_leaf(key, serial),
                 Timer::Lapse => self.drop_lapsed(),
+                Timer::Check => self.tick_check(),
                 Timer::Stop => self.tick_stop(),
             }
         }
@@ -219,14 +242,16 @@
         while let Ok(update) = self.updates.try_recv() {
             match update {
                 Update::Table(table) => self.take_table(table),
-                Update::Leaves(instances) => self.take_leaves(&instances),
+                Update::Leaves(instances) => self.take_leaves(instances),
+                Update::Vms(instances) => self.take_vms(instances),
                 Update::Stop => self.begin_stop(),
             }
         }
     }
 
     fn is_ready(&self) -> bool {
-        self.table.is_some() && self.leaves_known && self.stop.is_none()
+        let serves = self.table.is_some() && self.leaves_known;
+        serves && self.stop.is_none() && !self.isolation.is_isolated()
     }
 
     fn accept_failed(&self, what: &str, error: &io::Error) {
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -14,6 +14,8 @@
     pub domain: DomainName,
     /// Where callers connect.
     pub callers: SocketAddr,
+    /// Where other VMs hand over queries.
+    pub peers: Option<SocketAddr>,
     /// Where the platform asks for readiness.
     pub ready: SocketAddr,
     /// Where metrics are served.
--- /dev/null
+++ b/src/geraniummount/edge/gateway/reach.rs
@@ -0,0 +1,74 @@
+//! Checks whether the platform's store can be reached, where this VM suspects
+//! that it is cut off.
+
+use std::time::Duration;
+
+use log::warn;
+use mio::Interest;
+use mio::net::TcpStream;
+
+use super::Gateway;
+use super::timers::Timer;
+use super::token::Owner;
+
+/// Longest wait for a connection; then the store counts as out of reach.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Pause until the next look, while cut off.
+const NEXT_LOOK: Duration = Duration::from_millis(250);
+
+impl Gateway {
+    /// Starts a check if one is wanted.
+    pub(super) fn look_around(&mut self) {
+        if self.check.is_some() || !self.isolation.wants_check(self.now) {
+            return;
+        }
+        let opened = TcpStream::connect(self.options.store).and_then(|mut stream| {
+            let token = Owner::Check.token();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            self.poll
+                .registry()
+                .register(&mut stream, token, interest)?;
+            Ok(stream)
+        });
+        match opened {
+            Ok(stream) => {
+                self.check = Some((stream, self.now));
+                self.timers.add(self.now + CHECK_TIMEOUT, Timer::Check);
+            }
+            Err(_) => self.end_check(false),
+        }
+    }
+
+    /// The check's connection has opened or failed.
+    pub(super) fn on_check_event(&mut self) {
+        let Some((stream, _)) = &self.check else {
+            return;
+        };
+        let failed = stream.take_error().map_or(true, |error| error.is_some());
+        if failed {
+            self.end_check(false);
+        } else if stream.peer_addr().is_ok() {
+            self.end_check(true);
+        }
+    }
+
+    pub(super) fn tick_check(&mut self) {
+        let overdue = |since| self.now.saturating_duration_since(since) >= CHECK_TIMEOUT;
+        match self.check {
+            Some((_, since)) if overdue(since) => self.end_check(false),
+            Some(_) => {}
+            None => self.look_around(),
+        }
+    }
+
+    fn end_check(&mut self, reached: bool) {
+        self.check = None;
+        if self.isolation.on_check(reached) {
+            warn!("isolation isolated={} store_reached={reached}", !reached);
+        }
+        if !reached {
+            self.timers.add(self.now + NEXT_LOOK, Timer::Check);
+        }
+    }
+}
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -14,6 +14,7 @@
     Caller(usize, u64),
     Leaf(usize, u64),
     Lapse,
+    Check,
     Stop,
 }
 
--- /dev/null
+++ b/tests/testsuite/placement.rs
@@ -0,0 +1,217 @@
+//! Which leaf gets a request, when leaves shed, pause, slow down or lapse.
+
+use std::ops::RangeInclusive;
+use std::time::{Duration, Instant};
+
+use geraniummount::core::instance::Instance;
+use geraniummount::core::placement::{Ending, Key, LAPSE, Placement};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const SEED: u64 = 7;
+const SERVICE: &str = "shard";
+
+fn instance(id: &str, domain: &str) -> Instance {
+    Instance {
+        id: id.to_string(),
+        born: None,
+        service: SERVICE.to_string(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: domain.to_string(),
+        slots: 2,
+        leaving: false,
+        warm_in: Duration::ZERO,
+    }
+}
+
+/// How a leaf behaves in a replayed load.
+#[derive(Clone, Copy, Debug)]
+struct Behaviour {
+    work: Duration,
+    /// Share of the requests that it rejects at once.
+    sheds: f64,
+}
+
+/// A load on two leaves of one service, open loop.
+#[derive(Debug)]
+struct Case {
+    name: &'static str,
+    behaviours: [Behaviour; 2],
+    /// Requests a second.
+    rate: f64,
+    /// Bounds of the share of the answers that the second leaf gives.
+    share: RangeInclusive<f64>,
+    /// Largest 95th percentile of the time until an answer, in times of that
+    /// where all requests go to the first leaf.
+    time: f64,
+}
+
+const GOOD: Behaviour = Behaviour {
+    work: Duration::from_millis(20),
+    sheds: 0.0,
+};
+
+const CASES: &[Case] = &[
+    Case {
+        name: "both alike",
+        behaviours: [GOOD, GOOD],
+        rate: 80.0,
+        share: 0.35..=0.65,
+        time: 0.5,
+    },
+    Case {
+        name: "the second sheds three in five while the first is nearly full",
+        behaviours: [GOOD, Behaviour { sheds: 0.6, ..GOOD }],
+        rate: 95.0,
+        share: 0.03..=0.3,
+        time: 0.6,
+    },
+    Case {
+        name: "the second is ten times slower",
+        behaviours: [
+            GOOD,
+            Behaviour {
+                work: Duration::from_millis(200),
+                sheds: 0.0,
+            },
+        ],
+        rate: 40.0,
+        share: 0.000_1..=0.1,
+        time: 1.2,
+    },
+];
+
+/// Requests that a leaf works on at once.
+const SLOTS: usize = 2;
+
+/// What a replayed load came to.
+struct Outcome {
+    /// Share of the answers that the second leaf gave.
+    share: f64,
+    /// 95th percentile of the time until an answer.
+    time: Duration,
+}
+
+/// Sends requests for 30 seconds. A rejected one goes to the other leaf if the
+/// budget allows, else it waits for the budget.
+fn replay(case: &Case, only_first: bool) -> Outcome {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let start = Instant::now();
+    placement.update(&[instance("a", "near"), instance("b", "near")], start);
+    let replicas = placement.group(SERVICE).unwrap().replicas();
+    let keys: Vec<Key> = replicas.iter().map(|replica| replica.key).collect();
+    let mut slots = [[start; SLOTS]; 2];
+    let mut ends: Vec<(Instant, Key, u64, Ending)> = Vec::new();
+    let mut times = Vec::new();
+    let mut answers = [0_u32; 2];
+    let mut now = start;
+    while now < start + Duration::from_secs(30) {
+        now += Duration::from_secs_f64(-rng.random_range(0.000_1_f64..1.0).ln() / case.rate);
+        ends.sort_by_key(|end| end.0);
+        let due = ends.partition_point(|end| end.0 <= now);
+        for (at, key, attempt, ending) in ends.drain(..due) {
+            placement.end(SERVICE, key, attempt, ending, at);
+        }
+        placement.earn(SERVICE);
+        let mut tried = Vec::new();
+        let mut sent = now;
+        while let Some(key) = match only_first {
+            true => Some(keys[0]),
+            false => placement.choose(SERVICE, &tried, now),
+        } {
+            let place = keys.iter().position(|known| *known == key).unwrap();
+            let behaviour = case.behaviours[place];
+            let attempt = placement.begin(SERVICE, key, now);
+            if rng.random_bool(behaviour.sheds) {
+                ends.push((
+                    sent + Duration::from_millis(1),
+                    key,
+                    attempt,
+                    Ending::Rejected,
+                ));
+                tried.push(key);
+                sent += Duration::from_millis(if placement.take_extra(SERVICE) { 1 } else { 50 });
+                continue;
+            }
+            let slot = slots[place].iter_mut().min().unwrap();
+            let work = behaviour.work.mul_f64(rng.random_range(0.7..1.3));
+            let end = sent.max(*slot) + work;
+            *slot = end;
+            ends.push((end, key, attempt, Ending::Answered));
+            times.push(end.saturating_duration_since(now));
+            answers[place] += 1;
+            break;
+        }
+    }
+    times.sort_unstable();
+    Outcome {
+        share: f64::from(answers[1]) / f64::from(answers[0] + answers[1]),
+        time: times[times.len() * 95 / 100],
+    }
+}
+
+#[test]
+fn placement_uses_a_worse_replica_as_far_as_it_helps() {
+    for case in CASES {
+        let (plain, chosen) = (replay(case, true), replay(case, false));
+        let ratio = chosen.time.as_secs_f64() / plain.time.as_secs_f64();
+        let (name, share) = (case.name, chosen.share);
+        eprintln!(
+            "{name}: share {share:.3}, time {ratio:.2} of {:?}",
+            plain.time
+        );
+        assert!(case.share.contains(&share), "{name}: share {share:.3}");
+        assert!(ratio <= case.time, "{name}: time {ratio:.2}");
+    }
+}
+
+#[test]
+fn placement_keeps_a_lapsed_leaf_as_the_last_choice_for_a_while() {
+    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let start = Instant::now();
+    placement.update(&[instance("a", "near"), instance("b", "far")], start);
+    let lapsed = placement.update(&[instance("b", "far")], start);
+    assert!(lapsed);
+    let listed = placement.choose(SERVICE, &[], start).unwrap();
+
+    assert_eq!(id_of(&placement, listed), "b");
+    let other = placement.choose(SERVICE, &[listed], start).unwrap();
+    assert_eq!(id_of(&placement, other), "a");
+    assert_eq!(placement.drop_lapsed(start + LAPSE), vec![other]);
+    assert_eq!(placement.choose(SERVICE, &[listed], start + LAPSE), None);
+}
+
+fn id_of(placement: &Placement, key: Key) -> String {
+    placement.replica(SERVICE, key).unwrap().instance.id.clone()
+}
+
+#[test]
+fn placement_back_in_the_registry_is_the_same_leaf() {
+    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let start = Instant::now();
+    let all = [instance("a", "near")];
+    placement.update(&all, start);
+    let key = placement.choose(SERVICE, &[], start);
+    placement.update(&[], start);
+    placement.update(&all, start + Duration::from_secs(1));
+    assert!(placement.drop_lapsed(start + 2 * LAPSE).is_empty());
+    assert_eq!(placement.choose(SERVICE, &[], start + 2 * LAPSE), key);
+}
+
+#[test]
+fn placement_gives_no_new_work_to_a_leaving_leaf() {
+    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let start = Instant::now();
+    let mut leaf = instance("a", "near");
+    placement.update(std::slice::from_ref(&leaf), start);
+    leaf.leaving = true;
+    placement.update(std::slice::from_ref(&leaf), start);
+    assert_eq!(placement.choose(SERVICE, &[], start), None);
+    assert!(placement.update(&[], start));
+    assert_eq!(
+        placement.drop_lapsed(start).len(),
+        1,
+        "it said that it leaves: gone at once"
+    );
+}
