Turn queries away by how many parts are overdue

Ruled out: late answers as the signal (they come from losses as well, which turning away does not mend); hedges only where they are expected in time.

Change: core::overload follows the parts that are overdue when the answer is due.

--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -23,6 +23,9 @@
         }
         let mut actions = self.drop_lost_bundles(placement, now);
         self.looked_at = now;
+        if now >= self.plan.answer_by {
+            self.note_overdue();
+        }
         let included = self.included();
         let unsettled = self.unsettled();
         let enough = included >= self.plan.least();
@@ -41,6 +44,13 @@
         actions
     }
 
+    /// Counts the overdue parts when the answer is due, or at its end before.
+    fn note_overdue(&mut self) {
+        let overdue = self.shards.iter().filter(|shard| shard.is_overdue());
+        let overdue = overdue.count();
+        self.overdue.get_or_insert(overdue);
+    }
+
     /// Ends the request as one that was not run.
     pub(super) fn refuse(
         &mut self,
@@ -56,6 +66,7 @@
     }
 
     fn finish(&mut self, enough: bool, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        self.note_overdue();
         let mut actions = self.abandon_all(placement, now);
         if enough {
             self.finished = true;
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -38,6 +38,8 @@
     bundles: Vec<Bundle>,
     /// When late VMs were last looked at.
     looked_at: Instant,
+    /// Parts that were overdue when the answer was due.
+    overdue: Option<usize>,
     finished: bool,
 }
 
@@ -50,6 +52,7 @@
             shards,
             bundles: Vec::new(),
             looked_at: now,
+            overdue: None,
             finished: false,
         }
     }
@@ -139,7 +142,10 @@
                 self.shards[index].may_have_run = true;
                 self.try_elsewhere(index, placement, now)
             }
-            Reply::Rejected | Reply::Misdirected => self.try_elsewhere(index, placement, now),
+            Reply::Rejected | Reply::Misdirected => {
+                self.shards[index].rejected = true;
+                self.try_elsewhere(index, placement, now)
+            }
             Reply::Unreachable => {
                 self.shards[index].sends -= 1;
                 self.try_elsewhere(index, placement, now)
@@ -170,7 +176,7 @@
         }
         let again = self.shards.iter().filter_map(|shard| shard.again_at);
         let in_time = self.plan.is_gather().then_some(self.plan.answer_by);
-        let in_time = in_time.filter(|_| self.included() >= self.plan.least());
+        let in_time = in_time.filter(|at| *at > self.looked_at);
         let lost = self.next_lost_bundle(self.looked_at);
         again
             .chain(in_time)
@@ -184,6 +190,11 @@
         self.shards.iter().map(Shard::story).collect()
     }
 
+    /// Returns how many parts the leaves had no room for, or not in time.
+    pub fn overdue(&self) -> usize {
+        self.overdue.unwrap_or(0)
+    }
+
     /// Returns the number of shards whose part is in.
     pub fn included(&self) -> usize {
         let included = self.shards.iter().filter(|shard| shard.is_included());
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -65,7 +65,7 @@
                 top: gather.top,
                 least: gather.least(),
             }),
-            may_delegate: gather.is_some(),
+            may_delegate: false,
             repeat: route.repeat,
             attempts: route.attempts.max(1),
             answer_by: answer_by.min(end_by),
@@ -85,10 +85,11 @@
         let Some(kept) = kept.collect::<Option<Vec<_>>>() else {
             return false;
         };
-        // The same share of the shards as in the whole query.
-        let share = coverage.least as f64 / self.services.len() as f64;
-        let least = (share * kept.len() as f64).floor() as usize;
-        self.gather = Some(Coverage { least, ..coverage });
+        // The other VM knows what it has besides, and decides.
+        self.gather = Some(Coverage {
+            least: 0,
+            ..coverage
+        });
         self.services = kept;
         self.may_delegate = false;
         true
--- a/src/geraniummount/core/call/shard.rs
+++ b/src/geraniummount/core/call/shard.rs
@@ -20,6 +20,8 @@
     /// When another attempt is due.
     pub(super) again_at: Option<Instant>,
     pub(super) may_have_run: bool,
+    /// Whether its last attempt was rejected.
+    pub(super) rejected: bool,
     /// The last failure that a leaf answered with.
     pub(super) failure: Option<Response>,
     pub(super) settled: Option<Settled>,
@@ -64,6 +66,7 @@
             bundled: false,
             again_at: None,
             may_have_run: false,
+            rejected: false,
             failure: None,
             settled: None,
         }
@@ -73,6 +76,15 @@
         matches!(self.settled, Some(Settled::Included(_)))
     }
 
+    /// Whether the leaves had no room for it, or not in time.
+    pub(super) fn is_overdue(&self) -> bool {
+        match self.settled {
+            None => true,
+            Some(Settled::Missing) => self.rejected,
+            Some(Settled::Included(_)) => false,
+        }
+    }
+
     pub(super) fn close(&mut self, attempt: AttemptId) -> Option<Key> {
         let place = self.open.iter().position(|open| open.attempt == attempt)?;
         Some(self.open.swap_remove(place).replica)
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -31,6 +31,7 @@
 pub mod members;
 pub mod membership;
 pub mod outcome;
+pub mod overload;
 pub mod ownership;
 pub mod part;
 pub mod placement;
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -187,6 +187,13 @@
         best.map(|(_, _, key)| key)
     }
 
+    /// Returns how long a leaf is expected to take for a request sent now.
+    pub fn expected(&self, service: &str, key: Key, now: Instant) -> Duration {
+        let typical = self.typical(service);
+        let replica = self.replica(service, key);
+        replica.map_or(typical, |replica| replica.expected(typical, now))
+    }
+
     /// Returns how long an answer of the service usually takes.
     pub fn typical(&self, service: &str) -> Duration {
         self.group(service)
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -34,7 +34,7 @@
 /// Rejections in a row after which a leaf is left alone for a while. A leaf
 /// that sheds some of its work still does the rest, which may be just what the
 /// others can't take.
-const TOLERATED_REJECTIONS: u32 = 8;
+const TOLERATED_REJECTIONS: u32 = 2;
 
 /// First pause after failures; doubles with each further one.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
--- a/src/geraniummount/edge/gateway/admit.rs
+++ b/src/geraniummount/edge/gateway/admit.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use super::caller::State;
 use super::calls::{CallState, Forward};
+use super::load;
 use super::relay;
 use crate::core::call::{Call, Plan};
 use crate::core::route::Target;
@@ -51,6 +52,14 @@
             };
             plan.answer_by = plan.answer_by.min(self.now + query.aim);
             asked = Some(query.shards);
+        } else if !self.admits(&table, route, &plan) {
+            info!(
+                "request id={id} route={} outcome=turned-away status=503",
+                route.name
+            );
+            self.counts.count_answer("turned-away");
+            let why = "it has not run; come back after the time given";
+            return self.write_plain(key, 503, why, Some(load::RETRY_AFTER));
         }
         headers::strip_request(&mut request.fields);
         relay::strip(&mut request.fields);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod calls;
 mod counts;
 mod leaf;
+mod load;
 mod options;
 mod pool;
 mod probe;
@@ -47,6 +48,7 @@
 use self::calls::CallState;
 use self::counts::Counts;
 use self::leaf::Leaf;
+use self::load::Load;
 use self::pool::Pool;
 use self::probe::Probe;
 use self::timers::{Timer, Timers};
@@ -87,6 +89,8 @@
     split: Split,
     counts: Counts,
     isolation: Isolation,
+    /// Sorted by the first shard.
+    loads: Vec<Load>,
     /// Connection to the store by which this VM sees whether it is cut off.
     check: Option<(TcpStream, Instant)>,
     stop: Option<stop::Stop>,
@@ -133,6 +137,7 @@
             split,
             counts: Counts::default(),
             isolation: Isolation::default(),
+            loads: Vec::new(),
             check: None,
             stop: None,
             next_serial: 0,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod leaf_queue;
 mod node;
 mod operators_listener;
+mod overload;
 mod path;
 mod peer_edge;
 mod placement;
