Remove the collecting of far parts, and leave a rejecting leaf alone briefly

Not tried: sending each part on as it comes; it would keep most of the saving.

Change: the other VMs' list, its lease and the two protocols are gone; nothing is written to the store. Four rejections in a row leave a leaf alone for 40 ms, in which a full queue makes room; a leaf that sheds a part of its work goes on doing the rest.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -160,6 +160,18 @@
         return connection.write(&rejected).is_ok();
     }
     state.update(|state| state.runs.push(id.clone()));
+    run(state, leaf, request, connection, how)
+}
+
+/// Answers a request that it has run; returns whether the connection goes on.
+fn run(
+    state: &Signal<State>,
+    leaf: &str,
+    request: &Request,
+    connection: &mut Connection,
+    how: Answer,
+) -> bool {
+    let id = request.header("Request-Id").unwrap_or_default().to_string();
     let body = if request.body.is_empty() {
         state.lock().records.clone()
     } else {
--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -18,17 +18,6 @@
         /// The leaf.
         replica: Key,
     },
-    /// Let another VM collect some of the shards.
-    Delegate {
-        /// Number of the attempt.
-        attempt: AttemptId,
-        /// Group of the VM.
-        group: ServiceName,
-        /// The VM.
-        vm: Key,
-        /// Places of the shards.
-        shards: Vec<usize>,
-    },
     /// Stop waiting for an attempt.
     Abandon {
         /// Number of the attempt.
@@ -43,8 +32,8 @@
 pub enum End {
     /// With the parts of enough shards.
     Gathered {
-        /// The parts with the places of their shards, ascending.
-        parts: Vec<(usize, Response)>,
+        /// The parts, in the order of the shards.
+        parts: Vec<Response>,
         /// Number of shards that are left out.
         missing: usize,
         /// Records in the answer.
--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -21,7 +21,6 @@
         if self.finished {
             return Vec::new();
         }
-        let mut actions = self.drop_lost_bundles(placement, now);
         self.looked_at = now;
         if now >= self.plan.answer_by {
             self.note_overdue();
@@ -30,14 +29,12 @@
         let unsettled = self.unsettled();
         let enough = included >= self.plan.least();
         if unsettled == 0 || included + unsettled < self.plan.least() {
-            actions.extend(self.finish(enough, placement, now));
-            return actions;
+            return self.finish(enough, placement, now);
         }
         if now >= self.plan.end_by || (enough && now >= self.plan.answer_by) {
-            actions.extend(self.finish(enough, placement, now));
-            return actions;
+            return self.finish(enough, placement, now);
         }
-        actions.extend(self.hedge(placement, now));
+        let mut actions = self.hedge(placement, now);
         if self.unsettled() < unsettled {
             actions.extend(self.advance(placement, now));
         }
@@ -88,10 +85,10 @@
 
     fn success(&mut self) -> End {
         let count = self.shards.len();
-        let mut parts: Vec<(usize, Response)> = Vec::with_capacity(count);
-        for (place, shard) in self.shards.iter_mut().enumerate() {
+        let mut parts: Vec<Response> = Vec::with_capacity(count);
+        for shard in &mut self.shards {
             if let Some(Settled::Included(part)) = &mut shard.settled {
-                parts.push((place, std::mem::take(part)));
+                parts.push(std::mem::take(part));
             }
         }
         match self.plan.gather {
@@ -100,7 +97,7 @@
                 parts,
                 top: coverage.top,
             },
-            None => End::Forward(parts.swap_remove(0).1),
+            None => End::Forward(parts.swap_remove(0)),
         }
     }
 
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -10,7 +10,6 @@
 //! only once is sent again only where the first leaf certainly did not run it.
 
 mod action;
-mod delegate;
 mod finish;
 mod plan;
 mod reply;
@@ -19,7 +18,6 @@
 
 use std::time::Instant;
 
-use self::delegate::Bundle;
 use self::shard::{Settled, Shard};
 use crate::core::placement::{Ending, Placement};
 use crate::core::route::Repeat;
@@ -27,7 +25,7 @@
 
 pub use self::action::{Action, End, Refusal};
 pub use self::plan::{Coverage, Plan};
-pub use self::reply::{Parts, Reply, Response};
+pub use self::reply::{Reply, Response};
 pub use self::shard::Story;
 
 /// State of one request.
@@ -35,8 +33,7 @@
 pub struct Call {
     plan: Plan,
     shards: Vec<Shard>,
-    bundles: Vec<Bundle>,
-    /// When late VMs were last looked at.
+    /// When it was last looked at what is due.
     looked_at: Instant,
     /// Parts that were overdue when the answer was due.
     overdue: Option<usize>,
@@ -50,7 +47,6 @@
         Call {
             plan,
             shards,
-            bundles: Vec::new(),
             looked_at: now,
             overdue: None,
             finished: false,
@@ -62,8 +58,7 @@
         &self.plan
     }
 
-    /// Sends the first attempt of each shard, from here or from a VM nearer to
-    /// its replicas, or refuses the request.
+    /// Sends the first attempt of each shard, or refuses the request.
     pub fn start(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
         let can_serve = |shard: &&Shard| placement.can_serve(&shard.service, now);
         let servable = self.shards.iter().filter(can_serve).count();
@@ -73,13 +68,9 @@
         if now >= self.plan.end_by {
             return self.refuse(Refusal::NoTime, placement, now);
         }
-        let mut actions = self.delegate(placement, now);
-        for index in 0..self.shards.len() {
-            if !self.shards[index].bundled {
-                actions.extend(self.send_first(index, placement, now));
-            }
-        }
-        actions
+        let indices = 0..self.shards.len();
+        let actions = indices.filter_map(|index| self.send_first(index, placement, now));
+        actions.collect()
     }
 
     /// Sends the first attempt of a shard.
@@ -114,14 +105,6 @@
         placement: &mut Placement,
         now: Instant,
     ) -> Vec<Action> {
-        if let Some(shards) = self.take_bundle(attempt, reply.ending(), placement, now) {
-            if self.finished {
-                return Vec::new();
-            }
-            let mut actions = self.on_bundle(&shards, reply, placement, now);
-            actions.extend(self.advance(placement, now));
-            return actions;
-        }
         let Some((index, replica)) = self.close(attempt) else {
             return Vec::new();
         };
@@ -138,7 +121,7 @@
                 shard.failure = Some(response);
                 self.try_elsewhere(index, placement, now)
             }
-            Reply::Lost | Reply::Parts(_) => {
+            Reply::Lost => {
                 self.shards[index].may_have_run = true;
                 self.try_elsewhere(index, placement, now)
             }
@@ -177,12 +160,7 @@
         let again = self.shards.iter().filter_map(|shard| shard.again_at);
         let in_time = self.plan.is_gather().then_some(self.plan.answer_by);
         let in_time = in_time.filter(|at| *at > self.looked_at);
-        let lost = self.next_lost_bundle(self.looked_at);
-        again
-            .chain(in_time)
-            .chain(lost)
-            .chain([self.plan.end_by])
-            .min()
+        again.chain(in_time).chain([self.plan.end_by]).min()
     }
 
     /// Returns how each shard went so far, for logs.
@@ -239,7 +217,7 @@
     }
 
     fn abandon_all(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
-        let mut actions = self.abandon_bundles(placement, now);
+        let mut actions = Vec::new();
         for index in 0..self.shards.len() {
             actions.extend(self.abandon(index, placement, now));
         }
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -20,8 +20,6 @@
     /// Records in the answer and the least number of shards, for a query over
     /// many shards.
     pub gather: Option<Coverage>,
-    /// Whether VMs of other failure domains may collect shards for it.
-    pub may_delegate: bool,
     /// Whether the request may run more than once.
     pub repeat: Repeat,
     /// Leaves that each part may be sent to.
@@ -65,7 +63,6 @@
                 top: gather.top,
                 least: gather.least(),
             }),
-            may_delegate: false,
             repeat: route.repeat,
             attempts: route.attempts.max(1),
             answer_by: answer_by.min(end_by),
@@ -73,28 +70,6 @@
         }
     }
 
-    /// Keeps those of the shards that another VM asks for, by their places in
-    /// the route. Returns whether all of them are there.
-    pub fn keep_shards(&mut self, shards: &[usize]) -> bool {
-        let Some(coverage) = self.gather else {
-            return false;
-        };
-        let kept = shards
-            .iter()
-            .map(|place| self.services.get(*place).cloned());
-        let Some(kept) = kept.collect::<Option<Vec<_>>>() else {
-            return false;
-        };
-        // The other VM knows what it has besides, and decides.
-        self.gather = Some(Coverage {
-            least: 0,
-            ..coverage
-        });
-        self.services = kept;
-        self.may_delegate = false;
-        true
-    }
-
     /// Returns whether the request goes to many shards.
     pub fn is_gather(&self) -> bool {
         self.gather.is_some()
--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -16,22 +16,11 @@
     pub body: Vec<u8>,
 }
 
-/// Parts that another VM has collected.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Parts {
-    /// Places of the shards, and the leaves' signatures.
-    pub signatures: Vec<(usize, String)>,
-    /// The greatest records of all these parts.
-    pub records: Vec<u8>,
-}
-
 /// How an attempt at a leaf ended.
 #[derive(Debug)]
 pub enum Reply {
     /// The leaf ran the request and answered it.
     Success(Response),
-    /// Another VM has collected parts.
-    Parts(Parts),
     /// The leaf answered with a failure of its own; it may have run.
     Failure(Response),
     /// The leaf says that it did not run the request.
@@ -48,7 +37,7 @@
     /// Returns what the reply says of the leaf.
     pub fn ending(&self) -> Ending {
         match self {
-            Reply::Success(_) | Reply::Parts(_) => Ending::Answered,
+            Reply::Success(_) => Ending::Answered,
             Reply::Failure(_) => Ending::Failed,
             Reply::Rejected => Ending::Rejected,
             Reply::Misdirected => Ending::Misdirected,
@@ -61,7 +50,6 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             Reply::Success(_) => "success",
-            Reply::Parts(_) => "parts",
             Reply::Failure(_) => "failure",
             Reply::Rejected => "rejected",
             Reply::Misdirected => "misdirected",
--- a/src/geraniummount/core/call/shard.rs
+++ b/src/geraniummount/core/call/shard.rs
@@ -15,8 +15,6 @@
     /// Attempts that reached, or may have reached, a leaf.
     pub(super) sends: u32,
     pub(super) open: Vec<Open>,
-    /// Whether another VM collects it.
-    pub(super) bundled: bool,
     /// When another attempt is due.
     pub(super) again_at: Option<Instant>,
     pub(super) may_have_run: bool,
@@ -63,7 +61,6 @@
             tried: Vec::new(),
             sends: 0,
             open: Vec::new(),
-            bundled: false,
             again_at: None,
             may_have_run: false,
             rejected: false,
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -6,7 +6,6 @@
 //! its last requests took there, how many of them are open, and how long the
 //! oldest of these has been waiting. The last one shows a pause while it lasts.
 
-mod delegation;
 mod group;
 mod replica;
 
@@ -19,7 +18,6 @@
 use crate::core::retry_budget::RetryBudget;
 use crate::prelude::*;
 
-pub use self::delegation::{Delegation, is_vm_group, vm_group};
 pub use self::group::Group;
 pub use self::replica::{Ending, Key, Replica};
 
@@ -113,12 +111,6 @@
         attempt
     }
 
-    /// Returns whether a leaf or VM has answered since a time.
-    pub fn has_answered_since(&self, service: &str, key: Key, since: Instant) -> bool {
-        let replica = self.replica(service, key);
-        replica.is_some_and(|replica| replica.answered_at.is_some_and(|at| at >= since))
-    }
-
     /// Notes the end of an attempt.
     pub fn end(
         &mut self,
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -34,7 +34,10 @@
 /// Rejections in a row after which a leaf is left alone for a while. A leaf
 /// that sheds some of its work still does the rest, which may be just what the
 /// others can't take.
-const TOLERATED_REJECTIONS: u32 = 2;
+const TOLERATED_REJECTIONS: u32 = 4;
+
+/// Pause after rejections, in which a full queue makes room.
+const REJECTED_SUSPENSION: Duration = Duration::from_millis(40);
 
 /// First pause after failures; doubles with each further one.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(300);
@@ -72,8 +75,6 @@
     pub suspended_until: Option<Instant>,
     /// Since when the registry no longer names it.
     pub(super) lapsed_at: Option<Instant>,
-    /// When it answered last.
-    pub(super) answered_at: Option<Instant>,
     near: bool,
     /// Moving average of the time of its answers.
     average: Option<Duration>,
@@ -96,7 +97,6 @@
             instance,
             suspended_until: None,
             lapsed_at: None,
-            answered_at: None,
             near,
             average: None,
             measured: now,
@@ -174,7 +174,6 @@
             Ending::Answered => {
                 self.failures = 0;
                 self.rejections = 0;
-                self.answered_at = Some(now);
                 self.failure_share *= 1.0 - FAILURE_WEIGHT;
                 self.suspended_until = None;
                 self.measure(elapsed, now);
@@ -215,7 +214,7 @@
         self.rejections += 1;
         self.note_failure(now);
         if self.rejections >= TOLERATED_REJECTIONS {
-            self.suspended_until = Some(now + FIRST_SUSPENSION);
+            self.suspended_until = Some(now + REJECTED_SUSPENSION);
         }
     }
 
--- a/src/geraniummount/edge/gateway/admit.rs
+++ b/src/geraniummount/edge/gateway/admit.rs
@@ -9,7 +9,6 @@
 use super::caller::State;
 use super::calls::{CallState, Forward};
 use super::load;
-use super::relay;
 use crate::core::call::{Call, Plan};
 use crate::core::route::Target;
 use crate::platform::headers;
@@ -41,18 +40,8 @@
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
             Target::Gather(gather) => (None, Some(gather)),
         };
-        let mut plan = Plan::new(route, service, gather, caller.patience, self.now);
-        let mut asked = None;
-        if self.callers[key].is_vm {
-            let query = relay::read(&request.fields, table.version);
-            let Some(query) = query.filter(|query| plan.keep_shards(&query.shards)) else {
-                let version = table.version;
-                info!("request id={id} outcome=refused status=503 why=version version={version}");
-                return self.write_plain(key, 503, "it has not run; another version", None);
-            };
-            plan.answer_by = plan.answer_by.min(self.now + query.aim);
-            asked = Some(query.shards);
-        } else if !self.admits(&table, route, &plan) {
+        let plan = Plan::new(route, service, gather, caller.patience, self.now);
+        if !self.admits(&table, route, &plan) {
             info!(
                 "request id={id} route={} outcome=turned-away status=503",
                 route.name
@@ -62,7 +51,6 @@
             return self.write_plain(key, 503, why, Some(load::RETRY_AFTER));
         }
         headers::strip_request(&mut request.fields);
-        relay::strip(&mut request.fields);
         let call = Call::new(plan, self.now);
         let forward = Forward {
             id: caller.id,
@@ -71,12 +59,18 @@
             fields: request.fields,
             content,
         };
-        let (name, version) = (route.name.clone(), table.version);
         let serial = self.serial();
-        let forward = Arc::new(forward);
-        let mut state = CallState::new(serial, key, call, forward, name, version, self.now);
-        state.asked = asked;
-        self.start_call(state);
+        self.start_call(CallState {
+            serial,
+            caller: key,
+            call,
+            forward: Arc::new(forward),
+            route: route.name.clone(),
+            version: table.version,
+            started: self.now,
+            wake: None,
+            sends: 0,
+        });
     }
 
     fn start_call(&mut self, state: CallState) {
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -6,7 +6,6 @@
 
 use super::Gateway;
 use super::calls::CallState;
-use super::relay;
 use crate::core::call::{End, Response};
 use crate::core::top;
 use crate::platform::headers;
@@ -29,7 +28,7 @@
                 parts,
                 missing,
                 top,
-            } => self.write_gathered(&state, &parts, missing, top),
+            } => self.write_gathered(caller, &parts, missing, top),
             End::Forward(response) => self.write_forwarded(caller, &state, &response),
             End::Refuse {
                 refusal,
@@ -61,22 +60,16 @@
 
     fn write_gathered(
         &mut self,
-        state: &CallState,
-        parts: &[(usize, Response)],
+        caller: usize,
+        parts: &[Response],
         missing: usize,
         most: usize,
     ) -> Outcome {
-        let caller = state.caller;
-        let body = top::merge(parts.iter().map(|(_, part)| part.body.as_slice()), most);
+        let body = top::merge(parts.iter().map(|part| part.body.as_slice()), most);
         let mut answer = Vec::with_capacity(256 + parts.len() * 40 + body.len());
         h1::status_line(&mut answer, 200);
-        match &state.asked {
-            Some(asked) => relay::write_parts(&mut answer, asked, parts),
-            None => {
-                let signatures = parts.iter().map(|(_, part)| part.signature.as_str());
-                headers::write_gathered(&mut answer, signatures, missing);
-            }
-        }
+        let signatures = parts.iter().map(|part| part.signature.as_str());
+        headers::write_gathered(&mut answer, signatures, missing);
         h1::number_field(&mut answer, "Content-Length", body.len() as u64);
         if self.is_last(caller) {
             h1::field(&mut answer, "Connection", b"close");
@@ -129,7 +122,7 @@
         let plan = state.call.plan();
         let in_time = self.now <= plan.answer_by + LATE_SLACK;
         self.counts.count_answer(outcome.word);
-        if plan.is_gather() && state.asked.is_none() && outcome.word != "no-leaf" {
+        if plan.is_gather() && outcome.word != "no-leaf" {
             let may_lack = plan.services.len().saturating_sub(plan.least());
             self.note_load(&plan.services[0], state.call.overdue(), may_lack);
         }
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -31,8 +31,6 @@
     pub(super) since: Instant,
     /// Whether the connection ends after the answer that is being written.
     pub(super) last: bool,
-    /// Whether it is another VM that hands over queries.
-    pub(super) is_vm: bool,
 }
 
 /// What a caller's connection is doing.
@@ -75,14 +73,11 @@
 impl Gateway {
     pub(super) fn accept_callers(&mut self) {
         while let Some(stream) = accept(self.callers_listener.as_ref()) {
-            self.add_caller(stream, false);
-        }
-        while let Some(stream) = accept(self.peers_listener.as_ref()) {
-            self.add_caller(stream, true);
+            self.add_caller(stream);
         }
     }
 
-    fn add_caller(&mut self, stream: TcpStream, is_vm: bool) {
+    fn add_caller(&mut self, stream: TcpStream) {
         let serial = self.serial();
         let entry = self.callers.vacant_entry();
         let key = entry.key();
@@ -104,7 +99,6 @@
             state: State::Idle,
             since: self.now,
             last: false,
-            is_vm,
         });
         self.counts.caller_connections.inc();
         self.watch_caller(key);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -35,10 +35,8 @@
     pub(super) version: u64,
     pub(super) started: Instant,
     /// Earliest wake-up that is set.
-    wake: Option<Instant>,
+    pub(super) wake: Option<Instant>,
     pub(super) sends: u32,
-    /// Places in the route of the shards that another VM asked for.
-    pub(super) asked: Option<Vec<usize>>,
 }
 
 /// An attempt at a leaf.
@@ -46,8 +44,6 @@
 pub(super) struct Attempt {
     pub(super) call: usize,
     pub(super) service: ServiceName,
-    /// Places of the shards that another VM collects.
-    pub(super) shards: Vec<usize>,
     pub(super) replica: Key,
     /// The leaf's connection, once it has one.
     pub(super) connection: Option<usize>,
@@ -57,31 +53,6 @@
 /// some thousand times a second.
 pub(super) type Attempts = HashMap<AttemptId, Attempt>;
 
-impl CallState {
-    pub(super) fn new(
-        serial: u64,
-        caller: usize,
-        call: Call,
-        forward: Arc<Forward>,
-        route: String,
-        version: u64,
-        now: Instant,
-    ) -> CallState {
-        CallState {
-            serial,
-            caller,
-            call,
-            forward,
-            route,
-            version,
-            started: now,
-            wake: None,
-            sends: 0,
-            asked: None,
-        }
-    }
-}
-
 impl Gateway {
     /// Does what a request wants done.
     pub(super) fn act(&mut self, index: usize, actions: Vec<Action>) {
@@ -94,7 +65,6 @@
                 } => {
                     self.calls[index].sends += 1;
                     let open = Attempt {
-                        shards: Vec::new(),
                         call: index,
                         service,
                         replica,
@@ -103,23 +73,6 @@
                     self.attempts.insert(attempt, open);
                     self.dispatch(attempt);
                 }
-                Action::Delegate {
-                    attempt,
-                    group,
-                    vm,
-                    shards,
-                } => {
-                    self.calls[index].sends += 1;
-                    let open = Attempt {
-                        shards,
-                        call: index,
-                        service: group,
-                        replica: vm,
-                        connection: None,
-                    };
-                    self.attempts.insert(attempt, open);
-                    self.dispatch(attempt);
-                }
                 Action::Abandon { attempt } => self.abandon(attempt),
                 Action::Finish(end) => return self.answer(index, end),
             }
@@ -138,7 +91,7 @@
             self.isolation.on_attempt(answered);
         }
         let call = &mut self.calls[open.call];
-        if !matches!(reply, Reply::Success(_) | Reply::Parts(_)) {
+        if !matches!(reply, Reply::Success(_)) {
             let id = &call.forward.id;
             let took = self.now.saturating_duration_since(call.started).as_millis();
             let leaf = self.placement.replica(&open.service, open.replica);
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -9,12 +9,11 @@
 use socket2::SockRef;
 
 use super::Gateway;
-use super::relay;
 use super::socket::{Flow, Socket};
 use super::timers::Timer;
 use super::token::Owner;
 use crate::core::call::Reply;
-use crate::core::placement::{Key, is_vm_group};
+use crate::core::placement::Key;
 use crate::platform::headers::{self, Answer};
 use crate::prelude::*;
 use crate::util::h1::{self, Body, Fault, Head, Parsed};
@@ -42,8 +41,6 @@
     /// Id of the request whose answer is to come.
     request_id: RequestId,
     to_head_request: bool,
-    /// Whether the other side is a VM.
-    to_vm: bool,
     connected: bool,
     opened: Instant,
     /// Whether part of the request was written.
@@ -84,7 +81,6 @@
             awaited: false,
             request_id: RequestId::new(),
             to_head_request: false,
-            to_vm: false,
             connected: false,
             opened: now,
             sent: false,
@@ -174,15 +170,7 @@
         for field in &forward.fields {
             h1::field(&mut request, &field.name, &field.value);
         }
-        let to_vm = is_vm_group(&open.service);
-        if to_vm {
-            let aim = state.call.plan().answer_by;
-            let aim = aim.saturating_duration_since(self.now);
-            headers::write_patience(&mut request, left);
-            relay::write(&mut request, state.version, aim, &open.shards);
-        } else {
-            headers::write_to_leaf(&mut request, left, wanted);
-        }
+        headers::write_to_leaf(&mut request, left, wanted);
         if !forward.content.is_empty() || forward.method != "GET" {
             h1::number_field(&mut request, "Content-Length", forward.content.len() as u64);
         }
@@ -190,7 +178,6 @@
         request.extend_from_slice(&forward.content);
         let leaf = &mut self.leaves[connection];
         leaf.request_id.clone_from(&forward.id);
-        leaf.to_vm = to_vm;
         leaf.to_head_request = forward.method == "HEAD";
         leaf.attempt = Some(attempt);
         leaf.awaited = true;
@@ -207,15 +194,12 @@
             return;
         };
         if !leaf.connected {
-            let failed = leaf
-                .socket
-                .stream
-                .take_error()
-                .map_or_else(Some, |error| error);
-            if failed.is_some() || leaf.socket.stream.peer_addr().is_err() {
-                if failed.is_some() {
-                    self.leaf_broke(connection);
-                }
+            let stream = &leaf.socket.stream;
+            let failed = stream.take_error().map_or(true, |error| error.is_some());
+            if failed {
+                return self.leaf_broke(connection);
+            }
+            if stream.peer_addr().is_err() {
                 return;
             }
             leaf.connected = true;
@@ -269,11 +253,7 @@
     /// Takes a whole answer; the connection is kept where nothing is left on it.
     fn take_response(&mut self, connection: usize, response: h1::Response, flow: Flow) {
         let leaf = &mut self.leaves[connection];
-        let answer = match leaf.to_vm {
-            true => Answer::Own(relay::read_answer(response)),
-            false => headers::read_answer(response, &leaf.request_id),
-        };
-        let reply = match answer {
+        let reply = match headers::read_answer(response, &leaf.request_id) {
             Answer::Own(reply) => reply,
             Answer::Foreign => {
                 leaf.spoiled = true;
@@ -305,10 +285,6 @@
         };
         let leaf = &mut self.leaves[connection];
         leaf.attempt = None;
-        if leaf.to_vm {
-            // Its leaves are told by the end of the connection.
-            return self.end_leaf(connection);
-        }
         leaf.abandoned_at = Some(self.now);
         let timer = Timer::Leaf(connection, leaf.serial);
         self.timers.add(self.now + LINGER, timer);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -21,8 +21,6 @@
 mod pool;
 mod probe;
 mod reach;
-mod registration;
-mod relay;
 mod socket;
 mod stop;
 mod timers;
@@ -53,7 +51,6 @@
 use self::probe::Probe;
 use self::timers::{Timer, Timers};
 use self::token::Owner;
-use crate::core::instance::Instance;
 use crate::core::isolation::Isolation;
 use crate::core::placement::Placement;
 use crate::core::route::{Split, Table};
@@ -68,7 +65,6 @@
     updates: mpsc::Receiver<Update>,
     sender: Sender,
     callers_listener: Option<TcpListener>,
-    peers_listener: Option<TcpListener>,
     ready_listener: TcpListener,
     metrics_listener: Option<TcpListener>,
     callers: Slab<caller::Caller>,
@@ -81,10 +77,6 @@
     timers: Timers,
     placement: Placement,
     table: Option<Arc<Table>>,
-    /// Leaves that are registered now.
-    registered: Vec<Instance>,
-    /// Other VMs that are registered now.
-    vms: Vec<Instance>,
     leaves_known: bool,
     split: Split,
     counts: Counts,
@@ -115,7 +107,6 @@
         let metrics = options.metrics.map(TcpListener::bind).transpose()?;
         let mut gateway = Gateway {
             callers_listener: Some(TcpListener::bind(options.callers)?),
-            peers_listener: options.peers.map(TcpListener::bind).transpose()?,
             ready_listener: TcpListener::bind(options.ready)?,
             metrics_listener: metrics,
             placement: Placement::new(options.domain.clone(), rng),
@@ -131,8 +122,6 @@
             attempts: calls::Attempts::default(),
             timers: Timers::default(),
             table: None,
-            registered: Vec::new(),
-            vms: Vec::new(),
             leaves_known: false,
             split,
             counts: Counts::default(),
@@ -161,7 +150,7 @@
     ///
     /// The operating system refuses to wait for events.
     pub fn run(mut self) -> io::Result<bool> {
-        watch::start(&self.options, &self.sender)?;
+        watch::start(self.options.store, &self.sender)?;
         let mut events = Events::with_capacity(EVENTS);
         loop {
             let wait = self.timers.wait(Instant::now());
@@ -187,9 +176,6 @@
         if let Some(listener) = &mut self.callers_listener {
             registry.register(listener, Owner::Callers.token(), Interest::READABLE)?;
         }
-        if let Some(listener) = &mut self.peers_listener {
-            registry.register(listener, Owner::Peers.token(), Interest::READABLE)?;
-        }
         let ready = &mut self.ready_listener;
         registry.register(ready, Owner::Ready.token(), Interest::READABLE)?;
         if let Some(listener) = &mut self.metrics_listener {
@@ -202,7 +188,7 @@
         let closed = event.is_read_closed() || event.is_error();
         match Owner::of(event.token()) {
             Owner::Updates => self.take_updates(),
-            Owner::Callers | Owner::Peers => self.accept_callers(),
+            Owner::Callers => self.accept_callers(),
             Owner::Ready | Owner::Metrics => self.accept_probes(),
             Owner::Caller(key) => {
                 if event.is_writable() {
@@ -247,8 +233,7 @@
         while let Ok(update) = self.updates.try_recv() {
             match update {
                 Update::Table(table) => self.take_table(table),
-                Update::Leaves(instances) => self.take_leaves(instances),
-                Update::Vms(instances) => self.take_vms(instances),
+                Update::Leaves(instances) => self.take_leaves(&instances),
                 Update::Stop => self.begin_stop(),
             }
         }
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -14,8 +14,6 @@
     pub domain: DomainName,
     /// Where callers connect.
     pub callers: SocketAddr,
-    /// Where other VMs hand over queries.
-    pub peers: Option<SocketAddr>,
     /// Where the platform asks for readiness.
     pub ready: SocketAddr,
     /// Where metrics are served.
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -12,7 +12,7 @@
 use super::timers::Timer;
 use crate::core::call::Reply;
 use crate::core::instance::Instance;
-use crate::core::placement::{Key, LAPSE, is_vm_group};
+use crate::core::placement::{Key, LAPSE};
 use crate::core::route::Table;
 use crate::prelude::*;
 
@@ -22,12 +22,6 @@
 /// Connections that this VM opens to a leaf at least.
 const MIN_CONNECTIONS: usize = 2;
 
-/// Connections that this VM opens to another VM.
-const VM_CONNECTIONS: usize = 32;
-
-/// Time that a connection to another VM is kept unused.
-const VM_KEEP: Duration = Duration::from_secs(8);
-
 /// Connections to a leaf whose service the routes don't name.
 const DEFAULT_CONNECTIONS: usize = 24;
 
@@ -64,24 +58,11 @@
     }
 
     /// Takes over the leaves that are registered now.
-    pub(super) fn take_leaves(&mut self, instances: Vec<Instance>) {
+    pub(super) fn take_leaves(&mut self, instances: &[Instance]) {
         self.leaves_known = true;
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
         self.counts.leaves.set(count);
-        self.registered = instances;
-        self.take_registered();
-    }
-
-    /// Takes over the other VMs that are registered now.
-    pub(super) fn take_vms(&mut self, instances: Vec<Instance>) {
-        info!("vms count={} outcome=known", instances.len());
-        self.vms = instances;
-        self.take_registered();
-    }
-
-    fn take_registered(&mut self) {
-        let instances = [self.registered.as_slice(), &self.vms].concat();
-        let lapsed = self.placement.update(&instances, self.now);
+        let lapsed = self.placement.update(instances, self.now);
         if lapsed {
             self.timers.add(self.now + LAPSE, Timer::Lapse);
         }
@@ -147,13 +128,9 @@
             return self.assign(connection, attempt);
         }
         let leaf = &self.leaves[connection];
-        let to_vm = is_vm_group(&self.pools[place].service);
-        let keep = leaf
-            .keep_alive
-            .or(to_vm.then_some(VM_KEEP))
-            .map_or(DEFAULT_KEEP, |time| {
-                time.saturating_sub(KEEP_MARGIN).max(DEFAULT_KEEP)
-            });
+        let keep = leaf.keep_alive.map_or(DEFAULT_KEEP, |time| {
+            time.saturating_sub(KEEP_MARGIN).max(DEFAULT_KEEP)
+        });
         let until = self.now + keep;
         let timer = Timer::Leaf(connection, leaf.serial);
         self.pools[place].idle.push((connection, until));
@@ -220,9 +197,6 @@
     }
 
     fn most_connections(&self, service: &str) -> usize {
-        if is_vm_group(service) {
-            return VM_CONNECTIONS;
-        }
         let table = self.table.as_ref();
         let most = table.and_then(|table| table.max_connections(service));
         let most = most.unwrap_or(DEFAULT_CONNECTIONS) / SHARING_VMS;
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -16,8 +16,6 @@
     Table(Table),
     /// All leaves that are registered now.
     Leaves(Vec<Instance>),
-    /// All other VMs that are registered now.
-    Vms(Vec<Instance>),
     /// A planned stop begins.
     Stop,
 }
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -1,18 +1,17 @@
 //! Keeps routes and leaves up to date from the platform's store.
 //!
-//! A thread for each of three prefixes reads all keys, then waits for
+//! A thread for each of the two prefixes reads all keys, then waits for
 //! changes. Where the history is gone it reads all keys again. While the store
 //! is away, what was known last stays in force.
 
 use std::io;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use rand::RngExt;
 
-use super::options::Options;
-use super::registration::{self, Registration};
 use super::update::{Sender, Update};
 use crate::core::feed::Feed;
 use crate::platform::{self, Error, Store};
@@ -25,12 +24,6 @@
 /// read together. A change has seconds to come into force.
 const ROUTES_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause after a change of the VMs.
-const VMS_PAUSE: Duration = Duration::from_millis(2500);
-
-/// Time after which a VM that is gone is no longer registered.
-const VM_LEASE: Duration = Duration::from_secs(600);
-
 /// Pause after a change of the leaves.
 const LEAVES_PAUSE: Duration = Duration::from_millis(300);
 
@@ -45,7 +38,6 @@
 enum Topic {
     Routes,
     Leaves,
-    Vms,
 }
 
 /// One thread's state.
@@ -58,20 +50,15 @@
     version: Option<u64>,
     failures: u32,
     lost_at: Option<Instant>,
-    /// This VM, where it takes queries from others.
-    own: Option<Registration>,
 }
 
-/// Starts all threads.
-pub(super) fn start(options: &Options, sender: &Sender) -> io::Result<()> {
-    for topic in [Topic::Routes, Topic::Leaves, Topic::Vms] {
-        let own = options.peers.filter(|_| topic == Topic::Vms);
-        let own = own.map(|address| Registration::new(options, address));
+/// Starts both threads.
+pub(super) fn start(store: SocketAddr, sender: &Sender) -> io::Result<()> {
+    for topic in [Topic::Routes, Topic::Leaves] {
         let watcher = Watcher {
             topic,
-            store: Store::new(options.store),
+            store: Store::new(store),
             sender: sender.clone(),
-            own,
             feed: Feed::default(),
             version: None,
             failures: 0,
@@ -88,7 +75,6 @@
         match self {
             Topic::Routes => "routes",
             Topic::Leaves => "leaves",
-            Topic::Vms => "vms",
         }
     }
 
@@ -96,7 +82,6 @@
         match self {
             Topic::Routes => ROUTES_PAUSE,
             Topic::Leaves => LEAVES_PAUSE,
-            Topic::Vms => VMS_PAUSE,
         }
     }
 
@@ -104,7 +89,6 @@
         match self {
             Topic::Routes => platform::DOCUMENT_PREFIX,
             Topic::Leaves => platform::ENTRY_PREFIX,
-            Topic::Vms => platform::VM_PREFIX,
         }
     }
 }
@@ -113,10 +97,10 @@
     /// Ends when the event loop has ended.
     fn run(mut self) {
         loop {
-            let result = self.register().and_then(|()| match self.feed.as_of() {
+            let result = match self.feed.as_of() {
                 None => self.read_all(),
                 Some(revision) => self.wait(revision),
-            });
+            };
             match result {
                 Ok(changed) => {
                     self.regained();
@@ -137,29 +121,6 @@
         }
     }
 
-    /// Keeps this VM registered, where others hand it queries.
-    fn register(&mut self) -> Result<(), Error> {
-        let Some(own) = &mut self.own else {
-            return Ok(());
-        };
-        let is_listed = self.feed.as_of().is_none() || self.feed.get(&own.key).is_some();
-        own.keep(&mut self.store, is_listed, VM_LEASE)
-    }
-
-    fn publish_vms(&mut self) -> bool {
-        let mut instances = Vec::new();
-        for (key, value) in self.feed.iter() {
-            if self.own.as_ref().is_some_and(|own| own.key == key) {
-                continue;
-            }
-            match registration::read(key, value) {
-                Ok(instance) => instances.push(instance),
-                Err(error) => warn!("vm key={key} outcome=ignored error=\"{error}\""),
-            }
-        }
-        self.sender.send(Update::Vms(instances))
-    }
-
     /// Reads all keys, page by page.
     fn read_all(&mut self) -> Result<bool, Error> {
         let prefix = self.topic.prefix();
@@ -204,7 +165,6 @@
         match self.topic {
             Topic::Routes => self.publish_routes(),
             Topic::Leaves => self.publish_leaves(),
-            Topic::Vms => self.publish_vms(),
         }
     }
 
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -67,7 +67,6 @@
             name: own.name,
             domain: own.failure_domain,
             callers: own.callers,
-            peers: own.peers,
             ready: own.ready,
             metrics: own.metrics,
             store: store?,
@@ -88,32 +87,22 @@
     name: String,
     failure_domain: String,
     callers: SocketAddr,
-    peers: Option<SocketAddr>,
     ready: SocketAddr,
     metrics: Option<SocketAddr>,
 }
 
 impl Own {
     fn read(section: &mut Section<'_>) -> Option<Own> {
-        section.allow(&[
-            "name",
-            "failure_domain",
-            "callers",
-            "peers",
-            "ready",
-            "metrics",
-        ]);
+        section.allow(&["name", "failure_domain", "callers", "ready", "metrics"]);
         let name = section.name("name");
         let failure_domain = section.name("failure_domain");
         let callers = section.listener("callers");
-        let peers = section.optional_target("peers");
         let ready = section.listener("ready");
         let metrics = section.optional_target("metrics");
         Some(Own {
             name: name?,
             failure_domain: failure_domain?,
             callers: callers?,
-            peers: peers?,
             ready: ready?,
             metrics: metrics?,
         })
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -52,15 +52,10 @@
     fields.retain(|field| !own.iter().any(|name| field.name.eq_ignore_ascii_case(name)));
 }
 
-/// Adds how long the answer is waited for.
-pub fn write_patience(out: &mut Vec<u8>, left: Duration) {
-    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    h1::number_field(out, PATIENCE, left.max(1));
-}
-
 /// Adds the fields that a leaf gets from the gateway.
 pub fn write_to_leaf(out: &mut Vec<u8>, left: Duration, leaf: &str) {
-    write_patience(out, left);
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    h1::number_field(out, PATIENCE, left.max(1));
     h1::field(out, WANTED_LEAF, leaf.as_bytes());
 }
 
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -11,7 +11,7 @@
 pub mod headers;
 mod store;
 
-pub use self::store::{Error, Event, Events, Item, Lease, Range, Store};
+pub use self::store::{Error, Event, Events, Item, Range, Store};
 
 /// Key of the operator's configuration.
 pub const DOCUMENT_KEY: &str = "op/config";
@@ -22,8 +22,5 @@
 /// Prefix of the keys under which leaves register.
 pub const ENTRY_PREFIX: &str = "servers/";
 
-/// Prefix of the keys under which the gateways' own VMs register.
-pub const VM_PREFIX: &str = "geraniummount/vms/";
-
 /// Path at which the platform asks whether a process takes connections.
 pub const READY_PATH: &str = "/api/ready";
--- a/src/geraniummount/platform/store.rs
+++ b/src/geraniummount/platform/store.rs
@@ -6,4 +6,4 @@
 
 pub use self::client::Store;
 pub use self::error::Error;
-pub use self::message::{Event, Events, Item, Lease, Range};
+pub use self::message::{Event, Events, Item, Range};
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -7,7 +7,6 @@
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 
-use super::message::{Change, Lease, Put, to_base64};
 use super::{Error, Events, Item, Range};
 use crate::prelude::*;
 use crate::util::h1::{self, Head, Parsed};
@@ -57,7 +56,7 @@
     /// The store can't be reached, refuses, or answers nonsense.
     pub fn get(&mut self, key: &str) -> Result<Option<Item>, Error> {
         let target = format!("/api/kv-key?key={key}");
-        let response = self.get_target(&target, CALL_TIMEOUT)?;
+        let response = self.call(&target, CALL_TIMEOUT)?;
         match response.head.status {
             404 => Ok(None),
             _ => read(&response).map(Some),
@@ -72,7 +71,7 @@
     pub fn range(&mut self, prefix: &str, after: Option<&str>) -> Result<Range, Error> {
         let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
         let target = format!("/api/kv-range?prefix={prefix}{after}");
-        read(&self.get_target(&target, CALL_TIMEOUT)?)
+        read(&self.call(&target, CALL_TIMEOUT)?)
     }
 
     /// Waits for changes after a revision; none where the time passes.
@@ -89,73 +88,19 @@
     ) -> Result<Events, Error> {
         let wait_ms = wait.as_millis();
         let target = format!("/api/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
-        read(&self.get_target(&target, wait + CALL_TIMEOUT)?)
+        read(&self.call(&target, wait + CALL_TIMEOUT)?)
     }
 
-    /// Opens a lease.
-    ///
-    /// # Errors
-    ///
-    /// The store can't be reached, refuses, or answers nonsense.
-    pub fn open_lease(&mut self, ttl: Duration) -> Result<Lease, Error> {
-        let body = format!("{{\"ttlMs\":{}}}", ttl.as_millis());
-        read(&self.call("POST", "/api/kv-lease", body.as_bytes(), CALL_TIMEOUT)?)
-    }
-
-    /// Renews a lease; returns whether it still ran.
-    ///
-    /// # Errors
-    ///
-    /// The store can't be reached or refuses.
-    pub fn keep_lease(&mut self, id: u64) -> Result<bool, Error> {
-        let target = format!("/api/kv-keep/{id}");
-        let response = self.call("POST", &target, b"", CALL_TIMEOUT)?;
-        Ok(response.head.status == 200)
-    }
-
-    /// Writes a key under a lease; returns whether the lease still ran.
-    ///
-    /// # Errors
-    ///
-    /// The store can't be reached or refuses; the key may still be written.
-    pub fn put(&mut self, key: &str, value: &[u8], lease: u64) -> Result<bool, Error> {
-        let value = to_base64(value);
-        let change = Change {
-            conditions: [],
-            puts: [Put { key, value, lease }],
-            remove: [],
-        };
-        let body = serde_json::to_vec(&change);
-        let body = body.map_err(|error| Error::Malformed(error.to_string()))?;
-        let response = self.call("POST", "/api/kv-txn", &body, CALL_TIMEOUT)?;
-        Ok(response.head.status == 200)
-    }
-
-    fn get_target(&mut self, target: &str, limit: Duration) -> Result<h1::Response, Error> {
-        self.call("GET", target, b"", limit)
-    }
-
-    fn call(
-        &mut self,
-        method: &str,
-        target: &str,
-        body: &[u8],
-        limit: Duration,
-    ) -> Result<h1::Response, Error> {
+    fn call(&mut self, target: &str, limit: Duration) -> Result<h1::Response, Error> {
         let end = Instant::now() + limit;
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect()?,
         };
-        let mut head = Vec::with_capacity(128 + body.len());
-        h1::request_line(&mut head, method, target);
+        let mut head = Vec::with_capacity(128);
+        h1::request_line(&mut head, "GET", target);
         h1::field(&mut head, "Host", self.address.to_string().as_bytes());
-        if method != "GET" {
-            h1::field(&mut head, "Content-Type", b"application/json");
-            h1::number_field(&mut head, "Content-Length", body.len() as u64);
-        }
         h1::end_head(&mut head);
-        head.extend_from_slice(body);
         stream.set_write_timeout(Some(CALL_TIMEOUT))?;
         stream.write_all(&head)?;
         let response = receive(&mut stream, end)?;
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -2,7 +2,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Deserializer};
 
 use crate::prelude::*;
 
@@ -56,43 +56,6 @@
     },
 }
 
-/// A lease; the keys written under it are removed when it ends.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-pub struct Lease {
-    /// Number of the lease.
-    #[serde(rename = "lease")]
-    pub id: u64,
-    /// Time until it ends, in milliseconds from the call's arrival.
-    #[serde(rename = "ttlMs")]
-    pub ttl_ms: u64,
-}
-
-/// A change of several keys, all or nothing.
-#[derive(Debug, Serialize)]
-pub(super) struct Change<'a> {
-    /// Keys with the revisions that they have to be at; none here.
-    #[serde(rename = "precondition")]
-    pub(super) conditions: [(); 0],
-    pub(super) puts: [Put<'a>; 1],
-    /// Keys to remove; none here.
-    pub(super) remove: [(); 0],
-}
-
-/// A key to be written under a lease.
-#[derive(Debug, Serialize)]
-pub(super) struct Put<'a> {
-    pub(super) key: &'a str,
-    /// As base64 text.
-    pub(super) value: String,
-    /// Number of the lease.
-    pub(super) lease: u64,
-}
-
-/// Returns a value as it stands in messages.
-pub(super) fn to_base64(value: &[u8]) -> String {
-    STANDARD.encode(value)
-}
-
 fn base64_text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
     let text = String::deserialize(deserializer)?;
     STANDARD.decode(text).map_err(serde::de::Error::custom)
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -40,7 +40,6 @@
             name: "vm1".to_string(),
             domain: "near".to_string(),
             callers: free_address(),
-            peers: None,
             ready: free_address(),
             metrics: None,
             store: store.address(),
