--- /dev/null
+++ b/tests/testsuite/h1.rs
@@ -0,0 +1,151 @@
+//! HTTP/1.1 bytes: what is a message, where it ends, and what is refused.
+
+use geraniummount::util::h1::{Body, Fault, Head, Parsed, Request};
+use proptest::prelude::*;
+
+use crate::seeded;
+
+#[derive(Debug)]
+struct Case {
+    bytes: &'static str,
+    /// How the body comes, and whether the connection is kept.
+    expected: Result<(Body, bool), Fault>,
+}
+
+const REQUESTS: &[Case] = &[
+    Case {
+        bytes: "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        expected: Ok((Body::Length(0), true)),
+    },
+    Case {
+        bytes: "GET / HTTP/1.1\r\nConnection: Close\r\n\r\n",
+        expected: Ok((Body::Length(0), false)),
+    },
+    Case {
+        bytes: "GET / HTTP/1.0\r\n\r\n",
+        expected: Ok((Body::Length(0), false)),
+    },
+    Case {
+        bytes: "POST / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\n",
+        expected: Ok((Body::Length(5), true)),
+    },
+    Case {
+        bytes: "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        expected: Err(Fault::Length),
+    },
+    Case {
+        bytes: "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n",
+        expected: Err(Fault::Length),
+    },
+    Case {
+        bytes: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n\r\n",
+        expected: Err(Fault::Coding),
+    },
+    Case {
+        bytes: "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        expected: Err(Fault::Coding),
+    },
+    Case {
+        bytes: "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+        expected: Err(Fault::Coding),
+    },
+    Case {
+        bytes: "no request\r\n\r\n",
+        expected: Err(Fault::Head),
+    },
+];
+
+const RESPONSES: &[Case] = &[
+    Case {
+        bytes: "HTTP/1.1 200 OK\r\n\r\n",
+        expected: Ok((Body::UntilClose, false)),
+    },
+    Case {
+        bytes: "HTTP/1.1 204 No Content\r\n\r\n",
+        expected: Ok((Body::Length(0), true)),
+    },
+    Case {
+        bytes: "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+        expected: Ok((Body::Length(7), true)),
+    },
+    Case {
+        bytes: "HTTP/1.1 200 OK\r\nContent-Length: 7\r\nTransfer-Encoding: chunked\r\n\r\n",
+        expected: Err(Fault::Coding),
+    },
+    Case {
+        bytes: "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n",
+        expected: Err(Fault::Length),
+    },
+    Case {
+        bytes: "SSH-2.0-x\r\n\r\n",
+        expected: Err(Fault::Head),
+    },
+];
+
+#[test]
+fn h1_heads_say_where_bodies_end_or_are_refused() {
+    for case in REQUESTS {
+        let parsed = Request::parse(case.bytes.as_bytes()).map(|parsed| match parsed {
+            Parsed::Whole(request, _) => (request.body, request.kept),
+            Parsed::Partial => panic!("{:?} is whole", case.bytes),
+        });
+        assert_eq!(parsed, case.expected, "{:?}", case.bytes);
+    }
+    for case in RESPONSES {
+        let parsed = Head::parse(case.bytes.as_bytes(), false).map(|parsed| match parsed {
+            Parsed::Whole(head, _) => (head.body, head.kept),
+            Parsed::Partial => panic!("{:?} is whole", case.bytes),
+        });
+        assert_eq!(parsed, case.expected, "{:?}", case.bytes);
+    }
+}
+
+/// Writes a body in chunks.
+fn chunks(parts: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for part in parts.iter().filter(|part| !part.is_empty()) {
+        bytes.extend_from_slice(format!("{:x};ext=1\r\n", part.len()).as_bytes());
+        bytes.extend_from_slice(part);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+    bytes
+}
+
+proptest! {
+    #![proptest_config(seeded::config(200))]
+
+    #[test]
+    fn h1_chunks_are_read_however_they_are_cut(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..6),
+        cuts in prop::collection::vec(1_usize..30, 0..40),
+        behind in prop::collection::vec(any::<u8>(), 0..10),
+    ) {
+        let mut bytes = chunks(&parts);
+        bytes.extend_from_slice(&behind);
+        let mut body = Body::chunked();
+        let (mut input, mut out, mut done) = (Vec::new(), Vec::new(), false);
+        let mut left = bytes.as_slice();
+        for cut in cuts.iter().chain([&usize::MAX]) {
+            let (now, later) = left.split_at((*cut).min(left.len()));
+            input.extend_from_slice(now);
+            left = later;
+            if !done {
+                let (taken, whole) = body.feed(&input, &mut out).unwrap();
+                input.drain(..taken);
+                done = whole;
+            }
+        }
+        prop_assert!(done);
+        prop_assert_eq!(out, parts.concat());
+        prop_assert_eq!(input, behind);
+    }
+
+    #[test]
+    fn h1_parsers_take_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Request::parse(&bytes);
+        let _ = Head::parse(&bytes, false);
+        let mut out = Vec::new();
+        let _ = Body::chunked().feed(&bytes, &mut out);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/platform/formats.rs
@@ -0,0 +1,181 @@
+//! The platform's formats: what is read, and what is refused.
+
+use std::time::Duration;
+
+use geraniummount::core::route::{Repeat, Target};
+use geraniummount::platform::{document, entry};
+use serde_json::{Value, json};
+
+use super::scene::{document as configuration, gather_route, service_route};
+
+fn valid_entry() -> Value {
+    json!({"backend": "one", "address": "10.0.0.1:80", "zone": "near", "version": "v1",
+           "concurrency": 3, "state": "ready", "warmupLeftMs": 250, "seq": 4, "born": 17})
+}
+
+#[test]
+fn platform_formats_entries_are_read_into_typed_values() {
+    let value = valid_entry().to_string();
+    let instance = entry::read("servers/i-1", value.as_bytes()).unwrap();
+    assert_eq!(instance.id, "i-1");
+    assert_eq!(instance.service, "one");
+    assert_eq!(instance.domain, "near");
+    assert_eq!(instance.slots, 3);
+    assert_eq!(instance.born, Some(17));
+    assert_eq!(instance.warm_in, Duration::from_millis(250));
+    assert!(!instance.leaving);
+    let mut leaving = valid_entry();
+    leaving["state"] = json!("draining");
+    let value = leaving.to_string();
+    assert!(
+        entry::read("servers/i-1", value.as_bytes())
+            .unwrap()
+            .leaving
+    );
+}
+
+#[test]
+fn platform_formats_entries_with_a_wrong_field_name_no_leaf() {
+    struct Case {
+        field: &'static str,
+        value: Value,
+    }
+    let cases = [
+        Case {
+            field: "backend",
+            value: json!(7),
+        },
+        Case {
+            field: "address",
+            value: json!("leaf.example:80"),
+        },
+        Case {
+            field: "address",
+            value: json!("10.0.0.1"),
+        },
+        Case {
+            field: "zone",
+            value: Value::Null,
+        },
+        Case {
+            field: "concurrency",
+            value: json!(-1),
+        },
+        Case {
+            field: "state",
+            value: json!("gone"),
+        },
+        Case {
+            field: "warmupLeftMs",
+            value: json!("soon"),
+        },
+        Case {
+            field: "born",
+            value: json!("yesterday"),
+        },
+    ];
+    for case in cases {
+        let mut value = valid_entry();
+        value[case.field] = case.value.clone();
+        let read = entry::read("servers/i-1", value.to_string().as_bytes());
+        assert!(read.is_err(), "{}: {}", case.field, case.value);
+    }
+    for field in ["backend", "address", "zone", "concurrency", "state"] {
+        let mut value = valid_entry();
+        value.as_object_mut().unwrap().remove(field);
+        let read = entry::read("servers/i-1", value.to_string().as_bytes());
+        assert!(read.is_err(), "without {field}");
+    }
+    assert!(entry::read("servers/i-1", b"\xff\xfe").is_err());
+}
+
+#[test]
+fn platform_formats_a_configuration_is_read_into_routes() {
+    let mut split = service_route("/s/", "non_idempotent", "one");
+    split.as_object_mut().unwrap().remove("backend");
+    split["trafficSplit"] = json!([{"backend": "a", "weight": 3}, {"backend": "b", "weight": 1.5}]);
+    let routes = [split, gather_route("/g/", &["x", "y"], 5, 0.75)];
+    let table = document::read(configuration(7, &routes).as_bytes()).unwrap();
+    assert_eq!(table.version, 7);
+    assert_eq!(table.limits.body_bytes, 4096);
+    assert_eq!(table.max_connections("one"), Some(26));
+    let split = table.find("shop.example", "/s/x").unwrap();
+    assert_eq!(split.repeat, Repeat::AtMostOnce);
+    assert!(matches!(&split.target, Target::Split(parts) if parts[1].weight == 1.5));
+    let gather = table.find("SHOP.example", "/g/").unwrap();
+    assert!(matches!(&gather.target, Target::Gather(gather) if gather.least() == 2));
+    assert_eq!(gather.aim, Duration::from_millis(400));
+}
+
+#[test]
+fn platform_formats_an_unreadable_configuration_is_refused() {
+    let two_targets = {
+        let mut route = service_route("/a/", "idempotent", "one");
+        route["gather"] = json!(["x"]);
+        configuration(1, &[route])
+    };
+    let no_target = {
+        let mut route = service_route("/a/", "idempotent", "one");
+        route.as_object_mut().unwrap().remove("backend");
+        configuration(1, &[route])
+    };
+    let odd_kind = configuration(1, &[service_route("/a/", "sometimes", "one")]);
+    for text in [
+        "",
+        "[]",
+        "{}",
+        "{\"version\": 1}",
+        &two_targets,
+        &no_target,
+        &odd_kind,
+    ] {
+        assert!(document::read(text.as_bytes()).is_err(), "{text}");
+    }
+}
+
+/// The platform's names stand in folders named `platform`, in `deploy` and
+/// nowhere else.
+#[test]
+fn platform_formats_names_stand_in_one_folder() {
+    const NAMES: &[&str] = &[
+        "part-stamps",
+        "missing-parts",
+        "server-stamp",
+        "request-not-run",
+        "expect-instance",
+        "instance-id",
+        "kv-key",
+        "kv-txn",
+        "kv-watch",
+        "kv-range",
+        "mincoverage",
+        "trafficsplit",
+        "targetlatencyms",
+        "warmupleftms",
+        "op/config",
+        "/api/ready",
+    ];
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut folders = vec![
+        root.join("src"),
+        root.join("benches"),
+        root.join("examples"),
+    ];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                if path.file_name().unwrap() != "platform" {
+                    folders.push(path);
+                }
+                continue;
+            }
+            let text = std::fs::read_to_string(&path)
+                .unwrap_or_default()
+                .to_lowercase();
+            for name in NAMES {
+                assert!(!text.contains(name), "{name} in {}", path.display());
+            }
+        }
+    }
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,4 +1,6 @@
 //! The gateway on the users' platform, against stand-ins that speak its pages.
 
+mod formats;
+mod requests;
 mod scene;
 mod store;
--- /dev/null
+++ b/tests/testsuite/top.rs
@@ -0,0 +1,33 @@
+//! The greatest records of all parts, against a plain sort.
+
+use geraniummount::core::top::{RECORD_BYTES, merge};
+use proptest::prelude::*;
+
+use crate::seeded;
+
+/// Records of a part, with few different values so that equal ones are common.
+fn part() -> impl Strategy<Value = Vec<u8>> {
+    let record = prop::collection::vec(0_u8..3, RECORD_BYTES);
+    let records = prop::collection::vec(record, 0..30);
+    (records, prop::collection::vec(any::<u8>(), 0..RECORD_BYTES))
+        .prop_map(|(records, rest)| [records.concat(), rest].concat())
+}
+
+proptest! {
+    #![proptest_config(seeded::config(300))]
+
+    #[test]
+    fn top_is_that_of_a_plain_sort(
+        parts in prop::collection::vec(part(), 0..12),
+        most in 0_usize..60,
+    ) {
+        let mut records: Vec<&[u8]> = Vec::new();
+        for part in &parts {
+            records.extend(part.chunks_exact(RECORD_BYTES));
+        }
+        records.sort_unstable_by(|a, b| b.cmp(a));
+        records.truncate(most);
+        let merged = merge(parts.iter().map(Vec::as_slice), most);
+        prop_assert_eq!(merged, records.concat());
+    }
+}
