Trace a request through the gateways' logs

Structured lines (logfmt: one line is read by eye, by grep and by trace; the writer needs no serializer) on standard output: at most 100 a second of a kind, from a queue of 1024 lines that is never waited for; what is left out is counted (gateway_log_lines_suppressed). A request has one line, which names the shards that it lacks; an attempt has one only where it failed.

Not measured yet: the logs' share of the processor time.

--- a/src/bin/geraniummount/cli.rs
+++ b/src/bin/geraniummount/cli.rs
@@ -5,7 +5,7 @@
 use geraniummount::ops::exit::Exit;
 
 use crate::commands::{
-    apply, check, delete, dump, gateway, get, load, query, serve, status, watch,
+    apply, check, delete, dump, gateway, get, load, query, serve, status, trace, watch,
 };
 
 const EXIT_CODES: &str = "\
@@ -54,6 +54,8 @@
     Delete(delete::Args),
     /// Show what actually holds in the fleet
     Status(status::Args),
+    /// Show what gateways' logs say of one request
+    Trace(trace::Args),
     /// Show the state of one process
     Dump(dump::Args),
     /// Send one request as a caller would
@@ -74,6 +76,7 @@
             Command::Watch(args) => args.exec(),
             Command::Delete(args) => args.exec(),
             Command::Status(args) => args.exec(),
+            Command::Trace(args) => args.exec(),
             Command::Dump(args) => args.exec(),
             Command::Query(args) => args.exec(),
             Command::Load(args) => args.exec(),
--- a/src/bin/geraniummount/commands/gateway.rs
+++ b/src/bin/geraniummount/commands/gateway.rs
@@ -20,11 +20,17 @@
     /// INI file with the settings of this VM
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
+    /// Check the settings and end
+    #[arg(long)]
+    check: bool,
 }
 
 impl Args {
     /// Runs the subcommand.
     pub fn exec(&self) -> Result<(), Report<Exit>> {
+        if self.check {
+            return gateway::check(&self.settings, &mut std::io::stdout());
+        }
         gateway::run(&self.settings)
     }
 }
--- a/src/bin/geraniummount/commands/mod.rs
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -12,4 +12,5 @@
 pub mod query;
 pub mod serve;
 pub mod status;
+pub mod trace;
 pub mod watch;
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -137,12 +137,30 @@
         let (word, status, missing) = (outcome.word, outcome.status, outcome.missing);
         let shards = plan.services.len();
         let (sends, ms) = (state.sends, took.as_millis());
+        let lacking = lacking(state);
         info!(
             "request id={id} route={route} version={version} outcome={word} status={status} \
-             shards={shards} missing={missing} sends={sends} ms={ms} in_time={in_time}"
+             shards={shards} missing={missing} sends={sends} ms={ms} in_time={in_time}{lacking}"
         );
     }
 }
 
+/// Names the shards that an answer lacks, each with the attempts made for it.
+fn lacking(state: &CallState) -> String {
+    let stories = state.call.stories();
+    let lacking = stories.iter().filter(|story| !story.included);
+    let lacking: Vec<String> = lacking
+        .take(MOST_NAMED)
+        .map(|story| format!("{}:{}", story.service, story.sends))
+        .collect();
+    match lacking.is_empty() {
+        true => String::new(),
+        false => format!(" lacking={}", lacking.join(",")),
+    }
+}
+
+/// Shards that a line names at most.
+const MOST_NAMED: usize = 6;
+
 /// An answer counts as in time until so long after it was due.
 const LATE_SLACK: Duration = Duration::from_millis(10);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -90,7 +90,7 @@
             let answered = !matches!(reply, Reply::Lost | Reply::Unreachable);
             self.isolation.on_attempt(answered);
         }
-        let call = &mut self.calls[open.call];
+        let call = &self.calls[open.call];
         if !matches!(reply, Reply::Success(_)) {
             let id = &call.forward.id;
             let took = self.now.saturating_duration_since(call.started).as_millis();
@@ -99,12 +99,23 @@
             let (service, outcome) = (&open.service, reply.as_str());
             info!("attempt id={id} service={service} leaf={leaf} outcome={outcome} at_ms={took}");
         }
-        let actions = call
-            .call
-            .on_reply(attempt, reply, &mut self.placement, self.now);
+        let was_suspended = self.is_suspended(&open);
+        let call = &mut self.calls[open.call].call;
+        let actions = call.on_reply(attempt, reply, &mut self.placement, self.now);
+        if !was_suspended && self.is_suspended(&open) {
+            let (service, key) = (&open.service, open.replica);
+            let leaf = self.placement.replica(service, key);
+            let leaf = leaf.map_or("gone", |replica| replica.instance.id.as_str());
+            info!("leaf leaf={leaf} service={service} event=suspended");
+        }
         self.act(open.call, actions);
     }
 
+    fn is_suspended(&self, attempt: &Attempt) -> bool {
+        let replica = self.placement.replica(&attempt.service, attempt.replica);
+        replica.is_some_and(|replica| replica.suspended_until.is_some())
+    }
+
     /// Notes that a leaf may have an attempt's request.
     pub(super) fn mark_sent(&mut self, attempt: AttemptId) {
         if let Some(open) = self.attempts.get(&attempt) {
--- a/src/geraniummount/edge/gateway/counts.rs
+++ b/src/geraniummount/edge/gateway/counts.rs
@@ -8,6 +8,8 @@
     TextEncoder,
 };
 
+use crate::util::lines;
+
 /// Upper bounds of the buckets of times, in seconds.
 const SECONDS: &[f64] = &[
     0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.16, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0,
@@ -24,6 +26,7 @@
     pub(super) leaf_connections: IntCounter,
     pub(super) version: IntGauge,
     pub(super) leaves: IntGauge,
+    suppressed: IntGauge,
 }
 
 impl Default for Counts {
@@ -60,6 +63,11 @@
                 "Version of the routes in force.",
             ),
             leaves: gauge(&registry, "gateway_leaves", "Leaves that are registered."),
+            suppressed: gauge(
+                &registry,
+                "gateway_log_lines_suppressed",
+                "Lines that the log did not take.",
+            ),
             registry,
             answers,
             answer_seconds,
@@ -83,6 +91,8 @@
 
     /// Returns all counters in the text format of Prometheus.
     pub(super) fn text(&self) -> Vec<u8> {
+        let suppressed = i64::try_from(lines::suppressed()).unwrap_or(i64::MAX);
+        self.suppressed.set(suppressed);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             warn!("metrics outcome=not-written error=\"{error}\"");
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -78,6 +78,8 @@
     placement: Placement,
     table: Option<Arc<Table>>,
     leaves_known: bool,
+    /// Leaves that are registered, and those of them that leave.
+    registered: (usize, usize),
     split: Split,
     counts: Counts,
     isolation: Isolation,
@@ -123,6 +125,7 @@
             timers: Timers::default(),
             table: None,
             leaves_known: false,
+            registered: (0, 0),
             split,
             counts: Counts::default(),
             isolation: Isolation::default(),
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -60,6 +60,11 @@
     /// Takes over the leaves that are registered now.
     pub(super) fn take_leaves(&mut self, instances: &[Instance]) {
         self.leaves_known = true;
+        let leaving = instances.iter().filter(|instance| instance.leaving).count();
+        if (instances.len(), leaving) != self.registered {
+            self.registered = (instances.len(), leaving);
+            info!("leaves registered={} leaving={leaving}", instances.len());
+        }
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
         self.counts.leaves.set(count);
         let lapsed = self.placement.update(instances, self.now);
--- a/src/geraniummount/ops/gateway.rs
+++ b/src/geraniummount/ops/gateway.rs
@@ -1,5 +1,6 @@
 //! `gateway`: one process that routes callers' requests by host and path.
 
+use std::io::Write;
 use std::path::Path;
 use std::thread;
 
@@ -10,7 +11,32 @@
 
 use crate::edge::gateway::{Gateway, Sender, Update};
 use crate::ops::exit::Exit;
-use crate::ops::{logs, settings};
+use crate::ops::{logs, output, settings};
+
+/// Checks a settings file and says what the process would be.
+///
+/// # Errors
+///
+/// The settings have faults.
+pub fn check(path: &Path, out: &mut impl Write) -> Result<(), Report<Exit>> {
+    let options = load(path)?.options;
+    let text = format!(
+        "{}: no fault\ngateway {} in failure domain {}; callers {}, ready {}, platform {}\n",
+        path.display(),
+        options.name,
+        options.domain,
+        options.callers,
+        options.ready,
+        options.store,
+    );
+    output::text(out, &text)
+}
+
+fn load(path: &Path) -> Result<settings::Gateway, Report<Exit>> {
+    settings::Gateway::load(path)
+        .change_context(Exit::Invalid)
+        .attach("mend each line named above; 'gateway --check' checks the file again")
+}
 
 /// Runs a gateway until it is told to stop.
 ///
@@ -19,9 +45,7 @@
 /// The settings have faults, an address is taken, or requests were left
 /// unanswered at the end.
 pub fn run(path: &Path) -> Result<(), Report<Exit>> {
-    let settings = settings::Gateway::load(path)
-        .change_context(Exit::Invalid)
-        .attach("mend each line named above")?;
+    let settings = load(path)?;
     logs::start_lines(settings.log.level, &settings.options.name);
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context(Exit::Other)?;
     let gateway = Gateway::bind(settings.options.clone())
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -16,4 +16,5 @@
 pub mod serve;
 pub mod settings;
 pub mod status;
+pub mod trace;
 pub mod watch;
--- /dev/null
+++ b/src/geraniummount/ops/trace.rs
@@ -0,0 +1,145 @@
+//! `trace`: the story of one request, from the logs of several processes.
+
+use std::fs;
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+use error_stack::{Report, ResultExt};
+use serde_json::{Map, Value};
+
+use crate::ops::exit::Exit;
+use crate::ops::output;
+
+/// Keys that stand in columns of their own.
+const COLUMNS: [&str; 4] = ["t", "level", "vm", "event"];
+
+/// A line of a log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Keys with their values, in order.
+    pub pairs: Vec<(String, String)>,
+}
+
+impl Line {
+    /// Parses a line; what stands before the first key is passed over. `None`
+    /// for a line that is none of a gateway's log.
+    pub fn parse(text: &str) -> Option<Line> {
+        let start = text.find("t=")?;
+        let mut left = &text[start..];
+        let mut pairs = Vec::new();
+        while let Some((key, rest)) = left.split_once('=') {
+            let (value, rest) = match rest.strip_prefix('"') {
+                Some(quoted) => quoted.split_once('"')?,
+                None => rest.split_once(' ').unwrap_or((rest, "")),
+            };
+            let key = key.rsplit(' ').next().unwrap_or(key);
+            // The kind's name is followed by an event of its own at times.
+            let is_second = key == "event" && pairs.iter().any(|(known, _)| known == "event");
+            let key = if is_second { "what" } else { key };
+            pairs.push((key.to_string(), value.to_string()));
+            left = rest.trim_start();
+        }
+        let line = Line { pairs };
+        line.get("event").is_some().then_some(line)
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: &str) -> Option<&str> {
+        let mut pairs = self.pairs.iter();
+        let pair = pairs.find(|(known, _)| known == key)?;
+        Some(&pair.1)
+    }
+
+    /// Seconds since the Unix epoch.
+    fn time(&self) -> f64 {
+        let time = self.get("t").and_then(|time| time.parse().ok());
+        time.unwrap_or(0.0)
+    }
+}
+
+/// Writes all lines about a request in the order of their times.
+///
+/// # Errors
+///
+/// A file can't be read, or no line names the request.
+pub fn run(
+    id: &str,
+    files: &[PathBuf],
+    as_json: bool,
+    out: &mut impl Write,
+) -> Result<(), Report<Exit>> {
+    let mut lines = Vec::new();
+    for text in read_all(files)? {
+        let parsed = text.lines().filter_map(Line::parse);
+        lines.extend(parsed.filter(|line| line.get("id") == Some(id)));
+    }
+    if lines.is_empty() {
+        let advice = format!(
+            "no line names the request {id}; check the id, and that its time is in the files"
+        );
+        return Err(Report::new(Exit::NotFound).attach(advice));
+    }
+    lines.sort_by(|a, b| a.time().total_cmp(&b.time()));
+    let text = if as_json {
+        as_json_lines(&lines)
+    } else {
+        as_text(&lines)
+    };
+    output::text(out, &text)
+}
+
+fn read_all(files: &[PathBuf]) -> Result<Vec<String>, Report<Exit>> {
+    if files.is_empty() {
+        let mut text = Vec::new();
+        io::stdin()
+            .read_to_end(&mut text)
+            .change_context(Exit::Other)?;
+        return Ok(vec![String::from_utf8_lossy(&text).into_owned()]);
+    }
+    files.iter().map(|file| read_file(file)).collect()
+}
+
+fn read_file(file: &Path) -> Result<String, Report<Exit>> {
+    let bytes = fs::read(file).change_context(Exit::Other);
+    let advice = || format!("{}: give the path of a log", file.display());
+    Ok(String::from_utf8_lossy(&bytes.attach_with(advice)?).into_owned())
+}
+
+fn as_text(lines: &[Line]) -> String {
+    let start = lines.first().map_or(0.0, Line::time);
+    let width = lines
+        .iter()
+        .filter_map(|line| line.get("vm"))
+        .map(str::len)
+        .max();
+    let width = width.unwrap_or(0);
+    let mut text = String::new();
+    for line in lines {
+        let after_ms = (line.time() - start) * 1000.0;
+        let (vm, event) = (
+            line.get("vm").unwrap_or(""),
+            line.get("event").unwrap_or(""),
+        );
+        let rest = line.pairs.iter();
+        let rest = rest.filter(|(key, _)| !COLUMNS.contains(&key.as_str()) && key != "id");
+        let rest: Vec<String> = rest.map(|(key, value)| format!("{key}={value}")).collect();
+        let rest = rest.join(" ");
+        text.push_str(&format!(
+            "{after_ms:>8.0} ms  {vm:<width$}  {event:<8}  {rest}\n"
+        ));
+    }
+    text
+}
+
+fn as_json_lines(lines: &[Line]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        let pairs = line.pairs.iter();
+        let object: Map<String, Value> = pairs
+            .map(|(key, value)| (key.clone(), Value::String(value.clone())))
+            .collect();
+        text.push_str(&Value::Object(object).to_string());
+        text.push('\n');
+    }
+    text
+}
--- a/src/geraniummount/ops/logs/lines.rs
+++ b/src/geraniummount/util/lines.rs
@@ -1,4 +1,4 @@
-//! Structured lines on standard output, bounded in number and never blocking.
+//! Structured lines of a log, bounded in number and never blocking.
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
@@ -57,12 +57,16 @@
     /// # Errors
     ///
     /// The operating system has no thread to give.
-    pub fn start(vm: &str, level: LevelFilter) -> io::Result<Lines> {
+    pub fn start(
+        vm: &str,
+        level: LevelFilter,
+        out: impl Write + Send + 'static,
+    ) -> io::Result<Lines> {
         let (queue, lines) = sync_channel(QUEUE);
         let written = std::sync::Arc::new(AtomicU64::new(0));
         let count = std::sync::Arc::clone(&written);
         let thread = thread::Builder::new().name("log".to_string());
-        thread.spawn(move || write_all(&lines, &count))?;
+        thread.spawn(move || write_all(&lines, out, &count))?;
         Ok(Lines {
             vm: vm.to_string(),
             level,
@@ -155,8 +159,7 @@
 }
 
 /// Writes lines until the logger is gone, as many as wait in one go.
-fn write_all(lines: &Receiver<Vec<u8>>, written: &AtomicU64) {
-    let mut out = io::stdout();
+fn write_all(lines: &Receiver<Vec<u8>>, mut out: impl Write, written: &AtomicU64) {
     while let Ok(mut batch) = lines.recv() {
         let mut count = 1;
         while let Ok(line) = lines.try_recv() {
--- a/src/geraniummount/util/mod.rs
+++ b/src/geraniummount/util/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod fixed;
 pub mod h1;
+pub mod lines;
 pub mod published;
 pub mod table;
--- /dev/null
+++ b/tests/testsuite/log_lines.rs
@@ -0,0 +1,116 @@
+//! Structured logs: bounded, never blocking, and traced back to a request.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+
+use geraniummount::ops::trace::{self, Line};
+use geraniummount::util::lines::{Lines, suppressed};
+use log::{Level, LevelFilter, Log, Record};
+
+/// A reader that has stopped reading.
+struct Stuck(Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Ends with the test.
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A reader that keeps what it reads.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write(lines: &Lines, text: &str) {
+    let record = Record::builder();
+    let mut record = record;
+    let record = record.level(Level::Info).target("geraniummount::test");
+    lines.log(&record.args(format_args!("{text}")).build());
+}
+
+#[test]
+fn log_lines_are_dropped_and_counted_while_the_reader_is_stuck() {
+    let (end, stuck): (Sender<()>, _) = channel();
+    let lines = Lines::start("vm1", LevelFilter::Info, Stuck(stuck)).unwrap();
+    let before = suppressed();
+    // Each kind has a share of its own, so that the queue is what fills.
+    for number in 0..5000 {
+        write(&lines, &format!("kind{number} id=1"));
+    }
+    assert!(suppressed() - before >= 3000);
+    drop(end);
+}
+
+#[test]
+fn log_lines_of_one_kind_are_bounded_and_the_rest_counted() {
+    let kept = Kept::default();
+    let lines = Lines::start("vm1", LevelFilter::Info, kept.clone()).unwrap();
+    for number in 0..1000 {
+        write(&lines, &format!("attempt id={number}"));
+    }
+    write(&lines, "request id=7 outcome=answered");
+    lines.flush();
+    let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
+    let attempts = text.matches("event=attempt").count();
+    // The thousand lines may take more than a second on a busy machine.
+    assert!((1..1000).contains(&attempts), "{attempts} of 1000 lines");
+    assert!(text.contains("event=request id=7 outcome=answered"));
+}
+
+#[test]
+fn log_lines_below_the_level_are_not_written() {
+    let kept = Kept::default();
+    let lines = Lines::start("vm1", LevelFilter::Warn, kept.clone()).unwrap();
+    write(&lines, "request id=7");
+    lines.flush();
+    assert!(kept.0.lock().unwrap().is_empty());
+}
+
+#[test]
+fn log_lines_are_parsed_with_quotes_and_with_what_stands_before() {
+    let line = "   2.2 vm-1 t=17.250 level=warn vm=vm-1 event=store topic=leaves event=lost error=\"it is = away\"";
+    let line = Line::parse(line).unwrap();
+    assert_eq!(line.get("t"), Some("17.250"));
+    assert_eq!(line.get("event"), Some("store"));
+    assert_eq!(line.get("what"), Some("lost"));
+    assert_eq!(line.get("error"), Some("it is = away"));
+    assert!(Line::parse("no line of a log").is_none());
+}
+
+#[test]
+fn log_lines_of_a_request_are_shown_in_order() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("a.log");
+    let text = "t=2.500 level=info vm=vm1 event=request id=x outcome=failed status=502\n\
+                t=1.000 level=info vm=vm1 event=request id=y outcome=answered\n\
+                t=2.250 level=info vm=vm1 event=attempt id=x leaf=i-1 outcome=lost\n";
+    std::fs::write(&file, text).unwrap();
+    let files = [file];
+    let mut out = Vec::new();
+    trace::run("x", &files, false, &mut out).unwrap();
+    let shown = String::from_utf8(out).unwrap();
+    let expected = "       0 ms  vm1  attempt   leaf=i-1 outcome=lost\n     \
+                    250 ms  vm1  request   outcome=failed status=502\n";
+    assert_eq!(shown, expected);
+    let mut out = Vec::new();
+    trace::run("x", &files, true, &mut out).unwrap();
+    assert_eq!(String::from_utf8(out).unwrap().lines().count(), 2);
+    assert!(trace::run("z", &files, false, &mut Vec::new()).is_err());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod isolation;
 mod leaf_edge;
 mod leaf_queue;
+mod log_lines;
 mod node;
 mod operators_listener;
 mod overload;
