Hedge by the usual time of a request's own route

Cause: routes of one set of shards do unlike work (11 ms and 3.8 ms), and a part of the quick one was called late by the usual time of both.

Ruled out: nothing else in the hedge; its share of the budget stays.

Change: times of answers are kept by route. Tests: call (core, step by step), call_hedges_a_part_by_the_usual_time_of_its_own_route; the budget of all VMs together over any ten seconds.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -109,7 +109,10 @@
             return Vec::new();
         };
         let service = &self.shards[index].service;
-        placement.end(service, replica, attempt, reply.ending(), now);
+        let took = placement.end(service, replica, attempt, reply.ending(), now);
+        if let Some(took) = took.filter(|_| reply.ending() == Ending::Answered) {
+            placement.record(&self.plan.route, took);
+        }
         if self.finished {
             return Vec::new();
         }
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -15,6 +15,8 @@
 /// What a request asks for, and until when.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
+    /// Name of the route; requests of one route take alike times.
+    pub route: String,
     /// The service, or the services that hold a shard each.
     pub services: Vec<ServiceName>,
     /// Records in the answer and the least number of shards, for a query over
@@ -58,6 +60,7 @@
             None => service.into_iter().collect(),
         };
         Plan {
+            route: route.name.clone(),
             services,
             gather: gather.map(|gather| Coverage {
                 top: gather.top,
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -34,7 +34,8 @@
             sent: false,
         });
         let may_hedge = shard.sends < self.plan.attempts && self.plan.repeat == Repeat::Idempotent;
-        let late = placement.typical(&shard.service).mul_f64(LATE_FACTOR) + LATE_MIN;
+        let usual = placement.usual(&self.plan.route, &shard.service);
+        let late = usual.mul_f64(LATE_FACTOR) + LATE_MIN;
         shard.again_at = may_hedge.then_some(now + late);
         Action::Send {
             attempt,
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 
 use crate::core::instance::Instance;
+use crate::core::quantile::Quantile;
 use crate::core::retry_budget::RetryBudget;
 use crate::prelude::*;
 
@@ -42,6 +43,8 @@
     domain: DomainName,
     /// Sorted by name of the service.
     groups: Vec<Group>,
+    /// Times of answers by route, sorted by name.
+    routes: Vec<(String, Quantile)>,
     next_key: Key,
     next_attempt: AttemptId,
     rng: SmallRng,
@@ -53,6 +56,7 @@
         Placement {
             domain: domain.into(),
             groups: Vec::new(),
+            routes: Vec::new(),
             next_key: 0,
             next_attempt: 0,
             rng,
@@ -111,7 +115,7 @@
         attempt
     }
 
-    /// Notes the end of an attempt.
+    /// Notes the end of an attempt; returns the time that it took.
     pub fn end(
         &mut self,
         service: &str,
@@ -119,10 +123,8 @@
         attempt: AttemptId,
         ending: Ending,
         now: Instant,
-    ) {
-        let Ok(place) = self.search(service) else {
-            return;
-        };
+    ) -> Option<Duration> {
+        let place = self.search(service).ok()?;
         let group = &mut self.groups[place];
         let replica = group.replica_mut(key);
         let elapsed = replica.and_then(|replica| replica.end(attempt, ending, now));
@@ -131,6 +133,30 @@
         {
             group.record(elapsed);
         }
+        elapsed
+    }
+
+    /// Notes how long an answer to a request of a route took.
+    pub fn record(&mut self, route: &str, took: Duration) {
+        let place = self.search_route(route).unwrap_or_else(|place| {
+            let times = (route.to_string(), Quantile::default());
+            self.routes.insert(place, times);
+            place
+        });
+        self.routes[place].1.record(took);
+    }
+
+    /// Returns how long an answer to a request of a route usually takes, or of
+    /// the service where none of the route was measured.
+    pub fn usual(&self, route: &str, service: &str) -> Duration {
+        let place = self.search_route(route).ok();
+        let median = place.and_then(|place| self.routes[place].1.median());
+        median.unwrap_or_else(|| self.typical(service))
+    }
+
+    fn search_route(&self, route: &str) -> Result<usize, usize> {
+        self.routes
+            .binary_search_by(|times| times.0.as_str().cmp(route))
     }
 
     /// Returns whether a leaf stands in another failure domain than this VM.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 use geraniummount_test_support::{balanced, load, scene, trouble};
 
 mod bad_input;
+mod call;
 mod callers_listener;
 mod command_line;
 mod control_change_log;
