Serve leaves whose domain has no VM left from another domain

Cause: a leaf's owner was looked for in its own failure domain only. With the only VM of d2 killed, its leaf lived and could be reached, and each query lacked its shard (connect-failed, until the deadline).

Ruled out: a late view of the membership (the shard stayed out for 30 s); the leaf itself (a VM of another domain reaches it at once).

Change: where no VM of a leaf's domain is left, the domain that comes first in the leaf's hash order stands in, with the same order of owners and the same shares of connections. A survey asks such a VM alone.

--- a/src/geraniummount/core/members.rs
+++ b/src/geraniummount/core/members.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the failure domains that have VMs which are not given up.
+    pub(super) fn domains(&self) -> impl Iterator<Item = &DomainName> {
+        self.domains.iter().map(|domain| &domain.name)
+    }
+
     fn add(&mut self, place: usize) {
         let vm = &self.vms[place];
         let candidate = Candidate {
--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -5,6 +5,9 @@
 //! same members agree without a message. Ownership spares load; no promise
 //! rests on it, as two VMs that both hold a leaf stay within its connection
 //! limit by their shares and within its slots by the leaf's own shedding.
+//!
+//! Where no VM of the leaf's domain is left, VMs of another domain stand in:
+//! the leaf may live though all VMs beside it are lost.
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -34,13 +37,42 @@
 
 /// Finds where a part for `leaf` goes while some VMs are lost to this one.
 pub fn route_around<'a>(view: &'a View, leaf: &Leaf, is_lost: impl Fn(&Vm) -> bool) -> Route<'a> {
-    match first_of(view, &leaf.failure_domain, hash(leaf), is_lost) {
+    match first_of(view, &leaf.failure_domain, hash(leaf), &is_lost) {
         Some(vm) if vm.name == view.me => Route::Local,
         Some(vm) => Route::Peer(vm),
         // Finishes its own queries while it stops as the last of its domain.
         None if leaf.failure_domain == view.failure_domain => Route::Local,
-        None => Route::Nowhere,
+        None => match substitute(view, leaf, is_lost) {
+            Some(vm) if vm.name == view.me => Route::Local,
+            Some(vm) => Route::Peer(vm),
+            None => Route::Nowhere,
+        },
+    }
+}
+
+/// Returns the VM that serves a leaf whose own domain has no VM: the first of
+/// the domain that comes first in the leaf's order.
+fn substitute<'a>(view: &'a View, leaf: &Leaf, is_lost: impl Fn(&Vm) -> bool) -> Option<&'a Vm> {
+    let leaf_hash = hash(leaf);
+    let domains = view
+        .vms
+        .domains()
+        .filter(|domain| **domain != leaf.failure_domain);
+    let mut domains: Vec<&DomainName> = domains.collect();
+    domains.sort_by_key(|domain| std::cmp::Reverse(score(xxh3_64(domain.as_bytes()), leaf_hash)));
+    let mut firsts = domains.into_iter();
+    firsts.find_map(|domain| first_of(view, domain, leaf_hash, &is_lost))
+}
+
+/// Returns whether VMs of this domain stand in for those of the leaf's own,
+/// of which none lives.
+fn stands_in(view: &View, leaf: &Leaf) -> bool {
+    let own = view.vms.candidates(&leaf.failure_domain);
+    if own.iter().any(|candidate| candidate.state == State::Live) {
+        return false;
     }
+    let first = substitute(view, leaf, |_| false);
+    first.is_some_and(|vm| vm.failure_domain == view.failure_domain)
 }
 
 /// Returns the first VM of a failure domain in the order for a hash, those
@@ -65,9 +97,10 @@
 }
 
 /// Returns this VM's place in the hash order of the leaf's members that may
-/// still hold connections; `None` outside the leaf's failure domain.
+/// still hold connections; `None` outside the leaf's failure domain, unless
+/// this domain's VMs stand in for its own.
 pub fn rank(view: &View, leaf: &Leaf) -> Option<usize> {
-    if leaf.failure_domain != view.failure_domain {
+    if leaf.failure_domain != view.failure_domain && !stands_in(view, leaf) {
         return None;
     }
     let leaf_hash = hash(leaf);
@@ -77,7 +110,7 @@
         // No branch on the first comparison, which can't be predicted.
         (score > mine) | (score == mine && view.vms.vm(**candidate).name < view.me)
     };
-    let candidates = view.vms.candidates(&leaf.failure_domain).iter();
+    let candidates = view.vms.candidates(&view.failure_domain).iter();
     Some(candidates.filter(is_ahead).count())
 }
 
--- a/src/geraniummount/core/survey.rs
+++ b/src/geraniummount/core/survey.rs
@@ -60,11 +60,14 @@
         }
         let passed = |vm: &Vm| domain.asked.contains(&vm.peer_address) || is_lost(vm);
         match ownership::route_around(view, &domain.first, passed) {
-            Route::Peer(vm) => {
+            // A VM that stands in for a whole domain is asked alone.
+            Route::Peer(vm)
+                if vm.failure_domain == domain.first.failure_domain || domain.asked.is_empty() =>
+            {
                 domain.asked.push(vm.peer_address);
                 Some(vm.peer_address)
             }
-            Route::Local | Route::Nowhere => None,
+            Route::Peer(_) | Route::Local | Route::Nowhere => None,
         }
     }
 
--- a/tests/testsuite/takeover.rs
+++ b/tests/testsuite/takeover.rs
@@ -310,3 +310,49 @@
         }
     });
 }
+
+/// How the only VM of a failure domain is lost.
+#[derive(Debug)]
+struct LastCase {
+    _name: &'static str,
+    lose: fn(&mut Fleet, &str),
+}
+
+const LAST_CASES: [LastCase; 2] = [
+    LastCase {
+        _name: "killed",
+        lose: |fleet, vm| fleet.kill(vm),
+    },
+    LastCase {
+        _name: "frozen",
+        lose: |fleet, vm| fleet.freeze(vm),
+    },
+];
+
+/// A leaf whose domain has lost all VMs lives on, and VMs of another domain
+/// serve it.
+#[test]
+fn leaves_without_a_vm_of_their_domain_are_served_by_others() {
+    for_each(&LAST_CASES, |case| {
+        let _permit = Permit::take();
+        let plan = Plan::new(env!("CARGO_BIN_EXE_geraniummount"))
+            .seed(62)
+            .domain("near", 2)
+            .domain("far", 1)
+            .leaf("parts-1-1", "near", scene::behaviour("parts/1"))
+            .leaf("parts-2-1", "far", scene::behaviour("parts/2"));
+        let mut fleet = Fleet::start(plan).expect("fleet starts");
+        let shard = |number: usize| json!({"name": number.to_string(), "replicas": [format!("parts-{number}-1")]});
+        let shards = [shard(1), shard(2)];
+        fleet.apply_with_leaves("near-1", &[scene::service("parts", &shards, "coverage")]);
+        let last = fleet.vms_in("far").remove(0);
+        let before = owners(&fleet);
+        assert!(before.contains(&last), "{case:?}: {before:?}");
+        (case.lose)(&mut fleet, &last);
+        let owners = owners(&fleet);
+        assert!(
+            owners.iter().all(|owner| owner.starts_with("near")),
+            "{case:?}: {owners:?}"
+        );
+    });
+}
