--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Instant;
 
 use self::shard::{Settled, Shard};
-use crate::core::placement::{Ending, Placement};
+use crate::core::placement::{Ending, Key, Placement};
 use crate::core::route::Repeat;
 use crate::prelude::*;
 
@@ -187,7 +187,7 @@
         unsettled.count()
     }
 
-    fn close(&mut self, attempt: AttemptId) -> Option<(usize, crate::core::placement::Key)> {
+    fn close(&mut self, attempt: AttemptId) -> Option<(usize, Key)> {
         let mut shards = self.shards.iter_mut().enumerate();
         shards.find_map(|(index, shard)| Some((index, shard.close(attempt)?)))
     }
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -35,6 +35,7 @@
 pub mod ownership;
 pub mod part;
 pub mod placement;
+pub mod points;
 pub mod proposal;
 pub mod quantile;
 pub mod ranking;
--- a/src/geraniummount/core/overload.rs
+++ b/src/geraniummount/core/overload.rs
@@ -12,6 +12,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::core::points::Points;
+
 /// Weight of a new answer in the moving average of overdue parts.
 const ANSWER_WEIGHT: f64 = 0.3;
 
@@ -38,9 +40,6 @@
 /// Extra share of less urgent queries.
 const LESS_URGENT: f64 = 1.3;
 
-/// Fractional part of the golden ratio; its multiples are evenly spread.
-const STEP: f64 = 0.618_033_988_749_894_9;
-
 /// Share of the queries over one set of shards that is turned away.
 #[derive(Clone, Debug)]
 pub struct Overload {
@@ -49,7 +48,7 @@
     /// may lack.
     overdue: f64,
     updated: Instant,
-    point: f64,
+    points: Points,
 }
 
 impl Overload {
@@ -59,7 +58,7 @@
             share: 0.0,
             overdue: 0.0,
             updated: now,
-            point: 0.5,
+            points: Points::after(0.5),
         }
     }
 
@@ -82,8 +81,7 @@
         } else {
             self.share * LESS_URGENT
         };
-        self.point = (self.point + STEP).fract();
-        self.point >= share
+        self.points.next_point() >= share
     }
 
     /// Returns whether queries are turned away.
--- a/src/geraniummount/core/route/split.rs
+++ b/src/geraniummount/core/route/split.rs
@@ -1,26 +1,24 @@
 //! Distribution of requests over weighted services.
 //!
 //! Load pattern: a few hundred requests, of which each service shall get its
-//! share within some per cent. Independent draws scatter more than that, so a
-//! sequence of evenly spread points takes their place.
+//! share within some per cent. Evenly spread points do that, independent draws
+//! don't.
 
 use super::target::Weighted;
+use crate::core::points::Points;
 use crate::prelude::*;
 
-/// Fractional part of the golden ratio; its multiples are evenly spread.
-const STEP: f64 = 0.618_033_988_749_894_9;
-
-/// Source of evenly spread points in [0, 1).
+/// Chooses among weighted services.
 #[derive(Clone, Debug)]
 pub struct Split {
-    point: f64,
+    points: Points,
 }
 
 impl Split {
     /// Starts at a point in [0, 1); processes start at different ones.
     pub fn new(start: f64) -> Split {
         Split {
-            point: start.fract().abs(),
+            points: Points::after(start),
         }
     }
 
@@ -30,8 +28,7 @@
         if total <= 0.0 {
             return None;
         }
-        self.point = (self.point + STEP).fract();
-        let mut left = self.point * total;
+        let mut left = self.points.next_point() * total;
         for part in parts.iter().filter(|part| part.weight > 0.0) {
             if left < part.weight {
                 return Some(&part.service);
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -1,6 +1,8 @@
 //! Connections from callers.
 
-use std::time::Instant;
+use std::io;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
 
 use log::{debug, warn};
 use mio::Interest;
@@ -19,7 +21,7 @@
 
 /// Time that a connection with an answer to an unread request stays half open,
 /// so that the caller reads the answer before it sees a reset.
-const CLOSING: std::time::Duration = std::time::Duration::from_millis(500);
+const CLOSING: Duration = Duration::from_millis(500);
 
 /// A connection from a caller.
 #[derive(Debug)]
@@ -60,8 +62,8 @@
     loop {
         match listener?.accept() {
             Ok((stream, _)) => return Some(stream),
-            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return None,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
             Err(error) => {
                 warn!("accept outcome=failed error=\"{error}\"");
                 return None;
@@ -286,7 +288,7 @@
         key: usize,
         status: u16,
         why: &str,
-        retry_after: Option<std::time::Duration>,
+        retry_after: Option<Duration>,
     ) {
         let mut answer = Vec::with_capacity(160);
         h1::status_line(&mut answer, status);
@@ -317,7 +319,7 @@
         }
         if matches!(caller.state, State::Closing) {
             // A failure shows as the end of the connection.
-            let _ = caller.socket.stream.shutdown(std::net::Shutdown::Write);
+            let _ = caller.socket.stream.shutdown(Shutdown::Write);
             caller.socket.input.clear();
             return;
         }
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -3,7 +3,9 @@
 //! A request goes through here in five steps, each in a module of its own:
 //! [`caller`] reads it, [`admit`] finds its route and plans it, `core::call`
 //! decides where it goes, [`pool`] and [`leaf`] carry it to leaves and back,
-//! and [`answer`] writes the answer. [`watch`] keeps routes and leaves up to
+//! and [`answer`] writes the answer. Beside that way, [`load`] turns queries away
+//! while leaves can't keep up, [`reach`] notices that this VM is cut off, and
+//! [`stop`] ends it without cutting a request off. [`watch`] keeps routes and leaves up to
 //! date from the platform's store on threads of its own; [`probe`] tells the
 //! platform whether this process takes connections, and serves metrics.
 //!
--- a/src/geraniummount/edge/gateway/stop.rs
+++ b/src/geraniummount/edge/gateway/stop.rs
@@ -9,7 +9,7 @@
 use log::info;
 
 use super::Gateway;
-use super::caller::State;
+use super::caller::{Caller, State};
 use super::timers::Timer;
 
 /// Pause between looks whether a stop is over.
@@ -70,7 +70,7 @@
         let keys: Vec<usize> = self.callers.iter().map(|(key, _)| key).collect();
         for key in keys {
             self.read_caller(key, false);
-            let unused = |caller: &super::caller::Caller| {
+            let unused = |caller: &Caller| {
                 matches!(caller.state, State::Idle) && !caller.socket.is_blocked()
             };
             if self.callers.get(key).is_some_and(unused) {
