Tell requests of ended attempts after the event that ended them

Cause, found by reading: an attempt that ends while its request still sends the others (a kept connection found reset by the write) could end the request under the loop that sends, which then used a place that was no longer its own, or ended the process.

Change: ends of attempts wait in a queue until the event is dealt with.

--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -80,8 +80,31 @@
         self.set_wake(index);
     }
 
-    /// Tells a request how an attempt ended.
+    /// Notes how an attempt ended. Its request hears of it once the present
+    /// event is dealt with: what that event still does may concern the same
+    /// request.
     pub(super) fn deliver(&mut self, attempt: AttemptId, reply: Reply) {
+        if let Some(open) = self.attempts.get_mut(&attempt) {
+            open.connection = None;
+            self.delivered.push_back((attempt, reply));
+        }
+    }
+
+    /// Tells requests what was noted, and goes on with callers that were
+    /// answered, until nothing is left.
+    pub(super) fn settle(&mut self) {
+        loop {
+            if let Some((attempt, reply)) = self.delivered.pop_front() {
+                self.take_reply(attempt, reply);
+            } else if let Some(caller) = self.answered.pop() {
+                self.advance_caller(caller);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn take_reply(&mut self, attempt: AttemptId, reply: Reply) {
         let Some(open) = self.attempts.remove(&attempt) else {
             return;
         };
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod update;
 mod watch;
 
+use std::collections::VecDeque;
 use std::io;
 use std::sync::{Arc, mpsc};
 use std::time::Instant;
@@ -53,9 +54,11 @@
 use self::probe::Probe;
 use self::timers::{Timer, Timers};
 use self::token::Owner;
+use crate::core::call::Reply;
 use crate::core::isolation::Isolation;
 use crate::core::placement::Placement;
 use crate::core::route::{Split, Table};
+use crate::prelude::*;
 
 /// Events that one turn of the loop takes at most.
 const EVENTS: usize = 256;
@@ -91,6 +94,8 @@
     check: Option<(TcpStream, Instant)>,
     stop: Option<stop::Stop>,
     next_serial: u64,
+    /// Ends of attempts that their requests have not heard of.
+    delivered: VecDeque<(AttemptId, Reply)>,
     /// Callers whose answer has been written; what they sent ahead is due.
     answered: Vec<usize>,
     scratch: Vec<u8>,
@@ -135,6 +140,7 @@
             check: None,
             stop: None,
             next_serial: 0,
+            delivered: VecDeque::new(),
             answered: Vec::new(),
             scratch: vec![0; socket::READ_BYTES],
             now: Instant::now(),
@@ -166,10 +172,9 @@
             for event in &events {
                 self.on_event(event);
             }
+            self.settle();
             self.fire_timers();
-            while let Some(caller) = self.answered.pop() {
-                self.advance_caller(caller);
-            }
+            self.settle();
             if let Some(finished) = self.finished() {
                 return Ok(finished);
             }
--- a/tests/testsuite/platform/requests.rs
+++ b/tests/testsuite/platform/requests.rs
@@ -369,3 +369,38 @@
     let runs = one.runs();
     assert!(runs.len() >= 5);
 }
+
+/// Attempts that end before the next one is sent, at addresses where nobody
+/// listens.
+#[test]
+fn platform_requests_survive_leaves_that_refuse_at_once() {
+    let scene = Scene::start();
+    let shards = ["s1", "s2", "s3", "s4", "s5", "s6"];
+    scene.configure(
+        1,
+        &[
+            gather_route("/q/", &shards, 3, 0.9),
+            service_route("/a/", "idempotent", "one"),
+        ],
+    );
+    let one = leaf(&scene, "one", b"record");
+    for (number, shard) in shards.iter().enumerate() {
+        for replica in 0..2 {
+            let entry = format!(
+                r#"{{"backend":"{shard}","address":"127.0.0.1:{}","zone":"near","concurrency":2,"state":"ready"}}"#,
+                1 + number * 2 + replica
+            );
+            scene
+                .store
+                .put(&format!("servers/i-none-{number}-{replica}"), entry);
+        }
+    }
+    scene.wait_for("/a/x");
+    for _ in 0..30 {
+        let reply = scene.get("/q/x", 1000);
+        assert_eq!(reply.status, 503, "nothing was sent");
+        assert_eq!(scene.get("/a/x", 1000).status, 200);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+    assert!(one.runs().len() >= 30);
+}
