Let a domain stand in only once membership takes the leaf's own as dead

(1) peer_edge, a_part_for_a_peer_that_does_not_answer: while the link to the only owner was cut but membership still took it as live, the part was kept for this VM, which has no share of the leaf's connections then; it waited instead of being refused as not run at once. (2) log_lines, a stuck reader: the writing thread took lines out of the queue without a bound before its first write.

Change: (1) VMs of another domain stand in once no VM of the leaf's own is live by membership, as for their share of connections. (2) 16 KB in one go at most.

--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -42,6 +42,7 @@
         Some(vm) => Route::Peer(vm),
         // Finishes its own queries while it stops as the last of its domain.
         None if leaf.failure_domain == view.failure_domain => Route::Local,
+        None if !is_deserted(view, leaf) => Route::Nowhere,
         None => match substitute(view, leaf, is_lost) {
             Some(vm) if vm.name == view.me => Route::Local,
             Some(vm) => Route::Peer(vm),
@@ -50,6 +51,12 @@
     }
 }
 
+/// Returns whether no VM of the leaf's own domain lives.
+fn is_deserted(view: &View, leaf: &Leaf) -> bool {
+    let own = view.vms.candidates(&leaf.failure_domain);
+    !own.iter().any(|candidate| candidate.state == State::Live)
+}
+
 /// Returns the VM that serves a leaf whose own domain has no VM: the first of
 /// the domain that comes first in the leaf's order.
 fn substitute<'a>(view: &'a View, leaf: &Leaf, is_lost: impl Fn(&Vm) -> bool) -> Option<&'a Vm> {
@@ -67,12 +74,8 @@
 /// Returns whether VMs of this domain stand in for those of the leaf's own,
 /// of which none lives.
 fn stands_in(view: &View, leaf: &Leaf) -> bool {
-    let own = view.vms.candidates(&leaf.failure_domain);
-    if own.iter().any(|candidate| candidate.state == State::Live) {
-        return false;
-    }
-    let first = substitute(view, leaf, |_| false);
-    first.is_some_and(|vm| vm.failure_domain == view.failure_domain)
+    let first = || substitute(view, leaf, |_| false);
+    is_deserted(view, leaf) && first().is_some_and(|vm| vm.failure_domain == view.failure_domain)
 }
 
 /// Returns the first VM of a failure domain in the order for a hash, those
--- a/src/geraniummount/util/lines.rs
+++ b/src/geraniummount/util/lines.rs
@@ -16,6 +16,10 @@
 /// Lines of one kind that are written in a second.
 const PER_KIND: u32 = 100;
 
+/// Bytes that are written in one go at most; more would take lines out of the
+/// queue while the reader is stuck.
+const BATCH_BYTES: usize = 16 * 1024;
+
 /// Span in which lines of a kind are counted.
 const SPAN: Duration = Duration::from_secs(1);
 
@@ -162,7 +166,9 @@
 fn write_all(lines: &Receiver<Vec<u8>>, mut out: impl Write, written: &AtomicU64) {
     while let Ok(mut batch) = lines.recv() {
         let mut count = 1;
-        while let Ok(line) = lines.try_recv() {
+        while batch.len() < BATCH_BYTES
+            && let Ok(line) = lines.try_recv()
+        {
             batch.extend_from_slice(&line);
             count += 1;
         }
