--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -7,7 +7,7 @@
 use crate::core::placement::{Key, Placement};
 use crate::core::route::Repeat;
 
-/// A part is late after this many usual times of its service.
+/// A part is late after this many usual times of its route.
 const LATE_FACTOR: f64 = 2.0;
 
 /// A part is late no sooner than this.
