Pace reads of the store by the platform's bounds

Each change of a leaf ended the wait of all 70 VMs, and each read again 300 ms later; while the store turned VMs away, each tried every 0.8 s and read all keys.

Ruled out: one watch for both kinds of keys (routes change seldom, so it saves next to nothing); stale reads (up to 5.5 s behind, longer than a leaving leaf serves).

Change: core::pace. The pause after a change follows the bounds that the settings now carry ([bounds] leaving_ms, apply_ms): 0.3 s on the first sites as before, 2 s on the grown ones. Tries at a lost store become rarer up to 2 s where something is in force. Test: pace (60/0.35 = 171 calls a minute of 40 allowed with the pause before).

--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -33,6 +33,7 @@
 pub mod outcome;
 pub mod overload;
 pub mod ownership;
+pub mod pace;
 pub mod part;
 pub mod placement;
 pub mod points;
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -161,7 +161,7 @@
     ///
     /// The operating system refuses to wait for events.
     pub fn run(mut self) -> io::Result<bool> {
-        watch::start(self.options.store, &self.sender)?;
+        watch::start(&self.options, &self.sender)?;
         let mut events = Events::with_capacity(EVENTS);
         loop {
             let wait = self.timers.wait(Instant::now());
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -24,4 +24,8 @@
     pub linger: Duration,
     /// Time after which a planned stop ends with requests unanswered.
     pub drain: Duration,
+    /// Time that a leaf still serves after it was registered as leaving.
+    pub leaving: Duration,
+    /// Time in which a version of the routes has to be in force.
+    pub apply: Duration,
 }
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -5,34 +5,22 @@
 //! is away, what was known last stays in force.
 
 use std::io;
-use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use rand::RngExt;
 
+use super::options::Options;
 use super::update::{Sender, Update};
 use crate::core::feed::Feed;
+use crate::core::pace::Pace;
 use crate::platform::{self, Error, Store};
 use crate::prelude::*;
 
 /// Longest wait for a change in one call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Pause after a change of the routes, so that changes which come together are
-/// read together. A change has seconds to come into force.
-const ROUTES_PAUSE: Duration = Duration::from_millis(300);
-
-/// Pause after a change of the leaves.
-const LEAVES_PAUSE: Duration = Duration::from_millis(300);
-
-/// First pause after a failed call; doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-
-/// Longest pause after failed calls.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-
 /// What one thread keeps up to date.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Topic {
@@ -48,20 +36,23 @@
     feed: Feed,
     /// Version of the routes that were sent last.
     version: Option<u64>,
-    failures: u32,
+    pace: Pace,
+    /// Whether anything was published.
+    known: bool,
     lost_at: Option<Instant>,
 }
 
 /// Starts both threads.
-pub(super) fn start(store: SocketAddr, sender: &Sender) -> io::Result<()> {
+pub(super) fn start(options: &Options, sender: &Sender) -> io::Result<()> {
     for topic in [Topic::Routes, Topic::Leaves] {
         let watcher = Watcher {
             topic,
-            store: Store::new(store),
+            store: Store::new(options.store),
             sender: sender.clone(),
             feed: Feed::default(),
             version: None,
-            failures: 0,
+            pace: topic.pace(options),
+            known: false,
             lost_at: None,
         };
         let thread = thread::Builder::new().name(topic.name().to_string());
@@ -78,10 +69,10 @@
         }
     }
 
-    fn pause(self) -> Duration {
+    fn pace(self, options: &Options) -> Pace {
         match self {
-            Topic::Routes => ROUTES_PAUSE,
-            Topic::Leaves => LEAVES_PAUSE,
+            Topic::Routes => Pace::of_routes(options.apply),
+            Topic::Leaves => Pace::of_leaves(options.leaving),
         }
     }
 
@@ -108,7 +99,8 @@
                         return;
                     }
                     if changed {
-                        thread::sleep(self.topic.pause());
+                        self.known = true;
+                        thread::sleep(self.pace.after_change());
                     }
                 }
                 Err(Error::Compacted) => {
@@ -211,16 +203,12 @@
             self.lost_at = Some(Instant::now());
             warn!("store topic={topic} event=lost error=\"{error}\"");
         }
-        let doublings = self.failures.min(8);
-        self.failures += 1;
-        let pause = FIRST_PAUSE
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_PAUSE);
-        thread::sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0)));
+        let spread = rand::rng().random_range(0.0..1.0);
+        thread::sleep(self.pace.on_failure(self.known, spread));
     }
 
     fn regained(&mut self) {
-        self.failures = 0;
+        self.pace.on_answer();
         if let Some(lost_at) = self.lost_at.take() {
             let topic = self.topic.name();
             let away_ms = lost_at.elapsed().as_millis();
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -13,10 +13,12 @@
 use crate::edge::gateway::Options;
 
 /// Names of the sections that a settings file may have.
-const SECTIONS: &[&str] = &["gateway", "platform", "limits", "log"];
+const SECTIONS: &[&str] = &["gateway", "platform", "bounds", "limits", "log"];
 
 const DEFAULT_LINGER_MS: u64 = 2_300;
 const DEFAULT_DRAIN_MS: u64 = 5_400;
+const DEFAULT_LEAVING_MS: u64 = 3_000;
+const DEFAULT_APPLY_MS: u64 = 3_000;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,9 +61,10 @@
 fn read(document: &Document, faults: &mut Faults) -> Option<Gateway> {
     let own = Own::read(&mut Section::new(document, "gateway", faults));
     let store = read_store(&mut Section::new(document, "platform", faults));
+    let bounds = Bounds::read(&mut Section::new(document, "bounds", faults));
     let limits = Stop::read(&mut Section::new(document, "limits", faults));
     let log = Log::read(&mut Section::new(document, "log", faults));
-    let (own, limits) = (own?, limits?);
+    let (own, bounds, limits) = (own?, bounds?, limits?);
     Some(Gateway {
         options: Options {
             name: own.name,
@@ -72,6 +75,8 @@
             store: store?,
             linger: limits.linger,
             drain: limits.drain,
+            leaving: bounds.leaving,
+            apply: bounds.apply,
         },
         log: log?,
     })
@@ -109,6 +114,24 @@
     }
 }
 
+/// Section `[bounds]`: what the platform asks of every VM.
+struct Bounds {
+    leaving: Duration,
+    apply: Duration,
+}
+
+impl Bounds {
+    fn read(section: &mut Section<'_>) -> Option<Bounds> {
+        section.allow(&["leaving_ms", "apply_ms"]);
+        let leaving = section.millis("leaving_ms", DEFAULT_LEAVING_MS, 0..=600_000);
+        let apply = section.millis("apply_ms", DEFAULT_APPLY_MS, 0..=600_000);
+        Some(Bounds {
+            leaving: leaving?,
+            apply: apply?,
+        })
+    }
+}
+
 /// Section `[limits]`: the steps of a planned stop.
 struct Stop {
     linger: Duration,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod node;
 mod operators_listener;
 mod overload;
+mod pace;
 mod path;
 mod peer_edge;
 mod placement;
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -45,6 +45,8 @@
             store: store.address(),
             linger: Duration::from_millis(200),
             drain: Duration::from_secs(10),
+            leaving: Duration::from_secs(3),
+            apply: Duration::from_secs(3),
         };
         let (callers, ready) = (options.callers, options.ready);
         let gateway = Gateway::bind(options).unwrap();
