Answer earlier by the shards, and save extra attempts by own requests

Beside it a risk: each VM saved up 3 extra attempts a service, 246 with 82 VMs, of 172 to 180 allowed.

Ruled out: processor time (15 us a part; 90 parts take some 12 ms at 0.12 cores, spread over the query), a late event loop (answers left at 69 to 70 ms by the VM's own clock).

Change: Plan keeps back 60 us a shard. placement::Allowance bounds what a VM saves by its own recent requests.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -81,7 +81,7 @@
         now: Instant,
     ) -> Option<Action> {
         let service = &self.shards[index].service;
-        placement.earn(service);
+        placement.earn(service, now);
         let Some(replica) = placement.choose(service, &[], now) else {
             self.shards[index].settle(Settled::Missing);
             return None;
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -9,6 +9,10 @@
 /// Time kept back from the aim for the answer's way to the caller.
 const AIM_MARGIN: Duration = Duration::from_millis(11);
 
+/// Time kept back for each shard: a small VM takes as long to merge its part
+/// and to send its signature over a narrow link.
+const SHARD_MARGIN: Duration = Duration::from_micros(60);
+
 /// The margin is at least the aim divided by this.
 const AIM_MARGIN_DIVISOR: u32 = 8;
 
@@ -53,12 +57,14 @@
     ) -> Plan {
         let patience = patience.map_or(route.timeout, |time| time.min(route.timeout));
         let end_by = margin::answer_by(now + patience, now);
-        let kept = AIM_MARGIN.max(route.aim / AIM_MARGIN_DIVISOR);
-        let answer_by = now + route.aim.saturating_sub(kept);
         let services = match gather {
             Some(gather) => gather.shards.clone(),
             None => service.into_iter().collect(),
         };
+        let shards = u32::try_from(services.len()).unwrap_or(u32::MAX);
+        let kept = AIM_MARGIN + SHARD_MARGIN.saturating_mul(shards);
+        let kept = kept.max(route.aim / AIM_MARGIN_DIVISOR);
+        let answer_by = now + route.aim.saturating_sub(kept);
         Plan {
             route: route.name.clone(),
             services,
--- /dev/null
+++ b/src/geraniummount/core/placement/allowance.rs
@@ -0,0 +1,65 @@
+//! Requests to one service that this VM may send once more.
+//!
+//! Load pattern: all VMs draw on one allowance for each service, and none
+//! knows how many they are. A VM that sends a service many requests may save
+//! up a few attempts for a bad moment. If each of many VMs, with few requests
+//! each, saved up as many, they would exceed the allowance together. What a VM
+//! may save therefore follows its own recent requests, and a VM that has just
+//! started has less than one attempt.
+
+use std::time::{Duration, Instant};
+
+use crate::core::retry_budget::RetryBudget;
+
+/// Share of a service's requests that may be sent once more.
+const SHARE: f64 = 0.2;
+
+/// Most attempts that a VM saves up.
+const MOST_SAVED: f64 = 3.0;
+
+/// Most attempts that a VM with few requests saves up; with less than one it
+/// could never send again.
+const LEAST_SAVED: f64 = 1.0;
+
+/// Attempts that a VM has when it starts, so that its first request to a
+/// service can be hedged.
+const SAVED_AT_START: f64 = 0.8;
+
+/// Time in which all but a third of the earlier requests are forgotten.
+const MEMORY: Duration = Duration::from_secs(10);
+
+/// Requests to one service that this VM may send once more.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    budget: RetryBudget,
+    /// Requests sent lately, older ones counting less.
+    recent: f64,
+    updated: Instant,
+}
+
+impl Allowance {
+    /// Starts without any request.
+    pub fn new(now: Instant) -> Allowance {
+        Allowance {
+            budget: RetryBudget::with_burst(SHARE, LEAST_SAVED, SAVED_AT_START),
+            recent: 0.0,
+            updated: now,
+        }
+    }
+
+    /// Notes a request that is sent for the first time.
+    pub fn earn(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.updated);
+        self.updated = now;
+        self.recent *= (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        self.recent += 1.0;
+        let most = (self.recent * SHARE).clamp(LEAST_SAVED, MOST_SAVED);
+        self.budget.set_burst(most);
+        self.budget.earn(1);
+    }
+
+    /// Takes the right to send a request once more, if there is one.
+    pub fn take(&mut self) -> bool {
+        self.budget.take()
+    }
+}
--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use super::allowance::Allowance;
 use super::replica::{Key, Replica};
 use crate::core::instance::Instance;
 use crate::core::quantile::Quantile;
-use crate::core::retry_budget::RetryBudget;
 use crate::prelude::*;
 
 /// Time of an answer before any was measured.
@@ -17,16 +17,16 @@
     /// The service.
     pub service: ServiceName,
     /// Requests that may be sent once more.
-    pub budget: RetryBudget,
+    pub allowance: Allowance,
     replicas: Vec<Replica>,
     times: Quantile,
 }
 
 impl Group {
-    pub(super) fn new(service: ServiceName, budget: RetryBudget) -> Group {
+    pub(super) fn new(service: ServiceName, allowance: Allowance) -> Group {
         Group {
             service,
-            budget,
+            allowance,
             replicas: Vec::new(),
             times: Quantile::default(),
         }
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -6,6 +6,7 @@
 //! its last requests took there, how many of them are open, and how long the
 //! oldest of these has been waiting. The last one shows a pause while it lasts.
 
+mod allowance;
 mod group;
 mod replica;
 
@@ -16,19 +17,12 @@
 
 use crate::core::instance::Instance;
 use crate::core::quantile::Quantile;
-use crate::core::retry_budget::RetryBudget;
 use crate::prelude::*;
 
+pub use self::allowance::Allowance;
 pub use self::group::Group;
 pub use self::replica::{Ending, Key, Replica};
 
-/// Share of a service's requests that may be sent once more.
-pub const EXTRA_SHARE: f64 = 0.2;
-
-/// Requests that this VM may send once more beyond the share. All VMs of a
-/// service add up to less than the users' allowance of some 50.
-pub const EXTRA_BURST: f64 = 3.0;
-
 /// Time that a leaf which is no longer registered is kept as the last choice.
 /// Registrations that were lost while the store was away come back within it.
 pub const LAPSE: Duration = Duration::from_millis(2_000);
@@ -70,7 +64,7 @@
             group.mark_all(now);
         }
         for instance in instances {
-            let place = self.place(&instance.service);
+            let place = self.place(&instance.service, now);
             let near = instance.domain == self.domain;
             if self.groups[place].take(instance, near, self.next_key, now) {
                 self.next_key += 1;
@@ -219,22 +213,16 @@
     }
 
     /// Notes a request that was sent to the service for the first time.
-    pub fn earn(&mut self, service: &str) {
+    pub fn earn(&mut self, service: &str, now: Instant) {
         if let Ok(place) = self.search(service) {
-            self.groups[place].budget.earn(1);
+            self.groups[place].allowance.earn(now);
         }
     }
 
     /// Takes the right to send a request once more, if the budget has it.
     pub fn take_extra(&mut self, service: &str) -> bool {
         let place = self.search(service);
-        place.is_ok_and(|place| self.groups[place].budget.take())
-    }
-
-    /// Returns whether the budget has a request to send once more.
-    pub fn has_extra(&self, service: &str) -> bool {
-        self.group(service)
-            .is_some_and(|group| group.budget.can_hedge())
+        place.is_ok_and(|place| self.groups[place].allowance.take())
     }
 
     fn search(&self, service: &str) -> Result<usize, usize> {
@@ -242,11 +230,11 @@
         self.groups.binary_search_by(order)
     }
 
-    fn place(&mut self, service: &ServiceName) -> usize {
+    fn place(&mut self, service: &ServiceName, now: Instant) -> usize {
         self.search(service).unwrap_or_else(|place| {
-            let budget = RetryBudget::with_burst(EXTRA_SHARE, EXTRA_BURST);
+            let allowance = Allowance::new(now);
             self.groups
-                .insert(place, Group::new(service.clone(), budget));
+                .insert(place, Group::new(service.clone(), allowance));
             place
         })
     }
--- a/src/geraniummount/core/retry_budget.rs
+++ b/src/geraniummount/core/retry_budget.rs
@@ -37,19 +37,25 @@
         budget
     }
 
-    /// Starts with a full budget of which at most `burst` is saved, and
-    /// nothing reserved, so that no time span sees more than the share and
-    /// the burst.
-    pub fn with_burst(share: f64, burst: f64) -> RetryBudget {
+    /// Starts with a budget of which at most `burst` is saved, `saved` from the
+    /// start, and nothing reserved, so that no time span sees more than the
+    /// share and the burst.
+    pub fn with_burst(share: f64, burst: f64, saved: f64) -> RetryBudget {
         RetryBudget {
             share,
             burst,
             most_reserved: 0.0,
-            saved: burst,
+            saved,
             reserved: 0.0,
         }
     }
 
+    /// Takes over a changed bound on what is saved.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.saved = self.saved.min(burst);
+    }
+
     /// Takes over a changed share of the parts sent first.
     pub fn configure(&mut self, extra_percent: u8) {
         self.share = f64::from(extra_percent) / 100.0;
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -254,37 +254,118 @@
     );
 }
 
+/// VMs that share an allowance, and what they send.
+#[derive(Debug)]
+struct Fleet {
+    name: &'static str,
+    vms: usize,
+    /// Time between two requests to the service.
+    period: Duration,
+    /// Attempts that all may send beyond the share, in any window.
+    slack: f64,
+    /// Whether half of the VMs start anew in the middle.
+    restarts: bool,
+}
+
+const FLEETS: &[Fleet] = &[
+    Fleet {
+        name: "few VMs with many requests each",
+        vms: 12,
+        period: Duration::from_millis(5),
+        slack: 54.0,
+        restarts: false,
+    },
+    Fleet {
+        name: "many VMs with few requests each",
+        vms: 82,
+        period: Duration::from_millis(22),
+        slack: 172.0,
+        restarts: false,
+    },
+    Fleet {
+        name: "many VMs, half of which start anew",
+        vms: 82,
+        period: Duration::from_millis(22),
+        slack: 172.0,
+        restarts: true,
+    },
+    Fleet {
+        name: "some hundred VMs",
+        vms: 330,
+        period: Duration::from_millis(6),
+        slack: 640.0,
+        restarts: true,
+    },
+];
+
+/// Share of a service's requests that may be sent once more.
+const EXTRA_SHARE: f64 = 0.2;
+
+/// Span over which extra attempts are counted.
+const EXTRA_WINDOW: Duration = Duration::from_secs(10);
+
 /// All VMs together stay within a service's allowance, though each counts its
 /// own requests only, also where every first attempt fails.
 #[test]
 fn call_extra_attempts_of_all_vms_stay_within_the_allowance() {
-    const VMS: usize = 12;
-    const SHARE: f64 = 0.2;
-    const SLACK: f64 = 54.0;
-    let start = Instant::now();
-    let mut vms: Vec<Placement> = (0..VMS).map(|_| placement(&["s"], start)).collect();
-    let mut sent_at: Vec<(Instant, bool)> = Vec::new();
-    for step in 0..6000_u64 {
-        // A quiet spell saves up nothing beyond the burst.
-        let now = start + ms(step * 5) + ms(if step >= 3000 { 20_000 } else { 0 });
-        let vm = &mut vms[step as usize % VMS];
-        let mut call = Call::new(plan(&["s"], Some(1), Repeat::Idempotent, now), now);
-        let mut open = sent(&call.start(vm, now));
-        sent_at.extend(open.iter().map(|_| (now, false)));
-        while let Some(attempt) = open.pop() {
-            let again = sent(&call.on_reply(attempt, Reply::Rejected, vm, now));
-            sent_at.extend(again.iter().map(|_| (now, true)));
-            open.extend(again);
+    for fleet in FLEETS {
+        let sent_at = fleet.play();
+        for (from, _) in sent_at.iter().step_by(50) {
+            let inside = sent_at.iter();
+            let inside = inside.filter(|(at, _)| at >= from && *at < *from + EXTRA_WINDOW);
+            let all = inside.clone().count();
+            let extra = inside.filter(|(_, extra)| *extra).count();
+            let allowed = EXTRA_SHARE * (all - extra) as f64 + fleet.slack;
+            assert!(
+                extra as f64 <= allowed,
+                "{}: {extra} of {allowed}",
+                fleet.name
+            );
         }
+        assert!(sent_at.iter().any(|(_, extra)| *extra), "{}", fleet.name);
     }
-    let window = Duration::from_secs(10);
-    for (from, _) in sent_at.iter().step_by(50) {
-        let inside = sent_at.iter();
-        let inside = inside.filter(|(at, _)| at >= from && *at < *from + window);
-        let all = inside.clone().count();
-        let extra = inside.filter(|(_, extra)| *extra).count();
-        let allowed = SHARE * (all - extra) as f64 + SLACK;
-        assert!(extra as f64 <= allowed, "{extra} extra of {allowed}");
+}
+
+/// A VM that has just started can send a part of its first query once more.
+#[test]
+fn call_first_request_of_a_vm_may_be_sent_once_more() {
+    let start = Instant::now();
+    let mut vm = placement(&["s"], start);
+    let mut call = Call::new(plan(&["s"], Some(1), Repeat::Idempotent, start), start);
+    let open = sent(&call.start(&mut vm, start));
+    let again = sent(&call.on_reply(open[0], Reply::Rejected, &mut vm, start));
+    assert_eq!(again.len(), 1);
+}
+
+impl Fleet {
+    /// Plays half a minute with a quiet spell in the middle; returns when each
+    /// attempt was sent, and whether it was an extra one.
+    fn play(&self) -> Vec<(Instant, bool)> {
+        const SPAN: Duration = Duration::from_secs(30);
+        let start = Instant::now();
+        let mut vms: Vec<Placement> = (0..self.vms).map(|_| placement(&["s"], start)).collect();
+        let mut sent_at: Vec<(Instant, bool)> = Vec::new();
+        let steps = SPAN.as_millis() / self.period.as_millis();
+        for step in 0..u32::try_from(steps).unwrap() {
+            let is_later = u128::from(step) >= steps / 2;
+            // A quiet spell saves up nothing beyond the burst.
+            let quiet = ms(if is_later { 20_000 } else { 0 });
+            let now = start + self.period * step + quiet;
+            if self.restarts && u128::from(step) == steps * 3 / 4 {
+                vms.iter_mut()
+                    .step_by(2)
+                    .for_each(|vm| *vm = placement(&["s"], now));
+            }
+            let vm = &mut vms[step as usize % self.vms];
+            let mut call = Call::new(plan(&["s"], Some(1), Repeat::Idempotent, now), now);
+            let mut open = sent(&call.start(vm, now));
+            sent_at.extend(open.iter().map(|_| (now, false)));
+            while let Some(attempt) = open.pop() {
+                let again = sent(&call.on_reply(attempt, Reply::Rejected, vm, now));
+                sent_at.extend(again.iter().map(|_| (now, true)));
+                open.extend(again);
+            }
+        }
+        sent_at
     }
-    assert!(sent_at.iter().any(|(_, extra)| *extra));
 }
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -92,11 +92,36 @@
     time: Duration,
 }
 
+/// Seeds whose answers are taken together: the 95th percentile of one alone
+/// moves by a tenth with the order of the first few requests.
+const SEEDS: RangeInclusive<u64> = SEED..=SEED + 4;
+
+/// Plays a load with all seeds.
+fn replay_all(case: &Case, only_first: bool) -> Outcome {
+    let played: Vec<Played> = SEEDS.map(|seed| replay(case, seed, only_first)).collect();
+    let answers =
+        |leaf: usize| -> f64 { played.iter().map(|p| p.answers[leaf]).sum::<u32>().into() };
+    let mut times: Vec<Duration> = played.iter().flat_map(|p| &p.times).copied().collect();
+    times.sort_unstable();
+    Outcome {
+        share: answers(1) / (answers(0) + answers(1)),
+        time: times[times.len() * 95 / 100],
+    }
+}
+
+/// The answers of one played load.
+struct Played {
+    /// Answers of each leaf.
+    answers: [u32; 2],
+    /// Time until each answer.
+    times: Vec<Duration>,
+}
+
 /// Sends requests for 30 seconds. A rejected one goes to the other leaf if the
 /// budget allows, else it waits for the budget.
-fn replay(case: &Case, only_first: bool) -> Outcome {
-    let mut rng = SmallRng::seed_from_u64(SEED);
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+fn replay(case: &Case, seed: u64, only_first: bool) -> Played {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut placement = Placement::new("near", SmallRng::seed_from_u64(seed));
     let start = Instant::now();
     placement.update(&[instance("a", "near"), instance("b", "near")], start);
     let replicas = placement.group(SERVICE).unwrap().replicas();
@@ -113,7 +138,7 @@
         for (at, key, attempt, ending) in ends.drain(..due) {
             placement.end(SERVICE, key, attempt, ending, at);
         }
-        placement.earn(SERVICE);
+        placement.earn(SERVICE, now);
         let mut tried = Vec::new();
         let mut sent = now;
         while let Some(key) = match only_first {
@@ -144,17 +169,13 @@
             break;
         }
     }
-    times.sort_unstable();
-    Outcome {
-        share: f64::from(answers[1]) / f64::from(answers[0] + answers[1]),
-        time: times[times.len() * 95 / 100],
-    }
+    Played { answers, times }
 }
 
 #[test]
 fn placement_uses_a_worse_replica_as_far_as_it_helps() {
     for case in CASES {
-        let (plain, chosen) = (replay(case, true), replay(case, false));
+        let (plain, chosen) = (replay_all(case, true), replay_all(case, false));
         let ratio = chosen.time.as_secs_f64() / plain.time.as_secs_f64();
         let (name, share) = (case.name, chosen.share);
         eprintln!(
