Avoid a leaf that failed for some requests, however few these are

A leaf that failed was left alone for 300 ms and its slowness forgotten in 4 s, so nearly each request met it again.

Ruled out: longer suspensions for all: with few replicas a shard would have none left; a leaf that failed is therefore the last choice, not excluded.

Change: Replica::reluctance. After a failure a leaf is the last choice for 4 requests to the service, doubling; half of what is known of its speed is forgotten in 8 requests at the earliest.

--- a/src/geraniummount/core/placement/allowance.rs
+++ b/src/geraniummount/core/placement/allowance.rs
@@ -28,6 +28,9 @@
 /// Time in which all but a third of the earlier requests are forgotten.
 const MEMORY: Duration = Duration::from_secs(10);
 
+/// Recent requests that are assumed at least.
+const FEWEST_RECENT: f64 = 4.0;
+
 /// Requests to one service that this VM may send once more.
 #[derive(Clone, Debug)]
 pub struct Allowance {
@@ -58,6 +61,11 @@
         self.budget.earn(1);
     }
 
+    /// Returns the usual time between two requests of this VM to the service.
+    pub fn interval(&self) -> Duration {
+        MEMORY.div_f64(self.recent.max(FEWEST_RECENT))
+    }
+
     /// Takes the right to send a request once more, if there is one.
     pub fn take(&mut self) -> bool {
         self.budget.take()
--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::allowance::Allowance;
-use super::replica::{Key, Replica};
+use super::replica::{Ending, Key, Replica};
 use crate::core::instance::Instance;
 use crate::core::quantile::Quantile;
 use crate::prelude::*;
@@ -46,9 +46,35 @@
         self.replicas.iter_mut().find(|replica| replica.key == key)
     }
 
-    /// Notes how long an answer took.
-    pub fn record(&mut self, elapsed: Duration) {
-        self.times.record(elapsed);
+    /// Notes the end of an attempt; returns the time that it took.
+    pub(super) fn end(
+        &mut self,
+        key: Key,
+        attempt: AttemptId,
+        ending: Ending,
+        now: Instant,
+    ) -> Option<Duration> {
+        let interval = self.allowance.interval();
+        let replica = self.replica_mut(key)?;
+        let elapsed = replica.end(attempt, ending, interval, now)?;
+        if ending == Ending::Answered {
+            self.times.record(elapsed);
+        }
+        Some(elapsed)
+    }
+
+    /// Notes that a leaf did not even answer late.
+    pub(super) fn stay_silent(&mut self, key: Key, now: Instant) {
+        let interval = self.allowance.interval();
+        if let Some(replica) = self.replica_mut(key) {
+            replica.stay_silent(interval, now);
+        }
+    }
+
+    /// Returns how long a request that is sent now is expected to take at a
+    /// leaf.
+    pub fn expected(&self, replica: &Replica, now: Instant) -> Duration {
+        replica.expected(self.typical(), self.allowance.interval(), now)
     }
 
     /// Returns how long an answer usually takes.
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::allowance::Allowance;
 pub use self::group::Group;
-pub use self::replica::{Ending, Key, Replica};
+pub use self::replica::{Ending, Key, Reluctance, Replica};
 
 /// Time that a leaf which is no longer registered is kept as the last choice.
 /// Registrations that were lost while the store was away come back within it.
@@ -83,8 +83,8 @@
     /// Notes that a leaf did not even answer late.
     pub fn stay_silent(&mut self, key: Key, now: Instant) {
         let mut groups = self.groups.iter_mut();
-        if let Some(replica) = groups.find_map(|group| group.replica_mut(key)) {
-            replica.stay_silent(now);
+        if let Some(group) = groups.find(|group| group.replica(key).is_some()) {
+            group.stay_silent(key, now);
         }
     }
 
@@ -119,15 +119,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let place = self.search(service).ok()?;
-        let group = &mut self.groups[place];
-        let replica = group.replica_mut(key);
-        let elapsed = replica.and_then(|replica| replica.end(attempt, ending, now));
-        if let Some(elapsed) = elapsed
-            && ending == Ending::Answered
-        {
-            group.record(elapsed);
-        }
-        elapsed
+        self.groups[place].end(key, attempt, ending, now)
     }
 
     /// Notes how long an answer to a request of a route took.
@@ -183,15 +175,15 @@
     /// already tried.
     pub fn choose(&mut self, service: &str, tried: &[Key], now: Instant) -> Option<Key> {
         let place = self.search(service).ok()?;
-        let typical = self.groups[place].typical();
-        let mut best: Option<(bool, f64, Key)> = None;
-        for replica in self.groups[place].replicas() {
+        let group = &self.groups[place];
+        let mut best: Option<(Reluctance, f64, Key)> = None;
+        for replica in group.replicas() {
             if tried.contains(&replica.key) || !replica.is_usable(now) {
                 continue;
             }
             let spread = spread(&mut self.rng);
-            let expected = replica.expected(typical, now).as_secs_f64() * spread;
-            let found = (replica.has_lapsed(), expected, replica.key);
+            let expected = group.expected(replica, now).as_secs_f64() * spread;
+            let found = (replica.reluctance(now), expected, replica.key);
             if best.is_none_or(|least| (found.0, found.1) < (least.0, least.1)) {
                 best = Some(found);
             }
@@ -201,9 +193,9 @@
 
     /// Returns how long a leaf is expected to take for a request sent now.
     pub fn expected(&self, service: &str, key: Key, now: Instant) -> Duration {
-        let typical = self.typical(service);
-        let replica = self.replica(service, key);
-        replica.map_or(typical, |replica| replica.expected(typical, now))
+        let group = self.group(service);
+        let expected = group.and_then(|group| Some(group.expected(group.replica(key)?, now)));
+        expected.unwrap_or_else(|| self.typical(service))
     }
 
     /// Returns how long an answer of the service usually takes.
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -12,10 +12,20 @@
 /// Weight of a new measurement in the moving average.
 const NEW_WEIGHT: f64 = 0.3;
 
-/// Time in which half of what is known of a leaf's speed is forgotten, so
-/// that a leaf that was slow is tried again.
+/// Shortest time in which half of what is known of a leaf's speed is
+/// forgotten, so that a leaf that was slow is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Requests to the service in which half is forgotten at the earliest.
+const HALF_LIFE_REQUESTS: u32 = 8;
+
+/// Requests to the service for which a leaf is the last choice after a
+/// failure; doubles with each further one.
+const AVOIDED_REQUESTS: u32 = 4;
+
+/// Most requests to the service for which it is the last choice.
+const MOST_AVOIDED_REQUESTS: u32 = 16;
+
 /// Extra time of a leaf in another failure domain, before any measurement.
 const FAR: Duration = Duration::from_millis(8);
 
@@ -64,6 +74,17 @@
     Abandoned,
 }
 
+/// How far a leaf is from the first choice, whatever its speed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Reluctance {
+    /// Not at all.
+    None,
+    /// It failed lately.
+    Failed,
+    /// The registry no longer names it.
+    Lapsed,
+}
+
 /// What this VM knows of one run of a leaf.
 #[derive(Debug)]
 pub struct Replica {
@@ -73,6 +94,8 @@
     pub instance: Instance,
     /// When it may be tried again after failures.
     pub suspended_until: Option<Instant>,
+    /// Until when it is chosen only where no other leaf is left.
+    avoided_until: Option<Instant>,
     /// Since when the registry no longer names it.
     pub(super) lapsed_at: Option<Instant>,
     near: bool,
@@ -96,6 +119,7 @@
             key,
             instance,
             suspended_until: None,
+            avoided_until: None,
             lapsed_at: None,
             near,
             average: None,
@@ -121,6 +145,17 @@
         !self.instance.leaving && rested && !trial_runs
     }
 
+    /// Returns how far it is from the first choice, whatever its speed.
+    pub fn reluctance(&self, now: Instant) -> Reluctance {
+        if self.lapsed_at.is_some() {
+            return Reluctance::Lapsed;
+        }
+        match self.avoided_until {
+            Some(until) if now < until => Reluctance::Failed,
+            _ => Reluctance::None,
+        }
+    }
+
     /// Returns whether the registry no longer names it.
     pub fn has_lapsed(&self) -> bool {
         self.lapsed_at.is_some()
@@ -139,10 +174,12 @@
     }
 
     /// Returns how long a request that is sent now is expected to take.
-    pub fn expected(&self, typical: Duration, now: Instant) -> Duration {
+    /// `interval` is the usual time between two requests to the service.
+    pub fn expected(&self, typical: Duration, interval: Duration, now: Instant) -> Duration {
         let prior = if self.near { typical } else { typical + FAR };
         let age = now.saturating_duration_since(self.measured);
-        let weight = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let half_life = HALF_LIFE.max(interval * HALF_LIFE_REQUESTS);
+        let weight = 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64());
         let known = self.average.map_or(prior, |average| {
             average.mul_f64(weight) + prior.mul_f64(1.0 - weight)
         });
@@ -166,7 +203,14 @@
     }
 
     /// Notes the end of a request; returns the time that it took.
-    pub fn end(&mut self, attempt: AttemptId, ending: Ending, now: Instant) -> Option<Duration> {
+    /// `interval` is the usual time between two requests to the service.
+    pub fn end(
+        &mut self,
+        attempt: AttemptId,
+        ending: Ending,
+        interval: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
         let place = self.open.iter().position(|(id, _)| *id == attempt)?;
         let (_, sent) = self.open.swap_remove(place);
         let elapsed = now.saturating_duration_since(sent);
@@ -176,13 +220,14 @@
                 self.rejections = 0;
                 self.failure_share *= 1.0 - FAILURE_WEIGHT;
                 self.suspended_until = None;
+                self.avoided_until = None;
                 self.measure(elapsed, now);
             }
             Ending::Rejected => self.reject(now),
-            Ending::Failed | Ending::Lost => self.fail(now),
+            Ending::Failed | Ending::Lost => self.fail(interval, now),
             Ending::Unreachable | Ending::Misdirected => {
                 self.failures = self.failures.max(TOLERATED_FAILURES - 1);
-                self.fail(now);
+                self.fail(interval, now);
             }
             Ending::Abandoned => {
                 let known = self.average.unwrap_or(Duration::ZERO);
@@ -190,7 +235,7 @@
                     self.measure(elapsed, now);
                 }
                 if self.suspended_until.is_some() {
-                    self.fail(now);
+                    self.fail(interval, now);
                 }
             }
         }
@@ -198,8 +243,8 @@
     }
 
     /// Notes that an abandoned request was not even answered late.
-    pub fn stay_silent(&mut self, now: Instant) {
-        self.fail(now);
+    pub fn stay_silent(&mut self, interval: Duration, now: Instant) {
+        self.fail(interval, now);
     }
 
     fn measure(&mut self, elapsed: Duration, now: Instant) {
@@ -223,7 +268,9 @@
         self.measured = now;
     }
 
-    fn fail(&mut self, now: Instant) {
+    fn fail(&mut self, interval: Duration, now: Instant) {
+        let requests = AVOIDED_REQUESTS << self.failures.min(8);
+        self.avoided_until = Some(now + interval * requests.min(MOST_AVOIDED_REQUESTS));
         self.failures += 1;
         self.note_failure(now);
         if self.failures < TOLERATED_FAILURES {
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -236,3 +236,99 @@
         "it said that it leaves: gone at once"
     );
 }
+
+/// A VM that sends a service few requests, while one of its leaves is bad.
+#[derive(Debug)]
+struct Sparse {
+    name: &'static str,
+    /// Time between two requests of this VM to the service.
+    period: Duration,
+    /// How a request to the bad leaf ends, and after how long.
+    ending: Ending,
+    took: Duration,
+    /// Largest share of the requests that meet the bad leaf first.
+    most: f64,
+}
+
+const SPARSE: &[Sparse] = &[
+    Sparse {
+        name: "the near leaf is silent",
+        period: Duration::from_millis(1_500),
+        ending: Ending::Abandoned,
+        took: Duration::from_millis(400),
+        most: 0.2,
+    },
+    Sparse {
+        name: "the near leaf can't be reached",
+        period: Duration::from_millis(1_500),
+        ending: Ending::Unreachable,
+        took: Duration::from_millis(300),
+        most: 0.2,
+    },
+    Sparse {
+        name: "the near leaf is nine times slower",
+        period: Duration::from_millis(1_500),
+        ending: Ending::Answered,
+        took: Duration::from_millis(100),
+        most: 0.2,
+    },
+    Sparse {
+        name: "the near leaf is silent, and there are more requests",
+        period: Duration::from_millis(80),
+        ending: Ending::Abandoned,
+        took: Duration::from_millis(400),
+        most: 0.2,
+    },
+];
+
+/// Time of an answer of a good near leaf, and of a far one.
+const SPARSE_TIMES: [Duration; 2] = [Duration::from_millis(11), Duration::from_millis(20)];
+
+#[test]
+fn placement_seldom_meets_a_bad_leaf_again_however_few_the_requests() {
+    for case in SPARSE {
+        let share = case.replay();
+        eprintln!("{}: share {share:.2}", case.name);
+        assert!(share <= case.most, "{}: share {share:.2}", case.name);
+    }
+}
+
+impl Sparse {
+    /// Plays ten seconds in which all is well and thirty in which the near
+    /// leaf is bad; returns the share of the latter's requests that met it.
+    fn replay(&self) -> f64 {
+        const WELL: Duration = Duration::from_secs(10);
+        const ALL: Duration = Duration::from_secs(40);
+        let start = Instant::now();
+        let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+        let leaves = [
+            instance("a", "near"),
+            instance("b", "far"),
+            instance("c", "far"),
+        ];
+        placement.update(&leaves, start);
+        let near = placement.group(SERVICE).unwrap().replicas()[0].key;
+        let (mut met, mut sent) = (0, 0);
+        let mut at = Duration::ZERO;
+        while at < ALL {
+            let now = start + at;
+            let is_bad = at >= WELL;
+            placement.earn(SERVICE, now);
+            let key = placement.choose(SERVICE, &[], now).unwrap();
+            let attempt = placement.begin(SERVICE, key, now);
+            let (ending, took) = match (key == near, is_bad) {
+                (true, true) => (self.ending, self.took),
+                (true, false) => (Ending::Answered, SPARSE_TIMES[0]),
+                (false, _) => (Ending::Answered, SPARSE_TIMES[1]),
+            };
+            placement.end(SERVICE, key, attempt, ending, now + took);
+            if ending == Ending::Abandoned {
+                placement.stay_silent(key, now + took);
+            }
+            sent += u32::from(is_bad);
+            met += u32::from(is_bad && key == near);
+            at += self.period;
+        }
+        f64::from(met) / f64::from(sent)
+    }
+}
