--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Update};
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use serde_json::{Value, json};
@@ -43,6 +44,7 @@
     let options = Options {
         name: "vm1".to_string(),
         domain: "near".to_string(),
+        start: Start::First,
         callers: free_address()?,
         ready: free_address()?,
         metrics: None,
--- a/src/geraniummount/core/placement/allowance.rs
+++ b/src/geraniummount/core/placement/allowance.rs
@@ -4,8 +4,9 @@
 //! knows how many they are. A VM that sends a service many requests may save
 //! up a few attempts for a bad moment. If each of many VMs, with few requests
 //! each, saved up as many, they would exceed the allowance together. What a VM
-//! may save therefore follows its own recent requests, and a VM that has just
-//! started has less than one attempt.
+//! may save therefore follows its own recent requests. VMs that start again,
+//! maybe many at once, don't bring the allowance with them that the whole
+//! system had at its first start.
 
 use std::time::{Duration, Instant};
 
@@ -17,13 +18,12 @@
 /// Most attempts that a VM saves up.
 const MOST_SAVED: f64 = 3.0;
 
-/// Most attempts that a VM with few requests saves up; with less than one it
-/// could never send again.
-const LEAST_SAVED: f64 = 1.0;
+/// Most attempts that a VM with few requests saves up. Some hundred VMs stay
+/// within an allowance of two attempts for each.
+const LEAST_SAVED: f64 = 1.7;
 
-/// Attempts that a VM has when it starts, so that its first request to a
-/// service can be hedged.
-const SAVED_AT_START: f64 = 0.8;
+/// Attempts that a VM has when it starts again.
+const SAVED_AT_RESTART: f64 = 0.4;
 
 /// Time in which all but a third of the earlier requests are forgotten.
 const MEMORY: Duration = Duration::from_secs(10);
@@ -31,6 +31,15 @@
 /// Recent requests that are assumed at least.
 const FEWEST_RECENT: f64 = 4.0;
 
+/// Whether a VM starts together with the whole system.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// The whole system starts for the first time.
+    First,
+    /// It may have sent requests before, or others have in its place.
+    Again,
+}
+
 /// Requests to one service that this VM may send once more.
 #[derive(Clone, Debug)]
 pub struct Allowance {
@@ -42,9 +51,13 @@
 
 impl Allowance {
     /// Starts without any request.
-    pub fn new(now: Instant) -> Allowance {
+    pub fn new(start: Start, now: Instant) -> Allowance {
+        let saved = match start {
+            Start::First => LEAST_SAVED,
+            Start::Again => SAVED_AT_RESTART,
+        };
         Allowance {
-            budget: RetryBudget::with_burst(SHARE, LEAST_SAVED, SAVED_AT_START),
+            budget: RetryBudget::with_burst(SHARE, LEAST_SAVED, saved),
             recent: 0.0,
             updated: now,
         }
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -19,7 +19,7 @@
 use crate::core::quantile::Quantile;
 use crate::prelude::*;
 
-pub use self::allowance::Allowance;
+pub use self::allowance::{Allowance, Start};
 pub use self::group::Group;
 pub use self::replica::{Ending, Key, Reluctance, Replica};
 
@@ -35,6 +35,7 @@
 pub struct Placement {
     /// Domain of this VM; its leaves are nearest.
     domain: DomainName,
+    start: Start,
     /// Sorted by name of the service.
     groups: Vec<Group>,
     /// Times of answers by route, sorted by name.
@@ -46,9 +47,10 @@
 
 impl Placement {
     /// Starts without any leaf.
-    pub fn new(domain: impl Into<DomainName>, rng: SmallRng) -> Placement {
+    pub fn new(domain: impl Into<DomainName>, start: Start, rng: SmallRng) -> Placement {
         Placement {
             domain: domain.into(),
+            start,
             groups: Vec::new(),
             routes: Vec::new(),
             next_key: 0,
@@ -224,7 +226,7 @@
 
     fn place(&mut self, service: &ServiceName, now: Instant) -> usize {
         self.search(service).unwrap_or_else(|place| {
-            let allowance = Allowance::new(now);
+            let allowance = Allowance::new(self.start, now);
             self.groups
                 .insert(place, Group::new(service.clone(), allowance));
             place
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -118,7 +118,7 @@
             callers_listener: Some(TcpListener::bind(options.callers)?),
             ready_listener: TcpListener::bind(options.ready)?,
             metrics_listener: metrics,
-            placement: Placement::new(options.domain.clone(), rng),
+            placement: Placement::new(options.domain.clone(), options.start, rng),
             options,
             poll,
             updates,
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::core::placement::Start;
 use crate::prelude::*;
 
 /// What a gateway is started with.
@@ -12,6 +13,8 @@
     pub name: VmName,
     /// Failure domain of this VM.
     pub domain: DomainName,
+    /// Whether the whole system starts for the first time.
+    pub start: Start,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the platform asks for readiness.
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -10,6 +10,7 @@
 use super::fault::Faults;
 use super::section::Section;
 use super::{Log, load_text, refuse_unknown_sections};
+use crate::core::placement::Start;
 use crate::edge::gateway::Options;
 
 /// Names of the sections that a settings file may have.
@@ -69,6 +70,7 @@
         options: Options {
             name: own.name,
             domain: own.failure_domain,
+            start: own.start,
             callers: own.callers,
             ready: own.ready,
             metrics: own.metrics,
@@ -91,6 +93,7 @@
 struct Own {
     name: String,
     failure_domain: String,
+    start: Start,
     callers: SocketAddr,
     ready: SocketAddr,
     metrics: Option<SocketAddr>,
@@ -98,15 +101,27 @@
 
 impl Own {
     fn read(section: &mut Section<'_>) -> Option<Own> {
-        section.allow(&["name", "failure_domain", "callers", "ready", "metrics"]);
+        section.allow(&[
+            "name",
+            "failure_domain",
+            "first_start",
+            "callers",
+            "ready",
+            "metrics",
+        ]);
         let name = section.name("name");
         let failure_domain = section.name("failure_domain");
+        let first_start = section.word("first_start", false, &["true", "false"]);
         let callers = section.listener("callers");
         let ready = section.listener("ready");
         let metrics = section.optional_target("metrics");
         Some(Own {
             name: name?,
             failure_domain: failure_domain?,
+            start: match first_start? {
+                true => Start::First,
+                false => Start::Again,
+            },
             callers: callers?,
             ready: ready?,
             metrics: metrics?,
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -4,7 +4,7 @@
 
 use geraniummount::core::call::{Action, Call, Coverage, End, Plan, Reply, Response};
 use geraniummount::core::instance::Instance;
-use geraniummount::core::placement::Placement;
+use geraniummount::core::placement::{Placement, Start};
 use geraniummount::core::route::Repeat;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -19,7 +19,11 @@
 
 /// A placement with two leaves for each of the services.
 fn placement(services: &[&str], now: Instant) -> Placement {
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    started(Start::First, services, now)
+}
+
+fn started(start: Start, services: &[&str], now: Instant) -> Placement {
+    let mut placement = Placement::new("near", start, SmallRng::seed_from_u64(SEED));
     let mut instances = Vec::new();
     for service in services {
         for name in ["a", "b"] {
@@ -354,7 +358,7 @@
             if self.restarts && u128::from(step) == steps * 3 / 4 {
                 vms.iter_mut()
                     .step_by(2)
-                    .for_each(|vm| *vm = placement(&["s"], now));
+                    .for_each(|vm| *vm = started(Start::Again, &["s"], now));
             }
             let vm = &mut vms[step as usize % self.vms];
             let mut call = Call::new(plan(&["s"], Some(1), Repeat::Idempotent, now), now);
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use geraniummount::core::instance::Instance;
-use geraniummount::core::placement::{Ending, Key, LAPSE, Placement};
+use geraniummount::core::placement::{Ending, Key, LAPSE, Placement, Start};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -121,7 +121,7 @@
 /// budget allows, else it waits for the budget.
 fn replay(case: &Case, seed: u64, only_first: bool) -> Played {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(seed));
+    let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(seed));
     let start = Instant::now();
     placement.update(&[instance("a", "near"), instance("b", "near")], start);
     let replicas = placement.group(SERVICE).unwrap().replicas();
@@ -189,7 +189,7 @@
 
 #[test]
 fn placement_keeps_a_lapsed_leaf_as_the_last_choice_for_a_while() {
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
     let start = Instant::now();
     placement.update(&[instance("a", "near"), instance("b", "far")], start);
     let lapsed = placement.update(&[instance("b", "far")], start);
@@ -209,7 +209,7 @@
 
 #[test]
 fn placement_back_in_the_registry_is_the_same_leaf() {
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
     let start = Instant::now();
     let all = [instance("a", "near")];
     placement.update(&all, start);
@@ -222,7 +222,7 @@
 
 #[test]
 fn placement_gives_no_new_work_to_a_leaving_leaf() {
-    let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+    let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
     let start = Instant::now();
     let mut leaf = instance("a", "near");
     placement.update(std::slice::from_ref(&leaf), start);
@@ -300,7 +300,7 @@
         const WELL: Duration = Duration::from_secs(10);
         const ALL: Duration = Duration::from_secs(40);
         let start = Instant::now();
-        let mut placement = Placement::new("near", SmallRng::seed_from_u64(SEED));
+        let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
         let leaves = [
             instance("a", "near"),
             instance("b", "far"),
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -5,6 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use serde_json::{Value, json};
@@ -39,6 +40,7 @@
         let options = Options {
             name: "vm1".to_string(),
             domain: "near".to_string(),
+            start: Start::First,
             callers: free_address(),
             ready: free_address(),
             metrics: None,
