Choose near leaves unless a far one is faster by half

A far leaf won wherever it answered a little sooner, though an answer waits for its slowest part.

Change: a far leaf's expected time counts 1.5 times where a leaf is chosen.

--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -30,6 +30,12 @@
 /// Two replicas whose expected times differ by less share the load.
 const TIE: f64 = 0.1;
 
+/// A leaf in another failure domain is chosen where it is expected to be
+/// faster by more than this factor: an answer waits for its slowest part, so a
+/// few milliseconds of the others gain nothing, while each byte between
+/// domains is paid for.
+const FAR_FACTOR: f64 = 1.5;
+
 /// All services and their leaves, as this VM knows them.
 #[derive(Debug)]
 pub struct Placement {
@@ -184,7 +190,8 @@
                 continue;
             }
             let spread = spread(&mut self.rng);
-            let expected = group.expected(replica, now).as_secs_f64() * spread;
+            let far = if replica.is_near() { 1.0 } else { FAR_FACTOR };
+            let expected = group.expected(replica, now).as_secs_f64() * spread * far;
             let found = (replica.reluctance(now), expected, replica.key);
             if best.is_none_or(|least| (found.0, found.1) < (least.0, least.1)) {
                 best = Some(found);
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -145,6 +145,11 @@
         !self.instance.leaving && rested && !trial_runs
     }
 
+    /// Returns whether it stands in this VM's failure domain.
+    pub fn is_near(&self) -> bool {
+        self.near
+    }
+
     /// Returns how far it is from the first choice, whatever its speed.
     pub fn reluctance(&self, now: Instant) -> Reluctance {
         if self.lapsed_at.is_some() {
