Add a fault soak of gateways that run as processes

Cause: the users ask for a randomized soak with the real programs, faults from outside and promises checked from what callers and leaves see.

The stand-in leaf notes when it ran what, and may be registered at a proxy.

Ruled out: leaves as processes of their own; the gateways are what is tried. Clocks: a gateway uses only the steady clock.

--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! [`scene`] and [`balanced`] are the two fleets in which the promises are tried,
 //! with callers ([`load`]) and what befalls them ([`trouble`]); [`cases`] bounds
-//! how many of them run at once.
+//! how many of them run at once. [`soak`] plays random faults against gateways.
 
 pub mod balanced;
 pub mod cases;
@@ -22,5 +22,6 @@
 pub mod proxy;
 pub mod scene;
 mod signal;
+pub mod soak;
 pub mod trouble;
 pub mod usage;
--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -8,5 +8,5 @@
 mod serving;
 mod store;
 
-pub use self::leaf::{Answer, Leaf, signature};
+pub use self::leaf::{Answer, Leaf, Run, signature};
 pub use self::store::{Hearing, Store};
--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -46,17 +46,28 @@
     id: String,
     service: String,
     domain: String,
+    /// Where callers are told that it listens.
+    advertised: SocketAddr,
     state: Arc<Signal<State>>,
     serving: Serving,
 }
 
+/// A request that a leaf ran.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// Its id.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
     answer: Answer,
     /// Records that it holds.
     records: Vec<u8>,
-    /// Ids of the requests that it ran, in order.
-    runs: Vec<String>,
+    /// Requests that it ran, in order.
+    runs: Vec<Run>,
     /// Requests whose connection closed before the answer was due.
     cancelled: u64,
 }
@@ -71,27 +82,39 @@
 impl Leaf {
     /// Starts a leaf of a service and registers it.
     pub fn start(store: &Store, service: &str, domain: &str, records: &[u8]) -> Leaf {
+        let mut leaf = Leaf::unregistered(service, domain, records);
+        leaf.register_at(store, leaf.address());
+        leaf
+    }
+
+    /// Starts a leaf of a service that is not registered yet.
+    pub fn unregistered(service: &str, domain: &str, records: &[u8]) -> Leaf {
         let number = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
         let id = format!("i-{number:06x}");
         let state: Arc<Signal<State>> = Arc::default();
         state.update(|state| state.records = records.to_vec());
         let (shared, name) = (Arc::clone(&state), id.clone());
         let serving = Serving::start(move |connection| serve(&shared, &name, connection));
-        let leaf = Leaf {
+        Leaf {
             id,
             service: service.to_string(),
             domain: domain.to_string(),
+            advertised: serving.address(),
             state,
             serving,
-        };
-        leaf.register(store, "ready");
-        leaf
+        }
+    }
+
+    /// Registers it under another address than its own, such as a proxy's.
+    pub fn register_at(&mut self, store: &Store, advertised: SocketAddr) {
+        self.advertised = advertised;
+        self.register(store, "ready");
     }
 
     /// Writes its registration with a state.
     pub fn register(&self, store: &Store, state: &str) {
         let entry = json!({
-            "backend": self.service, "address": self.address().to_string(),
+            "backend": self.service, "address": self.advertised.to_string(),
             "zone": self.domain, "version": "v1", "concurrency": 2, "state": state,
             "warmupLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64,
         });
@@ -120,6 +143,12 @@
 
     /// Ids of the requests that it ran, in order.
     pub fn runs(&self) -> Vec<String> {
+        let state = self.state.lock();
+        state.runs.iter().map(|run| run.id.clone()).collect()
+    }
+
+    /// Requests that it ran, in order, with their times.
+    pub fn timed_runs(&self) -> Vec<Run> {
         self.state.lock().runs.clone()
     }
 
@@ -159,7 +188,11 @@
         let rejected = Response::empty(503).with("Request-Not-Run", 1);
         return connection.write(&rejected).is_ok();
     }
-    state.update(|state| state.runs.push(id.clone()));
+    let run_now = Run {
+        id: id.clone(),
+        at: Instant::now(),
+    };
+    state.update(|state| state.runs.push(run_now));
     run(state, leaf, request, connection, how)
 }
 
--- /dev/null
+++ b/crates/geraniummount-test-support/src/soak/member.rs
@@ -0,0 +1,96 @@
+//! A leaf of the world, with the proxy in front of it.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::time::Instant;
+
+use crate::platform::users::{Leaf, Run, Store};
+use crate::proxy::Proxy;
+
+/// Records of each leaf.
+const RECORDS: usize = 8;
+
+/// Bytes of a record.
+pub const RECORD_BYTES: usize = 16;
+
+/// A leaf and its proxy.
+#[derive(Debug)]
+pub struct Member {
+    /// The leaf; `None` once it has ended.
+    pub leaf: Option<Leaf>,
+    /// What stands before it.
+    pub proxy: Proxy,
+    /// When it registered as leaving, or was removed for good.
+    pub leaves_at: Option<Instant>,
+    /// What it ran before it ended.
+    pub runs: Vec<Run>,
+    identity: Identity,
+}
+
+/// Who a leaf is and what it holds.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its records.
+    pub records: Vec<u8>,
+}
+
+impl Member {
+    /// Starts and registers a leaf.
+    pub fn start(store: &Store, service: &str, domain: &str, seed: u64) -> io::Result<Member> {
+        let records = records(service);
+        let mut leaf = Leaf::unregistered(service, domain, &records);
+        let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), seed)?;
+        leaf.register_at(store, proxy.address());
+        let identity = Identity {
+            id: leaf.id().to_string(),
+            service: service.to_string(),
+            records,
+        };
+        Ok(Member {
+            leaf: Some(leaf),
+            proxy,
+            leaves_at: None,
+            runs: Vec::new(),
+            identity,
+        })
+    }
+
+    /// Returns who it is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns the key of its registration.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.identity.id)
+    }
+
+    /// Ends it; what it ran is kept.
+    pub fn end(&mut self) {
+        if let Some(leaf) = self.leaf.take() {
+            self.runs = leaf.timed_runs();
+        }
+    }
+
+    /// Returns what it ran so far.
+    pub fn all_runs(&self) -> Vec<Run> {
+        match &self.leaf {
+            Some(leaf) => leaf.timed_runs(),
+            None => self.runs.clone(),
+        }
+    }
+}
+
+/// The records of a service: the same at all its leaves.
+fn records(service: &str) -> Vec<u8> {
+    let seed = service
+        .bytes()
+        .fold(7_u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    let bytes = 0..RECORDS * RECORD_BYTES;
+    let mixed = bytes.map(|place| (place as u8).wrapping_mul(97) ^ seed.rotate_left(3));
+    mixed.collect()
+}
--- /dev/null
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -0,0 +1,109 @@
+//! A gateway that runs as a process of its own.
+
+use std::fs::File;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Instant;
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::proxy::{Proxy, free_ports};
+
+/// A gateway and the proxy in front of its store.
+#[derive(Debug)]
+pub struct Vm {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// What stands between it and the store.
+    pub store: Proxy,
+    /// When its process started last.
+    pub started: Instant,
+    /// When it was told to stop, while it has not ended.
+    pub stopping: Option<Instant>,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Vm {
+    /// Gives a gateway its addresses and settings, and starts it.
+    pub fn start(
+        binary: &Path,
+        folder: &Path,
+        number: usize,
+        domain: &str,
+        store: SocketAddr,
+        seed: u64,
+    ) -> io::Result<Vm> {
+        let [callers, ready] = free_ports(Ipv4Addr::LOCALHOST.into())?;
+        let proxy = Proxy::start(Ipv4Addr::LOCALHOST, store, seed)?;
+        let settings = folder.join(format!("vm{number}.ini"));
+        let text = format!(
+            "[gateway]\nname = vm{number}\nfailure_domain = {domain}\ncallers = {callers}\n\
+             ready = {ready}\n[platform]\naddress = {}\n",
+            proxy.address()
+        );
+        std::fs::write(&settings, text)?;
+        let mut vm = Vm {
+            callers,
+            store: proxy,
+            started: Instant::now(),
+            stopping: None,
+            binary: binary.to_path_buf(),
+            settings,
+            log: folder.join(format!("vm{number}.log")),
+            child: None,
+        };
+        vm.launch()?;
+        Ok(vm)
+    }
+
+    /// Starts its process.
+    pub fn launch(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.binary)
+            .args(["gateway", "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.started = Instant::now();
+        self.stopping = None;
+        Ok(())
+    }
+
+    /// Signals its process, if it has one.
+    pub fn signal(&mut self, signal: Signal) {
+        if let Some(child) = &self.child {
+            // Fails only when the process has ended already.
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// Returns how its process ended, once.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Returns whether it has a process.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // Fails only when the process has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
