Count requests that are turned away in the allowance

The users count an allowance by the requests that callers sent, whether they were sent on or not.

Ruled out: turning fewer away (the rest would be late).

Change: a request earns for each of its services when it arrives. Test: call_requests_that_are_turned_away_count_in_the_allowance (0 extra attempts before, 1 after).

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -60,6 +60,7 @@
 
     /// Sends the first attempt of each shard, or refuses the request.
     pub fn start(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
+        self.plan.earn(placement, now);
         let can_serve = |shard: &&Shard| placement.can_serve(&shard.service, now);
         let servable = self.shards.iter().filter(can_serve).count();
         if servable < self.plan.least() || servable == 0 {
@@ -81,7 +82,6 @@
         now: Instant,
     ) -> Option<Action> {
         let service = &self.shards[index].service;
-        placement.earn(service, now);
         let Some(replica) = placement.choose(service, &[], now) else {
             self.shards[index].settle(Settled::Missing);
             return None;
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::core::margin;
+use crate::core::placement::Placement;
 use crate::core::route::{Gather, Repeat, Route};
 use crate::prelude::*;
 
@@ -79,6 +80,15 @@
         }
     }
 
+    /// Notes the request in the allowance of each of its services. Requests
+    /// count there whether they are sent on or not, so that what is turned
+    /// away while leaves shed lets the others be sent once more.
+    pub fn earn(&self, placement: &mut Placement, now: Instant) {
+        for service in &self.services {
+            placement.earn(service, now);
+        }
+    }
+
     /// Returns whether the request goes to many shards.
     pub fn is_gather(&self) -> bool {
         self.gather.is_some()
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -258,6 +258,20 @@
     );
 }
 
+/// Queries that are turned away earn the right to send others once more.
+#[test]
+fn call_requests_that_are_turned_away_count_in_the_allowance() {
+    let start = Instant::now();
+    let mut vm = started(Start::Again, &["s"], start);
+    for _ in 0..10 {
+        plan(&["s"], Some(1), Repeat::Idempotent, start).earn(&mut vm, start);
+    }
+    let mut call = Call::new(plan(&["s"], Some(1), Repeat::Idempotent, start), start);
+    let open = sent(&call.start(&mut vm, start));
+    let again = sent(&call.on_reply(open[0], Reply::Rejected, &mut vm, start));
+    assert_eq!(again.len(), 1);
+}
+
 /// VMs that share an allowance, and what they send.
 #[derive(Debug)]
 struct Fleet {
