Tell what is overdue when the answer is due

VMs learnt that parts were overdue only when an answer went out, up to 600 ms after it was due, turned away too little for two seconds and then three quarters.

Ruled out: leaves that are wrongly taken as gone (their registrations had lapsed behind the cut, and came back with its end).

Change: Call::take_overdue tells the number once, when the answer is due. Test: call_tells_what_is_overdue_when_the_answer_is_due (not told before).

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -37,6 +37,8 @@
     looked_at: Instant,
     /// Parts that were overdue when the answer was due.
     overdue: Option<usize>,
+    /// Whether the number of overdue parts was told.
+    overdue_told: bool,
     finished: bool,
 }
 
@@ -49,6 +51,7 @@
             shards,
             looked_at: now,
             overdue: None,
+            overdue_told: false,
             finished: false,
         }
     }
@@ -171,9 +174,12 @@
         self.shards.iter().map(Shard::story).collect()
     }
 
-    /// Returns how many parts the leaves had no room for, or not in time.
-    pub fn overdue(&self) -> usize {
-        self.overdue.unwrap_or(0)
+    /// Returns, once, how many parts the leaves had no room for, or not in
+    /// time; as soon as the answer is due, though it may go out later.
+    pub fn take_overdue(&mut self) -> Option<usize> {
+        let overdue = self.overdue.filter(|_| !self.overdue_told)?;
+        self.overdue_told = true;
+        Some(overdue)
     }
 
     /// Returns the number of shards whose part is in.
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -122,10 +122,6 @@
         let plan = state.call.plan();
         let in_time = self.now <= plan.answer_by + LATE_SLACK;
         self.counts.count_answer(outcome.word);
-        if plan.is_gather() && outcome.word != "no-leaf" {
-            let may_lack = plan.services.len().saturating_sub(plan.least());
-            self.note_load(&plan.services[0], state.call.overdue(), may_lack);
-        }
         let unserved = matches!(
             outcome.word,
             "no-leaf" | "all-rejected" | "failed" | "timed-out"
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -56,6 +56,7 @@
 impl Gateway {
     /// Does what a request wants done.
     pub(super) fn act(&mut self, index: usize, actions: Vec<Action>) {
+        self.note_overdue(index);
         for action in actions {
             match action {
                 Action::Send {
--- a/src/geraniummount/edge/gateway/load.rs
+++ b/src/geraniummount/edge/gateway/load.rs
@@ -34,10 +34,21 @@
         overload.admits(is_urgent, now)
     }
 
-    /// Notes how many parts of an admitted query were overdue in its answer.
-    pub(super) fn note_load(&mut self, shard: &ServiceName, overdue: usize, may_lack: usize) {
+    /// Notes how many parts of an admitted query were overdue, once that is
+    /// known.
+    pub(super) fn note_overdue(&mut self, index: usize) {
+        let call = &mut self.calls[index].call;
+        let Some(overdue) = call.take_overdue() else {
+            return;
+        };
+        let plan = call.plan();
+        if !plan.is_gather() {
+            return;
+        }
+        let may_lack = plan.services.len().saturating_sub(plan.least());
+        let shard = plan.services[0].clone();
         let now = self.now;
-        let overload = self.overload(shard);
+        let overload = self.overload(&shard);
         let was_active = overload.is_active();
         overload.on_answer(overdue, may_lack, now);
         let share = overload.share();
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -104,7 +104,7 @@
         panic!("{actions:?}");
     };
     assert_eq!((parts.len(), *missing), (3, 1));
-    assert_eq!(call.overdue(), 1);
+    assert_eq!(call.take_overdue(), Some(1));
 }
 
 #[test]
@@ -387,3 +387,20 @@
         sent_at
     }
 }
+
+/// An answer that lacks too much goes out late, but what is overdue is told
+/// when it is due, so that others can be turned away at once.
+#[test]
+fn call_tells_what_is_overdue_when_the_answer_is_due() {
+    let start = Instant::now();
+    let mut placement = placement(&["s", "t"], start);
+    let plan = plan(&["s", "t"], Some(2), Repeat::Idempotent, start);
+    let mut call = Call::new(plan, start);
+    let open = sent(&call.start(&mut placement, start));
+    call.on_reply(open[0], success(), &mut placement, start + ms(20));
+    assert_eq!(call.take_overdue(), None);
+    let actions = call.tick(&mut placement, start + AIM);
+    assert!(end(&actions).is_none(), "too little is in");
+    assert_eq!(call.take_overdue(), Some(1));
+    assert_eq!(call.take_overdue(), None, "it is told once");
+}
