Suspect a cut when answers are due, not when requests end

Cause: after a cut of a domain its VMs said that they were not ready 1.0 to 1.3 s later: requests counted as not served only at their ends.

Ruled out: leaves that fail alike for all VMs: the store is still asked before a VM takes itself as cut off, and any far answer ends the suspicion.

Change: an answer that is due with too little in counts at once, with its far attempts that have no answer; the check at the store waits 300 ms, not 400. Test: isolation_is_suspected_before_the_first_requests_end.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -182,6 +182,20 @@
         Some(overdue)
     }
 
+    /// Returns the attempts that have no answer, by service and leaf.
+    pub fn unanswered(&self) -> impl Iterator<Item = (&ServiceName, Key)> {
+        let shards = self.shards.iter();
+        shards.flat_map(|shard| {
+            let open = shard.open.iter();
+            open.map(|open| (&shard.service, open.replica))
+        })
+    }
+
+    /// Returns whether enough shards are in for an answer.
+    pub fn has_enough(&self) -> bool {
+        self.included() >= self.plan.least()
+    }
+
     /// Returns the number of shards whose part is in.
     pub fn included(&self) -> usize {
         let included = self.shards.iter().filter(|shard| shard.is_included());
--- a/src/geraniummount/core/isolation.rs
+++ b/src/geraniummount/core/isolation.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Notes that an answer is due and too little of it is in; `silent`
+    /// attempts in other domains have had no answer so far. Waiting for these
+    /// requests' ends would leave callers here for that much longer.
+    pub fn on_overdue(&mut self, silent: u32) {
+        self.silent = self.silent.saturating_add(silent);
+        self.on_request(false);
+    }
+
     /// Notes whether a request was served.
     pub fn on_request(&mut self, served: bool) {
         let latest = if served { 0.0 } else { 1.0 };
--- a/src/geraniummount/edge/gateway/load.rs
+++ b/src/geraniummount/edge/gateway/load.rs
@@ -45,6 +45,13 @@
         if !plan.is_gather() {
             return;
         }
+        if !call.has_enough() {
+            let placement = &self.placement;
+            let silent = call.unanswered();
+            let silent = silent.filter(|(service, key)| placement.is_far(service, *key));
+            let silent = u32::try_from(silent.count()).unwrap_or(u32::MAX);
+            self.isolation.on_overdue(silent);
+        }
         let may_lack = plan.services.len().saturating_sub(plan.least());
         let shard = plan.services[0].clone();
         let now = self.now;
@@ -58,6 +65,7 @@
                 !was_active
             );
         }
+        self.look_around();
     }
 
     fn overload(&mut self, shard: &ServiceName) -> &mut Overload {
--- a/src/geraniummount/edge/gateway/reach.rs
+++ b/src/geraniummount/edge/gateway/reach.rs
@@ -12,7 +12,7 @@
 use super::token::Owner;
 
 /// Longest wait for a connection; then the store counts as out of reach.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Pause until the next look, while cut off.
 const NEXT_LOOK: Duration = Duration::from_millis(250);
--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -101,3 +101,22 @@
     assert!(reached.on_check(true));
     assert!(!reached.is_isolated());
 }
+
+/// A VM that is cut off at once, with requests that wait for their deadline.
+#[test]
+fn isolation_is_suspected_before_the_first_requests_end() {
+    const PERIOD: Duration = Duration::from_millis(77);
+    const DUE: Duration = Duration::from_millis(175);
+    const END: Duration = Duration::from_millis(775);
+    /// Parts at leaves of other domains that an answer lacks when it is due.
+    const SILENT: u32 = 5;
+    let start = Instant::now();
+    let mut isolation = Isolation::default();
+    let arrivals = (0..10).map(|number| PERIOD * number);
+    let suspected = arrivals.map(|at| at + DUE).find(|due| {
+        isolation.on_overdue(SILENT);
+        isolation.wants_check(start + *due)
+    });
+    let suspected = suspected.expect("no check was wanted");
+    assert!(suspected < END, "{suspected:?}");
+}
