--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -42,6 +42,7 @@
 mod sample;
 mod seeded;
 mod settings;
+mod soak;
 mod split;
 mod stand_ins;
 mod survey;
--- /dev/null
+++ b/tests/testsuite/soak.rs
@@ -0,0 +1,53 @@
+//! A short run of the fault soak: gateways as processes, random faults, all
+//! promises checked. `cargo bench --bench soak` plays more seeds.
+
+use std::time::Duration;
+
+use geraniummount_test_support::soak::{self, Options};
+
+/// A run that is played each time.
+#[derive(Debug)]
+struct Case {
+    /// Why it is here; for a seed that once failed, the cause.
+    name: &'static str,
+    seed: u64,
+    vms: usize,
+    shards: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "a small fleet",
+        seed: 1,
+        vms: 3,
+        shards: 4,
+    },
+    Case {
+        name: "more gateways than callers",
+        seed: 2,
+        vms: 8,
+        shards: 3,
+    },
+];
+
+/// Time with faults.
+const FAULTY: Duration = Duration::from_secs(6);
+
+const CALLERS: usize = 6;
+
+#[test]
+fn soak_breaks_no_promise() {
+    for case in CASES {
+        let report = soak::run(&Options {
+            binary: env!("CARGO_BIN_EXE_geraniummount").into(),
+            seed: case.seed,
+            vms: case.vms,
+            shards: case.shards,
+            callers: CALLERS,
+            faulty: FAULTY,
+        });
+        let report = report.expect("the world starts");
+        eprintln!("{}: {report}", case.name);
+        assert!(report.violations.is_empty(), "{}", case.name);
+    }
+}
