Let each answer move the share that is turned away at once

Cause: the share followed a moving average of overdue parts; queues grow within fractions of a second, so it came late and swung too far.

Ruled out, by the replay (eight seeds): larger steps, a faster decay.

Change: no moving average. Its bounds for the last case are raised from 0.5 and 0.42 to 0.65 and 0.45; it takes eight seeds together.

--- a/src/geraniummount/core/overload.rs
+++ b/src/geraniummount/core/overload.rs
@@ -6,7 +6,8 @@
 //! though most could be. No VM sees the queues. It sees how many parts are
 //! overdue in its own answers, against the number that an answer may lack, and
 //! turns away a share of its queries until these are few. All VMs see the same
-//! and so come to like shares.
+//! and so come to like shares. Each answer counts at once: queues grow within
+//! fractions of a second, and a share that follows them late swings.
 //!
 //! What is turned away has not run and may come back at once elsewhere.
 
@@ -14,9 +15,6 @@
 
 use crate::core::points::Points;
 
-/// Weight of a new answer in the moving average of overdue parts.
-const ANSWER_WEIGHT: f64 = 0.3;
-
 /// Overdue parts, as a share of those that an answer may lack, at which the
 /// share that is turned away stays as it is.
 const TARGET: f64 = 0.4;
@@ -44,9 +42,6 @@
 #[derive(Clone, Debug)]
 pub struct Overload {
     share: f64,
-    /// Moving average of overdue parts, as a share of those that an answer
-    /// may lack.
-    overdue: f64,
     updated: Instant,
     points: Points,
 }
@@ -56,7 +51,6 @@
     pub fn new(now: Instant) -> Overload {
         Overload {
             share: 0.0,
-            overdue: 0.0,
             updated: now,
             points: Points::after(0.5),
         }
@@ -66,8 +60,8 @@
     pub fn on_answer(&mut self, overdue: usize, may_lack: usize, now: Instant) {
         self.decay(now);
         let latest = overdue as f64 / may_lack.max(1) as f64;
-        self.overdue += (latest.min(MOST_OVERDUE) - self.overdue) * ANSWER_WEIGHT;
-        self.share = (self.share + (self.overdue - TARGET) * GAIN).clamp(0.0, MOST);
+        let change = (latest.min(MOST_OVERDUE) - TARGET) * GAIN;
+        self.share = (self.share + change).clamp(0.0, MOST);
     }
 
     /// Returns whether the next query is admitted.
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-const SEED: u64 = 11;
+const SEEDS: std::ops::Range<u64> = 11..19;
 const VMS: usize = 9;
 const AIM: Duration = Duration::from_millis(175);
 /// Shards whose leaves are short of room; the others always answer in time.
@@ -44,7 +44,7 @@
     Case {
         name: "twice too much, then half load",
         loads: &[2.0, 0.5],
-        least: &[0.5, 0.42],
+        least: &[0.65, 0.45],
     },
 ];
 
@@ -56,9 +56,18 @@
 }
 
 /// Returns the share of capacity that was served in time in the second half of
-/// each span.
+/// each span, on average over all seeds.
 fn replay(case: &Case, with_control: bool) -> Vec<f64> {
-    let mut rng = SmallRng::seed_from_u64(SEED);
+    let played: Vec<Vec<f64>> = SEEDS
+        .map(|seed| replay_seed(case, with_control, seed))
+        .collect();
+    let spans = 0..case.loads.len();
+    let mean = |span: usize| played.iter().map(|served| served[span]).sum::<f64>();
+    spans.map(|span| mean(span) / played.len() as f64).collect()
+}
+
+fn replay_seed(case: &Case, with_control: bool, seed: u64) -> Vec<f64> {
+    let mut rng = SmallRng::seed_from_u64(seed);
     let start = Instant::now();
     let mut vms: Vec<Overload> = (0..VMS).map(|_| Overload::new(start)).collect();
     let mut free = [start; SHORT];
