Watch routes and leaves with one call

Change: one thread, one watch over all keys. Its pause after a change also keeps to half of the time in which a version has to be in force.

--- a/src/geraniummount/core/pace.rs
+++ b/src/geraniummount/core/pace.rs
@@ -17,18 +17,15 @@
 /// Shortest pause after a change.
 const SHORTEST: Duration = Duration::from_millis(300);
 
-/// Longest pause after a change of the leaves; a leaf that has just started
-/// waits as long for its first request.
-const LONGEST_FOR_LEAVES: Duration = Duration::from_secs(2);
-
-/// Longest pause after a change of the routes.
-const LONGEST_FOR_ROUTES: Duration = Duration::from_secs(1);
+/// Longest pause after a change; a leaf that has just started waits as long
+/// for its first request.
+const LONGEST: Duration = Duration::from_secs(2);
 
 /// Time kept back for the read itself and for requests on their way to a leaf.
 const READ_TIME: Duration = Duration::from_secs(1);
 
 /// Share of the time to bring a version into force that is spent on waiting.
-const ROUTES_DIVISOR: u32 = 5;
+const APPLY_DIVISOR: u32 = 2;
 
 /// First pause after a failed call; doubles with each further one.
 const FIRST_AFTER_FAILURE: Duration = Duration::from_millis(50);
@@ -39,7 +36,7 @@
 /// Longest pause after failed calls where something is in force.
 const LONGEST_KNOWN: Duration = Duration::from_secs(2);
 
-/// Pauses between the calls for one kind of keys.
+/// Pauses between the calls.
 #[derive(Clone, Debug)]
 pub struct Pace {
     after_change: Duration,
@@ -47,23 +44,14 @@
 }
 
 impl Pace {
-    /// Paces reads of the leaves; `leaving` is how long a leaf still serves
-    /// after it was registered as leaving, or removed.
-    pub fn of_leaves(leaving: Duration) -> Pace {
+    /// Paces calls under the platform's bounds: `leaving` is how long a leaf
+    /// still serves after it was registered as leaving, or removed; `apply` is
+    /// the time in which a version of the routes has to be in force.
+    pub fn new(leaving: Duration, apply: Duration) -> Pace {
         let left = leaving.saturating_sub(LAPSE + READ_TIME);
-        Pace::new(left.clamp(SHORTEST, LONGEST_FOR_LEAVES))
-    }
-
-    /// Paces reads of the routes; `apply` is the time in which a version has to
-    /// be in force.
-    pub fn of_routes(apply: Duration) -> Pace {
-        let share = apply / ROUTES_DIVISOR;
-        Pace::new(share.clamp(SHORTEST, LONGEST_FOR_ROUTES))
-    }
-
-    fn new(after_change: Duration) -> Pace {
+        let longest = LONGEST.min(apply / APPLY_DIVISOR).max(SHORTEST);
         Pace {
-            after_change,
+            after_change: left.clamp(SHORTEST, longest),
             failures: 0,
         }
     }
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -1,7 +1,7 @@
 //! Keeps routes and leaves up to date from the platform's store.
 //!
-//! A thread for each of the two prefixes reads all keys, then waits for
-//! changes. Where the history is gone it reads all keys again. While the store
+//! A thread reads all keys, then waits for changes, with one call for both
+//! kinds. Where the history is gone it reads all keys again. While the store
 //! is away, what was known last stays in force.
 
 use std::io;
@@ -21,16 +21,8 @@
 /// Longest wait for a change in one call.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// What one thread keeps up to date.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Topic {
-    Routes,
-    Leaves,
-}
-
-/// One thread's state.
+/// The thread's state.
 struct Watcher {
-    topic: Topic,
     store: Store,
     sender: Sender,
     feed: Feed,
@@ -42,45 +34,43 @@
     lost_at: Option<Instant>,
 }
 
-/// Starts both threads.
+/// What an answer of the store changed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Changes {
+    routes: bool,
+    leaves: bool,
+}
+
+/// Starts the thread.
 pub(super) fn start(options: &Options, sender: &Sender) -> io::Result<()> {
-    for topic in [Topic::Routes, Topic::Leaves] {
-        let watcher = Watcher {
-            topic,
-            store: Store::new(options.store),
-            sender: sender.clone(),
-            feed: Feed::default(),
-            version: None,
-            pace: topic.pace(options),
-            known: false,
-            lost_at: None,
-        };
-        let thread = thread::Builder::new().name(topic.name().to_string());
-        thread.spawn(move || watcher.run())?;
-    }
+    let watcher = Watcher {
+        store: Store::new(options.store),
+        sender: sender.clone(),
+        feed: Feed::default(),
+        version: None,
+        pace: Pace::new(options.leaving, options.apply),
+        known: false,
+        lost_at: None,
+    };
+    let thread = thread::Builder::new().name("store".to_string());
+    thread.spawn(move || watcher.run())?;
     Ok(())
 }
 
-impl Topic {
-    fn name(self) -> &'static str {
-        match self {
-            Topic::Routes => "routes",
-            Topic::Leaves => "leaves",
-        }
-    }
+impl Changes {
+    const ALL: Changes = Changes {
+        routes: true,
+        leaves: true,
+    };
 
-    fn pace(self, options: &Options) -> Pace {
-        match self {
-            Topic::Routes => Pace::of_routes(options.apply),
-            Topic::Leaves => Pace::of_leaves(options.leaving),
-        }
+    /// Notes that a key changed.
+    fn note(&mut self, key: &str) {
+        self.routes |= key == platform::DOCUMENT_KEY;
+        self.leaves |= key.starts_with(platform::ENTRY_PREFIX);
     }
 
-    fn prefix(self) -> &'static str {
-        match self {
-            Topic::Routes => platform::DOCUMENT_PREFIX,
-            Topic::Leaves => platform::ENTRY_PREFIX,
-        }
+    fn any(self) -> bool {
+        self.routes || self.leaves
     }
 }
 
@@ -93,19 +83,18 @@
                 Some(revision) => self.wait(revision),
             };
             match result {
-                Ok(changed) => {
+                Ok(changes) => {
                     self.regained();
-                    if changed && !self.publish() {
+                    if !self.publish(changes) {
                         return;
                     }
-                    if changed {
+                    if changes.any() {
                         self.known = true;
                         thread::sleep(self.pace.after_change());
                     }
                 }
                 Err(Error::Compacted) => {
-                    let topic = self.topic.name();
-                    info!("store topic={topic} event=compacted action=read-all");
+                    info!("store event=compacted action=read-all");
                     self.feed.restart();
                 }
                 Err(error) => self.lost(&error),
@@ -114,50 +103,53 @@
     }
 
     /// Reads all keys, page by page.
-    fn read_all(&mut self) -> Result<bool, Error> {
-        let prefix = self.topic.prefix();
-        let mut page = self.store.range(prefix, None)?;
+    fn read_all(&mut self) -> Result<Changes, Error> {
+        let mut page = self.store.range(platform::ALL_KEYS, None)?;
         let as_of = page.as_of;
         let mut items = page.items;
         while page.truncated {
             let Some(last) = items.last() else { break };
             let after = last.key.clone();
-            page = self.store.range(prefix, Some(&after))?;
+            page = self.store.range(platform::ALL_KEYS, Some(&after))?;
             items.append(&mut page.items);
         }
         let records = items
             .into_iter()
             .map(|item| (item.key, item.revision, item.value));
         if self.feed.replace(records, as_of) {
-            return Ok(true);
+            return Ok(Changes::ALL);
         }
         Err(Error::Malformed(format!(
             "revision {as_of} is older than what is known"
         )))
     }
 
-    fn wait(&mut self, revision: Revision) -> Result<bool, Error> {
-        let events = self
-            .store
-            .watch(self.topic.prefix(), revision, WATCH_WAIT)?;
-        let mut changed = false;
+    fn wait(&mut self, revision: Revision) -> Result<Changes, Error> {
+        let events = self.store.watch(platform::ALL_KEYS, revision, WATCH_WAIT)?;
+        let mut changes = Changes::default();
         for event in events.events {
-            changed |= match event {
+            match event {
                 platform::Event::Written(item) => {
-                    self.feed.put(item.key, item.revision, item.value)
+                    let key = item.key.clone();
+                    if self.feed.put(item.key, item.revision, item.value) {
+                        changes.note(&key);
+                    }
                 }
-                platform::Event::Removed { key, revision } => self.feed.remove(&key, revision),
-            };
+                platform::Event::Removed { key, revision } => {
+                    if self.feed.remove(&key, revision) {
+                        changes.note(&key);
+                    }
+                }
+            }
         }
         self.feed.advance(events.as_of);
-        Ok(changed)
+        Ok(changes)
     }
 
-    fn publish(&mut self) -> bool {
-        match self.topic {
-            Topic::Routes => self.publish_routes(),
-            Topic::Leaves => self.publish_leaves(),
-        }
+    /// Sends what changed; returns whether the event loop still runs.
+    fn publish(&mut self, changes: Changes) -> bool {
+        let runs = !changes.routes || self.publish_routes();
+        runs && (!changes.leaves || self.publish_leaves())
     }
 
     /// Sends the routes, if their version is newer than any before.
@@ -185,7 +177,8 @@
 
     fn publish_leaves(&mut self) -> bool {
         let mut instances = Vec::new();
-        for (key, value) in self.feed.iter() {
+        let keys = self.feed.iter();
+        for (key, value) in keys.filter(|(key, _)| key.starts_with(platform::ENTRY_PREFIX)) {
             match platform::entry::read(key, value) {
                 Ok(instance) => instances.push(instance),
                 Err(error) => warn!("leaf key={key} outcome=ignored error=\"{error}\""),
@@ -198,10 +191,9 @@
     /// so all keys are read again.
     fn lost(&mut self, error: &Error) {
         self.feed.restart();
-        let topic = self.topic.name();
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
-            warn!("store topic={topic} event=lost error=\"{error}\"");
+            warn!("store event=lost error=\"{error}\"");
         }
         let spread = rand::rng().random_range(0.0..1.0);
         thread::sleep(self.pace.on_failure(self.known, spread));
@@ -210,9 +202,8 @@
     fn regained(&mut self) {
         self.pace.on_answer();
         if let Some(lost_at) = self.lost_at.take() {
-            let topic = self.topic.name();
             let away_ms = lost_at.elapsed().as_millis();
-            info!("store topic={topic} event=regained away_ms={away_ms}");
+            info!("store event=regained away_ms={away_ms}");
         }
     }
 }
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -16,8 +16,8 @@
 /// Key of the operator's configuration.
 pub const DOCUMENT_KEY: &str = "op/config";
 
-/// Prefix of the keys under which the operator writes.
-pub const DOCUMENT_PREFIX: &str = "op/";
+/// Prefix of all keys: those of the operator and those of the leaves.
+pub const ALL_KEYS: &str = "";
 
 /// Prefix of the keys under which leaves register.
 pub const ENTRY_PREFIX: &str = "servers/";
--- a/tests/testsuite/pace.rs
+++ b/tests/testsuite/pace.rs
@@ -48,7 +48,7 @@
 #[test]
 fn pace_keeps_calls_few_while_leaves_change_all_the_time() {
     for case in CASES {
-        let pace = Pace::of_leaves(case.leaving);
+        let pace = Pace::new(case.leaving, case.apply);
         let mut calls = 0;
         let mut now = Duration::ZERO;
         while now < Duration::from_secs(60) {
@@ -63,11 +63,11 @@
 #[test]
 fn pace_reads_in_time_for_the_bounds() {
     for case in CASES {
-        let leaves = Pace::of_leaves(case.leaving).after_change();
+        let pause = Pace::new(case.leaving, case.apply).after_change();
         // A leaf that was removed is used as the last choice while it lapses.
-        let last_use = leaves + READ + LAPSE;
+        let last_use = pause + READ + LAPSE;
         assert!(last_use < case.leaving, "{}: {last_use:?}", case.name);
-        let in_force = Pace::of_routes(case.apply).after_change() + READ;
+        let in_force = pause + READ;
         assert!(in_force * 2 < case.apply, "{}: {in_force:?}", case.name);
     }
 }
@@ -102,7 +102,7 @@
 #[test]
 fn pace_tries_a_lost_store_ever_more_rarely() {
     for outage in OUTAGES {
-        let mut pace = Pace::of_leaves(Duration::from_secs(5));
+        let mut pace = Pace::new(Duration::from_secs(5), Duration::from_secs(5));
         let mut calls = 0;
         let mut now = Duration::ZERO;
         while now < outage.away {
