Go on with a call on the store after the process stood still

Change: such a read is repeated. Test: platform_pause_loses_no_call_on_the_store (failed before).

By reading, a leaf could be chosen before the callers knew its records.

Beside it the platform's names left the new bench and the soak: documents, callers' requests and their answers stand in test_support::platform::users, and the test that looks for names reads the crates too.

--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -4,15 +4,17 @@
 //! The kernel's time is part of the figure.
 
 use std::error::Error;
-use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Update};
+use geraniummount_test_support::platform::users::caller::Request;
+use geraniummount_test_support::platform::users::document::{
+    DOCUMENT_KEY, Gather, document, gather_route,
+};
 use geraniummount_test_support::platform::users::{Leaf, Store};
-use serde_json::{Value, json};
 
 /// Shards of a query.
 const SHARDS: usize = 90;
@@ -26,6 +28,9 @@
 /// Bytes of a part: 25 records.
 const PART_BYTES: usize = 400;
 
+/// How long the caller waits for an answer.
+const DEADLINE: Duration = Duration::from_secs(2);
+
 /// Longest wait for the gateway to know its leaves.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -35,7 +40,7 @@
 fn main() -> Result<(), Box<dyn Error>> {
     let store = Store::start();
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
-    store.put("op/config", document(&shards));
+    store.put(DOCUMENT_KEY, configuration(&shards));
     let part = vec![7; PART_BYTES];
     let leaves: Vec<Leaf> = shards
         .iter()
@@ -109,47 +114,23 @@
 
 /// Sends a query and reads its answer; returns the status.
 fn query(caller: &mut TcpStream) -> Result<u16, Box<dyn Error>> {
-    caller.write_all(
-        b"GET /all/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: 9c41d07be2a35f68\r\n\
-          Deadline-Ms: 2000\r\n\r\n",
-    )?;
-    let mut answer = Vec::new();
-    let mut chunk = [0; 16 * 1024];
-    loop {
-        let count = caller.read(&mut chunk)?;
-        if count == 0 {
-            return Err("the gateway closed the connection".into());
-        }
-        answer.extend_from_slice(&chunk[..count]);
-        let text = String::from_utf8_lossy(&answer);
-        let Some((head, _)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let lines = head.lines().filter_map(|line| line.split_once(": "));
-        let mut lengths = lines.filter(|(name, _)| *name == "Content-Length");
-        let length: usize = lengths.next().ok_or("no length")?.1.parse()?;
-        if answer.len() >= head.len() + 4 + length {
-            return Ok(head.split(' ').nth(1).ok_or("no status")?.parse()?);
-        }
-    }
+    let request = Request {
+        id: "9c41d07be2a35f68",
+        method: "GET",
+        path: "/all/1",
+        deadline: DEADLINE,
+        body: b"",
+    };
+    Ok(request.exchange(caller)?.status)
 }
 
-fn document(shards: &[String]) -> String {
-    let services = shards.iter().map(|shard| {
-        json!({"name": shard, "healthPath": "/health", "maxConns": 57,
-               "protocol": "h1", "tls": false})
-    });
-    let services: Vec<Value> = services.collect();
-    json!({
-        "version": 1, "services": services,
-        "routes": [{"name": "all", "host": "shop.example", "prefix": "/all/",
-                    "type": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 2000,
-                    "priority": 1, "gather": shards, "attempts": 2, "topK": 20,
-                    "minCoverage": 1.0}],
-        "limits": {"maxHeaderBytes": 2048, "maxBodyBytes": 4096,
-                   "headerTimeoutMs": 1000, "idleTimeoutMs": 10_000},
-    })
-    .to_string()
+fn configuration(shards: &[String]) -> String {
+    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let gather = Gather {
+        top: 20,
+        least: 1.0,
+    };
+    document(1, &[gather_route("/all/", &shards, gather)], &shards)
 }
 
 fn free_address() -> Result<SocketAddr, Box<dyn Error>> {
--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -4,6 +4,8 @@
 //! They speak the pages under which the product's `platform` folder stands.
 //! Faults are set while they run.
 
+pub mod caller;
+pub mod document;
 mod leaf;
 mod serving;
 mod store;
--- a/crates/geraniummount-test-support/src/soak/caller.rs
+++ b/crates/geraniummount-test-support/src/soak/caller.rs
@@ -1,7 +1,7 @@
 //! Callers: each sends one request after the other, over a connection that it
 //! keeps as long as the gateway does.
 
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,17 +12,15 @@
 use rand::{RngExt, SeedableRng};
 
 use super::Options;
-use super::kind::Kind;
+use super::kind::{self, Kind};
 use super::member::{Identity, RECORD_BYTES};
-use super::request::{Outcome, Request};
-use super::world::{HOST, Known, World, lock};
+use super::request::{Outcome, Sent};
+use super::world::{Known, World, lock};
+use crate::platform::users::caller::{Answer, Request};
 
 /// Records in the answer of a search.
 pub const TOP: usize = 10;
 
-/// How long a caller waits, as it tells the gateway.
-const DEADLINE: Duration = Duration::from_secs(1);
-
 /// How much longer it listens.
 const LISTENS: Duration = Duration::from_secs(3);
 
@@ -49,7 +47,7 @@
 #[derive(Debug, Default)]
 pub struct Seen {
     /// Requests, of each caller in order.
-    pub requests: Vec<Request>,
+    pub requests: Vec<Sent>,
     /// Looks, in order.
     pub looks: Vec<Look>,
 }
@@ -57,17 +55,10 @@
 /// Running callers.
 pub struct Callers {
     stop: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<Vec<Request>>>,
+    callers: Vec<JoinHandle<Vec<Sent>>>,
     looking: JoinHandle<Vec<Look>>,
 }
 
-/// An answer as it came.
-struct Answer {
-    status: u16,
-    fields: Vec<(String, String)>,
-    body: Vec<u8>,
-}
-
 /// One caller.
 struct Caller {
     name: String,
@@ -121,13 +112,8 @@
 /// Returns whether a gateway serves each kind of request.
 pub fn serves(gateway: SocketAddr) -> bool {
     Kind::ALL.iter().all(|kind| {
-        let answer = connect(gateway).and_then(|mut stream| {
-            exchange(
-                &mut stream,
-                &head("warm-up", kind.method(), kind.prefix(), b"x"),
-                b"x",
-            )
-        });
+        let request = kind.request("warm-up", b"x");
+        let answer = connect(gateway).and_then(|mut stream| request.exchange(&mut stream));
         answer.is_ok_and(|answer| answer.status == 200)
     })
 }
@@ -141,8 +127,11 @@
                 continue;
             };
             let at = Instant::now();
-            let head = head("look", "GET", &format!("/v{version}/"), b"");
-            let answer = connect(*gateway).and_then(|mut stream| exchange(&mut stream, &head, b""));
+            let request = Request {
+                path: &format!("/v{version}/"),
+                ..Kind::Lookup.request("look", b"")
+            };
+            let answer = connect(*gateway).and_then(|mut stream| request.exchange(&mut stream));
             let found = match answer {
                 Ok(answer) if answer.status == 503 => None,
                 Ok(answer) => Some(answer.status != 404),
@@ -161,7 +150,7 @@
 }
 
 impl Caller {
-    fn run(&mut self, stop: &AtomicBool) -> Vec<Request> {
+    fn run(&mut self, stop: &AtomicBool) -> Vec<Sent> {
         let mut requests = Vec::new();
         while !stop.load(Ordering::Acquire) {
             requests.push(self.request());
@@ -170,7 +159,7 @@
         requests
     }
 
-    fn request(&mut self) -> Request {
+    fn request(&mut self) -> Sent {
         self.sent += 1;
         let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
         let id = format!("{}-{}", self.name, self.sent);
@@ -180,7 +169,7 @@
         };
         let sent = Instant::now();
         let (vm, outcome) = self.send(kind, &id, &body);
-        Request {
+        Sent {
             id,
             kind,
             vm,
@@ -203,8 +192,7 @@
                 }
             }
         };
-        let head = head(id, kind.method(), kind.prefix(), body);
-        let answer = match exchange(&mut stream, &head, body) {
+        let answer = match kind.request(id, body).exchange(&mut stream) {
             Ok(answer) => answer,
             Err(error) => return (vm, ending(&error)),
         };
@@ -225,7 +213,7 @@
     /// What is wrong with the answer of one leaf.
     fn forward_fault(&self, kind: Kind, answer: &Answer, id: &str, body: &[u8]) -> Option<String> {
         let Some(leaf) = answer
-            .field("Server-Stamp")
+            .signature()
             .and_then(|signature| self.signer(signature, id))
         else {
             return Some("no signature for this request".to_string());
@@ -242,8 +230,7 @@
 
     /// What is wrong with the answer of a search.
     fn search_fault(&self, answer: &Answer, id: &str) -> Option<String> {
-        let signatures = answer.field("Part-Stamps").unwrap_or_default();
-        let signatures: Vec<&str> = signatures.split(", ").collect();
+        let signatures = answer.part_signatures();
         let parts: Vec<Option<Identity>> = signatures
             .iter()
             .map(|signature| self.signer(signature, id))
@@ -254,12 +241,8 @@
         let mut services: Vec<&str> = parts.iter().map(|leaf| leaf.service.as_str()).collect();
         services.sort_unstable();
         services.dedup();
-        let missing = answer
-            .field("Missing-Parts")
-            .unwrap_or("0")
-            .parse::<usize>();
         let shards = shards(&self.known);
-        if services.len() != parts.len() || missing.ok() != shards.checked_sub(parts.len()) {
+        if services.len() != parts.len() || answer.missing() != shards.checked_sub(parts.len()) {
             return Some(format!("{} of {shards} parts: {services:?}", parts.len()));
         }
         (answer.body != greatest(&parts)).then(|| "not the greatest records".to_string())
@@ -274,18 +257,6 @@
     }
 }
 
-impl Answer {
-    fn field(&self, name: &str) -> Option<&str> {
-        let mut named = self.fields.iter();
-        let found = named.find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
-
-    fn closes(&self) -> bool {
-        self.field("Connection") == Some("close")
-    }
-}
-
 fn shards(known: &Known) -> usize {
     let leaves = lock(&known.leaves);
     let shards = leaves
@@ -317,69 +288,8 @@
 }
 
 fn connect(gateway: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect_timeout(&gateway, DEADLINE)?;
+    let stream = TcpStream::connect_timeout(&gateway, kind::DEADLINE)?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(DEADLINE + LISTENS))?;
+    stream.set_read_timeout(Some(kind::DEADLINE + LISTENS))?;
     Ok(stream)
 }
-
-fn head(id: &str, method: &str, prefix: &str, body: &[u8]) -> String {
-    let deadline = DEADLINE.as_millis();
-    let length = body.len();
-    format!(
-        "{method} {prefix}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
-         Deadline-Ms: {deadline}\r\nContent-Length: {length}\r\n\r\n"
-    )
-}
-
-fn exchange(stream: &mut TcpStream, head: &str, body: &[u8]) -> io::Result<Answer> {
-    stream.write_all(&[head.as_bytes(), body].concat())?;
-    let mut bytes = Vec::new();
-    loop {
-        let mut chunk = [0; 16 * 1024];
-        let count = stream.read(&mut chunk)?;
-        if count == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        bytes.extend_from_slice(&chunk[..count]);
-        if let Some(answer) = parse(&bytes)? {
-            return Ok(answer);
-        }
-    }
-}
-
-/// Reads an answer; `None` while it is not whole.
-fn parse(bytes: &[u8]) -> io::Result<Option<Answer>> {
-    let malformed = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_string());
-    let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
-        return Ok(None);
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]);
-    let mut lines = head.lines();
-    let status = lines
-        .next()
-        .and_then(|line| line.split(' ').nth(1)?.parse().ok());
-    let status = status.ok_or_else(|| malformed("no status line"))?;
-    let fields = lines.filter_map(|line| line.split_once(": "));
-    let fields: Vec<(String, String)> = fields
-        .map(|(name, value)| (name.to_string(), value.to_string()))
-        .collect();
-    let mut answer = Answer {
-        status,
-        fields,
-        body: Vec::new(),
-    };
-    let length = answer
-        .field("Content-Length")
-        .and_then(|text| text.parse().ok());
-    let length: usize = length.ok_or_else(|| malformed("no length"))?;
-    let body = &bytes[end + 4..];
-    match body.len().cmp(&length) {
-        std::cmp::Ordering::Less => Ok(None),
-        std::cmp::Ordering::Greater => Err(malformed("bytes behind the answer")),
-        std::cmp::Ordering::Equal => {
-            answer.body = body.to_vec();
-            Ok(Some(answer))
-        }
-    }
-}
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -6,7 +6,7 @@
 use super::caller::Seen;
 use super::kind::Kind;
 use super::report::{Promise, Violation};
-use super::request::{Outcome, Request};
+use super::request::{Outcome, Sent};
 use super::world::{World, lock};
 
 /// Time for which a leaf may get requests after it registered as leaving.
@@ -32,7 +32,7 @@
     let ended = Instant::now();
     world.stop();
     let runs = runs(world);
-    let mut requests: Vec<&Request> = seen.requests.iter().collect();
+    let mut requests: Vec<&Sent> = seen.requests.iter().collect();
     requests.sort_by(|a, b| a.id.cmp(&b.id));
     let check = Check {
         world,
@@ -60,7 +60,7 @@
 struct Check<'a> {
     world: &'a World,
     /// Sorted by id.
-    requests: Vec<&'a Request>,
+    requests: Vec<&'a Sent>,
     violations: Vec<Violation>,
 }
 
@@ -89,7 +89,7 @@
         });
     }
 
-    fn check_request(&mut self, request: &Request, runs: &[Run]) {
+    fn check_request(&mut self, request: &Sent, runs: &[Run]) {
         let (id, count) = (&request.id, runs.len());
         if let Outcome::Wrong(fault) = &request.outcome {
             let detail = format!("{id} ({:?}): {fault}", request.kind);
@@ -112,7 +112,7 @@
     }
 
     /// A request that a leaf ran is answered, also while its VM stops.
-    fn check_cut(&mut self, request: &Request) {
+    fn check_cut(&mut self, request: &Sent) {
         let from = request.sent.checked_sub(IN_TOUCH).unwrap_or(request.sent);
         let span = &self.world.disturbances;
         let is_calm = span.is_calm_but_for_stops(request.vm, from, request.ended)
@@ -123,7 +123,7 @@
         }
     }
 
-    fn check_recovery(&mut self, request: &Request, ended: Instant) {
+    fn check_recovery(&mut self, request: &Sent, ended: Instant) {
         let is_late = request.sent + CALM >= ended && request.ended <= ended;
         let from = request.sent.checked_sub(IN_TOUCH).unwrap_or(request.sent);
         let is_calm = self.world.disturbances.is_calm(request.vm, from, ended);
@@ -224,8 +224,7 @@
 
     fn check_logs(&mut self) {
         for number in 0..self.world.vms.len() {
-            let path = self.world.folder().join(format!("vm{number}.log"));
-            let log = std::fs::read_to_string(path).unwrap_or_default();
+            let log = self.world.vms[number].log();
             if let Some(line) = log.lines().find(|line| line.contains("panicked")) {
                 let detail = format!("vm{number}: {line}");
                 self.note(Promise::EndsWell, self.world.started, detail);
--- a/crates/geraniummount-test-support/src/soak/kind.rs
+++ b/crates/geraniummount-test-support/src/soak/kind.rs
@@ -1,5 +1,12 @@
 //! Kinds of requests that callers send.
 
+use std::time::Duration;
+
+use crate::platform::users::caller::Request;
+
+/// How long a caller waits, as it tells the gateway.
+pub const DEADLINE: Duration = Duration::from_secs(1);
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Kind {
@@ -24,8 +31,19 @@
         }
     }
 
+    /// A request of this kind.
+    pub fn request<'a>(self, id: &'a str, body: &'a [u8]) -> Request<'a> {
+        Request {
+            id,
+            method: self.method(),
+            path: self.prefix(),
+            deadline: DEADLINE,
+            body,
+        }
+    }
+
     /// Method of its requests.
-    pub fn method(self) -> &'static str {
+    fn method(self) -> &'static str {
         match self {
             Kind::Search | Kind::Lookup => "GET",
             Kind::Order => "POST",
--- a/crates/geraniummount-test-support/src/soak/member.rs
+++ b/crates/geraniummount-test-support/src/soak/member.rs
@@ -39,12 +39,11 @@
 }
 
 impl Member {
-    /// Starts and registers a leaf.
-    pub fn start(store: &Store, service: &str, domain: &str, seed: u64) -> io::Result<Member> {
+    /// Starts a leaf that is not registered yet.
+    pub fn start(service: &str, domain: &str, seed: u64) -> io::Result<Member> {
         let records = records(service);
-        let mut leaf = Leaf::unregistered(service, domain, &records);
+        let leaf = Leaf::unregistered(service, domain, &records);
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), seed)?;
-        leaf.register_at(store, proxy.address());
         let identity = Identity {
             id: leaf.id().to_string(),
             service: service.to_string(),
@@ -59,6 +58,13 @@
         })
     }
 
+    /// Registers it.
+    pub fn register(&mut self, store: &Store) {
+        if let Some(leaf) = &mut self.leaf {
+            leaf.register_at(store, self.proxy.address());
+        }
+    }
+
     /// Returns who it is.
     pub fn identity(&self) -> &Identity {
         &self.identity
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -28,6 +28,7 @@
 pub use self::fault::Fault;
 pub use self::report::{Promise, Report, Violation};
 pub use self::schedule::Schedule;
+pub use self::vm::Vm;
 
 use self::caller::Callers;
 use self::world::World;
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -7,7 +7,7 @@
 use super::Options;
 use super::caller::Seen;
 use super::kind::Kind;
-use super::request::{Outcome, Request};
+use super::request::{Outcome, Sent};
 use super::schedule::Schedule;
 use super::world::World;
 
@@ -98,7 +98,7 @@
 }
 
 impl Counts {
-    fn of<'a>(requests: impl Iterator<Item = &'a Request>) -> Counts {
+    fn of<'a>(requests: impl Iterator<Item = &'a Sent>) -> Counts {
         let mut counts = Counts::default();
         for request in requests {
             counts.sent += 1;
--- a/crates/geraniummount-test-support/src/soak/request.rs
+++ b/crates/geraniummount-test-support/src/soak/request.rs
@@ -6,7 +6,7 @@
 
 /// A request that a caller sent.
 #[derive(Clone, Debug)]
-pub struct Request {
+pub struct Sent {
     /// Its id.
     pub id: String,
     /// Its kind.
--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -77,8 +77,37 @@
         Ok(())
     }
 
-    /// Signals its process, if it has one.
-    pub fn signal(&mut self, signal: Signal) {
+    /// Tells its process to stop.
+    pub fn stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Ends its process at once.
+    pub fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    /// Lets its process stand still.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets its process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Tells its process to read its settings again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Returns what its processes have logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             // Fails only when the process has ended already.
             let _ = kill_process(Pid::from_child(child), signal);
--- a/crates/geraniummount-test-support/src/soak/world.rs
+++ b/crates/geraniummount-test-support/src/soak/world.rs
@@ -6,8 +6,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::Signal;
-use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use super::disturbance::{Disturbances, Scope};
@@ -17,6 +15,7 @@
 use super::schedule::{Schedule, Step};
 use super::vm::Vm;
 use super::{CALM, Options, RECOVERY};
+use crate::platform::users::document::{self, DOCUMENT_KEY, Gather, gather_route, service_route};
 use crate::platform::users::{Answer, Store};
 use crate::proxy::{Flow, Link, Proxy};
 
@@ -44,8 +43,8 @@
 /// Time until the first answers after the start.
 const START: Duration = Duration::from_secs(20);
 
-/// Host of all routes.
-pub const HOST: &str = "soak.example";
+/// Least share of the shards that an answer includes.
+const LEAST: f64 = 0.5;
 
 /// A version of the routes, and when it was written.
 pub type Version = (u64, Instant);
@@ -194,7 +193,7 @@
         let told = Instant::now();
         for vm in &mut self.vms {
             vm.stopping = Some(told);
-            vm.signal(Signal::TERM);
+            vm.stop();
         }
         while self.vms.iter().any(Vm::is_running) {
             thread::sleep(STEP);
@@ -274,10 +273,10 @@
             VmFault::Stop => self.stop_vm(vm, now),
             VmFault::Kill => self.kill_vm(vm, now),
             VmFault::Pause => {
-                self.vms[vm].signal(Signal::STOP);
+                self.vms[vm].pause();
                 return Some(Undo::Resume(vm));
             }
-            VmFault::Reload => self.vms[vm].signal(Signal::HUP),
+            VmFault::Reload => self.vms[vm].reload(),
         }
         None
     }
@@ -335,13 +334,13 @@
             return;
         }
         self.vms[vm].stopping = Some(now);
-        self.vms[vm].signal(Signal::TERM);
+        self.vms[vm].stop();
         self.disturbances.add(Scope::Stop(vm), now, GRACE);
     }
 
     fn kill_vm(&mut self, vm: usize, now: Instant) {
         self.killed[vm] = true;
-        self.vms[vm].signal(Signal::KILL);
+        self.vms[vm].kill();
         self.disturbances
             .add(Scope::Vm(vm), now, Duration::from_secs(1));
     }
@@ -367,7 +366,7 @@
 
     fn undo(&mut self, undo: Undo) {
         match undo {
-            Undo::Resume(vm) => self.vms[vm].signal(Signal::CONT),
+            Undo::Resume(vm) => self.vms[vm].resume(),
             Undo::HealStore(vm) => heal(&self.vms[vm].store),
             Undo::StoreUp => self.store.set_refusal(None),
             Undo::LeafWell(member) => {
@@ -408,8 +407,10 @@
 
     fn add_member(&mut self, place: usize) -> io::Result<usize> {
         let service = self.service(place);
-        let member = Member::start(&self.store, &service, domain(place), self.seed)?;
+        let mut member = Member::start(&service, domain(place), self.seed)?;
+        // Known to the callers before a gateway can choose it.
         lock(&self.known.leaves).push(member.identity().clone());
+        member.register(&self.store);
         self.members.push(member);
         Ok(self.members.len() - 1)
     }
@@ -426,7 +427,7 @@
         for vm in 0..self.vms.len() {
             let told = self.vms[vm].stopping;
             if told.is_some_and(|told| now.saturating_duration_since(told) > GRACE) {
-                self.vms[vm].signal(Signal::KILL);
+                self.vms[vm].kill();
             }
             let Some(status) = self.vms[vm].ended() else {
                 continue;
@@ -451,7 +452,7 @@
         let numbers: Vec<u64> = versions.iter().map(|(version, _)| *version).collect();
         drop(versions);
         let document = document(version, &numbers, self.shards);
-        self.store.put("op/config", document.to_string());
+        self.store.put(DOCUMENT_KEY, document);
     }
 }
 
@@ -483,48 +484,22 @@
     ["a", "b"][number % 2]
 }
 
-fn document(version: u64, versions: &[u64], shards: usize) -> Value {
+fn document(version: u64, versions: &[u64], shards: usize) -> String {
     let shards: Vec<String> = (0..shards).map(|shard| format!("shard-{shard}")).collect();
+    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let gather = Gather {
+        top: super::caller::TOP,
+        least: LEAST,
+    };
     let mut routes = vec![
-        route(
-            Kind::Search.prefix(),
-            "idempotent",
-            &[
-                ("gather", json!(shards)),
-                ("topK", json!(super::caller::TOP)),
-                ("minCoverage", json!(0.5)),
-            ],
-        ),
-        route(
-            Kind::Lookup.prefix(),
-            "idempotent",
-            &[("backend", json!("lookup"))],
-        ),
-        route(
-            Kind::Order.prefix(),
-            "non_idempotent",
-            &[("backend", json!("orders"))],
-        ),
+        gather_route(Kind::Search.prefix(), &shards, gather),
+        service_route(Kind::Lookup.prefix(), "idempotent", "lookup"),
+        service_route(Kind::Order.prefix(), "non_idempotent", "orders"),
     ];
     let markers = versions.iter().map(|number| {
         let prefix = format!("/v{number}/");
-        route(&prefix, "idempotent", &[("backend", json!("lookup"))])
+        service_route(&prefix, "idempotent", "lookup")
     });
     routes.extend(markers);
-    json!({
-        "version": version, "routes": routes, "services": [],
-        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536,
-                   "headerTimeoutMs": 2000, "idleTimeoutMs": 10_000},
-    })
-}
-
-fn route(prefix: &str, kind: &str, target: &[(&str, Value)]) -> Value {
-    let mut route = json!({
-        "name": prefix, "host": HOST, "prefix": prefix, "type": kind, "timeoutMs": 2000,
-        "targetLatencyMs": 200, "priority": 1, "attempts": 2,
-    });
-    for (key, value) in target {
-        route[*key] = value.clone();
-    }
-    route
+    document::document(version, &routes, &[])
 }
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -155,15 +155,23 @@
 
 /// Reads once; returns whether the connection goes on.
 fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>, end: Instant) -> Result<bool, Error> {
-    let left = end.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return Err(Error::Unreachable(io::ErrorKind::TimedOut.into()));
-    }
-    stream.set_read_timeout(Some(left))?;
     let mut chunk = vec![0; READ_BYTES];
-    let count = stream.read(&mut chunk)?;
-    buffer.extend_from_slice(&chunk[..count]);
-    Ok(count > 0)
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Error::Unreachable(io::ErrorKind::TimedOut.into()));
+        }
+        stream.set_read_timeout(Some(left))?;
+        match stream.read(&mut chunk) {
+            Ok(count) => {
+                buffer.extend_from_slice(&chunk[..count]);
+                return Ok(count > 0);
+            }
+            // A process that stood still and goes on gets this.
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
 }
 
 fn read<T: DeserializeOwned>(response: &h1::Response) -> Result<T, Error> {
--- a/tests/testsuite/platform/formats.rs
+++ b/tests/testsuite/platform/formats.rs
@@ -160,6 +160,7 @@
         root.join("src"),
         root.join("benches"),
         root.join("examples"),
+        root.join("crates"),
     ];
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).unwrap() {
--- /dev/null
+++ b/tests/testsuite/platform/pause.rs
@@ -0,0 +1,50 @@
+//! A gateway that stood still goes on with what it had.
+
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::platform::users::Store;
+use geraniummount_test_support::soak::Vm;
+
+use super::scene::{PATIENCE, document};
+
+/// Time for which the process stands still.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Time in which a lost call would be noticed.
+const AFTER: Duration = Duration::from_millis(300);
+
+fn wait_for_log(vm: &Vm, text: &str) {
+    let end = Instant::now() + PATIENCE;
+    while !vm.log().contains(text) {
+        assert!(Instant::now() < end, "no '{text}' in:\n{}", vm.log());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Waits until the gateway, having read all keys, waits for changes.
+fn wait_for_watch(store: &Store) {
+    const CALLS: u64 = 2;
+    let end = Instant::now() + PATIENCE;
+    while store.calls() < CALLS {
+        assert!(Instant::now() < end, "no watch was started");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn platform_pause_loses_no_call_on_the_store() {
+    let store = Store::start();
+    store.put("op/config", document(1, &[]));
+    let folder = tempfile::tempdir().unwrap();
+    let binary = env!("CARGO_BIN_EXE_geraniummount").as_ref();
+    let vm = Vm::start(binary, folder.path(), 1, "near", store.address(), 1).unwrap();
+    wait_for_log(&vm, "version=1");
+    wait_for_watch(&store);
+    vm.pause();
+    std::thread::sleep(PAUSE);
+    vm.resume();
+    std::thread::sleep(AFTER);
+    store.put("op/config", document(2, &[]));
+    wait_for_log(&vm, "version=2");
+    assert!(!vm.log().contains("event=lost"), "{}", vm.log());
+}
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -7,15 +7,14 @@
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
+use geraniummount_test_support::platform::users::document::{self, Gather};
+pub use geraniummount_test_support::platform::users::document::{HOST, service_route};
 use geraniummount_test_support::platform::users::{Leaf, Store};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Host of all routes.
-pub const HOST: &str = "shop.example";
-
 /// A running gateway with its store.
 pub struct Scene {
     pub store: Store,
@@ -185,27 +184,12 @@
         "idempotent",
         "none",
     ));
-    json!({
-        "version": version, "routes": routes,
-        "services": [{"name": "one", "healthPath": "/health", "maxConns": 26,
-                      "protocol": "h1", "tls": false}],
-        "limits": {"maxHeaderBytes": 2048, "maxBodyBytes": 4096,
-                   "headerTimeoutMs": 1000, "idleTimeoutMs": 10_000},
-    })
-    .to_string()
-}
-
-/// A route to one service.
-pub fn service_route(prefix: &str, kind: &str, service: &str) -> Value {
-    json!({"name": prefix, "host": HOST, "prefix": prefix, "type": kind, "timeoutMs": 3000,
-           "targetLatencyMs": 400, "priority": 1, "backend": service, "attempts": 2})
+    document::document(version, &routes, &["one"])
 }
 
 /// A route to many shards.
 pub fn gather_route(prefix: &str, shards: &[&str], top: usize, least: f64) -> Value {
-    json!({"name": prefix, "host": HOST, "prefix": prefix, "type": "idempotent",
-           "timeoutMs": 3000, "targetLatencyMs": 400, "priority": 1, "gather": shards,
-           "attempts": 2, "topK": top, "minCoverage": least})
+    document::gather_route(prefix, shards, Gather { top, least })
 }
 
 /// Starts a leaf in failure domain `near`.
