--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 
-use super::{Error, Events, Item, Range};
+use super::{Error, Events, Range};
 use crate::prelude::*;
 use crate::util::h1::{self, Head, Parsed};
 
@@ -49,20 +49,6 @@
         self.address
     }
 
-    /// Reads one key; `None` where it does not exist.
-    ///
-    /// # Errors
-    ///
-    /// The store can't be reached, refuses, or answers nonsense.
-    pub fn get(&mut self, key: &str) -> Result<Option<Item>, Error> {
-        let target = format!("/api/kv-key?key={key}");
-        let response = self.call(&target, CALL_TIMEOUT)?;
-        match response.head.status {
-            404 => Ok(None),
-            _ => read(&response).map(Some),
-        }
-    }
-
     /// Reads the keys with a prefix that follow `after`, one page.
     ///
     /// # Errors
