--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -1,4 +1,5 @@
-//! Processor time of a gateway for each part of a query over many shards.
+//! Processor time of a gateway for each part of a query over many shards, and
+//! the share of it that logs take.
 //!
 //! Real sockets on loopback: one gateway, a leaf for each shard, one caller.
 //! The kernel's time is part of the figure.
@@ -10,11 +11,13 @@
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Update};
+use geraniummount::ops::logs::start_lines;
 use geraniummount_test_support::platform::users::caller::Request;
 use geraniummount_test_support::platform::users::document::{
     DOCUMENT_KEY, Gather, document, gather_route,
 };
 use geraniummount_test_support::platform::users::{Leaf, Store};
+use log::LevelFilter;
 
 /// Shards of a query.
 const SHARDS: usize = 90;
@@ -22,8 +25,14 @@
 /// Queries before the measured ones.
 const WARM_UP: usize = 50;
 
-/// Queries that are measured.
-const QUERIES: usize = 500;
+/// Queries that are measured in a row, with logs and without by turns.
+const QUERIES: usize = 200;
+
+/// How often.
+const ROUNDS: usize = 5;
+
+/// Largest share of the processor time that logs take at full load.
+const MOST_FOR_LOGS: f64 = 0.05;
 
 /// Bytes of a part: 25 records.
 const PART_BYTES: usize = 400;
@@ -34,9 +43,12 @@
 /// Longest wait for the gateway to know its leaves.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Name of the gateway's thread, by which its processor time is found.
+/// Name of the gateway's thread.
 const THREAD: &str = "bench-gateway";
 
+/// Names of the threads whose processor time counts.
+const THREADS: [&str; 2] = [THREAD, "log"];
+
 fn main() -> Result<(), Box<dyn Error>> {
     let store = Store::start();
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
@@ -75,34 +87,59 @@
     for _ in 0..WARM_UP {
         query(&mut caller)?;
     }
-    let before = processor_time()?;
-    for _ in 0..QUERIES {
-        assert_eq!(query(&mut caller)?, 200);
+    start_lines(LevelFilter::Info, "vm1");
+    let mut quiet = Duration::ZERO;
+    let mut logging = Duration::ZERO;
+    for _ in 0..ROUNDS {
+        log::set_max_level(LevelFilter::Off);
+        quiet += measure(&mut caller)?;
+        log::set_max_level(LevelFilter::Info);
+        logging += measure(&mut caller)?;
     }
-    let spent = processor_time()?.saturating_sub(before);
-    let parts = u32::try_from(QUERIES * SHARDS)?;
-    println!(
-        "{QUERIES} queries over {SHARDS} shards: {:.2} us of processor time a part",
-        (spent / parts).as_secs_f64() * 1e6
+    let parts = u32::try_from(ROUNDS * QUERIES * SHARDS)?;
+    let share = logging.saturating_sub(quiet).as_secs_f64() / logging.as_secs_f64();
+    eprintln!(
+        "{} queries over {SHARDS} shards: {:.2} us of processor time a part without logs, \
+         {:.2} us with; logs take {:.1}% (at most {:.0}%)",
+        ROUNDS * QUERIES,
+        (quiet / parts).as_secs_f64() * 1e6,
+        (logging / parts).as_secs_f64() * 1e6,
+        share * 100.0,
+        MOST_FOR_LOGS * 100.0,
     );
+    if share > MOST_FOR_LOGS {
+        return Err("logs take too much".into());
+    }
     sender.send(Update::Stop);
     running.join().map_err(|_| "the gateway panicked")??;
     drop(leaves);
     Ok(())
 }
 
-/// The processor time of the gateway's thread.
+/// The processor time that the gateway spends on some queries.
+fn measure(caller: &mut TcpStream) -> Result<Duration, Box<dyn Error>> {
+    let before = processor_time()?;
+    for _ in 0..QUERIES {
+        assert_eq!(query(caller)?, 200);
+    }
+    Ok(processor_time()?.saturating_sub(before))
+}
+
+/// The processor time of the gateway's threads, the one that writes logs
+/// included.
 fn processor_time() -> Result<Duration, Box<dyn Error>> {
+    let mut total = Duration::ZERO;
     for task in std::fs::read_dir("/proc/self/task")? {
         let path = task?.path();
-        let name = std::fs::read_to_string(path.join("comm"))?;
-        if name.trim() == THREAD {
+        // A leaf's thread may have ended meanwhile.
+        let name = std::fs::read_to_string(path.join("comm")).unwrap_or_default();
+        if THREADS.contains(&name.trim()) {
             let schedule = std::fs::read_to_string(path.join("schedstat"))?;
             let nanos = schedule.split(' ').next().ok_or("no processor time")?;
-            return Ok(Duration::from_nanos(nanos.parse()?));
+            total += Duration::from_nanos(nanos.parse()?);
         }
     }
-    Err("the gateway's thread is not there".into())
+    Ok(total)
 }
 
 fn connect(address: SocketAddr) -> Result<TcpStream, Box<dyn Error>> {
