Take three import circles out of core and edge

Failure::is_unreached, edge::reply_to and leaf::DrainingNotice stand where both sides find them below. Nothing else changes.

--- a/src/geraniummount/core/execution.rs
+++ b/src/geraniummount/core/execution.rs
@@ -85,7 +85,7 @@
         let elapsed = now.saturating_duration_since(attempt.sent);
         let ranking = &mut traffic.ranking;
         ranking.on_outcome(&attempt.leaf, &outcome, elapsed, true, now);
-        if outcome.result.as_ref().is_err_and(wait::is_unreached) {
+        if outcome.result.as_ref().is_err_and(Failure::is_unreached) {
             self.unreached.push(attempt.leaf);
         }
         match outcome.result {
--- a/src/geraniummount/core/failure.rs
+++ b/src/geraniummount/core/failure.rs
@@ -34,6 +34,15 @@
         }
     }
 
+    /// Returns whether it says that nothing was there to take the part.
+    pub fn is_unreached(&self) -> bool {
+        let unreached = matches!(
+            self.reason,
+            Reason::ConnectFailed | Reason::NoOwner | Reason::Unreachable
+        );
+        unreached && self.verdict == Verdict::NotRun
+    }
+
     /// The same failure with a time to come back.
     pub fn retry_after(self, wait: Duration) -> Failure {
         Failure {
--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -267,7 +267,7 @@
     ) -> Vec<Action> {
         let shard = &mut self.shards[index];
         shard.note_failure(failure);
-        if wait::is_unreached(&failure) {
+        if failure.is_unreached() {
             shard.unreached.extend(shard.leaf.clone());
         }
         if !shard.open.is_empty() {
--- a/src/geraniummount/core/fan_out/wait.rs
+++ b/src/geraniummount/core/fan_out/wait.rs
@@ -25,15 +25,6 @@
     FIRST_PAUSE.saturating_mul(factor).min(LONGEST_PAUSE)
 }
 
-/// Whether a failure says that nothing was there to take the part.
-pub(in crate::core) fn is_unreached(failure: &Failure) -> bool {
-    let unreached = matches!(
-        failure.reason,
-        Reason::ConnectFailed | Reason::NoOwner | Reason::Unreachable
-    );
-    unreached && failure.verdict == Verdict::NotRun
-}
-
 impl FanOut {
     /// Lets a shard wait for another try, if its loss is fresh.
     pub(super) fn wait(
@@ -43,7 +34,7 @@
         traffic: &Traffic,
         now: Instant,
     ) -> bool {
-        if self.query.prefer != Preference::Coverage || !is_unreached(failure) {
+        if self.query.prefer != Preference::Coverage || !failure.is_unreached() {
             return false;
         }
         let shard = &mut self.shards[index];
--- a/src/geraniummount/core/ranking.rs
+++ b/src/geraniummount/core/ranking.rs
@@ -8,7 +8,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::core::fan_out::wait::is_unreached;
 use crate::core::leaf::State;
 use crate::core::quantile::Quantile;
 use crate::core::silence::{Silence, is_from_leaf};
@@ -340,7 +339,7 @@
 
     fn note_reach(&mut self, result: &Result<Reply, Failure>, now: Instant) {
         match result {
-            Err(failure) if is_unreached(failure) => {
+            Err(failure) if failure.is_unreached() => {
                 self.unreached_since.get_or_insert(now);
             }
             result if is_from_leaf(result) => self.unreached_since = None,
--- a/src/geraniummount/edge/caller/run.rs
+++ b/src/geraniummount/edge/caller/run.rs
@@ -10,7 +10,7 @@
 use crate::core::execution::Execution;
 use crate::core::fan_out::{Action, FanOut};
 use crate::core::traffic::Traffic;
-use crate::edge::dispatcher::ReplyTo;
+use crate::edge::reply_to::ReplyTo;
 use crate::prelude::*;
 
 /// Step in which a running query looks whether its caller is still there.
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -6,17 +6,17 @@
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Weak, mpsc};
+use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 
-use crate::core::gossip::Source;
 use crate::core::ownership::{self, Route};
 use crate::core::service::Shard;
 use crate::edge::inquiry::Inquiry;
 use crate::edge::pending::{Gauge, Pending};
+use crate::edge::reply_to::ReplyTo;
 use crate::edge::{leaf, peer};
 use crate::prelude::*;
 use crate::util::published::Published;
@@ -27,29 +27,6 @@
 /// How often answers for holdings are looked for.
 const HOLDINGS_PERIOD: Duration = Duration::from_millis(2);
 
-/// Told when a leaf says that it is leaving (`true`) or serves again, and
-/// whether its health endpoint says so.
-pub type DrainingNotice = Box<dyn Fn(&LeafName, Source, bool) + Send + Sync>;
-
-/// Where the outcome of a part goes. A receiver that is gone is no fault.
-#[derive(Debug)]
-pub enum ReplyTo {
-    /// To a caller's thread on this VM.
-    Caller(mpsc::Sender<Outcome>),
-    /// To a peer's call.
-    Peer(oneshot::Sender<Outcome>),
-}
-
-impl ReplyTo {
-    /// Sends the outcome.
-    pub fn send(self, outcome: Outcome) {
-        match self {
-            ReplyTo::Caller(sender) => drop(sender.send(outcome)),
-            ReplyTo::Peer(sender) => drop(sender.send(outcome)),
-        }
-    }
-}
-
 /// Limits and addresses of the dispatcher.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -91,7 +68,7 @@
     pub fn new(
         options: Options,
         view: Arc<Published<View>>,
-        draining: DrainingNotice,
+        draining: leaf::DrainingNotice,
     ) -> Dispatcher {
         let leaves = leaf::Pool::new(Arc::clone(&view), draining, options.max_reply_bytes);
         let shared = Arc::new_cyclic(|shared: &Weak<Shared>| {
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -14,7 +14,7 @@
 mod task;
 mod transport;
 
-pub use pool::Pool;
+pub use pool::{DrainingNotice, Pool};
 
 use crate::core::leaf::State;
 use crate::prelude::*;
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -12,13 +12,17 @@
 use super::Dump;
 use super::event::Event;
 use super::task::Task;
+use crate::core::gossip::Source;
 use crate::core::leaf_queue;
-use crate::edge::dispatcher::DrainingNotice;
 use crate::edge::pending::Pending;
 use crate::edge::workers::Workers;
 use crate::prelude::*;
 use crate::util::published::Published;
 
+/// Told when a leaf says that it is leaving (`true`) or serves again, and
+/// whether its health endpoint says so.
+pub type DrainingNotice = Box<dyn Fn(&LeafName, Source, bool) + Send + Sync>;
+
 /// Events that wait for one task at most.
 const EVENTS: usize = 1024;
 
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -16,4 +16,5 @@
 pub mod pending;
 pub mod platform;
 pub mod registry;
+pub mod reply_to;
 pub mod workers;
--- a/src/geraniummount/edge/peer/service.rs
+++ b/src/geraniummount/edge/peer/service.rs
@@ -10,7 +10,8 @@
 use futures::future::join_all;
 
 use super::{Hooks, Wanted, wire};
-use crate::edge::dispatcher::{Dispatcher, ReplyTo};
+use crate::edge::dispatcher::Dispatcher;
+use crate::edge::reply_to::ReplyTo;
 use crate::peer_capnp::peer;
 use crate::prelude::*;
 
--- a/src/geraniummount/edge/pending.rs
+++ b/src/geraniummount/edge/pending.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::edge::dispatcher::ReplyTo;
+use crate::edge::reply_to::ReplyTo;
 use crate::prelude::*;
 
 /// Counts the parts that have no outcome yet.
