--- a/benches/path.rs
+++ b/benches/path.rs
@@ -17,7 +17,8 @@
 
 use geraniummount::core::contract::Contract;
 use geraniummount::core::{leaf, vm};
-use geraniummount::edge::dispatcher::{Dispatcher, ReplyTo};
+use geraniummount::edge::dispatcher::Dispatcher;
+use geraniummount::edge::reply_to::ReplyTo;
 use geraniummount::prelude::*;
 use geraniummount_test_support::leaf::{self as stand_in, Behaviour, Delay};
 use hdrhistogram::Histogram;
--- a/tests/testsuite/peer_edge.rs
+++ b/tests/testsuite/peer_edge.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniummount::edge::dispatcher::ReplyTo;
+use geraniummount::edge::reply_to::ReplyTo;
 use geraniummount::prelude::*;
 use geraniummount_test_support::leaf::{self as stand_in};
 use geraniummount_test_support::proxy::{Flow, Proxy};
--- a/tests/testsuite/takeover.rs
+++ b/tests/testsuite/takeover.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use geraniummount::core::relays::PER_DOMAIN;
-use geraniummount::edge::dispatcher::ReplyTo;
+use geraniummount::edge::reply_to::ReplyTo;
 use geraniummount::prelude::*;
 use geraniummount_test_support::fleet::{Fleet, PATIENCE, Place, Plan, wait_until};
 use geraniummount_test_support::leaf as stand_in;
