--- a/crates/geraniummount-test-support/src/soak/world.rs
+++ b/crates/geraniummount-test-support/src/soak/world.rs
@@ -217,7 +217,10 @@
         while !waiting.is_empty() {
             waiting.retain(|address| !super::caller::serves(*address));
             if Instant::now() > end {
-                return Err(io::Error::other("a gateway did not serve in time"));
+                let late = self.vms.iter().filter(|vm| waiting.contains(&vm.callers));
+                let logs: Vec<String> = late.map(Vm::log).collect();
+                let problem = format!("gateways did not serve in time: {}", logs.join("\n"));
+                return Err(io::Error::other(problem));
             }
             thread::sleep(STEP);
         }
