--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -6,6 +6,7 @@
 //! Each seed that breaks a promise is shown with its faults and its logs, and
 //! plays again with `--from SEED --seeds 1`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -33,6 +34,9 @@
     /// Seconds with faults.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Program that is played; the one of this build where it is left out.
+    #[arg(long)]
+    program: Option<PathBuf>,
     /// Given by cargo.
     #[arg(long, hide = true)]
     bench: bool,
@@ -43,10 +47,12 @@
     let from = arguments
         .from
         .unwrap_or_else(|| rand::random_range(0..1_000_000_000));
+    let program = arguments.program;
+    let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_geraniummount").into());
     let mut broken = Vec::new();
     for seed in from..from.saturating_add(arguments.seeds) {
         let options = Options {
-            binary: env!("CARGO_BIN_EXE_geraniummount").into(),
+            binary: program.clone(),
             seed,
             vms: usize::from(arguments.vms),
             shards: usize::from(arguments.shards),
