--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -175,7 +175,10 @@
     request: &Request,
     connection: &mut Connection,
 ) -> bool {
-    let id = request.header("Request-Id").unwrap_or_default().to_string();
+    let Some(id) = request.header("Request-Id").map(str::to_string) else {
+        let unnamed = Response::empty(400).with("Request-Not-Run", 1);
+        return connection.write(&unnamed).is_ok();
+    };
     if request
         .header("Expect-Instance")
         .is_some_and(|wanted| wanted != leaf)
