Make two gateway tests hold on a busy machine

The other two were the tests' own: one counted the leaf's runs after it had sent its request, so that a fast leaf made it wait for ever; the other relied on attempts that hedges of late answers had spent, as an answer of 1 ms is late after 6. The count now comes first, and the leaves take 50 ms and some requests earn the attempts. The same is asserted as before.

--- a/tests/testsuite/platform/requests.rs
+++ b/tests/testsuite/platform/requests.rs
@@ -159,6 +159,12 @@
     },
 ];
 
+/// Time of an answer of a leaf that is well.
+const USUAL: Duration = Duration::from_millis(50);
+
+/// Requests that earn another attempt or two.
+const EARNING: usize = 10;
+
 #[test]
 fn platform_requests_that_may_repeat_survive_a_misbehaving_leaf() {
     for case in CASES {
@@ -166,12 +172,19 @@
         scene.configure(1, &[service_route("/a/", "idempotent", "one")]);
         let bad = leaf(&scene, "one", b"record");
         let good = leaf(&scene, "one", b"record");
+        // Slow enough that a busy machine makes no request late, which would
+        // spend what is needed below.
+        bad.set_answer(Answer::Late(USUAL));
+        good.set_answer(Answer::Late(USUAL));
         scene.wait(|scene| {
             scene.get("/a/x", 2000);
             !bad.runs().is_empty() && !good.runs().is_empty()
         });
-        bad.set_answer(case.answer);
         // The budget pays for one more attempt in five requests.
+        for _ in 0..EARNING {
+            scene.get("/a/x", 2000);
+        }
+        bad.set_answer(case.answer);
         for _ in 0..3 {
             let reply = scene.get("/a/x", 2000);
             assert_eq!(reply.status, case.idempotent, "{:?}", case.answer);
@@ -272,10 +285,10 @@
     one.set_answer(Answer::Late(Duration::from_millis(700)));
     let mut stream = TcpStream::connect(scene.callers).unwrap();
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let before = one.runs().len();
     stream
         .write_all(&request("GET", "/a/x", 3000, b""))
         .unwrap();
-    let before = one.runs().len();
     scene.wait(|_| one.runs().len() > before);
     scene.stop();
     scene.wait(|scene| !scene.is_ready());
