--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -40,6 +40,9 @@
     Encoded,
 }
 
+/// Body of an answer to another request.
+const FOREIGN: &[u8] = b"an answer to another request";
+
 /// A running stand-in; dropping it closes it.
 #[derive(Debug)]
 pub struct Leaf {
@@ -251,7 +254,9 @@
                 .is_ok()
         }
         Answer::ForeignFirst => {
-            let foreign = whole.clone().replace("Request-Id", "another");
+            let foreign = Response::new(200, FOREIGN)
+                .with("Request-Id", "another")
+                .with("Server-Stamp", signature(leaf, "another"));
             connection
                 .write_raw(&[foreign.to_bytes(), whole.to_bytes()].concat())
                 .is_ok()
