Give each gateway of the soak an IP of its own

A port of 127.0.0.1 that was found free was taken by another test's connection before the gateway listened on it. A gateway now listens on an address of 127/8 that follows from the soak's process and its own number, from which nobody connects. Listeners that are held from the start (leaves, proxies) need none.

--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -38,7 +38,7 @@
         store: SocketAddr,
         seed: u64,
     ) -> io::Result<Vm> {
-        let [callers, ready] = free_ports(Ipv4Addr::LOCALHOST.into())?;
+        let [callers, ready] = free_ports(own_ip(number).into())?;
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, store, seed)?;
         let settings = folder.join(format!("vm{number}.ini"));
         let text = format!(
@@ -127,6 +127,15 @@
     }
 }
 
+/// An address that no other gateway on this machine listens on, nor any
+/// connection begins at: a port of it that was found free stays so until the
+/// gateway takes it, also when it starts again.
+fn own_ip(number: usize) -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let [.., last] = number.to_be_bytes();
+    Ipv4Addr::new(127, 64 + high % 128, low, last.wrapping_add(1))
+}
+
 impl Drop for Vm {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
