--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -15,6 +15,9 @@
 /// Time in which a version has to be in force.
 const APPLY: Duration = Duration::from_secs(3);
 
+/// Time before a request in which a fault may still touch it.
+const JUST_BEFORE: Duration = Duration::from_secs(1);
+
 /// Time without a fault after which bounds of time hold again.
 const IN_TOUCH: Duration = Duration::from_secs(4);
 
@@ -22,6 +25,8 @@
 struct Run {
     id: String,
     service: String,
+    /// Number of its leaf.
+    leaf: usize,
     /// When its leaf registered as leaving.
     leaves_at: Option<Instant>,
     at: Instant,
@@ -45,10 +50,11 @@
 /// All requests that leaves ran, sorted by id.
 fn runs(world: &World) -> Vec<Run> {
     let mut runs = Vec::new();
-    for member in &world.members {
+    for (leaf, member) in world.members.iter().enumerate() {
         runs.extend(member.all_runs().into_iter().map(|run| Run {
             id: run.id,
             service: member.identity().service.clone(),
+            leaf,
             leaves_at: member.leaves_at,
             at: run.at,
         }));
@@ -107,16 +113,21 @@
             self.note(Promise::NotRun, request.ended, detail);
         }
         if matches!(request.outcome, Outcome::Cut | Outcome::Silence) && count > 0 {
-            self.check_cut(request);
+            self.check_cut(request, runs);
         }
     }
 
-    /// A request that a leaf ran is answered, also while its VM stops.
-    fn check_cut(&mut self, request: &Sent) {
-        let from = request.sent.checked_sub(IN_TOUCH).unwrap_or(request.sent);
+    /// A request that a leaf ran is answered, also while its VM stops and
+    /// whatever becomes of the store.
+    fn check_cut(&mut self, request: &Sent, runs: &[Run]) {
+        let from = request
+            .sent
+            .checked_sub(JUST_BEFORE)
+            .unwrap_or(request.sent);
         let span = &self.world.disturbances;
-        let is_calm = span.is_calm_but_for_stops(request.vm, from, request.ended)
-            && span.are_leaves_calm(from, request.ended);
+        let mut leaves = runs.iter().map(|run| run.leaf);
+        let is_calm = span.runs(request.vm, from, request.ended)
+            && leaves.all(|leaf| span.is_leaf_calm(leaf, from, request.ended));
         if is_calm {
             let detail = format!("{} at vm{}: {:?}", request.id, request.vm, request.outcome);
             self.note(Promise::NothingCutOff, request.ended, detail);
@@ -210,10 +221,9 @@
 
     fn check_exits(&mut self) {
         for exit in self.world.exits.clone() {
-            let from = exit.at.checked_sub(IN_TOUCH).unwrap_or(exit.at);
-            let disturbances = &self.world.disturbances;
-            let is_calm = disturbances.is_calm_but_for_stops(exit.vm, from, exit.at)
-                && disturbances.are_leaves_calm(from, exit.at);
+            let from = exit.told.unwrap_or(exit.at);
+            let from = from.checked_sub(JUST_BEFORE).unwrap_or(from);
+            let is_calm = self.world.disturbances.runs(exit.vm, from, exit.at);
             let is_expected = exit.killed || exit.told.is_some();
             if !is_expected || (is_calm && !exit.killed && !exit.success) {
                 let detail = format!("vm{} ended: {exit:?}", exit.vm);
--- a/crates/geraniummount-test-support/src/soak/disturbance.rs
+++ b/crates/geraniummount-test-support/src/soak/disturbance.rs
@@ -5,14 +5,18 @@
 /// Whom a disturbance concerns.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Scope {
-    /// One VM: its process or its link to the store.
+    /// The process of one VM.
     Vm(usize),
-    /// One VM: it was told to stop.
+    /// The process of one VM: it was told to stop.
     Stop(usize),
-    /// The leaves, as all VMs see them.
-    Leaves,
-    /// The store, or this whole machine.
-    All,
+    /// One VM's link to the store.
+    StoreLink(usize),
+    /// The store.
+    Store,
+    /// One leaf, or its link.
+    Leaf(usize),
+    /// This whole machine.
+    Machine,
 }
 
 /// A span with a fault.
@@ -42,23 +46,27 @@
         });
     }
 
-    /// Returns whether nothing befell a VM, the store or this machine in a
-    /// span.
+    /// Returns whether nothing befell a VM, its link to the store, the store or
+    /// this machine in a span.
     pub fn is_calm(&self, vm: usize, from: Instant, to: Instant) -> bool {
-        let stopped = self.none(from, to, |scope| scope == Scope::Stop(vm));
-        stopped && self.is_calm_but_for_stops(vm, from, to)
+        self.none(from, to, |scope| match scope {
+            Scope::Vm(other) | Scope::Stop(other) | Scope::StoreLink(other) => other == vm,
+            Scope::Store | Scope::Machine => true,
+            Scope::Leaf(_) => false,
+        })
     }
 
-    /// Returns the same, but for being told to stop.
-    pub fn is_calm_but_for_stops(&self, vm: usize, from: Instant, to: Instant) -> bool {
+    /// Returns whether a VM's process was let run in a span, but for being told
+    /// to stop.
+    pub fn runs(&self, vm: usize, from: Instant, to: Instant) -> bool {
         self.none(from, to, |scope| {
-            scope == Scope::Vm(vm) || scope == Scope::All
+            scope == Scope::Vm(vm) || scope == Scope::Machine
         })
     }
 
-    /// Returns whether nothing befell any leaf in a span.
-    pub fn are_leaves_calm(&self, from: Instant, to: Instant) -> bool {
-        self.none(from, to, |scope| scope == Scope::Leaves)
+    /// Returns whether nothing befell a leaf in a span.
+    pub fn is_leaf_calm(&self, leaf: usize, from: Instant, to: Instant) -> bool {
+        self.none(from, to, |scope| scope == Scope::Leaf(leaf))
     }
 
     fn none(&self, from: Instant, to: Instant, concerns: impl Fn(Scope) -> bool) -> bool {
--- a/crates/geraniummount-test-support/src/soak/member.rs
+++ b/crates/geraniummount-test-support/src/soak/member.rs
@@ -2,14 +2,18 @@
 
 use std::io;
 use std::net::Ipv4Addr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use crate::platform::users::{Leaf, Run, Store};
+use crate::platform::users::{Answer, Leaf, Run, Store};
 use crate::proxy::Proxy;
 
 /// Records of each leaf.
 const RECORDS: usize = 8;
 
+/// How a leaf answers while nothing befalls it: slowly enough that requests are
+/// under way when processes end.
+pub const WELL: Answer = Answer::Late(Duration::from_millis(25));
+
 /// Bytes of a record.
 pub const RECORD_BYTES: usize = 16;
 
@@ -43,6 +47,7 @@
     pub fn start(service: &str, domain: &str, seed: u64) -> io::Result<Member> {
         let records = records(service);
         let leaf = Leaf::unregistered(service, domain, &records);
+        leaf.set_answer(WELL);
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), seed)?;
         let identity = Identity {
             id: leaf.id().to_string(),
--- a/crates/geraniummount-test-support/src/soak/world.rs
+++ b/crates/geraniummount-test-support/src/soak/world.rs
@@ -11,12 +11,12 @@
 use super::disturbance::{Disturbances, Scope};
 use super::fault::{Fault, LeafFault, LinkFault, StoreFault, VmFault};
 use super::kind::Kind;
-use super::member::{Identity, Member};
+use super::member::{Identity, Member, WELL};
 use super::schedule::{Schedule, Step};
 use super::vm::Vm;
 use super::{CALM, Options, RECOVERY};
+use crate::platform::users::Store;
 use crate::platform::users::document::{self, DOCUMENT_KEY, Gather, gather_route, service_route};
-use crate::platform::users::{Answer, Store};
 use crate::proxy::{Flow, Link, Proxy};
 
 /// Time until an ended process is started again.
@@ -177,7 +177,7 @@
             let now = Instant::now();
             let late = now.saturating_duration_since(last);
             if late > STALL {
-                self.disturbances.add(Scope::All, last, late);
+                self.disturbances.add(Scope::Machine, last, late);
             }
             last = now;
             while let Some(step) = steps.next_if(|step| self.started + step.at <= now) {
@@ -237,14 +237,14 @@
                 None
             }
             Fault::StoreLink(vm, fault) => {
-                self.disturb(Scope::Vm(vm), fault, step, now);
+                self.disturb(Scope::StoreLink(vm), fault, step, now);
                 strike_link(&self.vms[vm].store, fault).then_some(Undo::HealStore(vm))
             }
             Fault::Store(fault) => self.strike_store(fault, step, now),
             Fault::Leaf(place, fault) => self.strike_leaf(place, fault, step, now),
             Fault::LeafLink(place, fault) => {
-                self.disturb(Scope::Leaves, fault, step, now);
                 let member = self.places[place];
+                self.disturb(Scope::Leaf(member), fault, step, now);
                 let lasts = strike_link(&self.members[member].proxy, fault);
                 lasts.then_some(Undo::HealLeaf(member))
             }
@@ -285,7 +285,7 @@
     }
 
     fn strike_store(&mut self, fault: StoreFault, step: &Step, now: Instant) -> Option<Undo> {
-        self.disturbances.add(Scope::All, now, step.lasts);
+        self.disturbances.add(Scope::Store, now, step.lasts);
         match fault {
             StoreFault::Down => {
                 self.store.set_refusal(Some(503));
@@ -312,7 +312,7 @@
             self.leave(place, now);
             return None;
         }
-        self.disturbances.add(Scope::Leaves, now, step.lasts);
+        self.disturbances.add(Scope::Leaf(number), now, step.lasts);
         let leaf = member.leaf.as_ref()?;
         match fault {
             LeafFault::Answers(answer) => {
@@ -374,7 +374,7 @@
             Undo::StoreUp => self.store.set_refusal(None),
             Undo::LeafWell(member) => {
                 if let Some(leaf) = &self.members[member].leaf {
-                    leaf.set_answer(Answer::Whole);
+                    leaf.set_answer(WELL);
                 }
             }
             Undo::HealLeaf(member) => heal(&self.members[member].proxy),
@@ -385,6 +385,9 @@
                 }
             }
             Undo::Remove(member) => {
+                let now = Instant::now();
+                self.disturbances
+                    .add(Scope::Leaf(member), now, Duration::ZERO);
                 self.store.remove(&self.members[member].key());
                 self.members[member].end();
             }
