Suspect a cut by silent leaves of other domains only

Cause, found by reading: a leaf that did not even answer late counted as a sign that this VM is cut off, also where it stands beside the VM. With the store out of reach as well, eight silent leaves of its own domain made a VM say that it was not ready, though no other VM could serve better.

Ruled out: attempts that break (these are asked for their domain already).

Change: Gateway::note_silent asks for the domain. It names the service too, so that the leaf is found by search and not by a look at every leaf of every service. Test: platform_isolation_is_not_shown_by_silent_leaves_of_the_own_domain (not ready before, ready after).

--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -89,10 +89,9 @@
     }
 
     /// Notes that a leaf did not even answer late.
-    pub fn stay_silent(&mut self, key: Key, now: Instant) {
-        let mut groups = self.groups.iter_mut();
-        if let Some(group) = groups.find(|group| group.replica(key).is_some()) {
-            group.stay_silent(key, now);
+    pub fn stay_silent(&mut self, service: &str, key: Key, now: Instant) {
+        if let Ok(place) = self.search(service) {
+            self.groups[place].stay_silent(key, now);
         }
     }
 
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -309,9 +309,7 @@
         }
         let is_over = |at: Instant| now.saturating_duration_since(at) >= LINGER;
         if leaf.abandoned_at.is_some_and(is_over) {
-            let replica = leaf.replica;
-            self.placement.stay_silent(replica, now);
-            self.isolation.on_attempt(false);
+            self.note_silent(leaf.replica);
             return self.end_leaf(connection);
         }
         let until = self.kept_until(leaf.replica, connection);
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -204,6 +204,18 @@
         self.pools[place].share.most(granted, self.now)
     }
 
+    /// Notes that a leaf did not even answer late.
+    pub(super) fn note_silent(&mut self, key: Key) {
+        let Ok(place) = self.search_pool(key) else {
+            return;
+        };
+        let service = &self.pools[place].service;
+        self.placement.stay_silent(service, key, self.now);
+        if self.placement.is_far(service, key) {
+            self.isolation.on_attempt(false);
+        }
+    }
+
     /// Notes that a connection broke before its first answer, so long after it
     /// was open.
     pub(super) fn broke_unanswered(&mut self, key: Key, open_for: Duration) {
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -323,7 +323,7 @@
             };
             placement.end(SERVICE, key, attempt, ending, now + took);
             if ending == Ending::Abandoned {
-                placement.stay_silent(key, now + took);
+                placement.stay_silent(SERVICE, key, now + took);
             }
             sent += u32::from(is_bad);
             met += u32::from(is_bad && key == near);
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway on the users' platform, against stand-ins that speak its pages.
 
 mod formats;
+mod isolation;
 mod pause;
 mod requests;
 mod scene;
