Count a query that is due once, and tell load and cut apart

Cause, found by reading: what is learnt when an answer is due stood in the module of the load, the suspicion of a cut included; a query counted as not served when it was due and again at its end, and one that had failed by then was counted twice within one turn. Two fields said one thing (how many parts were overdue, and whether that was told). Reluctance::None and its name needed explaining.

Change: look_when_due asks load and reach, each for its own; a query that was taken as not served when due counts at its end only if it was served. Overdue is one state of three. Reluctance is Tier, with a file of its own.

--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -43,9 +43,9 @@
 
     /// Counts the overdue parts when the answer is due, or at its end before.
     fn note_overdue(&mut self) {
-        let overdue = self.shards.iter().filter(|shard| shard.is_overdue());
-        let overdue = overdue.count();
-        self.overdue.get_or_insert(overdue);
+        let shards = &self.shards;
+        let overdue = || shards.iter().filter(|shard| shard.is_overdue()).count();
+        self.overdue.count(overdue);
     }
 
     /// Ends the request as one that was not run.
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -11,6 +11,7 @@
 
 mod action;
 mod finish;
+mod overdue;
 mod plan;
 mod reply;
 mod send;
@@ -18,6 +19,7 @@
 
 use std::time::Instant;
 
+use self::overdue::Overdue;
 use self::shard::{Settled, Shard};
 use crate::core::placement::{Ending, Key, Placement};
 use crate::core::route::Repeat;
@@ -36,9 +38,7 @@
     /// When it was last looked at what is due.
     looked_at: Instant,
     /// Parts that were overdue when the answer was due.
-    overdue: Option<usize>,
-    /// Whether the number of overdue parts was told.
-    overdue_told: bool,
+    overdue: Overdue,
     finished: bool,
 }
 
@@ -50,8 +50,7 @@
             plan,
             shards,
             looked_at: now,
-            overdue: None,
-            overdue_told: false,
+            overdue: Overdue::Pending,
             finished: false,
         }
     }
@@ -177,9 +176,7 @@
     /// Returns, once, how many parts the leaves had no room for, or not in
     /// time; as soon as the answer is due, though it may go out later.
     pub fn take_overdue(&mut self) -> Option<usize> {
-        let overdue = self.overdue.filter(|_| !self.overdue_told)?;
-        self.overdue_told = true;
-        Some(overdue)
+        self.overdue.take()
     }
 
     /// Returns the attempts that have no answer, by service and leaf.
@@ -191,9 +188,9 @@
         })
     }
 
-    /// Returns whether enough shards are in for an answer.
-    pub fn has_enough(&self) -> bool {
-        self.included() >= self.plan.least()
+    /// Returns whether it goes on with too little in for an answer.
+    pub fn lacks_parts(&self) -> bool {
+        !self.finished && self.included() < self.plan.least()
     }
 
     /// Returns the number of shards whose part is in.
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -9,6 +9,7 @@
 mod allowance;
 mod group;
 mod replica;
+mod tier;
 
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,8 @@
 
 pub use self::allowance::{Allowance, Start};
 pub use self::group::Group;
-pub use self::replica::{Ending, Key, Reluctance, Replica};
+pub use self::replica::{Ending, Key, Replica};
+pub use self::tier::Tier;
 
 /// Time that a leaf which is no longer registered is kept as the last choice.
 /// Registrations that were lost while the store was away come back within it.
@@ -183,7 +185,7 @@
     pub fn choose(&mut self, service: &str, tried: &[Key], now: Instant) -> Option<Key> {
         let place = self.search(service).ok()?;
         let group = &self.groups[place];
-        let mut best: Option<(Reluctance, f64, Key)> = None;
+        let mut best: Option<(Tier, f64, Key)> = None;
         for replica in group.replicas() {
             if tried.contains(&replica.key) || !replica.is_usable(now) {
                 continue;
@@ -191,7 +193,7 @@
             let spread = spread(&mut self.rng);
             let far = if replica.is_near() { 1.0 } else { FAR_FACTOR };
             let expected = group.expected(replica, now).as_secs_f64() * spread * far;
-            let found = (replica.reluctance(now), expected, replica.key);
+            let found = (replica.tier(now), expected, replica.key);
             if best.is_none_or(|least| (found.0, found.1) < (least.0, least.1)) {
                 best = Some(found);
             }
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::LAPSE;
+use super::tier::Tier;
 use crate::core::instance::Instance;
 use crate::prelude::*;
 
@@ -74,17 +75,6 @@
     Abandoned,
 }
 
-/// How far a leaf is from the first choice, whatever its speed.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Reluctance {
-    /// Not at all.
-    None,
-    /// It failed lately.
-    Failed,
-    /// The registry no longer names it.
-    Lapsed,
-}
-
 /// What this VM knows of one run of a leaf.
 #[derive(Debug)]
 pub struct Replica {
@@ -150,14 +140,14 @@
         self.near
     }
 
-    /// Returns how far it is from the first choice, whatever its speed.
-    pub fn reluctance(&self, now: Instant) -> Reluctance {
+    /// Returns before which leaves it is chosen.
+    pub fn tier(&self, now: Instant) -> Tier {
         if self.lapsed_at.is_some() {
-            return Reluctance::Lapsed;
+            return Tier::Lapsed;
         }
         match self.avoided_until {
-            Some(until) if now < until => Reluctance::Failed,
-            _ => Reluctance::None,
+            Some(until) if now < until => Tier::Failed,
+            _ => Tier::Preferred,
         }
     }
 
--- a/src/geraniummount/edge/gateway/admit.rs
+++ b/src/geraniummount/edge/gateway/admit.rs
@@ -71,6 +71,7 @@
             started: self.now,
             wake: None,
             sends: 0,
+            unserved_when_due: false,
         });
     }
 
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -126,8 +126,7 @@
             outcome.word,
             "no-leaf" | "all-rejected" | "failed" | "timed-out"
         );
-        self.isolation.on_request(!unserved && outcome.status < 500);
-        self.look_around();
+        self.note_served(state, !unserved && outcome.status < 500);
         self.counts.record_answer(took);
         let (id, route, version) = (&state.forward.id, &state.route, state.version);
         let (word, status, missing) = (outcome.word, outcome.status, outcome.missing);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -37,6 +37,8 @@
     /// Earliest wake-up that is set.
     pub(super) wake: Option<Instant>,
     pub(super) sends: u32,
+    /// Whether it was taken as not served when its answer was due.
+    pub(super) unserved_when_due: bool,
 }
 
 /// An attempt at a leaf.
@@ -56,7 +58,7 @@
 impl Gateway {
     /// Does what a request wants done.
     pub(super) fn act(&mut self, index: usize, actions: Vec<Action>) {
-        self.note_overdue(index);
+        self.look_when_due(index);
         for action in actions {
             match action {
                 Action::Send {
@@ -81,6 +83,18 @@
         self.set_wake(index);
     }
 
+    /// Learns from a query's parts as soon as its answer is due.
+    fn look_when_due(&mut self, index: usize) {
+        let call = &mut self.calls[index].call;
+        let Some(overdue) = call.take_overdue() else {
+            return;
+        };
+        if call.plan().is_gather() {
+            self.note_load(index, overdue);
+            self.note_unanswered(index);
+        }
+    }
+
     /// Notes how an attempt ended. Its request hears of it once the present
     /// event is dealt with: what that event still does may concern the same
     /// request.
--- a/src/geraniummount/edge/gateway/load.rs
+++ b/src/geraniummount/edge/gateway/load.rs
@@ -34,24 +34,9 @@
         overload.admits(is_urgent, now)
     }
 
-    /// Notes how many parts of an admitted query were overdue, once that is
-    /// known.
-    pub(super) fn note_overdue(&mut self, index: usize) {
-        let call = &mut self.calls[index].call;
-        let Some(overdue) = call.take_overdue() else {
-            return;
-        };
-        let plan = call.plan();
-        if !plan.is_gather() {
-            return;
-        }
-        if !call.has_enough() {
-            let placement = &self.placement;
-            let silent = call.unanswered();
-            let silent = silent.filter(|(service, key)| placement.is_far(service, *key));
-            let silent = u32::try_from(silent.count()).unwrap_or(u32::MAX);
-            self.isolation.on_overdue(silent);
-        }
+    /// Notes how many parts of an admitted query were overdue.
+    pub(super) fn note_load(&mut self, index: usize, overdue: usize) {
+        let plan = self.calls[index].call.plan();
         let may_lack = plan.services.len().saturating_sub(plan.least());
         let shard = plan.services[0].clone();
         let now = self.now;
@@ -65,7 +50,6 @@
                 !was_active
             );
         }
-        self.look_around();
     }
 
     fn overload(&mut self, shard: &ServiceName) -> &mut Overload {
--- a/src/geraniummount/edge/gateway/reach.rs
+++ b/src/geraniummount/edge/gateway/reach.rs
@@ -8,6 +8,7 @@
 use mio::net::TcpStream;
 
 use super::Gateway;
+use super::calls::CallState;
 use super::timers::Timer;
 use super::token::Owner;
 
@@ -40,6 +41,31 @@
         }
     }
 
+    /// Notes the attempts in other domains that have no answer though a query's
+    /// answer is due, where too little of it is in.
+    pub(super) fn note_unanswered(&mut self, index: usize) {
+        let state = &mut self.calls[index];
+        if !state.call.lacks_parts() {
+            return;
+        }
+        state.unserved_when_due = true;
+        let placement = &self.placement;
+        let unanswered = state.call.unanswered();
+        let silent = unanswered.filter(|(service, key)| placement.is_far(service, *key));
+        let silent = u32::try_from(silent.count()).unwrap_or(u32::MAX);
+        self.isolation.on_overdue(silent);
+        self.look_around();
+    }
+
+    /// Notes whether a request was served, at its end; one that was not counts
+    /// once.
+    pub(super) fn note_served(&mut self, state: &CallState, served: bool) {
+        if served || !state.unserved_when_due {
+            self.isolation.on_request(served);
+        }
+        self.look_around();
+    }
+
     /// The check's connection has opened or failed.
     pub(super) fn on_check_event(&mut self) {
         let Some((stream, _)) = &self.check else {
