Split the soak's world, and let it play with few faults too

The span of a pause was noted away from the pause. A gateway that was killed while it had no process had its next end excused, whatever ended it. And with a fault each 350 ms somebody is nearly always disturbed, so that the bounds of time (leaving, in force) are seldom tried.

A kill without a process is none.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -34,6 +34,9 @@
     /// Seconds with faults.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// Mean milliseconds between the beginnings of two faults.
+    #[arg(long, default_value_t = 350, value_parser = clap::value_parser!(u64).range(10..))]
+    gap_ms: u64,
     /// Program that is played; the one of this build where it is left out.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -58,6 +61,7 @@
             shards: usize::from(arguments.shards),
             callers: usize::from(arguments.callers),
             faulty: Duration::from_secs(arguments.seconds),
+            gap: Duration::from_millis(arguments.gap_ms),
         };
         let report = soak::run(&options)?;
         print!("{report}");
--- a/crates/geraniummount-test-support/src/soak/caller.rs
+++ b/crates/geraniummount-test-support/src/soak/caller.rs
@@ -13,9 +13,10 @@
 
 use super::Options;
 use super::kind::{self, Kind};
+use super::known::{Known, lock};
 use super::member::{Identity, RECORD_BYTES};
 use super::request::{Outcome, Sent};
-use super::world::{Known, World, lock};
+use super::world::World;
 use crate::platform::users::caller::{Answer, Request};
 
 /// Records in the answer of a search.
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -5,9 +5,10 @@
 use super::CALM;
 use super::caller::Seen;
 use super::kind::Kind;
+use super::known::lock;
 use super::report::{Promise, Violation};
 use super::request::{Outcome, Sent};
-use super::world::{World, lock};
+use super::world::World;
 
 /// Time for which a leaf may get requests after it registered as leaving.
 const LEAVING: Duration = Duration::from_secs(3);
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -15,10 +15,14 @@
 mod disturbance;
 mod fault;
 mod kind;
+mod known;
+mod link;
 mod member;
 mod report;
 mod request;
+mod routes;
 mod schedule;
+mod strike;
 mod vm;
 mod world;
 
@@ -48,6 +52,9 @@
     pub callers: usize,
     /// Time with faults.
     pub faulty: Duration,
+    /// Mean time between the beginnings of two faults. Bounds of time hold only
+    /// where nothing befell who has to keep them, so these are tried by long ones.
+    pub gap: Duration,
 }
 
 /// Time before the first fault, in which all has to be well.
--- /dev/null
+++ b/crates/geraniummount-test-support/src/soak/routes.rs
@@ -0,0 +1,30 @@
+//! The routes of the world, in each of their versions.
+
+use super::caller::TOP;
+use super::kind::Kind;
+use crate::platform::users::document::{self, Gather, gather_route, service_route};
+
+/// Least share of the shards that an answer includes.
+const LEAST: f64 = 0.5;
+
+/// The configuration of a version. Each version has a route that shows it, and
+/// those of all versions before it.
+pub fn configuration(version: u64, versions: &[u64], shards: usize) -> String {
+    let shards: Vec<String> = (0..shards).map(|shard| format!("shard-{shard}")).collect();
+    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
+    let gather = Gather {
+        top: TOP,
+        least: LEAST,
+    };
+    let mut routes = vec![
+        gather_route(Kind::Search.prefix(), &shards, gather),
+        service_route(Kind::Lookup.prefix(), "idempotent", "lookup"),
+        service_route(Kind::Order.prefix(), "non_idempotent", "orders"),
+    ];
+    let markers = versions.iter().map(|number| {
+        let prefix = format!("/v{number}/");
+        service_route(&prefix, "idempotent", "lookup")
+    });
+    routes.extend(markers);
+    document::document(version, &routes, &[])
+}
--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -9,9 +9,6 @@
 use super::fault::Fault;
 use super::{LEAD, Options};
 
-/// Mean time between the beginnings of two faults.
-const MEAN_GAP: Duration = Duration::from_millis(350);
-
 /// Shortest and longest fault, in milliseconds.
 const LENGTHS_MS: std::ops::Range<u64> = 100..2500;
 
@@ -50,7 +47,9 @@
                 lasts: lasts.min(longest),
                 fault: Fault::draw(options.vms, options.shards * 2 + 4, &mut random),
             });
-            at += MEAN_GAP.mul_f64(-random.random_range(0.000_1_f64..1.0).ln());
+            at += options
+                .gap
+                .mul_f64(-random.random_range(0.000_1_f64..1.0).ln());
         }
         Schedule { steps, over }
     }
--- a/crates/geraniummount-test-support/src/soak/world.rs
+++ b/crates/geraniummount-test-support/src/soak/world.rs
@@ -2,22 +2,22 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
 
 use super::disturbance::{Disturbances, Scope};
-use super::fault::{Fault, LeafFault, LinkFault, StoreFault, VmFault};
-use super::kind::Kind;
-use super::member::{Identity, Member, WELL};
-use super::schedule::{Schedule, Step};
+use super::known::{Known, lock};
+use super::member::Member;
+use super::routes::configuration;
+use super::schedule::Schedule;
+use super::strike::Undo;
 use super::vm::Vm;
 use super::{CALM, Options, RECOVERY};
 use crate::platform::users::Store;
-use crate::platform::users::document::{self, DOCUMENT_KEY, Gather, gather_route, service_route};
-use crate::proxy::{Flow, Link, Proxy};
+use crate::platform::users::document::DOCUMENT_KEY;
 
 /// Time until an ended process is started again.
 const RESTART: Duration = Duration::from_millis(200);
@@ -29,40 +29,11 @@
 const STALL: Duration = Duration::from_millis(300);
 
 /// Time that a stopped process has until it is killed.
-const GRACE: Duration = Duration::from_secs(6);
-
-/// Time for which a leaf serves after it registered as leaving.
-const LEAVING: Duration = Duration::from_millis(3_200);
-
-/// Delay of a slow link, each way.
-const SLOWNESS: Duration = Duration::from_millis(60);
-
-/// Time in which silent connections are given up.
-const SILENCE: Duration = Duration::from_secs(4);
+pub(super) const GRACE: Duration = Duration::from_secs(6);
 
 /// Time until the first answers after the start.
 const START: Duration = Duration::from_secs(20);
 
-/// Least share of the shards that an answer includes.
-const LEAST: f64 = 0.5;
-
-/// A version of the routes, and when it was written.
-pub type Version = (u64, Instant);
-
-/// What callers may know of the world while it runs.
-#[derive(Debug, Default)]
-pub struct Known {
-    /// All leaves that were ever started.
-    pub leaves: Mutex<Vec<Identity>>,
-    /// All versions that were written.
-    pub versions: Mutex<Vec<Version>>,
-}
-
-/// Locks a value; a thread that panicked leaves it as it was.
-pub fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
-    value.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The end of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct Exit {
@@ -78,21 +49,6 @@
     pub killed: bool,
 }
 
-/// What ends a fault.
-#[derive(Clone, Copy, Debug)]
-enum Undo {
-    Resume(usize),
-    HealStore(usize),
-    StoreUp,
-    LeafWell(usize),
-    HealLeaf(usize),
-    /// The place, and the leaf that stood there.
-    Replace(usize, usize),
-    Remove(usize),
-    Register(usize),
-    Launch(usize),
-}
-
 /// The world of a run.
 pub struct World {
     /// When it was ready.
@@ -111,11 +67,13 @@
     pub vms: Vec<Vm>,
     /// Shards of a search.
     pub shards: usize,
-    store: Store,
+    pub(super) store: Store,
     /// The members that stand now, by place.
-    places: Vec<usize>,
-    undos: Vec<(Instant, Undo)>,
-    killed: Vec<bool>,
+    pub(super) places: Vec<usize>,
+    /// What ends faults, and when.
+    pub(super) undos: Vec<(Instant, Undo)>,
+    /// Gateways whose processes were killed and have not been seen to end.
+    pub(super) killed: Vec<bool>,
     seed: u64,
     folder: TempDir,
 }
@@ -227,184 +185,8 @@
         Ok(())
     }
 
-    fn strike(&mut self, step: &Step, now: Instant) {
-        let undo = match step.fault {
-            Fault::Vm(vm, fault) => self.strike_vm(vm, fault, now),
-            Fault::AllVms(fault) => {
-                for vm in 0..self.vms.len() {
-                    self.strike_vm(vm, fault, now);
-                }
-                None
-            }
-            Fault::StoreLink(vm, fault) => {
-                self.disturb(Scope::StoreLink(vm), fault, step, now);
-                strike_link(&self.vms[vm].store, fault).then_some(Undo::HealStore(vm))
-            }
-            Fault::Store(fault) => self.strike_store(fault, step, now),
-            Fault::Leaf(place, fault) => self.strike_leaf(place, fault, step, now),
-            Fault::LeafLink(place, fault) => {
-                let member = self.places[place];
-                self.disturb(Scope::Leaf(member), fault, step, now);
-                let lasts = strike_link(&self.members[member].proxy, fault);
-                lasts.then_some(Undo::HealLeaf(member))
-            }
-            Fault::Versions(count) => {
-                (0..count).for_each(|_| self.write_version());
-                None
-            }
-        };
-        if let Fault::Vm(vm, VmFault::Pause) = step.fault {
-            self.disturbances.add(Scope::Vm(vm), now, step.lasts);
-        }
-        if let Some(undo) = undo {
-            self.undos.push((now + step.lasts, undo));
-        }
-    }
-
-    /// Notes the span of a link's fault. Silence ends where the gateway gives
-    /// its connections up, which may take a while.
-    fn disturb(&mut self, scope: Scope, fault: LinkFault, step: &Step, now: Instant) {
-        let lasts = match fault {
-            LinkFault::Silent => SILENCE,
-            _ => step.lasts,
-        };
-        self.disturbances.add(scope, now, lasts);
-    }
-
-    fn strike_vm(&mut self, vm: usize, fault: VmFault, now: Instant) -> Option<Undo> {
-        match fault {
-            VmFault::Stop => self.stop_vm(vm, now),
-            VmFault::Kill => self.kill_vm(vm, now),
-            VmFault::Pause => {
-                self.vms[vm].pause();
-                return Some(Undo::Resume(vm));
-            }
-            VmFault::Reload => self.vms[vm].reload(),
-        }
-        None
-    }
-
-    fn strike_store(&mut self, fault: StoreFault, step: &Step, now: Instant) -> Option<Undo> {
-        self.disturbances.add(Scope::Store, now, step.lasts);
-        match fault {
-            StoreFault::Down => {
-                self.store.set_refusal(Some(503));
-                self.store.cut();
-                Some(Undo::StoreUp)
-            }
-            StoreFault::Compacted => {
-                self.store.compact();
-                None
-            }
-        }
-    }
-
-    fn strike_leaf(
-        &mut self,
-        place: usize,
-        fault: LeafFault,
-        step: &Step,
-        now: Instant,
-    ) -> Option<Undo> {
-        let number = self.places[place];
-        let member = &mut self.members[number];
-        if matches!(fault, LeafFault::Leaves) {
-            self.leave(place, now);
-            return None;
-        }
-        self.disturbances.add(Scope::Leaf(number), now, step.lasts);
-        let leaf = member.leaf.as_ref()?;
-        match fault {
-            LeafFault::Answers(answer) => {
-                leaf.set_answer(answer);
-                Some(Undo::LeafWell(number))
-            }
-            LeafFault::Lapses => {
-                self.store.remove(&leaf.key());
-                Some(Undo::Register(number))
-            }
-            LeafFault::Crashes => {
-                member.end();
-                member.proxy.break_open();
-                Some(Undo::Replace(place, number))
-            }
-            LeafFault::Leaves => None,
-        }
-    }
-
-    fn stop_vm(&mut self, vm: usize, now: Instant) {
-        if self.vms[vm].stopping.is_some() || !self.vms[vm].is_running() {
-            return;
-        }
-        self.vms[vm].stopping = Some(now);
-        self.vms[vm].stop();
-        self.disturbances.add(Scope::Stop(vm), now, GRACE);
-    }
-
-    fn kill_vm(&mut self, vm: usize, now: Instant) {
-        self.killed[vm] = true;
-        self.vms[vm].kill();
-        self.disturbances
-            .add(Scope::Vm(vm), now, Duration::from_secs(1));
-    }
-
-    /// Registers a leaf as leaving; another takes its place at once.
-    fn leave(&mut self, place: usize, now: Instant) {
-        let member = self.places[place];
-        let Some(leaf) = &self.members[member].leaf else {
-            return;
-        };
-        leaf.register(&self.store, "draining");
-        self.members[member].leaves_at = Some(now);
-        self.undos.push((now + LEAVING, Undo::Remove(member)));
-        self.replace(place);
-    }
-
-    fn undo_due(&mut self, now: Instant) {
-        while let Some(place) = self.undos.iter().position(|(at, _)| *at <= now) {
-            let (_, undo) = self.undos.swap_remove(place);
-            self.undo(undo);
-        }
-    }
-
-    fn undo(&mut self, undo: Undo) {
-        match undo {
-            Undo::Resume(vm) => self.vms[vm].resume(),
-            Undo::HealStore(vm) => heal(&self.vms[vm].store),
-            Undo::StoreUp => self.store.set_refusal(None),
-            Undo::LeafWell(member) => {
-                if let Some(leaf) = &self.members[member].leaf {
-                    leaf.set_answer(WELL);
-                }
-            }
-            Undo::HealLeaf(member) => heal(&self.members[member].proxy),
-            Undo::Replace(place, member) => {
-                self.store.remove(&self.members[member].key());
-                if self.places[place] == member {
-                    self.replace(place);
-                }
-            }
-            Undo::Remove(member) => {
-                let now = Instant::now();
-                self.disturbances
-                    .add(Scope::Leaf(member), now, Duration::ZERO);
-                self.store.remove(&self.members[member].key());
-                self.members[member].end();
-            }
-            Undo::Register(member) => {
-                let member = &self.members[member];
-                if let Some(leaf) = member.leaf.as_ref().filter(|_| member.leaves_at.is_none()) {
-                    leaf.register(&self.store, "ready");
-                }
-            }
-            Undo::Launch(vm) => match self.vms[vm].launch() {
-                Ok(()) => self.starts.push((vm, Instant::now())),
-                Err(error) => panic!("gateway {vm} can't be started again: {error}"),
-            },
-        }
-    }
-
-    fn replace(&mut self, place: usize) {
+    /// Starts a leaf in the place of another.
+    pub(super) fn replace(&mut self, place: usize) {
         match self.add_member(place) {
             Ok(member) => self.places[place] = member,
             Err(error) => panic!("a leaf can't be started: {error}"),
@@ -449,63 +231,18 @@
         }
     }
 
-    /// Writes the next version of the routes; each has a route that shows it,
-    /// and those of all versions before it.
-    fn write_version(&mut self) {
+    /// Writes the next version of the routes.
+    pub(super) fn write_version(&mut self) {
         let mut versions = lock(&self.known.versions);
         let version = versions.last().map_or(1, |(version, _)| version + 1);
         versions.push((version, Instant::now()));
         let numbers: Vec<u64> = versions.iter().map(|(version, _)| *version).collect();
         drop(versions);
-        let document = document(version, &numbers, self.shards);
+        let document = configuration(version, &numbers, self.shards);
         self.store.put(DOCUMENT_KEY, document);
     }
 }
 
-/// Brings a fault about; returns whether it lasts until it is healed.
-fn strike_link(proxy: &Proxy, fault: LinkFault) -> bool {
-    let change: fn(&mut Link) = match fault {
-        LinkFault::Cut => |link| (link.forward, link.back) = (Flow::Cut, Flow::Cut),
-        LinkFault::NoRequests => |link| link.forward = Flow::Cut,
-        LinkFault::NoAnswers => |link| link.back = Flow::Cut,
-        LinkFault::Slow => |link| link.delay = SLOWNESS,
-        LinkFault::Silent => {
-            proxy.silence_open();
-            return false;
-        }
-        LinkFault::Reset => {
-            proxy.break_open();
-            return false;
-        }
-    };
-    proxy.change_all(change);
-    true
-}
-
-fn heal(proxy: &Proxy) {
-    proxy.change_all(|link| *link = Link::default());
-}
-
 fn domain(number: usize) -> &'static str {
     ["a", "b"][number % 2]
 }
-
-fn document(version: u64, versions: &[u64], shards: usize) -> String {
-    let shards: Vec<String> = (0..shards).map(|shard| format!("shard-{shard}")).collect();
-    let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
-    let gather = Gather {
-        top: super::caller::TOP,
-        least: LEAST,
-    };
-    let mut routes = vec![
-        gather_route(Kind::Search.prefix(), &shards, gather),
-        service_route(Kind::Lookup.prefix(), "idempotent", "lookup"),
-        service_route(Kind::Order.prefix(), "non_idempotent", "orders"),
-    ];
-    let markers = versions.iter().map(|number| {
-        let prefix = format!("/v{number}/");
-        service_route(&prefix, "idempotent", "lookup")
-    });
-    routes.extend(markers);
-    document::document(version, &routes, &[])
-}
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -13,6 +13,8 @@
     seed: u64,
     vms: usize,
     shards: usize,
+    /// Mean time between the beginnings of two faults.
+    gap: Duration,
 }
 
 const CASES: &[Case] = &[
@@ -21,21 +23,37 @@
         seed: 1,
         vms: 3,
         shards: 4,
+        gap: DENSE,
     },
     Case {
         name: "more gateways than callers",
         seed: 2,
         vms: 8,
         shards: 3,
+        gap: DENSE,
     },
     Case {
         name: "a leaf without lengths sent another body than the order's: the stand-in's fault",
         seed: 2006,
         vms: 3,
         shards: 4,
+        gap: DENSE,
+    },
+    Case {
+        name: "few faults, so that the bounds of time are tried",
+        seed: 3,
+        vms: 3,
+        shards: 4,
+        gap: SPARSE,
     },
 ];
 
+/// Gap between faults that overlap.
+const DENSE: Duration = Duration::from_millis(350);
+
+/// Gap between faults that mostly come one by one.
+const SPARSE: Duration = Duration::from_millis(1_500);
+
 /// Time with faults.
 const FAULTY: Duration = Duration::from_secs(6);
 
@@ -51,6 +69,7 @@
             shards: case.shards,
             callers: CALLERS,
             faulty: FAULTY,
+            gap: case.gap,
         });
         let report = report.expect("the world starts");
         eprintln!("{}: {report}", case.name);
