Read callers' replies in one place

Cause: the tests of the gateway and the soak each built callers' requests and read replies, the tests with less care (a reply without a length was taken as an empty one). Two types named Answer stood in one folder: how a leaf answers, and what a caller reads.

Change: both use test_support::platform::users::caller; its Answer is Reply. The tests of bytes that are no request stand by themselves. One more test counted a leaf's runs after it had sent its request, which never ends if the leaf is faster; the count comes first now.

--- a/crates/geraniummount-test-support/src/platform/users/caller.rs
+++ b/crates/geraniummount-test-support/src/platform/users/caller.rs
@@ -1,4 +1,4 @@
-//! What a caller of the users' platform sends, and the answers that it reads.
+//! What a caller of the users' platform sends, and the replies that it reads.
 
 use std::cmp::Ordering;
 use std::io::{self, Read, Write};
@@ -24,9 +24,9 @@
     pub body: &'a [u8],
 }
 
-/// An answer as it came.
+/// A reply as it came.
 #[derive(Clone, Debug)]
-pub struct Answer {
+pub struct Reply {
     /// Status.
     pub status: u16,
     /// Body.
@@ -35,26 +35,20 @@
 }
 
 impl Request<'_> {
-    /// Sends it and reads its answer.
+    /// Sends it and reads its reply.
     ///
     /// # Errors
     ///
     /// The connection ended or kept silent; `InvalidData` where what came is
-    /// no answer, or more than one.
-    pub fn exchange(&self, stream: &mut TcpStream) -> io::Result<Answer> {
-        stream.write_all(&[self.head().as_bytes(), self.body].concat())?;
-        let mut bytes = Vec::new();
-        loop {
-            let mut chunk = [0; READ_BYTES];
-            let count = stream.read(&mut chunk)?;
-            if count == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            bytes.extend_from_slice(&chunk[..count]);
-            if let Some(answer) = Answer::parse(&bytes)? {
-                return Ok(answer);
-            }
-        }
+    /// no reply, or more than one.
+    pub fn exchange(&self, stream: &mut TcpStream) -> io::Result<Reply> {
+        stream.write_all(&self.to_bytes())?;
+        Reply::read(stream)
+    }
+
+    /// Returns it as bytes.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        [self.head().as_bytes(), self.body].concat()
     }
 
     fn head(&self) -> String {
@@ -69,7 +63,27 @@
     }
 }
 
-impl Answer {
+impl Reply {
+    /// Reads one reply that declares its length.
+    ///
+    /// # Errors
+    ///
+    /// As [`Request::exchange`].
+    pub fn read(stream: &mut TcpStream) -> io::Result<Reply> {
+        let mut bytes = Vec::new();
+        loop {
+            let mut chunk = [0; READ_BYTES];
+            let count = stream.read(&mut chunk)?;
+            if count == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            bytes.extend_from_slice(&chunk[..count]);
+            if let Some(reply) = Reply::parse(&bytes)? {
+                return Ok(reply);
+            }
+        }
+    }
+
     /// Returns whether the connection ends after it.
     pub fn closes(&self) -> bool {
         self.field("Connection") == Some("close")
@@ -92,14 +106,15 @@
         self.field("Missing-Parts").unwrap_or("0").parse().ok()
     }
 
-    fn field(&self, name: &str) -> Option<&str> {
+    /// Returns the value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
         let mut fields = self.fields.iter();
         let found = fields.find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
-    /// Reads an answer; `None` while it is not whole.
-    fn parse(bytes: &[u8]) -> io::Result<Option<Answer>> {
+    /// Reads a reply; `None` while it is not whole.
+    fn parse(bytes: &[u8]) -> io::Result<Option<Reply>> {
         let malformed = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_string());
         let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
             return Ok(None);
@@ -112,22 +127,22 @@
         let status = status.ok_or_else(|| malformed("no status line"))?;
         let fields = lines.filter_map(|line| line.split_once(": "));
         let fields = fields.map(|(name, value)| (name.to_string(), value.to_string()));
-        let mut answer = Answer {
+        let mut reply = Reply {
             status,
             body: Vec::new(),
             fields: fields.collect(),
         };
-        let length = answer
+        let length = reply
             .field("Content-Length")
             .and_then(|text| text.parse().ok());
         let length: usize = length.ok_or_else(|| malformed("no length"))?;
         let body = &bytes[end + 4..];
         match body.len().cmp(&length) {
             Ordering::Less => Ok(None),
-            Ordering::Greater => Err(malformed("bytes behind the answer")),
+            Ordering::Greater => Err(malformed("bytes behind the reply")),
             Ordering::Equal => {
-                answer.body = body.to_vec();
-                Ok(Some(answer))
+                reply.body = body.to_vec();
+                Ok(Some(reply))
             }
         }
     }
--- a/crates/geraniummount-test-support/src/soak/caller.rs
+++ b/crates/geraniummount-test-support/src/soak/caller.rs
@@ -17,7 +17,7 @@
 use super::member::{Identity, RECORD_BYTES};
 use super::request::{Outcome, Sent};
 use super::world::World;
-use crate::platform::users::caller::{Answer, Request};
+use crate::platform::users::caller::{Reply, Request};
 
 /// Records in the answer of a search.
 pub const TOP: usize = 10;
@@ -212,7 +212,7 @@
     }
 
     /// What is wrong with the answer of one leaf.
-    fn forward_fault(&self, kind: Kind, answer: &Answer, id: &str, body: &[u8]) -> Option<String> {
+    fn forward_fault(&self, kind: Kind, answer: &Reply, id: &str, body: &[u8]) -> Option<String> {
         let Some(leaf) = answer
             .signature()
             .and_then(|signature| self.signer(signature, id))
@@ -230,7 +230,7 @@
     }
 
     /// What is wrong with the answer of a search.
-    fn search_fault(&self, answer: &Answer, id: &str) -> Option<String> {
+    fn search_fault(&self, answer: &Reply, id: &str) -> Option<String> {
         let signatures = answer.part_signatures();
         let parts: Vec<Option<Identity>> = signatures
             .iter()
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod formats;
 mod isolation;
+mod malformed;
 mod pause;
 mod requests;
 mod scene;
--- a/tests/testsuite/platform/requests.rs
+++ b/tests/testsuite/platform/requests.rs
@@ -1,14 +1,13 @@
 //! Requests through the gateway: routes, answers, and leaves that misbehave.
 
 use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::time::Duration;
 
+use geraniummount_test_support::platform::users::caller::Reply;
 use geraniummount_test_support::platform::users::{Answer, signature};
 
-use super::scene::{
-    HOST, PATIENCE, Scene, exchange, gather_route, leaf, read_reply, request, service_route,
-};
+use super::scene::{HOST, Scene, connect, exchange, gather_route, leaf, request, service_route};
 
 #[test]
 fn platform_requests_go_by_host_and_longest_prefix() {
@@ -266,11 +265,11 @@
     let one = leaf(&scene, "one", b"record");
     scene.wait_for("/a/x");
     one.set_answer(Answer::Late(Duration::from_millis(1500)));
-    let mut stream = TcpStream::connect(scene.callers).unwrap();
+    let mut stream = connect(scene.callers);
+    let before = one.runs().len();
     stream
         .write_all(&request("GET", "/a/x", 3000, b""))
         .unwrap();
-    let before = one.runs().len();
     scene.wait(|_| one.runs().len() > before);
     stream.shutdown(Shutdown::Both).unwrap();
     scene.wait(|_| one.cancelled() > 0);
@@ -283,8 +282,7 @@
     let one = leaf(&scene, "one", b"record");
     scene.wait_for("/a/x");
     one.set_answer(Answer::Late(Duration::from_millis(700)));
-    let mut stream = TcpStream::connect(scene.callers).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut stream = connect(scene.callers);
     let before = one.runs().len();
     stream
         .write_all(&request("GET", "/a/x", 3000, b""))
@@ -292,97 +290,12 @@
     scene.wait(|_| one.runs().len() > before);
     scene.stop();
     scene.wait(|scene| !scene.is_ready());
-    let reply = read_reply(&mut stream).expect("a whole answer");
+    let reply = Reply::read(&mut stream).expect("a whole answer");
     assert_eq!(reply.status, 200);
     assert_eq!(reply.field("Connection"), Some("close"));
     assert!(scene.join());
 }
 
-#[test]
-fn platform_requests_that_are_malformed_get_an_error_and_reach_no_leaf() {
-    struct Bad {
-        bytes: &'static str,
-        status: u16,
-    }
-    const BAD: &[Bad] = &[
-        Bad {
-            bytes: "nonsense\r\n\r\n",
-            status: 400,
-        },
-        Bad {
-            bytes: "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nrope!",
-            status: 400,
-        },
-        Bad {
-            bytes: "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-            status: 400,
-        },
-        Bad {
-            bytes: "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: gzip\r\n\r\n",
-            status: 400,
-        },
-        Bad {
-            bytes: "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
-            status: 400,
-        },
-        Bad {
-            bytes: "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 999999\r\n\r\n",
-            status: 413,
-        },
-        Bad {
-            bytes: "GET /a/x HTTP/1.1\r\nHost: shop.example\r\n",
-            status: 408,
-        },
-    ];
-    let scene = Scene::start();
-    scene.configure(1, &[service_route("/a/", "idempotent", "one")]);
-    let one = leaf(&scene, "one", b"record");
-    scene.wait_for("/a/x");
-    let before = one.runs().len();
-    for bad in BAD {
-        let reply = exchange(scene.callers, bad.bytes.as_bytes()).expect(bad.bytes);
-        assert_eq!(reply.status, bad.status, "{:?}", bad.bytes);
-    }
-    let long = format!(
-        "GET /a/x HTTP/1.1\r\nHost: {HOST}\r\nX: {}\r\n\r\n",
-        "x".repeat(4000)
-    );
-    assert_eq!(
-        exchange(scene.callers, long.as_bytes()).unwrap().status,
-        431
-    );
-    assert_eq!(one.runs().len(), before);
-    assert_eq!(scene.get("/a/x", 2000).status, 200);
-}
-
-#[test]
-fn platform_requests_sent_ahead_are_answered_in_order() {
-    let scene = Scene::start();
-    scene.configure(1, &[service_route("/a/", "idempotent", "one")]);
-    let one = leaf(&scene, "one", b"record");
-    scene.wait_for("/a/x");
-    let mut stream = TcpStream::connect(scene.callers).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    let ahead: Vec<u8> = (0..5)
-        .flat_map(|n| request("GET", &format!("/a/{n}"), 2000, b""))
-        .collect();
-    stream.write_all(&ahead).unwrap();
-    let mut answered = Vec::new();
-    let mut bytes = Vec::new();
-    while answered.len() < 5 {
-        let mut chunk = [0; 4096];
-        let count = std::io::Read::read(&mut stream, &mut chunk).unwrap();
-        assert!(count > 0, "the connection ended early");
-        bytes.extend_from_slice(&chunk[..count]);
-        answered = String::from_utf8_lossy(&bytes)
-            .matches("HTTP/1.1 200")
-            .map(str::to_string)
-            .collect();
-    }
-    let runs = one.runs();
-    assert!(runs.len() >= 5);
-}
-
 /// Attempts that end before the next one is sent, at addresses where nobody
 /// listens.
 #[test]
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -1,12 +1,13 @@
 //! A gateway between a stand-in store, stand-in leaves and a caller.
 
-use std::io::{Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
+use geraniummount_test_support::platform::users::caller::{Reply, Request};
 use geraniummount_test_support::platform::users::document::{self, Gather};
 pub use geraniummount_test_support::platform::users::document::{HOST, service_route};
 use geraniummount_test_support::platform::users::{Leaf, Store};
@@ -24,14 +25,6 @@
     running: Option<JoinHandle<bool>>,
 }
 
-/// A caller's answer.
-#[derive(Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: Vec<u8>,
-}
-
 impl Scene {
     /// Starts a store and a gateway in failure domain `near`.
     pub fn start() -> Scene {
@@ -94,7 +87,7 @@
 
     pub fn is_ready(&self) -> bool {
         let request = format!("GET /api/ready HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
-        exchange(self.ready, request.as_bytes()).is_some_and(|reply| reply.status == 200)
+        exchange(self.ready, request.as_bytes()).is_ok_and(|reply| reply.status == 200)
     }
 
     /// Sends one request on a connection of its own.
@@ -114,65 +107,31 @@
     }
 }
 
-impl Reply {
-    /// Value of a field.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
-        let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
-        values.next().map(|(_, value)| value)
-    }
-}
-
 /// A request as bytes, with a fresh id.
 pub fn request(method: &str, path: &str, deadline_ms: u64, body: &[u8]) -> Vec<u8> {
     let id: u64 = rand::random();
-    let mut request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id:016x}\r\n\
-         Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    )
-    .into_bytes();
-    request.extend_from_slice(body);
-    request
-}
-
-/// Sends bytes on a new connection and reads one answer.
-pub fn exchange(address: SocketAddr, request: &[u8]) -> Option<Reply> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    stream.write_all(request).ok()?;
-    read_reply(&mut stream)
+    let request = Request {
+        id: &format!("{id:016x}"),
+        method,
+        path,
+        deadline: Duration::from_millis(deadline_ms),
+        body,
+    };
+    request.to_bytes()
 }
 
-/// Reads one answer with a length.
-pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
-    let mut bytes = Vec::new();
-    let end = loop {
-        if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-            break at + 4;
-        }
-        read_some(stream, &mut bytes)?;
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let mut reply = Reply {
-        status: head.split(' ').nth(1)?.parse().ok()?,
-        head,
-        body: Vec::new(),
-    };
-    let length: usize = reply.field("Content-Length").unwrap_or("0").parse().ok()?;
-    while bytes.len() < end + length {
-        read_some(stream, &mut bytes)?;
-    }
-    assert_eq!(bytes.len(), end + length, "bytes behind an answer");
-    reply.body = bytes.split_off(end);
-    Some(reply)
+/// Opens a connection.
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
 }
 
-fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
-    let mut chunk = [0; 4096];
-    let count = stream.read(&mut chunk).ok()?;
-    bytes.extend_from_slice(&chunk[..count]);
-    (count > 0).then_some(())
+/// Sends bytes on a new connection and reads one answer.
+pub fn exchange(address: SocketAddr, request: &[u8]) -> io::Result<Reply> {
+    let mut stream = connect(address);
+    stream.write_all(request)?;
+    Reply::read(&mut stream)
 }
 
 /// A configuration as the operator writes it. A route `/vN/` of version N
