Give a watch up that is not told of changes

A watch waits 25 s, and a proxy that keeps the connection open answers TCP's keep-alive, so that nothing showed the silence.

Change: after 2 s without an answer the store's revision is asked for over another connection, as a read that may be old and costs a tenth. If it is newer than what is known and the answer doesn't come within 500 ms, the watch is given up and all keys are read. core::feed::Feed::misses decides; the client's call is split into Call, Watch and Waited. Test: platform_store_versions_come_into_force_though_the_watch_falls_silent (not in 20 s before).

The soak's checks: a leaf that left and a version's time are looked at wherever the VM was undisturbed for the last 4 s, not from 4 s before the change on, and a leaf serves for 6 s after it registered as leaving.

--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -173,7 +173,7 @@
         let Some(leaves_at) = run.leaves_at else {
             return;
         };
-        let from = leaves_at.checked_sub(IN_TOUCH).unwrap_or(leaves_at);
+        let from = run.at.checked_sub(IN_TOUCH).unwrap_or(run.at);
         let is_calm = self.world.disturbances.is_calm(vm, from, run.at);
         if run.at > leaves_at + LEAVING && is_calm {
             let late = run.at.saturating_duration_since(leaves_at);
@@ -212,7 +212,7 @@
             return;
         };
         let (_, since) = written[place];
-        let from = since.checked_sub(IN_TOUCH).unwrap_or(since);
+        let from = at.checked_sub(IN_TOUCH).unwrap_or(at);
         if at > since + APPLY && self.world.disturbances.is_calm(vm, from, at) {
             let age = at.saturating_duration_since(since);
             let detail = format!("vm{vm} does not know version {version} after {age:?}");
--- a/crates/geraniummount-test-support/src/soak/strike.rs
+++ b/crates/geraniummount-test-support/src/soak/strike.rs
@@ -9,8 +9,9 @@
 use super::schedule::Step;
 use super::world::{GRACE, World};
 
-/// Time for which a leaf serves after it registered as leaving.
-const LEAVING: Duration = Duration::from_millis(3_200);
+/// Time for which a leaf serves after it registered as leaving; longer than a
+/// gateway may send it requests, so that one that does is seen.
+const LEAVING: Duration = Duration::from_secs(6);
 
 /// Time in which silent connections are given up.
 const SILENCE: Duration = Duration::from_secs(4);
--- a/src/geraniummount/core/feed.rs
+++ b/src/geraniummount/core/feed.rs
@@ -31,6 +31,11 @@
         self.as_of
     }
 
+    /// Returns whether the store, at a revision, has changes that are not known.
+    pub fn misses(&self, revision: Revision) -> bool {
+        self.as_of.is_some_and(|known| known < revision)
+    }
+
     /// Forgets from where to go on, but no key.
     pub fn restart(&mut self) {
         self.as_of = None;
--- a/src/geraniummount/core/pace.rs
+++ b/src/geraniummount/core/pace.rs
@@ -7,6 +7,9 @@
 //! the platform's bounds allow: a leaf that leaves has to be known as leaving
 //! while it still serves, and a version of the routes has to come into force.
 //!
+//! A watch that is told nothing may be one whose connection has fallen silent.
+//! The store's revision, asked for over another connection, says which.
+//!
 //! While the store is away the tries become rarer, and rarer still where the VM
 //! has something to go on with.
 
@@ -27,6 +30,13 @@
 /// Share of the time to bring a version into force that is spent on waiting.
 const APPLY_DIVISOR: u32 = 2;
 
+/// Time without an answer to a watch after which the store's revision is asked
+/// for. A connection may be silent for good, and nothing else shows it.
+pub const SILENCE: Duration = Duration::from_secs(2);
+
+/// Time that an answer to a watch may take from the change to the VM.
+pub const ANSWER_TIME: Duration = Duration::from_millis(500);
+
 /// First pause after a failed call; doubles with each further one.
 const FIRST_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -8,14 +8,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use rand::RngExt;
 
 use super::options::Options;
 use super::update::{Sender, Update};
 use crate::core::feed::Feed;
-use crate::core::pace::Pace;
-use crate::platform::{self, Error, Store};
+use crate::core::pace::{self, Pace};
+use crate::platform::{self, Error, Events, Store, Waited};
 use crate::prelude::*;
 
 /// Longest wait for a change in one call.
@@ -24,6 +24,8 @@
 /// The thread's state.
 struct Watcher {
     store: Store,
+    /// Connection that shows whether the watch is told of changes.
+    probe: Store,
     sender: Sender,
     feed: Feed,
     /// Version of the routes that were sent last.
@@ -45,6 +47,7 @@
 pub(super) fn start(options: &Options, sender: &Sender) -> io::Result<()> {
     let watcher = Watcher {
         store: Store::new(options.store),
+        probe: Store::new(options.store),
         sender: sender.clone(),
         feed: Feed::default(),
         version: None,
@@ -125,7 +128,7 @@
     }
 
     fn wait(&mut self, revision: Revision) -> Result<Changes, Error> {
-        let events = self.store.watch(platform::ALL_KEYS, revision, WATCH_WAIT)?;
+        let events = self.next_events(revision)?;
         let mut changes = Changes::default();
         for event in events.events {
             match event {
@@ -146,6 +149,30 @@
         Ok(changes)
     }
 
+    /// Waits for changes, and gives the watch up where it should have been told
+    /// of some.
+    fn next_events(&mut self, revision: Revision) -> Result<Events, Error> {
+        let mut watch = self.store.watch(platform::ALL_KEYS, revision, WATCH_WAIT)?;
+        loop {
+            watch = match watch.wait(pace::SILENCE)? {
+                Waited::Answered(events) => return Ok(events),
+                Waited::Waiting(watch) => watch,
+            };
+            match self.probe.recent_revision() {
+                Ok(stored) if self.feed.misses(stored) => {}
+                Ok(_) => continue,
+                Err(error) => {
+                    debug!("store event=no-revision error=\"{error}\"");
+                    continue;
+                }
+            }
+            return match watch.wait(pace::ANSWER_TIME)? {
+                Waited::Answered(events) => Ok(events),
+                Waited::Waiting(_) => Err(Error::Silent),
+            };
+        }
+    }
+
     /// Sends what changed; returns whether the event loop still runs.
     fn publish(&mut self, changes: Changes) -> bool {
         let runs = !changes.routes || self.publish_routes();
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -11,7 +11,7 @@
 pub mod headers;
 mod store;
 
-pub use self::store::{Error, Event, Events, Item, Range, Store};
+pub use self::store::{Error, Event, Events, Item, Range, Store, Waited, Watch};
 
 /// Key of the operator's configuration.
 pub const DOCUMENT_KEY: &str = "op/config";
--- a/src/geraniummount/platform/store.rs
+++ b/src/geraniummount/platform/store.rs
@@ -1,9 +1,12 @@
 //! Calls on the platform's key-value store.
 
+mod call;
 mod client;
 mod error;
 mod message;
+mod watch;
 
 pub use self::client::Store;
 pub use self::error::Error;
 pub use self::message::{Event, Events, Item, Range};
+pub use self::watch::{Waited, Watch};
--- /dev/null
+++ b/src/geraniummount/platform/store/call.rs
@@ -0,0 +1,103 @@
+//! A call that was sent, and its answer as far as it is here.
+
+use std::io::{self, Read};
+use std::net::TcpStream;
+use std::time::Instant;
+
+use super::Error;
+use crate::util::h1::{self, Fault, Head, Parsed};
+
+const READ_BYTES: usize = 64 * 1024;
+
+/// A call that was sent. Dropping it ends its connection.
+#[derive(Debug)]
+pub(super) struct Call {
+    stream: TcpStream,
+    /// What was read and not yet used.
+    buffer: Vec<u8>,
+    head: Option<Head>,
+    content: Vec<u8>,
+}
+
+impl Call {
+    pub(super) fn new(stream: TcpStream) -> Call {
+        Call {
+            stream,
+            buffer: Vec::new(),
+            head: None,
+            content: Vec::new(),
+        }
+    }
+
+    /// Waits for the answer until a time; `None` where it has not come.
+    pub(super) fn answer(&mut self, until: Instant) -> Result<Option<h1::Response>, Error> {
+        loop {
+            if let Some(response) = self.parse().map_err(malformed)? {
+                return Ok(Some(response));
+            }
+            if !self.read(until)? {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Returns the connection of a call that was answered.
+    pub(super) fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Returns the answer, if all of it was read.
+    fn parse(&mut self) -> Result<Option<h1::Response>, Fault> {
+        if self.head.is_none()
+            && let Parsed::Whole(head, length) = Head::parse(&self.buffer, false)?
+        {
+            self.buffer.drain(..length);
+            self.head = Some(head);
+        }
+        let Some(head) = &mut self.head else {
+            return Ok(None);
+        };
+        let (taken, done) = head.body.feed(&self.buffer, &mut self.content)?;
+        self.buffer.drain(..taken);
+        if !done {
+            return Ok(None);
+        }
+        let content = std::mem::take(&mut self.content);
+        let head = self.head.take();
+        Ok(head.map(|head| h1::Response { head, content }))
+    }
+
+    /// Reads once; returns whether something came before the time was over.
+    fn read(&mut self, until: Instant) -> Result<bool, Error> {
+        let mut chunk = vec![0; READ_BYTES];
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(false);
+            }
+            self.stream.set_read_timeout(Some(left))?;
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+                Ok(count) => {
+                    self.buffer.extend_from_slice(&chunk[..count]);
+                    return Ok(true);
+                }
+                Err(error) if is_time_over(&error) => return Ok(false),
+                // A process that stood still and goes on gets this.
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+}
+
+fn is_time_over(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+    )
+}
+
+fn malformed(fault: Fault) -> Error {
+    Error::Malformed(fault.to_string())
+}
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -1,15 +1,16 @@
 //! One connection to the store, for one call after the other.
 
-use std::io::{self, Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use socket2::{SockRef, TcpKeepalive};
 
-use super::{Error, Events, Range};
+use super::call::Call;
+use super::{Error, Range, Watch};
 use crate::prelude::*;
-use crate::util::h1::{self, Head, Parsed};
+use crate::util::h1;
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -26,7 +27,8 @@
 /// Longest time without a sign that sent bytes arrived.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-const READ_BYTES: usize = 64 * 1024;
+/// Prefix of no key.
+const NO_KEYS: &str = "none/";
 
 /// Client of the platform's store. Blocks; a call ends by its time limit.
 #[derive(Debug)]
@@ -60,25 +62,43 @@
         read(&self.call(&target, CALL_TIMEOUT)?)
     }
 
-    /// Waits for changes after a revision; none where the time passes.
+    /// Returns the store's revision; it may be seconds old.
     ///
     /// # Errors
     ///
-    /// The history is gone, or the store can't be reached, refuses, or answers
-    /// nonsense.
+    /// The store can't be reached, refuses, or answers nonsense.
+    pub fn recent_revision(&mut self) -> Result<Revision, Error> {
+        let target = format!("/api/kv-range?prefix={NO_KEYS}&allowStale=1");
+        let range: Range = read(&self.call(&target, CALL_TIMEOUT)?)?;
+        Ok(range.as_of)
+    }
+
+    /// Starts to wait for changes after a revision; the store answers without
+    /// any when the time is over.
+    ///
+    /// # Errors
+    ///
+    /// The store can't be reached.
     pub fn watch(
         &mut self,
         prefix: &str,
         after: Revision,
         wait: Duration,
-    ) -> Result<Events, Error> {
+    ) -> Result<Watch<'_>, Error> {
         let wait_ms = wait.as_millis();
         let target = format!("/api/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
-        read(&self.call(&target, wait + CALL_TIMEOUT)?)
+        let call = self.send(&target)?;
+        Ok(Watch::new(self, call, Instant::now() + wait + CALL_TIMEOUT))
     }
 
     fn call(&mut self, target: &str, limit: Duration) -> Result<h1::Response, Error> {
         let end = Instant::now() + limit;
+        let mut call = self.send(target)?;
+        let response = call.answer(end)?.ok_or_else(Error::timed_out)?;
+        self.take(call, response)
+    }
+
+    fn send(&mut self, target: &str) -> Result<Call, Error> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect()?,
@@ -89,9 +109,17 @@
         h1::end_head(&mut head);
         stream.set_write_timeout(Some(CALL_TIMEOUT))?;
         stream.write_all(&head)?;
-        let response = receive(&mut stream, end)?;
+        Ok(Call::new(stream))
+    }
+
+    /// Keeps the connection of a call that was answered.
+    pub(super) fn take(
+        &mut self,
+        call: Call,
+        response: h1::Response,
+    ) -> Result<h1::Response, Error> {
         if response.head.kept {
-            self.stream = Some(stream);
+            self.stream = Some(call.into_stream());
         }
         match response.head.status {
             410 => Err(Error::Compacted),
@@ -114,53 +142,7 @@
     }
 }
 
-fn receive(stream: &mut TcpStream, end: Instant) -> Result<h1::Response, Error> {
-    let malformed = |fault: h1::Fault| Error::Malformed(fault.to_string());
-    let mut buffer = Vec::new();
-    let mut head: Option<Head> = None;
-    let mut content = Vec::new();
-    loop {
-        if head.is_none()
-            && let Parsed::Whole(parsed, length) = Head::parse(&buffer, false).map_err(malformed)?
-        {
-            buffer.drain(..length);
-            head = Some(parsed);
-        }
-        if let Some(parsed) = &mut head {
-            let (taken, done) = parsed.body.feed(&buffer, &mut content).map_err(malformed)?;
-            buffer.drain(..taken);
-            if done && let Some(head) = head.take() {
-                return Ok(h1::Response { head, content });
-            }
-        }
-        if !fill(stream, &mut buffer, end)? {
-            return Err(Error::Unreachable(io::ErrorKind::UnexpectedEof.into()));
-        }
-    }
-}
-
-/// Reads once; returns whether the connection goes on.
-fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>, end: Instant) -> Result<bool, Error> {
-    let mut chunk = vec![0; READ_BYTES];
-    loop {
-        let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Error::Unreachable(io::ErrorKind::TimedOut.into()));
-        }
-        stream.set_read_timeout(Some(left))?;
-        match stream.read(&mut chunk) {
-            Ok(count) => {
-                buffer.extend_from_slice(&chunk[..count]);
-                return Ok(count > 0);
-            }
-            // A process that stood still and goes on gets this.
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) => return Err(error.into()),
-        }
-    }
-}
-
-fn read<T: DeserializeOwned>(response: &h1::Response) -> Result<T, Error> {
+pub(super) fn read<T: DeserializeOwned>(response: &h1::Response) -> Result<T, Error> {
     if response.head.status != 200 {
         let status = response.head.status;
         return Err(Error::Malformed(format!("status {status}")));
--- a/tests/testsuite/feed.rs
+++ b/tests/testsuite/feed.rs
@@ -77,3 +77,15 @@
     assert!(feed.remove("a", 3));
     assert!(!feed.remove("a", 3));
 }
+
+#[test]
+fn feed_misses_what_is_newer_than_all_that_was_heard() {
+    let mut feed = Feed::default();
+    assert!(!feed.misses(9), "nothing was read yet");
+    feed.replace([], 5);
+    assert!(!feed.misses(5));
+    assert!(!feed.misses(4), "the store's answer may be old");
+    assert!(feed.misses(6));
+    feed.advance(6);
+    assert!(!feed.misses(6));
+}
--- a/tests/testsuite/platform/scene.rs
+++ b/tests/testsuite/platform/scene.rs
@@ -29,6 +29,12 @@
     /// Starts a store and a gateway in failure domain `near`.
     pub fn start() -> Scene {
         let store = Store::start();
+        let address = store.address();
+        Scene::start_with(store, address)
+    }
+
+    /// Starts a gateway in front of a store that it reaches at an address.
+    pub fn start_with(store: Store, address: SocketAddr) -> Scene {
         let options = Options {
             name: "vm1".to_string(),
             domain: "near".to_string(),
@@ -36,7 +42,7 @@
             callers: free_address(),
             ready: free_address(),
             metrics: None,
-            store: store.address(),
+            store: address,
             linger: Duration::from_millis(200),
             drain: Duration::from_secs(10),
             leaving: Duration::from_secs(3),
--- a/tests/testsuite/platform/store.rs
+++ b/tests/testsuite/platform/store.rs
@@ -1,6 +1,9 @@
 //! Routes and leaves follow the store, whatever becomes of its connections.
 
-use geraniummount_test_support::platform::users::Hearing;
+use std::net::Ipv4Addr;
+
+use geraniummount_test_support::platform::users::{Hearing, Store};
+use geraniummount_test_support::proxy::Proxy;
 
 use super::scene::{Scene, document, leaf, service_route};
 
@@ -60,6 +63,25 @@
     }
 }
 
+/// A proxy answers for the connection all along, so that only what comes over
+/// it, or doesn't, shows its silence.
+#[test]
+fn platform_store_versions_come_into_force_though_the_watch_falls_silent() {
+    const SEED: u64 = 1;
+    let store = Store::start();
+    let proxy = Proxy::start(Ipv4Addr::LOCALHOST, store.address(), SEED).unwrap();
+    let scene = Scene::start_with(store, proxy.address());
+    let routes = [service_route("/a/", "idempotent", "one")];
+    scene.configure(1, &routes);
+    let before = scene.store.calls();
+    scene.store.put("servers/odd", "a change");
+    // The call after the one that told of the change waits for the next.
+    scene.wait(|scene| scene.store.calls() > before);
+    proxy.silence_open();
+    scene.store.put("op/config", document(2, &routes));
+    scene.wait(|scene| scene.get("/v2/", 1000).status != 404);
+}
+
 #[test]
 fn platform_store_older_or_unreadable_versions_change_nothing() {
     let scene = Scene::start();
