--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -54,6 +54,7 @@
 mod shard_state;
 pub mod status;
 pub mod store_cache;
+pub mod store_sync;
 pub mod survey;
 pub mod top_k;
 pub mod traffic;
--- a/src/geraniummount/core/poll_schedule.rs
+++ b/src/geraniummount/core/poll_schedule.rs
@@ -81,6 +81,16 @@
         self.delay_after_change
     }
 
+    /// Returns the delay before the next read of the leaves while they change faster than a watch
+    /// delivers the changes.
+    ///
+    /// `jitter`, a random number from 0 (inclusive) to 1 (exclusive), spreads the reads of the VMs
+    /// over the last quarter of the delay. VMs that start together would otherwise all read at the
+    /// same moment, again and again.
+    pub fn delay_between_reads(&self, jitter: f64) -> Duration {
+        self.delay_after_change.mul_f64((3.0 + jitter) / 4.0)
+    }
+
     /// Records a successful call and resets the backoff.
     pub fn on_success(&mut self) {
         self.failures = 0;
--- a/src/geraniummount/core/store_cache.rs
+++ b/src/geraniummount/core/store_cache.rs
@@ -53,18 +53,37 @@
         &mut self,
         records: impl IntoIterator<Item = (String, Revision, Vec<u8>)>,
         as_of: Revision,
+    ) -> bool {
+        let is_replaced = self.replace_under("", records, as_of);
+        if is_replaced {
+            self.advance(as_of);
+        }
+        is_replaced
+    }
+
+    /// Replaces the cached keys that begin with `prefix` with all such keys of the store, read at
+    /// revision `as_of`. The revision to watch from stays, as other keys may have changed.
+    ///
+    /// Returns `false` and changes nothing if the read is older than the cached data.
+    pub fn replace_under(
+        &mut self,
+        prefix: &str,
+        records: impl IntoIterator<Item = (String, Revision, Vec<u8>)>,
+        as_of: Revision,
     ) -> bool {
         if as_of < self.max_revision {
             return false;
         }
+        self.max_revision = as_of;
         let records = records.into_iter().map(|(key, revision, value)| Record {
             key,
             revision,
             value,
         });
-        self.records = records.collect();
+        self.records
+            .retain(|record| !record.key.starts_with(prefix));
+        self.records.extend(records);
         self.records.sort_by(|a, b| a.key.cmp(&b.key));
-        self.advance(as_of);
         true
     }
 
@@ -113,10 +132,21 @@
         Some((record.revision, &record.value))
     }
 
-    /// Returns all keys with their values, sorted by key.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        let records = self.records.iter();
-        records.map(|record| (record.key.as_str(), record.value.as_slice()))
+    /// Returns the keys that begin with `prefix`, each with its revision and its value, sorted by
+    /// key.
+    pub fn iter_under(&self, prefix: &str) -> impl Iterator<Item = (&str, Revision, &[u8])> {
+        let first = self
+            .records
+            .partition_point(|record| record.key.as_str() < prefix);
+        let records = self.records[first..].iter();
+        let records = records.take_while(move |record| record.key.starts_with(prefix));
+        records.map(|record| {
+            (
+                record.key.as_str(),
+                record.revision,
+                record.value.as_slice(),
+            )
+        })
     }
 
     fn search(&self, key: &str) -> Result<usize, usize> {
--- /dev/null
+++ b/src/geraniummount/core/store_sync.rs
@@ -0,0 +1,85 @@
+//! Decides whether a VM follows the platform's store by its changes or by reading all leaves again.
+//!
+//! Load pattern: for most of the day few leaves change, and a watch (a call that waits for the next
+//! changes) delivers each change once. While a leaf warms up, however, it changes its registration
+//! with each heartbeat. When the whole system starts, or all leaves of a new index, more than a
+//! thousand registrations change a second, again and again. An answer of the store contains at most
+//! some 500 changes, so a VM that pauses between its calls, to keep their number low, receives
+//! fewer changes than are made. It falls behind further and further, and a new version of the
+//! routes waits behind the heartbeats.
+//!
+//! A VM that receives a full answer is therefore [behind](StoreSync::is_behind). It then reads the
+//! registrations as they are instead of receiving every change to them, and watches only the routes
+//! between two reads. The cost of a read follows the number of leaves, whatever the rate of their
+//! heartbeats. Once few changes were made between two reads, the VM watches all keys again.
+
+use crate::prelude::*;
+
+/// Number of changes from which on an answer to a watch counts as full. The store includes some 500
+/// at most, and fewer if they are large.
+pub const FULL_ANSWER_CHANGES: usize = 400;
+
+/// Maximum number of changes to the store between two reads at which the VM watches all keys again;
+/// clearly lower than [`FULL_ANSWER_CHANGES`], so that the first watch is not full again.
+pub const MAX_QUIET_CHANGES: u64 = 200;
+
+/// How a VM learns of the next changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Read all keys.
+    ReadAll,
+    /// Watch all keys for changes after a revision.
+    Watch(Revision),
+    /// Read the registrations of all leaves.
+    ReadLeaves,
+}
+
+/// Decides how the VM follows the store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreSync {
+    /// Revision of the store at the last read of the registrations while the VM is behind; `None`
+    /// while it is not behind.
+    behind_since: Option<Revision>,
+}
+
+impl StoreSync {
+    /// Returns the next step. `as_of` is the revision up to which all changes are known; `None` if
+    /// all keys have to be read.
+    pub fn next(&self, as_of: Option<Revision>) -> Step {
+        match as_of {
+            None => Step::ReadAll,
+            Some(_) if self.is_behind() => Step::ReadLeaves,
+            Some(revision) => Step::Watch(revision),
+        }
+    }
+
+    /// Returns whether the registrations change faster than a watch delivers them.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Records the answer to a watch of all keys, which contains `changes` and is complete up to
+    /// the revision `as_of`. Returns whether the VM is behind.
+    pub fn on_changes(&mut self, changes: usize, as_of: Revision) -> bool {
+        if changes >= FULL_ANSWER_CHANGES {
+            self.behind_since = Some(as_of);
+        }
+        self.is_behind()
+    }
+
+    /// Records a read of the registrations at the revision `as_of`. Returns whether the VM has
+    /// caught up; it then has to read all keys, as it has not received the changes to other keys.
+    pub fn on_read(&mut self, as_of: Revision) -> bool {
+        let Some(last) = self.behind_since else {
+            return false;
+        };
+        let has_caught_up = as_of.saturating_sub(last) <= MAX_QUIET_CHANGES;
+        self.behind_since = (!has_caught_up).then_some(as_of);
+        has_caught_up
+    }
+
+    /// Records that all keys have to be read, because changes were lost.
+    pub fn reset(&mut self) {
+        self.behind_since = None;
+    }
+}
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -29,6 +29,7 @@
     pub(super) leaf_connections: IntCounter,
     pub(super) routes_version: IntGauge,
     pub(super) registered_leaves: IntGauge,
+    pub(super) is_behind: IntGauge,
     suppressed_log_lines: IntGauge,
 }
 
@@ -67,6 +68,11 @@
                 "Version of the routes in force.",
             ),
             registered_leaves: gauge(&registry, "gateway_leaves", "Leaves that are registered."),
+            is_behind: gauge(
+                &registry,
+                "gateway_store_behind",
+                "1 while the leaves change faster than a watch delivers the changes.",
+            ),
             suppressed_log_lines: gauge(
                 &registry,
                 "gateway_log_lines_suppressed",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod options;
 mod pool;
 mod probe;
+mod registrations;
 mod socket;
 mod stop;
 mod store_check;
@@ -185,7 +186,7 @@
     /// Returns an error if the thread that watches the store cannot be started or polling for
     /// events fails.
     pub fn run(mut self) -> io::Result<bool> {
-        watch::start(&self.options, &self.sender)?;
+        watch::start(&self.options, &self.sender, &self.metrics.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
             let wait = self.timers.time_until_next(Instant::now());
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -3,25 +3,33 @@
 //!
 //! A thread reads all keys and then watches them for changes; one watch covers both the routes and
 //! the leaves. If the store no longer has the history that the watch needs, the thread reads all
-//! keys again. While the store is unreachable, the last known routes and leaves stay in force.
+//! keys again. While the leaves change faster than the watch delivers the changes, the thread reads
+//! the leaves again and again, and watches only the routes in between. While the store is
+//! unreachable, the last known routes and leaves stay in force.
 
 use std::io;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use log::{debug, info, warn};
+use prometheus::IntGauge;
 use rand::RngExt;
 
 use super::options::Options;
+use super::registrations::Registrations;
 use super::update::{Sender, Update};
 use crate::core::poll_schedule::{self, PollSchedule};
 use crate::core::store_cache::StoreCache;
-use crate::platform::{self, Error, Events, Store, WatchStatus};
+use crate::core::store_sync::{Step, StoreSync};
+use crate::platform::{self, Error, Events, Item, Store, WatchStatus};
 use crate::prelude::*;
 
 /// Time for which the store holds a watch call open while nothing changes.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Time in which the store has to answer a watch for the routes once its wait is over.
+const ROUTES_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// State of the thread that watches the store.
 struct Watcher {
     store: Store,
@@ -31,6 +39,14 @@
     sender: Sender,
     /// Last known keys and values of the store, and the revision up to which all changes are known.
     store_cache: StoreCache,
+    /// Decides between watching for changes and reading the leaves.
+    store_sync: StoreSync,
+    /// Revision up to which all changes to the routes are known.
+    routes_as_of: Revision,
+    /// Registrations of the leaves, parsed.
+    registrations: Registrations,
+    /// Metric: whether the leaves change faster than a watch delivers the changes.
+    is_behind: IntGauge,
     /// Version of the routes that were last published, that is, sent to the event loop.
     routes_version: Option<u64>,
     /// Delays between the calls to the store.
@@ -49,12 +65,16 @@
 }
 
 /// Starts the thread that watches the store.
-pub(super) fn start(options: &Options, sender: &Sender) -> io::Result<()> {
+pub(super) fn start(options: &Options, sender: &Sender, is_behind: &IntGauge) -> io::Result<()> {
     let watcher = Watcher {
         store: Store::new(options.store),
         revision_store: Store::new(options.store),
         sender: sender.clone(),
         store_cache: StoreCache::default(),
+        store_sync: StoreSync::default(),
+        routes_as_of: 0,
+        registrations: Registrations::default(),
+        is_behind: is_behind.clone(),
         routes_version: None,
         poll_schedule: PollSchedule::new(options.leaving, options.apply),
         has_published: false,
@@ -71,6 +91,11 @@
         leaves: true,
     };
 
+    const LEAVES: Changes = Changes {
+        routes: false,
+        leaves: true,
+    };
+
     /// Records that a key changed.
     fn record_key(&mut self, key: &str) {
         self.routes |= key == platform::DOCUMENT_KEY;
@@ -86,56 +111,132 @@
     /// Runs until the event loop has ended.
     fn run(mut self) {
         loop {
-            let result = match self.store_cache.as_of() {
-                None => self.read_all(),
-                Some(revision) => self.wait_for_changes(revision),
+            let step = self.store_sync.next(self.store_cache.as_of());
+            let result = match step {
+                Step::ReadAll => self.read_all(),
+                Step::ReadLeaves => self.read_leaves(),
+                Step::Watch(revision) => self.wait_for_changes(revision),
             };
+            let result = result.and_then(|changes| self.on_changes(changes, step));
             match result {
-                Ok(changes) => {
-                    self.on_store_available();
-                    if !self.publish(changes) {
-                        return;
-                    }
-                    if changes.any() {
-                        self.has_published = true;
-                        thread::sleep(self.poll_schedule.delay_after_change());
-                    }
-                }
+                Ok(true) => {}
+                Ok(false) => return,
                 // The store no longer has the history that the watch needs.
                 Err(Error::Compacted) => {
                     info!("store event=compacted action=read-all");
-                    self.store_cache.clear_as_of();
+                    self.clear_as_of();
                 }
                 Err(error) => self.on_store_failure(&error),
             }
         }
     }
 
-    /// Reads all keys, page by page.
+    /// Publishes what a step changed, and pauses before the next step if more changes may arrive
+    /// meanwhile. Returns whether the event loop is still running.
+    fn on_changes(&mut self, changes: Changes, step: Step) -> Result<bool, Error> {
+        self.on_store_available();
+        if !self.publish(changes) {
+            return Ok(false);
+        }
+        if !changes.any() {
+            return Ok(true);
+        }
+        self.has_published = true;
+        match step {
+            Step::ReadLeaves => self.watch_routes(),
+            // The next read shows what the full answer does not contain.
+            Step::Watch(_) if self.store_sync.is_behind() => Ok(true),
+            Step::ReadAll | Step::Watch(_) => {
+                thread::sleep(self.poll_schedule.delay_after_change());
+                Ok(true)
+            }
+        }
+    }
+
+    /// Reads all keys.
     fn read_all(&mut self) -> Result<Changes, Error> {
-        let mut page = self.store.range(platform::ALL_KEYS, None)?;
+        let (items, as_of) = self.read_under(platform::ALL_KEYS)?;
+        if !self.store_cache.replace(records(items), as_of) {
+            return Err(outdated(as_of));
+        }
+        self.routes_as_of = as_of;
+        Ok(Changes::ALL)
+    }
+
+    /// Reads the registrations of all leaves, and all keys if the leaves have stopped changing
+    /// faster than a watch delivers the changes.
+    fn read_leaves(&mut self) -> Result<Changes, Error> {
+        let (items, as_of) = self.read_under(platform::REGISTRATION_PREFIX)?;
+        let prefix = platform::REGISTRATION_PREFIX;
+        if !self
+            .store_cache
+            .replace_under(prefix, records(items), as_of)
+        {
+            return Err(outdated(as_of));
+        }
+        if self.store_sync.on_read(as_of) {
+            info!("store event=caught-up revision={as_of}");
+            self.is_behind.set(0);
+            self.store_cache.clear_as_of();
+        }
+        Ok(Changes::LEAVES)
+    }
+
+    /// Reads the keys with a prefix, page by page. Returns them with the revision at which the first
+    /// page was read: later changes may be missing.
+    fn read_under(&mut self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
+        let mut page = self.store.range(prefix, None)?;
         let as_of = page.as_of;
         let mut items = page.items;
         while page.truncated {
             let Some(last) = items.last() else { break };
             let after = last.key.clone();
-            page = self.store.range(platform::ALL_KEYS, Some(&after))?;
+            page = self.store.range(prefix, Some(&after))?;
             items.append(&mut page.items);
         }
-        let records = items
-            .into_iter()
-            .map(|item| (item.key, item.revision, item.value));
-        if self.store_cache.replace(records, as_of) {
-            return Ok(Changes::ALL);
-        }
-        Err(Error::Malformed(format!(
-            "revision {as_of} is older than the last known revision"
-        )))
+        Ok((items, as_of))
     }
 
     /// Waits for changes after a revision and applies them to the cache.
     fn wait_for_changes(&mut self, revision: Revision) -> Result<Changes, Error> {
         let events = self.next_events(revision)?;
+        let (count, as_of) = (events.events.len(), events.as_of);
+        let changes = self.apply_events(events);
+        self.store_cache.advance(as_of);
+        self.routes_as_of = as_of;
+        if self.store_sync.on_changes(count, as_of) {
+            info!("store event=behind changes={count} revision={as_of}");
+            self.is_behind.set(1);
+        }
+        Ok(changes)
+    }
+
+    /// Watches the routes, and publishes their changes at once, until the leaves have to be read
+    /// again. Returns whether the event loop is still running.
+    fn watch_routes(&mut self) -> Result<bool, Error> {
+        let spread = rand::rng().random_range(0.0..1.0);
+        let end = Instant::now() + self.poll_schedule.delay_between_reads(spread);
+        loop {
+            let wait = end.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                return Ok(true);
+            }
+            let watch = self
+                .store
+                .watch(platform::DOCUMENT_KEY, self.routes_as_of, wait)?;
+            let WatchStatus::Answered(events) = watch.wait(wait + ROUTES_ANSWER_TIMEOUT)? else {
+                return Err(Error::StalledWatch);
+            };
+            self.routes_as_of = events.as_of;
+            let changes = self.apply_events(events);
+            if !self.publish(changes) {
+                return Ok(false);
+            }
+        }
+    }
+
+    /// Applies changes to the cache; returns what they changed.
+    fn apply_events(&mut self, events: Events) -> Changes {
         let mut changes = Changes::default();
         for event in events.events {
             match event {
@@ -152,8 +253,14 @@
                 }
             }
         }
-        self.store_cache.advance(events.as_of);
-        Ok(changes)
+        changes
+    }
+
+    /// Requires that all keys are read again, because changes may have been missed.
+    fn clear_as_of(&mut self) {
+        self.store_cache.clear_as_of();
+        self.store_sync.reset();
+        self.is_behind.set(0);
     }
 
     /// Waits for changes after a revision. While the watch is silent, this reads the store's
@@ -218,21 +325,14 @@
 
     /// Publishes all registered leaves; returns whether the event loop is still running.
     fn publish_leaves(&mut self) -> bool {
-        let mut instances = Vec::new();
-        let keys = self.store_cache.iter();
-        for (key, value) in keys.filter(|(key, _)| key.starts_with(platform::REGISTRATION_PREFIX)) {
-            match platform::registration::read(key, value) {
-                Ok(instance) => instances.push(instance),
-                Err(error) => warn!("leaf key={key} outcome=ignored error=\"{error}\""),
-            }
-        }
+        let instances = self.registrations.update(&self.store_cache);
         self.sender.send(Update::Leaves(instances))
     }
 
     /// Waits with backoff after a failed call. Changes around the failure may never be reported, so
     /// all keys are read again.
     fn on_store_failure(&mut self, error: &Error) {
-        self.store_cache.clear_as_of();
+        self.clear_as_of();
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             warn!("store event=lost error=\"{error}\"");
@@ -250,3 +350,16 @@
         }
     }
 }
+
+/// Returns what the cache keeps of items.
+fn records(items: Vec<Item>) -> impl Iterator<Item = (String, Revision, Vec<u8>)> {
+    let items = items.into_iter();
+    items.map(|item| (item.key, item.revision, item.value))
+}
+
+/// Returns the error for a read that is older than the cached data.
+fn outdated(as_of: Revision) -> Error {
+    Error::Malformed(format!(
+        "revision {as_of} is older than the last known revision"
+    ))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,5 +47,6 @@
 mod split;
 mod stand_ins;
 mod store_cache;
+mod store_sync;
 mod survey;
 mod top_k;
