Do what a leaf asks for in its answers

Cause: neither the field by which a leaf says that it is leaving nor the time without requests in its rejections was read.

Ruled out: keeping the leaving mark on the replica alone.

Change: core::placement::Notice is read from each complete answer, extra and foreign ones included. A refusal names the time at which a leaf can be tried.

Tests, failing first: platform_notice_* (arrivals at the stand-in leaf), placement_tries_a_leaf_again_when_it_wants_requests.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -46,6 +46,9 @@
 /// Body of an answer to another request.
 const FOREIGN: &[u8] = b"an answer to another request";
 
+/// Start time of a leaf in milliseconds since the Unix epoch.
+const DEFAULT_START_MS: u64 = 1_700_000_000_000;
+
 /// A running stand-in, stopped when it is dropped.
 #[derive(Debug)]
 pub struct Leaf {
@@ -76,6 +79,14 @@
     runs: Vec<Run>,
     /// Requests whose connection closed before the answer was due.
     cancelled: u64,
+    /// Requests that reached the leaf, including those that it did not run, with the time of each.
+    arrivals: Vec<Run>,
+    /// Number of registrations that the leaf has written.
+    heartbeats: u64,
+    /// Whether all answers say that the leaf is leaving.
+    is_leaving: bool,
+    /// Value of `Retry-After` in the answers with status 503.
+    retry_after: Option<String>,
 }
 
 static NEXT_LEAF_NUMBER: AtomicU64 = AtomicU64::new(1);
@@ -119,10 +130,24 @@
 
     /// Writes the registration of the leaf with the given state.
     pub fn register(&self, store: &Store, state: &str) {
+        self.write(store, state, DEFAULT_START_MS);
+    }
+
+    /// Writes the registration of another start of the leaf, as ready, with its start time in
+    /// milliseconds since the Unix epoch.
+    pub fn register_start(&self, store: &Store, started_at_ms: u64) {
+        self.write(store, "ready", started_at_ms);
+    }
+
+    fn write(&self, store: &Store, state: &str, started_at_ms: u64) {
+        let heartbeat = self.state.update(|state| {
+            state.heartbeats += 1;
+            state.heartbeats
+        });
         let entry = json!({
             "backend": self.service, "address": self.advertised.to_string(),
             "zone": self.domain, "version": "v1", "concurrency": 2, "state": state,
-            "warmupLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64,
+            "warmupLeftMs": 0, "seq": heartbeat, "born": started_at_ms,
         });
         store.put(&self.key(), entry.to_string());
     }
@@ -147,6 +172,23 @@
         self.state.update(|state| state.answer = answer);
     }
 
+    /// Sets whether all answers say that the leaf is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.update(|state| state.is_leaving = is_leaving);
+    }
+
+    /// Sets the value of `Retry-After` in the answers with status 503.
+    pub fn set_retry_after(&self, retry_after: Option<&str>) {
+        let retry_after = retry_after.map(str::to_string);
+        self.state.update(|state| state.retry_after = retry_after);
+    }
+
+    /// Returns the requests that reached the leaf, including those that it did not run, in order of
+    /// arrival.
+    pub fn arrivals(&self) -> Vec<Run> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// Returns the ids of the requests that the leaf ran, in order of arrival.
     pub fn runs(&self) -> Vec<String> {
         let state = self.state.lock();
@@ -193,19 +235,34 @@
         let misdirected = Response::empty(421).with_header("Instance-Id", leaf);
         return connection.write(&misdirected).is_ok();
     }
-    let mode = state.lock().answer;
-    if mode == Answer::Rejected {
-        let rejected = Response::empty(503).with_header("Request-Not-Run", 1);
-        return connection.write(&rejected).is_ok();
-    }
     let new_run = Run {
         id: id.clone(),
         arrived: Instant::now(),
     };
+    let (mode, retry_after) = state.update(|state| {
+        state.arrivals.push(new_run.clone());
+        (state.answer, state.retry_after.clone())
+    });
+    if mode == Answer::Rejected {
+        let mut rejected = Response::empty(503).with_header("Request-Not-Run", 1);
+        if let Some(retry_after) = retry_after {
+            rejected = rejected.with_header("Retry-After", retry_after);
+        }
+        return connection.write(&with_notice(state, rejected)).is_ok();
+    }
     state.update(|state| state.runs.push(new_run));
     run(state, leaf, request, connection, mode)
 }
 
+/// Adds the notice that the leaf is leaving, if it is.
+fn with_notice(state: &Monitor<State>, response: Response) -> Response {
+    if state.lock().is_leaving {
+        response.with_header("Server-Leaving", 1)
+    } else {
+        response
+    }
+}
+
 /// Answers a request that was logged as run; returns whether to keep the connection.
 fn run(
     state: &Monitor<State>,
@@ -223,6 +280,7 @@
     let whole = Response::new(200, body.clone())
         .with_header("Request-Id", &id)
         .with_header("Server-Stamp", signature(leaf, &id));
+    let whole = with_notice(state, whole);
     match mode {
         Answer::Whole | Answer::Rejected => connection.write(&whole).is_ok(),
         Answer::Late(delay) => {
--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -13,13 +13,14 @@
 
 use super::shard::Settled;
 use super::{Action, Call, End, Refusal, Response};
-use crate::core::placement::Placement;
+use crate::core::placement::{MAX_HOLD, Placement};
 
 /// Minimum retry delay that is sent to a caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
 
-/// Maximum retry delay that is sent to a caller.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Maximum retry delay that is sent to a caller: the longest time for which a leaf can be known not
+/// to want requests.
+const MAX_RETRY_AFTER: Duration = MAX_HOLD;
 
 /// Retry delay for a service of which no leaf that accepts work is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -147,7 +147,7 @@
                 self.shards[index].is_rejected = true;
                 self.retry_or_settle(index, placement, now)
             }
-            Reply::Unreachable => {
+            Reply::Unreachable | Reply::Withheld => {
                 // The attempt did not reach a leaf and is not counted.
                 self.shards[index].sends -= 1;
                 self.retry_or_settle(index, placement, now)
--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -30,6 +30,8 @@
     Misdirected,
     /// No byte of the request was sent.
     Unreachable,
+    /// Nothing was sent, because the leaf wants no requests.
+    Withheld,
     /// The request was sent but no complete response arrived; the request may have run.
     Lost,
 }
@@ -43,6 +45,7 @@
             Reply::Rejected => Ending::Rejected,
             Reply::Misdirected => Ending::Misdirected,
             Reply::Unreachable => Ending::Unreachable,
+            Reply::Withheld => Ending::Withheld,
             Reply::Lost => Ending::Lost,
         }
     }
@@ -55,6 +58,7 @@
             Reply::Rejected => "rejected",
             Reply::Misdirected => "misdirected",
             Reply::Unreachable => "unreachable",
+            Reply::Withheld => "withheld",
             Reply::Lost => "lost",
         }
     }
--- a/src/geraniummount/core/id.rs
+++ b/src/geraniummount/core/id.rs
@@ -10,6 +10,9 @@
 /// Name of a failure domain.
 pub type DomainName = String;
 
+/// Number of times that the platform's store has come back from an older copy of itself.
+pub type Era = u64;
+
 /// Revision at which a resource was last changed; 0 means that the resource does not exist.
 /// Because revisions never repeat, a generation stays unique even if a resource is deleted and
 /// created again.
--- a/src/geraniummount/core/instance.rs
+++ b/src/geraniummount/core/instance.rs
@@ -14,6 +14,8 @@
     /// Start of the process in milliseconds since the Unix epoch; `None` if it is not registered.
     /// The start distinguishes two runs with the same name.
     pub started_at_ms: Option<u64>,
+    /// Number of heartbeats of this run; `None` if it is not registered.
+    pub heartbeat: Option<u64>,
     /// Service that the leaf belongs to.
     pub service: ServiceName,
     /// Address that the leaf listens on.
--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -103,18 +103,18 @@
     /// Adds or updates a registered leaf; returns whether it is new.
     pub(super) fn upsert(
         &mut self,
-        instance: &Instance,
+        instance: Instance,
         is_local: bool,
         key: ReplicaKey,
         now: Instant,
     ) -> bool {
-        let is_same_run = |replica: &&mut Replica| replica.is_run_of(instance);
+        let is_same_run = |replica: &&mut Replica| replica.is_run_of(&instance);
         if let Some(known) = self.replicas.iter_mut().find(is_same_run) {
             known.unregistered_since = None;
-            known.instance = instance.clone();
+            known.instance = instance;
             return false;
         }
-        let replica = Replica::new(key, instance.clone(), is_local, now);
+        let replica = Replica::new(key, instance, is_local, now);
         self.replicas.push(replica);
         true
     }
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -13,7 +13,9 @@
 //! of one leaf, and a [`Group`] contains the replicas of one service. A leaf is unregistered once
 //! the platform's store no longer lists it.
 
+mod departures;
 mod group;
+mod notice;
 mod replica;
 mod retry_allowance;
 mod tier;
@@ -23,11 +25,13 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
+use self::departures::Departures;
 use crate::core::duration_window::DurationWindow;
 use crate::core::instance::Instance;
 use crate::prelude::*;
 
 pub use self::group::Group;
+pub use self::notice::{MAX_HOLD, Notice};
 pub use self::replica::{Ending, Replica, ReplicaKey};
 pub use self::retry_allowance::{RetryAllowance, Start};
 pub use self::tier::Tier;
@@ -56,6 +60,10 @@
     allowance_start: Start,
     /// Leaves of each service, sorted by the name of the service.
     groups: Vec<Group>,
+    /// Runs of leaves that left.
+    departures: Departures,
+    /// Era of the platform's store whose list of leaves was last received.
+    era: Era,
     /// Latencies of the answers by route (the operator's rule for a host and a path prefix), sorted
     /// by the name of the route.
     route_latencies: Vec<(String, DurationWindow)>,
@@ -73,6 +81,8 @@
             domain: domain.into(),
             allowance_start: start,
             groups: Vec::new(),
+            departures: Departures::default(),
+            era: 0,
             route_latencies: Vec::new(),
             next_key: 0,
             last_attempt: 0,
@@ -80,7 +90,13 @@
         }
     }
 
-    /// Updates the registered leaves and marks all others as unregistered.
+    /// Records the era of the store whose list of leaves the next [`Placement::update`] contains.
+    pub fn set_era(&mut self, era: Era) {
+        self.era = era;
+    }
+
+    /// Updates the registered leaves and marks all others as unregistered. A registered leaf that
+    /// is known to have left is treated as leaving until it shows that it lives.
     ///
     /// Returns whether any known leaf is unregistered; the calling code then has to call
     /// [`Placement::remove_unregistered`] after [`UNREGISTERED_GRACE`].
@@ -91,13 +107,60 @@
         for instance in instances {
             let index = self.find_or_insert_group(&instance.service, now);
             let is_local = instance.domain == self.domain;
+            let instance = self.without_work_if_departed(instance);
             if self.groups[index].upsert(instance, is_local, self.next_key, now) {
                 self.next_key += 1;
             }
         }
+        for group in &self.groups {
+            let replicas = group.replicas().iter();
+            for replica in replicas.filter(|replica| replica.is_unregistered()) {
+                self.departures.record(&replica.instance, self.era);
+            }
+        }
         self.groups.iter().any(Group::has_unregistered)
     }
 
+    /// Returns a registered leaf, marked as leaving if it is known to have left.
+    fn without_work_if_departed(&mut self, instance: &Instance) -> Instance {
+        let mut instance = instance.clone();
+        if instance.is_leaving {
+            self.departures.record(&instance, self.era);
+        } else if self.departures.blocks(&instance, self.era) {
+            instance.is_leaving = true;
+        } else {
+            self.departures.forget(&instance);
+        }
+        instance
+    }
+
+    /// Records what a leaf said about further requests to it. Returns whether it accepts fewer
+    /// requests than before.
+    pub fn on_notice(
+        &mut self,
+        service: &str,
+        key: ReplicaKey,
+        notice: Notice,
+        now: Instant,
+    ) -> bool {
+        let Ok(index) = self.search(service) else {
+            return false;
+        };
+        let Some(replica) = self.groups[index].replica_mut(key) else {
+            return false;
+        };
+        if notice.is_leaving {
+            self.departures.record_own_word(&replica.instance, self.era);
+        }
+        replica.on_notice(notice, now)
+    }
+
+    /// Returns whether a leaf is known that accepts requests now.
+    pub fn accepts_requests(&self, service: &str, key: ReplicaKey, now: Instant) -> bool {
+        let replica = self.replica(service, key);
+        replica.is_some_and(|replica| replica.accepts_requests(now))
+    }
+
     /// Removes the leaves that have been unregistered for [`UNREGISTERED_GRACE`], or that are
     /// unregistered and leaving (accepting no new work), and returns their keys.
     pub fn remove_unregistered(&mut self, now: Instant) -> Vec<ReplicaKey> {
@@ -193,7 +256,7 @@
     pub fn usable_at(&self, service: &str, now: Instant) -> Option<Instant> {
         let replicas = self.group(service)?.replicas();
         let accepting = replicas.iter().filter(|r| !r.instance.is_leaving);
-        accepting.map(|r| r.suspended_until.unwrap_or(now)).min()
+        accepting.map(|r| r.usable_at(now)).min()
     }
 
     /// Chooses among the usable leaves that are not in `tried`: one of the best tier that any of
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::UNREGISTERED_GRACE;
+use super::notice::{MAX_HOLD, Notice};
 use super::tier::Tier;
 use crate::core::instance::Instance;
 use crate::prelude::*;
@@ -75,6 +76,8 @@
     Lost,
     /// This VM abandoned the request before the leaf answered.
     Abandoned,
+    /// This VM did not send the request, because the leaf wants no requests.
+    Withheld,
 }
 
 /// Observations of one run of a leaf.
@@ -87,6 +90,8 @@
     /// When the leaf may be tried again after failures or rejections; `None` if it is not
     /// suspended.
     pub suspended_until: Option<Instant>,
+    /// Until when the leaf wants no requests from this VM; `None` if it has not said so.
+    held_until: Option<Instant>,
     /// Until when the leaf is chosen only if no other is usable.
     avoided_until: Option<Instant>,
     /// When the leaf was found to be unregistered; `None` while it is registered.
@@ -121,6 +126,7 @@
             key,
             instance,
             suspended_until: None,
+            held_until: None,
             avoided_until: None,
             unregistered_since: None,
             is_local,
@@ -147,7 +153,31 @@
     pub fn is_usable(&self, now: Instant) -> bool {
         let is_rested = self.suspended_until.is_none_or(|until| now >= until);
         let is_trial_in_flight = self.suspended_until.is_some() && !self.open_attempts.is_empty();
-        !self.instance.is_leaving && is_rested && !is_trial_in_flight
+        self.accepts_requests(now) && is_rested && !is_trial_in_flight
+    }
+
+    /// Returns whether the leaf wants requests now: it is neither leaving nor has it asked for a
+    /// time without requests that is not over yet.
+    pub fn accepts_requests(&self, now: Instant) -> bool {
+        !self.instance.is_leaving && self.held_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns when the leaf can be tried again, unless it is leaving.
+    pub fn usable_at(&self, now: Instant) -> Instant {
+        let until = self.suspended_until.max(self.held_until);
+        until.map_or(now, |until| until.max(now))
+    }
+
+    /// Records what the leaf said about further requests; returns whether it accepts fewer than
+    /// before.
+    pub(super) fn on_notice(&mut self, notice: Notice, now: Instant) -> bool {
+        let accepted = self.accepts_requests(now);
+        self.instance.is_leaving |= notice.is_leaving;
+        if let Some(hold) = notice.hold {
+            let until = now + hold.min(MAX_HOLD);
+            self.held_until = self.held_until.max(Some(until));
+        }
+        accepted && !self.accepts_requests(now)
     }
 
     /// Returns whether the leaf is in this VM's failure domain.
@@ -256,6 +286,7 @@
                     .max(FAILURES_BEFORE_SUSPENSION - 1);
                 self.record_failure(interval, now);
             }
+            Ending::Withheld => {}
             Ending::Abandoned => {
                 let known = self.average_latency.unwrap_or(Duration::ZERO);
                 if elapsed > known {
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -141,10 +141,10 @@
             return;
         };
         self.metrics.count_attempt(reply.as_str());
-        if self
+        let is_in_other_domain = self
             .placement
-            .is_in_other_domain(&in_flight.service, in_flight.replica)
-        {
+            .is_in_other_domain(&in_flight.service, in_flight.replica);
+        if is_in_other_domain && !matches!(reply, Reply::Withheld) {
             let answered = !matches!(reply, Reply::Lost | Reply::Unreachable);
             self.isolation.on_attempt(answered);
         }
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -261,7 +261,7 @@
             if !leaf.is_awaiting_response {
                 // The leaf closed the idle connection or sent bytes that belong to no request.
                 if status != ReadStatus::Open || !leaf.socket.input.is_empty() {
-                    self.close_leaf(connection);
+                    self.close_idle_leaf(connection);
                 }
                 return;
             }
@@ -282,6 +282,9 @@
     fn on_response(&mut self, connection: usize, response: h1::Response, status: ReadStatus) {
         let leaf = &mut self.leaf_connections[connection];
         leaf.has_responded = true;
+        let replica = leaf.replica;
+        self.apply_notice(replica, headers::read_notice(&response.head));
+        let leaf = &mut self.leaf_connections[connection];
         let reply = match headers::read_answer(response, &leaf.request_id) {
             Answer::Matching(reply) => reply,
             Answer::Mismatched => {
@@ -304,6 +307,18 @@
         }
     }
 
+    /// Closes an idle connection. An extra response on it is discarded, but what the leaf says there
+    /// about further requests still holds.
+    fn close_idle_leaf(&mut self, connection: usize) {
+        let leaf = &self.leaf_connections[connection];
+        let replica = leaf.replica;
+        if let Ok(Parsed::Complete(head, _)) = Head::parse(&leaf.socket.input, leaf.is_head_request)
+        {
+            self.apply_notice(replica, headers::read_notice(&head));
+        }
+        self.close_leaf(connection);
+    }
+
     /// Abandons an attempt. Its connection stays open for a short time in case the response
     /// arrives.
     pub(super) fn abandon(&mut self, attempt: AttemptId) {
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -16,7 +16,7 @@
 use crate::core::call::Reply;
 use crate::core::connection_share::ConnectionShare;
 use crate::core::instance::Instance;
-use crate::core::placement::{ReplicaKey, UNREGISTERED_GRACE};
+use crate::core::placement::{Notice, ReplicaKey, UNREGISTERED_GRACE};
 use crate::core::route::Table;
 use crate::prelude::*;
 
@@ -112,6 +112,9 @@
         let Some(index) = self.pool_index(key, &service) else {
             return self.queue_reply(attempt, Reply::Unreachable);
         };
+        if !self.placement.accepts_requests(&service, key, self.now) {
+            return self.queue_reply(attempt, Reply::Withheld);
+        }
         if let Some(connection) = self.take_idle(index) {
             return self.send_attempt(connection, attempt);
         }
@@ -122,6 +125,37 @@
         self.pools[index].waiting.push_back(attempt);
     }
 
+    /// Applies what a leaf said about further requests. The attempts that wait for a connection to a
+    /// leaf that wants no more requests are passed back to their calls.
+    pub(super) fn apply_notice(&mut self, key: ReplicaKey, notice: Notice) {
+        if notice.is_empty() {
+            return;
+        }
+        let Ok(index) = self.search_pool(key) else {
+            return;
+        };
+        let pool = &mut self.pools[index];
+        if !self
+            .placement
+            .on_notice(&pool.service, key, notice, self.now)
+        {
+            return;
+        }
+        let (leaf, service) = (&pool.leaf_id, &pool.service);
+        match notice.hold {
+            _ if notice.is_leaving => {
+                info!("leaf leaf={leaf} service={service} event=leaving source=answer");
+            }
+            hold => {
+                let hold = hold.unwrap_or_default().as_millis();
+                info!("leaf leaf={leaf} service={service} event=held for_ms={hold}");
+            }
+        }
+        for attempt in std::mem::take(&mut pool.waiting) {
+            self.queue_reply(attempt, Reply::Withheld);
+        }
+    }
+
     /// Removes an attempt from the queue of its leaf's pool.
     pub(super) fn remove_waiting(&mut self, key: ReplicaKey, attempt: AttemptId) {
         if let Ok(index) = self.search_pool(key) {
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use crate::core::call::{self, Reply};
+use crate::core::placement::Notice;
 use crate::prelude::*;
-use crate::util::h1::{self, Field};
+use crate::util::h1::{self, Field, Head};
 
 /// ID of one attempt at a caller's request. If the caller retries, the new attempt has another ID.
 const REQUEST_ID: &str = "Request-Id";
@@ -22,13 +23,19 @@
 const EXPECTED_LEAF: &str = "Expect-Instance";
 /// Present if the leaf did not run the request.
 const NOT_RUN: &str = "Request-Not-Run";
-/// Delay in seconds, with fractions, after which a caller may retry.
+/// Present with the value 1 if the leaf is leaving.
+const LEAVING: &str = "Server-Leaving";
+/// Delay in seconds, with fractions, after which a caller may retry. In a leaf's response with
+/// [`UNAVAILABLE_STATUS`], the time for which the leaf wants no requests from this VM.
 const RETRY_AFTER: &str = "Retry-After";
 /// Signatures of the parts that a gathered response includes.
 const PART_SIGNATURES: &str = "Part-Stamps";
 /// Number of shards that are missing from a gathered response.
 const MISSING_PARTS: &str = "Missing-Parts";
 
+/// Status of a leaf that rejects a request because it is full or leaving.
+const UNAVAILABLE_STATUS: u16 = 503;
+
 /// Status of a leaf that received a request meant for another leaf instance.
 const MISDIRECTED_STATUS: u16 = 421;
 
@@ -71,6 +78,25 @@
     h1::write_field(out, EXPECTED_LEAF, leaf.as_bytes());
 }
 
+/// Reads what a leaf says in the head of a response about further requests to it. The response may
+/// belong to another request. A time that is malformed or not positive is ignored.
+pub fn read_notice(head: &Head) -> Notice {
+    let is_leaving = h1::field_text(&head.fields, LEAVING).is_some_and(|text| text.trim() == "1");
+    let is_rejection = head.status == UNAVAILABLE_STATUS;
+    let seconds = h1::field_text(&head.fields, RETRY_AFTER).filter(|_| is_rejection);
+    Notice {
+        is_leaving,
+        hold: seconds.and_then(read_seconds),
+    }
+}
+
+/// Parses a positive number of seconds; the longest duration stands for a number that is too large.
+fn read_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_usable = seconds.is_finite() && seconds > 0.0;
+    is_usable.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// A leaf's response, by whether it belongs to the request.
 #[derive(Debug)]
 pub enum Answer {
--- a/src/geraniummount/platform/registration.rs
+++ b/src/geraniummount/platform/registration.rs
@@ -26,6 +26,9 @@
     /// Start time of the leaf in milliseconds since the Unix epoch.
     #[serde(default)]
     born: Option<u64>,
+    /// Number of heartbeats since the start of the leaf.
+    #[serde(default)]
+    seq: Option<u64>,
 }
 
 #[derive(Debug, Deserialize, Eq, PartialEq)]
@@ -49,6 +52,7 @@
             .unwrap_or(key)
             .to_string(),
         started_at_ms: registration.born,
+        heartbeat: registration.seq,
         service: registration.backend,
         address: registration.address,
         domain: registration.zone,
--- a/src/geraniummount/prelude.rs
+++ b/src/geraniummount/prelude.rs
@@ -4,7 +4,7 @@
 pub use crate::core::failure::Failure;
 pub use crate::core::holding::Holding;
 pub use crate::core::id::{
-    AttemptId, ChangeId, DomainName, Generation, Incarnation, LeafName, RequestId, Revision,
+    AttemptId, ChangeId, DomainName, Era, Generation, Incarnation, LeafName, RequestId, Revision,
     ServiceName, ShardName, SnapshotId, VmName,
 };
 pub use crate::core::leaf::Leaf;
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -31,6 +31,7 @@
             instances.push(Instance {
                 id: format!("{service}-{name}"),
                 started_at_ms: None,
+                heartbeat: None,
                 service: (*service).to_string(),
                 address: "127.0.0.1:1".parse().unwrap(),
                 domain: "near".to_string(),
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use geraniummount::core::instance::Instance;
-use geraniummount::core::placement::{Ending, Placement, ReplicaKey, Start, UNREGISTERED_GRACE};
+use geraniummount::core::placement::{
+    Ending, MAX_HOLD, Notice, Placement, ReplicaKey, Start, UNREGISTERED_GRACE,
+};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -15,6 +17,7 @@
     Instance {
         id: id.to_string(),
         started_at_ms: None,
+        heartbeat: None,
         service: SERVICE.to_string(),
         address: "127.0.0.1:1".parse().unwrap(),
         domain: domain.to_string(),
@@ -274,6 +277,97 @@
     );
 }
 
+/// What a leaf says about further requests, and when it is tried again.
+#[derive(Debug)]
+struct NoticeCase {
+    name: &'static str,
+    notices: &'static [Notice],
+    /// Time after which the leaf is tried again; `None` if it is not tried again in this run.
+    tried_after: Option<Duration>,
+}
+
+const fn hold(time: Duration) -> Notice {
+    Notice {
+        is_leaving: false,
+        hold: Some(time),
+    }
+}
+
+const LEAVING: Notice = Notice {
+    is_leaving: true,
+    hold: None,
+};
+
+const NOTICE_CASES: &[NoticeCase] = &[
+    NoticeCase {
+        name: "nothing",
+        notices: &[],
+        tried_after: Some(Duration::ZERO),
+    },
+    NoticeCase {
+        name: "a fraction of a second",
+        notices: &[hold(Duration::from_millis(250))],
+        tried_after: Some(Duration::from_millis(250)),
+    },
+    NoticeCase {
+        name: "a shorter time does not end a longer one",
+        notices: &[hold(Duration::from_secs(3)), hold(Duration::from_secs(1))],
+        tried_after: Some(Duration::from_secs(3)),
+    },
+    NoticeCase {
+        name: "an absurd time",
+        notices: &[hold(Duration::MAX)],
+        tried_after: Some(MAX_HOLD),
+    },
+    NoticeCase {
+        name: "leaving",
+        notices: &[LEAVING],
+        tried_after: None,
+    },
+    NoticeCase {
+        name: "leaving, and then a time",
+        notices: &[LEAVING, hold(Duration::from_secs(1))],
+        tried_after: None,
+    },
+];
+
+#[test]
+fn placement_tries_a_leaf_again_when_it_wants_requests() {
+    for case in NOTICE_CASES {
+        let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
+        let start = Instant::now();
+        let all = [instance("a", "near")];
+        placement.update(&all, start);
+        let key = placement.choose(SERVICE, &[], start).unwrap();
+        for notice in case.notices {
+            placement.on_notice(SERVICE, key, *notice, start);
+        }
+        // The store lists the leaf as before.
+        placement.update(&all, start);
+        let name = case.name;
+        if let Some(after) = case.tried_after {
+            assert_eq!(
+                placement.usable_at(SERVICE, start),
+                Some(start + after),
+                "{name}"
+            );
+            let chosen = placement.choose(SERVICE, &[], start + after);
+            assert_eq!(chosen, Some(key), "{name}");
+            if let Some(early) = after.checked_sub(Duration::from_millis(1)) {
+                assert_eq!(
+                    placement.choose(SERVICE, &[], start + early),
+                    None,
+                    "{name}"
+                );
+            }
+        } else {
+            let late = start + 2 * MAX_HOLD;
+            assert_eq!(placement.choose(SERVICE, &[], late), None, "{name}");
+            assert_eq!(placement.usable_at(SERVICE, late), None, "{name}");
+        }
+    }
+}
+
 /// A VM that sends few requests to a service one of whose leaves is unhealthy.
 #[derive(Debug)]
 struct SparseLoad {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -4,6 +4,7 @@
 mod formats;
 mod isolation;
 mod malformed;
+mod notice;
 mod pause;
 mod requests;
 mod store;
