Follow a store that comes back from an older copy of itself

Cause: the cache refuses each read that is older than the highest revision it has seen. After the store had gone back, a VM applied no new version and used no new leaf; in the test both waits of 20 s ran out. It would also have used a leaf that it knew as left and that the older copy lists as ready.

Ruled out: comparing creation revisions or contents. They are given out again too; only the era, which the store states in all its answers, tells.

Change: StoreCache compares revisions only within an era. A higher era voids the revisions and watches, and all keys are read again; an answer of a lower era is late and says nothing. The version in force stays until a newer one is written. No lease of this path is held by a gateway.

The stand-in store has eras, back_up and restore.

--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -10,4 +10,4 @@
 mod store;
 
 pub use self::leaf::{Answer, Leaf, Run, signature};
-pub use self::store::{Store, WatchDelivery};
+pub use self::store::{Backup, Store, WatchDelivery};
--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the users' key-value store: reads of one key, paged range reads and watches.
 //!
-//! A revision is the number of the store's changes so far.
+//! A revision is the number of the store's changes so far. The era is the number of times that the
+//! store has come back from an older copy of itself; all answers state it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -41,12 +42,20 @@
     history: Vec<(u64, String, Option<Item>)>,
     /// Watches from a revision below this one get 410, as if the earlier history were discarded.
     compacted_revision: u64,
+    era: u64,
     watch_delivery: WatchDelivery,
     /// Status with which every call fails, during an outage.
     error_status: Option<u16>,
     calls: u64,
 }
 
+/// Contents of a store at an earlier moment.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 #[derive(Clone, Debug)]
 struct Item {
     value: Vec<u8>,
@@ -101,6 +110,29 @@
         self.disconnect_all();
     }
 
+    /// Copies the contents.
+    pub fn back_up(&self) -> Backup {
+        let state = self.state.lock();
+        Backup {
+            revision: state.revision,
+            items: state.items.clone(),
+        }
+    }
+
+    /// Goes back to an earlier copy of the contents and closes all connections. What was written
+    /// since then is lost, and its revisions are given out again.
+    pub fn restore(&self, backup: &Backup) {
+        self.state.update(|state| {
+            state.revision = backup.revision;
+            state.items = backup.items.clone();
+            state
+                .history
+                .retain(|(revision, ..)| *revision <= backup.revision);
+            state.era += 1;
+        });
+        self.disconnect_all();
+    }
+
     /// Sets which changes watches deliver.
     pub fn set_watch_delivery(&self, watch_delivery: WatchDelivery) {
         self.state
@@ -128,13 +160,18 @@
 }
 
 fn answer(state: &Monitor<State>, request: &Request) -> Response {
-    let error_status = state.update(|state| {
+    let (error_status, era) = state.update(|state| {
         state.calls += 1;
-        state.error_status
+        (state.error_status, state.era)
     });
-    if let Some(status) = error_status {
-        return Response::empty(status);
-    }
+    let response = match error_status {
+        Some(status) => Response::empty(status),
+        None => contents(state, request),
+    };
+    response.with_header("Store-Era", era)
+}
+
+fn contents(state: &Monitor<State>, request: &Request) -> Response {
     match request.path() {
         "/api/kv-key" => state.lock().key(&query_text(request, "key")),
         "/api/kv-range" => state.lock().range(
@@ -199,7 +236,7 @@
         if self.watch_delivery == WatchDelivery::Nothing {
             return None;
         }
-        if after < self.compacted_revision {
+        if after < self.compacted_revision || after > self.revision {
             return Some(Response::empty(410));
         }
         let changes = self
--- a/src/geraniummount/core/store_cache.rs
+++ b/src/geraniummount/core/store_cache.rs
@@ -6,6 +6,11 @@
 //! store's revision at its last change), and data older than the cached data is ignored. The cache
 //! therefore never goes back to an older state. A watch is a call that waits for the next change
 //! after a revision.
+//!
+//! After an outage, the store may come back from a copy of itself that is some seconds old. Its
+//! revisions then go back and are given out again, so they can't be compared with earlier ones. The
+//! store states in its answers how often this has happened, which is its era. With a higher era, all
+//! keys have to be read again; an answer of a lower era is late and says nothing.
 
 use crate::prelude::*;
 
@@ -16,8 +21,21 @@
     records: Vec<Record>,
     /// Revision up to which all changes are known; `None` if all keys have to be read.
     as_of: Option<Revision>,
-    /// Highest revision of a read or an event so far.
+    /// Highest revision of a read or an event in this era so far.
     max_revision: Revision,
+    /// Era of the store; `None` if no answer has stated it.
+    era: Option<Era>,
+}
+
+/// Era of an answer of the store, compared with that of the cached data.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerEra {
+    /// The answer is of the same era.
+    Current,
+    /// The store has come back from an older copy of itself since the cached data was received.
+    Newer,
+    /// The answer is late: the store has come back from an older copy of itself since.
+    Older,
 }
 
 /// A cached key with its value.
@@ -30,6 +48,32 @@
 }
 
 impl StoreCache {
+    /// Returns the era of the store; 0 if it is unknown.
+    pub fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Compares the era of an answer with that of the cached data. If it is newer, all revisions of
+    /// before are void: all keys have to be read, and the cached keys stay until then. An answer
+    /// that states no era counts as one of the same era.
+    pub fn observe_era(&mut self, era: Option<Era>) -> AnswerEra {
+        match (self.era, era) {
+            (_, None) => AnswerEra::Current,
+            (None, Some(_)) => {
+                self.era = era;
+                AnswerEra::Current
+            }
+            (Some(known), Some(era)) if era < known => AnswerEra::Older,
+            (Some(known), Some(era)) if era == known => AnswerEra::Current,
+            _ => {
+                self.era = era;
+                self.as_of = None;
+                self.max_revision = 0;
+                AnswerEra::Newer
+            }
+        }
+    }
+
     /// Returns the revision to watch from, or `None` if all keys have to be read.
     pub fn as_of(&self) -> Option<Revision> {
         self.as_of
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -281,7 +281,7 @@
         while let Ok(update) = self.updates.try_recv() {
             match update {
                 Update::Table(table) => self.apply_routes(table),
-                Update::Leaves(instances) => self.apply_leaves(&instances),
+                Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
                 Update::Stop => self.begin_stop(),
             }
         }
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -61,8 +61,8 @@
         self.route_table = Some(Arc::new(table));
     }
 
-    /// Replaces the list of registered leaves.
-    pub(super) fn apply_leaves(&mut self, instances: &[Instance]) {
+    /// Replaces the list of registered leaves with that of the store in an era.
+    pub(super) fn apply_leaves(&mut self, instances: &[Instance], era: Era) {
         self.has_leaf_list = true;
         let leaving = instances
             .iter()
@@ -74,6 +74,7 @@
         }
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
         self.metrics.registered_leaves.set(count);
+        self.placement.set_era(era);
         let has_unregistered = self.placement.update(instances, self.now);
         if has_unregistered {
             self.timers
--- a/src/geraniummount/edge/gateway/registrations.rs
+++ b/src/geraniummount/edge/gateway/registrations.rs
@@ -15,6 +15,8 @@
 pub(super) struct Registrations {
     /// Sorted by key.
     entries: Vec<Entry>,
+    /// Era of the store in which the revisions of the entries were given out.
+    era: Era,
 }
 
 /// A registration, parsed.
@@ -31,7 +33,11 @@
 impl Registrations {
     /// Parses the registrations that changed; returns all valid ones.
     pub(super) fn update(&mut self, cache: &StoreCache) -> Vec<Instance> {
-        let known = std::mem::take(&mut self.entries);
+        let mut known = std::mem::take(&mut self.entries);
+        if cache.era() != self.era {
+            self.era = cache.era();
+            known.clear();
+        }
         let keys = cache.iter_under(platform::REGISTRATION_PREFIX);
         self.entries = keys
             .map(|(key, revision, value)| Entry::reuse_or_parse(&known, key, revision, value))
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -8,14 +8,15 @@
 use super::token::EventSource;
 use crate::core::instance::Instance;
 use crate::core::route::Table;
+use crate::prelude::*;
 
 /// An update that another thread sends to the event loop.
 #[derive(Debug)]
 pub enum Update {
     /// A new version of the routes.
     Table(Table),
-    /// The complete list of registered leaves.
-    Leaves(Vec<Instance>),
+    /// The complete list of registered leaves, and the era of the store that listed them.
+    Leaves(Vec<Instance>, Era),
     /// A request to begin a planned stop.
     Stop,
 }
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -19,7 +19,7 @@
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
 use crate::core::poll_schedule::{self, PollSchedule};
-use crate::core::store_cache::StoreCache;
+use crate::core::store_cache::{AnswerEra, StoreCache};
 use crate::core::store_sync::{Step, StoreSync};
 use crate::platform::{self, Error, Events, Item, Store, WatchStatus};
 use crate::prelude::*;
@@ -126,6 +126,11 @@
                     info!("store event=compacted action=read-all");
                     self.clear_as_of();
                 }
+                Err(Error::Restored) => {
+                    let era = self.store_cache.era();
+                    warn!("store event=restored era={era} action=read-all");
+                    self.clear_as_of();
+                }
                 Err(error) => self.on_store_failure(&error),
             }
         }
@@ -186,12 +191,14 @@
     /// page was read: later changes may be missing.
     fn read_under(&mut self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
         let mut page = self.store.range(prefix, None)?;
+        self.check_era(page.era)?;
         let as_of = page.as_of;
         let mut items = page.items;
         while page.truncated {
             let Some(last) = items.last() else { break };
             let after = last.key.clone();
             page = self.store.range(prefix, Some(&after))?;
+            self.check_era(page.era)?;
             items.append(&mut page.items);
         }
         Ok((items, as_of))
@@ -200,6 +207,7 @@
     /// Waits for changes after a revision and applies them to the cache.
     fn wait_for_changes(&mut self, revision: Revision) -> Result<Changes, Error> {
         let events = self.next_events(revision)?;
+        self.check_era(events.era)?;
         let (count, as_of) = (events.events.len(), events.as_of);
         let changes = self.apply_events(events);
         self.store_cache.advance(as_of);
@@ -227,6 +235,7 @@
             let WatchStatus::Answered(events) = watch.wait(wait + ROUTES_ANSWER_TIMEOUT)? else {
                 return Err(Error::StalledWatch);
             };
+            self.check_era(events.era)?;
             self.routes_as_of = events.as_of;
             let changes = self.apply_events(events);
             if !self.publish(changes) {
@@ -256,6 +265,17 @@
         changes
     }
 
+    /// Checks that an answer is of the era of the cached data.
+    fn check_era(&mut self, era: Option<Era>) -> Result<(), Error> {
+        match self.store_cache.observe_era(era) {
+            AnswerEra::Current => Ok(()),
+            AnswerEra::Newer => Err(Error::Restored),
+            AnswerEra::Older => Err(Error::Malformed(
+                "it is from before the store came back from an older copy".to_string(),
+            )),
+        }
+    }
+
     /// Requires that all keys are read again, because changes may have been missed.
     fn clear_as_of(&mut self) {
         self.store_cache.clear_as_of();
@@ -276,8 +296,11 @@
                 WatchStatus::Pending(watch) => watch,
             };
             match self.revision_store.recent_revision() {
-                Ok(stored) if self.store_cache.is_behind(stored) => {}
-                Ok(_) => continue,
+                Ok((era, stored)) => match self.store_cache.observe_era(era) {
+                    AnswerEra::Newer => return Err(Error::Restored),
+                    AnswerEra::Current if self.store_cache.is_behind(stored) => {}
+                    AnswerEra::Current | AnswerEra::Older => continue,
+                },
                 Err(error) => {
                     debug!("store event=no-revision error=\"{error}\"");
                     continue;
@@ -309,10 +332,11 @@
                 return true;
             }
         };
-        if self
-            .routes_version
-            .is_some_and(|version| table.version <= version)
-        {
+        let (version, in_force) = (table.version, self.routes_version);
+        if let Some(in_force) = in_force.filter(|in_force| version <= *in_force) {
+            if version < in_force {
+                warn!("routes revision={revision} version={version} outcome=kept-last");
+            }
             return true;
         }
         self.routes_version = Some(table.version);
@@ -326,7 +350,8 @@
     /// Publishes all registered leaves; returns whether the event loop is still running.
     fn publish_leaves(&mut self) -> bool {
         let instances = self.registrations.update(&self.store_cache);
-        self.sender.send(Update::Leaves(instances))
+        let era = self.store_cache.era();
+        self.sender.send(Update::Leaves(instances, era))
     }
 
     /// Waits with backoff after a failed call. Changes around the failure may never be reported, so
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -31,6 +31,10 @@
 /// Maximum time for which sent bytes may remain unacknowledged before the connection is closed.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Header field with the era of the store: the number of times that it has come back from an older
+/// copy of itself.
+const ERA: &str = "Store-Era";
+
 /// Prefix that matches no key. A range with this prefix returns only the store's revision.
 const NO_KEYS_PREFIX: &str = "none/";
 
@@ -65,19 +69,25 @@
     pub fn range(&mut self, prefix: &str, after: Option<&str>) -> Result<Range, Error> {
         let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
         let target = format!("/api/kv-range?prefix={prefix}{after}");
-        decode(&self.call(&target, CALL_TIMEOUT)?)
+        let response = self.call(&target, CALL_TIMEOUT)?;
+        let range = decode(&response)?;
+        Ok(Range {
+            era: read_era(&response),
+            ..range
+        })
     }
 
-    /// Returns a recent revision of the store, which may be seconds old.
+    /// Returns a recent revision of the store, which may be seconds old, and the era.
     ///
     /// # Errors
     ///
     /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
     /// answer.
-    pub fn recent_revision(&mut self) -> Result<Revision, Error> {
+    pub fn recent_revision(&mut self) -> Result<(Option<Era>, Revision), Error> {
         let target = format!("/api/kv-range?prefix={NO_KEYS_PREFIX}&allowStale=1");
-        let range: Range = decode(&self.call(&target, CALL_TIMEOUT)?)?;
-        Ok(range.as_of)
+        let response = self.call(&target, CALL_TIMEOUT)?;
+        let range: Range = decode(&response)?;
+        Ok((read_era(&response), range.as_of))
     }
 
     /// Starts a watch for changes after a revision to the keys with a prefix. The store answers
@@ -161,3 +171,9 @@
     let body = serde_json::from_slice(&response.content);
     body.map_err(|error| Error::Malformed(error.to_string()))
 }
+
+/// Returns the era that an answer states.
+pub(super) fn read_era(response: &h1::Response) -> Option<Era> {
+    let text = h1::field_text(&response.head.fields, ERA)?;
+    text.trim().parse().ok()
+}
--- a/src/geraniummount/platform/store/error.rs
+++ b/src/geraniummount/platform/store/error.rs
@@ -15,6 +15,9 @@
     /// The store no longer keeps the changes after the requested revision (position of a change
     /// among all changes).
     Compacted,
+    /// The store has come back from an older copy of itself since the last call. Its revisions are
+    /// given out again.
+    Restored,
     /// The answer is invalid.
     Malformed(String),
 }
@@ -30,6 +33,7 @@
             Error::Compacted => {
                 f.write_str("the store no longer keeps the changes after the requested revision")
             }
+            Error::Restored => f.write_str("the store has come back from an older copy of itself"),
             Error::Malformed(what) => write!(f, "the store's answer is invalid: {what}"),
         }
     }
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -30,6 +30,9 @@
     /// Revision of the store at which the page was read.
     #[serde(rename = "asOf")]
     pub as_of: Revision,
+    /// Era of the store; `None` if the answer does not state it.
+    #[serde(skip)]
+    pub era: Option<Era>,
 }
 
 /// Changes to the keys with a prefix.
@@ -40,6 +43,9 @@
     /// Revision after which the next watch continues.
     #[serde(rename = "asOf")]
     pub as_of: Revision,
+    /// Era of the store; `None` if the answer does not state it.
+    #[serde(skip)]
+    pub era: Option<Era>,
 }
 
 /// A change to one key.
--- a/src/geraniummount/platform/store/watch.rs
+++ b/src/geraniummount/platform/store/watch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::call::Call;
-use super::client::decode;
+use super::client::{decode, read_era};
 use super::{Error, Events, Store};
 
 /// A watch in flight. Dropping it closes its connection.
@@ -52,7 +52,11 @@
             None => Ok(WatchStatus::Pending(self)),
             Some(response) => {
                 let response = self.store.finish(self.call, response)?;
-                decode(&response).map(WatchStatus::Answered)
+                let events = decode(&response)?;
+                Ok(WatchStatus::Answered(Events {
+                    era: read_era(&response),
+                    ..events
+                }))
             }
         }
     }
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -368,6 +368,81 @@
     }
 }
 
+/// How a leaf left, and what the store lists after it has come back from an older copy.
+#[derive(Debug)]
+struct DepartureCase {
+    name: &'static str,
+    /// Whether the leaf was registered as leaving before it was removed.
+    was_leaving: bool,
+    /// Era of the list that contains the leaf again.
+    listed_in: u64,
+    /// Start and heartbeat of the leaf in that list.
+    listed: (u64, u64),
+    gets_work: bool,
+}
+
+const DEPARTURE_CASES: &[DepartureCase] = &[
+    DepartureCase {
+        name: "it lapsed and is registered again",
+        was_leaving: false,
+        listed_in: 1,
+        listed: (10, 5),
+        gets_work: true,
+    },
+    DepartureCase {
+        name: "the copy lists it as it was before it was removed",
+        was_leaving: false,
+        listed_in: 2,
+        listed: (10, 4),
+        gets_work: false,
+    },
+    DepartureCase {
+        name: "the copy lists it as it was before it was leaving",
+        was_leaving: true,
+        listed_in: 2,
+        listed: (10, 5),
+        gets_work: false,
+    },
+    DepartureCase {
+        name: "it has sent a later heartbeat",
+        was_leaving: false,
+        listed_in: 2,
+        listed: (10, 6),
+        gets_work: true,
+    },
+    DepartureCase {
+        name: "it has started again",
+        was_leaving: true,
+        listed_in: 2,
+        listed: (11, 0),
+        gets_work: true,
+    },
+];
+
+#[test]
+fn placement_gives_work_to_a_leaf_that_left_only_once_it_shows_that_it_lives() {
+    for case in DEPARTURE_CASES {
+        let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(SEED));
+        let start = Instant::now();
+        let mut leaf = instance("a", "near");
+        (leaf.started_at_ms, leaf.heartbeat) = (Some(10), Some(5));
+        placement.set_era(1);
+        placement.update(std::slice::from_ref(&leaf), start);
+        leaf.is_leaving = case.was_leaving;
+        placement.update(std::slice::from_ref(&leaf), start);
+        placement.update(&[], start);
+        let removed_at = start + UNREGISTERED_GRACE;
+        assert_eq!(placement.remove_unregistered(removed_at).len(), 1);
+        let (started_at_ms, heartbeat) = case.listed;
+        (leaf.started_at_ms, leaf.heartbeat) = (Some(started_at_ms), Some(heartbeat));
+        leaf.is_leaving = false;
+        placement.set_era(case.listed_in);
+        placement.update(std::slice::from_ref(&leaf), removed_at);
+        let chosen = placement.choose(SERVICE, &[], removed_at);
+        assert_eq!(chosen.is_some(), case.gets_work, "{}", case.name);
+    }
+}
+
 /// A VM that sends few requests to a service one of whose leaves is unhealthy.
 #[derive(Debug)]
 struct SparseLoad {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -7,4 +7,5 @@
 mod notice;
 mod pause;
 mod requests;
+mod restore;
 mod store;
--- a/tests/testsuite/store_cache.rs
+++ b/tests/testsuite/store_cache.rs
@@ -1,6 +1,6 @@
 //! Tests that the cached state of the store never goes back to an older one.
 
-use geraniummount::core::store_cache::StoreCache;
+use geraniummount::core::store_cache::{AnswerEra, StoreCache};
 use proptest::prelude::*;
 
 use crate::seeded;
@@ -89,3 +89,73 @@
     cache.advance(6);
     assert!(!cache.is_behind(6));
 }
+
+/// The eras of two answers, and how the second one compares with the data of the first.
+#[derive(Debug)]
+struct EraCase {
+    known: Option<u64>,
+    answer: Option<u64>,
+    compared: AnswerEra,
+}
+
+const ERA_CASES: &[EraCase] = &[
+    EraCase {
+        known: None,
+        answer: None,
+        compared: AnswerEra::Current,
+    },
+    EraCase {
+        known: None,
+        answer: Some(3),
+        compared: AnswerEra::Current,
+    },
+    EraCase {
+        known: Some(3),
+        answer: None,
+        compared: AnswerEra::Current,
+    },
+    EraCase {
+        known: Some(3),
+        answer: Some(3),
+        compared: AnswerEra::Current,
+    },
+    EraCase {
+        known: Some(3),
+        answer: Some(4),
+        compared: AnswerEra::Newer,
+    },
+    EraCase {
+        known: Some(3),
+        answer: Some(2),
+        compared: AnswerEra::Older,
+    },
+];
+
+#[test]
+fn store_cache_compares_revisions_only_within_an_era() {
+    for case in ERA_CASES {
+        let mut cache = StoreCache::default();
+        cache.observe_era(case.known);
+        cache.replace([("a".to_string(), 8, b"first".to_vec())], 9);
+        assert_eq!(cache.observe_era(case.answer), case.compared, "{case:?}");
+        let is_newer = case.compared == AnswerEra::Newer;
+        assert_eq!(cache.as_of(), (!is_newer).then_some(9), "{case:?}");
+        assert_eq!(cache.get("a"), Some((8, b"first".as_slice())), "{case:?}");
+        let is_replaced = cache.replace([("a".to_string(), 2, b"second".to_vec())], 4);
+        assert_eq!(is_replaced, is_newer, "{case:?}");
+    }
+}
+
+#[test]
+fn store_cache_replaces_only_the_keys_with_the_prefix() {
+    let mut cache = StoreCache::default();
+    let keys = ["a/1", "b/1", "b/2", "c/1"];
+    cache.replace(keys.map(|key| (key.to_string(), 1, Vec::new())), 1);
+    let read = [("b/2".to_string(), 5, b"new".to_vec())];
+    assert!(cache.replace_under("b/", read, 7));
+    let under: Vec<_> = cache.iter_under("b/").collect();
+    assert_eq!(under, [("b/2", 5, b"new".as_slice())]);
+    assert!(cache.get("a/1").is_some() && cache.get("c/1").is_some());
+    assert_eq!(cache.as_of(), Some(1), "other keys may have changed");
+    assert!(!cache.replace_under("b/", [], 6), "the read is older");
+}
