--- a/src/geraniummount/core/poll_schedule.rs
+++ b/src/geraniummount/core/poll_schedule.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use super::placement::UNREGISTERED_GRACE;
+use super::store_sync::MAX_READ_AGE_SHARE;
 
 /// Minimum delay after a change.
 const MIN_CHANGE_DELAY: Duration = Duration::from_millis(300);
@@ -54,6 +55,8 @@
 #[derive(Clone, Debug)]
 pub struct PollSchedule {
     delay_after_change: Duration,
+    /// Maximum delay between two reads of the leaves.
+    max_delay_between_reads: Duration,
     /// Number of calls that failed since the last successful one.
     failures: u32,
 }
@@ -72,6 +75,9 @@
             .max(MIN_CHANGE_DELAY);
         PollSchedule {
             delay_after_change: available.clamp(MIN_CHANGE_DELAY, max_delay),
+            max_delay_between_reads: available
+                .div_f64(1.0 + MAX_READ_AGE_SHARE)
+                .clamp(MIN_CHANGE_DELAY, MAX_CHANGE_DELAY),
             failures: 0,
         }
     }
@@ -82,13 +88,14 @@
     }
 
     /// Returns the delay before the next read of the leaves while they change faster than a watch
-    /// delivers the changes.
+    /// delivers the changes. The bound for leaving leaves holds even if the read is as old as it may
+    /// be; the routes are watched meanwhile.
     ///
     /// `jitter`, a random number from 0 (inclusive) to 1 (exclusive), spreads the reads of the VMs
     /// over the last quarter of the delay. VMs that start together would otherwise all read at the
     /// same moment, again and again.
     pub fn delay_between_reads(&self, jitter: f64) -> Duration {
-        self.delay_after_change.mul_f64((3.0 + jitter) / 4.0)
+        self.max_delay_between_reads.mul_f64((3.0 + jitter) / 4.0)
     }
 
     /// Records a successful call and resets the backoff.
--- a/src/geraniummount/core/store_cache.rs
+++ b/src/geraniummount/core/store_cache.rs
@@ -21,7 +21,7 @@
     records: Vec<Record>,
     /// Revision up to which all changes are known; `None` if all keys have to be read.
     as_of: Option<Revision>,
-    /// Highest revision of a read or an event in this era so far.
+    /// Highest revision up to which a read or a watch in this era was complete.
     max_revision: Revision,
     /// Era of the store; `None` if no answer has stated it.
     era: Option<Era>,
@@ -133,7 +133,6 @@
 
     /// Stores a written key; returns whether it was newer than the cached one.
     pub fn put(&mut self, key: String, revision: Revision, value: Vec<u8>) -> bool {
-        self.max_revision = self.max_revision.max(revision);
         let record = Record {
             key,
             revision,
@@ -154,7 +153,6 @@
 
     /// Removes a key; returns whether it was cached with an older revision.
     pub fn remove(&mut self, key: &str, revision: Revision) -> bool {
-        self.max_revision = self.max_revision.max(revision);
         match self.search(key) {
             Ok(index) if self.records[index].revision < revision => {
                 self.records.remove(index);
--- a/src/geraniummount/core/store_sync.rs
+++ b/src/geraniummount/core/store_sync.rs
@@ -12,6 +12,10 @@
 //! registrations as they are instead of receiving every change to them, and watches only the routes
 //! between two reads. The cost of a read follows the number of leaves, whatever the rate of their
 //! heartbeats. Once few changes were made between two reads, the VM watches all keys again.
+//!
+//! A read that may be outdated costs the store a tenth. The answers to the watches for the routes
+//! are current, so their revisions tell how old such a read is. If it is too old, or its age is
+//! unknown, the VM reads once more and requires current data.
 
 use crate::prelude::*;
 
@@ -34,12 +38,18 @@
     ReadLeaves,
 }
 
+/// Maximum age of an outdated read, as a share of the time between two reads.
+pub const MAX_READ_AGE_SHARE: f64 = 0.5;
+
 /// Decides how the VM follows the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreSync {
     /// Revision of the store at the last read of the registrations while the VM is behind; `None`
     /// while it is not behind.
     behind_since: Option<Revision>,
+    /// Current revisions of the store at the end of the last two pauses between reads, the older
+    /// one first, while the VM is behind.
+    pauses: (Option<Revision>, Option<Revision>),
 }
 
 impl StoreSync {
@@ -63,10 +73,26 @@
     pub fn on_changes(&mut self, changes: usize, as_of: Revision) -> bool {
         if changes >= FULL_ANSWER_CHANGES {
             self.behind_since = Some(as_of);
+            self.pauses = (None, None);
         }
         self.is_behind()
     }
 
+    /// Records the current revision of the store at the end of a pause between two reads.
+    pub fn on_pause(&mut self, revision: Revision) {
+        self.pauses = (self.pauses.1, Some(revision));
+    }
+
+    /// Returns the lowest revision at which a read of the registrations is recent enough; `None` if
+    /// only a current read is.
+    pub fn min_read_revision(&self) -> Option<Revision> {
+        let (Some(previous), Some(last)) = self.pauses else {
+            return None;
+        };
+        let changes = last.saturating_sub(previous) as f64;
+        Some(last.saturating_sub((changes * MAX_READ_AGE_SHARE) as Revision))
+    }
+
     /// Records a read of the registrations at the revision `as_of`. Returns whether the VM has
     /// caught up; it then has to read all keys, as it has not received the changes to other keys.
     pub fn on_read(&mut self, as_of: Revision) -> bool {
@@ -80,6 +106,6 @@
 
     /// Records that all keys have to be read, because changes were lost.
     pub fn reset(&mut self) {
-        self.behind_since = None;
+        *self = StoreSync::default();
     }
 }
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -21,7 +21,7 @@
 use crate::core::poll_schedule::{self, PollSchedule};
 use crate::core::store_cache::{AnswerEra, StoreCache};
 use crate::core::store_sync::{Step, StoreSync};
-use crate::platform::{self, Error, Events, Item, Store, WatchStatus};
+use crate::platform::{self, Error, Events, Freshness, Item, Store, WatchStatus};
 use crate::prelude::*;
 
 /// Time for which the store holds a watch call open while nothing changes.
@@ -160,7 +160,7 @@
 
     /// Reads all keys.
     fn read_all(&mut self) -> Result<Changes, Error> {
-        let (items, as_of) = self.read_under(platform::ALL_KEYS)?;
+        let (items, as_of) = self.read_under(platform::ALL_KEYS, Freshness::Current)?;
         if !self.store_cache.replace(records(items), as_of) {
             return Err(outdated(as_of));
         }
@@ -171,8 +171,11 @@
     /// Reads the registrations of all leaves, and all keys if the leaves have stopped changing
     /// faster than a watch delivers the changes.
     fn read_leaves(&mut self) -> Result<Changes, Error> {
-        let (items, as_of) = self.read_under(platform::REGISTRATION_PREFIX)?;
         let prefix = platform::REGISTRATION_PREFIX;
+        let (items, as_of) = match self.read_recent(prefix)? {
+            Some(read) => read,
+            None => self.read_under(prefix, Freshness::Current)?,
+        };
         if !self
             .store_cache
             .replace_under(prefix, records(items), as_of)
@@ -187,18 +190,37 @@
         Ok(Changes::LEAVES)
     }
 
-    /// Reads the keys with a prefix, page by page. Returns them with the revision at which the first
-    /// page was read: later changes may be missing.
-    fn read_under(&mut self, prefix: &str) -> Result<(Vec<Item>, Revision), Error> {
-        let mut page = self.store.range(prefix, None)?;
+    /// Reads the keys with a prefix at the lower price of outdated data. Returns `None` if the data
+    /// may be too old.
+    fn read_recent(&mut self, prefix: &str) -> Result<Option<(Vec<Item>, Revision)>, Error> {
+        let Some(min_revision) = self.store_sync.min_read_revision() else {
+            return Ok(None);
+        };
+        let (items, as_of) = self.read_under(prefix, Freshness::Outdated)?;
+        if as_of < min_revision {
+            debug!("store event=too-old revision={as_of} wanted={min_revision}");
+            return Ok(None);
+        }
+        Ok(Some((items, as_of)))
+    }
+
+    /// Reads the keys with a prefix, page by page. Returns them with the lowest revision at
+    /// which a page was read: later changes may be missing.
+    fn read_under(
+        &mut self,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> Result<(Vec<Item>, Revision), Error> {
+        let mut page = self.store.range(prefix, None, freshness)?;
         self.check_era(page.era)?;
-        let as_of = page.as_of;
+        let mut as_of = page.as_of;
         let mut items = page.items;
         while page.truncated {
             let Some(last) = items.last() else { break };
             let after = last.key.clone();
-            page = self.store.range(prefix, Some(&after))?;
+            page = self.store.range(prefix, Some(&after), freshness)?;
             self.check_era(page.era)?;
+            as_of = as_of.min(page.as_of);
             items.append(&mut page.items);
         }
         Ok((items, as_of))
@@ -227,6 +249,7 @@
         loop {
             let wait = end.saturating_duration_since(Instant::now());
             if wait.is_zero() {
+                self.store_sync.on_pause(self.routes_as_of);
                 return Ok(true);
             }
             let watch = self
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -11,7 +11,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::call::Call;
-use super::{Error, Range, Watch};
+use super::{Error, Freshness, Range, Watch};
 use crate::prelude::*;
 use crate::util::h1;
 
@@ -35,6 +35,9 @@
 /// copy of itself.
 const ERA: &str = "Store-Era";
 
+/// Query parameter that permits an outdated answer.
+const ALLOW_STALE: &str = "&allowStale=1";
+
 /// Prefix that matches no key. A range with this prefix returns only the store's revision.
 const NO_KEYS_PREFIX: &str = "none/";
 
@@ -66,9 +69,18 @@
     ///
     /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
     /// answer.
-    pub fn range(&mut self, prefix: &str, after: Option<&str>) -> Result<Range, Error> {
+    pub fn range(
+        &mut self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Range, Error> {
         let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
-        let target = format!("/api/kv-range?prefix={prefix}{after}");
+        let stale = match freshness {
+            Freshness::Current => "",
+            Freshness::Outdated => ALLOW_STALE,
+        };
+        let target = format!("/api/kv-range?prefix={prefix}{after}{stale}");
         let response = self.call(&target, CALL_TIMEOUT)?;
         let range = decode(&response)?;
         Ok(Range {
@@ -84,10 +96,8 @@
     /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
     /// answer.
     pub fn recent_revision(&mut self) -> Result<(Option<Era>, Revision), Error> {
-        let target = format!("/api/kv-range?prefix={NO_KEYS_PREFIX}&allowStale=1");
-        let response = self.call(&target, CALL_TIMEOUT)?;
-        let range: Range = decode(&response)?;
-        Ok((read_era(&response), range.as_of))
+        let range = self.range(NO_KEYS_PREFIX, None, Freshness::Outdated)?;
+        Ok((range.era, range.as_of))
     }
 
     /// Starts a watch for changes after a revision to the keys with a prefix. The store answers
