Let the soak's store go back and its leaves ask for something

The soak gains a series of faults of its own, so that the schedules of the seeds listed so far stay as they were: the store refuses calls and comes back from a copy some seconds old, and the operator and the leaves write again half a second later; a leaf says in its answers that it is leaving while the store lists it as ready; a leaf rejects requests and wants none for 1.5 s. New checks: no request from a gateway that was told that a leaf is leaving, at most two in a pause after half a second, and an older copy of the store excuses a request to a leaving leaf only if the gateway could not know of it.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -37,6 +37,9 @@
     /// Mean time between the starts of two faults, in milliseconds.
     #[arg(long, default_value_t = 350, value_parser = clap::value_parser!(u64).range(10..))]
     gap_ms: u64,
+    /// Leave out the store that goes back and the leaves that ask for something.
+    #[arg(long)]
+    without_platform_faults: bool,
     /// Program to test; the binary of this build by default.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -62,6 +65,7 @@
             callers: usize::from(arguments.callers),
             fault_duration: Duration::from_secs(arguments.seconds),
             mean_fault_interval: Duration::from_millis(arguments.gap_ms),
+            has_platform_faults: !arguments.without_platform_faults,
         };
         let report = soak::run(&options)?;
         print!("{report}");
--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -83,6 +83,8 @@
     arrivals: Vec<Run>,
     /// Number of registrations that the leaf has written.
     heartbeats: u64,
+    /// Requests that the leaf rejected with a time without requests, with the time of each.
+    pauses: Vec<Run>,
     /// Whether all answers say that the leaf is leaving.
     is_leaving: bool,
     /// Value of `Retry-After` in the answers with status 503.
@@ -189,6 +191,11 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns the requests that the leaf rejected with a time without requests, in order of arrival.
+    pub fn pauses(&self) -> Vec<Run> {
+        self.state.lock().pauses.clone()
+    }
+
     /// Returns the ids of the requests that the leaf ran, in order of arrival.
     pub fn runs(&self) -> Vec<String> {
         let state = self.state.lock();
@@ -246,6 +253,7 @@
     if mode == Answer::Rejected {
         let mut rejected = Response::empty(503).with_header("Request-Not-Run", 1);
         if let Some(retry_after) = retry_after {
+            state.update(|state| state.pauses.push(new_run));
             rejected = rejected.with_header("Retry-After", retry_after);
         }
         return connection.write(&with_notice(state, rejected)).is_ok();
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -66,8 +66,8 @@
 }
 
 /// A check of one run.
-struct Check<'a> {
-    cluster: &'a Cluster,
+pub(super) struct Check<'a> {
+    pub(super) cluster: &'a Cluster,
     /// Requests of all callers, sorted by id.
     requests: Vec<&'a Exchange>,
     violations: Vec<Violation>,
@@ -89,6 +89,7 @@
         for execution in executions {
             self.check_execution(execution);
         }
+        self.check_notices();
         self.check_versions(history);
         self.check_exits();
         self.check_logs();
@@ -96,7 +97,7 @@
     }
 
     /// Records a violation of a promise.
-    fn add_violation(&mut self, promise: Promise, at: Instant, detail: String) {
+    pub(super) fn add_violation(&mut self, promise: Promise, at: Instant, detail: String) {
         self.violations.push(Violation {
             promise,
             at: at.saturating_duration_since(self.cluster.started_at),
@@ -198,7 +199,8 @@
     }
 
     /// Checks that a leaf received no request later than [`LEAVING_GRACE`] after it registered as
-    /// leaving, unless a recent fault affected the gateway `vm` that sent the request.
+    /// leaving, unless a recent fault affected the gateway `vm` that sent the request. An older copy
+    /// of the store is such a fault only if the gateway could not know that the leaf is leaving.
     fn check_leaving(&mut self, execution: &Execution, vm: usize) {
         let Some(leaving_since) = execution.leaving_since else {
             return;
@@ -207,11 +209,14 @@
             .at
             .checked_sub(SETTLE_DELAY)
             .unwrap_or(execution.at);
-        let is_undisturbed = self
-            .cluster
-            .disturbances
-            .is_vm_undisturbed(vm, from, execution.at);
-        if execution.at > leaving_since + LEAVING_GRACE && is_undisturbed {
+        let disturbances = &self.cluster.disturbances;
+        let known_by = leaving_since + LEAVING_GRACE;
+        let was_told = disturbances.is_vm_undisturbed(vm, leaving_since, known_by)
+            && self.is_running_since(vm, leaving_since, execution.at);
+        let is_excused = !was_told && disturbances.has_copy(leaving_since, execution.at);
+        let is_undisturbed =
+            disturbances.is_vm_undisturbed_save_copies(vm, from, execution.at) && !is_excused;
+        if execution.at > known_by && is_undisturbed {
             let late = execution.at.saturating_duration_since(leaving_since);
             let detail = format!(
                 "{} reached a leaf {late:?} after it registered as leaving, through vm{vm}",
@@ -221,6 +226,21 @@
         }
     }
 
+    /// Returns whether a gateway's process ran between two times without a restart.
+    pub(super) fn is_running_since(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let starts = self.cluster.starts.iter();
+        let mut starts = starts.filter(|(number, at)| *number == vm && *at >= from && *at <= to);
+        starts.next().is_none()
+    }
+
+    /// Returns the gateway that a caller sent a request to.
+    pub(super) fn vm_of(&self, id: &str) -> Option<usize> {
+        let found = self
+            .requests
+            .binary_search_by(|request| request.id.as_str().cmp(id));
+        Some(self.requests[found.ok()?].vm)
+    }
+
     /// Checks that each gateway applies a version in time and never returns to an older one.
     fn check_versions(&mut self, history: &History) {
         let written = lock(&self.cluster.catalog.versions).clone();
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! Runs a store, leaves and gateways, and restarts gateway processes that exit.
 
+use std::collections::VecDeque;
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -16,8 +17,8 @@
 use super::schedule::Schedule;
 use super::vm::Vm;
 use super::{FINAL_CHECK_DURATION, Options, RECOVERY_TIMEOUT};
-use crate::platform::users::Store;
 use crate::platform::users::document::DOCUMENT_KEY;
+use crate::platform::users::{Backup, Store};
 
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
@@ -25,6 +26,12 @@
 /// Interval at which the cluster checks for due faults and exited processes.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between two copies of the store's contents.
+const BACKUP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of copies that are kept. The store goes back by up to this many intervals.
+const MAX_BACKUPS: usize = 6;
+
 /// Time between two ticks above which the machine that runs the test counts as stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
 
@@ -68,6 +75,9 @@
     /// Number of shards that a search queries.
     pub shards: usize,
     pub(super) store: Store,
+    /// Copies of the store's contents, the oldest first, and when the last one was made.
+    pub(super) backups: VecDeque<Backup>,
+    backed_up_at: Instant,
     /// Index in `leaves` of the current leaf of each slot. Each service has two slots, and a new
     /// leaf takes the slot of a leaf that leaves or crashes.
     pub(super) slots: Vec<usize>,
@@ -96,6 +106,8 @@
             vms: Vec::new(),
             shards: options.shards,
             store: Store::start(),
+            backups: VecDeque::new(),
+            backed_up_at: Instant::now(),
             slots: Vec::new(),
             follow_ups: Vec::new(),
             killed: vec![false; options.vms],
@@ -146,9 +158,22 @@
             }
             self.run_due_follow_ups(now);
             self.collect_exits(now);
+            self.back_up_store(now);
         }
     }
 
+    /// Copies the store's contents if the last copy is old enough.
+    fn back_up_store(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.backed_up_at) < BACKUP_INTERVAL {
+            return;
+        }
+        self.backed_up_at = now;
+        if self.backups.len() == MAX_BACKUPS {
+            self.backups.pop_front();
+        }
+        self.backups.push_back(self.store.back_up());
+    }
+
     /// Requests all gateways to stop and waits until they have exited.
     pub fn stop_gateways(&mut self) {
         let stop_requested_at = Instant::now();
@@ -250,8 +275,16 @@
         let mut versions = lock(&self.catalog.versions);
         let version = versions.last().map_or(1, |(version, _)| version + 1);
         versions.push((version, Instant::now()));
+        drop(versions);
+        self.rewrite_routes();
+    }
+
+    /// Writes the newest version of the routes, again if it was written before.
+    pub(super) fn rewrite_routes(&self) {
+        let versions = lock(&self.catalog.versions);
         let numbers: Vec<u64> = versions.iter().map(|(version, _)| *version).collect();
         drop(versions);
+        let version = numbers.last().copied().unwrap_or_default();
         let document = configuration(version, &numbers, self.shards);
         self.store.put(DOCUMENT_KEY, document);
     }
--- a/crates/geraniummount-test-support/src/soak/disturbance.rs
+++ b/crates/geraniummount-test-support/src/soak/disturbance.rs
@@ -14,6 +14,8 @@
     StoreLink(usize),
     /// The store.
     Store,
+    /// The store, which comes back from an older copy of itself.
+    StoreCopy,
     /// One leaf or its link.
     Leaf(usize),
     /// The machine that runs the test.
@@ -52,11 +54,26 @@
     pub fn is_vm_undisturbed(&self, vm: usize, from: Instant, to: Instant) -> bool {
         self.has_none(from, to, |scope| match scope {
             Scope::Vm(other) | Scope::Stop(other) | Scope::StoreLink(other) => other == vm,
-            Scope::Store | Scope::TestHost => true,
+            Scope::Store | Scope::StoreCopy | Scope::TestHost => true,
             Scope::Leaf(_) => false,
         })
     }
 
+    /// As [`Disturbances::is_vm_undisturbed`], but does not count that the store went back to an
+    /// older copy of itself: what a gateway has learnt it still knows.
+    pub fn is_vm_undisturbed_save_copies(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        self.has_none(from, to, |scope| match scope {
+            Scope::Vm(other) | Scope::Stop(other) | Scope::StoreLink(other) => other == vm,
+            Scope::Store | Scope::TestHost => true,
+            Scope::StoreCopy | Scope::Leaf(_) => false,
+        })
+    }
+
+    /// Returns whether the store went back to an older copy of itself between two times.
+    pub fn has_copy(&self, from: Instant, to: Instant) -> bool {
+        !self.has_none(from, to, |scope| scope == Scope::StoreCopy)
+    }
+
     /// Returns whether no fault affected a VM's process or the test machine between two times. A
     /// request to stop is not such a fault.
     pub fn is_process_undisturbed(&self, vm: usize, from: Instant, to: Instant) -> bool {
--- a/crates/geraniummount-test-support/src/soak/fault.rs
+++ b/crates/geraniummount-test-support/src/soak/fault.rs
@@ -66,6 +66,8 @@
     Unavailable,
     /// The store discards its history of changes and closes its connections.
     Compact,
+    /// The store refuses all calls, and then comes back from an older copy of itself.
+    GoBack,
 }
 
 /// A fault of a leaf.
@@ -79,6 +81,11 @@
     Crash,
     /// The leaf is unregistered and registered again later.
     Unregister,
+    /// The leaf says in its answers that it is leaving, is replaced at once and stops later. It
+    /// remains registered as ready until then.
+    SayLeaving,
+    /// The leaf rejects all requests, and wants none for a while.
+    AskForPause,
 }
 
 /// Answers that a random [`LeafFault::Answer`] is drawn from.
@@ -105,6 +112,18 @@
 ];
 
 impl Fault {
+    /// Draws a random fault that [`Options::has_platform_faults`] adds.
+    ///
+    /// [`Options::has_platform_faults`]: super::Options::has_platform_faults
+    pub fn draw_platform(leaves: usize, rng: &mut StdRng) -> Fault {
+        let leaf = rng.random_range(0..leaves);
+        match rng.random_range(0..3) {
+            0 => Fault::Store(StoreFault::GoBack),
+            1 => Fault::Leaf(leaf, LeafFault::SayLeaving),
+            _ => Fault::Leaf(leaf, LeafFault::AskForPause),
+        }
+    }
+
     /// Draws a random fault for a cluster with the given numbers of gateways and leaf slots.
     pub fn draw(vms: usize, leaves: usize, rng: &mut StdRng) -> Fault {
         let vm = rng.random_range(0..vms);
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -11,6 +11,7 @@
 use super::link;
 use super::proxied_leaf::HEALTHY_ANSWER;
 use super::schedule::Step;
+use crate::platform::users::Answer;
 
 /// Time for which a leaf still serves after it registered as leaving.
 ///
@@ -18,6 +19,12 @@
 /// that come too late would not be detected.
 const LEAVING_SERVE_DURATION: Duration = Duration::from_secs(6);
 
+/// Time after which the operator and the leaves write again what the store has lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(500);
+
+/// Time for which a full leaf wants no requests, in seconds as in its answers.
+pub(super) const PAUSE_SECONDS: &str = "1.5";
+
 /// Time within which a gateway closes connections that have become unresponsive.
 const BLACKHOLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -45,6 +52,10 @@
     RegisterLeaf(usize),
     /// Starts the process of a gateway again.
     LaunchVm(usize),
+    /// Lets the store come back from its oldest copy.
+    GoBack,
+    /// Writes the routes and the registrations of all leaves again.
+    RewriteStore,
 }
 
 impl Cluster {
@@ -117,8 +128,19 @@
         step: &Step,
         now: Instant,
     ) -> Option<FollowUp> {
-        self.disturbances.add(Scope::Store, now, step.duration);
+        let scope = match fault {
+            StoreFault::GoBack => Scope::StoreCopy,
+            StoreFault::Unavailable | StoreFault::Compact => Scope::Store,
+        };
+        self.disturbances.add(scope, now, step.duration);
         match fault {
+            StoreFault::GoBack => {
+                self.disturbances
+                    .add(scope, now + step.duration, REWRITE_DELAY);
+                self.store.set_error_status(Some(503));
+                self.store.disconnect_all();
+                Some(FollowUp::GoBack)
+            }
             StoreFault::Unavailable => {
                 self.store.set_error_status(Some(503));
                 self.store.disconnect_all();
@@ -144,6 +166,16 @@
             self.start_leaving(slot, now);
             return None;
         }
+        if matches!(fault, LeafFault::SayLeaving) {
+            self.say_leaving(slot, now);
+            return None;
+        }
+        if matches!(fault, LeafFault::AskForPause) {
+            let leaf = proxied_leaf.leaf.as_ref()?;
+            leaf.set_retry_after(Some(PAUSE_SECONDS));
+            leaf.set_answer(Answer::Rejected);
+            return Some(FollowUp::RestoreLeafAnswer(index));
+        }
         self.disturbances
             .add(Scope::Leaf(index), now, step.duration);
         let leaf = proxied_leaf.leaf.as_ref()?;
@@ -161,7 +193,7 @@
                 proxied_leaf.proxy.close_connections();
                 Some(FollowUp::ReplaceLeaf(slot, index))
             }
-            LeafFault::Leave => None,
+            LeafFault::Leave | LeafFault::SayLeaving | LeafFault::AskForPause => None,
         }
     }
 
@@ -197,6 +229,45 @@
         self.replace_leaf(slot);
     }
 
+    /// Lets a leaf say in its answers that it is leaving, and replaces it in its slot.
+    fn say_leaving(&mut self, slot: usize, now: Instant) {
+        let index = self.slots[slot];
+        let Some(leaf) = &self.leaves[index].leaf else {
+            return;
+        };
+        leaf.set_leaving(true);
+        self.leaves[index].said_leaving_since = Some(now);
+        self.follow_ups
+            .push((now + LEAVING_SERVE_DURATION, FollowUp::RemoveLeaf(index)));
+        self.replace_leaf(slot);
+    }
+
+    /// Lets the store come back from its oldest copy; what was written since is written again later.
+    fn go_back(&mut self) {
+        if let Some(backup) = self.backups.front() {
+            self.store.restore(backup);
+        }
+        self.backups.clear();
+        self.store.set_error_status(None);
+        let at = Instant::now() + REWRITE_DELAY;
+        self.follow_ups.push((at, FollowUp::RewriteStore));
+    }
+
+    /// Writes the routes and the registrations of all leaves again, and removes those of leaves that
+    /// have stopped.
+    fn rewrite_store(&mut self) {
+        self.rewrite_routes();
+        for proxied_leaf in &self.leaves {
+            match &proxied_leaf.leaf {
+                None => self.store.remove(&proxied_leaf.key()),
+                Some(leaf) if proxied_leaf.leaving_since.is_some() => {
+                    leaf.register(&self.store, "draining");
+                }
+                Some(leaf) => leaf.register(&self.store, "ready"),
+            }
+        }
+    }
+
     /// Runs all follow-up actions that are due.
     pub(super) fn run_due_follow_ups(&mut self, now: Instant) {
         while let Some(index) = self.follow_ups.iter().position(|(at, _)| *at <= now) {
@@ -213,6 +284,7 @@
             FollowUp::RestoreLeafAnswer(index) => {
                 if let Some(leaf) = &self.leaves[index].leaf {
                     leaf.set_answer(HEALTHY_ANSWER);
+                    leaf.set_retry_after(None);
                 }
             }
             FollowUp::HealLeafLink(index) => link::heal(&self.leaves[index].proxy),
@@ -239,6 +311,8 @@
                     leaf.register(&self.store, "ready");
                 }
             }
+            FollowUp::GoBack => self.go_back(),
+            FollowUp::RewriteStore => self.rewrite_store(),
             FollowUp::LaunchVm(vm) => match self.vms[vm].launch() {
                 Ok(()) => self.starts.push((vm, Instant::now())),
                 Err(error) => panic!("cannot restart gateway {vm}: {error}"),
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -22,6 +22,7 @@
 mod injection;
 mod kind;
 mod link;
+mod notice;
 mod proxied_leaf;
 mod report;
 mod routes;
@@ -59,6 +60,10 @@
     /// Time bounds are checked only where no recent fault affected the gateway, hence only long
     /// intervals test them.
     pub mean_fault_interval: Duration,
+    /// Whether the store also goes back to older copies of itself, and leaves say in their answers
+    /// that they are leaving or want no requests for a while. The other faults of a seed are the
+    /// same with and without.
+    pub has_platform_faults: bool,
 }
 
 /// Time before the first fault, in which nothing may fail.
--- a/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
+++ b/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
@@ -29,8 +29,14 @@
     pub proxy: Proxy,
     /// When the leaf registered as leaving; `None` if it has not.
     pub leaving_since: Option<Instant>,
+    /// When the leaf began to say in its answers that it is leaving; `None` if it has not.
+    pub said_leaving_since: Option<Instant>,
     /// Requests that the leaf ran before it stopped; empty while it runs.
     pub runs: Vec<Run>,
+    /// Requests that reached the leaf before it stopped, also those that it did not run.
+    arrivals: Vec<Run>,
+    /// Requests that the leaf rejected with a time without requests before it stopped.
+    pauses: Vec<Run>,
     identity: Identity,
 }
 
@@ -61,7 +67,10 @@
             leaf: Some(leaf),
             proxy,
             leaving_since: None,
+            said_leaving_since: None,
             runs: Vec::new(),
+            arrivals: Vec::new(),
+            pauses: Vec::new(),
             identity,
         })
     }
@@ -87,6 +96,24 @@
     pub fn stop(&mut self) {
         if let Some(leaf) = self.leaf.take() {
             self.runs = leaf.timed_runs();
+            self.arrivals = leaf.arrivals();
+            self.pauses = leaf.pauses();
+        }
+    }
+
+    /// Returns the requests that have reached the leaf so far, whether or not it ran them.
+    pub fn all_arrivals(&self) -> Vec<Run> {
+        match &self.leaf {
+            Some(leaf) => leaf.arrivals(),
+            None => self.arrivals.clone(),
+        }
+    }
+
+    /// Returns the requests that the leaf has rejected so far with a time without requests.
+    pub fn all_pauses(&self) -> Vec<Run> {
+        match &self.leaf {
+            Some(leaf) => leaf.pauses(),
+            None => self.pauses.clone(),
         }
     }
 
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -26,6 +26,10 @@
     NoLostReply,
     /// A leaf receives no requests after it registered as leaving, save for a short grace period.
     NoRequestAfterLeaving,
+    /// A leaf receives no requests from a gateway that it told that it is leaving.
+    NoRequestAfterNotice,
+    /// A leaf receives no requests from a gateway that it asked for a pause, until the pause is over.
+    PauseObserved,
     /// A gateway applies a version of the routes in time.
     TimelyApply,
     /// A process never returns to an older version of the routes.
--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -32,10 +32,41 @@
     pub end: Duration,
 }
 
+/// Differs between the two series of faults of a seed.
+const PLATFORM_SERIES: u64 = 0x706c_6174_666f_726d;
+
+/// Mean time between the beginnings of two faults that are added to the schedule of a seed.
+const PLATFORM_FAULT_INTERVAL: Duration = Duration::from_millis(1_800);
+
 impl Schedule {
     /// Draws the schedule of the seed in `options`.
     pub fn draw(options: &Options) -> Schedule {
-        let mut rng = StdRng::seed_from_u64(options.seed);
+        // Each shard and the services `lookup` and `orders` have two leaf slots.
+        let leaves = options.shards * 2 + 4;
+        let interval = options.mean_fault_interval;
+        let mut schedule = Schedule::draw_series(options, options.seed, interval, |rng| {
+            Fault::draw(options.vms, leaves, rng)
+        });
+        if options.has_platform_faults {
+            let seed = options.seed ^ PLATFORM_SERIES;
+            let interval = PLATFORM_FAULT_INTERVAL;
+            let added = Schedule::draw_series(options, seed, interval, |rng| {
+                Fault::draw_platform(leaves, rng)
+            });
+            schedule.steps.extend(added.steps);
+            schedule.steps.sort_by_key(|step| step.at);
+        }
+        schedule
+    }
+
+    /// Draws a series of faults.
+    fn draw_series(
+        options: &Options,
+        seed: u64,
+        mean_interval: Duration,
+        draw_fault: impl Fn(&mut StdRng) -> Fault,
+    ) -> Schedule {
+        let mut rng = StdRng::seed_from_u64(seed);
         let end = WARM_UP_DURATION + options.fault_duration;
         let mut steps = Vec::new();
         let mut at = WARM_UP_DURATION;
@@ -46,13 +77,10 @@
             steps.push(Step {
                 at,
                 duration: duration.min(max_duration),
-                // Each shard and the services `lookup` and `orders` have two leaf slots.
-                fault: Fault::draw(options.vms, options.shards * 2 + 4, &mut rng),
+                fault: draw_fault(&mut rng),
             });
             // The times between faults are distributed exponentially.
-            at += options
-                .mean_fault_interval
-                .mul_f64(-rng.random_range(0.000_1_f64..1.0).ln());
+            at += mean_interval.mul_f64(-rng.random_range(0.000_1_f64..1.0).ln());
         }
         Schedule { steps, end }
     }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -15,6 +15,7 @@
     shards: usize,
     mean_fault_interval: Duration,
     fault_duration: Duration,
+    has_platform_faults: bool,
 }
 
 const CASES: &[Case] = &[
@@ -25,6 +26,7 @@
         shards: 4,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
+        has_platform_faults: false,
     },
     Case {
         name: "more gateways than callers",
@@ -33,6 +35,7 @@
         shards: 3,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
+        has_platform_faults: false,
     },
     Case {
         name: "a stand-in leaf without Content-Length replied with a body other than the order's",
@@ -41,6 +44,7 @@
         shards: 4,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
+        has_platform_faults: false,
     },
     Case {
         name: "faults far enough apart for time bounds to be checked",
@@ -49,6 +53,16 @@
         shards: 4,
         mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
+        has_platform_faults: false,
+    },
+    Case {
+        name: "a store that goes back, and leaves that ask for something",
+        seed: 4,
+        vms: 3,
+        shards: 4,
+        mean_fault_interval: SPARSE_FAULT_INTERVAL,
+        fault_duration: LONG_FAULT_DURATION,
+        has_platform_faults: true,
     },
     Case {
         name: "an unresponsive store connection hid that a leaf had left",
@@ -57,6 +71,7 @@
         shards: 4,
         mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: LONG_FAULT_DURATION,
+        has_platform_faults: false,
     },
 ];
 
@@ -85,6 +100,7 @@
             callers: CALLERS,
             fault_duration: case.fault_duration,
             mean_fault_interval: case.mean_fault_interval,
+            has_platform_faults: case.has_platform_faults,
         });
         let report = report.expect("cluster starts");
         eprintln!("{}: {report}", case.name);
