Hedge the late parts of a query by the progress of its other parts

Ruled out: the retry allowance, which pays for a fifth of the parts.

Change: core::call::progress. Once four fifths of the parts are answered, the rest is late after 1.2 times that time; parts are hedged by the old delay, but not in the first half of the time, if fewer are answered.

Test, failing first (1 hedge instead of none): cold queries whose parts all take long, or of which three meet a paused leaf.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -11,7 +11,8 @@
 //! for the others. At `end_by`, the request ends in any case.
 //!
 //! Leaves pause now and then, and nearly every query over many shards reaches a leaf that is
-//! pausing at that moment. A late part is therefore hedged early, within the retry allowance of the
+//! pausing at that moment. A late part is therefore hedged early, as soon as most other parts of the
+//! query are answered, within the retry allowance of the
 //! service (its limit on retries and hedges), and an answer that covers enough shards does not wait
 //! for the last shard. A request that can no longer reach enough shards ends at once.
 //!
@@ -22,6 +23,7 @@
 mod finish;
 mod overdue;
 mod plan;
+mod progress;
 mod reply;
 mod send;
 mod shard;
@@ -29,6 +31,7 @@
 use std::time::Instant;
 
 use self::overdue::Overdue;
+use self::progress::Progress;
 use self::shard::{Settled, Shard};
 use crate::core::placement::{Ending, Placement, ReplicaKey};
 use crate::core::route::Repeat;
@@ -49,14 +52,17 @@
     /// Number of parts that were overdue at `answer_by` of the plan, or at the end of the request
     /// if that came earlier.
     overdue: Overdue,
+    /// Progress of the parts, by which late ones are hedged.
+    progress: Progress,
     is_finished: bool,
 }
 
 impl Call {
     /// Creates the state of a request without sending anything.
     pub fn new(plan: Plan, now: Instant) -> Call {
-        let shards = plan.services.iter().cloned().map(Shard::new).collect();
+        let shards: Vec<Shard> = plan.services.iter().cloned().map(Shard::new).collect();
         Call {
+            progress: Progress::new(shards.len(), now),
             plan,
             shards,
             advanced_at: now,
@@ -240,6 +246,9 @@
     ) -> Vec<Action> {
         let actions = self.abandon(index, placement, now);
         self.shards[index].settle(Settled::Included(response));
+        if let Some(late_at) = self.progress.on_answer(now) {
+            self.hedge_open_parts_at(late_at);
+        }
         actions
     }
 
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -43,7 +43,8 @@
         let may_hedge =
             shard.sends < self.plan.max_attempts && self.plan.repeat == Repeat::Idempotent;
         let typical = placement.route_latency(&self.plan.route, &shard.service);
-        let hedge_delay = typical.mul_f64(HEDGE_DELAY_FACTOR) + MIN_HEDGE_DELAY;
+        let usual = typical.mul_f64(HEDGE_DELAY_FACTOR) + MIN_HEDGE_DELAY;
+        let hedge_delay = self.progress.hedge_delay(usual, self.plan.answer_by);
         shard.next_attempt_at = may_hedge.then_some(now + hedge_delay);
         Action::Send {
             attempt,
@@ -52,6 +53,14 @@
         }
     }
 
+    /// Hedges the open parts at the given time if they would be hedged later.
+    pub(super) fn hedge_open_parts_at(&mut self, at: Instant) {
+        let shards = self.shards.iter_mut();
+        for shard in shards.filter(|shard| !shard.open_attempts.is_empty()) {
+            shard.next_attempt_at = shard.next_attempt_at.map(|next| next.min(at));
+        }
+    }
+
     /// Sends a failed part to another leaf, or settles its shard as missing.
     pub(super) fn retry_or_settle(
         &mut self,
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -193,6 +193,90 @@
     }
 }
 
+/// A query over many shards on a VM whose connections are cold, and the parts that it hedges.
+#[derive(Debug)]
+struct ColdQuery {
+    name: &'static str,
+    /// Typical latency of earlier requests of the route; `None` if there was none.
+    typical_latency: Option<Duration>,
+    /// Time after which the first part is answered; the others follow at equal intervals.
+    first_answer: Duration,
+    answer_interval: Duration,
+    /// Number of parts that are not answered, because their leaves pause.
+    paused: usize,
+    /// Number of parts that are hedged while half of the time is left.
+    hedged: usize,
+}
+
+const COLD_QUERIES: &[ColdQuery] = &[
+    ColdQuery {
+        name: "the first query of a VM; all parts take long",
+        typical_latency: None,
+        first_answer: Duration::from_millis(25),
+        answer_interval: Duration::from_micros(500),
+        paused: 0,
+        hedged: 0,
+    },
+    ColdQuery {
+        name: "the first query of a VM; some leaves pause",
+        typical_latency: None,
+        first_answer: Duration::from_millis(15),
+        answer_interval: Duration::from_micros(300),
+        paused: 3,
+        hedged: 3,
+    },
+    ColdQuery {
+        name: "earlier queries were slow; some leaves pause",
+        typical_latency: Some(Duration::from_millis(60)),
+        first_answer: Duration::from_millis(15),
+        answer_interval: Duration::from_micros(300),
+        paused: 3,
+        hedged: 3,
+    },
+    ColdQuery {
+        name: "earlier queries were quick; all parts take long",
+        typical_latency: Some(Duration::from_millis(4)),
+        first_answer: Duration::from_millis(25),
+        answer_interval: Duration::from_micros(500),
+        paused: 0,
+        hedged: 0,
+    },
+];
+
+#[test]
+fn call_hedges_the_late_parts_of_a_query_over_many_shards() {
+    const SHARDS: usize = 40;
+    for case in COLD_QUERIES {
+        let start = Instant::now();
+        let names: Vec<String> = (0..SHARDS).map(|number| format!("s{number}")).collect();
+        let services: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut vm = placement(&services, start);
+        for _ in 0..20 {
+            if let Some(typical) = case.typical_latency {
+                vm.record_latency("route", typical);
+            }
+        }
+        let mut plan = plan(&services, Some(SHARDS - 5), Repeat::Idempotent, start);
+        plan.answer_by = start + ms(100);
+        plan.end_by = start + ms(500);
+        let mut call = Call::new(plan, start);
+        let attempts = sent_attempts(&call.start(&mut vm, start));
+        let mut hedges = 0;
+        for step in 0..600 {
+            let now = start + Duration::from_micros(100) * step;
+            for (number, attempt) in attempts[..SHARDS - case.paused].iter().enumerate() {
+                let due = case.first_answer + case.answer_interval * u32::try_from(number).unwrap();
+                if now - start == due {
+                    hedges +=
+                        sent_attempts(&call.on_reply(*attempt, success(), &mut vm, now)).len();
+                }
+            }
+            hedges += sent_attempts(&call.tick(&mut vm, now)).len();
+        }
+        assert_eq!(hedges, case.hedged, "{}", case.name);
+    }
+}
+
 #[test]
 fn call_that_may_run_only_once_is_retried_only_if_it_did_not_run() {
     struct Case {
