Know the age of the first outdated reads, and catch up at their price

Change: the revision of the full answer is the first evidence; the first read only has to include it. All keys are read at the price of outdated data after catching up, as the watch that follows delivers what is missing; a read that is older than the cached data is made again. After a lost history, an outage or a restored store all keys are read as they are, as before.

Ruled out: outdated reads at the start of a process, which would bring back for a moment what had left.

--- a/src/geraniummount/core/store_cache.rs
+++ b/src/geraniummount/core/store_cache.rs
@@ -84,6 +84,11 @@
         self.as_of.is_some_and(|known| known < revision)
     }
 
+    /// Returns whether the cache contains changes that a read at `revision` may lack.
+    pub fn is_newer_than(&self, revision: Revision) -> bool {
+        revision < self.max_revision
+    }
+
     /// Clears the revision to watch from, so that all keys have to be read, and keeps the cached
     /// keys.
     pub fn clear_as_of(&mut self) {
@@ -115,7 +120,7 @@
         records: impl IntoIterator<Item = (String, Revision, Vec<u8>)>,
         as_of: Revision,
     ) -> bool {
-        if as_of < self.max_revision {
+        if self.is_newer_than(as_of) {
             return false;
         }
         self.max_revision = as_of;
--- a/src/geraniummount/core/store_sync.rs
+++ b/src/geraniummount/core/store_sync.rs
@@ -17,6 +17,7 @@
 //! are current, so their revisions tell how old such a read is. If it is too old, or its age is
 //! unknown, the VM reads once more and requires current data.
 
+use crate::core::freshness::Freshness;
 use crate::prelude::*;
 
 /// Number of changes from which on an answer to a watch counts as full. The store includes some 500
@@ -31,7 +32,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
     /// Read all keys.
-    ReadAll,
+    ReadAll(Freshness),
     /// Watch all keys for changes after a revision.
     Watch(Revision),
     /// Read the registrations of all leaves.
@@ -47,9 +48,13 @@
     /// Revision of the store at the last read of the registrations while the VM is behind; `None`
     /// while it is not behind.
     behind_since: Option<Revision>,
-    /// Current revisions of the store at the end of the last two pauses between reads, the older
-    /// one first, while the VM is behind.
-    pauses: (Option<Revision>, Option<Revision>),
+    /// Two revisions of the store that were received in answers that were not outdated, the older
+    /// one first, while the VM is behind: of the full answer, or at the end of a pause between two
+    /// reads.
+    known: (Option<Revision>, Option<Revision>),
+    /// Whether all keys have to be read because the VM has caught up. No change was lost, and the
+    /// watch that follows delivers what an outdated read lacks.
+    has_caught_up: bool,
 }
 
 impl StoreSync {
@@ -57,7 +62,8 @@
     /// all keys have to be read.
     pub fn next(&self, as_of: Option<Revision>) -> Step {
         match as_of {
-            None => Step::ReadAll,
+            None if self.has_caught_up => Step::ReadAll(Freshness::Outdated),
+            None => Step::ReadAll(Freshness::Current),
             Some(_) if self.is_behind() => Step::ReadLeaves,
             Some(revision) => Step::Watch(revision),
         }
@@ -73,24 +79,24 @@
     pub fn on_changes(&mut self, changes: usize, as_of: Revision) -> bool {
         if changes >= FULL_ANSWER_CHANGES {
             self.behind_since = Some(as_of);
-            self.pauses = (None, None);
+            self.known = (None, Some(as_of));
         }
+        self.has_caught_up = false;
         self.is_behind()
     }
 
     /// Records the current revision of the store at the end of a pause between two reads.
     pub fn on_pause(&mut self, revision: Revision) {
-        self.pauses = (self.pauses.1, Some(revision));
+        self.known = (self.known.1, Some(revision));
     }
 
-    /// Returns the lowest revision at which a read of the registrations is recent enough; `None` if
-    /// only a current read is.
-    pub fn min_read_revision(&self) -> Option<Revision> {
-        let (Some(previous), Some(last)) = self.pauses else {
-            return None;
-        };
+    /// Returns the lowest revision at which a read of the registrations is recent enough. The first
+    /// read only has to include the full answer; the next one tells more about its age.
+    pub fn min_read_revision(&self) -> Revision {
+        let last = self.known.1.unwrap_or_default();
+        let previous = self.known.0.unwrap_or(last);
         let changes = last.saturating_sub(previous) as f64;
-        Some(last.saturating_sub((changes * MAX_READ_AGE_SHARE) as Revision))
+        last.saturating_sub((changes * MAX_READ_AGE_SHARE) as Revision)
     }
 
     /// Records a read of the registrations at the revision `as_of`. Returns whether the VM has
@@ -101,6 +107,7 @@
         };
         let has_caught_up = as_of.saturating_sub(last) <= MAX_QUIET_CHANGES;
         self.behind_since = (!has_caught_up).then_some(as_of);
+        self.has_caught_up = has_caught_up;
         has_caught_up
     }
 
--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch.rs
@@ -18,10 +18,11 @@
 use super::options::Options;
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
+use crate::core::freshness::Freshness;
 use crate::core::poll_schedule::{self, PollSchedule};
 use crate::core::store_cache::{AnswerEra, StoreCache};
 use crate::core::store_sync::{Step, StoreSync};
-use crate::platform::{self, Error, Events, Freshness, Item, Store, WatchStatus};
+use crate::platform::{self, Error, Events, Item, Store, WatchStatus};
 use crate::prelude::*;
 
 /// Time for which the store holds a watch call open while nothing changes.
@@ -113,7 +114,7 @@
         loop {
             let step = self.store_sync.next(self.store_cache.as_of());
             let result = match step {
-                Step::ReadAll => self.read_all(),
+                Step::ReadAll(freshness) => self.read_all(freshness),
                 Step::ReadLeaves => self.read_leaves(),
                 Step::Watch(revision) => self.wait_for_changes(revision),
             };
@@ -151,7 +152,9 @@
             Step::ReadLeaves => self.watch_routes(),
             // The next read shows what the full answer does not contain.
             Step::Watch(_) if self.store_sync.is_behind() => Ok(true),
-            Step::ReadAll | Step::Watch(_) => {
+            // The watch shows what the read does not contain.
+            Step::ReadAll(Freshness::Outdated) => Ok(true),
+            Step::ReadAll(Freshness::Current) | Step::Watch(_) => {
                 thread::sleep(self.poll_schedule.delay_after_change());
                 Ok(true)
             }
@@ -159,8 +162,11 @@
     }
 
     /// Reads all keys.
-    fn read_all(&mut self) -> Result<Changes, Error> {
-        let (items, as_of) = self.read_under(platform::ALL_KEYS, Freshness::Current)?;
+    fn read_all(&mut self, freshness: Freshness) -> Result<Changes, Error> {
+        let (items, as_of) = self.read_under(platform::ALL_KEYS, freshness)?;
+        if freshness == Freshness::Outdated && self.store_cache.is_newer_than(as_of) {
+            return self.read_all(Freshness::Current);
+        }
         if !self.store_cache.replace(records(items), as_of) {
             return Err(outdated(as_of));
         }
@@ -193,11 +199,9 @@
     /// Reads the keys with a prefix at the lower price of outdated data. Returns `None` if the data
     /// may be too old.
     fn read_recent(&mut self, prefix: &str) -> Result<Option<(Vec<Item>, Revision)>, Error> {
-        let Some(min_revision) = self.store_sync.min_read_revision() else {
-            return Ok(None);
-        };
+        let min_revision = self.store_sync.min_read_revision();
         let (items, as_of) = self.read_under(prefix, Freshness::Outdated)?;
-        if as_of < min_revision {
+        if as_of < min_revision || self.store_cache.is_newer_than(as_of) {
             debug!("store event=too-old revision={as_of} wanted={min_revision}");
             return Ok(None);
         }
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -11,7 +11,7 @@
 pub mod registration;
 mod store;
 
-pub use self::store::{Error, Event, Events, Freshness, Item, Range, Store, Watch, WatchStatus};
+pub use self::store::{Error, Event, Events, Item, Range, Store, Watch, WatchStatus};
 
 /// Key of the operator's configuration document.
 pub const DOCUMENT_KEY: &str = "op/config";
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -11,7 +11,8 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::call::Call;
-use super::{Error, Freshness, Range, Watch};
+use super::{Error, Range, Watch};
+use crate::core::freshness::Freshness;
 use crate::prelude::*;
 use crate::util::h1;
 
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -19,15 +19,6 @@
     pub revision: Revision,
 }
 
-/// How recent the answer to a read has to be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Freshness {
-    /// It contains all changes that were made before the call.
-    Current,
-    /// It may be seconds old, which makes the call much cheaper.
-    Outdated,
-}
-
 /// One page of the keys with a prefix.
 #[derive(Debug, Deserialize)]
 pub struct Range {
