Hedge many parts only if the answered ones came quickly

Change: if at most 45% of the parts are answered, the rest is hedged after 1.5 times the time in which they were, and not in the first half of the time; with fewer, not before the answer is due.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -62,7 +62,7 @@
     pub fn new(plan: Plan, now: Instant) -> Call {
         let shards: Vec<Shard> = plan.services.iter().cloned().map(Shard::new).collect();
         Call {
-            progress: Progress::new(shards.len(), now),
+            progress: Progress::new(shards.len(), plan.answer_by, now),
             plan,
             shards,
             advanced_at: now,
--- a/src/geraniummount/core/call/progress.rs
+++ b/src/geraniummount/core/call/progress.rs
@@ -7,6 +7,10 @@
 //! other parts of the same query met the same conditions. Once most of them are answered, the rest
 //! is late, and it is no more than the retry allowance pays for.
 //!
+//! If the leaves of a whole failure domain do not answer, no more than half of the parts may be
+//! answered. They are then hedged later, and only if the answered ones came quickly: if answers
+//! still arrive one after the other, it is the VM that is slow, and hedges would delay it further.
+//!
 //! A part is the share of the query that goes to one shard. A hedge is a second attempt at a late
 //! part, at another leaf.
 
@@ -22,9 +26,16 @@
 /// A part is late after this many times the time in which [`ANSWERED_SHARE`] were answered.
 const LATE_FACTOR: f64 = 1.2;
 
-/// Share of the time until the answer is due after which parts are hedged even if fewer are
-/// answered, because the leaves of a whole failure domain may be gone.
-const MAX_WAIT_SHARE: f64 = 0.5;
+/// Share of the parts that are answered although the leaves of a whole failure domain are not.
+const PARTIAL_SHARE: f64 = 0.45;
+
+/// If no more than [`PARTIAL_SHARE`] are answered, a part is late after this many times the time in
+/// which they were, and not before [`MIN_PARTIAL_WAIT_SHARE`].
+const PARTIAL_LATE_FACTOR: f64 = 1.5;
+
+/// Share of the time until the answer is due before which parts are not hedged if no more than
+/// [`PARTIAL_SHARE`] are answered.
+const MIN_PARTIAL_WAIT_SHARE: f64 = 0.5;
 
 /// Progress of a request.
 #[derive(Debug)]
@@ -34,16 +45,20 @@
     parts: usize,
     /// Number of parts that were answered.
     answered: usize,
+    /// Time until the answer is due.
+    window: Duration,
     /// Time after which a part is late; `None` while too few are answered.
     late_after: Option<Duration>,
 }
 
 impl Progress {
-    pub(super) fn new(parts: usize, now: Instant) -> Progress {
+    /// Creates the progress of a request without answers, which is due at `answer_by`.
+    pub(super) fn new(parts: usize, answer_by: Instant, now: Instant) -> Progress {
         Progress {
             started_at: now,
             parts,
             answered: 0,
+            window: answer_by.saturating_duration_since(now),
             late_after: None,
         }
     }
@@ -53,28 +68,39 @@
         self.parts >= MIN_SHARDS
     }
 
-    /// Records an answered part. Returns when the open parts are late if this has just become
-    /// known.
+    /// Records an answered part. Returns when the open parts are late if this has just become known
+    /// or changed.
     pub(super) fn on_answer(&mut self, now: Instant) -> Option<Instant> {
         self.answered += 1;
-        let enough = (self.parts as f64 * ANSWERED_SHARE).ceil() as usize;
-        if !self.is_telling() || self.late_after.is_some() || self.answered < enough {
+        if !self.is_telling() {
             return None;
         }
         let elapsed = now.saturating_duration_since(self.started_at);
-        let late_after = elapsed.mul_f64(LATE_FACTOR);
+        let late_after = if self.answered == self.count_of(ANSWERED_SHARE) {
+            elapsed.mul_f64(LATE_FACTOR)
+        } else if self.answered == self.count_of(PARTIAL_SHARE) {
+            let min = self.window.mul_f64(MIN_PARTIAL_WAIT_SHARE);
+            elapsed.mul_f64(PARTIAL_LATE_FACTOR).max(min)
+        } else {
+            return None;
+        };
+        let late_after = self.late_after.map_or(late_after, |at| at.min(late_after));
         self.late_after = Some(late_after);
         Some(self.started_at + late_after)
     }
 
     /// Returns the time after which a part that is sent now is hedged. `usual` is this time by the
-    /// latency of other requests, and `answer_by` the time when the answer is due.
-    pub(super) fn hedge_delay(&self, usual: Duration, answer_by: Instant) -> Duration {
+    /// latency of other requests; while too few parts are answered, parts are not hedged earlier, nor
+    /// before the answer is due.
+    pub(super) fn hedge_delay(&self, usual: Duration, now: Instant) -> Duration {
         if !self.is_telling() {
             return usual;
         }
-        let window = answer_by.saturating_duration_since(self.started_at);
-        self.late_after
-            .unwrap_or_else(|| usual.max(window.mul_f64(MAX_WAIT_SHARE)))
+        let due_in = (self.started_at + self.window).saturating_duration_since(now);
+        self.late_after.unwrap_or(due_in.max(usual))
+    }
+
+    fn count_of(&self, share: f64) -> usize {
+        (self.parts as f64 * share).ceil() as usize
     }
 }
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -44,7 +44,7 @@
             shard.sends < self.plan.max_attempts && self.plan.repeat == Repeat::Idempotent;
         let typical = placement.route_latency(&self.plan.route, &shard.service);
         let usual = typical.mul_f64(HEDGE_DELAY_FACTOR) + MIN_HEDGE_DELAY;
-        let hedge_delay = self.progress.hedge_delay(usual, self.plan.answer_by);
+        let hedge_delay = self.progress.hedge_delay(usual, now);
         shard.next_attempt_at = may_hedge.then_some(now + hedge_delay);
         Action::Send {
             attempt,
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -233,6 +233,22 @@
         paused: 3,
         hedged: 3,
     },
+    ColdQuery {
+        name: "the VM is slow; answers arrive one after the other",
+        typical_latency: Some(Duration::from_millis(20)),
+        first_answer: Duration::from_millis(20),
+        answer_interval: Duration::from_millis(1),
+        paused: 0,
+        hedged: 0,
+    },
+    ColdQuery {
+        name: "the leaves of half of the shards do not answer",
+        typical_latency: Some(Duration::from_millis(20)),
+        first_answer: Duration::from_millis(15),
+        answer_interval: Duration::from_micros(300),
+        paused: 20,
+        hedged: 20,
+    },
     ColdQuery {
         name: "earlier queries were quick; all parts take long",
         typical_latency: Some(Duration::from_millis(4)),
