Wait longer before many parts are hedged

With 1.8 times the time of the first 45% instead of 1.5, four fifths are answered first if answers keep arriving.

--- a/src/geraniummount/core/call/progress.rs
+++ b/src/geraniummount/core/call/progress.rs
@@ -31,7 +31,7 @@
 
 /// If no more than [`PARTIAL_SHARE`] are answered, a part is late after this many times the time in
 /// which they were, and not before [`MIN_PARTIAL_WAIT_SHARE`].
-const PARTIAL_LATE_FACTOR: f64 = 1.5;
+const PARTIAL_LATE_FACTOR: f64 = 1.8;
 
 /// Share of the time until the answer is due before which parts are not hedged if no more than
 /// [`PARTIAL_SHARE`] are answered.
