--- a/tests/testsuite/platform/store.rs
+++ b/tests/testsuite/platform/store.rs
@@ -1,8 +1,9 @@
 //! The gateway follows changes in the store when connections, watches or entries fail.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
-use geraniummount_test_support::platform::users::{Store, WatchDelivery};
+use geraniummount_test_support::platform::users::{Answer, Store, WatchDelivery};
 use geraniummount_test_support::proxy::Proxy;
 
 use super::fixture::{Fixture, document, leaf, service_route};
@@ -45,7 +46,7 @@
             fixture.store.disconnect_all();
         },
         after: |fixture| {
-            std::thread::sleep(std::time::Duration::from_millis(300));
+            std::thread::sleep(Duration::from_millis(300));
             fixture.store.set_error_status(None);
         },
     },
@@ -95,7 +96,7 @@
         "[]".to_string(),
     ] {
         fixture.store.put("op/config", value);
-        std::thread::sleep(std::time::Duration::from_millis(400));
+        std::thread::sleep(Duration::from_millis(400));
         assert_ne!(fixture.get("/v5/", 1000).status, 404);
         assert_eq!(fixture.get("/v4/", 1000).status, 404);
     }
@@ -118,7 +119,7 @@
     for (number, entry) in entries.iter().enumerate() {
         fixture.store.put(&format!("servers/odd-{number}"), *entry);
     }
-    std::thread::sleep(std::time::Duration::from_millis(500));
+    std::thread::sleep(Duration::from_millis(500));
     for _ in 0..20 {
         assert_eq!(fixture.get("/a/x", 1000).status, 200);
     }
@@ -135,3 +136,30 @@
     fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
     fixture.wait_until(Fixture::is_ready);
 }
+
+/// A leaf that does not report for a while is unregistered. The order that it runs is neither given
+/// up nor started again at another leaf.
+#[test]
+fn platform_store_an_unregistered_leaf_finishes_its_request() {
+    // Longer than an unregistered leaf stays known, shorter than the timeout of the route.
+    const WORK_TIME: Duration = Duration::from_millis(2_600);
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "non_idempotent", "one")]);
+    let silent = leaf(&fixture, "one", b"one");
+    fixture.wait_for_leaf("/a/x");
+    silent.set_answer(Answer::Late(WORK_TIME));
+    let runs_before = silent.runs().len();
+    std::thread::scope(|scope| {
+        let order = scope.spawn(|| fixture.send("POST", "/a/order", 8_000, b"rope, 12 m"));
+        fixture.wait_until(|_| silent.runs().len() > runs_before);
+        fixture.store.remove(&silent.key());
+        let other = leaf(&fixture, "one", b"one");
+        let reply = order.join().unwrap();
+        assert_eq!(
+            (reply.status, reply.body.as_slice()),
+            (200, b"rope, 12 m".as_slice())
+        );
+        assert!(other.runs().is_empty(), "the order was started again");
+    });
+    assert_eq!(silent.runs().len(), runs_before + 1);
+}
