--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -8,6 +8,7 @@
 use super::cluster::Cluster;
 use super::exchange::{Exchange, Outcome};
 use super::kind::Kind;
+use super::notice;
 use super::report::{Promise, Violation};
 
 /// Time for which a leaf may still receive requests after it registered as leaving.
@@ -66,8 +67,8 @@
 }
 
 /// A check of one run.
-pub(super) struct Check<'a> {
-    pub(super) cluster: &'a Cluster,
+struct Check<'a> {
+    cluster: &'a Cluster,
     /// Requests of all callers, sorted by id.
     requests: Vec<&'a Exchange>,
     violations: Vec<Violation>,
@@ -89,7 +90,8 @@
         for execution in executions {
             self.check_execution(execution);
         }
-        self.check_notices();
+        let ignored = notice::ignored_notices(self.cluster, &self.requests);
+        self.violations.extend(ignored);
         self.check_versions(history);
         self.check_exits();
         self.check_logs();
@@ -97,7 +99,7 @@
     }
 
     /// Records a violation of a promise.
-    pub(super) fn add_violation(&mut self, promise: Promise, at: Instant, detail: String) {
+    fn add_violation(&mut self, promise: Promise, at: Instant, detail: String) {
         self.violations.push(Violation {
             promise,
             at: at.saturating_duration_since(self.cluster.started_at),
@@ -212,7 +214,9 @@
         let disturbances = &self.cluster.disturbances;
         let known_by = leaving_since + LEAVING_GRACE;
         let was_told = disturbances.is_vm_undisturbed(vm, leaving_since, known_by)
-            && self.is_running_since(vm, leaving_since, execution.at);
+            && self
+                .cluster
+                .is_running_since(vm, leaving_since, execution.at);
         let is_excused = !was_told && disturbances.has_copy(leaving_since, execution.at);
         let is_undisturbed =
             disturbances.is_vm_undisturbed_save_copies(vm, from, execution.at) && !is_excused;
@@ -226,21 +230,6 @@
         }
     }
 
-    /// Returns whether a gateway's process ran between two times without a restart.
-    pub(super) fn is_running_since(&self, vm: usize, from: Instant, to: Instant) -> bool {
-        let starts = self.cluster.starts.iter();
-        let mut starts = starts.filter(|(number, at)| *number == vm && *at >= from && *at <= to);
-        starts.next().is_none()
-    }
-
-    /// Returns the gateway that a caller sent a request to.
-    pub(super) fn vm_of(&self, id: &str) -> Option<usize> {
-        let found = self
-            .requests
-            .binary_search_by(|request| request.id.as_str().cmp(id));
-        Some(self.requests[found.ok()?].vm)
-    }
-
     /// Checks that each gateway applies a version in time and never returns to an older one.
     fn check_versions(&mut self, history: &History) {
         let written = lock(&self.cluster.catalog.versions).clone();
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -174,6 +174,12 @@
         self.backups.push_back(self.store.back_up());
     }
 
+    /// Returns whether a gateway's process was not started between two times.
+    pub fn is_running_since(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let is_start = |(number, at): &&(usize, Instant)| *number == vm && *at >= from && *at <= to;
+        !self.starts.iter().any(|start| is_start(&start))
+    }
+
     /// Requests all gateways to stop and waits until they have exited.
     pub fn stop_gateways(&mut self) {
         let stop_requested_at = Instant::now();
--- a/crates/geraniummount-test-support/src/soak/notice.rs
+++ b/crates/geraniummount-test-support/src/soak/notice.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::check::Check;
-use super::report::Promise;
+use super::cluster::Cluster;
+use super::exchange::Exchange;
+use super::report::{Promise, Violation};
 use crate::platform::users::Run;
 
 /// Number of answers after which a gateway has certainly received one: the first ones may have been
@@ -22,61 +23,87 @@
 /// Maximum number of requests in a pause, after [`PAUSE_GRACE`].
 const MAX_REQUESTS_IN_PAUSE: usize = 2;
 
-impl Check<'_> {
-    /// Checks all leaves that asked for something.
-    pub(super) fn check_notices(&mut self) {
-        for leaf in 0..self.cluster.leaves.len() {
-            let proxied_leaf = &self.cluster.leaves[leaf];
-            let arrivals = proxied_leaf.all_arrivals();
-            let (pauses, since) = (proxied_leaf.all_pauses(), proxied_leaf.said_leaving_since);
-            for vm in 0..self.cluster.vms.len() {
-                let through_vm = self.through(vm, &arrivals);
-                if let Some(since) = since {
-                    self.check_said_leaving(leaf, vm, &through_vm, since);
-                }
-                let pauses = self.through(vm, &pauses);
-                self.check_pauses(leaf, vm, &through_vm, &pauses);
+/// Returns the violations of what leaves asked for. `requests` are those of all callers, sorted by
+/// id.
+pub(super) fn ignored_notices(cluster: &Cluster, requests: &[&Exchange]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (leaf, proxied_leaf) in cluster.leaves.iter().enumerate() {
+        let (arrivals, pauses) = (proxied_leaf.all_arrivals(), proxied_leaf.all_pauses());
+        for vm in 0..cluster.vms.len() {
+            let pair = Pair {
+                cluster,
+                leaf,
+                vm,
+                arrivals: through(vm, &arrivals, requests),
+            };
+            if let Some(since) = proxied_leaf.said_leaving_since {
+                violations.extend(pair.check_leaving(since));
             }
+            let pauses = through(vm, &pauses, requests);
+            violations.extend(pauses.iter().filter_map(|at| pair.check_pause(*at)));
         }
     }
+    violations
+}
 
-    /// Returns the times of the requests that came through a gateway.
-    fn through(&self, vm: usize, runs: &[Run]) -> Vec<Instant> {
-        let runs = runs.iter().filter(|run| self.vm_of(&run.id) == Some(vm));
-        runs.map(|run| run.arrived).collect()
-    }
+/// Returns the times of the requests that came through a gateway.
+fn through(vm: usize, runs: &[Run], requests: &[&Exchange]) -> Vec<Instant> {
+    let vm_of = |id: &str| {
+        let found = requests.binary_search_by(|request| request.id.as_str().cmp(id));
+        found.ok().map(|index| requests[index].vm)
+    };
+    let runs = runs.iter().filter(|run| vm_of(&run.id) == Some(vm));
+    runs.map(|run| run.arrived).collect()
+}
 
-    fn check_said_leaving(&mut self, leaf: usize, vm: usize, arrivals: &[Instant], since: Instant) {
-        let told: Vec<Instant> = arrivals.iter().copied().filter(|at| *at > since).collect();
-        let Some(known_at) = told.get(TELLING_ANSWERS - 1).copied() else {
-            return;
-        };
-        let late = told.iter().find(|at| **at > known_at + LEAVING_GRACE);
-        let Some(late) = late.copied() else { return };
-        if self.is_sound(leaf, vm, since, late) {
-            let detail = format!("a leaf got a request through vm{vm} after it told it");
-            self.add_violation(Promise::NoRequestAfterNotice, late, detail);
-        }
+/// A leaf and a gateway that sent requests to it.
+struct Pair<'a> {
+    cluster: &'a Cluster,
+    leaf: usize,
+    vm: usize,
+    /// Times of the gateway's requests at the leaf.
+    arrivals: Vec<Instant>,
+}
+
+impl Pair<'_> {
+    /// Checks a leaf that says in its answers since `since` that it is leaving.
+    fn check_leaving(&self, since: Instant) -> Option<Violation> {
+        let arrivals = self.arrivals.iter().copied();
+        let told: Vec<Instant> = arrivals.filter(|at| *at > since).collect();
+        let known_at = *told.get(TELLING_ANSWERS - 1)?;
+        let late = told.into_iter().find(|at| *at > known_at + LEAVING_GRACE)?;
+        let detail = "got a request after it said that it is leaving";
+        self.violation(Promise::NoRequestAfterNotice, since, late, detail)
     }
 
-    fn check_pauses(&mut self, leaf: usize, vm: usize, arrivals: &[Instant], pauses: &[Instant]) {
-        for asked_at in pauses {
-            let (from, to) = (*asked_at + PAUSE_GRACE, *asked_at + PAUSE);
-            let in_pause = arrivals.iter().filter(|at| **at > from && **at < to);
-            let count = in_pause.count();
-            if count > MAX_REQUESTS_IN_PAUSE && self.is_sound(leaf, vm, *asked_at, to) {
-                let detail = format!("a leaf got {count} requests through vm{vm} in its pause");
-                self.add_violation(Promise::PauseObserved, to, detail);
-            }
+    /// Checks a pause that a leaf asked for at `asked_at`.
+    fn check_pause(&self, asked_at: Instant) -> Option<Violation> {
+        let (from, to) = (asked_at + PAUSE_GRACE, asked_at + PAUSE);
+        let in_pause = self.arrivals.iter().filter(|at| **at > from && **at < to);
+        if in_pause.count() <= MAX_REQUESTS_IN_PAUSE {
+            return None;
         }
+        let detail = "got more requests in its pause than may be on their way";
+        self.violation(Promise::PauseObserved, asked_at, to, detail)
     }
 
-    /// Returns whether no fault kept a gateway from receiving a leaf's answers, or let it forget
-    /// them, between two times.
-    fn is_sound(&self, leaf: usize, vm: usize, from: Instant, to: Instant) -> bool {
+    /// Returns the violation unless a fault kept the gateway from receiving the leaf's answers, or
+    /// let it forget them, between two times.
+    fn violation(
+        &self,
+        promise: Promise,
+        from: Instant,
+        to: Instant,
+        detail: &str,
+    ) -> Option<Violation> {
         let disturbances = &self.cluster.disturbances;
-        disturbances.is_process_undisturbed(vm, from, to)
-            && disturbances.is_leaf_undisturbed(leaf, from, to)
-            && self.is_running_since(vm, from, to)
+        let is_sound = disturbances.is_process_undisturbed(self.vm, from, to)
+            && disturbances.is_leaf_undisturbed(self.leaf, from, to)
+            && self.cluster.is_running_since(self.vm, from, to);
+        is_sound.then(|| Violation {
+            promise,
+            at: to.saturating_duration_since(self.cluster.started_at),
+            detail: format!("leaf {} {detail}, through vm{}", self.leaf, self.vm),
+        })
     }
 }
