--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -1,7 +1,4 @@
 //! Actions that a request asks the gateway to carry out.
-//!
-//! A part is the share of a request that goes to one shard, and an attempt is one try to run a part
-//! at a leaf.
 
 use std::time::Duration;
 
--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -1,10 +1,9 @@
 //! Decides when a request ends and with which result.
 //!
-//! A part is the share of the request that goes to one shard. A shard is settled once no further
-//! reply to its part is awaited: either included, with a reply that belongs to the answer, or
-//! missing. From `answer_by` on, an answer that includes enough shards is sent; at `end_by`, the
-//! request ends in any case. A gather goes to many shards and merges their parts; any other request
-//! has exactly one shard, whose response is forwarded.
+//! A shard is settled once no further reply to its part is awaited: either included, with a reply
+//! that belongs to the answer, or missing. From `answer_by` on, an answer that includes enough
+//! shards is sent; at `end_by`, the request ends in any case. A gather goes to many shards and
+//! merges their parts; any other request has exactly one shard, whose response is forwarded.
 //!
 //! A late part is hedged, that is, also sent to another leaf. Retries and hedges are extra
 //! attempts, which the retry allowance of the service limits.
--- a/src/geraniummount/core/call/overdue.rs
+++ b/src/geraniummount/core/call/overdue.rs
@@ -1,7 +1,6 @@
 //! Counts the overdue parts of a request once and reports the number once.
 //!
-//! A part is the share of the request that goes to one shard. It is overdue if the leaves had no
-//! capacity for it or did not answer it in time.
+//! A part is overdue if the leaves had no capacity for it or did not answer it in time.
 
 /// Number of parts that were overdue when the answer was due, or at the end of the request if that
 /// came earlier.
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -1,9 +1,8 @@
 //! Sends attempts: the first one at each shard, retries of failed parts, and hedges of late parts.
 //!
-//! A part is the share of the request that goes to one shard, and an attempt is one try to run a
-//! part at a leaf. A hedge is a second attempt at a late part, at another leaf. Retries and hedges
-//! are extra attempts, which the service's retry allowance limits. A shard is settled once no
-//! further reply to its part is awaited.
+//! A hedge is a second attempt at a late part, at another leaf. Retries and hedges are extra
+//! attempts, which the service's retry allowance limits. A shard is settled once no further reply
+//! to its part is awaited.
 
 use std::time::{Duration, Instant};
 
--- a/src/geraniummount/core/fan_out/action.rs
+++ b/src/geraniummount/core/fan_out/action.rs
@@ -1,7 +1,4 @@
 //! Actions that the state machine of a query returns to the thread that runs it.
-//!
-//! A part is the share of the query that goes to one shard, and an attempt is one try to run a part
-//! at a leaf.
 
 use crate::core::answer::Answer;
 use crate::prelude::*;
--- a/src/geraniummount/core/fan_out/admission.rs
+++ b/src/geraniummount/core/fan_out/admission.rs
@@ -1,9 +1,8 @@
 //! Admission control: rejects a query on arrival if its shards can't answer in time.
 //!
-//! A part is the share of a query that goes to one shard. A query needs all its shards. If each
-//! leaf's queue dropped parts independently under overload, nearly every query would lack some
-//! shards, and the work done for the others would be wasted. Whole queries are therefore rejected
-//! before any part is sent.
+//! A query needs all its shards. If each leaf's queue dropped parts independently under overload,
+//! nearly every query would lack some shards, and the work done for the others would be wasted.
+//! Whole queries are therefore rejected before any part is sent.
 
 use std::time::{Duration, Instant};
 
--- a/src/geraniummount/core/fan_out/backoff.rs
+++ b/src/geraniummount/core/fan_out/backoff.rs
@@ -1,8 +1,7 @@
 //! Retries a shard that became unreachable only recently.
 //!
-//! A part is the share of the query that goes to one shard. A shard is unreachable if its part did
-//! not run because the leaf, or the owner of the leaf (the VM that holds its queue), could not be
-//! reached.
+//! A shard is unreachable if its part did not run because the leaf, or the owner of the leaf (the
+//! VM that holds its queue), could not be reached.
 //!
 //! A VM or leaf that restarts, or a link that is briefly interrupted, often recovers before the
 //! deadline. Under the `coverage` preference (which waits for every shard until the deadline), such
--- a/src/geraniummount/core/fan_out/counters.rs
+++ b/src/geraniummount/core/fan_out/counters.rs
@@ -1,7 +1,6 @@
 //! Event counters of one query.
 //!
-//! A part is the share of the query that goes to one shard, and an attempt is one try to run a part
-//! at a leaf. A snapshot is a version of the index.
+//! A snapshot is a version of the index.
 
 /// Event counters of one query, for metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/src/geraniummount/core/fan_out/hedge.rs
+++ b/src/geraniummount/core/fan_out/hedge.rs
@@ -2,8 +2,7 @@
 //!
 //! A replica is unresponsive while several parts at its leaf, or at the owner of the leaf (the VM
 //! that holds its queue), are late with no answer in between. Hedges draw on the retry budget of
-//! the service, which limits its retries and hedges. A part is the share of the query that goes to
-//! one shard.
+//! the service, which limits its retries and hedges.
 
 use std::time::{Duration, Instant};
 
--- a/src/geraniummount/core/leaf_queue/admission.rs
+++ b/src/geraniummount/core/leaf_queue/admission.rs
@@ -1,11 +1,10 @@
 //! Admission control: which parts are rejected on arrival, and which waiting parts are shed, that
 //! is, removed from the queue because they can't finish in time or no part is accepted any more.
 //!
-//! A part is the share of a request that goes to one shard. A slot is the capacity of the leaf to
-//! run one part; the leaf runs at most as many parts at a time as it has slots. A part is accepted
-//! only if its expected wait and the leaf's median service time fit before its deadline, unless a
-//! slot is free and the leaf has sent no reply recently. A rejection because of the queue or of a
-//! backoff carries the delay after which a retry may help.
+//! A slot is the capacity of the leaf to run one part; the leaf runs at most as many parts at a
+//! time as it has slots. A part is accepted only if its expected wait and the leaf's median service
+//! time fit before its deadline, unless a slot is free and the leaf has sent no reply recently. A
+//! rejection because of the queue or of a backoff carries the delay after which a retry may help.
 //!
 //! The owner of a leaf is the VM that holds the leaf's queue. The connection share is the number of
 //! the leaf's connections that this VM may open. A VM without a share can't act as the owner, and
--- a/src/geraniummount/edge/peer/in_flight.rs
+++ b/src/geraniummount/edge/peer/in_flight.rs
@@ -1,5 +1,4 @@
-//! Parts of this VM that are in flight at one peer. A part is the share of a request that goes to
-//! one shard.
+//! Parts of this VM that are in flight at one peer.
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/src/geraniummount/edge/peer/service.rs
+++ b/src/geraniummount/edge/peer/service.rs
@@ -1,8 +1,7 @@
 //! Implements the RPC interface that this VM provides to its peers (the other VMs).
 //!
-//! A part is the share of a request that goes to one shard. A holding states which snapshots
-//! (versions of the index) a leaf holds of one shard. The owner of a leaf is the VM that holds the
-//! leaf's queue and knows its holdings.
+//! A holding states which snapshots (versions of the index) a leaf holds of one shard. The owner of
+//! a leaf is the VM that holds the leaf's queue and knows its holdings.
 
 use std::rc::Rc;
 use std::sync::Arc;
