--- a/src/geraniummount/edge/gateway/watch.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -7,11 +7,13 @@
 //! the leaves again and again, and watches only the routes in between. While the store is
 //! unreachable, the last known routes and leaves stay in force.
 
+mod steps;
+
 use std::io;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use log::{debug, info, warn};
+use log::{info, warn};
 use prometheus::IntGauge;
 use rand::RngExt;
 
@@ -19,18 +21,12 @@
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
 use crate::core::freshness::Freshness;
-use crate::core::poll_schedule::{self, PollSchedule};
-use crate::core::store_cache::{AnswerEra, StoreCache};
+use crate::core::poll_schedule::PollSchedule;
+use crate::core::store_cache::StoreCache;
 use crate::core::store_sync::{Step, StoreSync};
-use crate::platform::{self, Error, Events, Item, Store, WatchStatus};
+use crate::platform::{self, Error, Store};
 use crate::prelude::*;
 
-/// Time for which the store holds a watch call open while nothing changes.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(25);
-
-/// Time in which the store has to answer a watch for the routes once its wait is over.
-const ROUTES_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// State of the thread that watches the store.
 struct Watcher {
     store: Store,
@@ -161,148 +157,6 @@
         }
     }
 
-    /// Reads all keys.
-    fn read_all(&mut self, freshness: Freshness) -> Result<Changes, Error> {
-        let (items, as_of) = self.read_under(platform::ALL_KEYS, freshness)?;
-        if freshness == Freshness::Outdated && self.store_cache.is_newer_than(as_of) {
-            return self.read_all(Freshness::Current);
-        }
-        if !self.store_cache.replace(records(items), as_of) {
-            return Err(outdated(as_of));
-        }
-        self.routes_as_of = as_of;
-        Ok(Changes::ALL)
-    }
-
-    /// Reads the registrations of all leaves, and all keys if the leaves have stopped changing
-    /// faster than a watch delivers the changes.
-    fn read_leaves(&mut self) -> Result<Changes, Error> {
-        let prefix = platform::REGISTRATION_PREFIX;
-        let (items, as_of) = match self.read_recent(prefix)? {
-            Some(read) => read,
-            None => self.read_under(prefix, Freshness::Current)?,
-        };
-        if !self
-            .store_cache
-            .replace_under(prefix, records(items), as_of)
-        {
-            return Err(outdated(as_of));
-        }
-        if self.store_sync.on_read(as_of) {
-            info!("store event=caught-up revision={as_of}");
-            self.is_behind.set(0);
-            self.store_cache.clear_as_of();
-        }
-        Ok(Changes::LEAVES)
-    }
-
-    /// Reads the keys with a prefix at the lower price of outdated data. Returns `None` if the data
-    /// may be too old.
-    fn read_recent(&mut self, prefix: &str) -> Result<Option<(Vec<Item>, Revision)>, Error> {
-        let min_revision = self.store_sync.min_read_revision();
-        let (items, as_of) = self.read_under(prefix, Freshness::Outdated)?;
-        if as_of < min_revision || self.store_cache.is_newer_than(as_of) {
-            debug!("store event=too-old revision={as_of} wanted={min_revision}");
-            return Ok(None);
-        }
-        Ok(Some((items, as_of)))
-    }
-
-    /// Reads the keys with a prefix, page by page. Returns them with the lowest revision at
-    /// which a page was read: later changes may be missing.
-    fn read_under(
-        &mut self,
-        prefix: &str,
-        freshness: Freshness,
-    ) -> Result<(Vec<Item>, Revision), Error> {
-        let mut page = self.store.range(prefix, None, freshness)?;
-        self.check_era(page.era)?;
-        let mut as_of = page.as_of;
-        let mut items = page.items;
-        while page.truncated {
-            let Some(last) = items.last() else { break };
-            let after = last.key.clone();
-            page = self.store.range(prefix, Some(&after), freshness)?;
-            self.check_era(page.era)?;
-            as_of = as_of.min(page.as_of);
-            items.append(&mut page.items);
-        }
-        Ok((items, as_of))
-    }
-
-    /// Waits for changes after a revision and applies them to the cache.
-    fn wait_for_changes(&mut self, revision: Revision) -> Result<Changes, Error> {
-        let events = self.next_events(revision)?;
-        self.check_era(events.era)?;
-        let (count, as_of) = (events.events.len(), events.as_of);
-        let changes = self.apply_events(events);
-        self.store_cache.advance(as_of);
-        self.routes_as_of = as_of;
-        if self.store_sync.on_changes(count, as_of) {
-            info!("store event=behind changes={count} revision={as_of}");
-            self.is_behind.set(1);
-        }
-        Ok(changes)
-    }
-
-    /// Watches the routes, and publishes their changes at once, until the leaves have to be read
-    /// again. Returns whether the event loop is still running.
-    fn watch_routes(&mut self) -> Result<bool, Error> {
-        let spread = rand::rng().random_range(0.0..1.0);
-        let end = Instant::now() + self.poll_schedule.delay_between_reads(spread);
-        loop {
-            let wait = end.saturating_duration_since(Instant::now());
-            if wait.is_zero() {
-                self.store_sync.on_pause(self.routes_as_of);
-                return Ok(true);
-            }
-            let watch = self
-                .store
-                .watch(platform::DOCUMENT_KEY, self.routes_as_of, wait)?;
-            let WatchStatus::Answered(events) = watch.wait(wait + ROUTES_ANSWER_TIMEOUT)? else {
-                return Err(Error::StalledWatch);
-            };
-            self.check_era(events.era)?;
-            self.routes_as_of = events.as_of;
-            let changes = self.apply_events(events);
-            if !self.publish(changes) {
-                return Ok(false);
-            }
-        }
-    }
-
-    /// Applies changes to the cache; returns what they changed.
-    fn apply_events(&mut self, events: Events) -> Changes {
-        let mut changes = Changes::default();
-        for event in events.events {
-            match event {
-                platform::Event::Written(item) => {
-                    let key = item.key.clone();
-                    if self.store_cache.put(item.key, item.revision, item.value) {
-                        changes.record_key(&key);
-                    }
-                }
-                platform::Event::Removed { key, revision } => {
-                    if self.store_cache.remove(&key, revision) {
-                        changes.record_key(&key);
-                    }
-                }
-            }
-        }
-        changes
-    }
-
-    /// Checks that an answer is of the era of the cached data.
-    fn check_era(&mut self, era: Option<Era>) -> Result<(), Error> {
-        match self.store_cache.observe_era(era) {
-            AnswerEra::Current => Ok(()),
-            AnswerEra::Newer => Err(Error::Restored),
-            AnswerEra::Older => Err(Error::Malformed(
-                "it is from before the store came back from an older copy".to_string(),
-            )),
-        }
-    }
-
     /// Requires that all keys are read again, because changes may have been missed.
     fn clear_as_of(&mut self) {
         self.store_cache.clear_as_of();
@@ -310,36 +164,6 @@
         self.is_behind.set(0);
     }
 
-    /// Waits for changes after a revision. While the watch is silent, this reads the store's
-    /// revision over the second connection, and abandons the watch if the store has changes that
-    /// the watch does not report.
-    fn next_events(&mut self, revision: Revision) -> Result<Events, Error> {
-        let mut watch = self
-            .store
-            .watch(platform::ALL_KEYS, revision, LONG_POLL_TIMEOUT)?;
-        loop {
-            watch = match watch.wait(poll_schedule::WATCH_PROBE_INTERVAL)? {
-                WatchStatus::Answered(events) => return Ok(events),
-                WatchStatus::Pending(watch) => watch,
-            };
-            match self.revision_store.recent_revision() {
-                Ok((era, stored)) => match self.store_cache.observe_era(era) {
-                    AnswerEra::Newer => return Err(Error::Restored),
-                    AnswerEra::Current if self.store_cache.is_behind(stored) => {}
-                    AnswerEra::Current | AnswerEra::Older => continue,
-                },
-                Err(error) => {
-                    debug!("store event=no-revision error=\"{error}\"");
-                    continue;
-                }
-            }
-            return match watch.wait(poll_schedule::WATCH_ANSWER_TIMEOUT)? {
-                WatchStatus::Answered(events) => Ok(events),
-                WatchStatus::Pending(_) => Err(Error::StalledWatch),
-            };
-        }
-    }
-
     /// Publishes what changed; returns whether the event loop is still running.
     fn publish(&mut self, changes: Changes) -> bool {
         let runs = !changes.routes || self.publish_routes();
@@ -402,16 +226,3 @@
         }
     }
 }
-
-/// Returns what the cache keeps of items.
-fn records(items: Vec<Item>) -> impl Iterator<Item = (String, Revision, Vec<u8>)> {
-    let items = items.into_iter();
-    items.map(|item| (item.key, item.revision, item.value))
-}
-
-/// Returns the error for a read that is older than the cached data.
-fn outdated(as_of: Revision) -> Error {
-    Error::Malformed(format!(
-        "revision {as_of} is older than the last known revision"
-    ))
-}
