--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -11,7 +11,7 @@
 
 use super::catalog::{Catalog, lock};
 use super::disturbance::{Disturbances, Scope};
-use super::injection::FollowUp;
+use super::follow_up::FollowUp;
 use super::proxied_leaf::ProxiedLeaf;
 use super::routes::configuration;
 use super::schedule::Schedule;
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -8,6 +8,7 @@
 use super::cluster::{Cluster, STOP_GRACE};
 use super::disturbance::Scope;
 use super::fault::{Fault, LeafFault, LinkFault, StoreFault, VmFault};
+use super::follow_up::FollowUp;
 use super::link;
 use super::proxied_leaf::HEALTHY_ANSWER;
 use super::schedule::Step;
@@ -28,36 +29,6 @@
 /// Time within which a gateway closes connections that have become unresponsive.
 const BLACKHOLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// An action that follows a fault: it ends the fault, or replaces or restarts what has stopped.
-///
-/// Numbers are indices of VMs and leaves.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum FollowUp {
-    /// Resumes a suspended gateway process.
-    ResumeVm(usize),
-    /// Ends the faults of a gateway's link to the store.
-    HealStoreLink(usize),
-    /// Lets the store accept calls again.
-    RestoreStore,
-    /// Lets a leaf answer without faults again.
-    RestoreLeafAnswer(usize),
-    /// Ends the faults of the link to a leaf.
-    HealLeafLink(usize),
-    /// Unregisters a crashed leaf and replaces it. The first number is its slot, the second its
-    /// index.
-    ReplaceLeaf(usize, usize),
-    /// Unregisters and stops a leaf that was leaving.
-    RemoveLeaf(usize),
-    /// Registers an unregistered leaf again, unless it is leaving.
-    RegisterLeaf(usize),
-    /// Starts the process of a gateway again.
-    LaunchVm(usize),
-    /// Lets the store come back from its oldest copy.
-    GoBack,
-    /// Writes the routes and the registrations of all leaves again.
-    RewriteStore,
-}
-
 impl Cluster {
     /// Injects a fault and schedules the action that ends it.
     pub(super) fn inject(&mut self, step: &Step, now: Instant) {
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -19,6 +19,7 @@
 mod disturbance;
 mod exchange;
 mod fault;
+mod follow_up;
 mod injection;
 mod kind;
 mod link;
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -15,10 +15,12 @@
 mod event;
 mod exchange;
 mod pool;
+mod shared;
 mod task;
 mod transport;
 
-pub use pool::{DrainingListener, Pool};
+pub use pool::Pool;
+pub use shared::DrainingListener;
 
 use crate::core::leaf::State;
 use crate::prelude::*;
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -4,26 +4,20 @@
 //! Events are sent under a shared lock of the list of tasks, and a task is removed under an
 //! exclusive one, which guarantees that no event is sent to a task that has ended.
 
-use std::sync::mpsc::{self, Receiver, SyncSender, TrySendError};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::mpsc::{self, TrySendError};
+use std::sync::{Arc, RwLock};
 use std::thread;
 use std::time::Duration;
 
 use super::Dump;
 use super::event::Event;
+use super::shared::{DrainingListener, Entry, KnownSnapshots, Shared, find};
 use super::task::Task;
-use crate::core::gossip::Source;
-use crate::core::leaf_queue;
 use crate::edge::pending::Pending;
 use crate::edge::workers::Workers;
 use crate::prelude::*;
 use crate::util::published::Published;
 
-/// Callback for a change in what a leaf reports about draining (finishing its requests and
-/// taking no new ones). The source tells whether the leaf or its health endpoint reports it. The
-/// flag is `true` if the leaf is draining and `false` if it serves again.
-pub type DrainingListener = Box<dyn Fn(&LeafName, Source, bool) + Send + Sync>;
-
 /// Capacity of a task's event channel.
 const MAX_PENDING_EVENTS: usize = 1024;
 
@@ -36,37 +30,6 @@
 /// Maximum time to wait for the next task's state.
 const DUMP_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Snapshots (versions of the index) that a leaf last reported.
-#[derive(Clone, Debug, Default)]
-pub(super) struct KnownSnapshots {
-    /// Whether the leaf has reported its snapshots at least once.
-    pub(super) is_observed: bool,
-    /// Snapshots by shard.
-    pub(super) held: Vec<leaf_queue::HeldSnapshots>,
-}
-
-/// State shared by all tasks.
-pub(super) struct Shared {
-    /// Current view: the configuration in force, and what this VM knows of the other VMs and of
-    /// draining leaves.
-    pub(super) view: Arc<Published<View>>,
-    pub(super) on_draining: DrainingListener,
-    /// Maximum size of a leaf's reply, in bytes.
-    pub(super) max_reply_bytes: u64,
-    /// Threads that send requests for the tasks.
-    pub(super) workers: Workers,
-    /// Tasks, sorted by the name of their leaf.
-    tasks: RwLock<Vec<Entry>>,
-}
-
-/// A running task, as seen by the pool.
-struct Entry {
-    leaf: LeafName,
-    sender: Arc<SyncSender<Event>>,
-    /// Snapshots that the task published.
-    known: Arc<Published<KnownSnapshots>>,
-}
-
 /// All leaf tasks of this VM.
 pub struct Pool {
     shared: Arc<Shared>,
@@ -190,33 +153,6 @@
     }
 }
 
-impl Shared {
-    /// Removes a task unless an event is waiting in its channel. Returns that event, which the
-    /// caller must handle.
-    pub(super) fn retire(&self, leaf: &LeafName, events: &Receiver<Event>) -> Option<Event> {
-        let mut tasks = self.write();
-        if let Ok(event) = events.try_recv() {
-            return Some(event);
-        }
-        if let Ok(index) = find(&tasks, leaf) {
-            tasks.remove(index);
-        }
-        None
-    }
-
-    fn read(&self) -> std::sync::RwLockReadGuard<'_, Vec<Entry>> {
-        self.tasks.read().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn write(&self) -> std::sync::RwLockWriteGuard<'_, Vec<Entry>> {
-        self.tasks.write().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-fn find(tasks: &[Entry], leaf: &str) -> Result<usize, usize> {
-    tasks.binary_search_by(|entry| entry.leaf.as_str().cmp(leaf))
-}
-
 fn deliver(entry: &Entry, event: Event) {
     match entry.sender.try_send(event) {
         Ok(()) => {}
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -18,7 +18,7 @@
 
 use super::connections::{Connections, PooledConnection};
 use super::event::Event;
-use super::pool::{self, Shared};
+use super::shared::{KnownSnapshots, Shared};
 use super::{Dump, exchange};
 use crate::core::leaf_queue::{Action, Completion, ConnectionKind, Health, LeafQueue};
 use crate::core::ownership;
@@ -81,7 +81,7 @@
     /// When a part was last submitted, or the leaf's snapshots were last asked for.
     last_used: Instant,
     /// Snapshots (versions of the index) that the leaf holds, as published to the pool of tasks.
-    known_snapshots: Arc<Published<pool::KnownSnapshots>>,
+    known_snapshots: Arc<Published<KnownSnapshots>>,
     events: Receiver<Event>,
     /// Sender of `events` for workers; weak, so that the task itself does not keep the channel
     /// open.
@@ -93,7 +93,7 @@
     pub(super) fn new(
         leaf: Leaf,
         shared: &Arc<Shared>,
-        known_snapshots: Arc<Published<pool::KnownSnapshots>>,
+        known_snapshots: Arc<Published<KnownSnapshots>>,
         events: Receiver<Event>,
         sender: Weak<SyncSender<Event>>,
     ) -> Task {
@@ -355,7 +355,7 @@
         if known.is_observed && known.held == held {
             return;
         }
-        self.known_snapshots.set(pool::KnownSnapshots {
+        self.known_snapshots.set(KnownSnapshots {
             is_observed: true,
             held,
         });
