Name what a newcomer would have to guess in the new decisions

Read of the whole diff: "telling", "own word" and "known" needed their definitions beside them; two constants described a case that the code does not check; three sentences had a subject that had to be guessed.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -12,9 +12,9 @@
 //!
 //! Leaves pause now and then, and nearly every query over many shards reaches a leaf that is
 //! pausing at that moment. A late part is therefore hedged early, as soon as most other parts of the
-//! query are answered, within the retry allowance of the
-//! service (its limit on retries and hedges), and an answer that covers enough shards does not wait
-//! for the last shard. A request that can no longer reach enough shards ends at once.
+//! query are answered, within the retry allowance of the service (its limit on retries and hedges).
+//! An answer that covers enough shards does not wait for the last shard. A request that can no
+//! longer reach enough shards ends at once.
 //!
 //! The inputs are events and the current time; the outputs are [`Action`]s. A request that may run
 //! only once is sent again only if no leaf can have run it.
--- a/src/geraniummount/core/call/progress.rs
+++ b/src/geraniummount/core/call/progress.rs
@@ -7,9 +7,10 @@
 //! other parts of the same query met the same conditions. Once most of them are answered, the rest
 //! is late, and it is no more than the retry allowance pays for.
 //!
-//! If the leaves of a whole failure domain do not answer, no more than half of the parts may be
-//! answered. They are then hedged later, and only if the answered ones came quickly: if answers
-//! still arrive one after the other, it is the VM that is slow, and hedges would delay it further.
+//! If the leaves of a whole failure domain do not answer, it can be that only half of the parts are
+//! ever answered. The others are then hedged as well, but later, and only if the answered ones came
+//! quickly: while answers still arrive one after the other, it is the VM that is slow, and hedges
+//! would delay it further.
 //!
 //! A part is the share of the query that goes to one shard. A hedge is a second attempt at a late
 //! part, at another leaf.
@@ -26,15 +27,15 @@
 /// A part is late after this many times the time in which [`ANSWERED_SHARE`] were answered.
 const LATE_FACTOR: f64 = 1.2;
 
-/// Share of the parts that are answered although the leaves of a whole failure domain are not.
+/// Share of the parts that are answered even if the leaves of a whole failure domain do not answer.
 const PARTIAL_SHARE: f64 = 0.45;
 
-/// If no more than [`PARTIAL_SHARE`] are answered, a part is late after this many times the time in
-/// which they were, and not before [`MIN_PARTIAL_WAIT_SHARE`].
+/// While fewer than [`ANSWERED_SHARE`] are answered, a part is late after this many times the time
+/// in which [`PARTIAL_SHARE`] were, and not before [`MIN_PARTIAL_WAIT_SHARE`].
 const PARTIAL_LATE_FACTOR: f64 = 1.8;
 
-/// Share of the time until the answer is due before which parts are not hedged if no more than
-/// [`PARTIAL_SHARE`] are answered.
+/// Share of the time until the answer is due before which no part is late while fewer than
+/// [`ANSWERED_SHARE`] are answered.
 const MIN_PARTIAL_WAIT_SHARE: f64 = 0.5;
 
 /// Progress of a request.
@@ -47,7 +48,8 @@
     answered: usize,
     /// Time until the answer is due.
     window: Duration,
-    /// Time after which a part is late; `None` while too few are answered.
+    /// Time from the start after which a part is late; `None` while fewer than [`PARTIAL_SHARE`] are
+    /// answered.
     late_after: Option<Duration>,
 }
 
@@ -64,7 +66,7 @@
     }
 
     /// Returns whether there are enough parts to judge each by the others.
-    pub(super) fn is_telling(&self) -> bool {
+    pub(super) fn has_enough_parts(&self) -> bool {
         self.parts >= MIN_SHARDS
     }
 
@@ -72,7 +74,7 @@
     /// or changed.
     pub(super) fn on_answer(&mut self, now: Instant) -> Option<Instant> {
         self.answered += 1;
-        if !self.is_telling() {
+        if !self.has_enough_parts() {
             return None;
         }
         let elapsed = now.saturating_duration_since(self.started_at);
@@ -93,13 +95,14 @@
     /// latency of other requests; while too few parts are answered, parts are not hedged earlier, nor
     /// before the answer is due.
     pub(super) fn hedge_delay(&self, usual: Duration, now: Instant) -> Duration {
-        if !self.is_telling() {
+        if !self.has_enough_parts() {
             return usual;
         }
         let due_in = (self.started_at + self.window).saturating_duration_since(now);
         self.late_after.unwrap_or(due_in.max(usual))
     }
 
+    /// Returns the number of parts that make up a share of all.
     fn count_of(&self, share: f64) -> usize {
         (self.parts as f64 * share).ceil() as usize
     }
--- a/src/geraniummount/core/placement/departures.rs
+++ b/src/geraniummount/core/placement/departures.rs
@@ -30,8 +30,8 @@
     heartbeat: Option<u64>,
     /// Era of the store that listed the leaf as leaving or no longer listed it.
     era: Era,
-    /// Whether the leaf itself said in an answer that it is leaving.
-    is_own_word: bool,
+    /// Whether the leaf announced in an answer that it is leaving.
+    is_announced: bool,
     /// Position in the order of recording.
     serial: u64,
 }
@@ -42,21 +42,22 @@
         self.insert(instance, era, false);
     }
 
-    /// Records that a leaf said in an answer that it is leaving.
-    pub(super) fn record_own_word(&mut self, instance: &Instance, era: Era) {
+    /// Records that a leaf announced in an answer that it is leaving.
+    pub(super) fn record_announced(&mut self, instance: &Instance, era: Era) {
         self.insert(instance, era, true);
     }
 
-    /// Returns whether a leaf that the store lists in `era` has to be treated as leaving.
+    /// Returns whether a leaf that the store lists as ready in `era` has to be treated as leaving.
     ///
-    /// A leaf that said so itself remains leaving for the rest of its run. Otherwise the list of the
-    /// era in which the leaf left may take the departure back, as may a later heartbeat.
+    /// A leaf that announced it in an answer remains leaving for the rest of its run. Any other leaf
+    /// is ready again if the store lists it so in the era in which it left, as its registration may
+    /// only have lapsed, or if it has sent a heartbeat since.
     pub(super) fn blocks(&self, instance: &Instance, era: Era) -> bool {
         let Ok(index) = self.search(instance) else {
             return false;
         };
         let departure = &self.entries[index];
-        departure.is_own_word || (departure.era < era && instance.heartbeat <= departure.heartbeat)
+        departure.is_announced || (departure.era < era && instance.heartbeat <= departure.heartbeat)
     }
 
     /// Forgets a run that is in use again.
@@ -66,13 +67,13 @@
         }
     }
 
-    fn insert(&mut self, instance: &Instance, era: Era, is_own_word: bool) {
+    fn insert(&mut self, instance: &Instance, era: Era, is_announced: bool) {
         match self.search(instance) {
             Ok(index) => {
                 let known = &mut self.entries[index];
                 known.heartbeat = known.heartbeat.max(instance.heartbeat);
                 known.era = known.era.max(era);
-                known.is_own_word |= is_own_word;
+                known.is_announced |= is_announced;
             }
             Err(index) => {
                 self.recorded += 1;
@@ -81,7 +82,7 @@
                     started_at_ms: instance.started_at_ms,
                     heartbeat: instance.heartbeat,
                     era,
-                    is_own_word,
+                    is_announced,
                     serial: self.recorded,
                 };
                 self.entries.insert(index, departure);
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -150,7 +150,8 @@
             return false;
         };
         if notice.is_leaving {
-            self.departures.record_own_word(&replica.instance, self.era);
+            self.departures
+                .record_announced(&replica.instance, self.era);
         }
         replica.on_notice(notice, now)
     }
--- a/src/geraniummount/core/poll_schedule.rs
+++ b/src/geraniummount/core/poll_schedule.rs
@@ -88,8 +88,8 @@
     }
 
     /// Returns the delay before the next read of the leaves while they change faster than a watch
-    /// delivers the changes. The bound for leaving leaves holds even if the read is as old as it may
-    /// be; the routes are watched meanwhile.
+    /// delivers the changes. The time for which a leaving leaf still serves is not exceeded even if
+    /// each read is as old as [`MAX_READ_AGE_SHARE`] permits. The routes are watched meanwhile.
     ///
     /// `jitter`, a random number from 0 (inclusive) to 1 (exclusive), spreads the reads of the VMs
     /// over the last quarter of the delay. VMs that start together would otherwise all read at the
--- a/src/geraniummount/core/store_sync.rs
+++ b/src/geraniummount/core/store_sync.rs
@@ -28,6 +28,9 @@
 /// clearly lower than [`FULL_ANSWER_CHANGES`], so that the first watch is not full again.
 pub const MAX_QUIET_CHANGES: u64 = 200;
 
+/// Maximum age of an outdated read, as a share of the time between two reads.
+pub const MAX_READ_AGE_SHARE: f64 = 0.5;
+
 /// How a VM learns of the next changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -39,19 +42,16 @@
     ReadLeaves,
 }
 
-/// Maximum age of an outdated read, as a share of the time between two reads.
-pub const MAX_READ_AGE_SHARE: f64 = 0.5;
-
 /// Decides how the VM follows the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreSync {
-    /// Revision of the store at the last read of the registrations while the VM is behind; `None`
-    /// while it is not behind.
-    behind_since: Option<Revision>,
-    /// Two revisions of the store that were received in answers that were not outdated, the older
-    /// one first, while the VM is behind: of the full answer, or at the end of a pause between two
-    /// reads.
-    known: (Option<Revision>, Option<Revision>),
+    /// Revision of the store at the full answer or at the last read of the registrations, while the
+    /// VM is behind; `None` while it is not behind.
+    last_read: Option<Revision>,
+    /// Last two revisions of the store from answers that are certainly not outdated, the older one
+    /// first, while the VM is behind: that of the full answer, and those at the end of each pause
+    /// between two reads.
+    current_revisions: (Option<Revision>, Option<Revision>),
     /// Whether all keys have to be read because the VM has caught up. No change was lost, and the
     /// watch that follows delivers what an outdated read lacks.
     has_caught_up: bool,
@@ -71,30 +71,30 @@
 
     /// Returns whether the registrations change faster than a watch delivers them.
     pub fn is_behind(&self) -> bool {
-        self.behind_since.is_some()
+        self.last_read.is_some()
     }
 
     /// Records the answer to a watch of all keys, which contains `changes` and is complete up to
     /// the revision `as_of`. Returns whether the VM is behind.
     pub fn on_changes(&mut self, changes: usize, as_of: Revision) -> bool {
         if changes >= FULL_ANSWER_CHANGES {
-            self.behind_since = Some(as_of);
-            self.known = (None, Some(as_of));
+            self.last_read = Some(as_of);
+            self.current_revisions = (None, Some(as_of));
         }
         self.has_caught_up = false;
         self.is_behind()
     }
 
     /// Records the current revision of the store at the end of a pause between two reads.
-    pub fn on_pause(&mut self, revision: Revision) {
-        self.known = (self.known.1, Some(revision));
+    pub fn on_pause_end(&mut self, revision: Revision) {
+        self.current_revisions = (self.current_revisions.1, Some(revision));
     }
 
     /// Returns the lowest revision at which a read of the registrations is recent enough. The first
     /// read only has to include the full answer; the next one tells more about its age.
     pub fn min_read_revision(&self) -> Revision {
-        let last = self.known.1.unwrap_or_default();
-        let previous = self.known.0.unwrap_or(last);
+        let last = self.current_revisions.1.unwrap_or_default();
+        let previous = self.current_revisions.0.unwrap_or(last);
         let changes = last.saturating_sub(previous) as f64;
         last.saturating_sub((changes * MAX_READ_AGE_SHARE) as Revision)
     }
@@ -102,11 +102,11 @@
     /// Records a read of the registrations at the revision `as_of`. Returns whether the VM has
     /// caught up; it then has to read all keys, as it has not received the changes to other keys.
     pub fn on_read(&mut self, as_of: Revision) -> bool {
-        let Some(last) = self.behind_since else {
+        let Some(last_read) = self.last_read else {
             return false;
         };
-        let has_caught_up = as_of.saturating_sub(last) <= MAX_QUIET_CHANGES;
-        self.behind_since = (!has_caught_up).then_some(as_of);
+        let has_caught_up = as_of.saturating_sub(last_read) <= MAX_QUIET_CHANGES;
+        self.last_read = (!has_caught_up).then_some(as_of);
         self.has_caught_up = has_caught_up;
         has_caught_up
     }
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -112,7 +112,7 @@
         loop {
             let wait = end.saturating_duration_since(Instant::now());
             if wait.is_zero() {
-                self.store_sync.on_pause(self.routes_as_of);
+                self.store_sync.on_pause_end(self.routes_as_of);
                 return Ok(true);
             }
             let watch = self
--- a/tests/testsuite/store_sync.rs
+++ b/tests/testsuite/store_sync.rs
@@ -244,7 +244,7 @@
                     vm.as_of = None;
                 }
                 vm.watch_routes(vm.schedule.delay_between_reads(0.99));
-                sync.on_pause(vm.revision());
+                sync.on_pause_end(vm.revision());
             }
         }
     }
