Log the limits that leaves name, and count the attempts at such leaves

Change: platform::headers decodes Server-Limit; core::placement::limit keeps it for each leaf, until a later request is answered without it; the log has one line at its begin and one at its end with the VM's first and extra attempts; gateway_limited_attempts_total{kind}. No leaf is chosen differently.

--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -17,6 +17,8 @@
         service: ServiceName,
         /// Leaf that receives the attempt.
         replica: ReplicaKey,
+        /// Whether the attempt is a retry or a hedge.
+        is_extra: bool,
     },
     /// Cancel an attempt and ignore its reply.
     Abandon {
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -49,6 +49,7 @@
             attempt,
             service: shard.service.clone(),
             replica,
+            is_extra: shard.sends > 1,
         }
     }
 
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -15,6 +15,7 @@
 
 mod departures;
 mod group;
+mod limit;
 mod notice;
 mod replica;
 mod retry_allowance;
@@ -31,7 +32,8 @@
 use crate::prelude::*;
 
 pub use self::group::Group;
-pub use self::notice::{MAX_HOLD, Notice};
+pub use self::limit::{Limit, LimitChange, LimitedAttempts};
+pub use self::notice::{MAX_HOLD, NamedLimit, Notice};
 pub use self::replica::{Ending, Replica, ReplicaKey};
 pub use self::retry_allowance::{RetryAllowance, Start};
 pub use self::tier::Tier;
@@ -156,6 +158,33 @@
         replica.on_notice(notice, now)
     }
 
+    /// Updates the limit of a leaf by what the leaf's response to a request that was sent at
+    /// `sent_at` says.
+    pub fn on_limit(
+        &mut self,
+        service: &str,
+        key: ReplicaKey,
+        named: NamedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> LimitChange {
+        let replica = self.replica_mut(service, key);
+        replica.map_or(LimitChange::Unchanged, |replica| {
+            Limit::update(&mut replica.limit, named, sent_at, now)
+        })
+    }
+
+    /// Counts an attempt at a leaf if the leaf names a limit; returns whether it does.
+    pub fn count_limited(&mut self, service: &str, key: ReplicaKey, is_extra: bool) -> bool {
+        let replica = self.replica_mut(service, key);
+        let limit = replica.and_then(|replica| replica.limit.as_mut());
+        let is_limited = limit.is_some();
+        if let Some(limit) = limit {
+            limit.count(is_extra);
+        }
+        is_limited
+    }
+
     /// Returns whether a leaf is known that accepts requests now.
     pub fn accepts_requests(&self, service: &str, key: ReplicaKey, now: Instant) -> bool {
         let replica = self.replica(service, key);
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::UNREGISTERED_GRACE;
+use super::limit::Limit;
 use super::notice::{MAX_HOLD, Notice};
 use super::tier::Tier;
 use crate::core::instance::Instance;
@@ -92,6 +93,8 @@
     pub suspended_until: Option<Instant>,
     /// Until when the leaf wants no requests from this VM; `None` if it has not said so.
     held_until: Option<Instant>,
+    /// Limit on the requests of all VMs together; `None` if the leaf names none.
+    pub(super) limit: Option<Limit>,
     /// Until when the leaf is chosen only if no other is usable.
     avoided_until: Option<Instant>,
     /// When the leaf was found to be unregistered; `None` while it is registered.
@@ -127,6 +130,7 @@
             instance,
             suspended_until: None,
             held_until: None,
+            limit: None,
             avoided_until: None,
             unregistered_since: None,
             is_local,
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -81,8 +81,10 @@
                     attempt,
                     service,
                     replica,
+                    is_extra,
                 } => {
                     self.calls[index].sends += 1;
+                    self.count_limited(&service, replica, is_extra);
                     let in_flight = Attempt {
                         call: index,
                         service,
@@ -99,6 +101,13 @@
         self.schedule_wake(index);
     }
 
+    /// Counts an attempt at a leaf that limits the requests of all VMs together.
+    fn count_limited(&mut self, service: &ServiceName, key: ReplicaKey, is_extra: bool) {
+        if self.placement.count_limited(service, key, is_extra) {
+            self.metrics.count_limited_attempt(is_extra);
+        }
+    }
+
     /// Records the overdue parts of a query over many shards, once, as soon as the query's answer
     /// is due.
     fn record_overdue(&mut self, index: usize) {
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -44,6 +44,8 @@
     is_awaiting_response: bool,
     /// Id of the last request, which the `Request-Id` of a response must match if it has one.
     request_id: RequestId,
+    /// When the last request was sent.
+    requested_at: Instant,
     /// Whether the last request has the method HEAD, so that its response has no body.
     is_head_request: bool,
     /// When the TCP connection was established; `None` until then.
@@ -92,6 +94,7 @@
             attempt: None,
             is_awaiting_response: false,
             request_id: RequestId::new(),
+            requested_at: now,
             is_head_request: false,
             connected_at: None,
             opened_at: now,
@@ -204,6 +207,7 @@
         request.extend_from_slice(&forwarded.content);
         let leaf = &mut self.leaf_connections[connection];
         leaf.request_id.clone_from(&forwarded.id);
+        leaf.requested_at = self.now;
         leaf.is_head_request = forwarded.method == "HEAD";
         leaf.attempt = Some(attempt);
         leaf.is_awaiting_response = true;
@@ -282,8 +286,10 @@
     fn on_response(&mut self, connection: usize, response: h1::Response, status: ReadStatus) {
         let leaf = &mut self.leaf_connections[connection];
         leaf.has_responded = true;
-        let replica = leaf.replica;
-        self.apply_notice(replica, headers::read_notice(&response.head));
+        let (replica, requested_at) = (leaf.replica, leaf.requested_at);
+        let notice = headers::read_notice(&response.head);
+        self.apply_notice(replica, notice);
+        self.apply_limit(replica, notice.limit, requested_at);
         let leaf = &mut self.leaf_connections[connection];
         let reply = match headers::read_answer(response, &leaf.request_id) {
             Answer::Matching(reply) => reply,
@@ -311,10 +317,12 @@
     /// about further requests still holds.
     fn close_idle_leaf(&mut self, connection: usize) {
         let leaf = &self.leaf_connections[connection];
-        let replica = leaf.replica;
+        let (replica, requested_at) = (leaf.replica, leaf.requested_at);
         if let Ok(Parsed::Complete(head, _)) = Head::parse(&leaf.socket.input, leaf.is_head_request)
         {
-            self.apply_notice(replica, headers::read_notice(&head));
+            let notice = headers::read_notice(&head);
+            self.apply_notice(replica, notice);
+            self.apply_limit(replica, notice.limit, requested_at);
         }
         self.close_leaf(connection);
     }
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -25,6 +25,8 @@
     answer_seconds: Histogram,
     /// Attempts by outcome.
     attempts: IntCounterVec,
+    /// Attempts at leaves that name a limit, by kind of attempt.
+    limited_attempts: IntCounterVec,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) routes_version: IntGauge,
@@ -46,6 +48,12 @@
             "gateway_attempts_total",
             "Attempts at leaves by how they ended.",
         );
+        let limited_attempts = counter_by(
+            &registry,
+            "gateway_limited_attempts_total",
+            "Attempts at leaves that limit the requests of all VMs together.",
+            "kind",
+        );
         let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
         let answer_seconds =
             Histogram::with_opts(options.buckets(LATENCY_BUCKETS_SECONDS.to_vec()));
@@ -82,6 +90,7 @@
             answers,
             answer_seconds,
             attempts,
+            limited_attempts,
         }
     }
 }
@@ -99,6 +108,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn count_limited_attempt(&self, is_extra: bool) {
+        let kind = if is_extra { "extra" } else { "first" };
+        self.limited_attempts.with_label_values(&[kind]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn encode(&self) -> Vec<u8> {
         let suppressed = i64::try_from(logger::suppressed_lines()).unwrap_or(i64::MAX);
@@ -118,7 +132,11 @@
 }
 
 fn counter_by_outcome(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
-    let counters = IntCounterVec::new(Opts::new(name, help), &["outcome"]);
+    counter_by(registry, name, help, "outcome")
+}
+
+fn counter_by(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
     let counters = counters.expect("metric names should be valid constants");
     register(registry, Box::new(counters.clone()));
     counters
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -16,7 +16,7 @@
 use crate::core::call::Reply;
 use crate::core::connection_share::ConnectionShare;
 use crate::core::instance::Instance;
-use crate::core::placement::{Notice, ReplicaKey, UNREGISTERED_GRACE};
+use crate::core::placement::{LimitChange, NamedLimit, Notice, ReplicaKey, UNREGISTERED_GRACE};
 use crate::core::route::Table;
 use crate::prelude::*;
 
@@ -157,6 +157,32 @@
         }
     }
 
+    /// Applies the limit that a leaf names in the response to a request that was sent at `sent_at`,
+    /// or that it names none.
+    pub(super) fn apply_limit(&mut self, key: ReplicaKey, named: NamedLimit, sent_at: Instant) {
+        let Ok(index) = self.search_pool(key) else {
+            return;
+        };
+        let pool = &self.pools[index];
+        let (leaf, service) = (&pool.leaf_id, &pool.service);
+        match self
+            .placement
+            .on_limit(service, key, named, sent_at, self.now)
+        {
+            LimitChange::Unchanged => {}
+            LimitChange::Began(per_second) => {
+                info!("leaf leaf={leaf} service={service} event=limited per_second={per_second}");
+            }
+            LimitChange::Ended(attempts) => {
+                let (first, extra) = (attempts.first, attempts.extra);
+                info!(
+                    "leaf leaf={leaf} service={service} event=limit-ended first={first} \
+                     extra={extra}"
+                );
+            }
+        }
+    }
+
     /// Removes an attempt from the queue of its leaf's pool.
     pub(super) fn remove_waiting(&mut self, key: ReplicaKey, attempt: AttemptId) {
         if let Ok(index) = self.search_pool(key) {
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::core::call::{self, Reply};
-use crate::core::placement::Notice;
+use crate::core::placement::{NamedLimit, Notice};
 use crate::prelude::*;
 use crate::util::h1::{self, Field, Head};
 
@@ -25,6 +25,9 @@
 const NOT_RUN: &str = "Request-Not-Run";
 /// Present with the value 1 if the leaf is leaving.
 const LEAVING: &str = "Server-Leaving";
+/// Number of requests per second, with fractions, that a leaf in need takes from all VMs together,
+/// for as long as its responses state it.
+const LIMIT: &str = "Server-Limit";
 /// Delay in seconds, with fractions, after which a caller may retry. In a leaf's response with
 /// [`UNAVAILABLE_STATUS`], the time for which the leaf wants no requests from this VM.
 const RETRY_AFTER: &str = "Retry-After";
@@ -87,9 +90,23 @@
     Notice {
         is_leaving,
         hold: seconds.and_then(read_seconds),
+        limit: read_limit(&head.fields),
     }
 }
 
+/// Reads the limit that a leaf names. Only a finite number that is not negative is usable.
+fn read_limit(fields: &[Field]) -> NamedLimit {
+    if h1::field_values(fields, LIMIT).next().is_none() {
+        return NamedLimit::Absent;
+    }
+    let text = h1::field_text(fields, LIMIT).unwrap_or_default();
+    let limit = text.trim().parse().ok();
+    let is_usable = |limit: &f64| limit.is_finite() && *limit >= 0.0;
+    limit
+        .filter(is_usable)
+        .map_or(NamedLimit::Unreadable, NamedLimit::PerSecond)
+}
+
 /// Parses a positive number of seconds; the longest duration stands for a number that is too large.
 fn read_seconds(text: &str) -> Option<Duration> {
     let seconds: f64 = text.trim().parse().ok()?;
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -5,7 +5,7 @@
 
 use geraniummount::core::instance::Instance;
 use geraniummount::core::placement::{
-    Ending, MAX_HOLD, Notice, Placement, ReplicaKey, Start, UNREGISTERED_GRACE,
+    Ending, MAX_HOLD, NamedLimit, Notice, Placement, ReplicaKey, Start, UNREGISTERED_GRACE,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -290,12 +290,14 @@
     Notice {
         is_leaving: false,
         hold: Some(time),
+        limit: NamedLimit::Absent,
     }
 }
 
 const LEAVING: Notice = Notice {
     is_leaving: true,
     hold: None,
+    limit: NamedLimit::Absent,
 };
 
 const NOTICE_CASES: &[NoticeCase] = &[
