--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod h1;
 mod isolation;
 mod leaf_edge;
+mod leaf_limits;
 mod leaf_queue;
 mod load_shedder;
 mod log_lines;
