End a leaf's reply that goes on without end, in serve

What callers saw: a part whose leaf sends interim replies or trailers without end failed only at its deadline.

Cause: the head and the body of a reply are bounded, but the client library skips interim replies, and reads what follows the last chunk, until its timeout; nothing counted these bytes. Memory did not grow.

Change: the transport counts what it receives for a reply and ends it beyond twice max_reply_bytes and 64 KiB (edge::leaf::traffic, which takes the place of the 'sent' flag beside it).

--- a/src/geraniummount/edge/leaf/connection.rs
+++ b/src/geraniummount/edge/leaf/connection.rs
@@ -7,12 +7,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use ureq::Agent;
 use ureq::config::Config;
 
+use super::traffic::Traffic;
 use super::transport::TcpConnector;
 use crate::util::fixed_resolver::FixedResolver;
 
@@ -31,8 +31,8 @@
 pub struct Connection {
     pub(super) agent: Agent,
     pub(super) address: SocketAddr,
-    /// Whether bytes may have been sent since the last reset; set by the transport.
-    sent: Arc<AtomicBool>,
+    /// Bytes of the current exchange, recorded by the transport.
+    traffic: Arc<Traffic>,
     /// Time at which the connection last carried a complete reply, or at which it was created.
     pub(super) verified_at: Instant,
 }
@@ -54,25 +54,26 @@
             .timeout_connect(Some(connect_timeout))
             .user_agent("geraniummount")
             .build();
-        let sent = Arc::new(AtomicBool::new(false));
+        let traffic: Arc<Traffic> = Arc::default();
         let connector = TcpConnector {
-            sent: Arc::clone(&sent),
+            traffic: Arc::clone(&traffic),
         };
         Connection {
             agent: Agent::with_parts(config, connector, FixedResolver(address)),
             address,
-            sent,
+            traffic,
             verified_at: now,
         }
     }
 
-    /// Resets the flag that [`Connection::has_sent`] returns. Called before each request.
-    pub(super) fn reset_sent(&self) {
-        self.sent.store(false, Ordering::Release);
+    /// Begins an exchange whose reply has a body of at most `max_body_bytes`. Called before each
+    /// request.
+    pub(super) fn begin_exchange(&self, max_body_bytes: u64) {
+        self.traffic.reset(max_body_bytes);
     }
 
-    /// Returns whether bytes may have been sent since [`Connection::reset_sent`].
+    /// Returns whether bytes may have been sent since [`Connection::begin_exchange`].
     pub(super) fn has_sent(&self) -> bool {
-        self.sent.load(Ordering::Acquire)
+        self.traffic.has_sent()
     }
 }
--- a/src/geraniummount/edge/leaf/exchange.rs
+++ b/src/geraniummount/edge/leaf/exchange.rs
@@ -31,7 +31,7 @@
     if remaining.is_zero() {
         return Completion::NotSent(Reason::Deadline);
     }
-    connection.reset_sent();
+    connection.begin_exchange(max_reply_bytes);
     let sent = request(connection, part, remaining).send(&part.body[..]);
     match sent {
         Ok(response) => read_reply(part, response, max_reply_bytes),
@@ -42,7 +42,7 @@
 /// Queries the leaf's health endpoint. If the result is [`Health::Unresponsive`], the connection
 /// must be closed.
 pub fn probe(connection: &Connection, timeout: Duration) -> Health {
-    connection.reset_sent();
+    connection.begin_exchange(MAX_HEALTH_BYTES);
     let url = format!("http://{}/health", connection.address);
     let request = connection.agent.get(url).config();
     let sent = request.timeout_global(Some(timeout)).build().call();
@@ -59,7 +59,7 @@
 
 /// Notifies the leaf that an attempt is cancelled. A failure is only logged.
 pub fn cancel(connection: &Connection, attempt: AttemptId, timeout: Duration) {
-    connection.reset_sent();
+    connection.begin_exchange(MAX_CANCEL_BYTES);
     let url = format!("http://{}/attempts/{attempt}", connection.address);
     let request = connection.agent.delete(url).config();
     match request.timeout_global(Some(timeout)).build().call() {
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod shared;
 mod task;
+mod traffic;
 mod transport;
 
 pub use pool::Pool;
--- a/src/geraniummount/edge/leaf/transport.rs
+++ b/src/geraniummount/edge/leaf/transport.rs
@@ -2,7 +2,8 @@
 //!
 //! Compared with the transport of `ureq` itself, this one makes fewer system calls, and it records
 //! whether bytes of a request may have been sent: a request of which no byte was sent is known not
-//! to have run. The head and the body of a request are sent in one write. Timeouts are rounded up,
+//! to have run. It also ends a reply that becomes too long, as a leaf in trouble may send interim
+//! replies or trailers without end. The head and the body of a request are sent in one write. Timeouts are rounded up,
 //! and a socket's timeout is set only when its rounded value changes. A socket timeout may
 //! therefore fire late, by up to an eighth of its length. The lateness is harmless, because the
 //! leaf's task (the thread of this process that queues the requests to one leaf) ends each request
@@ -11,7 +12,6 @@
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
@@ -21,17 +21,19 @@
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, ShutdownHandle, Transport,
 };
 
+use super::traffic::Traffic;
+
 /// Size at which pending output is sent without waiting for more.
 const MAX_PENDING_OUTPUT_BYTES: usize = 64 * 1024;
 
 /// Number of leading binary digits that a timeout in milliseconds keeps when it is rounded up.
 const TIMEOUT_SIGNIFICANT_BITS: u32 = 4;
 
-/// Opens streams, which share one `sent` flag.
+/// Opens streams, which record their bytes in one place.
 #[derive(Debug)]
 pub(super) struct TcpConnector {
-    /// Set just before a stream writes bytes; reset only by the user of the connector.
-    pub(super) sent: Arc<AtomicBool>,
+    /// Bytes of the current exchange; reset only by the user of the connector.
+    pub(super) traffic: Arc<Traffic>,
 }
 
 impl Connector<()> for TcpConnector {
@@ -59,7 +61,7 @@
             pending_output: Vec::new(),
             read_timeout: None,
             write_timeout: None,
-            sent: Arc::clone(&self.sent),
+            traffic: Arc::clone(&self.traffic),
         }))
     }
 }
@@ -84,8 +86,8 @@
     read_timeout: Option<Duration>,
     /// Write timeout that is set on the socket.
     write_timeout: Option<Duration>,
-    /// The connector's flag [`TcpConnector::sent`].
-    sent: Arc<AtomicBool>,
+    /// The connector's [`TcpConnector::traffic`].
+    traffic: Arc<Traffic>,
 }
 
 impl std::fmt::Debug for Stream {
@@ -106,7 +108,7 @@
             self.socket.0.set_write_timeout(rounded)?;
             self.write_timeout = rounded;
         }
-        self.sent.store(true, Ordering::Release);
+        self.traffic.record_sending();
         let written = (&self.socket.0).write_all(&self.pending_output);
         self.pending_output.clear();
         written.map_err(|error| convert_error(error, timeout.reason))
@@ -137,6 +139,9 @@
         let input = self.buffers.input_append_buf();
         let read = read_uninterrupted(&self.socket.0, input);
         let amount = read.map_err(|error| convert_error(error, timeout.reason))?;
+        if !self.traffic.record_received(amount) {
+            return Err(ureq::Error::Io(io::ErrorKind::InvalidData.into()));
+        }
         self.buffers.input_appended(amount);
         Ok(amount > 0)
     }
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -1,7 +1,9 @@
 //! The dispatcher's connections to a leaf: the outcome of each kind of reply, the limit on
 //! connections, cancellation and draining.
 
-use std::net::{IpAddr, Ipv4Addr};
+mod endless;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -74,14 +76,19 @@
 
     fn insert_proxy(&mut self) -> Proxy {
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, self.stand_in.address(), 7).unwrap();
+        self.set_leaf_address(proxy.address());
+        proxy
+    }
+
+    /// Registers the leaf at another address.
+    fn set_leaf_address(&self, address: SocketAddr) {
         let mut view = View::clone(&self.view.get());
         let mut catalog = Catalog::clone(&view.catalog);
         let mut record = catalog.leaf("leaf-1").unwrap().clone();
-        record.spec.address = proxy.address();
+        record.spec.address = address;
         catalog.leaves.put(record);
         view.catalog = Arc::new(catalog);
         self.view.set(view);
-        proxy
     }
 
     fn send(&self, part: Part) -> mpsc::Receiver<Outcome> {
