Count the rates of the last while when all leases end at once

Cause: a sum that drops was believed at once, although the entries of VMs whose leases ended return only with their next renewals, seconds later. The same holds after the store comes back from an older copy.

Change: the largest sum read within the time to live of a lease counts. A VM that is really gone is counted that much longer, which costs a part of the room for 12 s and never exceeds the limit.

--- a/src/geraniummount/core/rate_exchange.rs
+++ b/src/geraniummount/core/rate_exchange.rs
@@ -6,6 +6,9 @@
 //! therefore writes its rate once, and again only after a large change; it reads often at first,
 //! while others join, and at the lower price of outdated data later. Its entry is held by a lease,
 //! so that a VM that is gone or paused is soon not counted any more.
+//!
+//! All entries may vanish at once, when the store was away or has come back from an older copy, and
+//! return only with each VM's next renewal. The largest sum of the last while therefore counts.
 
 use std::time::{Duration, Instant};
 
@@ -15,6 +18,9 @@
 /// Time to live of the lease that holds the entry of a VM.
 pub const LEASE_TTL: Duration = Duration::from_secs(12);
 
+/// Time for which a larger sum of the rates of the other VMs counts after a smaller one was read.
+const MEMORY: Duration = LEASE_TTL;
+
 /// Interval between two renewals of the lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -62,6 +68,8 @@
     joined_at: Option<Instant>,
     renew_at: Instant,
     read_at: Instant,
+    /// Sums of the rates of the other VMs that were read within [`MEMORY`].
+    sums: Vec<(Instant, f64)>,
     /// Until when no call is made, after a failure.
     paused_until: Instant,
 }
@@ -74,6 +82,7 @@
             joined_at: None,
             renew_at: now,
             read_at: now,
+            sums: Vec::new(),
             paused_until: now,
         }
     }
@@ -128,6 +137,10 @@
             false => READ_INTERVAL,
         };
         self.read_at = now + interval;
+        self.sums.push((now, others));
+        self.sums
+            .retain(|(read_at, _)| now.saturating_duration_since(*read_at) <= MEMORY);
+        let others = self.sums.iter().map(|(_, sum)| *sum).fold(0.0, f64::max);
         let rate = rate.max(MIN_RATE);
         FleetShare::Known {
             share: rate / (rate + others),
--- a/tests/testsuite/leaf_limits.rs
+++ b/tests/testsuite/leaf_limits.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 
 const SERVICE: &str = "shard";
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
 
 /// Time that a leaf takes for a request.
 const LATENCY: Duration = Duration::from_millis(10);
@@ -23,6 +23,9 @@
 /// When some of the VMs are restarted.
 const RESTART: Duration = Duration::from_secs(14);
 
+/// When the leases of all VMs end.
+const LAPSE: Duration = Duration::from_secs(19);
+
 const LOAD_END: Duration = Duration::from_secs(40);
 
 /// Interval at which a VM checks whether to exchange rates with the others.
@@ -42,6 +45,16 @@
 const MAX_RATIO: f64 = 1.5;
 const MAX_MORE: f64 = 5.0;
 
+/// What the store does while the limits are in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StoreState {
+    Sound,
+    /// It is away all the time, so that the VMs cannot exchange their rates.
+    Away,
+    /// At [`LAPSE`], all leases end.
+    Lapsing,
+}
+
 /// A fleet and a service.
 #[derive(Debug)]
 struct Case {
@@ -57,8 +70,8 @@
     restarted: usize,
     /// Factor on the requests from the middle of the limits on.
     burst: f64,
-    /// Whether the store is away all the time, so that the VMs cannot exchange their rates.
-    is_store_away: bool,
+    /// What the store does meanwhile.
+    store: StoreState,
     /// Maximum share of the requests for which no leaf is found while the limits are in force: three
     /// quarters of the room within the limits are used, and two fifths without the store.
     max_unserved: f64,
@@ -74,7 +87,7 @@
         limit_ratio: 0.5,
         restarted: 4,
         burst: 1.0,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.0,
     },
     Case {
@@ -86,7 +99,7 @@
         limit_ratio: 0.5,
         restarted: 4,
         burst: 1.0,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.625,
     },
     Case {
@@ -98,7 +111,7 @@
         limit_ratio: 0.3,
         restarted: 3,
         burst: 2.0,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.85,
     },
     Case {
@@ -110,7 +123,7 @@
         limit_ratio: 0.5,
         restarted: 4,
         burst: 1.0,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.0,
     },
     Case {
@@ -122,7 +135,7 @@
         limit_ratio: 0.4,
         restarted: 3,
         burst: 1.8,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.79,
     },
     Case {
@@ -134,7 +147,7 @@
         limit_ratio: 0.5,
         restarted: 4,
         burst: 1.5,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.7,
     },
     Case {
@@ -146,9 +159,21 @@
         limit_ratio: 0.3,
         restarted: 0,
         burst: 1.0,
-        is_store_away: false,
+        store: StoreState::Sound,
         max_unserved: 0.775,
     },
+    Case {
+        name: "both leaves, few VMs, leases end",
+        vms: 7,
+        requests_per_sec: 90.0,
+        leaves: 2,
+        limited: 2,
+        limit_ratio: 0.5,
+        restarted: 0,
+        burst: 1.0,
+        store: StoreState::Lapsing,
+        max_unserved: 0.625,
+    },
     Case {
         name: "both leaves, few VMs, no store",
         vms: 7,
@@ -158,7 +183,7 @@
         limit_ratio: 0.5,
         restarted: 4,
         burst: 1.0,
-        is_store_away: true,
+        store: StoreState::Away,
         max_unserved: 0.8,
     },
 ];
@@ -264,12 +289,17 @@
     fn run(&mut self) {
         let mut at = Duration::ZERO;
         let mut has_restarted = false;
+        let mut has_lapsed = self.case.store != StoreState::Lapsing;
         let mut check_at = Duration::ZERO;
         while at < LOAD_END {
             if at >= check_at {
                 check_at += CHECK_INTERVAL;
                 self.exchange_rates(at);
             }
+            if at >= LAPSE && !has_lapsed {
+                has_lapsed = true;
+                self.vms.iter_mut().for_each(|vm| vm.entry = None);
+            }
             if at >= RESTART && !has_restarted {
                 has_restarted = true;
                 self.restart_some();
@@ -301,7 +331,7 @@
             if vm.exchange.is_none() && vm.placement.lacks_room(now) {
                 vm.exchange = Some(RateExchange::new(now));
             }
-            if vm.exchange.is_some() && !self.case.is_store_away {
+            if vm.exchange.is_some() && self.case.store != StoreState::Away {
                 self.make_calls(index, at);
             }
         }
@@ -323,6 +353,7 @@
                     vm.entry = Some((rate, since));
                     exchange.on_written(rate, now);
                 }
+                Step::Renew if vm.entry.is_none() => exchange.on_lease_ended(),
                 Step::Renew => exchange.on_renewed(now),
                 Step::Read(freshness) => {
                     let others = self.rates_of_others(index, freshness, at);
