Spread the requests of many small parts of a limit evenly

What callers saw: nothing.

Cause: a VM whose allowance is below one request drew at random each time, so that the number of requests in a window varied as much as its mean.

Change: the VM adds up the allowances of its attempts from a random start, and sends the attempt with which the sum reaches one. The mean is the same, and the parts of several VMs still do not fall together.

--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -6,8 +6,9 @@
 //! its own lets the leaf get a multiple of it.
 //!
 //! Each VM therefore accrues an allowance at the rate of its part of the limit. A VM whose allowance
-//! is below one request sends a request with that probability and starts over, so that many small
-//! parts add up to the limit. The part follows from this VM's share in the requests of all VMs
+//! is below one request adds up the allowances of its attempts, from a random start, and sends the
+//! attempt with which the sum reaches one. Many small parts so add up to the limit, and hardly ever
+//! fall together. The part follows from this VM's share in the requests of all VMs
 //! ([`FleetShare`]). As long as the share is unknown, it is a fraction of what the VM would usually
 //! send to the leaf, which adds up over the VMs whatever their number.
 
@@ -64,6 +65,9 @@
     /// Number of requests that this VM may send to the leaf at `accrued_at`.
     allowance: f64,
     accrued_at: Instant,
+    /// Allowances below one request that attempts have used up since the last permitted one, with a
+    /// random start; `None` before the first.
+    offered: Option<f64>,
 }
 
 /// Attempts of this VM at a leaf since the leaf's limit began.
@@ -115,6 +119,7 @@
             attempts: LimitedAttempts::default(),
             allowance: 0.0,
             accrued_at: now,
+            offered: None,
         }
     }
 
@@ -161,7 +166,7 @@
     }
 
     /// Returns whether this VM may send an attempt to the leaf, and reduces the allowance if it
-    /// does. The answer is random if the allowance is below one request; asking then uses it up.
+    /// does. Asking uses up an allowance below one request.
     pub(super) fn permits(
         &mut self,
         part: Part,
@@ -179,8 +184,11 @@
             self.allowance -= 1.0;
             return true;
         }
-        let probability = std::mem::take(&mut self.allowance);
-        rng.random_range(0.0..1.0) < probability
+        let offset = self.offered.unwrap_or_else(|| rng.random_range(0.0..1.0));
+        let offered = offset + std::mem::take(&mut self.allowance);
+        let is_permitted = offered >= 1.0;
+        self.offered = Some(if is_permitted { offered - 1.0 } else { offered });
+        is_permitted
     }
 
     /// Returns the time until this VM may send a request to the leaf for sure, within bounds.
