Let leaves name limits in the soak

Some leaves name a limit from the first fault to the last, and a checker counts the requests through sound gateways that they told, as the users do.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -40,6 +40,9 @@
     /// Leave out the store that goes back and the leaves that ask for something.
     #[arg(long)]
     without_platform_faults: bool,
+    /// Leave out the leaves that name limits.
+    #[arg(long)]
+    without_limits: bool,
     /// Program to test; the binary of this build by default.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -66,6 +69,7 @@
             fault_duration: Duration::from_secs(arguments.seconds),
             mean_fault_interval: Duration::from_millis(arguments.gap_ms),
             has_platform_faults: !arguments.without_platform_faults,
+            has_limits: !arguments.without_limits,
         };
         let report = soak::run(&options)?;
         print!("{report}");
--- a/crates/geraniummount-test-support/src/soak/fault.rs
+++ b/crates/geraniummount-test-support/src/soak/fault.rs
@@ -86,6 +86,8 @@
     SayLeaving,
     /// The leaf rejects all requests, and wants none for a while.
     AskForPause,
+    /// The leaf names a limit on the requests of all gateways together.
+    NameLimit,
 }
 
 /// Answers that a random [`LeafFault::Answer`] is drawn from.
--- a/crates/geraniummount-test-support/src/soak/follow_up.rs
+++ b/crates/geraniummount-test-support/src/soak/follow_up.rs
@@ -24,6 +24,8 @@
     RegisterLeaf(usize),
     /// Starts the process of a gateway again.
     LaunchVm(usize),
+    /// Lets a leaf name no limit any more.
+    EndLimit(usize),
     /// Lets the store come back from its oldest copy.
     GoBack,
     /// Writes the routes and the registrations of all leaves again.
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -26,6 +26,9 @@
 /// Time for which a full leaf wants no requests, in seconds as in its answers.
 pub(super) const PAUSE_SECONDS: &str = "1.5";
 
+/// Limit that a leaf names, in requests per second, as in its answers and as a number.
+pub(super) const LIMIT: (&str, f64) = ("10", 10.0);
+
 /// Time within which a gateway closes connections that have become unresponsive.
 const BLACKHOLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -147,6 +150,11 @@
             leaf.set_answer(Answer::Rejected);
             return Some(FollowUp::RestoreLeafAnswer(index));
         }
+        if matches!(fault, LeafFault::NameLimit) {
+            proxied_leaf.leaf.as_ref()?.set_limit(Some(LIMIT.0));
+            proxied_leaf.limited_from = Some(now);
+            return Some(FollowUp::EndLimit(index));
+        }
         self.disturbances
             .add(Scope::Leaf(index), now, step.duration);
         let leaf = proxied_leaf.leaf.as_ref()?;
@@ -164,7 +172,10 @@
                 proxied_leaf.proxy.close_connections();
                 Some(FollowUp::ReplaceLeaf(slot, index))
             }
-            LeafFault::Leave | LeafFault::SayLeaving | LeafFault::AskForPause => None,
+            LeafFault::Leave
+            | LeafFault::SayLeaving
+            | LeafFault::AskForPause
+            | LeafFault::NameLimit => None,
         }
     }
 
@@ -258,6 +269,13 @@
                     leaf.set_retry_after(None);
                 }
             }
+            FollowUp::EndLimit(index) => {
+                let proxied_leaf = &mut self.leaves[index];
+                if let Some(leaf) = &proxied_leaf.leaf {
+                    leaf.set_limit(None);
+                }
+                proxied_leaf.limited_until = Some(Instant::now());
+            }
             FollowUp::HealLeafLink(index) => link::heal(&self.leaves[index].proxy),
             FollowUp::ReplaceLeaf(slot, index) => {
                 self.store.remove(&self.leaves[index].key());
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -22,6 +22,7 @@
 mod follow_up;
 mod injection;
 mod kind;
+mod limit;
 mod link;
 mod notice;
 mod proxied_leaf;
@@ -65,6 +66,9 @@
     /// that they are leaving or want no requests for a while. The other faults of a seed are the
     /// same with and without.
     pub has_platform_faults: bool,
+    /// Whether some leaves also name limits on the requests of all gateways together, from the first
+    /// fault to the last. The other faults of a seed are the same with and without.
+    pub has_limits: bool,
 }
 
 /// Time before the first fault, in which nothing may fail.
--- a/crates/geraniummount-test-support/src/soak/notice.rs
+++ b/crates/geraniummount-test-support/src/soak/notice.rs
@@ -48,14 +48,18 @@
 
 /// Returns the times of the requests that came through a gateway.
 fn through(vm: usize, runs: &[Run], requests: &[&Exchange]) -> Vec<Instant> {
-    let vm_of = |id: &str| {
-        let found = requests.binary_search_by(|request| request.id.as_str().cmp(id));
-        found.ok().map(|index| requests[index].vm)
-    };
-    let runs = runs.iter().filter(|run| vm_of(&run.id) == Some(vm));
+    let runs = runs
+        .iter()
+        .filter(|run| vm_of(requests, &run.id) == Some(vm));
     runs.map(|run| run.arrived).collect()
 }
 
+/// Returns the gateway that a request was sent to; `None` if no caller sent a request with this id.
+pub(super) fn vm_of(requests: &[&Exchange], id: &str) -> Option<usize> {
+    let found = requests.binary_search_by(|request| request.id.as_str().cmp(id));
+    found.ok().map(|index| requests[index].vm)
+}
+
 /// A leaf and a gateway that sent requests to it.
 struct Pair<'a> {
     cluster: &'a Cluster,
--- a/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
+++ b/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
@@ -31,6 +31,9 @@
     pub leaving_since: Option<Instant>,
     /// When the leaf began to say in its answers that it is leaving; `None` if it has not.
     pub said_leaving_since: Option<Instant>,
+    /// When the leaf began to name a limit, and when it ended; `None` if it has not.
+    pub limited_from: Option<Instant>,
+    pub limited_until: Option<Instant>,
     /// Requests that the leaf ran before it stopped; empty while it runs.
     pub runs: Vec<Run>,
     /// Requests that reached the leaf before it stopped, also those that it did not run.
@@ -68,6 +71,8 @@
             proxy,
             leaving_since: None,
             said_leaving_since: None,
+            limited_from: None,
+            limited_until: None,
             runs: Vec::new(),
             arrivals: Vec::new(),
             pauses: Vec::new(),
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -30,6 +30,8 @@
     NoRequestAfterNotice,
     /// A leaf receives no requests from a gateway that it asked for a pause, until the pause is over.
     PauseObserved,
+    /// A leaf receives no more requests from all gateways together than its limit allows.
+    LimitObserved,
     /// A gateway applies a version of the routes in time.
     TimelyApply,
     /// A process never returns to an older version of the routes.
--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::fault::Fault;
+use super::fault::{Fault, LeafFault};
 use super::{Options, WARM_UP_DURATION};
 
 /// Range of the duration of a fault.
@@ -35,6 +35,12 @@
 /// Differs between the two series of faults of a seed.
 const PLATFORM_SERIES: u64 = 0x706c_6174_666f_726d;
 
+/// Differs between the leaves that name limits and the other faults of a seed.
+const LIMIT_SERIES: u64 = 0x0000_006c_696d_6974;
+
+/// Number of draws of a leaf that names a limit; the same leaf may be drawn again.
+const LIMITED_LEAVES: usize = 3;
+
 /// Mean time between the beginnings of two faults that are added to the schedule of a seed.
 const PLATFORM_FAULT_INTERVAL: Duration = Duration::from_millis(1_800);
 
@@ -54,8 +60,11 @@
                 Fault::draw_platform(leaves, rng)
             });
             schedule.steps.extend(added.steps);
-            schedule.steps.sort_by_key(|step| step.at);
         }
+        if options.has_limits {
+            schedule.steps.extend(limits(options, leaves));
+        }
+        schedule.steps.sort_by_key(|step| step.at);
         schedule
     }
 
@@ -86,6 +95,18 @@
     }
 }
 
+/// Draws the leaves that name limits, all the while in which faults are injected.
+fn limits(options: &Options, leaves: usize) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(options.seed ^ LIMIT_SERIES);
+    let slots = (0..LIMITED_LEAVES).map(|_| rng.random_range(0..leaves));
+    let step = |slot| Step {
+        at: WARM_UP_DURATION,
+        duration: options.fault_duration,
+        fault: Fault::Leaf(slot, LeafFault::NameLimit),
+    };
+    slots.map(step).collect()
+}
+
 impl fmt::Display for Schedule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for step in &self.steps {
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -16,6 +16,7 @@
     mean_fault_interval: Duration,
     fault_duration: Duration,
     has_platform_faults: bool,
+    has_limits: bool,
 }
 
 const CASES: &[Case] = &[
@@ -27,6 +28,7 @@
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
+        has_limits: false,
     },
     Case {
         name: "more gateways than callers",
@@ -36,6 +38,7 @@
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
+        has_limits: false,
     },
     Case {
         name: "a stand-in leaf without Content-Length replied with a body other than the order's",
@@ -45,6 +48,7 @@
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
+        has_limits: false,
     },
     Case {
         name: "faults far enough apart for time bounds to be checked",
@@ -54,6 +58,7 @@
         mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
+        has_limits: false,
     },
     Case {
         name: "a store that goes back, and leaves that ask for something",
@@ -63,6 +68,7 @@
         mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: true,
+        has_limits: false,
     },
     Case {
         name: "an unresponsive store connection hid that a leaf had left",
@@ -72,6 +78,17 @@
         mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
+        has_limits: false,
+    },
+    Case {
+        name: "leaves that name limits, beside other faults",
+        seed: 95_001,
+        vms: 3,
+        shards: 2,
+        mean_fault_interval: SPARSE_FAULT_INTERVAL,
+        fault_duration: LONG_FAULT_DURATION,
+        has_platform_faults: false,
+        has_limits: true,
     },
 ];
 
@@ -101,6 +118,7 @@
             fault_duration: case.fault_duration,
             mean_fault_interval: case.mean_fault_interval,
             has_platform_faults: case.has_platform_faults,
+            has_limits: case.has_limits,
         });
         let report = report.expect("cluster starts");
         eprintln!("{}: {report}", case.name);
