--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod promise_reply;
 mod promise_snapshot;
 mod query_path;
+mod rate_exchange;
 mod readiness;
 mod reply_size;
 mod seeded;
--- a/tests/testsuite/platform/formats.rs
+++ b/tests/testsuite/platform/formats.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use geraniummount::core::placement::NamedLimit;
 use geraniummount::core::route::{Repeat, Target};
-use geraniummount::platform::{document, registration};
+use geraniummount::platform::{document, headers, registration, vm_rate};
+use geraniummount::util::h1::{Head, Parsed};
 use serde_json::{Value, json};
 
 use super::fixture::{document as configuration, gather_route, service_route};
@@ -179,3 +181,61 @@
         }
     }
 }
+
+#[test]
+fn platform_formats_limits_are_read_from_the_heads_of_responses() {
+    struct Case {
+        field: &'static str,
+        limit: NamedLimit,
+    }
+    const CASES: &[Case] = &[
+        Case {
+            field: "",
+            limit: NamedLimit::Absent,
+        },
+        Case {
+            field: "Server-Limit: 15.8\r\n",
+            limit: NamedLimit::PerSecond(15.8),
+        },
+        Case {
+            field: "server-limit:  0 \r\n",
+            limit: NamedLimit::PerSecond(0.0),
+        },
+        Case {
+            field: "Server-Limit: -1\r\n",
+            limit: NamedLimit::Unreadable,
+        },
+        Case {
+            field: "Server-Limit: 1e999\r\n",
+            limit: NamedLimit::Unreadable,
+        },
+        Case {
+            field: "Server-Limit: nan\r\n",
+            limit: NamedLimit::Unreadable,
+        },
+        Case {
+            field: "Server-Limit: \u{fffd}\r\n",
+            limit: NamedLimit::Unreadable,
+        },
+    ];
+    for case in CASES {
+        let text = format!("HTTP/1.1 200 OK\r\n{}Content-Length: 0\r\n\r\n", case.field);
+        let Ok(Parsed::Complete(head, _)) = Head::parse(text.as_bytes(), false) else {
+            panic!("{:?} is a head", case.field);
+        };
+        assert_eq!(
+            headers::read_notice(&head).limit,
+            case.limit,
+            "{:?}",
+            case.field
+        );
+    }
+}
+
+#[test]
+fn platform_formats_rates_of_vms_are_read_as_written() {
+    assert_eq!(vm_rate::read(&vm_rate::write(13.25)), Some(13.25));
+    for invalid in ["", "{}", "{\"requests_per_second\":-1}", "[]", "13"] {
+        assert_eq!(vm_rate::read(invalid.as_bytes()), None, "{invalid}");
+    }
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod formats;
 mod isolation;
+mod leases;
 mod limits;
 mod malformed;
 mod notice;
