Split the choice of a leaf and the reading of responses into files of their own

Also: while its share is unknown, a VM lets one in ten first attempts ask a leaf with a limit (one in four before) if another leaf can take them.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -79,8 +79,8 @@
     /// Sends the first attempt of each shard, or refuses the request.
     pub fn start(&mut self, placement: &mut Placement, now: Instant) -> Vec<Action> {
         self.plan.record_requests(placement, now);
-        let can_serve = |shard: &&Shard| placement.can_serve(&shard.service, now);
-        let servable_count = self.shards.iter().filter(can_serve).count();
+        let can_try = |shard: &&Shard| placement.can_try(&shard.service, &[], now);
+        let servable_count = self.shards.iter().filter(can_try).count();
         if servable_count < self.plan.min_shards() || servable_count == 0 {
             return self.refuse(Refusal::NoLeaf, placement, now);
         }
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -109,7 +109,7 @@
         if shard.sends >= self.plan.max_attempts || !may_repeat {
             return Vec::new();
         }
-        if !placement.has_untried(&shard.service, &shard.tried, now) {
+        if !placement.can_try(&shard.service, &shard.tried, now) {
             return Vec::new();
         }
         // No leaf was reached yet, so this is not an extra attempt.
--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -28,7 +28,7 @@
 
 /// Share of the first attempts that ask for a permit although another leaf can take them, while this
 /// VM's part is unknown.
-const ASKING_SHARE: f64 = 0.25;
+const ASKING_SHARE: f64 = 0.1;
 
 /// Minimum limit that is assumed, in requests per second. Without any request, no VM would learn
 /// that the limit has ended.
@@ -90,9 +90,9 @@
     Ended(LimitedAttempts),
 }
 
-/// What this VM knows of its part in the requests to a leaf.
+/// What decides this VM's part of a limit.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Part {
+pub(super) struct Portion {
     /// Share of this VM in the requests of all VMs.
     pub(super) share: FleetShare,
     /// Requests per second that this VM would send to the leaf if no leaf of the service had a
@@ -169,15 +169,15 @@
     /// does. Asking uses up an allowance below one request.
     pub(super) fn permits(
         &mut self,
-        part: Part,
+        portion: Portion,
         need: Need,
         rng: &mut SmallRng,
         now: Instant,
     ) -> bool {
-        let rate = self.rate(part, now);
+        let rate = self.rate(portion, now);
         self.accrue(rate, now);
         let is_reserved = self.allowance < max_allowance(rate) * RESERVED_SHARE;
-        if need == Need::First && (is_reserved || !may_ask_first(part.share, rng)) {
+        if need == Need::First && (is_reserved || !may_ask_first(portion.share, rng)) {
             return false;
         }
         if self.allowance >= 1.0 {
@@ -192,18 +192,18 @@
     }
 
     /// Returns the time until this VM may send a request to the leaf for sure, within bounds.
-    pub(super) fn wait(&self, part: Part, now: Instant) -> Duration {
-        let rate = self.rate(part, now);
+    pub(super) fn wait(&self, portion: Portion, now: Instant) -> Duration {
+        let rate = self.rate(portion, now);
         let accrued = rate * now.saturating_duration_since(self.accrued_at).as_secs_f64();
         let lacking = (1.0 - self.allowance - accrued).max(0.0);
         Duration::try_from_secs_f64(lacking / rate).map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
     }
 
     /// Returns this VM's part of the limit, in requests per second.
-    fn rate(&self, part: Part, now: Instant) -> f64 {
+    fn rate(&self, portion: Portion, now: Instant) -> f64 {
         let limit = self.per_second.max(MIN_PER_SECOND);
-        let of_usual = part.usual_per_second.min(limit) * SHARE_OF_USUAL;
-        match part.share.get(now) {
+        let of_usual = portion.usual_per_second.min(limit) * SHARE_OF_USUAL;
+        match portion.share.get(now) {
             Some((share, true)) => limit * share * USED_SHARE,
             Some((share, false)) => (limit * share * USED_SHARE).min(of_usual),
             None => of_usual,
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -13,6 +13,7 @@
 //! of one leaf, and a [`Group`] contains the replicas of one service. A leaf is unregistered once
 //! the platform's store no longer lists it.
 
+mod choice;
 mod departures;
 mod group;
 mod limit;
@@ -23,11 +24,10 @@
 
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
 use rand::rngs::SmallRng;
 
 use self::departures::Departures;
-use self::limit::{Limit, Need, Part};
+use self::limit::Limit;
 use crate::core::duration_window::DurationWindow;
 use crate::core::fleet_share::FleetShare;
 use crate::core::instance::Instance;
@@ -45,21 +45,6 @@
 /// lost while the platform's store was unavailable are registered again within this time.
 pub const UNREGISTERED_GRACE: Duration = Duration::from_millis(2_000);
 
-/// Number of first attempts per second that limits refuse and no other leaf can take from which on this VM
-/// lacks room. Below it, knowing its part exactly is not worth the calls on the store.
-const MIN_REFUSED_PER_SECOND: f64 = 0.5;
-
-/// Maximum relative increase that is randomly added to an expected latency. Two replicas whose
-/// expected latencies differ by less share the load.
-const SELECTION_JITTER: f64 = 0.1;
-
-/// Factor on the expected latency of a leaf in another failure domain.
-///
-/// Such a leaf is chosen only if it is expected to be faster by more than this factor. An answer
-/// waits for the slowest shard, so a few milliseconds saved on another shard gain nothing, while
-/// every byte between failure domains costs money.
-const OTHER_DOMAIN_FACTOR: f64 = 1.5;
-
 /// State of all services and their leaves, as this VM observes them.
 #[derive(Debug)]
 pub struct Placement {
@@ -116,19 +101,6 @@
         self.fleet_share = share;
     }
 
-    /// Returns whether limits of leaves often refuse attempts that no other leaf can take, so that it
-    /// matters which part of the limits this VM may use.
-    pub fn lacks_room(&self, now: Instant) -> bool {
-        let refused = self.refused_by_limits.as_ref();
-        refused.is_some_and(|refused| refused.per_second(now) >= MIN_REFUSED_PER_SECOND)
-    }
-
-    /// Returns whether any leaf limits the requests of all VMs together.
-    pub fn has_limits(&self, now: Instant) -> bool {
-        let mut replicas = self.groups.iter().flat_map(|group| group.replicas());
-        replicas.any(|replica| replica.is_limited(now))
-    }
-
     /// Updates the registered leaves and marks all others as unregistered. A registered leaf that
     /// is known to have left is treated as leaving until it shows that it lives.
     ///
@@ -307,120 +279,6 @@
         self.groups[index].replica_mut(key)
     }
 
-    /// Returns whether any leaf of the service can be tried now.
-    pub fn can_serve(&self, service: &str, now: Instant) -> bool {
-        let group = self.group(service);
-        group.is_some_and(|group| group.replicas().iter().any(|r| r.is_usable(now)))
-    }
-
-    /// Returns when the first leaf of the service can be tried again; `None` if no leaf of the
-    /// service that accepts work is known.
-    pub fn usable_at(&self, service: &str, now: Instant) -> Option<Instant> {
-        let group = self.group(service)?;
-        let part = self.part(group, now);
-        let replicas = group.replicas().iter();
-        let accepting = replicas.filter(|replica| !replica.instance.is_leaving);
-        let times = accepting.map(|replica| {
-            let limit = replica.limit.filter(|limit| limit.is_in_force(now));
-            let wait = limit.map_or(Duration::ZERO, |limit| limit.wait(part, now));
-            replica.usable_at(now).max(now + wait)
-        });
-        times.min()
-    }
-
-    /// Chooses among the usable leaves that are not in `tried`: one of the best tier that any of
-    /// them has, and among these the one with the shortest expected latency, after the random
-    /// increase and the factor for other failure domains. A leaf that limits the requests of all VMs
-    /// is passed over if this VM's part of the limit does not permit the attempt, which is a first
-    /// attempt if none was tried.
-    pub fn choose(
-        &mut self,
-        service: &str,
-        tried: &[ReplicaKey],
-        now: Instant,
-    ) -> Option<ReplicaKey> {
-        let index = self.search(service).ok()?;
-        let mut passed_over: Vec<ReplicaKey> = Vec::new();
-        loop {
-            let key = self.best(index, tried, &passed_over, now)?;
-            if self.limit_permits(index, key, tried, now) {
-                return Some(key);
-            }
-            passed_over.push(key);
-        }
-    }
-
-    /// Returns the best usable leaf that is in neither list.
-    fn best(
-        &mut self,
-        index: usize,
-        tried: &[ReplicaKey],
-        passed_over: &[ReplicaKey],
-        now: Instant,
-    ) -> Option<ReplicaKey> {
-        let group = &self.groups[index];
-        let mut best: Option<(Tier, f64, ReplicaKey)> = None;
-        for replica in group.replicas() {
-            let key = replica.key;
-            if tried.contains(&key) || passed_over.contains(&key) || !replica.is_usable(now) {
-                continue;
-            }
-            let jitter = jitter(&mut self.rng);
-            let domain_factor = if replica.is_local() {
-                1.0
-            } else {
-                OTHER_DOMAIN_FACTOR
-            };
-            let expected =
-                group.expected_latency(replica, now).as_secs_f64() * jitter * domain_factor;
-            let found = (replica.tier(now), expected, key);
-            if best.is_none_or(|best| (found.0, found.1) < (best.0, best.1)) {
-                best = Some(found);
-            }
-        }
-        best.map(|(_, _, key)| key)
-    }
-
-    /// Returns whether the limit of a leaf, if it has one, permits an attempt of this VM.
-    fn limit_permits(
-        &mut self,
-        index: usize,
-        key: ReplicaKey,
-        tried: &[ReplicaKey],
-        now: Instant,
-    ) -> bool {
-        let group = &self.groups[index];
-        if !group.replica(key).is_some_and(|r| r.is_limited(now)) {
-            return true;
-        }
-        let part = self.part(group, now);
-        let need = match group.has_unlimited(tried, now) {
-            false => Need::Only,
-            true if tried.is_empty() => Need::First,
-            true => Need::Extra,
-        };
-        let replica = self.groups[index].replica_mut(key);
-        let Some(limit) = replica.and_then(|replica| replica.limit.as_mut()) else {
-            return true;
-        };
-        let is_permitted = limit.permits(part, need, &mut self.rng, now);
-        if !is_permitted && need == Need::Only && tried.is_empty() {
-            let refused = &mut self.refused_by_limits;
-            refused
-                .get_or_insert_with(|| RequestRate::new(now))
-                .record(now);
-        }
-        is_permitted
-    }
-
-    /// Returns what this VM knows of its part in the requests to a leaf of a service.
-    fn part(&self, group: &Group, now: Instant) -> Part {
-        Part {
-            share: self.fleet_share,
-            usual_per_second: group.usual_per_second(now),
-        }
-    }
-
     /// Returns the expected latency of a request that is sent to a leaf at `now`.
     pub fn expected_latency(&self, service: &str, key: ReplicaKey, now: Instant) -> Duration {
         let group = self.group(service);
@@ -442,15 +300,6 @@
         }
     }
 
-    /// Returns whether any leaf of the service that is not in `tried` can be tried now.
-    pub fn has_untried(&self, service: &str, tried: &[ReplicaKey], now: Instant) -> bool {
-        let group = self.group(service);
-        group.is_some_and(|group| {
-            let mut untried = group.replicas().iter().filter(|r| !tried.contains(&r.key));
-            untried.any(|replica| replica.is_usable(now))
-        })
-    }
-
     /// Returns whether the service's retry allowance contains an extra attempt.
     pub fn has_extra_attempt(&self, service: &str) -> bool {
         let group = self.group(service);
@@ -478,8 +327,3 @@
         })
     }
 }
-
-/// Returns a random factor that distributes the load between leaves with similar latencies.
-fn jitter(rng: &mut SmallRng) -> f64 {
-    rng.random_range(1.0..1.0 + SELECTION_JITTER)
-}
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -1,23 +1,24 @@
 //! Connections to leaves: each carries one attempt at a time. An attempt is one try to run a part
 //! of a caller's request at one leaf.
 
+mod reading;
+
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
 use mio::Interest;
 use mio::net::TcpStream;
 use socket2::SockRef;
 
 use super::Gateway;
-use super::socket::{ReadStatus, Socket};
+use super::socket::Socket;
 use super::timers::Timer;
 use super::token::EventSource;
 use crate::core::call::Reply;
 use crate::core::placement::ReplicaKey;
 use crate::core::reply_size::ReplySize;
-use crate::platform::headers::{self, Answer};
+use crate::platform::headers;
 use crate::prelude::*;
 use crate::util::h1::{self, Body, Fault, Head, Parsed};
 
@@ -263,116 +264,6 @@
         }
     }
 
-    /// Reads responses; `closed` means that the event reported the end of input or an error.
-    pub(super) fn read_leaf(&mut self, connection: usize, closed: bool) {
-        let Some(leaf) = self.leaf_connections.get_mut(connection) else {
-            return;
-        };
-        if leaf.connected_at.is_none() && !closed {
-            return;
-        }
-        let buffered = leaf.socket.input.len();
-        let status = leaf.socket.read(&mut self.read_buf, closed);
-        leaf.received += leaf.socket.input.len() - buffered;
-        loop {
-            let Some(leaf) = self.leaf_connections.get_mut(connection) else {
-                return;
-            };
-            if !leaf.is_awaiting_response {
-                // The leaf closed the idle connection or sent bytes that belong to no request.
-                if status != ReadStatus::Open || !leaf.socket.input.is_empty() {
-                    self.close_idle_leaf(connection);
-                }
-                return;
-            }
-            let step = match leaf.parse_response() {
-                Ok(Step::Partial) if status == ReadStatus::Eof => leaf.take_response_at_eof(),
-                Ok(step) => step,
-                Err(_) => return self.fail_leaf(connection),
-            };
-            match step {
-                Step::Whole(response) => self.on_response(connection, response, status),
-                Step::Partial if self.is_too_long(connection) => return self.fail_leaf(connection),
-                Step::Partial if status == ReadStatus::Open => return,
-                Step::Partial if status == ReadStatus::Interrupted => {
-                    return self.register_leaf_again(connection);
-                }
-                Step::Partial => return self.fail_leaf(connection),
-            }
-        }
-    }
-
-    /// Returns whether an incomplete response has become too long, by itself or together with those
-    /// on other connections.
-    fn is_too_long(&self, connection: usize) -> bool {
-        let leaf = &self.leaf_connections[connection];
-        let size = leaf.reply_size();
-        let all = self.leaf_connections.iter();
-        let all_held = || all.map(|(_, leaf)| leaf.reply_size().held).sum();
-        let is_too_long = size.is_too_long(self.options.max_reply_bytes, all_held);
-        if is_too_long {
-            let (leaf, bytes) = (self.leaf_id(leaf.replica), size.received);
-            info!("leaf leaf={leaf} event=reply-too-long bytes={bytes}");
-        }
-        is_too_long
-    }
-
-    /// Registers a connection again, so that an event reports the bytes that are available.
-    fn register_leaf_again(&mut self, connection: usize) {
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        let token = EventSource::Leaf(connection).token();
-        let stream = &mut self.leaf_connections[connection].socket.stream;
-        if let Err(error) = self.poll.registry().reregister(stream, token, interest) {
-            warn!("leaf event=not-registered action=close error=\"{error}\"");
-            self.fail_leaf(connection);
-        }
-    }
-
-    /// Handles a complete response. The connection is reused if no input or output is left on it.
-    fn on_response(&mut self, connection: usize, response: h1::Response, status: ReadStatus) {
-        let leaf = &mut self.leaf_connections[connection];
-        leaf.has_responded = true;
-        let (replica, requested_at) = (leaf.replica, leaf.requested_at);
-        let notice = headers::read_notice(&response.head);
-        self.apply_notice(replica, notice);
-        self.apply_limit(replica, notice.limit, requested_at);
-        let leaf = &mut self.leaf_connections[connection];
-        let reply = match headers::read_answer(response, &leaf.request_id) {
-            Answer::Matching(reply) => reply,
-            Answer::Mismatched => {
-                leaf.must_close = true;
-                return;
-            }
-        };
-        let is_clean = leaf.socket.input.is_empty() && !leaf.socket.has_pending_output();
-        let is_reusable = is_clean && !leaf.must_close && status == ReadStatus::Open;
-        let attempt = leaf.attempt.take();
-        leaf.is_awaiting_response = false;
-        leaf.abandoned_at = None;
-        if is_reusable {
-            self.release(connection);
-        } else {
-            self.close_leaf(connection);
-        }
-        if let Some(attempt) = attempt {
-            self.queue_reply(attempt, reply);
-        }
-    }
-
-    /// Closes an idle connection. An extra response on it is discarded, but what the leaf says there
-    /// about further requests still holds.
-    fn close_idle_leaf(&mut self, connection: usize) {
-        let leaf = &self.leaf_connections[connection];
-        let (replica, requested_at) = (leaf.replica, leaf.requested_at);
-        if let Ok(Parsed::Complete(head, _)) = Head::parse(&leaf.socket.input, leaf.is_head_request)
-        {
-            let notice = headers::read_notice(&head);
-            self.apply_notice(replica, notice);
-            self.apply_limit(replica, notice.limit, requested_at);
-        }
-        self.close_leaf(connection);
-    }
-
     /// Abandons an attempt. Its connection stays open for a short time in case the response
     /// arrives.
     pub(super) fn abandon(&mut self, attempt: AttemptId) {
