Let each VM forget an unconfirmed limit at its own time

What callers saw: nothing; found by reading. A VM that sends a leaf hardly any requests drops a limit that it has not heard again for 60 s.

Change: each VM draws a time from 60 to 180 s when the limit begins. FleetShare has a method in place of a tuple. Test: placement_limit_, for the begin and the end of a limit (late responses of earlier requests, unreadable values, age); the joint dropping itself is not replayed.

--- a/src/geraniummount/core/fleet_share.rs
+++ b/src/geraniummount/core/fleet_share.rs
@@ -30,18 +30,13 @@
 }
 
 impl FleetShare {
-    /// Returns the share, and whether it is settled and recent enough to be relied on.
-    pub fn get(self, now: Instant) -> Option<(f64, bool)> {
+    /// Returns whether the share is known, settled and recent.
+    pub fn is_reliable(self, now: Instant) -> bool {
         match self {
-            FleetShare::Unknown => None,
+            FleetShare::Unknown => false,
             FleetShare::Known {
-                share,
-                as_of,
-                is_settled,
-            } => {
-                let age = now.saturating_duration_since(as_of);
-                Some((share, is_settled && age <= MAX_AGE))
-            }
+                as_of, is_settled, ..
+            } => is_settled && now.saturating_duration_since(as_of) <= MAX_AGE,
         }
     }
 }
--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -12,6 +12,7 @@
 //! ([`FleetShare`]). As long as the share is unknown, it is a fraction of what the VM would usually
 //! send to the leaf, which adds up over the VMs whatever their number.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
@@ -45,9 +46,10 @@
 /// leaf may be able to take.
 const RESERVED_SHARE: f64 = 0.5;
 
-/// Time after which a limit that the leaf has not named again is dropped. A VM that sends the leaf
-/// hardly any requests would otherwise never learn that the limit has ended.
-const MAX_AGE: Duration = Duration::from_secs(60);
+/// Range of the time after which a limit that the leaf has not named again is not in force any more.
+/// A VM that sends the leaf hardly any requests would otherwise never learn that the limit has
+/// ended. Each VM draws its own time, as the requests of all VMs would otherwise come together.
+const MAX_AGE_RANGE_SECS: Range<f64> = 60.0..180.0;
 
 /// Maximum time that a caller is told to wait for an allowance. Other VMs have allowances of their
 /// own.
@@ -65,9 +67,11 @@
     /// Number of requests that this VM may send to the leaf at `accrued_at`.
     allowance: f64,
     accrued_at: Instant,
-    /// Allowances below one request that attempts have used up since the last permitted one, with a
-    /// random start; `None` before the first.
-    offered: Option<f64>,
+    /// Sum of the allowances below one request that attempts have used up, from a random start;
+    /// reduced by one with each attempt that it permits.
+    offered: f64,
+    /// Time after which the limit is not in force any more unless the leaf names it again.
+    max_age: Duration,
 }
 
 /// Attempts of this VM at a leaf since the leaf's limit began.
@@ -112,14 +116,15 @@
 }
 
 impl Limit {
-    fn new(per_second: f64, now: Instant) -> Limit {
+    fn new(per_second: f64, rng: &mut SmallRng, now: Instant) -> Limit {
         Limit {
             per_second,
             named_at: now,
             attempts: LimitedAttempts::default(),
             allowance: 0.0,
             accrued_at: now,
-            offered: None,
+            offered: rng.random_range(0.0..1.0),
+            max_age: Duration::from_secs_f64(rng.random_range(MAX_AGE_RANGE_SECS)),
         }
     }
 
@@ -131,6 +136,7 @@
         limit: &mut Option<Limit>,
         named: NamedLimit,
         sent_at: Instant,
+        rng: &mut SmallRng,
         now: Instant,
     ) -> LimitChange {
         match (named, &mut *limit) {
@@ -140,7 +146,7 @@
                 LimitChange::Unchanged
             }
             (NamedLimit::PerSecond(per_second), None) => {
-                *limit = Some(Limit::new(per_second, now));
+                *limit = Some(Limit::new(per_second, rng, now));
                 LimitChange::Began(per_second)
             }
             (NamedLimit::Absent, Some(known)) if sent_at >= known.named_at => {
@@ -160,9 +166,9 @@
         }
     }
 
-    /// Returns whether the limit still holds.
+    /// Returns whether the limit still holds, as the leaf has named it recently.
     pub(super) fn is_in_force(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.named_at) < MAX_AGE
+        now.saturating_duration_since(self.named_at) < self.max_age
     }
 
     /// Returns whether this VM may send an attempt to the leaf, and reduces the allowance if it
@@ -184,10 +190,11 @@
             self.allowance -= 1.0;
             return true;
         }
-        let offset = self.offered.unwrap_or_else(|| rng.random_range(0.0..1.0));
-        let offered = offset + std::mem::take(&mut self.allowance);
-        let is_permitted = offered >= 1.0;
-        self.offered = Some(if is_permitted { offered - 1.0 } else { offered });
+        self.offered += std::mem::take(&mut self.allowance);
+        let is_permitted = self.offered >= 1.0;
+        if is_permitted {
+            self.offered -= 1.0;
+        }
         is_permitted
     }
 
@@ -203,10 +210,12 @@
     fn rate(&self, portion: Portion, now: Instant) -> f64 {
         let limit = self.per_second.max(MIN_PER_SECOND);
         let of_usual = portion.usual_per_second.min(limit) * SHARE_OF_USUAL;
-        match portion.share.get(now) {
-            Some((share, true)) => limit * share * USED_SHARE,
-            Some((share, false)) => (limit * share * USED_SHARE).min(of_usual),
-            None => of_usual,
+        match portion.share {
+            FleetShare::Unknown => of_usual,
+            FleetShare::Known { share, .. } if portion.share.is_reliable(now) => {
+                limit * share * USED_SHARE
+            }
+            FleetShare::Known { share, .. } => (limit * share * USED_SHARE).min(of_usual),
         }
     }
 
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -172,9 +172,12 @@
         sent_at: Instant,
         now: Instant,
     ) -> LimitChange {
-        let replica = self.replica_mut(service, key);
+        let Ok(index) = self.search(service) else {
+            return LimitChange::Unchanged;
+        };
+        let replica = self.groups[index].replica_mut(key);
         replica.map_or(LimitChange::Unchanged, |replica| {
-            Limit::update(&mut replica.limit, named, sent_at, now)
+            Limit::update(&mut replica.limit, named, sent_at, &mut self.rng, now)
         })
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod owner_failover;
 mod peer_edge;
 mod placement;
+mod placement_limit;
 mod platform;
 mod poll_schedule;
 mod promise_at_most_once;
