Give the exchange between VMs a folder, and say one leaf once in the tests

core had four more files at one level. fleet::{Exchange, Share, Step} are in core/fleet, one type a file; limit's change and portion stand beside it. Four test files built the same registered leaf; instances::instance does now.

--- a/src/geraniummount/core/rate_exchange.rs
+++ b/src/geraniummount/core/fleet/exchange.rs
@@ -12,8 +12,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::freshness::Freshness;
-use crate::core::fleet_share::FleetShare;
+use super::{Share, Step};
+use crate::core::freshness::Freshness;
 
 /// Time to live of the lease that holds the entry of a VM.
 pub const LEASE_TTL: Duration = Duration::from_secs(12);
@@ -45,24 +45,9 @@
 /// Delay after a failed call.
 const FAILURE_DELAY: Duration = Duration::from_millis(500);
 
-/// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Step {
-    /// Request a lease, and write the entry with this rate in requests per second.
-    Join(f64),
-    /// Write the entry again, with this rate.
-    Write(f64),
-    /// Renew the lease.
-    Renew,
-    /// Read the entries of all VMs.
-    Read(Freshness),
-    /// Wait for a new rate, at most for this time.
-    Wait(Duration),
-}
-
 /// State of the exchange.
 #[derive(Debug)]
-pub struct RateExchange {
+pub struct Exchange {
     /// Rate that was written last; `None` without an entry.
     written: Option<f64>,
     joined_at: Option<Instant>,
@@ -74,10 +59,10 @@
     paused_until: Instant,
 }
 
-impl RateExchange {
+impl Exchange {
     /// Creates the state of a VM without an entry.
-    pub fn new(now: Instant) -> RateExchange {
-        RateExchange {
+    pub fn new(now: Instant) -> Exchange {
+        Exchange {
             written: None,
             joined_at: None,
             renew_at: now,
@@ -131,7 +116,7 @@
 
     /// Records that the entries of the other VMs were read, and returns this VM's share of all
     /// requests. `others` is the sum of the rates of the other VMs.
-    pub fn on_read(&mut self, rate: f64, others: f64, now: Instant) -> FleetShare {
+    pub fn on_read(&mut self, rate: f64, others: f64, now: Instant) -> Share {
         let interval = match self.is_joining(now) {
             true => JOINING_READ_INTERVAL,
             false => READ_INTERVAL,
@@ -142,7 +127,7 @@
             .retain(|(read_at, _)| now.saturating_duration_since(*read_at) <= MEMORY);
         let others = self.sums.iter().map(|(_, sum)| *sum).fold(0.0, f64::max);
         let rate = rate.max(MIN_RATE);
-        FleetShare::Known {
+        Share::Known {
             share: rate / (rate + others),
             as_of: now,
             is_settled: !self.is_joining(now),
--- a/src/geraniummount/core/fleet_share.rs
+++ b/src/geraniummount/core/fleet/share.rs
@@ -14,7 +14,7 @@
 
 /// Share of this VM in the requests of all VMs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum FleetShare {
+pub enum Share {
     /// The VMs have not told each other their rates.
     #[default]
     Unknown,
@@ -29,12 +29,12 @@
     },
 }
 
-impl FleetShare {
+impl Share {
     /// Returns whether the share is known, settled and recent.
     pub fn is_reliable(self, now: Instant) -> bool {
         match self {
-            FleetShare::Unknown => false,
-            FleetShare::Known {
+            Share::Unknown => false,
+            Share::Known {
                 as_of, is_settled, ..
             } => is_settled && now.saturating_duration_since(as_of) <= MAX_AGE,
         }
--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -9,9 +9,12 @@
 //! is below one request adds up the allowances of its attempts, from a random start, and sends the
 //! attempt with which the sum reaches one. Many small parts so add up to the limit, and hardly ever
 //! fall together. The part follows from this VM's share in the requests of all VMs
-//! ([`FleetShare`]). As long as the share is unknown, it is a fraction of what the VM would usually
+//! ([`Share`]). As long as the share is unknown, it is a fraction of what the VM would usually
 //! send to the leaf, which adds up over the VMs whatever their number.
 
+mod change;
+mod portion;
+
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
@@ -19,7 +22,10 @@
 use rand::rngs::SmallRng;
 
 use super::notice::NamedLimit;
-use crate::core::fleet_share::FleetShare;
+use crate::core::fleet::Share;
+
+pub use self::change::{LimitChange, LimitedAttempts};
+pub(super) use self::portion::{Need, Portion};
 
 /// Share of the limit that the VMs use if each knows its part.
 const USED_SHARE: f64 = 0.9;
@@ -74,47 +80,6 @@
     max_age: Duration,
 }
 
-/// Attempts of this VM at a leaf since the leaf's limit began.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LimitedAttempts {
-    /// First attempts.
-    pub first: u64,
-    /// Retries and hedges.
-    pub extra: u64,
-}
-
-/// How a response of a leaf changes the leaf's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum LimitChange {
-    /// The leaf still has a limit, or still has none.
-    Unchanged,
-    /// The leaf had no limit before, and now takes this number of requests per second.
-    Began(f64),
-    /// The leaf has no limit any more.
-    Ended(LimitedAttempts),
-}
-
-/// What decides this VM's part of a limit.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Portion {
-    /// Share of this VM in the requests of all VMs.
-    pub(super) share: FleetShare,
-    /// Requests per second that this VM would send to the leaf if no leaf of the service had a
-    /// limit.
-    pub(super) usual_per_second: f64,
-}
-
-/// What an attempt needs of a leaf with a limit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Need {
-    /// No other leaf can take the attempt.
-    Only,
-    /// A retry or a hedge that another leaf can take too.
-    Extra,
-    /// A first attempt that another leaf can take too.
-    First,
-}
-
 impl Limit {
     fn new(per_second: f64, rng: &mut SmallRng, now: Instant) -> Limit {
         Limit {
@@ -211,11 +176,11 @@
         let limit = self.per_second.max(MIN_PER_SECOND);
         let of_usual = portion.usual_per_second.min(limit) * SHARE_OF_USUAL;
         match portion.share {
-            FleetShare::Unknown => of_usual,
-            FleetShare::Known { share, .. } if portion.share.is_reliable(now) => {
+            Share::Unknown => of_usual,
+            Share::Known { share, .. } if portion.share.is_reliable(now) => {
                 limit * share * USED_SHARE
             }
-            FleetShare::Known { share, .. } => (limit * share * USED_SHARE).min(of_usual),
+            Share::Known { share, .. } => (limit * share * USED_SHARE).min(of_usual),
         }
     }
 
@@ -229,8 +194,8 @@
 
 /// Returns whether a first attempt that another leaf can take may ask for a permit. While the share
 /// is unknown, most do not, as they only have to show whether the limit still holds.
-fn may_ask_first(share: FleetShare, rng: &mut SmallRng) -> bool {
-    share != FleetShare::Unknown || rng.random_range(0.0..1.0) < ASKING_SHARE
+fn may_ask_first(share: Share, rng: &mut SmallRng) -> bool {
+    share != Share::Unknown || rng.random_range(0.0..1.0) < ASKING_SHARE
 }
 
 /// Returns the maximum allowance of a VM that accrues it at a rate.
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -29,7 +29,7 @@
 use self::departures::Departures;
 use self::limit::Limit;
 use crate::core::duration_window::DurationWindow;
-use crate::core::fleet_share::FleetShare;
+use crate::core::fleet::Share;
 use crate::core::instance::Instance;
 use crate::core::request_rate::RequestRate;
 use crate::prelude::*;
@@ -53,7 +53,7 @@
     /// How this VM started, which determines the initial retry allowance of each service.
     allowance_start: Start,
     /// Share of this VM in the requests of all VMs.
-    fleet_share: FleetShare,
+    fleet_share: Share,
     /// Leaves of each service, sorted by the name of the service.
     groups: Vec<Group>,
     /// Runs of leaves that left.
@@ -79,7 +79,7 @@
         Placement {
             domain: domain.into(),
             allowance_start: start,
-            fleet_share: FleetShare::Unknown,
+            fleet_share: Share::Unknown,
             groups: Vec::new(),
             departures: Departures::default(),
             refused_by_limits: None,
@@ -97,7 +97,7 @@
     }
 
     /// Sets the share of this VM in the requests of all VMs.
-    pub fn set_fleet_share(&mut self, share: FleetShare) {
+    pub fn set_fleet_share(&mut self, share: Share) {
         self.fleet_share = share;
     }
 
--- a/src/geraniummount/edge/gateway/fleet.rs
+++ b/src/geraniummount/edge/gateway/fleet.rs
@@ -16,9 +16,9 @@
 use super::options::Options;
 use super::timers::Timer;
 use super::update::{Sender, Update};
-use crate::core::fleet_share::FleetShare;
+use crate::core::fleet::Share;
+use crate::core::fleet::{Exchange, LEASE_TTL, Step};
 use crate::core::freshness::Freshness;
-use crate::core::rate_exchange::{LEASE_TTL, RateExchange, Step};
 use crate::platform::{self, Error, LeaseId, Store, vm_rate};
 
 /// Interval between two checks whether the rates have to be exchanged.
@@ -47,7 +47,7 @@
     key: String,
     /// This VM's rate in requests per second.
     rate: f64,
-    exchange: RateExchange,
+    exchange: Exchange,
     /// Lease that holds the entry.
     lease: Option<LeaseId>,
     has_failed: bool,
@@ -96,12 +96,12 @@
     fn end_exchange(&mut self) {
         if self.fleet.rates.take().is_some() {
             info!("fleet event=left");
-            self.placement.set_fleet_share(FleetShare::Unknown);
+            self.placement.set_fleet_share(Share::Unknown);
         }
     }
 
     /// Applies this VM's share in the requests of all VMs.
-    pub(super) fn apply_fleet_share(&mut self, share: FleetShare) {
+    pub(super) fn apply_fleet_share(&mut self, share: Share) {
         if self.fleet.rates.is_some() {
             self.placement.set_fleet_share(share);
         }
@@ -117,7 +117,7 @@
         rates: receiver,
         key: format!("{}{}", platform::VM_RATE_PREFIX, options.name),
         rate,
-        exchange: RateExchange::new(Instant::now()),
+        exchange: Exchange::new(Instant::now()),
         lease: None,
         has_failed: false,
     };
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -6,7 +6,7 @@
 use mio::{Poll, Waker};
 
 use super::token::EventSource;
-use crate::core::fleet_share::FleetShare;
+use crate::core::fleet;
 use crate::core::instance::Instance;
 use crate::core::route::Table;
 use crate::prelude::*;
@@ -19,7 +19,7 @@
     /// The complete list of registered leaves, and the era of the store that listed them.
     Leaves(Vec<Instance>, Era),
     /// This VM's share in the requests of all VMs.
-    FleetShare(FleetShare),
+    FleetShare(fleet::Share),
     /// A request to begin a planned stop.
     Stop,
 }
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use geraniummount::core::call::{Action, Call, End, Plan, Reply, Requirements, Response};
-use geraniummount::core::instance::Instance;
 use geraniummount::core::placement::{Placement, Start};
 use geraniummount::core::route::Repeat;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::instances;
+
 const SEED: u64 = 3;
 const TARGET_LATENCY: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_millis(800);
@@ -25,23 +26,14 @@
 /// A placement of a VM that starts as given, with two leaves for each of the services.
 fn placement_with_start(start: Start, services: &[&str], now: Instant) -> Placement {
     let mut placement = Placement::new("near", start, SmallRng::seed_from_u64(SEED));
-    let mut instances = Vec::new();
+    let mut leaves = Vec::new();
     for service in services {
         for name in ["a", "b"] {
-            instances.push(Instance {
-                id: format!("{service}-{name}"),
-                started_at_ms: None,
-                heartbeat: None,
-                service: (*service).to_string(),
-                address: "127.0.0.1:1".parse().unwrap(),
-                domain: "near".to_string(),
-                slots: 2,
-                is_leaving: false,
-                warm_up_left: Duration::ZERO,
-            });
+            let id = format!("{service}-{name}");
+            leaves.push(instances::instance(service, &id, "near"));
         }
     }
-    placement.update(&instances, now);
+    placement.update(&leaves, now);
     placement
 }
 
--- a/tests/testsuite/rate_exchange.rs
+++ b/tests/testsuite/fleet_exchange.rs
@@ -2,23 +2,23 @@
 
 use std::time::{Duration, Instant};
 
-use geraniummount::core::fleet_share::FleetShare;
+use geraniummount::core::fleet::Share;
+use geraniummount::core::fleet::{Exchange, LEASE_TTL, Step};
 use geraniummount::core::freshness::Freshness;
-use geraniummount::core::rate_exchange::{LEASE_TTL, RateExchange, Step};
 
 /// Maximum price of the calls in a minute, in calls at full price: a renewal and a read of outdated
 /// data cost a tenth.
 const MAX_PRICE_PER_MINUTE: f64 = 14.0;
 
-fn share_of(share: FleetShare) -> f64 {
+fn share_of(share: Share) -> f64 {
     match share {
-        FleetShare::Known { share, .. } => share,
-        FleetShare::Unknown => panic!("the share is known after a read"),
+        Share::Known { share, .. } => share,
+        Share::Unknown => panic!("the share is known after a read"),
     }
 }
 
 /// Makes all calls that are due; returns their price.
-fn make_calls(exchange: &mut RateExchange, rate: f64, others: f64, now: Instant) -> f64 {
+fn make_calls(exchange: &mut Exchange, rate: f64, others: f64, now: Instant) -> f64 {
     let mut price = 0.0;
     loop {
         match exchange.next(rate, now) {
@@ -48,9 +48,9 @@
 }
 
 #[test]
-fn rate_exchange_is_cheap_and_renews_the_lease_in_time() {
+fn fleet_exchange_is_cheap_and_renews_the_lease_in_time() {
     let start = Instant::now();
-    let mut exchange = RateExchange::new(start);
+    let mut exchange = Exchange::new(start);
     let mut price = 0.0;
     for step in 0..600 {
         let now = start + Duration::from_millis(100) * step;
@@ -64,7 +64,7 @@
 }
 
 #[test]
-fn rate_exchange_writes_a_rate_again_only_after_a_large_change() {
+fn fleet_exchange_writes_a_rate_again_only_after_a_large_change() {
     struct Case {
         rate: f64,
         is_written: bool,
@@ -89,7 +89,7 @@
     ];
     for case in CASES {
         let now = Instant::now();
-        let mut exchange = RateExchange::new(now);
+        let mut exchange = Exchange::new(now);
         make_calls(&mut exchange, 10.0, 60.0, now);
         let is_written = matches!(exchange.next(case.rate, now), Step::Write(_));
         assert_eq!(is_written, case.is_written, "{}", case.rate);
@@ -97,9 +97,9 @@
 }
 
 #[test]
-fn rate_exchange_does_not_believe_a_list_that_is_suddenly_empty() {
+fn fleet_exchange_does_not_believe_a_list_that_is_suddenly_empty() {
     let start = Instant::now();
-    let mut exchange = RateExchange::new(start);
+    let mut exchange = Exchange::new(start);
     make_calls(&mut exchange, 10.0, 60.0, start);
     let later = start + Duration::from_secs(10);
     assert!(share_of(exchange.on_read(10.0, 60.0, later)) < 0.15);
@@ -111,9 +111,9 @@
 }
 
 #[test]
-fn rate_exchange_joins_anew_when_the_lease_has_ended_and_pauses_after_a_failure() {
+fn fleet_exchange_joins_anew_when_the_lease_has_ended_and_pauses_after_a_failure() {
     let now = Instant::now();
-    let mut exchange = RateExchange::new(now);
+    let mut exchange = Exchange::new(now);
     assert_eq!(exchange.next(2.0, now), Step::Join(2.0));
     exchange.on_failure(now);
     assert!(matches!(exchange.next(2.0, now), Step::Wait(_)));
--- a/tests/testsuite/leaf_limits.rs
+++ b/tests/testsuite/leaf_limits.rs
@@ -2,14 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use geraniummount::core::fleet::{Exchange, Step};
 use geraniummount::core::freshness::Freshness;
 use geraniummount::core::instance::Instance;
 use geraniummount::core::placement::{Ending, NamedLimit, Placement, ReplicaKey, Start};
-use geraniummount::core::rate_exchange::{RateExchange, Step};
 use geraniummount::core::request_rate::RequestRate;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::instances;
+
 const SERVICE: &str = "shard";
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
 
@@ -227,7 +229,7 @@
     /// When each leaf first told this VM of its limit.
     told_at: Vec<Option<Duration>>,
     request_rate: RequestRate,
-    exchange: Option<RateExchange>,
+    exchange: Option<Exchange>,
     /// Rate of this VM in the store, and when it was first written.
     entry: Option<(f64, Duration)>,
 }
@@ -282,17 +284,7 @@
 }
 
 fn instance(leaf: usize) -> Instance {
-    Instance {
-        id: format!("leaf-{leaf}"),
-        started_at_ms: None,
-        heartbeat: None,
-        service: SERVICE.to_string(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        domain: "near".to_string(),
-        slots: 2,
-        is_leaving: false,
-        warm_up_left: Duration::ZERO,
-    }
+    instances::instance(SERVICE, &format!("leaf-{leaf}"), "near")
 }
 
 impl Replay<'_> {
@@ -353,7 +345,7 @@
         for index in 0..self.vms.len() {
             let vm = &mut self.vms[index];
             if vm.exchange.is_none() && vm.placement.lacks_room(now) {
-                vm.exchange = Some(RateExchange::new(now));
+                vm.exchange = Some(Exchange::new(now));
             }
             if vm.exchange.is_some() && self.case.store != StoreState::Away {
                 self.make_calls(index, at);
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -10,21 +10,13 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::instances;
+
 const SEED: u64 = 7;
 const SERVICE: &str = "shard";
 
 fn instance(id: &str, domain: &str) -> Instance {
-    Instance {
-        id: id.to_string(),
-        started_at_ms: None,
-        heartbeat: None,
-        service: SERVICE.to_string(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        domain: domain.to_string(),
-        slots: 2,
-        is_leaving: false,
-        warm_up_left: Duration::ZERO,
-    }
+    instances::instance(SERVICE, id, domain)
 }
 
 /// Behaviour of a leaf in a simulated load.
--- a/tests/testsuite/placement_limit.rs
+++ b/tests/testsuite/placement_limit.rs
@@ -2,11 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use geraniummount::core::instance::Instance;
 use geraniummount::core::placement::{NamedLimit, Placement, Start};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::instances;
+
 const SERVICE: &str = "shard";
 
 /// A response of the leaf.
@@ -104,17 +105,7 @@
 
 fn placement(start: Instant) -> Placement {
     let mut placement = Placement::new("near", Start::First, SmallRng::seed_from_u64(7));
-    let leaf = Instance {
-        id: "leaf-1".to_string(),
-        started_at_ms: None,
-        heartbeat: None,
-        service: SERVICE.to_string(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        domain: "near".to_string(),
-        slots: 2,
-        is_leaving: false,
-        warm_up_left: Duration::ZERO,
-    };
+    let leaf = instances::instance(SERVICE, "leaf-1", "near");
     placement.update(&[leaf], start);
     placement
 }
