--- a/src/geraniummount/core/fleet/exchange.rs
+++ b/src/geraniummount/core/fleet/exchange.rs
@@ -8,7 +8,8 @@
 //! so that a VM that is gone or paused is soon not counted any more.
 //!
 //! All entries may vanish at once, when the store was away or has come back from an older copy, and
-//! return only with each VM's next renewal. The largest sum of the last while therefore counts.
+//! return only with each VM's next renewal. The largest sum that was read within the time to live of
+//! a lease therefore counts.
 
 use std::time::{Duration, Instant};
 
@@ -27,8 +28,9 @@
 /// Time from the first read until the others that began at the same time have joined.
 const JOINING_TIME: Duration = Duration::from_secs(2);
 
-/// Time from the first read until outdated data contains the entries of those who joined together.
-const MAX_DATA_AGE: Duration = Duration::from_secs(8);
+/// Time from the first read for which data must be current. Outdated data may lack the entries of
+/// those who joined at the same time.
+const CURRENT_READS_TIME: Duration = Duration::from_secs(8);
 
 /// Interval between two reads while others join.
 const JOINING_READ_INTERVAL: Duration = Duration::from_millis(700);
@@ -140,7 +142,7 @@
     }
 
     fn freshness(&self, now: Instant) -> Freshness {
-        match self.time_since_joining(now) < MAX_DATA_AGE {
+        match self.time_since_joining(now) < CURRENT_READS_TIME {
             true => Freshness::Current,
             false => Freshness::Outdated,
         }
--- a/src/geraniummount/edge/gateway/fleet.rs
+++ b/src/geraniummount/edge/gateway/fleet.rs
@@ -16,8 +16,7 @@
 use super::options::Options;
 use super::timers::Timer;
 use super::update::{Sender, Update};
-use crate::core::fleet::Share;
-use crate::core::fleet::{Exchange, LEASE_TTL, Step};
+use crate::core::fleet::{Exchange, LEASE_TTL, Share, Step};
 use crate::core::freshness::Freshness;
 use crate::platform::{self, Error, LeaseId, Store, vm_rate};
 
@@ -50,6 +49,7 @@
     exchange: Exchange,
     /// Lease that holds the entry.
     lease: Option<LeaseId>,
+    /// Whether the last call failed, so that only the first of several failures is logged as a warning.
     has_failed: bool,
 }
 
