Read on after pipelined requests that were left unread

What callers saw: a caller that pipelines more than 256 KiB at once got the replies to the first requests only, and its connection was closed as idle.

Cause: while a request is in flight and more than 64 KiB are buffered, a read event is passed over, and events come once per change.

Change: what was left unread is remembered, and the socket is registered again once no more than 64 KiB are buffered.

--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -35,6 +35,8 @@
     pub(super) state_since: Instant,
     /// Whether the connection is closed once the current response is written.
     pub(super) closes_after_response: bool,
+    /// Whether bytes were left unread because too many were buffered while a request was in flight.
+    has_unread: bool,
 }
 
 /// What a caller's connection is doing.
@@ -103,6 +105,7 @@
             state: State::Idle,
             state_since: self.now,
             closes_after_response: false,
+            has_unread: false,
         });
         self.metrics.caller_connections.inc();
         self.start_caller_timer(key);
@@ -119,6 +122,7 @@
             && pipelined_bytes > MAX_PIPELINED_BYTES
             && !closed
         {
+            caller.has_unread = true;
             return;
         }
         let status = caller.socket.read(&mut self.read_buf, closed);
@@ -168,11 +172,20 @@
                 State::InFlight { .. } | State::Closing => false,
             };
             if !has_progressed {
-                return;
+                return self.resume_reading(key);
             }
         }
     }
 
+    /// Lets an event report the bytes that were left unread, once fewer are buffered.
+    fn resume_reading(&mut self, key: usize) {
+        let caller = &mut self.caller_connections[key];
+        if caller.has_unread && caller.socket.input.len() <= MAX_PIPELINED_BYTES {
+            caller.has_unread = false;
+            self.register_caller_again(key);
+        }
+    }
+
     /// Parses a request head; returns whether the connection's state advanced.
     fn read_head(&mut self, key: usize) -> bool {
         let limits = self.limits();
--- a/tests/testsuite/platform/endless.rs
+++ b/tests/testsuite/platform/endless.rs
@@ -2,7 +2,7 @@
 //! get the answer of another leaf, or a failure before their deadline.
 
 use geraniummount_test_support::endless::{Endless, KINDS, Kind};
-use geraniummount_test_support::platform::users::Leaf;
+use geraniummount_test_support::platform::users::{Answer, Leaf};
 
 use super::fixture::{Fixture, gather_route, leaf, service_route};
 
@@ -73,3 +73,19 @@
     // 502 comes before the deadline, 504 at it.
     fixture.wait_until(|fixture| fixture.get("/g/x", 4_000).status == 502);
 }
+
+#[test]
+fn platform_endless_bounds_let_large_replies_through() {
+    const REPLY_BYTES: usize = 3 * 1024 * 1024;
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let records: Vec<u8> = (0..REPLY_BYTES).map(|index| (index / 7) as u8).collect();
+    let large = leaf(&fixture, "one", &records);
+    for answer in [Answer::Whole, Answer::Unframed] {
+        large.set_answer(answer);
+        fixture.wait_for_leaf("/a/x");
+        let reply = fixture.get("/a/x", 10_000);
+        assert_eq!(reply.status, 200, "{answer:?}");
+        assert!(reply.body == records, "{answer:?}: {}", reply.body.len());
+    }
+}
--- a/tests/testsuite/platform/requests.rs
+++ b/tests/testsuite/platform/requests.rs
@@ -1,7 +1,7 @@
 //! Requests through the gateway: routing, answers, failing leaves, cancellation and a graceful
 //! stop.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::time::Duration;
 
@@ -339,3 +339,32 @@
     }
     assert!(one.runs().len() >= 30);
 }
+
+#[test]
+fn platform_requests_pipelined_beyond_the_buffer_are_all_answered() {
+    const REQUESTS: usize = 900;
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let _leaf = leaf(&fixture, "one", b"one");
+    fixture.wait_for_leaf("/a/x");
+    let path = format!("/a/{}", "x".repeat(1_000));
+    let mut stream = connect(fixture.callers_address);
+    let mut writer = stream.try_clone().unwrap();
+    let sender = std::thread::spawn(move || {
+        for _ in 0..REQUESTS {
+            writer
+                .write_all(&request("GET", &path, 20_000, b""))
+                .unwrap();
+        }
+    });
+    // Replies may arrive together.
+    let mut replies = Vec::new();
+    let mut chunk = [0; 16 * 1024];
+    let count = |replies: &[u8]| replies.windows(12).filter(|w| w == b"HTTP/1.1 200").count();
+    while count(&replies) < REQUESTS {
+        let read = stream.read(&mut chunk).expect("all requests are answered");
+        assert!(read > 0, "the connection stays open");
+        replies.extend_from_slice(&chunk[..read]);
+    }
+    sender.join().unwrap();
+}
