--- a/crates/geraniummount-test-support/src/endless.rs
+++ b/crates/geraniummount-test-support/src/endless.rs
@@ -1,4 +1,4 @@
-//! Stand-in for a leaf in trouble whose answers never end.
+//! Stand-in for a faulty leaf whose answers never end.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -1,7 +1,7 @@
 //! Limit on the requests that a leaf takes from all VMs together, and this VM's part of it.
 //!
-//! Load pattern: a leaf in need names a fraction of the requests that it usually gets, for some
-//! seconds. Seven to hundreds of VMs send it requests, and each knows only its own. A fixed part of
+//! Load pattern: a leaf short of capacity names a fraction of the requests that it usually gets, for
+//! some seconds. Seven to hundreds of VMs send it requests, and each knows only its own. A fixed part of
 //! the limit for each VM could be less than a single request, while a VM that takes the limit for
 //! its own lets the leaf get a multiple of it.
 //!
--- a/src/geraniummount/core/reply_size.rs
+++ b/src/geraniummount/core/reply_size.rs
@@ -1,6 +1,6 @@
 //! Decides when an incomplete reply of a leaf is too long to be waited for.
 //!
-//! Load pattern: leaves in trouble send bytes without end, hundreds of megabytes a second, in answer
+//! Load pattern: faulty leaves send bytes without end, hundreds of megabytes a second, in answer
 //! to each request that reaches them. A VM has a few hundred megabytes of memory or less. Each reply
 //! is bounded, and so are all incomplete replies together, as many may arrive at the same time.
 //! Small replies go on whatever the others hold, so that sound leaves are not affected.
--- a/src/geraniummount/edge/leaf/transport.rs
+++ b/src/geraniummount/edge/leaf/transport.rs
@@ -2,7 +2,7 @@
 //!
 //! Compared with the transport of `ureq` itself, this one makes fewer system calls, and it records
 //! whether bytes of a request may have been sent: a request of which no byte was sent is known not
-//! to have run. It also ends a reply that becomes too long, as a leaf in trouble may send interim
+//! to have run. It also ends a reply that becomes too long, as a faulty leaf may send interim
 //! replies or trailers without end. The head and the body of a request are sent in one write. Timeouts are rounded up,
 //! and a socket's timeout is set only when its rounded value changes. A socket timeout may
 //! therefore fire late, by up to an eighth of its length. The lateness is harmless, because the
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -25,8 +25,8 @@
 const NOT_RUN: &str = "Request-Not-Run";
 /// Present with the value 1 if the leaf is leaving.
 const LEAVING: &str = "Server-Leaving";
-/// Number of requests per second, with fractions, that a leaf in need takes from all VMs together,
-/// for as long as its responses state it.
+/// Number of requests per second, with fractions, that a leaf short of capacity takes from all VMs
+/// together, for as long as its responses state it.
 const LIMIT: &str = "Server-Limit";
 /// Delay in seconds, with fractions, after which a caller may retry. In a leaf's response with
 /// [`UNAVAILABLE_STATUS`], the time for which the leaf wants no requests from this VM.
