Log which request an attempt belonged to, and that its leaf closed the connection

An attempt's line now has a fingerprint of host, method, path and body, and the outcome disconnected tells a closed connection from a malformed response. No decision changes: both outcomes are treated as lost was.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -141,7 +141,7 @@
                 shard.failure_response = Some(response);
                 self.retry_or_settle(index, placement, now)
             }
-            Reply::Lost => {
+            Reply::Disconnected | Reply::Lost => {
                 self.shards[index].may_have_run = true;
                 self.retry_or_settle(index, placement, now)
             }
--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -32,7 +32,9 @@
     Unreachable,
     /// Nothing was sent, because the leaf wants no requests.
     Withheld,
-    /// The request was sent but no complete response arrived; the request may have run.
+    /// The leaf closed the connection before its response was complete; the request may have run.
+    Disconnected,
+    /// The request was sent but its response is unusable; the request may have run.
     Lost,
 }
 
@@ -46,7 +48,7 @@
             Reply::Misdirected => Ending::Misdirected,
             Reply::Unreachable => Ending::Unreachable,
             Reply::Withheld => Ending::Withheld,
-            Reply::Lost => Ending::Lost,
+            Reply::Disconnected | Reply::Lost => Ending::Lost,
         }
     }
 
@@ -59,6 +61,7 @@
             Reply::Misdirected => "misdirected",
             Reply::Unreachable => "unreachable",
             Reply::Withheld => "withheld",
+            Reply::Disconnected => "disconnected",
             Reply::Lost => "lost",
         }
     }
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod failure;
 pub mod fan_out;
 pub mod fault;
+pub mod fingerprint;
 pub mod fleet;
 pub mod freshness;
 pub mod gossip;
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -11,6 +11,7 @@
 use super::calls::{CallState, ForwardedRequest};
 use super::load_shedding;
 use crate::core::call::{Call, Plan};
+use crate::core::fingerprint;
 use crate::core::route::Target;
 use crate::platform::headers;
 use crate::util::h1::Request;
@@ -55,10 +56,14 @@
             let why = "it has not run; come back after the time given";
             return self.write_plain(key, 503, why, Some(load_shedding::RETRY_AFTER));
         }
+        let parts = [host, &request.method, &request.target];
+        let parts = parts.iter().map(|part| part.as_bytes());
+        let fingerprint = fingerprint::of(parts.chain([content.as_slice()]));
         headers::strip_request_fields(&mut request.fields);
         let call = Call::new(plan, self.now);
         let forwarded = ForwardedRequest {
             id: caller_fields.id,
+            fingerprint,
             method: request.method,
             target: request.target,
             fields: request.fields,
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -14,6 +14,7 @@
 use super::Gateway;
 use super::timers::Timer;
 use crate::core::call::{Action, Call, Reply};
+use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
 use crate::prelude::*;
 use crate::util::h1::Field;
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 pub(super) struct ForwardedRequest {
     pub(super) id: RequestId,
+    /// Hash of the host, method, path and body, which is the same for each repetition.
+    pub(super) fingerprint: Fingerprint,
     pub(super) method: String,
     /// Path and query string.
     pub(super) target: String,
@@ -154,7 +157,10 @@
             .placement
             .is_in_other_domain(&in_flight.service, in_flight.replica);
         if is_in_other_domain && !matches!(reply, Reply::Withheld) {
-            let answered = !matches!(reply, Reply::Lost | Reply::Unreachable);
+            let answered = !matches!(
+                reply,
+                Reply::Disconnected | Reply::Lost | Reply::Unreachable
+            );
             self.isolation.on_attempt(answered);
         }
         let call = &self.calls[in_flight.call];
@@ -166,7 +172,11 @@
                 .replica(&in_flight.service, in_flight.replica);
             let leaf = leaf.map_or("gone", |replica| replica.instance.id.as_str());
             let (service, outcome) = (&in_flight.service, reply.as_str());
-            info!("attempt id={id} service={service} leaf={leaf} outcome={outcome} at_ms={took}");
+            let fingerprint = call.forwarded.fingerprint;
+            info!(
+                "attempt id={id} fingerprint={fingerprint:032x} service={service} leaf={leaf} \
+                 outcome={outcome} at_ms={took}"
+            );
         }
         let was_suspended = self.is_suspended(&in_flight);
         let call = &mut self.calls[in_flight.call].call;
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -243,7 +243,7 @@
             let stream = &leaf.socket.stream;
             let failed = stream.take_error().map_or(true, |error| error.is_some());
             if failed {
-                return self.fail_leaf(connection);
+                return self.fail_closed_leaf(connection);
             }
             if stream.peer_addr().is_err() {
                 return;
@@ -254,7 +254,7 @@
             return;
         }
         if leaf.socket.flush().is_err() {
-            return self.fail_leaf(connection);
+            return self.fail_closed_leaf(connection);
         }
         if leaf.socket.has_written() && !leaf.has_sent_bytes {
             leaf.has_sent_bytes = true;
@@ -293,7 +293,7 @@
         if leaf.connected_at.is_none()
             && now.saturating_duration_since(leaf.opened_at) >= CONNECT_TIMEOUT
         {
-            return self.fail_leaf(connection);
+            return self.fail_closed_leaf(connection);
         }
         let is_over = |at: Instant| now.saturating_duration_since(at) >= ABANDONED_GRACE;
         if leaf.abandoned_at.is_some_and(is_over) {
@@ -306,12 +306,17 @@
         }
     }
 
-    /// Fails the attempt of a connection that broke, timed out or received malformed input.
-    fn fail_leaf(&mut self, connection: usize) {
+    /// Fails the attempt of a connection that the leaf or the network closed.
+    fn fail_closed_leaf(&mut self, connection: usize) {
+        self.fail_leaf(connection, Reply::Disconnected);
+    }
+
+    /// Fails the attempt of a connection; `reply` is its outcome if any byte of it was sent.
+    fn fail_leaf(&mut self, connection: usize, reply: Reply) {
         let leaf = &mut self.leaf_connections[connection];
         let attempt = leaf.attempt.take();
         let reply = if leaf.has_sent_bytes || leaf.socket.has_written() {
-            Reply::Lost
+            reply
         } else {
             Reply::Unreachable
         };
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -4,6 +4,7 @@
 use mio::Interest;
 
 use super::Step;
+use crate::core::call::Reply;
 use crate::edge::gateway::Gateway;
 use crate::edge::gateway::socket::ReadStatus;
 use crate::edge::gateway::token::EventSource;
@@ -36,16 +37,18 @@
             let step = match leaf.parse_response() {
                 Ok(Step::Partial) if status == ReadStatus::Eof => leaf.take_response_at_eof(),
                 Ok(step) => step,
-                Err(_) => return self.fail_leaf(connection),
+                Err(_) => return self.fail_leaf(connection, Reply::Lost),
             };
             match step {
                 Step::Whole(response) => self.on_response(connection, response, status),
-                Step::Partial if self.is_too_long(connection) => return self.fail_leaf(connection),
+                Step::Partial if self.is_too_long(connection) => {
+                    return self.fail_leaf(connection, Reply::Lost);
+                }
                 Step::Partial if status == ReadStatus::Open => return,
                 Step::Partial if status == ReadStatus::Interrupted => {
                     return self.register_leaf_again(connection);
                 }
-                Step::Partial => return self.fail_leaf(connection),
+                Step::Partial => return self.fail_closed_leaf(connection),
             }
         }
     }
@@ -72,7 +75,7 @@
         let stream = &mut self.leaf_connections[connection].socket.stream;
         if let Err(error) = self.poll.registry().reregister(stream, token, interest) {
             warn!("leaf event=not-registered action=close error=\"{error}\"");
-            self.fail_leaf(connection);
+            self.fail_leaf(connection, Reply::Lost);
         }
     }
 
