--- a/crates/geraniummount-test-support/src/leaf/behaviour.rs
+++ b/crates/geraniummount-test-support/src/leaf/behaviour.rs
@@ -32,6 +32,9 @@
     pub snapshots: Vec<u64>,
     /// Length of the padding in the leaf's replies, in bytes.
     pub padding_bytes: usize,
+    /// Body of the requests that crash the leaf: it runs them and closes all connections without a
+    /// reply. It is back at once.
+    pub crash_body: Option<String>,
 }
 
 impl Default for Behaviour {
@@ -49,6 +52,7 @@
             shards: Vec::new(),
             snapshots: vec![1],
             padding_bytes: 0,
+            crash_body: None,
         }
     }
 }
--- a/crates/geraniummount-test-support/src/leaf/server.rs
+++ b/crates/geraniummount-test-support/src/leaf/server.rs
@@ -175,9 +175,28 @@
         let response = self.execute(request, &work);
         self.state.update(|state| state.forget(work.attempt));
         self.wait_while_frozen()?;
+        if self.crashes(request) {
+            self.close_all();
+            return Ok(Next::Close);
+        }
         self.reply(&response?, &work, fault)
     }
 
+    /// Returns whether a request crashes the leaf.
+    fn crashes(&self, request: &Request) -> bool {
+        let state = self.state.lock();
+        let crash_body = state.behaviour.crash_body.as_deref();
+        crash_body.is_some_and(|body| body.as_bytes() == request.body)
+    }
+
+    /// Closes all connections of the leaf.
+    fn close_all(&self) {
+        for stream in self.state.lock().streams() {
+            // Fails if the connection is closed already, which is harmless.
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
     /// Validates a request before it takes a slot; the error is the reply that rejects it.
     fn check(&self, request: &Request) -> Result<Work, Response> {
         let headers = (
--- a/crates/geraniummount-test-support/src/leaf/state.rs
+++ b/crates/geraniummount-test-support/src/leaf/state.rs
@@ -77,6 +77,11 @@
         self.streams.drain(..).map(|(_, stream)| stream).collect()
     }
 
+    /// Returns the sockets of the open connections.
+    pub(super) fn streams(&self) -> impl Iterator<Item = &TcpStream> {
+        self.streams.iter().map(|(_, stream)| stream)
+    }
+
     pub(super) fn is_current(&self, incarnation: u64) -> bool {
         self.incarnation == incarnation
     }
--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -4,11 +4,13 @@
 //! faults while the stand-ins run.
 
 pub mod caller;
+mod crashing_leaves;
 pub mod document;
 mod leaf;
 mod leases;
 mod server;
 mod store;
 
+pub use self::crashing_leaves::CrashingLeaves;
 pub use self::leaf::{Answer, Leaf, Run, signature};
 pub use self::store::{Backup, Store, WatchDelivery};
--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -91,6 +91,10 @@
     retry_after: Option<String>,
     /// Value of `Server-Limit` in all answers.
     limit: Option<String>,
+    /// Body of the requests that crash the leaf.
+    crash_body: Option<Vec<u8>>,
+    /// Request that crashed the leaf.
+    crashed_by: Option<Run>,
 }
 
 static NEXT_LEAF_NUMBER: AtomicU64 = AtomicU64::new(1);
@@ -193,6 +197,18 @@
         self.state.update(|state| state.limit = limit);
     }
 
+    /// Makes each request with this body crash the leaf as soon as the leaf runs it: all connections
+    /// are closed without an answer, and no further request is run.
+    pub fn set_crash_body(&self, body: &[u8]) {
+        let body = body.to_vec();
+        self.state.update(|state| state.crash_body = Some(body));
+    }
+
+    /// Returns the request that crashed the leaf, if one did.
+    pub fn crashed_by(&self) -> Option<Run> {
+        self.state.lock().crashed_by.clone()
+    }
+
     /// Returns the requests that reached the leaf, including those that it did not run, in order of
     /// arrival.
     pub fn arrivals(&self) -> Vec<Run> {
@@ -254,10 +270,19 @@
         id: id.clone(),
         arrived: Instant::now(),
     };
-    let (mode, retry_after) = state.update(|state| {
-        state.arrivals.push(new_run.clone());
-        (state.answer, state.retry_after.clone())
+    let (mode, retry_after, is_down) = state.update(|state| {
+        if state.crash_body.as_ref() == Some(&request.body) {
+            state.crashed_by.get_or_insert_with(|| new_run.clone());
+        }
+        let is_down = state.crashed_by.is_some();
+        if !is_down {
+            state.arrivals.push(new_run.clone());
+        }
+        (state.answer, state.retry_after.clone(), is_down)
     });
+    if is_down {
+        return false;
+    }
     if mode == Answer::Rejected {
         let mut rejected = Response::empty(503).with_header("Request-Not-Run", 1);
         if let Some(retry_after) = retry_after {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod control_ownership;
 mod control_store;
 mod control_validation;
+mod crashes;
 mod fan_out;
 mod fan_out_failures;
 mod fixtures;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
+mod crashes;
 mod endless;
 mod fixture;
 mod formats;
