Withhold requests that crash leaves, in all gateways together

One search did the same to all 40 leaves of counter-desk.

Cause: nothing remembered under which request a leaf had ended. Each repetition has a new id, so each VM took it for a new request, and a call retried and hedged parts of a search at the second leaf of each shard after the first had crashed.

Now a request is recognised by its host, method, path and body. core::quarantine counts the leaves that closed the connection while they had it, unless a leaf has answered it; from three on it is refused as not run, for five minutes after the last crash. The VMs share the list as one value of the store, changed only if it is unchanged, and received by the watch that each VM has already; a lost list is completed by those who remember more. In a call, after two crashes without an answer, at most one leaf at a time gets the request, and none after a further crash.

Why it holds: a request beside a crash is answered by another leaf sooner or later, which clears it; one that crashes leaves never is. Without the store each VM still withholds after three crashes of its own. Ruled out: counting within one VM (hundreds of VMs see one crash each), a connection probe of each lost leaf (costs a slot of leaves that live), and leases on the entries (they lapse with the store).

--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -282,9 +282,19 @@
         }
     }
 
-    /// Writes the keys of a request without conditions.
+    /// Writes the keys of a request if its conditions are met.
     fn write(&mut self, body: &[u8]) -> Response {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let conditions = body["precondition"].as_array().cloned().unwrap_or_default();
+        let is_met = |condition: &Value| {
+            let item = self
+                .items
+                .get(condition["key"].as_str().unwrap_or_default());
+            condition["revision"].as_u64() == Some(item.map_or(0, |item| item.revision))
+        };
+        if !conditions.iter().all(is_met) {
+            return Response::json(412, &json!({"items": []}));
+        }
         let puts = body["puts"].as_array().cloned().unwrap_or_default();
         for put in &puts {
             let lease = put["lease"].as_u64().unwrap_or(0);
--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -65,6 +65,8 @@
     Limited,
     /// The deadline has passed or is too close.
     NoTime,
+    /// Leaves have crashed while they ran the request.
+    Quarantined,
     /// Every leaf that was tried rejected the request or could not be reached.
     AllRejected,
 }
@@ -76,6 +78,7 @@
             Refusal::NoLeaf => "no-leaf",
             Refusal::Limited => "limited",
             Refusal::NoTime => "no-time",
+            Refusal::Quarantined => "quarantined",
             Refusal::AllRejected => "all-rejected",
         }
     }
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -16,6 +16,11 @@
 //! An answer that covers enough shards does not wait for the last shard. A request that can no
 //! longer reach enough shards ends at once.
 //!
+//! A request may crash each leaf that runs it. Once leaves have crashed and none has answered, the
+//! request is unproven: it is sent to one leaf at a time, and further parts wait for the first
+//! answer. If the last leaf that has it crashes too, it ends at once, and the other leaves of each
+//! shard are left for other requests.
+//!
 //! The inputs are events and the current time; the outputs are [`Action`]s. A request that may run
 //! only once is sent again only if no leaf can have run it.
 
@@ -32,8 +37,10 @@
 
 use self::overdue::Overdue;
 use self::progress::Progress;
+use self::send::RECHECK_INTERVAL;
 use self::shard::{Settled, Shard};
 use crate::core::placement::{Ending, Placement, ReplicaKey};
+use crate::core::quarantine::UNPROVEN_CRASHES;
 use crate::core::route::Repeat;
 use crate::prelude::*;
 
@@ -54,6 +61,10 @@
     overdue: Overdue,
     /// Progress of the parts, by which late ones are hedged.
     progress: Progress,
+    /// Number of leaves that crashed at earlier arrivals of the request.
+    earlier_crashes: usize,
+    /// Number of leaves that closed the connection while they had the request.
+    crashes: usize,
     is_finished: bool,
 }
 
@@ -67,10 +78,20 @@
             shards,
             advanced_at: now,
             overdue: Overdue::Pending,
+            earlier_crashes: 0,
+            crashes: 0,
             is_finished: false,
         }
     }
 
+    /// Sets the number of leaves that crashed at earlier arrivals of the request.
+    pub fn with_earlier_crashes(self, crashes: usize) -> Call {
+        Call {
+            earlier_crashes: crashes,
+            ..self
+        }
+    }
+
     /// Returns the plan of the request.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -96,6 +117,9 @@
         let mut actions = Vec::with_capacity(chosen_count);
         for (index, replica) in chosen.into_iter().enumerate() {
             match replica {
+                Some(_) if self.is_unproven() && !actions.is_empty() => {
+                    self.shards[index].next_attempt_at = Some(now + RECHECK_INTERVAL);
+                }
                 Some(replica) => actions.push(self.send(index, replica, placement, now)),
                 None => self.shards[index].settle(Settled::Missing),
             }
@@ -133,6 +157,7 @@
         if self.is_finished {
             return Vec::new();
         }
+        self.crashes += usize::from(matches!(reply, Reply::Disconnected));
         let mut actions = match reply {
             Reply::Success(response) => self.include(index, response, placement, now),
             Reply::Failure(response) => {
@@ -221,6 +246,18 @@
         included.count()
     }
 
+    /// Returns whether leaves may crash one after the other if more of them get the request: some
+    /// have, and none has answered it.
+    fn is_unproven(&self) -> bool {
+        let crashes = self.earlier_crashes + self.crashes;
+        crashes >= UNPROVEN_CRASHES && self.included_count() == 0
+    }
+
+    fn has_open_attempt(&self) -> bool {
+        let mut shards = self.shards.iter();
+        shards.any(|shard| !shard.open_attempts.is_empty())
+    }
+
     fn unsettled_count(&self) -> usize {
         let unsettled = self.shards.iter().filter(|shard| shard.settled.is_none());
         unsettled.count()
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -17,9 +17,9 @@
 /// Minimum time before a part is hedged.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(4);
 
-/// Interval between checks whether an extra attempt is permitted, while the retry allowance or the
-/// limit of a leaf does not permit it.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between checks whether an attempt is permitted, while the retry allowance, the limit of a
+/// leaf or earlier crashes do not permit it.
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Call {
     /// Sends an attempt at a shard, and schedules the hedge if one is permitted.
@@ -104,11 +104,19 @@
     /// Sends another attempt if one is permitted, or schedules the next check whether it is.
     fn send_again(&mut self, index: usize, placement: &mut Placement, now: Instant) -> Vec<Action> {
         let may_repeat = self.may_repeat(index);
+        let is_unproven = self.is_unproven();
+        let has_open_attempt = self.has_open_attempt();
+        let may_crash_more = is_unproven && (has_open_attempt || self.crashes > 0);
         let shard = &mut self.shards[index];
         shard.next_attempt_at = None;
         if shard.sends >= self.plan.max_attempts || !may_repeat {
             return Vec::new();
         }
+        if may_crash_more {
+            let waits_for_answer = has_open_attempt && self.plan.is_gather();
+            shard.next_attempt_at = waits_for_answer.then_some(now + RECHECK_INTERVAL);
+            return Vec::new();
+        }
         if !placement.can_try(&shard.service, &shard.tried, now) {
             return Vec::new();
         }
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -42,6 +42,7 @@
 pub mod placement;
 pub mod poll_schedule;
 pub mod proposal;
+pub mod quarantine;
 pub mod ranking;
 pub mod readiness;
 pub mod reason;
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -11,8 +11,9 @@
 use super::calls::{CallState, ForwardedRequest};
 use super::load_shedding;
 use crate::core::call::{Call, Plan};
-use crate::core::fingerprint;
-use crate::core::route::Target;
+use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::quarantine::Admission;
+use crate::core::route::{Route, Target};
 use crate::platform::headers;
 use crate::util::h1::Request;
 
@@ -39,12 +40,7 @@
             self.metrics.count_answer("no-route");
             return self.write_plain(key, 404, "no route matches; check host and path", None);
         };
-        let (service, gather) = match &route.target {
-            Target::Service(service) => (Some(service.clone()), None),
-            Target::Split(parts) => (self.split.choose(parts).cloned(), None),
-            Target::Gather(gather) => (None, Some(gather)),
-        };
-        let plan = Plan::new(route, service, gather, caller_fields.timeout, self.now);
+        let plan = self.plan(route, caller_fields.timeout);
         if !self.admits(&table, route, &plan) {
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
@@ -56,11 +52,16 @@
             let why = "it has not run; come back after the time given";
             return self.write_plain(key, 503, why, Some(load_shedding::RETRY_AFTER));
         }
-        let parts = [host, &request.method, &request.target];
-        let parts = parts.iter().map(|part| part.as_bytes());
-        let fingerprint = fingerprint::of(parts.chain([content.as_slice()]));
+        let fingerprint = fingerprint(host, &request, &content);
+        let earlier_crashes = match self.quarantine.admission(fingerprint, self.now) {
+            Admission::Admitted(crashes) => crashes,
+            Admission::Withheld(wait) => {
+                plan.record_requests(&mut self.placement, self.now);
+                return self.withhold(key, id, fingerprint, wait);
+            }
+        };
         headers::strip_request_fields(&mut request.fields);
-        let call = Call::new(plan, self.now);
+        let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
         let forwarded = ForwardedRequest {
             id: caller_fields.id,
             fingerprint,
@@ -81,9 +82,21 @@
             wake_at: None,
             sends: 0,
             unserved_when_due: false,
+            crashed: Vec::new(),
         });
     }
 
+    /// Plans a request of a route; chooses one of the services between which the route splits its
+    /// requests.
+    fn plan(&mut self, route: &Route, timeout: Option<Duration>) -> Plan {
+        let (service, gather) = match &route.target {
+            Target::Service(service) => (Some(service.clone()), None),
+            Target::Split(parts) => (self.split.choose(parts).cloned(), None),
+            Target::Gather(gather) => (None, Some(gather)),
+        };
+        Plan::new(route, service, gather, timeout, self.now)
+    }
+
     fn start_call(&mut self, state: CallState) {
         let key = state.caller;
         let index = self.calls.insert(state);
@@ -94,3 +107,10 @@
         self.apply_actions(index, actions);
     }
 }
+
+/// Returns the fingerprint of a request, which is the same for each repetition of it.
+fn fingerprint(host: &str, request: &Request, content: &[u8]) -> Fingerprint {
+    let parts = [host, &request.method, &request.target];
+    let parts = parts.iter().map(|part| part.as_bytes());
+    fingerprint::of(parts.chain([content]))
+}
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -16,6 +16,7 @@
 use crate::core::call::{Action, Call, Reply};
 use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
+use crate::core::quarantine::LeafRun;
 use crate::prelude::*;
 use crate::util::h1::Field;
 
@@ -55,6 +56,8 @@
     pub(super) sends: u32,
     /// Whether the call was already counted as unserved when its answer was due.
     pub(super) unserved_when_due: bool,
+    /// Runs of leaves that closed the connection while they had the request.
+    pub(super) crashed: Vec<LeafRun>,
 }
 
 /// An attempt in flight at one leaf.
@@ -178,6 +181,7 @@
                  outcome={outcome} at_ms={took}"
             );
         }
+        self.record_crash_or_answer(&in_flight, &reply);
         let was_suspended = self.is_suspended(&in_flight);
         let call = &mut self.calls[in_flight.call].call;
         let actions = call.on_reply(attempt, reply, &mut self.placement, self.now);
@@ -225,6 +229,7 @@
             }
         }
         let state = self.calls.remove(index);
+        self.quarantine_if_unanswered(&state);
         let took = self
             .now
             .saturating_duration_since(state.started)
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -16,6 +16,7 @@
 use super::timers::Timer;
 use super::token::EventSource;
 use crate::core::call::Reply;
+use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
 use crate::core::reply_size::ReplySize;
 use crate::platform::headers;
@@ -69,6 +70,8 @@
     received: usize,
     /// When the attempt was abandoned.
     abandoned_at: Option<Instant>,
+    /// Fingerprint of the abandoned attempt's request, if no leaf had answered the request.
+    abandoned_request: Option<Fingerprint>,
     /// Time after which the leaf closes the connection if it is idle, as announced by the leaf.
     pub(super) keep_alive: Option<Duration>,
 }
@@ -110,6 +113,7 @@
             content: Vec::new(),
             received: 0,
             abandoned_at: None,
+            abandoned_request: None,
             keep_alive: None,
         })
     }
@@ -228,6 +232,7 @@
         leaf.has_sent_bytes = false;
         leaf.received = 0;
         leaf.abandoned_at = None;
+        leaf.abandoned_request = None;
         leaf.socket.queue(&request);
         if leaf.connected_at.is_some() {
             self.flush_leaf(connection);
@@ -273,9 +278,13 @@
         let Some(connection) = in_flight.connection else {
             return self.remove_waiting(in_flight.replica, attempt);
         };
+        let state = &self.calls[in_flight.call];
+        let is_unanswered = state.call.included_count() == 0;
+        let fingerprint = is_unanswered.then_some(state.forwarded.fingerprint);
         let leaf = &mut self.leaf_connections[connection];
         leaf.attempt = None;
         leaf.abandoned_at = Some(self.now);
+        leaf.abandoned_request = fingerprint;
         let timer = Timer::Leaf(connection, leaf.serial);
         self.timers.add(self.now + ABANDONED_GRACE, timer);
     }
@@ -308,6 +317,11 @@
 
     /// Fails the attempt of a connection that the leaf or the network closed.
     fn fail_closed_leaf(&mut self, connection: usize) {
+        let leaf = &mut self.leaf_connections[connection];
+        let replica = leaf.replica;
+        if let Some(fingerprint) = leaf.abandoned_request.take() {
+            self.record_late_crash(replica, fingerprint);
+        }
         self.fail_leaf(connection, Reply::Disconnected);
     }
 
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -100,6 +100,7 @@
         let attempt = leaf.attempt.take();
         leaf.is_awaiting_response = false;
         leaf.abandoned_at = None;
+        leaf.abandoned_request = None;
         if is_reusable {
             self.release(connection);
         } else {
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -32,6 +32,7 @@
     pub(super) routes_version: IntGauge,
     pub(super) registered_leaves: IntGauge,
     pub(super) is_behind: IntGauge,
+    pub(super) quarantined_requests: IntGauge,
     suppressed_log_lines: IntGauge,
 }
 
@@ -81,6 +82,11 @@
                 "gateway_store_behind",
                 "1 while the leaves change faster than a watch delivers the changes.",
             ),
+            quarantined_requests: gauge(
+                &registry,
+                "gateway_quarantined_requests",
+                "Requests that are withheld because they crash leaves.",
+            ),
             suppressed_log_lines: gauge(
                 &registry,
                 "gateway_log_lines_suppressed",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! it with those leaves, and [`answer`] writes the response. In addition, [`load_shedding`] rejects
 //! queries while leaves are overloaded, [`store_check`] detects that this VM is isolated from the
 //! other failure domains, and [`stop`] shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves
-//! between the VMs. [`watch`]
+//! between the VMs. [`quarantine`] withholds requests that crash leaves. [`watch`]
 //! keeps the routes and the list of leaves up to date from the platform's store on a thread of its
 //! own. [`probe`] serves readiness to the platform and metrics to operators.
 //!
@@ -28,6 +28,7 @@
 mod options;
 mod pool;
 mod probe;
+mod quarantine;
 mod registrations;
 mod socket;
 mod stop;
@@ -60,11 +61,13 @@
 use self::metrics::Metrics;
 use self::pool::Pool;
 use self::probe::Probe;
+use self::quarantine::Sharing;
 use self::timers::{Timer, Timers};
 use self::token::EventSource;
 use crate::core::call::Reply;
 use crate::core::isolation::Isolation;
 use crate::core::placement::Placement;
+use crate::core::quarantine::Quarantine;
 use crate::core::request_rate::RequestRate;
 use crate::core::route::{Split, Table};
 use crate::prelude::*;
@@ -120,6 +123,10 @@
     request_rate: RequestRate,
     /// Exchange of rates with the other VMs.
     fleet: Fleet,
+    /// Requests during which leaves crashed.
+    quarantine: Quarantine,
+    /// Sharing of these requests with the other VMs.
+    sharing: Sharing,
     /// Serial number that was allocated last.
     last_serial: u64,
     /// Replies that have not been passed to their calls yet.
@@ -173,6 +180,8 @@
             stop: None,
             request_rate: RequestRate::new(Instant::now()),
             fleet: Fleet::default(),
+            quarantine: Quarantine::default(),
+            sharing: Sharing::default(),
             last_serial: 0,
             pending_replies: VecDeque::new(),
             answered_callers: Vec::new(),
@@ -276,6 +285,7 @@
                 Timer::Leaf(key, serial) => self.on_leaf_timer(key, serial),
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
+                Timer::Quarantine => self.check_quarantine(),
                 Timer::StoreCheck => self.on_check_timer(),
                 Timer::Stop => self.on_stop_timer(),
             }
@@ -294,6 +304,7 @@
                 Update::Table(table) => self.apply_routes(table),
                 Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
                 Update::FleetShare(share) => self.apply_fleet_share(share),
+                Update::Quarantine(records) => self.merge_quarantine(records),
                 Update::Stop => self.begin_stop(),
             }
         }
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -319,6 +319,12 @@
         pool.map_or("gone", |pool| pool.leaf_id.as_str())
     }
 
+    /// Returns the service of a leaf; `None` if the leaf is gone.
+    pub(super) fn leaf_service(&self, key: ReplicaKey) -> Option<ServiceName> {
+        let index = self.search_pool(key).ok()?;
+        Some(self.pools[index].service.clone())
+    }
+
     /// Returns the index of a leaf's pool, or the index at which it would be inserted.
     fn search_pool(&self, key: ReplicaKey) -> Result<usize, usize> {
         self.pools.binary_search_by_key(&key, |pool| pool.key)
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -21,6 +21,8 @@
     Unregistered,
     /// Check whether the rates of requests have to be exchanged with the other VMs.
     Fleet,
+    /// Check whether the shared list of requests that crash leaves has to be completed.
+    Quarantine,
     /// Start or timeout of a check whether the store is reachable.
     StoreCheck,
     /// Progress of a planned stop.
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -8,6 +8,7 @@
 use super::token::EventSource;
 use crate::core::fleet;
 use crate::core::instance::Instance;
+use crate::core::quarantine::Record;
 use crate::core::route::Table;
 use crate::prelude::*;
 
@@ -20,6 +21,8 @@
     Leaves(Vec<Instance>, Era),
     /// This VM's share in the requests of all VMs.
     FleetShare(fleet::Share),
+    /// The list of requests during which leaves crashed, as the VMs share it.
+    Quarantine(Vec<Record>),
     /// A request to begin a planned stop.
     Stop,
 }
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -24,6 +24,7 @@
 use crate::core::poll_schedule::PollSchedule;
 use crate::core::store_cache::StoreCache;
 use crate::core::store_sync::{Step, StoreSync};
+use crate::edge::quarantine;
 use crate::platform::{self, Error, Store};
 use crate::prelude::*;
 
@@ -59,7 +60,8 @@
 struct Changes {
     routes: bool,
     leaves: bool,
-    /// Whether keys changed that concern neither.
+    quarantine: bool,
+    /// Whether keys changed that concern none of these.
     others: bool,
 }
 
@@ -88,12 +90,14 @@
     const ALL: Changes = Changes {
         routes: true,
         leaves: true,
+        quarantine: true,
         others: false,
     };
 
     const LEAVES: Changes = Changes {
         routes: false,
         leaves: true,
+        quarantine: false,
         others: false,
     };
 
@@ -102,11 +106,13 @@
         self.routes |= key == platform::DOCUMENT_KEY;
         let is_leaf = key.starts_with(platform::REGISTRATION_PREFIX);
         self.leaves |= is_leaf;
-        self.others |= !is_leaf && key != platform::DOCUMENT_KEY;
+        let is_quarantine = key == platform::QUARANTINE_KEY;
+        self.quarantine |= is_quarantine;
+        self.others |= !is_leaf && !is_quarantine && key != platform::DOCUMENT_KEY;
     }
 
     fn any(self) -> bool {
-        self.routes || self.leaves || self.others
+        self.routes || self.leaves || self.quarantine || self.others
     }
 }
 
@@ -172,7 +178,9 @@
 
     /// Publishes what changed; returns whether the event loop is still running.
     fn publish(&mut self, changes: Changes) -> bool {
-        let runs = !changes.routes || self.publish_routes();
+        // A VM that starts knows what to withhold before it has leaves to send requests to.
+        let runs = !changes.quarantine || self.publish_quarantine();
+        let runs = runs && (!changes.routes || self.publish_routes());
         runs && (!changes.leaves || self.publish_leaves())
     }
 
@@ -211,6 +219,14 @@
         self.sender.send(Update::Leaves(instances, era))
     }
 
+    /// Publishes the list of requests during which leaves crashed; returns whether the event loop is
+    /// still running.
+    fn publish_quarantine(&mut self) -> bool {
+        let value = self.store_cache.get(platform::QUARANTINE_KEY);
+        let records = value.map_or(Vec::new(), |(_, value)| quarantine::decode(value));
+        self.sender.send(Update::Quarantine(records))
+    }
+
     /// Waits with backoff after a failed call. Changes around the failure may never be reported, so
     /// all keys are read again.
     fn on_store_failure(&mut self, error: &Error) {
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -52,7 +52,21 @@
             self.is_behind.set(0);
             self.store_cache.clear_as_of();
         }
-        Ok(Changes::LEAVES)
+        Ok(Changes {
+            quarantine: self.read_quarantine()?,
+            ..Changes::LEAVES
+        })
+    }
+
+    /// Reads the list of requests during which leaves crashed, at the lower price of outdated data;
+    /// returns whether it has changed.
+    fn read_quarantine(&mut self) -> Result<bool, Error> {
+        let key = platform::QUARANTINE_KEY;
+        let page = self.store.range(key, None, Freshness::Outdated)?;
+        self.check_era(page.era)?;
+        let item = page.items.into_iter().find(|item| item.key == key);
+        let changed = item.map(|item| self.store_cache.put(item.key, item.revision, item.value));
+        Ok(changed.unwrap_or(false))
     }
 
     /// Reads the keys with a prefix at the lower price of outdated data. Returns `None` if the data
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod pending;
 pub mod platform;
+pub mod quarantine;
 pub mod registry;
 pub mod reply_to;
 pub mod workers;
--- /dev/null
+++ b/src/geraniummount/edge/quarantine/mod.rs
@@ -0,0 +1,40 @@
+//! List of requests during which leaves crashed, which the VMs share as one value of a key-value
+//! store.
+//!
+//! A [`Writer`] adds to the list what a VM has seen. It runs on a thread of its own, because calls on
+//! the store block. [`List`] is the store as the writer needs it.
+
+mod list;
+mod writer;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::warn;
+
+use crate::core::quarantine::Record;
+
+pub use self::list::{Error, List};
+pub use self::writer::Writer;
+
+/// Encodes the list as JSON.
+pub fn encode(records: &[Record]) -> Vec<u8> {
+    serde_json::to_vec(records).expect("records consist of text and numbers")
+}
+
+/// Decodes the list; an empty value is an empty list, and so is one that is not a list of records.
+pub fn decode(value: &[u8]) -> Vec<Record> {
+    if value.is_empty() {
+        return Vec::new();
+    }
+    serde_json::from_slice(value).unwrap_or_else(|error| {
+        warn!("quarantine event=list-unreadable action=write-anew error=\"{error}\"");
+        Vec::new()
+    })
+}
+
+/// Returns the time of day in milliseconds since the Unix epoch; 0 if the clock is before it.
+pub fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since_epoch = since_epoch.unwrap_or_default().as_millis();
+    u64::try_from(since_epoch).unwrap_or(u64::MAX)
+}
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -28,5 +28,8 @@
 /// Prefix of the keys under which VMs tell each other their rates of requests.
 pub const VM_RATE_PREFIX: &str = "vm-rates/";
 
+/// Key of the list of requests during which leaves crashed, which the VMs share.
+pub const QUARANTINE_KEY: &str = "quarantine/requests";
+
 /// Path of the readiness probe, by which the platform asks whether a process accepts connections.
 pub const READY_PATH: &str = "/api/ready";
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -194,6 +194,45 @@
         check_lease(&response)
     }
 
+    /// Reads a key; `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
+    /// answer.
+    pub fn get(&mut self, key: &str) -> Result<Option<Item>, Error> {
+        let response = self.call("GET", &format!("/api/kv-key?key={key}"), b"")?;
+        match response.head.status {
+            404 => Ok(None),
+            _ => decode(&response).map(Some),
+        }
+    }
+
+    /// Writes a key without a lease if its last change was at `revision`; 0 means that the key does
+    /// not exist. Returns whether it was written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
+    /// answer; the key may have been written.
+    pub fn put_if_unchanged(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        revision: Revision,
+    ) -> Result<bool, Error> {
+        let value = STANDARD.encode(value);
+        let condition = json!({ "key": key, "revision": revision });
+        let put = json!({ "key": key, "value": value, "lease": 0 });
+        let body = json!({ "precondition": [condition], "puts": [put], "remove": [] }).to_string();
+        let response = self.call("POST", "/api/kv-txn", body.as_bytes())?;
+        match response.head.status {
+            200 => Ok(true),
+            412 => Ok(false),
+            status => Err(Error::Malformed(format!("status {status}"))),
+        }
+    }
+
     fn call(&mut self, method: &str, target: &str, body: &[u8]) -> Result<h1::Response, Error> {
         let deadline = Instant::now() + MAX_READ_TIME;
         let mut call = self.send(method, target, body)?;
