Withhold requests that crash leaves on the product's own interface too

Same cause, same decision: core::quarantine, with a list in the platform's key-value service that each VM watches. A query that is unproven sends one part at a time; the other parts wait for the first answer. A withheld request is refused with the verdict not-run, the reason quarantined and a retry delay.

A full list keeps the requests with the most crashes, then the latest.

--- a/src/geraniummount/core/execution.rs
+++ b/src/geraniummount/core/execution.rs
@@ -13,7 +13,7 @@
 
 use crate::core::answer::{Answer, ShardResult};
 use crate::core::coverage::Coverage;
-use crate::core::fan_out::{Action, Query, backoff};
+use crate::core::fan_out::{Action, Query, backoff, crash};
 use crate::core::layout::Shard;
 use crate::core::margin;
 use crate::core::service::Preference;
@@ -44,6 +44,8 @@
     pending_retry: Option<(Instant, Failure)>,
     /// Number of waits before a retry up to now.
     retry_waits: u32,
+    /// Leaf that closed the connection while it had the request.
+    crashed: Option<LeafName>,
     is_finished: bool,
 }
 
@@ -69,6 +71,7 @@
             unreached: Vec::new(),
             pending_retry: None,
             retry_waits: 0,
+            crashed: None,
             is_finished: false,
         }
     }
@@ -99,6 +102,9 @@
         let ranking = &mut traffic.ranking;
         // `true`: the attempt still counted as in flight.
         ranking.on_outcome(&attempt.leaf, &outcome, elapsed, true, now);
+        if crash::is_leaf_crash(&outcome) {
+            self.crashed = Some(attempt.leaf.clone());
+        }
         if outcome.result.as_ref().is_err_and(Failure::is_unreachable) {
             self.unreached.push(attempt.leaf);
         }
@@ -111,6 +117,11 @@
         }
     }
 
+    /// Returns the leaf that crashed while it had the request, if one did.
+    pub fn unanswered_crashes(&self) -> &[LeafName] {
+        self.crashed.as_slice()
+    }
+
     /// Performs the work that is due: a retry after a backoff, or the timeout of the request.
     pub fn tick(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
         if self.is_finished {
--- a/src/geraniummount/core/fan_out/backoff.rs
+++ b/src/geraniummount/core/fan_out/backoff.rs
@@ -56,6 +56,9 @@
     pub(super) fn send_due_retries(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for index in 0..self.shards.len() {
+            if self.may_crash_more() {
+                return actions;
+            }
             let shard = &mut self.shards[index];
             let Some((_, reason)) = shard.pending_retry.take_if(|(at, _)| now >= *at) else {
                 continue;
--- a/src/geraniummount/core/fan_out/hedge.rs
+++ b/src/geraniummount/core/fan_out/hedge.rs
@@ -28,6 +28,9 @@
     /// Sends the hedges that are due and allowed.
     pub(super) fn hedge(&mut self, traffic: &mut Traffic, now: Instant) -> Vec<Action> {
         self.hedges_checked_at = now;
+        if self.may_crash_more() {
+            return Vec::new();
+        }
         let may_hedge = self.may_hedge();
         let mut actions = Vec::new();
         for index in 0..self.shards.len() {
--- a/src/geraniummount/core/fan_out/mod.rs
+++ b/src/geraniummount/core/fan_out/mod.rs
@@ -17,6 +17,7 @@
 mod admission;
 pub(in crate::core) mod backoff;
 mod counters;
+pub(in crate::core) mod crash;
 mod finish;
 mod hedge;
 mod query;
@@ -70,6 +71,12 @@
     /// Worst verdict (not run, may have run, ran; the last is the worst) on the shards whose
     /// replies restarts discarded.
     discarded_verdict: Verdict,
+    /// Number of leaves that crashed at earlier arrivals of the query.
+    earlier_crashes: usize,
+    /// Leaves that closed the connection while they had a part.
+    crashed: Vec<LeafName>,
+    /// Whether any leaf has answered a part.
+    has_answer: bool,
     /// When late parts were last checked for hedging.
     hedges_checked_at: Instant,
     counters: Counters,
@@ -91,6 +98,9 @@
             started: now,
             answer_by,
             discarded_verdict: Verdict::NotRun,
+            earlier_crashes: 0,
+            crashed: Vec::new(),
+            has_answer: false,
             hedges_checked_at: now,
             counters: Counters::default(),
             is_finished: false,
@@ -141,6 +151,10 @@
             return Vec::new();
         };
         self.record_snapshots(index, &outcome, traffic);
+        self.has_answer |= outcome.result.is_ok();
+        if crash::is_leaf_crash(&outcome) {
+            self.crashed.extend(self.shards[index].last_leaf.clone());
+        }
         // The loss of the leaf's owner says nothing about the leaf, which may answer through
         // another owner.
         if outcome.is_owner_lost() {
@@ -298,6 +312,12 @@
             return Vec::new();
         }
         let retry_kind = self.retry_kind(index, &failure);
+        if let Some(kind) = retry_kind
+            && self.may_crash_more()
+        {
+            self.shards[index].waiting = Some((kind, failure.reason));
+            return Vec::new();
+        }
         if let Some(kind) = retry_kind
             && let Some(replica) = self.next_replica(index, traffic, now)
             && self.charge_budget(kind, traffic)
@@ -318,7 +338,8 @@
         if let Some(actions) = self.restart(traffic, now) {
             return actions;
         }
-        let mut actions = self.send_due_retries(traffic, now);
+        let mut actions = self.resume_waiting(traffic, now);
+        actions.extend(self.send_due_retries(traffic, now));
         if self.open_shard_count() == 0 {
             actions.extend(self.finish());
             return actions;
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -104,7 +104,11 @@
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         for index in 0..self.shards.len() {
-            actions.extend(self.send_first(index, traffic, now));
+            if self.may_crash_more() {
+                self.shards[index].waiting = Some((Kind::First, Reason::Quarantined));
+            } else {
+                actions.extend(self.send_first(index, traffic, now));
+            }
         }
         let sent = actions.len();
         self.budget(traffic).deposit(sent);
@@ -112,7 +116,12 @@
         actions
     }
 
-    fn send_first(&mut self, index: usize, traffic: &mut Traffic, now: Instant) -> Option<Action> {
+    pub(super) fn send_first(
+        &mut self,
+        index: usize,
+        traffic: &mut Traffic,
+        now: Instant,
+    ) -> Option<Action> {
         let replica = self.ranked_replicas(index, traffic, now).into_iter().next();
         let reason = match &replica {
             None => Reason::NoReplica,
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -1,11 +1,12 @@
 //! Entry of the list of requests during which leaves crashed, as the VMs share it.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::entry;
-use super::{LeafRun, MAX_REQUESTS, MEMORY};
+use super::{LeafRun, MAX_REQUESTS, MEMORY, WITHHOLD_CRASHES};
 use crate::core::fingerprint::Fingerprint;
 
 /// A request during which leaves crashed.
@@ -28,6 +29,13 @@
         Duration::from_millis(now_ms.saturating_sub(self.last_crash_ms))
     }
 
+    /// Returns the number of crashes that count.
+    fn crash_count(&self) -> usize {
+        let mut crashed = self.crashed.clone();
+        crashed.retain(|run| !self.cleared.contains(run));
+        crashed.len()
+    }
+
     fn merge(&mut self, other: Record) {
         for run in other.crashed {
             entry::add(&mut self.crashed, run);
@@ -53,7 +61,8 @@
         }
     }
     merged.retain(|record| record.age(now_ms) < MEMORY);
-    merged.sort_by_key(|record| std::cmp::Reverse(record.last_crash_ms));
+    let rank = |r: &Record| (r.crash_count().min(WITHHOLD_CRASHES), r.last_crash_ms);
+    merged.sort_by_key(|record| Reverse(rank(record)));
     merged.truncate(MAX_REQUESTS);
     merged.sort_by_key(|record| record.fingerprint);
     merged
--- a/src/geraniummount/core/reason.rs
+++ b/src/geraniummount/core/reason.rs
@@ -33,6 +33,8 @@
     NotWorthWaiting,
     /// The platform's key-value service, which the request requires, did not answer.
     PlatformDown,
+    /// Leaves have crashed while they ran the request, and it is withheld.
+    Quarantined,
     /// The expected wait in the leaf's queue exceeds the remaining time.
     QueueFull,
     /// The reply named another attempt (one try to run the request at one leaf) than the one that
@@ -69,6 +71,7 @@
             Reason::NoReplica => "no-replica",
             Reason::NotWorthWaiting => "not-worth-waiting",
             Reason::PlatformDown => "platform-down",
+            Reason::Quarantined => "quarantined",
             Reason::QueueFull => "queue-full",
             Reason::ReplyMismatch => "reply-mismatch",
             Reason::Shed => "shed",
--- a/src/geraniummount/core/shard_state.rs
+++ b/src/geraniummount/core/shard_state.rs
@@ -27,6 +27,9 @@
     pub(crate) unreachable: Vec<LeafName>,
     /// Time of the pending retry, and why the shard could not be reached before.
     pub(crate) pending_retry: Option<(Instant, Reason)>,
+    /// Attempt that waits until a leaf has answered the query, with the reason for which the shard is
+    /// missing if none does.
+    pub(crate) waiting: Option<(Kind, Reason)>,
     /// Number of times that a retry was scheduled after a wait.
     pub(crate) retry_waits: u32,
     /// Replica that may be tried a second time, because the attempt failed at the owner of the leaf
@@ -109,6 +112,7 @@
             tried: Vec::new(),
             unreachable: Vec::new(),
             pending_retry: None,
+            waiting: None,
             retry_waits: 0,
             retryable_leaf: None,
             attempts: 0,
@@ -190,6 +194,7 @@
     pub(crate) fn settle(&mut self, settled: Settled, now: Instant) {
         self.hedge_at = None;
         self.pending_retry = None;
+        self.waiting = None;
         self.settled_at = Some(now);
         self.settled = Some(settled);
     }
--- a/src/geraniummount/edge/caller/mod.rs
+++ b/src/geraniummount/edge/caller/mod.rs
@@ -10,6 +10,7 @@
 //! which snapshots (versions of the index) the leaves hold, so that a query can be run at a
 //! snapshot that its leaves hold.
 
+mod quarantine;
 mod response;
 mod run;
 mod serve;
@@ -38,6 +39,8 @@
 use crate::prelude::*;
 use crate::util::published::Published;
 
+pub use self::quarantine::Quarantine;
+
 /// Maximum number of connections above the limit that receive a rejection. Connections beyond these
 /// are closed without a response.
 const MAX_SHEDDING_CONNECTIONS: usize = 64;
@@ -96,6 +99,8 @@
     /// Claims of idempotency keys. A claim is an entry in the key-value store of the platform,
     /// which the users run; the entry records that a key was taken.
     pub claims: Claims,
+    /// Requests during which leaves crashed.
+    pub quarantine: Quarantine,
     /// Readiness check of this VM.
     pub ready: ReadinessCheck,
 }
@@ -131,6 +136,7 @@
         let handler = Handler {
             shared: Arc::clone(&shared),
             claims: dependencies.claims,
+            quarantine: dependencies.quarantine,
         };
         let stopped = stopped.shared();
         spawn("caller-accept", move || {
--- /dev/null
+++ b/src/geraniummount/edge/caller/quarantine.rs
@@ -0,0 +1,185 @@
+//! Withholds requests that crash the leaves that run them, and shares with the other VMs which these
+//! are.
+//!
+//! One thread watches the shared list, another adds to it what this VM has seen.
+
+use std::io;
+use std::sync::mpsc::{self, Sender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use log::{info, warn};
+use rand::RngExt;
+
+use super::service_request::{Mode, ServiceRequest};
+use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::quarantine::{self as core_quarantine, Admission, LeafRun, Record};
+use crate::edge::platform::{Platform, PutOutcome, WatchOutcome};
+use crate::edge::quarantine::{self, Error, List, Writer};
+use crate::prelude::*;
+
+/// Key of the list in the platform's key-value service.
+const KEY: &str = "quarantine";
+
+/// Time for which the service holds a watch open while the list does not change.
+const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Delay after a watch that the service did not answer.
+const FAILURE_DELAY: Duration = Duration::from_secs(1);
+
+/// Longest random time after which a VM adds what a list that it has read lacks. The list may have
+/// been lost, and the first VM to complete it spares the others the calls.
+const MAX_COMPLETION_DELAY: Duration = Duration::from_secs(3);
+
+/// Milliseconds after which a crash of the same leaf is another one. Several VMs may lose the same
+/// request to one crash.
+const CRASH_TIME_MS: u64 = 250;
+
+/// Requests during which leaves crashed. Clones share one state.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    shared: Arc<Shared>,
+}
+
+/// State that the clones share.
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<core_quarantine::Quarantine>,
+    /// Channel to the thread that writes the list.
+    batches: Sender<Vec<Record>>,
+}
+
+impl Quarantine {
+    /// Starts the threads, which end some time after the last clone is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread cannot be started.
+    pub fn start(platform: &Platform) -> io::Result<Quarantine> {
+        let (batches, receiver) = mpsc::channel();
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            batches,
+        });
+        let written = Arc::downgrade(&shared);
+        let writer = Writer {
+            list: StoredList(platform.clone()),
+            batches: receiver,
+            on_added: move |records| {
+                if let Some(shared) = written.upgrade() {
+                    shared.merge(records);
+                }
+            },
+        };
+        thread::Builder::new()
+            .name("quarantine-write".to_string())
+            .spawn(move || writer.run())?;
+        let (watched, platform) = (Arc::downgrade(&shared), platform.clone());
+        thread::Builder::new()
+            .name("quarantine-watch".to_string())
+            .spawn(move || watch(&watched, &platform))?;
+        Ok(Quarantine { shared })
+    }
+
+    /// Returns whether a request may be sent.
+    pub(super) fn admission(&self, fingerprint: Fingerprint) -> Admission {
+        self.shared.lock().admission(fingerprint, Instant::now())
+    }
+
+    /// Records the leaves that crashed during a request that no leaf has answered.
+    pub(super) fn record_crashes(&self, fingerprint: Fingerprint, leaves: &[LeafName]) {
+        let bucket = quarantine::now_ms() / CRASH_TIME_MS;
+        let runs = leaves.iter().map(|leaf| format!("{leaf}@{bucket}"));
+        let runs: Vec<LeafRun> = runs.collect();
+        let mut state = self.shared.lock();
+        let crashes = state.record_crashes(fingerprint, &runs, Instant::now());
+        drop(state);
+        let leaves = leaves.join(", ");
+        info!(
+            "quarantine: leaves {leaves} crashed while they ran request {fingerprint:032x}; \
+             {crashes} crashes are known"
+        );
+        self.shared.share();
+    }
+
+    /// Records that a leaf has answered a request.
+    pub(super) fn record_answer(&self, fingerprint: Fingerprint) {
+        if self.shared.lock().record_answer(fingerprint) {
+            info!("quarantine: request {fingerprint:032x} was answered; its crashes are cleared");
+            self.shared.share();
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, core_quarantine::Quarantine> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn merge(&self, records: Vec<Record>) {
+        self.lock()
+            .merge(records, quarantine::now_ms(), Instant::now());
+    }
+
+    /// Passes what the shared list lacks to the thread that writes it.
+    fn share(&self) {
+        let batch = self.lock().unshared(quarantine::now_ms(), Instant::now());
+        if !batch.is_empty() && self.batches.send(batch).is_err() {
+            warn!("quarantine: the thread that shares crashes has ended; restart this process");
+        }
+    }
+}
+
+/// Takes in each version of the list until the last [`Quarantine`] is dropped.
+fn watch(shared: &Weak<Shared>, platform: &Platform) {
+    let mut version = 0;
+    loop {
+        let watched = platform.watch(KEY, version, LONG_POLL_TIMEOUT);
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        match watched {
+            Some(WatchOutcome::Changed(value)) if value.version != version => {
+                version = value.version;
+                shared.merge(quarantine::decode(&value.body));
+            }
+            Some(WatchOutcome::Unchanged) => {}
+            Some(WatchOutcome::Changed(_)) | None => thread::sleep(FAILURE_DELAY),
+        }
+        if !shared.lock().is_empty() {
+            thread::sleep(MAX_COMPLETION_DELAY.mul_f64(rand::rng().random_range(0.0..1.0)));
+            shared.share();
+        }
+    }
+}
+
+/// Returns the fingerprint of a request, which is the same for each repetition of it.
+pub(super) fn fingerprint(request: &ServiceRequest) -> Fingerprint {
+    let shard = match &request.mode {
+        Mode::Query => "",
+        Mode::Execution { shard, .. } => shard.as_str(),
+    };
+    let names = [request.service.name.as_str(), shard];
+    let names = names.iter().map(|name| name.as_bytes());
+    fingerprint::of(names.chain([request.body.as_slice()]))
+}
+
+/// The list in the platform's key-value service.
+struct StoredList(Platform);
+
+impl List for StoredList {
+    fn read(&mut self) -> Result<(u64, Vec<u8>), Error> {
+        let value = self.0.get(KEY);
+        let value = value.ok_or_else(|| Error::Failed("no answer".to_string()))?;
+        Ok((value.version, value.body))
+    }
+
+    fn write(&mut self, version: u64, value: &[u8]) -> Result<(), Error> {
+        match self.0.put(KEY, version, value) {
+            PutOutcome::Done(_) => Ok(()),
+            PutOutcome::Mismatch => Err(Error::Changed),
+            outcome => Err(Error::Failed(format!("{outcome:?}"))),
+        }
+    }
+}
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use super::quarantine::{self, Quarantine};
 use super::response;
 use super::run::{Machine, Run};
 use super::service_request::{self, Mode, ServiceRequest};
@@ -18,6 +19,7 @@
 use crate::core::execution::Execution;
 use crate::core::fan_out::{Counters, FanOut, Query};
 use crate::core::margin;
+use crate::core::quarantine::Admission;
 use crate::edge::claims::Claims;
 use crate::edge::http::{Caller, Fault, Request, Response};
 use crate::edge::metrics::{AttemptKind, QueryResult};
@@ -40,6 +42,8 @@
     /// Claims of idempotency keys. A claim is an entry in the key-value store of the platform,
     /// which the users run; the entry records that a key was taken.
     pub(super) claims: Claims,
+    /// Requests during which leaves crashed.
+    pub(super) quarantine: Quarantine,
 }
 
 impl Handler {
@@ -147,9 +151,17 @@
             let failure = Failure::not_run(Reason::Shed).with_retry_after(SHED_RETRY_AFTER);
             return Some(self.fail(&request, &failure, started));
         };
+        let fingerprint = quarantine::fingerprint(&request);
+        let earlier_crashes = match self.quarantine.admission(fingerprint) {
+            Admission::Admitted(crashes) => crashes,
+            Admission::Withheld(wait) => {
+                let failure = Failure::not_run(Reason::Quarantined).with_retry_after(wait);
+                return Some(self.fail(&request, &failure, started));
+            }
+        };
         let mode = request.mode.clone();
         match mode {
-            Mode::Query => self.fan_out(&request, view, started, caller),
+            Mode::Query => self.fan_out(&request, earlier_crashes, view, started, caller),
             Mode::Execution { shard, key } => {
                 Some(self.execute(&request, &shard, key.as_deref(), view, started))
             }
@@ -160,6 +172,7 @@
     fn fan_out(
         &self,
         request: &ServiceRequest,
+        earlier_crashes: usize,
         view: Arc<View>,
         started: Instant,
         caller: &Caller,
@@ -167,6 +180,7 @@
         survey::before_query(&self.shared, &request.layout, request.timeout);
         let query = to_query(request, started);
         let fan_out = FanOut::new(query, request.layout.clone(), view, started);
+        let fan_out = fan_out.with_earlier_crashes(earlier_crashes);
         let mut machine = Machine::Query(Box::new(fan_out));
         let run = Run::new(&self.shared);
         let result = run.complete(&mut machine, || caller.is_gone());
@@ -174,6 +188,7 @@
             return None;
         };
         self.count_attempts(&request.service.name, fan_out.counters());
+        self.record_crashes(request, fan_out.unanswered_crashes(), &result);
         let response = match result? {
             Ok(answer) => {
                 let traces = fan_out.traces();
@@ -211,6 +226,10 @@
         let run = Run::new(&self.shared);
         let result = run.complete(&mut machine, || false);
         let result = result.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
+        if let Machine::Execution(execution) = &machine {
+            let crashed = execution.unanswered_crashes();
+            self.record_crashes(request, crashed, &Some(result.clone()));
+        }
         self.shared.metrics.count_part(service, AttemptKind::First);
         match result {
             Ok(answer) => {
@@ -228,6 +247,22 @@
         }
     }
 
+    /// Records what a request that has ended says about whether it crashes leaves; `result` is `None`
+    /// if its caller has left.
+    fn record_crashes(
+        &self,
+        request: &ServiceRequest,
+        crashed: &[LeafName],
+        result: &Option<Result<Answer, Failure>>,
+    ) {
+        let fingerprint = quarantine::fingerprint(request);
+        if matches!(result, Some(Ok(_))) {
+            self.quarantine.record_answer(fingerprint);
+        } else if !crashed.is_empty() {
+            self.quarantine.record_crashes(fingerprint, crashed);
+        }
+    }
+
     /// Counts an invalid request, and builds the response for it.
     fn invalid(&self, id: &str, fault: &Fault, started: Instant) -> Response {
         let elapsed = started.elapsed();
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -85,13 +85,22 @@
             peer_client,
             metrics.clone(),
         );
+        let quarantine = caller::Quarantine::start(&starter.platform());
+        let quarantine = quarantine.change_context(Error::Threads)?;
         let hooks = peer_hooks(&handle, &claims);
         let peers = peer::Server::start(settings.node.peer_listen, &dispatcher, hooks)
             .change_context(Error::Peers)?;
         let control = starter
             .start(changes_fetcher(&dispatcher))
             .change_context(Error::Threads)?;
-        let callers = start_callers(&settings, &handle, &dispatcher, &metrics, claims)?;
+        let callers = start_callers(
+            &settings,
+            &handle,
+            &dispatcher,
+            &metrics,
+            claims,
+            quarantine,
+        )?;
         let operators = start_operators(&settings, &handle, &dispatcher, &metrics, &callers)?;
         let node = &settings.node;
         info!(
@@ -195,6 +204,7 @@
     dispatcher: &Dispatcher,
     metrics: &Metrics,
     claims: Claims,
+    quarantine: caller::Quarantine,
 ) -> Result<Arc<caller::Server>, Report<Error>> {
     let options = caller::Options {
         listen: settings.caller.listen,
@@ -209,6 +219,7 @@
         dispatcher: dispatcher.clone(),
         metrics: metrics.clone(),
         claims,
+        quarantine,
         ready: Box::new(move || control.is_ready()),
     };
     let server = caller::Server::start(options, dependencies).change_context(Error::Callers)?;
