Clear requests that are often beside crashes, and count a mass failure once

VMs that had answered it meanwhile knew of no crash yet, so their answers cleared nothing, and once all VMs withheld it, nobody could answer it any more. A VM now remembers its latest answers and clears crashes that it hears of later. By reading: the loss of a failure domain or a reset of many connections ends all requests in flight at once, which looked like several crashes. Crashes now have the time of the request's arrival, and of those that overlap, two count. Both replace the run of a leaf as the identity of a crash, which a leaf that restarts under its id would have defeated.

After: 1 % at most of the harmless request is withheld in 70 replays of 3 to 295 VMs, with clocks that differ, restarts, and the list lost or away; late crashes stay within three.

--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -3,27 +3,28 @@
 //! Load pattern: one request crashes each leaf that begins to run it, comes again and again through
 //! any of hundreds of VMs, and each crash also ends the requests beside it. A VM sees few of the
 //! crashes and can't tell the request from those beside it by a single one. The VMs therefore share
-//! what they have seen in one list, and a request that was answered by any leaf is cleared: a
-//! request that was only beside a crash is served by the next leaf, one that crashes leaves never
-//! is. Requests are recognised by their [`Fingerprint`].
+//! what they have seen in one list, and a request that any leaf answers is cleared: a request that
+//! was only beside a crash is served by the next leaf, one that crashes leaves never is. Requests
+//! are recognised by their [`Fingerprint`].
 //!
 //! From [`WITHHOLD_CRASHES`] crashes without an answer on, a request is refused without being sent,
 //! for [`WITHHOLD_TIME`] after the last crash. After that it is sent to one leaf at a time (see
 //! `core::call`), and one more crash withholds it again; after as long again, it is forgotten.
 //!
 //! Nothing here depends on the shared list: without it, each VM withholds by what it has seen
-//! itself. A list that was lost is completed by any VM that remembers more than it contains. The
-//! entries of two lists are merged by the union of their crashes and of their cleared crashes, so
-//! that the order of merges does not matter.
+//! itself. A list that was lost is completed by any VM that remembers more than it contains. Clocks
+//! of VMs may differ: an answer then clears crashes shortly after it, or leaves some for the next
+//! answer to clear.
 
-mod entry;
+mod crash;
 mod record;
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use self::entry::Entry;
 use crate::core::fingerprint::Fingerprint;
 
+pub use self::crash::Crash;
 pub use self::record::{Record, merge_records};
 
 /// Number of crashes without an answer from which on a request is withheld.
@@ -41,15 +42,9 @@
 /// Maximum number of requests that are remembered.
 pub const MAX_REQUESTS: usize = 128;
 
-/// Maximum number of crashes that are remembered of one request, and of cleared ones.
-const MAX_CRASHES: usize = 8;
-
-/// Maximum number of crashes that count of those that one arrival of a request causes. A search
-/// crashes a leaf of each shard at once, which says little more than one crash.
-const MAX_CRASHES_PER_ARRIVAL: usize = 2;
-
-/// Run of a leaf, from its start until its end: the leaf's id and a mark that differs for each run.
-pub type LeafRun = String;
+/// Maximum number of answers that are remembered. A VM may hear of the crashes beside a request
+/// only after it has answered the request again.
+const MAX_ANSWERS: usize = 1_024;
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,64 +62,77 @@
     entries: Vec<Entry>,
     /// The shared list as it was last read, sorted by fingerprint.
     shared: Vec<Record>,
+    /// Latest requests that leaves answered, with the time in milliseconds since the Unix epoch.
+    answers: VecDeque<(Fingerprint, u64)>,
+}
+
+/// A request during which leaves crashed, with the time of the last crash by the steady clock.
+#[derive(Debug)]
+struct Entry {
+    record: Record,
+    last_crash: Instant,
 }
 
 impl Quarantine {
-    /// Returns whether no request is remembered, so that answers need not be recorded.
+    /// Returns whether no request is remembered during which leaves crashed.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
     /// Returns the number of requests that are withheld.
     pub fn withheld_count(&self, now: Instant) -> usize {
-        let withheld = self.entries.iter().filter(|entry| entry.is_withheld(now));
+        let withheld = self.entries.iter().filter_map(|e| e.withheld_for(now));
         withheld.count()
     }
 
     /// Returns whether a request may be sent.
     pub fn admission(&self, fingerprint: Fingerprint, now: Instant) -> Admission {
-        let Some(entry) = self.entry(fingerprint).filter(|entry| !entry.is_over(now)) else {
+        let index = self.search(fingerprint).ok();
+        let entry = index.map(|index| &self.entries[index]);
+        let Some(entry) = entry.filter(|entry| !entry.is_over(now)) else {
             return Admission::Admitted(0);
         };
         match entry.withheld_for(now) {
             Some(wait) => Admission::Withheld(wait),
-            None => Admission::Admitted(entry.crash_count().min(UNPROVEN_CRASHES)),
+            None => Admission::Admitted(entry.record.crash_count().min(UNPROVEN_CRASHES)),
         }
     }
 
-    /// Records the runs of leaves that crashed during one arrival of a request that no leaf has
-    /// answered. Returns the number of crashes that are known now.
+    /// Records leaves that crashed while they had a request that no leaf has answered. Returns the
+    /// number of crashes that count now.
     pub fn record_crashes(
         &mut self,
         fingerprint: Fingerprint,
-        runs: &[LeafRun],
+        crashes: impl IntoIterator<Item = Crash>,
         now: Instant,
     ) -> usize {
         self.forget_old(now);
         let entry = self.entry_or_insert(fingerprint, now);
-        for run in runs.iter().take(MAX_CRASHES_PER_ARRIVAL) {
-            entry.add_crash(run.clone());
+        for crash in crashes {
+            entry.record.add_crash(crash);
         }
         entry.last_crash = now;
-        let count = entry.crash_count();
+        let count = entry.record.crash_count();
         self.drop_excess();
         count
     }
 
-    /// Records that a leaf has answered a request, which clears its crashes. Returns whether they
-    /// were enough to matter to other VMs.
-    pub fn record_answer(&mut self, fingerprint: Fingerprint) -> bool {
+    /// Records that a leaf has answered a request, which clears its crashes, also those that other
+    /// VMs tell later. Returns whether enough crashes were known to matter to other VMs.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) -> bool {
+        if self.answers.len() >= MAX_ANSWERS {
+            self.answers.pop_front();
+        }
+        self.answers.push_back((fingerprint, now_ms));
         let Ok(index) = self.search(fingerprint) else {
             return false;
         };
-        let entry = &mut self.entries[index];
-        let matters = entry.crash_count() >= UNPROVEN_CRASHES;
-        entry.clear(matters);
-        let is_shared = self.shared.iter().any(|r| r.fingerprint == fingerprint);
-        if !matters && !is_shared {
+        if self.entries[index].record.crash_count() < UNPROVEN_CRASHES {
             self.entries.remove(index);
+            return false;
         }
-        matters
+        self.entries[index].record.clear(now_ms);
+        true
     }
 
     /// Takes in the shared list as it was read at `now_ms` in milliseconds since the Unix epoch.
@@ -135,8 +143,13 @@
                 continue;
             }
             let last_crash = now.checked_sub(age).unwrap_or(now);
+            let mut answers = self.answers.iter().rev();
+            let answer = answers.find(|(answered, _)| *answered == record.fingerprint);
+            let answered_ms = answer.map_or(0, |(_, at_ms)| *at_ms);
             let entry = self.entry_or_insert(record.fingerprint, last_crash);
-            entry.merge(record, last_crash);
+            entry.record.merge(record);
+            entry.record.clear(answered_ms);
+            entry.last_crash = entry.last_crash.max(last_crash);
         }
         self.shared = records;
         self.shared.sort_by_key(|record| record.fingerprint);
@@ -144,16 +157,18 @@
         self.drop_excess();
     }
 
-    /// Returns the entries of which the shared list lacks something, as they should be added to it
-    /// at `now_ms` in milliseconds since the Unix epoch.
-    pub fn unshared(&self, now_ms: u64, now: Instant) -> Vec<Record> {
-        let entries = self.entries.iter().filter(|entry| !entry.is_over(now));
-        let lacking = entries.filter(|entry| {
-            let order = |record: &Record| record.fingerprint.cmp(&entry.fingerprint);
-            let index = self.shared.binary_search_by(order);
-            entry.has_more_than(index.ok().map(|index| &self.shared[index]))
+    /// Returns the records that tell more than the shared list.
+    pub fn unshared(&self, now: Instant) -> Vec<Record> {
+        let records = self.entries.iter().filter(|entry| !entry.is_over(now));
+        let records = records.map(|entry| &entry.record);
+        let unshared = records.filter(|record| {
+            let order = |shared: &Record| shared.fingerprint.cmp(&record.fingerprint);
+            match self.shared.binary_search_by(order) {
+                Ok(index) => record.tells_more_than(&self.shared[index]),
+                Err(_) => record.crash_count() > 0,
+            }
         });
-        lacking.map(|entry| entry.to_record(now_ms, now)).collect()
+        unshared.cloned().collect()
     }
 
     /// Forgets the requests whose last crash is too long ago.
@@ -165,23 +180,17 @@
     fn drop_excess(&mut self) {
         while self.entries.len() > MAX_REQUESTS {
             let entries = self.entries.iter().enumerate();
-            let rank =
-                |entry: &Entry| (entry.crash_count().min(WITHHOLD_CRASHES), entry.last_crash);
+            let rank = |entry: &Entry| (entry.record.crash_count(), entry.last_crash);
             let least = entries.min_by_key(|(_, entry)| rank(entry));
             let Some((index, _)) = least else { return };
             self.entries.remove(index);
         }
     }
 
-    fn entry(&self, fingerprint: Fingerprint) -> Option<&Entry> {
-        let index = self.search(fingerprint).ok()?;
-        Some(&self.entries[index])
-    }
-
     fn entry_or_insert(&mut self, fingerprint: Fingerprint, last_crash: Instant) -> &mut Entry {
         let index = self.search(fingerprint).unwrap_or_else(|index| {
-            self.entries
-                .insert(index, Entry::new(fingerprint, last_crash));
+            let record = Record::new(fingerprint);
+            self.entries.insert(index, Entry { record, last_crash });
             index
         });
         &mut self.entries[index]
@@ -189,6 +198,20 @@
 
     fn search(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
         self.entries
-            .binary_search_by_key(&fingerprint, |entry| entry.fingerprint)
+            .binary_search_by_key(&fingerprint, |entry| entry.record.fingerprint)
+    }
+}
+
+impl Entry {
+    /// Returns for how long the request is still withheld; `None` if it is not.
+    fn withheld_for(&self, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.last_crash);
+        let left = WITHHOLD_TIME.checked_sub(age)?;
+        (self.record.crash_count() >= WITHHOLD_CRASHES).then_some(left)
+    }
+
+    /// Returns whether the last crash is too long ago to matter.
+    fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_crash) >= MEMORY
     }
 }
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -1,68 +1,108 @@
-//! Entry of the list of requests during which leaves crashed, as the VMs share it.
+//! What is known of one request during which leaves crashed, as the VMs share it.
 
 use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use super::entry;
-use super::{LeafRun, MAX_REQUESTS, MEMORY, WITHHOLD_CRASHES};
+use super::crash::{self, Crash};
+use super::{MAX_REQUESTS, MEMORY, UNPROVEN_CRASHES, WITHHOLD_CRASHES};
 use crate::core::fingerprint::Fingerprint;
 
-/// A request during which leaves crashed.
+/// Difference of two clocks below which two times count as the same.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(10);
+
+/// A request during which leaves crashed. Times are in milliseconds since the Unix epoch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
     /// Fingerprint of the request, as hexadecimal text.
     #[serde(serialize_with = "write_hex", deserialize_with = "read_hex")]
     pub fingerprint: Fingerprint,
-    /// Runs of leaves that crashed while they ran the request, the latest last.
-    pub crashed: Vec<LeafRun>,
-    /// Runs whose crash does not count, because a leaf has answered the request since.
-    pub cleared: Vec<LeafRun>,
-    /// Time of the last crash in milliseconds since the Unix epoch.
+    /// Crashes that count, sorted by time.
+    pub crashes: Vec<Crash>,
+    /// When the last leaf crashed.
     pub last_crash_ms: u64,
+    /// When a leaf last answered the request, which clears all crashes before; 0 if none did.
+    pub answered_ms: u64,
 }
 
 impl Record {
+    pub(super) fn new(fingerprint: Fingerprint) -> Record {
+        Record {
+            fingerprint,
+            crashes: Vec::new(),
+            last_crash_ms: 0,
+            answered_ms: 0,
+        }
+    }
+
+    /// Returns the number of crashes that count.
+    pub(super) fn crash_count(&self) -> usize {
+        crash::count(&self.crashes)
+    }
+
     /// Returns the time since the last crash; zero if the clock of its VM is ahead.
     pub(super) fn age(&self, now_ms: u64) -> Duration {
         Duration::from_millis(now_ms.saturating_sub(self.last_crash_ms))
     }
 
-    /// Returns the number of crashes that count.
-    fn crash_count(&self) -> usize {
-        let mut crashed = self.crashed.clone();
-        crashed.retain(|run| !self.cleared.contains(run));
-        crashed.len()
+    /// Adds a crash, unless it was cleared. It is kept only if it counts.
+    pub(super) fn add_crash(&mut self, crash: Crash) {
+        if crash.at_ms <= self.answered_ms || self.crashes.contains(&crash) {
+            return;
+        }
+        self.last_crash_ms = self.last_crash_ms.max(crash.at_ms);
+        let before = self.crash_count();
+        if before >= WITHHOLD_CRASHES {
+            return;
+        }
+        let index = self.crashes.partition_point(|c| c.at_ms <= crash.at_ms);
+        self.crashes.insert(index, crash);
+        if self.crash_count() <= before {
+            self.crashes.remove(index);
+        }
     }
 
-    fn merge(&mut self, other: Record) {
-        for run in other.crashed {
-            entry::add(&mut self.crashed, run);
-        }
-        for run in other.cleared {
-            entry::add(&mut self.cleared, run);
+    /// Clears the crashes before an answer of a leaf.
+    pub(super) fn clear(&mut self, answered_ms: u64) {
+        self.answered_ms = self.answered_ms.max(answered_ms);
+        self.crashes.retain(|crash| crash.at_ms > self.answered_ms);
+    }
+
+    /// Takes in another record of the same request.
+    pub(super) fn merge(&mut self, other: &Record) {
+        self.clear(other.answered_ms);
+        for crash in &other.crashes {
+            self.add_crash(crash.clone());
         }
         self.last_crash_ms = self.last_crash_ms.max(other.last_crash_ms);
     }
+
+    /// Returns whether the record tells more than another one of the same request.
+    pub(super) fn tells_more_than(&self, other: &Record) -> bool {
+        let mut merged = other.clone();
+        merged.merge(self);
+        let (count, known) = (merged.crash_count(), other.crash_count());
+        let is_cleared = count < known && known >= UNPROVEN_CRASHES;
+        let gained = self.last_crash_ms.saturating_sub(other.last_crash_ms);
+        let is_later = Duration::from_millis(gained) > CLOCK_TOLERANCE;
+        count > known || is_cleared || (count > 0 && is_later)
+    }
 }
 
 /// Adds records to a shared list, and drops those that are too old or too many. `now_ms` is the time
 /// in milliseconds since the Unix epoch.
-pub fn merge_records(list: Vec<Record>, added: Vec<Record>, now_ms: u64) -> Vec<Record> {
+pub fn merge_records(list: Vec<Record>, added: &[Record], now_ms: u64) -> Vec<Record> {
     let mut merged = list;
     for record in added {
-        let known = merged
-            .iter_mut()
-            .find(|r| r.fingerprint == record.fingerprint);
-        match known {
+        let mut known = merged.iter_mut();
+        match known.find(|known| known.fingerprint == record.fingerprint) {
             Some(known) => known.merge(record),
-            None => merged.push(record),
+            None => merged.push(record.clone()),
         }
     }
     merged.retain(|record| record.age(now_ms) < MEMORY);
-    let rank = |r: &Record| (r.crash_count().min(WITHHOLD_CRASHES), r.last_crash_ms);
-    merged.sort_by_key(|record| Reverse(rank(record)));
+    merged.sort_by_key(|record| Reverse((record.crash_count(), record.last_crash_ms)));
     merged.truncate(MAX_REQUESTS);
     merged.sort_by_key(|record| record.fingerprint);
     merged
--- a/src/geraniummount/edge/caller/quarantine.rs
+++ b/src/geraniummount/edge/caller/quarantine.rs
@@ -14,7 +14,7 @@
 
 use super::service_request::{Mode, ServiceRequest};
 use crate::core::fingerprint::{self, Fingerprint};
-use crate::core::quarantine::{self as core_quarantine, Admission, LeafRun, Record};
+use crate::core::quarantine::{self as core_quarantine, Admission, Crash, Record};
 use crate::edge::platform::{Platform, PutOutcome, WatchOutcome};
 use crate::edge::quarantine::{self, Error, List, Writer};
 use crate::prelude::*;
@@ -32,10 +32,6 @@
 /// been lost, and the first VM to complete it spares the others the calls.
 const MAX_COMPLETION_DELAY: Duration = Duration::from_secs(3);
 
-/// Milliseconds after which a crash of the same leaf is another one. Several VMs may lose the same
-/// request to one crash.
-const CRASH_TIME_MS: u64 = 250;
-
 /// Requests during which leaves crashed. Clones share one state.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -87,25 +83,31 @@
         self.shared.lock().admission(fingerprint, Instant::now())
     }
 
-    /// Records the leaves that crashed during a request that no leaf has answered.
-    pub(super) fn record_crashes(&self, fingerprint: Fingerprint, leaves: &[LeafName]) {
-        let bucket = quarantine::now_ms() / CRASH_TIME_MS;
-        let runs = leaves.iter().map(|leaf| format!("{leaf}@{bucket}"));
-        let runs: Vec<LeafRun> = runs.collect();
+    /// Records the leaves that crashed during a request that no leaf has answered; `age` is the time
+    /// since the request arrived.
+    pub(super) fn record_crashes(
+        &self,
+        fingerprint: Fingerprint,
+        leaves: &[LeafName],
+        age: Duration,
+    ) {
+        let now_ms = quarantine::now_ms();
+        let crashes = leaves.iter().map(|leaf| Crash::after(leaf, age, now_ms));
         let mut state = self.shared.lock();
-        let crashes = state.record_crashes(fingerprint, &runs, Instant::now());
+        let count = state.record_crashes(fingerprint, crashes, Instant::now());
         drop(state);
         let leaves = leaves.join(", ");
         info!(
             "quarantine: leaves {leaves} crashed while they ran request {fingerprint:032x}; \
-             {crashes} crashes are known"
+             {count} crashes are known"
         );
         self.shared.share();
     }
 
     /// Records that a leaf has answered a request.
     pub(super) fn record_answer(&self, fingerprint: Fingerprint) {
-        if self.shared.lock().record_answer(fingerprint) {
+        let now_ms = quarantine::now_ms();
+        if self.shared.lock().record_answer(fingerprint, now_ms) {
             info!("quarantine: request {fingerprint:032x} was answered; its crashes are cleared");
             self.shared.share();
         }
@@ -124,7 +126,7 @@
 
     /// Passes what the shared list lacks to the thread that writes it.
     fn share(&self) {
-        let batch = self.lock().unshared(quarantine::now_ms(), Instant::now());
+        let batch = self.lock().unshared(Instant::now());
         if !batch.is_empty() && self.batches.send(batch).is_err() {
             warn!("quarantine: the thread that shares crashes has ended; restart this process");
         }
--- a/src/geraniummount/edge/caller/serve.rs
+++ b/src/geraniummount/edge/caller/serve.rs
@@ -188,7 +188,7 @@
             return None;
         };
         self.count_attempts(&request.service.name, fan_out.counters());
-        self.record_crashes(request, fan_out.unanswered_crashes(), &result);
+        self.record_crashes(request, fan_out.unanswered_crashes(), &result, started);
         let response = match result? {
             Ok(answer) => {
                 let traces = fan_out.traces();
@@ -228,7 +228,7 @@
         let result = result.unwrap_or(Err(Failure::may_have_run(Reason::Deadline)));
         if let Machine::Execution(execution) = &machine {
             let crashed = execution.unanswered_crashes();
-            self.record_crashes(request, crashed, &Some(result.clone()));
+            self.record_crashes(request, crashed, &Some(result.clone()), started);
         }
         self.shared.metrics.count_part(service, AttemptKind::First);
         match result {
@@ -254,12 +254,14 @@
         request: &ServiceRequest,
         crashed: &[LeafName],
         result: &Option<Result<Answer, Failure>>,
+        started: Instant,
     ) {
         let fingerprint = quarantine::fingerprint(request);
         if matches!(result, Some(Ok(_))) {
             self.quarantine.record_answer(fingerprint);
         } else if !crashed.is_empty() {
-            self.quarantine.record_crashes(fingerprint, crashed);
+            let age = started.elapsed();
+            self.quarantine.record_crashes(fingerprint, crashed, age);
         }
     }
 
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -82,7 +82,7 @@
             wake_at: None,
             sends: 0,
             unserved_when_due: false,
-            crashed: Vec::new(),
+            crashes: Vec::new(),
         });
     }
 
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -28,7 +28,7 @@
     /// Removes a call, writes its response to the caller and logs its outcome.
     pub(super) fn finish_call(&mut self, index: usize, end: End) {
         let state = self.calls.remove(index);
-        self.quarantine_if_unanswered(&state);
+        self.count_crashes(&state);
         let caller = state.caller;
         let outcome = match end {
             End::Gathered {
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -16,7 +16,7 @@
 use crate::core::call::{Action, Call, Reply};
 use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
-use crate::core::quarantine::LeafRun;
+use crate::core::quarantine::Crash;
 use crate::prelude::*;
 use crate::util::h1::Field;
 
@@ -56,8 +56,8 @@
     pub(super) sends: u32,
     /// Whether the call was already counted as unserved when its answer was due.
     pub(super) unserved_when_due: bool,
-    /// Runs of leaves that closed the connection while they had the request.
-    pub(super) crashed: Vec<LeafRun>,
+    /// Leaves that closed the connection while they had the request.
+    pub(super) crashes: Vec<Crash>,
 }
 
 /// An attempt in flight at one leaf.
@@ -229,7 +229,7 @@
             }
         }
         let state = self.calls.remove(index);
-        self.quarantine_if_unanswered(&state);
+        self.count_crashes(&state);
         let took = self
             .now
             .saturating_duration_since(state.started)
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -318,9 +318,9 @@
     /// Fails the attempt of a connection that the leaf or the network closed.
     fn fail_closed_leaf(&mut self, connection: usize) {
         let leaf = &mut self.leaf_connections[connection];
-        let replica = leaf.replica;
+        let (replica, sent_at) = (leaf.replica, leaf.requested_at);
         if let Some(fingerprint) = leaf.abandoned_request.take() {
-            self.record_late_crash(replica, fingerprint);
+            self.record_late_crash(replica, fingerprint, sent_at);
         }
         self.fail_leaf(connection, Reply::Disconnected);
     }
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use rand::RngExt;
@@ -21,7 +21,7 @@
 use crate::core::call::{Refusal, Reply};
 use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
-use crate::core::quarantine::{LeafRun, Record};
+use crate::core::quarantine::{Crash, Record};
 use crate::edge::quarantine::{self, Error, List, Writer};
 use crate::platform::{self, Store};
 use crate::prelude::*;
@@ -48,42 +48,54 @@
     pub(super) fn record_crash_or_answer(&mut self, attempt: &Attempt, reply: &Reply) {
         match reply {
             Reply::Disconnected => {
-                let run = self.leaf_run(&attempt.service, attempt.replica);
-                self.calls[attempt.call].crashed.extend(run);
+                let state = &self.calls[attempt.call];
+                let crash = self.crash(&attempt.service, attempt.replica, state.started);
+                self.calls[attempt.call].crashes.extend(crash);
             }
-            Reply::Success(_) if !self.quarantine.is_empty() => {
-                let fingerprint = self.calls[attempt.call].forwarded.fingerprint;
-                if self.quarantine.record_answer(fingerprint) {
-                    info!("quarantine fingerprint={fingerprint:032x} event=cleared");
-                    self.share_quarantine();
-                }
+            Reply::Success(_) if self.calls[attempt.call].call.included_count() == 0 => {
+                self.record_answer(self.calls[attempt.call].forwarded.fingerprint);
             }
             _ => {}
         }
     }
 
     /// Counts the crashes during a call that has ended, unless a leaf has answered its request.
-    pub(super) fn quarantine_if_unanswered(&mut self, state: &CallState) {
-        if !state.crashed.is_empty() && state.call.included_count() == 0 {
-            self.record_crashes(state.forwarded.fingerprint, &state.crashed);
+    pub(super) fn count_crashes(&mut self, state: &CallState) {
+        if !state.crashes.is_empty() && state.call.included_count() == 0 {
+            self.record_crashes(state.forwarded.fingerprint, &state.crashes);
+        }
+    }
+
+    fn record_answer(&mut self, fingerprint: Fingerprint) {
+        let now_ms = quarantine::now_ms();
+        if self.quarantine.record_answer(fingerprint, now_ms) {
+            info!("quarantine fingerprint={fingerprint:032x} event=cleared");
+            self.share_quarantine();
         }
     }
 
     /// Counts the crash of a leaf that still had the request of an abandoned attempt.
-    pub(super) fn record_late_crash(&mut self, key: ReplicaKey, fingerprint: Fingerprint) {
+    pub(super) fn record_late_crash(
+        &mut self,
+        key: ReplicaKey,
+        fingerprint: Fingerprint,
+        sent_at: Instant,
+    ) {
         let service = self.leaf_service(key);
-        let run = service.and_then(|service| self.leaf_run(&service, key));
-        if let Some(run) = run {
-            self.record_crashes(fingerprint, &[run]);
+        let crash = service.and_then(|service| self.crash(&service, key, sent_at));
+        if let Some(crash) = crash {
+            self.record_crashes(fingerprint, &[crash]);
         }
     }
 
-    fn record_crashes(&mut self, fingerprint: Fingerprint, runs: &[LeafRun]) {
-        let crashes = self.quarantine.record_crashes(fingerprint, runs, self.now);
-        let leaves = runs.join(",");
+    fn record_crashes(&mut self, fingerprint: Fingerprint, crashes: &[Crash]) {
+        let added = crashes.iter().cloned();
+        let count = self.quarantine.record_crashes(fingerprint, added, self.now);
+        let leaves: Vec<&str> = crashes.iter().map(|crash| crash.leaf.as_str()).collect();
+        let leaves = leaves.join(",");
         info!(
             "quarantine fingerprint={fingerprint:032x} event=crashed leaves={leaves} \
-             crashes={crashes}"
+             crashes={count}"
         );
         self.share_quarantine();
         self.check_quarantine_after(CHECK_INTERVAL);
@@ -149,7 +161,7 @@
     /// Passes what the shared list lacks to the thread that writes it, which is started if there is
     /// none.
     fn share_quarantine(&mut self) {
-        let batch = self.quarantine.unshared(quarantine::now_ms(), self.now);
+        let batch = self.quarantine.unshared(self.now);
         if batch.is_empty() {
             return;
         }
@@ -166,11 +178,16 @@
         }
     }
 
-    /// Returns the run of a leaf; `None` if the leaf is gone.
-    fn leaf_run(&self, service: &str, key: ReplicaKey) -> Option<LeafRun> {
-        let instance = &self.placement.replica(service, key)?.instance;
-        let started_at = instance.started_at_ms.unwrap_or_default();
-        Some(format!("{}@{started_at}", instance.id))
+    /// Returns the crash, just now, of a leaf that had a request since `arrived_at`; `None` if the leaf
+    /// is gone.
+    fn crash(&self, service: &str, key: ReplicaKey, arrived_at: Instant) -> Option<Crash> {
+        let replica = self.placement.replica(service, key)?;
+        let age = self.now.saturating_duration_since(arrived_at);
+        Some(Crash::after(
+            replica.instance.id.as_str(),
+            age,
+            quarantine::now_ms(),
+        ))
     }
 }
 
--- a/src/geraniummount/edge/quarantine/writer.rs
+++ b/src/geraniummount/edge/quarantine/writer.rs
@@ -67,7 +67,7 @@
     fn add(&mut self, batch: &[Record]) -> Result<(), Error> {
         let (version, value) = self.list.read()?;
         let list = decode(&value);
-        let merged = merge_records(list.clone(), batch.to_vec(), now_ms());
+        let merged = merge_records(list.clone(), batch, now_ms());
         if merged != list {
             self.list.write(version, &encode(&merged))?;
             info!("quarantine event=shared requests={}", merged.len());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,6 +44,7 @@
 mod promise_not_run;
 mod promise_reply;
 mod promise_snapshot;
+mod quarantine_fleet;
 mod query_path;
 mod readiness;
 mod reply_size;
--- /dev/null
+++ b/tests/testsuite/quarantine_fleet.rs
@@ -0,0 +1,465 @@
+//! Replays the load of a request that crashes leaves on whole fleets, beside a request that does
+//! not, and checks how many leaves crash and that the other request is served.
+
+use std::time::{Duration, Instant};
+
+use geraniummount::core::fingerprint::Fingerprint;
+use geraniummount::core::quarantine::{
+    Admission, Crash, MAX_REQUESTS, MEMORY, Quarantine, Record, WITHHOLD_TIME, merge_records,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
+
+/// The request that crashes leaves, and one that does not.
+const CRASHING: Fingerprint = 1;
+const HARMLESS: Fingerprint = 2;
+
+/// Time from the arrival of a request at a leaf until the leaf crashes.
+const CRASH_DELAY_MS: u64 = 90;
+
+/// Time from the crash of a leaf until it is back.
+const RESTART_DELAY_MS: u64 = 3_000;
+
+/// Shortest and longest time from a change of the shared list until a VM has it.
+const DELIVERY_MS: (u64, u64) = (300, 2_500);
+
+/// Time after the third crash from which on few repetitions may reach a leaf, and their number.
+const CONTACT_MS: u64 = 4_000;
+const MAX_RETRIES: usize = 3;
+
+/// Crashes that one VM may cause by itself: the third one withholds the request, and one more may
+/// have been on its way.
+const MAX_CRASHES_PER_VM: usize = 4;
+
+const LOAD_END_MS: u64 = 40_000;
+
+/// Time of day at the start of the load.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// What the shared list does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum List {
+    Sound,
+    /// It can be neither read nor written, all the time.
+    Away,
+    /// It is empty from 12 s on, and then completed.
+    Lost,
+}
+
+/// A fleet and the load.
+#[derive(Debug)]
+struct Case {
+    name: &'static str,
+    vms: usize,
+    leaves: usize,
+    /// Interval between two repetitions of the request that crashes leaves.
+    repeat_ms: u64,
+    /// Every nth VM is restarted at 15 s; 0: none.
+    restarted: usize,
+    /// Maximum difference of a VM's clock from the time of day.
+    skew_ms: u64,
+    list: List,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "few VMs",
+        vms: 3,
+        leaves: 8,
+        repeat_ms: 250,
+        restarted: 0,
+        skew_ms: 0,
+        list: List::Sound,
+    },
+    Case {
+        name: "few VMs, rare repetitions, restarts",
+        vms: 7,
+        leaves: 5,
+        repeat_ms: 3_000,
+        restarted: 2,
+        skew_ms: 0,
+        list: List::Sound,
+    },
+    Case {
+        name: "few VMs, clocks differ",
+        vms: 7,
+        leaves: 5,
+        repeat_ms: 400,
+        restarted: 2,
+        skew_ms: 2_000,
+        list: List::Sound,
+    },
+    Case {
+        name: "many VMs, restarts",
+        vms: 295,
+        leaves: 6,
+        repeat_ms: 500,
+        restarted: 3,
+        skew_ms: 50,
+        list: List::Sound,
+    },
+    Case {
+        name: "many VMs, rare repetitions",
+        vms: 295,
+        leaves: 6,
+        repeat_ms: 3_000,
+        restarted: 3,
+        skew_ms: 50,
+        list: List::Sound,
+    },
+    Case {
+        name: "few VMs, list lost",
+        vms: 7,
+        leaves: 5,
+        repeat_ms: 500,
+        restarted: 3,
+        skew_ms: 50,
+        list: List::Lost,
+    },
+    Case {
+        name: "few VMs without the list",
+        vms: 7,
+        leaves: 5,
+        repeat_ms: 250,
+        restarted: 0,
+        skew_ms: 0,
+        list: List::Away,
+    },
+];
+
+struct Vm {
+    quarantine: Quarantine,
+    /// Difference of the VM's clock from the time of day.
+    skew_ms: i64,
+    /// When the VM gets the current list; `None` if it has it.
+    delivery_ms: Option<u64>,
+}
+
+struct Replay<'a> {
+    case: &'a Case,
+    base: Instant,
+    now_ms: u64,
+    vms: Vec<Vm>,
+    list: Vec<Record>,
+    /// When each leaf is up again.
+    up_at_ms: Vec<u64>,
+    /// Repetitions that have reached a leaf: when it crashes, the leaf and the VM.
+    pending: Vec<(u64, usize, usize)>,
+    crashes: Vec<(u64, usize)>,
+    harmless_sent: usize,
+    harmless_withheld: usize,
+    rng: SmallRng,
+}
+
+impl Replay<'_> {
+    fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.now_ms)
+    }
+
+    fn clock_ms(&self, vm: usize) -> u64 {
+        EPOCH_MS.saturating_add_signed(self.vms[vm].skew_ms) + self.now_ms
+    }
+
+    fn run(&mut self) {
+        while self.now_ms < LOAD_END_MS {
+            self.now_ms += 10;
+            self.disturb();
+            self.deliver();
+            self.crash();
+            if self.now_ms.is_multiple_of(self.case.repeat_ms) {
+                self.repeat();
+            }
+            if self.now_ms.is_multiple_of(50) {
+                self.send_harmless();
+            }
+        }
+    }
+
+    fn disturb(&mut self) {
+        if self.now_ms == 12_000 && self.case.list == List::Lost {
+            self.list.clear();
+            self.schedule_deliveries();
+        }
+        let every = self.case.restarted;
+        if self.now_ms == 15_000 && every > 0 {
+            for index in (0..self.vms.len()).step_by(every) {
+                self.vms[index].quarantine = Quarantine::default();
+                // A VM that starts reads the list before it serves.
+                self.vms[index].delivery_ms = Some(self.now_ms);
+            }
+        }
+    }
+
+    fn schedule_deliveries(&mut self) {
+        let (shortest, longest) = DELIVERY_MS;
+        for vm in &mut self.vms {
+            let at = self.now_ms + self.rng.random_range(shortest..longest);
+            vm.delivery_ms.get_or_insert(at);
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.case.list == List::Away {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let due = self.vms[index]
+                .delivery_ms
+                .is_some_and(|at| at <= self.now_ms);
+            if due {
+                let (clock_ms, now) = (self.clock_ms(index), self.now());
+                let vm = &mut self.vms[index];
+                vm.delivery_ms = None;
+                vm.quarantine.merge(self.list.clone(), clock_ms, now);
+                self.share(index);
+            }
+        }
+    }
+
+    /// Adds to the list what a VM knows.
+    fn share(&mut self, index: usize) {
+        if self.case.list == List::Away {
+            return;
+        }
+        let unshared = self.vms[index].quarantine.unshared(self.now());
+        let merged = merge_records(self.list.clone(), &unshared, self.clock_ms(index));
+        if merged != self.list {
+            self.list = merged;
+            self.schedule_deliveries();
+        }
+    }
+
+    fn crash(&mut self) {
+        let due = self.pending.iter().filter(|(at, ..)| *at <= self.now_ms);
+        let due: Vec<(u64, usize, usize)> = due.copied().collect();
+        self.pending.retain(|(at, ..)| *at > self.now_ms);
+        for (_, leaf, vm) in due {
+            self.crashes.push((self.now_ms, vm));
+            self.up_at_ms[leaf] = self.now_ms + RESTART_DELAY_MS;
+            self.record(vm, CRASHING, leaf);
+            // The other request is beside it through another VM.
+            if self.rng.random_bool(0.5) {
+                let beside = self.rng.random_range(0..self.vms.len());
+                self.record(beside, HARMLESS, leaf);
+            }
+        }
+    }
+
+    fn record(&mut self, vm: usize, fingerprint: Fingerprint, leaf: usize) {
+        let age = Duration::from_millis(CRASH_DELAY_MS);
+        let crash = Crash::after(format!("leaf-{leaf}"), age, self.clock_ms(vm));
+        let now = self.now();
+        self.vms[vm]
+            .quarantine
+            .record_crashes(fingerprint, [crash], now);
+        self.share(vm);
+    }
+
+    fn repeat(&mut self) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        let admission = self.vms[vm].quarantine.admission(CRASHING, self.now());
+        let up = (0..self.case.leaves).filter(|leaf| self.up_at_ms[*leaf] <= self.now_ms);
+        let up: Vec<usize> = up.collect();
+        if matches!(admission, Admission::Withheld(_)) || up.is_empty() {
+            return;
+        }
+        let leaf = up[self.rng.random_range(0..up.len())];
+        self.pending.push((self.now_ms + CRASH_DELAY_MS, leaf, vm));
+    }
+
+    fn send_harmless(&mut self) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        let (clock_ms, now) = (self.clock_ms(vm), self.now());
+        self.harmless_sent += 1;
+        let quarantine = &mut self.vms[vm].quarantine;
+        match quarantine.admission(HARMLESS, now) {
+            Admission::Withheld(_) => self.harmless_withheld += 1,
+            Admission::Admitted(_) if quarantine.record_answer(HARMLESS, clock_ms) => {
+                self.share(vm);
+            }
+            Admission::Admitted(_) => {}
+        }
+    }
+}
+
+fn replay(case: &Case, seed: u64) -> Replay<'_> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let skew = i64::try_from(case.skew_ms).unwrap();
+    let vms = (0..case.vms).map(|_| Vm {
+        quarantine: Quarantine::default(),
+        skew_ms: rng.random_range(-skew..=skew),
+        delivery_ms: None,
+    });
+    let vms = vms.collect();
+    let mut replay = Replay {
+        case,
+        base: Instant::now(),
+        now_ms: 0,
+        vms,
+        list: Vec::new(),
+        up_at_ms: vec![0; case.leaves],
+        pending: Vec::new(),
+        crashes: Vec::new(),
+        harmless_sent: 0,
+        harmless_withheld: 0,
+        rng,
+    };
+    replay.run();
+    replay
+}
+
+#[test]
+fn quarantine_of_a_fleet_ends_the_repetitions_of_a_request_that_crashes_leaves() {
+    for case in CASES {
+        for seed in SEEDS {
+            let done = replay(case, seed);
+            let context = format!("{}, seed {seed}: {:?}", case.name, done.crashes);
+            assert!(done.crashes.len() >= 3, "{context}");
+            let third = done.crashes[2].0;
+            let late = done
+                .crashes
+                .iter()
+                .filter(|(at, _)| *at > third + CONTACT_MS);
+            let is_shared = case.list != List::Away;
+            assert!(!is_shared || late.count() <= MAX_RETRIES, "{context}");
+            for vm in 0..case.vms {
+                let own = done.crashes.iter().filter(|(_, by)| *by == vm).count();
+                assert!(own <= MAX_CRASHES_PER_VM, "VM {vm}, {context}");
+            }
+            let (sent, withheld) = (done.harmless_sent, done.harmless_withheld);
+            assert!(withheld * 100 <= sent, "{withheld} of {sent}, {context}");
+        }
+    }
+}
+
+/// Returns a crash at a time after [`EPOCH_MS`] that a request which arrived at another had met.
+fn crash(arrived_ms: u64, at_ms: u64) -> Crash {
+    Crash {
+        leaf: format!("leaf-{at_ms}"),
+        arrived_ms: EPOCH_MS + arrived_ms,
+        at_ms: EPOCH_MS + at_ms,
+    }
+}
+
+#[test]
+fn quarantine_counts_crashes_that_overlap_twice_at_most() {
+    struct Case {
+        name: &'static str,
+        crashes: &'static [(u64, u64)],
+        count: usize,
+    }
+    const CASES: &[Case] = &[
+        Case {
+            name: "one after the other",
+            crashes: &[(0, 90), (100, 150), (200, 220)],
+            count: 3,
+        },
+        Case {
+            name: "all at once",
+            crashes: &[(0, 90), (10, 91), (20, 91), (30, 92), (5, 93)],
+            count: 2,
+        },
+        Case {
+            name: "all at once, then one more",
+            crashes: &[(0, 90), (10, 91), (20, 91), (500, 600)],
+            count: 3,
+        },
+        Case {
+            name: "the same one twice",
+            crashes: &[(0, 90), (0, 90)],
+            count: 1,
+        },
+    ];
+    let now = Instant::now();
+    for case in CASES {
+        let mut quarantine = Quarantine::default();
+        let crashes = case
+            .crashes
+            .iter()
+            .map(|(arrived, at)| crash(*arrived, *at));
+        let count = quarantine.record_crashes(CRASHING, crashes, now);
+        assert_eq!(count, case.count, "{}", case.name);
+    }
+}
+
+/// Returns a quarantine that withholds the request.
+fn withholding(now: Instant) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    let crashes = [crash(0, 90), crash(100, 150), crash(200, 220)];
+    assert_eq!(quarantine.record_crashes(CRASHING, crashes, now), 3);
+    quarantine
+}
+
+#[test]
+fn quarantine_of_a_request_ends_and_begins_again_with_one_more_crash() {
+    let now = Instant::now();
+    let mut quarantine = withholding(now);
+    assert_eq!(
+        quarantine.admission(CRASHING, now),
+        Admission::Withheld(WITHHOLD_TIME)
+    );
+    assert_eq!(quarantine.admission(HARMLESS, now), Admission::Admitted(0));
+    let second = Duration::from_secs(1);
+    let over = now + WITHHOLD_TIME + second;
+    assert_eq!(quarantine.admission(CRASHING, over), Admission::Admitted(2));
+    quarantine.record_crashes(CRASHING, [crash(400_000, 400_090)], over);
+    assert_eq!(
+        quarantine.admission(CRASHING, over),
+        Admission::Withheld(WITHHOLD_TIME)
+    );
+    let forgotten = over + MEMORY;
+    assert_eq!(
+        quarantine.admission(CRASHING, forgotten),
+        Admission::Admitted(0)
+    );
+}
+
+#[test]
+fn quarantine_of_a_request_ends_on_all_vms_once_a_leaf_has_answered_it() {
+    let now = Instant::now();
+    let mut first = withholding(now);
+    let list = merge_records(Vec::new(), &first.unshared(now), EPOCH_MS + 300);
+    let mut second = Quarantine::default();
+    second.merge(list.clone(), EPOCH_MS + 300, now);
+    assert!(matches!(
+        second.admission(CRASHING, now),
+        Admission::Withheld(_)
+    ));
+    first.merge(list.clone(), EPOCH_MS + 300, now);
+    assert!(first.unshared(now).is_empty());
+    // An answer that was on its way when the third crash became known.
+    assert!(first.record_answer(CRASHING, EPOCH_MS + 400));
+    let list = merge_records(list, &first.unshared(now), EPOCH_MS + 400);
+    second.merge(list, EPOCH_MS + 400, now);
+    assert_eq!(second.admission(CRASHING, now), Admission::Admitted(0));
+    assert!(second.unshared(now).is_empty());
+}
+
+#[test]
+fn quarantine_remembers_a_bounded_number_of_requests() {
+    let now = Instant::now();
+    let mut quarantine = withholding(now);
+    for fingerprint in 10..10 + 4 * MAX_REQUESTS as u128 {
+        quarantine.record_crashes(fingerprint, [crash(0, 90)], now);
+    }
+    let list = quarantine.unshared(now);
+    assert_eq!(list.len(), MAX_REQUESTS);
+    assert!(matches!(
+        quarantine.admission(CRASHING, now),
+        Admission::Withheld(_)
+    ));
+    let more = list.iter().map(|record| Record {
+        fingerprint: record.fingerprint + 10_000,
+        ..record.clone()
+    });
+    let more: Vec<Record> = more.collect();
+    let merged = merge_records(list, &more, EPOCH_MS);
+    assert_eq!(merged.len(), MAX_REQUESTS);
+    let kept: Vec<Fingerprint> = merged.iter().map(|record| record.fingerprint).collect();
+    assert!(
+        kept.contains(&CRASHING),
+        "the one with the most crashes is kept"
+    );
+}
