Count the crash of a leaf once, and let the soak repeat a request that crashes leaves

A leaf that is gone may go on to accept and close connections, as the proxies of the soak do, so that every request to it looked like another crash; and a gateway could not know which leaves another one had just lost. A connection that a leaf closes now counts as a crash only if the request was with the leaf when the leaf closed the first one, until it answers again. Crashes through other VMs within a second count as part of one failure, of which two count.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -43,6 +43,9 @@
     /// Leave out the leaves that name limits.
     #[arg(long)]
     without_limits: bool,
+    /// Leave out the request that crashes leaves.
+    #[arg(long)]
+    without_crashes: bool,
     /// Program to test; the binary of this build by default.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -70,6 +73,7 @@
             mean_fault_interval: Duration::from_millis(arguments.gap_ms),
             has_platform_faults: !arguments.without_platform_faults,
             has_limits: !arguments.without_limits,
+            has_crashes: !arguments.without_crashes,
         };
         let report = soak::run(&options)?;
         print!("{report}");
--- a/crates/geraniummount-test-support/src/soak/caller.rs
+++ b/crates/geraniummount-test-support/src/soak/caller.rs
@@ -19,6 +19,7 @@
 use super::Options;
 use super::catalog::{Catalog, lock};
 use super::cluster::Cluster;
+use super::crash;
 use super::exchange::{Exchange, Outcome};
 use super::kind::{self, Kind};
 use super::proxied_leaf::{Identity, RECORD_BYTES};
@@ -64,6 +65,8 @@
     stop: Arc<AtomicBool>,
     callers: Vec<JoinHandle<Vec<Exchange>>>,
     prober: JoinHandle<Vec<Probe>>,
+    /// Repeats the request that crashes leaves, if the run has one.
+    crasher: Option<JoinHandle<()>>,
 }
 
 /// One caller.
@@ -84,6 +87,7 @@
     pub fn start(options: &Options, cluster: &Cluster) -> Callers {
         let stop = Arc::new(AtomicBool::new(false));
         let gateways: Vec<SocketAddr> = cluster.vms.iter().map(|vm| vm.caller_address).collect();
+        let all_gateways = gateways.clone();
         let callers = (0..options.callers).map(|number| {
             let mut caller = Caller {
                 name: format!("c{number}"),
@@ -99,16 +103,25 @@
         let callers = callers.collect();
         let (catalog, stopping) = (Arc::clone(&cluster.catalog), Arc::clone(&stop));
         let prober = thread::spawn(move || probe_versions(&gateways, &catalog, &stopping));
+        let crasher = options.has_crashes.then(|| {
+            let (gateways, stopping) = (all_gateways, Arc::clone(&stop));
+            let end = cluster.started_at + options.fault_duration;
+            thread::spawn(move || crash::repeat(&gateways, &stopping, end))
+        });
         Callers {
             stop,
             callers,
             prober,
+            crasher,
         }
     }
 
     /// Stops the callers after their current request and returns the history of the run.
     pub fn stop(self) -> History {
         self.stop.store(true, Ordering::Release);
+        if let Some(crasher) = self.crasher {
+            crasher.join().expect("the crasher thread panicked");
+        }
         let callers = self.callers.into_iter();
         let requests = callers.map(|caller| caller.join().expect("a caller thread panicked"));
         History {
@@ -311,7 +324,7 @@
     }
 }
 
-fn connect(gateway: SocketAddr) -> io::Result<TcpStream> {
+pub(super) fn connect(gateway: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect_timeout(&gateway, kind::REQUEST_DEADLINE)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(kind::REQUEST_DEADLINE + REPLY_GRACE))?;
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -9,7 +9,7 @@
 use super::exchange::{Exchange, Outcome};
 use super::kind::Kind;
 use super::report::{Promise, Violation};
-use super::{limit, notice};
+use super::{crash, limit, notice};
 
 /// Time for which a leaf may still receive requests after it registered as leaving.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
@@ -92,6 +92,8 @@
         }
         let ignored = notice::ignored_notices(self.cluster, &self.requests);
         self.violations.extend(ignored);
+        self.violations
+            .extend(crash::repeated_crashes(self.cluster));
         let exceeded = limit::exceeded_limits(self.cluster, &self.requests);
         self.violations.extend(exceeded);
         self.check_versions(history);
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -18,7 +18,7 @@
 use super::vm::Vm;
 use super::{FINAL_CHECK_DURATION, Options, RECOVERY_TIMEOUT};
 use crate::platform::users::document::DOCUMENT_KEY;
-use crate::platform::users::{Backup, Store};
+use crate::platform::users::{Backup, Run, Store};
 
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
@@ -66,6 +66,8 @@
     pub exits: Vec<Exit>,
     /// Starts of gateway processes in order: the index of the gateway and the time.
     pub starts: Vec<(usize, Instant)>,
+    /// Requests that crashed a leaf, one for each leaf.
+    pub crashes: Vec<Run>,
     /// Time spans in which faults affect parts of the cluster.
     pub disturbances: Disturbances,
     /// Started leaves and written versions, shared with the callers.
@@ -101,6 +103,7 @@
             leaves: Vec::new(),
             exits: Vec::new(),
             starts: Vec::new(),
+            crashes: Vec::new(),
             disturbances: Disturbances::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
@@ -158,6 +161,7 @@
             }
             self.run_due_follow_ups(now);
             self.collect_exits(now);
+            self.collect_crashes(now);
             self.back_up_store(now);
         }
     }
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -16,6 +16,7 @@
 mod catalog;
 mod check;
 mod cluster;
+mod crash;
 mod disturbance;
 mod exchange;
 mod fault;
@@ -69,6 +70,9 @@
     /// Whether some leaves also name limits on the requests of all gateways together, from the first
     /// fault to the last. The other faults of a seed are the same with and without.
     pub has_limits: bool,
+    /// Whether a request that crashes leaves is repeated while faults begin. The other faults of a
+    /// seed are the same with and without.
+    pub has_crashes: bool,
 }
 
 /// Time before the first fault, in which nothing may fail.
--- a/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
+++ b/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
+use super::crash::CRASH_BODY;
 use crate::platform::users::{Answer, Leaf, Run, Store};
 use crate::proxy::Proxy;
 
@@ -60,6 +61,7 @@
         let records = records(service);
         let leaf = Leaf::unregistered(service, domain, &records);
         leaf.set_answer(HEALTHY_ANSWER);
+        leaf.set_crash_body(CRASH_BODY);
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), seed)?;
         let identity = Identity {
             id: leaf.id().to_string(),
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -32,6 +32,8 @@
     PauseObserved,
     /// A leaf receives no more requests from all gateways together than its limit allows.
     LimitObserved,
+    /// A request that crashes the leaves that run it reaches few of them.
+    FewCrashes,
     /// A gateway applies a version of the routes in time.
     TimelyApply,
     /// A process never returns to an older version of the routes.
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -212,6 +212,34 @@
         }
     }
 
+    /// Records that a leaf closed the connection of an attempt before it answered. Returns whether the
+    /// leaf may have crashed because of the attempt's request.
+    pub fn record_crash(
+        &mut self,
+        service: &str,
+        key: ReplicaKey,
+        attempt: AttemptId,
+        now: Instant,
+    ) -> bool {
+        let replica = self.replica_mut(service, key);
+        replica.is_some_and(|replica| {
+            let sent_at = replica.sent_at(attempt);
+            sent_at.is_some_and(|sent_at| replica.record_crash(sent_at, now))
+        })
+    }
+
+    /// As [`Placement::record_crash`], for an attempt that was sent at `sent_at` and abandoned.
+    pub fn record_late_crash(
+        &mut self,
+        service: &str,
+        key: ReplicaKey,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let replica = self.replica_mut(service, key);
+        replica.is_some_and(|replica| replica.record_crash(sent_at, now))
+    }
+
     /// Returns the leaves of a service.
     pub fn group(&self, service: &str) -> Option<&Group> {
         let index = self.search(service).ok()?;
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -112,6 +112,8 @@
     consecutive_rejections: u32,
     /// Moving average of the share of attempts that failed or were rejected.
     failure_share: f64,
+    /// When the leaf closed a connection without an answer, unless it has answered since.
+    crashed_at: Option<Instant>,
     /// Attempts in flight, with the time when each was sent.
     open_attempts: Vec<(AttemptId, Instant)>,
     /// When this VM learned of the registration.
@@ -139,11 +141,28 @@
             consecutive_failures: 0,
             consecutive_rejections: 0,
             failure_share: 0.0,
+            crashed_at: None,
             open_attempts: Vec::new(),
             added_at: now,
         }
     }
 
+    /// Records that the leaf closed a connection before it answered a request that was sent at
+    /// `sent_at`. Returns whether the leaf may have crashed because of that request: it had it when
+    /// the first connection was closed. A leaf that is gone may go on to accept and close connections,
+    /// for example if a proxy is in front of it.
+    pub(super) fn record_crash(&mut self, sent_at: Instant, now: Instant) -> bool {
+        let crashed_at = *self.crashed_at.get_or_insert(now);
+        sent_at <= crashed_at
+    }
+
+    /// Returns when an attempt in flight was sent.
+    pub(super) fn sent_at(&self, attempt: AttemptId) -> Option<Instant> {
+        let mut attempts = self.open_attempts.iter();
+        let found = attempts.find(|(open, _)| *open == attempt);
+        found.map(|(_, sent_at)| *sent_at)
+    }
+
     /// Returns whether a registration is that of this run of the leaf.
     pub(super) fn is_run_of(&self, instance: &Instance) -> bool {
         let own = &self.instance;
@@ -278,6 +297,9 @@
             .position(|(id, _)| *id == attempt)?;
         let (_, sent) = self.open_attempts.swap_remove(index);
         let elapsed = now.saturating_duration_since(sent);
+        if matches!(ending, Ending::Answered | Ending::Failed | Ending::Rejected) {
+            self.crashed_at = None;
+        }
         match ending {
             Ending::Answered => {
                 self.consecutive_failures = 0;
--- a/src/geraniummount/core/quarantine/crash.rs
+++ b/src/geraniummount/core/quarantine/crash.rs
@@ -4,12 +4,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::prelude::*;
+
 /// A leaf that closed the connection while it had a request. Times are in milliseconds since the
 /// Unix epoch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
     /// Id or name of the leaf, for operators.
     pub leaf: String,
+    /// VM that sent the request to the leaf.
+    pub vm: VmName,
     /// When the request arrived at the VM that sent it to the leaf.
     pub arrived_ms: u64,
     /// When the leaf closed the connection.
@@ -18,36 +22,55 @@
 
 impl Crash {
     /// Creates the crash of a leaf at `at_ms` that had a request which arrived `age` before.
-    pub fn after(leaf: impl Into<String>, age: Duration, at_ms: u64) -> Crash {
+    pub fn after(
+        leaf: impl Into<String>,
+        vm: impl Into<VmName>,
+        age: Duration,
+        at_ms: u64,
+    ) -> Crash {
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         Crash {
             leaf: leaf.into(),
+            vm: vm.into(),
             arrived_ms: at_ms.saturating_sub(age_ms),
             at_ms,
         }
     }
+
+    /// Returns whether the request arrived after the failure that began with another crash.
+    fn is_after(&self, first: &Crash) -> bool {
+        let failure_ms = match self.vm == first.vm {
+            true => 0,
+            false => FAILURE_TIME_MS,
+        };
+        self.arrived_ms >= first.at_ms.saturating_add(failure_ms)
+    }
 }
 
-/// Maximum number of overlapping crashes that count.
-const MAX_OVERLAPPING: usize = 2;
+/// Maximum number of crashes of one failure that count.
+const MAX_CRASHES_OF_FAILURE: usize = 2;
+
+/// Time for which requests through other VMs are still beside the same failure, in milliseconds. A VM
+/// does not know which leaves other VMs have just lost.
+const FAILURE_TIME_MS: u64 = 1_000;
 
 /// Returns how many of the crashes, sorted by time, count as evidence against the request.
 ///
 /// Many leaves may fail at once for another reason, such as a cut of the network or the loss of a
 /// failure domain, and all requests that are in flight then are beside it. Of the crashes that
-/// overlap, only [`MAX_OVERLAPPING`] count therefore: those of requests that arrived before the
-/// first of them.
+/// belong to one failure, [`MAX_CRASHES_OF_FAILURE`] count. A request that arrives at the same VM
+/// after the first of them, or at another VM later, is not beside it any more.
 pub(super) fn count<'a>(crashes: impl IntoIterator<Item = &'a Crash>) -> usize {
     let mut counted = 0;
-    let mut overlapping = 0;
-    let mut first_at = None;
+    let mut first: Option<&Crash> = None;
+    let mut of_failure = 0;
     for crash in crashes {
-        if first_at.is_none_or(|first_at| crash.arrived_ms >= first_at) {
-            first_at = Some(crash.at_ms);
-            overlapping = 0;
+        if first.is_none_or(|first| crash.is_after(first)) {
+            first = Some(crash);
+            of_failure = 0;
         }
-        overlapping += 1;
-        counted += usize::from(overlapping <= MAX_OVERLAPPING);
+        of_failure += 1;
+        counted += usize::from(of_failure <= MAX_CRASHES_OF_FAILURE);
     }
     counted
 }
--- a/src/geraniummount/edge/caller/quarantine.rs
+++ b/src/geraniummount/edge/caller/quarantine.rs
@@ -41,6 +41,8 @@
 /// State that the clones share.
 #[derive(Debug)]
 struct Shared {
+    /// Name of this VM.
+    vm: VmName,
     state: Mutex<core_quarantine::Quarantine>,
     /// Channel to the thread that writes the list.
     batches: Sender<Vec<Record>>,
@@ -52,9 +54,10 @@
     /// # Errors
     ///
     /// Returns an error if a thread cannot be started.
-    pub fn start(platform: &Platform) -> io::Result<Quarantine> {
+    pub fn start(vm: impl Into<VmName>, platform: &Platform) -> io::Result<Quarantine> {
         let (batches, receiver) = mpsc::channel();
         let shared = Arc::new(Shared {
+            vm: vm.into(),
             state: Mutex::default(),
             batches,
         });
@@ -92,7 +95,10 @@
         age: Duration,
     ) {
         let now_ms = quarantine::now_ms();
-        let crashes = leaves.iter().map(|leaf| Crash::after(leaf, age, now_ms));
+        let vm = self.shared.vm.as_str();
+        let crashes = leaves
+            .iter()
+            .map(|leaf| Crash::after(leaf, vm, age, now_ms));
         let mut state = self.shared.lock();
         let count = state.record_crashes(fingerprint, crashes, Instant::now());
         drop(state);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -181,7 +181,7 @@
                  outcome={outcome} at_ms={took}"
             );
         }
-        self.record_crash_or_answer(&in_flight, &reply);
+        self.record_crash_or_answer(attempt, &in_flight, &reply);
         let was_suspended = self.is_suspended(&in_flight);
         let call = &mut self.calls[in_flight.call].call;
         let actions = call.on_reply(attempt, reply, &mut self.placement, self.now);
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -45,12 +45,20 @@
 impl Gateway {
     /// Records what the reply to an attempt says about its request: that the leaf has crashed, or
     /// that the request does not crash leaves.
-    pub(super) fn record_crash_or_answer(&mut self, attempt: &Attempt, reply: &Reply) {
+    pub(super) fn record_crash_or_answer(
+        &mut self,
+        id: AttemptId,
+        attempt: &Attempt,
+        reply: &Reply,
+    ) {
         match reply {
             Reply::Disconnected => {
-                let state = &self.calls[attempt.call];
-                let crash = self.crash(&attempt.service, attempt.replica, state.started);
-                self.calls[attempt.call].crashes.extend(crash);
+                let (service, key) = (&attempt.service, attempt.replica);
+                if self.placement.record_crash(service, key, id, self.now) {
+                    let state = &self.calls[attempt.call];
+                    let crash = self.crash(service, key, state.started);
+                    self.calls[attempt.call].crashes.extend(crash);
+                }
             }
             Reply::Success(_) if self.calls[attempt.call].call.included_count() == 0 => {
                 self.record_answer(self.calls[attempt.call].forwarded.fingerprint);
@@ -81,9 +89,15 @@
         fingerprint: Fingerprint,
         sent_at: Instant,
     ) {
-        let service = self.leaf_service(key);
-        let crash = service.and_then(|service| self.crash(&service, key, sent_at));
-        if let Some(crash) = crash {
+        let Some(service) = self.leaf_service(key) else {
+            return;
+        };
+        let now = self.now;
+        if self
+            .placement
+            .record_late_crash(&service, key, sent_at, now)
+            && let Some(crash) = self.crash(&service, key, sent_at)
+        {
             self.record_crashes(fingerprint, &[crash]);
         }
     }
@@ -183,11 +197,8 @@
     fn crash(&self, service: &str, key: ReplicaKey, arrived_at: Instant) -> Option<Crash> {
         let replica = self.placement.replica(service, key)?;
         let age = self.now.saturating_duration_since(arrived_at);
-        Some(Crash::after(
-            replica.instance.id.as_str(),
-            age,
-            quarantine::now_ms(),
-        ))
+        let (leaf, vm) = (replica.instance.id.as_str(), self.options.name.as_str());
+        Some(Crash::after(leaf, vm, age, quarantine::now_ms()))
     }
 }
 
--- a/src/geraniummount/ops/serve/mod.rs
+++ b/src/geraniummount/ops/serve/mod.rs
@@ -85,7 +85,7 @@
             peer_client,
             metrics.clone(),
         );
-        let quarantine = caller::Quarantine::start(&starter.platform());
+        let quarantine = caller::Quarantine::start(&*settings.node.name, &starter.platform());
         let quarantine = quarantine.change_context(Error::Threads)?;
         let hooks = peer_hooks(&handle, &claims);
         let peers = peer::Server::start(settings.node.peer_listen, &dispatcher, hooks)
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -17,6 +17,7 @@
     fault_duration: Duration,
     has_platform_faults: bool,
     has_limits: bool,
+    has_crashes: bool,
 }
 
 const CASES: &[Case] = &[
@@ -29,6 +30,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "more gateways than callers",
@@ -39,6 +41,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "a stand-in leaf without Content-Length replied with a body other than the order's",
@@ -49,6 +52,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "faults far enough apart for time bounds to be checked",
@@ -59,6 +63,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "a store that goes back, and leaves that ask for something",
@@ -69,6 +74,7 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: true,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "an unresponsive store connection hid that a leaf had left",
@@ -79,6 +85,7 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_crashes: false,
     },
     Case {
         name: "leaves that name limits, beside other faults",
@@ -89,6 +96,18 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: true,
+        has_crashes: false,
+    },
+    Case {
+        name: "a request that crashes leaves, beside other faults",
+        seed: 97_001,
+        vms: 3,
+        shards: 2,
+        mean_fault_interval: SPARSE_FAULT_INTERVAL,
+        fault_duration: LONG_FAULT_DURATION,
+        has_platform_faults: false,
+        has_limits: false,
+        has_crashes: true,
     },
 ];
 
@@ -119,6 +138,7 @@
             mean_fault_interval: case.mean_fault_interval,
             has_platform_faults: case.has_platform_faults,
             has_limits: case.has_limits,
+            has_crashes: case.has_crashes,
         });
         let report = report.expect("cluster starts");
         eprintln!("{}: {report}", case.name);
