Keep what each VM has seen when lists of crashes are merged

Cause: a record kept a crash only if it raised the count, one by one. A VM that had lost two leaves within a second of the three that another VM had lost took none of them in, counted two, and sent the request on. And a crash through another VM just before could hide that one VM's crashes came one after the other. Both by reading, and in quarantine_keeps_what_each_vm_has_seen_, which failed before.

Now up to twelve crashes are kept, of which those are dropped without which the others count as much, and what one VM has seen counts by itself, too. Ruled out: late crashes that are not seen, and the rounding of times (arrivals are never before the crash that preceded them).

--- a/src/geraniummount/core/quarantine/crash.rs
+++ b/src/geraniummount/core/quarantine/crash.rs
@@ -60,7 +60,16 @@
 /// failure domain, and all requests that are in flight then are beside it. Of the crashes that
 /// belong to one failure, [`MAX_CRASHES_OF_FAILURE`] count. A request that arrives at the same VM
 /// after the first of them, or at another VM later, is not beside it any more.
-pub(super) fn count<'a>(crashes: impl IntoIterator<Item = &'a Crash>) -> usize {
+///
+/// What one VM has seen counts by itself, too: it is surer than what several VMs have seen within a
+/// second, and must not get lost among it.
+pub(super) fn count(crashes: &[Crash]) -> usize {
+    let seen_by = |vm: &VmName| count_in_order(crashes.iter().filter(|crash| crash.vm == *vm));
+    let most_by_one = crashes.iter().map(|crash| seen_by(&crash.vm)).max();
+    count_in_order(crashes).max(most_by_one.unwrap_or_default())
+}
+
+fn count_in_order<'a>(crashes: impl IntoIterator<Item = &'a Crash>) -> usize {
     let mut counted = 0;
     let mut first: Option<&Crash> = None;
     let mut of_failure = 0;
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -9,6 +9,9 @@
 use super::{MAX_REQUESTS, MEMORY, UNPROVEN_CRASHES, WITHHOLD_CRASHES};
 use crate::core::fingerprint::Fingerprint;
 
+/// Maximum number of crashes that are remembered of one request.
+const MAX_CRASHES: usize = 12;
+
 /// Difference of two clocks below which two times count as the same.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(10);
 
@@ -18,7 +21,7 @@
     /// Fingerprint of the request, as hexadecimal text.
     #[serde(serialize_with = "write_hex", deserialize_with = "read_hex")]
     pub fingerprint: Fingerprint,
-    /// Crashes that count, sorted by time.
+    /// Crashes, sorted by time.
     pub crashes: Vec<Crash>,
     /// When the last leaf crashed.
     pub last_crash_ms: u64,
@@ -46,23 +49,34 @@
         Duration::from_millis(now_ms.saturating_sub(self.last_crash_ms))
     }
 
-    /// Adds a crash, unless it was cleared. It is kept only if it counts.
+    /// Adds a crash, unless it was cleared or enough are known.
     pub(super) fn add_crash(&mut self, crash: Crash) {
         if crash.at_ms <= self.answered_ms || self.crashes.contains(&crash) {
             return;
         }
         self.last_crash_ms = self.last_crash_ms.max(crash.at_ms);
-        let before = self.crash_count();
-        if before >= WITHHOLD_CRASHES {
+        if self.crash_count() >= WITHHOLD_CRASHES {
             return;
         }
         let index = self.crashes.partition_point(|c| c.at_ms <= crash.at_ms);
         self.crashes.insert(index, crash);
-        if self.crash_count() <= before {
-            self.crashes.remove(index);
+        if self.crashes.len() > MAX_CRASHES {
+            self.drop_crash();
         }
     }
 
+    /// Drops the last crash without which the others count as much, or the first if there is none.
+    fn drop_crash(&mut self) {
+        let count = self.crash_count();
+        let is_dispensable = |index: &usize| {
+            let mut others = self.crashes.clone();
+            others.remove(*index);
+            crash::count(&others) == count
+        };
+        let index = (0..self.crashes.len()).rev().find(is_dispensable);
+        self.crashes.remove(index.unwrap_or_default());
+    }
+
     /// Clears the crashes before an answer of a leaf.
     pub(super) fn clear(&mut self, answered_ms: u64) {
         self.answered_ms = self.answered_ms.max(answered_ms);
--- a/tests/testsuite/quarantine_fleet.rs
+++ b/tests/testsuite/quarantine_fleet.rs
@@ -458,6 +458,49 @@
     assert!(second.unshared(now).is_empty());
 }
 
+/// A VM that has lost two leaves reads a list in which another VM has lost three, all within a second.
+#[test]
+fn quarantine_keeps_what_each_vm_has_seen_when_lists_are_merged() {
+    let now = Instant::now();
+    let other = [(0, 5), (6, 10), (11, 15)];
+    let own = [(100, 105), (100, 106)];
+    let mut quarantines = [other.as_slice(), own.as_slice()].map(|times| {
+        let vm = format!("vm-{}", times.len());
+        let crashes = times.iter();
+        let crashes = crashes.map(|(arrived, at)| crash_through(&vm, *arrived, *at));
+        let mut quarantine = Quarantine::default();
+        quarantine.record_crashes(CRASHING, crashes, now);
+        quarantine
+    });
+    let [first, second] = &mut quarantines;
+    let (from_first, from_second) = (first.unshared(now), second.unshared(now));
+    for (list, added) in [(&from_first, &from_second), (&from_second, &from_first)] {
+        let merged = merge_records(list.clone(), added, EPOCH_MS + 200);
+        let mut reader = Quarantine::default();
+        reader.merge(merged, EPOCH_MS + 200, now);
+        assert!(matches!(
+            reader.admission(CRASHING, now),
+            Admission::Withheld(_)
+        ));
+    }
+    second.merge(from_first, EPOCH_MS + 200, now);
+    assert!(matches!(
+        second.admission(CRASHING, now),
+        Admission::Withheld(_)
+    ));
+}
+
+#[test]
+fn quarantine_remembers_a_bounded_number_of_crashes() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let crashes = (0..500).map(|number| crash_through("vm", 0, 90 + number));
+    assert_eq!(quarantine.record_crashes(CRASHING, crashes, now), 2);
+    assert!(quarantine.unshared(now)[0].crashes.len() <= 12);
+    let later = [crash_through("vm", 1_000, 1_010)];
+    assert_eq!(quarantine.record_crashes(CRASHING, later, now), 3);
+}
+
 #[test]
 fn quarantine_remembers_a_bounded_number_of_requests() {
     let now = Instant::now();
