Do not count crashes shortly after an answer

An answer now also clears the crashes of the next five seconds. A request that no leaf answers is withheld as before; one that was fine and begins to crash leaves is counted five seconds later.

--- a/src/geraniummount/core/fan_out/crash.rs
+++ b/src/geraniummount/core/fan_out/crash.rs
@@ -31,7 +31,7 @@
     }
 
     /// Returns whether leaves may crash one after the other if more of them get a part.
-    pub(super) fn is_unproven(&self) -> bool {
+    fn is_unproven(&self) -> bool {
         let crashes = self.earlier_crashes + self.crashed.len();
         crashes >= UNPROVEN_CRASHES && !self.has_answer
     }
--- a/src/geraniummount/core/quarantine/crash.rs
+++ b/src/geraniummount/core/quarantine/crash.rs
@@ -6,6 +6,13 @@
 
 use crate::prelude::*;
 
+/// Maximum number of crashes of one failure that count.
+const MAX_CRASHES_OF_FAILURE: usize = 2;
+
+/// Time for which requests through other VMs are still beside the same failure, in milliseconds. A VM
+/// does not know which leaves other VMs have just lost.
+const FAILURE_TIME_MS: u64 = 1_000;
+
 /// A leaf that closed the connection while it had a request. Times are in milliseconds since the
 /// Unix epoch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -47,13 +54,6 @@
     }
 }
 
-/// Maximum number of crashes of one failure that count.
-const MAX_CRASHES_OF_FAILURE: usize = 2;
-
-/// Time for which requests through other VMs are still beside the same failure, in milliseconds. A VM
-/// does not know which leaves other VMs have just lost.
-const FAILURE_TIME_MS: u64 = 1_000;
-
 /// Returns how many of the crashes, sorted by time, count as evidence against the request.
 ///
 /// Many leaves may fail at once for another reason, such as a cut of the network or the loss of a
--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -107,7 +107,9 @@
         now: Instant,
     ) -> usize {
         self.forget_old(now);
+        let answered_ms = self.answered_ms(fingerprint);
         let entry = self.entry_or_insert(fingerprint, now);
+        entry.record.clear(answered_ms);
         for crash in crashes {
             entry.record.add_crash(crash);
         }
@@ -143,9 +145,7 @@
                 continue;
             }
             let last_crash = now.checked_sub(age).unwrap_or(now);
-            let mut answers = self.answers.iter().rev();
-            let answer = answers.find(|(answered, _)| *answered == record.fingerprint);
-            let answered_ms = answer.map_or(0, |(_, at_ms)| *at_ms);
+            let answered_ms = self.answered_ms(record.fingerprint);
             let entry = self.entry_or_insert(record.fingerprint, last_crash);
             entry.record.merge(record);
             entry.record.clear(answered_ms);
@@ -176,6 +176,14 @@
         self.entries.retain(|entry| !entry.is_over(now));
     }
 
+    /// Returns when a request was last answered, in milliseconds since the Unix epoch; 0 if that is not
+    /// remembered.
+    fn answered_ms(&self, fingerprint: Fingerprint) -> u64 {
+        let mut answers = self.answers.iter().rev();
+        let answer = answers.find(|(answered, _)| *answered == fingerprint);
+        answer.map_or(0, |(_, at_ms)| *at_ms)
+    }
+
     /// Keeps [`MAX_REQUESTS`] requests, those with the most crashes and of these the latest.
     fn drop_excess(&mut self) {
         while self.entries.len() > MAX_REQUESTS {
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -12,6 +12,10 @@
 /// Maximum number of crashes that are remembered of one request.
 const MAX_CRASHES: usize = 12;
 
+/// Time after an answer for which crashes do not count, in milliseconds. A frequent request is beside
+/// many crashes while another one crashes all leaves of its service again and again.
+const TRUST_MS: u64 = 5_000;
+
 /// Difference of two clocks below which two times count as the same.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(10);
 
@@ -25,7 +29,8 @@
     pub crashes: Vec<Crash>,
     /// When the last leaf crashed.
     pub last_crash_ms: u64,
-    /// When a leaf last answered the request, which clears all crashes before; 0 if none did.
+    /// When a leaf last answered the request, which clears all crashes before and shortly after; 0 if
+    /// none did.
     pub answered_ms: u64,
 }
 
@@ -51,7 +56,7 @@
 
     /// Adds a crash, unless it was cleared or enough are known.
     pub(super) fn add_crash(&mut self, crash: Crash) {
-        if crash.at_ms <= self.answered_ms || self.crashes.contains(&crash) {
+        if self.is_cleared(&crash) || self.crashes.contains(&crash) {
             return;
         }
         self.last_crash_ms = self.last_crash_ms.max(crash.at_ms);
@@ -77,10 +82,16 @@
         self.crashes.remove(index.unwrap_or_default());
     }
 
-    /// Clears the crashes before an answer of a leaf.
+    /// Clears the crashes before an answer of a leaf and shortly after.
     pub(super) fn clear(&mut self, answered_ms: u64) {
         self.answered_ms = self.answered_ms.max(answered_ms);
-        self.crashes.retain(|crash| crash.at_ms > self.answered_ms);
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.retain(|crash| !self.is_cleared(crash));
+        self.crashes = crashes;
+    }
+
+    fn is_cleared(&self, crash: &Crash) -> bool {
+        self.answered_ms > 0 && crash.at_ms <= self.answered_ms.saturating_add(TRUST_MS)
     }
 
     /// Takes in another record of the same request.
--- a/tests/testsuite/quarantine_fleet.rs
+++ b/tests/testsuite/quarantine_fleet.rs
@@ -458,6 +458,31 @@
     assert!(second.unshared(now).is_empty());
 }
 
+/// Both leaves of a small service crash again and again, and a frequent request is always beside it.
+#[test]
+fn quarantine_spares_a_request_that_was_answered_shortly_before() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.record_answer(HARMLESS, EPOCH_MS);
+    let beside = [(0, 90), (100, 150), (200, 220), (1_000, 1_010)];
+    let beside = beside.map(|(arrived, at)| crash(arrived, at));
+    assert_eq!(quarantine.record_crashes(HARMLESS, beside.clone(), now), 0);
+    let mut other = Quarantine::default();
+    assert_eq!(other.record_crashes(HARMLESS, beside, now), 3);
+    let list = merge_records(Vec::new(), &other.unshared(now), EPOCH_MS + 1_100);
+    quarantine.merge(list.clone(), EPOCH_MS + 1_100, now);
+    assert_eq!(quarantine.admission(HARMLESS, now), Admission::Admitted(0));
+    let list = merge_records(list, &quarantine.unshared(now), EPOCH_MS + 1_200);
+    other.merge(list, EPOCH_MS + 1_200, now);
+    assert_eq!(other.admission(HARMLESS, now), Admission::Admitted(0));
+    let later = [
+        crash(7_000, 7_090),
+        crash(7_100, 7_150),
+        crash(7_200, 7_220),
+    ];
+    assert_eq!(other.record_crashes(HARMLESS, later, now), 3);
+}
+
 /// A VM that has lost two leaves reads a list in which another VM has lost three, all within a second.
 #[test]
 fn quarantine_keeps_what_each_vm_has_seen_when_lists_are_merged() {
