--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -11,6 +11,9 @@
 //! for [`WITHHOLD_TIME`] after the last crash. After that it is sent to one leaf at a time (see
 //! `core::call`), and one more crash withholds it again; after as long again, it is forgotten.
 //!
+//! A frequent request is beside many crashes. Crashes within a few seconds after an answer therefore
+//! do not count, and a VM remembers its latest answers, as it may hear of crashes only later.
+//!
 //! Nothing here depends on the shared list: without it, each VM withholds by what it has seen
 //! itself. A list that was lost is completed by any VM that remembers more than it contains. Clocks
 //! of VMs may differ: an answer then clears crashes shortly after it, or leaves some for the next
@@ -98,8 +101,8 @@
         }
     }
 
-    /// Records leaves that crashed while they had a request that no leaf has answered. Returns the
-    /// number of crashes that count now.
+    /// Records leaves that crashed while they had a request, none of whose attempts at this arrival
+    /// was answered. Returns the number of crashes that count now.
     pub fn record_crashes(
         &mut self,
         fingerprint: Fingerprint,
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -131,7 +131,7 @@
         self.write_plain(caller, 503, why, Some(wait));
     }
 
-    /// Takes in the shared list, and sets a time for adding what it lacks.
+    /// Takes in the shared list, and schedules a check whether it lacks what this VM knows.
     pub(super) fn merge_quarantine(&mut self, records: Vec<Record>) {
         let before = self.quarantine.withheld_count(self.now);
         self.quarantine
