Detect and log that a VM has lost its links to all leaves

Cause sought: VMs that are cut off from the leaves refuse nearly everything. The logs could not tell a VM that reaches no leaf from one that keeps away from leaves that it could reach.

Change: core::leaf_links suspects the links if three leaves stay silent while none responds, or if connections to three leaves fail while none succeeds, and then connects to three leaves drawn at random. The gateway logs the result and shows it as a metric; requests are handled as before.

Test: leaf_links_ (six, new with the module).

--- /dev/null
+++ b/src/geraniummount/core/leaf_links.rs
@@ -0,0 +1,200 @@
+//! Detects that this VM has lost its links to the leaves.
+//!
+//! Load pattern: a VM, or all VMs of a failure domain, lose the links to all leaves for seconds,
+//! while callers, the platform's store and the other VMs still reach them. Connections to leaves
+//! hang, are reset, or live on while new ones are refused. Every request that such a VM sends to
+//! leaves itself fails, although another VM could serve it.
+//!
+//! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The links
+//! are suspected if several leaves leave requests unanswered while no leaf responds, or if
+//! connections to several leaves fail while none succeeds. The VM then checks them by connecting to
+//! a few leaves drawn at random. Only if none of these connections is established, the links are
+//! lost. From then on the check is repeated, and the first connection that is established ends the
+//! loss.
+
+use std::time::{Duration, Instant};
+
+/// Minimum number of leaves that fail for the links to be suspected, if as many are known.
+const MIN_LEAVES: usize = 3;
+
+/// Time in which one of the connections of a check has to be established.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Minimum interval between two checks while the links work.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between two checks while the links are lost.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of leaves to which a check connects.
+pub const CHECKED_LEAVES: usize = 3;
+
+/// Detector of the loss of the links to the leaves, each of which has a key of type `K`.
+#[derive(Debug)]
+pub struct LeafLinks<K> {
+    /// Leaves that left a request unanswered since a leaf last responded, sorted.
+    silent: Vec<K>,
+    /// Leaves to which no connection could be opened since one was last opened, sorted.
+    unreachable: Vec<K>,
+    /// When the first of the `unreachable` leaves failed.
+    unreachable_since: Option<Instant>,
+    /// When a leaf last responded.
+    responded_at: Option<Instant>,
+    /// Earliest start of the next check.
+    next_check: Option<Instant>,
+    state: State<K>,
+}
+
+#[derive(Debug)]
+enum State<K> {
+    /// The links work as far as is known.
+    Working,
+    /// Connections to the leaves that are left have to be established until a time.
+    Checking { left: Vec<K>, until: Instant },
+    /// The links are lost.
+    Lost,
+}
+
+/// A change of the state of the links.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The links are lost now.
+    Lost,
+    /// The links work again.
+    Regained,
+}
+
+impl<K> Default for LeafLinks<K> {
+    fn default() -> LeafLinks<K> {
+        LeafLinks {
+            silent: Vec::new(),
+            unreachable: Vec::new(),
+            unreachable_since: None,
+            responded_at: None,
+            next_check: None,
+            state: State::Working,
+        }
+    }
+}
+
+impl<K: Clone + Ord> LeafLinks<K> {
+    /// Records a response of a leaf on a connection that was opened at `opened_at`.
+    ///
+    /// A response on a connection that is older than the first failed one says nothing about new
+    /// connections.
+    pub fn on_response(&mut self, opened_at: Instant, now: Instant) -> Option<Change> {
+        self.silent.clear();
+        self.responded_at = Some(now);
+        match self.unreachable_since {
+            Some(since) if opened_at < since => None,
+            _ if self.is_lost() => None,
+            _ => self.on_connected(),
+        }
+    }
+
+    /// Records that a connection of a check was established and has stayed open.
+    pub fn on_connected(&mut self) -> Option<Change> {
+        self.silent.clear();
+        self.unreachable.clear();
+        self.unreachable_since = None;
+        let was_lost = self.is_lost();
+        self.state = State::Working;
+        was_lost.then_some(Change::Regained)
+    }
+
+    /// Records that a leaf has left a request of `since` unanswered. Ignored if any leaf has
+    /// responded since then.
+    pub fn on_silent(&mut self, leaf: K, since: Instant) {
+        if self.responded_at.is_none_or(|at| at < since) {
+            insert(&mut self.silent, leaf);
+        }
+    }
+
+    /// Records that a connection to a leaf could not be established, or was closed before any
+    /// response.
+    pub fn on_unreachable(&mut self, leaf: &K, now: Instant) -> Option<Change> {
+        insert(&mut self.unreachable, leaf.clone());
+        self.unreachable_since.get_or_insert(now);
+        let State::Checking { left, .. } = &mut self.state else {
+            return None;
+        };
+        left.retain(|checked| checked != leaf);
+        left.is_empty().then(|| self.lose())
+    }
+
+    /// Returns whether a check is due; `known` is the number of leaves that this VM knows.
+    pub fn is_check_due(&self, known: usize, now: Instant) -> bool {
+        let min = MIN_LEAVES.min(known).max(1);
+        let is_due = match self.state {
+            State::Working => self.silent.len() >= min || self.unreachable.len() >= min,
+            State::Checking { .. } => false,
+            State::Lost => true,
+        };
+        is_due && self.next_check.is_none_or(|at| now >= at)
+    }
+
+    /// Records that a check of the given leaves begins.
+    pub fn begin_check(&mut self, leaves: Vec<K>, now: Instant) {
+        if self.is_lost() {
+            self.next_check = Some(now + RECHECK_INTERVAL);
+            return;
+        }
+        self.next_check = Some(now + MIN_CHECK_INTERVAL);
+        self.state = State::Checking {
+            left: leaves,
+            until: now + CHECK_TIMEOUT,
+        };
+    }
+
+    /// Ends a check whose time is over.
+    pub fn tick(&mut self, now: Instant) -> Option<Change> {
+        match self.state {
+            State::Checking { until, .. } if now >= until => Some(self.lose()),
+            _ => None,
+        }
+    }
+
+    /// Returns when `tick` or the next check is due; `None` while neither is.
+    pub fn next_wake(&self) -> Option<Instant> {
+        match self.state {
+            State::Working => None,
+            State::Checking { until, .. } => Some(until),
+            State::Lost => self.next_check,
+        }
+    }
+
+    /// Returns whether the links are lost.
+    pub fn is_lost(&self) -> bool {
+        matches!(self.state, State::Lost)
+    }
+
+    /// Returns whether the links are lost or being checked.
+    pub fn is_suspected(&self) -> bool {
+        !matches!(self.state, State::Working)
+    }
+
+    /// Returns whether a leaf is known to have failed since the links last worked.
+    pub fn has_failed(&self, leaf: &K) -> bool {
+        let is_in = |leaves: &[K]| leaves.binary_search(leaf).is_ok();
+        is_in(&self.silent) || is_in(&self.unreachable)
+    }
+
+    /// Returns the numbers of leaves that leave requests unanswered, and to which no connection
+    /// can be opened.
+    pub fn failed_counts(&self) -> (usize, usize) {
+        (self.silent.len(), self.unreachable.len())
+    }
+
+    fn lose(&mut self) -> Change {
+        self.state = State::Lost;
+        self.next_check = None;
+        Change::Lost
+    }
+}
+
+/// Inserts a leaf into a sorted list.
+fn insert<K: Ord>(leaves: &mut Vec<K>, leaf: K) {
+    if let Err(index) = leaves.binary_search(&leaf) {
+        leaves.insert(index, leaf);
+    }
+}
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod isolation;
 pub mod layout;
 pub mod leaf;
+pub mod leaf_links;
 pub mod leaf_queue;
 pub mod load_shedder;
 pub mod low_discrepancy;
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -20,6 +20,7 @@
 mod notice;
 mod replica;
 mod retry_allowance;
+mod sample;
 mod tier;
 
 use std::time::{Duration, Instant};
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -90,6 +90,9 @@
                     is_extra,
                 } => {
                     self.calls[index].sends += 1;
+                    if is_extra {
+                        self.record_silent_leaves(index, Some(replica));
+                    }
                     self.count_limited(&service, replica, is_extra);
                     let in_flight = Attempt {
                         call: index,
@@ -123,6 +126,7 @@
         };
         if call.plan().is_gather() {
             self.record_overdue_parts(index, overdue);
+            self.record_silent_leaves(index, None);
             self.record_unanswered(index);
         }
     }
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 
 use super::Gateway;
+use super::leaf_links::MIN_OPEN_TIME;
 use super::socket::Socket;
 use super::timers::Timer;
 use super::token::EventSource;
@@ -74,6 +75,8 @@
     abandoned_request: Option<Fingerprint>,
     /// Time after which the leaf closes the connection if it is idle, as announced by the leaf.
     pub(super) keep_alive: Option<Duration>,
+    /// Whether the connection was opened to check this VM's links, and has not counted yet.
+    pub(super) is_check: bool,
 }
 
 /// Progress of reading a response.
@@ -115,6 +118,7 @@
             abandoned_at: None,
             abandoned_request: None,
             keep_alive: None,
+            is_check: false,
         })
     }
 
@@ -254,6 +258,10 @@
                 return;
             }
             leaf.connected_at = Some(self.now);
+            if leaf.is_check {
+                let timer = Timer::Leaf(connection, leaf.serial);
+                self.timers.add(self.now + MIN_OPEN_TIME, timer);
+            }
         }
         if !leaf.socket.has_pending_output() {
             return;
@@ -306,19 +314,42 @@
         }
         let is_over = |at: Instant| now.saturating_duration_since(at) >= ABANDONED_GRACE;
         if leaf.abandoned_at.is_some_and(is_over) {
-            self.record_unresponsive(leaf.replica);
+            let (replica, sent_at) = (leaf.replica, leaf.requested_at);
+            self.leaf_links.on_silent(replica, sent_at);
+            self.record_unresponsive(replica);
             return self.close_leaf(connection);
         }
+        let has_stayed_open = |at: Instant| now.saturating_duration_since(at) >= MIN_OPEN_TIME;
+        if leaf.is_check && leaf.connected_at.is_some_and(has_stayed_open) {
+            return self.keep_checked_connection(connection);
+        }
         let until = self.idle_until(leaf.replica, connection);
         if until.is_some_and(|until| now >= until) {
             self.close_leaf(connection);
         }
     }
 
+    /// Counts a connection that was opened to check this VM's links, and keeps it for requests.
+    fn keep_checked_connection(&mut self, connection: usize) {
+        self.leaf_connections[connection].is_check = false;
+        let change = self.leaf_links.on_connected();
+        self.apply_links_change(change);
+        self.release(connection);
+    }
+
     /// Fails the attempt of a connection that the leaf or the network closed.
     fn fail_closed_leaf(&mut self, connection: usize) {
         let leaf = &mut self.leaf_connections[connection];
         let (replica, sent_at) = (leaf.replica, leaf.requested_at);
+        if leaf.is_awaiting_response {
+            self.leaf_links.on_silent(replica, sent_at);
+        }
+        if !leaf.has_responded {
+            let change = self.leaf_links.on_unreachable(&replica, self.now);
+            self.apply_links_change(change);
+        }
+        self.check_leaf_links();
+        let leaf = &mut self.leaf_connections[connection];
         if let Some(fingerprint) = leaf.abandoned_request.take() {
             self.record_late_crash(replica, fingerprint, sent_at);
         }
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -83,7 +83,10 @@
     fn on_response(&mut self, connection: usize, response: h1::Response, status: ReadStatus) {
         let leaf = &mut self.leaf_connections[connection];
         leaf.has_responded = true;
+        let opened_at = leaf.opened_at;
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
+        let change = self.leaf_links.on_response(opened_at, self.now);
+        self.apply_links_change(change);
         let notice = headers::read_notice(&response.head);
         self.apply_notice(replica, notice);
         self.apply_limit(replica, notice.limit, requested_at);
@@ -116,6 +119,11 @@
     fn close_idle_leaf(&mut self, connection: usize) {
         let leaf = &self.leaf_connections[connection];
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
+        if leaf.is_check {
+            let change = self.leaf_links.on_unreachable(&replica, self.now);
+            self.apply_links_change(change);
+        }
+        let leaf = &self.leaf_connections[connection];
         if let Ok(Parsed::Complete(head, _)) = Head::parse(&leaf.socket.input, leaf.is_head_request)
         {
             let notice = headers::read_notice(&head);
--- /dev/null
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -0,0 +1,91 @@
+//! Checks this VM's links to the leaves while they are suspected or lost.
+//!
+//! A check opens connections to a few leaves. A connection counts once it has stayed open for a
+//! moment after it was established, as something between the VM and the leaf may accept connections
+//! only to close them. It is then kept for requests.
+
+use std::time::Duration;
+
+use log::{info, warn};
+
+use super::Gateway;
+use super::timers::Timer;
+use crate::core::leaf_links::{CHECKED_LEAVES, Change};
+use crate::core::placement::ReplicaKey;
+
+/// Time for which a connection of a check has to stay open to count.
+pub(super) const MIN_OPEN_TIME: Duration = Duration::from_millis(30);
+
+impl Gateway {
+    /// Records that the leaves of a call's attempts have not answered since the call began, except
+    /// the one that was just sent an attempt.
+    pub(super) fn record_silent_leaves(&mut self, index: usize, just_sent: Option<ReplicaKey>) {
+        let state = &self.calls[index];
+        for (_, key) in state.call.unanswered_attempts() {
+            if Some(key) != just_sent {
+                self.leaf_links.on_silent(key, state.started);
+            }
+        }
+        self.check_leaf_links();
+    }
+
+    /// Begins a check of the links if one is due.
+    pub(super) fn check_leaf_links(&mut self) {
+        let (registered, leaving) = self.leaf_counts;
+        let known = registered - leaving;
+        if !self.leaf_links.is_check_due(known, self.now) {
+            return;
+        }
+        let links = &self.leaf_links;
+        let leaves = self
+            .placement
+            .sample(CHECKED_LEAVES, |key| links.has_failed(&key));
+        if !links.is_lost() {
+            let (silent, unreachable) = links.failed_counts();
+            info!("leaf-links event=checked silent={silent} unreachable={unreachable}");
+        }
+        let keys = leaves.iter().map(|(_, key)| *key).collect();
+        self.leaf_links.begin_check(keys, self.now);
+        for (service, key) in leaves {
+            self.open_check_connection(key, &service);
+        }
+        self.schedule_links_timer();
+    }
+
+    /// Ends a check whose time is over, or begins the next one while the links are lost.
+    pub(super) fn on_links_timer(&mut self) {
+        self.links_wake_at = None;
+        let change = self.leaf_links.tick(self.now);
+        self.apply_links_change(change);
+        self.check_leaf_links();
+        self.schedule_links_timer();
+    }
+
+    fn schedule_links_timer(&mut self) {
+        let Some(at) = self.leaf_links.next_wake() else {
+            return;
+        };
+        if self.links_wake_at.is_none_or(|set| at < set) {
+            self.links_wake_at = Some(at);
+            self.timers.add(at, Timer::LeafLinks);
+        }
+    }
+
+    /// Logs a change of the state of the links.
+    pub(super) fn apply_links_change(&mut self, change: Option<Change>) {
+        let Some(change) = change else {
+            return;
+        };
+        match change {
+            Change::Lost => {
+                let (silent, unreachable) = self.leaf_links.failed_counts();
+                warn!("leaf-links event=lost silent={silent} unreachable={unreachable}");
+                self.metrics.gauges.leaf_links_lost.set(1);
+            }
+            Change::Regained => {
+                info!("leaf-links event=regained");
+                self.metrics.gauges.leaf_links_lost.set(0);
+            }
+        }
+    }
+}
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -1,14 +1,16 @@
 //! The gateway's metrics in Prometheus format. An attempt is one try to run a part of a caller's
 //! request at one leaf.
 
+mod gauges;
+
 use std::time::Duration;
 
 use log::warn;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
+use self::gauges::Gauges;
 use crate::util::logger;
 
 /// Upper bounds of the histogram buckets of response times.
@@ -29,11 +31,7 @@
     limited_attempts: IntCounterVec,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
-    pub(super) routes_version: IntGauge,
-    pub(super) registered_leaves: IntGauge,
-    pub(super) is_behind: IntGauge,
-    pub(super) quarantined_requests: IntGauge,
-    suppressed_log_lines: IntGauge,
+    pub(super) gauges: Gauges,
 }
 
 impl Default for Metrics {
@@ -71,27 +69,7 @@
                 "gateway_leaf_connections_total",
                 "Connections to leaves.",
             ),
-            routes_version: gauge(
-                &registry,
-                "gateway_routes_version",
-                "Version of the routes in force.",
-            ),
-            registered_leaves: gauge(&registry, "gateway_leaves", "Leaves that are registered."),
-            is_behind: gauge(
-                &registry,
-                "gateway_store_behind",
-                "1 while the leaves change faster than a watch delivers the changes.",
-            ),
-            quarantined_requests: gauge(
-                &registry,
-                "gateway_quarantined_requests",
-                "Requests that are withheld because they crash leaves.",
-            ),
-            suppressed_log_lines: gauge(
-                &registry,
-                "gateway_log_lines_suppressed",
-                "Lines that the log did not take.",
-            ),
+            gauges: Gauges::new(&registry),
             registry,
             answers,
             answer_seconds,
@@ -122,7 +100,7 @@
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn encode(&self) -> Vec<u8> {
         let suppressed = i64::try_from(logger::suppressed_lines()).unwrap_or(i64::MAX);
-        self.suppressed_log_lines.set(suppressed);
+        self.gauges.suppressed_log_lines.set(suppressed);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             warn!("metrics outcome=not-written error=\"{error}\"");
@@ -153,9 +131,3 @@
     register(registry, Box::new(counter.clone()));
     counter
 }
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("metric names should be valid constants");
-    register(registry, Box::new(gauge.clone()));
-    gauge
-}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -0,0 +1,51 @@
+//! Gauges of one gateway: values that rise and fall.
+
+use prometheus::{IntGauge, Registry};
+
+use super::register;
+
+/// Gauges of one gateway.
+#[derive(Debug)]
+pub(in crate::edge::gateway) struct Gauges {
+    pub(in crate::edge::gateway) routes_version: IntGauge,
+    pub(in crate::edge::gateway) registered_leaves: IntGauge,
+    /// 1 while the leaves change faster than a watch delivers the changes.
+    pub(in crate::edge::gateway) is_behind: IntGauge,
+    pub(in crate::edge::gateway) quarantined_requests: IntGauge,
+    /// 1 while this VM reaches no leaves.
+    pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
+    pub(super) suppressed_log_lines: IntGauge,
+}
+
+impl Gauges {
+    /// Creates the gauges and registers them.
+    pub(super) fn new(registry: &Registry) -> Gauges {
+        let gauge = |name, help| gauge(registry, name, help);
+        Gauges {
+            routes_version: gauge("gateway_routes_version", "Version of the routes in force."),
+            registered_leaves: gauge("gateway_leaves", "Leaves that are registered."),
+            is_behind: gauge(
+                "gateway_store_behind",
+                "1 while the leaves change faster than a watch delivers the changes.",
+            ),
+            quarantined_requests: gauge(
+                "gateway_quarantined_requests",
+                "Requests that are withheld because they crash leaves.",
+            ),
+            leaf_links_lost: gauge(
+                "gateway_leaf_links_lost",
+                "1 while this VM reaches no leaves.",
+            ),
+            suppressed_log_lines: gauge(
+                "gateway_log_lines_suppressed",
+                "Lines that the log did not take.",
+            ),
+        }
+    }
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("metric names should be valid constants");
+    register(registry, Box::new(gauge.clone()));
+    gauge
+}
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod calls;
 mod fleet;
 mod leaf;
+mod leaf_links;
 mod load_shedding;
 mod metrics;
 mod options;
@@ -66,7 +67,8 @@
 use self::token::EventSource;
 use crate::core::call::Reply;
 use crate::core::isolation::Isolation;
-use crate::core::placement::Placement;
+use crate::core::leaf_links::LeafLinks;
+use crate::core::placement::{Placement, ReplicaKey};
 use crate::core::quarantine::Quarantine;
 use crate::core::request_rate::RequestRate;
 use crate::core::route::{Split, Table};
@@ -95,8 +97,6 @@
     probes: Slab<Probe>,
     calls: Slab<CallState>,
     /// Connection pools of the leaves, sorted by the leaf's [`ReplicaKey`].
-    ///
-    /// [`ReplicaKey`]: crate::core::placement::ReplicaKey
     pools: Vec<Pool>,
     attempts: calls::Attempts,
     timers: Timers,
@@ -113,6 +113,10 @@
     metrics: Metrics,
     /// Detects whether this VM is isolated from the other failure domains.
     isolation: Isolation,
+    /// Detects that this VM has lost its links to the leaves.
+    leaf_links: LeafLinks<ReplicaKey>,
+    /// Earliest timer that is set for the links.
+    links_wake_at: Option<Instant>,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
@@ -175,6 +179,8 @@
             split,
             metrics: Metrics::default(),
             isolation: Isolation::default(),
+            leaf_links: LeafLinks::default(),
+            links_wake_at: None,
             shedders: Vec::new(),
             store_check: None,
             stop: None,
@@ -205,7 +211,7 @@
     /// Returns an error if the thread that watches the store cannot be started or polling for
     /// events fails.
     pub fn run(mut self) -> io::Result<bool> {
-        watch::start(&self.options, &self.sender, &self.metrics.is_behind)?;
+        watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
             let wait = self.timers.time_until_next(Instant::now());
@@ -286,6 +292,7 @@
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
+                Timer::LeafLinks => self.on_links_timer(),
                 Timer::StoreCheck => self.on_check_timer(),
                 Timer::Stop => self.on_stop_timer(),
             }
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -56,6 +56,7 @@
         let (version, routes) = (table.version, table.routes().len());
         info!("routes version={version} routes={routes} outcome=in-force");
         self.metrics
+            .gauges
             .routes_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.route_table = Some(Arc::new(table));
@@ -73,7 +74,7 @@
             info!("leaves registered={} leaving={leaving}", instances.len());
         }
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
-        self.metrics.registered_leaves.set(count);
+        self.metrics.gauges.registered_leaves.set(count);
         self.placement.set_era(era);
         let has_unregistered = self.placement.update(instances, self.now);
         if has_unregistered {
@@ -260,6 +261,24 @@
 
     /// Opens a connection for an attempt; the attempt fails as unreachable if this fails.
     fn open_connection(&mut self, index: usize, attempt: AttemptId) {
+        match self.connect(index) {
+            Some(connection) => self.send_attempt(connection, attempt),
+            None => self.queue_reply(attempt, Reply::Unreachable),
+        }
+    }
+
+    /// Opens a connection to a leaf that checks this VM's links.
+    pub(super) fn open_check_connection(&mut self, key: ReplicaKey, service: &ServiceName) {
+        let Some(index) = self.pool_index(key, service) else {
+            return;
+        };
+        if let Some(connection) = self.connect(index) {
+            self.leaf_connections[connection].is_check = true;
+        }
+    }
+
+    /// Opens a connection to the leaf of a pool; returns its key, or `None` if this fails.
+    fn connect(&mut self, index: usize) -> Option<usize> {
         let serial = self.allocate_serial();
         let pool = &mut self.pools[index];
         let (replica, address) = (pool.key, pool.address);
@@ -269,7 +288,7 @@
             Ok(leaf) => {
                 let connection = self.leaf_connections.insert(leaf);
                 if self.register_leaf(connection) {
-                    return self.send_attempt(connection, attempt);
+                    return Some(connection);
                 }
                 self.leaf_connections.remove(connection);
             }
@@ -277,7 +296,7 @@
         }
         let pool = &mut self.pools[index];
         pool.open_connections -= 1;
-        self.queue_reply(attempt, Reply::Unreachable);
+        None
     }
 
     /// Returns how many connections this VM may have open to a leaf.
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -169,7 +169,7 @@
     fn update_quarantine_metric(&self) {
         let withheld = self.quarantine.withheld_count(self.now);
         let withheld = i64::try_from(withheld).unwrap_or(i64::MAX);
-        self.metrics.quarantined_requests.set(withheld);
+        self.metrics.gauges.quarantined_requests.set(withheld);
     }
 
     /// Passes what the shared list lacks to the thread that writes it, which is started if there is
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -23,6 +23,8 @@
     Fleet,
     /// Check whether the shared list of requests that crash leaves has to be completed.
     Quarantine,
+    /// Start or end of a check of the links to the leaves.
+    LeafLinks,
     /// Start or timeout of a check whether the store is reachable.
     StoreCheck,
     /// Progress of a planned stop.
--- /dev/null
+++ b/tests/testsuite/leaf_links.rs
@@ -0,0 +1,206 @@
+//! Tests of the detector of lost links to the leaves.
+
+use std::time::{Duration, Instant};
+
+use geraniummount::core::leaf_links::{CHECKED_LEAVES, Change, LeafLinks};
+
+/// Number of leaves that the VM knows.
+const LEAVES: usize = 20;
+
+/// What happens to the links.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A leaf does not answer a request that was sent this many milliseconds before.
+    Silent(u32, u64),
+    /// A leaf responds on a connection that was opened this many milliseconds before.
+    Response(u64),
+    /// A connection to a leaf fails.
+    Unreachable(u32),
+    /// A connection of a check is established and stays open.
+    Connected,
+}
+
+use Event::{Connected, Response, Silent, Unreachable};
+
+struct Case {
+    name: &'static str,
+    /// Events with their times in milliseconds.
+    events: &'static [(u64, Event)],
+    /// Whether a check is due after the last event.
+    is_check_due: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "leaves that pause while another one responds",
+        events: &[
+            (100, Silent(1, 90)),
+            (100, Silent(2, 90)),
+            (105, Response(5000)),
+            (110, Silent(3, 90)),
+            (110, Silent(4, 90)),
+        ],
+        is_check_due: false,
+    },
+    Case {
+        name: "one leaf that fails again and again",
+        events: &[
+            (100, Unreachable(1)),
+            (200, Unreachable(1)),
+            (300, Silent(1, 50)),
+            (400, Unreachable(1)),
+        ],
+        is_check_due: false,
+    },
+    Case {
+        name: "no leaf responds",
+        events: &[
+            (100, Response(5000)),
+            (250, Silent(1, 100)),
+            (250, Silent(2, 100)),
+            (260, Silent(3, 100)),
+        ],
+        is_check_due: true,
+    },
+    Case {
+        name: "requests that were sent before the last response",
+        events: &[
+            (100, Response(5000)),
+            (110, Silent(1, 100)),
+            (110, Silent(2, 100)),
+            (110, Silent(3, 100)),
+        ],
+        is_check_due: false,
+    },
+    Case {
+        name: "new connections fail while old ones are answered",
+        events: &[
+            (100, Unreachable(1)),
+            (110, Response(5000)),
+            (120, Unreachable(2)),
+            (130, Response(5000)),
+            (140, Unreachable(3)),
+            (150, Response(5000)),
+        ],
+        is_check_due: true,
+    },
+    Case {
+        name: "connections to crashed leaves fail, and others succeed",
+        events: &[
+            (100, Unreachable(1)),
+            (110, Unreachable(2)),
+            (150, Response(30)),
+            (160, Unreachable(3)),
+            (170, Unreachable(4)),
+        ],
+        is_check_due: false,
+    },
+    Case {
+        name: "a check has just succeeded",
+        events: &[
+            (100, Unreachable(1)),
+            (110, Unreachable(2)),
+            (120, Connected),
+            (130, Unreachable(3)),
+            (140, Unreachable(4)),
+        ],
+        is_check_due: false,
+    },
+];
+
+fn apply(links: &mut LeafLinks<u32>, event: Event, now: Instant) -> Option<Change> {
+    match event {
+        Silent(leaf, ago) => {
+            links.on_silent(leaf, now - Duration::from_millis(ago));
+            None
+        }
+        Response(ago) => links.on_response(now - Duration::from_millis(ago), now),
+        Unreachable(leaf) => links.on_unreachable(&leaf, now),
+        Connected => links.on_connected(),
+    }
+}
+
+/// Returns a start that lies far enough back for the oldest connection.
+fn start() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+/// Makes the links suspected, begins a check of the leaves 11 to 13, and returns when it began.
+fn begin_check(links: &mut LeafLinks<u32>) -> Instant {
+    let now = start();
+    for leaf in 1..=3 {
+        apply(links, Unreachable(leaf), now);
+    }
+    assert!(links.is_check_due(LEAVES, now));
+    links.begin_check(vec![11, 12, 13], now);
+    assert!(!links.is_check_due(LEAVES, now));
+    now
+}
+
+#[test]
+fn leaf_links_are_checked_only_if_several_leaves_fail_and_none_responds() {
+    for case in CASES {
+        let start = start();
+        let mut links = LeafLinks::default();
+        let mut now = start;
+        for (at_ms, event) in case.events {
+            now = start + Duration::from_millis(*at_ms);
+            apply(&mut links, *event, now);
+        }
+        let is_due = links.is_check_due(LEAVES, now);
+        assert_eq!(is_due, case.is_check_due, "{}", case.name);
+        assert!(!links.is_lost(), "{}", case.name);
+    }
+}
+
+#[test]
+fn leaf_links_are_lost_once_no_connection_of_the_check_is_established_in_time() {
+    let mut links = LeafLinks::default();
+    let began = begin_check(&mut links);
+    assert_eq!(links.tick(began + Duration::from_millis(100)), None);
+    let end = links.next_wake().unwrap();
+    assert_eq!(links.tick(end), Some(Change::Lost));
+    assert!(links.is_lost());
+}
+
+#[test]
+fn leaf_links_are_lost_at_once_when_all_connections_of_the_check_fail() {
+    let mut links = LeafLinks::default();
+    let now = begin_check(&mut links);
+    let changes = [11, 12, 11, 13].map(|leaf| links.on_unreachable(&leaf, now));
+    assert_eq!(changes, [None, None, None, Some(Change::Lost)]);
+    assert_eq!(CHECKED_LEAVES, 3);
+}
+
+#[test]
+fn leaf_links_work_if_one_connection_of_the_check_is_established() {
+    let mut links = LeafLinks::default();
+    let now = begin_check(&mut links);
+    assert_eq!(links.on_unreachable(&11, now), None);
+    assert_eq!(links.on_connected(), None);
+    assert!(!links.is_suspected());
+    assert_eq!(links.tick(now + Duration::from_secs(1)), None);
+}
+
+#[test]
+fn leaf_links_stay_lost_while_only_old_connections_are_answered() {
+    let mut links = LeafLinks::default();
+    let now = begin_check(&mut links);
+    links.tick(now + Duration::from_millis(500));
+    let later = now + Duration::from_millis(600);
+    assert_eq!(links.on_response(now - Duration::from_secs(2), later), None);
+    assert!(links.is_lost());
+    assert!(links.is_check_due(LEAVES, later));
+    links.begin_check(vec![14, 15, 16], later);
+    assert_eq!(links.on_connected(), Some(Change::Regained));
+    assert!(!links.is_lost());
+}
+
+#[test]
+fn leaf_links_of_a_single_leaf_are_checked_after_its_first_failure() {
+    let mut links = LeafLinks::default();
+    let now = start();
+    assert!(!links.is_check_due(1, now));
+    links.on_unreachable(&1, now);
+    assert!(links.is_check_due(1, now));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod isolation;
 mod leaf_edge;
 mod leaf_limits;
+mod leaf_links;
 mod leaf_queue;
 mod load_shedder;
 mod log_lines;
