Reproduce the incident: a VM without links to leaves serves nobody

What callers see: requests at a VM that is cut off from the leaves are refused or time out, while the other VMs serve.

Change: a failing test with three real gateways, whose leaves have a proxy each; the proxies cut the links of one VM. A proxy tells VMs apart by their source address, so a gateway may be given one ([gateway] source). Without the setting nothing changes.

--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -4,16 +4,15 @@
 mod reading;
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use mio::Interest;
-use mio::net::TcpStream;
 use socket2::SockRef;
 
 use super::Gateway;
 use super::leaf_links::MIN_OPEN_TIME;
-use super::socket::Socket;
+use super::socket::{self, Socket};
 use super::timers::Timer;
 use super::token::EventSource;
 use crate::core::call::Reply;
@@ -91,11 +90,12 @@
     /// Begins to connect to a leaf, without blocking.
     pub(super) fn connect(
         address: SocketAddr,
+        source: Option<IpAddr>,
         replica: ReplicaKey,
         serial: u64,
         now: Instant,
     ) -> io::Result<LeafConnection> {
-        let stream = TcpStream::connect(address)?;
+        let stream = socket::connect(address, source)?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         Ok(LeafConnection {
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -1,7 +1,7 @@
 //! Startup options of a gateway. The platform is what the users run around it: the store of the
 //! routes and of the leaves' registrations, and the readiness probes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::core::placement::Start;
@@ -22,6 +22,8 @@
     pub ready: SocketAddr,
     /// Listening address for metrics, if they are served.
     pub metrics: Option<SocketAddr>,
+    /// Source address of the connections to leaves; the system chooses one if `None`.
+    pub source: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Time for which new connections of callers are still accepted after a planned stop begins.
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -284,7 +284,7 @@
         let (replica, address) = (pool.key, pool.address);
         pool.open_connections += 1;
         self.metrics.leaf_connections.inc();
-        match LeafConnection::connect(address, replica, serial, self.now) {
+        match LeafConnection::connect(address, self.options.source, replica, serial, self.now) {
             Ok(leaf) => {
                 let connection = self.leaf_connections.insert(leaf);
                 if self.register_leaf(connection) {
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -1,8 +1,10 @@
 //! A non-blocking socket with its input and output buffers.
 
 use std::io::{self, Read, Write};
+use std::net::{IpAddr, SocketAddr};
 
 use mio::net::TcpStream;
+use socket2::{Domain, Protocol, Type};
 
 /// Size of the buffer that is passed to one read.
 pub(super) const READ_BUF_BYTES: usize = 32 * 1024;
@@ -11,6 +13,21 @@
 /// occupy the event loop.
 const MAX_BYTES_PER_EVENT: usize = 256 * 1024;
 
+/// Begins to connect to `address` from the IP address `source`, without blocking.
+pub(super) fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address);
+    };
+    let domain = Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(libc::EINPROGRESS) => Err(error),
+        _ => Ok(TcpStream::from_std(socket.into())),
+    }
+}
+
 /// Outcome of reading from a socket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ReadStatus {
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform is the store of routes and registrations that the users run.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -77,6 +77,7 @@
             callers: gateway.callers,
             ready: gateway.ready,
             metrics: gateway.metrics,
+            source: gateway.source,
             store: store?,
             linger: limits.linger,
             drain: limits.drain,
@@ -105,6 +106,8 @@
     ready: SocketAddr,
     /// Listening address for metrics, if they are served.
     metrics: Option<SocketAddr>,
+    /// Source address of the connections to leaves, if one is given.
+    source: Option<IpAddr>,
 }
 
 impl GatewaySection {
@@ -116,6 +119,7 @@
             "callers",
             "ready",
             "metrics",
+            "source",
         ]);
         let name = section.name("name");
         let failure_domain = section.name("failure_domain");
@@ -123,6 +127,7 @@
         let callers = section.listener("callers");
         let ready = section.listener("ready");
         let metrics = section.optional_target("metrics");
+        let source = section.optional_ip("source");
         Some(GatewaySection {
             name: name?,
             failure_domain: failure_domain?,
@@ -133,6 +138,7 @@
             callers: callers?,
             ready: ready?,
             metrics: metrics?,
+            source: source?,
         })
     }
 }
--- a/src/geraniummount/ops/settings/section.rs
+++ b/src/geraniummount/ops/settings/section.rs
@@ -1,6 +1,6 @@
 //! Reads and checks the values of one section.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
@@ -95,6 +95,20 @@
         }
     }
 
+    /// Reads an optional IP address of this machine; `Some(None)` if the key is missing.
+    pub(super) fn optional_ip(&mut self, key: &str) -> Option<Option<IpAddr>> {
+        let Some(entry) = self.entry(key) else {
+            return Some(None);
+        };
+        let is_specific = |ip: &IpAddr| !ip.is_unspecified();
+        let ip = entry.value.parse().ok().filter(is_specific);
+        if ip.is_none() {
+            let allowed = "an IP address of this machine, such as 10.0.0.5".to_string();
+            self.fault(entry, format!("'{}'", entry.value), allowed);
+        }
+        ip.map(Some)
+    }
+
     /// Reads a comma-separated list of addresses to connect to; empty if the key is missing.
     pub(super) fn targets(&mut self, key: &str) -> Option<Vec<SocketAddr>> {
         let Some(entry) = self.entry(key) else {
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -2,7 +2,7 @@
 //! it.
 
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
 
 /// A running gateway and its store.
 pub struct Fixture {
+    /// Source address of the gateway's connections to leaves.
+    pub ip: IpAddr,
     pub store: Store,
     pub callers_address: SocketAddr,
     pub ready_address: SocketAddr,
@@ -33,21 +35,33 @@
 impl Fixture {
     /// Starts a store and a gateway in failure domain `near`.
     pub fn start() -> Fixture {
+        Fixture::start_with_new_store("near")
+    }
+
+    /// Starts a store and a gateway in a failure domain.
+    pub fn start_with_new_store(domain: &str) -> Fixture {
         let store = Store::start();
         let address = store.address();
-        Fixture::start_with(store, address)
+        Fixture::start_in(domain, store, address)
     }
 
     /// Starts a gateway that reaches the store at `address`.
     pub fn start_with(store: Store, address: SocketAddr) -> Fixture {
+        Fixture::start_in("near", store, address)
+    }
+
+    /// Starts a gateway in a failure domain that reaches the store at `address`.
+    pub fn start_in(domain: &str, store: Store, address: SocketAddr) -> Fixture {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let ip = vm_ip(number);
         let options = Options {
             name: format!("vm{number}"),
-            failure_domain: "near".to_string(),
+            failure_domain: domain.to_string(),
             start: Start::First,
             callers: free_address(),
             ready: free_address(),
             metrics: None,
+            source: Some(ip),
             store: address,
             max_reply_bytes: 4 * 1024 * 1024,
             linger: Duration::from_millis(200),
@@ -60,6 +74,7 @@
         let sender = gateway.sender();
         let thread = std::thread::spawn(move || gateway.run().unwrap());
         Fixture {
+            ip,
             store,
             callers_address,
             ready_address,
@@ -183,6 +198,13 @@
     Leaf::start(&fixture.store, service, "near", records)
 }
 
+/// Returns a loopback address for the VM with a number, derived from the id of this process.
+fn vm_ip(number: u64) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let [.., last] = number.to_be_bytes();
+    Ipv4Addr::new(127, 192 + high % 32, low, last.max(1)).into()
+}
+
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -7,6 +7,7 @@
 mod isolation;
 mod leases;
 mod limits;
+mod lost_links;
 mod malformed;
 mod notice;
 mod pause;
