Read the responses of leaves with a reader of its own

Cause: a gateway is about to read responses of other VMs too, and the parser of responses was part of the connection to a leaf.

Change: ResponseReader holds the state of one connection's responses. Nothing else changes; it also notes interim responses, which leaves' connections ignore as before.

--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -12,6 +12,7 @@
 
 use super::Gateway;
 use super::leaf_links::MIN_OPEN_TIME;
+use super::response_reader::ResponseReader;
 use super::socket::{self, Socket};
 use super::timers::Timer;
 use super::token::EventSource;
@@ -21,7 +22,7 @@
 use crate::core::reply_size::ReplySize;
 use crate::platform::headers;
 use crate::prelude::*;
-use crate::util::h1::{self, Body, Fault, Head, Parsed};
+use crate::util::h1;
 
 /// Maximum time to establish a connection to a leaf.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -50,8 +51,6 @@
     request_id: RequestId,
     /// When the last request was sent.
     requested_at: Instant,
-    /// Whether the last request has the method HEAD, so that its response has no body.
-    is_head_request: bool,
     /// When the TCP connection was established; `None` until then.
     connected_at: Option<Instant>,
     /// When the connection attempt began.
@@ -60,32 +59,18 @@
     has_responded: bool,
     /// Whether any byte of the current request has been written.
     has_sent_bytes: bool,
-    /// Whether the connection cannot be reused after the current response.
-    must_close: bool,
-    /// Head of the response that is being read.
-    head: Option<Head>,
-    /// Part of that response's body that has been received.
-    content: Vec<u8>,
+    /// Reader of the responses.
+    pub(super) reader: ResponseReader,
     /// Number of bytes received since the last request was sent.
     received: usize,
     /// When the attempt was abandoned.
     abandoned_at: Option<Instant>,
     /// Fingerprint of the abandoned attempt's request, if no leaf had answered the request.
     abandoned_request: Option<Fingerprint>,
-    /// Time after which the leaf closes the connection if it is idle, as announced by the leaf.
-    pub(super) keep_alive: Option<Duration>,
     /// Whether the connection was opened to check this VM's links, and has not counted yet.
     pub(super) is_check: bool,
 }
 
-/// Progress of reading a response.
-enum Step {
-    /// More bytes are needed.
-    Partial,
-    /// The response is complete.
-    Whole(h1::Response),
-}
-
 impl LeafConnection {
     /// Begins to connect to a leaf, without blocking.
     pub(super) fn connect(
@@ -106,78 +91,23 @@
             is_awaiting_response: false,
             request_id: RequestId::new(),
             requested_at: now,
-            is_head_request: false,
             connected_at: None,
             opened_at: now,
             has_responded: false,
             has_sent_bytes: false,
-            must_close: false,
-            head: None,
-            content: Vec::new(),
+            reader: ResponseReader::default(),
             received: 0,
             abandoned_at: None,
             abandoned_request: None,
-            keep_alive: None,
             is_check: false,
         })
     }
 
-    /// Parses the response as far as input is buffered.
-    fn parse_response(&mut self) -> Result<Step, Fault> {
-        loop {
-            if self.head.is_none() {
-                match Head::parse(&self.socket.input, self.is_head_request)? {
-                    Parsed::Partial => return Ok(Step::Partial),
-                    Parsed::Complete(head, length) => {
-                        self.socket.input.drain(..length);
-                        if head.is_interim() {
-                            continue;
-                        }
-                        self.head = Some(head);
-                    }
-                }
-            }
-            let Some(head) = &mut self.head else {
-                return Ok(Step::Partial);
-            };
-            let (taken, done) = head.body.feed(&self.socket.input, &mut self.content)?;
-            self.socket.input.drain(..taken);
-            return Ok(if done {
-                self.take_response()
-            } else {
-                Step::Partial
-            });
-        }
-    }
-
     /// Returns the size of the response as far as it was received.
     fn reply_size(&self) -> ReplySize {
         ReplySize {
             received: self.received,
-            held: self.socket.input.len() + self.content.len(),
-        }
-    }
-
-    /// Takes the complete response out of the connection.
-    fn take_response(&mut self) -> Step {
-        let content = std::mem::take(&mut self.content);
-        match self.head.take() {
-            Some(head) => {
-                self.must_close |= !head.is_persistent;
-                self.keep_alive = head.keep_alive().or(self.keep_alive);
-                Step::Whole(h1::Response { head, content })
-            }
-            None => Step::Partial,
-        }
-    }
-
-    /// Takes a response whose body is delimited by the end of the connection.
-    fn take_response_at_eof(&mut self) -> Step {
-        let ends_here = self.head.as_ref().map(|head| head.body) == Some(Body::UntilClose);
-        if ends_here {
-            self.take_response()
-        } else {
-            Step::Partial
+            held: self.socket.input.len() + self.reader.held_bytes(),
         }
     }
 }
@@ -230,7 +160,7 @@
         let leaf = &mut self.leaf_connections[connection];
         leaf.request_id.clone_from(&forwarded.id);
         leaf.requested_at = self.now;
-        leaf.is_head_request = forwarded.method == "HEAD";
+        leaf.reader.begin(forwarded.method == "HEAD");
         leaf.attempt = Some(attempt);
         leaf.is_awaiting_response = true;
         leaf.has_sent_bytes = false;
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -3,7 +3,6 @@
 use log::{info, warn};
 use mio::Interest;
 
-use super::Step;
 use crate::core::call::Reply;
 use crate::edge::gateway::Gateway;
 use crate::edge::gateway::socket::ReadStatus;
@@ -34,21 +33,21 @@
                 }
                 return;
             }
-            let step = match leaf.parse_response() {
-                Ok(Step::Partial) if status == ReadStatus::Eof => leaf.take_response_at_eof(),
-                Ok(step) => step,
+            let response = match leaf.reader.read(&mut leaf.socket.input) {
+                Ok(None) if status == ReadStatus::Eof => leaf.reader.read_at_eof(),
+                Ok(response) => response,
                 Err(_) => return self.fail_leaf(connection, Reply::Lost),
             };
-            match step {
-                Step::Whole(response) => self.on_response(connection, response, status),
-                Step::Partial if self.is_too_long(connection) => {
+            match response {
+                Some(response) => self.on_response(connection, response, status),
+                None if self.is_too_long(connection) => {
                     return self.fail_leaf(connection, Reply::Lost);
                 }
-                Step::Partial if status == ReadStatus::Open => return,
-                Step::Partial if status == ReadStatus::Interrupted => {
+                None if status == ReadStatus::Open => return,
+                None if status == ReadStatus::Interrupted => {
                     return self.register_leaf_again(connection);
                 }
-                Step::Partial => return self.fail_closed_leaf(connection),
+                None => return self.fail_closed_leaf(connection),
             }
         }
     }
@@ -94,12 +93,12 @@
         let reply = match headers::read_answer(response, &leaf.request_id) {
             Answer::Matching(reply) => reply,
             Answer::Mismatched => {
-                leaf.must_close = true;
+                leaf.reader.must_close = true;
                 return;
             }
         };
         let is_clean = leaf.socket.input.is_empty() && !leaf.socket.has_pending_output();
-        let is_reusable = is_clean && !leaf.must_close && status == ReadStatus::Open;
+        let is_reusable = is_clean && !leaf.reader.must_close && status == ReadStatus::Open;
         let attempt = leaf.attempt.take();
         leaf.is_awaiting_response = false;
         leaf.abandoned_at = None;
@@ -124,7 +123,8 @@
             self.apply_links_change(change);
         }
         let leaf = &self.leaf_connections[connection];
-        if let Ok(Parsed::Complete(head, _)) = Head::parse(&leaf.socket.input, leaf.is_head_request)
+        if let Ok(Parsed::Complete(head, _)) =
+            Head::parse(&leaf.socket.input, leaf.reader.is_head_request)
         {
             let notice = headers::read_notice(&head);
             self.apply_notice(replica, notice);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod probe;
 mod quarantine;
 mod registrations;
+mod response_reader;
 mod socket;
 mod stop;
 mod store_check;
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -210,7 +210,7 @@
             return self.send_attempt(connection, attempt);
         }
         let leaf = &self.leaf_connections[connection];
-        let keep = leaf.keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| {
+        let keep = leaf.reader.keep_alive.map_or(DEFAULT_KEEP_ALIVE, |time| {
             time.saturating_sub(KEEP_ALIVE_MARGIN)
                 .max(DEFAULT_KEEP_ALIVE)
         });
--- /dev/null
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -0,0 +1,83 @@
+//! Reads the responses on a connection to a leaf or to another VM.
+
+use std::time::Duration;
+
+use crate::util::h1::{Body, Fault, Head, Parsed, Response};
+
+/// Reader of the responses on one connection.
+#[derive(Debug, Default)]
+pub(super) struct ResponseReader {
+    /// Whether the last request has the method HEAD, so that its response has no body.
+    pub(super) is_head_request: bool,
+    /// Whether the connection cannot be reused after the current response.
+    pub(super) must_close: bool,
+    /// Time after which the peer closes the connection if it is idle, as announced by the peer.
+    pub(super) keep_alive: Option<Duration>,
+    /// Whether an interim response to the last request has been received.
+    pub(super) has_interim: bool,
+    /// Head of the response that is being read.
+    head: Option<Head>,
+    /// Part of that response's body that has been received.
+    content: Vec<u8>,
+}
+
+impl ResponseReader {
+    /// Prepares for the response to a request.
+    pub(super) fn begin(&mut self, is_head_request: bool) {
+        self.is_head_request = is_head_request;
+        self.has_interim = false;
+    }
+
+    /// Consumes input as far as it is buffered. Returns the response once it is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response is malformed.
+    pub(super) fn read(&mut self, input: &mut Vec<u8>) -> Result<Option<Response>, Fault> {
+        loop {
+            if self.head.is_none() {
+                match Head::parse(input, self.is_head_request)? {
+                    Parsed::Partial => return Ok(None),
+                    Parsed::Complete(head, length) => {
+                        input.drain(..length);
+                        if head.is_interim() {
+                            self.has_interim = true;
+                            continue;
+                        }
+                        self.head = Some(head);
+                    }
+                }
+            }
+            let Some(head) = &mut self.head else {
+                return Ok(None);
+            };
+            let (taken, done) = head.body.feed(input, &mut self.content)?;
+            input.drain(..taken);
+            return Ok(if done { self.take_response() } else { None });
+        }
+    }
+
+    /// Returns the response if its body is delimited by the end of the connection, which has been
+    /// reached.
+    pub(super) fn read_at_eof(&mut self) -> Option<Response> {
+        let ends_here = self.head.as_ref().map(|head| head.body) == Some(Body::UntilClose);
+        if ends_here {
+            self.take_response()
+        } else {
+            None
+        }
+    }
+
+    /// Returns the number of bytes of the incomplete body.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.content.len()
+    }
+
+    fn take_response(&mut self) -> Option<Response> {
+        let content = std::mem::take(&mut self.content);
+        let head = self.head.take()?;
+        self.must_close |= !head.is_persistent;
+        self.keep_alive = head.keep_alive().or(self.keep_alive);
+        Some(Response { head, content })
+    }
+}
