--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -67,6 +67,7 @@
         callers: free_address()?,
         ready: free_address()?,
         metrics: None,
+        peer_listen: None,
         source: None,
         store: store.address(),
         max_reply_bytes: 4 * 1024 * 1024,
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -198,6 +198,38 @@
         self.abandon_all(placement, now)
     }
 
+    /// Ends the request so that another VM can serve it instead, if it has no answer yet and may be
+    /// repeated. Returns the number of leaves of a shard that may have received it, and the actions
+    /// that cancel its attempts. Each part that a leaf may have received is charged to the retry
+    /// allowance of its service.
+    pub fn hand_over(
+        &mut self,
+        placement: &mut Placement,
+        now: Instant,
+    ) -> Option<(u32, Vec<Action>)> {
+        if self.is_finished || self.included_count() > 0 || now >= self.plan.end_by {
+            return None;
+        }
+        let is_sent = |shard: &&Shard| shard.may_have_received();
+        let sent: Vec<&ServiceName> = self
+            .shards
+            .iter()
+            .filter(is_sent)
+            .map(|shard| &shard.service)
+            .collect();
+        let sends = self.shards.iter().map(|shard| shard.sends).max();
+        let sends = sends.filter(|_| !sent.is_empty()).unwrap_or_default();
+        if !sent.is_empty() && self.plan.repeat == Repeat::AtMostOnce {
+            return None;
+        }
+        let has_attempts = sends < self.plan.max_attempts;
+        if !has_attempts || !placement.take_extra_attempts(sent.iter().map(|name| name.as_str())) {
+            return None;
+        }
+        self.is_finished = true;
+        Some((sends, self.abandon_all(placement, now)))
+    }
+
     /// Returns when `tick` is due next, or `None` if the request is finished.
     pub fn next_wake(&self) -> Option<Instant> {
         if self.is_finished {
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::core::delegation::Terms;
 use crate::core::margin;
 use crate::core::placement::Placement;
 use crate::core::route::{Gather, Repeat, Route};
@@ -36,6 +37,8 @@
     pub answer_by: Instant,
     /// When the request ends, even without an answer.
     pub end_by: Instant,
+    /// Whether the request was counted before, in the retry allowances of the VM that delegated it.
+    pub is_counted: bool,
 }
 
 /// Requirements on the answer to a query over many shards.
@@ -80,6 +83,18 @@
             max_attempts: route.max_attempts.max(1),
             answer_by: answer_by.min(end_by),
             end_by,
+            is_counted: false,
+        }
+    }
+
+    /// Returns the plan of a request that another VM delegated to this one.
+    pub fn delegated(self, terms: &Terms, now: Instant) -> Plan {
+        let answer_by = self.answer_by.checked_sub(terms.elapsed);
+        Plan {
+            answer_by: answer_by.map_or(now, |at| at.max(now)),
+            max_attempts: self.max_attempts.saturating_sub(terms.sends).max(1),
+            is_counted: terms.sends > 0,
+            ..self
         }
     }
 
@@ -89,6 +104,9 @@
     /// Requests that are turned away because of load count as well as those that are sent, so that
     /// while leaves shed load, the former pay for retries of the latter.
     pub fn record_requests(&self, placement: &mut Placement, now: Instant) {
+        if self.is_counted {
+            return;
+        }
         for service in &self.services {
             placement.record_request(service, now);
         }
--- a/src/geraniummount/core/call/shard.rs
+++ b/src/geraniummount/core/call/shard.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns whether a leaf may have received the part.
+    pub(super) fn may_have_received(&self) -> bool {
+        self.may_have_run || self.open_attempts.iter().any(|open| open.is_sent)
+    }
+
     /// Removes an attempt from the open ones, and returns the leaf that it was sent to.
     pub(super) fn close_attempt(&mut self, attempt: AttemptId) -> Option<ReplicaKey> {
         let index = self
--- /dev/null
+++ b/src/geraniummount/core/delegation/action.rs
@@ -0,0 +1,33 @@
+//! Actions that a delegated request asks the gateway to carry out.
+
+use std::time::Duration;
+
+use super::Answer;
+use crate::prelude::*;
+
+/// An action that a delegated request asks the gateway to carry out.
+#[derive(Debug)]
+pub enum Action {
+    /// Pass the request to a peer.
+    Send(VmName),
+    /// Close the connection to the peer that has the request, which cancels the request there.
+    Abandon,
+    /// Answer the caller. Issued at most once per request.
+    Finish(End),
+}
+
+/// Final result of a delegated request.
+#[derive(Debug)]
+pub enum End {
+    /// Forward the answer of a peer.
+    Forward(Answer),
+    /// Reject the request: it has not run and will not run.
+    Refuse {
+        /// Delay after which the caller may retry.
+        retry_after: Duration,
+    },
+    /// Report a failure; the request may have run.
+    Fail,
+    /// Report a timeout; the request may have run.
+    TimeOut,
+}
--- /dev/null
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -0,0 +1,35 @@
+//! Decides which other VM serves the requests of a VM that has lost its links to the leaves.
+//!
+//! Load pattern: one VM, most VMs of a failure domain, or all of them, reach no leaf for seconds,
+//! while callers still send them as many requests as before and the other VMs reach all leaves. The
+//! platform's store may be away at the same time. A VM that is asked for help may be gone, frozen,
+//! stopping, overloaded, or without links itself.
+//!
+//! A VM in this state delegates: it passes each request as a whole to a peer, another VM, which
+//! serves it like a request of its own and returns the answer. Only the VM that sends a request to
+//! leaves counts it, hedges it and retries it, so that budgets and limits count it once. A delegated
+//! request is never delegated again.
+//!
+//! A peer acknowledges a request as soon as it has read it, and declines at once what it does not
+//! serve. A peer that does neither is taken for frozen: it is avoided for a while, and a request that
+//! may run more than once goes to the next peer. A request that may run only once goes to another
+//! peer only if the last one has declined it or has not received it.
+//!
+//! [`Peers`] knows the other VMs and chooses one of them, [`Request`] is the state of one delegated
+//! request. The inputs are events and the current time; the outputs are [`Action`]s.
+
+mod action;
+mod decline;
+mod outcome;
+mod peer;
+mod peers;
+mod request;
+mod terms;
+
+pub use self::action::{Action, End};
+pub use self::decline::Decline;
+pub use self::outcome::{Answer, Outcome};
+pub use self::peer::Peer;
+pub use self::peers::{Ending, Peers};
+pub use self::request::Request;
+pub use self::terms::Terms;
--- /dev/null
+++ b/src/geraniummount/core/delegation/request.rs
@@ -0,0 +1,282 @@
+//! State of one delegated request.
+
+use std::time::{Duration, Instant};
+
+use super::{Action, Answer, Decline, End, Ending, Outcome, Peers};
+use crate::core::route::Repeat;
+use crate::prelude::*;
+
+/// Maximum number of peers that a request is passed to. Most VMs may have lost their links, and each
+/// of them declines within one round trip.
+const MAX_PEERS: usize = 8;
+
+/// Time from sending a request until the peer has to acknowledge it.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Bounds of the retry delay that is sent to a caller.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// State of one delegated request.
+#[derive(Debug)]
+pub struct Request {
+    /// Whether the request may run more than once.
+    repeat: Repeat,
+    /// When the request ends, even without an answer.
+    end_by: Instant,
+    /// Peers that the request was passed to.
+    tried: Vec<VmName>,
+    /// Failure domains of peers that have lost their links too.
+    lost_domains: Vec<DomainName>,
+    /// The peer that has the request.
+    open: Option<Open>,
+    /// Whether a peer that did not answer may have run the request.
+    may_have_run: bool,
+    /// Shortest time after which a peer that declined may serve the request.
+    retry_after: Option<Duration>,
+    is_finished: bool,
+}
+
+/// A peer that has the request.
+#[derive(Debug)]
+struct Open {
+    peer: VmName,
+    /// When the request was sent; `None` while a connection is being opened.
+    sent_at: Option<Instant>,
+    is_acknowledged: bool,
+    /// Whether the peer has been counted as failed.
+    is_late: bool,
+}
+
+impl Request {
+    /// Creates the state of a request that ends at `end_by`, without passing it to a peer.
+    pub fn new(repeat: Repeat, end_by: Instant) -> Request {
+        Request {
+            repeat,
+            end_by,
+            tried: Vec::new(),
+            lost_domains: Vec::new(),
+            open: None,
+            may_have_run: false,
+            retry_after: None,
+            is_finished: false,
+        }
+    }
+
+    /// Passes the request to the first peer.
+    pub fn start(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        self.try_next(peers, now)
+    }
+
+    /// Returns the peer that has the request, or to which a connection is being opened.
+    pub fn peer(&self) -> Option<&VmName> {
+        self.open.as_ref().map(|open| &open.peer)
+    }
+
+    /// Records that the peer may have received the request.
+    pub fn on_sent(&mut self, now: Instant) {
+        if let Some(open) = &mut self.open {
+            open.sent_at.get_or_insert(now);
+        }
+    }
+
+    /// Records that the peer has read the request.
+    pub fn on_acknowledged(&mut self) {
+        if let Some(open) = &mut self.open {
+            open.is_acknowledged = true;
+        }
+    }
+
+    /// Processes the result of passing the request to a peer. `take_extra` takes what a repetition
+    /// costs from the retry allowances, and returns whether they permit it.
+    pub fn on_outcome(
+        &mut self,
+        outcome: Outcome,
+        peers: &mut Peers,
+        take_extra: impl FnOnce() -> bool,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some(open) = self.open.take() else {
+            return Vec::new();
+        };
+        match outcome {
+            Outcome::Answered(answer) => self.forward(&open, answer, peers, now),
+            Outcome::Declined {
+                decline,
+                retry_after,
+            } => {
+                self.record_decline(&open, decline, retry_after, peers, now);
+                self.try_next(peers, now)
+            }
+            Outcome::Unreachable => {
+                peers.end(&open.peer, Ending::Failed, now);
+                self.try_next(peers, now)
+            }
+            Outcome::Lost => {
+                peers.end(&open.peer, Ending::Failed, now);
+                self.may_have_run = true;
+                let may_repeat = self.repeat == Repeat::Idempotent;
+                if may_repeat && (!open.is_acknowledged || take_extra()) {
+                    return self.try_next(peers, now);
+                }
+                self.finish(End::Fail)
+            }
+        }
+    }
+
+    /// Ends the request if its time is over, or passes it to the next peer if the last one has not
+    /// acknowledged it in time.
+    pub fn tick(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        if self.is_finished {
+            return Vec::new();
+        }
+        if now >= self.end_by {
+            return self.time_out(peers, now);
+        }
+        let Some(open) = &mut self.open else {
+            return Vec::new();
+        };
+        if open.is_late || open.late_at().is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        open.is_late = true;
+        if self.repeat == Repeat::AtMostOnce {
+            return Vec::new();
+        }
+        // The peer closes the request unread once it runs again, as the connection is closed here.
+        let peer = std::mem::take(&mut open.peer);
+        self.open = None;
+        peers.end(&peer, Ending::Failed, now);
+        self.may_have_run = true;
+        let mut actions = vec![Action::Abandon];
+        actions.extend(self.try_next(peers, now));
+        actions
+    }
+
+    /// Abandons the request because its caller has disconnected.
+    pub fn caller_gone(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        self.is_finished = true;
+        self.abandon(peers, now)
+    }
+
+    /// Returns when `tick` is due next, or `None` if the request is finished.
+    pub fn next_wake(&self) -> Option<Instant> {
+        if self.is_finished {
+            return None;
+        }
+        let open = self.open.as_ref().filter(|open| !open.is_late);
+        let late_at = open.and_then(Open::late_at);
+        Some(late_at.map_or(self.end_by, |at| at.min(self.end_by)))
+    }
+
+    fn forward(
+        &mut self,
+        open: &Open,
+        answer: Answer,
+        peers: &mut Peers,
+        now: Instant,
+    ) -> Vec<Action> {
+        peers.end(&open.peer, Ending::Answered, now);
+        self.finish(End::Forward(answer))
+    }
+
+    fn record_decline(
+        &mut self,
+        open: &Open,
+        decline: Decline,
+        retry_after: Option<Duration>,
+        peers: &mut Peers,
+        now: Instant,
+    ) {
+        peers.end(&open.peer, Ending::Declined(decline), now);
+        if decline == Decline::LinksLost
+            && let Some(peer) = peers.get(&open.peer)
+        {
+            self.lost_domains.push(peer.domain.clone());
+        }
+        let shortest = self.retry_after.into_iter().chain(retry_after).min();
+        self.retry_after = shortest;
+    }
+
+    /// Passes the request to another peer, or ends it if there is none.
+    fn try_next(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        if now >= self.end_by {
+            return self.time_out(peers, now);
+        }
+        let peer = (self.tried.len() < MAX_PEERS)
+            .then(|| peers.choose(&self.tried, &self.lost_domains, now))
+            .flatten();
+        let Some(peer) = peer else {
+            return self.give_up(peers, now);
+        };
+        peers.begin(&peer);
+        self.tried.push(peer.clone());
+        self.open = Some(Open {
+            peer: peer.clone(),
+            sent_at: None,
+            is_acknowledged: false,
+            is_late: false,
+        });
+        vec![Action::Send(peer)]
+    }
+
+    /// Ends a request that no further peer is asked to serve.
+    fn give_up(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        if self.lost_domains.len() == MAX_PEERS {
+            peers.on_all_lost(now);
+        }
+        if self.may_have_run {
+            return self.finish(End::Fail);
+        }
+        let usable_in = peers
+            .usable_at(now)
+            .map(|at| at.saturating_duration_since(now));
+        let wait = self.retry_after.into_iter().chain(usable_in).min();
+        let wait = wait.unwrap_or(MAX_RETRY_AFTER);
+        self.finish(End::Refuse {
+            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        })
+    }
+
+    fn time_out(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        let is_sent = |open: &Open| open.sent_at.is_some();
+        let may_have_run = self.may_have_run || self.open.as_ref().is_some_and(is_sent);
+        let mut actions = self.abandon(peers, now);
+        let end = if may_have_run {
+            End::TimeOut
+        } else {
+            End::Refuse {
+                retry_after: MIN_RETRY_AFTER,
+            }
+        };
+        actions.extend(self.finish(end));
+        actions
+    }
+
+    fn abandon(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        let Some(open) = self.open.take() else {
+            return Vec::new();
+        };
+        let ending = if open.is_late {
+            Ending::Failed
+        } else {
+            Ending::Abandoned
+        };
+        peers.end(&open.peer, ending, now);
+        vec![Action::Abandon]
+    }
+
+    fn finish(&mut self, end: End) -> Vec<Action> {
+        self.is_finished = true;
+        vec![Action::Finish(end)]
+    }
+}
+
+impl Open {
+    /// Returns when the peer counts as failed; `None` if it has acknowledged the request or has not
+    /// got it yet.
+    fn late_at(&self) -> Option<Instant> {
+        let sent_at = self.sent_at.filter(|_| !self.is_acknowledged);
+        sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT)
+    }
+}
--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -7,18 +7,20 @@
 //!
 //! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The links
 //! are suspected if several leaves leave requests unanswered while no leaf responds, or if
-//! connections to several leaves fail while none succeeds. The VM then checks them by connecting to
-//! a few leaves drawn at random. Only if none of these connections is established, the links are
-//! lost. From then on the check is repeated, and the first connection that is established ends the
-//! loss.
+//! connections to several leaves fail while none succeeds. The VM then checks them by a health
+//! request to a few leaves drawn at random, over new connections. Only if none of them responds, the
+//! links are lost. From then on the check is repeated, and the first response to it ends the loss. A
+//! connection that is established proves nothing, as something between the VM and the leaf may accept
+//! connections for it.
 
 use std::time::{Duration, Instant};
 
 /// Minimum number of leaves that fail for the links to be suspected, if as many are known.
 const MIN_LEAVES: usize = 3;
 
-/// Time in which one of the connections of a check has to be established.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which one of the leaves of a check has to respond. A health request may wait for a slot of
+/// the leaf.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Minimum interval between two checks while the links work.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,7 +28,7 @@
 /// Interval between two checks while the links are lost.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of leaves to which a check connects.
+/// Number of leaves that a check asks.
 pub const CHECKED_LEAVES: usize = 3;
 
 /// Detector of the loss of the links to the leaves, each of which has a key of type `K`.
@@ -49,7 +51,7 @@
 enum State<K> {
     /// The links work as far as is known.
     Working,
-    /// Connections to the leaves that are left have to be established until a time.
+    /// One of the leaves that are left has to respond until a time.
     Checking { left: Vec<K>, until: Instant },
     /// The links are lost.
     Lost,
@@ -88,12 +90,12 @@
         match self.unreachable_since {
             Some(since) if opened_at < since => None,
             _ if self.is_lost() => None,
-            _ => self.on_connected(),
+            _ => self.on_check_passed(),
         }
     }
 
-    /// Records that a connection of a check was established and has stayed open.
-    pub fn on_connected(&mut self) -> Option<Change> {
+    /// Records that a leaf has responded to a check.
+    pub fn on_check_passed(&mut self) -> Option<Change> {
         self.silent.clear();
         self.unreachable.clear();
         self.unreachable_since = None;
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod connection_share;
 pub mod contract;
 pub mod coverage;
+pub mod delegation;
 pub mod duration_window;
 pub mod execution;
 pub mod failure;
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -345,6 +345,21 @@
         index.is_ok_and(|index| self.groups[index].retry_allowance.take_attempt())
     }
 
+    /// Takes one extra attempt from the retry allowance of each service, or none if one of them has
+    /// none; returns whether they were taken.
+    pub fn take_extra_attempts<'a>(
+        &mut self,
+        services: impl Iterator<Item = &'a str> + Clone,
+    ) -> bool {
+        let has_all = services.clone().all(|name| self.has_extra_attempt(name));
+        if has_all {
+            services.for_each(|name| {
+                self.take_extra_attempt(name);
+            });
+        }
+        has_all
+    }
+
     fn search(&self, service: &str) -> Result<usize, usize> {
         let order = |group: &Group| group.service.as_str().cmp(service);
         self.groups.binary_search_by(order)
--- a/src/geraniummount/core/placement/sample.rs
+++ b/src/geraniummount/core/placement/sample.rs
@@ -1,22 +1,25 @@
 //! Draws leaves at random, to which connections are opened to check this VM's links.
 
+use std::time::Instant;
+
 use rand::RngExt;
 
 use super::{Placement, Replica, ReplicaKey};
 use crate::prelude::*;
 
 impl Placement {
-    /// Draws up to `count` different leaves that are registered and not leaving. Leaves for which
-    /// `has_failed` returns true are drawn only if there are too few others.
+    /// Draws up to `count` different leaves that are registered, accept requests and limit none.
+    /// Leaves for which `has_failed` returns true are drawn only if there are too few others.
     pub fn sample(
         &mut self,
         count: usize,
         has_failed: impl Fn(ReplicaKey) -> bool,
+        now: Instant,
     ) -> Vec<(ServiceName, ReplicaKey)> {
         let groups = self.groups.iter();
         let leaves = groups.flat_map(|group| {
             let replicas = group.replicas().iter();
-            let registered = replicas.filter(|replica| is_registered(replica));
+            let registered = replicas.filter(|replica| may_be_checked(replica, now));
             registered.map(|replica| (&group.service, replica.key))
         });
         let (mut failed, mut others): (Vec<_>, Vec<_>) =
@@ -33,6 +36,6 @@
     }
 }
 
-fn is_registered(replica: &Replica) -> bool {
-    !replica.is_unregistered() && !replica.instance.is_leaving
+fn may_be_checked(replica: &Replica, now: Instant) -> bool {
+    !replica.is_unregistered() && replica.accepts_requests(now) && !replica.is_limited(now)
 }
--- a/src/geraniummount/core/route/table.rs
+++ b/src/geraniummount/core/route/table.rs
@@ -24,6 +24,8 @@
     /// Maximum number of connections that a leaf (a server process) of the service accepts from all
     /// VMs together.
     pub max_connections: usize,
+    /// Path at which a leaf of the service answers health checks.
+    pub health_path: String,
 }
 
 impl Table {
@@ -62,9 +64,18 @@
 
     /// Returns the maximum number of connections that a leaf of the service accepts from all VMs.
     pub fn max_connections(&self, service: &str) -> Option<usize> {
+        Some(self.backend(service)?.max_connections)
+    }
+
+    /// Returns the path at which a leaf of the service answers health checks.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        Some(&self.backend(service)?.health_path)
+    }
+
+    fn backend(&self, service: &str) -> Option<&Backend> {
         let order = |backend: &Backend| backend.name.as_str().cmp(service);
         let index = self.services.binary_search_by(order).ok()?;
-        Some(self.services[index].max_connections)
+        Some(&self.services[index])
     }
 
     /// Returns all routes, sorted by host and prefix.
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -6,25 +6,43 @@
 
 use log::info;
 
-use super::Gateway;
 use super::caller::State;
 use super::calls::{CallState, ForwardedRequest};
+use super::delegation::CallerRequest;
 use super::load_shedding;
+use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
+use crate::core::delegation::{Decline, Terms};
 use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::quarantine::Admission;
-use crate::core::route::{Route, Target};
-use crate::platform::headers;
+use crate::core::route::{Route, Table, Target};
+use crate::platform::headers::{self, CallerFields};
 use crate::util::h1::Request;
 
 /// `Retry-After` of a request that arrives before the routes and the leaves are known.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// A request that was read completely.
+struct Arrival {
+    /// Key of the connection that it arrived on.
+    key: usize,
+    request: Request,
+    content: Vec<u8>,
+    caller_fields: CallerFields,
+    fingerprint: Fingerprint,
+}
+
 impl Gateway {
     /// Starts the call for a request that was read completely, or answers it at once if it cannot
-    /// be served. `key` is that of the caller's connection.
-    pub(super) fn admit(&mut self, key: usize, mut request: Request, content: Vec<u8>) {
-        self.request_rate.record(self.now);
+    /// be served. `key` is that of the caller's connection. `terms` are given for a request that
+    /// another VM delegated to this one.
+    pub(super) fn admit(
+        &mut self,
+        key: usize,
+        request: Request,
+        content: Vec<u8>,
+        terms: Option<Terms>,
+    ) {
         let caller_fields = headers::read_caller_fields(&request.fields);
         let id = caller_fields.id.as_str();
         let Some(table) = self.route_table.clone().filter(|_| self.has_leaf_list) else {
@@ -40,42 +58,55 @@
             self.metrics.count_answer("no-route");
             return self.write_plain(key, 404, "no route matches; check host and path", None);
         };
-        let plan = self.plan(route, caller_fields.timeout);
-        if !self.admits(&table, route, &plan) {
+        let arrival = Arrival {
+            key,
+            fingerprint: fingerprint(host, &request, &content),
+            request,
+            content,
+            caller_fields,
+        };
+        if terms.is_none() && self.delegates() {
+            self.admit_for_delegation(arrival, &table, route);
+        } else {
+            self.admit_for_leaves(arrival, &table, route, terms);
+        }
+    }
+
+    /// Starts the call for a request, or rejects it.
+    fn admit_for_leaves(
+        &mut self,
+        mut arrival: Arrival,
+        table: &Table,
+        route: &Route,
+        terms: Option<Terms>,
+    ) {
+        self.request_rate.record(self.now);
+        let (key, fingerprint) = (arrival.key, arrival.fingerprint);
+        let plan = self.plan(route, arrival.caller_fields.timeout, terms.as_ref());
+        if !self.admits(table, route, &plan) {
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
-            info!(
-                "request id={id} route={} outcome=turned-away status=503",
-                route.name
-            );
-            self.metrics.count_answer("turned-away");
-            let why = "it has not run; come back after the time given";
-            return self.write_plain(key, 503, why, Some(load_shedding::RETRY_AFTER));
+            return self.turn_away(&arrival, route, terms.as_ref());
         }
-        let fingerprint = fingerprint(host, &request, &content);
         let earlier_crashes = match self.quarantine.admission(fingerprint, self.now) {
             Admission::Admitted(crashes) => crashes,
             Admission::Withheld(wait) => {
                 plan.record_requests(&mut self.placement, self.now);
-                return self.withhold(key, id, fingerprint, wait);
+                return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
             }
         };
-        headers::strip_request_fields(&mut request.fields);
+        if terms.is_some() {
+            self.metrics.count_peer_request("served");
+        }
+        headers::strip_request_fields(&mut arrival.request.fields);
         let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
-        let forwarded = ForwardedRequest {
-            id: caller_fields.id,
-            fingerprint,
-            method: request.method,
-            target: request.target,
-            fields: request.fields,
-            content,
-        };
         let serial = self.allocate_serial();
         self.start_call(CallState {
             serial,
             caller: key,
+            from: terms.map(|terms| terms.from),
             call,
-            forwarded: Arc::new(forwarded),
+            forwarded: Arc::new(arrival.into_forwarded()),
             route: route.name.clone(),
             version: table.version,
             started: self.now,
@@ -86,15 +117,57 @@
         });
     }
 
+    /// Delegates a caller's request to another VM, unless it is withheld.
+    fn admit_for_delegation(&mut self, mut arrival: Arrival, table: &Table, route: &Route) {
+        let (key, fingerprint) = (arrival.key, arrival.fingerprint);
+        if let Admission::Withheld(wait) = self.quarantine.admission(fingerprint, self.now) {
+            return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
+        }
+        headers::strip_request_fields(&mut arrival.request.fields);
+        delegation::strip_request_fields(&mut arrival.request.fields);
+        // The VM that serves the request chooses one of the services of a split.
+        let (service, gather) = match &route.target {
+            Target::Service(service) => (Some(service.clone()), None),
+            Target::Split(_) => (None, None),
+            Target::Gather(gather) => (None, Some(gather)),
+        };
+        let timeout = arrival.caller_fields.timeout;
+        self.delegate(CallerRequest {
+            caller: key,
+            plan: Plan::new(route, service, gather, timeout, self.now),
+            forwarded: Arc::new(arrival.into_forwarded()),
+            min_version: table.version,
+            started: self.now,
+            sends: 0,
+        });
+    }
+
+    /// Rejects a query because leaves are overloaded.
+    fn turn_away(&mut self, arrival: &Arrival, route: &Route, terms: Option<&Terms>) {
+        let (key, id, route) = (arrival.key, &arrival.caller_fields.id, &route.name);
+        info!("request id={id} route={route} outcome=turned-away status=503");
+        self.metrics.count_answer("turned-away");
+        let wait = Some(load_shedding::RETRY_AFTER);
+        if let Some(terms) = terms {
+            return self.decline(key, &terms.from, Decline::Overloaded, wait);
+        }
+        let why = "it has not run; come back after the time given";
+        self.write_plain(key, 503, why, wait);
+    }
+
     /// Plans a request of a route; chooses one of the services between which the route splits its
     /// requests.
-    fn plan(&mut self, route: &Route, timeout: Option<Duration>) -> Plan {
+    fn plan(&mut self, route: &Route, timeout: Option<Duration>, terms: Option<&Terms>) -> Plan {
         let (service, gather) = match &route.target {
             Target::Service(service) => (Some(service.clone()), None),
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
             Target::Gather(gather) => (None, Some(gather)),
         };
-        Plan::new(route, service, gather, timeout, self.now)
+        let plan = Plan::new(route, service, gather, timeout, self.now);
+        match terms {
+            Some(terms) => plan.delegated(terms, self.now),
+            None => plan,
+        }
     }
 
     fn start_call(&mut self, state: CallState) {
@@ -108,6 +181,20 @@
     }
 }
 
+impl Arrival {
+    /// Returns the request as it is forwarded.
+    fn into_forwarded(self) -> ForwardedRequest {
+        ForwardedRequest {
+            id: self.caller_fields.id,
+            fingerprint: self.fingerprint,
+            method: self.request.method,
+            target: self.request.target,
+            fields: self.request.fields,
+            content: self.content,
+        }
+    }
+}
+
 /// Returns the fingerprint of a request, which is the same for each repetition of it.
 fn fingerprint(host: &str, request: &Request, content: &[u8]) -> Fingerprint {
     let parts = [host, &request.method, &request.target];
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -16,9 +16,9 @@
 use crate::util::h1;
 
 /// The outcome of a call, as reported in the log line and the metrics.
-struct Outcome {
+pub(super) struct Outcome {
     /// Value of `outcome` in the log line and of the metrics' label of that name.
-    label: &'static str,
+    pub(super) label: &'static str,
     status: u16,
     /// Number of shards whose results the response leaves out.
     missing: usize,
@@ -57,7 +57,12 @@
     }
 
     /// Writes the response to a request that failed and may have run.
-    fn write_failure(&mut self, caller: usize, status: u16, label: &'static str) -> Outcome {
+    pub(super) fn write_failure(
+        &mut self,
+        caller: usize,
+        status: u16,
+        label: &'static str,
+    ) -> Outcome {
         self.write_plain(caller, status, "no answer; it may have run", None);
         Outcome {
             label,
@@ -81,9 +86,7 @@
         let signatures = parts.iter().map(|part| part.signature.as_str());
         headers::write_gathered_fields(&mut answer, signatures, missing);
         h1::write_number_field(&mut answer, "Content-Length", body.len() as u64);
-        if self.closes_after_response(caller) {
-            h1::write_field(&mut answer, "Connection", b"close");
-        }
+        self.write_connection_fields(&mut answer, caller);
         h1::write_head_end(&mut answer);
         answer.extend_from_slice(&body);
         self.send_response(caller, &answer);
@@ -106,16 +109,8 @@
         for field in &response.fields {
             h1::write_field(&mut answer, &field.name, &field.value);
         }
-        let has_body = state.forwarded.method != "HEAD" && !matches!(response.status, 204 | 304);
-        if has_body {
-            h1::write_number_field(&mut answer, "Content-Length", response.body.len() as u64);
-        }
-        if self.closes_after_response(caller) {
-            h1::write_field(&mut answer, "Connection", b"close");
-        }
-        h1::write_head_end(&mut answer);
-        answer.extend_from_slice(&response.body);
-        self.send_response(caller, &answer);
+        let (method, status) = (&state.forwarded.method, response.status);
+        self.write_body(caller, method, status, &response.body, answer);
         let is_success = (200..300).contains(&response.status);
         Outcome {
             label: if is_success {
@@ -128,6 +123,25 @@
         }
     }
 
+    /// Completes a response that begins with the given bytes, and sends it.
+    pub(super) fn write_body(
+        &mut self,
+        caller: usize,
+        method: &str,
+        status: u16,
+        body: &[u8],
+        mut response: Vec<u8>,
+    ) {
+        let has_body = method != "HEAD" && !matches!(status, 204 | 304);
+        if has_body {
+            h1::write_number_field(&mut response, "Content-Length", body.len() as u64);
+        }
+        self.write_connection_fields(&mut response, caller);
+        h1::write_head_end(&mut response);
+        response.extend_from_slice(body);
+        self.send_response(caller, &response);
+    }
+
     fn log_answer(&mut self, state: &CallState, outcome: &Outcome) {
         let took = self.now.saturating_duration_since(state.started);
         let plan = state.call.plan();
@@ -147,9 +161,11 @@
         let shards = plan.services.len();
         let (sends, ms) = (state.sends, took.as_millis());
         let lacking = missing_shards_field(state);
+        let from = state.from.as_ref();
+        let from = from.map_or(String::new(), |vm| format!(" from={vm}"));
         info!(
             "request id={id} route={route} version={version} outcome={label} status={status} \
-             shards={shards} missing={missing} sends={sends} ms={ms} in_time={in_time}{lacking}"
+             shards={shards} missing={missing} sends={sends} ms={ms} in_time={in_time}{from}{lacking}"
         );
     }
 }
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -8,10 +8,10 @@
 use mio::Interest;
 use mio::net::{TcpListener, TcpStream};
 
-use super::Gateway;
 use super::socket::{ReadStatus, Socket};
 use super::timers::Timer;
 use super::token::EventSource;
+use super::{Gateway, delegation};
 use crate::core::route::Limits;
 use crate::platform::headers;
 use crate::util::h1::{self, Body, Parsed, Request};
@@ -24,9 +24,19 @@
 /// completely. Closing it at once would reset it, and the caller could lose the response.
 const CLOSING_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A connection from a caller.
+/// Who sends the requests on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another VM, which delegates requests of its callers.
+    Peer,
+}
+
+/// A connection from a caller, or from another VM that delegates requests.
 #[derive(Debug)]
 pub(super) struct CallerConnection {
+    pub(super) origin: Origin,
     /// Number that tells the connection from others that had the same key.
     pub(super) serial: u64,
     pub(super) socket: Socket,
@@ -57,12 +67,17 @@
         /// Key of the request's call.
         call: usize,
     },
+    /// As [`State::InFlight`]; another VM serves the request.
+    Delegated {
+        /// Key of the delegated request.
+        request: usize,
+    },
     /// A request was rejected; input is discarded until the caller closes the connection.
     Closing,
 }
 
 /// Accepts the next pending connection; returns `None` if there is none or the listener fails.
-fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
+pub(super) fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
     loop {
         match listener?.accept() {
             Ok((stream, _)) => return Some(stream),
@@ -79,11 +94,11 @@
 impl Gateway {
     pub(super) fn accept_callers(&mut self) {
         while let Some(stream) = accept(self.callers_listener.as_ref()) {
-            self.add_caller(stream);
+            self.add_caller(stream, Origin::Caller);
         }
     }
 
-    fn add_caller(&mut self, stream: TcpStream) {
+    pub(super) fn add_caller(&mut self, stream: TcpStream, origin: Origin) {
         let serial = self.allocate_serial();
         let entry = self.caller_connections.vacant_entry();
         let key = entry.key();
@@ -100,6 +115,7 @@
             return self.log_accept_failure("callers", &error);
         }
         entry.insert(CallerConnection {
+            origin,
             serial,
             socket,
             state: State::Idle,
@@ -118,10 +134,11 @@
             return;
         };
         let pipelined_bytes = caller.socket.input.len();
-        if matches!(caller.state, State::InFlight { .. })
-            && pipelined_bytes > MAX_PIPELINED_BYTES
-            && !closed
-        {
+        let is_in_flight = matches!(
+            caller.state,
+            State::InFlight { .. } | State::Delegated { .. }
+        );
+        if is_in_flight && pipelined_bytes > MAX_PIPELINED_BYTES && !closed {
             caller.has_unread = true;
             return;
         }
@@ -155,8 +172,10 @@
     /// Removes a connection that the caller closed or that broke, and cancels its call.
     fn on_caller_closed(&mut self, key: usize) {
         let caller = self.caller_connections.remove(key);
-        if let State::InFlight { call } = caller.state {
-            self.cancel_call(call);
+        match caller.state {
+            State::InFlight { call } => self.cancel_call(call),
+            State::Delegated { request } => self.cancel_delegated(request),
+            _ => {}
         }
     }
 
@@ -169,7 +188,7 @@
             let has_progressed = match &mut caller.state {
                 State::Idle | State::Head => self.read_head(key),
                 State::Body { .. } => self.read_body(key),
-                State::InFlight { .. } | State::Closing => false,
+                State::InFlight { .. } | State::Delegated { .. } | State::Closing => false,
             };
             if !has_progressed {
                 return self.resume_reading(key);
@@ -272,7 +291,10 @@
         } = state
         {
             caller.closes_after_response |= !request.is_persistent;
-            self.admit(key, request, content);
+            match caller.origin {
+                Origin::Caller => self.admit(key, request, content, None),
+                Origin::Peer => self.admit_delegated(key, request, content),
+            }
         }
         true
     }
@@ -317,8 +339,21 @@
         self.stop.is_some() || self.isolation.is_isolated()
     }
 
+    /// Writes the fields of a response that concern only the connection with this key: that it is
+    /// closed afterwards, and for another VM the version of the routes.
+    pub(super) fn write_connection_fields(&self, out: &mut Vec<u8>, key: usize) {
+        if self.closes_after_response(key) {
+            h1::write_field(out, "Connection", b"close");
+        }
+        let caller = self.caller_connections.get(key);
+        if caller.is_some_and(|caller| caller.origin == Origin::Peer) {
+            let table = self.route_table.as_ref();
+            delegation::write_version(out, table.map_or(0, |table| table.version));
+        }
+    }
+
     /// Returns whether the connection is closed once the current response is written.
-    pub(super) fn closes_after_response(&self, key: usize) -> bool {
+    fn closes_after_response(&self, key: usize) -> bool {
         self.should_close_callers()
             || self
                 .caller_connections
@@ -341,9 +376,7 @@
         }
         h1::write_field(&mut answer, "Content-Type", b"text/plain");
         h1::write_number_field(&mut answer, "Content-Length", why.len() as u64 + 1);
-        if self.closes_after_response(key) {
-            h1::write_field(&mut answer, "Connection", b"close");
-        }
+        self.write_connection_fields(&mut answer, key);
         h1::write_head_end(&mut answer);
         answer.extend_from_slice(why.as_bytes());
         answer.push(b'\n');
@@ -378,7 +411,7 @@
         let due = match caller.state {
             State::Idle => limits.idle_timeout,
             State::Head | State::Body { .. } => limits.read_timeout,
-            State::InFlight { .. } => return,
+            State::InFlight { .. } | State::Delegated { .. } => return,
             State::Closing => CLOSING_TIMEOUT,
         };
         let timer = Timer::Caller(key, caller.serial);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -18,7 +18,7 @@
 use crate::core::placement::ReplicaKey;
 use crate::core::quarantine::Crash;
 use crate::prelude::*;
-use crate::util::h1::Field;
+use crate::util::h1::{self, Field};
 
 /// A caller's request as it is forwarded to each leaf.
 #[derive(Debug)]
@@ -35,6 +35,25 @@
     pub(super) content: Vec<u8>,
 }
 
+impl ForwardedRequest {
+    /// Writes the request line and the header fields, without the end of the head.
+    pub(super) fn write_head(&self, out: &mut Vec<u8>) {
+        h1::write_request_line(out, &self.method, &self.target);
+        for field in &self.fields {
+            h1::write_field(out, &field.name, &field.value);
+        }
+    }
+
+    /// Writes the length of the body, the end of the head and the body.
+    pub(super) fn write_content(&self, out: &mut Vec<u8>) {
+        if !self.content.is_empty() || self.method != "GET" {
+            h1::write_number_field(out, "Content-Length", self.content.len() as u64);
+        }
+        h1::write_head_end(out);
+        out.extend_from_slice(&self.content);
+    }
+}
+
 /// A call in flight, with the caller that waits for it.
 #[derive(Debug)]
 pub(super) struct CallState {
@@ -42,6 +61,8 @@
     pub(super) serial: u64,
     /// Key of the caller's connection.
     pub(super) caller: usize,
+    /// VM that delegated the request to this one; `None` for a request of a caller.
+    pub(super) from: Option<VmName>,
     /// Decides to which leaves the request is sent and what the answer is.
     pub(super) call: Call,
     pub(super) forwarded: Arc<ForwardedRequest>,
@@ -140,12 +161,14 @@
         }
     }
 
-    /// Passes queued replies to their calls, and parses the buffered input of callers that have got
-    /// their response, until neither is left.
+    /// Passes queued replies to their calls and queued outcomes to delegated requests, and parses the
+    /// buffered input of callers that have got their response, until none is left.
     pub(super) fn process_pending(&mut self) {
         loop {
             if let Some((attempt, reply)) = self.pending_replies.pop_front() {
                 self.handle_reply(attempt, reply);
+            } else if self.process_outcome() {
+                continue;
             } else if let Some(caller) = self.answered_callers.pop() {
                 self.advance_caller(caller);
             } else {
--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -0,0 +1,314 @@
+//! Connections to other VMs: each carries one delegated request at a time.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use log::{debug, warn};
+use mio::Interest;
+use socket2::SockRef;
+
+use super::wire;
+use crate::core::delegation::{Answer, Outcome, Terms};
+use crate::edge::gateway::Gateway;
+use crate::edge::gateway::response_reader::ResponseReader;
+use crate::edge::gateway::socket::{self, ReadStatus, Socket};
+use crate::edge::gateway::timers::Timer;
+use crate::edge::gateway::token::EventSource;
+use crate::platform::headers;
+use crate::prelude::*;
+use crate::util::h1;
+
+/// Maximum time to establish a connection to another VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for which an idle connection is kept. It is shorter than the time after which the other VM
+/// closes it, so that no request is sent while it does.
+const KEEP_TIME: Duration = Duration::from_secs(2);
+
+/// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum size of the head of a response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// A connection to another VM.
+#[derive(Debug)]
+pub(in crate::edge::gateway) struct PeerConnection {
+    /// Number that tells the connection from others that had the same key.
+    serial: u64,
+    peer: VmName,
+    socket: Socket,
+    /// Key of the delegated request that uses the connection; `None` if it is idle.
+    request: Option<usize>,
+    reader: ResponseReader,
+    opened_at: Instant,
+    /// When the TCP connection was established; `None` until then.
+    connected_at: Option<Instant>,
+    /// Whether any byte of the current request has been written.
+    has_sent_bytes: bool,
+    /// Number of bytes received since the last request was sent.
+    received: usize,
+    /// When the connection became idle.
+    idle_since: Option<Instant>,
+}
+
+impl PeerConnection {
+    fn connect(
+        peer: VmName,
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        serial: u64,
+        now: Instant,
+    ) -> io::Result<PeerConnection> {
+        let stream = socket::connect(address, source)?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        Ok(PeerConnection {
+            serial,
+            peer,
+            socket: Socket::new(stream),
+            request: None,
+            reader: ResponseReader::default(),
+            opened_at: now,
+            connected_at: None,
+            has_sent_bytes: false,
+            received: 0,
+            idle_since: None,
+        })
+    }
+
+    /// Returns the round trip time to the VM, measured when the connection was established.
+    fn round_trip(&self) -> Duration {
+        let connected_at = self.connected_at.unwrap_or(self.opened_at);
+        connected_at.saturating_duration_since(self.opened_at)
+    }
+}
+
+impl Gateway {
+    /// Passes a delegated request to a VM, over an idle or a new connection.
+    pub(super) fn send_to_peer(&mut self, index: usize, peer: &VmName) {
+        let connections = self.delegation.connections.iter();
+        let mut idle = connections.filter(|(_, open)| open.request.is_none());
+        let idle = idle
+            .find(|(_, open)| open.peer == *peer)
+            .map(|(key, _)| key);
+        let connection = match idle {
+            Some(connection) => connection,
+            None => match self.open_peer_connection(peer) {
+                Ok(connection) => connection,
+                Err(error) => {
+                    debug!("delegation peer={peer} event=connect-failed error=\"{error}\"");
+                    return self.queue_outcome(index, Outcome::Unreachable);
+                }
+            },
+        };
+        let open = &mut self.delegation.connections[connection];
+        open.request = Some(index);
+        open.idle_since = None;
+        open.has_sent_bytes = false;
+        open.received = 0;
+        self.delegation.requests[index].connection = Some(connection);
+        if open.connected_at.is_some() {
+            self.write_delegated(connection);
+        }
+    }
+
+    fn open_peer_connection(&mut self, peer: &VmName) -> io::Result<usize> {
+        let address = self.delegation.peers.get(peer).map(|peer| peer.address);
+        let address = address.ok_or(io::ErrorKind::NotFound)?;
+        let serial = self.allocate_serial();
+        let source = self.options.source;
+        let mut open = PeerConnection::connect(peer.clone(), address, source, serial, self.now)?;
+        let entry = self.delegation.connections.vacant_entry();
+        let key = entry.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let token = EventSource::Peer(key).token();
+        self.poll
+            .registry()
+            .register(&mut open.socket.stream, token, interest)?;
+        entry.insert(open);
+        self.timers
+            .add(self.now + CONNECT_TIMEOUT, Timer::Peer(key, serial));
+        Ok(key)
+    }
+
+    /// Writes the request that a connection was assigned.
+    fn write_delegated(&mut self, connection: usize) {
+        let open = &mut self.delegation.connections[connection];
+        let Some(index) = open.request else {
+            return;
+        };
+        let request = &self.delegation.requests[index].caller_request;
+        let Some(peer) = self.delegation.peers.get(&open.peer) else {
+            return self.fail_peer(connection);
+        };
+        let round_trip = open.round_trip();
+        let terms = Terms {
+            from: self.options.name.clone(),
+            min_version: request.min_version,
+            elapsed: self.now.saturating_duration_since(request.started) + round_trip,
+            sends: request.sends,
+        };
+        let left = request.plan.end_by.saturating_duration_since(self.now);
+        let forwarded = &request.forwarded;
+        let mut bytes = Vec::with_capacity(512 + forwarded.content.len());
+        forwarded.write_head(&mut bytes);
+        headers::write_timeout(&mut bytes, left.saturating_sub(round_trip));
+        wire::write_terms(&mut bytes, &terms, &peer.key);
+        forwarded.write_content(&mut bytes);
+        open.reader.begin(forwarded.method == "HEAD");
+        open.socket.queue(&bytes);
+        self.flush_peer(connection);
+    }
+
+    /// Writes pending output, first checking whether a new connection is established.
+    pub(in crate::edge::gateway) fn flush_peer(&mut self, connection: usize) {
+        let Some(open) = self.delegation.connections.get_mut(connection) else {
+            return;
+        };
+        if open.connected_at.is_none() {
+            let stream = &open.socket.stream;
+            let failed = stream.take_error().map_or(true, |error| error.is_some());
+            if failed {
+                return self.fail_peer(connection);
+            }
+            if stream.peer_addr().is_err() {
+                return;
+            }
+            open.connected_at = Some(self.now);
+            return self.write_delegated(connection);
+        }
+        if !open.socket.has_pending_output() {
+            return;
+        }
+        if open.socket.flush().is_err() {
+            return self.fail_peer(connection);
+        }
+        if open.socket.has_written() && !open.has_sent_bytes {
+            open.has_sent_bytes = true;
+            if let Some(index) = open.request {
+                self.delegation.requests[index].request.on_sent(self.now);
+                self.schedule_delegated(index);
+            }
+        }
+    }
+
+    /// Reads the response; `closed` means that the event reported the end of input or an error.
+    pub(in crate::edge::gateway) fn read_peer(&mut self, connection: usize, closed: bool) {
+        let Some(open) = self.delegation.connections.get_mut(connection) else {
+            return;
+        };
+        if open.connected_at.is_none() && !closed {
+            return;
+        }
+        let buffered = open.socket.input.len();
+        let status = open.socket.read(&mut self.read_buf, closed);
+        open.received += open.socket.input.len() - buffered;
+        let Some(index) = open.request else {
+            // The VM closed the idle connection.
+            self.delegation.connections.remove(connection);
+            return;
+        };
+        let response = match open.reader.read(&mut open.socket.input) {
+            Ok(response) => response,
+            Err(_) => return self.fail_peer(connection),
+        };
+        if open.reader.has_interim {
+            self.delegation.requests[index].request.on_acknowledged();
+        }
+        let max_bytes = self.options.max_reply_bytes + MAX_HEAD_BYTES;
+        match response {
+            Some(response) => self.on_peer_response(connection, index, response, status),
+            None if open.received > max_bytes => self.fail_peer(connection),
+            None if status == ReadStatus::Open => {}
+            None if status == ReadStatus::Interrupted => self.register_peer_again(connection),
+            None => self.fail_peer(connection),
+        }
+    }
+
+    fn register_peer_again(&mut self, connection: usize) {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let token = EventSource::Peer(connection).token();
+        let stream = &mut self.delegation.connections[connection].socket.stream;
+        if let Err(error) = self.poll.registry().reregister(stream, token, interest) {
+            warn!("delegation event=not-registered action=close error=\"{error}\"");
+            self.fail_peer(connection);
+        }
+    }
+
+    /// Handles a complete response. The connection is reused if no input or output is left on it.
+    fn on_peer_response(
+        &mut self,
+        connection: usize,
+        index: usize,
+        response: h1::Response,
+        status: ReadStatus,
+    ) {
+        let open = &mut self.delegation.connections[connection];
+        let is_clean = open.socket.input.is_empty() && !open.socket.has_pending_output();
+        let is_reusable = is_clean && !open.reader.must_close && status == ReadStatus::Open;
+        if is_reusable {
+            open.request = None;
+            open.idle_since = Some(self.now);
+            let timer = Timer::Peer(connection, open.serial);
+            self.timers.add(self.now + KEEP_TIME, timer);
+        } else {
+            self.delegation.connections.remove(connection);
+        }
+        self.queue_outcome(index, read_outcome(response));
+    }
+
+    /// Closes a connection whose time to connect or to be idle is over, unless the timer was set for
+    /// an earlier connection with the same key.
+    pub(in crate::edge::gateway) fn on_peer_timer(&mut self, connection: usize, serial: u64) {
+        let Some(open) = self.delegation.connections.get(connection) else {
+            return;
+        };
+        if open.serial != serial {
+            return;
+        }
+        let is_over = |at: Instant, time| self.now.saturating_duration_since(at) >= time;
+        if open.connected_at.is_none() && is_over(open.opened_at, CONNECT_TIMEOUT) {
+            return self.fail_peer(connection);
+        }
+        if open.idle_since.is_some_and(|at| is_over(at, KEEP_TIME)) {
+            self.delegation.connections.remove(connection);
+        }
+    }
+
+    /// Closes a connection, and ends the use of it by a delegated request.
+    fn fail_peer(&mut self, connection: usize) {
+        let open = self.delegation.connections.remove(connection);
+        let Some(index) = open.request else {
+            return;
+        };
+        let was_sent = open.has_sent_bytes || open.socket.has_written_part();
+        let outcome = if was_sent {
+            Outcome::Lost
+        } else {
+            Outcome::Unreachable
+        };
+        self.queue_outcome(index, outcome);
+    }
+}
+
+/// Interprets the response of a VM to a delegated request.
+fn read_outcome(mut response: h1::Response) -> Outcome {
+    let fields = &mut response.head.fields;
+    if let Some(decline) = wire::read_decline(fields) {
+        return Outcome::Declined {
+            decline,
+            retry_after: headers::read_retry_after(fields),
+        };
+    }
+    let version = wire::read_version(fields);
+    wire::strip(fields);
+    h1::strip_hop_by_hop(fields);
+    Outcome::Answered(Answer {
+        status: response.head.status,
+        fields: std::mem::take(fields),
+        body: response.content,
+        version,
+    })
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -0,0 +1,341 @@
+//! Delegates requests to other VMs while this VM has lost its links to the leaves, and serves the
+//! requests that other VMs delegate to this one.
+//!
+//! [`connection`] passes a request to another VM, [`serve`] accepts the requests of others, and
+//! [`wire`] reads and writes the header fields between two VMs. `core::delegation` decides which VM
+//! is asked and when a request ends.
+//!
+//! A call whose parts were already sent to leaves when the links were found to be lost is handed
+//! over to another VM if nothing has answered it and the retry allowances permit it.
+
+mod connection;
+mod serve;
+mod wire;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Instant;
+
+use log::info;
+use mio::net::{TcpListener, TcpStream};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slab::Slab;
+
+use self::connection::PeerConnection;
+use super::caller::{self, State};
+use super::calls::ForwardedRequest;
+use super::timers::Timer;
+use super::{Gateway, Options};
+use crate::core::call::{Action as CallAction, Plan};
+use crate::core::delegation::{Action, Answer, End, Outcome, Peer, Peers, Request};
+use crate::util::h1;
+
+pub(super) use self::wire::{strip as strip_request_fields, write_version};
+
+/// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
+const REFUSED: &str = "links-lost";
+
+/// Delegation of requests, as the event loop knows it.
+#[derive(Debug)]
+pub(super) struct Delegation {
+    /// Listener for other VMs; `None` if this VM takes no part or has closed it for a stop.
+    pub(super) listener: Option<TcpListener>,
+    /// Secret that the requests of other VMs have to contain; `None` until it is registered.
+    own_key: Option<String>,
+    peers: Peers,
+    requests: Slab<Delegated>,
+    pub(super) connections: Slab<PeerConnection>,
+    /// Outcomes that have not been passed to their requests yet, each with the key and the serial
+    /// number of the request.
+    outcomes: VecDeque<(usize, u64, Outcome)>,
+    /// Newest version of the routes by which another VM served a request of this one.
+    seen_version: u64,
+}
+
+/// A request of a caller that another VM can serve.
+#[derive(Debug)]
+pub(super) struct CallerRequest {
+    /// Key of the caller's connection.
+    pub(super) caller: usize,
+    pub(super) forwarded: Arc<ForwardedRequest>,
+    pub(super) plan: Plan,
+    /// Oldest version of the routes by which the request may be served.
+    pub(super) min_version: u64,
+    pub(super) started: Instant,
+    /// Number of leaves of each shard that may have received the request from this VM.
+    pub(super) sends: u32,
+}
+
+/// A delegated request, with the caller that waits for it.
+#[derive(Debug)]
+struct Delegated {
+    /// Number that tells the request from others that had the same key.
+    serial: u64,
+    caller_request: CallerRequest,
+    request: Request,
+    /// Key of the connection to the VM that has the request.
+    connection: Option<usize>,
+    /// Number of VMs that the request was passed to.
+    asked: u32,
+    /// Earliest timer that is set for the request.
+    wake_at: Option<Instant>,
+}
+
+impl Delegation {
+    /// Binds the listener for other VMs, if one is configured.
+    pub(super) fn bind(options: &Options) -> std::io::Result<Delegation> {
+        let rng = SmallRng::seed_from_u64(rand::random());
+        Ok(Delegation {
+            listener: options.peer_listen.map(TcpListener::bind).transpose()?,
+            own_key: None,
+            peers: Peers::new(options.name.clone(), options.failure_domain.clone(), rng),
+            requests: Slab::new(),
+            connections: Slab::new(),
+            outcomes: VecDeque::new(),
+            seen_version: 0,
+        })
+    }
+
+    /// Returns the number of requests that wait for the answer of another VM.
+    pub(super) fn open_count(&self) -> usize {
+        self.requests.len()
+    }
+}
+
+/// Accepts the next pending connection of another VM.
+fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
+    caller::accept(listener)
+}
+
+impl Gateway {
+    /// Replaces the list of VMs that are registered.
+    pub(super) fn apply_peers(&mut self, peers: Vec<Peer>) {
+        let own = peers.iter().find(|peer| peer.name == self.options.name);
+        self.delegation.own_key = own.map(|peer| peer.key.clone());
+        self.delegation.peers.update(peers);
+        let count = self.delegation.peers.len();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        if self.metrics.gauges.known_peers.get() != count {
+            info!("delegation event=peers known={count}");
+            self.metrics.gauges.known_peers.set(count);
+        }
+    }
+
+    /// Returns whether new requests of callers are delegated. After the links were lost, this goes on
+    /// until the routes in force here are as new as those by which other VMs have served requests.
+    pub(super) fn delegates(&self) -> bool {
+        if self.delegation.peers.is_empty() {
+            return false;
+        }
+        let table = self.route_table.as_ref();
+        let is_outdated = table.is_some_and(|table| table.version < self.delegation.seen_version);
+        let is_useful = is_outdated && self.delegation.peers.has_usable(self.now);
+        self.leaf_links.is_lost() || is_useful
+    }
+
+    /// Delegates the request of a caller.
+    pub(super) fn delegate(&mut self, mut caller_request: CallerRequest) {
+        let seen_version = self.delegation.seen_version;
+        caller_request.min_version = caller_request.min_version.max(seen_version);
+        let serial = self.allocate_serial();
+        let connection = &mut self.caller_connections[caller_request.caller];
+        let plan = &caller_request.plan;
+        let index = self.delegation.requests.insert(Delegated {
+            serial,
+            request: Request::new(plan.repeat, plan.end_by),
+            caller_request,
+            connection: None,
+            asked: 0,
+            wake_at: None,
+        });
+        connection.state = State::Delegated { request: index };
+        connection.state_since = self.now;
+        let peers = &mut self.delegation.peers;
+        let actions = self.delegation.requests[index]
+            .request
+            .start(peers, self.now);
+        self.apply_delegation(index, actions);
+    }
+
+    /// Hands the calls in flight over to other VMs, as far as they have no answer and may be repeated.
+    pub(super) fn hand_over_calls(&mut self) {
+        if self.delegation.peers.is_empty() {
+            return;
+        }
+        let keys: Vec<usize> = self.calls.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.hand_over(key);
+        }
+    }
+
+    fn hand_over(&mut self, index: usize) {
+        let state = &mut self.calls[index];
+        if state.from.is_some() {
+            return;
+        }
+        let Some((sends, actions)) = state.call.hand_over(&mut self.placement, self.now) else {
+            return;
+        };
+        for action in actions {
+            if let CallAction::Abandon { attempt } = action {
+                self.abandon(attempt);
+            }
+        }
+        let state = self.calls.remove(index);
+        self.delegate(CallerRequest {
+            caller: state.caller,
+            plan: state.call.plan().clone(),
+            forwarded: state.forwarded,
+            min_version: state.version,
+            started: state.started,
+            sends,
+        });
+    }
+
+    /// Carries out the actions that a delegated request asks for.
+    fn apply_delegation(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(peer) => {
+                    self.delegation.requests[index].asked += 1;
+                    self.send_to_peer(index, &peer);
+                }
+                Action::Abandon => self.close_delegated(index),
+                Action::Finish(end) => return self.finish_delegated(index, end),
+            }
+        }
+        self.schedule_delegated(index);
+    }
+
+    /// Closes the connection to the VM that has a request, which cancels the request there.
+    fn close_delegated(&mut self, index: usize) {
+        if let Some(connection) = self.delegation.requests[index].connection.take() {
+            self.delegation.connections.try_remove(connection);
+        }
+    }
+
+    /// Queues the outcome of passing a request to a VM until the current event is handled.
+    fn queue_outcome(&mut self, index: usize, outcome: Outcome) {
+        let state = &mut self.delegation.requests[index];
+        state.connection = None;
+        let serial = state.serial;
+        self.delegation.outcomes.push_back((index, serial, outcome));
+    }
+
+    /// Passes the next queued outcome to its request; returns whether there was one.
+    pub(super) fn process_outcome(&mut self) -> bool {
+        let Some((index, serial, outcome)) = self.delegation.outcomes.pop_front() else {
+            return false;
+        };
+        let state = self.delegation.requests.get_mut(index);
+        if let Some(state) = state.filter(|state| state.serial == serial) {
+            self.metrics.count_delegation(outcome.as_str());
+            let (placement, services) = (&mut self.placement, &state.caller_request.plan.services);
+            let take_extra = || placement.take_extra_attempts(services.iter().map(String::as_str));
+            let peers = &mut self.delegation.peers;
+            let actions = state
+                .request
+                .on_outcome(outcome, peers, take_extra, self.now);
+            self.apply_delegation(index, actions);
+        }
+        true
+    }
+
+    /// Sets a timer for the next time that the request has something to do.
+    fn schedule_delegated(&mut self, index: usize) {
+        let Some(state) = self.delegation.requests.get_mut(index) else {
+            return;
+        };
+        let Some(next) = state.request.next_wake() else {
+            return;
+        };
+        if state.wake_at.is_none_or(|set| next < set) {
+            state.wake_at = Some(next);
+            self.timers.add(next, Timer::Delegated(index, state.serial));
+        }
+    }
+
+    /// Lets a request do what is due, unless the timer was set for an earlier one with the same key.
+    pub(super) fn on_delegated_timer(&mut self, index: usize, serial: u64) {
+        let state = self.delegation.requests.get_mut(index);
+        let Some(state) = state.filter(|state| state.serial == serial) else {
+            return;
+        };
+        state.wake_at = None;
+        let actions = state.request.tick(&mut self.delegation.peers, self.now);
+        self.apply_delegation(index, actions);
+    }
+
+    /// Cancels a request whose caller has closed its connection.
+    pub(super) fn cancel_delegated(&mut self, index: usize) {
+        let state = &mut self.delegation.requests[index];
+        state
+            .request
+            .caller_gone(&mut self.delegation.peers, self.now);
+        self.close_delegated(index);
+        let state = self.delegation.requests.remove(index);
+        let CallerRequest {
+            forwarded, plan, ..
+        } = &state.caller_request;
+        let (id, route) = (&forwarded.id, &plan.route);
+        info!("request id={id} route={route} outcome=caller-left delegated=true");
+        self.metrics.count_answer("caller-left");
+    }
+
+    /// Removes a request, writes its response to the caller and logs its outcome.
+    fn finish_delegated(&mut self, index: usize, end: End) {
+        let state = self.delegation.requests.remove(index);
+        let caller = state.caller_request.caller;
+        let (label, status) = match end {
+            End::Forward(answer) => {
+                let status = answer.status;
+                self.on_delegated_answer(&answer);
+                let method = &state.caller_request.forwarded.method;
+                self.write_answer(caller, method, &answer);
+                ("delegated", status)
+            }
+            End::Refuse { retry_after } => {
+                let why = "it has not run; come back after the time given";
+                self.write_plain(caller, 503, why, Some(retry_after));
+                (REFUSED, 503)
+            }
+            End::Fail => (self.write_failure(caller, 502, "failed").label, 502),
+            End::TimeOut => (self.write_failure(caller, 504, "timed-out").label, 504),
+        };
+        self.metrics.count_answer(label);
+        self.isolation.on_request(status < 500);
+        self.check_store_if_suspected();
+        self.log_delegated(&state, label, status);
+        self.answered_callers.push(caller);
+    }
+
+    /// Records that another VM was reached and has answered.
+    fn on_delegated_answer(&mut self, answer: &Answer) {
+        let seen_version = &mut self.delegation.seen_version;
+        *seen_version = answer.version.max(*seen_version);
+        self.isolation.on_attempt(true);
+    }
+
+    /// Writes the response of another VM.
+    fn write_answer(&mut self, caller: usize, method: &str, answer: &Answer) {
+        let mut response = Vec::with_capacity(512 + answer.body.len());
+        h1::write_status_line(&mut response, answer.status);
+        for field in &answer.fields {
+            h1::write_field(&mut response, &field.name, &field.value);
+        }
+        self.write_body(caller, method, answer.status, &answer.body, response);
+    }
+
+    fn log_delegated(&self, state: &Delegated, label: &str, status: u16) {
+        let request = &state.caller_request;
+        let took = self.now.saturating_duration_since(request.started);
+        self.metrics.observe_answer_time(took);
+        let (id, route, ms) = (&request.forwarded.id, &request.plan.route, took.as_millis());
+        let (version, asked, sends) = (request.min_version, state.asked, request.sends);
+        info!(
+            "request id={id} route={route} version={version} outcome={label} status={status} \
+             delegated=true asked={asked} sends={sends} ms={ms}"
+        );
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -0,0 +1,94 @@
+//! Serves requests that other VMs delegate to this one.
+//!
+//! They arrive on a listener of their own, and are read like those of callers. A request that does
+//! not contain this VM's key is not served: callers can't read the key, which is registered in the
+//! platform's store. A request is never delegated a second time, so that no request goes in circles.
+
+use std::time::Duration;
+
+use log::info;
+
+use super::wire::{self, Credentials};
+use crate::core::delegation::{Decline, Terms};
+use crate::edge::gateway::Gateway;
+use crate::edge::gateway::caller::Origin;
+use crate::util::h1::{self, Request};
+
+impl Gateway {
+    pub(in crate::edge::gateway) fn accept_peers(&mut self) {
+        while let Some(stream) = super::accept(self.delegation.listener.as_ref()) {
+            self.add_caller(stream, Origin::Peer);
+        }
+    }
+
+    /// Starts the call for a request of another VM that was read completely, or declines it.
+    pub(in crate::edge::gateway) fn admit_delegated(
+        &mut self,
+        key: usize,
+        mut request: Request,
+        content: Vec<u8>,
+    ) {
+        let Some(credentials) = self.authenticate(&request) else {
+            return self.decline(key, "unknown", Decline::Unauthorized, None);
+        };
+        let terms = credentials.terms;
+        if let Some(decline) = self.reason_to_decline(&terms) {
+            return self.decline(key, &terms.from, decline, None);
+        }
+        self.acknowledge(key);
+        wire::strip(&mut request.fields);
+        self.admit(key, request, content, Some(terms));
+    }
+
+    /// Returns what a request says about itself if it contains this VM's key.
+    fn authenticate(&self, request: &Request) -> Option<Credentials> {
+        let credentials = wire::read_terms(&request.fields)?;
+        let own_key = self.delegation.own_key.as_ref()?;
+        (credentials.key == *own_key).then_some(credentials)
+    }
+
+    fn reason_to_decline(&self, terms: &Terms) -> Option<Decline> {
+        let table = self.route_table.as_ref().filter(|_| self.has_leaf_list);
+        if self.stop.is_some() {
+            return Some(Decline::Stopping);
+        }
+        if self.leaf_links.is_lost() {
+            return Some(Decline::LinksLost);
+        }
+        let Some(table) = table else {
+            return Some(Decline::NotReady);
+        };
+        (table.version < terms.min_version).then_some(Decline::Outdated)
+    }
+
+    /// Tells the VM that its request was read and is being served.
+    fn acknowledge(&mut self, key: usize) {
+        let mut interim = Vec::with_capacity(32);
+        h1::write_status_line(&mut interim, 102);
+        h1::write_head_end(&mut interim);
+        let caller = &mut self.caller_connections[key];
+        caller.socket.queue(&interim);
+        // A write error is reported again by the next event of the socket.
+        let _ = caller.socket.flush();
+    }
+
+    /// Tells the VM `from` that its request is not served here.
+    pub(in crate::edge::gateway) fn decline(
+        &mut self,
+        key: usize,
+        from: &str,
+        decline: Decline,
+        retry_after: Option<Duration>,
+    ) {
+        info!("delegation from={from} outcome=declined why={decline}");
+        self.metrics.count_peer_request(decline.as_str());
+        let mut answer = Vec::with_capacity(160);
+        h1::write_status_line(&mut answer, 503);
+        wire::write_decline(&mut answer, decline, retry_after);
+        h1::write_number_field(&mut answer, "Content-Length", 0);
+        self.write_connection_fields(&mut answer, key);
+        h1::write_head_end(&mut answer);
+        self.send_response(key, &answer);
+        self.answered_callers.push(key);
+    }
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/wire.rs
@@ -0,0 +1,89 @@
+//! Header fields of the requests and responses between two VMs, in addition to those of the caller's
+//! request and of its response.
+
+use std::time::Duration;
+
+use crate::core::delegation::{Decline, Terms};
+use crate::platform::headers;
+use crate::util::h1::{self, Field};
+
+/// Name of the VM that delegates the request.
+const FROM: &str = "Geraniummount-From";
+/// Secret of the VM that receives the request.
+const KEY: &str = "Geraniummount-Key";
+/// Oldest version of the routes by which the request may be served.
+const MIN_VERSION: &str = "Geraniummount-Min-Version";
+/// Time that the request has taken so far, in milliseconds.
+const ELAPSED_MS: &str = "Geraniummount-Elapsed-Ms";
+/// Number of leaves of each shard that may have received the request.
+const SENDS: &str = "Geraniummount-Sends";
+/// In a response: version of the routes by which the request was served.
+const VERSION: &str = "Geraniummount-Version";
+/// In a response: reason for which the VM does not serve the request.
+const DECLINE: &str = "Geraniummount-Decline";
+
+const ALL: [&str; 7] = [FROM, KEY, MIN_VERSION, ELAPSED_MS, SENDS, VERSION, DECLINE];
+
+/// Terms of a request, and the secret that it contains.
+#[derive(Debug)]
+pub(super) struct Credentials {
+    pub(super) terms: Terms,
+    pub(super) key: String,
+}
+
+/// Removes the fields of this module.
+pub(in crate::edge::gateway) fn strip(fields: &mut Vec<Field>) {
+    let is_own = |field: &Field| ALL.iter().any(|name| field.name.eq_ignore_ascii_case(name));
+    fields.retain(|field| !is_own(field));
+}
+
+/// Writes the terms of a request to the VM with a secret.
+pub(super) fn write_terms(out: &mut Vec<u8>, terms: &Terms, key: &str) {
+    let elapsed_ms = u64::try_from(terms.elapsed.as_millis()).unwrap_or(u64::MAX);
+    h1::write_field(out, FROM, terms.from.as_bytes());
+    h1::write_field(out, KEY, key.as_bytes());
+    h1::write_number_field(out, MIN_VERSION, terms.min_version);
+    h1::write_number_field(out, ELAPSED_MS, elapsed_ms);
+    h1::write_number_field(out, SENDS, terms.sends.into());
+}
+
+/// Reads the terms of a request; `None` if a field is missing or malformed.
+pub(super) fn read_terms(fields: &[Field]) -> Option<Credentials> {
+    Some(Credentials {
+        terms: Terms {
+            from: h1::field_text(fields, FROM)?.to_string(),
+            min_version: read_number(fields, MIN_VERSION)?,
+            elapsed: Duration::from_millis(read_number(fields, ELAPSED_MS)?),
+            sends: u32::try_from(read_number(fields, SENDS)?).ok()?,
+        },
+        key: h1::field_text(fields, KEY)?.to_string(),
+    })
+}
+
+/// Writes the version of the routes by which a request was served.
+pub(in crate::edge::gateway) fn write_version(out: &mut Vec<u8>, version: u64) {
+    h1::write_number_field(out, VERSION, version);
+}
+
+/// Writes the reason for which a request is not served, and when it may be.
+pub(super) fn write_decline(out: &mut Vec<u8>, decline: Decline, retry_after: Option<Duration>) {
+    h1::write_field(out, DECLINE, decline.as_str().as_bytes());
+    if let Some(wait) = retry_after {
+        headers::write_retry_after(out, wait);
+    }
+}
+
+/// Returns the reason for which a request was not served, if the response states one.
+pub(super) fn read_decline(fields: &[Field]) -> Option<Decline> {
+    h1::field_text(fields, DECLINE)?.parse().ok()
+}
+
+/// Returns the version of the routes by which a request was served; 0 if the response does not state
+/// it.
+pub(super) fn read_version(fields: &[Field]) -> u64 {
+    read_number(fields, VERSION).unwrap_or_default()
+}
+
+fn read_number(fields: &[Field], name: &str) -> Option<u64> {
+    h1::field_text(fields, name)?.trim().parse().ok()
+}
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -11,7 +11,7 @@
 use socket2::SockRef;
 
 use super::Gateway;
-use super::leaf_links::MIN_OPEN_TIME;
+use super::leaf_links::CHECK_TIMEOUT;
 use super::response_reader::ResponseReader;
 use super::socket::{self, Socket};
 use super::timers::Timer;
@@ -42,6 +42,7 @@
     pub(super) serial: u64,
     /// Key of the leaf.
     pub(super) replica: ReplicaKey,
+    address: SocketAddr,
     socket: Socket,
     /// The attempt that uses the connection; `None` if it is idle or its attempt was abandoned.
     attempt: Option<AttemptId>,
@@ -67,7 +68,7 @@
     abandoned_at: Option<Instant>,
     /// Fingerprint of the abandoned attempt's request, if no leaf had answered the request.
     abandoned_request: Option<Fingerprint>,
-    /// Whether the connection was opened to check this VM's links, and has not counted yet.
+    /// Whether the connection was opened to check this VM's links, and its leaf has not responded yet.
     pub(super) is_check: bool,
 }
 
@@ -86,6 +87,7 @@
         Ok(LeafConnection {
             serial,
             replica,
+            address,
             socket: Socket::new(stream),
             attempt: None,
             is_awaiting_response: false,
@@ -143,20 +145,9 @@
         let leaf_id = replica.map_or("", |replica| replica.instance.id.as_str());
         let forwarded = &state.forwarded;
         let mut request = Vec::with_capacity(512 + forwarded.content.len());
-        h1::write_request_line(&mut request, &forwarded.method, &forwarded.target);
-        for field in &forwarded.fields {
-            h1::write_field(&mut request, &field.name, &field.value);
-        }
+        forwarded.write_head(&mut request);
         headers::write_leaf_fields(&mut request, remaining, leaf_id);
-        if !forwarded.content.is_empty() || forwarded.method != "GET" {
-            h1::write_number_field(
-                &mut request,
-                "Content-Length",
-                forwarded.content.len() as u64,
-            );
-        }
-        h1::write_head_end(&mut request);
-        request.extend_from_slice(&forwarded.content);
+        forwarded.write_content(&mut request);
         let leaf = &mut self.leaf_connections[connection];
         leaf.request_id.clone_from(&forwarded.id);
         leaf.requested_at = self.now;
@@ -188,10 +179,6 @@
                 return;
             }
             leaf.connected_at = Some(self.now);
-            if leaf.is_check {
-                let timer = Timer::Leaf(connection, leaf.serial);
-                self.timers.add(self.now + MIN_OPEN_TIME, timer);
-            }
         }
         if !leaf.socket.has_pending_output() {
             return;
@@ -249,9 +236,8 @@
             self.record_unresponsive(replica);
             return self.close_leaf(connection);
         }
-        let has_stayed_open = |at: Instant| now.saturating_duration_since(at) >= MIN_OPEN_TIME;
-        if leaf.is_check && leaf.connected_at.is_some_and(has_stayed_open) {
-            return self.keep_checked_connection(connection);
+        if leaf.is_check && now.saturating_duration_since(leaf.opened_at) >= CHECK_TIMEOUT {
+            return self.fail_closed_leaf(connection);
         }
         let until = self.idle_until(leaf.replica, connection);
         if until.is_some_and(|until| now >= until) {
@@ -259,12 +245,21 @@
         }
     }
 
-    /// Counts a connection that was opened to check this VM's links, and keeps it for requests.
-    fn keep_checked_connection(&mut self, connection: usize) {
-        self.leaf_connections[connection].is_check = false;
-        let change = self.leaf_links.on_connected();
-        self.apply_links_change(change);
-        self.release(connection);
+    /// Sends a health request over a new connection, to check this VM's links.
+    pub(super) fn send_health_request(&mut self, connection: usize, path: &str) {
+        let leaf = &mut self.leaf_connections[connection];
+        let host = leaf.address.to_string();
+        let mut request = Vec::with_capacity(128);
+        h1::write_request_line(&mut request, "GET", path);
+        h1::write_field(&mut request, "Host", host.as_bytes());
+        h1::write_head_end(&mut request);
+        leaf.is_check = true;
+        leaf.requested_at = self.now;
+        leaf.reader.begin(false);
+        leaf.is_awaiting_response = true;
+        leaf.socket.queue(&request);
+        let timer = Timer::Leaf(connection, leaf.serial);
+        self.timers.add(self.now + CHECK_TIMEOUT, timer);
     }
 
     /// Fails the attempt of a connection that the leaf or the network closed.
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -89,6 +89,9 @@
         let notice = headers::read_notice(&response.head);
         self.apply_notice(replica, notice);
         self.apply_limit(replica, notice.limit, requested_at);
+        if self.leaf_connections[connection].is_check {
+            return self.on_check_response(connection, status);
+        }
         let leaf = &mut self.leaf_connections[connection];
         let reply = match headers::read_answer(response, &leaf.request_id) {
             Answer::Matching(reply) => reply,
@@ -97,20 +100,33 @@
                 return;
             }
         };
-        let is_clean = leaf.socket.input.is_empty() && !leaf.socket.has_pending_output();
-        let is_reusable = is_clean && !leaf.reader.must_close && status == ReadStatus::Open;
         let attempt = leaf.attempt.take();
-        leaf.is_awaiting_response = false;
         leaf.abandoned_at = None;
         leaf.abandoned_request = None;
-        if is_reusable {
+        self.release_or_close(connection, status);
+        if let Some(attempt) = attempt {
+            self.queue_reply(attempt, reply);
+        }
+    }
+
+    /// Handles the response to a check of this VM's links.
+    fn on_check_response(&mut self, connection: usize, status: ReadStatus) {
+        self.leaf_connections[connection].is_check = false;
+        let change = self.leaf_links.on_check_passed();
+        self.apply_links_change(change);
+        self.release_or_close(connection, status);
+    }
+
+    /// Releases a connection after a response, or closes it if it can't be reused.
+    fn release_or_close(&mut self, connection: usize, status: ReadStatus) {
+        let leaf = &mut self.leaf_connections[connection];
+        leaf.is_awaiting_response = false;
+        let is_clean = leaf.socket.input.is_empty() && !leaf.socket.has_pending_output();
+        if is_clean && !leaf.reader.must_close && status == ReadStatus::Open {
             self.release(connection);
         } else {
             self.close_leaf(connection);
         }
-        if let Some(attempt) = attempt {
-            self.queue_reply(attempt, reply);
-        }
     }
 
     /// Closes an idle connection. An extra response on it is discarded, but what the leaf says there
@@ -118,11 +134,6 @@
     fn close_idle_leaf(&mut self, connection: usize) {
         let leaf = &self.leaf_connections[connection];
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
-        if leaf.is_check {
-            let change = self.leaf_links.on_unreachable(&replica, self.now);
-            self.apply_links_change(change);
-        }
-        let leaf = &self.leaf_connections[connection];
         if let Ok(Parsed::Complete(head, _)) =
             Head::parse(&leaf.socket.input, leaf.reader.is_head_request)
         {
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -1,8 +1,7 @@
 //! Checks this VM's links to the leaves while they are suspected or lost.
 //!
-//! A check opens connections to a few leaves. A connection counts once it has stayed open for a
-//! moment after it was established, as something between the VM and the leaf may accept connections
-//! only to close them. It is then kept for requests.
+//! A check sends a health request to a few leaves, each over a new connection. Any response shows that
+//! the link works; the connection is then kept for requests.
 
 use std::time::Duration;
 
@@ -13,8 +12,8 @@
 use crate::core::leaf_links::{CHECKED_LEAVES, Change};
 use crate::core::placement::ReplicaKey;
 
-/// Time for which a connection of a check has to stay open to count.
-pub(super) const MIN_OPEN_TIME: Duration = Duration::from_millis(30);
+/// Time after which a connection of a check is closed if its leaf has not responded.
+pub(super) const CHECK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 impl Gateway {
     /// Records that the leaves of a call's attempts have not answered since the call began, except
@@ -39,7 +38,10 @@
         let links = &self.leaf_links;
         let leaves = self
             .placement
-            .sample(CHECKED_LEAVES, |key| links.has_failed(&key));
+            .sample(CHECKED_LEAVES, |key| links.has_failed(&key), self.now);
+        if leaves.is_empty() {
+            return;
+        }
         if !links.is_lost() {
             let (silent, unreachable) = links.failed_counts();
             info!("leaf-links event=checked silent={silent} unreachable={unreachable}");
@@ -71,7 +73,8 @@
         }
     }
 
-    /// Logs a change of the state of the links.
+    /// Logs a change of the state of the links, and hands the calls in flight over to other VMs when
+    /// the links are lost.
     pub(super) fn apply_links_change(&mut self, change: Option<Change>) {
         let Some(change) = change else {
             return;
@@ -81,6 +84,7 @@
                 let (silent, unreachable) = self.leaf_links.failed_counts();
                 warn!("leaf-links event=lost silent={silent} unreachable={unreachable}");
                 self.metrics.gauges.leaf_links_lost.set(1);
+                self.hand_over_calls();
             }
             Change::Regained => {
                 info!("leaf-links event=regained");
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -29,6 +29,10 @@
     attempts: IntCounterVec,
     /// Attempts at leaves that name a limit, by kind of attempt.
     limited_attempts: IntCounterVec,
+    /// Requests that were passed to other VMs, by outcome.
+    delegations: IntCounterVec,
+    /// Requests of other VMs, by whether they were served or why not.
+    peer_requests: IntCounterVec,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
@@ -53,6 +57,16 @@
             "Attempts at leaves that limit the requests of all VMs together.",
             "kind",
         );
+        let delegations = counter_by_outcome(
+            &registry,
+            "gateway_delegations_total",
+            "Requests passed to other VMs by how that ended.",
+        );
+        let peer_requests = counter_by_outcome(
+            &registry,
+            "gateway_peer_requests_total",
+            "Requests of other VMs by whether they were served.",
+        );
         let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
         let answer_seconds =
             Histogram::with_opts(options.buckets(LATENCY_BUCKETS_SECONDS.to_vec()));
@@ -75,6 +89,8 @@
             answer_seconds,
             attempts,
             limited_attempts,
+            delegations,
+            peer_requests,
         }
     }
 }
@@ -97,6 +113,14 @@
         self.limited_attempts.with_label_values(&[kind]).inc();
     }
 
+    pub(super) fn count_delegation(&self, outcome: &str) {
+        self.delegations.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn count_peer_request(&self, outcome: &str) {
+        self.peer_requests.with_label_values(&[outcome]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn encode(&self) -> Vec<u8> {
         let suppressed = i64::try_from(logger::suppressed_lines()).unwrap_or(i64::MAX);
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -14,6 +14,8 @@
     pub(in crate::edge::gateway) quarantined_requests: IntGauge,
     /// 1 while this VM reaches no leaves.
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
+    /// Other VMs to which requests can be delegated.
+    pub(in crate::edge::gateway) known_peers: IntGauge,
     pub(super) suppressed_log_lines: IntGauge,
 }
 
@@ -36,6 +38,10 @@
                 "gateway_leaf_links_lost",
                 "1 while this VM reaches no leaves.",
             ),
+            known_peers: gauge(
+                "gateway_known_peers",
+                "Other VMs to which requests can be delegated.",
+            ),
             suppressed_log_lines: gauge(
                 "gateway_log_lines_suppressed",
                 "Lines that the log did not take.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod answer;
 mod caller;
 mod calls;
+mod delegation;
 mod fleet;
 mod leaf;
 mod leaf_links;
@@ -57,6 +58,7 @@
 pub use self::update::{Sender, Update};
 
 use self::calls::CallState;
+use self::delegation::Delegation;
 use self::fleet::Fleet;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
@@ -118,6 +120,8 @@
     leaf_links: LeafLinks<ReplicaKey>,
     /// Earliest timer that is set for the links.
     links_wake_at: Option<Instant>,
+    /// Delegation of requests to other VMs.
+    delegation: Delegation,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
@@ -162,6 +166,7 @@
             callers_listener: Some(TcpListener::bind(options.callers)?),
             ready_listener: TcpListener::bind(options.ready)?,
             metrics_listener: metrics,
+            delegation: Delegation::bind(&options)?,
             placement: Placement::new(options.failure_domain.clone(), options.start, rng),
             options,
             poll,
@@ -254,6 +259,13 @@
                 Interest::READABLE,
             )?;
         }
+        if let Some(listener) = &mut self.delegation.listener {
+            registry.register(
+                listener,
+                EventSource::PeersListener.token(),
+                Interest::READABLE,
+            )?;
+        }
         Ok(())
     }
 
@@ -262,6 +274,7 @@
         match EventSource::from_token(event.token()) {
             EventSource::Updates => self.receive_updates(),
             EventSource::CallersListener => self.accept_callers(),
+            EventSource::PeersListener => self.accept_peers(),
             EventSource::ReadyListener | EventSource::MetricsListener => self.accept_probes(),
             EventSource::Caller(key) => {
                 if event.is_writable() {
@@ -279,6 +292,14 @@
                     self.read_leaf(key, closed);
                 }
             }
+            EventSource::Peer(key) => {
+                if event.is_writable() {
+                    self.flush_peer(key);
+                }
+                if event.is_readable() || closed {
+                    self.read_peer(key, closed);
+                }
+            }
             EventSource::Probe(key) => self.serve_probe(key),
             EventSource::StoreCheck => self.on_check_event(),
         }
@@ -290,6 +311,8 @@
                 Timer::Call(key, serial) => self.on_call_timer(key, serial),
                 Timer::Caller(key, serial) => self.on_caller_timer(key, serial),
                 Timer::Leaf(key, serial) => self.on_leaf_timer(key, serial),
+                Timer::Delegated(key, serial) => self.on_delegated_timer(key, serial),
+                Timer::Peer(key, serial) => self.on_peer_timer(key, serial),
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
@@ -312,6 +335,7 @@
                 Update::Table(table) => self.apply_routes(table),
                 Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
                 Update::FleetShare(share) => self.apply_fleet_share(share),
+                Update::Peers(peers) => self.apply_peers(peers),
                 Update::Quarantine(records) => self.merge_quarantine(records),
                 Update::Stop => self.begin_stop(),
             }
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -22,7 +22,11 @@
     pub ready: SocketAddr,
     /// Listening address for metrics, if they are served.
     pub metrics: Option<SocketAddr>,
-    /// Source address of the connections to leaves; the system chooses one if `None`.
+    /// Listening address for the requests of other VMs; `None` if this VM neither delegates requests
+    /// nor serves those of others.
+    pub peer_listen: Option<SocketAddr>,
+    /// Source address of the connections to leaves and to other VMs; the system chooses one if
+    /// `None`.
     pub source: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -267,13 +267,16 @@
         }
     }
 
-    /// Opens a connection to a leaf that checks this VM's links.
+    /// Opens a connection to a leaf and sends a health request over it, to check this VM's links.
     pub(super) fn open_check_connection(&mut self, key: ReplicaKey, service: &ServiceName) {
         let Some(index) = self.pool_index(key, service) else {
             return;
         };
+        let table = self.route_table.as_ref();
+        let path = table.and_then(|table| table.health_path(service));
+        let path = path.unwrap_or("/").to_string();
         if let Some(connection) = self.connect(index) {
-            self.leaf_connections[connection].is_check = true;
+            self.send_health_request(connection, &path);
         }
     }
 
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -105,6 +105,11 @@
         self.written > 0 || self.output.is_empty()
     }
 
+    /// Returns whether a part of the output that is still buffered has been written.
+    pub(super) fn has_written_part(&self) -> bool {
+        self.written > 0
+    }
+
     /// Writes as much of the output buffer as the socket accepts, which is nothing while the
     /// connection is being established.
     ///
--- a/src/geraniummount/edge/gateway/stop.rs
+++ b/src/geraniummount/edge/gateway/stop.rs
@@ -31,7 +31,7 @@
         if self.stop.is_some() {
             return;
         }
-        let open = self.calls.len();
+        let open = self.open_requests();
         info!("stop event=begun open={open}");
         self.stop = Some(Stop {
             stop_accepting_at: self.now + self.options.linger,
@@ -47,6 +47,7 @@
         if self.now >= stop.stop_accepting_at && self.callers_listener.is_some() {
             self.accept_callers();
             self.callers_listener = None;
+            self.delegation.listener = None;
             self.close_idle_callers();
         }
         self.timers.add(self.now + CHECK_INTERVAL, Timer::Stop);
@@ -56,7 +57,7 @@
     pub(super) fn stop_result(&self) -> Option<bool> {
         let stop = self.stop.as_ref()?;
         if self.now >= stop.deadline {
-            let open = self.calls.len();
+            let open = self.open_requests();
             info!("stop event=ended open={open}");
             return Some(open == 0);
         }
@@ -67,6 +68,11 @@
         is_over.then_some(true)
     }
 
+    /// Returns the number of requests that have no response yet.
+    fn open_requests(&self) -> usize {
+        self.calls.len() + self.delegation.open_count()
+    }
+
     /// Closes the callers' idle connections, after reading each a last time so that no request that
     /// has already arrived is lost.
     fn close_idle_callers(&mut self) {
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -17,6 +17,10 @@
     Caller(usize, u64),
     /// A connection to a leaf, by key and serial number.
     Leaf(usize, u64),
+    /// A delegated request, by key and serial number.
+    Delegated(usize, u64),
+    /// A connection to another VM, by key and serial number.
+    Peer(usize, u64),
     /// Removal of leaves that are no longer registered.
     Unregistered,
     /// Check whether the rates of requests have to be exchanged with the other VMs.
--- a/src/geraniummount/edge/gateway/token.rs
+++ b/src/geraniummount/edge/gateway/token.rs
@@ -10,6 +10,8 @@
     CallersListener,
     ReadyListener,
     MetricsListener,
+    /// Listener for other VMs.
+    PeersListener,
     /// Connection that checks whether the platform's store is reachable.
     StoreCheck,
     /// Connection from a caller.
@@ -18,12 +20,14 @@
     Leaf(usize),
     /// Connection over which readiness or metrics are requested.
     Probe(usize),
+    /// Connection to another VM.
+    Peer(usize),
 }
 
 /// Number of token kinds: one for the sources without a key, and one for each kind with a key. A
 /// token is `key * TOKEN_KINDS + kind`. The sources without a key are numbered, and the number
 /// stands in the place of the key.
-const TOKEN_KINDS: usize = 4;
+const TOKEN_KINDS: usize = 5;
 
 impl EventSource {
     pub(super) fn token(self) -> Token {
@@ -33,9 +37,11 @@
             EventSource::ReadyListener => 2 * TOKEN_KINDS,
             EventSource::MetricsListener => 3 * TOKEN_KINDS,
             EventSource::StoreCheck => 4 * TOKEN_KINDS,
+            EventSource::PeersListener => 5 * TOKEN_KINDS,
             EventSource::Caller(key) => key * TOKEN_KINDS + 1,
             EventSource::Leaf(key) => key * TOKEN_KINDS + 2,
             EventSource::Probe(key) => key * TOKEN_KINDS + 3,
+            EventSource::Peer(key) => key * TOKEN_KINDS + 4,
         })
     }
 
@@ -46,10 +52,12 @@
             (0, 1) => EventSource::CallersListener,
             (0, 2) => EventSource::ReadyListener,
             (0, 3) => EventSource::MetricsListener,
-            (0, _) => EventSource::StoreCheck,
+            (0, 4) => EventSource::StoreCheck,
+            (0, _) => EventSource::PeersListener,
             (1, key) => EventSource::Caller(key),
             (2, key) => EventSource::Leaf(key),
-            (_, key) => EventSource::Probe(key),
+            (3, key) => EventSource::Probe(key),
+            (_, key) => EventSource::Peer(key),
         }
     }
 }
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -6,6 +6,7 @@
 use mio::{Poll, Waker};
 
 use super::token::EventSource;
+use crate::core::delegation::Peer;
 use crate::core::fleet;
 use crate::core::instance::Instance;
 use crate::core::quarantine::Record;
@@ -21,6 +22,8 @@
     Leaves(Vec<Instance>, Era),
     /// This VM's share in the requests of all VMs.
     FleetShare(fleet::Share),
+    /// The VMs to which requests can be delegated, and this VM.
+    Peers(Vec<Peer>),
     /// The list of requests during which leaves crashed, as the VMs share it.
     Quarantine(Vec<Record>),
     /// A request to begin a planned stop.
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -7,6 +7,7 @@
 //! the leaves again and again, and watches only the routes in between. While the store is
 //! unreachable, the last known routes and leaves stay in force.
 
+mod peers;
 mod steps;
 
 use std::io;
@@ -17,6 +18,7 @@
 use prometheus::IntGauge;
 use rand::RngExt;
 
+use self::peers::Registration;
 use super::options::Options;
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
@@ -53,6 +55,8 @@
     has_published: bool,
     /// When the store became unavailable; `None` while it is available.
     lost_at: Option<Instant>,
+    /// Registration of this VM for requests of other VMs; `None` if it takes no part.
+    registration: Option<Registration>,
 }
 
 /// What a response of the store changed.
@@ -61,6 +65,7 @@
     routes: bool,
     leaves: bool,
     quarantine: bool,
+    peers: bool,
     /// Whether keys changed that concern none of these.
     others: bool,
 }
@@ -80,6 +85,7 @@
         poll_schedule: PollSchedule::new(options.leaving, options.apply),
         has_published: false,
         lost_at: None,
+        registration: Registration::new(options),
     };
     let thread = thread::Builder::new().name("store".to_string());
     thread.spawn(move || watcher.run())?;
@@ -91,6 +97,7 @@
         routes: true,
         leaves: true,
         quarantine: true,
+        peers: true,
         others: false,
     };
 
@@ -98,6 +105,7 @@
         routes: false,
         leaves: true,
         quarantine: false,
+        peers: false,
         others: false,
     };
 
@@ -108,11 +116,13 @@
         self.leaves |= is_leaf;
         let is_quarantine = key == platform::QUARANTINE_KEY;
         self.quarantine |= is_quarantine;
-        self.others |= !is_leaf && !is_quarantine && key != platform::DOCUMENT_KEY;
+        let is_peer = key.starts_with(platform::PEER_PREFIX);
+        self.peers |= is_peer;
+        self.others |= !is_leaf && !is_quarantine && !is_peer && key != platform::DOCUMENT_KEY;
     }
 
     fn any(self) -> bool {
-        self.routes || self.leaves || self.quarantine || self.others
+        self.routes || self.leaves || self.quarantine || self.peers || self.others
     }
 }
 
@@ -152,6 +162,7 @@
         if !self.publish(changes) {
             return Ok(false);
         }
+        self.register()?;
         if !changes.any() {
             return Ok(true);
         }
@@ -181,7 +192,8 @@
         // A VM that starts knows what to withhold before it has leaves to send requests to.
         let runs = !changes.quarantine || self.publish_quarantine();
         let runs = runs && (!changes.routes || self.publish_routes());
-        runs && (!changes.leaves || self.publish_leaves())
+        let runs = runs && (!changes.leaves || self.publish_leaves());
+        runs && (!changes.peers || self.publish_peers())
     }
 
     /// Publishes the routes if their version is newer than the last published one; returns whether
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -77,6 +77,7 @@
             callers: gateway.callers,
             ready: gateway.ready,
             metrics: gateway.metrics,
+            peer_listen: gateway.peer_listen,
             source: gateway.source,
             store: store?,
             linger: limits.linger,
@@ -106,7 +107,9 @@
     ready: SocketAddr,
     /// Listening address for metrics, if they are served.
     metrics: Option<SocketAddr>,
-    /// Source address of the connections to leaves, if one is given.
+    /// Listening address for other VMs, if this VM delegates requests and serves those of others.
+    peer_listen: Option<SocketAddr>,
+    /// Source address of the connections to leaves and to other VMs, if one is given.
     source: Option<IpAddr>,
 }
 
@@ -119,6 +122,7 @@
             "callers",
             "ready",
             "metrics",
+            "peer_listen",
             "source",
         ]);
         let name = section.name("name");
@@ -127,6 +131,7 @@
         let callers = section.listener("callers");
         let ready = section.listener("ready");
         let metrics = section.optional_target("metrics");
+        let peer_listen = section.optional_target("peer_listen");
         let source = section.optional_ip("source");
         Some(GatewaySection {
             name: name?,
@@ -138,6 +143,7 @@
             callers: callers?,
             ready: ready?,
             metrics: metrics?,
+            peer_listen: peer_listen?,
             source: source?,
         })
     }
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -71,6 +71,13 @@
     name: String,
     /// Maximum number of connections that a leaf of the service accepts from all VMs together.
     max_conns: usize,
+    /// Path at which a leaf of the service answers health checks.
+    #[serde(default = "default_health_path")]
+    health_path: String,
+}
+
+fn default_health_path() -> String {
+    "/".to_string()
 }
 
 #[derive(Debug, Deserialize)]
@@ -95,6 +102,7 @@
     let services = document.services.into_iter().map(|service| Backend {
         name: service.name,
         max_connections: service.max_conns,
+        health_path: service.health_path,
     });
     let limits = Limits {
         max_head_bytes: document.limits.max_header_bytes,
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -76,9 +76,14 @@
 /// Writes the fields that the gateway adds to a request to a leaf; `left` is the time that the
 /// gateway waits for the response.
 pub fn write_leaf_fields(out: &mut Vec<u8>, left: Duration, leaf: &str) {
+    write_timeout(out, left);
+    h1::write_field(out, EXPECTED_LEAF, leaf.as_bytes());
+}
+
+/// Writes how long the sender of a request waits for the response.
+pub fn write_timeout(out: &mut Vec<u8>, left: Duration) {
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     h1::write_number_field(out, DEADLINE_MS, left.max(1));
-    h1::write_field(out, EXPECTED_LEAF, leaf.as_bytes());
 }
 
 /// Reads what a leaf says in the head of a response about further requests to it. The response may
@@ -107,6 +112,11 @@
         .map_or(NamedLimit::Unreadable, NamedLimit::PerSecond)
 }
 
+/// Reads the delay after which a request may be repeated; `None` if it is absent or unusable.
+pub fn read_retry_after(fields: &[Field]) -> Option<Duration> {
+    h1::field_text(fields, RETRY_AFTER).and_then(read_seconds)
+}
+
 /// Parses a positive number of seconds; the longest duration stands for a number that is too large.
 fn read_seconds(text: &str) -> Option<Duration> {
     let seconds: f64 = text.trim().parse().ok()?;
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -5,10 +5,11 @@
 //! parses the operator's configuration, [`registration`] parses the registrations of leaves
 //! (the servers that run the requests), [`headers`] reads and writes the header fields of requests
 //! and responses, [`vm_rate`] reads and writes what VMs tell each other of their rates of requests,
-//! and [`Store`] is the client of the platform's key-value store.
+//! [`peer_entry`] the entries by which they find each other, and [`Store`] is the client of the platform's key-value store.
 
 pub mod document;
 pub mod headers;
+pub mod peer_entry;
 pub mod registration;
 mod store;
 pub mod vm_rate;
@@ -31,5 +32,8 @@
 /// Key of the list of requests during which leaves crashed, which the VMs share.
 pub const QUARANTINE_KEY: &str = "quarantine/requests";
 
+/// Prefix of the keys under which VMs register for requests that other VMs delegate to them.
+pub const PEER_PREFIX: &str = "peers/";
+
 /// Path of the readiness probe, by which the platform asks whether a process accepts connections.
 pub const READY_PATH: &str = "/api/ready";
--- /dev/null
+++ b/src/geraniummount/platform/peer_entry.rs
@@ -0,0 +1,63 @@
+//! Stored form of a VM to which the other VMs can delegate requests.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::PEER_PREFIX;
+use crate::core::delegation::Peer;
+use crate::prelude::*;
+
+/// A VM, with the time at which its entry was written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerEntry {
+    /// The VM.
+    pub peer: Peer,
+    /// When the entry was written, in milliseconds since the Unix epoch.
+    pub written_at_ms: u64,
+}
+
+/// Stored value.
+#[derive(Debug, Deserialize, Serialize)]
+struct Stored {
+    address: SocketAddr,
+    domain: DomainName,
+    key: String,
+    written_at_ms: u64,
+}
+
+/// Returns the key under which a VM is stored.
+pub fn key(name: &str) -> String {
+    format!("{PEER_PREFIX}{name}")
+}
+
+/// Encodes the value that is stored for a VM.
+pub fn write(entry: &PeerEntry) -> Vec<u8> {
+    let peer = &entry.peer;
+    let stored = Stored {
+        address: peer.address,
+        domain: peer.domain.clone(),
+        key: peer.key.clone(),
+        written_at_ms: entry.written_at_ms,
+    };
+    serde_json::json!(stored).to_string().into_bytes()
+}
+
+/// Decodes the value that is stored under a key.
+///
+/// # Errors
+///
+/// Returns an error if the value is invalid.
+pub fn read(key: &str, value: &[u8]) -> Result<PeerEntry, serde_json::Error> {
+    let stored: Stored = serde_json::from_slice(value)?;
+    let name = key.strip_prefix(PEER_PREFIX).unwrap_or(key);
+    Ok(PeerEntry {
+        peer: Peer {
+            name: name.to_string(),
+            domain: stored.domain,
+            address: stored.address,
+            key: stored.key,
+        },
+        written_at_ms: stored.written_at_ms,
+    })
+}
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -194,6 +194,28 @@
         check_lease(&response)
     }
 
+    /// Writes a key without a lease, and removes other keys in the same step.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
+    /// answer; the keys may have been changed nevertheless.
+    pub fn put_and_remove(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        removed: &[String],
+    ) -> Result<(), Error> {
+        let value = STANDARD.encode(value);
+        let put = json!({ "key": key, "value": value, "lease": 0 });
+        let body = json!({ "precondition": [], "puts": [put], "remove": removed }).to_string();
+        let response = self.call("POST", "/api/kv-txn", body.as_bytes())?;
+        match response.head.status {
+            200 => Ok(()),
+            status => Err(Error::Malformed(format!("status {status}"))),
+        }
+    }
+
     /// Reads a key; `None` if it does not exist.
     ///
     /// # Errors
--- a/src/geraniummount/util/h1/write.rs
+++ b/src/geraniummount/util/h1/write.rs
@@ -14,6 +14,7 @@
 pub fn write_status_line(out: &mut Vec<u8>, status: u16) {
     let reason = match status {
         100 => "Continue",
+        102 => "Processing",
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -50,6 +50,7 @@
         max_attempts: 2,
         answer_by: now + TARGET_LATENCY,
         end_by: now + TIMEOUT,
+        is_counted: false,
     }
 }
 
--- a/tests/testsuite/leaf_links.rs
+++ b/tests/testsuite/leaf_links.rs
@@ -16,11 +16,11 @@
     Response(u64),
     /// A connection to a leaf fails.
     Unreachable(u32),
-    /// A connection of a check is established and stays open.
-    Connected,
+    /// A leaf responds to a check.
+    CheckPassed,
 }
 
-use Event::{Connected, Response, Silent, Unreachable};
+use Event::{CheckPassed, Response, Silent, Unreachable};
 
 struct Case {
     name: &'static str,
@@ -100,7 +100,7 @@
         events: &[
             (100, Unreachable(1)),
             (110, Unreachable(2)),
-            (120, Connected),
+            (120, CheckPassed),
             (130, Unreachable(3)),
             (140, Unreachable(4)),
         ],
@@ -116,7 +116,7 @@
         }
         Response(ago) => links.on_response(now - Duration::from_millis(ago), now),
         Unreachable(leaf) => links.on_unreachable(&leaf, now),
-        Connected => links.on_connected(),
+        CheckPassed => links.on_check_passed(),
     }
 }
 
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn leaf_links_are_lost_once_no_connection_of_the_check_is_established_in_time() {
+fn leaf_links_are_lost_once_no_leaf_of_the_check_responds_in_time() {
     let mut links = LeafLinks::default();
     let began = begin_check(&mut links);
     assert_eq!(links.tick(began + Duration::from_millis(100)), None);
@@ -173,11 +173,11 @@
 }
 
 #[test]
-fn leaf_links_work_if_one_connection_of_the_check_is_established() {
+fn leaf_links_work_if_one_leaf_of_the_check_responds() {
     let mut links = LeafLinks::default();
     let now = begin_check(&mut links);
     assert_eq!(links.on_unreachable(&11, now), None);
-    assert_eq!(links.on_connected(), None);
+    assert_eq!(links.on_check_passed(), None);
     assert!(!links.is_suspected());
     assert_eq!(links.tick(now + Duration::from_secs(1)), None);
 }
@@ -192,7 +192,7 @@
     assert!(links.is_lost());
     assert!(links.is_check_due(LEAVES, later));
     links.begin_check(vec![14, 15, 16], later);
-    assert_eq!(links.on_connected(), Some(Change::Regained));
+    assert_eq!(links.on_check_passed(), Some(Change::Regained));
     assert!(!links.is_lost());
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,8 @@
 mod control_store;
 mod control_validation;
 mod crashes;
+mod delegation;
+mod delegation_fleet;
 mod fan_out;
 mod fan_out_failures;
 mod fixtures;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -61,6 +61,7 @@
             callers: free_address(),
             ready: free_address(),
             metrics: None,
+            peer_listen: Some(free_address_of(ip)),
             source: Some(ip),
             store: address,
             max_reply_bytes: 4 * 1024 * 1024,
@@ -206,6 +207,10 @@
 }
 
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    free_address_of(Ipv4Addr::LOCALHOST.into())
+}
+
+fn free_address_of(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
 }
