Hand calls over only once the current event is handled

What callers saw: a gateway could end in the middle of a request. Seen twice in ten runs of the platform_ tests on (platform_crashes_by_a_search_..., "gateway sends a whole answer"), on a machine that was running them in parallel.

Cause: the links may be found to be lost while the actions of a call are being carried out (a send fails at once), and the call was handed over and removed right there.

Change: the calls are handed over when the event has been handled, as replies already are.

Class: reentrancy in the event loop; the other changes that can follow from a failing send (replies, outcomes of peers) were queued already.

--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -165,6 +165,7 @@
     /// buffered input of callers that have got their response, until none is left.
     pub(super) fn process_pending(&mut self) {
         loop {
+            self.hand_over_calls();
             if let Some((attempt, reply)) = self.pending_replies.pop_front() {
                 self.handle_reply(attempt, reply);
             } else if self.process_outcome() {
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -49,6 +49,8 @@
     /// Outcomes that have not been passed to their requests yet, each with the key and the serial
     /// number of the request.
     outcomes: VecDeque<(usize, u64, Outcome)>,
+    /// Whether the calls in flight have to be handed over to other VMs.
+    pub(super) is_handover_due: bool,
     /// Newest version of the routes by which another VM served a request of this one.
     seen_version: u64,
 }
@@ -93,6 +95,7 @@
             requests: Slab::new(),
             connections: Slab::new(),
             outcomes: VecDeque::new(),
+            is_handover_due: false,
             seen_version: 0,
         })
     }
@@ -158,9 +161,11 @@
         self.apply_delegation(index, actions);
     }
 
-    /// Hands the calls in flight over to other VMs, as far as they have no answer and may be repeated.
+    /// Hands the calls in flight over to other VMs if that is due, as far as they have no answer and
+    /// may be repeated.
     pub(super) fn hand_over_calls(&mut self) {
-        if self.delegation.peers.is_empty() {
+        let is_due = std::mem::take(&mut self.delegation.is_handover_due);
+        if !is_due || self.delegation.peers.is_empty() {
             return;
         }
         let keys: Vec<usize> = self.calls.iter().map(|(key, _)| key).collect();
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -73,8 +73,8 @@
         }
     }
 
-    /// Logs a change of the state of the links, and hands the calls in flight over to other VMs when
-    /// the links are lost.
+    /// Logs a change of the state of the links. If they are lost, the calls in flight are handed over
+    /// to other VMs once the current event is handled, as that may be about one of these calls.
     pub(super) fn apply_links_change(&mut self, change: Option<Change>) {
         let Some(change) = change else {
             return;
@@ -84,7 +84,7 @@
                 let (silent, unreachable) = self.leaf_links.failed_counts();
                 warn!("leaf-links event=lost silent={silent} unreachable={unreachable}");
                 self.metrics.gauges.leaf_links_lost.set(1);
-                self.hand_over_calls();
+                self.delegation.is_handover_due = true;
             }
             Change::Regained => {
                 info!("leaf-links event=regained");
