Do not count lost links as crashes of leaves

A request with three such crashes is withheld on all VMs for five minutes.

Cause, three ways to the same: a connection that was never established, one that timed out, and one that the network reset all counted like one that its leaf had closed.

Change: only a connection that its leaf or the network has closed counts, and it counts on this VM alone until a leaf has responded to a later request, which shows that the links work; without one for 100 ms they are checked. If they are lost, the crashes are discarded.

Ruled out: not counting while the links are suspected, as the first two connections are lost before they are.

Class: an effect of one's own failure taken for a fault of another.

--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -28,6 +28,9 @@
 /// Interval between two checks while the links are lost.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after a doubt in which a leaf has to respond, else the links are checked.
+const DOUBT_DELAY: Duration = Duration::from_millis(100);
+
 /// Number of leaves that a check asks.
 pub const CHECKED_LEAVES: usize = 6;
 
@@ -42,6 +45,8 @@
     unreachable_since: Option<Instant>,
     /// When a leaf last responded.
     responded_at: Option<Instant>,
+    /// When the links are checked unless a leaf responds before.
+    doubt_until: Option<Instant>,
     /// Earliest start of the next check.
     next_check: Option<Instant>,
     state: State<K>,
@@ -73,6 +78,7 @@
             unreachable: Vec::new(),
             unreachable_since: None,
             responded_at: None,
+            doubt_until: None,
             next_check: None,
             state: State::Working,
         }
@@ -86,6 +92,7 @@
     /// connections.
     pub fn on_response(&mut self, opened_at: Instant, now: Instant) -> Option<Change> {
         self.silent.clear();
+        self.doubt_until = None;
         self.responded_at = Some(now);
         match self.unreachable_since {
             Some(since) if opened_at < since => None,
@@ -99,6 +106,7 @@
         self.silent.clear();
         self.unreachable.clear();
         self.unreachable_since = None;
+        self.doubt_until = None;
         let was_lost = self.is_lost();
         self.state = State::Working;
         was_lost.then_some(Change::Regained)
@@ -112,6 +120,12 @@
         }
     }
 
+    /// Records that something has happened that is explained by lost links as well as by something
+    /// else, which needs to be told apart.
+    pub fn on_doubt(&mut self, now: Instant) {
+        self.doubt_until.get_or_insert(now + DOUBT_DELAY);
+    }
+
     /// Records that a connection to a leaf could not be established, or was closed before any
     /// response.
     pub fn on_unreachable(&mut self, leaf: &K, now: Instant) -> Option<Change> {
@@ -128,20 +142,27 @@
     pub fn is_check_due(&self, known: usize, now: Instant) -> bool {
         let min = MIN_LEAVES.min(known).max(1);
         let is_due = match self.state {
-            State::Working => self.silent.len() >= min || self.unreachable.len() >= min,
+            State::Working => {
+                let is_in_doubt = self.doubt_until.is_some_and(|until| now >= until);
+                self.silent.len() >= min || self.unreachable.len() >= min || is_in_doubt
+            }
             State::Checking { .. } => false,
             State::Lost => true,
         };
         is_due && self.next_check.is_none_or(|at| now >= at)
     }
 
-    /// Records that a check of the given leaves begins.
+    /// Records that a check of the given leaves begins, or that it is put off if there are none.
     pub fn begin_check(&mut self, leaves: Vec<K>, now: Instant) {
         if self.is_lost() {
             self.next_check = Some(now + RECHECK_INTERVAL);
             return;
         }
         self.next_check = Some(now + MIN_CHECK_INTERVAL);
+        if leaves.is_empty() {
+            self.doubt_until = None;
+            return;
+        }
         self.state = State::Checking {
             left: leaves,
             until: now + CHECK_TIMEOUT,
@@ -159,12 +180,18 @@
     /// Returns when `tick` or the next check is due; `None` while neither is.
     pub fn next_wake(&self) -> Option<Instant> {
         match self.state {
-            State::Working => None,
+            State::Working => self
+                .doubt_until
+                .max(self.next_check.filter(|_| self.is_in_doubt())),
             State::Checking { until, .. } => Some(until),
             State::Lost => self.next_check,
         }
     }
 
+    fn is_in_doubt(&self) -> bool {
+        self.doubt_until.is_some()
+    }
+
     /// Returns whether the links are lost.
     pub fn is_lost(&self) -> bool {
         matches!(self.state, State::Lost)
@@ -189,6 +216,7 @@
 
     fn lose(&mut self) -> Change {
         self.state = State::Lost;
+        self.doubt_until = None;
         self.next_check = None;
         Change::Lost
     }
--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -14,6 +14,10 @@
 //! A frequent request is beside many crashes. Crashes within a few seconds after an answer therefore
 //! do not count, and a VM remembers its latest answers, as it may hear of crashes only later.
 //!
+//! A VM that loses its links to the leaves sees connections end as if leaves had crashed. A crash
+//! therefore counts only on this VM until a leaf has responded to a later request, which shows that
+//! the links work; if they turn out to be lost, it is discarded.
+//!
 //! Nothing here depends on the shared list: without it, each VM withholds by what it has seen
 //! itself. A list that was lost is completed by any VM that remembers more than it contains. Clocks
 //! of VMs may differ: an answer then clears crashes shortly after it, or leaves some for the next
@@ -21,6 +25,7 @@
 
 mod crash;
 mod record;
+mod unconfirmed;
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -29,6 +34,7 @@
 
 pub use self::crash::Crash;
 pub use self::record::{Record, merge_records};
+use self::unconfirmed::Unconfirmed;
 
 /// Number of crashes without an answer from which on a request is withheld.
 pub const WITHHOLD_CRASHES: usize = 3;
@@ -49,6 +55,9 @@
 /// only after it has answered the request again.
 const MAX_ANSWERS: usize = 1_024;
 
+/// Maximum number of crashes that wait for confirmation.
+const MAX_UNCONFIRMED: usize = 128;
+
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -67,10 +76,12 @@
     shared: Vec<Record>,
     /// Latest requests that leaves answered, with the time in milliseconds since the Unix epoch.
     answers: VecDeque<(Fingerprint, u64)>,
+    /// Crashes that this VM has seen and that are not confirmed yet, in order of time.
+    unconfirmed: Vec<Unconfirmed>,
 }
 
 /// A request during which leaves crashed, with the time of the last crash by the steady clock.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     record: Record,
     last_crash: Instant,
@@ -90,8 +101,7 @@
 
     /// Returns whether a request may be sent.
     pub fn admission(&self, fingerprint: Fingerprint, now: Instant) -> Admission {
-        let index = self.search(fingerprint).ok();
-        let entry = index.map(|index| &self.entries[index]);
+        let entry = self.entry_with_unconfirmed(fingerprint);
         let Some(entry) = entry.filter(|entry| !entry.is_over(now)) else {
             return Admission::Admitted(0);
         };
@@ -101,6 +111,48 @@
         }
     }
 
+    /// Records leaves that seem to have crashed while they had a request, none of whose attempts at
+    /// this arrival was answered. They count on this VM, and on others once they are confirmed.
+    pub fn record_unconfirmed(
+        &mut self,
+        fingerprint: Fingerprint,
+        crashes: impl IntoIterator<Item = Crash>,
+        now: Instant,
+    ) {
+        self.unconfirmed
+            .extend(crashes.into_iter().map(|crash| Unconfirmed {
+                fingerprint,
+                crash,
+                seen_at: now,
+            }));
+        let excess = self.unconfirmed.len().saturating_sub(MAX_UNCONFIRMED);
+        self.unconfirmed.drain(..excess);
+    }
+
+    /// Returns whether crashes wait for confirmation.
+    pub fn has_unconfirmed(&self) -> bool {
+        !self.unconfirmed.is_empty()
+    }
+
+    /// Confirms the crashes that were seen before a request was sent to which a leaf has responded.
+    /// Returns the requests, each with its number of crashes that count now.
+    pub fn confirm(&mut self, sent_at: Instant, now: Instant) -> Vec<(Fingerprint, usize)> {
+        let count = self
+            .unconfirmed
+            .partition_point(|crash| crash.seen_at < sent_at);
+        let confirmed: Vec<Unconfirmed> = self.unconfirmed.drain(..count).collect();
+        let counts = confirmed.into_iter().map(|seen| {
+            let count = self.record_crashes(seen.fingerprint, [seen.crash], now);
+            (seen.fingerprint, count)
+        });
+        counts.collect()
+    }
+
+    /// Discards the crashes that are not confirmed; returns their number.
+    pub fn discard_unconfirmed(&mut self) -> usize {
+        std::mem::take(&mut self.unconfirmed).len()
+    }
+
     /// Records leaves that crashed while they had a request, none of whose attempts at this arrival
     /// was answered. Returns the number of crashes that count now.
     pub fn record_crashes(
@@ -129,6 +181,8 @@
             self.answers.pop_front();
         }
         self.answers.push_back((fingerprint, now_ms));
+        self.unconfirmed
+            .retain(|seen| seen.fingerprint != fingerprint);
         let Ok(index) = self.search(fingerprint) else {
             return false;
         };
@@ -179,6 +233,24 @@
         self.entries.retain(|entry| !entry.is_over(now));
     }
 
+    /// Returns a copy of a request's entry to which the unconfirmed crashes were added; `None` if no
+    /// crash is known.
+    fn entry_with_unconfirmed(&self, fingerprint: Fingerprint) -> Option<Entry> {
+        let known = self.search(fingerprint).ok();
+        let known = known.map(|index| self.entries[index].clone());
+        let seen = self.unconfirmed.iter();
+        let mut seen = seen
+            .filter(|seen| seen.fingerprint == fingerprint)
+            .peekable();
+        let first = seen.peek().map(|seen| seen.seen_at);
+        let mut entry = known.or_else(|| Some(Entry::new(fingerprint, first?)))?;
+        for seen in seen {
+            entry.record.add_crash(seen.crash.clone());
+            entry.last_crash = entry.last_crash.max(seen.seen_at);
+        }
+        Some(entry)
+    }
+
     /// Returns when a request was last answered, in milliseconds since the Unix epoch; 0 if that is not
     /// remembered.
     fn answered_ms(&self, fingerprint: Fingerprint) -> u64 {
@@ -200,8 +272,8 @@
 
     fn entry_or_insert(&mut self, fingerprint: Fingerprint, last_crash: Instant) -> &mut Entry {
         let index = self.search(fingerprint).unwrap_or_else(|index| {
-            let record = Record::new(fingerprint);
-            self.entries.insert(index, Entry { record, last_crash });
+            self.entries
+                .insert(index, Entry::new(fingerprint, last_crash));
             index
         });
         &mut self.entries[index]
@@ -214,6 +286,13 @@
 }
 
 impl Entry {
+    fn new(fingerprint: Fingerprint, last_crash: Instant) -> Entry {
+        Entry {
+            record: Record::new(fingerprint),
+            last_crash,
+        }
+    }
+
     /// Returns for how long the request is still withheld; `None` if it is not.
     fn withheld_for(&self, now: Instant) -> Option<Duration> {
         let age = now.saturating_duration_since(self.last_crash);
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -148,7 +148,9 @@
                 caller.socket.input.clear();
             }
             (_, ReadStatus::Open | ReadStatus::Interrupted) => self.advance_caller(key),
-            (_, ReadStatus::Eof | ReadStatus::Broken) => self.on_caller_closed(key),
+            (_, ReadStatus::Eof | ReadStatus::Broken | ReadStatus::TimedOut) => {
+                self.on_caller_closed(key);
+            }
         }
         if status == ReadStatus::Interrupted {
             self.register_caller_again(key);
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -173,7 +173,7 @@
             let stream = &leaf.socket.stream;
             let failed = stream.take_error().map_or(true, |error| error.is_some());
             if failed {
-                return self.fail_closed_leaf(connection);
+                return self.fail_unresponsive_leaf(connection);
             }
             if stream.peer_addr().is_err() {
                 return;
@@ -183,8 +183,12 @@
         if !leaf.socket.has_pending_output() {
             return;
         }
-        if leaf.socket.flush().is_err() {
-            return self.fail_closed_leaf(connection);
+        match leaf.socket.flush() {
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                return self.fail_unresponsive_leaf(connection);
+            }
+            Err(_) => return self.fail_closed_leaf(connection),
+            Ok(()) => {}
         }
         if leaf.socket.has_written() && !leaf.has_sent_bytes {
             leaf.has_sent_bytes = true;
@@ -227,7 +231,7 @@
         if leaf.connected_at.is_none()
             && now.saturating_duration_since(leaf.opened_at) >= CONNECT_TIMEOUT
         {
-            return self.fail_closed_leaf(connection);
+            return self.fail_unresponsive_leaf(connection);
         }
         let is_over = |at: Instant| now.saturating_duration_since(at) >= ABANDONED_GRACE;
         if leaf.abandoned_at.is_some_and(is_over) {
@@ -237,7 +241,7 @@
             return self.close_leaf(connection);
         }
         if leaf.is_check && now.saturating_duration_since(leaf.opened_at) >= CHECK_TIMEOUT {
-            return self.fail_closed_leaf(connection);
+            return self.fail_unresponsive_leaf(connection);
         }
         let until = self.idle_until(leaf.replica, connection);
         if until.is_some_and(|until| now >= until) {
@@ -262,10 +266,29 @@
         self.timers.add(self.now + CHECK_TIMEOUT, timer);
     }
 
-    /// Fails the attempt of a connection that the leaf or the network closed.
+    /// Fails the attempt of a connection that the leaf or the network closed. The leaf may have
+    /// crashed.
     fn fail_closed_leaf(&mut self, connection: usize) {
+        self.record_failed_link(connection);
         let leaf = &mut self.leaf_connections[connection];
         let (replica, sent_at) = (leaf.replica, leaf.requested_at);
+        if let Some(fingerprint) = leaf.abandoned_request.take() {
+            self.record_late_crash(replica, fingerprint, sent_at);
+        }
+        self.fail_leaf(connection, Reply::Disconnected);
+    }
+
+    /// Fails the attempt of a connection that could not be established, or whose leaf did not
+    /// respond in time.
+    fn fail_unresponsive_leaf(&mut self, connection: usize) {
+        self.record_failed_link(connection);
+        self.fail_leaf(connection, Reply::Lost);
+    }
+
+    /// Records that a connection has failed, for the detection of lost links.
+    fn record_failed_link(&mut self, connection: usize) {
+        let leaf = &self.leaf_connections[connection];
+        let (replica, sent_at) = (leaf.replica, leaf.requested_at);
         if leaf.is_awaiting_response {
             self.leaf_links.on_silent(replica, sent_at);
         }
@@ -274,11 +297,6 @@
             self.apply_links_change(change);
         }
         self.check_leaf_links();
-        let leaf = &mut self.leaf_connections[connection];
-        if let Some(fingerprint) = leaf.abandoned_request.take() {
-            self.record_late_crash(replica, fingerprint, sent_at);
-        }
-        self.fail_leaf(connection, Reply::Disconnected);
     }
 
     /// Fails the attempt of a connection; `reply` is its outcome if any byte of it was sent.
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -47,6 +47,9 @@
                 None if status == ReadStatus::Interrupted => {
                     return self.register_leaf_again(connection);
                 }
+                None if status == ReadStatus::TimedOut => {
+                    return self.fail_unresponsive_leaf(connection);
+                }
                 None => return self.fail_closed_leaf(connection),
             }
         }
@@ -86,6 +89,7 @@
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
         let change = self.leaf_links.on_response(opened_at, self.now);
         self.apply_links_change(change);
+        self.confirm_crashes(requested_at);
         let notice = headers::read_notice(&response.head);
         self.apply_notice(replica, notice);
         self.apply_limit(replica, notice.limit, requested_at);
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -39,9 +39,6 @@
         let leaves = self
             .placement
             .sample(CHECKED_LEAVES, |key| links.has_failed(&key), self.now);
-        if leaves.is_empty() {
-            return;
-        }
         if !links.is_lost() {
             let (silent, unreachable) = links.failed_counts();
             info!("leaf-links event=checked silent={silent} unreachable={unreachable}");
@@ -63,7 +60,7 @@
         self.schedule_links_timer();
     }
 
-    fn schedule_links_timer(&mut self) {
+    pub(super) fn schedule_links_timer(&mut self) {
         let Some(at) = self.leaf_links.next_wake() else {
             return;
         };
@@ -84,6 +81,7 @@
                 let (silent, unreachable) = self.leaf_links.failed_counts();
                 warn!("leaf-links event=lost silent={silent} unreachable={unreachable}");
                 self.metrics.gauges.leaf_links_lost.set(1);
+                self.discard_crashes();
                 self.delegation.is_handover_due = true;
             }
             Change::Regained => {
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -102,17 +102,43 @@
         }
     }
 
+    /// Records leaves that seem to have crashed. While this VM's links to the leaves are lost, that
+    /// explains the ends of the connections.
     fn record_crashes(&mut self, fingerprint: Fingerprint, crashes: &[Crash]) {
+        if self.leaf_links.is_lost() {
+            return;
+        }
         let added = crashes.iter().cloned();
-        let count = self.quarantine.record_crashes(fingerprint, added, self.now);
+        self.quarantine
+            .record_unconfirmed(fingerprint, added, self.now);
         let leaves: Vec<&str> = crashes.iter().map(|crash| crash.leaf.as_str()).collect();
         let leaves = leaves.join(",");
-        info!(
-            "quarantine fingerprint={fingerprint:032x} event=crashed leaves={leaves} \
-             crashes={count}"
-        );
-        self.share_quarantine();
-        self.check_quarantine_after(CHECK_INTERVAL);
+        info!("quarantine fingerprint={fingerprint:032x} event=crashed leaves={leaves}");
+        self.leaf_links.on_doubt(self.now);
+        self.schedule_links_timer();
+    }
+
+    /// Confirms the crashes that were seen before a request was sent to which a leaf has responded.
+    pub(super) fn confirm_crashes(&mut self, sent_at: Instant) {
+        if !self.quarantine.has_unconfirmed() {
+            return;
+        }
+        let confirmed = self.quarantine.confirm(sent_at, self.now);
+        for (fingerprint, count) in &confirmed {
+            info!("quarantine fingerprint={fingerprint:032x} event=confirmed crashes={count}");
+        }
+        if !confirmed.is_empty() {
+            self.share_quarantine();
+            self.check_quarantine_after(CHECK_INTERVAL);
+        }
+    }
+
+    /// Discards the crashes that are not confirmed, as this VM's links to the leaves are lost.
+    pub(super) fn discard_crashes(&mut self) {
+        let discarded = self.quarantine.discard_unconfirmed();
+        if discarded > 0 {
+            info!("quarantine event=discarded crashes={discarded}");
+        }
     }
 
     /// Refuses a request that is withheld for the given time.
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -40,6 +40,8 @@
     Eof,
     /// The connection failed.
     Broken,
+    /// The peer did not respond in time.
+    TimedOut,
 }
 
 /// A socket with its buffers.
@@ -84,6 +86,9 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return ReadStatus::Open,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                    return ReadStatus::TimedOut;
+                }
                 Err(_) => return ReadStatus::Broken,
             }
         }
--- a/tests/testsuite/leaf_links.rs
+++ b/tests/testsuite/leaf_links.rs
@@ -203,3 +203,27 @@
     links.on_unreachable(&1, now);
     assert!(links.is_check_due(1, now));
 }
+
+#[test]
+fn leaf_links_in_doubt_are_checked_unless_a_leaf_responds_soon() {
+    let mut links = LeafLinks::<u32>::default();
+    let now = start();
+    links.on_doubt(now);
+    assert!(!links.is_check_due(LEAVES, now));
+    let due = links.next_wake().unwrap();
+    assert!(links.is_check_due(LEAVES, due));
+    links.on_response(now, now + Duration::from_millis(10));
+    assert!(!links.is_check_due(LEAVES, due));
+    assert_eq!(links.next_wake(), None);
+}
+
+#[test]
+fn leaf_links_in_doubt_without_leaves_to_ask_are_not_checked_without_end() {
+    let mut links = LeafLinks::<u32>::default();
+    let now = start();
+    links.on_doubt(now);
+    let due = links.next_wake().unwrap();
+    links.begin_check(Vec::new(), due);
+    assert_eq!(links.next_wake(), None);
+    assert!(!links.is_suspected());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod promise_reply;
 mod promise_snapshot;
 mod quarantine_fleet;
+mod quarantine_unconfirmed;
 mod query_path;
 mod readiness;
 mod reply_size;
--- a/tests/testsuite/platform/lost_links.rs
+++ b/tests/testsuite/platform/lost_links.rs
@@ -109,6 +109,19 @@
     is_idle: bool,
 }
 
+impl Case {
+    /// Cuts the links of a VM.
+    fn cut(&self, deployment: &Deployment, vm: usize) {
+        deployment.change_links(vm, self.change);
+        if self.closes_connections {
+            deployment.proxies.iter().for_each(Proxy::close_connections);
+        }
+        if self.is_idle {
+            std::thread::sleep(IDLE_TIME);
+        }
+    }
+}
+
 fn hang(link: &mut Link) {
     link.forward = Flow::Cut;
     link.back = Flow::Cut;
@@ -139,17 +152,22 @@
     },
 ];
 
+#[test]
+fn platform_lost_links_are_not_counted_as_crashes_of_leaves() {
+    for case in CASES {
+        let deployment = Deployment::start(&["near", "near", "far"]);
+        case.cut(&deployment, 0);
+        deployment.send_for(0, CONTACT);
+        let listed = deployment.vms[0].store.keys("quarantine/");
+        assert!(listed.is_empty(), "{}: {listed:?}", case.name);
+    }
+}
+
 #[test]
 fn platform_lost_links_to_leaves_do_not_leave_callers_unserved() {
     for case in CASES {
         let deployment = Deployment::start(&["near", "near", "far"]);
-        deployment.change_links(0, case.change);
-        if case.closes_connections {
-            deployment.proxies.iter().for_each(Proxy::close_connections);
-        }
-        if case.is_idle {
-            std::thread::sleep(IDLE_TIME);
-        }
+        case.cut(&deployment, 0);
         deployment.send_for(0, CONTACT);
         let own = deployment.count_served(0, COUNTED_REQUESTS);
         let others = deployment.count_served(1, COUNTED_REQUESTS);
