Let another VM serve the leaves of an owner that reaches none, in serve

What callers saw: while the owner of a leaf has lost its links to the leaves, parts for its leaves fail (not run, unreachable) until its links are back. The other VMs of the domain, which reach the leaves, are not asked, as the owner itself responds.

The failover between owners looks at the link between two VMs only.

A part that another VM has asked for is never passed on by a VM without links. Owners in another domain are used only if all three have declined, not if they are silent: in a cut between domains that would only delay the failure. The answer for a decline is one that VMs of before send too, so that old and new ones can talk.

Left: with fewer than three leaves an owner does not find out; a reset link is still counted as the crash of its leaf here.

--- a/src/geraniummount/core/execution.rs
+++ b/src/geraniummount/core/execution.rs
@@ -16,6 +16,7 @@
 use crate::core::fan_out::{Action, Query, backoff, crash};
 use crate::core::layout::Shard;
 use crate::core::margin;
+use crate::core::part::MAX_HOPS;
 use crate::core::service::Preference;
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
@@ -23,9 +24,6 @@
 /// Maximum number of replicas that are tried before the request backs off or fails.
 const MAX_ATTEMPTS: usize = 3;
 
-/// Maximum number of VMs that a part passes through.
-const MAX_HOPS: u8 = 3;
-
 /// State of one non-idempotent request.
 #[derive(Debug)]
 pub struct Execution {
--- a/src/geraniummount/core/fan_out/send.rs
+++ b/src/geraniummount/core/fan_out/send.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use super::{Action, FanOut};
+use crate::core::part::MAX_HOPS;
 use crate::core::ranking::RankedReplica;
 use crate::core::retry_budget::RetryBudget;
 use crate::core::service::Preference;
@@ -17,9 +18,6 @@
 use crate::core::traffic::Traffic;
 use crate::prelude::*;
 
-/// Maximum number of VMs that a part passes through.
-const MAX_HOPS: u8 = 3;
-
 /// Maximum number of other replicas tried for a part that never reached a leaf.
 const MAX_REDIRECTS: u32 = 2;
 
--- a/src/geraniummount/core/outcome.rs
+++ b/src/geraniummount/core/outcome.rs
@@ -30,6 +30,14 @@
         self.report.is_none() && self.result.as_ref().is_err_and(is_lost)
     }
 
+    /// Returns whether the VM that was asked can't reach the leaf, so that another VM may be asked.
+    pub fn is_declined(&self) -> bool {
+        let is_declined = |failure: &Failure| {
+            failure.verdict == Verdict::NotRun && failure.reason == Reason::ConnectFailed
+        };
+        self.report.is_none() && self.result.as_ref().is_err_and(is_declined)
+    }
+
     /// Creates the outcome of an attempt that failed before its owner was reached.
     pub fn failed(attempt: AttemptId, failure: Failure) -> Outcome {
         Outcome {
--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -23,6 +23,10 @@
 /// time.
 pub const MAX_CONNECTED_VMS: u16 = 3;
 
+/// Rank by which a VM of another failure domain holds connections to a leaf that no VM of the leaf's
+/// own domain reaches.
+pub const STAND_IN_RANK: usize = MAX_CONNECTED_VMS as usize - 1;
+
 /// Destination of a part (the share of a request that goes to one shard) that is sent from this VM
 /// to a leaf.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,6 +67,46 @@
     }
 }
 
+/// Determines which VM serves a part for `leaf` in place of those that can't: the first of the VMs that
+/// may hold connections to the leaf. If all of these respond and have declined, as they have lost
+/// their links, it is a VM of another failure domain.
+pub fn stand_in<'a>(
+    view: &'a View,
+    leaf: &Leaf,
+    is_unable: impl Fn(&Vm) -> bool,
+    has_declined: impl Fn(&Vm) -> bool,
+) -> Route<'a> {
+    let leaf_hash = hash_leaf(leaf);
+    let mut tried: Vec<&VmName> = Vec::new();
+    let mut have_all_declined = true;
+    for _ in 0..MAX_CONNECTED_VMS {
+        let is_tried = |vm: &Vm| tried.contains(&&vm.name);
+        let Some(vm) = preferred_vm(view, &leaf.failure_domain, leaf_hash, is_tried) else {
+            break;
+        };
+        if !is_unable(vm) {
+            return route_to(view, vm);
+        }
+        tried.push(&vm.name);
+        have_all_declined &= has_declined(vm);
+    }
+    if tried.is_empty() || !have_all_declined {
+        return route_excluding(view, leaf, is_unable);
+    }
+    match fallback_owner(view, leaf, is_unable) {
+        Some(vm) => route_to(view, vm),
+        None => Route::NoOwner,
+    }
+}
+
+fn route_to<'a>(view: &'a View, vm: &'a Vm) -> Route<'a> {
+    if vm.name == view.me {
+        Route::Local
+    } else {
+        Route::Peer(vm)
+    }
+}
+
 /// Returns whether the leaf's own failure domain has no live VM.
 fn has_no_live_vm(view: &View, leaf: &Leaf) -> bool {
     let own = view.vms.candidates(&leaf.failure_domain);
--- a/src/geraniummount/core/part.rs
+++ b/src/geraniummount/core/part.rs
@@ -5,6 +5,9 @@
 
 use crate::prelude::*;
 
+/// Number of VMs that a part may pass through.
+pub const MAX_HOPS: u8 = 3;
+
 /// Part of a request, as one attempt (one try to run the part at one leaf) sends it.
 #[derive(Clone, Debug)]
 pub struct Part {
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -7,9 +7,11 @@
 //! never blocks, and each part ends in exactly one outcome, at the latest shortly after its
 //! deadline.
 //!
-//! The number of hops of a part limits how often it is forwarded. If the owner is unresponsive,
-//! another VM takes the part over, provided that it has a connection share of the leaf: a number of
-//! the leaf's connections that it may open.
+//! The number of hops of a part limits how often it is forwarded. If the owner is unresponsive, or has
+//! lost its links to the leaves, another VM takes the part over, provided that it has a connection
+//! share of the leaf: a number of the leaf's connections that it may open. If no VM of the leaf's
+//! failure domain can, a VM of another one stands in. A VM without links that is asked to take a part
+//! over declines at once.
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -245,12 +247,18 @@
             return pending.fail(Failure::not_run(Reason::NoReplica));
         };
         let leaf = &record.spec;
-        let (route, takeover) = self.select_route(&view, leaf, part.takeover);
+        let (route, takeover) = self.select_route(&view, leaf, &part, pending.is_for_peer());
         match route {
+            Route::Local if self.leaves.has_lost_links() => decline(pending),
             Route::Local => self.leaves.submit(leaf, part, pending),
             Route::Peer(vm) if part.hops_left > 0 => {
+                // A VM of a domain other than the leaf's serves the part itself.
+                let hops_left = match takeover && vm.failure_domain != leaf.failure_domain {
+                    true => 0,
+                    false => part.hops_left - 1,
+                };
                 let part = Part {
-                    hops_left: part.hops_left - 1,
+                    hops_left,
                     takeover,
                     ..part
                 };
@@ -261,12 +269,7 @@
             Route::Peer(_) if has_connection_share(&view, leaf) => {
                 self.leaves.submit(leaf, part, pending);
             }
-            Route::NoOwner if takeover => {
-                pending.fail(
-                    Failure::not_run(Reason::ConnectFailed)
-                        .with_retry_after(OWNER_LOST_RETRY_DELAY),
-                );
-            }
+            Route::NoOwner if takeover => decline(pending),
             Route::Peer(_) | Route::NoOwner => {
                 pending
                     .fail(Failure::not_run(Reason::NoOwner).with_retry_after(NO_OWNER_RETRY_DELAY));
@@ -274,22 +277,42 @@
         }
     }
 
-    /// Selects the route of a part, and returns whether the part takes over from an unresponsive
-    /// owner.
-    fn select_route<'a>(&self, view: &'a View, leaf: &Leaf, takeover: bool) -> (Route<'a>, bool) {
-        if takeover && has_connection_share(view, leaf) {
+    /// Selects the route of a part, and returns whether the part takes over from an owner that is
+    /// unresponsive or has lost its links.
+    fn select_route<'a>(
+        &self,
+        view: &'a View,
+        leaf: &Leaf,
+        part: &Part,
+        is_for_peer: bool,
+    ) -> (Route<'a>, bool) {
+        let is_stand_in = part.hops_left == 0 && leaf.failure_domain != view.failure_domain;
+        if part.takeover && (is_stand_in || has_connection_share(view, leaf)) {
             return (Route::Local, true);
         }
-        let is_lost = |vm: &Vm| self.peers.is_lost(vm.peer_address);
+        let has_lost_links = self.leaves.has_lost_links();
+        let has_declined = |vm: &Vm| match vm.name == view.me {
+            true => has_lost_links,
+            false => self.peers.has_declined(vm.peer_address),
+        };
+        let is_unable = |vm: &Vm| has_declined(vm) || self.peers.is_lost(vm.peer_address);
+        let stand_in = || ownership::stand_in(view, leaf, is_unable, has_declined);
         match ownership::route(view, leaf) {
-            Route::Peer(vm) if is_lost(vm) => {
-                (ownership::route_excluding(view, leaf, is_lost), true)
-            }
-            route => (route, takeover),
+            // The other VM asks the next one itself once this one has declined.
+            Route::Local if has_lost_links && is_for_peer => (Route::Local, true),
+            Route::Local if has_lost_links => (stand_in(), true),
+            Route::Peer(vm) if is_unable(vm) => (stand_in(), true),
+            route => (route, part.takeover),
         }
     }
 }
 
+/// Fails a part that has not run because this VM knows no way to the leaf.
+fn decline(pending: Pending) {
+    let failure = Failure::not_run(Reason::ConnectFailed);
+    pending.fail(failure.with_retry_after(OWNER_LOST_RETRY_DELAY));
+}
+
 fn has_connection_share(view: &View, leaf: &Leaf) -> bool {
     let rank = ownership::rank(view, leaf);
     rank.is_some_and(|rank| ownership::connection_share(&leaf.contract, rank) > 0)
--- a/src/geraniummount/edge/leaf/event.rs
+++ b/src/geraniummount/edge/leaf/event.rs
@@ -23,6 +23,8 @@
     /// The connection that sent a cancellation was closed. It no longer counts towards this VM's
     /// share of the leaf's connections.
     ConnectionReleased,
+    /// Asks the leaf's health endpoint at once, to check this VM's links to the leaves.
+    Check,
     /// Requests the task's state.
     Dump(SyncSender<Dump>),
     /// Keeps the task alive, because another part of the process has just asked which snapshots
--- a/src/geraniummount/edge/leaf/mod.rs
+++ b/src/geraniummount/edge/leaf/mod.rs
@@ -14,6 +14,7 @@
 mod draining;
 mod event;
 mod exchange;
+mod links;
 mod pool;
 mod shared;
 mod task;
--- a/src/geraniummount/edge/leaf/pool.rs
+++ b/src/geraniummount/edge/leaf/pool.rs
@@ -11,6 +11,7 @@
 
 use super::Dump;
 use super::event::Event;
+use super::links::Links;
 use super::shared::{DrainingListener, Entry, KnownSnapshots, Shared, find};
 use super::task::Task;
 use crate::edge::pending::Pending;
@@ -48,6 +49,7 @@
             max_reply_bytes: max_reply_bytes as u64,
             workers: Workers::default(),
             tasks: RwLock::default(),
+            links: Links::default(),
         };
         Pool {
             shared: Arc::new(shared),
@@ -107,6 +109,11 @@
         dumps
     }
 
+    /// Returns whether this VM reaches none of its leaves.
+    pub fn has_lost_links(&self) -> bool {
+        self.shared.links.is_lost()
+    }
+
     /// Returns the number of worker threads.
     pub fn worker_threads(&self) -> usize {
         self.shared.workers.thread_count()
--- a/src/geraniummount/edge/leaf/shared.rs
+++ b/src/geraniummount/edge/leaf/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use super::event::Event;
+use super::links::Links;
 use crate::core::gossip::Source;
 use crate::core::leaf_queue;
 use crate::edge::workers::Workers;
@@ -36,6 +37,8 @@
     pub(super) workers: Workers,
     /// Tasks, sorted by the name of their leaf.
     pub(super) tasks: RwLock<Vec<Entry>>,
+    /// Links to the leaves that have tasks.
+    pub(super) links: Links,
 }
 
 /// A running task, as seen by the pool.
@@ -57,9 +60,27 @@
         if let Ok(index) = find(&tasks, leaf) {
             tasks.remove(index);
         }
+        if tasks.is_empty() {
+            self.links.reset();
+        }
         None
     }
 
+    /// Checks the links to the leaves if that is due.
+    pub(super) fn check_links(&self) {
+        let known = || {
+            let tasks = self.read();
+            tasks.iter().map(|entry| entry.leaf.clone()).collect()
+        };
+        for leaf in self.links.advance(known) {
+            let tasks = self.read();
+            if let Ok(index) = find(&tasks, &leaf) {
+                // A task whose channel is full is busy with its leaf, which shows the link anyway.
+                drop(tasks[index].sender.try_send(Event::Check));
+            }
+        }
+    }
+
     /// Locks the list of tasks for sending events.
     pub(super) fn read(&self) -> RwLockReadGuard<'_, Vec<Entry>> {
         self.tasks.read().unwrap_or_else(PoisonError::into_inner)
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -138,6 +138,9 @@
             self.update_view();
             self.tick();
             self.publish_draining();
+            if let Some(pool) = self.pool.upgrade() {
+                pool.check_links();
+            }
             self.retire_if_idle();
         }
         log::debug!("leaf: task of {} ended", self.leaf.name);
@@ -173,6 +176,7 @@
             }
             Event::Probed(health, pooled) => self.on_health(health, pooled, now),
             Event::ConnectionReleased => self.start_blocked(),
+            Event::Check => self.probe(),
             Event::Dump(reply) => drop(reply.try_send(self.dump())),
             Event::Touch => self.last_used = now,
         }
@@ -202,6 +206,7 @@
         if let Some(pooled) = pooled.filter(|_| !is_aborted) {
             self.connections.put(pooled);
         }
+        self.record_link(&completion);
         let not_held = matches!(completion, Completion::SnapshotNotHeld { .. });
         let actions = self.queue.finish(attempt, completion, now);
         self.perform(actions);
@@ -212,6 +217,12 @@
     }
 
     fn on_health(&mut self, health: Health, pooled: Option<PooledConnection>, now: Instant) {
+        if let Some(pool) = self.pool.upgrade() {
+            match health {
+                Health::Answered { .. } => pool.links.on_response(),
+                Health::Unresponsive => pool.links.on_failure(&self.leaf.name),
+            }
+        }
         match (&health, pooled) {
             (Health::Answered { .. }, Some(pooled)) => self.connections.put(pooled),
             _ => self.connections.close_idle(),
@@ -222,6 +233,23 @@
         self.start_blocked();
     }
 
+    /// Records what the completion of an attempt says about this VM's link to the leaf.
+    fn record_link(&self, completion: &Completion) {
+        let Some(pool) = self.pool.upgrade() else {
+            return;
+        };
+        match completion {
+            Completion::Replied { .. }
+            | Completion::Shed { .. }
+            | Completion::SnapshotNotHeld { .. }
+            | Completion::LeafError => pool.links.on_response(),
+            Completion::NotSent(Reason::ConnectFailed)
+            | Completion::Interrupted(_)
+            | Completion::TimedOut => pool.links.on_failure(&self.leaf.name),
+            Completion::NotSent(_) => {}
+        }
+    }
+
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -407,8 +435,8 @@
 }
 
 fn share(view: &View, leaf: &Leaf) -> u16 {
-    let rank = ownership::rank(view, leaf);
-    rank.map_or(0, |rank| ownership::connection_share(&leaf.contract, rank))
+    let rank = ownership::rank(view, leaf).unwrap_or(ownership::STAND_IN_RANK);
+    ownership::connection_share(&leaf.contract, rank)
 }
 
 fn connect_timeout(leaf: &Leaf) -> Duration {
--- a/src/geraniummount/edge/peer/client.rs
+++ b/src/geraniummount/edge/peer/client.rs
@@ -39,7 +39,8 @@
     shared: Arc<Shared>,
 }
 
-/// Callback that receives a part that was not sent because its peer is lost.
+/// Callback that receives a part that was not sent because its peer is lost, or that the peer has not
+/// run because it can't reach the leaf.
 pub type UnsentHandler = Box<dyn Fn(Part, Pending) + Send + Sync>;
 
 struct Shared {
@@ -87,6 +88,11 @@
         self.shared.lost_peers.contains(peer)
     }
 
+    /// Returns whether a peer has just declined a part because it can't reach the leaf.
+    pub fn has_declined(&self, peer: SocketAddr) -> bool {
+        self.shared.lost_peers.has_declined(peer)
+    }
+
     /// Cancels an attempt, which is one try to run a part, whichever peer it was sent to.
     pub fn cancel(&self, attempt: AttemptId) {
         for executor in self.started() {
--- a/src/geraniummount/edge/peer/dispatch.rs
+++ b/src/geraniummount/edge/peer/dispatch.rs
@@ -31,8 +31,8 @@
 
 impl Link {
     /// Registers a part, which can be cancelled from then on. The returned future
-    /// sends it to the peer and reports its outcome to `pending`. If the peer is
-    /// lost before the part is sent, the future passes it to `on_unsent`.
+    /// sends it to the peer and reports its outcome to `pending`. If the peer is lost before the part
+    /// is sent, or can't reach the leaf, the future passes the part to `on_unsent`.
     pub fn dispatch(
         self: Rc<Link>,
         part: Part,
@@ -54,8 +54,8 @@
         task.boxed_local()
     }
 
-    /// Dispatches a registered part. Returns the part if it could not be sent
-    /// because the peer is lost.
+    /// Dispatches a registered part. Returns the part if it could not be sent because the peer is
+    /// lost, or if the peer can't reach the leaf.
     async fn dispatch_registered(
         self: &Rc<Link>,
         part: Part,
@@ -81,6 +81,13 @@
             .exchange(&connection, &part, remaining, cancelled)
             .await
         {
+            Ok(outcome) if outcome.is_declined() && Instant::now() < part.deadline => {
+                self.lost_peers.mark_declined(self.address());
+                pending.mark_not_run();
+                // The hop to this peer does not count.
+                let hops_left = part.hops_left + 1;
+                return Some((Part { hops_left, ..part }, pending));
+            }
             Ok(outcome) => pending.answer(outcome),
             Err(reason) => pending.fail(Failure::may_have_run(reason)),
         }
--- a/src/geraniummount/edge/peer/link.rs
+++ b/src/geraniummount/edge/peer/link.rs
@@ -71,7 +71,7 @@
     /// Time of the last call.
     pub(super) last_used: Cell<Instant>,
     /// Lost peers of all links.
-    lost_peers: LostPeers,
+    pub(super) lost_peers: LostPeers,
     /// Whether the peer is lost and is pinged until it answers.
     is_recovering: Cell<bool>,
     /// Parts that were sent over this link and have no outcome yet.
--- a/src/geraniummount/edge/pending.rs
+++ b/src/geraniummount/edge/pending.rs
@@ -50,11 +50,21 @@
         self.attempt
     }
 
+    /// Returns whether another VM has asked for the part.
+    pub fn is_for_peer(&self) -> bool {
+        matches!(self.reply, Some(ReplyTo::Peer(_)))
+    }
+
     /// Records that bytes of the part may be sent from now on.
     pub fn mark_sent(&mut self) {
         self.sent = true;
     }
 
+    /// Records that the part has certainly not run, although it was sent.
+    pub fn mark_not_run(&mut self) {
+        self.sent = false;
+    }
+
     /// Answers with the outcome.
     pub fn answer(mut self, outcome: Outcome) {
         self.send(outcome);
--- a/tests/testsuite/fixtures.rs
+++ b/tests/testsuite/fixtures.rs
@@ -26,9 +26,15 @@
 
 /// Returns a catalog with `leaf-1` at an address and the service `tickets`.
 pub fn catalog(leaf_address: SocketAddr) -> Catalog {
-    let leaf = Leaf {
-        name: "leaf-1".to_owned(),
-        address: leaf_address,
+    catalog_of(&[("leaf-1", leaf_address)])
+}
+
+/// Returns a catalog with leaves at the given addresses, and the service `tickets`, whose only shard
+/// is on `leaf-1`.
+pub fn catalog_of(leaves: &[(&str, SocketAddr)]) -> Catalog {
+    let leaves = leaves.iter().map(|(name, address)| Leaf {
+        name: (*name).to_owned(),
+        address: *address,
         failure_domain: "east".to_owned(),
         contract: Contract {
             slots: 8,
@@ -36,14 +42,14 @@
             open_ms: 1,
         },
         state: leaf::State::Serving,
-    };
+    });
     let service = serde_json::from_str(
         r#"{"name": "tickets", "deadline_ms": 100, "max_deadline_ms": 1000,
             "shards": [{"name": "a", "replicas": ["leaf-1"]}]}"#,
     );
     Catalog {
         revision: 1,
-        leaves: [record(leaf)].into_iter().collect(),
+        leaves: leaves.map(record).collect(),
         services: [record(service.unwrap())].into_iter().collect(),
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod node;
 mod operators_listener;
 mod owner_failover;
+mod owner_links;
 mod peer_edge;
 mod placement;
 mod placement_limit;
