Find lost links out from few requests, and test delegation with real gateways

What callers saw: a VM with little traffic, or with requests to one service of two leaves only, went on to send to leaves that it does not reach; in the new tests it found its links lost after more than 2 s or never.

Cause: three different leaves had to fail, and a part that is given up was recorded as unanswered only 300 ms later, if it was the last one.

Change: three failures suffice, of whichever leaves, as the check that follows asks leaves of all failure domains. A late attempt without a response of any leaf since its call began casts doubt, and the links are checked if none comes within 100 ms. In serve, a VM that owns fewer than three leaves does not check, as it can't tell its links from them.

--- a/crates/geraniummount-test-support/src/platform/users/caller.rs
+++ b/crates/geraniummount-test-support/src/platform/users/caller.rs
@@ -118,6 +118,11 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the names of all fields, in order.
+    pub fn field_names(&self) -> impl Iterator<Item = &str> {
+        self.fields.iter().map(|(name, _)| name.as_str())
+    }
+
     /// Parses a reply; `None` while it is incomplete.
     fn parse(bytes: &[u8]) -> io::Result<Option<Reply>> {
         let malformed = |what: &str| io::Error::new(io::ErrorKind::InvalidData, what.to_string());
--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -6,8 +6,8 @@
 //! leaves itself fails, although another VM could serve it.
 //!
 //! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The links
-//! are suspected if several leaves leave requests unanswered while no leaf responds, or if
-//! connections to several leaves fail while none succeeds. The VM then checks them by a health
+//! are suspected if several requests are left unanswered while no leaf responds, or if several
+//! connections fail while none succeeds. The VM then checks them by a health
 //! request to a few leaves drawn at random, of all failure domains, over new connections. Only if none of them responds, the
 //! links are lost. From then on the check is repeated, and the first response to it ends the loss. A
 //! connection that is established proves nothing, as something between the VM and the leaf may accept
@@ -15,8 +15,11 @@
 
 use std::time::{Duration, Instant};
 
-/// Minimum number of leaves that fail for the links to be suspected, if as many are known.
-const MIN_LEAVES: usize = 3;
+/// Minimum number of failures for the links to be suspected.
+const MIN_FAILURES: usize = 3;
+
+/// Maximum number of failures of a kind that are remembered.
+const MAX_FAILURES: usize = 256;
 
 /// Time in which one of the leaves of a check has to respond. A health request may wait for a slot of
 /// the leaf.
@@ -37,11 +40,13 @@
 /// Detector of the loss of the links to the leaves, each of which has a key of type `K`.
 #[derive(Debug)]
 pub struct LeafLinks<K> {
-    /// Leaves that left a request unanswered since a leaf last responded, sorted.
-    silent: Vec<K>,
-    /// Leaves to which no connection could be opened since one was last opened, sorted.
-    unreachable: Vec<K>,
-    /// When the first of the `unreachable` leaves failed.
+    /// Requests that were left unanswered since a leaf last responded, each by its leaf and time,
+    /// sorted.
+    silent: Vec<(K, Instant)>,
+    /// Connections that could not be opened since one was last opened, each by its leaf and the time
+    /// of the failure, sorted.
+    unreachable: Vec<(K, Instant)>,
+    /// When the first of the `unreachable` connections failed.
     unreachable_since: Option<Instant>,
     /// When a leaf last responded.
     responded_at: Option<Instant>,
@@ -113,11 +118,13 @@
     }
 
     /// Records that a leaf has left a request of `since` unanswered. Ignored if any leaf has
-    /// responded since then.
-    pub fn on_silent(&mut self, leaf: K, since: Instant) {
-        if self.responded_at.is_none_or(|at| at < since) {
-            insert(&mut self.silent, leaf);
+    /// responded since then; returns whether none has.
+    pub fn on_silent(&mut self, leaf: K, since: Instant) -> bool {
+        let is_silent = self.responded_at.is_none_or(|at| at < since);
+        if is_silent {
+            insert(&mut self.silent, (leaf, since));
         }
+        is_silent
     }
 
     /// Records that something has happened that is explained by lost links as well as by something
@@ -129,7 +136,7 @@
     /// Records that a connection to a leaf could not be established, or was closed before any
     /// response.
     pub fn on_unreachable(&mut self, leaf: &K, now: Instant) -> Option<Change> {
-        insert(&mut self.unreachable, leaf.clone());
+        insert(&mut self.unreachable, (leaf.clone(), now));
         self.unreachable_since.get_or_insert(now);
         let State::Checking { left, .. } = &mut self.state else {
             return None;
@@ -138,13 +145,13 @@
         left.is_empty().then(|| self.lose())
     }
 
-    /// Returns whether a check is due; `known` is the number of leaves that this VM knows.
-    pub fn is_check_due(&self, known: usize, now: Instant) -> bool {
-        let min = MIN_LEAVES.min(known).max(1);
+    /// Returns whether a check is due.
+    pub fn is_check_due(&self, now: Instant) -> bool {
         let is_due = match self.state {
             State::Working => {
                 let is_in_doubt = self.doubt_until.is_some_and(|until| now >= until);
-                self.silent.len() >= min || self.unreachable.len() >= min || is_in_doubt
+                let most = self.silent.len().max(self.unreachable.len());
+                most >= MIN_FAILURES || is_in_doubt
             }
             State::Checking { .. } => false,
             State::Lost => true,
@@ -204,12 +211,17 @@
 
     /// Returns whether a leaf is known to have failed since the links last worked.
     pub fn has_failed(&self, leaf: &K) -> bool {
-        let is_in = |leaves: &[K]| leaves.binary_search(leaf).is_ok();
+        let is_in = |failures: &[(K, Instant)]| {
+            let index = failures.partition_point(|(failed, _)| failed < leaf);
+            failures
+                .get(index)
+                .is_some_and(|(failed, _)| failed == leaf)
+        };
         is_in(&self.silent) || is_in(&self.unreachable)
     }
 
-    /// Returns the numbers of leaves that leave requests unanswered, and to which no connection
-    /// can be opened.
+    /// Returns the numbers of requests that were left unanswered, and of connections that could not
+    /// be opened.
     pub fn failed_counts(&self) -> (usize, usize) {
         (self.silent.len(), self.unreachable.len())
     }
@@ -222,9 +234,11 @@
     }
 }
 
-/// Inserts a leaf into a sorted list.
-fn insert<K: Ord>(leaves: &mut Vec<K>, leaf: K) {
-    if let Err(index) = leaves.binary_search(&leaf) {
-        leaves.insert(index, leaf);
+/// Inserts a failure into a sorted list.
+fn insert<K: Ord>(failures: &mut Vec<(K, Instant)>, failure: (K, Instant)) {
+    if let Err(index) = failures.binary_search(&failure)
+        && failures.len() < MAX_FAILURES
+    {
+        failures.insert(index, failure);
     }
 }
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -32,6 +32,10 @@
 /// nobody needs.
 const ABANDONED_GRACE: Duration = Duration::from_millis(300);
 
+/// Time after which a request that is abandoned counts as left unanswered, for the detection of lost
+/// links.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+
 /// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -216,6 +220,12 @@
         leaf.abandoned_request = fingerprint;
         let timer = Timer::Leaf(connection, leaf.serial);
         self.timers.add(self.now + ABANDONED_GRACE, timer);
+        let waited = self.now.saturating_duration_since(leaf.requested_at);
+        if waited >= MIN_SILENCE {
+            let (replica, sent_at) = (leaf.replica, leaf.requested_at);
+            self.leaf_links.on_silent(replica, sent_at);
+            self.check_leaf_links();
+        }
     }
 
     /// Closes a connection whose time to connect, to respond to an abandoned attempt or to be idle
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -17,22 +17,26 @@
 
 impl Gateway {
     /// Records that the leaves of a call's attempts have not answered since the call began, except
-    /// the one that was just sent an attempt.
+    /// the one that was just sent an attempt. If no leaf has responded since, this casts doubt on the
+    /// links.
     pub(super) fn record_silent_leaves(&mut self, index: usize, just_sent: Option<ReplicaKey>) {
         let state = &self.calls[index];
+        let mut is_silent = false;
         for (_, key) in state.call.unanswered_attempts() {
             if Some(key) != just_sent {
-                self.leaf_links.on_silent(key, state.started);
+                is_silent |= self.leaf_links.on_silent(key, state.started);
             }
         }
+        if is_silent {
+            self.leaf_links.on_doubt(self.now);
+            self.schedule_links_timer();
+        }
         self.check_leaf_links();
     }
 
     /// Begins a check of the links if one is due.
     pub(super) fn check_leaf_links(&mut self) {
-        let (registered, leaving) = self.leaf_counts;
-        let known = registered - leaving;
-        if !self.leaf_links.is_check_due(known, self.now) {
+        if !self.leaf_links.is_check_due(self.now) {
             return;
         }
         let links = &self.leaf_links;
--- a/src/geraniummount/edge/leaf/links.rs
+++ b/src/geraniummount/edge/leaf/links.rs
@@ -12,6 +12,10 @@
 use crate::core::leaf_links::{CHECKED_LEAVES, Change, LeafLinks};
 use crate::prelude::*;
 
+/// Minimum number of leaves that have a task for the links to be checked. With fewer, the loss of the
+/// links can't be told from the loss of the leaves.
+const MIN_LEAVES: usize = 3;
+
 /// Links of this VM to the leaves.
 #[derive(Debug, Default)]
 pub(super) struct Links {
@@ -52,15 +56,13 @@
         let now = Instant::now();
         let mut links = self.lock();
         let change = links.tick(now);
-        // A few failing leaves do not suffice, however few there are.
-        let is_due = links.is_check_due(usize::MAX, now);
         let mut asked = Vec::new();
-        if is_due {
+        if links.is_check_due(now) {
             let known = known();
-            asked = known
-                .sample(&mut rand::rng(), CHECKED_LEAVES)
-                .cloned()
-                .collect();
+            if known.len() >= MIN_LEAVES {
+                let drawn = known.sample(&mut rand::rng(), CHECKED_LEAVES);
+                asked = drawn.cloned().collect();
+            }
             links.begin_check(asked.clone(), now);
         }
         drop(links);
--- /dev/null
+++ b/tests/testsuite/platform/delegation.rs
@@ -0,0 +1,284 @@
+//! A VM without links to leaves passes requests to other VMs, also to faulty ones, without losing,
+//! repeating or mixing anything.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::platform::users::caller::Reply;
+use geraniummount_test_support::platform::users::{Answer, Store};
+use geraniummount_test_support::proxy::Proxy;
+use serde_json::json;
+
+use super::deployment::{Deployment, SHARDS, hang, refuse, restore};
+use super::fixture::{Fixture, WAIT_TIMEOUT, connect, gather_route, request, service_route};
+
+/// Prefix of the fields between VMs.
+const OWN_FIELDS: &str = "Geraniummount-";
+
+/// Time in which a VM finds out that it has lost its links.
+const DETECTION_TIME: Duration = Duration::from_secs(2);
+
+/// Starts two VMs, of which the first has lost its links, as it knows.
+fn deployment_with_cut_vm(domains: &[&str]) -> Deployment {
+    let deployment = Deployment::start(domains);
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    deployment
+}
+
+/// Registers a VM that does not exist, at an address.
+fn register_vm(store: &Store, name: &str, address: SocketAddr) {
+    let entry = json!({
+        "address": address, "domain": "near", "key": "secret", "written_at_ms": 4_000_000_000_000_u64,
+    });
+    store.put(&format!("peers/{name}"), entry.to_string());
+}
+
+/// Returns the number of runs of the request with an id at all leaves.
+fn runs_of(deployment: &Deployment, id: &str) -> usize {
+    let runs = deployment.leaves.iter().flat_map(|leaf| leaf.runs());
+    runs.filter(|run| run == id).count()
+}
+
+/// Sends bytes to an address and reads one answer.
+fn send(address: SocketAddr, bytes: &[u8]) -> Reply {
+    let mut stream = connect(address);
+    stream.write_all(bytes).unwrap();
+    Reply::read(&mut stream).expect("whole answer")
+}
+
+#[test]
+fn platform_delegation_passes_over_a_frozen_vm() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = &deployment.vms[0].store;
+    register_vm(store, "frozen", frozen.local_addr().unwrap());
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    assert_eq!(deployment.count_served(0, 40), 40);
+}
+
+#[test]
+fn platform_delegation_passes_over_a_vm_that_is_gone() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let gone = TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .unwrap();
+    register_vm(&deployment.vms[0].store, "gone", gone);
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    assert_eq!(deployment.count_served(0, 40), 40);
+}
+
+#[test]
+fn platform_delegation_does_not_need_the_store() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let store = &deployment.vms[0].store;
+    store.set_error_status(Some(503));
+    store.disconnect_all();
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    assert_eq!(deployment.count_served(0, 20), 20);
+    assert!(deployment.vms[0].is_ready());
+}
+
+#[test]
+fn platform_delegation_runs_a_request_that_is_not_idempotent_once() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let routes = [
+        service_route("/a/", "idempotent", SHARDS[0]),
+        service_route("/o/", "non_idempotent", SHARDS[0]),
+        gather_route("/q/", &SHARDS, 5, 0.9),
+    ];
+    deployment.vms[0].configure(2, &routes);
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = &deployment.vms[0].store;
+    register_vm(store, "frozen", frozen.local_addr().unwrap());
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    let mut served = 0;
+    for number in 0..20 {
+        let id = format!("order-{number}");
+        let head = format!("POST /o/{number} HTTP/1.1\r\nHost: shop.example\r\n");
+        let fields = format!("Request-Id: {id}\r\nDeadline-Ms: 500\r\nContent-Length: 5\r\n\r\n");
+        let bytes = format!("{head}{fields}order");
+        let reply = send(deployment.vms[0].callers_address, bytes.as_bytes());
+        let runs = runs_of(&deployment, &id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        match reply.status {
+            200 => served += 1,
+            503 => assert_eq!(runs, 0, "{id} was refused as not run"),
+            status => assert!(matches!(status, 502 | 504), "{id}: {status}"),
+        }
+    }
+    assert!(served >= 10, "{served} served");
+}
+
+#[test]
+fn platform_delegation_ends_at_a_vm_without_links() {
+    let deployment = Deployment::start(&["near", "near"]);
+    deployment.change_links(0, hang);
+    deployment.change_links(1, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    deployment.send_for(1, DETECTION_TIME);
+    for _ in 0..5 {
+        let began = Instant::now();
+        let reply = deployment.vms[0].get("/q/x", 2000);
+        assert_eq!(reply.status, 503);
+        assert!(reply.field("Retry-After").is_some());
+        assert!(began.elapsed() < Duration::from_millis(500));
+    }
+}
+
+#[test]
+fn platform_delegation_of_requests_to_leaves_that_are_gone_is_refused_at_once() {
+    let mut deployment = Deployment::start(&["near", "near", "far"]);
+    deployment.leaves.clear();
+    deployment.proxies.clear();
+    for vm in 0..3 {
+        deployment.send_for(vm, DETECTION_TIME);
+    }
+    for _ in 0..5 {
+        let began = Instant::now();
+        let reply = deployment.vms[0].get("/q/x", 2000);
+        assert_eq!(reply.status, 503);
+        assert!(began.elapsed() < Duration::from_millis(500));
+    }
+}
+
+#[test]
+fn platform_delegation_ends_soon_after_the_links_are_back() {
+    let deployment = deployment_with_cut_vm(&["near", "near"]);
+    deployment.change_links(0, restore);
+    std::thread::sleep(Duration::from_secs(1));
+    deployment.change_links(1, refuse);
+    deployment.proxies.iter().for_each(Proxy::close_connections);
+    assert_eq!(deployment.count_served(0, 20), 20);
+}
+
+#[test]
+fn platform_delegation_passes_on_that_the_caller_has_left() {
+    let deployment = deployment_with_cut_vm(&["near", "near"]);
+    for leaf in &deployment.leaves {
+        leaf.set_answer(Answer::Late(Duration::from_millis(1500)));
+    }
+    let mut stream = connect(deployment.vms[0].callers_address);
+    stream
+        .write_all(&request("GET", "/q/x", 5000, b""))
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    drop(stream);
+    let cancelled = |deployment: &Deployment| {
+        let counts = deployment.leaves.iter().map(|leaf| leaf.cancelled());
+        counts.sum::<u64>()
+    };
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while cancelled(&deployment) < SHARDS.len() as u64 {
+        assert!(Instant::now() < end, "parts were not cancelled");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn platform_delegation_keeps_the_deadline() {
+    let deployment = deployment_with_cut_vm(&["near", "near"]);
+    for leaf in &deployment.leaves {
+        leaf.set_answer(Answer::Late(Duration::from_secs(4)));
+    }
+    let began = Instant::now();
+    let reply = deployment.vms[0].get("/a/x", 500);
+    assert_eq!(reply.status, 504);
+    assert!(began.elapsed() < Duration::from_millis(900));
+}
+
+#[test]
+fn platform_delegation_requires_the_key_of_the_vm() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let vm = &deployment.vms[1];
+    let head = "GET /a/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: stranger\r\n";
+    let terms = format!(
+        "{OWN_FIELDS}From: vm\r\n{OWN_FIELDS}Min-Version: 1\r\n{OWN_FIELDS}Elapsed-Ms: 0\r\n\
+         {OWN_FIELDS}Sends: 0\r\n"
+    );
+    let requests = [
+        format!("{head}\r\n"),
+        format!("{head}{terms}\r\n"),
+        format!("{head}{terms}{OWN_FIELDS}Key: guess\r\n\r\n"),
+    ];
+    for request in requests {
+        let reply = send(vm.peers_address, request.as_bytes());
+        assert_eq!(reply.status, 503);
+        let decline = reply.field("Geraniummount-Decline");
+        assert_eq!(decline, Some("unauthorized"));
+    }
+    assert_eq!(runs_of(&deployment, "stranger"), 0);
+    let unknown = b"GET /none/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: a\r\n\r\n";
+    assert_eq!(send(vm.callers_address, unknown).status, 404);
+}
+
+#[test]
+fn platform_delegation_hides_the_fields_between_vms_from_callers() {
+    let deployment = deployment_with_cut_vm(&["near", "near"]);
+    for path in ["/a/x", "/q/x", "/none/x"] {
+        let reply = deployment.vms[0].get(path, 1000);
+        let names = reply.field_names();
+        let own = names.filter(|name| name.starts_with(OWN_FIELDS));
+        assert_eq!(own.count(), 0, "{path}");
+    }
+}
+
+#[test]
+fn platform_delegation_does_not_go_back_to_older_routes() {
+    let first = Fixture::start_with_new_store("near");
+    let address = first.store.address();
+    let proxy = Proxy::start(std::net::Ipv4Addr::LOCALHOST, address, 1).unwrap();
+    // This VM reaches the store over a proxy, and so does no other.
+    let outdated = Fixture::start_in("near", Store::start(), proxy.address());
+    let deployment = Deployment::start_with(vec![
+        first,
+        outdated,
+        Fixture::start_in("far", Store::start(), address),
+    ]);
+    proxy.change_all(hang);
+    let routes = [
+        service_route("/a/", "idempotent", SHARDS[0]),
+        service_route("/new/", "idempotent", SHARDS[0]),
+        gather_route("/q/", &SHARDS, 5, 0.9),
+    ];
+    deployment.vms[0].configure(2, &routes);
+    deployment.vms[2].wait_for_leaf("/new/x");
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    for _ in 0..20 {
+        assert_eq!(deployment.vms[0].get("/new/x", 1000).status, 200);
+    }
+    proxy.change_all(restore);
+}
+
+#[test]
+fn platform_delegation_survives_the_planned_stop_of_either_vm() {
+    for stopped in 0..2 {
+        let mut deployment = deployment_with_cut_vm(&["near", "near", "far"]);
+        for leaf in &deployment.leaves {
+            leaf.set_answer(Answer::Late(Duration::from_millis(500)));
+        }
+        let mut streams: Vec<_> = (0..4)
+            .map(|_| {
+                let mut stream = connect(deployment.vms[0].callers_address);
+                stream
+                    .write_all(&request("GET", "/a/x", 3000, b""))
+                    .unwrap();
+                stream
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        deployment.vms[stopped].stop();
+        for stream in &mut streams {
+            let reply = Reply::read(stream).expect("whole answer");
+            assert_eq!(reply.status, 200, "VM {stopped} stops");
+        }
+        drop(streams);
+        assert!(deployment.vms[stopped].join());
+    }
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
 mod crashes;
+mod delegation;
+mod deployment;
 mod endless;
 mod fixture;
 mod formats;
