Check the links soon after a connection to a leaf can't be opened

Change: a connection that can't be opened casts doubt, too: the links are checked unless a leaf responds within 100 ms.

--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -305,6 +305,8 @@
         if !leaf.has_responded {
             let change = self.leaf_links.on_unreachable(&replica, self.now);
             self.apply_links_change(change);
+            self.leaf_links.on_doubt(self.now);
+            self.schedule_links_timer();
         }
         self.check_leaf_links();
     }
