Go on to use open connections while only new ones to leaves fail

Cause: once new connections fail, every request was delegated, also those for whose parts open connections to leaves were there and answered.

Change: while leaves respond on connections of before, a request is delegated only if a part has no idle connection to any leaf.

--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -34,6 +34,9 @@
 /// Time after a doubt in which a leaf has to respond, else the links are checked.
 const DOUBT_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which a response shows that connections of before still work.
+const RECENT_RESPONSE_TTL: Duration = Duration::from_millis(500);
+
 /// Number of leaves that a check asks.
 pub const CHECKED_LEAVES: usize = 6;
 
@@ -52,6 +55,8 @@
     responded_at: Option<Instant>,
     /// When the links are checked unless a leaf responds before.
     doubt_until: Option<Instant>,
+    /// When the last check began while the links were not known to be lost.
+    checked_at: Option<Instant>,
     /// Earliest start of the next check.
     next_check: Option<Instant>,
     state: State<K>,
@@ -84,6 +89,7 @@
             unreachable_since: None,
             responded_at: None,
             doubt_until: None,
+            checked_at: None,
             next_check: None,
             state: State::Working,
         }
@@ -165,6 +171,7 @@
             self.next_check = Some(now + RECHECK_INTERVAL);
             return;
         }
+        self.checked_at = Some(now);
         self.next_check = Some(now + MIN_CHECK_INTERVAL);
         if leaves.is_empty() {
             self.doubt_until = None;
@@ -204,6 +211,14 @@
         matches!(self.state, State::Lost)
     }
 
+    /// Returns whether a leaf has responded just now, and after the check began that has found the
+    /// links lost. This shows that connections of before still work.
+    pub fn has_recent_response(&self, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let mut responded_at = self.responded_at.into_iter();
+        responded_at.any(|at| Some(at) >= self.checked_at && age(at) < RECENT_RESPONSE_TTL)
+    }
+
     /// Returns whether the links are lost or being checked.
     pub fn is_suspected(&self) -> bool {
         !matches!(self.state, State::Working)
--- a/src/geraniummount/core/route/target.rs
+++ b/src/geraniummount/core/route/target.rs
@@ -16,6 +16,17 @@
     Gather(Gather),
 }
 
+impl Target {
+    /// Returns the services to which requests may be sent.
+    pub fn services(&self) -> Vec<&ServiceName> {
+        match self {
+            Target::Service(service) => vec![service],
+            Target::Split(parts) => parts.iter().map(|part| &part.service).collect(),
+            Target::Gather(gather) => gather.shards.iter().collect(),
+        }
+    }
+}
+
 /// Service with its weight in a split.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedService {
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -65,7 +65,7 @@
             content,
             caller_fields,
         };
-        if terms.is_none() && self.delegates() {
+        if terms.is_none() && self.delegates(route) {
             self.admit_for_delegation(arrival, &table, route);
         } else {
             self.admit_for_leaves(arrival, &table, route, terms);
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -29,6 +29,7 @@
 use super::{Gateway, Options};
 use crate::core::call::{Action as CallAction, Plan};
 use crate::core::delegation::{Action, Answer, End, Outcome, Peer, Peers, Request};
+use crate::core::route::Route;
 use crate::util::h1;
 
 pub(super) use self::wire::{strip as strip_request_fields, write_version};
@@ -125,16 +126,23 @@
         }
     }
 
-    /// Returns whether new requests of callers are delegated. After the links were lost, this goes on
+    /// Returns whether a new request of a caller is delegated. This goes on after the links are back
     /// until the routes in force here are as new as those by which other VMs have served requests.
-    pub(super) fn delegates(&self) -> bool {
+    ///
+    /// While only new connections fail, a request is not delegated if there is an open connection for
+    /// each of its parts. Most VMs may be in this state, and the others could not serve them all.
+    pub(super) fn delegates(&self, route: &Route) -> bool {
         if self.delegation.peers.is_empty() {
             return false;
         }
+        if self.leaf_links.is_lost() {
+            let is_served = self.leaf_links.has_recent_response(self.now)
+                && self.has_idle_connections(&route.target.services());
+            return !is_served;
+        }
         let table = self.route_table.as_ref();
         let is_outdated = table.is_some_and(|table| table.version < self.delegation.seen_version);
-        let is_useful = is_outdated && self.delegation.peers.has_usable(self.now);
-        self.leaf_links.is_lost() || is_useful
+        is_outdated && self.delegation.peers.has_usable(self.now)
     }
 
     /// Delegates the request of a caller.
@@ -165,7 +173,8 @@
     /// may be repeated.
     pub(super) fn hand_over_calls(&mut self) {
         let is_due = std::mem::take(&mut self.delegation.is_handover_due);
-        if !is_due || self.delegation.peers.is_empty() {
+        let are_answered = self.leaf_links.has_recent_response(self.now);
+        if !is_due || are_answered || self.delegation.peers.is_empty() {
             return;
         }
         let keys: Vec<usize> = self.calls.iter().map(|(key, _)| key).collect();
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -335,6 +335,18 @@
         }
     }
 
+    /// Returns whether there is an idle connection to a leaf of each service.
+    pub(super) fn has_idle_connections(&self, services: &[&ServiceName]) -> bool {
+        let is_idle = |key| {
+            let pool = self.search_pool(key).map(|index| &self.pools[index]);
+            pool.is_ok_and(|pool| pool.idle.iter().any(|(_, until)| self.now < *until))
+        };
+        services.iter().all(|service| {
+            let group = self.placement.group(service);
+            group.is_some_and(|group| group.replicas().iter().any(|replica| is_idle(replica.key)))
+        })
+    }
+
     /// Returns the id of a leaf, for logs.
     pub(super) fn leaf_id(&self, key: ReplicaKey) -> &str {
         let pool = self.search_pool(key).map(|index| &self.pools[index]);
--- a/tests/testsuite/leaf_links.rs
+++ b/tests/testsuite/leaf_links.rs
@@ -224,3 +224,22 @@
     assert_eq!(links.next_wake(), None);
     assert!(!links.is_suspected());
 }
+
+#[test]
+fn leaf_links_that_are_lost_for_new_connections_only_show_responses_on_old_ones() {
+    let mut links = LeafLinks::default();
+    let began = begin_check(&mut links);
+    // The last response before a cut in which everything hangs.
+    links.on_response(
+        began - Duration::from_secs(5),
+        began - Duration::from_millis(1),
+    );
+    let lost = began + Duration::from_millis(300);
+    links.tick(lost);
+    assert!(!links.has_recent_response(lost));
+    let later = lost + Duration::from_millis(100);
+    links.on_response(began - Duration::from_secs(5), later);
+    assert!(links.is_lost());
+    assert!(links.has_recent_response(later));
+    assert!(!links.has_recent_response(later + Duration::from_secs(1)));
+}
