Do not run delegated requests that were given up while this VM was frozen

Cause: a VM that is asked for help froze just before the request arrived. The VM that had asked gave it up after 120 ms and another VM served it. When the first one went on 2.8 s later it read the request before the end of the connection, and sent it to leaves at once (13.310 s, 16 ms after the freeze).

Change: after an iteration of the event loop that took 100 ms longer than it may, by the steady clock or the time of day, delegated requests are held for 40 ms; those whose connection has ended by then are dropped. A VM that gives a request up resets the connection, so that bytes that are still on their way are not delivered later.

Ruled out: a second handshake before each run, as it costs a round trip on every request; the times in the requests, as clocks differ.

--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -72,6 +72,8 @@
         /// Key of the delegated request.
         request: usize,
     },
+    /// A request of another VM is held until it is known whether that VM still waits for it.
+    Held { request: Request, content: Vec<u8> },
     /// A request was rejected; input is discarded until the caller closes the connection.
     Closing,
 }
@@ -136,7 +138,7 @@
         let pipelined_bytes = caller.socket.input.len();
         let is_in_flight = matches!(
             caller.state,
-            State::InFlight { .. } | State::Delegated { .. }
+            State::InFlight { .. } | State::Delegated { .. } | State::Held { .. }
         );
         if is_in_flight && pipelined_bytes > MAX_PIPELINED_BYTES && !closed {
             caller.has_unread = true;
@@ -190,7 +192,10 @@
             let has_progressed = match &mut caller.state {
                 State::Idle | State::Head => self.read_head(key),
                 State::Body { .. } => self.read_body(key),
-                State::InFlight { .. } | State::Delegated { .. } | State::Closing => false,
+                State::InFlight { .. }
+                | State::Delegated { .. }
+                | State::Held { .. }
+                | State::Closing => false,
             };
             if !has_progressed {
                 return self.resume_reading(key);
@@ -413,7 +418,7 @@
         let due = match caller.state {
             State::Idle => limits.idle_timeout,
             State::Head | State::Body { .. } => limits.read_timeout,
-            State::InFlight { .. } | State::Delegated { .. } => return,
+            State::InFlight { .. } | State::Delegated { .. } | State::Held { .. } => return,
             State::Closing => CLOSING_TIMEOUT,
         };
         let timer = Timer::Caller(key, caller.serial);
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -78,6 +78,14 @@
         })
     }
 
+    /// Closes the connection with a reset. A request that is still on its way must not reach the VM
+    /// later, when another VM has served it.
+    pub(super) fn reset(self) {
+        if let Err(error) = SockRef::from(&self.socket.stream).set_linger(Some(Duration::ZERO)) {
+            debug!("delegation event=not-reset error=\"{error}\"");
+        }
+    }
+
     /// Returns the round trip time to the VM, measured when the connection was established.
     fn round_trip(&self) -> Duration {
         let connected_at = self.connected_at.unwrap_or(self.opened_at);
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -224,8 +224,10 @@
 
     /// Closes the connection to the VM that has a request, which cancels the request there.
     fn close_delegated(&mut self, index: usize) {
-        if let Some(connection) = self.delegation.requests[index].connection.take() {
-            self.delegation.connections.try_remove(connection);
+        if let Some(connection) = self.delegation.requests[index].connection.take()
+            && let Some(open) = self.delegation.connections.try_remove(connection)
+        {
+            open.reset();
         }
     }
 
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -3,6 +3,9 @@
 //! They arrive on a listener of their own, and are read like those of callers. A request that does
 //! not contain this VM's key is not served: callers can't read the key, which is registered in the
 //! platform's store. A request is never delegated a second time, so that no request goes in circles.
+//!
+//! After a stall of this VM, requests are held for a moment: the other VM may have given them up
+//! meanwhile, and the end of its connection may arrive only after the request.
 
 use std::time::Duration;
 
@@ -11,7 +14,8 @@
 use super::wire::{self, Credentials};
 use crate::core::delegation::{Decline, Terms};
 use crate::edge::gateway::Gateway;
-use crate::edge::gateway::caller::Origin;
+use crate::edge::gateway::caller::{CallerConnection, Origin, State};
+use crate::edge::gateway::timers::Timer;
 use crate::util::h1::{self, Request};
 
 impl Gateway {
@@ -28,6 +32,10 @@
         mut request: Request,
         content: Vec<u8>,
     ) {
+        if let Some(at) = self.stall.settles_at(self.now) {
+            self.caller_connections[key].state = State::Held { request, content };
+            return self.timers.add(at, Timer::HeldRequests);
+        }
         let Some(credentials) = self.authenticate(&request) else {
             return self.decline(key, "unknown", Decline::Unauthorized, None);
         };
@@ -40,6 +48,25 @@
         self.admit(key, request, content, Some(terms));
     }
 
+    /// Admits the requests that were held after a stall. The other VM may have given them up in the
+    /// meantime and had another VM serve them; their connections are closed by now.
+    pub(in crate::edge::gateway) fn admit_held(&mut self) {
+        if let Some(at) = self.stall.settles_at(self.now) {
+            return self.timers.add(at, Timer::HeldRequests);
+        }
+        let is_held = |caller: &CallerConnection| matches!(caller.state, State::Held { .. });
+        let held = self.caller_connections.iter();
+        let held = held.filter(|(_, caller)| is_held(caller));
+        let keys: Vec<usize> = held.map(|(key, _)| key).collect();
+        for key in keys {
+            let caller = &mut self.caller_connections[key];
+            let state = std::mem::replace(&mut caller.state, State::Idle);
+            if let State::Held { request, content } = state {
+                self.admit_delegated(key, request, content);
+            }
+        }
+    }
+
     /// Returns what a request says about itself if it contains this VM's key.
     fn authenticate(&self, request: &Request) -> Option<Credentials> {
         let credentials = wire::read_terms(&request.fields)?;
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod registrations;
 mod response_reader;
 mod socket;
+mod stall;
 mod stop;
 mod store_check;
 mod timers;
@@ -66,6 +67,7 @@
 use self::pool::Pool;
 use self::probe::Probe;
 use self::quarantine::Sharing;
+use self::stall::StallDetector;
 use self::timers::{Timer, Timers};
 use self::token::EventSource;
 use crate::core::call::Reply;
@@ -126,6 +128,8 @@
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
     store_check: Option<(TcpStream, Instant)>,
+    /// Detects that this VM was stalled.
+    stall: StallDetector,
     /// Planned stop, once it has begun.
     stop: Option<stop::Stop>,
     /// Requests of callers that this VM received.
@@ -189,6 +193,7 @@
             links_wake_at: None,
             shedders: Vec::new(),
             store_check: None,
+            stall: StallDetector::new(),
             stop: None,
             request_rate: RequestRate::new(Instant::now()),
             fleet: Fleet::default(),
@@ -225,6 +230,7 @@
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
+            self.stall.on_iteration(wait.unwrap_or_default(), self.now);
             for event in &events {
                 self.on_event(event);
             }
@@ -313,6 +319,7 @@
                 Timer::Leaf(key, serial) => self.on_leaf_timer(key, serial),
                 Timer::Delegated(key, serial) => self.on_delegated_timer(key, serial),
                 Timer::Peer(key, serial) => self.on_peer_timer(key, serial),
+                Timer::HeldRequests => self.admit_held(),
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -21,6 +21,8 @@
     Delegated(usize, u64),
     /// A connection to another VM, by key and serial number.
     Peer(usize, u64),
+    /// End of the time for which requests of other VMs are held after a stall.
+    HeldRequests,
     /// Removal of leaves that are no longer registered.
     Unregistered,
     /// Check whether the rates of requests have to be exchanged with the other VMs.
