Wait longer for the acknowledgement of a VM that was asked for help

Cause: a slow VM read a request later than 120 ms after it was sent. The VM that had asked had given it up and asked the next one, and both sent it to leaves.

Change: 250 ms. A VM that reads a request later than that has noticed a stall (100 ms in one iteration) and holds it until the end of the connection is there; a packet that was lost has been sent again by then.

--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -10,8 +10,10 @@
 /// of them declines within one round trip.
 const MAX_PEERS: usize = 8;
 
-/// Time from sending a request until the peer has to acknowledge it.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time from sending a request until the peer has to acknowledge it. A packet that was lost is sent
+/// again after some 200 ms, and a slow peer reads the request later than that only if it notices that
+/// it was stalled. A peer that is given up too early runs the request beside the next one.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Bounds of the retry delay that is sent to a caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
