Let soak gateways lose their links to all leaves

Change: soak gateways have `peer_listen` and an outgoing address of their own. With `has_lost_links`, one or more gateways, never all, lose their links in the middle half of the run: all data held, open connections and new ones closed, or only new ones closed. Leaves that start meanwhile are affected too. A new promise, ServedWithoutLinks: 2 s after the loss, while nothing else is disturbed, every request at such a gateway is served. The other promises stay as they are; requests of such a gateway are left out of the pause and limit checks, because other gateways send them to the leaves.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -43,6 +43,9 @@
     /// Leave out the leaves that name limits.
     #[arg(long)]
     without_limits: bool,
+    /// Leave out the gateways that lose their links to all leaves.
+    #[arg(long)]
+    without_lost_links: bool,
     /// Leave out the request that crashes leaves.
     #[arg(long)]
     without_crashes: bool,
@@ -73,6 +76,7 @@
             mean_fault_interval: Duration::from_millis(arguments.gap_ms),
             has_platform_faults: !arguments.without_platform_faults,
             has_limits: !arguments.without_limits,
+            has_lost_links: !arguments.without_lost_links,
             has_crashes: !arguments.without_crashes,
         };
         let report = soak::run(&options)?;
--- a/crates/geraniummount-test-support/src/proxy/mod.rs
+++ b/crates/geraniummount-test-support/src/proxy/mod.rs
@@ -89,6 +89,8 @@
 /// A connection through a proxy.
 #[derive(Debug)]
 struct Connection {
+    /// IP address of the client.
+    source: IpAddr,
     /// The streams to the client and to the listener.
     streams: [TcpStream; 2],
     /// Whether all further bytes are discarded in both directions.
@@ -183,6 +185,14 @@
         }
     }
 
+    /// Closes the connections from one source that are open now, in both directions.
+    pub fn close_connections_from(&self, source: IpAddr) {
+        let connections = &mut self.state.lock().connections;
+        for connection in connections.extract_if(.., |connection| connection.source == source) {
+            connection.close();
+        }
+    }
+
     /// Returns the number of connections that are open now.
     pub fn open_connections(&self) -> usize {
         self.state.lock().connections.len()
--- a/crates/geraniummount-test-support/src/proxy/tcp.rs
+++ b/crates/geraniummount-test-support/src/proxy/tcp.rs
@@ -97,6 +97,7 @@
     };
     state.update(|state| {
         state.connections.push(Connection {
+            source,
             streams: [client_copy, server_copy],
             is_blackholed: Arc::clone(&is_blackholed),
         });
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -20,6 +20,9 @@
 /// Time before a request, or before a request to stop, in which a fault may still affect it.
 const FAULT_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time after which a gateway without links to leaves has its requests served by others.
+const LOST_LINKS_CONTACT: Duration = Duration::from_secs(2);
+
 /// Time without a fault after which the time bounds of the promises apply again.
 const SETTLE_DELAY: Duration = Duration::from_secs(4);
 
@@ -86,6 +89,7 @@
             let to = executions.partition_point(|execution| execution.id <= request.id);
             self.check_request(request, &executions[from..to]);
             self.check_recovery(request, ended);
+            self.check_lost_links(request);
         }
         for execution in executions {
             self.check_execution(execution);
@@ -135,7 +139,8 @@
     }
 
     /// Checks that a request that a leaf ran gets a reply, also while the VM stops and while
-    /// the store is unavailable. Only faults of the VM's process and of the leaf excuse a loss.
+    /// the store is unavailable. Only faults of the VM's process, of its links and of the
+    /// leaf excuse a loss.
     fn check_lost_reply(&mut self, request: &Exchange, executions: &[Execution]) {
         let from = request
             .sent_at
@@ -145,6 +150,7 @@
         let mut leaves = executions.iter().map(|execution| execution.leaf);
         let is_undisturbed =
             disturbances.is_process_undisturbed(request.vm, from, request.ended_at)
+                && disturbances.has_links(request.vm, from, request.ended_at)
                 && leaves
                     .all(|leaf| disturbances.is_leaf_undisturbed(leaf, from, request.ended_at));
         if is_undisturbed {
@@ -172,6 +178,21 @@
         }
     }
 
+    /// Checks that a request at a gateway that has lost its links to all leaves is served, unless
+    /// another fault is recent.
+    fn check_lost_links(&mut self, request: &Exchange) {
+        let from = request
+            .sent_at
+            .checked_sub(LOST_LINKS_CONTACT)
+            .unwrap_or(request.sent_at);
+        let disturbances = &self.cluster.disturbances;
+        let is_due = disturbances.is_only_without_links(request.vm, from, request.ended_at);
+        if is_due && !request.outcome.is_success() {
+            let detail = format!("{} at vm{}: {:?}", request.id, request.vm, request.outcome);
+            self.add_violation(Promise::ServedWithoutLinks, request.ended_at, detail);
+        }
+    }
+
     /// Checks that a caller sent the request that a leaf ran, and for this service.
     fn check_execution(&mut self, execution: &Execution) {
         // Requests of the start-up check and of the version prober are not in the history.
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -11,7 +11,9 @@
 
 use super::catalog::{Catalog, lock};
 use super::disturbance::{Disturbances, Scope};
+use super::fault::LostLinks;
 use super::follow_up::FollowUp;
+use super::link;
 use super::proxied_leaf::ProxiedLeaf;
 use super::routes::configuration;
 use super::schedule::Schedule;
@@ -19,6 +21,7 @@
 use super::{FINAL_CHECK_DURATION, Options, RECOVERY_TIMEOUT};
 use crate::platform::users::document::DOCUMENT_KEY;
 use crate::platform::users::{Backup, Run, Store};
+use crate::proxy::Proxy;
 
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
@@ -83,6 +86,8 @@
     /// Index in `leaves` of the current leaf of each slot. Each service has two slots, and a new
     /// leaf takes the slot of a leaf that leaves or crashes.
     pub(super) slots: Vec<usize>,
+    /// For each gateway, how it has lost its links to all leaves, if it has.
+    pub(super) lost_links: Vec<Option<LostLinks>>,
     /// Scheduled follow-up actions and their times.
     pub(super) follow_ups: Vec<(Instant, FollowUp)>,
     /// For each gateway, whether a fault killed its process and the exit is not yet detected.
@@ -112,6 +117,7 @@
             backups: VecDeque::new(),
             backed_up_at: Instant::now(),
             slots: Vec::new(),
+            lost_links: vec![None; options.vms],
             follow_ups: Vec::new(),
             killed: vec![false; options.vms],
             seed: options.seed,
@@ -242,6 +248,7 @@
     fn add_leaf(&mut self, slot: usize) -> io::Result<usize> {
         let service = self.service(slot);
         let mut proxied_leaf = ProxiedLeaf::start(&service, failure_domain(slot), self.seed)?;
+        self.apply_lost_links(&proxied_leaf.proxy);
         // Callers have to know the leaf before a gateway can send it their requests.
         lock(&self.catalog.leaves).push(proxied_leaf.identity().clone());
         proxied_leaf.register(&self.store);
@@ -249,6 +256,15 @@
         Ok(self.leaves.len() - 1)
     }
 
+    /// Lets the gateways that have lost their links to all leaves lose the one to this leaf too.
+    pub(super) fn apply_lost_links(&self, proxy: &Proxy) {
+        for (vm, fault) in self.vms.iter().zip(&self.lost_links) {
+            if let Some(fault) = fault {
+                link::lose(proxy, vm.source, *fault);
+            }
+        }
+    }
+
     /// Returns the service of a slot.
     fn service(&self, slot: usize) -> String {
         match (slot / 2).checked_sub(self.shards) {
--- a/crates/geraniummount-test-support/src/soak/disturbance.rs
+++ b/crates/geraniummount-test-support/src/soak/disturbance.rs
@@ -12,6 +12,8 @@
     Stop(usize),
     /// One VM's link to the store.
     StoreLink(usize),
+    /// One VM's links to all leaves.
+    AllLinks(usize),
     /// The store.
     Store,
     /// The store, which comes back from an older copy of itself.
@@ -22,6 +24,9 @@
     TestHost,
 }
 
+/// Time after the end of a loss of all links in which other VMs may still serve the VM's requests.
+const REGAIN_TIME: Duration = Duration::from_secs(1);
+
 /// A time span with a fault.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -54,6 +59,7 @@
     pub fn is_vm_undisturbed(&self, vm: usize, from: Instant, to: Instant) -> bool {
         self.has_none(from, to, |scope| match scope {
             Scope::Vm(other) | Scope::Stop(other) | Scope::StoreLink(other) => other == vm,
+            Scope::AllLinks(other) => other == vm,
             Scope::Store | Scope::StoreCopy | Scope::TestHost => true,
             Scope::Leaf(_) => false,
         })
@@ -64,6 +70,7 @@
     pub fn is_vm_undisturbed_save_copies(&self, vm: usize, from: Instant, to: Instant) -> bool {
         self.has_none(from, to, |scope| match scope {
             Scope::Vm(other) | Scope::Stop(other) | Scope::StoreLink(other) => other == vm,
+            Scope::AllLinks(other) => other == vm,
             Scope::Store | Scope::TestHost => true,
             Scope::StoreCopy | Scope::Leaf(_) => false,
         })
@@ -82,6 +89,23 @@
         })
     }
 
+    /// Returns whether a VM did not lose its links to all leaves between two times, nor shortly
+    /// before.
+    pub fn has_links(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let from = from.checked_sub(REGAIN_TIME).unwrap_or(from);
+        self.has_none(from, to, |scope| scope == Scope::AllLinks(vm))
+    }
+
+    /// Returns whether a VM was without links to all leaves from one time to another, and no other
+    /// fault affected any part of the cluster, save that other VMs lost their links too.
+    pub fn is_only_without_links(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let is_without = self
+            .spans
+            .iter()
+            .any(|span| span.scope == Scope::AllLinks(vm) && span.from <= from && span.to >= to);
+        is_without && self.has_none(from, to, |scope| !matches!(scope, Scope::AllLinks(_)))
+    }
+
     /// Returns whether no fault affected a leaf or its link between two times.
     pub fn is_leaf_undisturbed(&self, leaf: usize, from: Instant, to: Instant) -> bool {
         self.has_none(from, to, |scope| scope == Scope::Leaf(leaf))
--- a/crates/geraniummount-test-support/src/soak/fault.rs
+++ b/crates/geraniummount-test-support/src/soak/fault.rs
@@ -21,6 +21,8 @@
     StoreLink(usize, LinkFault),
     /// Affects the store.
     Store(StoreFault),
+    /// Affects the links from a gateway to all leaves.
+    AllLinks(usize, LostLinks),
     /// Affects a leaf.
     Leaf(usize, LeafFault),
     /// Affects the link to a leaf.
@@ -59,6 +61,17 @@
     Disconnect,
 }
 
+/// How a gateway loses its links to all leaves, also to those that start meanwhile.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LostLinks {
+    /// No data passes in either direction, also of new connections.
+    Hang,
+    /// Open connections are closed, and new ones too, immediately.
+    Close,
+    /// Open connections work, new ones are closed immediately.
+    CloseNew,
+}
+
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -113,6 +126,16 @@
     LinkFault::Disconnect,
 ];
 
+/// Faults that a random loss of all links is drawn from.
+const ALL_LINKS_FAULTS: [LostLinks; 3] = [LostLinks::Hang, LostLinks::Close, LostLinks::CloseNew];
+
+impl LostLinks {
+    /// Draws a random fault.
+    pub fn draw(rng: &mut StdRng) -> LostLinks {
+        ALL_LINKS_FAULTS[rng.random_range(0..ALL_LINKS_FAULTS.len())]
+    }
+}
+
 impl Fault {
     /// Draws a random fault that [`Options::has_platform_faults`] adds.
     ///
--- a/crates/geraniummount-test-support/src/soak/follow_up.rs
+++ b/crates/geraniummount-test-support/src/soak/follow_up.rs
@@ -9,6 +9,8 @@
     ResumeVm(usize),
     /// Ends the faults of a gateway's link to the store.
     HealStoreLink(usize),
+    /// Ends the faults of a gateway's links to all leaves.
+    HealAllLinks(usize),
     /// Lets the store accept calls again.
     RestoreStore,
     /// Lets a leaf answer without faults again.
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -48,6 +48,15 @@
                 link::inject(&self.vms[vm].store_proxy, fault)
                     .then_some(FollowUp::HealStoreLink(vm))
             }
+            Fault::AllLinks(vm, fault) => {
+                self.disturbances
+                    .add(Scope::AllLinks(vm), now, step.duration);
+                self.lost_links[vm] = Some(fault);
+                let source = self.vms[vm].source;
+                let proxies = self.leaves.iter().map(|leaf| &leaf.proxy);
+                proxies.for_each(|proxy| link::lose(proxy, source, fault));
+                Some(FollowUp::HealAllLinks(vm))
+            }
             Fault::Store(fault) => self.inject_store_fault(fault, step, now),
             Fault::Leaf(slot, fault) => self.inject_leaf_fault(slot, fault, step, now),
             Fault::LeafLink(slot, fault) => {
@@ -262,6 +271,12 @@
         match follow_up {
             FollowUp::ResumeVm(vm) => self.vms[vm].resume(),
             FollowUp::HealStoreLink(vm) => link::heal(&self.vms[vm].store_proxy),
+            FollowUp::HealAllLinks(vm) => {
+                self.lost_links[vm] = None;
+                let source = self.vms[vm].source;
+                let proxies = self.leaves.iter().map(|leaf| &leaf.proxy);
+                proxies.for_each(|proxy| link::regain(proxy, source));
+            }
             FollowUp::RestoreStore => self.store.set_error_status(None),
             FollowUp::RestoreLeafAnswer(index) => {
                 if let Some(leaf) = &self.leaves[index].leaf {
@@ -276,7 +291,11 @@
                 }
                 proxied_leaf.limited_until = Some(Instant::now());
             }
-            FollowUp::HealLeafLink(index) => link::heal(&self.leaves[index].proxy),
+            FollowUp::HealLeafLink(index) => {
+                let proxy = &self.leaves[index].proxy;
+                link::heal(proxy);
+                self.apply_lost_links(proxy);
+            }
             FollowUp::ReplaceLeaf(slot, index) => {
                 self.store.remove(&self.leaves[index].key());
                 if self.slots[slot] == index {
--- a/crates/geraniummount-test-support/src/soak/limit.rs
+++ b/crates/geraniummount-test-support/src/soak/limit.rs
@@ -63,9 +63,9 @@
             continue;
         };
         let told_at = *told[vm].get_or_insert(run.arrived);
-        let is_sound = cluster
-            .disturbances
-            .is_process_undisturbed(vm, from, run.arrived)
+        let disturbances = &cluster.disturbances;
+        let is_sound = disturbances.is_process_undisturbed(vm, from, run.arrived)
+            && disturbances.has_links(vm, run.arrived, run.arrived)
             && cluster.is_running_since(vm, from, run.arrived);
         let is_due = run.arrived >= from + CONTACT && run.arrived <= until;
         if is_sound && is_due && run.arrived >= told_at + TOLD_GRACE {
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -70,6 +70,9 @@
     /// Whether some leaves also name limits on the requests of all gateways together, from the first
     /// fault to the last. The other faults of a seed are the same with and without.
     pub has_limits: bool,
+    /// Whether some gateways, at least one and not all, also lose their links to all leaves in the
+    /// middle of the run. The other faults of a seed are the same with and without.
+    pub has_lost_links: bool,
     /// Whether a request that crashes leaves is repeated while faults begin. The other faults of a
     /// seed are the same with and without.
     pub has_crashes: bool,
--- a/crates/geraniummount-test-support/src/soak/notice.rs
+++ b/crates/geraniummount-test-support/src/soak/notice.rs
@@ -102,6 +102,7 @@
     ) -> Option<Violation> {
         let disturbances = &self.cluster.disturbances;
         let is_sound = disturbances.is_process_undisturbed(self.vm, from, to)
+            && disturbances.has_links(self.vm, from, to)
             && disturbances.is_leaf_undisturbed(self.leaf, from, to)
             && self.cluster.is_running_since(self.vm, from, to);
         is_sound.then(|| Violation {
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -40,6 +40,8 @@
     MonotonicVersions,
     /// A process exits only when requested, and with success.
     CleanExit,
+    /// A gateway that has lost its links to all leaves serves its requests through other gateways.
+    ServedWithoutLinks,
     /// All requests are served after the faults have ended.
     Recovery,
 }
--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::fault::{Fault, LeafFault};
+use super::fault::{Fault, LeafFault, LostLinks};
 use super::{Options, WARM_UP_DURATION};
 
 /// Range of the duration of a fault.
@@ -38,6 +38,9 @@
 /// Differs between the leaves that name limits and the other faults of a seed.
 const LIMIT_SERIES: u64 = 0x0000_006c_696d_6974;
 
+/// Differs between the gateways that lose their links and the other faults of a seed.
+const LOST_LINKS_SERIES: u64 = 0x006c_6f73_745f_6c6b;
+
 /// Number of draws of a leaf that names a limit; the same leaf may be drawn again.
 const LIMITED_LEAVES: usize = 3;
 
@@ -64,6 +67,9 @@
         if options.has_limits {
             schedule.steps.extend(limits(options, leaves));
         }
+        if options.has_lost_links {
+            schedule.steps.extend(lost_links(options));
+        }
         schedule.steps.sort_by_key(|step| step.at);
         schedule
     }
@@ -107,6 +113,23 @@
     slots.map(step).collect()
 }
 
+/// Draws the gateways that lose their links to all leaves, in the middle half of the faults.
+fn lost_links(options: &Options) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(options.seed ^ LOST_LINKS_SERIES);
+    let max_count = options.vms.saturating_sub(1);
+    let count = rng.random_range(0..max_count.max(1)) + max_count.min(1);
+    let first = rng.random_range(0..options.vms);
+    let gateways = (0..count).map(|number| (first + number) % options.vms);
+    let duration = options.fault_duration / 2;
+    let at = WARM_UP_DURATION + duration / 2;
+    let step = |vm| Step {
+        at,
+        duration,
+        fault: Fault::AllLinks(vm, LostLinks::draw(&mut rng)),
+    };
+    gateways.map(step).collect()
+}
+
 impl fmt::Display for Schedule {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for step in &self.steps {
--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Instant;
@@ -16,6 +16,8 @@
 pub struct Vm {
     /// Address on which the gateway accepts callers.
     pub caller_address: SocketAddr,
+    /// Address that its connections to leaves and to other gateways come from.
+    pub source: IpAddr,
     /// The proxy between the gateway and the store.
     pub store_proxy: Proxy,
     /// When its process was last started.
@@ -40,17 +42,19 @@
         store: SocketAddr,
         seed: u64,
     ) -> io::Result<Vm> {
-        let [caller_address, ready] = free_ports(loopback_ip(number).into())?;
+        let [caller_address, ready, peer_listen] = free_ports(listen_ip(number).into())?;
+        let source = source_ip(number).into();
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, store, seed)?;
         let settings = folder.join(format!("vm{number}.ini"));
         let text = format!(
             "[gateway]\nname = vm{number}\nfailure_domain = {domain}\ncallers = {caller_address}\n\
-             ready = {ready}\n[platform]\naddress = {}\n",
+             ready = {ready}\npeer_listen = {peer_listen}\nsource = {source}\n[platform]\naddress = {}\n",
             proxy.address()
         );
         std::fs::write(&settings, text)?;
         let mut vm = Vm {
             caller_address,
+            source,
             store_proxy: proxy,
             started_at: Instant::now(),
             stop_requested_at: None,
@@ -129,16 +133,23 @@
     }
 }
 
-/// Returns a loopback address for a gateway, derived from the id of this process.
+/// Returns the loopback address that a gateway listens on, derived from the id of this process.
 ///
 /// No other gateway on this machine listens on it, and no outgoing connection uses it. A port that
 /// was found free therefore stays free until the gateway binds it, also after a restart.
-fn loopback_ip(number: usize) -> Ipv4Addr {
+fn listen_ip(number: usize) -> Ipv4Addr {
     let [.., high, low] = std::process::id().to_be_bytes();
     let [.., last] = number.to_be_bytes();
     Ipv4Addr::new(127, 64 + high % 128, low, last.wrapping_add(1))
 }
 
+/// Returns the loopback address that the outgoing connections of a gateway come from. No gateway
+/// listens on it.
+fn source_ip(number: usize) -> Ipv4Addr {
+    let [_, high, low, last] = listen_ip(number).octets();
+    Ipv4Addr::new(127, 192 + high % 32, low, last)
+}
+
 impl Drop for Vm {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -17,6 +17,7 @@
     fault_duration: Duration,
     has_platform_faults: bool,
     has_limits: bool,
+    has_lost_links: bool,
     has_crashes: bool,
 }
 
@@ -30,6 +31,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -41,6 +43,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -52,6 +55,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -63,6 +67,7 @@
         fault_duration: SHORT_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -74,6 +79,7 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: true,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -85,6 +91,7 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -96,6 +103,7 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: true,
+        has_lost_links: false,
         has_crashes: false,
     },
     Case {
@@ -107,8 +115,21 @@
         fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: false,
         has_limits: false,
+        has_lost_links: false,
         has_crashes: true,
     },
+    Case {
+        name: "gateways that lose their links to all leaves, beside few other faults",
+        seed: 31_001,
+        vms: 3,
+        shards: 2,
+        mean_fault_interval: RARE_FAULT_INTERVAL,
+        fault_duration: LONG_FAULT_DURATION,
+        has_platform_faults: false,
+        has_limits: false,
+        has_lost_links: true,
+        has_crashes: false,
+    },
 ];
 
 /// Mean interval at which faults overlap.
@@ -117,6 +138,9 @@
 /// Mean interval at which faults rarely overlap.
 const SPARSE_FAULT_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Mean interval at which most faults have long ended before the next one.
+const RARE_FAULT_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Time during which faults begin in most runs.
 const SHORT_FAULT_DURATION: Duration = Duration::from_secs(6);
 
@@ -138,6 +162,7 @@
             mean_fault_interval: case.mean_fault_interval,
             has_platform_faults: case.has_platform_faults,
             has_limits: case.has_limits,
+            has_lost_links: case.has_lost_links,
             has_crashes: case.has_crashes,
         });
         let report = report.expect("cluster starts");
