Count the crash of one run of a leaf once

Cause: two attempts that were in flight at the same leaf when it crashed, or VMs that had just started and found a leaf gone whose proxy accepts and closes connections, gave two crashes of one run of one leaf. On one VM `crashed_at` of the leaf tells the second case, but a VM that starts knows nothing of before, and the shared list did not name runs.

Change: a crash names when its leaf was started, as registered, and a record takes one crash of each run. Without that time, as on the product's own interface, each crash counts as before: a leaf there may be started again under the same name. Lists without the field are read as before.

Evidence: `quarantine_runs_of_leaves_count_once` failed before.

--- a/src/geraniummount/core/quarantine/crash.rs
+++ b/src/geraniummount/core/quarantine/crash.rs
@@ -19,6 +19,9 @@
 pub struct Crash {
     /// Id or name of the leaf, for operators.
     pub leaf: String,
+    /// When the leaf was started; `None` if that is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_at_ms: Option<u64>,
     /// VM that sent the request to the leaf.
     pub vm: VmName,
     /// When the request arrived at the VM that sent it to the leaf.
@@ -38,12 +41,30 @@
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         Crash {
             leaf: leaf.into(),
+            started_at_ms: None,
             vm: vm.into(),
             arrived_ms: at_ms.saturating_sub(age_ms),
             at_ms,
         }
     }
 
+    /// Returns the crash of the same leaf that was started at this time.
+    pub fn of_run(self, started_at_ms: Option<u64>) -> Crash {
+        Crash {
+            started_at_ms,
+            ..self
+        }
+    }
+
+    /// Returns whether another crash is certainly that of the same run of the same leaf. A run crashes
+    /// once: a leaf that is gone may go on to accept and close connections, for example if a proxy is
+    /// in front of it, and a VM that has just started takes that for a crash.
+    pub(super) fn is_same_run(&self, other: &Crash) -> bool {
+        self.started_at_ms.is_some()
+            && self.started_at_ms == other.started_at_ms
+            && self.leaf == other.leaf
+    }
+
     /// Returns whether the request arrived after the failure that began with another crash.
     fn is_after(&self, first: &Crash) -> bool {
         let failure_ms = match self.vm == first.vm {
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -54,9 +54,10 @@
         Duration::from_millis(now_ms.saturating_sub(self.last_crash_ms))
     }
 
-    /// Adds a crash, unless it was cleared or enough are known.
+    /// Adds a crash, unless it was cleared, that of the same run is known, or enough are known.
     pub(super) fn add_crash(&mut self, crash: Crash) {
-        if self.is_cleared(&crash) || self.crashes.contains(&crash) {
+        let is_known = |known: &Crash| *known == crash || known.is_same_run(&crash);
+        if self.is_cleared(&crash) || self.crashes.iter().any(is_known) {
             return;
         }
         self.last_crash_ms = self.last_crash_ms.max(crash.at_ms);
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -224,7 +224,8 @@
         let replica = self.placement.replica(service, key)?;
         let age = self.now.saturating_duration_since(arrived_at);
         let (leaf, vm) = (replica.instance.id.as_str(), self.options.name.as_str());
-        Some(Crash::after(leaf, vm, age, quarantine::now_ms()))
+        let crash = Crash::after(leaf, vm, age, quarantine::now_ms());
+        Some(crash.of_run(replica.instance.started_at_ms))
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -49,6 +49,7 @@
 mod promise_reply;
 mod promise_snapshot;
 mod quarantine_fleet;
+mod quarantine_runs;
 mod quarantine_unconfirmed;
 mod query_path;
 mod readiness;
--- a/tests/testsuite/quarantine_fleet.rs
+++ b/tests/testsuite/quarantine_fleet.rs
@@ -344,6 +344,7 @@
 fn crash_through(vm: &str, arrived_ms: u64, at_ms: u64) -> Crash {
     Crash {
         leaf: format!("leaf-{at_ms}"),
+        started_at_ms: None,
         vm: vm.to_string(),
         arrived_ms: EPOCH_MS + arrived_ms,
         at_ms: EPOCH_MS + at_ms,
