Split the delegation of the gateway by what its parts do

No change of behaviour: the request of a caller that is delegated, and the end of such a request, each get a module of their own.

--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/caller_request.rs
@@ -0,0 +1,37 @@
+//! Requests of callers that another VM can serve.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::core::call::Plan;
+use crate::core::delegation::Request;
+use crate::edge::gateway::calls::ForwardedRequest;
+
+/// A request of a caller that another VM can serve.
+#[derive(Debug)]
+pub(in crate::edge::gateway) struct CallerRequest {
+    /// Key of the caller's connection.
+    pub(in crate::edge::gateway) caller: usize,
+    pub(in crate::edge::gateway) forwarded: Arc<ForwardedRequest>,
+    pub(in crate::edge::gateway) plan: Plan,
+    /// Oldest version of the routes by which the request may be served.
+    pub(in crate::edge::gateway) min_version: u64,
+    pub(in crate::edge::gateway) started: Instant,
+    /// Number of leaves of each shard that may have received the request from this VM.
+    pub(in crate::edge::gateway) sends: u32,
+}
+
+/// A delegated request, with the caller that waits for it.
+#[derive(Debug)]
+pub(super) struct Delegated {
+    /// Number that tells the request from others that had the same key.
+    pub(super) serial: u64,
+    pub(super) caller_request: CallerRequest,
+    pub(super) request: Request,
+    /// Key of the connection to the VM that has the request.
+    pub(super) connection: Option<usize>,
+    /// Number of VMs that the request was passed to.
+    pub(super) asked: u32,
+    /// Earliest timer that is set for the request.
+    pub(super) wake_at: Option<Instant>,
+}
--- /dev/null
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -0,0 +1,85 @@
+//! Ends of delegated requests: the response to the caller, and the log line.
+
+use log::info;
+
+use super::caller_request::{CallerRequest, Delegated};
+use crate::core::delegation::{Answer, End};
+use crate::edge::gateway::Gateway;
+use crate::util::h1;
+
+/// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
+const REFUSED: &str = "links-lost";
+
+impl Gateway {
+    /// Cancels a request whose caller has closed its connection.
+    pub(in crate::edge::gateway) fn cancel_delegated(&mut self, index: usize) {
+        let state = &mut self.delegation.requests[index];
+        state
+            .request
+            .caller_gone(&mut self.delegation.peers, self.now);
+        self.close_delegated(index);
+        let state = self.delegation.requests.remove(index);
+        let CallerRequest {
+            forwarded, plan, ..
+        } = &state.caller_request;
+        let (id, route) = (&forwarded.id, &plan.route);
+        info!("request id={id} route={route} outcome=caller-left delegated=true");
+        self.metrics.count_answer("caller-left");
+    }
+
+    /// Removes a request, writes its response to the caller and logs its outcome.
+    pub(super) fn finish_delegated(&mut self, index: usize, end: End) {
+        let state = self.delegation.requests.remove(index);
+        let caller = state.caller_request.caller;
+        let (label, status) = match end {
+            End::Forward(answer) => {
+                let status = answer.status;
+                self.on_delegated_answer(&answer);
+                let method = &state.caller_request.forwarded.method;
+                self.write_answer(caller, method, &answer);
+                ("delegated", status)
+            }
+            End::Refuse { retry_after } => {
+                let why = "it has not run; come back after the time given";
+                self.write_plain(caller, 503, why, Some(retry_after));
+                (REFUSED, 503)
+            }
+            End::Fail => (self.write_failure(caller, 502, "failed").label, 502),
+            End::TimeOut => (self.write_failure(caller, 504, "timed-out").label, 504),
+        };
+        self.metrics.count_answer(label);
+        self.isolation.on_request(status < 500);
+        self.check_store_if_suspected();
+        self.log_delegated(&state, label, status);
+        self.answered_callers.push(caller);
+    }
+
+    /// Records that another VM was reached and has answered.
+    fn on_delegated_answer(&mut self, answer: &Answer) {
+        let seen_version = &mut self.delegation.seen_version;
+        *seen_version = answer.version.max(*seen_version);
+        self.isolation.on_attempt(true);
+    }
+
+    /// Writes the response of another VM.
+    fn write_answer(&mut self, caller: usize, method: &str, answer: &Answer) {
+        let mut response = Vec::with_capacity(512 + answer.body.len());
+        h1::write_status_line(&mut response, answer.status);
+        for field in &answer.fields {
+            h1::write_field(&mut response, &field.name, &field.value);
+        }
+        self.write_body(caller, method, answer.status, &answer.body, response);
+    }
+
+    fn log_delegated(&self, state: &Delegated, label: &str, status: u16) {
+        let request = &state.caller_request;
+        let took = self.now.saturating_duration_since(request.started);
+        self.metrics.observe_answer_time(took);
+        let (id, route, ms) = (&request.forwarded.id, &request.plan.route, took.as_millis());
+        let (version, asked, sends) = (request.min_version, state.asked, request.sends);
+        info!(
+            "request id={id} route={route} version={version} outcome={label} status={status} \
+             delegated=true asked={asked} sends={sends} ms={ms}"
+        );
+    }
+}
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -1,20 +1,20 @@
 //! Delegates requests to other VMs while this VM has lost its links to the leaves, and serves the
 //! requests that other VMs delegate to this one.
 //!
-//! [`connection`] passes a request to another VM, [`serve`] accepts the requests of others, and
-//! [`wire`] reads and writes the header fields between two VMs. `core::delegation` decides which VM
-//! is asked and when a request ends.
+//! [`connection`] passes a request to another VM, [`finish`] responds to the caller, [`serve`] accepts
+//! the requests of others, and [`wire`] reads and writes the header fields between two VMs.
+//! `core::delegation` decides which VM is asked and when a request ends.
 //!
 //! A call whose parts were already sent to leaves when the links were found to be lost is handed
 //! over to another VM if nothing has answered it and the retry allowances permit it.
 
+mod caller_request;
 mod connection;
+mod finish;
 mod serve;
 mod wire;
 
 use std::collections::VecDeque;
-use std::sync::Arc;
-use std::time::Instant;
 
 use log::info;
 use mio::net::{TcpListener, TcpStream};
@@ -22,21 +22,18 @@
 use rand::rngs::SmallRng;
 use slab::Slab;
 
+use self::caller_request::Delegated;
 use self::connection::PeerConnection;
 use super::caller::{self, State};
-use super::calls::ForwardedRequest;
 use super::timers::Timer;
 use super::{Gateway, Options};
-use crate::core::call::{Action as CallAction, Plan};
-use crate::core::delegation::{Action, Answer, End, Outcome, Peer, Peers, Request};
+use crate::core::call::Action as CallAction;
+use crate::core::delegation::{Action, Outcome, Peer, Peers, Request};
 use crate::core::route::Route;
-use crate::util::h1;
 
+pub(super) use self::caller_request::CallerRequest;
 pub(super) use self::wire::{strip as strip_request_fields, write_version};
 
-/// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
-const REFUSED: &str = "links-lost";
-
 /// Delegation of requests, as the event loop knows it.
 #[derive(Debug)]
 pub(super) struct Delegation {
@@ -56,35 +53,6 @@
     seen_version: u64,
 }
 
-/// A request of a caller that another VM can serve.
-#[derive(Debug)]
-pub(super) struct CallerRequest {
-    /// Key of the caller's connection.
-    pub(super) caller: usize,
-    pub(super) forwarded: Arc<ForwardedRequest>,
-    pub(super) plan: Plan,
-    /// Oldest version of the routes by which the request may be served.
-    pub(super) min_version: u64,
-    pub(super) started: Instant,
-    /// Number of leaves of each shard that may have received the request from this VM.
-    pub(super) sends: u32,
-}
-
-/// A delegated request, with the caller that waits for it.
-#[derive(Debug)]
-struct Delegated {
-    /// Number that tells the request from others that had the same key.
-    serial: u64,
-    caller_request: CallerRequest,
-    request: Request,
-    /// Key of the connection to the VM that has the request.
-    connection: Option<usize>,
-    /// Number of VMs that the request was passed to.
-    asked: u32,
-    /// Earliest timer that is set for the request.
-    wake_at: Option<Instant>,
-}
-
 impl Delegation {
     /// Binds the listener for other VMs, if one is configured.
     pub(super) fn bind(options: &Options) -> std::io::Result<Delegation> {
@@ -282,76 +250,4 @@
         let actions = state.request.tick(&mut self.delegation.peers, self.now);
         self.apply_delegation(index, actions);
     }
-
-    /// Cancels a request whose caller has closed its connection.
-    pub(super) fn cancel_delegated(&mut self, index: usize) {
-        let state = &mut self.delegation.requests[index];
-        state
-            .request
-            .caller_gone(&mut self.delegation.peers, self.now);
-        self.close_delegated(index);
-        let state = self.delegation.requests.remove(index);
-        let CallerRequest {
-            forwarded, plan, ..
-        } = &state.caller_request;
-        let (id, route) = (&forwarded.id, &plan.route);
-        info!("request id={id} route={route} outcome=caller-left delegated=true");
-        self.metrics.count_answer("caller-left");
-    }
-
-    /// Removes a request, writes its response to the caller and logs its outcome.
-    fn finish_delegated(&mut self, index: usize, end: End) {
-        let state = self.delegation.requests.remove(index);
-        let caller = state.caller_request.caller;
-        let (label, status) = match end {
-            End::Forward(answer) => {
-                let status = answer.status;
-                self.on_delegated_answer(&answer);
-                let method = &state.caller_request.forwarded.method;
-                self.write_answer(caller, method, &answer);
-                ("delegated", status)
-            }
-            End::Refuse { retry_after } => {
-                let why = "it has not run; come back after the time given";
-                self.write_plain(caller, 503, why, Some(retry_after));
-                (REFUSED, 503)
-            }
-            End::Fail => (self.write_failure(caller, 502, "failed").label, 502),
-            End::TimeOut => (self.write_failure(caller, 504, "timed-out").label, 504),
-        };
-        self.metrics.count_answer(label);
-        self.isolation.on_request(status < 500);
-        self.check_store_if_suspected();
-        self.log_delegated(&state, label, status);
-        self.answered_callers.push(caller);
-    }
-
-    /// Records that another VM was reached and has answered.
-    fn on_delegated_answer(&mut self, answer: &Answer) {
-        let seen_version = &mut self.delegation.seen_version;
-        *seen_version = answer.version.max(*seen_version);
-        self.isolation.on_attempt(true);
-    }
-
-    /// Writes the response of another VM.
-    fn write_answer(&mut self, caller: usize, method: &str, answer: &Answer) {
-        let mut response = Vec::with_capacity(512 + answer.body.len());
-        h1::write_status_line(&mut response, answer.status);
-        for field in &answer.fields {
-            h1::write_field(&mut response, &field.name, &field.value);
-        }
-        self.write_body(caller, method, answer.status, &answer.body, response);
-    }
-
-    fn log_delegated(&self, state: &Delegated, label: &str, status: u16) {
-        let request = &state.caller_request;
-        let took = self.now.saturating_duration_since(request.started);
-        self.metrics.observe_answer_time(took);
-        let (id, route, ms) = (&request.forwarded.id, &request.plan.route, took.as_millis());
-        let (version, asked, sends) = (request.min_version, state.asked, request.sends);
-        info!(
-            "request id={id} route={route} version={version} outcome={label} status={status} \
-             delegated=true asked={asked} sends={sends} ms={ms}"
-        );
-    }
 }
