--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -7,8 +7,8 @@
 //!
 //! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The links
 //! are suspected if several requests are left unanswered while no leaf responds, or if several
-//! connections fail while none succeeds. The VM then checks them by a health
-//! request to a few leaves drawn at random, of all failure domains, over new connections. Only if none of them responds, the
+//! connections fail while none succeeds. The VM then checks them by a health request to a few leaves
+//! drawn at random, of all failure domains, over new connections. Only if none of them responds, the
 //! links are lost. From then on the check is repeated, and the first response to it ends the loss. A
 //! connection that is established proves nothing, as something between the VM and the leaf may accept
 //! connections for it.
--- a/tests/testsuite/promise_coverage.rs
+++ b/tests/testsuite/promise_coverage.rs
@@ -158,7 +158,8 @@
         assert_eq!(partial, records.len(), "{context}: {records:?}");
         for record in &records {
             let answer = record.answer().expect("request is answered");
-            assert_eq!(answer["coverage"]["missing"][0]["shard"], "3", "{context}");
+            let missing = &answer["coverage"]["missing"];
+            assert_eq!(missing[0]["shard"], "3", "{context}: {answer}");
         }
     });
 }
