Do not claim that a request has not run after it was handed over

Cause: a call in flight whose parts leaves may have received is handed over to other VMs. All of these declined (stopping, just starting), and the end of a delegated request only looked at what the VMs that it was passed to may have run, not at the leaves that had it before. In the same way a refusal of a VM was forwarded although the VM asked before it may run the request.

Evidence for the fix: delegation_asks_peers_until_one_serves_the_request_or_it_may_have_run failed before in each of its three new cases of this kind (the first stopped the run).

--- a/src/geraniummount/core/delegation/outcome.rs
+++ b/src/geraniummount/core/delegation/outcome.rs
@@ -5,6 +5,9 @@
 use super::Decline;
 use crate::util::h1::Field;
 
+/// Status of a response to a request that has not run.
+const REFUSED: u16 = 503;
+
 /// Response of a peer, which is forwarded to the caller.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Answer {
@@ -18,6 +21,13 @@
     pub version: u64,
 }
 
+impl Answer {
+    /// Returns whether the peer states that the request has not run there and will not run.
+    pub fn is_refusal(&self) -> bool {
+        self.status == REFUSED
+    }
+}
+
 /// Result of passing a request to a peer.
 #[derive(Debug)]
 pub enum Outcome {
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -32,7 +32,7 @@
     lost_domains: Vec<DomainName>,
     /// The peer that has the request.
     open: Option<Open>,
-    /// Whether a peer that did not answer may have run the request.
+    /// Whether a leaf, or a peer that did not answer, may have run the request.
     may_have_run: bool,
     /// Shortest time after which a peer that declined may serve the request.
     retry_after: Option<Duration>,
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Records that up to `sends` leaves of a shard may have received the request already, so that it
+    /// may have run even if no peer serves it.
+    #[must_use]
+    pub fn with_sends(mut self, sends: u32) -> Request {
+        self.may_have_run = sends > 0;
+        self
+    }
+
     /// Passes the request to the first peer.
     pub fn start(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
         self.try_next(peers, now)
@@ -179,6 +187,9 @@
         now: Instant,
     ) -> Vec<Action> {
         peers.end(&open.peer, Ending::Answered, now);
+        if self.may_have_run && answer.is_refusal() {
+            return self.finish(End::Fail);
+        }
         self.finish(End::Forward(answer))
     }
 
--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -35,6 +35,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Behaviour {
     Answers,
+    /// Answers that the request has not run there.
+    Refuses,
     Declines(Decline),
     /// Refuses the connection.
     IsGone,
@@ -44,7 +46,7 @@
     Ends,
 }
 
-use Behaviour::{Answers, Declines, Ends, IsFrozen, IsGone};
+use Behaviour::{Answers, Declines, Ends, IsFrozen, IsGone, Refuses};
 
 /// How a request ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +60,8 @@
 struct Case {
     name: &'static str,
     repeat: Repeat,
+    /// Number of leaves of a shard that may have received the request before.
+    sends: u32,
     /// What the peers do, in the order in which they are asked.
     peers: &'static [Behaviour],
     /// Whether the retry allowances permit a repetition.
@@ -71,6 +75,7 @@
     Case {
         name: "the first peer answers",
         repeat: Repeat::AtMostOnce,
+        sends: 0,
         peers: &[Answers, Answers],
         has_allowance: false,
         expected: Ended::Forwarded,
@@ -79,6 +84,7 @@
     Case {
         name: "a peer without links, a stopping one and one that is gone are passed over",
         repeat: Repeat::AtMostOnce,
+        sends: 0,
         peers: &[
             Declines(Decline::LinksLost),
             Declines(Decline::Stopping),
@@ -92,6 +98,7 @@
     Case {
         name: "a frozen peer is given up if the request may be repeated",
         repeat: Repeat::Idempotent,
+        sends: 0,
         peers: &[IsFrozen, Answers],
         has_allowance: false,
         expected: Ended::Forwarded,
@@ -100,6 +107,7 @@
     Case {
         name: "a request that may run only once stays with a frozen peer",
         repeat: Repeat::AtMostOnce,
+        sends: 0,
         peers: &[IsFrozen, Answers],
         has_allowance: true,
         expected: Ended::TimedOut,
@@ -108,6 +116,7 @@
     Case {
         name: "a peer that ends is replaced if the allowances permit it",
         repeat: Repeat::Idempotent,
+        sends: 0,
         peers: &[Ends, Answers],
         has_allowance: true,
         expected: Ended::Forwarded,
@@ -116,6 +125,7 @@
     Case {
         name: "a peer that ends is not replaced without an allowance",
         repeat: Repeat::Idempotent,
+        sends: 0,
         peers: &[Ends, Answers],
         has_allowance: false,
         expected: Ended::Failed,
@@ -124,6 +134,7 @@
     Case {
         name: "a request that may run only once is not repeated",
         repeat: Repeat::AtMostOnce,
+        sends: 0,
         peers: &[Ends, Answers],
         has_allowance: true,
         expected: Ended::Failed,
@@ -132,6 +143,7 @@
     Case {
         name: "all peers have lost their links",
         repeat: Repeat::Idempotent,
+        sends: 0,
         peers: &[Declines(Decline::LinksLost), Declines(Decline::LinksLost)],
         has_allowance: true,
         expected: Ended::Refused,
@@ -140,11 +152,48 @@
     Case {
         name: "no refusal claims that a request has not run that a frozen peer may run",
         repeat: Repeat::Idempotent,
+        sends: 0,
         peers: &[IsFrozen, Declines(Decline::LinksLost)],
         has_allowance: true,
         expected: Ended::Failed,
         asked: 2,
     },
+    Case {
+        name: "a refusal of a peer is forwarded",
+        repeat: Repeat::Idempotent,
+        sends: 0,
+        peers: &[Refuses],
+        has_allowance: true,
+        expected: Ended::Refused,
+        asked: 1,
+    },
+    Case {
+        name: "no refusal claims that a request has not run that a peer may run that ended",
+        repeat: Repeat::Idempotent,
+        sends: 0,
+        peers: &[Ends, Refuses],
+        has_allowance: true,
+        expected: Ended::Failed,
+        asked: 2,
+    },
+    Case {
+        name: "no refusal claims that a request has not run that leaves may run",
+        repeat: Repeat::Idempotent,
+        sends: 1,
+        peers: &[Declines(Decline::Stopping), IsGone],
+        has_allowance: true,
+        expected: Ended::Failed,
+        asked: 2,
+    },
+    Case {
+        name: "no refusal of a peer claims that a request has not run that leaves may run",
+        repeat: Repeat::Idempotent,
+        sends: 1,
+        peers: &[Refuses],
+        has_allowance: true,
+        expected: Ended::Failed,
+        asked: 1,
+    },
 ];
 
 /// Runs one request against peers that behave as given; returns how it ended and the names of the
@@ -159,7 +208,7 @@
         .collect();
     let mut peers = peers(&known);
     let mut now = Instant::now();
-    let mut request = Request::new(case.repeat, now + TIMEOUT);
+    let mut request = Request::new(case.repeat, now + TIMEOUT).with_sends(case.sends);
     let mut asked = Vec::new();
     let mut actions = request.start(&mut peers, now);
     loop {
@@ -197,7 +246,8 @@
             decline,
             retry_after: None,
         },
-        Answers => Outcome::Answered(Answer::default()),
+        Answers => Outcome::Answered(answer(200)),
+        Refuses => Outcome::Answered(answer(503)),
         IsFrozen => {
             request.on_sent(now);
             return Vec::new();
@@ -211,8 +261,16 @@
     request.on_outcome(outcome, peers, || has_allowance, now)
 }
 
+fn answer(status: u16) -> Answer {
+    Answer {
+        status,
+        ..Answer::default()
+    }
+}
+
 fn ended(end: &End) -> Ended {
     match end {
+        End::Forward(answer) if answer.status == 503 => Ended::Refused,
         End::Forward(_) => Ended::Forwarded,
         End::Refuse { .. } => Ended::Refused,
         End::Fail => Ended::Failed,
