Wait a moment for VMs whose routes are older when a request is delegated

Cause: VMs apply a version within a pause between two reads of the store. The one without links had version 5, and asked for it, as no caller may be served by an older one later.

Ruled out: to accept version 4 for a while, as the VM that asks has acknowledged 5, and a peer may be cut off from the store.

Change: a VM that is outdated is asked again after 30 ms, and a request for which there is no other VM waits for that, 300 ms at most; then it is refused.

--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -14,6 +14,9 @@
 /// Time for which a stopping VM is avoided. It is back or replaced by then.
 const STOPPING_BACKOFF: Duration = Duration::from_secs(5);
 
+/// Time for which a VM is avoided after it declined because its routes are older.
+const OUTDATED_BACKOFF: Duration = Duration::from_millis(30);
+
 /// Time for which a VM is avoided after it declined for any other reason.
 const DECLINE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -71,6 +74,8 @@
     /// Number of requests without a response since the last response.
     failures: u32,
     avoided_until: Option<Instant>,
+    /// Whether the VM is avoided because its routes were older.
+    is_outdated: bool,
 }
 
 impl Peers {
@@ -159,6 +164,16 @@
         first.map(|at| self.all_lost_until.map_or(at, |until| until.max(at)))
     }
 
+    /// Returns when the first VM whose routes were older can be asked again; `None` if there is none.
+    pub fn outdated_until(&self, now: Instant) -> Option<Instant> {
+        if self.is_all_lost(now) {
+            return None;
+        }
+        let outdated = self.known.iter().filter(|state| state.is_outdated);
+        let times = outdated.filter_map(|state| state.avoided_until);
+        times.filter(|until| now < *until).min()
+    }
+
     /// Records that a request was declined by as many VMs as it may be passed to, all of which have
     /// lost their links too.
     pub fn on_all_lost(&mut self, now: Instant) {
@@ -202,6 +217,7 @@
             in_flight: 0,
             failures: 0,
             avoided_until: None,
+            is_outdated: false,
         }
     }
 
@@ -215,6 +231,7 @@
             Ending::Answered => {
                 self.failures = 0;
                 self.avoided_until = None;
+                self.is_outdated = false;
                 return;
             }
             Ending::Failed => {
@@ -224,8 +241,10 @@
             }
             Ending::Declined(Decline::LinksLost) => LINKS_LOST_BACKOFF,
             Ending::Declined(Decline::Stopping) => STOPPING_BACKOFF,
+            Ending::Declined(Decline::Outdated) => OUTDATED_BACKOFF,
             Ending::Declined(_) => DECLINE_BACKOFF,
         };
+        self.is_outdated = ending == Ending::Declined(Decline::Outdated);
         self.avoided_until = self.avoided_until.max(Some(now + backoff));
     }
 }
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -15,6 +15,10 @@
 /// it was stalled. A peer that is given up too early runs the request beside the next one.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum time for which a request waits for peers whose routes are older than it requires. The
+/// VMs apply a change of the routes within a fraction of a second of each other.
+const MAX_OUTDATED_WAIT: Duration = Duration::from_millis(300);
+
 /// Bounds of the retry delay that is sent to a caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -34,6 +38,10 @@
     open: Option<Open>,
     /// Whether a leaf, or a peer that did not answer, may have run the request.
     may_have_run: bool,
+    /// When the request began to wait for peers whose routes are older than it requires.
+    waiting_since: Option<Instant>,
+    /// When it is passed to one of them again; `None` while it does not wait.
+    wait_until: Option<Instant>,
     /// Shortest time after which a peer that declined may serve the request.
     retry_after: Option<Duration>,
     is_finished: bool,
@@ -60,6 +68,8 @@
             lost_domains: Vec::new(),
             open: None,
             may_have_run: false,
+            waiting_since: None,
+            wait_until: None,
             retry_after: None,
             is_finished: false,
         }
@@ -143,6 +153,10 @@
         if now >= self.end_by {
             return self.time_out(peers, now);
         }
+        if self.wait_until.is_some_and(|at| now >= at) {
+            self.wait_until = None;
+            return self.try_next(peers, now);
+        }
         let Some(open) = &mut self.open else {
             return Vec::new();
         };
@@ -176,7 +190,8 @@
         }
         let open = self.open.as_ref().filter(|open| !open.is_late);
         let late_at = open.and_then(Open::late_at);
-        Some(late_at.map_or(self.end_by, |at| at.min(self.end_by)))
+        let times = [late_at, self.wait_until, Some(self.end_by)];
+        times.into_iter().flatten().min()
     }
 
     fn forward(
@@ -207,11 +222,14 @@
         {
             self.lost_domains.push(peer.domain.clone());
         }
+        if decline == Decline::Outdated {
+            self.tried.retain(|name| *name != open.peer);
+        }
         let shortest = self.retry_after.into_iter().chain(retry_after).min();
         self.retry_after = shortest;
     }
 
-    /// Passes the request to another peer, or ends it if there is none.
+    /// Passes the request to another peer. If there is none, the request waits or ends.
     fn try_next(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
         if now >= self.end_by {
             return self.time_out(peers, now);
@@ -220,7 +238,7 @@
             .then(|| peers.choose(&self.tried, &self.lost_domains, now))
             .flatten();
         let Some(peer) = peer else {
-            return self.give_up(peers, now);
+            return self.wait_or_give_up(peers, now);
         };
         peers.begin(&peer);
         self.tried.push(peer.clone());
@@ -233,6 +251,19 @@
         vec![Action::Send(peer)]
     }
 
+    /// Waits for a peer whose routes are older than the request requires, or ends the request.
+    fn wait_or_give_up(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
+        let Some(until) = peers.outdated_until(now) else {
+            return self.give_up(peers, now);
+        };
+        let since = *self.waiting_since.get_or_insert(now);
+        if until > since + MAX_OUTDATED_WAIT {
+            return self.give_up(peers, now);
+        }
+        self.wait_until = Some(until);
+        Vec::new()
+    }
+
     /// Ends a request that no further peer is asked to serve.
     fn give_up(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
         if self.lost_domains.len() == MAX_PEERS {
--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -311,6 +311,47 @@
     assert!(matches!(actions.as_slice(), [Action::Send(_)]));
 }
 
+/// Soon after a change of the routes the other VMs may have an older version in force.
+#[test]
+fn delegation_waits_a_moment_for_peers_with_older_routes() {
+    let outdated = || Outcome::Declined {
+        decline: Decline::Outdated,
+        retry_after: None,
+    };
+    for answers_after in [Some(Duration::from_millis(100)), None] {
+        let mut peers = peers(&[("a", "near"), ("b", "near")]);
+        let started = Instant::now();
+        let mut now = started;
+        // A request that arrives once both are known to be outdated waits too.
+        for _ in 0..2 {
+            let mut request = Request::new(Repeat::AtMostOnce, now + TIMEOUT);
+            let mut actions = request.start(&mut peers, now);
+            let end = loop {
+                match actions.pop() {
+                    Some(Action::Send(_)) => {
+                        let is_current = answers_after.is_some_and(|after| now >= started + after);
+                        let outcome = if is_current {
+                            Outcome::Answered(answer(200))
+                        } else {
+                            outdated()
+                        };
+                        actions = request.on_outcome(outcome, &mut peers, || true, now);
+                    }
+                    Some(Action::Finish(end)) => break end,
+                    Some(Action::Abandon) => panic!("no peer has the request"),
+                    None => {
+                        now = request.next_wake().expect("the request is not finished");
+                        actions = request.tick(&mut peers, now);
+                    }
+                }
+            };
+            let expected = answers_after.map_or(Ended::Refused, |_| Ended::Forwarded);
+            assert_eq!(ended(&end), expected);
+        }
+        assert!(now < started + TIMEOUT, "{:?}", now - started);
+    }
+}
+
 #[test]
 fn delegation_leaves_the_failure_domain_of_a_peer_without_links() {
     let mut peers = peers(&[("a", "near"), ("b", "near"), ("c", "near"), ("z", "far")]);
