Check requests without links in the soak once all else is settled, and excuse the one that shows it

Before, every 502 to an order was left out while only new connections are closed. Now a 502 is, to whatever request, only until 0.5 s after the first one at that gateway: later it has to know.

--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -21,6 +21,9 @@
 /// Time before a request, or before a request to stop, in which a fault may still affect it.
 const FAULT_MARGIN: Duration = Duration::from_secs(1);
 
+/// Time in which a gateway finds out that it has lost its links, after the first request that fails.
+const DETECTION_TIME: Duration = Duration::from_millis(500);
+
 /// Time after which a gateway without links to leaves has its requests served by others.
 const LOST_LINKS_CONTACT: Duration = Duration::from_secs(2);
 
@@ -179,27 +182,42 @@
         }
     }
 
-    /// Checks that a request at a gateway that has lost its links to all leaves is served, unless
-    /// another fault is recent.
-    ///
-    /// While open connections work, the gateway finds out with the first request that needs a new one.
-    /// That connection is accepted before it is closed, so a non-idempotent request may have run.
+    /// Checks that a request at a gateway that has lost its links to all leaves for
+    /// [`LOST_LINKS_CONTACT`] is served, unless another fault is recent.
     fn check_lost_links(&mut self, request: &Exchange) {
-        let from = request
-            .sent_at
-            .checked_sub(LOST_LINKS_CONTACT)
-            .unwrap_or(request.sent_at);
+        if request.outcome.is_success() {
+            return;
+        }
+        let before = |time| request.sent_at.checked_sub(time).unwrap_or(request.sent_at);
+        let (lost_from, settled_from) = (before(LOST_LINKS_CONTACT), before(SETTLE_DELAY));
         let disturbances = &self.cluster.disturbances;
-        let fault = disturbances.only_lost_links(request.vm, from, request.ended_at);
-        let may_have_run = fault == Some(LostLinks::CloseNew)
-            && request.kind == Kind::Order
-            && request.outcome == Outcome::Status(502);
-        if fault.is_some() && !may_have_run && !request.outcome.is_success() {
+        let Some((loss, kind)) = disturbances.lost_links(request.vm, lost_from, request.ended_at)
+        else {
+            return;
+        };
+        let is_settled = disturbances.has_only_lost_links(settled_from, request.ended_at);
+        let reveals_loss = kind == LostLinks::CloseNew && self.reveals_loss(request, loss.from);
+        if is_settled && !reveals_loss {
             let detail = format!("{} at vm{}: {:?}", request.id, request.vm, request.outcome);
             self.add_violation(Promise::ServedWithoutLinks, request.ended_at, detail);
         }
     }
 
+    /// Returns whether a request that may have run shows its gateway that only new connections fail.
+    ///
+    /// The gateway finds that out with the first requests that need one. The connection is accepted
+    /// before it is closed, so that the leaf may have run the request.
+    fn reveals_loss(&self, request: &Exchange, lost_from: Instant) -> bool {
+        let is_earlier = |other: &&Exchange| {
+            other.vm == request.vm
+                && other.outcome == Outcome::Status(502)
+                && other.ended_at >= lost_from
+                && other.ended_at + DETECTION_TIME < request.sent_at
+        };
+        let is_known = || self.requests.iter().any(is_earlier);
+        request.outcome == Outcome::Status(502) && !is_known()
+    }
+
     /// Checks that a caller sent the request that a leaf ran, and for this service.
     fn check_execution(&mut self, execution: &Execution) {
         // Requests of the start-up check and of the version prober are not in the history.
--- a/crates/geraniummount-test-support/src/soak/disturbance.rs
+++ b/crates/geraniummount-test-support/src/soak/disturbance.rs
@@ -102,16 +102,26 @@
         )
     }
 
-    /// Returns how a VM had lost its links to all leaves from one time to another, if no other fault
-    /// affected any part of the cluster, save that other VMs lost their links too.
-    pub fn only_lost_links(&self, vm: usize, from: Instant, to: Instant) -> Option<LostLinks> {
+    /// Returns the loss of a VM's links to all leaves that lasts throughout a span, and how they are
+    /// lost.
+    pub fn lost_links(
+        &self,
+        vm: usize,
+        from: Instant,
+        to: Instant,
+    ) -> Option<(Disturbance, LostLinks)> {
         let covering = |span: &&Disturbance| span.from <= from && span.to >= to;
         let mut lost = self.spans.iter().filter(covering);
-        let lost = lost.find_map(|span| match span.scope {
-            Scope::AllLinks(other, fault) if other == vm => Some(fault),
+        lost.find_map(|span| match span.scope {
+            Scope::AllLinks(other, fault) if other == vm => Some((*span, fault)),
             _ => None,
-        });
-        lost.filter(|_| self.has_none(from, to, |scope| !matches!(scope, Scope::AllLinks(..))))
+        })
+    }
+
+    /// Returns whether no fault affected any part of the cluster between two times, save that VMs
+    /// lost their links to all leaves.
+    pub fn has_only_lost_links(&self, from: Instant, to: Instant) -> bool {
+        self.has_none(from, to, |scope| !matches!(scope, Scope::AllLinks(..)))
     }
 
     /// Returns whether no fault affected a leaf or its link between two times.
