--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -95,6 +95,15 @@
         expected: Ended::Forwarded,
         asked: 4,
     },
+    Case {
+        name: "a full peer is passed over",
+        repeat: Repeat::AtMostOnce,
+        sends: 0,
+        peers: &[Declines(Decline::Overloaded), Answers],
+        has_allowance: false,
+        expected: Ended::Forwarded,
+        asked: 2,
+    },
     Case {
         name: "a frozen peer is given up if the request may be repeated",
         repeat: Repeat::Idempotent,
--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -1,8 +1,9 @@
 //! A VM without links to leaves passes requests to other VMs, also to faulty ones, without losing,
 //! repeating or mixing anything.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::caller::Reply;
@@ -71,6 +72,33 @@
     assert_eq!(deployment.count_served(0, 40), 40);
 }
 
+/// Starts a VM that declines all requests as overloaded, and closes each connection.
+fn start_full_vm() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            // The gateway may have given the connection up.
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(
+                b"HTTP/1.1 503 Service Unavailable\r\nGeraniummount-Decline: overloaded\r\n\
+                  Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+            );
+        }
+    });
+    address
+}
+
+#[test]
+fn platform_delegation_passes_over_a_full_vm() {
+    let deployment = Deployment::start(&["near", "near"]);
+    register_vm(&deployment.vms[0].store, "full", start_full_vm());
+    deployment.change_links(0, hang);
+    deployment.send_for(0, DETECTION_TIME);
+    assert_eq!(deployment.count_served(0, 40), 40);
+}
+
 #[test]
 fn platform_delegation_does_not_need_the_store() {
     let deployment = Deployment::start(&["near", "near"]);
