Forward answers of other VMs that are longer than a leaf's reply may be

What callers saw: an answer over several shards that is longer than [limits] max_reply_bytes was returned whole by a VM with links, and ended with 502 at one without, after each other VM had served it in vain.

Cause: the limit on a reply of one leaf was applied to the response of a VM, which may contain a reply of each part.

Change: the limit is taken once for each part.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -180,6 +180,11 @@
         self.state.update(|state| state.answer = answer);
     }
 
+    /// Sets the records that the leaf returns for a request without a body.
+    pub fn set_records(&self, records: &[u8]) {
+        self.state.update(|state| state.records = records.to_vec());
+    }
+
     /// Sets whether all answers say that the leaf is leaving.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.state.update(|state| state.is_leaving = is_leaving);
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -225,16 +225,27 @@
         if open.reader.has_interim {
             self.delegation.requests[index].request.on_acknowledged();
         }
-        let max_bytes = self.options.max_reply_bytes + MAX_HEAD_BYTES;
+        let received = open.received;
         match response {
             Some(response) => self.on_peer_response(connection, index, response, status),
-            None if open.received > max_bytes => self.fail_peer(connection),
+            None if received > self.max_answer_bytes(index) => self.fail_peer(connection),
             None if status == ReadStatus::Open => {}
             None if status == ReadStatus::Interrupted => self.register_peer_again(connection),
             None => self.fail_peer(connection),
         }
     }
 
+    /// Returns the maximum size of the response to a delegated request. It may contain a whole reply of
+    /// a leaf for each part.
+    fn max_answer_bytes(&self, index: usize) -> usize {
+        let plan = &self.delegation.requests[index].caller_request.plan;
+        let parts = plan.services.len().max(1);
+        self.options
+            .max_reply_bytes
+            .saturating_mul(parts)
+            .saturating_add(MAX_HEAD_BYTES)
+    }
+
     fn register_peer_again(&mut self, connection: usize) {
         let interest = Interest::READABLE | Interest::WRITABLE;
         let token = EventSource::Peer(connection).token();
--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -256,6 +256,28 @@
     }
 }
 
+/// An answer over several shards may be longer than a leaf's reply may be.
+#[test]
+fn platform_delegation_forwards_long_answers_whole() {
+    let deployment = deployment_with_cut_vm(&["near", "near"]);
+    let records = b"record-of-16-byt".repeat(80_000);
+    for leaf in &deployment.leaves {
+        leaf.set_records(&records);
+    }
+    let routes = [
+        service_route("/a/", "idempotent", SHARDS[0]),
+        gather_route("/long/", &SHARDS, 1_000_000, 1.0),
+    ];
+    deployment.vms[0].configure(2, &routes);
+    deployment.vms[1].wait_for_leaf("/long/x");
+    let direct = deployment.vms[1].get("/long/x", 5_000);
+    assert_eq!(direct.status, 200);
+    assert_eq!(direct.body.len(), SHARDS.len() * records.len());
+    let delegated = deployment.vms[0].get("/long/x", 5_000);
+    assert_eq!(delegated.status, 200);
+    assert_eq!(delegated.body, direct.body);
+}
+
 #[test]
 fn platform_delegation_does_not_go_back_to_older_routes() {
     let first = Fixture::start_with_new_store("near");
