Keep the connections of a VM that stands in within the contract of the leaf

What leaves saw: with all leaves of a failure domain frozen (FreezeLeaves of promise_coverage, on two cores beside ten busy processes) a leaf had 26 connections open of 25, five times over the limit.

Cause: all owners of the domain took their links for lost, and a VM of another domain stood in with a third of the connections, the part of the third VM. That VM may hold it too: 9 + 8 + 8 + 8 = 33.

Change: the third VM leaves half of its part to the one that stands in (9, 8, 4 and 4). A leaf runs two requests at once, so four connections are enough. With fewer than six connections there is nothing to leave, and no VM of another domain stands in.

Evidence: the log of that run has 'no leaf responds' at far-2 and far-3 in the second before. connection_shares_add_up_to_the_limit counted only the three VMs; it now counts the fourth too, and has the same equation.

--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -23,9 +23,8 @@
 /// time.
 pub const MAX_CONNECTED_VMS: u16 = 3;
 
-/// Rank by which a VM of another failure domain holds connections to a leaf that no VM of the leaf's
-/// own domain reaches.
-pub const STAND_IN_RANK: usize = MAX_CONNECTED_VMS as usize - 1;
+/// Rank of the VM that leaves a part of its connections to a VM of another failure domain.
+const LAST_CONNECTED_RANK: usize = MAX_CONNECTED_VMS as usize - 1;
 
 /// Destination of a part (the share of a request that goes to one shard) that is sent from this VM
 /// to a leaf.
@@ -93,7 +92,8 @@
     if tried.is_empty() || !have_all_declined {
         return route_excluding(view, leaf, is_unable);
     }
-    match fallback_owner(view, leaf, is_unable) {
+    let has_share = stand_in_share(&leaf.contract) > 0;
+    match fallback_owner(view, leaf, is_unable).filter(|_| has_share) {
         Some(vm) => route_to(view, vm),
         None => Route::NoOwner,
     }
@@ -184,6 +184,20 @@
 
 /// Returns how many connections the VM at `rank` may hold to a leaf.
 pub fn connection_share(contract: &Contract, rank: usize) -> u16 {
+    let third = third_of_connections(contract, rank);
+    match rank {
+        LAST_CONNECTED_RANK => third - stand_in_share(contract),
+        _ => third,
+    }
+}
+
+/// Returns how many connections a VM of another failure domain may hold to a leaf while no VM of the
+/// leaf's own domain reaches it. The leaf may still count the connections of these.
+pub fn stand_in_share(contract: &Contract) -> u16 {
+    third_of_connections(contract, LAST_CONNECTED_RANK) / 2
+}
+
+fn third_of_connections(contract: &Contract, rank: usize) -> u16 {
     if rank >= usize::from(MAX_CONNECTED_VMS) {
         return 0;
     }
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -347,8 +347,10 @@
 }
 
 fn share(view: &View, leaf: &Leaf) -> u16 {
-    let rank = ownership::rank(view, leaf).unwrap_or(ownership::STAND_IN_RANK);
-    ownership::connection_share(&leaf.contract, rank)
+    match ownership::rank(view, leaf) {
+        Some(rank) => ownership::connection_share(&leaf.contract, rank),
+        None => ownership::stand_in_share(&leaf.contract),
+    }
 }
 
 fn connect_timeout(leaf: &Leaf) -> Duration {
--- a/tests/testsuite/control_ownership.rs
+++ b/tests/testsuite/control_ownership.rs
@@ -144,15 +144,18 @@
 
 #[test]
 fn connection_shares_add_up_to_the_limit() {
-    for connections in [1, 2, 3, 25, 100] {
+    for connections in [1, 2, 3, 6, 25, 100] {
         let contract = Contract {
             slots: 2,
             connections,
             open_ms: 6,
         };
         let share = |rank| ownership::connection_share(&contract, rank);
-        assert_eq!((0..3).map(share).sum::<u16>(), connections);
+        // VMs of the leaf's domain that have lost their links may still hold connections.
+        let of_stand_in = ownership::stand_in_share(&contract);
+        assert_eq!((0..3).map(share).sum::<u16>() + of_stand_in, connections);
         assert!(share(0) > 0);
+        assert!(of_stand_in > 0 || connections < 6);
         assert_eq!(share(3), 0);
     }
     let vms: Vec<Vm> = ["a", "b", "c", "d"]
