Give the queries of a coverage test a deadline that a busy machine can keep

Cause: the bound was a deadline of 500 ms, which the other shards' parts or the test's own client missed.

--- a/crates/geraniummount-test-support/src/load.rs
+++ b/crates/geraniummount-test-support/src/load.rs
@@ -233,6 +233,21 @@
 
 /// Sends one copy of a request and records its outcome.
 pub fn send(address: SocketAddr, kind: Kind, number: usize, copy: usize) -> Record {
+    send_with(address, kind, number, copy, None)
+}
+
+/// Sends a query with a deadline of its own and records its outcome.
+pub fn send_query_within(address: SocketAddr, number: usize, deadline: Duration) -> Record {
+    send_with(address, Kind::Queries, number, 0, Some(deadline))
+}
+
+fn send_with(
+    address: SocketAddr,
+    kind: Kind,
+    number: usize,
+    copy: usize,
+    deadline: Option<Duration>,
+) -> Record {
     let id = format!("request-{number}");
     let request = format!("{id}-{copy}");
     let mut headers = vec![("Request-Id", request.as_str())];
@@ -242,7 +257,12 @@
     if kind == Kind::KeyedOrders {
         headers.push(("Idempotency-Key", id.as_str()));
     }
-    let client = Client::with_timeout(address, CALL_TIMEOUT);
+    let deadline_ms = deadline.map(|deadline| deadline.as_millis().to_string());
+    if let Some(deadline_ms) = &deadline_ms {
+        headers.push(("Deadline-Ms", deadline_ms));
+    }
+    let timeout = CALL_TIMEOUT + deadline.unwrap_or_default();
+    let client = Client::with_timeout(address, timeout);
     let reply = client.query(service(kind), &headers, &json!({ "id": id }));
     Record {
         outcome: reply.map_or(Outcome::NoReply, outcome),
