--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -202,8 +202,8 @@
         self.state.update(|state| state.limit = limit);
     }
 
-    /// Makes each request with this body crash the leaf as soon as the leaf runs it: all connections
-    /// are closed without an answer, and no further request is run.
+    /// Makes each request with this body crash the leaf as soon as the leaf runs it: all
+    /// connections are closed without an answer, and no further request is run.
     pub fn set_crash_body(&self, body: &[u8]) {
         let body = body.to_vec();
         self.state.update(|state| state.crash_body = Some(body));
@@ -220,7 +220,8 @@
         self.state.lock().arrivals.clone()
     }
 
-    /// Returns the requests that the leaf rejected with a time without requests, in order of arrival.
+    /// Returns the requests that the leaf rejected with a time without requests, in order of
+    /// arrival.
     pub fn pauses(&self) -> Vec<Run> {
         self.state.lock().pauses.clone()
     }
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -21,7 +21,8 @@
 /// Time before a request, or before a request to stop, in which a fault may still affect it.
 const FAULT_MARGIN: Duration = Duration::from_secs(1);
 
-/// Time in which a gateway finds out that it has lost its links, after the first request that fails.
+/// Time in which a gateway finds out that it has lost its links, after the first request that
+/// fails.
 const DETECTION_TIME: Duration = Duration::from_millis(500);
 
 /// Time after which a gateway without links to leaves has its requests served by others.
@@ -203,7 +204,8 @@
         }
     }
 
-    /// Returns whether a request that may have run shows its gateway that only new connections fail.
+    /// Returns whether a request that may have run shows its gateway that only new connections
+    /// fail.
     ///
     /// The gateway finds that out with the first requests that need one. The connection is accepted
     /// before it is closed, so that the leaf may have run the request.
@@ -251,8 +253,9 @@
     }
 
     /// Checks that a leaf received no request later than [`LEAVING_GRACE`] after it registered as
-    /// leaving, unless a recent fault affected the gateway `vm` that sent the request. An older copy
-    /// of the store is such a fault only if the gateway could not know that the leaf is leaving.
+    /// leaving, unless a recent fault affected the gateway `vm` that sent the request. An older
+    /// copy of the store is such a fault only if the gateway could not know that the leaf is
+    /// leaving.
     fn check_leaving(&mut self, execution: &Execution, vm: usize) {
         let Some(leaving_since) = execution.leaving_since else {
             return;
--- a/crates/geraniummount-test-support/src/soak/disturbance.rs
+++ b/crates/geraniummount-test-support/src/soak/disturbance.rs
@@ -102,8 +102,8 @@
         )
     }
 
-    /// Returns the loss of a VM's links to all leaves that lasts throughout a span, and how they are
-    /// lost.
+    /// Returns the loss of a VM's links to all leaves that lasts throughout a span, and how they
+    /// are lost.
     pub fn lost_links(
         &self,
         vm: usize,
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -233,7 +233,8 @@
         self.replace_leaf(slot);
     }
 
-    /// Lets the store come back from its oldest copy; what was written since is written again later.
+    /// Lets the store come back from its oldest copy; what was written since is written again
+    /// later.
     fn go_back(&mut self) {
         if let Some(backup) = self.backups.front() {
             self.store.restore(backup);
@@ -244,8 +245,8 @@
         self.follow_ups.push((at, FollowUp::RewriteStore));
     }
 
-    /// Writes the routes and the registrations of all leaves again, and removes those of leaves that
-    /// have stopped.
+    /// Writes the routes and the registrations of all leaves again, and removes those of leaves
+    /// that have stopped.
     fn rewrite_store(&mut self) {
         self.rewrite_routes();
         for proxied_leaf in &self.leaves {
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -67,8 +67,8 @@
     /// that they are leaving or want no requests for a while. The other faults of a seed are the
     /// same with and without.
     pub has_platform_faults: bool,
-    /// Whether some leaves also name limits on the requests of all gateways together, from the first
-    /// fault to the last. The other faults of a seed are the same with and without.
+    /// Whether some leaves also name limits on the requests of all gateways together, from the
+    /// first fault to the last. The other faults of a seed are the same with and without.
     pub has_limits: bool,
     /// Whether some gateways, at least one and not all, also lose their links to all leaves in the
     /// middle of the run. The other faults of a seed are the same with and without.
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -28,7 +28,8 @@
     NoRequestAfterLeaving,
     /// A leaf receives no requests from a gateway that it told that it is leaving.
     NoRequestAfterNotice,
-    /// A leaf receives no requests from a gateway that it asked for a pause, until the pause is over.
+    /// A leaf receives no requests from a gateway that it asked for a pause, until the pause is
+    /// over.
     PauseObserved,
     /// A leaf receives no more requests from all gateways together than its limit allows.
     LimitObserved,
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -11,10 +11,10 @@
 //! for the others. At `end_by`, the request ends in any case.
 //!
 //! Leaves pause now and then, and nearly every query over many shards reaches a leaf that is
-//! pausing at that moment. A late part is therefore hedged early, as soon as most other parts of the
-//! query are answered, within the retry allowance of the service (its limit on retries and hedges).
-//! An answer that covers enough shards does not wait for the last shard. A request that can no
-//! longer reach enough shards ends at once.
+//! pausing at that moment. A late part is therefore hedged early, as soon as most other parts of
+//! the query are answered, within the retry allowance of the service (its limit on retries and
+//! hedges). An answer that covers enough shards does not wait for the last shard. A request that
+//! can no longer reach enough shards ends at once.
 //!
 //! A request may crash each leaf that runs it. Once leaves have crashed and none has answered, the
 //! request is unproven: it is sent to one leaf at a time, and further parts wait for the first
--- a/src/geraniummount/core/delegation/mod.rs
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -7,13 +7,13 @@
 //!
 //! A VM in this state delegates: it passes each request as a whole to a peer, another VM, which
 //! serves it like a request of its own and returns the answer. Only the VM that sends a request to
-//! leaves counts it, hedges it and retries it, so that budgets and limits count it once. A delegated
-//! request is never delegated again.
+//! leaves counts it, hedges it and retries it, so that budgets and limits count it once. A
+//! delegated request is never delegated again.
 //!
 //! A peer acknowledges a request as soon as it has read it, and declines at once what it does not
-//! serve. A peer that does neither is taken for frozen: it is avoided for a while, and a request that
-//! may run more than once goes to the next peer. A request that may run only once goes to another
-//! peer only if the last one has declined it or has not received it.
+//! serve. A peer that does neither is taken for frozen: it is avoided for a while, and a request
+//! that may run more than once goes to the next peer. A request that may run only once goes to
+//! another peer only if the last one has declined it or has not received it.
 //!
 //! [`Peers`] knows the other VMs and chooses one of them, [`Request`] is the state of one delegated
 //! request. The inputs are events and the current time; the outputs are [`Action`]s.
--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -26,16 +26,16 @@
 /// Maximum number of times that the backoff after failures doubles.
 const MAX_FAILURE_DOUBLINGS: u32 = 3;
 
-/// Time for which no VM is asked after a request was declined by as many as it may be passed to, all
-/// of which have lost their links: the leaves are probably gone.
+/// Time for which no VM is asked after a request was declined by as many as it may be passed to,
+/// all of which have lost their links: the leaves are probably gone.
 const ALL_LOST_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Number of random candidates of this VM's failure domain, and of the others, of which the least
 /// loaded is chosen.
 const CANDIDATES: usize = 2;
 
-/// A VM of another failure domain is chosen if it has fewer requests of this VM in flight than one of
-/// the same domain, by more than this number. Bytes between failure domains cost money.
+/// A VM of another failure domain is chosen if it has fewer requests of this VM in flight than one
+/// of the same domain, by more than this number. Bytes between failure domains cost money.
 const OTHER_DOMAIN_COST: usize = 2;
 
 /// How a request that was passed to a peer ended, as far as it concerns the peer.
@@ -124,8 +124,8 @@
         Some(&self.known[index].peer)
     }
 
-    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of this
-    /// VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
+    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of
+    /// this VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
     pub fn choose(
         &mut self,
         tried: &[VmName],
@@ -164,7 +164,8 @@
         first.map(|at| self.all_lost_until.map_or(at, |until| until.max(at)))
     }
 
-    /// Returns when the first VM whose routes were older can be asked again; `None` if there is none.
+    /// Returns when the first VM whose routes were older can be asked again; `None` if there is
+    /// none.
     pub fn outdated_until(&self, now: Instant) -> Option<Instant> {
         if self.is_all_lost(now) {
             return None;
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -6,13 +6,13 @@
 use crate::core::route::Repeat;
 use crate::prelude::*;
 
-/// Maximum number of peers that a request is passed to. Most VMs may have lost their links, and each
-/// of them declines within one round trip.
+/// Maximum number of peers that a request is passed to. Most VMs may have lost their links, and
+/// each of them declines within one round trip.
 const MAX_PEERS: usize = 8;
 
 /// Time from sending a request until the peer has to acknowledge it. A packet that was lost is sent
-/// again after some 200 ms, and a slow peer reads the request later than that only if it notices that
-/// it was stalled. A peer that is given up too early runs the request beside the next one.
+/// again after some 200 ms, and a slow peer reads the request later than that only if it notices
+/// that it was stalled. A peer that is given up too early runs the request beside the next one.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Maximum time for which a request waits for peers whose routes are older than it requires. The
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Records that up to `sends` leaves of a shard may have received the request already, so that it
-    /// may have run even if no peer serves it.
+    /// Records that up to `sends` leaves of a shard may have received the request already, so that
+    /// it may have run even if no peer serves it.
     #[must_use]
     pub fn with_sends(mut self, sends: u32) -> Request {
         self.may_have_run = sends > 0;
--- a/src/geraniummount/core/delegation/terms.rs
+++ b/src/geraniummount/core/delegation/terms.rs
@@ -9,11 +9,11 @@
 pub struct Terms {
     /// Name of the VM that delegates the request.
     pub from: VmName,
-    /// Oldest version of the routes by which the request may be served. The caller may have seen the
-    /// effect of this version.
+    /// Oldest version of the routes by which the request may be served. The caller may have seen
+    /// the effect of this version.
     pub min_version: u64,
-    /// Time that the request has taken so far, with the round trip between the VMs. The answer is due
-    /// earlier by this time.
+    /// Time that the request has taken so far, with the round trip between the VMs. The answer is
+    /// due earlier by this time.
     pub elapsed: Duration,
     /// Number of leaves of each shard that may have received the request already.
     pub sends: u32,
--- a/src/geraniummount/core/leaf_links.rs
+++ b/src/geraniummount/core/leaf_links.rs
@@ -5,13 +5,13 @@
 //! hang, are reset, or live on while new ones are refused. Every request that such a VM sends to
 //! leaves itself fails, although another VM could serve it.
 //!
-//! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The links
-//! are suspected if several requests are left unanswered while no leaf responds, or if several
-//! connections fail while none succeeds. The VM then checks them by a health request to a few leaves
-//! drawn at random, of all failure domains, over new connections. Only if none of them responds, the
-//! links are lost. From then on the check is repeated, and the first response to it ends the loss. A
-//! connection that is established proves nothing, as something between the VM and the leaf may accept
-//! connections for it.
+//! Single failures prove nothing: leaves pause, are overloaded or crash, also many at once. The
+//! links are suspected if several requests are left unanswered while no leaf responds, or if
+//! several connections fail while none succeeds. The VM then checks them by a health request to a
+//! few leaves drawn at random, of all failure domains, over new connections. Only if none of them
+//! responds, the links are lost. From then on the check is repeated, and the first response to it
+//! ends the loss. A connection that is established proves nothing, as something between the VM and
+//! the leaf may accept connections for it.
 
 use std::time::{Duration, Instant};
 
@@ -21,8 +21,8 @@
 /// Maximum number of failures of a kind that are remembered.
 const MAX_FAILURES: usize = 256;
 
-/// Time in which one of the leaves of a check has to respond. A health request may wait for a slot of
-/// the leaf.
+/// Time in which one of the leaves of a check has to respond. A health request may wait for a slot
+/// of the leaf.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Minimum interval between two checks while the links work.
@@ -46,8 +46,8 @@
     /// Requests that were left unanswered since a leaf last responded, each by its leaf and time,
     /// sorted.
     silent: Vec<(K, Instant)>,
-    /// Connections that could not be opened since one was last opened, each by its leaf and the time
-    /// of the failure, sorted.
+    /// Connections that could not be opened since one was last opened, each by its leaf and the
+    /// time of the failure, sorted.
     unreachable: Vec<(K, Instant)>,
     /// When the first of the `unreachable` connections failed.
     unreachable_since: Option<Instant>,
--- a/src/geraniummount/core/ownership.rs
+++ b/src/geraniummount/core/ownership.rs
@@ -66,9 +66,9 @@
     }
 }
 
-/// Determines which VM serves a part for `leaf` in place of those that can't: the first of the VMs that
-/// may hold connections to the leaf. If all of these respond and have declined, as they have lost
-/// their links, it is a VM of another failure domain.
+/// Determines which VM serves a part for `leaf` in place of those that can't: the first of the VMs
+/// that may hold connections to the leaf. If all of these respond and have declined, as they have
+/// lost their links, it is a VM of another failure domain.
 pub fn stand_in<'a>(
     view: &'a View,
     leaf: &Leaf,
@@ -191,8 +191,8 @@
     }
 }
 
-/// Returns how many connections a VM of another failure domain may hold to a leaf while no VM of the
-/// leaf's own domain reaches it. The leaf may still count the connections of these.
+/// Returns how many connections a VM of another failure domain may hold to a leaf while no VM of
+/// the leaf's own domain reaches it. The leaf may still count the connections of these.
 pub fn stand_in_share(contract: &Contract) -> u16 {
     third_of_connections(contract, LAST_CONNECTED_RANK) / 2
 }
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -59,8 +59,8 @@
     groups: Vec<Group>,
     /// Runs of leaves that left.
     departures: Departures,
-    /// First attempts that the limits of leaves did not permit although no other leaf could take them;
-    /// `None` before the first one.
+    /// First attempts that the limits of leaves did not permit although no other leaf could take
+    /// them; `None` before the first one.
     refused_by_limits: Option<RequestRate>,
     /// Era of the platform's store whose list of leaves was last received.
     era: Era,
@@ -213,8 +213,8 @@
         }
     }
 
-    /// Records that a leaf closed the connection of an attempt before it answered. Returns whether the
-    /// leaf may have crashed because of the attempt's request.
+    /// Records that a leaf closed the connection of an attempt before it answered. Returns whether
+    /// the leaf may have crashed because of the attempt's request.
     pub fn record_crash(
         &mut self,
         service: &str,
--- a/src/geraniummount/core/placement/sample.rs
+++ b/src/geraniummount/core/placement/sample.rs
@@ -16,9 +16,9 @@
 }
 
 impl Placement {
-    /// Draws up to `count` different leaves that are registered, accept requests and limit none: one
-    /// of each failure domain first, as links to some domains may work. Leaves for which `has_failed`
-    /// returns true are drawn only if there are no others.
+    /// Draws up to `count` different leaves that are registered, accept requests and limit none:
+    /// one of each failure domain first, as links to some domains may work. Leaves for which
+    /// `has_failed` returns true are drawn only if there are no others.
     pub fn sample(
         &mut self,
         count: usize,
--- a/src/geraniummount/core/quarantine/crash.rs
+++ b/src/geraniummount/core/quarantine/crash.rs
@@ -9,8 +9,8 @@
 /// Maximum number of crashes of one failure that count.
 const MAX_CRASHES_OF_FAILURE: usize = 2;
 
-/// Time for which requests through other VMs are still beside the same failure, in milliseconds. A VM
-/// does not know which leaves other VMs have just lost.
+/// Time for which requests through other VMs are still beside the same failure, in milliseconds. A
+/// VM does not know which leaves other VMs have just lost.
 const FAILURE_TIME_MS: u64 = 1_000;
 
 /// A leaf that closed the connection while it had a request. Times are in milliseconds since the
@@ -56,9 +56,9 @@
         }
     }
 
-    /// Returns whether another crash is certainly that of the same run of the same leaf. A run crashes
-    /// once: a leaf that is gone may go on to accept and close connections, for example if a proxy is
-    /// in front of it, and a VM that has just started takes that for a crash.
+    /// Returns whether another crash is certainly that of the same run of the same leaf. A run
+    /// crashes once: a leaf that is gone may go on to accept and close connections, for example if
+    /// a proxy is in front of it, and a VM that has just started takes that for a crash.
     pub(super) fn is_same_run(&self, other: &Crash) -> bool {
         self.started_at_ms.is_some()
             && self.started_at_ms == other.started_at_ms
--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -11,8 +11,9 @@
 //! for [`WITHHOLD_TIME`] after the last crash. After that it is sent to one leaf at a time (see
 //! `core::call`), and one more crash withholds it again; after as long again, it is forgotten.
 //!
-//! A frequent request is beside many crashes. Crashes within a few seconds after an answer therefore
-//! do not count, and a VM remembers its latest answers, as it may hear of crashes only later.
+//! A frequent request is beside many crashes. Crashes within a few seconds after an answer
+//! therefore do not count, and a VM remembers its latest answers, as it may hear of crashes only
+//! later.
 //!
 //! A VM that loses its links to the leaves sees connections end as if leaves had crashed. A crash
 //! therefore counts only on this VM until a leaf has responded to a later request, which shows that
@@ -233,8 +234,8 @@
         self.entries.retain(|entry| !entry.is_over(now));
     }
 
-    /// Returns a copy of a request's entry to which the unconfirmed crashes were added; `None` if no
-    /// crash is known.
+    /// Returns a copy of a request's entry to which the unconfirmed crashes were added; `None` if
+    /// no crash is known.
     fn entry_with_unconfirmed(&self, fingerprint: Fingerprint) -> Option<Entry> {
         let known = self.search(fingerprint).ok();
         let known = known.map(|index| self.entries[index].clone());
@@ -251,8 +252,8 @@
         Some(entry)
     }
 
-    /// Returns when a request was last answered, in milliseconds since the Unix epoch; 0 if that is not
-    /// remembered.
+    /// Returns when a request was last answered, in milliseconds since the Unix epoch; 0 if that is
+    /// not remembered.
     fn answered_ms(&self, fingerprint: Fingerprint) -> u64 {
         let mut answers = self.answers.iter().rev();
         let answer = answers.find(|(answered, _)| *answered == fingerprint);
--- a/src/geraniummount/core/quarantine/record.rs
+++ b/src/geraniummount/core/quarantine/record.rs
@@ -12,8 +12,8 @@
 /// Maximum number of crashes that are remembered of one request.
 const MAX_CRASHES: usize = 12;
 
-/// Time after an answer for which crashes do not count, in milliseconds. A frequent request is beside
-/// many crashes while another one crashes all leaves of its service again and again.
+/// Time after an answer for which crashes do not count, in milliseconds. A frequent request is
+/// beside many crashes while another one crashes all leaves of its service again and again.
 const TRUST_MS: u64 = 5_000;
 
 /// Difference of two clocks below which two times count as the same.
@@ -29,8 +29,8 @@
     pub crashes: Vec<Crash>,
     /// When the last leaf crashed.
     pub last_crash_ms: u64,
-    /// When a leaf last answered the request, which clears all crashes before and shortly after; 0 if
-    /// none did.
+    /// When a leaf last answered the request, which clears all crashes before and shortly after; 0
+    /// if none did.
     pub answered_ms: u64,
 }
 
@@ -116,8 +116,8 @@
     }
 }
 
-/// Adds records to a shared list, and drops those that are too old or too many. `now_ms` is the time
-/// in milliseconds since the Unix epoch.
+/// Adds records to a shared list, and drops those that are too old or too many. `now_ms` is the
+/// time in milliseconds since the Unix epoch.
 pub fn merge_records(list: Vec<Record>, added: &[Record], now_ms: u64) -> Vec<Record> {
     let mut merged = list;
     for record in added {
--- a/src/geraniummount/edge/dispatcher.rs
+++ b/src/geraniummount/edge/dispatcher.rs
@@ -7,11 +7,11 @@
 //! never blocks, and each part ends in exactly one outcome, at the latest shortly after its
 //! deadline.
 //!
-//! The number of hops of a part limits how often it is forwarded. If the owner is unresponsive, or has
-//! lost its links to the leaves, another VM takes the part over, provided that it has a connection
-//! share of the leaf: a number of the leaf's connections that it may open. If no VM of the leaf's
-//! failure domain can, a VM of another one stands in. A VM without links that is asked to take a part
-//! over declines at once.
+//! The number of hops of a part limits how often it is forwarded. If the owner is unresponsive, or
+//! has lost its links to the leaves, another VM takes the part over, provided that it has a
+//! connection share of the leaf: a number of the leaf's connections that it may open. If no VM of
+//! the leaf's failure domain can, a VM of another one stands in. A VM without links that is asked
+//! to take a part over declines at once.
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -161,8 +161,8 @@
         }
     }
 
-    /// Passes queued replies to their calls and queued outcomes to delegated requests, and parses the
-    /// buffered input of callers that have got their response, until none is left.
+    /// Passes queued replies to their calls and queued outcomes to delegated requests, and parses
+    /// the buffered input of callers that have got their response, until none is left.
     pub(super) fn process_pending(&mut self) {
         loop {
             self.hand_over_calls();
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -235,8 +235,8 @@
         }
     }
 
-    /// Returns the maximum size of the response to a delegated request. It may contain a whole reply of
-    /// a leaf for each part.
+    /// Returns the maximum size of the response to a delegated request. It may contain a whole
+    /// reply of a leaf for each part.
     fn max_answer_bytes(&self, index: usize) -> usize {
         let plan = &self.delegation.requests[index].caller_request.plan;
         let parts = plan.services.len().max(1);
@@ -278,8 +278,8 @@
         self.queue_outcome(index, read_outcome(response));
     }
 
-    /// Closes a connection whose time to connect or to be idle is over, unless the timer was set for
-    /// an earlier connection with the same key.
+    /// Closes a connection whose time to connect or to be idle is over, unless the timer was set
+    /// for an earlier connection with the same key.
     pub(in crate::edge::gateway) fn on_peer_timer(&mut self, connection: usize, serial: u64) {
         let Some(open) = self.delegation.connections.get(connection) else {
             return;
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -1,8 +1,8 @@
 //! Delegates requests to other VMs while this VM has lost its links to the leaves, and serves the
 //! requests that other VMs delegate to this one.
 //!
-//! [`connection`] passes a request to another VM, [`finish`] responds to the caller, [`serve`] accepts
-//! the requests of others, and [`wire`] reads and writes the header fields between two VMs.
+//! [`connection`] passes a request to another VM, [`finish`] responds to the caller, [`serve`]
+//! accepts the requests of others, and [`wire`] reads and writes the header fields between two VMs.
 //! `core::delegation` decides which VM is asked and when a request ends.
 //!
 //! A call whose parts were already sent to leaves when the links were found to be lost is handed
@@ -94,11 +94,13 @@
         }
     }
 
-    /// Returns whether a new request of a caller is delegated. This goes on after the links are back
-    /// until the routes in force here are as new as those by which other VMs have served requests.
+    /// Returns whether a new request of a caller is delegated. This goes on after the links are
+    /// back until the routes in force here are as new as those by which other VMs have served
+    /// requests.
     ///
-    /// While only new connections fail, a request is not delegated if there is an open connection for
-    /// each of its parts. Most VMs may be in this state, and the others could not serve them all.
+    /// While only new connections fail, a request is not delegated if there is an open connection
+    /// for each of its parts. Most VMs may be in this state, and the others could not serve them
+    /// all.
     pub(super) fn delegates(&self, route: &Route) -> bool {
         if self.delegation.peers.is_empty() {
             return false;
@@ -137,8 +139,8 @@
         self.apply_delegation(index, actions);
     }
 
-    /// Hands the calls in flight over to other VMs if that is due, as far as they have no answer and
-    /// may be repeated.
+    /// Hands the calls in flight over to other VMs if that is due, as far as they have no answer
+    /// and may be repeated.
     pub(super) fn hand_over_calls(&mut self) {
         let is_due = std::mem::take(&mut self.delegation.is_handover_due);
         let are_answered = self.leaf_links.has_recent_response(self.now);
@@ -240,7 +242,8 @@
         }
     }
 
-    /// Lets a request do what is due, unless the timer was set for an earlier one with the same key.
+    /// Lets a request do what is due, unless the timer was set for an earlier one with the same
+    /// key.
     pub(super) fn on_delegated_timer(&mut self, index: usize, serial: u64) {
         let state = self.delegation.requests.get_mut(index);
         let Some(state) = state.filter(|state| state.serial == serial) else {
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -2,7 +2,8 @@
 //!
 //! They arrive on a listener of their own, and are read like those of callers. A request that does
 //! not contain this VM's key is not served: callers can't read the key, which is registered in the
-//! platform's store. A request is never delegated a second time, so that no request goes in circles.
+//! platform's store. A request is never delegated a second time, so that no request goes in
+//! circles.
 //!
 //! After a stall of this VM, requests are held for a moment: the other VM may have given them up
 //! meanwhile, and the end of its connection may arrive only after the request.
--- a/src/geraniummount/edge/gateway/delegation/wire.rs
+++ b/src/geraniummount/edge/gateway/delegation/wire.rs
@@ -1,5 +1,5 @@
-//! Header fields of the requests and responses between two VMs, in addition to those of the caller's
-//! request and of its response.
+//! Header fields of the requests and responses between two VMs, in addition to those of the
+//! caller's request and of its response.
 
 use std::time::Duration;
 
@@ -78,8 +78,8 @@
     h1::field_text(fields, DECLINE)?.parse().ok()
 }
 
-/// Returns the version of the routes by which a request was served; 0 if the response does not state
-/// it.
+/// Returns the version of the routes by which a request was served; 0 if the response does not
+/// state it.
 pub(super) fn read_version(fields: &[Field]) -> u64 {
     read_number(fields, VERSION).unwrap_or_default()
 }
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -32,8 +32,8 @@
 /// nobody needs.
 const ABANDONED_GRACE: Duration = Duration::from_millis(300);
 
-/// Time after which a request that is abandoned counts as left unanswered, for the detection of lost
-/// links.
+/// Time after which a request that is abandoned counts as left unanswered, for the detection of
+/// lost links.
 const MIN_SILENCE: Duration = Duration::from_millis(100);
 
 /// Maximum time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
@@ -72,7 +72,8 @@
     abandoned_at: Option<Instant>,
     /// Fingerprint of the abandoned attempt's request, if no leaf had answered the request.
     abandoned_request: Option<Fingerprint>,
-    /// Whether the connection was opened to check this VM's links, and its leaf has not responded yet.
+    /// Whether the connection was opened to check this VM's links, and its leaf has not responded
+    /// yet.
     pub(super) is_check: bool,
 }
 
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Closes an idle connection. An extra response on it is discarded, but what the leaf says there
-    /// about further requests still holds.
+    /// Closes an idle connection. An extra response on it is discarded, but what the leaf says
+    /// there about further requests still holds.
     fn close_idle_leaf(&mut self, connection: usize) {
         let leaf = &self.leaf_connections[connection];
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -1,7 +1,7 @@
 //! Checks this VM's links to the leaves while they are suspected or lost.
 //!
-//! A check sends a health request to a few leaves, each over a new connection. Any response shows that
-//! the link works; the connection is then kept for requests.
+//! A check sends a health request to a few leaves, each over a new connection. Any response shows
+//! that the link works; the connection is then kept for requests.
 
 use std::time::Duration;
 
@@ -17,8 +17,8 @@
 
 impl Gateway {
     /// Records that the leaves of a call's attempts have not answered since the call began, except
-    /// the one that was just sent an attempt. If no leaf has responded since, this casts doubt on the
-    /// links.
+    /// the one that was just sent an attempt. If no leaf has responded since, this casts doubt on
+    /// the links.
     pub(super) fn record_silent_leaves(&mut self, index: usize, just_sent: Option<ReplicaKey>) {
         let state = &self.calls[index];
         let mut is_silent = false;
@@ -74,8 +74,9 @@
         }
     }
 
-    /// Logs a change of the state of the links. If they are lost, the calls in flight are handed over
-    /// to other VMs once the current event is handled, as that may be about one of these calls.
+    /// Logs a change of the state of the links. If they are lost, the calls in flight are handed
+    /// over to other VMs once the current event is handled, as that may be about one of these
+    /// calls.
     pub(super) fn apply_links_change(&mut self, change: Option<Change>) {
         let Some(change) = change else {
             return;
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -22,8 +22,8 @@
     pub ready: SocketAddr,
     /// Listening address for metrics, if they are served.
     pub metrics: Option<SocketAddr>,
-    /// Listening address for the requests of other VMs; `None` if this VM neither delegates requests
-    /// nor serves those of others.
+    /// Listening address for the requests of other VMs; `None` if this VM neither delegates
+    /// requests nor serves those of others.
     pub peer_listen: Option<SocketAddr>,
     /// Source address of the connections to leaves and to other VMs; the system chooses one if
     /// `None`.
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -127,8 +127,8 @@
         self.pools[index].waiting.push_back(attempt);
     }
 
-    /// Applies what a leaf said about further requests. The attempts that wait for a connection to a
-    /// leaf that wants no more requests are passed back to their calls.
+    /// Applies what a leaf said about further requests. The attempts that wait for a connection to
+    /// a leaf that wants no more requests are passed back to their calls.
     pub(super) fn apply_notice(&mut self, key: ReplicaKey, notice: Notice) {
         if notice.is_empty() {
             return;
@@ -159,8 +159,8 @@
     }
 
     /// Applies the limit that a leaf names in the response to a request that was sent at `sent_at`,
-    /// or that it names none. When a limit begins, the attempts that wait for a connection are passed
-    /// back to their calls, as they were chosen without it.
+    /// or that it names none. When a limit begins, the attempts that wait for a connection are
+    /// passed back to their calls, as they were chosen without it.
     pub(super) fn apply_limit(&mut self, key: ReplicaKey, named: NamedLimit, sent_at: Instant) {
         let Ok(index) = self.search_pool(key) else {
             return;
--- a/src/geraniummount/edge/gateway/quarantine.rs
+++ b/src/geraniummount/edge/gateway/quarantine.rs
@@ -1,9 +1,9 @@
-//! Withholds requests that crash the leaves that run them, and shares with the other VMs which these
-//! are.
+//! Withholds requests that crash the leaves that run them, and shares with the other VMs which
+//! these are.
 //!
-//! A leaf that closes the connection before its response to a request is complete counts as crashed.
-//! The crashes during a call count once the call ends without an answer of any leaf: a request that
-//! another leaf answers was only beside the crash.
+//! A leaf that closes the connection before its response to a request is complete counts as
+//! crashed. The crashes during a call count once the call ends without an answer of any leaf: a
+//! request that another leaf answers was only beside the crash.
 
 use std::io;
 use std::sync::mpsc;
@@ -218,8 +218,8 @@
         }
     }
 
-    /// Returns the crash, just now, of a leaf that had a request since `arrived_at`; `None` if the leaf
-    /// is gone.
+    /// Returns the crash, just now, of a leaf that had a request since `arrived_at`; `None` if the
+    /// leaf is gone.
     fn crash(&self, service: &str, key: ReplicaKey, arrived_at: Instant) -> Option<Crash> {
         let replica = self.placement.replica(service, key)?;
         let age = self.now.saturating_duration_since(arrived_at);
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -9,8 +9,8 @@
 /// Size of the buffer that is passed to one read.
 pub(super) const READ_BUF_BYTES: usize = 32 * 1024;
 
-/// Number of bytes after which reading is interrupted, so that a peer that sends without end does not
-/// occupy the event loop.
+/// Number of bytes after which reading is interrupted, so that a peer that sends without end does
+/// not occupy the event loop.
 const MAX_BYTES_PER_EVENT: usize = 256 * 1024;
 
 /// Begins to connect to `address` from the IP address `source`, without blocking.
@@ -33,8 +33,8 @@
 pub(super) enum ReadStatus {
     /// The connection is open and more input may follow.
     Open,
-    /// Reading was interrupted; more bytes may be available. No event reports them unless the socket
-    /// is registered again.
+    /// Reading was interrupted; more bytes may be available. No event reports them unless the
+    /// socket is registered again.
     Interrupted,
     /// The peer has closed its sending side.
     Eof,
@@ -65,10 +65,10 @@
         }
     }
 
-    /// Reads the available bytes into the input buffer, at most [`MAX_BYTES_PER_EVENT`] and the rest of
-    /// one read. A short read normally means that no more
-    /// bytes are available and ends the loop. If `closed` is set, the peer may have closed its
-    /// sending side, and reading goes on after a short read to reach the end of the stream.
+    /// Reads the available bytes into the input buffer, at most [`MAX_BYTES_PER_EVENT`] and the
+    /// rest of one read. A short read normally means that no more bytes are available and ends the
+    /// loop. If `closed` is set, the peer may have closed its sending side, and reading goes on
+    /// after a short read to reach the end of the stream.
     pub(super) fn read(&mut self, scratch: &mut [u8], closed: bool) -> ReadStatus {
         let mut left = MAX_BYTES_PER_EVENT;
         loop {
--- a/src/geraniummount/edge/gateway/stall.rs
+++ b/src/geraniummount/edge/gateway/stall.rs
@@ -40,7 +40,8 @@
         }
     }
 
-    /// Returns until when messages may arrive that are older than a stall; `None` if there was none.
+    /// Returns until when messages may arrive that are older than a stall; `None` if there was
+    /// none.
     pub(super) fn settles_at(&self, now: Instant) -> Option<Instant> {
         self.settled_at.filter(|at| now < *at)
     }
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -231,8 +231,8 @@
         self.sender.send(Update::Leaves(instances, era))
     }
 
-    /// Publishes the list of requests during which leaves crashed; returns whether the event loop is
-    /// still running.
+    /// Publishes the list of requests during which leaves crashed; returns whether the event loop
+    /// is still running.
     fn publish_quarantine(&mut self) -> bool {
         let value = self.store_cache.get(platform::QUARANTINE_KEY);
         let records = value.map_or(Vec::new(), |(_, value)| quarantine::decode(value));
--- a/src/geraniummount/edge/gateway/watch/peers.rs
+++ b/src/geraniummount/edge/gateway/watch/peers.rs
@@ -2,9 +2,9 @@
 //!
 //! An entry has no lease: renewing one would cost calls on the store all day for something that is
 //! needed for seconds. It is written when a VM is started for the first time, again after
-//! [`REFRESH_INTERVAL`], and when it is missing, as after the store has come back from an older copy
-//! of itself. A VM that starts again keeps the secret of its entry, and writes nothing. With its own
-//! entry, a VM removes those that were not refreshed for [`MAX_AGE`].
+//! [`REFRESH_INTERVAL`], and when it is missing, as after the store has come back from an older
+//! copy of itself. A VM that starts again keeps the secret of its entry, and writes nothing. With
+//! its own entry, a VM removes those that were not refreshed for [`MAX_AGE`].
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- a/src/geraniummount/edge/leaf/links.rs
+++ b/src/geraniummount/edge/leaf/links.rs
@@ -1,7 +1,7 @@
 //! This VM's links to the leaves, as the tasks of the leaves observe them.
 //!
-//! A task reports each response and each failure of its leaf. While the links are suspected or lost,
-//! the tasks of a few leaves send requests to the health endpoints of their leaves at once.
+//! A task reports each response and each failure of its leaf. While the links are suspected or
+//! lost, the tasks of a few leaves send requests to the health endpoints of their leaves at once.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -12,8 +12,8 @@
 use crate::core::leaf_links::{CHECKED_LEAVES, Change, LeafLinks};
 use crate::prelude::*;
 
-/// Minimum number of leaves that have a task for the links to be checked. With fewer, the loss of the
-/// links can't be told from the loss of the leaves.
+/// Minimum number of leaves that have a task for the links to be checked. With fewer, the loss of
+/// the links can't be told from the loss of the leaves.
 const MIN_LEAVES: usize = 3;
 
 /// Links of this VM to the leaves.
@@ -47,8 +47,8 @@
         self.apply(change);
     }
 
-    /// Ends a check whose time is over, and begins one if it is due. Returns the leaves that have to be
-    /// asked, drawn from `known`, the leaves that have a task.
+    /// Ends a check whose time is over, and begins one if it is due. Returns the leaves that have
+    /// to be asked, drawn from `known`, the leaves that have a task.
     pub(super) fn advance(&self, known: impl FnOnce() -> Vec<LeafName>) -> Vec<LeafName> {
         if self.is_sound.load(Ordering::Acquire) {
             return Vec::new();
--- a/src/geraniummount/edge/leaf/task.rs
+++ b/src/geraniummount/edge/leaf/task.rs
@@ -8,7 +8,8 @@
 //!
 //! The task passes events to the leaf's queue and performs the actions that the queue returns.
 //! Requests run on worker threads, each with one connection. The task itself never waits for the
-//! leaf, which lets it enforce deadlines while a worker is blocked. [`jobs`] starts and aborts them.
+//! leaf, which lets it enforce deadlines while a worker is blocked. [`jobs`] starts and aborts
+//! them.
 
 mod jobs;
 
--- a/src/geraniummount/edge/peer/client.rs
+++ b/src/geraniummount/edge/peer/client.rs
@@ -39,8 +39,8 @@
     shared: Arc<Shared>,
 }
 
-/// Callback that receives a part that was not sent because its peer is lost, or that the peer has not
-/// run because it can't reach the leaf.
+/// Callback that receives a part that was not sent because its peer is lost, or that the peer has
+/// not run because it can't reach the leaf.
 pub type UnsentHandler = Box<dyn Fn(Part, Pending) + Send + Sync>;
 
 struct Shared {
--- a/src/geraniummount/edge/peer/dispatch.rs
+++ b/src/geraniummount/edge/peer/dispatch.rs
@@ -30,9 +30,9 @@
 const CANCEL_GRACE: Duration = Duration::from_millis(100);
 
 impl Link {
-    /// Registers a part, which can be cancelled from then on. The returned future
-    /// sends it to the peer and reports its outcome to `pending`. If the peer is lost before the part
-    /// is sent, or can't reach the leaf, the future passes the part to `on_unsent`.
+    /// Registers a part, which can be cancelled from then on. The returned future sends it to the
+    /// peer and reports its outcome to `pending`. If the peer is lost before the part is sent, or
+    /// can't reach the leaf, the future passes the part to `on_unsent`.
     pub fn dispatch(
         self: Rc<Link>,
         part: Part,
--- a/src/geraniummount/edge/peer/lost_peers.rs
+++ b/src/geraniummount/edge/peer/lost_peers.rs
@@ -22,7 +22,8 @@
 pub struct LostPeers {
     /// Sorted.
     addresses: Arc<RwLock<Vec<SocketAddr>>>,
-    /// Peers that have declined parts, each with the time until which it is avoided, sorted by address.
+    /// Peers that have declined parts, each with the time until which it is avoided, sorted by
+    /// address.
     declined: Arc<RwLock<Vec<(SocketAddr, Instant)>>>,
 }
 
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// Removes the hop-by-hop fields, which apply to a single connection, and those that the gateway sets anew for each leaf.
+/// Removes the hop-by-hop fields, which apply to a single connection, and those that the gateway
+/// sets anew for each leaf.
 pub fn strip_request_fields(fields: &mut Vec<Field>) {
     h1::strip_hop_by_hop(fields);
     let replaced = [DEADLINE_MS, EXPECTED_LEAF];
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -2,10 +2,11 @@
 //! this crate.
 //!
 //! This module makes no decisions, and no other module uses the names of the platform. [`document`]
-//! parses the operator's configuration, [`registration`] parses the registrations of leaves
-//! (the servers that run the requests), [`headers`] reads and writes the header fields of requests
-//! and responses, [`vm_rate`] reads and writes what VMs tell each other of their rates of requests,
-//! [`peer_entry`] the entries by which they find each other, and [`Store`] is the client of the platform's key-value store.
+//! parses the operator's configuration, [`registration`] parses the registrations of leaves (the
+//! servers that run the requests), [`headers`] reads and writes the header fields of requests and
+//! responses, [`vm_rate`] reads and writes what VMs tell each other of their rates of requests,
+//! [`peer_entry`] the entries by which they find each other, and [`Store`] is the client of the
+//! platform's key-value store.
 
 pub mod document;
 pub mod headers;
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -23,12 +23,12 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Timeout for the answer to a call, or for its next bytes. The answer to a watch may take this long
-/// in addition to the wait that the watch requests.
+/// Timeout for the answer to a call, or for its next bytes. The answer to a watch may take this
+/// long in addition to the wait that the watch requests.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Maximum time of a read whose bytes keep arriving. VMs that all start at the same moment share the
-/// store's link; a read that was abandoned would begin anew and add to the load.
+/// Maximum time of a read whose bytes keep arriving. VMs that all start at the same moment share
+/// the store's link; a read that was abandoned would begin anew and add to the load.
 const MAX_READ_TIME: Duration = Duration::from_secs(6);
 
 /// Idle time before the first TCP keepalive probe, and interval between probes.
--- a/tests/testsuite/fixtures.rs
+++ b/tests/testsuite/fixtures.rs
@@ -29,8 +29,8 @@
     catalog_of(&[("leaf-1", leaf_address)])
 }
 
-/// Returns a catalog with leaves at the given addresses, and the service `tickets`, whose only shard
-/// is on `leaf-1`.
+/// Returns a catalog with leaves at the given addresses, and the service `tickets`, whose only
+/// shard is on `leaf-1`.
 pub fn catalog_of(leaves: &[(&str, SocketAddr)]) -> Catalog {
     let leaves = leaves.iter().map(|(name, address)| Leaf {
         name: (*name).to_owned(),
--- a/tests/testsuite/quarantine_fleet.rs
+++ b/tests/testsuite/quarantine_fleet.rs
@@ -335,8 +335,8 @@
     }
 }
 
-/// Returns a crash, at a time after [`EPOCH_MS`], of a leaf that had a request which arrived at another
-/// time at the only VM.
+/// Returns a crash, at a time after [`EPOCH_MS`], of a leaf that had a request which arrived at
+/// another time at the only VM.
 fn crash(arrived_ms: u64, at_ms: u64) -> Crash {
     crash_through("vm", arrived_ms, at_ms)
 }
@@ -459,7 +459,8 @@
     assert!(second.unshared(now).is_empty());
 }
 
-/// Both leaves of a small service crash again and again, and a frequent request is always beside it.
+/// Both leaves of a small service crash again and again, and a frequent request is always beside
+/// it.
 #[test]
 fn quarantine_spares_a_request_that_was_answered_shortly_before() {
     let now = Instant::now();
@@ -484,7 +485,8 @@
     assert_eq!(other.record_crashes(HARMLESS, later, now), 3);
 }
 
-/// A VM that has lost two leaves reads a list in which another VM has lost three, all within a second.
+/// A VM that has lost two leaves reads a list in which another VM has lost three, all within a
+/// second.
 #[test]
 fn quarantine_keeps_what_each_vm_has_seen_when_lists_are_merged() {
     let now = Instant::now();
