Prefer VMs that have just served when most VMs have lost their links

Cause: not the capacity of the VMs that were left. Each request searched anew among all VMs, and what an earlier one had found was not used.

Change: a VM that has answered within 2 s is known to reach the leaves. The more of the other VMs turn out to have lost their links, the more requests a known one may have before another is asked; while few have, requests are spread as before. After eight declines only known ones are asked, for 60 ms at first, doubling up to 480 ms.

--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -26,9 +26,23 @@
 /// Maximum number of times that the backoff after failures doubles.
 const MAX_FAILURE_DOUBLINGS: u32 = 3;
 
-/// Time for which no VM is asked after a request was declined by as many as it may be passed to,
-/// all of which have lost their links: the leaves are probably gone.
-const ALL_LOST_BACKOFF: Duration = Duration::from_millis(500);
+/// Time for which no further VM is asked after a request was declined by as many as it may be passed
+/// to, all of which have lost their links: the leaves are probably gone. It doubles with each such
+/// request until a VM answers one.
+const INITIAL_ALL_LOST_BACKOFF: Duration = Duration::from_millis(60);
+
+/// Maximum number of times that the backoff doubles while all VMs that are asked have lost their
+/// links.
+const MAX_ALL_LOST_DOUBLINGS: u32 = 3;
+
+/// Time for which a VM that has answered is known to reach the leaves.
+const PROVEN_TTL: Duration = Duration::from_secs(2);
+
+/// Weight of one more VM in the estimated share of the VMs that have lost their links.
+const LOST_SHARE_WEIGHT: f64 = 0.125;
+
+/// Maximum estimated share of the VMs that have lost their links.
+const MAX_LOST_SHARE: f64 = 0.95;
 
 /// Number of random candidates of this VM's failure domain, and of the others, of which the least
 /// loaded is chosen.
@@ -60,8 +74,14 @@
     own_domain: DomainName,
     /// Sorted by name.
     known: Vec<State>,
-    /// Until when no VM is asked, because none is expected to reach the leaves.
+    /// Until when only VMs that are known to reach the leaves are asked, because no other is expected
+    /// to.
     all_lost_until: Option<Instant>,
+    /// Number of requests since the last answer after which no further VM was asked.
+    all_lost_count: u32,
+    /// Estimated share of the VMs that have lost their links, among those not known to reach the
+    /// leaves.
+    lost_share: f64,
     rng: SmallRng,
 }
 
@@ -74,6 +94,8 @@
     /// Number of requests without a response since the last response.
     failures: u32,
     avoided_until: Option<Instant>,
+    /// When the VM last answered a request, unless it has lost its links since.
+    answered_at: Option<Instant>,
     /// Whether the VM is avoided because its routes were older.
     is_outdated: bool,
 }
@@ -90,6 +112,8 @@
             own_domain: own_domain.into(),
             known: Vec::new(),
             all_lost_until: None,
+            all_lost_count: 0,
+            lost_share: 0.0,
             rng,
         }
     }
@@ -124,37 +148,46 @@
         Some(&self.known[index].peer)
     }
 
-    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of
-    /// this VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
+    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of this
+    /// VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
+    ///
+    /// The more VMs have turned out to have lost their links, the more those are preferred that are
+    /// known to reach the leaves.
     pub fn choose(
         &mut self,
         tried: &[VmName],
         lost_domains: &[DomainName],
         now: Instant,
     ) -> Option<VmName> {
-        if self.is_all_lost(now) {
-            return None;
-        }
         let is_usable = |state: &&State| state.is_usable(now) && !tried.contains(&state.peer.name);
-        let usable: Vec<&State> = self.known.iter().filter(is_usable).collect();
-        let (lost, others): (Vec<&State>, Vec<&State>) = usable
-            .into_iter()
+        let usable = self.known.iter().filter(is_usable);
+        let (proven, mut unproven): (Vec<&State>, Vec<&State>) =
+            usable.partition(|state| state.is_proven(now));
+        let (lost, others): (Vec<&State>, Vec<&State>) = unproven
+            .drain(..)
             .partition(|state| lost_domains.contains(&state.peer.domain));
-        let eligible = if others.is_empty() { lost } else { others };
-        let (mut near, mut far): (Vec<&State>, Vec<&State>) = eligible
-            .into_iter()
-            .partition(|state| state.peer.domain == self.own_domain);
-        let near = draw(&mut near, &mut self.rng).into_iter();
-        let far = draw(&mut far, &mut self.rng).into_iter();
-        let near = near.map(|state| (state.in_flight, state));
-        let far = far.map(|state| (state.in_flight + OTHER_DOMAIN_COST, state));
-        let best = near.chain(far).min_by_key(|(cost, _)| *cost);
+        if !self.is_all_lost(now) {
+            unproven = if others.is_empty() { lost } else { others };
+        }
+        let asks = self.lost_share / (1.0 - self.lost_share);
+        let groups = [(proven, 0.0), (unproven, asks)];
+        let mut best: Option<(f64, &State)> = None;
+        for (group, extra_asks) in groups {
+            for state in draw_of_domains(group, &self.own_domain, &mut self.rng) {
+                let cost = state.cost(&self.own_domain) + extra_asks;
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, state));
+                }
+            }
+        }
         best.map(|(_, state)| state.peer.name.clone())
     }
 
     /// Returns whether any VM can be asked now.
     pub fn has_usable(&self, now: Instant) -> bool {
-        !self.is_all_lost(now) && self.known.iter().any(|state| state.is_usable(now))
+        let is_all_lost = self.is_all_lost(now);
+        let mut usable = self.known.iter().filter(|state| state.is_usable(now));
+        usable.any(|state| !is_all_lost || state.is_proven(now))
     }
 
     /// Returns when the first VM can be asked again; `None` if no other VM is known.
@@ -178,7 +211,9 @@
     /// Records that a request was declined by as many VMs as it may be passed to, all of which have
     /// lost their links too.
     pub fn on_all_lost(&mut self, now: Instant) {
-        self.all_lost_until = Some(now + ALL_LOST_BACKOFF);
+        let doublings = self.all_lost_count.min(MAX_ALL_LOST_DOUBLINGS);
+        self.all_lost_count += 1;
+        self.all_lost_until = Some(now + INITIAL_ALL_LOST_BACKOFF * (1 << doublings));
     }
 
     fn is_all_lost(&self, now: Instant) -> bool {
@@ -199,12 +234,27 @@
         };
         if ending == Ending::Answered {
             self.all_lost_until = None;
+            self.all_lost_count = 0;
         }
+        self.estimate_lost_share(index, ending, now);
         let state = &mut self.known[index];
         state.in_flight = state.in_flight.saturating_sub(1);
         state.record(ending, now);
     }
 
+    /// Updates the estimate by the ending of a request at a VM that was not known to reach the leaves.
+    fn estimate_lost_share(&mut self, index: usize, ending: Ending, now: Instant) {
+        let is_lost = match ending {
+            Ending::Answered => false,
+            Ending::Declined(Decline::LinksLost) => true,
+            _ => return,
+        };
+        if !self.known[index].is_proven(now) {
+            let target = if is_lost { MAX_LOST_SHARE } else { 0.0 };
+            self.lost_share += (target - self.lost_share) * LOST_SHARE_WEIGHT;
+        }
+    }
+
     fn search(&self, name: &str) -> Result<usize, usize> {
         self.known
             .binary_search_by(|state| state.peer.name.as_str().cmp(name))
@@ -218,6 +268,7 @@
             in_flight: 0,
             failures: 0,
             avoided_until: None,
+            answered_at: None,
             is_outdated: false,
         }
     }
@@ -226,11 +277,28 @@
         self.avoided_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns whether the VM is known to reach the leaves.
+    fn is_proven(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
+        self.answered_at.is_some_and(is_recent)
+    }
+
+    /// Returns the number of requests that the VM has, with the cost of its failure domain.
+    fn cost(&self, own_domain: &str) -> f64 {
+        let is_far = self.peer.domain != own_domain;
+        let domain_cost = if is_far { OTHER_DOMAIN_COST } else { 0 };
+        (self.in_flight + domain_cost) as f64
+    }
+
     fn record(&mut self, ending: Ending, now: Instant) {
+        if ending == Ending::Declined(Decline::LinksLost) {
+            self.answered_at = None;
+        }
         let backoff = match ending {
             Ending::Abandoned => return,
             Ending::Answered => {
                 self.failures = 0;
+                self.answered_at = Some(now);
                 self.avoided_until = None;
                 self.is_outdated = false;
                 return;
@@ -250,6 +318,20 @@
     }
 }
 
+/// Draws a few VMs of a failure domain and a few of the others.
+fn draw_of_domains<'a>(
+    states: Vec<&'a State>,
+    own_domain: &str,
+    rng: &mut SmallRng,
+) -> Vec<&'a State> {
+    let (mut near, mut far): (Vec<&State>, Vec<&State>) = states
+        .into_iter()
+        .partition(|state| state.peer.domain == own_domain);
+    let mut drawn = draw(&mut near, rng);
+    drawn.extend(draw(&mut far, rng));
+    drawn
+}
+
 /// Draws up to [`CANDIDATES`] different VMs.
 fn draw<'a>(states: &mut Vec<&'a State>, rng: &mut SmallRng) -> Vec<&'a State> {
     let mut drawn = Vec::with_capacity(CANDIDATES);
--- a/tests/testsuite/delegation_fleet.rs
+++ b/tests/testsuite/delegation_fleet.rs
@@ -111,6 +111,16 @@
         max_asked: 2.0,
         max_in_flight: 30,
     },
+    Case {
+        name: "nearly all VMs of each domain, with few requests",
+        domains: 7,
+        vms_per_domain: 10,
+        state: |domain, number| cut(domain > 2 || number > 0),
+        requests_per_second: 2.4,
+        min_served: 0.8,
+        max_asked: 2.8,
+        max_in_flight: 60,
+    },
     Case {
         name: "a large fleet, one whole domain",
         domains: 6,
