--- a/src/geraniummount/core/delegation/mod.rs
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -20,6 +20,7 @@
 
 mod action;
 mod decline;
+mod ending;
 mod outcome;
 mod peer;
 mod peers;
@@ -28,8 +29,9 @@
 
 pub use self::action::{Action, End};
 pub use self::decline::Decline;
+pub use self::ending::Ending;
 pub use self::outcome::{Answer, Outcome};
 pub use self::peer::Peer;
-pub use self::peers::{Ending, Peers};
+pub use self::peers::Peers;
 pub use self::request::Request;
 pub use self::terms::Terms;
--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -1,43 +1,25 @@
 //! Other VMs to which requests can be delegated.
 
+mod state;
+
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use super::{Decline, Peer};
+use self::state::State;
+use super::{Decline, Ending, Peer};
 use crate::prelude::*;
 
-/// Time for which a VM is avoided after it declined a request because it has lost its links too.
-const LINKS_LOST_BACKOFF: Duration = Duration::from_secs(1);
-
-/// Time for which a stopping VM is avoided. It is back or replaced by then.
-const STOPPING_BACKOFF: Duration = Duration::from_secs(5);
-
-/// Time for which a VM is avoided after it declined because its routes are older.
-const OUTDATED_BACKOFF: Duration = Duration::from_millis(30);
-
-/// Time for which a VM is avoided after it declined for any other reason.
-const DECLINE_BACKOFF: Duration = Duration::from_millis(300);
-
-/// Time for which a VM is avoided after it did not respond; doubles with each further failure.
-const INITIAL_FAILURE_BACKOFF: Duration = Duration::from_secs(1);
-
-/// Maximum number of times that the backoff after failures doubles.
-const MAX_FAILURE_DOUBLINGS: u32 = 3;
-
-/// Time for which no further VM is asked after a request was declined by as many as it may be passed
-/// to, all of which have lost their links: the leaves are probably gone. It doubles with each such
-/// request until a VM answers one.
+/// Time for which no further VM is asked after a request was declined by as many as it may be
+/// passed to, all of which have lost their links: the leaves are probably gone. It doubles with
+/// each such request until a VM answers one.
 const INITIAL_ALL_LOST_BACKOFF: Duration = Duration::from_millis(60);
 
 /// Maximum number of times that the backoff doubles while all VMs that are asked have lost their
 /// links.
 const MAX_ALL_LOST_DOUBLINGS: u32 = 3;
 
-/// Time for which a VM that has answered is known to reach the leaves.
-const PROVEN_TTL: Duration = Duration::from_secs(2);
-
 /// Weight of one more VM in the estimated share of the VMs that have lost their links.
 const LOST_SHARE_WEIGHT: f64 = 0.125;
 
@@ -48,23 +30,6 @@
 /// loaded is chosen.
 const CANDIDATES: usize = 2;
 
-/// A VM of another failure domain is chosen if it has fewer requests of this VM in flight than one
-/// of the same domain, by more than this number. Bytes between failure domains cost money.
-const OTHER_DOMAIN_COST: usize = 2;
-
-/// How a request that was passed to a peer ended, as far as it concerns the peer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ending {
-    /// The peer answered.
-    Answered,
-    /// The peer declined the request.
-    Declined(Decline),
-    /// The peer did not respond.
-    Failed,
-    /// The request was abandoned for a reason that has nothing to do with the peer.
-    Abandoned,
-}
-
 /// The other VMs, with what this VM has observed of them.
 #[derive(Debug)]
 pub struct Peers {
@@ -74,8 +39,8 @@
     own_domain: DomainName,
     /// Sorted by name.
     known: Vec<State>,
-    /// Until when only VMs that are known to reach the leaves are asked, because no other is expected
-    /// to.
+    /// Until when only VMs that are known to reach the leaves are asked, because no other is
+    /// expected to.
     all_lost_until: Option<Instant>,
     /// Number of requests since the last answer after which no further VM was asked.
     all_lost_count: u32,
@@ -85,21 +50,6 @@
     rng: SmallRng,
 }
 
-/// A peer, with what this VM has observed of it.
-#[derive(Debug)]
-struct State {
-    peer: Peer,
-    /// Number of requests of this VM that the peer has.
-    in_flight: usize,
-    /// Number of requests without a response since the last response.
-    failures: u32,
-    avoided_until: Option<Instant>,
-    /// When the VM last answered a request, unless it has lost its links since.
-    answered_at: Option<Instant>,
-    /// Whether the VM is avoided because its routes were older.
-    is_outdated: bool,
-}
-
 impl Peers {
     /// Creates an empty list for a VM in a failure domain.
     pub fn new(
@@ -148,8 +98,8 @@
         Some(&self.known[index].peer)
     }
 
-    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of this
-    /// VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
+    /// Chooses a VM that is not in `tried`: the least loaded of a few random ones, preferably of
+    /// this VM's failure domain. VMs of `lost_domains` are chosen only if there are no others.
     ///
     /// The more VMs have turned out to have lost their links, the more those are preferred that are
     /// known to reach the leaves.
@@ -161,25 +111,21 @@
     ) -> Option<VmName> {
         let is_usable = |state: &&State| state.is_usable(now) && !tried.contains(&state.peer.name);
         let usable = self.known.iter().filter(is_usable);
-        let (proven, mut unproven): (Vec<&State>, Vec<&State>) =
+        let (proven, others): (Vec<&State>, Vec<&State>) =
             usable.partition(|state| state.is_proven(now));
-        let (lost, others): (Vec<&State>, Vec<&State>) = unproven
-            .drain(..)
-            .partition(|state| lost_domains.contains(&state.peer.domain));
-        if !self.is_all_lost(now) {
-            unproven = if others.is_empty() { lost } else { others };
-        }
-        let asks = self.lost_share / (1.0 - self.lost_share);
-        let groups = [(proven, 0.0), (unproven, asks)];
-        let mut best: Option<(f64, &State)> = None;
-        for (group, extra_asks) in groups {
-            for state in draw_of_domains(group, &self.own_domain, &mut self.rng) {
-                let cost = state.cost(&self.own_domain) + extra_asks;
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, state));
-                }
-            }
-        }
+        let others = match self.is_all_lost(now) {
+            true => Vec::new(),
+            false => without_domains(others, lost_domains),
+        };
+        let proven = draw_of_domains(proven, &self.own_domain, &mut self.rng);
+        let others = draw_of_domains(others, &self.own_domain, &mut self.rng);
+        let search_cost = self.lost_share / (1.0 - self.lost_share);
+        let cost = |state: &State| state.cost(&self.own_domain);
+        let proven = proven.into_iter().map(|state| (cost(state), state));
+        let others = others
+            .into_iter()
+            .map(|state| (cost(state) + search_cost, state));
+        let best = proven.chain(others).min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, state)| state.peer.name.clone())
     }
 
@@ -242,7 +188,8 @@
         state.record(ending, now);
     }
 
-    /// Updates the estimate by the ending of a request at a VM that was not known to reach the leaves.
+    /// Updates the estimate by the ending of a request at a VM that was not known to reach the
+    /// leaves.
     fn estimate_lost_share(&mut self, index: usize, ending: Ending, now: Instant) {
         let is_lost = match ending {
             Ending::Answered => false,
@@ -261,61 +208,12 @@
     }
 }
 
-impl State {
-    fn new(peer: Peer) -> State {
-        State {
-            peer,
-            in_flight: 0,
-            failures: 0,
-            avoided_until: None,
-            answered_at: None,
-            is_outdated: false,
-        }
-    }
-
-    fn is_usable(&self, now: Instant) -> bool {
-        self.avoided_until.is_none_or(|until| now >= until)
-    }
-
-    /// Returns whether the VM is known to reach the leaves.
-    fn is_proven(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < PROVEN_TTL;
-        self.answered_at.is_some_and(is_recent)
-    }
-
-    /// Returns the number of requests that the VM has, with the cost of its failure domain.
-    fn cost(&self, own_domain: &str) -> f64 {
-        let is_far = self.peer.domain != own_domain;
-        let domain_cost = if is_far { OTHER_DOMAIN_COST } else { 0 };
-        (self.in_flight + domain_cost) as f64
-    }
-
-    fn record(&mut self, ending: Ending, now: Instant) {
-        if ending == Ending::Declined(Decline::LinksLost) {
-            self.answered_at = None;
-        }
-        let backoff = match ending {
-            Ending::Abandoned => return,
-            Ending::Answered => {
-                self.failures = 0;
-                self.answered_at = Some(now);
-                self.avoided_until = None;
-                self.is_outdated = false;
-                return;
-            }
-            Ending::Failed => {
-                let doublings = self.failures.min(MAX_FAILURE_DOUBLINGS);
-                self.failures += 1;
-                INITIAL_FAILURE_BACKOFF * (1 << doublings)
-            }
-            Ending::Declined(Decline::LinksLost) => LINKS_LOST_BACKOFF,
-            Ending::Declined(Decline::Stopping) => STOPPING_BACKOFF,
-            Ending::Declined(Decline::Outdated) => OUTDATED_BACKOFF,
-            Ending::Declined(_) => DECLINE_BACKOFF,
-        };
-        self.is_outdated = ending == Ending::Declined(Decline::Outdated);
-        self.avoided_until = self.avoided_until.max(Some(now + backoff));
-    }
+/// Leaves out the VMs of some failure domains, unless there are no others.
+fn without_domains<'a>(states: Vec<&'a State>, domains: &[DomainName]) -> Vec<&'a State> {
+    let (excluded, others): (Vec<&State>, Vec<&State>) = states
+        .into_iter()
+        .partition(|state| domains.contains(&state.peer.domain));
+    if others.is_empty() { excluded } else { others }
 }
 
 /// Draws a few VMs of a failure domain and a few of the others.
