Open no connection to a leaf while only open ones work

Cause: such a gateway sends a request to leaves itself if there is an open connection to any leaf of its service, but the leaf was then chosen without regard to that. If it had none, a new connection was opened. Where something accepts connections for a lost link and closes them, a request written to it may have run, so an order ends there.

Change: while the links are lost and open connections still answer, an attempt for which there is none is passed back to its call unsent, and the call takes the next leaf. The leaf is not suspended for it.

Evidence: platform_delegation_opens_no_connection_for_a_request_that_runs_once fails in 8 of 8 runs without the change to the pool, and passes in 32 of 32 with it.

Conclusion: the fault needs a new connection, and none is opened any more.

--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -30,7 +30,7 @@
     Misdirected,
     /// No byte of the request was sent.
     Unreachable,
-    /// Nothing was sent, because the leaf wants no requests.
+    /// Nothing was sent, because the leaf wants no requests or can't be connected to at the moment.
     Withheld,
     /// The leaf closed the connection before its response was complete; the request may have run.
     Disconnected,
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -106,7 +106,7 @@
             return false;
         }
         if self.leaf_links.is_lost() {
-            let is_served = self.leaf_links.has_recent_response(self.now)
+            let is_served = self.only_open_connections_work()
                 && self.has_idle_connections(&route.target.services());
             return !is_served;
         }
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -34,6 +34,11 @@
         self.check_leaf_links();
     }
 
+    /// Returns whether new connections to all leaves fail, while open ones still work.
+    pub(super) fn only_open_connections_work(&self) -> bool {
+        self.leaf_links.is_lost() && self.leaf_links.has_recent_response(self.now)
+    }
+
     /// Begins a check of the links if one is due.
     pub(super) fn check_leaf_links(&mut self) {
         if !self.leaf_links.is_check_due(self.now) {
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -106,6 +106,9 @@
     }
 
     /// Sends an attempt over an idle or a new connection, or queues it until one is free.
+    ///
+    /// While new connections to all leaves fail, none is opened: a request that was written to one
+    /// may have run. The attempt is passed back to its call, which tries the next leaf.
     pub(super) fn dispatch(&mut self, attempt: AttemptId) {
         let Some(in_flight) = self.attempts.get(&attempt) else {
             return;
@@ -120,6 +123,9 @@
         if let Some(connection) = self.take_idle(index) {
             return self.send_attempt(connection, attempt);
         }
+        if self.only_open_connections_work() {
+            return self.queue_reply(attempt, Reply::Withheld);
+        }
         let max_connections = self.max_connections(index, &service);
         if self.pools[index].open_connections < max_connections {
             return self.open_connection(index, attempt);
--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -2,12 +2,12 @@
 //! repeating or mixing anything.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::caller::Reply;
-use geraniummount_test_support::platform::users::{Answer, Store};
+use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::proxy::Proxy;
 use serde_json::json;
 
@@ -72,6 +72,12 @@
     assert_eq!(deployment.count_served(0, 40), 40);
 }
 
+/// Returns an address at which nothing listens.
+fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0");
+    listener.and_then(|listener| listener.local_addr()).unwrap()
+}
+
 /// Starts a VM that declines all requests as overloaded, and closes each connection.
 fn start_full_vm() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -143,6 +149,58 @@
     assert!(served >= 10, "{served} served");
 }
 
+/// Starts and registers a leaf of the first shard that closes each connection once it has read
+/// something, like an address that accepts connections for a link that is lost.
+fn register_closing_leaf(store: &Store) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut leaf = Leaf::unregistered(SHARDS[0], "near", b"");
+    leaf.register_at(store, listener.local_addr().unwrap());
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            // The gateway may have given the connection up.
+            let _ = stream.unwrap().read(&mut [0; 4096]);
+        }
+    });
+}
+
+/// Starts and registers a leaf of service `unconnected` behind a proxy that closes all connections.
+fn register_unconnected_leaf(vm: &Fixture) -> (Leaf, Proxy) {
+    let mut leaf = Leaf::unregistered("unconnected", "near", b"");
+    let proxy = Proxy::start(Ipv4Addr::LOCALHOST, leaf.address(), 1).unwrap();
+    proxy.change_all(refuse);
+    leaf.register_at(&vm.store, proxy.address());
+    (leaf, proxy)
+}
+
+/// While only new connections fail, open ones are used. A request that may run only once must not
+/// be lost on a new one, as it can't be sent again.
+#[test]
+fn platform_delegation_opens_no_connection_for_a_request_that_runs_once() {
+    let deployment = Deployment::start(&["near"]);
+    let vm = &deployment.vms[0];
+    let routes = [
+        service_route("/a/", "idempotent", SHARDS[0]),
+        service_route("/b/", "idempotent", "unconnected"),
+        service_route("/o/", "non_idempotent", SHARDS[0]),
+    ];
+    vm.configure(2, &routes);
+    deployment.change_links(0, refuse);
+    // The VM finds the loss out by connections to these leaves, which are closed at once.
+    let unconnected: Vec<(Leaf, Proxy)> = (0..4).map(|_| register_unconnected_leaf(vm)).collect();
+    let end = Instant::now() + DETECTION_TIME;
+    while Instant::now() < end {
+        vm.get("/b/x", 1000);
+        assert_eq!(vm.get("/a/x", 1000).status, 200);
+    }
+    (0..8).for_each(|_| register_closing_leaf(&vm.store));
+    for number in 0..200 {
+        let reply = vm.send("POST", &format!("/o/{number}"), 1000, b"order");
+        assert_eq!(reply.status, 200, "order {number}");
+        thread::sleep(Duration::from_millis(20));
+    }
+    drop(unconnected);
+}
+
 #[test]
 fn platform_delegation_ends_at_a_vm_without_links() {
     let deployment = Deployment::start(&["near", "near"]);
@@ -282,7 +340,7 @@
 fn platform_delegation_does_not_go_back_to_older_routes() {
     let first = Fixture::start_with_new_store("near");
     let address = first.store.address();
-    let proxy = Proxy::start(std::net::Ipv4Addr::LOCALHOST, address, 1).unwrap();
+    let proxy = Proxy::start(Ipv4Addr::LOCALHOST, address, 1).unwrap();
     // This VM reaches the store over a proxy, and so does no other.
     let outdated = Fixture::start_in("near", Store::start(), proxy.address());
     let deployment = Deployment::start_with(vec![
