--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -72,12 +72,6 @@
     assert_eq!(deployment.count_served(0, 40), 40);
 }
 
-/// Returns an address at which nothing listens.
-fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0");
-    listener.and_then(|listener| listener.local_addr()).unwrap()
-}
-
 /// Starts a VM that declines all requests as overloaded, and closes each connection.
 fn start_full_vm() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
