Read on in the stand-ins after an interruption

Seen: a test run whose processes were stopped for 4 s (SIGSTOP, SIGCONT) failed with 'gateway sends a whole answer: Interrupted system call' in platform_delegation_does_not_go_back_to_older_routes, and in a stop of 25 s in platform_delegation_ends_at_a_vm_without_links; a stop of 1 to 3 s in platform_crashes_by_a_search_leave_a_leaf_of_each_shard (1 of 6 runs).

Cause: a read with a timeout ends with EINTR when its process is continued. The callers, the HTTP server and the proxies of the test support took that for the end of the connection. The product's own reads go on.

Change: one function that reads again after an interruption, used in all four places.

--- a/crates/geraniummount-test-support/src/http.rs
+++ b/crates/geraniummount-test-support/src/http.rs
@@ -4,6 +4,8 @@
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 
+use crate::interruption;
+
 const MAX_HEADERS: usize = 64;
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 
@@ -134,7 +136,7 @@
                 return Ok(Some(request));
             }
             let mut chunk = [0; READ_CHUNK_BYTES];
-            let count = self.stream.read(&mut chunk)?;
+            let count = interruption::read(&mut self.stream, &mut chunk)?;
             if count == 0 {
                 return Ok(None);
             }
--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod endless;
 pub mod fleet;
 mod http;
+mod interruption;
 pub mod leaf;
 pub mod load;
 pub mod load_balanced;
--- a/crates/geraniummount-test-support/src/platform/users/caller.rs
+++ b/crates/geraniummount-test-support/src/platform/users/caller.rs
@@ -5,11 +5,12 @@
 //! that it answers. The gateway passes it on to the caller.
 
 use std::cmp::Ordering;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
 use super::document::HOST;
+use crate::interruption;
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
@@ -77,7 +78,7 @@
         let mut bytes = Vec::new();
         loop {
             let mut chunk = [0; READ_CHUNK_BYTES];
-            let count = stream.read(&mut chunk)?;
+            let count = interruption::read(stream, &mut chunk)?;
             if count == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
--- a/crates/geraniummount-test-support/src/proxy/tcp.rs
+++ b/crates/geraniummount-test-support/src/proxy/tcp.rs
@@ -4,7 +4,7 @@
 //! them holds bytes until their delay has passed and the direction is not cut, that is, until its
 //! `Flow` is `Open`. The client's IP address selects the link.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Connection, Flow, Link, State};
+use crate::interruption;
 use crate::monitor::Monitor;
 
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -144,7 +145,7 @@
         }
         client.set_read_timeout(Some(CUT_POLL_INTERVAL)).ok()?;
         let mut chunk = [0; CHUNK_BYTES];
-        match client.read(&mut chunk) {
+        match interruption::read(&mut client, &mut chunk) {
             Ok(0) => return None,
             Ok(count) => early_bytes.extend_from_slice(&chunk[..count]),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -178,7 +179,7 @@
         let mut last_due = Instant::now();
         let mut buffer = [0; CHUNK_BYTES];
         loop {
-            let count = from.read(&mut buffer).unwrap_or(0);
+            let count = interruption::read(&mut from, &mut buffer).unwrap_or(0);
             last_due = last_due.max(Instant::now() + self.draw_delay());
             let chunk = Chunk {
                 due: last_due,
