State in the cases of the soak only how they differ

Nine cases repeated eight fields each, so that a reader had to compare them to find what a case is about. They now start from one base case. No other change.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -21,18 +21,27 @@
     has_crashes: bool,
 }
 
+/// A small fleet with faults that rarely overlap. Each case states how it differs.
+const BASE: Case = Case {
+    name: "",
+    seed: 0,
+    vms: 3,
+    shards: 4,
+    mean_fault_interval: SPARSE_FAULT_INTERVAL,
+    fault_duration: LONG_FAULT_DURATION,
+    has_platform_faults: false,
+    has_limits: false,
+    has_lost_links: false,
+    has_crashes: false,
+};
+
 const CASES: &[Case] = &[
     Case {
         name: "a small fleet",
         seed: 1,
-        vms: 3,
-        shards: 4,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "more gateways than callers",
@@ -41,94 +50,53 @@
         shards: 3,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "a stand-in leaf without Content-Length replied with a body other than the order's",
         seed: 2006,
-        vms: 3,
-        shards: 4,
         mean_fault_interval: DENSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "faults far enough apart for time bounds to be checked",
         seed: 3,
-        vms: 3,
-        shards: 4,
-        mean_fault_interval: SPARSE_FAULT_INTERVAL,
         fault_duration: SHORT_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "a store that goes back, and leaves that ask for something",
         seed: 4,
-        vms: 3,
-        shards: 4,
-        mean_fault_interval: SPARSE_FAULT_INTERVAL,
-        fault_duration: LONG_FAULT_DURATION,
         has_platform_faults: true,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "an unresponsive store connection hid that a leaf had left",
         seed: 10_208,
-        vms: 3,
-        shards: 4,
-        mean_fault_interval: SPARSE_FAULT_INTERVAL,
-        fault_duration: LONG_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "leaves that name limits, beside other faults",
         seed: 95_001,
-        vms: 3,
         shards: 2,
-        mean_fault_interval: SPARSE_FAULT_INTERVAL,
-        fault_duration: LONG_FAULT_DURATION,
-        has_platform_faults: false,
         has_limits: true,
-        has_lost_links: false,
-        has_crashes: false,
+        ..BASE
     },
     Case {
         name: "a request that crashes leaves, beside other faults",
         seed: 97_001,
-        vms: 3,
         shards: 2,
-        mean_fault_interval: SPARSE_FAULT_INTERVAL,
-        fault_duration: LONG_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
-        has_lost_links: false,
         has_crashes: true,
+        ..BASE
     },
     Case {
         name: "gateways that lose their links to all leaves, beside few other faults",
         seed: 31_001,
-        vms: 3,
         shards: 2,
         mean_fault_interval: RARE_FAULT_INTERVAL,
-        fault_duration: LONG_FAULT_DURATION,
-        has_platform_faults: false,
-        has_limits: false,
         has_lost_links: true,
-        has_crashes: false,
+        ..BASE
     },
 ];
 
