Do not name a number of keepalive probes that has no effect

The client of the store sets both. Its constant said that two probes may remain unanswered; in fact an idle connection is closed 2 s after the last bytes, which is after one.

Looked for elsewhere: the connections to leaves, to other VMs and of serve's callers set a user timeout and no keepalive; nothing changes for them.

Ruled out: to raise the timeout to 3 s so that two probes count. A store that has become unreachable would be noticed a second later, and configurations and leaving leaves have to be known within 3 s.

--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -34,10 +34,9 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of unanswered TCP keepalive probes after which the connection is closed.
-const MAX_KEEPALIVE_PROBES: u32 = 2;
-
-/// Maximum time for which sent bytes may remain unacknowledged before the connection is closed.
+/// Maximum time for which sent bytes or keepalive probes may remain unacknowledged before the
+/// connection is closed (`TCP_USER_TIMEOUT`). While it is set, the number of probes does not matter:
+/// an idle connection is closed this long after the last bytes were received.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Header field with the era of the store: the number of times that it has come back from an older
@@ -308,8 +307,7 @@
         let socket = SockRef::from(&stream);
         let keepalive = TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
-            .with_interval(KEEPALIVE_INTERVAL)
-            .with_retries(MAX_KEEPALIVE_PROBES);
+            .with_interval(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&keepalive)?;
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         Ok(stream)
