Share that a request is answered as long as the shared list says otherwise

Cause: the gateway counted a third crash before it heard that another one had answered the lookup, and that news was lost when the store went back to an older copy. When it wrote its crashes to the list, the others read them, and cleared them at once by the answers that they remembered. They would have told so 0.5 to 4 s later. But the next answer found a record with no crash left and removed it, so nothing was told. A frequent request is answered within that time, always.

Ruled out: the store as the reason by itself (the writer tries until it succeeds; the others had reached the store and read the list); that no leaf answered (they answered throughout).

Change: the record is kept as long as the shared list counts crashes that matter to other VMs. One look-up in the shared list serves this and the search for records to share.

Conclusion: an answer at any VM ends the withholding at all within seconds.

--- a/src/geraniummount/core/quarantine/mod.rs
+++ b/src/geraniummount/core/quarantine/mod.rs
@@ -187,12 +187,13 @@
         let Ok(index) = self.search(fingerprint) else {
             return false;
         };
-        if self.entries[index].record.crash_count() < UNPROVEN_CRASHES {
+        let is_known = self.entries[index].record.crash_count() >= UNPROVEN_CRASHES;
+        if !is_known && !self.is_unproven_for_others(fingerprint) {
             self.entries.remove(index);
             return false;
         }
         self.entries[index].record.clear(now_ms);
-        true
+        is_known
     }
 
     /// Takes in the shared list as it was read at `now_ms` in milliseconds since the Unix epoch.
@@ -219,12 +220,9 @@
     pub fn unshared(&self, now: Instant) -> Vec<Record> {
         let records = self.entries.iter().filter(|entry| !entry.is_over(now));
         let records = records.map(|entry| &entry.record);
-        let unshared = records.filter(|record| {
-            let order = |shared: &Record| shared.fingerprint.cmp(&record.fingerprint);
-            match self.shared.binary_search_by(order) {
-                Ok(index) => record.tells_more_than(&self.shared[index]),
-                Err(_) => record.crash_count() > 0,
-            }
+        let unshared = records.filter(|record| match self.search_shared(record.fingerprint) {
+            Some(shared) => record.tells_more_than(shared),
+            None => record.crash_count() > 0,
         });
         unshared.cloned().collect()
     }
@@ -252,6 +250,19 @@
         Some(entry)
     }
 
+    /// Returns whether the shared list contains crashes of a request that matter to other VMs. What
+    /// this VM knows of its answers must be kept then, until the list contains it.
+    fn is_unproven_for_others(&self, fingerprint: Fingerprint) -> bool {
+        let shared = self.search_shared(fingerprint);
+        shared.is_some_and(|record| record.crash_count() >= UNPROVEN_CRASHES)
+    }
+
+    fn search_shared(&self, fingerprint: Fingerprint) -> Option<&Record> {
+        let order = |shared: &Record| shared.fingerprint.cmp(&fingerprint);
+        let index = self.shared.binary_search_by(order).ok()?;
+        Some(&self.shared[index])
+    }
+
     /// Returns when a request was last answered, in milliseconds since the Unix epoch; 0 if that is
     /// not remembered.
     fn answered_ms(&self, fingerprint: Fingerprint) -> u64 {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -48,6 +48,7 @@
 mod promise_not_run;
 mod promise_reply;
 mod promise_snapshot;
+mod quarantine_answers;
 mod quarantine_fleet;
 mod quarantine_runs;
 mod quarantine_unconfirmed;
