--- a/src/geraniummount/edge/peer/lost_peers.rs
+++ b/src/geraniummount/edge/peer/lost_peers.rs
@@ -6,7 +6,6 @@
 //! holds their queues instead. Only the parts that were in flight at the peer fail. Parts that
 //! arrive later are not affected, even before membership, which tracks the state of all VMs,
 //! detects the failure.
-
 //!
 //! A peer that responds but has lost its own links to the leaves is avoided for a short time.
 
