--- a/crates/geraniummount-test-support/src/interruption.rs
+++ b/crates/geraniummount-test-support/src/interruption.rs
@@ -1,7 +1,7 @@
 //! Reads that go on after the process was stopped for a while.
 //!
 //! A read with a timeout ends with `Interrupted` if the process is stopped and continued meanwhile,
-//! although the connection is well.
+//! although the connection still works.
 
 use std::io::{self, ErrorKind, Read};
 
