--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of deploy/system.toml and review/build.sh. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/review/release/review && -x target/release/geraniummount ]] || exit 2
-exec target/review/release/review keep-alive . review/2/record.txt
+exec target/review/release/review expired . review/2/record.txt
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod dark;
 mod document;
+mod expired;
 mod gateway;
 mod http;
 mod json;
@@ -68,6 +69,7 @@
             "keep-alive" => keep_alive::play(&stage),
             "regress" => regress::play(&stage),
             "stale" => stale::play(&stage),
+            "expired" => expired::play(&stage),
             "dark" => dark::play(&stage),
             _ => Err(io::ErrorKind::NotFound.into()),
         };
