--- a/review/cases/src/dark.rs
+++ b/review/cases/src/dark.rs
@@ -25,7 +25,7 @@
 
 /// Time after which a leaf is back; its entry is removed after three heartbeats of 1.2 s.
 const ENTRY_TIME: Duration = Duration::from_millis(3_600);
-const DOWN_TIME: Duration = Duration::from_millis(4_500);
+const DOWN_TIME: Duration = Duration::from_millis(4_300);
 
 const SERVICE: &str = "gowu98c";
 const POISON: &str = "/timi402/b7";
--- a/review/cases/src/expired.rs
+++ b/review/cases/src/expired.rs
@@ -21,10 +21,10 @@
 /// Length of the case.
 const LENGTH: Duration = Duration::from_secs(90);
 
-/// Factor by which one of the five leaves is slower, for the first eight seconds of each period.
+/// Factor by which one of the five leaves is slower, for the first seven seconds of each period.
 const SLOWNESS: u64 = 12;
 const PERIOD_S: u64 = 10;
-const SLOW_S: u64 = 8;
+const SLOW_S: u64 = 7;
 
 /// Number of callers of that leaf at other machines of the fleet.
 const OTHER_CALLERS: usize = 8;
--- a/review/cases/src/keep_alive.rs
+++ b/review/cases/src/keep_alive.rs
@@ -28,9 +28,9 @@
 /// Share of the answers that are spoiled, in thousandths.
 const SPOILED: u64 = 20;
 
-/// The leaves are faulty for the first five seconds of each period.
+/// The leaves are faulty for the first four seconds of each period.
 const PERIOD_S: u64 = 10;
-const FAULTY_S: u64 = 5;
+const FAULTY_S: u64 = 4;
 
 const SERVICE: &str = "gowu98c";
 
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -154,6 +154,23 @@
         Ok(gateways)
     }
 
+    /// Lets the store serve a machine again after `shut`, and leaves after `cut`, whatever the case does
+    /// meanwhile.
+    fn heal_later(&self, store: &Store, shut: Duration, leaves: &[Leaf], cut: Duration) {
+        let (record, store, leaves) = (Arc::clone(&self.record), store.clone(), leaves.to_vec());
+        thread::spawn(move || {
+            thread::sleep(shut);
+            store.set_shut(false);
+            record.note("the store serves the machine again");
+            thread::sleep(cut.saturating_sub(shut));
+            for leaf in &leaves {
+                leaf.faults.cut.lock().unwrap().clear();
+                leaf.faults.cut_new.lock().unwrap().clear();
+            }
+            record.note("the machine reaches the leaves again");
+        });
+    }
+
     /// Says something on standard output and in the record.
     fn say(&self, text: &str) {
         println!("{text}");
--- a/review/cases/src/regress.rs
+++ b/review/cases/src/regress.rs
@@ -17,10 +17,10 @@
 const SLACK: Duration = Duration::from_millis(8 * 250);
 
 /// How long the machine is partitioned from the leaves.
-const CUT: Duration = Duration::from_secs(12);
+const CUT: Duration = Duration::from_millis(11_900);
 
 /// How long the store turns the machine away.
-const SHUT: Duration = Duration::from_secs(9);
+const SHUT: Duration = Duration::from_millis(8_900);
 
 const OLD_SERVICE: &str = "gowu98c";
 const NEW_SERVICE: &str = "nylo40d";
@@ -58,6 +58,7 @@
             leaf.faults.cut.lock().unwrap().push(gateway.ip);
         }
         own_address.set_shut(true);
+        stage.heal_later(&own_address, SHUT, &leaves, CUT);
     }
     for _ in 0..20 {
         send(stage, &mut random, front, MOVED);
@@ -72,18 +73,12 @@
     ));
     let mut looks = Vec::new();
     while stage.record.now() < began + CUT {
-        if stage.record.now() > began + SHUT {
-            own_address.set_shut(false);
-        }
         send(stage, &mut random, front, MOVED);
         let sent_at = stage.record.now();
         let (id, status) = send(stage, &mut random, front, ADDED);
         looks.push((id, sent_at, status));
         thread::sleep(Duration::from_millis(100));
     }
-    for leaf in &leaves {
-        leaf.faults.cut.lock().unwrap().clear();
-    }
     Ok(judge(stage, &gateway.name, &looks))
 }
 
--- a/review/cases/src/stale.rs
+++ b/review/cases/src/stale.rs
@@ -23,10 +23,10 @@
 const LEAD: Duration = Duration::from_secs(2);
 
 /// How long new connections are closed at once.
-const CUT: Duration = Duration::from_secs(12);
+const CUT: Duration = Duration::from_millis(11_900);
 
 /// How long the store turns the machine away.
-const SHUT: Duration = Duration::from_secs(9);
+const SHUT: Duration = Duration::from_millis(8_900);
 
 /// Service that both routes move to, and those that they leave.
 const NEW_SERVICE: &str = "nylo40d";
@@ -61,7 +61,6 @@
         clients.push(thread::spawn(move || send_until(&record, front, end)));
     }
     thread::sleep(LEAD);
-    let began = stage.record.now();
     if stage.has_trouble {
         stage.say(&format!(
             "new connections of {} to all leaves are closed, and the store turns it away",
@@ -71,6 +70,7 @@
             leaf.faults.cut_new.lock().unwrap().push(gateway.ip);
         }
         own_address.set_shut(true);
+        stage.heal_later(&own_address, SHUT, &leaves, CUT);
     }
     let routes = [route(BUSY, NEW_SERVICE), route(RARE, NEW_SERVICE)];
     stage
@@ -81,9 +81,6 @@
     ));
     let mut random = Random::new();
     while stage.record.now() < end {
-        if stage.record.now() > began + SHUT {
-            own_address.set_shut(false);
-        }
         send(&stage.record, &mut random, front, RARE);
         thread::sleep(Duration::from_millis(300));
     }
@@ -91,9 +88,6 @@
         .into_iter()
         .flat_map(|client| client.join().unwrap_or_default());
     let sent: Vec<(String, Duration)> = sent.collect();
-    for leaf in &leaves {
-        leaf.faults.cut_new.lock().unwrap().clear();
-    }
     Ok(judge(stage, &gateway.name, &sent))
 }
 
--- a/review/cases/src/twice.rs
+++ b/review/cases/src/twice.rs
@@ -92,7 +92,7 @@
 /// Number of clients at each gateway.
 const CLIENTS: usize = 5;
 
-/// Crashes all leaves of a service for 4.5 s; some leaves of the other one send extra answers for 5 s.
+/// Crashes all leaves of a service for 4.3 s; some leaves of the other one send extra answers for 4.7 s.
 fn disrupt(stage: &Stage, desk: &[Leaf], shard: &[Leaf], round: usize) -> io::Result<Vec<Leaf>> {
     let set_extra = |share| {
         for leaf in &desk[..FAULTY_LEAVES] {
@@ -108,10 +108,10 @@
     for leaf in shard {
         stage.store.remove(&format!("servers/{}", leaf.id));
     }
-    thread::sleep(Duration::from_millis(900));
+    thread::sleep(Duration::from_millis(700));
     let ports: Vec<SocketAddr> = shard.iter().map(|leaf| leaf.address).collect();
     let shard = start_shard(stage, round, &ports)?;
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(400));
     set_extra(0);
     Ok(shard)
 }
