Read all times and counts from outside with a bound

Cause: the announced idle timeout was added to the clock as it was read, which overflows from some 2^63 seconds on and panics. Each other time was kept from that by a bound at the place of its use, or by its unit.

Ruled out: the same by Retry-After, Server-Limit, the numbers of the operator, of registrations, of other VMs and of callers; the tests with 19 numbers each passed on (platform_odd_numbers_of_the_operator_, _of_callers_and_, _in_registrations_).

Conclusion: no number from outside that is read as a time reaches the clock without a bound.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -131,6 +131,8 @@
     retry_after: Option<String>,
     /// Value of `Server-Limit` in all answers.
     limit: Option<String>,
+    /// Field that is added to all answers, by name and value.
+    extra_field: Option<(&'static str, String)>,
     /// Body of the requests that crash the leaf.
     crash_body: Option<Vec<u8>>,
     /// Request that crashed the leaf.
@@ -242,6 +244,12 @@
         self.state.update(|state| state.limit = limit);
     }
 
+    /// Adds a field to all answers.
+    pub fn set_extra_field(&self, name: &'static str, value: &str) {
+        let field = Some((name, value.to_string()));
+        self.state.update(|state| state.extra_field = field);
+    }
+
     /// Makes each request with this body crash the leaf as soon as the leaf runs it: all
     /// connections are closed without an answer, and no further request is run.
     pub fn set_crash_body(&self, body: &[u8]) {
@@ -364,6 +372,9 @@
     if let Some(limit) = &state.limit {
         response = response.with_header("Server-Limit", limit);
     }
+    if let Some((name, value)) = &state.extra_field {
+        response = response.with_header(name, value);
+    }
     response
 }
 
--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -98,6 +98,12 @@
         keys.cloned().collect()
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         self.state.update(|state| state.remove(key));
--- a/src/geraniummount/edge/gateway/delegation/wire.rs
+++ b/src/geraniummount/edge/gateway/delegation/wire.rs
@@ -1,10 +1,13 @@
 //! Header fields of the requests and responses between two VMs, in addition to those of the
 //! caller's request and of its response.
 
+#![deny(clippy::disallowed_methods)]
+
 use std::time::Duration;
 
 use crate::core::delegation::{Decline, Terms};
 use crate::platform::headers;
+use crate::util::bounded;
 use crate::util::h1::{self, Field};
 
 /// Name of the VM that delegates the request.
@@ -53,7 +56,7 @@
         terms: Terms {
             from: h1::field_text(fields, FROM)?.to_string(),
             min_version: read_number(fields, MIN_VERSION)?,
-            elapsed: Duration::from_millis(read_number(fields, ELAPSED_MS)?),
+            elapsed: h1::field_text(fields, ELAPSED_MS).and_then(bounded::parse_millis)?,
             sends: u32::try_from(read_number(fields, SENDS)?).ok()?,
         },
         key: h1::field_text(fields, KEY)?.to_string(),
--- a/src/geraniummount/edge/peer/wire.rs
+++ b/src/geraniummount/edge/peer/wire.rs
@@ -4,6 +4,8 @@
 //! A report is the state of a leaf that the leaf's owner, the VM that holds its queue, adds to an
 //! outcome. A holding states which snapshots (versions of the index) a leaf holds of one shard.
 
+#![deny(clippy::disallowed_methods)]
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,10 +16,11 @@
 use crate::core::leaf::State;
 use crate::peer_capnp::{self, holding, outcome, part, report};
 use crate::prelude::*;
+use crate::util::bounded;
 
 /// Maximum time that may remain until the deadline of a part from a peer; a longer one is shortened
 /// to it.
-const MAX_REMAINING_TIME: Duration = Duration::from_secs(3600);
+const MAX_REMAINING_TIME: Duration = bounded::seconds(3600);
 
 /// Writes a part. `remaining` is the time until its deadline.
 pub fn write_part(part: &Part, remaining: Duration, mut builder: part::Builder<'_>) {
@@ -37,7 +40,7 @@
 
 /// Reads a part. Its deadline is the remaining time added to `now`.
 pub fn read_part(reader: part::Reader<'_>, now: Instant) -> Result<Part, Error> {
-    let remaining = Duration::from_micros(reader.get_remaining_us());
+    let remaining = bounded::micros(reader.get_remaining_us());
     let snapshot = reader.get_snapshot();
     Ok(Part {
         attempt: reader.get_attempt(),
@@ -145,10 +148,10 @@
         queued: reader.get_queued(),
         busy: reader.get_busy(),
         slots: reader.get_slots(),
-        queue_time: Duration::from_micros(reader.get_waited_us()),
-        service_time: Duration::from_micros(reader.get_served_us()),
-        median: Duration::from_micros(reader.get_median_us()),
-        p95: Duration::from_micros(reader.get_high_us()),
+        queue_time: bounded::micros(reader.get_waited_us()),
+        service_time: bounded::micros(reader.get_served_us()),
+        median: bounded::micros(reader.get_median_us()),
+        p95: bounded::micros(reader.get_high_us()),
     })
 }
 
@@ -191,5 +194,5 @@
 
 /// Returns the wait before a retry that was read from the wire, or `None` for 0.
 fn optional_duration(ms: u32) -> Option<Duration> {
-    (ms > 0).then(|| Duration::from_millis(u64::from(ms)))
+    (ms > 0).then(|| bounded::millis(u64::from(ms)))
 }
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::core::route::{Backend, Gather, Limits, Repeat, Route, Table, Target, WeightedService};
+use crate::util::bounded;
 
 #[derive(Debug, Deserialize)]
 struct Document {
@@ -29,13 +30,19 @@
     #[serde(rename = "type")]
     kind: Kind,
     /// Maximum time that a caller is kept waiting.
-    timeout_ms: u64,
+    #[serde(deserialize_with = "bounded::deserialize_millis", rename = "timeoutMs")]
+    timeout: Duration,
     /// Latency within which an answer has its full value for the caller.
-    target_latency_ms: u64,
+    #[serde(
+        deserialize_with = "bounded::deserialize_millis",
+        rename = "targetLatencyMs"
+    )]
+    target_latency: Duration,
     /// Priority of the route's requests under overload; 0 is the highest.
     #[serde(default)]
     priority: u32,
     /// Maximum number of leaves that a request, or each part of a gather, may be sent to.
+    #[serde(deserialize_with = "bounded::deserialize_count")]
     attempts: u32,
     /// The service, if all requests go to the same one.
     backend: Option<String>,
@@ -44,7 +51,7 @@
     /// The services to gather from, each of which holds one shard.
     gather: Option<Vec<String>>,
     /// Maximum number of records in a gathered answer, which contains the greatest ones.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "bounded::deserialize_size")]
     top_k: usize,
     /// Minimum share of the shards that a gathered answer includes.
     #[serde(default)]
@@ -70,6 +77,7 @@
 struct ServiceEntry {
     name: String,
     /// Maximum number of connections that a leaf of the service accepts from all VMs together.
+    #[serde(deserialize_with = "bounded::deserialize_size")]
     max_conns: usize,
     /// Path at which a leaf of the service answers health checks.
     #[serde(default = "default_health_path")]
@@ -83,12 +91,22 @@
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct LimitsEntry {
+    #[serde(deserialize_with = "bounded::deserialize_size")]
     max_header_bytes: usize,
+    #[serde(deserialize_with = "bounded::deserialize_size")]
     max_body_bytes: usize,
     /// Maximum time that a caller may take to send a request's head, and the same again for its
     /// body.
-    header_timeout_ms: u64,
-    idle_timeout_ms: u64,
+    #[serde(
+        deserialize_with = "bounded::deserialize_millis",
+        rename = "headerTimeoutMs"
+    )]
+    header_timeout: Duration,
+    #[serde(
+        deserialize_with = "bounded::deserialize_millis",
+        rename = "idleTimeoutMs"
+    )]
+    idle_timeout: Duration,
 }
 
 /// Parses the operator's configuration document into a [`Table`] of routes, services and limits.
@@ -107,8 +125,8 @@
     let limits = Limits {
         max_head_bytes: document.limits.max_header_bytes,
         max_body_bytes: document.limits.max_body_bytes,
-        read_timeout: Duration::from_millis(document.limits.header_timeout_ms),
-        idle_timeout: Duration::from_millis(document.limits.idle_timeout_ms),
+        read_timeout: document.limits.header_timeout,
+        idle_timeout: document.limits.idle_timeout,
     };
     Ok(Table::new(
         document.version,
@@ -146,8 +164,8 @@
             Kind::NonIdempotent => Repeat::AtMostOnce,
         },
         max_attempts: entry.attempts,
-        timeout: Duration::from_millis(entry.timeout_ms),
-        target_latency: Duration::from_millis(entry.target_latency_ms),
+        timeout: entry.timeout,
+        target_latency: entry.target_latency,
         priority: entry.priority,
     })
 }
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -11,6 +11,7 @@
 use crate::core::call::{self, Reply};
 use crate::core::placement::{NamedLimit, Notice};
 use crate::prelude::*;
+use crate::util::bounded;
 use crate::util::h1::{self, Field, Head};
 
 /// ID of one attempt at a caller's request. If the caller retries, the new attempt has another ID.
@@ -55,12 +56,12 @@
 
 /// Reads the fields of a caller's request that the gateway interprets.
 pub fn read_caller_fields(fields: &[Field]) -> CallerFields {
-    let timeout = h1::field_text(fields, DEADLINE_MS).and_then(|text| text.trim().parse().ok());
+    let timeout = h1::field_text(fields, DEADLINE_MS).and_then(bounded::parse_millis);
     CallerFields {
         id: h1::field_text(fields, REQUEST_ID)
             .unwrap_or_default()
             .to_string(),
-        timeout: timeout.map(Duration::from_millis),
+        timeout,
     }
 }
 
@@ -126,11 +127,11 @@
     h1::field_text(fields, RETRY_AFTER).and_then(read_seconds)
 }
 
-/// Parses a positive number of seconds; the longest duration stands for a number that is too large.
+/// Parses a positive number of seconds, with fractions.
 fn read_seconds(text: &str) -> Option<Duration> {
     let seconds: f64 = text.trim().parse().ok()?;
-    let is_usable = seconds.is_finite() && seconds > 0.0;
-    is_usable.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    let seconds = seconds.is_finite().then_some(seconds)?;
+    bounded::fractional_seconds(seconds)
 }
 
 /// A leaf's response, by whether it belongs to the request.
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -8,6 +8,8 @@
 //! [`peer_entry`] the entries by which they find each other, and [`Store`] is the client of the
 //! platform's key-value store.
 
+#![deny(clippy::disallowed_methods)]
+
 mod address;
 pub mod document;
 pub mod headers;
--- a/src/geraniummount/platform/registration.rs
+++ b/src/geraniummount/platform/registration.rs
@@ -7,6 +7,7 @@
 
 use super::REGISTRATION_PREFIX;
 use crate::core::instance::Instance;
+use crate::util::bounded;
 
 /// A registration in the format in which the leaf writes it.
 #[derive(Debug, Deserialize)]
@@ -18,12 +19,17 @@
     /// Failure domain: the group of machines that can fail together with the leaf.
     zone: String,
     /// Maximum number of requests that the leaf runs concurrently.
+    #[serde(deserialize_with = "bounded::deserialize_count")]
     concurrency: u32,
     /// Whether the leaf takes new requests.
     state: State,
-    /// Remaining warm-up time in milliseconds, during which the leaf is slower than others.
-    #[serde(default, rename = "warmupLeftMs")]
-    warmup_left_ms: u64,
+    /// Remaining warm-up time, during which the leaf is slower than others.
+    #[serde(
+        default,
+        deserialize_with = "bounded::deserialize_millis",
+        rename = "warmupLeftMs"
+    )]
+    warm_up_left: Duration,
     /// Start time of the leaf in milliseconds since the Unix epoch.
     #[serde(default)]
     born: Option<u64>,
@@ -59,6 +65,6 @@
         domain: registration.zone,
         slots: registration.concurrency,
         is_leaving: registration.state == State::Draining,
-        warm_up_left: Duration::from_millis(registration.warmup_left_ms),
+        warm_up_left: registration.warm_up_left,
     })
 }
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -3,6 +3,9 @@
 //! The calls of a client run one after the other on a single connection. A revision of the store is
 //! the position of a change among all changes of keys.
 
+// All times here are constants; `message` reads the answers.
+#![allow(clippy::disallowed_methods)]
+
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
--- a/src/geraniummount/util/h1/mod.rs
+++ b/src/geraniummount/util/h1/mod.rs
@@ -5,6 +5,8 @@
 //! lengths, with both a length and a transfer coding, or with an unknown transfer coding.
 //! `httparse` splits heads into fields; this module implements the rules about the length of bodies.
 
+#![deny(clippy::disallowed_methods)]
+
 mod body;
 mod fault;
 mod field;
--- a/src/geraniummount/util/h1/response.rs
+++ b/src/geraniummount/util/h1/response.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::util::bounded;
+
 use super::{
     Body, Fault, Field, MAX_FIELDS, Parsed, copy_fields, declared_length, is_chunked, is_persistent,
 };
@@ -82,13 +84,13 @@
         (100..200).contains(&self.status) && self.status != 101
     }
 
-    /// Returns the idle timeout of the connection that the server announces in `Keep-Alive`.
+    /// Returns the idle timeout of the connection that the server announces in `Keep-Alive`, at most
+    /// [`bounded::MAX_TIME`].
     pub fn keep_alive(&self) -> Option<Duration> {
         let words = super::field_words(&self.fields, "keep-alive");
         let mut times = words
             .iter()
             .filter_map(|word| word.strip_prefix("timeout="));
-        let seconds = times.next()?.trim().parse().ok()?;
-        Some(Duration::from_secs(seconds))
+        bounded::parse_seconds(times.next()?)
     }
 }
--- a/src/geraniummount/util/mod.rs
+++ b/src/geraniummount/util/mod.rs
@@ -1,5 +1,6 @@
 //! General-purpose utilities that do not depend on the rest of the crate.
 
+pub mod bounded;
 pub mod fixed_resolver;
 pub mod h1;
 pub mod json;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -15,6 +15,7 @@
 mod not_run;
 mod notice;
 mod odd_entries;
+mod odd_numbers;
 mod pause;
 mod reads;
 mod requests;
