Let one place decide who handles a request, by the newest routes seen

Cause: each place that handles a request read the table of routes and had to think of the version that had been seen. The way with open connections and the look-up that answers 404 did not; without a usable VM nothing did. The version was known only with the answer, which can be lost.

Ruled out: that the version is forgotten (requests that are passed on name it).

Change: core::delegation::Routes owns the table and gives it out only with the decision who handles a request, before a route is looked up. While newer routes have been seen, another VM handles a request or it is refused; it is planned without the older route. The acknowledgement of a VM states its version.

Conclusion: routes do not go back, whichever way a request goes, but for a VM whose acknowledgement and answer are both lost (in the postmortem).

--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -96,7 +96,7 @@
 
     /// Returns the proof that the request has not run, unless a leaf may have run a part of it or
     /// may run one yet.
-    pub(super) fn not_run(&self) -> Option<NotRun> {
+    pub fn not_run(&self) -> Option<NotRun> {
         NotRun::prove(self.shards.iter().map(Shard::progress))
     }
 
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -23,6 +23,12 @@
 /// An attempt is worth sending only if at least the target latency divided by this is left.
 const MIN_ATTEMPT_TIME_DIVISOR: u32 = 10;
 
+/// Maximum time for a request whose route this VM does not know.
+const MAX_TIME_WITHOUT_ROUTE: Duration = Duration::from_secs(30);
+
+/// Name that stands for the route of such a request in logs.
+const NO_ROUTE: &str = "unknown";
+
 /// Services that a request is sent to, and its time limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -93,6 +99,26 @@
         }
     }
 
+    /// Plans a request that another VM handles by routes that this VM does not know. That VM sets
+    /// the time limits of the route, and the request may be one that may run only once.
+    pub fn without_route(caller_timeout: Option<Duration>, now: Instant) -> Plan {
+        let timeout = caller_timeout.map_or(MAX_TIME_WITHOUT_ROUTE, |time| {
+            time.min(MAX_TIME_WITHOUT_ROUTE)
+        });
+        let end_by = margin::answer_by(now + timeout, now);
+        Plan {
+            route: NO_ROUTE.to_string(),
+            services: Vec::new(),
+            gather: None,
+            repeat: Repeat::AtMostOnce,
+            max_attempts: 1,
+            answer_by: end_by,
+            end_by,
+            min_attempt_time: Duration::ZERO,
+            is_counted: false,
+        }
+    }
+
     /// Returns the plan of a request that another VM delegated to this one.
     pub fn delegated(self, terms: &Terms, now: Instant) -> Plan {
         let answer_by = self.answer_by.checked_sub(terms.elapsed);
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -116,11 +116,15 @@
         }
     }
 
-    /// Records that the peer has read the request.
-    pub fn on_acknowledged(&mut self) {
+    /// Records that the peer has read the request. `is_newer` tells whether the peer handles it by
+    /// newer routes than it was planned by; by those, it may be one that may run only once.
+    pub fn on_acknowledged(&mut self, is_newer: bool) {
         if let Some(open) = &mut self.open {
             open.is_acknowledged = true;
         }
+        if is_newer {
+            self.repeat = Repeat::AtMostOnce;
+        }
     }
 
     /// Processes the result of passing the request to a peer. `take_extra` takes what a repetition
--- /dev/null
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -0,0 +1,137 @@
+//! Decides who may handle a request, so that no request is handled by older routes than an earlier
+//! one.
+//!
+//! Load pattern: a VM has lost its links to the leaves, or has just got them back, while the store
+//! turns it away and the routes change. It passes requests to other VMs, whose routes are newer.
+//! Once one of them has handled a request by newer routes, callers of this VM have seen their
+//! effect: a route that has moved must not lead to its old service again, and a route that was added
+//! must not be missing again. Most VMs may have lost their links, so what can be served here still
+//! is, as long as no newer routes have been seen.
+//!
+//! [`Routes`] owns the routes in force, and gives them out only with the decision who handles a
+//! request.
+
+use std::sync::Arc;
+
+use super::{Decline, Handler, Unable};
+use crate::core::route::{Limits, Table};
+
+/// State of this VM's links to the leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Links {
+    /// They work.
+    Working,
+    /// New connections to all leaves fail; open ones still work.
+    OnlyOpenConnections,
+    /// No leaf is reached.
+    Lost,
+}
+
+/// Routes in force at this VM, and the newest version by which a request of its callers was handled.
+#[derive(Debug, Default)]
+pub struct Routes {
+    /// `None` until the first version is known.
+    table: Option<Arc<Table>>,
+    /// Newest version by which another VM has handled, or is handling, a request of this one.
+    seen_version: u64,
+}
+
+impl Routes {
+    /// Brings a version into force, unless a newer one is in force; returns whether it is in force
+    /// now.
+    pub fn apply(&mut self, table: Table) -> bool {
+        let is_older = table.version < self.version();
+        if !is_older {
+            self.table = Some(Arc::new(table));
+        }
+        !is_older
+    }
+
+    /// Records that another VM handles a request of this one by a version of the routes.
+    pub fn on_seen(&mut self, version: u64) {
+        self.seen_version = self.seen_version.max(version);
+    }
+
+    /// Returns the version in force; 0 if none is.
+    pub fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Returns the oldest version by which a request of a caller may be handled.
+    pub fn min_version(&self) -> u64 {
+        self.seen_version.max(self.version())
+    }
+
+    /// Returns whether routes are in force.
+    pub fn is_known(&self) -> bool {
+        self.table.is_some()
+    }
+
+    /// Returns whether newer routes than those in force have been seen.
+    pub fn is_outdated(&self) -> bool {
+        self.version() < self.seen_version
+    }
+
+    /// Decides who handles a request of a caller.
+    pub fn handler(&self, links: Links, has_peers: bool) -> Handler {
+        let Some(table) = &self.table else {
+            return Handler::Nobody(Unable::NoRoutes);
+        };
+        if self.is_outdated() {
+            return match has_peers {
+                true => Handler::Peer {
+                    min_version: self.seen_version,
+                    table: None,
+                },
+                false => Handler::Nobody(Unable::Outdated),
+            };
+        }
+        let table = Arc::clone(table);
+        match links {
+            Links::OnlyOpenConnections if has_peers => Handler::OwnIfConnected(table),
+            Links::Lost if has_peers => Handler::Peer {
+                min_version: table.version,
+                table: Some(table),
+            },
+            _ => Handler::Own(table),
+        }
+    }
+
+    /// Returns the routes by which a request of another VM is handled here. `min_version` is the
+    /// oldest version by which it may be handled.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason to decline the request if no routes are known, or if they are older than
+    /// the other VM requires, or than this VM has seen.
+    pub fn for_peer(&self, min_version: u64) -> Result<Arc<Table>, Decline> {
+        let table = self.table.as_ref().ok_or(Decline::NotReady)?;
+        match table.version < min_version.max(self.seen_version) {
+            true => Err(Decline::Outdated),
+            false => Ok(Arc::clone(table)),
+        }
+    }
+
+    /// Returns the limits on callers. While newer routes have been seen, whose limits are unknown,
+    /// they are not below the usual ones.
+    pub fn limits(&self) -> Limits {
+        let usual = Limits::default();
+        let Some(limits) = self.table.as_ref().map(|table| table.limits) else {
+            return usual;
+        };
+        match self.is_outdated() {
+            true => limits.max(usual),
+            false => limits,
+        }
+    }
+
+    /// Returns the maximum number of connections that a leaf of the service accepts from all VMs.
+    pub fn max_connections(&self, service: &str) -> Option<usize> {
+        self.table.as_ref()?.max_connections(service)
+    }
+
+    /// Returns the path at which a leaf of the service answers health checks.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        self.table.as_ref()?.health_path(service)
+    }
+}
--- a/src/geraniummount/core/route/limits.rs
+++ b/src/geraniummount/core/route/limits.rs
@@ -16,6 +16,18 @@
     pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Returns the greater of each two limits.
+    pub fn max(self, other: Limits) -> Limits {
+        Limits {
+            max_head_bytes: self.max_head_bytes.max(other.max_head_bytes),
+            max_body_bytes: self.max_body_bytes.max(other.max_body_bytes),
+            read_timeout: self.read_timeout.max(other.read_timeout),
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -2,7 +2,7 @@
 //! overloaded, and otherwise starts it. A call is a caller's request in flight.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::info;
 
@@ -13,7 +13,7 @@
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
-use crate::core::delegation::{Decline, Terms};
+use crate::core::delegation::{Decline, Handler, Terms, Unable};
 use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
@@ -21,8 +21,8 @@
 use crate::platform::headers::{self, CallerFields};
 use crate::util::h1::Request;
 
-/// `Retry-After` of a request that arrives before the routes and the leaves are known.
-const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of a request that nobody can handle yet.
+const UNHANDLED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A request that was read completely.
 struct Arrival {
@@ -45,33 +45,63 @@
         content: Vec<u8>,
         terms: Option<Terms>,
     ) {
-        let caller_fields = headers::read_caller_fields(&request.fields);
-        let id = caller_fields.id.as_str();
-        let Some(table) = self.route_table.clone().filter(|_| self.has_leaf_list) else {
-            info!("request id={id} outcome=refused status=503 why=no-routes");
-            self.metrics.count_answer("refused");
-            let why = "no routes are known yet; come back later";
-            return self.write_plain(key, 503, why, Some(NO_ROUTES_RETRY_AFTER));
-        };
-        let host = request.host().unwrap_or_default();
-        let Some(route) = table.find(host, request.path()) else {
-            let version = table.version;
-            info!("request id={id} outcome=no-route status=404 host={host} version={version}");
-            self.metrics.count_answer("no-route");
-            return self.write_plain(key, 404, "no route matches; check host and path", None);
-        };
-        let arrival = Arrival {
-            key,
-            fingerprint: fingerprint(host, &request, &content),
-            request,
-            content,
-            caller_fields,
-        };
-        if terms.is_none() && self.delegates(route) {
-            self.admit_for_delegation(arrival, &table, route);
-        } else {
-            self.admit_for_leaves(arrival, &table, route, terms);
+        let arrival = Arrival::new(key, request, content);
+        if !self.has_leaf_list {
+            return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
+        if let Some(terms) = terms {
+            return match self.routes.for_peer(terms.min_version) {
+                Ok(table) => self.admit_by_routes(arrival, &table, Some(terms)),
+                Err(decline) => self.decline(key, &terms.from, decline, None),
+            };
+        }
+        match self.handler() {
+            Handler::Own(table) => self.admit_by_routes(arrival, &table, None),
+            Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
+            Handler::Peer { min_version, table } => {
+                let route = table.as_ref().and_then(|table| arrival.find_route(table));
+                self.admit_for_delegation(arrival, min_version, route);
+            }
+            Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
+        }
+    }
+
+    /// Refuses a request that nobody can handle now.
+    fn refuse_unhandled(&mut self, arrival: &Arrival, unable: Unable) {
+        let (id, why) = (&arrival.caller_fields.id, unable.as_str());
+        info!("request id={id} outcome=refused status=503 why={why}");
+        self.metrics.count_answer("refused");
+        let not_run = NotRun::without_attempts();
+        self.write_refusal(arrival.key, not_run, UNHANDLED_RETRY_AFTER);
+    }
+
+    /// Starts the call for a request by the given routes, or rejects it.
+    fn admit_by_routes(&mut self, arrival: Arrival, table: &Table, terms: Option<Terms>) {
+        match arrival.find_route(table) {
+            Some(route) => self.admit_for_leaves(arrival, table, route, terms),
+            None => self.reject_without_route(&arrival, table.version),
+        }
+    }
+
+    /// Starts the call for a request if there is an open connection to a leaf for each of its parts;
+    /// otherwise lets another VM handle it.
+    fn admit_if_connected(&mut self, arrival: Arrival, table: &Table) {
+        let route = arrival.find_route(table);
+        let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
+        match route.filter(is_connected) {
+            Some(route) => self.admit_for_leaves(arrival, table, route, None),
+            None => self.admit_for_delegation(arrival, table.version, route),
+        }
+    }
+
+    /// Rejects a request that matches no route.
+    fn reject_without_route(&mut self, arrival: &Arrival, version: u64) {
+        let host = arrival.request.host().unwrap_or_default();
+        let id = &arrival.caller_fields.id;
+        info!("request id={id} outcome=no-route status=404 host={host} version={version}");
+        self.metrics.count_answer("no-route");
+        let why = "no route matches; check host and path";
+        self.write_plain(arrival.key, 404, why, None);
     }
 
     /// Starts the call for a request, or rejects it.
@@ -132,20 +162,22 @@
     }
 
     /// Delegates a caller's request to another VM, unless it is withheld. The other VM claims a trial
-    /// that is due.
-    fn admit_for_delegation(&mut self, mut arrival: Arrival, table: &Table, route: &Route) {
+    /// that is due. `route` is that of this VM; `None` if it has none, or an older one.
+    fn admit_for_delegation(
+        &mut self,
+        mut arrival: Arrival,
+        min_version: u64,
+        route: Option<&Route>,
+    ) {
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
             return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
         }
-        // The VM that serves the request chooses one of the services of a split.
-        let (service, gather) = match &route.target {
-            Target::Service(service) => (Some(service.clone()), None),
-            Target::Split(_) => (None, None),
-            Target::Gather(gather) => (None, Some(gather)),
-        };
         let timeout = arrival.caller_fields.timeout;
-        let mut plan = Plan::new(route, service, gather, timeout, self.now);
+        let mut plan = match route {
+            Some(route) => plan_for_peer(route, timeout, self.now),
+            None => Plan::without_route(timeout, self.now),
+        };
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
@@ -155,7 +187,7 @@
             caller: key,
             plan,
             forwarded: Arc::new(arrival.into_forwarded()),
-            min_version: table.version,
+            min_version,
             started: self.now,
             sends: 0,
         });
@@ -199,7 +231,35 @@
     }
 }
 
+/// Plans a request that another VM handles, which chooses one of the services of a split.
+fn plan_for_peer(route: &Route, timeout: Option<Duration>, now: Instant) -> Plan {
+    let (service, gather) = match &route.target {
+        Target::Service(service) => (Some(service.clone()), None),
+        Target::Split(_) => (None, None),
+        Target::Gather(gather) => (None, Some(gather)),
+    };
+    Plan::new(route, service, gather, timeout, now)
+}
+
 impl Arrival {
+    /// Reads what the gateway needs to know about a request.
+    fn new(key: usize, request: Request, content: Vec<u8>) -> Arrival {
+        let host = request.host().unwrap_or_default();
+        Arrival {
+            key,
+            caller_fields: headers::read_caller_fields(&request.fields),
+            fingerprint: fingerprint(host, &request, &content),
+            request,
+            content,
+        }
+    }
+
+    /// Returns the route of the request.
+    fn find_route<'a>(&self, table: &'a Table) -> Option<&'a Route> {
+        let host = self.request.host().unwrap_or_default();
+        table.find(host, self.request.path())
+    }
+
     /// Returns the request as it waits for a trial.
     fn into_waiting(self, terms: Option<Terms>) -> Waiting {
         Waiting {
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -227,7 +227,7 @@
 
     /// Parses a request head; returns whether the connection's state advanced.
     fn read_head(&mut self, key: usize) -> bool {
-        let limits = self.limits();
+        let limits = self.routes.limits();
         let now = self.now;
         let caller = &mut self.caller_connections[key];
         let input = &mut caller.socket.input;
@@ -287,7 +287,7 @@
     }
 
     fn read_body(&mut self, key: usize) -> bool {
-        let limits = self.limits();
+        let limits = self.routes.limits();
         let caller = &mut self.caller_connections[key];
         let State::Body { body, content, .. } = &mut caller.state else {
             return false;
@@ -330,14 +330,8 @@
         true
     }
 
-    pub(super) fn limits(&self) -> Limits {
-        self.route_table
-            .as_ref()
-            .map_or_else(Limits::default, |table| table.limits)
-    }
-
     fn start_caller_timer(&mut self, key: usize) {
-        let limits = self.limits();
+        let limits = self.routes.limits();
         let caller = &self.caller_connections[key];
         let due = match caller.state {
             State::Idle => limits.idle_timeout,
@@ -353,7 +347,7 @@
     }
 
     pub(super) fn on_caller_timer(&mut self, key: usize, serial: u64) {
-        let limits = self.limits();
+        let limits = self.routes.limits();
         let Some(caller) = self.caller_connections.get(key) else {
             return;
         };
--- a/src/geraniummount/edge/gateway/caller/writing.rs
+++ b/src/geraniummount/edge/gateway/caller/writing.rs
@@ -40,8 +40,7 @@
         }
         let caller = self.caller_connections.get(key);
         if caller.is_some_and(|caller| caller.origin == Origin::Peer) {
-            let table = self.route_table.as_ref();
-            delegation::write_version(out, table.map_or(0, |table| table.version));
+            delegation::write_version(out, self.routes.version());
         }
     }
 
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -32,6 +32,9 @@
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of parts in the response to a request whose route this VM does not know.
+const MAX_PARTS_WITHOUT_ROUTE: usize = 16;
+
 /// A connection to another VM.
 #[derive(Debug)]
 pub(in crate::edge::gateway) struct PeerConnection {
@@ -222,8 +225,12 @@
             Ok(response) => response,
             Err(_) => return self.fail_peer(connection),
         };
-        if open.reader.has_interim {
-            self.delegation.requests[index].request.on_acknowledged();
+        if let Some(interim) = open.reader.interim.take() {
+            let state = &mut self.delegation.requests[index];
+            let version = wire::read_version(&interim.fields);
+            let is_newer = version > state.caller_request.min_version;
+            state.request.on_acknowledged(is_newer);
+            self.routes.on_seen(version);
         }
         let received = open.received;
         match response {
@@ -239,7 +246,10 @@
     /// reply of a leaf for each part.
     fn max_answer_bytes(&self, index: usize) -> usize {
         let plan = &self.delegation.requests[index].caller_request.plan;
-        let parts = plan.services.len().max(1);
+        let parts = match plan.services.len() {
+            0 => MAX_PARTS_WITHOUT_ROUTE,
+            parts => parts,
+        };
         self.options
             .max_reply_bytes
             .saturating_mul(parts)
--- a/src/geraniummount/edge/gateway/delegation/finish.rs
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -58,8 +58,7 @@
 
     /// Records that another VM was reached and has answered.
     fn on_delegated_answer(&mut self, answer: &Answer) {
-        let seen_version = &mut self.delegation.seen_version;
-        *seen_version = answer.version.max(*seen_version);
+        self.routes.on_seen(answer.version);
         self.isolation.on_attempt(true);
     }
 
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -29,8 +29,8 @@
 use super::timers::Timer;
 use super::{Gateway, Options};
 use crate::core::call::Action as CallAction;
-use crate::core::delegation::{Action, Outcome, Peer, Peers, Request};
-use crate::core::route::Route;
+use crate::core::delegation::{Action, Handler, Links, Outcome, Peer, Peers, Request};
+use crate::core::route::Repeat;
 
 pub(super) use self::caller_request::CallerRequest;
 pub(super) use self::wire::{strip as strip_request_fields, write_version};
@@ -50,8 +50,6 @@
     outcomes: VecDeque<(usize, u64, Outcome)>,
     /// Whether the calls in flight have to be handed over to other VMs.
     pub(super) is_handover_due: bool,
-    /// Newest version of the routes by which another VM served a request of this one.
-    seen_version: u64,
 }
 
 impl Delegation {
@@ -66,7 +64,6 @@
             connections: Slab::new(),
             outcomes: VecDeque::new(),
             is_handover_due: false,
-            seen_version: 0,
         })
     }
 
@@ -95,31 +92,21 @@
         }
     }
 
-    /// Returns whether a new request of a caller is delegated. This goes on after the links are
-    /// back until the routes in force here are as new as those by which other VMs have served
-    /// requests.
-    ///
-    /// While only new connections fail, a request is not delegated if there is an open connection
-    /// for each of its parts. Most VMs may be in this state, and the others could not serve them
-    /// all.
-    pub(super) fn delegates(&self, route: &Route) -> bool {
-        if self.delegation.peers.is_empty() {
-            return false;
-        }
-        if self.leaf_links.is_lost() {
-            let is_served = self.only_open_connections_work()
-                && self.has_idle_connections(&route.target.services());
-            return !is_served;
-        }
-        let table = self.route_table.as_ref();
-        let is_outdated = table.is_some_and(|table| table.version < self.delegation.seen_version);
-        is_outdated && self.delegation.peers.has_usable(self.now)
+    /// Returns who handles a new request of a caller.
+    pub(super) fn handler(&self) -> Handler {
+        let links = match self.leaf_links.is_lost() {
+            false => Links::Working,
+            true if self.only_open_connections_work() => Links::OnlyOpenConnections,
+            true => Links::Lost,
+        };
+        self.routes
+            .handler(links, !self.delegation.peers.is_empty())
     }
 
     /// Delegates the request of a caller.
     pub(super) fn delegate(&mut self, mut caller_request: CallerRequest) {
-        let seen_version = self.delegation.seen_version;
-        caller_request.min_version = caller_request.min_version.max(seen_version);
+        let min_version = self.routes.min_version();
+        caller_request.min_version = caller_request.min_version.max(min_version);
         let serial = self.allocate_serial();
         let connection = &mut self.caller_connections[caller_request.caller];
         let plan = &caller_request.plan;
@@ -171,6 +158,11 @@
         if state.from.is_some() {
             return;
         }
+        // By newer routes, the request may be one that may run only once.
+        let is_outdated = state.version < self.routes.min_version();
+        if is_outdated && state.call.not_run().is_none() {
+            return;
+        }
         let Some((sends, actions)) = state.call.hand_over(&mut self.placement, self.now) else {
             return;
         };
@@ -180,9 +172,13 @@
             }
         }
         let state = self.calls.remove(index);
+        let mut plan = state.call.plan().clone();
+        if is_outdated {
+            plan.repeat = Repeat::AtMostOnce;
+        }
         self.delegate(CallerRequest {
             caller: state.caller,
-            plan: state.call.plan().clone(),
+            plan,
             forwarded: state.forwarded,
             min_version: state.version,
             started: state.started,
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -76,23 +76,24 @@
     }
 
     fn reason_to_decline(&self, terms: &Terms) -> Option<Decline> {
-        let table = self.route_table.as_ref().filter(|_| self.has_leaf_list);
         if self.stop.is_some() {
             return Some(Decline::Stopping);
         }
         if self.leaf_links.is_lost() {
             return Some(Decline::LinksLost);
         }
-        let Some(table) = table else {
+        if !self.has_leaf_list {
             return Some(Decline::NotReady);
-        };
-        (table.version < terms.min_version).then_some(Decline::Outdated)
+        }
+        self.routes.for_peer(terms.min_version).err()
     }
 
-    /// Tells the VM that its request was read and is being served.
+    /// Tells the VM that its request was read and is being served, and by which version of the
+    /// routes. The answer may be lost, or come after callers have seen the effect of that version.
     fn acknowledge(&mut self, key: usize) {
-        let mut interim = Vec::with_capacity(32);
+        let mut interim = Vec::with_capacity(64);
         h1::write_status_line(&mut interim, 102);
+        wire::write_version(&mut interim, self.routes.version());
         h1::write_head_end(&mut interim);
         let caller = &mut self.caller_connections[key];
         caller.socket.queue(&interim);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -48,7 +48,7 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::sync::{Arc, mpsc};
+use std::sync::mpsc;
 use std::time::Instant;
 
 use log::warn;
@@ -76,12 +76,13 @@
 use self::token::EventSource;
 use self::trials::Trials;
 use crate::core::call::Reply;
+use crate::core::delegation::Routes;
 use crate::core::isolation::Isolation;
 use crate::core::leaf_links::LeafLinks;
 use crate::core::placement::{Placement, ReplicaKey};
 use crate::core::quarantine::Quarantine;
 use crate::core::request_rate::RequestRate;
-use crate::core::route::{Split, Table};
+use crate::core::route::Split;
 use crate::prelude::*;
 
 /// Maximum number of events that are handled per iteration of the event loop.
@@ -112,8 +113,8 @@
     timers: Timers,
     /// What this VM has observed of the leaves, by which it chooses one for each attempt.
     placement: Placement,
-    /// Routes in force; `None` until the first version is known.
-    route_table: Option<Arc<Table>>,
+    /// Routes in force, and who handles a request.
+    routes: Routes,
     /// Whether the list of registered leaves is known.
     has_leaf_list: bool,
     /// Number of registered leaves, and how many of them are leaving.
@@ -190,7 +191,7 @@
             pools: Vec::new(),
             attempts: calls::Attempts::default(),
             timers: Timers::default(),
-            route_table: None,
+            routes: Routes::default(),
             has_leaf_list: false,
             leaf_counts: (0, 0),
             split,
@@ -361,7 +362,7 @@
 
     /// Returns whether this VM can serve callers, as told to the platform's readiness probes.
     fn is_ready(&self) -> bool {
-        let serves = self.route_table.is_some() && self.has_leaf_list;
+        let serves = self.routes.is_known() && self.has_leaf_list;
         serves && self.stop.is_none() && !self.isolation.is_isolated()
     }
 
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -5,10 +5,9 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::info;
+use log::{info, warn};
 
 use super::Gateway;
 use super::leaf::LeafConnection;
@@ -54,12 +53,17 @@
     /// Brings a version of the routes into force.
     pub(super) fn apply_routes(&mut self, table: Table) {
         let (version, routes) = (table.version, table.routes().len());
+        if !self.routes.apply(table) {
+            let in_force = self.routes.version();
+            return warn!(
+                "routes version={version} in_force={in_force} outcome=older action=ignore"
+            );
+        }
         info!("routes version={version} routes={routes} outcome=in-force");
         self.metrics
             .gauges
             .routes_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.route_table = Some(Arc::new(table));
     }
 
     /// Replaces the list of registered leaves with that of the store in an era.
@@ -281,9 +285,7 @@
         let Some(index) = self.pool_index(key, service) else {
             return;
         };
-        let table = self.route_table.as_ref();
-        let path = table.and_then(|table| table.health_path(service));
-        let path = path.unwrap_or("/").to_string();
+        let path = self.routes.health_path(service).unwrap_or("/").to_string();
         if let Some(connection) = self.connect(index) {
             self.send_health_request(connection, &path);
         }
@@ -313,8 +315,7 @@
 
     /// Returns how many connections this VM may have open to a leaf.
     fn max_connections(&self, index: usize, service: &str) -> usize {
-        let table = self.route_table.as_ref();
-        let leaf_limit = table.and_then(|table| table.max_connections(service));
+        let leaf_limit = self.routes.max_connections(service);
         let leaf_limit = leaf_limit.unwrap_or(DEFAULT_MAX_CONNECTIONS);
         self.pools[index]
             .share
--- a/src/geraniummount/edge/gateway/response_reader.rs
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -13,8 +13,8 @@
     pub(super) must_close: bool,
     /// Time after which the peer closes the connection if it is idle, as announced by the peer.
     pub(super) keep_alive: Option<Duration>,
-    /// Whether an interim response to the last request has been received.
-    pub(super) has_interim: bool,
+    /// Head of the last interim response to the last request.
+    pub(super) interim: Option<Head>,
     /// Head of the response that is being read.
     head: Option<Head>,
     /// Part of that response's body that has been received.
@@ -25,7 +25,7 @@
     /// Prepares for the response to a request.
     pub(super) fn begin(&mut self, is_head_request: bool) {
         self.is_head_request = is_head_request;
-        self.has_interim = false;
+        self.interim = None;
     }
 
     /// Consumes input as far as it is buffered. Returns the response once it is complete.
@@ -41,7 +41,7 @@
                     Parsed::Complete(head, length) => {
                         input.drain(..length);
                         if head.is_interim() {
-                            self.has_interim = true;
+                            self.interim = Some(head);
                             continue;
                         }
                         self.head = Some(head);
--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -46,9 +46,11 @@
     IsFrozen,
     /// Acknowledges the request, and its connection ends.
     Ends,
+    /// As `Ends`, and handles the request by newer routes than this VM knows.
+    EndsByNewerRoutes,
 }
 
-use Behaviour::{Answers, Declines, Ends, IsFrozen, IsGone, Refuses, Throttles};
+use Behaviour::{Answers, Declines, Ends, EndsByNewerRoutes, IsFrozen, IsGone, Refuses, Throttles};
 
 /// How a request ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -142,6 +144,15 @@
         expected: Ended::Failed,
         asked: 1,
     },
+    Case {
+        name: "a peer that ends is not replaced if by its routes the request may run only once",
+        repeat: Repeat::Idempotent,
+        sends: 0,
+        peers: &[EndsByNewerRoutes, Answers],
+        has_allowance: true,
+        expected: Ended::Failed,
+        asked: 1,
+    },
     Case {
         name: "a request that may run only once is not repeated",
         repeat: Repeat::AtMostOnce,
@@ -273,9 +284,9 @@
             request.on_sent(now);
             return Vec::new();
         }
-        Ends => {
+        Ends | EndsByNewerRoutes => {
             request.on_sent(now);
-            request.on_acknowledged();
+            request.on_acknowledged(matches!(behaviour, EndsByNewerRoutes));
             Outcome::Lost
         }
     };
--- a/tests/testsuite/delegation_fleet.rs
+++ b/tests/testsuite/delegation_fleet.rs
@@ -262,7 +262,7 @@
             Event::Received { request, pass } => self.receive(request, pass, at_ms),
             Event::Acknowledged { request, pass } => {
                 if self.flights[request].pass == pass {
-                    self.flights[request].state.on_acknowledged();
+                    self.flights[request].state.on_acknowledged(false);
                 }
             }
             Event::Replied {
--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -9,9 +9,8 @@
 use geraniummount_test_support::platform::users::caller::Reply;
 use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::proxy::Proxy;
-use serde_json::json;
 
-use super::deployment::{Deployment, SHARDS, hang, refuse, restore};
+use super::deployment::{Deployment, SHARDS, hang, refuse, register_vm, restore};
 use super::fixture::{Fixture, WAIT_TIMEOUT, connect, gather_route, request, service_route};
 
 /// Prefix of the fields between VMs.
@@ -34,14 +33,6 @@
     deployment
 }
 
-/// Registers a VM that does not exist, at an address.
-fn register_vm(store: &Store, name: &str, address: SocketAddr) {
-    let entry = json!({
-        "address": address, "domain": "near", "key": "secret", "written_at_ms": 4_000_000_000_000_u64,
-    });
-    store.put(&format!("peers/{name}"), entry.to_string());
-}
-
 /// Returns the number of runs of the request with an id at all leaves.
 fn runs_of(deployment: &Deployment, id: &str) -> usize {
     let runs = deployment.leaves.iter().flat_map(|leaf| leaf.runs());
--- a/tests/testsuite/platform/deployment.rs
+++ b/tests/testsuite/platform/deployment.rs
@@ -1,10 +1,11 @@
 //! Gateways that share a store, and leaves that each gateway reaches over proxies.
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use geraniummount_test_support::proxy::{Flow, Link, Proxy};
+use serde_json::json;
 
 use super::fixture::{Fixture, gather_route, service_route};
 
@@ -112,3 +113,11 @@
 pub fn restore(link: &mut Link) {
     *link = Link::default();
 }
+
+/// Registers a VM that does not exist, at an address.
+pub fn register_vm(store: &Store, name: &str, address: SocketAddr) {
+    let entry = json!({
+        "address": address, "domain": "near", "key": "secret", "written_at_ms": 4_000_000_000_000_u64,
+    });
+    store.put(&format!("peers/{name}"), entry.to_string());
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -16,6 +16,7 @@
 mod notice;
 mod odd_entries;
 mod odd_numbers;
+mod older_routes;
 mod pause;
 mod reads;
 mod requests;
