Do not use a connection again after an answer without an id

Cause: an answer without an id counts for the request that waits. A second copy of one, such as a leaf's rejection of a health request, comes late on a connection that was kept, and was taken for the rejection of the next order.

Ruled out: ids of earlier requests (compared with the last request's).

Change: a connection that has carried an answer without an id is closed after it, so that a copy reaches no later request.

Conclusion: a copy of an answer is never taken for that of another request, as long as either names its request or the connection is not used again.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -25,6 +25,10 @@
     Late(Duration),
     /// With status 503, without running the request.
     Rejected,
+    /// The first request of each connection in this mode with status 503 and without an id, without
+    /// running it. The next one on that connection is run, and a second copy of that answer comes
+    /// before its own.
+    RejectedTwice,
     /// Two requests of five with status 503 as their time ends, without running them, as if they had
     /// waited in the leaf's queue until then; the others completely and correctly.
     OftenExpired,
@@ -292,8 +296,9 @@
 }
 
 fn serve(state: &Monitor<State>, leaf: &str, mut connection: Connection) {
+    let mut has_rejected = false;
     while let Ok(Some(request)) = connection.read() {
-        if !answer(state, leaf, &request, &mut connection) {
+        if !answer(state, leaf, &request, &mut connection, &mut has_rejected) {
             break;
         }
     }
@@ -302,12 +307,14 @@
     let _ = connection.stream().shutdown(std::net::Shutdown::Both);
 }
 
-/// Answers a request; returns whether to keep the connection.
+/// Answers a request; returns whether to keep the connection. `has_rejected` is whether the
+/// connection has got the first answer of [`Answer::RejectedTwice`].
 fn answer(
     state: &Monitor<State>,
     leaf: &str,
     request: &Request,
     connection: &mut Connection,
+    has_rejected: &mut bool,
 ) -> bool {
     let Some(id) = request.header("Request-Id").map(str::to_string) else {
         let missing_id = Response::empty(400).with_header("Request-Not-Run", 1);
@@ -346,6 +353,10 @@
         }
         return connection.write(&with_notice(state, rejected)).is_ok();
     }
+    if mode == Answer::RejectedTwice && !*has_rejected {
+        *has_rejected = true;
+        return connection.write(&rejection()).is_ok();
+    }
     if mode == Answer::OftenExpired && count % EXPIRY_PERIOD < EXPIRED_OF_PERIOD {
         std::thread::sleep(deadline(request));
         let rejected = Response::empty(503)
@@ -357,6 +368,11 @@
     run(state, leaf, request, connection, mode)
 }
 
+/// Returns an answer that rejects a request and does not name it.
+fn rejection() -> Response {
+    Response::empty(503).with_header("Request-Not-Run", 1)
+}
+
 /// Returns the time that the sender of a request waits for the answer.
 fn deadline(request: &Request) -> Duration {
     let ms = request.header("Deadline-Ms").and_then(|ms| ms.parse().ok());
@@ -429,6 +445,10 @@
             let _ = connection.write_raw(&unframed);
             false
         }
+        Answer::RejectedTwice => {
+            let answers = [rejection().to_bytes(), whole.to_bytes()];
+            connection.write_raw(&answers.concat()).is_ok()
+        }
         Answer::Doubled => connection.write_raw(&whole.to_bytes().repeat(2)).is_ok(),
         Answer::ForeignFirst => {
             let answers = [foreign(leaf).to_bytes(), whole.to_bytes()];
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -81,10 +81,13 @@
         }
     }
 
-    /// Handles a complete response. The connection is reused if no input or output is left on it.
+    /// Handles a complete response. The connection is reused if no input or output is left on it and
+    /// the response names its request. A second copy of one that does not, such as that to a health
+    /// request, would be taken for the response to the next request on the connection.
     fn on_response(&mut self, connection: usize, response: h1::Response, status: ReadStatus) {
         let leaf = &mut self.leaf_connections[connection];
         leaf.has_responded = true;
+        leaf.reader.must_close |= !headers::names_request(&response.head);
         let opened_at = leaf.opened_at;
         let (replica, requested_at) = (leaf.replica, leaf.requested_at);
         let change = self.leaf_links.on_response(opened_at, self.now);
--- a/src/geraniummount/edge/gateway/leaf_links.rs
+++ b/src/geraniummount/edge/gateway/leaf_links.rs
@@ -1,7 +1,8 @@
 //! Checks this VM's links to the leaves while they are suspected or lost.
 //!
 //! A check sends a health request to a few leaves, each over a new connection. Any response shows
-//! that the link works; the connection is then kept for requests.
+//! that the link works. The connection is closed then, unless the response has an id: a second copy
+//! of one without could be taken for the response to a later request.
 
 use std::time::Duration;
 
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -109,6 +109,11 @@
     h1::field_text(&head.fields, LEAF_ID).map(str::trim)
 }
 
+/// Returns whether a response names the request that it belongs to.
+pub fn names_request(head: &Head) -> bool {
+    h1::field_values(&head.fields, REQUEST_ID).next().is_some()
+}
+
 /// Reads the limit that a leaf names. Only a finite number that is not negative is usable.
 fn read_limit(fields: &[Field]) -> NamedLimit {
     if h1::field_values(fields, LIMIT).next().is_none() {
--- a/tests/testsuite/platform/not_run.rs
+++ b/tests/testsuite/platform/not_run.rs
@@ -1,5 +1,6 @@
 //! Guards against refusals of requests that run: a leaf rejects an order as its time ends, and the
-//! gateway sends the order to a second leaf at the moment at which it answers that it has not run.
+//! gateway sends the order to a second leaf at the moment at which it answers that it has not run; or
+//! a rejection without an id comes a second time, late, and is taken for that of the next order.
 
 use std::collections::BTreeSet;
 use std::io::Write;
@@ -8,7 +9,7 @@
 use geraniummount_test_support::platform::users::caller::Reply;
 use geraniummount_test_support::platform::users::{Answer, Leaf};
 
-use super::fixture::{Fixture, connect, leaf, service_route};
+use super::fixture::{Fixture, HOST, connect, leaf, service_route};
 
 const LEAVES: usize = 6;
 const CALLERS: usize = 12;
@@ -17,21 +18,24 @@
 /// Time after which an order that was under way has arrived at a leaf.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 
+/// Sends an order; returns the status of the answer.
+fn send_order(fixture: &Fixture, id: &str, deadline_ms: usize) -> u16 {
+    let order = format!(
+        "POST /order/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\n1"
+    );
+    let mut stream = connect(fixture.callers_address);
+    stream.write_all(order.as_bytes()).unwrap();
+    Reply::read(&mut stream).unwrap().status
+}
+
 /// Sends orders with times of 20 to 120 ms; returns the ids of those that were refused.
 fn send_orders(fixture: &Fixture, caller: usize) -> Vec<String> {
     let mut refused = Vec::new();
     for number in 0..ORDERS_PER_CALLER {
         let id = format!("order-{caller}-{number}");
         let deadline_ms = 20 + (caller * 7 + number * 13) % 100;
-        let order = format!(
-            "POST /order/x HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\n\
-             Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\n1",
-            super::fixture::HOST
-        );
-        let mut stream = connect(fixture.callers_address);
-        stream.write_all(order.as_bytes()).unwrap();
-        let reply = Reply::read(&mut stream).unwrap();
-        if reply.status == 503 {
+        if send_order(fixture, &id, deadline_ms) == 503 {
             refused.push(id);
         }
     }
@@ -67,3 +71,22 @@
         refused.len()
     );
 }
+
+#[test]
+fn platform_orders_are_not_taken_for_rejected_by_a_second_copy_of_an_earlier_answer() {
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/order/", "non_idempotent", "one")]);
+    let leaves: Vec<Leaf> = (0..2).map(|_| leaf(&fixture, "one", b"1")).collect();
+    fixture.wait_for_leaf("/order/x");
+    for leaf in &leaves {
+        leaf.set_answer(Answer::RejectedTwice);
+    }
+    for number in 0..40 {
+        let id = format!("order-{number}");
+        let status = send_order(&fixture, &id, 1_000);
+        let runs = leaves.iter().flat_map(Leaf::runs).filter(|run| *run == id);
+        let runs = runs.count();
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(status != 503 || runs == 0, "{id} was refused and ran");
+    }
+}
