Bound the time until a VM reads the store after an outage and a lost packet

Change: the maximum backoff is at most half of the time within which a version has to take effect, and the time that the failed call took counts as a part of the backoff. A short spread delay always remains, as all VMs' watches fail at the same moment.

Evidence: poll_schedule_reads_in_time_after_an_outage_even_if_a_packet_is_lost failed on (4.998 s of 3 s) and passes.

--- a/src/geraniummount/core/store/poll_schedule.rs
+++ b/src/geraniummount/core/store/poll_schedule.rs
@@ -11,7 +11,9 @@
 //! another connection, shows whether the watch missed a change.
 //!
 //! While the store is unavailable, calls back off. The maximum backoff is longer if the VM has data
-//! to continue with.
+//! to continue with. It is at most half of the time within which a version has to take effect, and
+//! the time that a failed call took counts as a part of it: once the store is back, a VM reads in
+//! time even if the packet of one call is lost.
 //!
 //! The store is the key-value store that the users run, which contains the routes and the
 //! registrations of the leaves. The routes say which leaves serve which requests of callers. A
@@ -32,7 +34,7 @@
 const READ_MARGIN: Duration = Duration::from_secs(1);
 
 /// Divisor of the time within which a version of the routes has to take effect; the quotient bounds
-/// the delay after a change.
+/// the delay after a change, and the backoff.
 const APPLY_DIVISOR: u32 = 2;
 
 /// Interval at which the store's revision is read while a watch has no answer. The connection of
@@ -48,7 +50,7 @@
 /// Maximum backoff while the VM has no data.
 const MAX_BACKOFF_WITHOUT_DATA: Duration = Duration::from_millis(800);
 
-/// Maximum backoff while the VM has data to continue with.
+/// Upper bound of the maximum backoff while the VM has data to continue with.
 const MAX_BACKOFF_WITH_DATA: Duration = Duration::from_secs(2);
 
 /// Delays between the calls to the store.
@@ -57,6 +59,8 @@
     delay_after_change: Duration,
     /// Maximum delay between two reads of the leaves.
     max_delay_between_reads: Duration,
+    /// Maximum backoff while the VM has data to continue with.
+    max_backoff_with_data: Duration,
     /// Number of calls that failed since the last successful one.
     failures: u32,
 }
@@ -78,6 +82,9 @@
             max_delay_between_reads: available
                 .div_f64(1.0 + MAX_READ_AGE_SHARE)
                 .clamp(MIN_CHANGE_DELAY, MAX_CHANGE_DELAY),
+            max_backoff_with_data: MAX_BACKOFF_WITH_DATA
+                .min(apply_bound / APPLY_DIVISOR)
+                .max(MAX_BACKOFF_WITHOUT_DATA),
             failures: 0,
         }
     }
@@ -103,20 +110,23 @@
         self.failures = 0;
     }
 
-    /// Records a failed call; returns the delay before the next call.
+    /// Records a failed call, which took the time `took`; returns the delay before the next call.
     ///
     /// `has_data` says whether the VM has data to continue with. `jitter`, a random number from 0
     /// (inclusive) to 1 (exclusive), spreads the calls of the VMs over the second half of the
     /// backoff.
-    pub fn on_failure(&mut self, has_data: bool, jitter: f64) -> Duration {
+    pub fn on_failure(&mut self, has_data: bool, jitter: f64, took: Duration) -> Duration {
         let max_delay = if has_data {
-            MAX_BACKOFF_WITH_DATA
+            self.max_backoff_with_data
         } else {
             MAX_BACKOFF_WITHOUT_DATA
         };
         let doublings = self.failures.min(8);
         self.failures += 1;
         let backoff = INITIAL_BACKOFF.saturating_mul(1 << doublings);
-        backoff.min(max_delay).mul_f64((1.0 + jitter) / 2.0)
+        let spread = (1.0 + jitter) / 2.0;
+        let min_delay = INITIAL_BACKOFF.mul_f64(spread);
+        let delay = backoff.min(max_delay).mul_f64(spread);
+        delay.saturating_sub(took).max(min_delay)
     }
 }
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -12,7 +12,7 @@
 
 use std::io;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use log::{info, warn};
 use prometheus::IntGauge;
@@ -131,6 +131,7 @@
     fn run(mut self) {
         loop {
             let step = self.store_sync.next(self.store_cache.as_of());
+            let began = Instant::now();
             let result = match step {
                 Step::ReadAll(freshness) => self.read_all(freshness),
                 Step::ReadLeaves => self.read_leaves(),
@@ -150,7 +151,7 @@
                     warn!("store event=restored era={era} action=read-all");
                     self.clear_as_of();
                 }
-                Err(error) => self.on_store_failure(&error),
+                Err(error) => self.on_store_failure(&error, began.elapsed()),
             }
         }
     }
@@ -239,16 +240,17 @@
         self.sender.send(Update::Quarantine(records))
     }
 
-    /// Waits with backoff after a failed call. Changes around the failure may never be reported, so
+    /// Waits with backoff after a step that failed after the time `took`. Changes around the failure may never be reported, so
     /// all keys are read again.
-    fn on_store_failure(&mut self, error: &Error) {
+    fn on_store_failure(&mut self, error: &Error, took: Duration) {
         self.clear_as_of();
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             warn!("store event=lost error=\"{error}\"");
         }
         let spread = rand::rng().random_range(0.0..1.0);
-        thread::sleep(self.poll_schedule.on_failure(self.has_published, spread));
+        let has_data = self.has_published;
+        thread::sleep(self.poll_schedule.on_failure(has_data, spread, took));
     }
 
     /// Resets the backoff and logs the end of an outage.
--- a/tests/testsuite/poll_schedule.rs
+++ b/tests/testsuite/poll_schedule.rs
@@ -6,6 +6,9 @@
 use geraniummount::core::placement::UNREGISTERED_GRACE;
 use geraniummount::core::store::poll_schedule::PollSchedule;
 
+/// Greatest random number that spreads the calls of VMs.
+const MAX_JITTER: f64 = 0.999;
+
 /// Maximum time of a read from a healthy store, including the network delay.
 const MAX_READ_TIME: Duration = Duration::from_millis(300);
 
@@ -108,6 +111,43 @@
     },
 ];
 
+/// Time after which a call fails whose packet was lost.
+const LOST_CALL_TIME: Duration = Duration::from_secs(1);
+
+/// The store is back just after a call has failed, the packet of the next call is lost, and the one
+/// after it succeeds. The two backoffs and the lost call together kept a VM from a new version of
+/// the routes for longer than the platform permits.
+#[test]
+fn poll_schedule_reads_in_time_after_an_outage_even_if_a_packet_is_lost() {
+    for case in CASES {
+        let mut schedule = PollSchedule::new(case.leaving_bound, case.apply_bound);
+        let mut last_backoff = Duration::ZERO;
+        for _ in 0..20 {
+            last_backoff = schedule.on_failure(true, MAX_JITTER, Duration::ZERO);
+        }
+        let after_lost_call = schedule.on_failure(true, MAX_JITTER, LOST_CALL_TIME);
+        let read_after = last_backoff + LOST_CALL_TIME + after_lost_call;
+        assert!(
+            read_after <= case.apply_bound,
+            "{}: {read_after:?}",
+            case.name
+        );
+    }
+}
+
+/// A watch fails after a long time. All VMs' watches fail at the same moment, so the next calls have
+/// to be spread.
+#[test]
+fn poll_schedule_waits_after_a_call_that_took_long() {
+    let mut schedule = PollSchedule::new(Duration::from_secs(3), Duration::from_secs(3));
+    let delays = [0.0, 0.5, MAX_JITTER].map(|jitter| {
+        schedule.on_success();
+        schedule.on_failure(true, jitter, Duration::from_secs(25))
+    });
+    assert!(delays.is_sorted() && delays[0] < delays[2], "{delays:?}");
+    assert!(delays[0] > Duration::ZERO, "{delays:?}");
+}
+
 #[test]
 fn poll_schedule_backs_off_while_the_store_is_unavailable() {
     for outage in OUTAGES {
@@ -115,14 +155,14 @@
         let mut calls = 0;
         let mut now = Duration::ZERO;
         while now < outage.duration {
-            let backoff = schedule.on_failure(outage.has_data, 0.0);
+            let backoff = schedule.on_failure(outage.has_data, 0.0, Duration::ZERO);
             assert!(backoff <= outage.max_backoff, "{}", outage.name);
             now += backoff;
             calls += 1;
         }
         assert!(calls <= outage.max_calls, "{}: {calls} calls", outage.name);
         schedule.on_success();
-        let first_backoff = schedule.on_failure(outage.has_data, 0.0);
+        let first_backoff = schedule.on_failure(outage.has_data, 0.0, Duration::ZERO);
         assert!(
             first_backoff < Duration::from_millis(100),
             "{}",
