Do not take a new connection for the one that has just ended

Cause: when an answer ends with its connection and an attempt waits, the new connection can take the old one's key, and the loop that reads answers went on with it and the old one's end of input: the new connection was closed, and each waiting attempt failed as unreachable although the leaf is sound.

Change: the loop compares the serial number, as the timers do.

Evidence: platform_requests_that_wait_are_served_when_answers_end_their_ connections: 183 of 200 requests were refused before, 0 after.

Conclusion: reused keys are told apart on this path, too. The others were looked at: a peer's connection is read once an event, a caller's key is only taken by an accept.

--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -22,8 +22,11 @@
         let buffered = leaf.socket.input.len();
         let status = leaf.socket.read(&mut self.read_buf, closed);
         leaf.received += leaf.socket.input.len() - buffered;
+        let serial = leaf.serial;
         loop {
-            let Some(leaf) = self.leaf_connections.get_mut(connection) else {
+            let leaf = self.leaf_connections.get_mut(connection);
+            // The key may have passed to a new connection, for which `status` says nothing.
+            let Some(leaf) = leaf.filter(|leaf| leaf.serial == serial) else {
                 return;
             };
             if !leaf.is_awaiting_response {
--- a/tests/testsuite/platform/requests.rs
+++ b/tests/testsuite/platform/requests.rs
@@ -368,3 +368,24 @@
     }
     sender.join().unwrap();
 }
+
+/// Requests that wait for a connection get a new one when an answer ends with its connection. The
+/// new one may have the same key as the old one, and must not be closed in its place.
+#[test]
+fn platform_requests_that_wait_are_served_when_answers_end_their_connections() {
+    const CALLERS: usize = 40;
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let one = leaf(&fixture, "one", b"record");
+    fixture.wait_for_leaf("/a/x");
+    one.set_answer(Answer::Unframed);
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|_| scope.spawn(|| [(); 5].map(|()| fixture.get("/a/x", 2_000).status)))
+            .collect();
+        let statuses = callers.into_iter().map(|caller| caller.join().unwrap());
+        statuses.flatten().collect()
+    });
+    let unserved = statuses.iter().filter(|status| **status != 200);
+    assert_eq!(unserved.count(), 0, "{statuses:?}");
+}
