--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -56,7 +56,7 @@
 }
 
 /// Returns the attempts that the actions send.
-fn sent_attempts(actions: &[Action]) -> Vec<u64> {
+pub fn sent_attempts(actions: &[Action]) -> Vec<u64> {
     let sends = actions.iter().filter_map(|action| match action {
         Action::Send { attempt, .. } => Some(*attempt),
         _ => None,
@@ -64,7 +64,8 @@
     sends.collect()
 }
 
-fn find_end(actions: &[Action]) -> Option<&End> {
+/// Returns the end of the request, if the actions contain it.
+pub fn find_end(actions: &[Action]) -> Option<&End> {
     actions.iter().find_map(|action| match action {
         Action::Finish(end) => Some(end),
         _ => None,
--- a/tests/testsuite/call_not_run.rs
+++ b/tests/testsuite/call_not_run.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::call::{find_end, sent_attempts};
 use crate::instances;
 use crate::seeded::config;
 
@@ -39,21 +40,6 @@
     }
 }
 
-fn sent_attempts(actions: &[Action]) -> Vec<u64> {
-    let sends = actions.iter().filter_map(|action| match action {
-        Action::Send { attempt, .. } => Some(*attempt),
-        _ => None,
-    });
-    sends.collect()
-}
-
-fn find_end(actions: &[Action]) -> Option<&End> {
-    actions.iter().find_map(|action| match action {
-        Action::Finish(end) => Some(end),
-        _ => None,
-    })
-}
-
 #[test]
 fn call_that_a_leaf_rejects_as_its_time_ends_is_refused_and_not_sent_again() {
     struct Case {
--- a/tests/testsuite/platform/delegation.rs
+++ b/tests/testsuite/platform/delegation.rs
@@ -10,7 +10,7 @@
 use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::proxy::Proxy;
 
-use super::deployment::{Deployment, SHARDS, hang, refuse, register_vm, restore};
+use super::deployment::{Deployment, SHARDS, hang, refuse, register_vm, restore, start_vm};
 use super::fixture::{Fixture, WAIT_TIMEOUT, connect, gather_route, request, service_route};
 
 /// Prefix of the fields between VMs.
@@ -69,28 +69,15 @@
     assert_eq!(deployment.count_served(0, 40), 40);
 }
 
-/// Starts a VM that declines all requests as overloaded, and closes each connection.
-fn start_full_vm() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            // The gateway may have given the connection up.
-            let _ = stream.read(&mut [0; 4096]);
-            let _ = stream.write_all(
-                b"HTTP/1.1 503 Service Unavailable\r\nGeraniummount-Decline: overloaded\r\n\
-                  Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-            );
-        }
-    });
-    address
-}
+/// Answer of a VM that declines a request as overloaded.
+const OVERLOADED: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nGeraniummount-Decline: overloaded\r\n\
+    Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 #[test]
 fn platform_delegation_passes_over_a_full_vm() {
     let deployment = Deployment::start(&["near", "near"]);
-    register_vm(&deployment.vms[0].store, "full", start_full_vm());
+    register_vm(&deployment.vms[0].store, "full", start_vm(OVERLOADED));
     deployment.change_links(0, hang);
     deployment.send_for(0, DETECTION_TIME);
     assert_eq!(deployment.count_served(0, 40), 40);
--- a/tests/testsuite/platform/deployment.rs
+++ b/tests/testsuite/platform/deployment.rs
@@ -1,6 +1,8 @@
 //! Gateways that share a store, and leaves that each gateway reaches over proxies.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::{Leaf, Store};
@@ -121,3 +123,18 @@
     });
     store.put(&format!("peers/{name}"), entry.to_string());
 }
+
+/// Starts a VM that sends the given bytes after each request, and closes the connection.
+pub fn start_vm(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            // The gateway may have given the connection up.
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answer);
+        }
+    });
+    address
+}
--- a/tests/testsuite/platform/older_routes.rs
+++ b/tests/testsuite/platform/older_routes.rs
@@ -2,16 +2,14 @@
 //! links to the leaves, the store turns it away while the routes change, and another VM serves a
 //! request of its callers by the newer routes.
 
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::thread;
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use geraniummount_test_support::proxy::{Link, Proxy};
 use serde_json::Value;
 
-use super::deployment::{Deployment, SHARDS, hang, refuse, register_vm, restore};
+use super::deployment::{Deployment, SHARDS, hang, refuse, register_vm, restore, start_vm};
 use super::fixture::{Fixture, document, gather_route, service_route};
 
 /// Time for which requests are sent after the effect of the newer routes was seen.
@@ -212,29 +210,14 @@
     }
 }
 
-/// Starts a VM that reads each request, says that it handles it by version 9 of the routes, and ends
-/// the connection without an answer.
-fn start_ending_vm() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            // The gateway may have given the connection up.
-            let _ = stream.read(&mut [0; 4096]);
-            let _ =
-                stream.write_all(b"HTTP/1.1 102 Processing\r\nGeraniummount-Version: 9\r\n\r\n");
-            thread::sleep(Duration::from_millis(20));
-        }
-    });
-    address
-}
+/// What a VM sends that handles a request by version 9 of the routes, before its answer.
+const ACKNOWLEDGEMENT: &[u8] = b"HTTP/1.1 102 Processing\r\nGeraniummount-Version: 9\r\n\r\n";
 
 #[test]
 fn platform_older_routes_are_not_used_after_another_vm_has_lost_its_answer() {
     let deployment = Deployment::start(&["near"]);
     let vm = &deployment.vms[0];
-    register_vm(&vm.store, "ending", start_ending_vm());
+    register_vm(&vm.store, "ending", start_vm(ACKNOWLEDGEMENT));
     deployment.change_links(0, hang);
     vm.wait_until(|vm| vm.get("/a/x", 500).status == 502);
     deployment.change_links(0, restore);
