Give each new type a file of its own, and wrap what was too long

Read through as a newcomer: two files held two types each, a closure stood in one line of 140 characters, and two module pages had lines that were not wrapped or said that the route is looked up first.

--- a/src/geraniummount/core/call/action.rs
+++ b/src/geraniummount/core/call/action.rs
@@ -31,6 +31,13 @@
     Finish(End),
 }
 
+impl Action {
+    /// Returns whether the action sends an attempt.
+    pub(super) fn sends(&self, wanted: AttemptId) -> bool {
+        matches!(self, Action::Send { attempt, .. } if *attempt == wanted)
+    }
+}
+
 /// Final result of a request.
 #[derive(Debug)]
 pub enum End {
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -230,8 +230,8 @@
         placement: &mut Placement,
         now: Instant,
     ) -> Option<(u32, Vec<Action>)> {
-        let can_be_served = self.plan.has_time_for_attempt(now);
-        if self.is_finished || self.included_count() > 0 || !can_be_served {
+        let has_time = self.plan.has_time_for_attempt(now);
+        if self.is_finished || self.included_count() > 0 || !has_time {
             return None;
         }
         let is_sent = |shard: &&Shard| shard.progress() == Progress::Sent;
@@ -356,8 +356,7 @@
             placement.end_attempt(service, open.replica, attempt, Ending::Abandoned, now);
             match open.progress {
                 Progress::Planned => {
-                    let is_send = |action: &Action| matches!(action, Action::Send { attempt: planned, .. } if *planned == attempt);
-                    self.actions.retain(|action| !is_send(action));
+                    self.actions.retain(|action| !action.sends(attempt));
                     shard.sends -= 1;
                 }
                 Progress::Queued => self.actions.push(Action::Abandon { attempt }),
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -20,7 +20,7 @@
 /// The margin is at least the target latency divided by this.
 const TARGET_MARGIN_DIVISOR: u32 = 8;
 
-/// An attempt is worth sending only if at least the target latency divided by this is left.
+/// An attempt is worth sending only if more than the target latency divided by this is left.
 const MIN_ATTEMPT_TIME_DIVISOR: u32 = 10;
 
 /// Maximum time for a request whose route this VM does not know.
@@ -46,7 +46,7 @@
     pub answer_by: Instant,
     /// When the request ends, even without an answer.
     pub end_by: Instant,
-    /// Minimum time before `end_by` that an attempt needs to be worth sending.
+    /// An attempt is worth sending only if more than this time is left until `end_by`.
     pub min_attempt_time: Duration,
     /// Whether the request was counted before, in the retry allowances of the VM that delegated it.
     pub is_counted: bool,
--- a/src/geraniummount/core/delegation/handler.rs
+++ b/src/geraniummount/core/delegation/handler.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::Unable;
 use crate::core::route::Table;
 
 /// Who handles a request of a caller.
@@ -23,22 +24,3 @@
     /// Nobody for now, for this reason. The request is refused.
     Nobody(Unable),
 }
-
-/// Reason for which nobody can handle a request now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Unable {
-    /// This VM knows no routes yet.
-    NoRoutes,
-    /// The routes of this VM are older than others that have been seen, and it knows no other VM.
-    Outdated,
-}
-
-impl Unable {
-    /// Returns the name used in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Unable::NoRoutes => "no-routes",
-            Unable::Outdated => "outdated",
-        }
-    }
-}
--- a/src/geraniummount/core/delegation/mod.rs
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -11,32 +11,37 @@
 //! delegated request is never delegated again.
 //!
 //! A peer acknowledges a request before it sends it to a leaf, with the version of its routes, and
-//! declines at once what it does not
-//! serve. A peer that does neither is taken for frozen: it is avoided for a while, and a request
-//! that may run more than once goes to the next peer. A request that may run only once goes to
-//! another peer only if the last one has declined it or has not received it.
+//! declines at once what it does not serve. A peer that does neither is taken for frozen: it is
+//! avoided for a while, and a request that may run more than once goes to the next peer. A request
+//! that may run only once goes to another peer only if the last one has declined it or has not
+//! received it.
 //!
 //! [`Routes`] decides who handles a request, [`Peers`] knows the other VMs and chooses one of them,
-//! [`Request`] is the state of one delegated request. The inputs are events and the current time; the outputs are [`Action`]s.
+//! [`Request`] is the state of one delegated request. The inputs are events and the current time;
+//! the outputs are [`Action`]s.
 
 mod action;
 mod decline;
 mod ending;
 mod handler;
+mod links;
 mod outcome;
 mod peer;
 mod peers;
 mod request;
 mod routes;
 mod terms;
+mod unable;
 
 pub use self::action::{Action, End};
 pub use self::decline::Decline;
 pub use self::ending::Ending;
-pub use self::handler::{Handler, Unable};
+pub use self::handler::Handler;
+pub use self::links::Links;
 pub use self::outcome::{Answer, Outcome};
 pub use self::peer::Peer;
 pub use self::peers::Peers;
 pub use self::request::Request;
-pub use self::routes::{Links, Routes};
+pub use self::routes::Routes;
 pub use self::terms::Terms;
+pub use self::unable::Unable;
--- a/src/geraniummount/core/delegation/routes.rs
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -13,20 +13,9 @@
 
 use std::sync::Arc;
 
-use super::{Decline, Handler, Unable};
+use super::{Decline, Handler, Links, Unable};
 use crate::core::route::{Limits, Table};
 
-/// State of this VM's links to the leaves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Links {
-    /// They work.
-    Working,
-    /// New connections to all leaves fail; open ones still work.
-    OnlyOpenConnections,
-    /// No leaf is reached.
-    Lost,
-}
-
 /// Routes in force at this VM, and the newest version by which a request of its callers was handled.
 #[derive(Debug, Default)]
 pub struct Routes {
--- /dev/null
+++ b/src/geraniummount/core/delegation/unable.rs
@@ -0,0 +1,20 @@
+//! Reasons for which nobody can handle a request.
+
+/// Reason for which nobody can handle a request now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unable {
+    /// This VM knows no routes yet.
+    NoRoutes,
+    /// The routes of this VM are older than others that have been seen, and it knows no other VM.
+    Outdated,
+}
+
+impl Unable {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Unable::NoRoutes => "no-routes",
+            Unable::Outdated => "outdated",
+        }
+    }
+}
--- a/src/geraniummount/core/not_run.rs
+++ b/src/geraniummount/core/not_run/mod.rs
@@ -4,17 +4,9 @@
 //! each attempt at a leaf and on each VM that the request was passed to, so it is derived in one
 //! place, from how far each of these has got. [`NotRun`] can't be made in any other way.
 
-/// How far a request has got on its way to a leaf or to another VM.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Progress {
-    /// The gateway has not been told to send it. It can be dropped.
-    Planned,
-    /// The gateway was told to send it and has written no byte of it. The gateway takes it back
-    /// when told to abandon it.
-    Queued,
-    /// At least one byte was written. It may run at any later time, even if it is abandoned.
-    Sent,
-}
+mod progress;
+
+pub use self::progress::Progress;
 
 /// Proof that no part of a request has run or will run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/geraniummount/edge/gateway/leaf/sending.rs
+++ b/src/geraniummount/edge/gateway/leaf/sending.rs
@@ -62,8 +62,8 @@
     }
 
     /// Returns whether an attempt may still be sent: its call is not finished and has enough time
-    /// left, and its leaf accepts requests. Each attempt is checked when its request is written, as it may have waited
-    /// for a connection.
+    /// left, and its leaf accepts requests. Each attempt is checked when its request is written, as
+    /// it may have waited for a connection.
     pub(in crate::edge::gateway) fn may_send(&self, attempt: AttemptId) -> bool {
         let Some(in_flight) = self.attempts.get(&attempt) else {
             return false;
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -1,15 +1,17 @@
 //! HTTP gateway that routes callers' requests by host and path, in one event loop on one thread.
 //!
-//! A request passes through five steps: [`caller`] reads it, [`admission`] finds its route and
-//! plans its call, `core::call` decides to which leaves it is sent, [`pool`] and [`leaf`] exchange
-//! it with those leaves, and [`answer`] writes the response. In addition, [`load_shedding`] rejects
-//! queries while leaves are overloaded, [`store_check`] detects that this VM is isolated from the
-//! other failure domains, and [`stop`] shuts the gateway down without dropping requests. [`fleet`]
-//! divides the limits of leaves between the VMs. [`crashes`] finds out which requests crash
-//! leaves, [`quarantine`] withholds them, and [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and [`delegation`] then lets other
-//! VMs serve its requests. [`stall`] detects that this VM was frozen. [`watch`] keeps the routes
-//! and the lists of leaves and of VMs up to date from the platform's store on a thread of its own.
-//! [`probe`] serves readiness to the platform and metrics to operators.
+//! A request passes through five steps: [`caller`] reads it, [`admission`] learns from
+//! `core::delegation` who handles it, finds its route and plans its call, `core::call` decides to
+//! which leaves it is sent, [`pool`] and [`leaf`] exchange it with those leaves, and [`answer`] writes
+//! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded,
+//! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
+//! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
+//! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
+//! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
+//! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
+//! [`watch`] keeps the routes and the lists of leaves and of VMs up to date from the platform's
+//! store on a thread of its own. [`probe`] serves readiness to the platform and metrics to
+//! operators.
 //!
 //! The gateway runs on a single thread because a VM has only a share of one core and each handover
 //! between threads would cost a wake-up. Nothing in the event loop blocks.
