--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,7 +3,6 @@
 use geraniummount_test_support::{disruption, load, load_balanced, testbed};
 
 mod bad_input;
-mod bounded;
 mod call;
 mod call_not_run;
 mod callers_listener;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
+mod bounded;
 mod crashes;
 mod cut_answers;
 mod delegation;
