--- a/tests/testsuite/call_not_run.rs
+++ b/tests/testsuite/call_not_run.rs
@@ -147,6 +147,7 @@
     written: Vec<u64>,
     /// Number of attempts that may have run and have a reply or were abandoned.
     ended: usize,
+    /// Whether the request was refused as not run; `None` until it ends.
     end: Option<bool>,
 }
 
--- a/tests/testsuite/platform/older_routes.rs
+++ b/tests/testsuite/platform/older_routes.rs
@@ -23,7 +23,7 @@
 
 const MOVED: &[u8] = b"record-of-moved.";
 
-/// Two VMs, of which the first reaches the store through a proxy.
+/// Two VMs, of which the one that is cut off reaches the store through a proxy.
 struct Stage {
     deployment: Deployment,
     store_link: Proxy,
@@ -53,9 +53,9 @@
         let store_link = Proxy::start(Ipv4Addr::LOCALHOST, store.address(), 1).unwrap();
         let address = store.address();
         let other = Fixture::start_in("near", store, address);
-        let first = Fixture::start_in("near", Store::start(), store_link.address());
-        // The VM that has the store comes first.
-        let mut deployment = Deployment::start_with(vec![other, first]);
+        let cut = Fixture::start_in("near", Store::start(), store_link.address());
+        // The deployment writes to the store of its first VM.
+        let mut deployment = Deployment::start_with(vec![other, cut]);
         let mut moved = Leaf::unregistered("moved", "near", MOVED);
         let proxy = Proxy::start(Ipv4Addr::LOCALHOST, moved.address(), 2).unwrap();
         moved.register_at(&deployment.vms[0].store, proxy.address());
@@ -81,7 +81,7 @@
         &self.deployment.vms[0]
     }
 
-    /// Cuts the first VM off, and changes the routes meanwhile.
+    /// Cuts a VM off from the leaves and the store, and changes the routes meanwhile.
     fn change_routes_while_cut(&self, cut: fn(&mut Link)) {
         self.store_link.change_all(refuse);
         self.store_link.close_connections();
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Returns whether a request was handled by the newer routes, and asserts that one that was
-    /// answered after that was not handled by the older ones.
+    /// Returns whether a request was handled by the newer routes. If an earlier one was
+    /// (`has_seen`), asserts that this one was not handled by the older ones.
     fn is_newer(&self, path: &str, has_seen: bool) -> bool {
         let reply = self.cut().get(path, 500);
         let is_newer = reply.status == 200 && reply.body == MOVED;
