Tell tenants apart by their keys, and let VMs exchange datagrams

Cause: keys and tenants were unknown to the gateway.

The document is read with tenants, regions and warm-up limits. Leaves are told the tenant and never the key; other VMs get the digest. Settings for the parts that follow, and the socket on which they ask other VMs.

--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -75,6 +75,14 @@
         drain: Duration::from_secs(10),
         leaving: Duration::from_secs(3),
         apply: Duration::from_secs(3),
+        regions: Vec::new(),
+        revoke: None,
+        evacuate: Options::DEFAULT_EVACUATE,
+        quota_window: Options::DEFAULT_QUOTA_WINDOW,
+        quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
+        cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+        memory_bytes: None,
+        max_descriptors: None,
     };
     let callers = options.callers;
     let gateway = Gateway::bind(options)?;
--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -87,6 +87,11 @@
         self.known.len()
     }
 
+    /// Returns the known VMs, sorted by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.known.iter().map(|state| &state.peer)
+    }
+
     /// Returns whether no other VM is known.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/src/geraniummount/core/delegation/routes.rs
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -56,6 +56,12 @@
         self.table.is_some()
     }
 
+    /// Returns whether the configuration in force names tenants, so that requests need keys.
+    pub fn has_tenants(&self) -> bool {
+        let table = self.table.as_ref();
+        table.is_some_and(|table| !table.tenants().is_empty())
+    }
+
     /// Returns whether newer routes than those in force have been seen.
     pub fn is_outdated(&self) -> bool {
         self.version() < self.seen_version
--- a/src/geraniummount/core/delegation/terms.rs
+++ b/src/geraniummount/core/delegation/terms.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::core::tenant::Credential;
 use crate::prelude::*;
 
 /// What a VM says about a request that it delegates.
@@ -17,4 +18,6 @@
     pub elapsed: Duration,
     /// Number of leaves of each shard that may have received the request already.
     pub sends: u32,
+    /// Who sends the request.
+    pub credential: Credential,
 }
--- a/src/geraniummount/core/id.rs
+++ b/src/geraniummount/core/id.rs
@@ -27,6 +27,9 @@
 /// Name of a leaf, the process on a backend server that holds shard replicas.
 pub type LeafName = String;
 
+/// Name of a region, which contains failure domains.
+pub type RegionName = String;
+
 /// Id of a request, chosen by the caller or generated if the caller gives none.
 pub type RequestId = String;
 
@@ -43,5 +46,8 @@
 /// Version of the index that a shard serves; a larger number is a newer version.
 pub type SnapshotId = u64;
 
+/// Name of a tenant (workspace).
+pub type TenantName = String;
+
 /// Name of a VM.
 pub type VmName = String;
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -5,6 +5,7 @@
 //! and benchmarks drive every decision step by step.
 
 pub mod answer;
+pub mod boot_time;
 pub mod call;
 pub mod claims;
 pub mod concurrency;
@@ -56,6 +57,8 @@
 pub mod status;
 pub mod store;
 pub mod survey;
+pub mod tenant;
+pub mod tolerance;
 pub mod top_k;
 pub mod traffic;
 pub mod updates;
--- a/src/geraniummount/core/route/mod.rs
+++ b/src/geraniummount/core/route/mod.rs
@@ -14,9 +14,11 @@
 
 pub use self::limits::Limits;
 pub use self::split::Split;
-pub use self::table::{Backend, Table};
+pub use self::table::{Backend, Table, WarmUp};
 pub use self::target::{Gather, Target, WeightedService};
 
+use crate::prelude::*;
+
 /// A route, with the target and the limits of its requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -38,6 +40,10 @@
     pub target_latency: Duration,
     /// Priority under overload; 0 is the highest.
     pub priority: u32,
+    /// Whether requests without a key are served.
+    pub allows_anonymous: bool,
+    /// Regions whose leaves may run the requests; `None` if all may.
+    pub regions: Option<Vec<RegionName>>,
 }
 
 /// Whether a request may run more than once.
--- a/src/geraniummount/core/route/table.rs
+++ b/src/geraniummount/core/route/table.rs
@@ -1,6 +1,9 @@
 //! Routing table of one version of the configuration.
 
+use std::time::Duration;
+
 use super::{Limits, Route};
+use crate::core::tenant::Directory;
 use crate::prelude::*;
 
 /// Routing table, with the limits on callers.
@@ -14,6 +17,8 @@
     routes: Vec<Route>,
     /// Sorted by name.
     services: Vec<Backend>,
+    /// Tenants, with their keys; empty if requests need no keys.
+    tenants: Directory,
 }
 
 /// Configuration of a service.
@@ -26,6 +31,17 @@
     pub max_connections: usize,
     /// Path at which a leaf of the service answers health checks.
     pub health_path: String,
+    /// Limits on a leaf that has not warmed up; `None` if the service has none.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Limits on a leaf that has not warmed up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// Time after its start for which a leaf is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold leaf takes from all VMs together.
+    pub per_second: f64,
 }
 
 impl Table {
@@ -46,9 +62,20 @@
             limits,
             routes,
             services,
+            tenants: Directory::default(),
         }
     }
 
+    /// Sets the tenants, whose requests need keys.
+    pub fn with_tenants(self, tenants: Directory) -> Table {
+        Table { tenants, ..self }
+    }
+
+    /// Returns the tenants, with their keys.
+    pub fn tenants(&self) -> &Directory {
+        &self.tenants
+    }
+
     /// Returns the route of the host with the longest prefix of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.to_ascii_lowercase();
@@ -72,6 +99,11 @@
         Some(&self.backend(service)?.health_path)
     }
 
+    /// Returns the limits on a leaf of the service that has not warmed up.
+    pub fn warm_up(&self, service: &str) -> Option<WarmUp> {
+        self.backend(service)?.warm_up
+    }
+
     fn backend(&self, service: &str) -> Option<&Backend> {
         let order = |backend: &Backend| backend.name.as_str().cmp(service);
         let index = self.services.binary_search_by(order).ok()?;
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -18,6 +18,7 @@
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
+use crate::core::tenant::{Access, Credential, Denial};
 use crate::platform::headers::{self, CallerFields};
 use crate::util::h1::Request;
 
@@ -31,6 +32,8 @@
     request: Request,
     content: Vec<u8>,
     caller_fields: CallerFields,
+    /// Who sends the request.
+    credential: Credential,
     fingerprint: Fingerprint,
 }
 
@@ -45,7 +48,7 @@
         content: Vec<u8>,
         terms: Option<Terms>,
     ) {
-        let arrival = Arrival::new(key, request, content);
+        let arrival = Arrival::new(key, request, content, terms.as_ref());
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
@@ -77,9 +80,15 @@
 
     /// Starts the call for a request by the given routes, or rejects it.
     fn admit_by_routes(&mut self, arrival: Arrival, table: &Table, terms: Option<Terms>) {
-        match arrival.find_route(table) {
-            Some(route) => self.admit_for_leaves(arrival, table, route, terms),
-            None => self.reject_without_route(&arrival, table.version),
+        let Some(route) = arrival.find_route(table) else {
+            return self.reject_without_route(&arrival, table.version);
+        };
+        match table
+            .tenants()
+            .authenticate(arrival.credential, route.allows_anonymous)
+        {
+            Ok(access) => self.admit_for_leaves(arrival, table, route, &access, terms),
+            Err(denial) => self.reject_unauthorized(&arrival, route, denial, table.version),
         }
     }
 
@@ -89,7 +98,7 @@
         let route = arrival.find_route(table);
         let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
         match route.filter(is_connected) {
-            Some(route) => self.admit_for_leaves(arrival, table, route, None),
+            Some(_) => self.admit_by_routes(arrival, table, None),
             None => self.admit_for_delegation(arrival, table.version, route),
         }
     }
@@ -104,12 +113,31 @@
         self.write_plain(arrival.key, 404, why, None);
     }
 
+    /// Rejects a request that shows no key of a tenant although its route requires one.
+    fn reject_unauthorized(
+        &mut self,
+        arrival: &Arrival,
+        route: &Route,
+        denial: Denial,
+        version: u64,
+    ) {
+        let (id, route, why) = (&arrival.caller_fields.id, &route.name, denial.as_str());
+        info!(
+            "request id={id} route={route} outcome=unauthorized status=401 why={why} \
+             version={version}"
+        );
+        self.metrics.count_answer("unauthorized");
+        let why = "no tenant holds this key; send Authorization: Token KEY";
+        self.write_plain(arrival.key, 401, why, None);
+    }
+
     /// Starts the call for a request, or rejects it.
     fn admit_for_leaves(
         &mut self,
         mut arrival: Arrival,
         table: &Table,
         route: &Route,
+        access: &Access,
         terms: Option<Terms>,
     ) {
         self.request_rate.record(self.now);
@@ -135,12 +163,18 @@
             self.metrics.count_peer_request("served");
         }
         headers::strip_request_fields(&mut arrival.request.fields);
+        if *access != Access::Unrestricted {
+            let tenant = access.tenant().map(|tenant| tenant.name.as_str());
+            headers::replace_credential(&mut arrival.request.fields, tenant);
+        }
         let is_suspect = plan.is_gather() && self.may_end_all_leaves();
         let earlier_crashes = earlier_crashes.max(usize::from(is_suspect));
         let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
         let serial = self.allocate_serial();
+        let credential = arrival.credential;
         self.start_call(CallState {
             serial,
+            credential,
             caller: key,
             from: terms.map(|terms| terms.from),
             call,
@@ -183,8 +217,13 @@
         }
         headers::strip_request_fields(&mut arrival.request.fields);
         delegation::strip_request_fields(&mut arrival.request.fields);
+        if self.routes.has_tenants() {
+            headers::replace_credential(&mut arrival.request.fields, None);
+        }
+        let credential = arrival.credential;
         self.delegate(CallerRequest {
             caller: key,
+            credential,
             plan,
             forwarded: Arc::new(arrival.into_forwarded()),
             min_version,
@@ -243,11 +282,13 @@
 
 impl Arrival {
     /// Reads what the gateway needs to know about a request.
-    fn new(key: usize, request: Request, content: Vec<u8>) -> Arrival {
+    fn new(key: usize, request: Request, content: Vec<u8>, terms: Option<&Terms>) -> Arrival {
         let host = request.host().unwrap_or_default();
+        let caller_fields = headers::read_caller_fields(&request.fields);
         Arrival {
             key,
-            caller_fields: headers::read_caller_fields(&request.fields),
+            credential: terms.map_or(caller_fields.credential, |terms| terms.credential),
+            caller_fields,
             fingerprint: fingerprint(host, &request, &content),
             request,
             content,
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -17,6 +17,7 @@
 use crate::core::fingerprint::Fingerprint;
 use crate::core::placement::ReplicaKey;
 use crate::core::quarantine::Crash;
+use crate::core::tenant::Credential;
 use crate::prelude::*;
 use crate::util::h1::{self, Field};
 
@@ -66,6 +67,8 @@
     /// Decides to which leaves the request is sent and what the answer is.
     pub(super) call: Call,
     pub(super) forwarded: Arc<ForwardedRequest>,
+    /// Who sends the request.
+    pub(super) credential: Credential,
     /// Name of the route.
     pub(super) route: String,
     /// Version of the routes with which the call was planned.
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -67,6 +67,22 @@
         })
     }
 
+    /// Returns another VM that is registered.
+    pub(super) fn peer(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
+    /// Returns all other VMs that are registered, sorted by name.
+    #[allow(dead_code, reason = "used by the parts that ask other VMs")]
+    pub(super) fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.iter()
+    }
+
+    /// Returns whether a text is the secret that this VM has registered.
+    pub(super) fn is_own_key(&self, key: &str) -> bool {
+        self.own_key.as_deref() == Some(key)
+    }
+
     /// Returns the number of requests that wait for the answer of another VM.
     pub(super) fn open_count(&self) -> usize {
         self.requests.len()
@@ -182,6 +198,7 @@
             forwarded: state.forwarded,
             min_version: state.version,
             started: state.started,
+            credential: state.credential,
             sends,
         });
     }
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -71,8 +71,8 @@
     /// Returns what a request says about itself if it contains this VM's key.
     fn authenticate(&self, request: &Request) -> Option<Credentials> {
         let credentials = wire::read_terms(&request.fields)?;
-        let own_key = self.delegation.own_key.as_ref()?;
-        (credentials.key == *own_key).then_some(credentials)
+        let is_for_this_vm = self.delegation.is_own_key(&credentials.key);
+        is_for_this_vm.then_some(credentials)
     }
 
     fn reason_to_decline(&self, terms: &Terms) -> Option<Decline> {
--- a/src/geraniummount/edge/gateway/delegation/wire.rs
+++ b/src/geraniummount/edge/gateway/delegation/wire.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::core::delegation::{Decline, Terms};
+use crate::core::tenant::Credential;
 use crate::platform::headers;
 use crate::util::bounded;
 use crate::util::h1::{self, Field};
@@ -20,12 +21,25 @@
 const ELAPSED_MS: &str = "Geraniummount-Elapsed-Ms";
 /// Number of leaves of each shard that may have received the request.
 const SENDS: &str = "Geraniummount-Sends";
+/// Digest of the key of the caller's request, or [`MALFORMED_KEY`]; absent if the request has none.
+const KEY_DIGEST: &str = "Geraniummount-Key-Digest";
+/// Value of [`KEY_DIGEST`] if the request has several keys, or one that cannot be read.
+const MALFORMED_KEY: &str = "malformed";
 /// In a response: version of the routes by which the request was served.
 const VERSION: &str = "Geraniummount-Version";
 /// In a response: reason for which the VM does not serve the request.
 const DECLINE: &str = "Geraniummount-Decline";
 
-const ALL: [&str; 7] = [FROM, KEY, MIN_VERSION, ELAPSED_MS, SENDS, VERSION, DECLINE];
+const ALL: [&str; 8] = [
+    FROM,
+    KEY,
+    MIN_VERSION,
+    ELAPSED_MS,
+    SENDS,
+    KEY_DIGEST,
+    VERSION,
+    DECLINE,
+];
 
 /// Terms of a request, and the secret that it contains.
 #[derive(Debug)]
@@ -48,6 +62,11 @@
     h1::write_number_field(out, MIN_VERSION, terms.min_version);
     h1::write_number_field(out, ELAPSED_MS, elapsed_ms);
     h1::write_number_field(out, SENDS, terms.sends.into());
+    match terms.credential {
+        Credential::Absent => {}
+        Credential::Key(digest) => h1::write_field(out, KEY_DIGEST, digest.to_string().as_bytes()),
+        Credential::Malformed => h1::write_field(out, KEY_DIGEST, MALFORMED_KEY.as_bytes()),
+    }
 }
 
 /// Reads the terms of a request; `None` if a field is missing or malformed.
@@ -58,11 +77,20 @@
             min_version: read_number(fields, MIN_VERSION)?,
             elapsed: h1::field_text(fields, ELAPSED_MS).and_then(bounded::parse_millis)?,
             sends: u32::try_from(read_number(fields, SENDS)?).ok()?,
+            credential: read_credential(fields),
         },
         key: h1::field_text(fields, KEY)?.to_string(),
     })
 }
 
+fn read_credential(fields: &[Field]) -> Credential {
+    if h1::field_values(fields, KEY_DIGEST).next().is_none() {
+        return Credential::Absent;
+    }
+    let digest = h1::field_text(fields, KEY_DIGEST).and_then(|text| text.trim().parse().ok());
+    digest.map_or(Credential::Malformed, Credential::Key)
+}
+
 /// Writes the version of the routes by which a request was served.
 pub(in crate::edge::gateway) fn write_version(out: &mut Vec<u8>, version: u64) {
     h1::write_number_field(out, VERSION, version);
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod caller;
 mod calls;
 mod crashes;
+mod datagrams;
 mod delegation;
 mod fleet;
 mod leaf;
@@ -65,6 +66,7 @@
 pub use self::update::{Sender, Update};
 
 use self::calls::CallState;
+use self::datagrams::Datagrams;
 use self::delegation::Delegation;
 use self::fleet::Fleet;
 use self::leaf::LeafConnection;
@@ -132,6 +134,8 @@
     links_wake_at: Option<Instant>,
     /// Delegation of requests to other VMs.
     delegation: Delegation,
+    /// Socket for questions to other VMs and their answers.
+    datagrams: Datagrams,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
@@ -181,6 +185,7 @@
             ready_listener: TcpListener::bind(options.ready)?,
             metrics_listener: metrics,
             delegation: Delegation::bind(&options)?,
+            datagrams: Datagrams::bind(&options)?,
             placement: Placement::new(options.failure_domain.clone(), options.start, rng),
             options,
             poll,
@@ -283,7 +288,7 @@
                 Interest::READABLE,
             )?;
         }
-        Ok(())
+        self.datagrams.register(self.poll.registry())
     }
 
     fn on_event(&mut self, event: &Event) {
@@ -292,6 +297,7 @@
             EventSource::Updates => self.receive_updates(),
             EventSource::CallersListener => self.accept_callers(),
             EventSource::PeersListener => self.accept_peers(),
+            EventSource::Datagrams => self.receive_datagrams(),
             EventSource::ReadyListener | EventSource::MetricsListener => self.accept_probes(),
             EventSource::Caller(key) => {
                 if event.is_writable() {
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use crate::core::placement::Start;
+use crate::core::tolerance::Tolerance;
 use crate::prelude::*;
 
 /// Startup options of a gateway.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Name of this VM.
     pub name: VmName,
@@ -40,4 +41,41 @@
     pub leaving: Duration,
     /// Time within which a new version of the routes has to be in force.
     pub apply: Duration,
+    /// Regions of the failure domains, sorted by domain; empty if they are not known.
+    pub regions: Vec<(DomainName, RegionName)>,
+    /// Time after which a key that was withdrawn must not be used any more; `None` if keys need no
+    /// confirmation.
+    pub revoke: Option<Duration>,
+    /// Time within which requests must not reach an evacuated failure domain any more.
+    pub evacuate: Duration,
+    /// Span over which the requests of a tenant are compared with its quota.
+    pub quota_window: Duration,
+    /// By how much the quotas of tenants may be exceeded.
+    pub quota_tolerance: Tolerance,
+    /// By how much the limits on cold leaves may be exceeded.
+    pub cold_tolerance: Tolerance,
+    /// Memory of this VM in bytes; `None` if it is not known.
+    pub memory_bytes: Option<u64>,
+    /// Number of file descriptors of this VM; `None` if it is not known.
+    pub max_descriptors: Option<u64>,
+}
+
+impl Options {
+    /// Span over which the requests of a tenant are compared with its quota, by default.
+    pub const DEFAULT_QUOTA_WINDOW: Duration = Duration::from_secs(5);
+
+    /// By how much the quotas of tenants may be exceeded, by default.
+    pub const DEFAULT_QUOTA_TOLERANCE: Tolerance = Tolerance {
+        share: 0.1,
+        requests: 20.0,
+    };
+
+    /// By how much the limits on cold leaves may be exceeded, by default.
+    pub const DEFAULT_COLD_TOLERANCE: Tolerance = Tolerance {
+        share: 0.5,
+        requests: 5.0,
+    };
+
+    /// Time within which requests must not reach an evacuated failure domain any more, by default.
+    pub const DEFAULT_EVACUATE: Duration = Duration::from_secs(5);
 }
--- a/src/geraniummount/edge/gateway/token.rs
+++ b/src/geraniummount/edge/gateway/token.rs
@@ -12,6 +12,8 @@
     MetricsListener,
     /// Listener for other VMs.
     PeersListener,
+    /// Socket for datagrams of other VMs.
+    Datagrams,
     /// Connection that checks whether the platform's store is reachable.
     StoreCheck,
     /// Connection from a caller.
@@ -38,6 +40,7 @@
             EventSource::MetricsListener => 3 * TOKEN_KINDS,
             EventSource::StoreCheck => 4 * TOKEN_KINDS,
             EventSource::PeersListener => 5 * TOKEN_KINDS,
+            EventSource::Datagrams => 6 * TOKEN_KINDS,
             EventSource::Caller(key) => key * TOKEN_KINDS + 1,
             EventSource::Leaf(key) => key * TOKEN_KINDS + 2,
             EventSource::Probe(key) => key * TOKEN_KINDS + 3,
@@ -53,7 +56,8 @@
             (0, 2) => EventSource::ReadyListener,
             (0, 3) => EventSource::MetricsListener,
             (0, 4) => EventSource::StoreCheck,
-            (0, _) => EventSource::PeersListener,
+            (0, 5) => EventSource::PeersListener,
+            (0, _) => EventSource::Datagrams,
             (1, key) => EventSource::Caller(key),
             (2, key) => EventSource::Leaf(key),
             (3, key) => EventSource::Probe(key),
--- a/src/geraniummount/edge/mod.rs
+++ b/src/geraniummount/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Network interfaces of a VM to callers, operators, leaves (the servers that run the requests),
 //! peers (the other VMs) and the users' platform.
 
+pub mod boot_clock;
 pub mod caller;
 pub mod claims;
 pub mod client;
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -14,7 +14,9 @@
 use super::section::Section;
 use super::{Log, load_text, reject_unknown_sections};
 use crate::core::placement::Start;
+use crate::core::tolerance::Tolerance;
 use crate::edge::gateway::Options;
+use crate::prelude::*;
 
 /// Names of the sections that a settings file may have.
 const SECTIONS: &[&str] = &["gateway", "platform", "bounds", "limits", "log"];
@@ -23,9 +25,13 @@
 const DEFAULT_DRAIN_MS: u64 = 5_400;
 const DEFAULT_LEAVING_MS: u64 = 3_000;
 const DEFAULT_APPLY_MS: u64 = 3_000;
+const DEFAULT_EVACUATE_MS: u64 = 5_000;
+
+/// Number of bytes of a megabyte.
+const BYTES_PER_MB: u64 = 1024 * 1024;
 
 /// Settings of a gateway.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Gateway {
     /// Options with which the gateway starts.
     pub options: Options,
@@ -85,6 +91,14 @@
             max_reply_bytes: limits.max_reply_bytes,
             leaving: bounds.leaving,
             apply: bounds.apply,
+            regions: gateway.regions,
+            revoke: bounds.revoke,
+            evacuate: bounds.evacuate,
+            quota_window: bounds.quota_window,
+            quota_tolerance: bounds.quota_tolerance,
+            cold_tolerance: bounds.cold_tolerance,
+            memory_bytes: limits.memory_bytes,
+            max_descriptors: limits.max_descriptors,
         },
         log: log?,
     })
@@ -111,6 +125,8 @@
     peer_listen: Option<SocketAddr>,
     /// Source address of the connections to leaves and to other VMs, if one is given.
     source: Option<IpAddr>,
+    /// Regions of the failure domains, sorted by domain.
+    regions: Vec<(DomainName, RegionName)>,
 }
 
 impl GatewaySection {
@@ -124,6 +140,7 @@
             "metrics",
             "peer_listen",
             "source",
+            "regions",
         ]);
         let name = section.name("name");
         let failure_domain = section.name("failure_domain");
@@ -133,6 +150,7 @@
         let metrics = section.optional_target("metrics");
         let peer_listen = section.optional_target("peer_listen");
         let source = section.optional_ip("source");
+        let regions = section.pairs("regions");
         Some(GatewaySection {
             name: name?,
             failure_domain: failure_domain?,
@@ -145,6 +163,7 @@
             metrics: metrics?,
             peer_listen: peer_listen?,
             source: source?,
+            regions: regions?,
         })
     }
 }
@@ -155,16 +174,60 @@
     leaving: Duration,
     /// Time within which a new version of the routes has to be in force.
     apply: Duration,
+    /// Time after which a withdrawn key must not be used any more, if keys need confirmation.
+    revoke: Option<Duration>,
+    /// Time within which requests must not reach an evacuated failure domain any more.
+    evacuate: Duration,
+    /// Span over which the requests of a tenant are compared with its quota.
+    quota_window: Duration,
+    /// By how much the quotas of tenants may be exceeded.
+    quota_tolerance: Tolerance,
+    /// By how much the limits on cold leaves may be exceeded.
+    cold_tolerance: Tolerance,
 }
 
+/// Names of the keys of section `[bounds]`.
+const BOUNDS_KEYS: &[&str] = &[
+    "leaving_ms",
+    "apply_ms",
+    "revoke_ms",
+    "evacuate_ms",
+    "quota_window_s",
+    "quota_over",
+    "quota_slack",
+    "cold_over",
+    "cold_slack",
+];
+
 impl BoundsSection {
     fn read(section: &mut Section<'_>) -> Option<BoundsSection> {
-        section.check_keys(&["leaving_ms", "apply_ms"]);
+        section.check_keys(BOUNDS_KEYS);
         let leaving = section.millis("leaving_ms", DEFAULT_LEAVING_MS, 0..=600_000);
         let apply = section.millis("apply_ms", DEFAULT_APPLY_MS, 0..=600_000);
+        let revoke = section.optional_number("revoke_ms", 500..=600_000);
+        let evacuate = section.millis("evacuate_ms", DEFAULT_EVACUATE_MS, 0..=600_000);
+        let default_window = Options::DEFAULT_QUOTA_WINDOW.as_secs_f64();
+        let quota_window = section.decimal("quota_window_s", default_window, 0.1..=600.0);
+        let quota_tolerance = Options::DEFAULT_QUOTA_TOLERANCE;
+        let quota_over = section.decimal("quota_over", quota_tolerance.share, 0.0..=100.0);
+        let quota_slack = section.decimal("quota_slack", quota_tolerance.requests, 0.0..=1e9);
+        let cold_tolerance = Options::DEFAULT_COLD_TOLERANCE;
+        let cold_over = section.decimal("cold_over", 1.0 + cold_tolerance.share, 1.0..=100.0);
+        let cold_slack = section.decimal("cold_slack", cold_tolerance.requests, 0.0..=1e9);
         Some(BoundsSection {
             leaving: leaving?,
             apply: apply?,
+            revoke: revoke?.map(Duration::from_millis),
+            evacuate: evacuate?,
+            quota_window: Duration::from_secs_f64(quota_window?),
+            quota_tolerance: Tolerance {
+                share: quota_over?,
+                requests: quota_slack?,
+            },
+            cold_tolerance: Tolerance {
+                share: cold_over? - 1.0,
+                requests: cold_slack?,
+            },
         })
     }
 }
@@ -177,11 +240,21 @@
     linger: Duration,
     /// Time after which a planned stop ends even if requests are unanswered.
     drain: Duration,
+    /// Memory of the VM in bytes, if it is limited.
+    memory_bytes: Option<u64>,
+    /// Number of file descriptors of the VM, if it is limited.
+    max_descriptors: Option<u64>,
 }
 
 impl LimitsSection {
     fn read(section: &mut Section<'_>) -> Option<LimitsSection> {
-        section.check_keys(&["max_reply_bytes", "linger_ms", "drain_ms"]);
+        section.check_keys(&[
+            "max_reply_bytes",
+            "linger_ms",
+            "drain_ms",
+            "memory_mb",
+            "max_fds",
+        ]);
         let max_reply_bytes = section.count(
             "max_reply_bytes",
             DEFAULT_MAX_REPLY_BYTES,
@@ -189,7 +262,11 @@
         );
         let linger = section.millis("linger_ms", DEFAULT_LINGER_MS, 0..=600_000);
         let drain = section.millis("drain_ms", DEFAULT_DRAIN_MS, 0..=600_000);
+        let memory_mb = section.optional_number("memory_mb", 16..=1_000_000);
+        let max_descriptors = section.optional_number("max_fds", 256..=10_000_000);
         Some(LimitsSection {
+            memory_bytes: memory_mb?.map(|size| size * BYTES_PER_MB),
+            max_descriptors: max_descriptors?,
             max_reply_bytes: max_reply_bytes?,
             linger: linger?,
             drain: drain?,
--- a/src/geraniummount/ops/settings/section.rs
+++ b/src/geraniummount/ops/settings/section.rs
@@ -141,6 +141,54 @@
         None
     }
 
+    /// Reads an optional integer in `range`; `Some(None)` if the key is missing.
+    pub(super) fn optional_number(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<u64>,
+    ) -> Option<Option<u64>> {
+        match self.entry(key) {
+            Some(_) => self.number(key, 0, range).map(Some),
+            None => Some(None),
+        }
+    }
+
+    /// Reads a decimal number in `range`; `default` if the key is missing.
+    pub(super) fn decimal(
+        &mut self,
+        key: &str,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> Option<f64> {
+        let Some(entry) = self.entry(key) else {
+            return Some(default);
+        };
+        if let Some(value) = entry.value.parse().ok().filter(|v| range.contains(v)) {
+            return Some(value);
+        }
+        let allowed = format!("a number from {} to {}", range.start(), range.end());
+        self.fault(entry, format!("'{}'", entry.value), allowed);
+        None
+    }
+
+    /// Reads a comma-separated list of `name=value` pairs, and sorts it; empty if the key is
+    /// missing.
+    pub(super) fn pairs(&mut self, key: &str) -> Option<Vec<(String, String)>> {
+        let Some(entry) = self.entry(key) else {
+            return Some(Vec::new());
+        };
+        let items = entry.value.split(',').map(str::trim);
+        let items = items.filter(|item| !item.is_empty());
+        let pairs: Option<Vec<(String, String)>> = items.map(parse_pair).collect();
+        if pairs.is_none() {
+            let allowed = "pairs such as domain-a=region-a,domain-b=region-a".to_string();
+            self.fault(entry, format!("'{}'", entry.value), allowed);
+        }
+        let mut pairs = pairs?;
+        pairs.sort();
+        Some(pairs)
+    }
+
     /// Reads an integer in `range` as `usize`; `default` if the key is missing.
     pub(super) fn count(
         &mut self,
@@ -232,3 +280,10 @@
         });
     }
 }
+
+/// Splits `name=value`; `None` if one of them is missing.
+fn parse_pair(item: &str) -> Option<(String, String)> {
+    let (name, value) = item.split_once('=')?;
+    let (name, value) = (name.trim(), value.trim());
+    (!name.is_empty() && !value.is_empty()).then(|| (name.to_string(), value.to_string()))
+}
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -7,7 +7,11 @@
 
 use serde::Deserialize;
 
-use crate::core::route::{Backend, Gather, Limits, Repeat, Route, Table, Target, WeightedService};
+use crate::core::route::{
+    Backend, Gather, Limits, Repeat, Route, Table, Target, WarmUp, WeightedService,
+};
+use crate::core::tenant::{Directory, KeyDigest, Quota, Tenant};
+use crate::prelude::*;
 use crate::util::bounded;
 
 #[derive(Debug, Deserialize)]
@@ -17,6 +21,9 @@
     routes: Vec<RouteEntry>,
     services: Vec<ServiceEntry>,
     limits: LimitsEntry,
+    /// Customers, whose requests carry keys; requests need no keys if there are none.
+    #[serde(default)]
+    tenants: Vec<TenantEntry>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -56,6 +63,12 @@
     /// Minimum share of the shards that a gathered answer includes.
     #[serde(default)]
     min_coverage: f64,
+    /// Whether requests without a key are served.
+    #[serde(default)]
+    allow_anonymous: bool,
+    /// Regions whose leaves may run the requests; all regions if there are none.
+    #[serde(default)]
+    allowed_regions: Vec<RegionName>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -82,6 +95,32 @@
     /// Path at which a leaf of the service answers health checks.
     #[serde(default = "default_health_path")]
     health_path: String,
+    /// Time in seconds after its start for which a leaf is cold.
+    #[serde(default)]
+    slow_start_s: f64,
+    /// Requests per second that a cold leaf takes from all VMs together; no limit if 0.
+    #[serde(default)]
+    warmup_per_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantEntry {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    /// Priority under overload, which replaces that of the route; 0 is the highest.
+    #[serde(default)]
+    priority: Option<u32>,
+    /// Requests per second over all VMs; no limit if 0.
+    #[serde(default)]
+    rate_per_s: f64,
+    /// Requests that may come at once in addition.
+    #[serde(default)]
+    burst: f64,
+    /// Regions whose leaves may run the requests; all regions if there are none.
+    #[serde(default)]
+    allowed_regions: Vec<RegionName>,
 }
 
 fn default_health_path() -> String {
@@ -117,23 +156,74 @@
 pub fn read(value: &[u8]) -> Result<Table, serde_json::Error> {
     let document: Document = serde_json::from_slice(value)?;
     let routes: Result<Vec<Route>, _> = document.routes.into_iter().map(route).collect();
-    let services = document.services.into_iter().map(|service| Backend {
-        name: service.name,
-        max_connections: service.max_conns,
-        health_path: service.health_path,
-    });
+    let services = document.services.into_iter().map(service);
+    let services: Result<Vec<Backend>, _> = services.collect();
+    let tenants: Result<Vec<_>, _> = document.tenants.into_iter().map(tenant).collect();
+    let tenants = Directory::new(tenants?).map_err(serde::de::Error::custom)?;
     let limits = Limits {
         max_head_bytes: document.limits.max_header_bytes,
         max_body_bytes: document.limits.max_body_bytes,
         read_timeout: document.limits.header_timeout,
         idle_timeout: document.limits.idle_timeout,
     };
-    Ok(Table::new(
-        document.version,
-        limits,
-        routes?,
-        services.collect(),
-    ))
+    let table = Table::new(document.version, limits, routes?, services?);
+    Ok(table.with_tenants(tenants))
+}
+
+fn service(entry: ServiceEntry) -> Result<Backend, serde_json::Error> {
+    let per_second = not_negative(entry.warmup_per_s, "warmupPerS", &entry.name)?;
+    let seconds = not_negative(entry.slow_start_s, "slowStartS", &entry.name)?;
+    let warm_up = (per_second > 0.0).then(|| WarmUp {
+        duration: bounded::fractional_seconds(seconds).unwrap_or_default(),
+        per_second,
+    });
+    Ok(Backend {
+        name: entry.name,
+        max_connections: entry.max_conns,
+        health_path: entry.health_path,
+        warm_up,
+    })
+}
+
+fn tenant(entry: TenantEntry) -> Result<(Tenant, Vec<KeyDigest>), serde_json::Error> {
+    let name = entry.name;
+    if !is_tenant_name(&name) {
+        let problem = format!("'{name}' names no tenant; use visible ASCII characters");
+        return Err(serde::de::Error::custom(problem));
+    }
+    if entry.api_keys.iter().any(String::is_empty) {
+        let problem = format!("tenant {name} has an empty key; remove it");
+        return Err(serde::de::Error::custom(problem));
+    }
+    let per_second = not_negative(entry.rate_per_s, "ratePerS", &name)?;
+    let burst = not_negative(entry.burst, "burst", &name)?;
+    let digests = entry.api_keys.iter();
+    let digests = digests.map(|key| KeyDigest::of(key.as_bytes())).collect();
+    let tenant = Tenant {
+        name,
+        priority: entry.priority,
+        quota: (per_second > 0.0).then_some(Quota { per_second, burst }),
+        regions: regions(entry.allowed_regions),
+    };
+    Ok((tenant, digests))
+}
+
+/// Returns whether a name can be passed on in a header field.
+fn is_tenant_name(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn not_negative(number: f64, field: &str, owner: &str) -> Result<f64, serde_json::Error> {
+    if number.is_finite() && number >= 0.0 {
+        return Ok(number);
+    }
+    let problem = format!("{field} of {owner} is {number}; use 0 or more");
+    Err(serde::de::Error::custom(problem))
+}
+
+/// Returns the regions to which requests are restricted.
+fn regions(names: Vec<RegionName>) -> Option<Vec<RegionName>> {
+    (!names.is_empty()).then_some(names)
 }
 
 fn route(entry: RouteEntry) -> Result<Route, serde_json::Error> {
@@ -167,6 +257,8 @@
         timeout: entry.timeout,
         target_latency: entry.target_latency,
         priority: entry.priority,
+        allows_anonymous: entry.allow_anonymous,
+        regions: regions(entry.allowed_regions),
     })
 }
 
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -10,6 +10,7 @@
 
 use crate::core::call::{self, Reply};
 use crate::core::placement::{NamedLimit, Notice};
+use crate::core::tenant::{Credential, KeyDigest};
 use crate::prelude::*;
 use crate::util::bounded;
 use crate::util::h1::{self, Field, Head};
@@ -39,6 +40,13 @@
 /// Number of shards that are missing from a gathered response.
 const MISSING_PARTS: &str = "Missing-Parts";
 
+/// Who sends the request: [`KEY_SCHEME`] and the key of a tenant, separated by a space.
+const AUTHORIZATION: &str = "Authorization";
+/// First word of [`AUTHORIZATION`].
+const KEY_SCHEME: &str = "Token";
+/// Name of the tenant whose request it is. The gateway sets it whatever the caller sent.
+const TENANT: &str = "Tenant";
+
 /// Status of a leaf that rejects a request because it is full or leaving.
 const UNAVAILABLE_STATUS: u16 = 503;
 
@@ -52,6 +60,8 @@
     pub id: RequestId,
     /// How long the caller waits for the response, if the request states it.
     pub timeout: Option<Duration>,
+    /// Who sends the request.
+    pub credential: Credential,
 }
 
 /// Reads the fields of a caller's request that the gateway interprets.
@@ -62,9 +72,45 @@
             .unwrap_or_default()
             .to_string(),
         timeout,
+        credential: read_credential(fields),
     }
 }
 
+/// Reads who sends the request. Several fields are malformed, as two processes may each read another
+/// one of them.
+fn read_credential(fields: &[Field]) -> Credential {
+    let mut values = h1::field_values(fields, AUTHORIZATION);
+    let Some(value) = values.next() else {
+        return Credential::Absent;
+    };
+    if values.next().is_some() {
+        return Credential::Malformed;
+    }
+    let scheme_end = value.iter().position(|byte| *byte == b' ');
+    let (scheme, key) = value.split_at(scheme_end.unwrap_or(value.len()));
+    let key = key.trim_ascii();
+    let is_known = scheme.eq_ignore_ascii_case(KEY_SCHEME.as_bytes());
+    match is_known && !key.is_empty() {
+        true => Credential::Key(KeyDigest::of(key)),
+        false => Credential::Malformed,
+    }
+}
+
+/// Removes the key and any tenant that the caller has named, and names the tenant whose request it
+/// is, if there is one.
+pub fn replace_credential(fields: &mut Vec<Field>, tenant: Option<&str>) {
+    let replaced = [AUTHORIZATION, TENANT];
+    fields.retain(|field| {
+        !replaced
+            .iter()
+            .any(|name| field.name.eq_ignore_ascii_case(name))
+    });
+    fields.extend(tenant.map(|name| Field {
+        name: TENANT.to_string(),
+        value: name.as_bytes().to_vec(),
+    }));
+}
+
 /// Removes the hop-by-hop fields, which apply to a single connection, and those that the gateway
 /// sets anew for each leaf.
 pub fn strip_request_fields(fields: &mut Vec<Field>) {
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -91,6 +91,14 @@
             drain,
             leaving: Duration::from_secs(3),
             apply: Duration::from_secs(3),
+            regions: Vec::new(),
+            revoke: None,
+            evacuate: Options::DEFAULT_EVACUATE,
+            quota_window: Options::DEFAULT_QUOTA_WINDOW,
+            quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
+            cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+            memory_bytes: None,
+            max_descriptors: None,
         };
         let (callers_address, ready_address) = (options.callers, options.ready);
         let gateway = Gateway::bind(options).unwrap();
--- a/tests/testsuite/split.rs
+++ b/tests/testsuite/split.rs
@@ -71,6 +71,8 @@
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(100),
         priority: 0,
+        allows_anonymous: false,
+        regions: None,
     };
     let table = Table::new(
         1,
