Let the stronger VMs of a failure domain serve queries over many shards

Cause: a query over 90 to 180 shards takes a VM of 0.084 to 0.12 cores 20 to 40 ms of a target latency of 60 to 150 ms, and a VM that sees a query every few seconds knows little of the leaves.

Change: VMs state their processor share in their entry in the store. A VM passes a query with 24 parts or more to a VM of its domain that has twice its share, by the existing delegation; if that one does not serve it, it serves the query itself.

platform_delegation_requires_the_key_of_the_vm failed once beside load, when its gateway could not bind. The test's VMs took ports of 127.0.0.1 that were found free; other tests' connections may take one in between. They now use ports of the VM's own address.

--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -81,6 +81,7 @@
         quota_window: Options::DEFAULT_QUOTA_WINDOW,
         quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
         cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+        millicores: 0,
         memory_bytes: None,
         max_descriptors: None,
     };
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -4,7 +4,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::core::delegation::Terms;
 use crate::core::margin;
 use crate::core::placement::Placement;
 use crate::core::route::{Gather, Repeat, Route};
@@ -119,13 +118,14 @@
         }
     }
 
-    /// Returns the plan of a request that another VM delegated to this one.
-    pub fn delegated(self, terms: &Terms, now: Instant) -> Plan {
-        let answer_by = self.answer_by.checked_sub(terms.elapsed);
+    /// Returns the plan of a request that another VM had before. It has taken the time `elapsed` so
+    /// far, and up to `sends` leaves of each shard may have received it.
+    pub fn continued(self, elapsed: Duration, sends: u32, now: Instant) -> Plan {
+        let answer_by = self.answer_by.checked_sub(elapsed);
         Plan {
             answer_by: answer_by.map_or(now, |at| at.max(now)),
-            max_attempts: self.max_attempts.saturating_sub(terms.sends).max(1),
-            is_counted: terms.sends > 0,
+            max_attempts: self.max_attempts.saturating_sub(sends).max(1),
+            is_counted: sends > 0,
             ..self
         }
     }
--- a/src/geraniummount/core/delegation/action.rs
+++ b/src/geraniummount/core/delegation/action.rs
@@ -30,6 +30,11 @@
         /// Delay after which the caller may retry.
         retry_after: Duration,
     },
+    /// Serve the request on this VM. Issued only for requests that are offloaded.
+    ServeHere {
+        /// Number of leaves of each shard that may have received the request from the peer.
+        sends: u32,
+    },
     /// Report a failure; the request may have run.
     Fail,
     /// Report a timeout; the request may have run.
--- a/src/geraniummount/core/delegation/decline.rs
+++ b/src/geraniummount/core/delegation/decline.rs
@@ -15,6 +15,8 @@
     Outdated,
     /// The VM rejects some requests because leaves are overloaded.
     Overloaded,
+    /// The VM has no time for queries that others could serve themselves.
+    Busy,
     /// The VM is stopping.
     Stopping,
     /// The request does not contain the VM's key.
@@ -22,11 +24,12 @@
 }
 
 impl Decline {
-    const ALL: [Decline; 6] = [
+    const ALL: [Decline; 7] = [
         Decline::LinksLost,
         Decline::NotReady,
         Decline::Outdated,
         Decline::Overloaded,
+        Decline::Busy,
         Decline::Stopping,
         Decline::Unauthorized,
     ];
@@ -38,6 +41,7 @@
             Decline::NotReady => "not-ready",
             Decline::Outdated => "outdated",
             Decline::Overloaded => "overloaded",
+            Decline::Busy => "busy",
             Decline::Stopping => "stopping",
             Decline::Unauthorized => "unauthorized",
         }
--- a/src/geraniummount/core/delegation/mod.rs
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -16,6 +16,8 @@
 //! that may run only once goes to another peer only if the last one has declined it or has not
 //! received it.
 //!
+//! A VM that works also passes queries to others, if those are stronger: see [`offload`].
+//!
 //! [`Routes`] decides who handles a request, [`Peers`] knows the other VMs and chooses one of them,
 //! [`Request`] is the state of one delegated request. The inputs are events and the current time;
 //! the outputs are [`Action`]s.
@@ -25,9 +27,11 @@
 mod ending;
 mod handler;
 mod links;
+pub mod offload;
 mod outcome;
 mod peer;
 mod peers;
+mod purpose;
 mod request;
 mod routes;
 mod terms;
@@ -41,6 +45,7 @@
 pub use self::outcome::{Answer, Outcome};
 pub use self::peer::Peer;
 pub use self::peers::Peers;
+pub use self::purpose::Purpose;
 pub use self::request::Request;
 pub use self::routes::Routes;
 pub use self::terms::Terms;
--- a/src/geraniummount/core/delegation/peer.rs
+++ b/src/geraniummount/core/delegation/peer.rs
@@ -15,4 +15,6 @@
     pub address: SocketAddr,
     /// Secret that a delegated request has to contain. Only VMs can read it.
     pub key: String,
+    /// Processor share of the VM.
+    pub millicores: Millicores,
 }
--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 
 use self::state::State;
-use super::{Decline, Ending, Peer};
+use super::{Decline, Ending, Peer, offload};
 use crate::prelude::*;
 
 /// Time for which no further VM is asked after a request was declined by as many as it may be
@@ -37,6 +37,8 @@
     own_name: VmName,
     /// Failure domain of this VM, whose VMs are preferred.
     own_domain: DomainName,
+    /// Processor share of this VM.
+    own_millicores: Millicores,
     /// Sorted by name.
     known: Vec<State>,
     /// Until when only VMs that are known to reach the leaves are asked, because no other is
@@ -60,6 +62,7 @@
         Peers {
             own_name: own_name.into(),
             own_domain: own_domain.into(),
+            own_millicores: 0,
             known: Vec::new(),
             all_lost_until: None,
             all_lost_count: 0,
@@ -68,6 +71,15 @@
         }
     }
 
+    /// Sets the processor share of this VM.
+    #[must_use]
+    pub fn with_millicores(self, millicores: Millicores) -> Peers {
+        Peers {
+            own_millicores: millicores,
+            ..self
+        }
+    }
+
     /// Replaces the known VMs; this VM is left out. What was observed of a VM is kept unless it has
     /// changed.
     pub fn update(&mut self, peers: impl IntoIterator<Item = Peer>) {
@@ -134,6 +146,31 @@
         best.map(|(_, state)| state.peer.name.clone())
     }
 
+    /// Chooses a stronger VM of this VM's failure domain that is not in `tried`: the least loaded of
+    /// a few random ones.
+    pub fn choose_stronger(&mut self, tried: &[VmName], now: Instant) -> Option<VmName> {
+        let (domain, millicores) = (&self.own_domain, self.own_millicores);
+        let stronger = self.known.iter().filter(|state| {
+            let is_near = state.peer.domain == *domain;
+            let is_stronger = offload::is_stronger(state.peer.millicores, millicores);
+            let is_untried = !tried.contains(&state.peer.name);
+            is_near && is_stronger && is_untried && state.is_usable(now)
+        });
+        let mut stronger: Vec<&State> = stronger.collect();
+        let drawn = draw(&mut stronger, &mut self.rng);
+        let best = drawn.into_iter().min_by_key(|state| state.in_flight);
+        best.map(|state| state.peer.name.clone())
+    }
+
+    /// Returns whether a stronger VM of this VM's failure domain can be asked now.
+    pub fn has_stronger(&self, now: Instant) -> bool {
+        self.known.iter().any(|state| {
+            let is_near = state.peer.domain == self.own_domain;
+            let is_stronger = offload::is_stronger(state.peer.millicores, self.own_millicores);
+            is_near && is_stronger && state.is_usable(now)
+        })
+    }
+
     /// Returns whether any VM can be asked now.
     pub fn has_usable(&self, now: Instant) -> bool {
         let is_all_lost = self.is_all_lost(now);
--- a/src/geraniummount/core/delegation/peers/state.rs
+++ b/src/geraniummount/core/delegation/peers/state.rs
@@ -13,6 +13,9 @@
 /// Time for which a VM is avoided after it declined because its routes are older.
 const OUTDATED_BACKOFF: Duration = Duration::from_millis(30);
 
+/// Time for which a VM is avoided after it declined because it was busy.
+const BUSY_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Time for which a VM is avoided after it declined for any other reason.
 const DECLINE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -94,6 +97,7 @@
             Ending::Declined(Decline::LinksLost) => LINKS_LOST_BACKOFF,
             Ending::Declined(Decline::Stopping) => STOPPING_BACKOFF,
             Ending::Declined(Decline::Outdated) => OUTDATED_BACKOFF,
+            Ending::Declined(Decline::Busy) => BUSY_BACKOFF,
             Ending::Declined(_) => DECLINE_BACKOFF,
         };
         self.is_outdated = ending == Ending::Declined(Decline::Outdated);
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Action, Answer, Decline, End, Ending, Outcome, Peers};
+use super::{Action, Answer, Decline, End, Ending, Outcome, Peers, Purpose};
 use crate::core::not_run::{NotRun, Progress};
 use crate::core::route::Repeat;
 use crate::prelude::*;
@@ -16,6 +16,9 @@
 /// that it was stalled. A peer that is given up too early runs the request beside the next one.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// As [`ACKNOWLEDGE_TIMEOUT`], for an offloaded request. This VM can still serve it in time then.
+const OFFLOAD_ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// Maximum time for which a request waits for peers whose routes are older than it requires. The
 /// VMs apply a change of the routes within a fraction of a second of each other.
 const MAX_OUTDATED_WAIT: Duration = Duration::from_millis(300);
@@ -31,6 +34,8 @@
     repeat: Repeat,
     /// When the request ends, even without an answer.
     end_by: Instant,
+    /// Why the request is passed to a peer.
+    purpose: Purpose,
     /// Minimum time before `end_by` that a peer needs.
     min_attempt_time: Duration,
     /// Peers that the request was passed to.
@@ -47,6 +52,8 @@
     wait_until: Option<Instant>,
     /// Shortest time after which a peer that declined may serve the request.
     retry_after: Option<Duration>,
+    /// Number of leaves of each shard that may have received the request from the last peer.
+    peer_sends: u32,
     is_finished: bool,
 }
 
@@ -67,6 +74,7 @@
         Request {
             repeat,
             end_by,
+            purpose: Purpose::Necessity,
             min_attempt_time: Duration::ZERO,
             tried: Vec::new(),
             lost_domains: Vec::new(),
@@ -75,6 +83,7 @@
             waiting_since: None,
             wait_until: None,
             retry_after: None,
+            peer_sends: 0,
             is_finished: false,
         }
     }
@@ -87,6 +96,13 @@
         self
     }
 
+    /// Sets why the request is passed to a peer.
+    #[must_use]
+    pub fn with_purpose(mut self, purpose: Purpose) -> Request {
+        self.purpose = purpose;
+        self
+    }
+
     /// Passes the request to a peer only if more than this time is left.
     #[must_use]
     pub fn with_min_attempt_time(mut self, time: Duration) -> Request {
@@ -146,6 +162,10 @@
                 retry_after,
             } => {
                 self.record_decline(&open, decline, retry_after, peers, now);
+                // The leaves are overloaded, whichever VM sends the request to them.
+                if self.purpose == Purpose::Offload && decline == Decline::Overloaded {
+                    return self.give_up(peers, now);
+                }
                 self.try_next(peers, now)
             }
             Outcome::Unreachable => {
@@ -156,10 +176,11 @@
                 peers.end(&open.peer, Ending::Failed, now);
                 self.may_have_run = true;
                 let may_repeat = self.repeat == Repeat::Idempotent;
-                if may_repeat && (!open.is_acknowledged || take_extra()) {
-                    return self.try_next(peers, now);
+                if !may_repeat || (open.is_acknowledged && !take_extra()) {
+                    return self.finish(End::Fail);
                 }
-                self.finish(End::Fail)
+                self.peer_sends = u32::from(open.is_acknowledged);
+                self.try_next(peers, now)
             }
         }
     }
@@ -180,7 +201,8 @@
         let Some(open) = &mut self.open else {
             return Vec::new();
         };
-        if open.is_late || open.late_at().is_none_or(|at| now < at) {
+        let late_at = open.late_at(self.purpose);
+        if open.is_late || late_at.is_none_or(|at| now < at) {
             return Vec::new();
         }
         open.is_late = true;
@@ -209,7 +231,7 @@
             return None;
         }
         let open = self.open.as_ref().filter(|open| !open.is_late);
-        let late_at = open.and_then(Open::late_at);
+        let late_at = open.and_then(|open| open.late_at(self.purpose));
         let times = [late_at, self.wait_until, Some(self.end_by)];
         times.into_iter().flatten().min()
     }
@@ -242,7 +264,7 @@
         {
             self.lost_domains.push(peer.domain.clone());
         }
-        if decline == Decline::Outdated {
+        if decline == Decline::Outdated && self.purpose == Purpose::Necessity {
             self.tried.retain(|name| *name != open.peer);
         }
         let shortest = self.retry_after.into_iter().chain(retry_after).min();
@@ -255,14 +277,14 @@
             return self.time_out(peers, now);
         }
         let time_left = self.end_by.saturating_duration_since(now);
-        if time_left <= self.min_attempt_time {
+        if time_left <= self.min_attempt_time && self.purpose == Purpose::Necessity {
             return self.give_up(peers, now);
         }
-        let peer = (self.tried.len() < MAX_PEERS)
-            .then(|| peers.choose(&self.tried, &self.lost_domains, now))
-            .flatten();
-        let Some(peer) = peer else {
-            return self.wait_or_give_up(peers, now);
+        let Some(peer) = self.choose_peer(peers, now) else {
+            return match self.purpose {
+                Purpose::Necessity => self.wait_or_give_up(peers, now),
+                Purpose::Offload => self.serve_here(),
+            };
         };
         peers.begin(&peer);
         self.tried.push(peer.clone());
@@ -275,6 +297,23 @@
         vec![Action::Send(peer)]
     }
 
+    /// Chooses the next peer. An offloaded request is passed to one peer only.
+    fn choose_peer(&self, peers: &mut Peers, now: Instant) -> Option<VmName> {
+        match self.purpose {
+            Purpose::Necessity if self.tried.len() < MAX_PEERS => {
+                peers.choose(&self.tried, &self.lost_domains, now)
+            }
+            Purpose::Offload if self.tried.is_empty() => peers.choose_stronger(&self.tried, now),
+            Purpose::Necessity | Purpose::Offload => None,
+        }
+    }
+
+    /// Ends an offloaded request that no peer has served.
+    fn serve_here(&mut self) -> Vec<Action> {
+        let sends = self.peer_sends;
+        self.finish(End::ServeHere { sends })
+    }
+
     /// Waits for a peer whose routes are older than the request requires, or ends the request.
     fn wait_or_give_up(&mut self, peers: &mut Peers, now: Instant) -> Vec<Action> {
         let Some(until) = peers.outdated_until(now) else {
@@ -359,8 +398,12 @@
 
     /// Returns when the peer counts as failed; `None` if it has acknowledged the request or has not
     /// got it yet.
-    fn late_at(&self) -> Option<Instant> {
+    fn late_at(&self, purpose: Purpose) -> Option<Instant> {
+        let timeout = match purpose {
+            Purpose::Necessity => ACKNOWLEDGE_TIMEOUT,
+            Purpose::Offload => OFFLOAD_ACKNOWLEDGE_TIMEOUT,
+        };
         let sent_at = self.sent_at.filter(|_| !self.is_acknowledged);
-        sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT)
+        sent_at.map(|at| at + timeout)
     }
 }
--- a/src/geraniummount/core/delegation/terms.rs
+++ b/src/geraniummount/core/delegation/terms.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Purpose;
 use crate::core::tenant::Credential;
 use crate::prelude::*;
 
@@ -18,6 +19,8 @@
     pub elapsed: Duration,
     /// Number of leaves of each shard that may have received the request already.
     pub sends: u32,
+    /// Why the request is delegated.
+    pub purpose: Purpose,
     /// Who sends the request.
     pub credential: Credential,
 }
--- a/src/geraniummount/core/id.rs
+++ b/src/geraniummount/core/id.rs
@@ -33,6 +33,9 @@
 /// Id of a request, chosen by the caller or generated if the caller gives none.
 pub type RequestId = String;
 
+/// Processor share in thousandths of a core; 0 if it is not known.
+pub type Millicores = u32;
+
 /// Position in the log of all accepted changes; 0 is the empty configuration.
 pub type Revision = u64;
 
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -13,14 +13,14 @@
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
-use crate::core::delegation::{Decline, Handler, Terms, Unable};
+use crate::core::delegation::{Decline, Handler, Purpose, Terms, Unable, offload};
 use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
 use crate::core::tenant::{Access, Credential, Denial};
 use crate::platform::headers::{self, CallerFields};
-use crate::util::h1::Request;
+use crate::util::h1::{Body, Request};
 
 /// `Retry-After` of a request that nobody can handle yet.
 const UNHANDLED_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -35,6 +35,10 @@
     /// Who sends the request.
     credential: Credential,
     fingerprint: Fingerprint,
+    /// Time that the request has taken so far, at this VM and others.
+    elapsed: Duration,
+    /// Number of leaves of each shard that may have received the request from other VMs.
+    sends: u32,
 }
 
 impl Gateway {
@@ -59,11 +63,11 @@
             };
         }
         match self.handler() {
-            Handler::Own(table) => self.admit_by_routes(arrival, &table, None),
+            Handler::Own(table) => self.admit_or_offload(arrival, &table),
             Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
             Handler::Peer { min_version, table } => {
                 let route = table.as_ref().and_then(|table| arrival.find_route(table));
-                self.admit_for_delegation(arrival, min_version, route);
+                self.admit_for_delegation(arrival, min_version, route, Purpose::Necessity);
             }
             Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
         }
@@ -78,6 +82,34 @@
         self.write_refusal(arrival.key, not_run, UNHANDLED_RETRY_AFTER);
     }
 
+    /// Passes a query over many shards to a stronger VM, if there is one; starts the call for any
+    /// other request.
+    fn admit_or_offload(&mut self, arrival: Arrival, table: &Table) {
+        let route = arrival.find_route(table);
+        let is_worthwhile = route.is_some_and(|route| match &route.target {
+            Target::Gather(gather) => offload::is_worthwhile(gather.shards.len()),
+            Target::Service(_) | Target::Split(_) => false,
+        });
+        if is_worthwhile && self.delegation.has_stronger_peer(self.now) {
+            return self.admit_for_delegation(arrival, table.version, route, Purpose::Offload);
+        }
+        self.admit_by_routes(arrival, table, None);
+    }
+
+    /// Serves a request on this VM that was offloaded and that the other VM has not served.
+    pub(super) fn admit_again(&mut self, request: CallerRequest, sends: u32) {
+        let arrival = Arrival::from_offloaded(request, sends, self.now);
+        match self.handler() {
+            Handler::Own(table) => self.admit_by_routes(arrival, &table, None),
+            Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
+            Handler::Peer { min_version, table } => {
+                let route = table.as_ref().and_then(|table| arrival.find_route(table));
+                self.admit_for_delegation(arrival, min_version, route, Purpose::Necessity);
+            }
+            Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
+        }
+    }
+
     /// Starts the call for a request by the given routes, or rejects it.
     fn admit_by_routes(&mut self, arrival: Arrival, table: &Table, terms: Option<Terms>) {
         let Some(route) = arrival.find_route(table) else {
@@ -99,7 +131,9 @@
         let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
-            None => self.admit_for_delegation(arrival, table.version, route),
+            None => {
+                self.admit_for_delegation(arrival, table.version, route, Purpose::Necessity);
+            }
         }
     }
 
@@ -142,7 +176,7 @@
     ) {
         self.request_rate.record(self.now);
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
-        let mut plan = self.plan(route, arrival.caller_fields.timeout, terms.as_ref());
+        let mut plan = self.plan(route, &arrival);
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
@@ -202,6 +236,7 @@
         mut arrival: Arrival,
         min_version: u64,
         route: Option<&Route>,
+        purpose: Purpose,
     ) {
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
@@ -224,11 +259,12 @@
         self.delegate(CallerRequest {
             caller: key,
             credential,
+            purpose,
             plan,
-            forwarded: Arc::new(arrival.into_forwarded()),
             min_version,
-            started: self.now,
-            sends: 0,
+            started: self.now.checked_sub(arrival.elapsed).unwrap_or(self.now),
+            sends: arrival.sends,
+            forwarded: Arc::new(arrival.into_forwarded()),
         });
     }
 
@@ -246,17 +282,15 @@
 
     /// Plans a request of a route; chooses one of the services between which the route splits its
     /// requests.
-    fn plan(&mut self, route: &Route, timeout: Option<Duration>, terms: Option<&Terms>) -> Plan {
+    fn plan(&mut self, route: &Route, arrival: &Arrival) -> Plan {
         let (service, gather) = match &route.target {
             Target::Service(service) => (Some(service.clone()), None),
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
             Target::Gather(gather) => (None, Some(gather)),
         };
+        let timeout = arrival.caller_fields.timeout;
         let plan = Plan::new(route, service, gather, timeout, self.now);
-        match terms {
-            Some(terms) => plan.delegated(terms, self.now),
-            None => plan,
-        }
+        plan.continued(arrival.elapsed, arrival.sends, self.now)
     }
 
     fn start_call(&mut self, state: CallState) {
@@ -290,11 +324,40 @@
             credential: terms.map_or(caller_fields.credential, |terms| terms.credential),
             caller_fields,
             fingerprint: fingerprint(host, &request, &content),
+            elapsed: terms.map_or(Duration::ZERO, |terms| terms.elapsed),
+            sends: terms.map_or(0, |terms| terms.sends),
             request,
             content,
         }
     }
 
+    /// Returns a request that was passed to another VM, as one that is to be served here.
+    fn from_offloaded(offloaded: CallerRequest, sends: u32, now: Instant) -> Arrival {
+        let forwarded = Arc::unwrap_or_clone(offloaded.forwarded);
+        let left = offloaded.plan.end_by.saturating_duration_since(now);
+        Arrival {
+            key: offloaded.caller,
+            caller_fields: CallerFields {
+                id: forwarded.id,
+                timeout: Some(left),
+                credential: offloaded.credential,
+            },
+            credential: offloaded.credential,
+            fingerprint: forwarded.fingerprint,
+            elapsed: now.saturating_duration_since(offloaded.started),
+            sends: offloaded.sends + sends,
+            request: Request {
+                method: forwarded.method,
+                target: forwarded.target,
+                fields: forwarded.fields,
+                body: Body::Length(0),
+                is_persistent: true,
+                expects_continue: false,
+            },
+            content: forwarded.content,
+        }
+    }
+
     /// Returns the route of the request.
     fn find_route<'a>(&self, table: &'a Table) -> Option<&'a Route> {
         let host = self.request.host().unwrap_or_default();
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -22,7 +22,7 @@
 use crate::util::h1::{self, Field};
 
 /// A caller's request as it is forwarded to each leaf.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct ForwardedRequest {
     pub(super) id: RequestId,
     /// Hash of the host, method, path and body, which is the same for each repetition.
--- a/src/geraniummount/edge/gateway/delegation/caller_request.rs
+++ b/src/geraniummount/edge/gateway/delegation/caller_request.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use crate::core::call::Plan;
-use crate::core::delegation::Request;
+use crate::core::delegation::{Purpose, Request};
 use crate::core::tenant::Credential;
 use crate::edge::gateway::calls::ForwardedRequest;
 
@@ -18,6 +18,8 @@
     /// Oldest version of the routes by which the request may be served.
     pub(in crate::edge::gateway) min_version: u64,
     pub(in crate::edge::gateway) started: Instant,
+    /// Why the request is passed to another VM.
+    pub(in crate::edge::gateway) purpose: Purpose,
     /// Who sends the request.
     pub(in crate::edge::gateway) credential: Credential,
     /// Number of leaves of each shard that may have received the request from this VM.
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -160,6 +160,7 @@
             min_version: request.min_version,
             elapsed: self.now.saturating_duration_since(request.started) + round_trip,
             sends: request.sends,
+            purpose: request.purpose,
             credential: request.credential,
         };
         let left = request.plan.end_by.saturating_duration_since(self.now);
--- a/src/geraniummount/edge/gateway/delegation/finish.rs
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -3,8 +3,9 @@
 use log::info;
 
 use super::caller_request::{CallerRequest, Delegated};
-use crate::core::delegation::{Answer, End};
+use crate::core::delegation::{Answer, End, Purpose};
 use crate::edge::gateway::Gateway;
+use crate::edge::gateway::caller::State;
 use crate::util::h1;
 
 /// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
@@ -32,9 +33,10 @@
         let state = self.delegation.requests.remove(index);
         let caller = state.caller_request.caller;
         let (label, status) = match end {
+            End::ServeHere { sends } => return self.serve_offloaded_here(state, sends),
             End::Forward(answer) => {
                 let status = answer.status;
-                self.on_delegated_answer(&answer);
+                self.on_delegated_answer(&answer, state.caller_request.purpose);
                 let method = &state.caller_request.forwarded.method;
                 self.write_answer(caller, method, &answer);
                 ("delegated", status)
@@ -50,16 +52,33 @@
             End::TimeOut => (self.write_failure(caller, 504, "timed-out").label, 504),
         };
         self.metrics.count_answer(label);
-        self.isolation.on_request(status < 500);
+        if state.caller_request.purpose == Purpose::Necessity {
+            self.isolation.on_request(status < 500);
+        }
         self.check_store_if_suspected();
         self.log_delegated(&state, label, status);
         self.answered_callers.push(caller);
     }
 
-    /// Records that another VM was reached and has answered.
-    fn on_delegated_answer(&mut self, answer: &Answer) {
+    /// Serves an offloaded request that the other VM has not served. Up to `sends` leaves of each
+    /// shard may have received it from that VM.
+    fn serve_offloaded_here(&mut self, state: Delegated, sends: u32) {
+        let id = &state.caller_request.forwarded.id;
+        info!("request id={id} event=not-offloaded action=serve sends={sends}");
+        self.metrics.count_delegation("served-here");
+        let caller = state.caller_request.caller;
+        self.caller_connections[caller].state = State::Idle;
+        self.admit_again(state.caller_request, sends);
+        self.answered_callers.push(caller);
+    }
+
+    /// Records that another VM was reached and has answered. One to which a request was offloaded is
+    /// of the same failure domain, and says nothing about the links to the others.
+    fn on_delegated_answer(&mut self, answer: &Answer, purpose: Purpose) {
         self.routes.on_seen(answer.version);
-        self.isolation.on_attempt(true);
+        if purpose == Purpose::Necessity {
+            self.isolation.on_attempt(true);
+        }
     }
 
     /// Writes the response of another VM.
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -29,7 +29,7 @@
 use super::timers::Timer;
 use super::{Gateway, Options};
 use crate::core::call::Action as CallAction;
-use crate::core::delegation::{Action, Handler, Links, Outcome, Peer, Peers, Request};
+use crate::core::delegation::{Action, Handler, Links, Outcome, Peer, Peers, Purpose, Request};
 use crate::core::route::Repeat;
 
 pub(super) use self::caller_request::CallerRequest;
@@ -59,7 +59,8 @@
         Ok(Delegation {
             listener: options.peer_listen.map(TcpListener::bind).transpose()?,
             own_key: None,
-            peers: Peers::new(options.name.clone(), options.failure_domain.clone(), rng),
+            peers: Peers::new(options.name.clone(), options.failure_domain.clone(), rng)
+                .with_millicores(options.millicores),
             requests: Slab::new(),
             connections: Slab::new(),
             outcomes: VecDeque::new(),
@@ -78,6 +79,11 @@
         self.peers.iter()
     }
 
+    /// Returns whether a stronger VM of this VM's failure domain can be asked now.
+    pub(super) fn has_stronger_peer(&self, now: Instant) -> bool {
+        self.peers.has_stronger(now)
+    }
+
     /// Returns whether a text is the secret that this VM has registered.
     pub(super) fn is_own_key(&self, key: &str) -> bool {
         self.own_key.as_deref() == Some(key)
@@ -129,6 +135,7 @@
         let index = self.delegation.requests.insert(Delegated {
             serial,
             request: Request::new(plan.repeat, plan.end_by)
+                .with_purpose(caller_request.purpose)
                 .with_min_attempt_time(plan.min_attempt_time)
                 .with_sends(caller_request.sends),
             caller_request,
@@ -199,6 +206,7 @@
             min_version: state.version,
             started: state.started,
             credential: state.credential,
+            purpose: Purpose::Necessity,
             sends,
         });
     }
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -13,7 +13,7 @@
 use log::info;
 
 use super::wire::{self, Credentials};
-use crate::core::delegation::{Decline, Terms};
+use crate::core::delegation::{Decline, Purpose, Terms, offload};
 use crate::edge::gateway::Gateway;
 use crate::edge::gateway::caller::{CallerConnection, Origin, State};
 use crate::edge::gateway::timers::Timer;
@@ -85,9 +85,19 @@
         if !self.has_leaf_list {
             return Some(Decline::NotReady);
         }
+        if terms.purpose == Purpose::Offload && !self.has_room_for_offloaded() {
+            return Some(Decline::Busy);
+        }
         self.routes.for_peer(terms.min_version).err()
     }
 
+    /// Returns whether this VM has time for queries that other VMs could serve themselves.
+    fn has_room_for_offloaded(&self) -> bool {
+        let calls = self.calls.iter();
+        let parts = calls.map(|(_, state)| state.call.plan().services.len());
+        offload::has_room(parts.sum(), self.options.millicores)
+    }
+
     /// Tells the VM that its request was read and is being served, and by which version of the
     /// routes. The answer may be lost, or come after callers have seen the effect of that version.
     fn acknowledge(&mut self, key: usize) {
--- a/src/geraniummount/edge/gateway/delegation/wire.rs
+++ b/src/geraniummount/edge/gateway/delegation/wire.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::core::delegation::{Decline, Terms};
+use crate::core::delegation::{Decline, Purpose, Terms};
 use crate::core::tenant::Credential;
 use crate::platform::headers;
 use crate::util::bounded;
@@ -21,6 +21,8 @@
 const ELAPSED_MS: &str = "Geraniummount-Elapsed-Ms";
 /// Number of leaves of each shard that may have received the request.
 const SENDS: &str = "Geraniummount-Sends";
+/// Present if the VM that delegates the request could serve it itself.
+const OFFLOADED: &str = "Geraniummount-Offloaded";
 /// Digest of the key of the caller's request, or [`MALFORMED_KEY`]; absent if the request has none.
 const KEY_DIGEST: &str = "Geraniummount-Key-Digest";
 /// Value of [`KEY_DIGEST`] if the request has several keys, or one that cannot be read.
@@ -30,12 +32,13 @@
 /// In a response: reason for which the VM does not serve the request.
 const DECLINE: &str = "Geraniummount-Decline";
 
-const ALL: [&str; 8] = [
+const ALL: [&str; 9] = [
     FROM,
     KEY,
     MIN_VERSION,
     ELAPSED_MS,
     SENDS,
+    OFFLOADED,
     KEY_DIGEST,
     VERSION,
     DECLINE,
@@ -62,6 +65,10 @@
     h1::write_number_field(out, MIN_VERSION, terms.min_version);
     h1::write_number_field(out, ELAPSED_MS, elapsed_ms);
     h1::write_number_field(out, SENDS, terms.sends.into());
+    match terms.purpose {
+        Purpose::Necessity => {}
+        Purpose::Offload => h1::write_field(out, OFFLOADED, b"1"),
+    }
     match terms.credential {
         Credential::Absent => {}
         Credential::Key(digest) => h1::write_field(out, KEY_DIGEST, digest.to_string().as_bytes()),
@@ -77,6 +84,10 @@
             min_version: read_number(fields, MIN_VERSION)?,
             elapsed: h1::field_text(fields, ELAPSED_MS).and_then(bounded::parse_millis)?,
             sends: u32::try_from(read_number(fields, SENDS)?).ok()?,
+            purpose: match h1::field_values(fields, OFFLOADED).next() {
+                Some(_) => Purpose::Offload,
+                None => Purpose::Necessity,
+            },
             credential: read_credential(fields),
         },
         key: h1::field_text(fields, KEY)?.to_string(),
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -54,6 +54,8 @@
     pub quota_tolerance: Tolerance,
     /// By how much the limits on cold leaves may be exceeded.
     pub cold_tolerance: Tolerance,
+    /// Processor share of this VM, by which VMs pass queries to stronger ones.
+    pub millicores: Millicores,
     /// Memory of this VM in bytes; `None` if it is not known.
     pub memory_bytes: Option<u64>,
     /// Number of file descriptors of this VM; `None` if it is not known.
--- a/src/geraniummount/edge/gateway/watch/peers.rs
+++ b/src/geraniummount/edge/gateway/watch/peers.rs
@@ -45,6 +45,7 @@
             domain: options.failure_domain.clone(),
             address: options.peer_listen?,
             key: format!("{secret:032x}"),
+            millicores: options.millicores,
         };
         Some(Registration {
             own,
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -27,6 +27,11 @@
 const DEFAULT_APPLY_MS: u64 = 3_000;
 const DEFAULT_EVACUATE_MS: u64 = 5_000;
 
+/// Maximum processor share of a VM in cores.
+const MAX_CORES: f64 = 4096.0;
+
+const MILLICORES_PER_CORE: Millicores = 1_000;
+
 /// Number of bytes of a megabyte.
 const BYTES_PER_MB: u64 = 1024 * 1024;
 
@@ -92,6 +97,7 @@
             leaving: bounds.leaving,
             apply: bounds.apply,
             regions: gateway.regions,
+            millicores: gateway.millicores,
             revoke: bounds.revoke,
             evacuate: bounds.evacuate,
             quota_window: bounds.quota_window,
@@ -127,6 +133,8 @@
     source: Option<IpAddr>,
     /// Regions of the failure domains, sorted by domain.
     regions: Vec<(DomainName, RegionName)>,
+    /// Processor share.
+    millicores: Millicores,
 }
 
 impl GatewaySection {
@@ -141,6 +149,7 @@
             "peer_listen",
             "source",
             "regions",
+            "processor_share",
         ]);
         let name = section.name("name");
         let failure_domain = section.name("failure_domain");
@@ -151,6 +160,7 @@
         let peer_listen = section.optional_target("peer_listen");
         let source = section.optional_ip("source");
         let regions = section.pairs("regions");
+        let cores = section.decimal("processor_share", 0.0, 0.0..=MAX_CORES);
         Some(GatewaySection {
             name: name?,
             failure_domain: failure_domain?,
@@ -164,6 +174,7 @@
             peer_listen: peer_listen?,
             source: source?,
             regions: regions?,
+            millicores: (cores? * f64::from(MILLICORES_PER_CORE)).round() as Millicores,
         })
     }
 }
--- a/src/geraniummount/platform/peer_entry.rs
+++ b/src/geraniummount/platform/peer_entry.rs
@@ -7,6 +7,7 @@
 use super::PEER_PREFIX;
 use crate::core::delegation::Peer;
 use crate::prelude::*;
+use crate::util::bounded;
 
 /// A VM, with the time at which its entry was written.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +26,9 @@
     domain: DomainName,
     key: String,
     written_at_ms: u64,
+    /// Processor share; older builds do not write it.
+    #[serde(default, deserialize_with = "bounded::deserialize_count")]
+    millicores: Millicores,
 }
 
 /// Returns the key under which a VM is stored.
@@ -40,6 +44,7 @@
         domain: peer.domain.clone(),
         key: peer.key.clone(),
         written_at_ms: entry.written_at_ms,
+        millicores: peer.millicores,
     };
     serde_json::json!(stored).to_string().into_bytes()
 }
@@ -58,6 +63,7 @@
             domain: stored.domain,
             address: stored.address,
             key: stored.key,
+            millicores: stored.millicores,
         },
         written_at_ms: stored.written_at_ms,
     })
--- a/src/geraniummount/prelude.rs
+++ b/src/geraniummount/prelude.rs
@@ -4,8 +4,8 @@
 pub use crate::core::failure::Failure;
 pub use crate::core::holding::Holding;
 pub use crate::core::id::{
-    AttemptId, ChangeId, DomainName, Era, Generation, Incarnation, LeafName, RegionName, RequestId,
-    Revision, ServiceName, ShardName, SnapshotId, TenantName, VmName,
+    AttemptId, ChangeId, DomainName, Era, Generation, Incarnation, LeafName, Millicores,
+    RegionName, RequestId, Revision, ServiceName, ShardName, SnapshotId, TenantName, VmName,
 };
 pub use crate::core::leaf::Leaf;
 pub use crate::core::outcome::Outcome;
--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -21,6 +21,7 @@
         domain: domain.to_string(),
         address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7380),
         key: format!("key of {name}"),
+        millicores: 0,
     }
 }
 
@@ -305,6 +306,7 @@
         End::Forward(answer) if answer.status == 503 => Ended::Refused,
         End::Forward(_) => Ended::Forwarded,
         End::Refuse { .. } => Ended::Refused,
+        End::ServeHere { .. } => panic!("only offloaded requests are served here"),
         End::Fail => Ended::Failed,
         End::TimeOut => Ended::TimedOut,
     }
@@ -463,6 +465,7 @@
         Decline::NotReady,
         Decline::Outdated,
         Decline::Overloaded,
+        Decline::Busy,
         Decline::Stopping,
         Decline::Unauthorized,
     ];
--- a/tests/testsuite/delegation_fleet.rs
+++ b/tests/testsuite/delegation_fleet.rs
@@ -206,6 +206,7 @@
             domain: format!("domain-{}", vm / case.vms_per_domain),
             address: SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 7380),
             key: String::new(),
+            millicores: 0,
         };
         let peers = (0..count).map(|vm| {
             let rng = SmallRng::seed_from_u64(seed * 1_000 + vm as u64);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,6 +34,7 @@
 mod load_shedder;
 mod log_lines;
 mod node;
+mod offload;
 mod operators_listener;
 mod owner_failover;
 mod owner_links;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -9,6 +9,7 @@
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
+use geraniummount::prelude::*;
 use geraniummount_test_support::platform::users::caller::{Reply, Request};
 use geraniummount_test_support::platform::users::document::{self, Gather};
 pub use geraniummount_test_support::platform::users::document::{HOST, service_route};
@@ -66,6 +67,19 @@
         Fixture::start_with_times("near", store, address, linger, drain)
     }
 
+    /// Starts a gateway with a processor share, in failure domain `near`, that reaches the store at
+    /// `address`.
+    pub fn start_with_millicores(
+        store: Store,
+        address: SocketAddr,
+        millicores: Millicores,
+    ) -> Fixture {
+        let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
+        let mut options = Fixture::options("near", address, linger, drain);
+        options.millicores = millicores;
+        Fixture::start_by(options, store)
+    }
+
     fn start_with_times(
         domain: &str,
         store: Store,
@@ -73,17 +87,21 @@
         linger: Duration,
         drain: Duration,
     ) -> Fixture {
+        Fixture::start_by(Fixture::options(domain, address, linger, drain), store)
+    }
+
+    /// Returns the options of a new VM.
+    fn options(domain: &str, address: SocketAddr, linger: Duration, drain: Duration) -> Options {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
-        let peers_address = free_address_of(ip);
-        let options = Options {
+        Options {
             name: format!("vm{number}"),
             failure_domain: domain.to_string(),
             start: Start::First,
-            callers: free_address(),
-            ready: free_address(),
+            callers: free_address_of(ip),
+            ready: free_address_of(ip),
             metrics: None,
-            peer_listen: Some(peers_address),
+            peer_listen: Some(free_address_of(ip)),
             source: Some(ip),
             store: address,
             max_reply_bytes: 4 * 1024 * 1024,
@@ -97,10 +115,19 @@
             quota_window: Options::DEFAULT_QUOTA_WINDOW,
             quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
             cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+            millicores: 0,
             memory_bytes: None,
             max_descriptors: None,
-        };
+        }
+    }
+
+    /// Starts a gateway by its options.
+    fn start_by(options: Options, store: Store) -> Fixture {
         let (callers_address, ready_address) = (options.callers, options.ready);
+        let ip = options.source.expect("VMs of tests have an address each");
+        let peers_address = options
+            .peer_listen
+            .expect("VMs of tests accept requests of others");
         let gateway = Gateway::bind(options).unwrap();
         let sender = gateway.sender();
         let thread = std::thread::spawn(move || gateway.run().unwrap());
@@ -237,10 +264,8 @@
     Ipv4Addr::new(127, 192 + high % 32, low, last.max(1)).into()
 }
 
-fn free_address() -> SocketAddr {
-    free_address_of(Ipv4Addr::LOCALHOST.into())
-}
-
+/// Returns an address of a VM with a free port. The VM's IP address is its own, so that no connection
+/// of another test takes the port before the gateway listens.
 fn free_address_of(ip: IpAddr) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -17,6 +17,7 @@
 mod notice;
 mod odd_entries;
 mod odd_numbers;
+mod offload;
 mod older_routes;
 mod pause;
 mod reads;
