Share capacity by priority and tenant while leaves are short of it

Cause: under overload requests were served first come, first served, except that a share of the queries over many shards was shed. A tenant at several times its usual rate took the capacity of the others, and requests to one service were never shed.

Change: core::fair_share decides which requests are shed: by priority in strict order, between tenants max-min by weight, with a floor for each. Shortage measures by rejections and late answers what the leaves of a single service cannot take. Both are used only if the configuration names tenants; without them the load shedder decides as before.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -288,6 +288,11 @@
         self.overdue.take()
     }
 
+    /// Returns whether a leaf has rejected a part of the request as not run.
+    pub fn is_rejected(&self) -> bool {
+        self.shards.iter().any(|shard| shard.is_rejected)
+    }
+
     /// Returns the service and the leaf of each attempt without a reply.
     pub fn unanswered_attempts(&self) -> impl Iterator<Item = (&ServiceName, ReplicaKey)> {
         let shards = self.shards.iter();
--- a/src/geraniummount/core/load_shedder.rs
+++ b/src/geraniummount/core/load_shedder.rs
@@ -89,6 +89,17 @@
         self.shed_share >= MIN_SHED_SHARE
     }
 
+    /// Returns the share of the queries to shed now, from 0 to 1, for a caller that decides by itself
+    /// which ones these are.
+    pub fn share_to_shed(&mut self, now: Instant) -> f64 {
+        self.decay(now);
+        if self.is_shedding() {
+            self.shed_share
+        } else {
+            0.0
+        }
+    }
+
     /// Returns the share of the queries that is being shed, from 0 to 1.
     pub fn shed_share(&self) -> f64 {
         self.shed_share
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod duration_window;
 pub mod execution;
 pub mod failure;
+pub mod fair_share;
 pub mod fan_out;
 pub mod fingerprint;
 pub mod fleet;
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -9,7 +9,7 @@
 use super::caller::State;
 use super::calls::{CallState, ForwardedRequest};
 use super::delegation::CallerRequest;
-use super::load_shedding;
+use super::load_shedding::Overload;
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
@@ -146,10 +146,10 @@
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
-        if !self.admits(table, route, &plan) {
+        if let Err(overload) = self.check_load(table, route, access, &plan) {
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
-            return self.turn_away(&arrival, route, terms.as_ref());
+            return self.turn_away(&arrival, route, terms.as_ref(), &overload);
         }
         let earlier_crashes = match self.quarantine_admission(fingerprint) {
             Admission::Admitted(crashes) => crashes,
@@ -232,12 +232,18 @@
         });
     }
 
-    /// Rejects a query because leaves are overloaded.
-    fn turn_away(&mut self, arrival: &Arrival, route: &Route, terms: Option<&Terms>) {
+    /// Rejects a request because leaves are overloaded.
+    fn turn_away(
+        &mut self,
+        arrival: &Arrival,
+        route: &Route,
+        terms: Option<&Terms>,
+        overload: &Overload,
+    ) {
         let (key, id, route) = (arrival.key, &arrival.caller_fields.id, &route.name);
-        info!("request id={id} route={route} outcome=turned-away status=503");
+        let (wait, inputs) = (overload.retry_after(), overload.log_fields());
+        info!("request id={id} route={route} outcome=turned-away status=503{inputs}");
         self.metrics.count_answer("turned-away");
-        let wait = load_shedding::RETRY_AFTER;
         if let Some(terms) = terms {
             return self.decline(key, &terms.from, Decline::Overloaded, Some(wait));
         }
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -30,6 +30,7 @@
     pub(super) fn finish_call(&mut self, index: usize, end: End) {
         let state = self.calls.remove(index);
         self.count_crashes(&state);
+        self.record_service_end(&state, &end);
         let caller = state.caller;
         let outcome = match end {
             End::Gathered {
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -261,6 +261,7 @@
         }
         let state = self.calls.remove(index);
         self.count_crashes(&state);
+        self.record_caller_left(&state);
         let took = self
             .now
             .saturating_duration_since(state.started)
--- a/src/geraniummount/edge/gateway/load_shedding.rs
+++ b/src/geraniummount/edge/gateway/load_shedding.rs
@@ -8,14 +8,43 @@
 use log::info;
 
 use super::Gateway;
+use super::fair_share::{self, ShedRequest};
 use crate::core::call::Plan;
 use crate::core::load_shedder::LoadShedder;
 use crate::core::route::{Route, Table, Target};
+use crate::core::tenant::Access;
 use crate::prelude::*;
 
 /// `Retry-After` of a query that is shed: by then the leaves' queues are shorter, or another VM
 /// admits it.
-pub(super) const RETRY_AFTER: Duration = Duration::from_millis(60);
+const RETRY_AFTER: Duration = Duration::from_millis(60);
+
+/// Why a request is shed.
+#[derive(Debug)]
+pub(super) enum Overload {
+    /// A share of the queries is shed, whoever sends them.
+    Uniform,
+    /// The capacity is shared out by priority and tenant.
+    Shared(Box<ShedRequest>),
+}
+
+impl Overload {
+    /// Returns the delay after which the caller may retry.
+    pub(super) fn retry_after(&self) -> Duration {
+        match self {
+            Overload::Uniform => RETRY_AFTER,
+            Overload::Shared(shed) => shed.retry_after(),
+        }
+    }
+
+    /// Returns the log fields that give the inputs of the decision.
+    pub(super) fn log_fields(&self) -> String {
+        match self {
+            Overload::Uniform => String::new(),
+            Overload::Shared(shed) => shed.log_fields(),
+        }
+    }
+}
 
 /// Load shedder of the queries over one set of shards.
 #[derive(Debug)]
@@ -26,9 +55,30 @@
 }
 
 impl Gateway {
-    /// Returns whether a request is admitted. Only a gather, which is a query over many shards, is
-    /// ever shed.
-    pub(super) fn admits(&mut self, table: &Table, route: &Route, plan: &Plan) -> bool {
+    /// Decides whether a request is admitted. Without tenants, only a gather, which is a query over
+    /// many shards, is ever shed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is shed.
+    pub(super) fn check_load(
+        &mut self,
+        table: &Table,
+        route: &Route,
+        access: &Access,
+        plan: &Plan,
+    ) -> Result<(), Overload> {
+        if fair_share::is_enabled(table) {
+            let checked = self.check_fair_share(route, access, plan);
+            return checked.map_err(|shed| Overload::Shared(Box::new(shed)));
+        }
+        match self.admits(table, route, plan) {
+            true => Ok(()),
+            false => Err(Overload::Uniform),
+        }
+    }
+
+    fn admits(&mut self, table: &Table, route: &Route, plan: &Plan) -> bool {
         let is_urgent = is_urgent(table, route);
         let now = self.now;
         let Some(shard) = plan.services.first().filter(|_| plan.is_gather()) else {
@@ -57,7 +107,7 @@
     }
 
     /// Returns the load shedder of the set that begins with a shard, created on first use.
-    fn shedder_mut(&mut self, shard: &ServiceName) -> &mut LoadShedder {
+    pub(super) fn shedder_mut(&mut self, shard: &ServiceName) -> &mut LoadShedder {
         let now = self.now;
         let index = self
             .shedders
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -11,6 +11,7 @@
 };
 
 use self::gauges::Gauges;
+use crate::core::fair_share::Cause;
 use crate::util::logger;
 
 /// Upper bounds of the histogram buckets of response times.
@@ -18,6 +19,9 @@
     0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.16, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0,
 ];
 
+/// Greatest priority that has a label of its own, which bounds the number of labels.
+const MAX_LABELLED_PRIORITY: u32 = 9;
+
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub(super) struct Metrics {
@@ -33,6 +37,8 @@
     delegations: IntCounterVec,
     /// Requests of other VMs, by whether they were served or why not.
     peer_requests: IntCounterVec,
+    /// Requests that were shed in deployments with tenants, by priority and cause.
+    shed: IntCounterVec,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
@@ -55,7 +61,7 @@
             &registry,
             "gateway_limited_attempts_total",
             "Attempts at leaves that limit the requests of all VMs together.",
-            "kind",
+            &["kind"],
         );
         let delegations = counter_by_outcome(
             &registry,
@@ -67,6 +73,12 @@
             "gateway_peer_requests_total",
             "Requests of other VMs by whether they were served.",
         );
+        let shed = counter_by(
+            &registry,
+            "gateway_shed_total",
+            "Requests shed by priority and tenant.",
+            &["priority", "cause"],
+        );
         let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
         let answer_seconds =
             Histogram::with_opts(options.buckets(LATENCY_BUCKETS_SECONDS.to_vec()));
@@ -91,6 +103,7 @@
             limited_attempts,
             delegations,
             peer_requests,
+            shed,
         }
     }
 }
@@ -121,6 +134,15 @@
         self.peer_requests.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn count_shed(&self, priority: u32, cause: Cause) {
+        let priority = match priority {
+            0..=MAX_LABELLED_PRIORITY => priority.to_string(),
+            _ => format!("over-{MAX_LABELLED_PRIORITY}"),
+        };
+        let labels = [priority.as_str(), cause.as_str()];
+        self.shed.with_label_values(&labels).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn encode(&self) -> Vec<u8> {
         let suppressed = i64::try_from(logger::suppressed_lines()).unwrap_or(i64::MAX);
@@ -140,11 +162,11 @@
 }
 
 fn counter_by_outcome(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
-    counter_by(registry, name, help, "outcome")
+    counter_by(registry, name, help, &["outcome"])
 }
 
-fn counter_by(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
+fn counter_by(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels);
     let counters = counters.expect("metric names should be valid constants");
     register(registry, Box::new(counters.clone()));
     counters
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! A request passes through five steps: [`caller`] reads it, [`admission`] learns from
 //! `core::delegation` who handles it, finds its route and plans its call, `core::call` decides to
 //! which leaves it is sent, [`pool`] and [`leaf`] exchange it with those leaves, and [`answer`] writes
-//! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded,
+//! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded, which
+//! [`fair_share`] does by priority and tenant if there are tenants,
 //! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
 //! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
@@ -28,6 +29,7 @@
 mod crashes;
 mod datagrams;
 mod delegation;
+mod fair_share;
 mod fleet;
 mod leaf;
 mod leaf_links;
@@ -68,6 +70,7 @@
 use self::calls::CallState;
 use self::datagrams::Datagrams;
 use self::delegation::Delegation;
+use self::fair_share::Contention;
 use self::fleet::Fleet;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
@@ -138,6 +141,8 @@
     datagrams: Datagrams,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
+    /// Competition of tenants for each service and set of shards, sorted by these.
+    contentions: Vec<Contention>,
     /// Connection that checks whether the store is reachable, and when it was begun.
     store_check: Option<(TcpStream, Instant)>,
     /// Detects that this VM was stalled.
@@ -207,6 +212,7 @@
             leaf_links: LeafLinks::default(),
             links_wake_at: None,
             shedders: Vec::new(),
+            contentions: Vec::new(),
             store_check: None,
             stall: StallDetector::new(),
             stop: None,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod delegation;
 mod delegation_fleet;
 mod delegation_routes;
+mod fair_share;
 mod fan_out;
 mod fan_out_failures;
 mod fixtures;
