--- a/tests/testsuite/fair_share.rs
+++ b/tests/testsuite/fair_share.rs
@@ -189,14 +189,14 @@
     min_first: f64,
 }
 
-#[test]
-fn fair_share_serves_high_priorities_first_and_starves_none() {
+/// Returns loads with several priorities.
+fn priority_cases() -> [PriorityCase; 4] {
     let kinds = |rates: [(f64, f64); 3]| {
         let streams = rates.iter().enumerate();
         let streams = streams.map(|(kind, rates)| stream(kind as u32, 0, rates.0, rates.1));
         streams.collect::<Vec<Stream>>()
     };
-    let cases = [
+    [
         PriorityCase {
             load: Load {
                 name: "three priorities at 150% of capacity",
@@ -237,8 +237,12 @@
             policy: Policy::KnownShare,
             min_first: 0.75,
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn fair_share_serves_high_priorities_first_and_starves_none() {
+    for case in priority_cases() {
         let PriorityCase {
             load,
             policy,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -6,6 +6,7 @@
 mod delegation;
 mod deployment;
 mod endless;
+mod fair_share;
 mod fixture;
 mod formats;
 mod isolation;
