Check a configuration document before it is sent

Cause: a document that can be read may name a service that does not exist or contain a route that no request reaches, and only callers notice.

Change: core::config_check, and the subcommand check-routes with text and JSON output. Errors exit with 3 as other invalid input does, warnings with the new code 11.

--- a/src/bin/geraniummount/cli.rs
+++ b/src/bin/geraniummount/cli.rs
@@ -5,7 +5,8 @@
 use geraniummount::ops::exit::Exit;
 
 use crate::commands::{
-    apply, check, delete, dump, gateway, get, load, query, serve, status, trace, watch,
+    apply, check, check_routes, delete, dump, gateway, get, load, query, serve, status, trace,
+    watch,
 };
 
 const AFTER_HELP: &str = "\
@@ -21,6 +22,7 @@
   8   failed; it may have run
   9   there is no such resource
   10  it ran, but the answer was lost
+  11  the input is valid, but has warnings
 
 First steps:
   geraniummount check --settings a1.ini      check a settings file
@@ -44,6 +46,8 @@
     Gateway(gateway::Args),
     /// Check a settings file as serve would
     Check(check::Args),
+    /// Check the configuration document of gateways before it is sent
+    CheckRoutes(check_routes::Args),
     /// Declare the resources in a file
     Apply(apply::Args),
     /// Show one resource, or all of a kind
@@ -71,6 +75,7 @@
             Command::Serve(args) => args.exec(),
             Command::Gateway(args) => args.exec(),
             Command::Check(args) => args.exec(),
+            Command::CheckRoutes(args) => args.exec(),
             Command::Apply(args) => args.exec(),
             Command::Get(args) => args.exec(),
             Command::Watch(args) => args.exec(),
--- a/src/bin/geraniummount/commands/mod.rs
+++ b/src/bin/geraniummount/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod apply;
 pub mod caller;
 pub mod check;
+pub mod check_routes;
 pub mod delete;
 pub mod dump;
 pub mod gateway;
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod concurrency;
 pub mod config;
+pub mod config_check;
 pub mod connection_share;
 pub mod coverage;
 pub mod delegation;
--- a/src/geraniummount/core/route/table.rs
+++ b/src/geraniummount/core/route/table.rs
@@ -114,4 +114,9 @@
     pub fn routes(&self) -> &[Route] {
         &self.routes
     }
+
+    /// Returns all services, sorted by name.
+    pub fn services(&self) -> &[Backend] {
+        &self.services
+    }
 }
--- a/src/geraniummount/core/tenant/directory.rs
+++ b/src/geraniummount/core/tenant/directory.rs
@@ -87,6 +87,13 @@
         Some(&self.tenants[index])
     }
 
+    /// Returns the digests of a tenant's keys, sorted.
+    pub fn keys_of(&self, name: &str) -> impl Iterator<Item = KeyDigest> {
+        let keys = self.keys.iter();
+        keys.filter(move |(_, tenant)| tenant.name == name)
+            .map(|(key, _)| *key)
+    }
+
     /// Decides whose request it is.
     ///
     /// # Errors
--- a/src/geraniummount/ops/apply.rs
+++ b/src/geraniummount/ops/apply.rs
@@ -152,7 +152,7 @@
 /// concern just this resource or the outcome of the change is unknown.
 fn is_fatal(report: &Report<Exit>) -> bool {
     match report.current_context() {
-        Exit::Invalid | Exit::Conflict | Exit::NotFound => false,
+        Exit::Invalid | Exit::Conflict | Exit::NotFound | Exit::Warned => false,
         Exit::Other
         | Exit::Usage
         | Exit::Unreachable
@@ -186,7 +186,12 @@
         Exit::Undecided => "undecided",
         Exit::NotRun => "refused",
         Exit::Unreachable => "not sent",
-        Exit::Other | Exit::Usage | Exit::MayHaveRun | Exit::NotFound | Exit::Ran => "failed",
+        Exit::Other
+        | Exit::Usage
+        | Exit::MayHaveRun
+        | Exit::NotFound
+        | Exit::Ran
+        | Exit::Warned => "failed",
     }
 }
 
--- a/src/geraniummount/ops/exit.rs
+++ b/src/geraniummount/ops/exit.rs
@@ -28,6 +28,8 @@
     NotFound,
     /// The request ran, but its response was lost.
     Ran,
+    /// The input is valid, but a part of it has no effect or is probably a mistake.
+    Warned,
 }
 
 impl Exit {
@@ -44,6 +46,7 @@
             Exit::MayHaveRun => 8,
             Exit::NotFound => 9,
             Exit::Ran => 10,
+            Exit::Warned => 11,
         }
     }
 }
@@ -61,6 +64,7 @@
             Exit::MayHaveRun => "failed; it may have run",
             Exit::NotFound => "there is no such resource",
             Exit::Ran => "it ran, but the answer was lost",
+            Exit::Warned => "the input is valid, but has warnings",
         })
     }
 }
--- a/src/geraniummount/ops/mod.rs
+++ b/src/geraniummount/ops/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod check_routes;
 pub mod control;
 pub mod delete;
 pub mod dump;
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 
+use crate::core::config_check::Candidate;
 use crate::core::route::{
     Backend, Gather, Limits, Repeat, Route, Table, Target, WarmUp, WeightedService,
 };
@@ -154,7 +155,19 @@
 ///
 /// Returns an error if the document is not valid. The previous configuration then stays in use.
 pub fn read(value: &[u8]) -> Result<Table, serde_json::Error> {
+    Ok(read_candidate(value)?.table)
+}
+
+/// Parses a document that is to be checked, with what its table does not show.
+///
+/// # Errors
+///
+/// Returns an error if the document is not valid.
+pub fn read_candidate(value: &[u8]) -> Result<Candidate, serde_json::Error> {
     let document: Document = serde_json::from_slice(value)?;
+    let has_idle_burst = |entry: &&TenantEntry| entry.rate_per_s == 0.0 && entry.burst > 0.0;
+    let bursts = document.tenants.iter().filter(has_idle_burst);
+    let bursts_without_rate = bursts.map(|entry| entry.name.clone()).collect();
     let routes: Result<Vec<Route>, _> = document.routes.into_iter().map(route).collect();
     let services = document.services.into_iter().map(service);
     let services: Result<Vec<Backend>, _> = services.collect();
@@ -167,7 +180,10 @@
         idle_timeout: document.limits.idle_timeout,
     };
     let table = Table::new(document.version, limits, routes?, services?);
-    Ok(table.with_tenants(tenants))
+    Ok(Candidate {
+        table: table.with_tenants(tenants),
+        bursts_without_rate,
+    })
 }
 
 fn service(entry: ServiceEntry) -> Result<Backend, serde_json::Error> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod call_not_run;
 mod callers_listener;
 mod command_line;
+mod config_check;
 mod connection_share;
 mod control_change_log;
 mod control_claims;
