Do not quote keys in the errors of the configuration parser

Cause: for apiKeys of a wrong type the derived parser quoted the value (invalid type: string "key-secret"), and gateways log that error.

Change: apiKeys is read as any value first, and the error says only what is expected. The differences of check-routes name the numbers of keys in a form that is right for one key, too.

--- a/src/geraniummount/core/config_check/difference.rs
+++ b/src/geraniummount/core/config_check/difference.rs
@@ -159,6 +159,6 @@
     ];
     let changes = changes.iter().filter(|(count, _)| *count > 0);
     changes
-        .map(|(count, how)| format!("{count} keys {how}"))
+        .map(|(count, how)| format!("keys {how}: {count}"))
         .collect()
 }
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 use crate::core::config_check::Candidate;
 use crate::core::route::{
@@ -108,7 +108,7 @@
 #[serde(rename_all = "camelCase")]
 struct TenantEntry {
     name: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_keys")]
     api_keys: Vec<String>,
     /// Priority under overload, which replaces that of the route; 0 is the highest.
     #[serde(default)]
@@ -124,6 +124,15 @@
     allowed_regions: Vec<RegionName>,
 }
 
+/// Deserializes a list of keys. The errors of the derived code quote the value, and are logged.
+fn deserialize_keys<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<String>, D::Error> {
+    let value = serde_json::Value::deserialize(deserializer)?;
+    let text = |key: &serde_json::Value| key.as_str().map(str::to_string);
+    let keys = value.as_array().map(|keys| keys.iter().map(text).collect());
+    keys.flatten()
+        .ok_or_else(|| serde::de::Error::custom("apiKeys is not a list of strings"))
+}
+
 fn default_health_path() -> String {
     "/".to_string()
 }
