--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -26,19 +26,19 @@
     "contract": {"slots": 2, "connections": 25, "open_ms": 6}}}"#;
 
 /// Directory with the files of one test, which is removed at the end of the test.
-struct TestDir {
+pub struct TestDir {
     path: PathBuf,
 }
 
 impl TestDir {
-    fn new(test: &str) -> TestDir {
+    pub fn new(test: &str) -> TestDir {
         let name = format!("geraniummount-{test}-{}", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&path).expect("create the test directory");
         TestDir { path }
     }
 
-    fn write(&self, name: &str, text: &str) {
+    pub fn write(&self, name: &str, text: &str) {
         std::fs::write(self.path.join(name), text).expect("write the test file");
     }
 }
@@ -51,14 +51,14 @@
 }
 
 /// Invocation of the binary, with its exit code and a part of its output.
-struct Case {
-    name: &'static str,
-    args: &'static [&'static str],
-    code: i32,
-    expected_output: &'static str,
+pub struct Case {
+    pub name: &'static str,
+    pub args: &'static [&'static str],
+    pub code: i32,
+    pub expected_output: &'static str,
 }
 
-fn check(dir: &TestDir, server: &str, cases: &[Case]) {
+pub fn check(dir: &TestDir, server: &str, cases: &[Case]) {
     for case in cases {
         let output = Command::new(BINARY)
             .args(case.args)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod call;
 mod call_not_run;
 mod callers_listener;
+mod check_routes;
 mod command_line;
 mod config_check;
 mod connection_share;
