--- a/tests/testsuite/config_check.rs
+++ b/tests/testsuite/config_check.rs
@@ -40,139 +40,151 @@
     config_check::check(&read(document), in_force.as_ref(), &regions)
 }
 
-/// A change of the valid document, with the only finding that it causes.
+/// A change of the valid document, with the finding that it causes.
 struct Case {
     kind: Kind,
     object: &'static str,
-    /// Changed value, by its JSON pointer.
-    change: (&'static str, Value),
+    /// Changed value in JSON, by its pointer.
+    change: (&'static str, &'static str),
 }
 
-fn cases() -> Vec<Case> {
-    let case = |kind, object, pointer, value| Case {
-        kind,
-        object,
-        change: (pointer, value),
-    };
-    let second_s2 = json!([{"name": "s1", "maxConns": 8}, {"name": "s2", "maxConns": 8},
-                           {"name": "s2", "maxConns": 9}]);
-    let third_service = json!([{"name": "s1", "maxConns": 8}, {"name": "s2", "maxConns": 8},
-                               {"name": "s3", "maxConns": 8}]);
-    let no_weights = json!([{"backend": "s1", "weight": 0.0}]);
-    let no_weight = json!([{"backend": "s1", "weight": 1}, {"backend": "s2", "weight": 0}]);
-    vec![
-        case(Kind::RepeatedService, "service s2", "/services", second_s2),
-        case(
-            Kind::UnknownService,
-            "route r1",
-            "/routes/0/backend",
-            json!("s9"),
-        ),
-        case(Kind::EmptyGather, "route r2", "/routes/1/gather", json!([])),
-        case(
-            Kind::RepeatedShard,
-            "route r2",
-            "/routes/1/gather",
-            json!(["s1", "s2", "s2"]),
-        ),
-        case(
-            Kind::CoverageOutOfRange,
-            "route r2",
-            "/routes/1/minCoverage",
-            json!(1.01),
-        ),
-        case(
-            Kind::CoverageOutOfRange,
-            "route r2",
-            "/routes/1/minCoverage",
-            json!(-0.1),
+const CASES: &[Case] = &[
+    Case {
+        kind: Kind::RepeatedService,
+        object: "service s2",
+        change: (
+            "/services",
+            r#"[{"name": "s1", "maxConns": 8},
+            {"name": "s2", "maxConns": 8},
+            {"name": "s2", "maxConns": 9}]"#,
         ),
-        case(Kind::NoRecords, "route r2", "/routes/1/topK", json!(0)),
-        case(Kind::NoAttempts, "route r3", "/routes/2/attempts", json!(0)),
-        case(
-            Kind::SplitWithoutWeight,
-            "route r3",
+    },
+    Case {
+        kind: Kind::UnknownService,
+        object: "route r1",
+        change: ("/routes/0/backend", r#""s9""#),
+    },
+    Case {
+        kind: Kind::EmptyGather,
+        object: "route r2",
+        change: ("/routes/1/gather", r#"[]"#),
+    },
+    Case {
+        kind: Kind::RepeatedShard,
+        object: "route r2",
+        change: ("/routes/1/gather", r#"["s1", "s2", "s2"]"#),
+    },
+    Case {
+        kind: Kind::CoverageOutOfRange,
+        object: "route r2",
+        change: ("/routes/1/minCoverage", r#"1.01"#),
+    },
+    Case {
+        kind: Kind::CoverageOutOfRange,
+        object: "route r2",
+        change: ("/routes/1/minCoverage", r#"-0.1"#),
+    },
+    Case {
+        kind: Kind::NoRecords,
+        object: "route r2",
+        change: ("/routes/1/topK", r#"0"#),
+    },
+    Case {
+        kind: Kind::NoAttempts,
+        object: "route r3",
+        change: ("/routes/2/attempts", r#"0"#),
+    },
+    Case {
+        kind: Kind::SplitWithoutWeight,
+        object: "route r3",
+        change: (
             "/routes/2/trafficSplit",
-            no_weights,
-        ),
-        case(
-            Kind::RepeatedPrefix,
-            "route r2",
-            "/routes/1/prefix",
-            json!("/a/"),
-        ),
-        case(
-            Kind::MalformedPrefix,
-            "route r1",
-            "/routes/0/prefix",
-            json!("/a"),
+            r#"[{"backend": "s1", "weight": 0}]"#,
         ),
-        case(
-            Kind::MalformedPrefix,
-            "route r1",
-            "/routes/0/prefix",
-            json!("a/"),
-        ),
-        case(
-            Kind::PartWithoutWeight,
-            "route r3",
+    },
+    Case {
+        kind: Kind::RepeatedPrefix,
+        object: "route r2",
+        change: ("/routes/1/prefix", r#""/a/""#),
+    },
+    Case {
+        kind: Kind::MalformedPrefix,
+        object: "route r1",
+        change: ("/routes/0/prefix", r#""/a""#),
+    },
+    Case {
+        kind: Kind::MalformedPrefix,
+        object: "route r1",
+        change: ("/routes/0/prefix", r#""a/""#),
+    },
+    Case {
+        kind: Kind::PartWithoutWeight,
+        object: "route r3",
+        change: (
             "/routes/2/trafficSplit",
-            no_weight,
+            r#"[{"backend": "s1", "weight": 1}, {"backend": "s2", "weight": 0}]"#,
         ),
-        case(
-            Kind::UnusedService,
-            "service s3",
+    },
+    Case {
+        kind: Kind::UnusedService,
+        object: "service s3",
+        change: (
             "/services",
-            third_service,
-        ),
-        case(
-            Kind::TenantWithoutKeys,
-            "tenant t2",
-            "/tenants/1/apiKeys",
-            json!([]),
-        ),
-        case(
-            Kind::NoDomainInRegions,
-            "route r2",
-            "/routes/1/allowedRegions",
-            json!(["east"]),
-        ),
-        case(
-            Kind::NoDomainInRegions,
-            "tenant t2",
-            "/tenants/1/allowedRegions",
-            json!(["east"]),
-        ),
-        case(
-            Kind::TargetOverTimeout,
-            "route r1",
-            "/routes/0/targetLatencyMs",
-            json!(901),
-        ),
-        case(
-            Kind::BurstWithoutRate,
-            "tenant t1",
-            "/tenants/0/ratePerS",
-            json!(0),
-        ),
-        case(Kind::NoBody, "limits", "/limits/maxBodyBytes", json!(0)),
-        case(
-            Kind::WarmUpWithoutSlowStart,
-            "service s1",
-            "/services/0/slowStartS",
-            json!(0),
+            r#"[{"name": "s1", "maxConns": 8},
+            {"name": "s2", "maxConns": 8},
+            {"name": "s3", "maxConns": 8}]"#,
         ),
-    ]
+    },
+    Case {
+        kind: Kind::TenantWithoutKeys,
+        object: "tenant t2",
+        change: ("/tenants/1/apiKeys", r#"[]"#),
+    },
+    Case {
+        kind: Kind::NoDomainInRegions,
+        object: "route r2",
+        change: ("/routes/1/allowedRegions", r#"["east"]"#),
+    },
+    Case {
+        kind: Kind::NoDomainInRegions,
+        object: "tenant t2",
+        change: ("/tenants/1/allowedRegions", r#"["east"]"#),
+    },
+    Case {
+        kind: Kind::TargetOverTimeout,
+        object: "route r1",
+        change: ("/routes/0/targetLatencyMs", r#"901"#),
+    },
+    Case {
+        kind: Kind::BurstWithoutRate,
+        object: "tenant t1",
+        change: ("/tenants/0/ratePerS", r#"0"#),
+    },
+    Case {
+        kind: Kind::NoBody,
+        object: "limits",
+        change: ("/limits/maxBodyBytes", r#"0"#),
+    },
+    Case {
+        kind: Kind::WarmUpWithoutSlowStart,
+        object: "service s1",
+        change: ("/services/0/slowStartS", r#"0"#),
+    },
+];
+
+/// Returns the valid document with one value replaced.
+fn changed(version: u64, (pointer, value): (&str, &str)) -> Value {
+    let mut document = valid();
+    document["version"] = json!(version);
+    *document.pointer_mut(pointer).unwrap() = serde_json::from_str(value).unwrap();
+    document
 }
 
 #[test]
 fn config_check_reports_each_fault_of_a_document() {
     assert_eq!(check(&valid(), None), []);
-    for case in cases() {
-        let mut document = valid();
-        let (pointer, value) = &case.change;
-        *document.pointer_mut(pointer).unwrap() = value.clone();
-        let findings = check(&document, None);
+    for case in CASES {
+        let findings = check(&changed(7, case.change), None);
         let is_expected =
             |finding: &Finding| finding.kind == case.kind && finding.object == case.object;
         assert!(
@@ -203,74 +215,78 @@
 
 /// A change to the version in force, with the findings that it causes.
 struct Difference {
-    change: (&'static str, Value),
+    change: (&'static str, &'static str),
     expected: &'static [(Kind, &'static str, &'static str)],
 }
 
+const DIFFERENCES: &[Difference] = &[
+    Difference {
+        change: ("/version", r#"7"#),
+        expected: &[(
+            Kind::VersionNotHigher,
+            "document",
+            "version 7 is not higher than 7, which is in force; raise it",
+        )],
+    },
+    Difference {
+        change: ("/version", r#"8"#),
+        expected: &[],
+    },
+    Difference {
+        change: ("/routes/0/timeoutMs", r#"800"#),
+        expected: &[(Kind::Changed, "route r1", "timeoutMs changed")],
+    },
+    Difference {
+        change: ("/routes/0/name", r#""r9""#),
+        expected: &[
+            (Kind::Added, "route r9", "added"),
+            (Kind::Removed, "route r1", "removed"),
+        ],
+    },
+    Difference {
+        change: ("/services/1/maxConns", r#"9"#),
+        expected: &[(Kind::Changed, "service s2", "maxConns changed")],
+    },
+    Difference {
+        change: ("/limits/maxBodyBytes", r#"9"#),
+        expected: &[(Kind::Changed, "limits", "changed")],
+    },
+    Difference {
+        change: ("/tenants/1/apiKeys", r#"["key-other"]"#),
+        expected: &[(Kind::Changed, "tenant t2", "keys added: 1, keys removed: 1")],
+    },
+    Difference {
+        change: (
+            "/tenants",
+            r#"[{"name": "t1", "apiKeys": ["key-one", "key-new", "key-newer"]},
+            {"name": "t3", "apiKeys": ["key-three"]}]"#,
+        ),
+        expected: &[
+            (
+                Kind::Changed,
+                "tenant t1",
+                "ratePerS or burst changed, keys added: 2",
+            ),
+            (Kind::Added, "tenant t3", "added"),
+            (Kind::Removed, "tenant t2", "removed"),
+        ],
+    },
+];
+
 #[test]
 fn config_check_lists_differences_and_keys_only_by_number() {
-    let renamed = json!([{"name": "t1", "apiKeys": ["key-one", "key-new", "key-newer"]},
-                         {"name": "t3", "apiKeys": ["key-three"]}]);
-    let cases = [
-        Difference {
-            change: ("/version", json!(7)),
-            expected: &[(
-                Kind::VersionNotHigher,
-                "document",
-                "version 7 is not higher than 7, which is in force; raise it",
-            )],
-        },
-        Difference {
-            change: ("/version", json!(8)),
-            expected: &[],
-        },
-        Difference {
-            change: ("/routes/0/timeoutMs", json!(800)),
-            expected: &[(Kind::Changed, "route r1", "timeoutMs changed")],
-        },
-        Difference {
-            change: ("/routes/0/name", json!("r9")),
-            expected: &[
-                (Kind::Added, "route r9", "added"),
-                (Kind::Removed, "route r1", "removed"),
-            ],
-        },
-        Difference {
-            change: ("/services/1/maxConns", json!(9)),
-            expected: &[(Kind::Changed, "service s2", "maxConns changed")],
-        },
-        Difference {
-            change: ("/limits/maxBodyBytes", json!(9)),
-            expected: &[(Kind::Changed, "limits", "changed")],
-        },
-        Difference {
-            change: ("/tenants/1/apiKeys", json!(["key-other"])),
-            expected: &[(Kind::Changed, "tenant t2", "keys added: 1, keys removed: 1")],
-        },
-        Difference {
-            change: ("/tenants", renamed),
-            expected: &[
-                (
-                    Kind::Changed,
-                    "tenant t1",
-                    "ratePerS or burst changed, keys added: 2",
-                ),
-                (Kind::Added, "tenant t3", "added"),
-                (Kind::Removed, "tenant t2", "removed"),
-            ],
-        },
-    ];
-    for case in cases {
-        let mut document = valid();
-        document["version"] = json!(8);
-        let (pointer, value) = &case.change;
-        *document.pointer_mut(pointer).unwrap() = value.clone();
-        let findings = check(&document, Some(&valid()));
+    for case in DIFFERENCES {
+        let findings = check(&changed(8, case.change), Some(&valid()));
         let found = findings.iter().map(|finding| {
             let (object, message) = (finding.object.as_str(), finding.message.as_str());
             (finding.kind, object, message)
         });
-        assert_eq!(found.collect::<Vec<_>>(), case.expected, "{pointer}");
+        assert_eq!(
+            found.collect::<Vec<_>>(),
+            case.expected,
+            "{:?}",
+            case.change
+        );
         let shown = format!("{findings:?}");
         for key in ["key-one", "key-two", "key-new", "key-other"] {
             let digest = KeyDigest::of(key.as_bytes()).to_string();
