--- a/src/geraniummount/core/config_check/difference.rs
+++ b/src/geraniummount/core/config_check/difference.rs
@@ -108,23 +108,23 @@
         ("target", old.target != new.target),
         ("type", old.repeat != new.repeat),
         ("attempts", old.max_attempts != new.max_attempts),
-        ("timeoutMs", old.timeout != new.timeout),
-        ("targetLatencyMs", old.target_latency != new.target_latency),
+        ("timeout", old.timeout != new.timeout),
+        ("target latency", old.target_latency != new.target_latency),
         ("priority", old.priority != new.priority),
         (
-            "allowAnonymous",
+            "anonymous requests",
             old.allows_anonymous != new.allows_anonymous,
         ),
-        ("allowedRegions", old.regions != new.regions),
+        ("regions", old.regions != new.regions),
     ];
     changed(&fields)
 }
 
 fn service_changes(old: &Backend, new: &Backend) -> Vec<String> {
     let fields = [
-        ("maxConns", old.max_connections != new.max_connections),
-        ("healthPath", old.health_path != new.health_path),
-        ("slowStartS or warmupPerS", old.warm_up != new.warm_up),
+        ("connections", old.max_connections != new.max_connections),
+        ("health path", old.health_path != new.health_path),
+        ("slow start or warm-up rate", old.warm_up != new.warm_up),
     ];
     changed(&fields)
 }
@@ -132,8 +132,8 @@
 fn tenant_changes(old: &Tenant, new: &Tenant) -> Vec<String> {
     let fields = [
         ("priority", old.priority != new.priority),
-        ("ratePerS or burst", old.quota != new.quota),
-        ("allowedRegions", old.regions != new.regions),
+        ("rate or burst", old.quota != new.quota),
+        ("regions", old.regions != new.regions),
     ];
     changed(&fields)
 }
--- a/src/geraniummount/core/config_check/routes.rs
+++ b/src/geraniummount/core/config_check/routes.rs
@@ -37,7 +37,7 @@
         }
     }
     if route.max_attempts == 0 {
-        let message = "attempts is 0; use 1 or more".to_string();
+        let message = "the number of attempts is 0; use 1 or more".to_string();
         add(Kind::NoAttempts, message);
     }
     match &route.target {
@@ -67,11 +67,15 @@
         add(Kind::RepeatedShard, message);
     }
     if !(0.0..=1.0).contains(&gather.min_coverage) {
-        let message = format!("minCoverage is {}; use 0 to 1", gather.min_coverage);
+        let message = format!(
+            "the minimum coverage is {}; use 0 to 1",
+            gather.min_coverage
+        );
         add(Kind::CoverageOutOfRange, message);
     }
     if gather.top_k == 0 {
-        let message = "topK is 0 or missing, so answers have no records; use 1 or more".to_string();
+        let message =
+            "the number of records in an answer is 0 or missing; use 1 or more".to_string();
         add(Kind::NoRecords, message);
     }
 }
--- a/src/geraniummount/core/config_check/unreachable.rs
+++ b/src/geraniummount/core/config_check/unreachable.rs
@@ -96,8 +96,7 @@
     };
     if !regions.iter().any(|(_, region)| allowed.contains(region)) {
         let listed = allowed.join(", ");
-        let message =
-            format!("no failure domain is in its allowedRegions ({listed}); correct them");
+        let message = format!("no failure domain is in its regions ({listed}); correct them");
         let object = format!("{what} {name}");
         findings.push(Finding::new(Kind::NoDomainInRegions, object, message));
     }
