--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
+use crate::core::config_check::Candidate;
 use crate::core::route::{
     Backend, Gather, Limits, Repeat, Route, Table, Target, WarmUp, WeightedService,
 };
@@ -107,7 +108,7 @@
 #[serde(rename_all = "camelCase")]
 struct TenantEntry {
     name: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_keys")]
     api_keys: Vec<String>,
     /// Priority under overload, which replaces that of the route; 0 is the highest.
     #[serde(default)]
@@ -123,6 +124,15 @@
     allowed_regions: Vec<RegionName>,
 }
 
+/// Deserializes a list of keys. The errors of the derived code quote the value, and are logged.
+fn deserialize_keys<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<String>, D::Error> {
+    let value = serde_json::Value::deserialize(deserializer)?;
+    let text = |key: &serde_json::Value| key.as_str().map(str::to_string);
+    let keys = value.as_array().map(|keys| keys.iter().map(text).collect());
+    keys.flatten()
+        .ok_or_else(|| serde::de::Error::custom("apiKeys is not a list of strings"))
+}
+
 fn default_health_path() -> String {
     "/".to_string()
 }
@@ -154,7 +164,19 @@
 ///
 /// Returns an error if the document is not valid. The previous configuration then stays in use.
 pub fn read(value: &[u8]) -> Result<Table, serde_json::Error> {
+    Ok(read_candidate(value)?.table)
+}
+
+/// Parses a document that is to be checked, with what its table does not show.
+///
+/// # Errors
+///
+/// Returns an error if the document is not valid.
+pub fn read_candidate(value: &[u8]) -> Result<Candidate, serde_json::Error> {
     let document: Document = serde_json::from_slice(value)?;
+    let has_idle_burst = |entry: &&TenantEntry| entry.rate_per_s == 0.0 && entry.burst > 0.0;
+    let bursts = document.tenants.iter().filter(has_idle_burst);
+    let bursts_without_rate = bursts.map(|entry| entry.name.clone()).collect();
     let routes: Result<Vec<Route>, _> = document.routes.into_iter().map(route).collect();
     let services = document.services.into_iter().map(service);
     let services: Result<Vec<Backend>, _> = services.collect();
@@ -167,7 +189,10 @@
         idle_timeout: document.limits.idle_timeout,
     };
     let table = Table::new(document.version, limits, routes?, services?);
-    Ok(table.with_tenants(tenants))
+    Ok(Candidate {
+        table: table.with_tenants(tenants),
+        bursts_without_rate,
+    })
 }
 
 fn service(entry: ServiceEntry) -> Result<Backend, serde_json::Error> {
