--- a/tests/testsuite/fair_share.rs
+++ b/tests/testsuite/fair_share.rs
@@ -150,15 +150,16 @@
     }
 }
 
-#[test]
-fn fair_share_of_a_bursting_tenant_leaves_the_others_theirs() {
+/// Replays a tenant that sends at 7.5 times its usual rate beside 80 others, while the capacity is
+/// half of the demand. The others have to get at least 0.85 of their requests.
+fn check_burst(usual: f64, burst: f64) {
     let mut streams: Vec<Stream> = (1..=80)
         .map(|tenant| {
             let rate = if tenant <= 10 { 1.7 } else { 0.243 };
             stream(1, tenant, rate, rate)
         })
         .collect();
-    streams.push(stream(1, 0, 8.0, 60.0));
+    streams.push(stream(1, 0, usual, burst));
     let load = Load {
         name: "one tenant at 7.5 times its usual rate",
         vms: 1,
@@ -181,6 +182,17 @@
     check_minimum(&load, &after);
 }
 
+#[test]
+fn fair_share_of_a_bursting_tenant_leaves_the_others_theirs() {
+    check_burst(8.0, 60.0);
+}
+
+/// The smaller the tenant, the longer it takes to tell its burst from chance.
+#[test]
+fn fair_share_of_a_smaller_bursting_tenant_leaves_the_others_theirs() {
+    check_burst(6.0, 45.0);
+}
+
 /// Load of which some priorities have to be served nearly completely.
 struct PriorityCase {
     load: Load,
