Confirm that keys may still be used before requests with them run

Cause: a VM that is cut off from the store, frozen or turned away goes on serving keys that the operator has revoked.

Change: core::key_lease keeps confirmations that the configuration in force was the newest, counted from the begin of the call. A request with a key needs one that is at most revoke_ms old, by a clock that counts suspension and is read when the request is admitted; otherwise it goes to another VM by the existing delegation, which checks its own, or is refused as not run. The VMs of a failure domain ask the same VM first, which reads the store for all of them. A read counts once the watch has delivered the changes up to its revision; if it has not, the configuration itself is read. An answer to a watch counts as progress only if it contains changes, as a watch may hear nothing for a while.

Result: key_lease_ (table, renewal, questions, and 3,000 random orders of late, lost and frozen events), delegation_routes and tenant_ pass. With a lease that never ends (a trial), the table and the property fail.

--- a/src/geraniummount/core/delegation/decline.rs
+++ b/src/geraniummount/core/delegation/decline.rs
@@ -7,6 +7,8 @@
 /// run there.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decline {
+    /// The request has a key, and the VM can't confirm that it may still be used.
+    KeysUnconfirmed,
     /// The VM has lost its links to the leaves too.
     LinksLost,
     /// The VM knows no routes or no leaves yet.
@@ -22,7 +24,8 @@
 }
 
 impl Decline {
-    const ALL: [Decline; 6] = [
+    const ALL: [Decline; 7] = [
+        Decline::KeysUnconfirmed,
         Decline::LinksLost,
         Decline::NotReady,
         Decline::Outdated,
@@ -34,6 +37,7 @@
     /// Returns the name used between VMs, in logs and in metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            Decline::KeysUnconfirmed => "keys-unconfirmed",
             Decline::LinksLost => "links-lost",
             Decline::NotReady => "not-ready",
             Decline::Outdated => "outdated",
--- a/src/geraniummount/core/delegation/routes.rs
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -14,7 +14,9 @@
 use std::sync::Arc;
 
 use super::{Decline, Handler, Links, Unable};
+use crate::core::key_lease::Keys;
 use crate::core::route::{Limits, Table};
+use crate::core::tenant::Credential;
 
 /// Routes in force at this VM, and the newest version by which a request of its callers was handled.
 #[derive(Debug, Default)]
@@ -67,8 +69,20 @@
         self.version() < self.seen_version
     }
 
-    /// Decides who handles a request of a caller.
-    pub fn handler(&self, links: Links, has_peers: bool) -> Handler {
+    /// Returns whether a request may be handled by the routes in force only while their keys are
+    /// confirmed.
+    pub fn needs_confirmed_keys(&self, host: &str, path: &str, credential: Credential) -> bool {
+        let Some(table) = &self.table else {
+            return false;
+        };
+        let route = table.find(host, path);
+        let tenants = table.tenants();
+        route.is_some_and(|route| tenants.needs_confirmation(credential, route.allows_anonymous))
+    }
+
+    /// Decides who handles a request of a caller. `keys` says whether this VM may decide about the
+    /// key of the request.
+    pub fn handler(&self, links: Links, keys: Keys, has_peers: bool) -> Handler {
         let Some(table) = &self.table else {
             return Handler::Nobody(Unable::NoRoutes);
         };
@@ -82,9 +96,12 @@
             };
         }
         let table = Arc::clone(table);
-        match links {
-            Links::OnlyOpenConnections if has_peers => Handler::OwnIfConnected(table),
-            Links::Lost if has_peers => Handler::Peer {
+        match (keys, links) {
+            (Keys::Unconfirmed, _) if !has_peers => Handler::Nobody(Unable::KeysUnconfirmed),
+            (Keys::Confirmed, Links::OnlyOpenConnections) if has_peers => {
+                Handler::OwnIfConnected(table)
+            }
+            (Keys::Unconfirmed, _) | (_, Links::Lost) if has_peers => Handler::Peer {
                 min_version: table.version,
                 table: Some(table),
             },
@@ -93,17 +110,19 @@
     }
 
     /// Returns the routes by which a request of another VM is handled here. `min_version` is the
-    /// oldest version by which it may be handled.
+    /// oldest version by which it may be handled, and `keys` says whether this VM may decide about
+    /// its key.
     ///
     /// # Errors
     ///
-    /// Returns the reason to decline the request if no routes are known, or if they are older than
-    /// the other VM requires, or than this VM has seen.
-    pub fn for_peer(&self, min_version: u64) -> Result<Arc<Table>, Decline> {
+    /// Returns the reason to decline the request if no routes are known, if they are older than the
+    /// other VM requires, or than this VM has seen, or if the key can't be confirmed.
+    pub fn for_peer(&self, min_version: u64, keys: Keys) -> Result<Arc<Table>, Decline> {
         let table = self.table.as_ref().ok_or(Decline::NotReady)?;
-        match table.version < min_version.max(self.seen_version) {
-            true => Err(Decline::Outdated),
-            false => Ok(Arc::clone(table)),
+        match keys {
+            _ if table.version < min_version.max(self.seen_version) => Err(Decline::Outdated),
+            Keys::Unconfirmed => Err(Decline::KeysUnconfirmed),
+            Keys::Confirmed => Ok(Arc::clone(table)),
         }
     }
 
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -25,6 +25,7 @@
 pub mod id;
 pub mod instance;
 pub mod isolation;
+pub mod key_lease;
 pub mod layout;
 pub mod leaf;
 pub mod leaf_links;
--- a/src/geraniummount/core/tenant/directory.rs
+++ b/src/geraniummount/core/tenant/directory.rs
@@ -111,6 +111,15 @@
         }
     }
 
+    /// Returns whether a request is judged by its key, so that the list of keys has to be the newest.
+    pub fn needs_confirmation(&self, credential: Credential, allows_anonymous: bool) -> bool {
+        match self.authenticate(credential, allows_anonymous) {
+            Ok(Access::Tenant(_)) | Err(Denial::UnknownKey) => true,
+            Ok(Access::Unrestricted | Access::Anonymous)
+            | Err(Denial::NoKey | Denial::MalformedKey) => false,
+        }
+    }
+
     fn holder(&self, key: KeyDigest) -> Option<&Arc<Tenant>> {
         let index = self.keys.binary_search_by_key(&key, |entry| entry.0).ok()?;
         Some(&self.keys[index].1)
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -15,6 +15,7 @@
 use crate::core::call::{Call, Plan};
 use crate::core::delegation::{Decline, Handler, Terms, Unable};
 use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::key_lease::Keys;
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
@@ -52,18 +53,24 @@
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
+        let keys = self.keys_of(&arrival.request, arrival.credential);
         if let Some(terms) = terms {
-            return match self.routes.for_peer(terms.min_version) {
+            return match self.routes.for_peer(terms.min_version, keys) {
                 Ok(table) => self.admit_by_routes(arrival, &table, Some(terms)),
                 Err(decline) => self.decline(key, &terms.from, decline, None),
             };
         }
-        match self.handler() {
+        match self.handler(keys) {
             Handler::Own(table) => self.admit_by_routes(arrival, &table, None),
             Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
             Handler::Peer { min_version, table } => {
                 let route = table.as_ref().and_then(|table| arrival.find_route(table));
-                self.admit_for_delegation(arrival, min_version, route);
+                let mut min_version = min_version;
+                if keys == Keys::Unconfirmed {
+                    min_version = min_version.max(self.required_version());
+                    self.metrics.count_unconfirmed_request("handed-over");
+                }
+                self.admit_for_delegation(arrival, min_version, route, keys);
             }
             Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
         }
@@ -71,6 +78,9 @@
 
     /// Refuses a request that nobody can handle now.
     fn refuse_unhandled(&mut self, arrival: &Arrival, unable: Unable) {
+        if unable == Unable::KeysUnconfirmed {
+            self.metrics.count_unconfirmed_request("refused");
+        }
         let (id, why) = (&arrival.caller_fields.id, unable.as_str());
         info!("request id={id} outcome=refused status=503 why={why}");
         self.metrics.count_answer("refused");
@@ -99,7 +109,7 @@
         let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
-            None => self.admit_for_delegation(arrival, table.version, route),
+            None => self.admit_for_delegation(arrival, table.version, route, Keys::Confirmed),
         }
     }
 
@@ -202,6 +212,7 @@
         mut arrival: Arrival,
         min_version: u64,
         route: Option<&Route>,
+        keys: Keys,
     ) {
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
@@ -224,6 +235,7 @@
         self.delegate(CallerRequest {
             caller: key,
             credential,
+            keys,
             plan,
             forwarded: Arc::new(arrival.into_forwarded()),
             min_version,
--- a/src/geraniummount/edge/gateway/datagrams/message.rs
+++ b/src/geraniummount/edge/gateway/datagrams/message.rs
@@ -14,6 +14,9 @@
     Confirmation {
         /// Version of the configuration in force at the VM.
         version: u64,
+        /// Era of the platform's store, as the VM knows it.
+        #[serde(default)]
+        era: Era,
         /// Time since the newest confirmation, in milliseconds; `None` if there is none.
         age_ms: Option<u64>,
     },
--- a/src/geraniummount/edge/gateway/datagrams/mod.rs
+++ b/src/geraniummount/edge/gateway/datagrams/mod.rs
@@ -19,7 +19,9 @@
 use self::envelope::Envelope;
 use super::token::EventSource;
 use super::{Gateway, Options};
+use crate::core::key_lease::Statement;
 use crate::prelude::*;
+use crate::util::bounded;
 
 pub(super) use self::message::Message;
 
@@ -35,7 +37,6 @@
     /// `None` if this VM takes no part.
     socket: Option<UdpSocket>,
     /// Number of the last question.
-    #[allow(dead_code, reason = "used by the parts that ask other VMs")]
     last_id: u64,
 }
 
@@ -72,7 +73,6 @@
     }
 }
 
-#[allow(dead_code, reason = "used by the parts that ask other VMs")]
 impl Gateway {
     /// Sends a question to a VM. Returns its number, which the answer repeats; `None` if the VM is
     /// not known, or the question could not be sent.
@@ -147,9 +147,17 @@
     /// Handles a message of a registered VM; `id` is the number of the question.
     fn on_message(&mut self, from: &VmName, id: u64, message: Message) {
         match message {
-            Message::AskConfirmation
-            | Message::Confirmation { .. }
-            | Message::AskLoan
+            Message::AskConfirmation => self.on_keys_question(from, id),
+            Message::Confirmation {
+                version,
+                era,
+                age_ms,
+            } => {
+                let age = age_ms.map(bounded::millis);
+                let statement = Statement { version, era, age };
+                self.on_keys_answer(from, id, statement);
+            }
+            Message::AskLoan
             | Message::Loan { .. }
             | Message::AskToken { .. }
             | Message::Token { .. }
--- a/src/geraniummount/edge/gateway/delegation/caller_request.rs
+++ b/src/geraniummount/edge/gateway/delegation/caller_request.rs
@@ -5,6 +5,7 @@
 
 use crate::core::call::Plan;
 use crate::core::delegation::Request;
+use crate::core::key_lease::Keys;
 use crate::core::tenant::Credential;
 use crate::edge::gateway::calls::ForwardedRequest;
 
@@ -20,6 +21,8 @@
     pub(in crate::edge::gateway) started: Instant,
     /// Who sends the request.
     pub(in crate::edge::gateway) credential: Credential,
+    /// Whether this VM could confirm the key of the request.
+    pub(in crate::edge::gateway) keys: Keys,
     /// Number of leaves of each shard that may have received the request from this VM.
     pub(in crate::edge::gateway) sends: u32,
 }
--- a/src/geraniummount/edge/gateway/delegation/finish.rs
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -4,12 +4,17 @@
 
 use super::caller_request::{CallerRequest, Delegated};
 use crate::core::delegation::{Answer, End};
+use crate::core::key_lease::Keys;
 use crate::edge::gateway::Gateway;
 use crate::util::h1;
 
 /// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
 const REFUSED: &str = "links-lost";
 
+/// Value of `outcome` of a request that is refused because no VM that was asked serves it, and this
+/// one can't confirm its key.
+const UNCONFIRMED: &str = "keys-unconfirmed";
+
 impl Gateway {
     /// Cancels a request whose caller has closed its connection.
     pub(in crate::edge::gateway) fn cancel_delegated(&mut self, index: usize) {
@@ -44,7 +49,14 @@
                 retry_after,
             } => {
                 self.write_refusal(caller, not_run, retry_after);
-                (REFUSED, 503)
+                let label = match state.caller_request.keys {
+                    Keys::Confirmed => REFUSED,
+                    Keys::Unconfirmed => {
+                        self.metrics.count_unconfirmed_request("refused");
+                        UNCONFIRMED
+                    }
+                };
+                (label, 503)
             }
             End::Fail => (self.write_failure(caller, 502, "failed").label, 502),
             End::TimeOut => (self.write_failure(caller, 504, "timed-out").label, 504),
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -30,6 +30,7 @@
 use super::{Gateway, Options};
 use crate::core::call::Action as CallAction;
 use crate::core::delegation::{Action, Handler, Links, Outcome, Peer, Peers, Request};
+use crate::core::key_lease::Keys;
 use crate::core::route::Repeat;
 
 pub(super) use self::caller_request::CallerRequest;
@@ -73,7 +74,6 @@
     }
 
     /// Returns all other VMs that are registered, sorted by name.
-    #[allow(dead_code, reason = "used by the parts that ask other VMs")]
     pub(super) fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.iter()
     }
@@ -108,15 +108,16 @@
         }
     }
 
-    /// Returns who handles a new request of a caller.
-    pub(super) fn handler(&self) -> Handler {
+    /// Returns who handles a new request of a caller; `keys` says whether this VM may decide about its
+    /// key.
+    pub(super) fn handler(&self, keys: Keys) -> Handler {
         let links = match self.leaf_links.is_lost() {
             false => Links::Working,
             true if self.only_open_connections_work() => Links::OnlyOpenConnections,
             true => Links::Lost,
         };
         self.routes
-            .handler(links, !self.delegation.peers.is_empty())
+            .handler(links, keys, !self.delegation.peers.is_empty())
     }
 
     /// Delegates the request of a caller.
@@ -199,6 +200,7 @@
             min_version: state.version,
             started: state.started,
             credential: state.credential,
+            keys: Keys::Confirmed,
             sends,
         });
     }
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -41,7 +41,7 @@
             return self.decline(key, "unknown", Decline::Unauthorized, None);
         };
         let terms = credentials.terms;
-        if let Some(decline) = self.reason_to_decline(&terms) {
+        if let Some(decline) = self.reason_to_decline(&request, &terms) {
             return self.decline(key, &terms.from, decline, None);
         }
         self.acknowledge(key);
@@ -75,7 +75,7 @@
         is_for_this_vm.then_some(credentials)
     }
 
-    fn reason_to_decline(&self, terms: &Terms) -> Option<Decline> {
+    fn reason_to_decline(&mut self, request: &Request, terms: &Terms) -> Option<Decline> {
         if self.stop.is_some() {
             return Some(Decline::Stopping);
         }
@@ -85,7 +85,8 @@
         if !self.has_leaf_list {
             return Some(Decline::NotReady);
         }
-        self.routes.for_peer(terms.min_version).err()
+        let keys = self.keys_of(request, terms.credential);
+        self.routes.for_peer(terms.min_version, keys).err()
     }
 
     /// Tells the VM that its request was read and is being served, and by which version of the
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -2,6 +2,7 @@
 //! request at one leaf.
 
 mod gauges;
+mod key_counters;
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 };
 
 use self::gauges::Gauges;
+use self::key_counters::KeyCounters;
 use crate::util::logger;
 
 /// Upper bounds of the histogram buckets of response times.
@@ -31,6 +33,7 @@
     limited_attempts: IntCounterVec,
     /// Requests that were passed to other VMs, by outcome.
     delegations: IntCounterVec,
+    keys: KeyCounters,
     /// Requests of other VMs, by whether they were served or why not.
     peer_requests: IntCounterVec,
     pub(super) caller_connections: IntCounter,
@@ -84,6 +87,7 @@
                 "Connections to leaves.",
             ),
             gauges: Gauges::new(&registry),
+            keys: KeyCounters::new(&registry),
             registry,
             answers,
             answer_seconds,
@@ -117,6 +121,15 @@
         self.delegations.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn count_key_confirmation(&self, source: &str) {
+        self.keys.confirmations.with_label_values(&[source]).inc();
+    }
+
+    pub(super) fn count_unconfirmed_request(&self, outcome: &str) {
+        let counters = &self.keys.unconfirmed_requests;
+        counters.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_peer_request(&self, outcome: &str) {
         self.peer_requests.with_label_values(&[outcome]).inc();
     }
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -16,6 +16,7 @@
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
     /// Other VMs to which requests can be delegated.
     pub(in crate::edge::gateway) known_peers: IntGauge,
+    pub(in crate::edge::gateway) key_confirmation_age_ms: IntGauge,
     pub(super) suppressed_log_lines: IntGauge,
 }
 
@@ -42,6 +43,10 @@
                 "gateway_known_peers",
                 "Other VMs to which requests can be delegated.",
             ),
+            key_confirmation_age_ms: gauge(
+                "gateway_key_confirmation_age_ms",
+                "Time since the newest confirmation of the keys began, in milliseconds.",
+            ),
             suppressed_log_lines: gauge(
                 "gateway_log_lines_suppressed",
                 "Lines that the log did not take.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -8,7 +8,8 @@
 //! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
 //! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
-//! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
+//! [`delegation`] then lets other VMs serve its requests. [`key_lease`] confirms that the keys of
+//! callers may still be used. [`stall`] detects that this VM was frozen.
 //! [`watch`] keeps the routes and the lists of leaves and of VMs up to date from the platform's
 //! store on a thread of its own. [`probe`] serves readiness to the platform and metrics to
 //! operators.
@@ -29,6 +30,7 @@
 mod datagrams;
 mod delegation;
 mod fleet;
+mod key_lease;
 mod leaf;
 mod leaf_links;
 mod load_shedding;
@@ -69,6 +71,7 @@
 use self::datagrams::Datagrams;
 use self::delegation::Delegation;
 use self::fleet::Fleet;
+use self::key_lease::KeyLease;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
 use self::metrics::Metrics;
@@ -136,6 +139,8 @@
     delegation: Delegation,
     /// Socket for questions to other VMs and their answers.
     datagrams: Datagrams,
+    /// Confirmation that keys may still be used; `None` if they need none.
+    keys: Option<KeyLease>,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
@@ -186,6 +191,7 @@
             metrics_listener: metrics,
             delegation: Delegation::bind(&options)?,
             datagrams: Datagrams::bind(&options)?,
+            keys: KeyLease::new(&options),
             placement: Placement::new(options.failure_domain.clone(), options.start, rng),
             options,
             poll,
@@ -238,6 +244,7 @@
     /// Returns an error if the thread that watches the store cannot be started or polling for
     /// events fails.
     pub fn run(mut self) -> io::Result<bool> {
+        self.start_key_reader()?;
         watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
@@ -341,6 +348,7 @@
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
                 Timer::Trials => self.end_overdue_trials(),
+                Timer::Keys => self.on_keys_timer(),
                 Timer::LeafLinks => self.on_links_timer(),
                 Timer::StoreCheck => self.on_check_timer(),
                 Timer::Stop => self.on_stop_timer(),
@@ -363,6 +371,7 @@
                 Update::Peers(peers) => self.apply_peers(peers),
                 Update::Quarantine(records) => self.merge_quarantine(records),
                 Update::Trial(fingerprint, is_granted) => self.on_trial(fingerprint, is_granted),
+                Update::Keys(event) => self.on_keys_event(event),
                 Update::Stop => self.begin_stop(),
             }
         }
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -31,6 +31,8 @@
     Quarantine,
     /// End of the time for which requests wait for a trial.
     Trials,
+    /// Renewal of the confirmation of the keys, or answer to a question about it.
+    Keys,
     /// Start or end of a check of the links to the leaves.
     LeafLinks,
     /// Start or timeout of a check whether the store is reachable.
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -5,6 +5,7 @@
 
 use mio::{Poll, Waker};
 
+use super::key_lease;
 use super::token::EventSource;
 use crate::core::delegation::Peer;
 use crate::core::fingerprint::Fingerprint;
@@ -29,6 +30,8 @@
     Quarantine(Vec<Record>),
     /// Whether this VM has got the trial of a request that it has claimed.
     Trial(Fingerprint, bool),
+    /// What is known of how new the configuration in force is.
+    Keys(key_lease::Event),
     /// A request to begin a planned stop.
     Stop,
 }
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -19,6 +19,7 @@
 use rand::RngExt;
 
 use self::peers::Registration;
+use super::key_lease;
 use super::options::Options;
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
@@ -57,6 +58,11 @@
     lost_at: Option<Instant>,
     /// Registration of this VM for requests of other VMs; `None` if it takes no part.
     registration: Option<Registration>,
+    /// Whether the event loop is told how new the routes are, as keys need confirmation.
+    confirms_keys: bool,
+    /// Revision up to which all changes to the routes are certainly known, until the event loop is
+    /// told.
+    confirmed_as_of: Option<Revision>,
 }
 
 /// What a response of the store changed.
@@ -86,6 +92,8 @@
         has_published: false,
         lost_at: None,
         registration: Registration::new(options),
+        confirms_keys: options.revoke.is_some(),
+        confirmed_as_of: None,
     };
     let thread = thread::Builder::new().name("store".to_string());
     thread.spawn(move || watcher.run())?;
@@ -150,6 +158,10 @@
                     let era = self.store_cache.era();
                     warn!("store event=restored era={era} action=read-all");
                     self.clear_as_of();
+                    self.confirmed_as_of = None;
+                    if !self.send_keys(key_lease::Event::Restored(era)) {
+                        return;
+                    }
                 }
                 Err(error) => self.on_store_failure(&error, began.elapsed()),
             }
@@ -160,7 +172,7 @@
     /// meanwhile. Returns whether the event loop is still running.
     fn on_changes(&mut self, changes: Changes, step: Step) -> Result<bool, Error> {
         self.on_store_available();
-        if !self.publish(changes) {
+        if !self.publish(changes) || !self.publish_progress() {
             return Ok(false);
         }
         self.register()?;
@@ -197,6 +209,21 @@
         runs && (!changes.peers || self.publish_peers())
     }
 
+    /// Tells the event loop up to which revision the published routes include all changes; returns
+    /// whether it is still running.
+    fn publish_progress(&mut self) -> bool {
+        let era = self.store_cache.era();
+        let progress = self.confirmed_as_of.take();
+        let event = progress.map(|as_of| key_lease::Event::Applied(era, as_of));
+        event.is_none_or(|event| self.send_keys(event))
+    }
+
+    /// Tells the event loop how new the routes are, if keys need confirmation; returns whether it is
+    /// still running.
+    fn send_keys(&self, event: key_lease::Event) -> bool {
+        !self.confirms_keys || self.sender.send(Update::Keys(event))
+    }
+
     /// Publishes the routes if their version is newer than the last published one; returns whether
     /// the event loop is still running.
     fn publish_routes(&mut self) -> bool {
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -7,9 +7,12 @@
 use rand::RngExt;
 
 use super::{Changes, Watcher};
+use crate::core::key_lease::Read;
 use crate::core::store::cache::AnswerEra;
 use crate::core::store::freshness::Freshness;
 use crate::core::store::poll_schedule;
+use crate::edge::boot_clock;
+use crate::edge::gateway::key_lease;
 use crate::platform::{self, Error, Events, Item, WatchStatus};
 use crate::prelude::*;
 
@@ -22,6 +25,7 @@
 impl Watcher {
     /// Reads all keys.
     pub(super) fn read_all(&mut self, freshness: Freshness) -> Result<Changes, Error> {
+        let began = boot_clock::now()?;
         let (items, as_of) = self.read_under(platform::ALL_KEYS, freshness)?;
         if freshness == Freshness::Outdated && self.store_cache.is_newer_than(as_of) {
             return self.read_all(Freshness::Current);
@@ -30,6 +34,16 @@
             return Err(outdated(as_of));
         }
         self.routes_as_of = as_of;
+        if freshness == Freshness::Current {
+            self.confirmed_as_of = Some(as_of);
+            let era = self.store_cache.era();
+            // A closed channel is noticed when the changes are published.
+            self.send_keys(key_lease::Event::AllRead(Read {
+                began,
+                era,
+                revision: as_of,
+            }));
+        }
         Ok(Changes::ALL)
     }
 
@@ -111,6 +125,7 @@
         let changes = self.apply_events(events);
         self.store_cache.advance(as_of);
         self.routes_as_of = as_of;
+        self.record_progress(count, as_of);
         if self.store_sync.on_changes(count, as_of) {
             info!("store event=behind changes={count} revision={as_of}");
             self.is_behind.set(1);
@@ -137,13 +152,22 @@
             };
             self.check_era(events.era)?;
             self.routes_as_of = events.as_of;
+            self.record_progress(events.events.len(), events.as_of);
             let changes = self.apply_events(events);
-            if !self.publish(changes) {
+            if !self.publish(changes) || !self.publish_progress() {
                 return Ok(false);
             }
         }
     }
 
+    /// Records that an answer to a watch with a number of changes is complete up to a revision. One
+    /// without changes proves nothing, as a watch may hear nothing for a while although keys change.
+    fn record_progress(&mut self, changes: usize, as_of: Revision) {
+        if changes > 0 {
+            self.confirmed_as_of = Some(as_of);
+        }
+    }
+
     /// Applies changes to the cache; returns what they changed.
     fn apply_events(&mut self, events: Events) -> Changes {
         let mut changes = Changes::default();
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -128,6 +128,17 @@
         Ok((range.era, range.as_of))
     }
 
+    /// Returns the revision of the store at some moment after the call was begun, and the era.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
+    /// answer.
+    pub fn current_revision(&mut self) -> Result<(Option<Era>, Revision), Error> {
+        let range = self.range(NO_KEYS_PREFIX, None, Freshness::Current)?;
+        Ok((range.era, range.as_of))
+    }
+
     /// Starts a watch for changes after a revision to the keys with a prefix. The store answers
     /// without changes if there are none within `wait`.
     ///
--- a/tests/testsuite/delegation_routes.rs
+++ b/tests/testsuite/delegation_routes.rs
@@ -2,6 +2,7 @@
 //! to another VM with newer routes, and then handles some by its own again.
 
 use geraniummount::core::delegation::{Decline, Handler, Links, Routes, Unable};
+use geraniummount::core::key_lease::Keys;
 use geraniummount::core::route::{Limits, Table};
 use proptest::prelude::*;
 
@@ -44,6 +45,7 @@
     in_force: Option<u64>,
     seen: u64,
     links: Links,
+    keys: Keys,
     has_peers: bool,
     expected: Decision,
 }
@@ -54,6 +56,7 @@
         in_force: None,
         seen: 0,
         links: Links::Working,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Nobody(Unable::NoRoutes),
     },
@@ -62,6 +65,7 @@
         in_force: Some(3),
         seen: 0,
         links: Links::Working,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Own,
     },
@@ -70,6 +74,7 @@
         in_force: Some(3),
         seen: 3,
         links: Links::Working,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Own,
     },
@@ -78,6 +83,7 @@
         in_force: Some(3),
         seen: 2,
         links: Links::Lost,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Peer,
     },
@@ -86,6 +92,7 @@
         in_force: Some(3),
         seen: 0,
         links: Links::Lost,
+        keys: Keys::Confirmed,
         has_peers: false,
         expected: Decision::Own,
     },
@@ -94,6 +101,7 @@
         in_force: Some(3),
         seen: 3,
         links: Links::OnlyOpenConnections,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::OwnIfConnected,
     },
@@ -102,6 +110,7 @@
         in_force: Some(3),
         seen: 4,
         links: Links::OnlyOpenConnections,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Peer,
     },
@@ -110,6 +119,7 @@
         in_force: Some(3),
         seen: 4,
         links: Links::Working,
+        keys: Keys::Confirmed,
         has_peers: true,
         expected: Decision::Peer,
     },
@@ -118,6 +128,7 @@
         in_force: Some(3),
         seen: 4,
         links: Links::Working,
+        keys: Keys::Confirmed,
         has_peers: false,
         expected: Decision::Nobody(Unable::Outdated),
     },
@@ -126,16 +137,44 @@
         in_force: Some(3),
         seen: 4,
         links: Links::Lost,
+        keys: Keys::Confirmed,
         has_peers: false,
         expected: Decision::Nobody(Unable::Outdated),
     },
+    Case {
+        name: "the key can't be confirmed",
+        in_force: Some(3),
+        seen: 3,
+        links: Links::Working,
+        keys: Keys::Unconfirmed,
+        has_peers: true,
+        expected: Decision::Peer,
+    },
+    Case {
+        name: "the key can't be confirmed, and open connections work",
+        in_force: Some(3),
+        seen: 3,
+        links: Links::OnlyOpenConnections,
+        keys: Keys::Unconfirmed,
+        has_peers: true,
+        expected: Decision::Peer,
+    },
+    Case {
+        name: "the key can't be confirmed, and no other VM is known",
+        in_force: Some(3),
+        seen: 3,
+        links: Links::Lost,
+        keys: Keys::Unconfirmed,
+        has_peers: false,
+        expected: Decision::Nobody(Unable::KeysUnconfirmed),
+    },
 ];
 
 #[test]
 fn delegation_routes_decide_who_handles_a_request() {
     for case in CASES {
         let routes = routes(case.in_force, case.seen);
-        let handler = routes.handler(case.links, case.has_peers);
+        let handler = routes.handler(case.links, case.keys, case.has_peers);
         assert_eq!(decision(&handler), case.expected, "{}", case.name);
         if let Handler::Peer { min_version, table } = handler {
             let expected = case.seen.max(case.in_force.unwrap_or_default());
@@ -151,6 +190,7 @@
         in_force: Option<u64>,
         seen: u64,
         min_version: u64,
+        keys: Keys,
         expected: Result<u64, Decline>,
     }
     const CASES: &[ForPeer] = &[
@@ -158,30 +198,41 @@
             in_force: None,
             seen: 0,
             min_version: 0,
+            keys: Keys::Confirmed,
             expected: Err(Decline::NotReady),
         },
         ForPeer {
             in_force: Some(3),
             seen: 0,
             min_version: 3,
+            keys: Keys::Confirmed,
             expected: Ok(3),
         },
         ForPeer {
             in_force: Some(3),
             seen: 0,
             min_version: 4,
+            keys: Keys::Confirmed,
             expected: Err(Decline::Outdated),
         },
         ForPeer {
             in_force: Some(3),
             seen: 4,
             min_version: 2,
+            keys: Keys::Confirmed,
             expected: Err(Decline::Outdated),
         },
+        ForPeer {
+            in_force: Some(3),
+            seen: 3,
+            min_version: 3,
+            keys: Keys::Unconfirmed,
+            expected: Err(Decline::KeysUnconfirmed),
+        },
     ];
     for case in CASES {
         let routes = routes(case.in_force, case.seen);
-        let version = routes.for_peer(case.min_version);
+        let version = routes.for_peer(case.min_version, case.keys);
         assert_eq!(version.map(|table| table.version), case.expected);
     }
 }
@@ -208,6 +259,7 @@
     Seen(u64),
     LinksChanged(Links),
     PeersChanged(bool),
+    KeysChanged(Keys),
     /// A request of a caller arrives.
     Arrived,
     /// Another VM passes a request on, and requires a version.
@@ -225,6 +277,8 @@
         1 => (0..8u64).prop_map(Event::Seen),
         1 => links.prop_map(Event::LinksChanged),
         1 => any::<bool>().prop_map(Event::PeersChanged),
+        1 => prop_oneof![Just(Keys::Confirmed), Just(Keys::Unconfirmed)]
+            .prop_map(Event::KeysChanged),
         3 => Just(Event::Arrived),
         1 => (0..8u64).prop_map(Event::PassedOn),
     ]
@@ -239,6 +293,7 @@
     ) {
         let mut routes = Routes::default();
         let (mut links, mut has_peers) = (Links::Working, false);
+        let mut keys = Keys::Confirmed;
         // Newest version that callers may have seen the effect of.
         let mut newest = 0;
         let mut applied = 0;
@@ -254,22 +309,26 @@
                 }
                 Event::LinksChanged(changed) => links = changed,
                 Event::PeersChanged(changed) => has_peers = changed,
-                Event::Arrived => match routes.handler(links, has_peers) {
+                Event::KeysChanged(changed) => keys = changed,
+                Event::Arrived => match routes.handler(links, keys, has_peers) {
                     Handler::Own(table) | Handler::OwnIfConnected(table) => {
-                        prop_assert!(table.version >= newest);
+                        prop_assert!(table.version >= newest && keys == Keys::Confirmed);
                         newest = table.version;
                     }
                     Handler::Peer { min_version, table } => {
                         prop_assert!(has_peers && min_version >= newest);
                         prop_assert!(table.is_none_or(|table| table.version >= newest));
                     }
+                    Handler::Nobody(Unable::KeysUnconfirmed) => {
+                        prop_assert!(!has_peers && keys == Keys::Unconfirmed);
+                    }
                     Handler::Nobody(Unable::NoRoutes) => prop_assert_eq!(applied, 0),
                     Handler::Nobody(Unable::Outdated) => {
                         prop_assert!(!has_peers && applied < newest);
                     }
                 },
                 Event::PassedOn(min_version) => {
-                    if let Ok(table) = routes.for_peer(min_version) {
+                    if let Ok(table) = routes.for_peer(min_version, keys) {
                         prop_assert!(table.version >= newest.max(min_version));
                     }
                 }
