Test keys of callers, and their revocation while something fails

Cause: the code of keys and tenants had no tests, and the lease only those without a network.

Change: tests with stand-ins for who is served, what leaves, other VMs and logs are told, invalid documents, and for the lease: a store that is away in four ways, late answers, one VM turned away while another reaches the store, all VMs cut off, a store that comes back from an older copy, a frozen and a restarted process. The stand-in leaf keeps the heads of its requests.

--- a/crates/geraniummount-test-support/src/http.rs
+++ b/crates/geraniummount-test-support/src/http.rs
@@ -20,6 +20,11 @@
 }
 
 impl Request {
+    /// Returns all headers as received, in order.
+    pub(crate) fn headers(&self) -> &[(String, String)] {
+        &self.headers
+    }
+
     /// Returns the value of a header; the name is case-insensitive.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         let found = self
--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -125,6 +125,8 @@
     cancelled: u64,
     /// Requests that reached the leaf, including those that it did not run, with the time of each.
     arrivals: Vec<Run>,
+    /// Header fields of the requests that reached the leaf.
+    heads: Vec<Vec<(String, String)>>,
     /// Number of registrations that the leaf has written.
     heartbeats: u64,
     /// Requests that the leaf rejected with a time without requests, with the time of each.
@@ -272,6 +274,17 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns the header fields, names and values as received, of the requests that reached the
+    /// leaf, in order of arrival.
+    pub fn heads(&self) -> Vec<Vec<(String, String)>> {
+        self.state.lock().heads.clone()
+    }
+
+    /// Forgets the header fields of the requests so far.
+    pub fn clear_heads(&self) {
+        self.state.update(|state| state.heads.clear());
+    }
+
     /// Returns the requests that the leaf rejected with a time without requests, in order of
     /// arrival.
     pub fn pauses(&self) -> Vec<Run> {
@@ -338,6 +351,7 @@
         let is_down = state.crashed_by.is_some();
         if !is_down {
             state.arrivals.push(new_run.clone());
+            state.heads.push(request.headers().to_vec());
         }
         let count = state.arrivals.len();
         (state.answer, state.retry_after.clone(), is_down, count)
--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -1,7 +1,7 @@
 //! Runs a gateway as a separate process.
 
 use std::fs::File;
-use std::io;
+use std::io::{self, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -45,6 +45,36 @@
         domain: &str,
         store: SocketAddr,
         seed: u64,
+    ) -> io::Result<Vm> {
+        let mut vm = Vm::create(binary, folder, number, domain, store, seed)?;
+        vm.launch()?;
+        Ok(vm)
+    }
+
+    /// Starts a gateway in failure domain `near`, with further sections of its settings.
+    pub fn start_with(
+        binary: &Path,
+        folder: &Path,
+        number: usize,
+        store: SocketAddr,
+        sections: &str,
+    ) -> io::Result<Vm> {
+        const SEED: u64 = 1;
+        let mut vm = Vm::create(binary, folder, number, "near", store, SEED)?;
+        let mut settings = File::options().append(true).open(&vm.settings)?;
+        settings.write_all(sections.as_bytes())?;
+        vm.launch()?;
+        Ok(vm)
+    }
+
+    /// Allocates addresses for a gateway and writes its settings.
+    fn create(
+        binary: &Path,
+        folder: &Path,
+        number: usize,
+        domain: &str,
+        store: SocketAddr,
+        seed: u64,
     ) -> io::Result<Vm> {
         let [caller_address, ready, peer_listen] = free_ports(listen_ip(number).into())?;
         let source = source_ip(number).into();
@@ -56,7 +86,7 @@
             proxy.address()
         );
         std::fs::write(&settings, text)?;
-        let mut vm = Vm {
+        Ok(Vm {
             caller_address,
             source,
             store_proxy: proxy,
@@ -68,9 +98,7 @@
             settings,
             log: folder.join(format!("vm{number}.log")),
             child: None,
-        };
-        vm.launch()?;
-        Ok(vm)
+        })
     }
 
     /// Lets each further start run the build that the process did not run before.
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -55,7 +55,19 @@
     /// Starts a gateway in a failure domain that reaches the store at `address`.
     pub fn start_in(domain: &str, store: Store, address: SocketAddr) -> Fixture {
         let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
-        Fixture::start_with_times(domain, store, address, linger, drain)
+        Fixture::start_with_times(domain, store, address, linger, drain, None)
+    }
+
+    /// Starts a gateway in a failure domain that reaches the store at `address`, and must not use a
+    /// key for more than `revoke` after it was revoked.
+    pub fn start_with_revocation(
+        domain: &str,
+        store: Store,
+        address: SocketAddr,
+        revoke: Duration,
+    ) -> Fixture {
+        let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
+        Fixture::start_with_times(domain, store, address, linger, drain, Some(revoke))
     }
 
     /// Starts a store and a gateway that accepts connections for `linger` and answers requests for
@@ -63,7 +75,7 @@
     pub fn start_with_stop_times(linger: Duration, drain: Duration) -> Fixture {
         let store = Store::start();
         let address = store.address();
-        Fixture::start_with_times("near", store, address, linger, drain)
+        Fixture::start_with_times("near", store, address, linger, drain, None)
     }
 
     fn start_with_times(
@@ -72,6 +84,7 @@
         address: SocketAddr,
         linger: Duration,
         drain: Duration,
+        revoke: Option<Duration>,
     ) -> Fixture {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
@@ -92,7 +105,7 @@
             leaving: Duration::from_secs(3),
             apply: Duration::from_secs(3),
             regions: Vec::new(),
-            revoke: None,
+            revoke,
             evacuate: Options::DEFAULT_EVACUATE,
             quota_window: Options::DEFAULT_QUOTA_WINDOW,
             quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
+mod api_keys;
 mod bounded;
 mod crashes;
 mod cut_answers;
@@ -9,6 +10,7 @@
 mod fixture;
 mod formats;
 mod isolation;
+mod key_lease;
 mod leases;
 mod limits;
 mod lost_links;
@@ -24,3 +26,4 @@
 mod restore;
 mod stop;
 mod store;
+mod tenants;
