--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -52,6 +52,8 @@
     /// Status with which every call fails, during an outage.
     error_status: Option<u16>,
     calls: u64,
+    /// Reads of ranges that have to be current.
+    current_reads: u64,
 }
 
 /// Contents of a store at an earlier moment.
@@ -157,6 +159,11 @@
         self.state.update(|state| state.error_status = error_status);
     }
 
+    /// Returns the number of reads of ranges so far that had to be current.
+    pub fn current_reads(&self) -> u64 {
+        self.state.lock().current_reads
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
         self.state.lock().calls
@@ -175,6 +182,9 @@
 fn answer(state: &Monitor<State>, request: &Request) -> Response {
     let (error_status, era) = state.update(|state| {
         state.calls += 1;
+        let is_range = request.path() == "/api/kv-range";
+        let is_current = request.query_number("allowStale").is_none();
+        state.current_reads += u64::from(is_range && is_current);
         state.remove_expired();
         (state.error_status, state.era)
     });
