Apply a version whose number is given out again after the store came back

Cause: after the store has come back from an older copy, the operator knows only that copy, and may give out the number of a lost version again. VMs with the lost version in force ignored the new one, so a key that it revoked stayed in use; another VM could also confirm the version by its number.

Change: a document with the number in force and other contents is applied. Statements of another VM count only if both are in the same era and this VM has read everything in it; a newer era that another VM states voids the lease.

--- a/src/geraniummount/core/key_lease/lease.rs
+++ b/src/geraniummount/core/key_lease/lease.rs
@@ -114,16 +114,18 @@
 
     /// Records what another VM states in answer to a question that was sent at `asked_at`.
     /// `version` is that of the configuration in force. Returns whether a newer confirmation counts
-    /// now.
+    /// now. Versions of different eras can't be compared, as the number of a version that the store
+    /// has lost may be given out again.
     pub fn on_statement(&mut self, asked_at: BootTime, statement: Statement, version: u64) -> bool {
-        let is_restored = statement.era.max(self.era) > 0;
-        if is_restored {
+        self.on_era(statement.era);
+        if self.era > 0 {
             self.required_version = self.required_version.max(statement.version);
         }
         let Some(age) = statement.age.filter(|age| *age <= self.duration) else {
             return false;
         };
-        let is_comparable = statement.version == version && statement.era >= self.era;
+        let is_comparable = statement.version == version && statement.era == self.era;
+        let is_comparable = is_comparable && self.applied.is_some();
         // The clock can't express a time before the start of the machine.
         if !is_comparable || asked_at < BootTime::new(age) {
             return false;
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -23,6 +23,7 @@
 use super::options::Options;
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
+use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::store::cache::StoreCache;
 use crate::core::store::freshness::Freshness;
 use crate::core::store::poll_schedule::PollSchedule;
@@ -50,6 +51,8 @@
     is_behind: IntGauge,
     /// Version of the routes that were last published, that is, sent to the event loop.
     routes_version: Option<u64>,
+    /// Fingerprint of the document of these routes.
+    routes_fingerprint: Fingerprint,
     /// Delays between the calls to the store.
     poll_schedule: PollSchedule,
     /// Whether any routes or leaves have been published.
@@ -88,6 +91,7 @@
         registrations: Registrations::default(),
         is_behind: is_behind.clone(),
         routes_version: None,
+        routes_fingerprint: Fingerprint::default(),
         poll_schedule: PollSchedule::new(options.leaving, options.apply),
         has_published: false,
         lost_at: None,
@@ -224,8 +228,9 @@
         !self.confirms_keys || self.sender.send(Update::Keys(event))
     }
 
-    /// Publishes the routes if their version is newer than the last published one; returns whether
-    /// the event loop is still running.
+    /// Publishes the routes if their version is newer than the last published one, or the same with
+    /// other contents: a store that has come back from an older copy lacks the last versions, and the
+    /// operator may give out their numbers again. Returns whether the event loop is still running.
     fn publish_routes(&mut self) -> bool {
         let Some((revision, value)) = self.store_cache.get(platform::DOCUMENT_KEY) else {
             return true;
@@ -238,13 +243,17 @@
             }
         };
         let (version, in_force) = (table.version, self.routes_version);
-        if let Some(in_force) = in_force.filter(|in_force| version <= *in_force) {
+        let fingerprint = fingerprint::of([value]);
+        let is_rewritten = in_force == Some(version) && fingerprint != self.routes_fingerprint;
+        let kept = in_force.filter(|in_force| version <= *in_force && !is_rewritten);
+        if let Some(in_force) = kept {
             if version < in_force {
                 warn!("routes revision={revision} version={version} outcome=kept-last");
             }
             return true;
         }
         self.routes_version = Some(table.version);
+        self.routes_fingerprint = fingerprint;
         info!(
             "routes revision={revision} version={} outcome=read",
             table.version
--- a/tests/testsuite/key_lease.rs
+++ b/tests/testsuite/key_lease.rs
@@ -134,7 +134,10 @@
     },
     Case {
         name: "another VM with the same version",
-        events: &[Event::Statement(59_900, VERSION, 0, Some(300))],
+        events: &[
+            Event::Applied(0, 7),
+            Event::Statement(59_900, VERSION, 0, Some(300)),
+        ],
         age_ms: Some(400),
         is_valid: true,
     },
@@ -171,6 +174,16 @@
         age_ms: None,
         is_valid: false,
     },
+    Case {
+        name: "another VM knows that the store came back, and this one does not",
+        events: &[
+            Event::Applied(0, 7),
+            Event::Read(59_500, 0, 7),
+            Event::Statement(59_900, VERSION, 1, Some(0)),
+        ],
+        age_ms: None,
+        is_valid: false,
+    },
     Case {
         name: "another VM has a version that the store has lost",
         events: &[
--- a/tests/testsuite/platform/key_lease.rs
+++ b/tests/testsuite/platform/key_lease.rs
@@ -348,10 +348,11 @@
         std::thread::sleep(Duration::from_millis(20));
     }
     wait_for_status(&site.fixture, &authorization(BOLT_KEY), 200);
+    // The operator knows only the older copy, and gives out the number of the lost version again.
     let none = json!([{"name": "acme"}]);
     site.fixture
         .store
-        .put("op/config", tenant_document(3, none));
+        .put("op/config", tenant_document(2, none));
     let revoked_at = Instant::now();
     wait_for_status(&site.fixture, &authorization(BOLT_KEY), 401);
     assert!(revoked_at.elapsed() <= REVOKE * 2);
