--- a/src/geraniummount/core/key_lease/lease.rs
+++ b/src/geraniummount/core/key_lease/lease.rs
@@ -117,8 +117,7 @@
     /// now. Versions of different eras can't be compared, as the number of a version that the store
     /// has lost may be given out again.
     pub fn on_statement(&mut self, asked_at: BootTime, statement: Statement, version: u64) -> bool {
-        self.on_era(statement.era);
-        if self.era > 0 {
+        if self.era.max(statement.era) > 0 {
             self.required_version = self.required_version.max(statement.version);
         }
         let Some(age) = statement.age.filter(|age| *age <= self.duration) else {
