--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,6 +28,7 @@
 mod instances;
 mod isolation;
 mod key_lease;
+mod key_lease_model;
 mod leaf_edge;
 mod leaf_limits;
 mod leaf_links;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -26,4 +26,5 @@
 mod restore;
 mod stop;
 mod store;
+mod tenant_documents;
 mod tenants;
