--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -15,6 +15,7 @@
 use crate::core::call::{Call, Plan};
 use crate::core::delegation::{Decline, Handler, Purpose, Terms, Unable, offload};
 use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::key_lease::Keys;
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
@@ -41,6 +42,14 @@
     sends: u32,
 }
 
+/// Whether a request may be passed to a stronger VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Offloading {
+    Possible,
+    /// It was passed to one, which has not served it.
+    Tried,
+}
+
 impl Gateway {
     /// Starts the call for a request that was read completely, or answers it at once if it cannot
     /// be served. `key` is that of the caller's connection. `terms` are given for a request that
@@ -56,18 +65,33 @@
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
+        let keys = self.keys_of(&arrival.request, arrival.credential);
         if let Some(terms) = terms {
-            return match self.routes.for_peer(terms.min_version) {
+            return match self.routes.for_peer(terms.min_version, keys) {
                 Ok(table) => self.admit_by_routes(arrival, &table, Some(terms)),
                 Err(decline) => self.decline(key, &terms.from, decline, None),
             };
         }
-        match self.handler() {
-            Handler::Own(table) => self.admit_or_offload(arrival, &table),
+        self.admit_by_handler(arrival, keys, Offloading::Possible);
+    }
+
+    /// Lets the VM that may handle a request of a caller serve it.
+    fn admit_by_handler(&mut self, arrival: Arrival, keys: Keys, offloading: Offloading) {
+        match self.handler(keys) {
+            Handler::Own(table) => match offloading {
+                Offloading::Possible => self.admit_or_offload(arrival, &table),
+                Offloading::Tried => self.admit_by_routes(arrival, &table, None),
+            },
             Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
             Handler::Peer { min_version, table } => {
                 let route = table.as_ref().and_then(|table| arrival.find_route(table));
-                self.admit_for_delegation(arrival, min_version, route, Purpose::Necessity);
+                let mut min_version = min_version;
+                if keys == Keys::Unconfirmed {
+                    min_version = min_version.max(self.required_version());
+                    self.metrics.count_unconfirmed_request("handed-over");
+                }
+                let reason = (Purpose::Necessity, keys);
+                self.admit_for_delegation(arrival, min_version, route, reason);
             }
             Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
         }
@@ -75,6 +99,9 @@
 
     /// Refuses a request that nobody can handle now.
     fn refuse_unhandled(&mut self, arrival: &Arrival, unable: Unable) {
+        if unable == Unable::KeysUnconfirmed {
+            self.metrics.count_unconfirmed_request("refused");
+        }
         let (id, why) = (&arrival.caller_fields.id, unable.as_str());
         info!("request id={id} outcome=refused status=503 why={why}");
         self.metrics.count_answer("refused");
@@ -91,7 +118,8 @@
             Target::Service(_) | Target::Split(_) => false,
         });
         if is_worthwhile && self.delegation.has_stronger_peer(self.now) {
-            return self.admit_for_delegation(arrival, table.version, route, Purpose::Offload);
+            let reason = (Purpose::Offload, Keys::Confirmed);
+            return self.admit_for_delegation(arrival, table.version, route, reason);
         }
         self.admit_by_routes(arrival, table, None);
     }
@@ -99,15 +127,8 @@
     /// Serves a request on this VM that was offloaded and that the other VM has not served.
     pub(super) fn admit_again(&mut self, request: CallerRequest, sends: u32) {
         let arrival = Arrival::from_offloaded(request, sends, self.now);
-        match self.handler() {
-            Handler::Own(table) => self.admit_by_routes(arrival, &table, None),
-            Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
-            Handler::Peer { min_version, table } => {
-                let route = table.as_ref().and_then(|table| arrival.find_route(table));
-                self.admit_for_delegation(arrival, min_version, route, Purpose::Necessity);
-            }
-            Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
-        }
+        let keys = self.keys_of(&arrival.request, arrival.credential);
+        self.admit_by_handler(arrival, keys, Offloading::Tried);
     }
 
     /// Starts the call for a request by the given routes, or rejects it.
@@ -132,7 +153,8 @@
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
             None => {
-                self.admit_for_delegation(arrival, table.version, route, Purpose::Necessity);
+                let reason = (Purpose::Necessity, Keys::Confirmed);
+                self.admit_for_delegation(arrival, table.version, route, reason);
             }
         }
     }
@@ -236,7 +258,7 @@
         mut arrival: Arrival,
         min_version: u64,
         route: Option<&Route>,
-        purpose: Purpose,
+        (purpose, keys): (Purpose, Keys),
     ) {
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
@@ -260,6 +282,7 @@
             caller: key,
             credential,
             purpose,
+            keys,
             plan,
             min_version,
             started: self.now.checked_sub(arrival.elapsed).unwrap_or(self.now),
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -19,9 +19,11 @@
 use rand::RngExt;
 
 use self::peers::Registration;
+use super::key_lease;
 use super::options::Options;
 use super::registrations::Registrations;
 use super::update::{Sender, Update};
+use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::store::cache::StoreCache;
 use crate::core::store::freshness::Freshness;
 use crate::core::store::poll_schedule::PollSchedule;
@@ -49,6 +51,8 @@
     is_behind: IntGauge,
     /// Version of the routes that were last published, that is, sent to the event loop.
     routes_version: Option<u64>,
+    /// Fingerprint of the document of these routes.
+    routes_fingerprint: Fingerprint,
     /// Delays between the calls to the store.
     poll_schedule: PollSchedule,
     /// Whether any routes or leaves have been published.
@@ -57,6 +61,11 @@
     lost_at: Option<Instant>,
     /// Registration of this VM for requests of other VMs; `None` if it takes no part.
     registration: Option<Registration>,
+    /// Whether the event loop is told how new the routes are, as keys need confirmation.
+    confirms_keys: bool,
+    /// Revision up to which all changes to the routes are certainly known, until the event loop is
+    /// told.
+    confirmed_as_of: Option<Revision>,
 }
 
 /// What a response of the store changed.
@@ -82,10 +91,13 @@
         registrations: Registrations::default(),
         is_behind: is_behind.clone(),
         routes_version: None,
+        routes_fingerprint: Fingerprint::default(),
         poll_schedule: PollSchedule::new(options.leaving, options.apply),
         has_published: false,
         lost_at: None,
         registration: Registration::new(options),
+        confirms_keys: options.revoke.is_some(),
+        confirmed_as_of: None,
     };
     let thread = thread::Builder::new().name("store".to_string());
     thread.spawn(move || watcher.run())?;
@@ -150,6 +162,10 @@
                     let era = self.store_cache.era();
                     warn!("store event=restored era={era} action=read-all");
                     self.clear_as_of();
+                    self.confirmed_as_of = None;
+                    if !self.send_keys(key_lease::Event::Restored(era)) {
+                        return;
+                    }
                 }
                 Err(error) => self.on_store_failure(&error, began.elapsed()),
             }
@@ -160,7 +176,7 @@
     /// meanwhile. Returns whether the event loop is still running.
     fn on_changes(&mut self, changes: Changes, step: Step) -> Result<bool, Error> {
         self.on_store_available();
-        if !self.publish(changes) {
+        if !self.publish(changes) || !self.publish_progress() {
             return Ok(false);
         }
         self.register()?;
@@ -197,8 +213,24 @@
         runs && (!changes.peers || self.publish_peers())
     }
 
-    /// Publishes the routes if their version is newer than the last published one; returns whether
-    /// the event loop is still running.
+    /// Tells the event loop up to which revision the published routes include all changes; returns
+    /// whether it is still running.
+    fn publish_progress(&mut self) -> bool {
+        let era = self.store_cache.era();
+        let progress = self.confirmed_as_of.take();
+        let event = progress.map(|as_of| key_lease::Event::Applied(era, as_of));
+        event.is_none_or(|event| self.send_keys(event))
+    }
+
+    /// Tells the event loop how new the routes are, if keys need confirmation; returns whether it is
+    /// still running.
+    fn send_keys(&self, event: key_lease::Event) -> bool {
+        !self.confirms_keys || self.sender.send(Update::Keys(event))
+    }
+
+    /// Publishes the routes if their version is newer than the last published one, or the same with
+    /// other contents: a store that has come back from an older copy lacks the last versions, and the
+    /// operator may give out their numbers again. Returns whether the event loop is still running.
     fn publish_routes(&mut self) -> bool {
         let Some((revision, value)) = self.store_cache.get(platform::DOCUMENT_KEY) else {
             return true;
@@ -211,13 +243,17 @@
             }
         };
         let (version, in_force) = (table.version, self.routes_version);
-        if let Some(in_force) = in_force.filter(|in_force| version <= *in_force) {
+        let fingerprint = fingerprint::of([value]);
+        let is_rewritten = in_force == Some(version) && fingerprint != self.routes_fingerprint;
+        let kept = in_force.filter(|in_force| version <= *in_force && !is_rewritten);
+        if let Some(in_force) = kept {
             if version < in_force {
                 warn!("routes revision={revision} version={version} outcome=kept-last");
             }
             return true;
         }
         self.routes_version = Some(table.version);
+        self.routes_fingerprint = fingerprint;
         info!(
             "routes revision={revision} version={} outcome=read",
             table.version
--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -23,7 +23,7 @@
     services: Vec<ServiceEntry>,
     limits: LimitsEntry,
     /// Customers, whose requests carry keys; requests need no keys if there are none.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_tenants")]
     tenants: Vec<TenantEntry>,
 }
 
@@ -124,6 +124,24 @@
     allowed_regions: Vec<RegionName>,
 }
 
+/// Deserializes the tenants. The errors of the derived code quote values of a wrong type, which may
+/// be keys, and are logged.
+fn deserialize_tenants<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<TenantEntry>, D::Error> {
+    use serde::de::Error;
+    let value = serde_json::Value::deserialize(deserializer)?;
+    let serde_json::Value::Array(entries) = value else {
+        return Err(Error::custom("tenants is not a list"));
+    };
+    if !entries.iter().all(serde_json::Value::is_object) {
+        return Err(Error::custom("a tenant is not an object"));
+    }
+    let entries = entries.into_iter().map(serde_json::from_value);
+    let entries: Result<Vec<TenantEntry>, _> = entries.collect();
+    entries.map_err(Error::custom)
+}
+
 /// Deserializes a list of keys. The errors of the derived code quote the value, and are logged.
 fn deserialize_keys<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<String>, D::Error> {
     let value = serde_json::Value::deserialize(deserializer)?;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -9,7 +9,6 @@
 
 use geraniummount::core::placement::Start;
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
-use geraniummount::prelude::*;
 use geraniummount_test_support::platform::users::caller::{Reply, Request};
 use geraniummount_test_support::platform::users::document::{self, Gather};
 pub use geraniummount_test_support::platform::users::document::{HOST, service_route};
@@ -55,8 +54,20 @@
 
     /// Starts a gateway in a failure domain that reaches the store at `address`.
     pub fn start_in(domain: &str, store: Store, address: SocketAddr) -> Fixture {
-        let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
-        Fixture::start_with_times(domain, store, address, linger, drain)
+        Fixture::start_with_options(domain, store, address, |_| {})
+    }
+
+    /// Starts a gateway in a failure domain that reaches the store at `address`, and must not use a
+    /// key for more than `revoke` after it was revoked.
+    pub fn start_with_revocation(
+        domain: &str,
+        store: Store,
+        address: SocketAddr,
+        revoke: Duration,
+    ) -> Fixture {
+        Fixture::start_with_options(domain, store, address, |options| {
+            options.revoke = Some(revoke);
+        })
     }
 
     /// Starts a store and a gateway that accepts connections for `linger` and answers requests for
@@ -64,34 +75,27 @@
     pub fn start_with_stop_times(linger: Duration, drain: Duration) -> Fixture {
         let store = Store::start();
         let address = store.address();
-        Fixture::start_with_times("near", store, address, linger, drain)
+        Fixture::start_with_options("near", store, address, |options| {
+            options.linger = linger;
+            options.drain = drain;
+        })
     }
 
-    /// Starts a gateway with a processor share, in failure domain `near`, that reaches the store at
-    /// `address`.
-    pub fn start_with_millicores(
-        store: Store,
-        address: SocketAddr,
-        millicores: Millicores,
-    ) -> Fixture {
-        let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
-        let mut options = Fixture::options("near", address, linger, drain);
-        options.millicores = millicores;
-        Fixture::start_by(options, store)
-    }
-
-    fn start_with_times(
+    /// Starts a gateway in a failure domain that reaches the store at `address`, with changed
+    /// options.
+    pub fn start_with_options(
         domain: &str,
         store: Store,
         address: SocketAddr,
-        linger: Duration,
-        drain: Duration,
+        change: impl FnOnce(&mut Options),
     ) -> Fixture {
-        Fixture::start_by(Fixture::options(domain, address, linger, drain), store)
+        let mut options = Fixture::options(domain, address);
+        change(&mut options);
+        Fixture::start_by(options, store)
     }
 
     /// Returns the options of a new VM.
-    fn options(domain: &str, address: SocketAddr, linger: Duration, drain: Duration) -> Options {
+    fn options(domain: &str, address: SocketAddr) -> Options {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
         Options {
@@ -105,8 +109,8 @@
             source: Some(ip),
             store: address,
             max_reply_bytes: 4 * 1024 * 1024,
-            linger,
-            drain,
+            linger: Duration::from_millis(200),
+            drain: Duration::from_secs(10),
             leaving: Duration::from_secs(3),
             apply: Duration::from_secs(3),
             regions: Vec::new(),
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
+mod api_keys;
 mod bounded;
 mod crashes;
 mod cut_answers;
@@ -10,6 +11,7 @@
 mod fixture;
 mod formats;
 mod isolation;
+mod key_lease;
 mod leases;
 mod limits;
 mod lost_links;
@@ -26,3 +28,5 @@
 mod restore;
 mod stop;
 mod store;
+mod tenant_documents;
+mod tenants;
--- a/tests/testsuite/platform/offload.rs
+++ b/tests/testsuite/platform/offload.rs
@@ -24,8 +24,13 @@
     fn start() -> Fleet {
         let store = Store::start();
         let address = store.address();
-        let weak = Fixture::start_with_millicores(store, address, 100);
-        let strong = Fixture::start_with_millicores(Store::start(), address, 500);
+        let start = |store, millicores| {
+            Fixture::start_with_options("near", store, address, |options| {
+                options.millicores = millicores;
+            })
+        };
+        let weak = start(store, 100);
+        let strong = start(Store::start(), 500);
         let names: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         weak.configure(1, &[gather_route("/q/", &names, 5, 0.9)]);
