Keep tenants within their quotas over all VMs

Cause: the gateway knew the quota of a tenant and did not limit its requests.

Change: core::quota divides each quota between the registered VMs. In each failure domain one VM borrows the portions of the others for 1.5 s at a time, keeps the tenants' tokens and grants them; the counting VMs of the domains exchange surplus. A request without a token waits in a connection state of its own; over the quota it gets 429, and 503 as not run if nobody can tell.

--- a/src/geraniummount/core/delegation/routes.rs
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -15,6 +15,7 @@
 
 use super::{Decline, Handler, Links, Unable};
 use crate::core::route::{Limits, Table};
+use crate::core::tenant::Tenant;
 
 /// Routes in force at this VM, and the newest version by which a request of its callers was handled.
 #[derive(Debug, Default)]
@@ -62,6 +63,13 @@
         table.is_some_and(|table| !table.tenants().is_empty())
     }
 
+    /// Returns the tenants of the configuration in force, sorted by name.
+    pub fn tenants(&self) -> &[Arc<Tenant>] {
+        self.table
+            .as_ref()
+            .map_or(&[], |table| table.tenants().tenants())
+    }
+
     /// Returns whether newer routes than those in force have been seen.
     pub fn is_outdated(&self) -> bool {
         self.version() < self.seen_version
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -40,6 +40,7 @@
 pub mod part;
 pub mod placement;
 pub mod quarantine;
+pub mod quota;
 pub mod ranking;
 pub mod readiness;
 pub mod reason;
--- /dev/null
+++ b/src/geraniummount/core/quota/granting.rs
@@ -0,0 +1,155 @@
+//! Grants of tokens by the counting VM.
+//!
+//! A question that finds no token waits for tokens of the other domains, if these may have some.
+
+use std::time::Duration;
+
+use super::action::{Action, Decision, Source, Ticket};
+use super::{Message, Quotas};
+use crate::core::boot_time::BootTime;
+use crate::prelude::*;
+
+/// Time for which a question waits for tokens of other domains: three round trips between two
+/// domains, and less than the time after which it is asked again.
+const MAX_TAKER_WAIT: Duration = Duration::from_millis(24);
+
+/// Wait that is stated if it is not known when there will be a token.
+pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+
+/// A request that waits for a token at the counting VM.
+#[derive(Debug)]
+pub(super) struct Taker {
+    tenant: TenantName,
+    origin: Origin,
+    pub(super) until: BootTime,
+}
+
+#[derive(Debug)]
+enum Origin {
+    /// A request of this VM.
+    Own(Ticket),
+    /// A question of another VM, with its number.
+    Vm(VmName, u64),
+}
+
+impl Quotas {
+    /// Answers a VM that asks for a token.
+    pub(super) fn on_ask_token(&mut self, from: &VmName, id: u64, tenant: &str, now: BootTime) {
+        if self.round.is_none() {
+            let counter = self.counter(now).cloned();
+            return self.send(from.clone(), id, Message::NotCounting { counter });
+        }
+        let Some(index) = self.bucket_index(tenant) else {
+            // The other VM has another version of the configuration in force.
+            return self.send_token(from.clone(), id, 1, Duration::ZERO);
+        };
+        let bucket = &mut self.buckets[index];
+        bucket.settle(&self.share);
+        bucket.record_demand(now);
+        if bucket.take(&self.share) {
+            let spare = bucket.take_spare(from, &self.share, now);
+            self.send_token(from.clone(), id, 1 + spare, Duration::ZERO);
+            return self.ask_if_low(index, now);
+        }
+        self.queue(index, Origin::Vm(from.clone(), id), now);
+    }
+
+    /// Lets a request of this VM wait for a token, or refuses it.
+    pub(super) fn queue_own(&mut self, index: usize, now: BootTime) -> Decision {
+        let ticket = self.next_ticket();
+        self.queue(index, Origin::Own(ticket), now);
+        // The request does not wait yet, so a decision made at once is returned.
+        match self.actions.pop() {
+            Some(Action::Decide(decided, decision)) if decided == ticket => decision,
+            other => {
+                self.actions.extend(other);
+                Decision::Waiting(ticket)
+            }
+        }
+    }
+
+    fn queue(&mut self, index: usize, origin: Origin, now: BootTime) {
+        let tenant = self.buckets[index].tenant.clone();
+        let taker = Taker {
+            tenant: tenant.clone(),
+            origin,
+            until: now.saturating_add(MAX_TAKER_WAIT),
+        };
+        self.takers.push(taker);
+        if !self.ask_for_transfers(index, now) {
+            self.refuse_takers_of(&tenant);
+        }
+    }
+
+    /// Returns the number of requests of a tenant that wait for tokens of other domains.
+    pub(super) fn taker_count(&self, tenant: &str) -> usize {
+        let of_tenant = self.takers.iter().filter(|taker| taker.tenant == tenant);
+        of_tenant.count()
+    }
+
+    /// Grants tokens to the requests that wait for them, in order.
+    pub(super) fn serve_takers(&mut self, index: usize) {
+        let tenant = self.buckets[index].tenant.clone();
+        while let Some(place) = self.takers.iter().position(|taker| taker.tenant == tenant) {
+            if !self.buckets[index].take(&self.share) {
+                return;
+            }
+            match self.takers.remove(place).origin {
+                Origin::Own(ticket) => self.decide(ticket, Decision::Admitted(Source::Own)),
+                Origin::Vm(vm, id) => self.send_token(vm, id, 1, Duration::ZERO),
+            }
+        }
+    }
+
+    /// Refuses the requests of a tenant that wait, as no more tokens are expected.
+    pub(super) fn refuse_takers_of(&mut self, tenant: &str) {
+        self.refuse_takers_if(|taker| taker.tenant == tenant);
+    }
+
+    /// Refuses all requests that wait, as this VM counts no longer.
+    pub(super) fn refuse_takers(&mut self) {
+        self.refuse_takers_if(|_| true);
+    }
+
+    /// Decides on the requests that have waited as long as they may.
+    pub(super) fn tick_takers(&mut self, now: BootTime) {
+        let is_due = |taker: &Taker| taker.until <= now;
+        let due = self.takers.iter().filter(|taker| is_due(taker));
+        let mut tenants: Vec<TenantName> = due.map(|taker| taker.tenant.clone()).collect();
+        tenants.dedup();
+        for tenant in tenants {
+            if let Some(index) = self.bucket_index(&tenant) {
+                self.buckets[index].settle(&self.share);
+                self.serve_takers(index);
+            }
+        }
+        self.refuse_takers_if(is_due);
+    }
+
+    fn refuse_takers_if(&mut self, is_refused: impl Fn(&Taker) -> bool) {
+        let all = std::mem::take(&mut self.takers);
+        let (refused, others): (Vec<_>, Vec<_>) = all.into_iter().partition(is_refused);
+        self.takers = others;
+        for taker in refused {
+            let wait = self.wait(&taker.tenant);
+            match taker.origin {
+                Origin::Own(ticket) => {
+                    self.decide(ticket, Decision::OverQuota { retry_after: wait });
+                }
+                Origin::Vm(vm, id) => self.send_token(vm, id, 0, wait),
+            }
+        }
+    }
+
+    /// Returns the time until a tenant has a token at this VM.
+    pub(super) fn wait(&self, tenant: &str) -> Duration {
+        let bucket = self.bucket_index(tenant).map(|index| &self.buckets[index]);
+        let wait = bucket.and_then(|bucket| bucket.wait(&self.share));
+        wait.unwrap_or(UNKNOWN_WAIT).max(Duration::from_millis(1))
+    }
+
+    fn send_token(&mut self, to: VmName, id: u64, granted: u32, wait: Duration) {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        self.send(to, id, Message::Token { granted, wait_ms });
+    }
+}
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -17,9 +17,11 @@
 use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
+use crate::core::quota::{Decision, Source};
 use crate::core::route::{Route, Table, Target};
-use crate::core::tenant::{Access, Credential, Denial};
+use crate::core::tenant::{Access, Credential, Denial, Tenant};
 use crate::platform::headers::{self, CallerFields};
+use crate::prelude::*;
 use crate::util::h1::Request;
 
 /// `Retry-After` of a request that nobody can handle yet.
@@ -35,6 +37,10 @@
     /// Who sends the request.
     credential: Credential,
     fingerprint: Fingerprint,
+    /// When the request had been read; earlier than now if it has waited for a token.
+    arrived: Instant,
+    /// Tenant of whose quota the request has a token.
+    token: Option<TenantName>,
 }
 
 impl Gateway {
@@ -48,7 +54,11 @@
         content: Vec<u8>,
         terms: Option<Terms>,
     ) {
-        let arrival = Arrival::new(key, request, content, terms.as_ref());
+        let mut arrival = Arrival::new(key, request, content, terms.as_ref(), self.now);
+        if let Some((arrived, token)) = self.quota.take_resumed() {
+            arrival.arrived = arrived;
+            arrival.token = token;
+        }
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
@@ -87,11 +97,43 @@
             .tenants()
             .authenticate(arrival.credential, route.allows_anonymous)
         {
-            Ok(access) => self.admit_for_leaves(arrival, table, route, &access, terms),
+            Ok(access) => self.admit_within_quota(arrival, table, route, &access, terms),
             Err(denial) => self.reject_unauthorized(&arrival, route, denial, table.version),
         }
     }
 
+    /// Starts the call for a request if its tenant's quota has room, which other VMs may have to
+    /// tell.
+    fn admit_within_quota(
+        &mut self,
+        mut arrival: Arrival,
+        table: &Table,
+        route: &Route,
+        access: &Access,
+        terms: Option<Terms>,
+    ) {
+        let has_token = |tenant: &Tenant| arrival.token.as_ref() == Some(&tenant.name);
+        let limited = access.tenant().filter(|tenant| tenant.quota.is_some());
+        let Some(tenant) = limited.filter(|tenant| !has_token(tenant)) else {
+            return self.admit_for_leaves(arrival, table, route, access, terms);
+        };
+        match self.request_token(&tenant.name) {
+            Decision::Admitted(source) => {
+                arrival.token = (source != Source::Unlimited).then(|| tenant.name.clone());
+                self.admit_for_leaves(arrival, table, route, access, terms);
+            }
+            Decision::Waiting(ticket) => {
+                let key = arrival.key;
+                self.await_token(key, ticket, &tenant.name, arrival.into_waiting(terms));
+            }
+            refusal => {
+                let id = &arrival.caller_fields.id;
+                let (key, tenant) = (arrival.key, &tenant.name);
+                self.refuse_for_quota(key, id, tenant, refusal, terms.as_ref());
+            }
+        }
+    }
+
     /// Starts the call for a request if there is an open connection to a leaf for each of its parts;
     /// otherwise lets another VM handle it.
     fn admit_if_connected(&mut self, arrival: Arrival, table: &Table) {
@@ -142,19 +184,22 @@
     ) {
         self.request_rate.record(self.now);
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
-        let mut plan = self.plan(route, arrival.caller_fields.timeout, terms.as_ref());
+        let mut plan = self.plan(route, &arrival, terms.as_ref());
         if !self.fit_into_stop(&mut plan) {
+            self.return_token(arrival.token.as_deref());
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
         if !self.admits(table, route, &plan) {
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
+            self.return_token(arrival.token.as_deref());
             return self.turn_away(&arrival, route, terms.as_ref());
         }
         let earlier_crashes = match self.quarantine_admission(fingerprint) {
             Admission::Admitted(crashes) => crashes,
             Admission::Withheld(wait) => {
                 plan.record_requests(&mut self.placement, self.now);
+                self.return_token(arrival.token.as_deref());
                 return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
             }
             Admission::TrialDue => return self.await_trial(key, arrival.into_waiting(terms)),
@@ -171,7 +216,7 @@
         let earlier_crashes = earlier_crashes.max(usize::from(is_suspect));
         let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
         let serial = self.allocate_serial();
-        let credential = arrival.credential;
+        let (credential, started) = (arrival.credential, arrival.arrived);
         self.start_call(CallState {
             serial,
             credential,
@@ -181,7 +226,7 @@
             forwarded: Arc::new(arrival.into_forwarded()),
             route: route.name.clone(),
             version: table.version,
-            started: self.now,
+            started,
             wake_at: None,
             sends: 0,
             unserved_when_due: false,
@@ -207,10 +252,12 @@
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
             return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
         }
-        let timeout = arrival.caller_fields.timeout;
+        // The other VM takes a token.
+        self.return_token(arrival.token.as_deref());
+        let (timeout, started) = (arrival.caller_fields.timeout, arrival.arrived);
         let mut plan = match route {
-            Some(route) => plan_for_peer(route, timeout, self.now),
-            None => Plan::without_route(timeout, self.now),
+            Some(route) => plan_for_peer(route, timeout, started),
+            None => Plan::without_route(timeout, started),
         };
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
@@ -227,7 +274,7 @@
             plan,
             forwarded: Arc::new(arrival.into_forwarded()),
             min_version,
-            started: self.now,
+            started,
             sends: 0,
         });
     }
@@ -246,13 +293,14 @@
 
     /// Plans a request of a route; chooses one of the services between which the route splits its
     /// requests.
-    fn plan(&mut self, route: &Route, timeout: Option<Duration>, terms: Option<&Terms>) -> Plan {
+    fn plan(&mut self, route: &Route, arrival: &Arrival, terms: Option<&Terms>) -> Plan {
         let (service, gather) = match &route.target {
             Target::Service(service) => (Some(service.clone()), None),
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
             Target::Gather(gather) => (None, Some(gather)),
         };
-        let plan = Plan::new(route, service, gather, timeout, self.now);
+        let timeout = arrival.caller_fields.timeout;
+        let plan = Plan::new(route, service, gather, timeout, arrival.arrived);
         match terms {
             Some(terms) => plan.delegated(terms, self.now),
             None => plan,
@@ -282,7 +330,13 @@
 
 impl Arrival {
     /// Reads what the gateway needs to know about a request.
-    fn new(key: usize, request: Request, content: Vec<u8>, terms: Option<&Terms>) -> Arrival {
+    fn new(
+        key: usize,
+        request: Request,
+        content: Vec<u8>,
+        terms: Option<&Terms>,
+        now: Instant,
+    ) -> Arrival {
         let host = request.host().unwrap_or_default();
         let caller_fields = headers::read_caller_fields(&request.fields);
         Arrival {
@@ -292,6 +346,8 @@
             fingerprint: fingerprint(host, &request, &content),
             request,
             content,
+            arrived: now,
+            token: None,
         }
     }
 
@@ -301,13 +357,15 @@
         table.find(host, self.request.path())
     }
 
-    /// Returns the request as it waits for a trial.
+    /// Returns the request as it waits for a trial or a token.
     fn into_waiting(self, terms: Option<Terms>) -> Waiting {
         Waiting {
             fingerprint: self.fingerprint,
             request: self.request,
             content: self.content,
             terms,
+            arrived: self.arrived,
+            token: self.token,
         }
     }
 
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -77,6 +77,8 @@
     Held { request: Request, content: Vec<u8> },
     /// The request is withheld, and is sent if this VM gets its trial.
     AwaitingTrial(Box<Waiting>),
+    /// The request waits for a token of its tenant's quota.
+    AwaitingToken(Box<Waiting>),
     /// A request was rejected; input is discarded until the caller closes the connection.
     Closing,
 }
@@ -88,7 +90,8 @@
             State::InFlight { .. }
             | State::Delegated { .. }
             | State::Held { .. }
-            | State::AwaitingTrial(_) => true,
+            | State::AwaitingTrial(_)
+            | State::AwaitingToken(_) => true,
             State::Idle | State::Head | State::Body { .. } | State::Closing => false,
         }
     }
@@ -208,6 +211,7 @@
                 | State::Delegated { .. }
                 | State::Held { .. }
                 | State::AwaitingTrial(_)
+                | State::AwaitingToken(_)
                 | State::Closing => false,
             };
             if !has_progressed {
@@ -339,7 +343,8 @@
             State::InFlight { .. }
             | State::Delegated { .. }
             | State::Held { .. }
-            | State::AwaitingTrial(_) => return,
+            | State::AwaitingTrial(_)
+            | State::AwaitingToken(_) => return,
             State::Closing => CLOSING_TIMEOUT,
         };
         let timer = Timer::Caller(key, caller.serial);
--- a/src/geraniummount/edge/gateway/datagrams/envelope.rs
+++ b/src/geraniummount/edge/gateway/datagrams/envelope.rs
@@ -20,7 +20,6 @@
 
 impl Envelope {
     /// Encodes the datagram.
-    #[allow(dead_code, reason = "used by the parts that ask other VMs")]
     pub(super) fn encode(&self) -> Vec<u8> {
         serde_json::json!(self).to_string().into_bytes()
     }
--- a/src/geraniummount/edge/gateway/datagrams/message.rs
+++ b/src/geraniummount/edge/gateway/datagrams/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::*;
+use crate::core::quota;
 
 /// A message to another VM: a question, or the answer to one.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -17,39 +17,8 @@
         /// Time since the newest confirmation, in milliseconds; `None` if there is none.
         age_ms: Option<u64>,
     },
-    /// Asks for the VM's portion of the quotas of all tenants, for a while.
-    AskLoan,
-    /// Answers [`Message::AskLoan`].
-    Loan {
-        /// Share of the quotas, from 0 to 1; 0 if the VM lends nothing.
-        portion: f64,
-    },
-    /// Asks for permission to run one request of a tenant.
-    AskToken {
-        /// Name of the tenant.
-        tenant: TenantName,
-    },
-    /// Answers [`Message::AskToken`].
-    Token {
-        /// Number of requests that may run; 0 if the tenant's quota is used up.
-        granted: u32,
-        /// Time until the tenant's quota has room again, in milliseconds.
-        wait_ms: u64,
-    },
-    /// Asks for tokens that the VM does not need.
-    AskTransfer {
-        /// Name of the tenant.
-        tenant: TenantName,
-        /// Number of tokens that are wanted.
-        wanted: f64,
-    },
-    /// Answers [`Message::AskTransfer`].
-    Transfer {
-        /// Name of the tenant.
-        tenant: TenantName,
-        /// Number of tokens that the VM gives away.
-        given: f64,
-    },
+    /// A question on quotas of tenants, or the answer to one.
+    Quota(quota::Message),
     /// A message that this build does not know, from a newer one.
     #[serde(other)]
     Unknown,
--- a/src/geraniummount/edge/gateway/datagrams/mod.rs
+++ b/src/geraniummount/edge/gateway/datagrams/mod.rs
@@ -72,17 +72,17 @@
     }
 }
 
-#[allow(dead_code, reason = "used by the parts that ask other VMs")]
 impl Gateway {
     /// Sends a question to a VM. Returns its number, which the answer repeats; `None` if the VM is
     /// not known, or the question could not be sent.
+    #[allow(dead_code, reason = "used by the part that confirms the configuration")]
     pub(super) fn ask(&mut self, peer: &str, question: Message) -> Option<u64> {
         self.datagrams.last_id += 1;
         let id = self.datagrams.last_id;
         self.send_datagram(peer, id, question).then_some(id)
     }
 
-    /// Answers a question of a VM.
+    /// Answers a question of a VM, or asks one whose number the part that asks has chosen.
     pub(super) fn answer(&mut self, peer: &str, id: u64, answer: Message) {
         self.send_datagram(peer, id, answer);
     }
@@ -147,15 +147,10 @@
     /// Handles a message of a registered VM; `id` is the number of the question.
     fn on_message(&mut self, from: &VmName, id: u64, message: Message) {
         match message {
-            Message::AskConfirmation
-            | Message::Confirmation { .. }
-            | Message::AskLoan
-            | Message::Loan { .. }
-            | Message::AskToken { .. }
-            | Message::Token { .. }
-            | Message::AskTransfer { .. }
-            | Message::Transfer { .. }
-            | Message::Unknown => debug!("datagram peer={from} id={id} event=ignored"),
+            Message::Quota(message) => self.on_quota_message(from, id, message),
+            Message::AskConfirmation | Message::Confirmation { .. } | Message::Unknown => {
+                debug!("datagram peer={from} id={id} event=ignored")
+            }
         }
     }
 }
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -99,6 +99,7 @@
     pub(super) fn apply_peers(&mut self, peers: Vec<Peer>) {
         let own = peers.iter().find(|peer| peer.name == self.options.name);
         self.delegation.own_key = own.map(|peer| peer.key.clone());
+        self.apply_quota_vms(&peers);
         self.delegation.peers.update(peers);
         let count = self.delegation.peers.len();
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -2,6 +2,7 @@
 //! request at one leaf.
 
 mod gauges;
+mod quotas;
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 };
 
 use self::gauges::Gauges;
+use self::quotas::Quotas;
 use crate::util::logger;
 
 /// Upper bounds of the histogram buckets of response times.
@@ -36,6 +38,7 @@
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
+    pub(super) quotas: Quotas,
 }
 
 impl Default for Metrics {
@@ -84,6 +87,7 @@
                 "Connections to leaves.",
             ),
             gauges: Gauges::new(&registry),
+            quotas: Quotas::new(&registry),
             registry,
             answers,
             answer_seconds,
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -16,6 +16,10 @@
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
     /// Other VMs to which requests can be delegated.
     pub(in crate::edge::gateway) known_peers: IntGauge,
+    /// Portions of the quotas that this VM has borrowed.
+    pub(in crate::edge::gateway) quota_loans: IntGauge,
+    /// Share of the quotas that this VM may use, in millionths.
+    pub(in crate::edge::gateway) quota_portion: IntGauge,
     pub(super) suppressed_log_lines: IntGauge,
 }
 
@@ -42,6 +46,14 @@
                 "gateway_known_peers",
                 "Other VMs to which requests can be delegated.",
             ),
+            quota_loans: gauge(
+                "gateway_quota_loans",
+                "Portions of the quotas that this VM has borrowed.",
+            ),
+            quota_portion: gauge(
+                "gateway_quota_portion_millionths",
+                "Share of the quotas that this VM may use, in millionths.",
+            ),
             suppressed_log_lines: gauge(
                 "gateway_log_lines_suppressed",
                 "Lines that the log did not take.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
 //! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
-//! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
+//! [`trials`] sends them once in a while. [`quota`] keeps tenants within their quotas. [`leaf_links`] detects that this VM reaches no leaf, and
 //! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
 //! [`watch`] keeps the routes and the lists of leaves and of VMs up to date from the platform's
 //! store on a thread of its own. [`probe`] serves readiness to the platform and metrics to
@@ -37,6 +37,7 @@
 mod pool;
 mod probe;
 mod quarantine;
+mod quota;
 mod registrations;
 mod response_reader;
 mod socket;
@@ -75,6 +76,7 @@
 use self::pool::Pool;
 use self::probe::Probe;
 use self::quarantine::Sharing;
+use self::quota::QuotaState;
 use self::stall::StallDetector;
 use self::timers::{Timer, Timers};
 use self::token::EventSource;
@@ -136,6 +138,8 @@
     delegation: Delegation,
     /// Socket for questions to other VMs and their answers.
     datagrams: Datagrams,
+    /// Quotas of tenants, and the requests that wait for tokens.
+    quota: QuotaState,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Connection that checks whether the store is reachable, and when it was begun.
@@ -186,6 +190,7 @@
             metrics_listener: metrics,
             delegation: Delegation::bind(&options)?,
             datagrams: Datagrams::bind(&options)?,
+            quota: QuotaState::new(&options)?,
             placement: Placement::new(options.failure_domain.clone(), options.start, rng),
             options,
             poll,
@@ -340,6 +345,7 @@
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
+                Timer::Quota => self.on_quota_timer(),
                 Timer::Trials => self.end_overdue_trials(),
                 Timer::LeafLinks => self.on_links_timer(),
                 Timer::StoreCheck => self.on_check_timer(),
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -64,6 +64,7 @@
             .gauges
             .routes_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.apply_quotas();
     }
 
     /// Replaces the list of registered leaves with that of the store in an era.
--- a/src/geraniummount/edge/gateway/stop.rs
+++ b/src/geraniummount/edge/gateway/stop.rs
@@ -56,6 +56,7 @@
         self.timers.add(self.now + CHECK_INTERVAL, Timer::Stop);
         self.end_calls_before(answer_by);
         self.end_delegated_before(answer_by);
+        self.stop_counting_quotas();
     }
 
     /// Lets the plan of a request end before the process does. Returns whether the request may be
@@ -108,7 +109,7 @@
 
     /// Returns the number of requests that have no response yet.
     fn open_requests(&self) -> usize {
-        self.calls.len() + self.delegation.open_count()
+        self.calls.len() + self.delegation.open_count() + self.quota.open_count()
     }
 
     /// Closes the callers' idle connections, after reading each a last time so that no request that
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -31,6 +31,8 @@
     Quarantine,
     /// End of the time for which requests wait for a trial.
     Trials,
+    /// Questions to other VMs on quotas, and the end of waits for their answers.
+    Quota,
     /// Start or end of a check of the links to the leaves.
     LeafLinks,
     /// Start or timeout of a check whether the store is reachable.
--- a/src/geraniummount/edge/gateway/trials.rs
+++ b/src/geraniummount/edge/gateway/trials.rs
@@ -15,6 +15,7 @@
 use crate::core::fingerprint::Fingerprint;
 use crate::core::quarantine::{Admission, FIRST_PAUSE, UNPROVEN_CRASHES};
 use crate::edge::quarantine::{Job, MAX_TRIAL_WAIT};
+use crate::prelude::*;
 use crate::util::h1::Request;
 
 /// A request that waits for its trial.
@@ -25,6 +26,10 @@
     pub(super) content: Vec<u8>,
     /// What another VM says about the request that it has delegated; `None` for one of a caller.
     pub(super) terms: Option<Terms>,
+    /// When the request had been read.
+    pub(super) arrived: Instant,
+    /// Tenant of whose quota the request has a token.
+    pub(super) token: Option<TenantName>,
 }
 
 /// Trials that this VM has claimed.
@@ -126,6 +131,7 @@
             return;
         };
         self.trials.admitted = Some((claimed.fingerprint, is_granted));
+        self.quota.resume(&waiting);
         self.admit(key, waiting.request, waiting.content, waiting.terms);
         self.trials.admitted = None;
         self.answered_callers.push(key);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -58,6 +58,7 @@
 mod quarantine_unconfirmed;
 mod quarantine_writer;
 mod query_path;
+mod quota;
 mod readiness;
 mod reply_size;
 mod request_rate;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -19,6 +19,7 @@
 mod odd_numbers;
 mod older_routes;
 mod pause;
+mod quotas;
 mod reads;
 mod requests;
 mod restore;
--- /dev/null
+++ b/tests/testsuite/quota/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the quotas of tenants without a network.
+
+mod exclusive;
+mod fleet;
+mod replay;
