--- a/tests/testsuite/platform/quotas.rs
+++ b/tests/testsuite/platform/quotas.rs
@@ -5,9 +5,10 @@
 
 use geraniummount::core::fingerprint;
 use geraniummount_test_support::platform::users::caller::Reply;
+use geraniummount_test_support::proxy::Proxy;
 use serde_json::{Value, json};
 
-use super::deployment::Deployment;
+use super::deployment::{Deployment, refuse};
 use super::fixture::{Fixture, document, exchange, request, service_route};
 
 /// Version of the configuration that contains the tenant.
@@ -79,6 +80,30 @@
     }
 }
 
+/// Guards against delegated requests that take no token, or whose refusal does not reach the caller.
+#[test]
+fn platform_quota_counts_requests_where_they_are_sent_to_leaves() {
+    let deployment = Deployment::start(&["near", "near"]);
+    limit(&deployment, 10.0);
+    deployment.change_links(0, refuse);
+    deployment.proxies.iter().for_each(Proxy::close_connections);
+    let vm = &deployment.vms[0];
+    vm.wait_until(|vm| send(vm).status == 200);
+    // The requests until then have used tokens.
+    std::thread::sleep(Duration::from_secs(2));
+    let start = Instant::now();
+    let replies: Vec<Reply> = (0..150).map(|_| send(vm)).collect();
+    let served = replies.iter().filter(|reply| reply.status == 200).count();
+    let bound = (10.0 * start.elapsed().as_secs_f64() + 10.0) * 1.1 + 20.0;
+    let statuses: Vec<u16> = replies.iter().map(|reply| reply.status).collect();
+    assert!(
+        served > 0 && served as f64 <= bound,
+        "{served} served: {statuses:?}"
+    );
+    let refused = replies.iter().find(|reply| reply.status == 429);
+    assert!(!wait_of(refused.expect("some are over the quota")).is_zero());
+}
+
 /// A VM that borrows portions, and then answers nothing.
 struct SilentCounter {
     name: String,
