Test the start of buckets, and callers that leave while they wait

Cause: nothing tested what a new version of the configuration does to a bucket, nor a token that arrives after the caller has left. A VM with a tenth of a core may not answer within 30 ms.

Change: tests of both; the last question for a token waits 90 ms for its answer.

--- a/src/geraniummount/core/quota/asking.rs
+++ b/src/geraniummount/core/quota/asking.rs
@@ -16,6 +16,10 @@
 /// Time after which a question is asked again.
 const ANSWER_TIME: Duration = Duration::from_millis(30);
 
+/// Time after which the last question counts as unanswered. A VM with a tenth of a core may not run
+/// for 90 ms at a time.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(90);
+
 /// Number of questions for one request.
 const MAX_QUESTIONS: u32 = 3;
 
@@ -87,7 +91,13 @@
         let tenant = waiter.tenant.clone();
         let id = self.ask(vm, Message::AskToken { tenant });
         waiter.questions.push((id, now));
-        waiter.next_at = now.saturating_add(ANSWER_TIME);
+        let is_last = asked + 1 >= waiter.max_questions;
+        let wait = if is_last {
+            LAST_ANSWER_TIME
+        } else {
+            ANSWER_TIME
+        };
+        waiter.next_at = now.saturating_add(wait);
         true
     }
 
--- a/src/geraniummount/core/quota/census.rs
+++ b/src/geraniummount/core/quota/census.rs
@@ -109,10 +109,10 @@
 
     /// Returns the other failure domains.
     pub(super) fn other_domains(&self) -> Vec<DomainName> {
-        let domains = self.known.iter().map(|entry| entry.domain.clone());
-        let mut others: Vec<DomainName> = domains.filter(|name| *name != self.own_domain).collect();
-        others.dedup();
-        others
+        let domains = self.known.chunk_by(|a, b| a.domain == b.domain);
+        let domains = domains.map(|entries| &entries[0].domain);
+        let others = domains.filter(|name| **name != self.own_domain);
+        others.cloned().collect()
     }
 }
 
--- a/tests/testsuite/quota/mod.rs
+++ b/tests/testsuite/quota/mod.rs
@@ -3,3 +3,4 @@
 mod exclusive;
 mod fleet;
 mod replay;
+mod start;
