Remove a marker for unused code that is used

Cause: the number of the last question is read since the quotas send datagrams.

Result: the linter is clean; 100 tests of platform and quota pass.

--- a/src/geraniummount/edge/gateway/datagrams/mod.rs
+++ b/src/geraniummount/edge/gateway/datagrams/mod.rs
@@ -35,7 +35,6 @@
     /// `None` if this VM takes no part.
     socket: Option<UdpSocket>,
     /// Number of the last question.
-    #[allow(dead_code, reason = "used by the parts that ask other VMs")]
     last_id: u64,
 }
 
