--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -6,42 +6,27 @@
 
 use log::info;
 
+use super::arrival::Arrival;
 use super::caller::State;
-use super::calls::{CallState, ForwardedRequest};
+use super::calls::CallState;
 use super::delegation::CallerRequest;
 use super::load_shedding::Overload;
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
 use crate::core::delegation::{Decline, Handler, Purpose, Terms, Unable, offload};
-use crate::core::fingerprint::{self, Fingerprint};
 use crate::core::key_lease::Keys;
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
+use crate::core::quota::{Decision, Source};
 use crate::core::route::{Route, Table, Target};
-use crate::core::tenant::{Access, Credential, Denial};
-use crate::platform::headers::{self, CallerFields};
-use crate::util::h1::{Body, Request};
+use crate::core::tenant::{Access, Denial, Tenant};
+use crate::platform::headers;
+use crate::util::h1::Request;
 
 /// `Retry-After` of a request that nobody can handle yet.
 const UNHANDLED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// A request that was read completely.
-struct Arrival {
-    /// Key of the connection that it arrived on.
-    key: usize,
-    request: Request,
-    content: Vec<u8>,
-    caller_fields: CallerFields,
-    /// Who sends the request.
-    credential: Credential,
-    fingerprint: Fingerprint,
-    /// Time that the request has taken so far, at this VM and others.
-    elapsed: Duration,
-    /// Number of leaves of each shard that may have received the request from other VMs.
-    sends: u32,
-}
-
 /// Whether a request may be passed to a stronger VM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Offloading {
@@ -61,7 +46,12 @@
         content: Vec<u8>,
         terms: Option<Terms>,
     ) {
-        let arrival = Arrival::new(key, request, content, terms.as_ref());
+        let arrival = Arrival::new(key, request, content, terms.as_ref(), self.now);
+        self.admit_arrival(arrival, terms);
+    }
+
+    /// Starts the call for a request as [`Gateway::admit`] does; it may have waited before.
+    pub(super) fn admit_arrival(&mut self, arrival: Arrival, terms: Option<Terms>) {
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
@@ -69,7 +59,7 @@
         if let Some(terms) = terms {
             return match self.routes.for_peer(terms.min_version, keys) {
                 Ok(table) => self.admit_by_routes(arrival, &table, Some(terms)),
-                Err(decline) => self.decline(key, &terms.from, decline, None),
+                Err(decline) => self.decline(arrival.key, &terms.from, decline, None),
             };
         }
         self.admit_by_handler(arrival, keys, Offloading::Possible);
@@ -126,7 +116,7 @@
 
     /// Serves a request on this VM that was offloaded and that the other VM has not served.
     pub(super) fn admit_again(&mut self, request: CallerRequest, sends: u32) {
-        let arrival = Arrival::from_offloaded(request, sends, self.now);
+        let arrival = Arrival::from_offloaded(request, sends);
         let keys = self.keys_of(&arrival.request, arrival.credential);
         self.admit_by_handler(arrival, keys, Offloading::Tried);
     }
@@ -140,11 +130,44 @@
             .tenants()
             .authenticate(arrival.credential, route.allows_anonymous)
         {
-            Ok(access) => self.admit_for_leaves(arrival, table, route, &access, terms),
+            Ok(access) => self.admit_within_quota(arrival, table, route, &access, terms),
             Err(denial) => self.reject_unauthorized(&arrival, route, denial, table.version),
         }
     }
 
+    /// Starts the call for a request if its tenant's quota has room, which other VMs may have to
+    /// tell.
+    fn admit_within_quota(
+        &mut self,
+        mut arrival: Arrival,
+        table: &Table,
+        route: &Route,
+        access: &Access,
+        terms: Option<Terms>,
+    ) {
+        let has_token = |tenant: &Tenant| arrival.token.as_ref() == Some(&tenant.name);
+        let limited = access.tenant().filter(|tenant| tenant.quota.is_some());
+        let Some(tenant) = limited.filter(|tenant| !has_token(tenant)) else {
+            return self.admit_for_leaves(arrival, table, route, access, terms);
+        };
+        match self.request_token(&tenant.name) {
+            Decision::Admitted(source) => {
+                arrival.token = (source != Source::Unlimited).then(|| tenant.name.clone());
+                self.admit_for_leaves(arrival, table, route, access, terms);
+            }
+            Decision::Waiting(ticket) => {
+                let key = arrival.key;
+                let waiting = Waiting { arrival, terms };
+                self.await_token(key, ticket, &tenant.name, waiting);
+            }
+            refusal => {
+                let id = &arrival.caller_fields.id;
+                let (key, tenant) = (arrival.key, &tenant.name);
+                self.refuse_for_quota(key, id, tenant, refusal, terms.as_ref());
+            }
+        }
+    }
+
     /// Starts the call for a request if there is an open connection to a leaf for each of its parts;
     /// otherwise lets another VM handle it.
     fn admit_if_connected(&mut self, arrival: Arrival, table: &Table) {
@@ -200,20 +223,23 @@
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         let mut plan = self.plan(route, &arrival);
         if !self.fit_into_stop(&mut plan) {
+            self.return_token(arrival.token.as_deref());
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
         if let Err(overload) = self.check_load(table, route, access, &plan) {
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
+            self.return_token(arrival.token.as_deref());
             return self.turn_away(&arrival, route, terms.as_ref(), &overload);
         }
         let earlier_crashes = match self.quarantine_admission(fingerprint) {
             Admission::Admitted(crashes) => crashes,
             Admission::Withheld(wait) => {
                 plan.record_requests(&mut self.placement, self.now);
+                self.return_token(arrival.token.as_deref());
                 return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
             }
-            Admission::TrialDue => return self.await_trial(key, arrival.into_waiting(terms)),
+            Admission::TrialDue => return self.await_trial(key, Waiting { arrival, terms }),
         };
         if terms.is_some() {
             self.metrics.count_peer_request("served");
@@ -227,7 +253,7 @@
         let earlier_crashes = earlier_crashes.max(usize::from(is_suspect));
         let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
         let serial = self.allocate_serial();
-        let credential = arrival.credential;
+        let (credential, started) = (arrival.credential, arrival.started());
         self.start_call(CallState {
             serial,
             credential,
@@ -237,7 +263,7 @@
             forwarded: Arc::new(arrival.into_forwarded()),
             route: route.name.clone(),
             version: table.version,
-            started: self.now,
+            started,
             wake_at: None,
             sends: 0,
             unserved_when_due: false,
@@ -264,10 +290,12 @@
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
             return self.withhold(key, &arrival.caller_fields.id, fingerprint, wait);
         }
-        let timeout = arrival.caller_fields.timeout;
+        // The other VM takes a token.
+        self.return_token(arrival.token.as_deref());
+        let (timeout, started) = (arrival.caller_fields.timeout, arrival.arrived);
         let mut plan = match route {
-            Some(route) => plan_for_peer(route, timeout, self.now),
-            None => Plan::without_route(timeout, self.now),
+            Some(route) => plan_for_peer(route, timeout, started),
+            None => Plan::without_route(timeout, started),
         };
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
@@ -285,7 +313,8 @@
             keys,
             plan,
             min_version,
-            started: self.now.checked_sub(arrival.elapsed).unwrap_or(self.now),
+            started,
+            timeout,
             sends: arrival.sends,
             forwarded: Arc::new(arrival.into_forwarded()),
         });
@@ -318,7 +347,7 @@
             Target::Gather(gather) => (None, Some(gather)),
         };
         let timeout = arrival.caller_fields.timeout;
-        let plan = Plan::new(route, service, gather, timeout, self.now);
+        let plan = Plan::new(route, service, gather, timeout, arrival.arrived);
         plan.continued(arrival.elapsed, arrival.sends, self.now)
     }
 
@@ -342,83 +371,3 @@
     };
     Plan::new(route, service, gather, timeout, now)
 }
-
-impl Arrival {
-    /// Reads what the gateway needs to know about a request.
-    fn new(key: usize, request: Request, content: Vec<u8>, terms: Option<&Terms>) -> Arrival {
-        let host = request.host().unwrap_or_default();
-        let caller_fields = headers::read_caller_fields(&request.fields);
-        Arrival {
-            key,
-            credential: terms.map_or(caller_fields.credential, |terms| terms.credential),
-            caller_fields,
-            fingerprint: fingerprint(host, &request, &content),
-            elapsed: terms.map_or(Duration::ZERO, |terms| terms.elapsed),
-            sends: terms.map_or(0, |terms| terms.sends),
-            request,
-            content,
-        }
-    }
-
-    /// Returns a request that was passed to another VM, as one that is to be served here.
-    fn from_offloaded(offloaded: CallerRequest, sends: u32, now: Instant) -> Arrival {
-        let forwarded = Arc::unwrap_or_clone(offloaded.forwarded);
-        let left = offloaded.plan.end_by.saturating_duration_since(now);
-        Arrival {
-            key: offloaded.caller,
-            caller_fields: CallerFields {
-                id: forwarded.id,
-                timeout: Some(left),
-                credential: offloaded.credential,
-            },
-            credential: offloaded.credential,
-            fingerprint: forwarded.fingerprint,
-            elapsed: now.saturating_duration_since(offloaded.started),
-            sends: offloaded.sends + sends,
-            request: Request {
-                method: forwarded.method,
-                target: forwarded.target,
-                fields: forwarded.fields,
-                body: Body::Length(0),
-                is_persistent: true,
-                expects_continue: false,
-            },
-            content: forwarded.content,
-        }
-    }
-
-    /// Returns the route of the request.
-    fn find_route<'a>(&self, table: &'a Table) -> Option<&'a Route> {
-        let host = self.request.host().unwrap_or_default();
-        table.find(host, self.request.path())
-    }
-
-    /// Returns the request as it waits for a trial.
-    fn into_waiting(self, terms: Option<Terms>) -> Waiting {
-        Waiting {
-            fingerprint: self.fingerprint,
-            request: self.request,
-            content: self.content,
-            terms,
-        }
-    }
-
-    /// Returns the request as it is forwarded.
-    fn into_forwarded(self) -> ForwardedRequest {
-        ForwardedRequest {
-            id: self.caller_fields.id,
-            fingerprint: self.fingerprint,
-            method: self.request.method,
-            target: self.request.target,
-            fields: self.request.fields,
-            content: self.content,
-        }
-    }
-}
-
-/// Returns the fingerprint of a request, which is the same for each repetition of it.
-fn fingerprint(host: &str, request: &Request, content: &[u8]) -> Fingerprint {
-    let parts = [host, &request.method, &request.target];
-    let parts = parts.iter().map(|part| part.as_bytes());
-    fingerprint::of(parts.chain([content]))
-}
--- a/src/geraniummount/edge/gateway/delegation/caller_request.rs
+++ b/src/geraniummount/edge/gateway/delegation/caller_request.rs
@@ -1,7 +1,7 @@
 //! Requests of callers that another VM can serve.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::core::call::Plan;
 use crate::core::delegation::{Purpose, Request};
@@ -19,6 +19,8 @@
     /// Oldest version of the routes by which the request may be served.
     pub(in crate::edge::gateway) min_version: u64,
     pub(in crate::edge::gateway) started: Instant,
+    /// How long the caller waits for the response, if the request states it.
+    pub(in crate::edge::gateway) timeout: Option<Duration>,
     /// Why the request is passed to another VM.
     pub(in crate::edge::gateway) purpose: Purpose,
     /// Who sends the request.
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -3,6 +3,7 @@
 
 mod gauges;
 mod key_counters;
+mod quotas;
 
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 
 use self::gauges::Gauges;
 use self::key_counters::KeyCounters;
+use self::quotas::Quotas;
 use crate::core::fair_share::Cause;
 use crate::util::logger;
 
@@ -45,6 +47,7 @@
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
+    pub(super) quotas: Quotas,
 }
 
 impl Default for Metrics {
@@ -82,11 +85,7 @@
             "Requests shed by priority and tenant.",
             &["priority", "cause"],
         );
-        let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
-        let answer_seconds =
-            Histogram::with_opts(options.buckets(LATENCY_BUCKETS_SECONDS.to_vec()));
-        let answer_seconds = answer_seconds.expect("histogram options should be valid constants");
-        register(&registry, Box::new(answer_seconds.clone()));
+        let answer_seconds = answer_histogram(&registry);
         Metrics {
             caller_connections: counter(
                 &registry,
@@ -100,6 +99,7 @@
             ),
             gauges: Gauges::new(&registry),
             keys: KeyCounters::new(&registry),
+            quotas: Quotas::new(&registry),
             registry,
             answers,
             answer_seconds,
@@ -168,6 +168,15 @@
     }
 }
 
+/// Creates and registers the histogram of response times.
+fn answer_histogram(registry: &Registry) -> Histogram {
+    let options = HistogramOpts::new("gateway_answer_seconds", "Time of requests.");
+    let histogram = Histogram::with_opts(options.buckets(LATENCY_BUCKETS_SECONDS.to_vec()));
+    let histogram = histogram.expect("histogram options should be valid constants");
+    register(registry, Box::new(histogram.clone()));
+    histogram
+}
+
 fn register(registry: &Registry, collector: Box<dyn prometheus::core::Collector>) {
     registry
         .register(collector)
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -11,6 +11,8 @@
 //! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
 //! [`delegation`] then lets other VMs serve its requests. [`key_lease`] confirms that the keys of
 //! callers may still be used. [`stall`] detects that this VM was frozen.
+//! [`trials`] sends them once in a while. [`quota`] keeps tenants within their quotas. [`leaf_links`] detects that this VM reaches no leaf, and
+//! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
 //! [`watch`] keeps the routes and the lists of leaves and of VMs up to date from the platform's
 //! store on a thread of its own. [`probe`] serves readiness to the platform and metrics to
 //! operators.
@@ -25,6 +27,7 @@
 
 mod admission;
 mod answer;
+mod arrival;
 mod caller;
 mod calls;
 mod crashes;
@@ -41,6 +44,7 @@
 mod pool;
 mod probe;
 mod quarantine;
+mod quota;
 mod registrations;
 mod response_reader;
 mod socket;
@@ -81,6 +85,7 @@
 use self::pool::Pool;
 use self::probe::Probe;
 use self::quarantine::Sharing;
+use self::quota::QuotaState;
 use self::stall::StallDetector;
 use self::timers::{Timer, Timers};
 use self::token::EventSource;
@@ -144,6 +149,8 @@
     datagrams: Datagrams,
     /// Confirmation that keys may still be used; `None` if they need none.
     keys: Option<KeyLease>,
+    /// Quotas of tenants, and the requests that wait for tokens.
+    quota: QuotaState,
     /// Load shedders, one for each set of shards, sorted by first shard.
     shedders: Vec<ShardSetShedder>,
     /// Competition of tenants for each service and set of shards, sorted by these.
@@ -197,6 +204,7 @@
             delegation: Delegation::bind(&options)?,
             datagrams: Datagrams::bind(&options)?,
             keys: KeyLease::new(&options),
+            quota: QuotaState::new(&options)?,
             placement: Placement::new(options.failure_domain.clone(), options.start, rng),
             options,
             poll,
@@ -353,6 +361,7 @@
                 Timer::Unregistered => self.remove_unregistered(),
                 Timer::Fleet => self.check_fleet(),
                 Timer::Quarantine => self.check_quarantine(),
+                Timer::Quota => self.on_quota_timer(),
                 Timer::Trials => self.end_overdue_trials(),
                 Timer::Keys => self.on_keys_timer(),
                 Timer::LeafLinks => self.on_links_timer(),
--- a/src/geraniummount/edge/gateway/timers.rs
+++ b/src/geraniummount/edge/gateway/timers.rs
@@ -33,6 +33,8 @@
     Trials,
     /// Renewal of the confirmation of the keys, or answer to a question about it.
     Keys,
+    /// Questions to other VMs on quotas, and the end of waits for their answers.
+    Quota,
     /// Start or end of a check of the links to the leaves.
     LeafLinks,
     /// Start or timeout of a check whether the store is reachable.
--- a/src/geraniummount/edge/gateway/trials.rs
+++ b/src/geraniummount/edge/gateway/trials.rs
@@ -9,20 +9,18 @@
 use log::info;
 
 use super::Gateway;
+use super::arrival::Arrival;
 use super::caller::State;
 use super::timers::Timer;
 use crate::core::delegation::Terms;
 use crate::core::fingerprint::Fingerprint;
 use crate::core::quarantine::{Admission, FIRST_PAUSE, UNPROVEN_CRASHES};
 use crate::edge::quarantine::{Job, MAX_TRIAL_WAIT};
-use crate::util::h1::Request;
 
-/// A request that waits for its trial.
+/// A request that waits for its trial, or for a token of its tenant's quota.
 #[derive(Debug)]
 pub(super) struct Waiting {
-    pub(super) fingerprint: Fingerprint,
-    pub(super) request: Request,
-    pub(super) content: Vec<u8>,
+    pub(super) arrival: Arrival,
     /// What another VM says about the request that it has delegated; `None` for one of a caller.
     pub(super) terms: Option<Terms>,
 }
@@ -73,7 +71,7 @@
 
     /// Claims the trial of a request, which waits for it. `key` is that of the caller's connection.
     pub(super) fn await_trial(&mut self, key: usize, waiting: Waiting) {
-        let fingerprint = waiting.fingerprint;
+        let fingerprint = waiting.arrival.fingerprint;
         let until = self.now + MAX_TRIAL_WAIT;
         let caller = &mut self.caller_connections[key];
         self.trials.claims.push(Claimed {
@@ -126,7 +124,7 @@
             return;
         };
         self.trials.admitted = Some((claimed.fingerprint, is_granted));
-        self.admit(key, waiting.request, waiting.content, waiting.terms);
+        self.admit_arrival(waiting.arrival, waiting.terms);
         self.trials.admitted = None;
         self.answered_callers.push(key);
     }
--- a/tests/testsuite/platform/api_keys.rs
+++ b/tests/testsuite/platform/api_keys.rs
@@ -19,6 +19,9 @@
     let fixture = Fixture::start();
     let leaves = (leaf(&fixture, "one", b"one"), leaf(&fixture, "two", b"two"));
     configure_tenants(&fixture, 1);
+    // A VM that has just started does not know its portion of the quotas yet.
+    let credential = authorization(BOLT_KEY);
+    fixture.wait_until(|fixture| get(fixture.callers_address, "/a/x", &credential).status == 200);
     (fixture, leaves.0, leaves.1)
 }
 
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -23,6 +23,7 @@
 mod offload;
 mod older_routes;
 mod pause;
+mod quotas;
 mod reads;
 mod requests;
 mod restore;
