--- a/tests/testsuite/config_check.rs
+++ b/tests/testsuite/config_check.rs
@@ -314,3 +314,14 @@
         assert!(error.contains("apiKeys"), "{error}");
     }
 }
+
+/// Guards against differences between equal documents whose routes share a name.
+#[test]
+fn config_check_compares_routes_of_the_same_name_in_order() {
+    let mut document = valid();
+    document["routes"][2]["name"] = json!("r1");
+    let mut next = document.clone();
+    next["version"] = json!(8);
+    let findings = check(&next, Some(&document));
+    assert!(findings.is_empty(), "{findings:?}");
+}
--- a/tests/testsuite/offload.rs
+++ b/tests/testsuite/offload.rs
@@ -266,3 +266,60 @@
     let count = chosen.iter().filter(|name| *name == "a").count();
     assert_eq!(count, 4, "{chosen:?}");
 }
+
+/// Guards against a delay that is not that of the overloaded VM: any other VM that can be asked would
+/// shorten it, although it is not asked.
+#[test]
+fn offload_refuses_an_overloaded_query_with_the_delay_of_the_stronger_vm() {
+    const RETRY_AFTER: Duration = Duration::from_millis(800);
+    let now = Instant::now();
+    let mut peers = peers(&[("strong", "near", 500), ("weak", "near", 120)]);
+    let mut request =
+        Request::new(Repeat::Idempotent, now + TIMEOUT).with_purpose(Purpose::Offload);
+    request.start(&mut peers, now);
+    let outcome = Outcome::Declined {
+        decline: Decline::Overloaded,
+        retry_after: Some(RETRY_AFTER),
+    };
+    let actions = request.on_outcome(outcome, &mut peers, || true, now);
+    let Some(Action::Finish(End::Refuse { retry_after, .. })) = actions.last() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*retry_after, RETRY_AFTER);
+}
+
+/// Guards against a wait for the connection to a VM whose link is cut, which lasts until the
+/// connection times out.
+#[test]
+fn offload_does_not_wait_for_a_connection() {
+    let now = Instant::now();
+    let mut peers = peers(&[("strong", "near", 500)]);
+    let mut request =
+        Request::new(Repeat::Idempotent, now + TIMEOUT).with_purpose(Purpose::Offload);
+    request.start(&mut peers, now);
+    let wake = request.next_wake().expect("the request is not finished");
+    assert!(wake <= now + MAX_DELAY, "{:?}", wake - now);
+}
+
+/// Guards against a tenant that is shed at other VMs, and whose refusals keep the requests of all
+/// other tenants from these VMs.
+#[test]
+fn delegation_goes_on_for_others_after_an_overload_of_one_tenant() {
+    let now = Instant::now();
+    let mut peers = peers(&[("a", "near", 500), ("b", "near", 500)]);
+    let mut shed = Request::new(Repeat::Idempotent, now + TIMEOUT);
+    shed.start(&mut peers, now);
+    for _ in 0..2 {
+        let outcome = Outcome::Declined {
+            decline: Decline::Overloaded,
+            retry_after: Some(Duration::from_millis(60)),
+        };
+        shed.on_outcome(outcome, &mut peers, || true, now);
+    }
+    let mut other = Request::new(Repeat::Idempotent, now + TIMEOUT);
+    let actions = other.start(&mut peers, now);
+    assert!(
+        matches!(actions.as_slice(), [Action::Send(_)]),
+        "{actions:?}"
+    );
+}
--- a/tests/testsuite/platform/fair_share.rs
+++ b/tests/testsuite/platform/fair_share.rs
@@ -35,8 +35,12 @@
 }
 
 fn send_order(fixture: &Fixture, id: &str, tenant: &str) -> Reply {
+    send_order_within(fixture, id, tenant, 2000)
+}
+
+fn send_order_within(fixture: &Fixture, id: &str, tenant: &str, deadline_ms: u64) -> Reply {
     let order = format!(
-        "POST /order/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\n\
+        "POST /order/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\
          Authorization: Token key-{tenant}\r\nContent-Length: 1\r\n\r\n1"
     );
     let mut stream = connect(fixture.callers_address);
@@ -90,3 +94,20 @@
     leaf.set_answer(Answer::Rejected);
     assert_eq!(count_shed(&fixture, &leaf), [0, 0]);
 }
+
+/// Guards against a caller whose own deadline is too short for any leaf, which counts as a shortage
+/// although the leaf has capacity, and by which the orders of others are refused. Without tenants,
+/// the same orders show that nothing else refuses them.
+#[test]
+fn platform_fair_share_sheds_nobody_because_of_a_short_deadline() {
+    let statuses = [false, true].map(|has_tenants| {
+        let (fixture, leaf) = start(has_tenants);
+        leaf.set_answer(Answer::Late(Duration::from_millis(100)));
+        for number in 0..20 {
+            send_order_within(&fixture, &format!("short-{number}"), "first", 60);
+        }
+        let serve = |number| send_order(&fixture, &format!("long-{number}"), "last").status;
+        (0..10).map(serve).collect::<Vec<u16>>()
+    });
+    assert_eq!(statuses, [vec![200; 10], vec![200; 10]]);
+}
--- a/tests/testsuite/platform/offload.rs
+++ b/tests/testsuite/platform/offload.rs
@@ -1,13 +1,19 @@
 //! Queries that a weak VM passes to a stronger one.
 
-use std::net::Ipv4Addr;
-use std::time::{Duration, Instant};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use geraniummount_test_support::platform::users::{Leaf, Store};
+use geraniummount::core::fingerprint;
+
+use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::proxy::Proxy;
+use serde_json::{Value, json};
 
 use super::deployment::hang;
-use super::fixture::{Fixture, gather_route};
+use super::fixture::{Fixture, HOST, document, exchange, gather_route};
 
 const SHARDS: usize = 30;
 const RECORD: &[u8] = b"record-of-16-byt";
@@ -84,3 +90,153 @@
         assert_eq!(fleet.weak.get("/q/x", 2000).status, 200);
     }
 }
+
+/// Starts a stand-in for a stronger VM, which reads each query and closes the connection; returns
+/// how many it has read. It acknowledges them if `interim` contains an acknowledgement.
+fn start_ending_vm(store: &Store, interim: &'static [u8]) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let entry = json!({"address": address, "domain": "near", "key": "secret",
+        "written_at_ms": 4_000_000_000_000_u64, "millicores": 500});
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut head = [0; 4096];
+            if stream.read(&mut head).unwrap_or_default() > 0 {
+                counted.fetch_add(1, Ordering::SeqCst);
+                let _ = stream.write_all(interim);
+            }
+        }
+    });
+    store.put("peers/strong", entry.to_string());
+    count
+}
+
+/// Guards against a refusal as not run of a query that the stronger VM may have run.
+#[test]
+fn platform_offload_refuses_no_query_that_the_stronger_vm_may_have_run() {
+    const ACKNOWLEDGEMENT: &[u8] = b"HTTP/1.1 102 Processing\r\nGeraniummount-Version: 1\r\n\r\n";
+    let failures = std::cell::RefCell::new(Vec::new());
+    for interim in [ACKNOWLEDGEMENT, b""] {
+        let store = Store::start();
+        let address = store.address();
+        let weak = Fixture::start_with_millicores(store, address, 100);
+        let names: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        weak.configure(1, &[gather_route("/q/", &names, 5, 0.9)]);
+        let start = |name: &&str| Leaf::start(&weak.store, name, "near", RECORD);
+        let leaves: Vec<Leaf> = names.iter().map(start).collect();
+        weak.wait_for_leaf("/q/x");
+        (0..20).for_each(|_| assert_eq!(weak.get("/q/x", 2000).status, 200));
+        leaves
+            .iter()
+            .for_each(|leaf| leaf.set_answer(Answer::Rejected));
+        let received = start_ending_vm(&weak.store, interim);
+        weak.wait_until(|weak| {
+            let status = weak.get("/q/x", 2000).status;
+            let is_received = received.load(Ordering::SeqCst) > 0;
+            if is_received && status == 503 {
+                failures.borrow_mut().push(interim.len());
+            }
+            is_received
+        });
+    }
+    let failures = failures.into_inner();
+    assert!(
+        failures.is_empty(),
+        "refused, by length of the acknowledgement: {failures:?}"
+    );
+}
+
+/// Starts a weak VM with a leaf of each shard.
+fn start_weak() -> (Fixture, Vec<Leaf>, Value) {
+    let store = Store::start();
+    let address = store.address();
+    let weak = Fixture::start_with_millicores(store, address, 100);
+    let names: Vec<String> = (0..SHARDS).map(|shard| format!("shard{shard}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let route = gather_route("/q/", &names, 5, 0.9);
+    weak.configure(1, std::slice::from_ref(&route));
+    let start = |name: &&str| Leaf::start(&weak.store, name, "near", RECORD);
+    let leaves: Vec<Leaf> = names.iter().map(start).collect();
+    weak.wait_for_leaf("/q/x");
+    (weak, leaves, route)
+}
+
+/// Guards against a query that comes back after its route has become one whose requests may run
+/// only once, and that is run again.
+#[test]
+fn platform_offload_runs_no_query_again_that_may_run_only_once_by_newer_routes() {
+    let (weak, leaves, mut route) = start_weak();
+    (0..20).for_each(|_| assert_eq!(weak.get("/q/x", 2000).status, 200));
+    let is_due = Arc::new(AtomicBool::new(false));
+    let is_received = Arc::new(AtomicBool::new(false));
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let entry = json!({"address": listener.local_addr().unwrap().to_string(), "domain": "near",
+        "key": "secret", "written_at_ms": 4_000_000_000_000_u64, "millicores": 500});
+    let (due, received) = (Arc::clone(&is_due), Arc::clone(&is_received));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ =
+                stream.write_all(b"HTTP/1.1 102 Processing\r\nGeraniummount-Version: 1\r\n\r\n");
+            received.store(true, Ordering::SeqCst);
+            while !due.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    });
+    weak.store.put("peers/strong", entry.to_string());
+    std::thread::sleep(Duration::from_millis(500));
+    let runs = || -> usize { leaves.iter().map(|leaf| leaf.runs().len()).sum() };
+    let runs_before = runs();
+    let status = std::thread::scope(|scope| {
+        let query = scope.spawn(|| weak.get("/q/x", 2500).status);
+        weak.wait_until(|_| is_received.load(Ordering::SeqCst));
+        route["type"] = json!("non_idempotent");
+        weak.configure(2, &[route]);
+        is_due.store(true, Ordering::SeqCst);
+        query.join().unwrap()
+    });
+    assert_eq!((status, runs() - runs_before), (502, 0));
+}
+
+/// Guards against a query that comes back, waits for its trial, and has lost its key meanwhile.
+#[test]
+fn platform_offload_keeps_the_key_of_a_query_that_waits_for_a_trial() {
+    let (weak, _leaves, route) = start_weak();
+    let mut config: Value = serde_json::from_str(&document(2, &[route])).unwrap();
+    config["tenants"] = json!([{"name": "t", "apiKeys": ["k"]}]);
+    weak.store.put("op/config", config.to_string());
+    weak.wait_until(|weak| weak.get("/q/x", 2000).status == 401);
+    let parts: [&[u8]; 4] = [HOST.as_bytes(), b"GET", b"/q/crash", b""];
+    let fingerprint = format!("{:032x}", fingerprint::of(parts));
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64;
+    let crash = |number: u64| json!({"at_ms": now_ms - 4100 + number, "instance": format!("i{number}"), "leaf": format!("i{number}"), "service": "shard0"});
+    let record = json!([{"fingerprint": fingerprint, "answered_ms": 0,
+        "last_crash_ms": now_ms - 4000, "crashes": [crash(0), crash(1), crash(2)]}]);
+    let send = |path: &str| {
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {path}\r\nDeadline-Ms: 2000\r\n\
+             Authorization: Token k\r\n\r\n"
+        );
+        exchange(weak.callers_address, request.as_bytes())
+            .unwrap()
+            .status
+    };
+    start_ending_vm(
+        &weak.store,
+        b"HTTP/1.1 503 Busy\r\nGeraniummount-Decline: busy\r\nContent-Length: 0\r\n\r\n",
+    );
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(send("/q/calm"), 200);
+    weak.store.put("quarantine/requests", record.to_string());
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(send("/q/crash"), 200);
+}
