--- a/tests/testsuite/platform/offload.rs
+++ b/tests/testsuite/platform/offload.rs
@@ -218,7 +218,10 @@
         .duration_since(UNIX_EPOCH)
         .unwrap()
         .as_millis() as u64;
-    let crash = |number: u64| json!({"at_ms": now_ms - 4100 + number, "instance": format!("i{number}"), "leaf": format!("i{number}"), "service": "shard0"});
+    let crash = |number: u64| {
+        json!({"leaf": format!("leaf{number}"), "vm": "vm", "arrived_ms": now_ms - 4200 + number,
+            "at_ms": now_ms - 4100 + number})
+    };
     let record = json!([{"fingerprint": fingerprint, "answered_ms": 0,
         "last_crash_ms": now_ms - 4000, "crashes": [crash(0), crash(1), crash(2)]}]);
     let send = |path: &str| {
