Refuse an overloaded query with the delay that the stronger VM states

Cause: the delay was the shorter of that one and the time until any VM can be asked, which is mostly 0, so callers were told 50 ms.

Change: an offloaded query is passed to no other VM, and only the stated delay counts.

Result: offload_refuses_an_overloaded_query_with_the_delay_of_the_stronger_vm failed before (50 ms for 800) and passes. Delays over 1 s are still cut to MAX_RETRY_AFTER.

--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -335,9 +335,12 @@
         let Some(not_run) = self.not_run() else {
             return self.finish(End::Fail);
         };
-        let usable_in = peers
-            .usable_at(now)
-            .map(|at| at.saturating_duration_since(now));
+        // No other peer is asked to serve an offloaded request, so it does not matter when one can be.
+        let usable_at = match self.purpose {
+            Purpose::Necessity => peers.usable_at(now),
+            Purpose::Offload => None,
+        };
+        let usable_in = usable_at.map(|at| at.saturating_duration_since(now));
         let wait = self.retry_after.into_iter().chain(usable_in).min();
         let wait = wait.unwrap_or(MAX_RETRY_AFTER);
         self.finish(End::Refuse {
