--- a/tests/testsuite/config_check.rs
+++ b/tests/testsuite/config_check.rs
@@ -325,3 +325,14 @@
     let findings = check(&next, Some(&document));
     assert!(findings.is_empty(), "{findings:?}");
 }
+
+/// Guards against keys in errors, which gateways log, of a document that lists keys as tenants.
+#[test]
+fn config_check_of_tenants_that_are_keys_does_not_show_them() {
+    for tenants in [json!(["key-secret"]), json!("key-secret")] {
+        let mut document = valid();
+        document["tenants"] = tenants;
+        let error = document::read(document.to_string().as_bytes()).unwrap_err();
+        assert!(!error.to_string().contains("key-secret"), "{error}");
+    }
+}
--- a/tests/testsuite/platform/offload.rs
+++ b/tests/testsuite/platform/offload.rs
@@ -243,3 +243,30 @@
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(send("/q/crash"), 200);
 }
+
+/// Guards against a query that comes back after its target latency, whose parts then all count as
+/// overdue, so that further queries are shed although the leaves have capacity.
+#[test]
+fn platform_offload_to_a_frozen_vm_is_no_overload_of_the_leaves() {
+    let shed = [false, true].map(|has_frozen_vm| {
+        let (weak, _leaves, mut route) = start_weak();
+        route["targetLatencyMs"] = json!(45);
+        weak.configure(2, &[route]);
+        (0..20).for_each(|_| assert_eq!(weak.get("/q/x", 2000).status, 200));
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let entry = json!({"address": listener.local_addr().unwrap().to_string(), "domain": "near",
+            "key": "secret", "written_at_ms": 4_000_000_000_000_u64, "millicores": 500});
+        if has_frozen_vm {
+            weak.store.put("peers/strong", entry.to_string());
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        std::thread::scope(|scope| {
+            (0..8).for_each(|_| {
+                scope.spawn(|| weak.get("/q/x", 2000));
+            });
+        });
+        let statuses = (0..10).map(|_| weak.get("/q/x", 2000).status);
+        statuses.filter(|status| *status == 503).count()
+    });
+    assert_eq!(shed, [0, 0]);
+}
