--- a/src/geraniummount/core/delegation/action.rs
+++ b/src/geraniummount/core/delegation/action.rs
@@ -34,6 +34,8 @@
     ServeHere {
         /// Number of leaves of each shard that may have received the request from the peer.
         sends: u32,
+        /// Whether the peer, or a leaf, may have run the request.
+        may_have_run: bool,
     },
     /// Report a failure; the request may have run.
     Fail,
--- a/src/geraniummount/core/delegation/decline.rs
+++ b/src/geraniummount/core/delegation/decline.rs
@@ -17,6 +17,8 @@
     Outdated,
     /// The VM rejects some requests because leaves are overloaded.
     Overloaded,
+    /// The VM sheds requests of this tenant or priority, because leaves are overloaded.
+    Shed,
     /// The VM has no time for queries that others could serve themselves.
     Busy,
     /// The VM is stopping.
@@ -26,12 +28,13 @@
 }
 
 impl Decline {
-    const ALL: [Decline; 8] = [
+    const ALL: [Decline; 9] = [
         Decline::KeysUnconfirmed,
         Decline::LinksLost,
         Decline::NotReady,
         Decline::Outdated,
         Decline::Overloaded,
+        Decline::Shed,
         Decline::Busy,
         Decline::Stopping,
         Decline::Unauthorized,
@@ -45,6 +48,7 @@
             Decline::NotReady => "not-ready",
             Decline::Outdated => "outdated",
             Decline::Overloaded => "overloaded",
+            Decline::Shed => "shed",
             Decline::Busy => "busy",
             Decline::Stopping => "stopping",
             Decline::Unauthorized => "unauthorized",
--- a/src/geraniummount/core/delegation/outcome.rs
+++ b/src/geraniummount/core/delegation/outcome.rs
@@ -24,10 +24,16 @@
 impl Answer {
     /// Returns whether the peer states that the request has not run there and will not run.
     pub fn is_refusal(&self) -> bool {
-        REFUSED.contains(&self.status)
+        promises_not_run(self.status)
     }
 }
 
+/// Returns whether a response with this status promises that the request has not run and will not
+/// run.
+pub fn promises_not_run(status: u16) -> bool {
+    REFUSED.contains(&status)
+}
+
 /// Result of passing a request to a peer.
 #[derive(Debug)]
 pub enum Outcome {
--- a/src/geraniummount/core/delegation/peers/state.rs
+++ b/src/geraniummount/core/delegation/peers/state.rs
@@ -81,7 +81,8 @@
             self.answered_at = None;
         }
         let backoff = match ending {
-            Ending::Abandoned => return,
+            // Nothing follows for other requests.
+            Ending::Abandoned | Ending::Declined(Decline::Shed) => return,
             Ending::Answered => {
                 self.failures = 0;
                 self.answered_at = Some(now);
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 struct Open {
     peer: VmName,
+    /// When the peer was chosen.
+    chosen_at: Instant,
     /// When the request was sent; `None` while a connection is being opened.
     sent_at: Option<Instant>,
     is_acknowledged: bool,
@@ -92,7 +94,14 @@
     /// it may have run even if no peer serves it.
     #[must_use]
     pub fn with_sends(mut self, sends: u32) -> Request {
-        self.may_have_run = sends > 0;
+        self.may_have_run |= sends > 0;
+        self
+    }
+
+    /// Records whether another VM may have run the request already.
+    #[must_use]
+    pub fn with_earlier_run(mut self, may_have_run: bool) -> Request {
+        self.may_have_run |= may_have_run;
         self
     }
 
@@ -144,7 +153,9 @@
     }
 
     /// Processes the result of passing the request to a peer. `take_extra` takes what a repetition
-    /// costs from the retry allowances, and returns whether they permit it.
+    /// costs from the retry allowances, and returns whether they permit it. The repetition of an
+    /// offloaded request is not charged: this VM earns no allowance by requests that others serve,
+    /// and a VM that ends had only a few of them in flight (`offload::has_room`).
     pub fn on_outcome(
         &mut self,
         outcome: Outcome,
@@ -162,11 +173,16 @@
                 retry_after,
             } => {
                 self.record_decline(&open, decline, retry_after, peers, now);
-                // The leaves are overloaded, whichever VM sends the request to them.
-                if self.purpose == Purpose::Offload && decline == Decline::Overloaded {
-                    return self.give_up(peers, now);
+                let is_final = match decline {
+                    // The leaves are overloaded, whichever VM sends the request to them.
+                    Decline::Overloaded => self.purpose == Purpose::Offload,
+                    Decline::Shed => true,
+                    _ => false,
+                };
+                match is_final {
+                    true => self.give_up(peers, now),
+                    false => self.try_next(peers, now),
                 }
-                self.try_next(peers, now)
             }
             Outcome::Unreachable => {
                 peers.end(&open.peer, Ending::Failed, now);
@@ -175,8 +191,9 @@
             Outcome::Lost => {
                 peers.end(&open.peer, Ending::Failed, now);
                 self.may_have_run = true;
+                let is_charged = open.is_acknowledged && self.purpose == Purpose::Necessity;
                 let may_repeat = self.repeat == Repeat::Idempotent;
-                if !may_repeat || (open.is_acknowledged && !take_extra()) {
+                if !may_repeat || (is_charged && !take_extra()) {
                     return self.finish(End::Fail);
                 }
                 self.peer_sends = u32::from(open.is_acknowledged);
@@ -211,9 +228,9 @@
         }
         // The peer closes the request unread once it runs again, as the connection is closed here.
         let peer = std::mem::take(&mut open.peer);
+        self.may_have_run |= open.sent_at.is_some();
         self.open = None;
         peers.end(&peer, Ending::Failed, now);
-        self.may_have_run = true;
         let mut actions = vec![Action::Abandon];
         actions.extend(self.try_next(peers, now));
         actions
@@ -290,6 +307,7 @@
         self.tried.push(peer.clone());
         self.open = Some(Open {
             peer: peer.clone(),
+            chosen_at: now,
             sent_at: None,
             is_acknowledged: false,
             is_late: false,
@@ -310,8 +328,10 @@
 
     /// Ends an offloaded request that no peer has served.
     fn serve_here(&mut self) -> Vec<Action> {
-        let sends = self.peer_sends;
-        self.finish(End::ServeHere { sends })
+        self.finish(End::ServeHere {
+            sends: self.peer_sends,
+            may_have_run: self.may_have_run,
+        })
     }
 
     /// Waits for a peer whose routes are older than the request requires, or ends the request.
@@ -402,11 +422,13 @@
     /// Returns when the peer counts as failed; `None` if it has acknowledged the request or has not
     /// got it yet.
     fn late_at(&self, purpose: Purpose) -> Option<Instant> {
-        let timeout = match purpose {
-            Purpose::Necessity => ACKNOWLEDGE_TIMEOUT,
-            Purpose::Offload => OFFLOAD_ACKNOWLEDGE_TIMEOUT,
-        };
-        let sent_at = self.sent_at.filter(|_| !self.is_acknowledged);
-        sent_at.map(|at| at + timeout)
+        if self.is_acknowledged {
+            return None;
+        }
+        match purpose {
+            Purpose::Necessity => self.sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT),
+            // Opening a connection within a failure domain takes a fraction of a millisecond.
+            Purpose::Offload => Some(self.chosen_at + OFFLOAD_ACKNOWLEDGE_TIMEOUT),
+        }
     }
 }
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -14,12 +14,12 @@
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
-use crate::core::delegation::{Decline, Handler, Purpose, Terms, Unable, offload};
+use crate::core::delegation::{Handler, Purpose, Terms, Unable, offload};
 use crate::core::key_lease::Keys;
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::quota::{Decision, Source};
-use crate::core::route::{Route, Table, Target};
+use crate::core::route::{Repeat, Route, Table, Target};
 use crate::core::tenant::{Access, Denial, Tenant};
 use crate::platform::headers;
 use crate::util::h1::Request;
@@ -27,6 +27,11 @@
 /// `Retry-After` of a request that nobody can handle yet.
 const UNHANDLED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time from the arrival of a request until its call starts from which on the request counts as
+/// delayed. A stronger VM that is frozen costs twice as much, a round trip between failure domains
+/// less.
+const MAX_ADMISSION_DELAY: Duration = Duration::from_millis(20);
+
 /// Whether a request may be passed to a stronger VM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Offloading {
@@ -221,6 +226,12 @@
     ) {
         self.request_rate.record(self.now);
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
+        if route.repeat == Repeat::AtMostOnce && self.caller_connections[key].may_have_run {
+            // The route has changed since a stronger VM got the request.
+            self.metrics.count_answer("failed");
+            self.write_failure(key, 502, "failed");
+            return;
+        }
         let mut plan = self.plan(route, &arrival);
         if !self.fit_into_stop(&mut plan) {
             self.return_token(arrival.token.as_deref());
@@ -254,6 +265,7 @@
         let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
         let serial = self.allocate_serial();
         let (credential, started) = (arrival.credential, arrival.started());
+        let earlier_sends = arrival.sends;
         self.start_call(CallState {
             serial,
             credential,
@@ -266,6 +278,8 @@
             started,
             wake_at: None,
             sends: 0,
+            earlier_sends,
+            is_delayed: self.now.saturating_duration_since(started) >= MAX_ADMISSION_DELAY,
             unserved_when_due: false,
             crashes: Vec::new(),
         });
@@ -333,7 +347,7 @@
         info!("request id={id} route={route} outcome=turned-away status=503{inputs}");
         self.metrics.count_answer("turned-away");
         if let Some(terms) = terms {
-            return self.decline(key, &terms.from, Decline::Overloaded, Some(wait));
+            return self.decline(key, &terms.from, overload.decline(), Some(wait));
         }
         self.write_refusal(key, NotRun::without_attempts(), wait);
     }
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -46,6 +46,9 @@
     pub(super) state_since: Instant,
     /// Whether the connection is closed once the current response is written.
     pub(super) closes_after_response: bool,
+    /// Whether another VM may have run the current request, so that it must not be refused as one
+    /// that has not run.
+    pub(super) may_have_run: bool,
     /// Whether bytes were left unread because too many were buffered while a request was in flight.
     has_unread: bool,
 }
@@ -142,6 +145,7 @@
             state: State::Idle,
             state_since: self.now,
             closes_after_response: false,
+            may_have_run: false,
             has_unread: false,
         });
         self.metrics.caller_connections.inc();
--- a/src/geraniummount/edge/gateway/caller/writing.rs
+++ b/src/geraniummount/edge/gateway/caller/writing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{Origin, State};
+use crate::core::delegation::promises_not_run;
 use crate::edge::gateway::{Gateway, delegation};
 use crate::platform::headers;
 use crate::util::h1;
@@ -16,6 +17,7 @@
             return;
         };
         caller.closes_after_response |= must_close;
+        caller.may_have_run = false;
         caller.socket.queue(answer);
         caller.state_since = self.now;
         if !matches!(caller.state, State::Closing) {
@@ -53,7 +55,8 @@
                 .is_some_and(|caller| caller.closes_after_response)
     }
 
-    /// Writes a response with a one-line plain-text body.
+    /// Writes a response with a one-line plain-text body. A refusal of a request that another VM may
+    /// have run becomes a failure, as a refusal promises that the request has not run.
     pub(in crate::edge::gateway) fn write_plain(
         &mut self,
         key: usize,
@@ -61,6 +64,12 @@
         why: &str,
         retry_after: Option<Duration>,
     ) {
+        let caller = self.caller_connections.get(key);
+        let may_have_run = caller.is_some_and(|caller| caller.may_have_run);
+        let (status, why, retry_after) = match may_have_run && promises_not_run(status) {
+            true => (502, "no answer; it may have run", None),
+            false => (status, why, retry_after),
+        };
         let mut answer = Vec::with_capacity(160);
         h1::write_status_line(&mut answer, status);
         if let Some(wait) = retry_after {
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -78,6 +78,11 @@
     pub(super) wake_at: Option<Instant>,
     /// Number of attempts so far.
     pub(super) sends: u32,
+    /// Number of leaves of each shard that may have received the request from other VMs.
+    pub(super) earlier_sends: u32,
+    /// Whether the request had waited before its call started, so that a late answer says nothing
+    /// about the leaves.
+    pub(super) is_delayed: bool,
     /// Whether the call was already counted as unserved when its answer was due.
     pub(super) unserved_when_due: bool,
     /// Leaves that closed the connection while they had the request.
@@ -148,7 +153,7 @@
         let Some(overdue) = call.take_overdue() else {
             return;
         };
-        if call.plan().is_gather() {
+        if call.plan().is_gather() && !self.calls[index].is_delayed {
             self.record_overdue_parts(index, overdue);
             self.record_silent_leaves(index, None);
             self.record_unanswered(index);
--- a/src/geraniummount/edge/gateway/delegation/finish.rs
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -9,6 +9,10 @@
 use crate::edge::gateway::caller::State;
 use crate::util::h1;
 
+/// Value of `outcome` of a query that is refused because the stronger VM, to which it was offloaded,
+/// finds the leaves overloaded.
+const TURNED_AWAY: &str = "turned-away";
+
 /// Value of `outcome` of a request that is refused because no VM that was asked reaches the leaves.
 const REFUSED: &str = "links-lost";
 
@@ -38,7 +42,10 @@
         let state = self.delegation.requests.remove(index);
         let caller = state.caller_request.caller;
         let (label, status) = match end {
-            End::ServeHere { sends } => return self.serve_offloaded_here(state, sends),
+            End::ServeHere {
+                sends,
+                may_have_run,
+            } => return self.serve_offloaded_here(state, sends, may_have_run),
             End::Forward(answer) => {
                 let status = answer.status;
                 self.on_delegated_answer(&answer, state.caller_request.purpose);
@@ -51,9 +58,11 @@
                 retry_after,
             } => {
                 self.write_refusal(caller, not_run, retry_after);
-                let label = match state.caller_request.keys {
-                    Keys::Confirmed => REFUSED,
-                    Keys::Unconfirmed => {
+                let request = &state.caller_request;
+                let label = match (request.purpose, request.keys) {
+                    (Purpose::Offload, _) => TURNED_AWAY,
+                    (Purpose::Necessity, Keys::Confirmed) => REFUSED,
+                    (Purpose::Necessity, Keys::Unconfirmed) => {
                         self.metrics.count_unconfirmed_request("refused");
                         UNCONFIRMED
                     }
@@ -74,12 +83,14 @@
 
     /// Serves an offloaded request that the other VM has not served. Up to `sends` leaves of each
     /// shard may have received it from that VM.
-    fn serve_offloaded_here(&mut self, state: Delegated, sends: u32) {
+    fn serve_offloaded_here(&mut self, state: Delegated, sends: u32, may_have_run: bool) {
         let id = &state.caller_request.forwarded.id;
         info!("request id={id} event=not-offloaded action=serve sends={sends}");
         self.metrics.count_delegation("served-here");
         let caller = state.caller_request.caller;
-        self.caller_connections[caller].state = State::Idle;
+        let connection = &mut self.caller_connections[caller];
+        connection.state = State::Idle;
+        connection.may_have_run |= may_have_run;
         self.admit_again(state.caller_request, sends);
         self.answered_callers.push(caller);
     }
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -139,7 +139,8 @@
             request: Request::new(plan.repeat, plan.end_by)
                 .with_purpose(caller_request.purpose)
                 .with_min_attempt_time(plan.min_attempt_time)
-                .with_sends(caller_request.sends),
+                .with_sends(caller_request.sends)
+                .with_earlier_run(connection.may_have_run),
             caller_request,
             connection: None,
             asked: 0,
@@ -211,7 +212,7 @@
             timeout: None,
             purpose: Purpose::Necessity,
             keys: Keys::Confirmed,
-            sends,
+            sends: state.earlier_sends + sends,
         });
     }
 
--- a/src/geraniummount/edge/gateway/load_shedding.rs
+++ b/src/geraniummount/edge/gateway/load_shedding.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::fair_share::{self, ShedRequest};
 use crate::core::call::Plan;
+use crate::core::delegation::Decline;
 use crate::core::load_shedder::LoadShedder;
 use crate::core::route::{Route, Table, Target};
 use crate::core::tenant::Access;
@@ -37,6 +38,14 @@
         }
     }
 
+    /// Returns why a request of another VM is declined.
+    pub(super) fn decline(&self) -> Decline {
+        match self {
+            Overload::Uniform => Decline::Overloaded,
+            Overload::Shared(_) => Decline::Shed,
+        }
+    }
+
     /// Returns the log fields that give the inputs of the decision.
     pub(super) fn log_fields(&self) -> String {
         match self {
--- a/tests/testsuite/delegation.rs
+++ b/tests/testsuite/delegation.rs
@@ -465,6 +465,7 @@
         Decline::NotReady,
         Decline::Outdated,
         Decline::Overloaded,
+        Decline::Shed,
         Decline::Busy,
         Decline::Stopping,
         Decline::Unauthorized,
