Keep requests from evacuated domains, and within their regions

Cause: keys op/evacuate/DOMAIN, and allowedRegions of routes and tenants, had no effect.

Change: the watch delivers the keys, also while the VM is behind, when it watches all that operators write; core::placement marks the leaves of these domains, so that each check whether a leaf may get requests includes it, also the one when a request is written. Attempts that wait for a connection are passed back. Scope carries the domains that a request may reach, in the plan of a call and in the choice of the VM that a request is delegated to. An outdated read of all keys that is older than the watches of the operators' keys is made again with current data; it would take an evacuation back.

--- a/src/geraniummount/core/call/finish.rs
+++ b/src/geraniummount/core/call/finish.rs
@@ -139,7 +139,8 @@
     /// of the retry delays that are sent to callers.
     fn retry_after(&self, placement: &Placement, now: Instant) -> Duration {
         let shards = self.shards.iter();
-        let times = shards.map(|shard| placement.usable_at(&shard.service, now));
+        let times =
+            shards.map(|shard| placement.usable_within_at(&shard.service, &self.plan.scope, now));
         let mut waits: Vec<Duration> = times
             .map(|at| at.map_or(DEFAULT_RETRY_AFTER, |at| at.saturating_duration_since(now)))
             .collect();
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -122,7 +122,8 @@
     ///
     /// Returns the reason for a refusal if nothing was sent.
     fn send_first(&mut self, placement: &mut Placement, now: Instant) -> Result<(), Refusal> {
-        let can_try = |shard: &&Shard| placement.can_try(&shard.service, &[], now);
+        let scope = &self.plan.scope;
+        let can_try = |shard: &&Shard| placement.can_try_within(&shard.service, scope, &[], now);
         let servable_count = self.shards.iter().filter(can_try).count();
         if servable_count < self.plan.min_shards() || servable_count == 0 {
             return Err(Refusal::NoLeaf);
@@ -130,7 +131,7 @@
         if !self.plan.has_time_for_attempt(now) {
             return Err(Refusal::NoTime);
         }
-        let choose = |shard: &Shard| placement.choose(&shard.service, &[], now);
+        let choose = |shard: &Shard| placement.choose_within(&shard.service, scope, &[], now);
         let chosen: Vec<Option<ReplicaKey>> = self.shards.iter().map(choose).collect();
         let chosen_count = chosen.iter().flatten().count();
         if chosen_count < self.plan.min_shards() || chosen_count == 0 {
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -8,6 +8,7 @@
 use crate::core::margin;
 use crate::core::placement::Placement;
 use crate::core::route::{Gather, Repeat, Route};
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Time reserved from the target latency for sending the answer to the caller.
@@ -50,6 +51,8 @@
     pub min_attempt_time: Duration,
     /// Whether the request was counted before, in the retry allowances of the VM that delegated it.
     pub is_counted: bool,
+    /// Failure domains whose leaves may run the request.
+    pub scope: Scope,
 }
 
 /// Requirements on the answer to a query over many shards.
@@ -96,6 +99,7 @@
             end_by,
             min_attempt_time: route.target_latency / MIN_ATTEMPT_TIME_DIVISOR,
             is_counted: false,
+            scope: Scope::ANY,
         }
     }
 
@@ -116,6 +120,7 @@
             end_by,
             min_attempt_time: Duration::ZERO,
             is_counted: false,
+            scope: Scope::ANY,
         }
     }
 
@@ -130,6 +135,12 @@
         }
     }
 
+    /// Restricts the request to the leaves of the failure domains in `scope`.
+    #[must_use]
+    pub fn within(self, scope: Scope) -> Plan {
+        Plan { scope, ..self }
+    }
+
     /// Ends the request at `limit` at the latest.
     pub fn end_before(&mut self, limit: Instant) {
         self.end_by = self.end_by.min(limit);
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -115,14 +115,15 @@
             shard.next_attempt_at = waits_for_answer.then_some(now + RECHECK_INTERVAL);
             return;
         }
-        if !placement.can_try(&shard.service, &shard.tried, now) {
+        let scope = &self.plan.scope;
+        if !placement.can_try_within(&shard.service, scope, &shard.tried, now) {
             return;
         }
         // No leaf was reached yet, so this is not an extra attempt.
         let is_free = shard.sends == 0;
         let is_affordable = is_free || placement.has_extra_attempt(&shard.service);
         let replica = is_affordable
-            .then(|| placement.choose(&shard.service, &shard.tried, now))
+            .then(|| placement.choose_within(&shard.service, scope, &shard.tried, now))
             .flatten();
         if let Some(replica) = replica {
             if !is_free {
--- a/src/geraniummount/core/delegation/peers.rs
+++ b/src/geraniummount/core/delegation/peers.rs
@@ -9,6 +9,7 @@
 
 use self::state::State;
 use super::{Decline, Ending, Peer};
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Time for which no further VM is asked after a request was declined by as many as it may be
@@ -114,7 +115,21 @@
         lost_domains: &[DomainName],
         now: Instant,
     ) -> Option<VmName> {
-        let is_usable = |state: &&State| state.is_usable(now) && !tried.contains(&state.peer.name);
+        self.choose_within(&Scope::ANY, tried, lost_domains, now)
+    }
+
+    /// As [`Peers::choose`], among the VMs of the failure domains in `scope`.
+    pub fn choose_within(
+        &mut self,
+        scope: &Scope,
+        tried: &[VmName],
+        lost_domains: &[DomainName],
+        now: Instant,
+    ) -> Option<VmName> {
+        let is_usable = |state: &&State| {
+            let is_allowed = scope.contains(&state.peer.domain);
+            is_allowed && state.is_usable(now) && !tried.contains(&state.peer.name)
+        };
         let usable = self.known.iter().filter(is_usable);
         let (proven, others): (Vec<&State>, Vec<&State>) =
             usable.partition(|state| state.is_proven(now));
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -5,6 +5,7 @@
 use super::{Action, Answer, Decline, End, Ending, Outcome, Peers};
 use crate::core::not_run::{NotRun, Progress};
 use crate::core::route::Repeat;
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Maximum number of peers that a request is passed to. Most VMs may have lost their links, and
@@ -33,6 +34,8 @@
     end_by: Instant,
     /// Minimum time before `end_by` that a peer needs.
     min_attempt_time: Duration,
+    /// Failure domains whose VMs the request may be passed to.
+    scope: Scope,
     /// Peers that the request was passed to.
     tried: Vec<VmName>,
     /// Failure domains of peers that have lost their links too.
@@ -68,6 +71,7 @@
             repeat,
             end_by,
             min_attempt_time: Duration::ZERO,
+            scope: Scope::ANY,
             tried: Vec::new(),
             lost_domains: Vec::new(),
             open: None,
@@ -94,6 +98,13 @@
         self
     }
 
+    /// Passes the request only to peers of the failure domains in `scope`.
+    #[must_use]
+    pub fn within(mut self, scope: Scope) -> Request {
+        self.scope = scope;
+        self
+    }
+
     /// Ends the request at `limit` at the latest.
     pub fn end_before(&mut self, limit: Instant) {
         self.end_by = self.end_by.min(limit);
@@ -259,7 +270,7 @@
             return self.give_up(peers, now);
         }
         let peer = (self.tried.len() < MAX_PEERS)
-            .then(|| peers.choose(&self.tried, &self.lost_domains, now))
+            .then(|| peers.choose_within(&self.scope, &self.tried, &self.lost_domains, now))
             .flatten();
         let Some(peer) = peer else {
             return self.wait_or_give_up(peers, now);
--- a/src/geraniummount/core/delegation/routes.rs
+++ b/src/geraniummount/core/delegation/routes.rs
@@ -15,6 +15,8 @@
 
 use super::{Decline, Handler, Links, Unable};
 use crate::core::route::{Limits, Table};
+use crate::core::tenant::Credential;
+use crate::prelude::*;
 
 /// Routes in force at this VM, and the newest version by which a request of its callers was handled.
 #[derive(Debug, Default)]
@@ -62,6 +64,27 @@
         table.is_some_and(|table| !table.tenants().is_empty())
     }
 
+    /// Returns whether the configuration in force restricts any requests to regions.
+    pub fn has_regions(&self) -> bool {
+        self.table.as_ref().is_some_and(|table| {
+            let mut tenants = table.tenants().tenants().iter();
+            let mut routes = table.routes().iter();
+            tenants.any(|tenant| tenant.regions.is_some())
+                || routes.any(|route| route.regions.is_some())
+        })
+    }
+
+    /// Returns the regions to which the configuration in force restricts the requests of the
+    /// tenant that holds a key; `None` if it does not restrict them.
+    pub fn regions_of(&self, credential: Credential) -> Option<Vec<RegionName>> {
+        let access = self
+            .table
+            .as_ref()?
+            .tenants()
+            .authenticate(credential, true);
+        access.ok()?.tenant()?.regions.clone()
+    }
+
     /// Returns whether newer routes than those in force have been seen.
     pub fn is_outdated(&self) -> bool {
         self.version() < self.seen_version
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -52,6 +52,7 @@
 mod response_tracker;
 pub mod retry_budget;
 pub mod route;
+pub mod scope;
 pub mod service;
 mod shard_state;
 pub mod status;
--- a/src/geraniummount/core/placement/choice.rs
+++ b/src/geraniummount/core/placement/choice.rs
@@ -11,6 +11,7 @@
 use super::limit::{Need, Portion};
 use super::{Group, Placement, ReplicaKey, Tier};
 use crate::core::request_rate::RequestRate;
+use crate::core::scope::Scope;
 
 /// Number of refused first attempts per second from which on this VM lacks room. Below it, knowing its
 /// part of the limits exactly is not worth the calls on the store.
@@ -43,20 +44,34 @@
 
     /// Returns whether any leaf of the service that is not in `tried` can be tried now.
     pub fn can_try(&self, service: &str, tried: &[ReplicaKey], now: Instant) -> bool {
+        self.can_try_within(service, &Scope::ANY, tried, now)
+    }
+
+    /// As [`Placement::can_try`], among the leaves of the failure domains in `scope`.
+    pub fn can_try_within(
+        &self,
+        service: &str,
+        scope: &Scope,
+        tried: &[ReplicaKey],
+        now: Instant,
+    ) -> bool {
         let group = self.group(service);
-        group.is_some_and(|group| {
-            let mut untried = group.replicas().iter().filter(|r| !tried.contains(&r.key));
-            untried.any(|replica| replica.is_usable(now))
-        })
+        group.is_some_and(|group| group.untried(scope, tried, now).next().is_some())
     }
 
     /// Returns when the first leaf of the service can be tried again; `None` if no leaf of the
     /// service that accepts work is known.
     pub fn usable_at(&self, service: &str, now: Instant) -> Option<Instant> {
+        self.usable_within_at(service, &Scope::ANY, now)
+    }
+
+    /// As [`Placement::usable_at`], among the leaves of the failure domains in `scope`.
+    pub fn usable_within_at(&self, service: &str, scope: &Scope, now: Instant) -> Option<Instant> {
         let group = self.group(service)?;
         let portion = self.portion(group, now);
         let replicas = group.replicas().iter();
-        let accepting = replicas.filter(|replica| !replica.instance.is_leaving);
+        let replicas = replicas.filter(|replica| scope.contains(&replica.instance.domain));
+        let accepting = replicas.filter(|replica| replica.accepts_work());
         let times = accepting.map(|replica| {
             let limit = replica.limit.filter(|limit| limit.is_in_force(now));
             let wait = limit.map_or(Duration::ZERO, |limit| limit.wait(portion, now));
@@ -75,31 +90,43 @@
         service: &str,
         tried: &[ReplicaKey],
         now: Instant,
+    ) -> Option<ReplicaKey> {
+        self.choose_within(service, &Scope::ANY, tried, now)
+    }
+
+    /// As [`Placement::choose`], among the leaves of the failure domains in `scope`.
+    pub fn choose_within(
+        &mut self,
+        service: &str,
+        scope: &Scope,
+        tried: &[ReplicaKey],
+        now: Instant,
     ) -> Option<ReplicaKey> {
         let index = self.search(service).ok()?;
         let mut passed_over: Vec<ReplicaKey> = Vec::new();
         loop {
-            let key = self.best(index, tried, &passed_over, now)?;
-            if self.limit_permits(index, key, tried, now) {
+            let key = self.best(index, scope, tried, &passed_over, now)?;
+            if self.limit_permits(index, key, scope, tried, now) {
                 return Some(key);
             }
             passed_over.push(key);
         }
     }
 
-    /// Returns the best usable leaf that is in neither list.
+    /// Returns the best usable leaf in `scope` that is in neither list.
     fn best(
         &mut self,
         index: usize,
+        scope: &Scope,
         tried: &[ReplicaKey],
         passed_over: &[ReplicaKey],
         now: Instant,
     ) -> Option<ReplicaKey> {
         let group = &self.groups[index];
         let mut best: Option<(Tier, f64, ReplicaKey)> = None;
-        for replica in group.replicas() {
+        for replica in group.untried(scope, tried, now) {
             let key = replica.key;
-            if tried.contains(&key) || passed_over.contains(&key) || !replica.is_usable(now) {
+            if passed_over.contains(&key) {
                 continue;
             }
             let jitter = jitter(&mut self.rng);
@@ -123,6 +150,7 @@
         &mut self,
         index: usize,
         key: ReplicaKey,
+        scope: &Scope,
         tried: &[ReplicaKey],
         now: Instant,
     ) -> bool {
@@ -131,7 +159,7 @@
             return true;
         }
         let portion = self.portion(group, now);
-        let need = match group.has_unlimited(tried, now) {
+        let need = match group.has_unlimited(scope, tried, now) {
             false => Need::Only,
             true if tried.is_empty() => Need::First,
             true => Need::Extra,
--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -10,6 +10,7 @@
 use super::retry_allowance::RetryAllowance;
 use crate::core::duration_window::DurationWindow;
 use crate::core::instance::Instance;
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Assumed latency of a service before any was measured.
@@ -43,6 +44,10 @@
         &self.replicas
     }
 
+    pub(super) fn replicas_mut(&mut self) -> &mut [Replica] {
+        &mut self.replicas
+    }
+
     /// Returns a leaf.
     pub fn replica(&self, key: ReplicaKey) -> Option<&Replica> {
         self.replicas.iter().find(|replica| replica.key == key)
@@ -95,10 +100,21 @@
         self.retry_allowance.requests_per_second(now) / leaves.max(1) as f64
     }
 
-    /// Returns whether a usable leaf that is not in `tried` has no limit.
-    pub(super) fn has_unlimited(&self, tried: &[ReplicaKey], now: Instant) -> bool {
+    /// Returns the usable leaves of the failure domains in `scope` that are not in `tried`.
+    pub(super) fn untried<'a>(
+        &'a self,
+        scope: &'a Scope,
+        tried: &'a [ReplicaKey],
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Replica> {
         let others = self.replicas.iter().filter(|r| !tried.contains(&r.key));
-        let mut usable = others.filter(|replica| replica.is_usable(now));
+        let allowed = others.filter(|replica| scope.contains(&replica.instance.domain));
+        allowed.filter(move |replica| replica.is_usable(now))
+    }
+
+    /// Returns whether a usable leaf in `scope` that is not in `tried` has no limit.
+    pub(super) fn has_unlimited(&self, scope: &Scope, tried: &[ReplicaKey], now: Instant) -> bool {
+        let mut usable = self.untried(scope, tried, now);
         usable.any(|replica| !replica.is_limited(now))
     }
 
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -15,6 +15,7 @@
 
 mod choice;
 mod departures;
+mod evacuation;
 mod group;
 mod limit;
 mod notice;
@@ -59,6 +60,8 @@
     groups: Vec<Group>,
     /// Runs of leaves that left.
     departures: Departures,
+    /// Evacuated failure domains, sorted.
+    evacuated: Vec<DomainName>,
     /// First attempts that the limits of leaves did not permit although no other leaf could take
     /// them; `None` before the first one.
     refused_by_limits: Option<RequestRate>,
@@ -83,6 +86,7 @@
             fleet_share: Share::Unknown,
             groups: Vec::new(),
             departures: Departures::default(),
+            evacuated: Vec::new(),
             refused_by_limits: None,
             era: 0,
             route_latencies: Vec::new(),
@@ -119,6 +123,7 @@
                 self.next_key += 1;
             }
         }
+        self.mark_evacuated();
         for group in &self.groups {
             let replicas = group.replicas().iter();
             for replica in replicas.filter(|replica| replica.is_unregistered()) {
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -101,6 +101,8 @@
     pub(super) unregistered_since: Option<Instant>,
     /// Whether the leaf is in this VM's failure domain.
     is_local: bool,
+    /// Whether the operator has evacuated the leaf's failure domain.
+    pub(super) is_evacuated: bool,
     /// Moving average of the latency of the leaf's answers, and of abandoned attempts that had
     /// already taken longer than the average; `None` before the first measurement.
     average_latency: Option<Duration>,
@@ -136,6 +138,7 @@
             avoided_until: None,
             unregistered_since: None,
             is_local,
+            is_evacuated: false,
             average_latency: None,
             measured_at: now,
             consecutive_failures: 0,
@@ -179,10 +182,20 @@
         self.accepts_requests(now) && is_rested && !is_trial_in_flight
     }
 
-    /// Returns whether the leaf wants requests now: it is neither leaving nor has it asked for a
+    /// Returns whether the leaf may get requests now: it accepts work, and it has not asked for a
     /// time without requests that is not over yet.
     pub fn accepts_requests(&self, now: Instant) -> bool {
-        !self.instance.is_leaving && self.held_until.is_none_or(|until| now >= until)
+        self.accepts_work() && self.held_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns whether the leaf is neither leaving nor in an evacuated failure domain.
+    pub(super) fn accepts_work(&self) -> bool {
+        !self.instance.is_leaving && !self.is_evacuated
+    }
+
+    /// Returns whether the operator has evacuated the leaf's failure domain.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
     }
 
     /// Returns when the leaf can be tried again, unless it is leaving.
--- a/src/geraniummount/core/store/poll_schedule.rs
+++ b/src/geraniummount/core/store/poll_schedule.rs
@@ -4,8 +4,8 @@
 //! of every VM at once. The number of calls would grow with the changes times the VMs. A delay
 //! after each change batches further changes, which limits a VM to one call per delay however
 //! frequent the changes are. The delay is bounded by the platform's limits: a leaving leaf has to
-//! be known as leaving while it still serves, and a new version of the routes has to take effect in
-//! time.
+//! be known as leaving while it still serves, and a new version of the routes, or the evacuation of a
+//! failure domain, has to take effect in time.
 //!
 //! A watch without an answer may have an unresponsive connection. The store's revision, read over
 //! another connection, shows whether the watch missed a change.
@@ -33,8 +33,8 @@
 /// Time reserved for reading the changed keys and for requests on their way to a leaf.
 const READ_MARGIN: Duration = Duration::from_secs(1);
 
-/// Divisor of the time within which a version of the routes has to take effect; the quotient bounds
-/// the delay after a change, and the backoff.
+/// Divisor of the time within which what the operator writes has to take effect; the quotient
+/// bounds the delay after a change, and the backoff.
 const APPLY_DIVISOR: u32 = 2;
 
 /// Interval at which the store's revision is read while a watch has no answer. The connection of
@@ -70,8 +70,9 @@
     ///
     /// `leaving_bound` is how long a leaf still serves after it was registered as leaving, or
     /// removed; the delay after a change leaves room in it for [`UNREGISTERED_GRACE`], for which an
-    /// unregistered leaf is kept as the last choice. `apply_bound` is the time within which a
-    /// version of the routes has to take effect.
+    /// unregistered leaf is kept as the last choice. `apply_bound` is the time within which what the
+    /// operator writes has to take effect: the shorter one of the bounds on a version of the routes
+    /// and on the evacuation of a failure domain.
     pub fn new(leaving_bound: Duration, apply_bound: Duration) -> PollSchedule {
         let available = leaving_bound.saturating_sub(UNREGISTERED_GRACE + READ_MARGIN);
         let max_delay = MAX_CHANGE_DELAY
--- a/src/geraniummount/core/store/sync.rs
+++ b/src/geraniummount/core/store/sync.rs
@@ -10,7 +10,7 @@
 //!
 //! A VM that receives a full answer is therefore [behind](StoreSync::is_behind). It then reads the
 //! registrations as they are instead of receiving every change to them, and watches only the routes
-//! between two reads. The cost of a read follows the number of leaves, whatever the rate of their
+//! and the evacuations of failure domains between two reads. The cost of a read follows the number of leaves, whatever the rate of their
 //! heartbeats. Once few changes were made between two reads, the VM watches all keys again.
 //!
 //! A read that may be outdated costs the store a tenth. The answers to the watches for the routes
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -18,6 +18,7 @@
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
+use crate::core::scope::Scope;
 use crate::core::tenant::{Access, Credential, Denial};
 use crate::platform::headers::{self, CallerFields};
 use crate::util::h1::Request;
@@ -96,7 +97,10 @@
     /// otherwise lets another VM handle it.
     fn admit_if_connected(&mut self, arrival: Arrival, table: &Table) {
         let route = arrival.find_route(table);
-        let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
+        let is_connected = |route: &&Route| {
+            let scope = self.scope(Some(route), arrival.credential);
+            self.has_idle_connections(&route.target.services(), &scope)
+        };
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
             None => self.admit_for_delegation(arrival, table.version, route),
@@ -142,7 +146,10 @@
     ) {
         self.request_rate.record(self.now);
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
-        let mut plan = self.plan(route, arrival.caller_fields.timeout, terms.as_ref());
+        let plan = self.plan(route, arrival.caller_fields.timeout, terms.as_ref());
+        let tenant_regions = access.tenant().and_then(|tenant| tenant.regions.as_deref());
+        let allowed = route.regions.as_deref().into_iter().chain(tenant_regions);
+        let mut plan = plan.within(Scope::new(&self.options.regions, allowed));
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
@@ -212,6 +219,7 @@
             Some(route) => plan_for_peer(route, timeout, self.now),
             None => Plan::without_route(timeout, self.now),
         };
+        plan.scope = self.scope(route, arrival.credential);
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
@@ -232,6 +240,23 @@
         });
     }
 
+    /// Returns the failure domains that a request may reach by the newest routes that this VM knows.
+    /// If it knows no route for the request and any request is restricted, this one may be too.
+    fn scope(&self, route: Option<&Route>, credential: Credential) -> Scope {
+        if !self.routes.has_regions() {
+            return Scope::ANY;
+        }
+        let Some(route) = route else {
+            return Scope::nowhere();
+        };
+        let tenant_regions = self.routes.regions_of(credential);
+        let allowed = route.regions.as_deref().into_iter();
+        Scope::new(
+            &self.options.regions,
+            allowed.chain(tenant_regions.as_deref()),
+        )
+    }
+
     /// Rejects a query because leaves are overloaded.
     fn turn_away(&mut self, arrival: &Arrival, route: &Route, terms: Option<&Terms>) {
         let (key, id, route) = (arrival.key, &arrival.caller_fields.id, &route.name);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -187,6 +187,9 @@
             return;
         };
         self.metrics.count_attempt(reply.as_str());
+        if matches!(reply, Reply::Withheld) {
+            self.count_held_back(&in_flight.service, in_flight.replica);
+        }
         let is_in_other_domain = self
             .placement
             .is_in_other_domain(&in_flight.service, in_flight.replica);
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -126,11 +126,14 @@
         let serial = self.allocate_serial();
         let connection = &mut self.caller_connections[caller_request.caller];
         let plan = &caller_request.plan;
+        let (own_domain, regions) = (&self.options.failure_domain, &self.options.regions);
+        let scope = plan.scope.with_region_of(own_domain, regions);
         let index = self.delegation.requests.insert(Delegated {
             serial,
             request: Request::new(plan.repeat, plan.end_by)
                 .with_min_attempt_time(plan.min_attempt_time)
-                .with_sends(caller_request.sends),
+                .with_sends(caller_request.sends)
+                .within(scope),
             caller_request,
             connection: None,
             asked: 0,
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -29,6 +29,8 @@
     attempts: IntCounterVec,
     /// Attempts at leaves that name a limit, by kind of attempt.
     limited_attempts: IntCounterVec,
+    /// Attempts that were not sent although their leaf had been chosen, by reason.
+    held_back_attempts: IntCounterVec,
     /// Requests that were passed to other VMs, by outcome.
     delegations: IntCounterVec,
     /// Requests of other VMs, by whether they were served or why not.
@@ -57,6 +59,12 @@
             "Attempts at leaves that limit the requests of all VMs together.",
             "kind",
         );
+        let held_back_attempts = counter_by(
+            &registry,
+            "gateway_held_back_attempts_total",
+            "Attempts not sent because their leaf is evacuated or became cold.",
+            "reason",
+        );
         let delegations = counter_by_outcome(
             &registry,
             "gateway_delegations_total",
@@ -89,6 +97,7 @@
             answer_seconds,
             attempts,
             limited_attempts,
+            held_back_attempts,
             delegations,
             peer_requests,
         }
@@ -113,6 +122,10 @@
         self.limited_attempts.with_label_values(&[kind]).inc();
     }
 
+    pub(super) fn count_held_back(&self, reason: &str) {
+        self.held_back_attempts.with_label_values(&[reason]).inc();
+    }
+
     pub(super) fn count_delegation(&self, outcome: &str) {
         self.delegations.with_label_values(&[outcome]).inc();
     }
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -12,6 +12,7 @@
     /// 1 while the leaves change faster than a watch delivers the changes.
     pub(in crate::edge::gateway) is_behind: IntGauge,
     pub(in crate::edge::gateway) quarantined_requests: IntGauge,
+    pub(in crate::edge::gateway) evacuated_domains: IntGauge,
     /// 1 while this VM reaches no leaves.
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
     /// Other VMs to which requests can be delegated.
@@ -34,6 +35,10 @@
                 "gateway_quarantined_requests",
                 "Requests that are withheld because they crash leaves.",
             ),
+            evacuated_domains: gauge(
+                "gateway_evacuated_domains",
+                "Failure domains whose leaves get no requests.",
+            ),
             leaf_links_lost: gauge(
                 "gateway_leaf_links_lost",
                 "1 while this VM reaches no leaves.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! which leaves it is sent, [`pool`] and [`leaf`] exchange it with those leaves, and [`answer`] writes
 //! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded,
 //! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
-//! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
+//! shuts the gateway down without dropping requests. [`evacuation`] keeps requests from evacuated
+//! failure domains. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
 //! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
 //! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
@@ -28,6 +29,7 @@
 mod crashes;
 mod datagrams;
 mod delegation;
+mod evacuation;
 mod fleet;
 mod leaf;
 mod leaf_links;
@@ -359,6 +361,7 @@
             match update {
                 Update::Table(table) => self.apply_routes(table),
                 Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
+                Update::Evacuated(domains) => self.apply_evacuations(domains),
                 Update::FleetShare(share) => self.apply_fleet_share(share),
                 Update::Peers(peers) => self.apply_peers(peers),
                 Update::Quarantine(records) => self.merge_quarantine(records),
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -17,6 +17,7 @@
 use crate::core::instance::Instance;
 use crate::core::placement::{LimitChange, NamedLimit, Notice, ReplicaKey, UNREGISTERED_GRACE};
 use crate::core::route::Table;
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Connections that a leaf accepts from all VMs together, if the routes do not name its service.
@@ -46,7 +47,7 @@
     /// This VM's share of the connections that the leaf accepts from all VMs.
     share: ConnectionShare,
     /// Attempts that wait for a connection, in order of arrival.
-    waiting: VecDeque<AttemptId>,
+    pub(super) waiting: VecDeque<AttemptId>,
 }
 
 impl Gateway {
@@ -345,15 +346,19 @@
         }
     }
 
-    /// Returns whether there is an idle connection to a leaf of each service.
-    pub(super) fn has_idle_connections(&self, services: &[&ServiceName]) -> bool {
+    /// Returns whether there is an idle connection to a leaf in `scope` of each service.
+    pub(super) fn has_idle_connections(&self, services: &[&ServiceName], scope: &Scope) -> bool {
         let is_idle = |key| {
             let pool = self.search_pool(key).map(|index| &self.pools[index]);
             pool.is_ok_and(|pool| pool.idle.iter().any(|(_, until)| self.now < *until))
         };
         services.iter().all(|service| {
             let group = self.placement.group(service);
-            group.is_some_and(|group| group.replicas().iter().any(|replica| is_idle(replica.key)))
+            let mut replicas = group.into_iter().flat_map(|group| group.replicas());
+            replicas.any(|replica| {
+                let is_allowed = scope.contains(&replica.instance.domain);
+                is_allowed && !replica.is_evacuated() && is_idle(replica.key)
+            })
         })
     }
 
@@ -370,7 +375,7 @@
     }
 
     /// Returns the index of a leaf's pool, or the index at which it would be inserted.
-    fn search_pool(&self, key: ReplicaKey) -> Result<usize, usize> {
+    pub(super) fn search_pool(&self, key: ReplicaKey) -> Result<usize, usize> {
         self.pools.binary_search_by_key(&key, |pool| pool.key)
     }
 
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -21,6 +21,8 @@
     Table(Table),
     /// The complete list of registered leaves, and the era of the store that listed them.
     Leaves(Vec<Instance>, Era),
+    /// The complete list of evacuated failure domains, sorted.
+    Evacuated(Vec<DomainName>),
     /// This VM's share in the requests of all VMs.
     FleetShare(fleet::Share),
     /// The VMs to which requests can be delegated, and this VM.
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -4,7 +4,8 @@
 //! A thread reads all keys and then watches them for changes; one watch covers both the routes and
 //! the leaves. If the store no longer has the history that the watch needs, the thread reads all
 //! keys again. While the leaves change faster than the watch delivers the changes, the thread reads
-//! the leaves again and again, and watches only the routes in between. While the store is
+//! the leaves again and again, and watches only the routes and the evacuations of failure domains in
+//! between. While the store is
 //! unreachable, the last known routes and leaves stay in force.
 
 mod peers;
@@ -47,6 +48,8 @@
     registrations: Registrations,
     /// Metric: whether the leaves change faster than a watch delivers the changes.
     is_behind: IntGauge,
+    /// Evacuated failure domains that were last published, sorted.
+    evacuated: Vec<DomainName>,
     /// Version of the routes that were last published, that is, sent to the event loop.
     routes_version: Option<u64>,
     /// Delays between the calls to the store.
@@ -66,6 +69,7 @@
     leaves: bool,
     quarantine: bool,
     peers: bool,
+    evacuations: bool,
     /// Whether keys changed that concern none of these.
     others: bool,
 }
@@ -81,8 +85,9 @@
         routes_as_of: 0,
         registrations: Registrations::default(),
         is_behind: is_behind.clone(),
+        evacuated: Vec::new(),
         routes_version: None,
-        poll_schedule: PollSchedule::new(options.leaving, options.apply),
+        poll_schedule: PollSchedule::new(options.leaving, options.apply.min(options.evacuate)),
         has_published: false,
         lost_at: None,
         registration: Registration::new(options),
@@ -98,6 +103,7 @@
         leaves: true,
         quarantine: true,
         peers: true,
+        evacuations: true,
         others: false,
     };
 
@@ -106,6 +112,7 @@
         leaves: true,
         quarantine: false,
         peers: false,
+        evacuations: false,
         others: false,
     };
 
@@ -118,11 +125,15 @@
         self.quarantine |= is_quarantine;
         let is_peer = key.starts_with(platform::PEER_PREFIX);
         self.peers |= is_peer;
-        self.others |= !is_leaf && !is_quarantine && !is_peer && key != platform::DOCUMENT_KEY;
+        let is_evacuation = key.starts_with(platform::EVACUATION_PREFIX);
+        self.evacuations |= is_evacuation;
+        let is_known = is_leaf || is_quarantine || is_peer || is_evacuation;
+        self.others |= !is_known && key != platform::DOCUMENT_KEY;
     }
 
     fn any(self) -> bool {
-        self.routes || self.leaves || self.quarantine || self.peers || self.others
+        let is_operators = self.routes || self.evacuations;
+        is_operators || self.leaves || self.quarantine || self.peers || self.others
     }
 }
 
@@ -190,8 +201,10 @@
 
     /// Publishes what changed; returns whether the event loop is still running.
     fn publish(&mut self, changes: Changes) -> bool {
-        // A VM that starts knows what to withhold before it has leaves to send requests to.
+        // A VM that starts knows what to withhold, and which domains are evacuated, before it has
+        // leaves to send requests to.
         let runs = !changes.quarantine || self.publish_quarantine();
+        let runs = runs && (!changes.evacuations || self.publish_evacuations());
         let runs = runs && (!changes.routes || self.publish_routes());
         let runs = runs && (!changes.leaves || self.publish_leaves());
         runs && (!changes.peers || self.publish_peers())
@@ -232,6 +245,21 @@
         self.sender.send(Update::Leaves(instances, era))
     }
 
+    /// Publishes the evacuated failure domains if they have changed; returns whether the event loop
+    /// is still running.
+    fn publish_evacuations(&mut self) -> bool {
+        let prefix = platform::EVACUATION_PREFIX;
+        let keys = self.store_cache.iter_under(prefix).map(|(key, ..)| key);
+        let domains = keys.filter_map(|key| key.strip_prefix(prefix));
+        let domains = domains.filter(|domain| !domain.is_empty());
+        let domains: Vec<DomainName> = domains.map(str::to_string).collect();
+        if domains == self.evacuated {
+            return true;
+        }
+        self.evacuated.clone_from(&domains);
+        self.sender.send(Update::Evacuated(domains))
+    }
+
     /// Publishes the list of requests during which leaves crashed; returns whether the event loop
     /// is still running.
     fn publish_quarantine(&mut self) -> bool {
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -23,7 +23,10 @@
     /// Reads all keys.
     pub(super) fn read_all(&mut self, freshness: Freshness) -> Result<Changes, Error> {
         let (items, as_of) = self.read_under(platform::ALL_KEYS, freshness)?;
-        if freshness == Freshness::Outdated && self.store_cache.is_newer_than(as_of) {
+        // While only the leaves were read, the watches for the operators' keys may have delivered
+        // changes that an outdated read lacks. It would take an evacuation back.
+        let is_too_old = self.store_cache.is_newer_than(as_of) || as_of < self.routes_as_of;
+        if freshness == Freshness::Outdated && is_too_old {
             return self.read_all(Freshness::Current);
         }
         if !self.store_cache.replace(records(items), as_of) {
@@ -118,8 +121,8 @@
         Ok(changes)
     }
 
-    /// Watches the routes, and publishes their changes at once, until the leaves have to be read
-    /// again. Returns whether the event loop is still running.
+    /// Watches the routes and the evacuations, and publishes their changes at once, until the leaves
+    /// have to be read again. Returns whether the event loop is still running.
     pub(super) fn watch_routes(&mut self) -> Result<bool, Error> {
         let spread = rand::rng().random_range(0.0..1.0);
         let end = Instant::now() + self.poll_schedule.delay_between_reads(spread);
@@ -131,7 +134,7 @@
             }
             let watch = self
                 .store
-                .watch(platform::DOCUMENT_KEY, self.routes_as_of, wait)?;
+                .watch(platform::OPERATOR_PREFIX, self.routes_as_of, wait)?;
             let WatchStatus::Answered(events) = watch.wait(wait + ROUTES_ANSWER_TIMEOUT)? else {
                 return Err(Error::StalledWatch);
             };
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -23,6 +23,12 @@
 /// Key of the operator's configuration document.
 pub const DOCUMENT_KEY: &str = "op/config";
 
+/// Prefix of the keys that operators write: the configuration document and the evacuations.
+pub const OPERATOR_PREFIX: &str = "op/";
+
+/// Prefix of the keys that name the failure domains whose leaves must get nothing.
+pub const EVACUATION_PREFIX: &str = "op/evacuate/";
+
 /// Prefix that matches all keys: that of the operator's document and those of the leaves'
 /// registrations.
 pub const ALL_KEYS: &str = "";
--- a/tests/testsuite/call.rs
+++ b/tests/testsuite/call.rs
@@ -5,6 +5,7 @@
 use geraniummount::core::call::{Action, Call, End, Plan, Reply, Requirements, Response};
 use geraniummount::core::placement::{Placement, Start};
 use geraniummount::core::route::Repeat;
+use geraniummount::core::scope::Scope;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -52,6 +53,7 @@
         end_by: now + TIMEOUT,
         min_attempt_time: Duration::from_millis(10),
         is_counted: false,
+        scope: Scope::ANY,
     }
 }
 
--- a/tests/testsuite/call_not_run.rs
+++ b/tests/testsuite/call_not_run.rs
@@ -7,6 +7,7 @@
 use geraniummount::core::call::{Action, Call, End, Plan, Reply};
 use geraniummount::core::placement::{Placement, Start};
 use geraniummount::core::route::Repeat;
+use geraniummount::core::scope::Scope;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -37,6 +38,7 @@
         end_by: now + TIMEOUT,
         min_attempt_time: Duration::from_millis(10),
         is_counted: false,
+        scope: Scope::ANY,
     }
 }
 
