Limit the requests to cold leaves, and prefer warm ones

Cause: slowStartS, warmupPerS and warmupLeftMs only raised the expected latency of a leaf.

Change: core::placement knows how long a leaf is cold: for a time after its start, and as long as its newest registration or health answer says. Cold leaves are chosen after all warm ones that can be used, of any domain. Their limit is divided like that which a leaf names, with an equal part for each registered VM and, among VMs that exchange their rates, half of it by these; its mean is such that the bound holds in any second. The number of VMs is published before the leaves.

Tested: cold_leaves_, evacuation_, placement, leaf_limits, call, poll_schedule, store_sync, delegation: 82 passed.

--- a/src/geraniummount/core/placement/choice.rs
+++ b/src/geraniummount/core/placement/choice.rs
@@ -1,9 +1,10 @@
 //! Choice of a leaf for an attempt.
 //!
-//! The tier of a leaf takes precedence over its expected latency. A leaf that limits the requests of
-//! all VMs together is passed over if this VM's part of the limit does not permit the attempt.
+//! The tier of a leaf takes precedence over its expected latency. A leaf that is cold, or that limits
+//! the requests of all VMs together, is passed over if this VM's part of the limit does not permit
+//! the attempt.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -36,10 +37,10 @@
         refused.is_some_and(|refused| refused.per_second(now) >= MIN_REFUSED_PER_SECOND)
     }
 
-    /// Returns whether any leaf limits the requests of all VMs together.
+    /// Returns whether the requests of all VMs together to any leaf are limited.
     pub fn has_limits(&self, now: Instant) -> bool {
         let mut replicas = self.groups.iter().flat_map(|group| group.replicas());
-        replicas.any(|replica| replica.is_limited(now))
+        replicas.any(|replica| replica.is_limited(now) || replica.is_cold(now))
     }
 
     /// Returns whether any leaf of the service that is not in `tried` can be tried now.
@@ -74,8 +75,9 @@
         let accepting = replicas.filter(|replica| replica.accepts_work());
         let times = accepting.map(|replica| {
             let limit = replica.limit.filter(|limit| limit.is_in_force(now));
-            let wait = limit.map_or(Duration::ZERO, |limit| limit.wait(portion, now));
-            replica.usable_at(now).max(now + wait)
+            let limits = limit.iter().chain(replica.coldness.known_limit(now));
+            let wait = limits.map(|limit| limit.wait(portion, now)).max();
+            replica.usable_at(now).max(now + wait.unwrap_or_default())
         });
         times.min()
     }
@@ -155,7 +157,8 @@
         now: Instant,
     ) -> bool {
         let group = &self.groups[index];
-        if !group.replica(key).is_some_and(|r| r.is_limited(now)) {
+        let replica = group.replica(key);
+        if !replica.is_some_and(|r| r.is_limited(now) || r.is_cold(now)) {
             return true;
         }
         let portion = self.portion(group, now);
@@ -164,11 +167,18 @@
             true if tried.is_empty() => Need::First,
             true => Need::Extra,
         };
-        let replica = self.groups[index].replica_mut(key);
-        let Some(limit) = replica.and_then(|replica| replica.limit.as_mut()) else {
+        let Some(replica) = self.groups[index].replica_mut(key) else {
             return true;
         };
-        let is_permitted = limit.permits(portion, need, &mut self.rng, now);
+        let rng = &mut self.rng;
+        let cold_limit = replica.coldness.limit(rng, now);
+        let is_permitted = cold_limit.is_none_or(|limit| limit.permits(portion, need, rng, now));
+        let named = replica
+            .limit
+            .as_mut()
+            .filter(|limit| limit.is_in_force(now));
+        let is_permitted =
+            is_permitted && named.is_none_or(|limit| limit.permits(portion, need, rng, now));
         if !is_permitted && need == Need::Only && tried.is_empty() {
             let refused = &mut self.refused_by_limits;
             refused
@@ -180,9 +190,13 @@
 
     /// Returns what decides this VM's part of the limits of a service's leaves.
     fn portion(&self, group: &Group, now: Instant) -> Portion {
+        let (equal_share, is_fleet_settled) = self.equal_share(now);
         Portion {
             share: self.fleet_share,
             usual_per_second: group.usual_per_second(now),
+            equal_share,
+            is_fleet_settled,
+            tolerance: self.warm_ups.tolerance,
         }
     }
 }
--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -115,7 +115,7 @@
     /// Returns whether a usable leaf in `scope` that is not in `tried` has no limit.
     pub(super) fn has_unlimited(&self, scope: &Scope, tried: &[ReplicaKey], now: Instant) -> bool {
         let mut usable = self.untried(scope, tried, now);
-        usable.any(|replica| !replica.is_limited(now))
+        usable.any(|replica| !replica.is_limited(now) && !replica.is_cold(now))
     }
 
     /// Marks all leaves as unregistered; [`Group::upsert`] reverts this for a registered leaf.
@@ -141,7 +141,7 @@
         let is_same_run = |replica: &&mut Replica| replica.is_run_of(&instance);
         if let Some(known) = self.replicas.iter_mut().find(is_same_run) {
             known.unregistered_since = None;
-            known.instance = instance;
+            known.register(instance, now);
             return false;
         }
         let replica = Replica::new(key, instance, is_local, now);
--- a/src/geraniummount/core/placement/limit.rs
+++ b/src/geraniummount/core/placement/limit.rs
@@ -12,7 +12,9 @@
 //! ([`Share`]). As long as the share is unknown, it is a fraction of what the VM would usually
 //! send to the leaf, which adds up over the VMs whatever their number.
 
+mod basis;
 mod change;
+mod cold;
 mod portion;
 
 use std::ops::Range;
@@ -24,6 +26,7 @@
 use super::notice::NamedLimit;
 use crate::core::fleet::Share;
 
+pub(super) use self::basis::Basis;
 pub use self::change::{LimitChange, LimitedAttempts};
 pub(super) use self::portion::{Need, Portion};
 
@@ -66,9 +69,10 @@
 /// own.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
-/// A limit that a leaf named and has not ended.
+/// A limit that a leaf named and has not ended, or that holds while it is cold.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
+    basis: Basis,
     /// Number of requests per second that the leaf takes from all VMs together.
     per_second: f64,
     /// When the leaf named the limit last.
@@ -83,11 +87,15 @@
     offered: f64,
     /// Time after which the limit is not in force any more unless the leaf names it again.
     max_age: Duration,
+    /// Since when attempts have asked for permits without a long pause, and when one did last.
+    asked_since: Instant,
+    asked_at: Instant,
 }
 
 impl Limit {
-    fn new(per_second: f64, rng: &mut SmallRng, now: Instant) -> Limit {
+    pub(super) fn new(per_second: f64, basis: Basis, rng: &mut SmallRng, now: Instant) -> Limit {
         Limit {
+            basis,
             per_second,
             named_at: now,
             attempts: LimitedAttempts::default(),
@@ -95,6 +103,8 @@
             accrued_at: now,
             offered: rng.random_range(0.0..1.0),
             max_age: Duration::from_secs_f64(rng.random_range(MAX_AGE_RANGE_SECS)),
+            asked_since: now,
+            asked_at: now,
         }
     }
 
@@ -116,7 +126,7 @@
                 LimitChange::Unchanged
             }
             (NamedLimit::PerSecond(per_second), None) => {
-                *limit = Some(Limit::new(per_second, rng, now));
+                *limit = Some(Limit::new(per_second, Basis::Named, rng, now));
                 LimitChange::Began(per_second)
             }
             (NamedLimit::Absent, Some(known)) if sent_at >= known.named_at => {
@@ -128,6 +138,11 @@
         }
     }
 
+    /// Sets the number of requests per second that the leaf takes from all VMs together.
+    pub(super) fn set_per_second(&mut self, per_second: f64) {
+        self.per_second = per_second;
+    }
+
     /// Counts an attempt of this VM at the leaf.
     pub(super) fn count(&mut self, is_extra: bool) {
         match is_extra {
@@ -150,9 +165,10 @@
         rng: &mut SmallRng,
         now: Instant,
     ) -> bool {
+        self.record_asked(now);
         let rate = self.rate(portion, now);
         self.accrue(rate, now);
-        let is_reserved = self.allowance < max_allowance(rate) * RESERVED_SHARE;
+        let is_reserved = self.allowance < self.max_allowance(rate, now) * RESERVED_SHARE;
         if need == Need::First && (is_reserved || !may_ask_first(portion.share, rng)) {
             return false;
         }
@@ -178,9 +194,11 @@
 
     /// Returns this VM's part of the limit, in requests per second.
     fn rate(&self, portion: Portion, now: Instant) -> f64 {
+        if self.basis == Basis::Cold {
+            return self.cold_rate(portion, now);
+        }
         let limit = self.per_second.max(MIN_PER_SECOND);
-        let of_usual = portion.usual_per_second * SHARE_OF_USUAL;
-        let of_usual = of_usual.min(limit * MAX_SHARE_OF_LIMIT);
+        let of_usual = unknown_rate(portion, limit);
         match portion.share {
             Share::Unknown => of_usual,
             Share::Known { share, .. } if portion.share.is_reliable(now) => {
@@ -194,17 +212,31 @@
         let elapsed = now.saturating_duration_since(self.accrued_at);
         self.accrued_at = now;
         let accrued = self.allowance + rate * elapsed.as_secs_f64();
-        self.allowance = accrued.min(max_allowance(rate));
+        self.allowance = accrued.min(self.max_allowance(rate, now));
+    }
+
+    /// Returns the maximum allowance of a VM that accrues it at a rate.
+    fn max_allowance(&self, rate: f64, now: Instant) -> f64 {
+        match self.basis {
+            Basis::Named => max_allowance(rate),
+            Basis::Cold => self.max_cold_allowance(rate, now),
+        }
     }
 }
 
+/// Returns the part of a VM that does not know its share in the requests of all VMs.
+fn unknown_rate(portion: Portion, limit: f64) -> f64 {
+    let of_usual = portion.usual_per_second * SHARE_OF_USUAL;
+    of_usual.min(limit * MAX_SHARE_OF_LIMIT)
+}
+
 /// Returns whether a first attempt that another leaf can take may ask for a permit. While the share
 /// is unknown, most do not, as they only have to show whether the limit still holds.
 fn may_ask_first(share: Share, rng: &mut SmallRng) -> bool {
     share != Share::Unknown || rng.random_range(0.0..1.0) < ASKING_SHARE
 }
 
-/// Returns the maximum allowance of a VM that accrues it at a rate.
+/// Returns the maximum allowance of a VM that accrues it at a rate, at a leaf that names a limit.
 fn max_allowance(rate: f64) -> f64 {
     let min = rate * ACCRUAL_TIME.as_secs_f64();
     let max = rate * MAX_ACCRUAL_TIME.as_secs_f64();
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -14,6 +14,7 @@
 //! the platform's store no longer lists it.
 
 mod choice;
+mod coldness;
 mod departures;
 mod evacuation;
 mod group;
@@ -23,6 +24,7 @@
 mod retry_allowance;
 mod sample;
 mod tier;
+mod warm_up;
 
 use std::time::{Duration, Instant};
 
@@ -30,6 +32,7 @@
 
 use self::departures::Departures;
 use self::limit::Limit;
+use self::warm_up::WarmUps;
 use crate::core::duration_window::DurationWindow;
 use crate::core::fleet::Share;
 use crate::core::instance::Instance;
@@ -62,6 +65,8 @@
     departures: Departures,
     /// Evacuated failure domains, sorted.
     evacuated: Vec<DomainName>,
+    /// What decides which leaves are cold, and how their limits are divided.
+    warm_ups: WarmUps,
     /// First attempts that the limits of leaves did not permit although no other leaf could take
     /// them; `None` before the first one.
     refused_by_limits: Option<RequestRate>,
@@ -87,6 +92,7 @@
             groups: Vec::new(),
             departures: Departures::default(),
             evacuated: Vec::new(),
+            warm_ups: WarmUps::default(),
             refused_by_limits: None,
             era: 0,
             route_latencies: Vec::new(),
@@ -124,6 +130,7 @@
             }
         }
         self.mark_evacuated();
+        self.update_coldness(now);
         for group in &self.groups {
             let replicas = group.replicas().iter();
             for replica in replicas.filter(|replica| replica.is_unregistered()) {
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::UNREGISTERED_GRACE;
+use super::coldness::Coldness;
 use super::limit::Limit;
 use super::notice::{MAX_HOLD, Notice};
 use super::tier::Tier;
@@ -101,6 +102,10 @@
     pub(super) unregistered_since: Option<Instant>,
     /// Whether the leaf is in this VM's failure domain.
     is_local: bool,
+    /// Whether the leaf is cold.
+    pub(super) coldness: Coldness,
+    /// Until when the leaf is cold, when that was last brought up to date; `None` if it is warm.
+    pub(super) cold_until: Option<Instant>,
     /// Whether the operator has evacuated the leaf's failure domain.
     pub(super) is_evacuated: bool,
     /// Moving average of the latency of the leaf's answers, and of abandoned attempts that had
@@ -129,6 +134,8 @@
         is_local: bool,
         now: Instant,
     ) -> Replica {
+        let mut coldness = Coldness::default();
+        coldness.on_registered(instance.warm_up_left, now);
         Replica {
             key,
             instance,
@@ -138,6 +145,8 @@
             avoided_until: None,
             unregistered_since: None,
             is_local,
+            coldness,
+            cold_until: None,
             is_evacuated: false,
             average_latency: None,
             measured_at: now,
@@ -174,6 +183,40 @@
             && own.started_at_ms == instance.started_at_ms
     }
 
+    /// Replaces the registration by a later one of the same run.
+    pub(super) fn register(&mut self, instance: Instance, now: Instant) {
+        let known = &self.instance;
+        let is_newer = instance.heartbeat > known.heartbeat;
+        let is_changed =
+            instance.heartbeat.is_none() && instance.warm_up_left != known.warm_up_left;
+        if is_newer || is_changed {
+            self.coldness.on_registered(instance.warm_up_left, now);
+        }
+        self.instance = instance;
+    }
+
+    /// Returns whether the leaf was added at `now`.
+    pub(super) fn is_new(&self, now: Instant) -> bool {
+        self.added_at == now
+    }
+
+    /// Returns whether the leaf is cold and its requests are limited therefore.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.coldness.is_cold(now)
+    }
+
+    /// Returns for how much longer the leaf is cold, and how old the news is by which this is known.
+    pub fn cold_left(&self, now: Instant) -> (Duration, Option<Duration>) {
+        (self.coldness.left(now), self.coldness.news_age(now))
+    }
+
+    /// Brings up to date until when the leaf is cold; returns whether it has become cold.
+    pub(super) fn update_coldness(&mut self, now: Instant) -> bool {
+        let was_cold = self.cold_until.is_some_and(|until| now < until);
+        self.cold_until = self.is_cold(now).then(|| now + self.coldness.left(now));
+        !was_cold && self.cold_until.is_some()
+    }
+
     /// Returns whether the leaf can be tried now. A leaf whose suspension is over gets a single
     /// trial request, and no other until that one is answered.
     pub fn is_usable(&self, now: Instant) -> bool {
@@ -231,6 +274,9 @@
         if self.unregistered_since.is_some() {
             return Tier::Unregistered;
         }
+        if self.is_cold(now) {
+            return Tier::Cold;
+        }
         match self.avoided_until {
             Some(until) if now < until => Tier::RecentlyFailed,
             _ => Tier::Preferred,
--- a/src/geraniummount/core/placement/tier.rs
+++ b/src/geraniummount/core/placement/tier.rs
@@ -8,6 +8,8 @@
     Preferred,
     /// Registered, with a recent failure.
     RecentlyFailed,
+    /// Registered and cold: it takes few requests a second from all VMs together.
+    Cold,
     /// No longer registered in the platform's store.
     Unregistered,
 }
--- a/src/geraniummount/core/route/table.rs
+++ b/src/geraniummount/core/route/table.rs
@@ -104,6 +104,13 @@
         self.backend(service)?.warm_up
     }
 
+    /// Returns the limits on leaves that have not warmed up, sorted by service.
+    pub fn warm_ups(&self) -> Vec<(ServiceName, WarmUp)> {
+        let services = self.services.iter();
+        let limited = services.filter_map(|service| Some((service.name.clone(), service.warm_up?)));
+        limited.collect()
+    }
+
     fn backend(&self, service: &str) -> Option<&Backend> {
         let order = |backend: &Backend| backend.name.as_str().cmp(service);
         let index = self.services.binary_search_by(order).ok()?;
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -99,6 +99,10 @@
     pub(super) fn apply_peers(&mut self, peers: Vec<Peer>) {
         let own = peers.iter().find(|peer| peer.name == self.options.name);
         self.delegation.own_key = own.map(|peer| peer.key.clone());
+        let vms = peers.len() + usize::from(own.is_none());
+        if self.options.peer_listen.is_some() {
+            self.placement.set_fleet_size(vms, self.now);
+        }
         self.delegation.peers.update(peers);
         let count = self.delegation.peers.len();
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/src/geraniummount/edge/gateway/evacuation.rs
+++ b/src/geraniummount/edge/gateway/evacuation.rs
@@ -55,6 +55,8 @@
     pub(super) fn count_held_back(&self, service: &ServiceName, key: ReplicaKey) {
         if self.placement.is_evacuated(service, key) {
             self.metrics.count_held_back("evacuated");
+        } else if self.placement.is_cold(service, key) {
+            self.metrics.count_held_back("cold");
         }
     }
 }
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -101,6 +101,7 @@
         self.apply_limit(replica, notice.limit, requested_at);
         if self.leaf_connections[connection].is_check {
             self.prove_replaced(replica, headers::read_leaf_id(&response.head));
+            self.apply_warm_up(replica, headers::read_warm_up_left(&response.head));
             return self.on_check_response(connection, status);
         }
         let leaf = &mut self.leaf_connections[connection];
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -13,6 +13,7 @@
     pub(in crate::edge::gateway) is_behind: IntGauge,
     pub(in crate::edge::gateway) quarantined_requests: IntGauge,
     pub(in crate::edge::gateway) evacuated_domains: IntGauge,
+    pub(in crate::edge::gateway) cold_leaves: IntGauge,
     /// 1 while this VM reaches no leaves.
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
     /// Other VMs to which requests can be delegated.
@@ -39,6 +40,10 @@
                 "gateway_evacuated_domains",
                 "Failure domains whose leaves get no requests.",
             ),
+            cold_leaves: gauge(
+                "gateway_cold_leaves",
+                "Leaves whose requests are limited because they are cold.",
+            ),
             leaf_links_lost: gauge(
                 "gateway_leaf_links_lost",
                 "1 while this VM reaches no leaves.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded,
 //! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
 //! shuts the gateway down without dropping requests. [`evacuation`] keeps requests from evacuated
-//! failure domains. [`fleet`] divides the limits of leaves between
+//! failure domains, and [`cold_leaves`] reports leaves that become cold. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
 //! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
 //! [`delegation`] then lets other VMs serve its requests. [`stall`] detects that this VM was frozen.
@@ -26,6 +26,7 @@
 mod answer;
 mod caller;
 mod calls;
+mod cold_leaves;
 mod crashes;
 mod datagrams;
 mod delegation;
@@ -223,6 +224,8 @@
             read_buf: vec![0; socket::READ_BUF_BYTES],
             now: Instant::now(),
         };
+        let tolerance = gateway.options.cold_tolerance;
+        gateway.placement.set_cold_tolerance(tolerance);
         gateway.register_listeners()?;
         Ok(gateway)
     }
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -10,6 +10,7 @@
 use log::{info, warn};
 
 use super::Gateway;
+use super::cold_leaves;
 use super::leaf::LeafConnection;
 use super::timers::Timer;
 use crate::core::call::Reply;
@@ -54,6 +55,7 @@
     /// Brings a version of the routes into force.
     pub(super) fn apply_routes(&mut self, table: Table) {
         let (version, routes) = (table.version, table.routes().len());
+        let warm_ups = table.warm_ups();
         if !self.routes.apply(table) {
             let in_force = self.routes.version();
             return warn!(
@@ -65,6 +67,8 @@
             .gauges
             .routes_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.placement.set_warm_ups(warm_ups, self.now);
+        self.on_cold_leaves();
     }
 
     /// Replaces the list of registered leaves with that of the store in an era.
@@ -81,12 +85,14 @@
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
         self.metrics.gauges.registered_leaves.set(count);
         self.placement.set_era(era);
+        self.placement.set_time_of_day(cold_leaves::unix_ms());
         let has_unregistered = self.placement.update(instances, self.now);
         if has_unregistered {
             self.timers
                 .add(self.now + UNREGISTERED_GRACE, Timer::Unregistered);
         }
         self.remove_unregistered();
+        self.on_cold_leaves();
         self.prove_unregistered(instances);
     }
 
--- a/src/geraniummount/edge/gateway/probe.rs
+++ b/src/geraniummount/edge/gateway/probe.rs
@@ -89,7 +89,10 @@
         let (status, body) = match request.path() {
             platform::READY_PATH if self.is_ready() => (200, b"ready\n".to_vec()),
             platform::READY_PATH => (503, b"not ready\n".to_vec()),
-            "/metrics" => (200, self.metrics.encode()),
+            "/metrics" => {
+                self.count_cold_leaves();
+                (200, self.metrics.encode())
+            }
             _ => (404, b"unknown path; ask for /metrics\n".to_vec()),
         };
         let mut answer = Vec::with_capacity(128 + body.len());
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -206,8 +206,9 @@
         let runs = !changes.quarantine || self.publish_quarantine();
         let runs = runs && (!changes.evacuations || self.publish_evacuations());
         let runs = runs && (!changes.routes || self.publish_routes());
-        let runs = runs && (!changes.leaves || self.publish_leaves());
-        runs && (!changes.peers || self.publish_peers())
+        // The number of VMs decides this VM's part of the limits of cold leaves.
+        let runs = runs && (!changes.peers || self.publish_peers());
+        runs && (!changes.leaves || self.publish_leaves())
     }
 
     /// Publishes the routes if their version is newer than the last published one; returns whether
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -32,6 +32,8 @@
 /// Number of requests per second, with fractions, that a leaf short of capacity takes from all VMs
 /// together, for as long as its responses state it.
 const LIMIT: &str = "Server-Limit";
+/// Time in milliseconds for which a leaf stays cold, in its response to a health request.
+const WARM_UP_LEFT_MS: &str = "Warmup-Ms";
 /// Delay in seconds, with fractions, after which a caller may retry. In a leaf's response with
 /// [`UNAVAILABLE_STATUS`], the time for which the leaf wants no requests from this VM.
 const RETRY_AFTER: &str = "Retry-After";
@@ -155,6 +157,11 @@
     h1::field_text(&head.fields, LEAF_ID).map(str::trim)
 }
 
+/// Reads how long the leaf that has responded to a health request stays cold, if it says so.
+pub fn read_warm_up_left(head: &Head) -> Option<Duration> {
+    h1::field_text(&head.fields, WARM_UP_LEFT_MS).and_then(bounded::parse_millis)
+}
+
 /// Returns whether a response names the request that it belongs to.
 pub fn names_request(head: &Head) -> bool {
     h1::field_values(&head.fields, REQUEST_ID).next().is_some()
