--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -184,16 +184,22 @@
 
     /// Writes the registration of the leaf with the given state.
     pub fn register(&self, store: &Store, state: &str) {
-        self.write(store, state, DEFAULT_START_MS);
+        self.write(store, state, DEFAULT_START_MS, Duration::ZERO);
+    }
+
+    /// Writes the registration of the leaf as ready and cold for a time.
+    pub fn register_cold(&self, store: &Store, left: Duration) {
+        self.write(store, "ready", DEFAULT_START_MS, left);
     }
 
     /// Writes the registration of another start of the leaf, as ready, with its start time in
     /// milliseconds since the Unix epoch.
     pub fn register_start(&self, store: &Store, started_at_ms: u64) {
-        self.write(store, "ready", started_at_ms);
+        self.write(store, "ready", started_at_ms, Duration::ZERO);
     }
 
-    fn write(&self, store: &Store, state: &str, started_at_ms: u64) {
+    fn write(&self, store: &Store, state: &str, started_at_ms: u64, warm_up_left: Duration) {
+        let warm_up_left_ms = u64::try_from(warm_up_left.as_millis()).unwrap_or(u64::MAX);
         let heartbeat = self.state.update(|state| {
             state.heartbeats += 1;
             state.heartbeats
@@ -201,7 +207,7 @@
         let entry = json!({
             "backend": self.service, "address": self.advertised.to_string(),
             "zone": self.domain, "version": "v1", "concurrency": 2, "state": state,
-            "warmupLeftMs": 0, "seq": heartbeat, "born": started_at_ms,
+            "warmupLeftMs": warm_up_left_ms, "seq": heartbeat, "born": started_at_ms,
         });
         store.put(&self.key(), entry.to_string());
     }
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -54,8 +54,19 @@
 
     /// Starts a gateway in a failure domain that reaches the store at `address`.
     pub fn start_in(domain: &str, store: Store, address: SocketAddr) -> Fixture {
+        Fixture::start_with_options(domain, store, address, |_| {})
+    }
+
+    /// Starts a gateway with changed options in a failure domain that reaches the store at
+    /// `address`.
+    pub fn start_with_options(
+        domain: &str,
+        store: Store,
+        address: SocketAddr,
+        change: impl FnOnce(&mut Options),
+    ) -> Fixture {
         let (linger, drain) = (Duration::from_millis(200), Duration::from_secs(10));
-        Fixture::start_with_times(domain, store, address, linger, drain)
+        Fixture::start_with_times(domain, store, address, linger, drain, change)
     }
 
     /// Starts a store and a gateway that accepts connections for `linger` and answers requests for
@@ -63,7 +74,7 @@
     pub fn start_with_stop_times(linger: Duration, drain: Duration) -> Fixture {
         let store = Store::start();
         let address = store.address();
-        Fixture::start_with_times("near", store, address, linger, drain)
+        Fixture::start_with_times("near", store, address, linger, drain, |_| {})
     }
 
     fn start_with_times(
@@ -72,11 +83,12 @@
         address: SocketAddr,
         linger: Duration,
         drain: Duration,
+        change: impl FnOnce(&mut Options),
     ) -> Fixture {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
         let peers_address = free_address_of(ip);
-        let options = Options {
+        let mut options = Options {
             name: format!("vm{number}"),
             failure_domain: domain.to_string(),
             start: Start::First,
@@ -100,6 +112,7 @@
             memory_bytes: None,
             max_descriptors: None,
         };
+        change(&mut options);
         let (callers_address, ready_address) = (options.callers, options.ready);
         let gateway = Gateway::bind(options).unwrap();
         let sender = gateway.sender();
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -1,11 +1,13 @@
 //! Tests of the gateway with stand-ins for the users' platform.
 
 mod bounded;
+mod cold_leaves;
 mod crashes;
 mod cut_answers;
 mod delegation;
 mod deployment;
 mod endless;
+mod evacuation;
 mod fixture;
 mod formats;
 mod isolation;
@@ -20,6 +22,7 @@
 mod older_routes;
 mod pause;
 mod reads;
+mod regions;
 mod requests;
 mod restore;
 mod stop;
