--- a/tests/testsuite/platform/evacuation.rs
+++ b/tests/testsuite/platform/evacuation.rs
@@ -1,6 +1,5 @@
 //! No request reaches a leaf in an evacuated failure domain, however the gateway learns of the key.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use geraniummount_test_support::platform::users::{Answer, Leaf, Store, WatchDelivery};
@@ -16,6 +15,9 @@
 /// Maximum time for a refusal at once, on a busy machine.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which registrations change all the time.
+const BUSY_TIME: Duration = Duration::from_secs(8);
+
 /// Time after which a removed leaf is not even the last choice.
 const UNREGISTERED_TIME: Duration = Duration::from_millis(2_500);
 
@@ -134,10 +136,10 @@
 #[test]
 fn platform_evacuation_is_known_while_leaves_change_faster_than_watches_deliver() {
     let (fixture, near, far, _marker) = start("idempotent");
-    let is_over = AtomicBool::new(false);
+    let end = Instant::now() + BUSY_TIME;
     std::thread::scope(|scope| {
         scope.spawn(|| {
-            while !is_over.load(Ordering::Relaxed) {
+            while Instant::now() < end {
                 for number in 0..CHANGES {
                     fixture.store.put(&format!("servers/odd-{number}"), "{}");
                 }
@@ -148,9 +150,12 @@
         std::thread::sleep(Duration::from_secs(2));
         fixture.store.put(NEAR, "{}");
         wait_for_marker(&fixture, 503);
+        assert!(
+            Instant::now() < end,
+            "known only after the changes had ended"
+        );
         wait_until_used(&fixture, &far);
         assert_unused(&fixture, &near, "behind");
-        is_over.store(true, Ordering::Relaxed);
     });
     // It has caught up by now, by a read that may be outdated.
     std::thread::sleep(Duration::from_secs(2));
@@ -238,6 +243,8 @@
         let requests: Vec<_> = (0..WAITING_REQUESTS).map(|_| scope.spawn(send)).collect();
         let before = arrivals(&near);
         fixture.wait_until(|_| arrivals(&near) > before);
+        // The other requests wait for a connection by now.
+        std::thread::sleep(Duration::from_millis(500));
         fixture.store.put(NEAR, "{}");
         wait_for_marker(&fixture, 503);
         let before = arrivals(&near);
