--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use geraniummount::ops::settings::Settings;
+use geraniummount::ops::settings::{Gateway as GatewaySettings, Settings};
 
 const GOOD: &str = "\
 [node]
@@ -153,3 +153,88 @@
     assert_eq!(settings.platform.prefix, "geraniummount");
     assert_eq!(settings.limits.drain, Duration::from_secs(10));
 }
+
+const GATEWAY: &str = "\
+[gateway]
+name = vm-1
+failure_domain = eu-a
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+
+[platform]
+address = 10.0.0.1:2000
+";
+
+/// Guards against a setting that is read under another name, in another unit or not at all.
+#[test]
+fn settings_of_a_gateway_contain_its_bounds_and_limits() {
+    let text = format!(
+        "{GATEWAY}[bounds]\nrevoke_ms = 4000\nevacuate_ms = 2500\nquota_window_s = 2.5\n\
+         quota_over = 0.2\nquota_slack = 30\ncold_over = 1.25\ncold_slack = 7\n\
+         [limits]\nmemory_mb = 112\nmax_fds = 1024\n"
+    );
+    let text = text.replace(
+        "failure_domain = eu-a",
+        "failure_domain = eu-a\nregions = us-a=us, eu-b=eu,eu-a=eu,",
+    );
+    let options = GatewaySettings::parse("file.ini", &text).unwrap().options;
+    let regions = [("eu-a", "eu"), ("eu-b", "eu"), ("us-a", "us")];
+    let regions = regions.map(|(domain, region)| (domain.to_string(), region.to_string()));
+    assert_eq!(options.regions, regions);
+    assert_eq!(options.revoke, Some(Duration::from_secs(4)));
+    assert_eq!(options.evacuate, Duration::from_millis(2_500));
+    assert_eq!(options.quota_window, Duration::from_millis(2_500));
+    let quota = options.quota_tolerance;
+    assert_eq!((quota.share, quota.requests), (0.2, 30.0));
+    let cold = options.cold_tolerance;
+    assert_eq!((cold.share, cold.requests), (0.25, 7.0));
+    assert_eq!(options.memory_bytes, Some(112 * 1024 * 1024));
+    assert_eq!(options.max_descriptors, Some(1_024));
+}
+
+/// Guards against features that are on although no setting calls for them.
+#[test]
+fn settings_of_a_gateway_without_them_leave_the_defaults() {
+    let options = GatewaySettings::parse("file.ini", GATEWAY).unwrap().options;
+    assert!(options.regions.is_empty());
+    assert_eq!(options.revoke, None);
+    assert_eq!(options.evacuate, Duration::from_secs(5));
+    assert_eq!(options.quota_window, Duration::from_secs(5));
+    let quota = options.quota_tolerance;
+    assert_eq!((quota.share, quota.requests), (0.1, 20.0));
+    let cold = options.cold_tolerance;
+    assert_eq!((cold.share, cold.requests), (0.5, 5.0));
+    assert_eq!(
+        (options.memory_bytes, options.max_descriptors),
+        (None, None)
+    );
+}
+
+/// Guards against values out of range that are taken over, or reported without their key.
+#[test]
+fn settings_of_a_gateway_out_of_range_are_faults() {
+    const FAULTS: &[(&str, &str, &str)] = &[
+        ("gateway", "regions", "eu-a"),
+        ("bounds", "revoke_ms", "0"),
+        ("bounds", "evacuate_ms", "-1"),
+        ("bounds", "quota_window_s", "0"),
+        ("bounds", "quota_over", "nan"),
+        ("bounds", "quota_slack", "-1"),
+        ("bounds", "cold_over", "0.5"),
+        ("bounds", "cold_slack", "many"),
+        ("limits", "memory_mb", "1"),
+        ("limits", "max_fds", "3"),
+    ];
+    for (section, key, value) in FAULTS {
+        let line = format!("{key} = {value}\n");
+        let text = match *section {
+            "gateway" => GATEWAY.replace("[platform]", &format!("{line}[platform]")),
+            _ => format!("{GATEWAY}[{section}]\n{line}"),
+        };
+        let faults = GatewaySettings::parse("file.ini", &text)
+            .unwrap_err()
+            .to_string();
+        let wanted = format!("[{section}] {key}: found '{value}'");
+        assert!(faults.contains(&wanted), "{faults}");
+    }
+}
