Count the requests of a test before they are sent

Cause: the test of waiting attempts read the count after its requests had begun, so it could pass without the check that it guards.

--- a/tests/testsuite/platform/evacuation.rs
+++ b/tests/testsuite/platform/evacuation.rs
@@ -240,8 +240,8 @@
     near.set_answer(Answer::Late(Duration::from_millis(1_500)));
     std::thread::scope(|scope| {
         let send = || fixture.get("/a/x", 10_000).status;
-        let requests: Vec<_> = (0..WAITING_REQUESTS).map(|_| scope.spawn(send)).collect();
         let before = arrivals(&near);
+        let requests: Vec<_> = (0..WAITING_REQUESTS).map(|_| scope.spawn(send)).collect();
         fixture.wait_until(|_| arrivals(&near) > before);
         // The other requests wait for a connection by now.
         std::thread::sleep(Duration::from_millis(500));
