Read what was written while the VM was frozen before sending anything

Change: the event loop waits at most 1 s for events, so that a stall of 2 s or more is noticed, and then gives the thread that watches the store 40 ms.

Ruled out: the detector as it was. It misses a stall during a long wait; the test failed with it.

Tested: platform_pause, 2 passed.

--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -124,7 +124,7 @@
     /// Attempts in flight, with the time when each was sent.
     open_attempts: Vec<(AttemptId, Instant)>,
     /// When this VM learned of the registration.
-    added_at: Instant,
+    pub(super) added_at: Instant,
 }
 
 impl Replica {
@@ -183,40 +183,6 @@
             && own.started_at_ms == instance.started_at_ms
     }
 
-    /// Replaces the registration by a later one of the same run.
-    pub(super) fn register(&mut self, instance: Instance, now: Instant) {
-        let known = &self.instance;
-        let is_newer = instance.heartbeat > known.heartbeat;
-        let is_changed =
-            instance.heartbeat.is_none() && instance.warm_up_left != known.warm_up_left;
-        if is_newer || is_changed {
-            self.coldness.on_registered(instance.warm_up_left, now);
-        }
-        self.instance = instance;
-    }
-
-    /// Returns whether the leaf was added at `now`.
-    pub(super) fn is_new(&self, now: Instant) -> bool {
-        self.added_at == now
-    }
-
-    /// Returns whether the leaf is cold and its requests are limited therefore.
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.coldness.is_cold(now)
-    }
-
-    /// Returns for how much longer the leaf is cold, and how old the news is by which this is known.
-    pub fn cold_left(&self, now: Instant) -> (Duration, Option<Duration>) {
-        (self.coldness.left(now), self.coldness.news_age(now))
-    }
-
-    /// Brings up to date until when the leaf is cold; returns whether it has become cold.
-    pub(super) fn update_coldness(&mut self, now: Instant) -> bool {
-        let was_cold = self.cold_until.is_some_and(|until| now < until);
-        self.cold_until = self.is_cold(now).then(|| now + self.coldness.left(now));
-        !was_cold && self.cold_until.is_some()
-    }
-
     /// Returns whether the leaf can be tried now. A leaf whose suspension is over gets a single
     /// trial request, and no other until that one is answered.
     pub fn is_usable(&self, now: Instant) -> bool {
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -15,7 +15,8 @@
 //! operators.
 //!
 //! The gateway runs on a single thread because a VM has only a share of one core and each handover
-//! between threads would cost a wake-up. Nothing in the event loop blocks.
+//! between threads would cost a wake-up. Nothing in the event loop blocks, except for a moment after
+//! this VM was frozen for a second or more.
 //!
 //! The platform is what the users run around the gateway: the store of the routes and of the
 //! leaves' registrations, and the readiness probes. A call is a caller's request in flight. An
@@ -55,7 +56,8 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::mpsc;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use log::warn;
 use mio::event::Event;
@@ -95,6 +97,10 @@
 /// Maximum number of events that are handled per iteration of the event loop.
 const MAX_EVENTS: usize = 256;
 
+/// Maximum time for which the event loop waits for events. A stall during a longer wait would not be
+/// noticed.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// A gateway with its listeners, connections and calls in flight.
 pub struct Gateway {
     options: Options,
@@ -247,11 +253,14 @@
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
             let wait = self.timers.time_until_next(Instant::now());
-            match self.poll.poll(&mut events, wait) {
+            let wait = wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT));
+            match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
-            self.stall.on_iteration(wait.unwrap_or_default(), self.now);
+            if self.stall.on_iteration(wait, self.now) {
+                self.await_news();
+            }
             for event in &events {
                 self.on_event(event);
             }
@@ -264,6 +273,15 @@
         }
     }
 
+    /// Lets the thread that watches the store receive what was written while this VM was stalled.
+    /// Requests that have arrived meanwhile would otherwise be sent to leaves that have been
+    /// evacuated for longer than the bound permits.
+    fn await_news(&mut self) {
+        thread::sleep(stall::SETTLING_TIME);
+        self.receive_updates();
+        self.now = Instant::now();
+    }
+
     fn register_listeners(&mut self) -> io::Result<()> {
         let registry = self.poll.registry();
         if let Some(listener) = &mut self.callers_listener {
--- a/src/geraniummount/edge/gateway/stall.rs
+++ b/src/geraniummount/edge/gateway/stall.rs
@@ -5,8 +5,11 @@
 /// Time that an iteration of the event loop may take beyond the time that it waits.
 const MAX_ITERATION_TIME: Duration = Duration::from_millis(100);
 
+/// Minimum duration of a stall during which the operator's changes may have become due.
+const MIN_LONG_STALL: Duration = Duration::from_secs(1);
+
 /// Time after a stall in which messages that are older than it may still arrive.
-const SETTLING_TIME: Duration = Duration::from_millis(40);
+pub(super) const SETTLING_TIME: Duration = Duration::from_millis(40);
 
 /// Detector of stalls.
 #[derive(Debug)]
@@ -26,8 +29,8 @@
     }
 
     /// Records that an iteration begins after a wait of at most `wait`. A step of the time of day
-    /// counts as a stall too.
-    pub(super) fn on_iteration(&mut self, wait: Duration, now: Instant) {
+    /// counts as a stall too. Returns whether this VM has just been stalled for long.
+    pub(super) fn on_iteration(&mut self, wait: Duration, now: Instant) -> bool {
         let time_of_day = SystemTime::now();
         let (last, last_time_of_day) = self.began_at;
         self.began_at = (now, time_of_day);
@@ -38,6 +41,7 @@
         if elapsed > wait + MAX_ITERATION_TIME {
             self.settled_at = Some(now + SETTLING_TIME);
         }
+        elapsed > wait + MIN_LONG_STALL
     }
 
     /// Returns until when messages may arrive that are older than a stall; `None` if there was
