--- a/src/geraniummount/core/placement/warm_up.rs
+++ b/src/geraniummount/core/placement/warm_up.rs
@@ -11,6 +11,10 @@
 /// VMs register within this time, and the first ones would take the parts of the others.
 const FLEET_SETTLING_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which a larger number of VMs counts after a smaller one was read. All entries may vanish
+/// when the store comes back from an older copy, and each VM would take the whole limit.
+const FLEET_MEMORY: Duration = Duration::from_secs(60);
+
 /// What decides which leaves are cold, and how their limits are divided.
 #[derive(Debug)]
 pub(super) struct WarmUps {
@@ -20,6 +24,8 @@
     pub(super) tolerance: Tolerance,
     /// Number of VMs, with this one; `None` if it is not known.
     fleet_size: Option<usize>,
+    /// Larger number of VMs that was known before, and until when it counts.
+    larger_fleet: Option<(usize, Instant)>,
     /// When the number of VMs was first known.
     fleet_known_at: Option<Instant>,
     /// Time of day in milliseconds since the Unix epoch, by which the age of a new leaf is known.
@@ -37,6 +43,7 @@
                 requests: 0.0,
             },
             fleet_size: None,
+            larger_fleet: None,
             fleet_known_at: None,
             unix_ms: None,
             became_cold: Vec::new(),
@@ -58,6 +65,10 @@
 
     /// Sets the number of VMs, with this one.
     pub fn set_fleet_size(&mut self, vms: usize, now: Instant) {
+        let last = self.warm_ups.fleet_size.filter(|last| *last > vms);
+        let last = last.map(|last| (last, now + FLEET_MEMORY));
+        let larger = self.warm_ups.larger_fleet.filter(|(_, until)| now < *until);
+        self.warm_ups.larger_fleet = larger.max(last);
         self.warm_ups.fleet_size = (vms > 0).then_some(vms);
         self.warm_ups.fleet_known_at.get_or_insert(now);
     }
@@ -99,10 +110,16 @@
         std::mem::take(&mut self.warm_ups.became_cold)
     }
 
+    /// Returns the number of VMs that counts, if it is known.
+    fn counted_vms(&self, now: Instant) -> Option<usize> {
+        let larger = self.warm_ups.larger_fleet.filter(|(_, until)| now < *until);
+        self.warm_ups.fleet_size.max(larger.map(|(vms, _)| vms))
+    }
+
     /// Returns the equal share of each VM, if the number of VMs is known, and whether that number
     /// can be relied on.
     pub(super) fn equal_share(&self, now: Instant) -> (Option<f64>, bool) {
-        let share = self.warm_ups.fleet_size.map(|vms| 1.0 / vms as f64);
+        let share = self.counted_vms(now).map(|vms| 1.0 / vms as f64);
         let known_for = self.warm_ups.fleet_known_at;
         let known_for = known_for.map(|at| now.saturating_duration_since(at));
         let is_complete = known_for.is_some_and(|time| time >= FLEET_SETTLING_TIME);
--- a/tests/testsuite/cold_leaves.rs
+++ b/tests/testsuite/cold_leaves.rs
@@ -481,3 +481,26 @@
     assert_eq!(placement.cold_leaves(now), 0);
     assert!((0..1_000).all(|_| placement.choose(SERVICE, &[], now).is_some()));
 }
+
+/// Guards against VMs that each take the whole limit when the list of VMs is lost with the store.
+#[test]
+fn cold_leaves_keep_the_parts_of_vms_whose_entries_vanish() {
+    const VMS: usize = 100;
+    let start = Instant::now();
+    let warm_up = WarmUp {
+        duration: secs(20),
+        per_second: 20.0,
+    };
+    let mut placement = Placement::new("near", Start::Restart, SmallRng::seed_from_u64(1));
+    placement.set_cold_tolerance(TOLERANCE);
+    placement.set_fleet_size(VMS, start);
+    placement.set_warm_ups(vec![(SERVICE.to_string(), warm_up)], start);
+    placement.update(&[leaf(0, true)], start);
+    placement.set_fleet_size(1, start);
+    placement.set_fleet_size(1, start + secs(1));
+    let times = (0..500_u32).map(|tick| start + Duration::from_millis(20) * tick);
+    let sent = times
+        .filter(|at| placement.choose(SERVICE, &[], *at).is_some())
+        .count();
+    assert!(sent <= 5, "{sent} requests in 10 s, of 200 for all VMs");
+}
