--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -5,6 +5,7 @@
 use super::{Action, Answer, Decline, End, Ending, Outcome, Peers, Purpose};
 use crate::core::not_run::{NotRun, Progress};
 use crate::core::route::Repeat;
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Maximum number of peers that a request is passed to. Most VMs may have lost their links, and
@@ -38,6 +39,8 @@
     purpose: Purpose,
     /// Minimum time before `end_by` that a peer needs.
     min_attempt_time: Duration,
+    /// Failure domains whose VMs the request may be passed to.
+    scope: Scope,
     /// Peers that the request was passed to.
     tried: Vec<VmName>,
     /// Failure domains of peers that have lost their links too.
@@ -78,6 +81,7 @@
             end_by,
             purpose: Purpose::Necessity,
             min_attempt_time: Duration::ZERO,
+            scope: Scope::ANY,
             tried: Vec::new(),
             lost_domains: Vec::new(),
             open: None,
@@ -119,6 +123,13 @@
         self
     }
 
+    /// Passes the request only to peers of the failure domains in `scope`.
+    #[must_use]
+    pub fn within(mut self, scope: Scope) -> Request {
+        self.scope = scope;
+        self
+    }
+
     /// Ends the request at `limit` at the latest.
     pub fn end_before(&mut self, limit: Instant) {
         self.end_by = self.end_by.min(limit);
@@ -319,7 +330,7 @@
     fn choose_peer(&self, peers: &mut Peers, now: Instant) -> Option<VmName> {
         match self.purpose {
             Purpose::Necessity if self.tried.len() < MAX_PEERS => {
-                peers.choose(&self.tried, &self.lost_domains, now)
+                peers.choose_within(&self.scope, &self.tried, &self.lost_domains, now)
             }
             Purpose::Offload if self.tried.is_empty() => peers.choose_stronger(&self.tried, now),
             Purpose::Necessity | Purpose::Offload => None,
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -14,7 +14,9 @@
 //! the platform's store no longer lists it.
 
 mod choice;
+mod coldness;
 mod departures;
+mod evacuation;
 mod group;
 mod limit;
 mod notice;
@@ -22,6 +24,7 @@
 mod retry_allowance;
 mod sample;
 mod tier;
+mod warm_up;
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +32,7 @@
 
 use self::departures::Departures;
 use self::limit::Limit;
+use self::warm_up::WarmUps;
 use crate::core::duration_window::DurationWindow;
 use crate::core::fleet::Share;
 use crate::core::instance::Instance;
@@ -59,6 +63,10 @@
     groups: Vec<Group>,
     /// Runs of leaves that left.
     departures: Departures,
+    /// Evacuated failure domains, sorted.
+    evacuated: Vec<DomainName>,
+    /// What decides which leaves are cold, and how their limits are divided.
+    warm_ups: WarmUps,
     /// First attempts that the limits of leaves did not permit although no other leaf could take
     /// them; `None` before the first one.
     refused_by_limits: Option<RequestRate>,
@@ -83,6 +91,8 @@
             fleet_share: Share::Unknown,
             groups: Vec::new(),
             departures: Departures::default(),
+            evacuated: Vec::new(),
+            warm_ups: WarmUps::default(),
             refused_by_limits: None,
             era: 0,
             route_latencies: Vec::new(),
@@ -119,6 +129,8 @@
                 self.next_key += 1;
             }
         }
+        self.mark_evacuated();
+        self.update_coldness(now);
         for group in &self.groups {
             let replicas = group.replicas().iter();
             for replica in replicas.filter(|replica| replica.is_unregistered()) {
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::UNREGISTERED_GRACE;
+use super::coldness::Coldness;
 use super::limit::Limit;
 use super::notice::{MAX_HOLD, Notice};
 use super::tier::Tier;
@@ -101,6 +102,12 @@
     pub(super) unregistered_since: Option<Instant>,
     /// Whether the leaf is in this VM's failure domain.
     is_local: bool,
+    /// Whether the leaf is cold.
+    pub(super) coldness: Coldness,
+    /// Until when the leaf is cold, when that was last brought up to date; `None` if it is warm.
+    pub(super) cold_until: Option<Instant>,
+    /// Whether the operator has evacuated the leaf's failure domain.
+    pub(super) is_evacuated: bool,
     /// Moving average of the latency of the leaf's answers, and of abandoned attempts that had
     /// already taken longer than the average; `None` before the first measurement.
     average_latency: Option<Duration>,
@@ -117,7 +124,7 @@
     /// Attempts in flight, with the time when each was sent.
     open_attempts: Vec<(AttemptId, Instant)>,
     /// When this VM learned of the registration.
-    added_at: Instant,
+    pub(super) added_at: Instant,
 }
 
 impl Replica {
@@ -127,6 +134,8 @@
         is_local: bool,
         now: Instant,
     ) -> Replica {
+        let mut coldness = Coldness::default();
+        coldness.on_registered(instance.warm_up_left, now);
         Replica {
             key,
             instance,
@@ -136,6 +145,9 @@
             avoided_until: None,
             unregistered_since: None,
             is_local,
+            coldness,
+            cold_until: None,
+            is_evacuated: false,
             average_latency: None,
             measured_at: now,
             consecutive_failures: 0,
@@ -179,10 +191,20 @@
         self.accepts_requests(now) && is_rested && !is_trial_in_flight
     }
 
-    /// Returns whether the leaf wants requests now: it is neither leaving nor has it asked for a
+    /// Returns whether the leaf may get requests now: it accepts work, and it has not asked for a
     /// time without requests that is not over yet.
     pub fn accepts_requests(&self, now: Instant) -> bool {
-        !self.instance.is_leaving && self.held_until.is_none_or(|until| now >= until)
+        self.accepts_work() && self.held_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns whether the leaf is neither leaving nor in an evacuated failure domain.
+    pub(super) fn accepts_work(&self) -> bool {
+        !self.instance.is_leaving && !self.is_evacuated
+    }
+
+    /// Returns whether the operator has evacuated the leaf's failure domain.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
     }
 
     /// Returns when the leaf can be tried again, unless it is leaving.
@@ -218,6 +240,9 @@
         if self.unregistered_since.is_some() {
             return Tier::Unregistered;
         }
+        if self.is_cold(now) {
+            return Tier::Cold;
+        }
         match self.avoided_until {
             Some(until) if now < until => Tier::RecentlyFailed,
             _ => Tier::Preferred,
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -20,7 +20,8 @@
 use crate::core::quarantine::Admission;
 use crate::core::quota::{Decision, Source};
 use crate::core::route::{Repeat, Route, Table, Target};
-use crate::core::tenant::{Access, Denial, Tenant};
+use crate::core::scope::Scope;
+use crate::core::tenant::{Access, Credential, Denial, Tenant};
 use crate::platform::headers;
 use crate::util::h1::Request;
 
@@ -177,7 +178,10 @@
     /// otherwise lets another VM handle it.
     fn admit_if_connected(&mut self, arrival: Arrival, table: &Table) {
         let route = arrival.find_route(table);
-        let is_connected = |route: &&Route| self.has_idle_connections(&route.target.services());
+        let is_connected = |route: &&Route| {
+            let scope = self.scope(Some(route), arrival.credential);
+            self.has_idle_connections(&route.target.services(), &scope)
+        };
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
             None => {
@@ -232,7 +236,10 @@
             self.write_failure(key, 502, "failed");
             return;
         }
-        let mut plan = self.plan(route, &arrival);
+        let plan = self.plan(route, &arrival);
+        let tenant_regions = access.tenant().and_then(|tenant| tenant.regions.as_deref());
+        let allowed = route.regions.as_deref().into_iter().chain(tenant_regions);
+        let mut plan = plan.within(Scope::new(&self.options.regions, allowed));
         if !self.fit_into_stop(&mut plan) {
             self.return_token(arrival.token.as_deref());
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
@@ -311,6 +318,7 @@
             Some(route) => plan_for_peer(route, timeout, started),
             None => Plan::without_route(timeout, started),
         };
+        plan.scope = self.scope(route, arrival.credential);
         if !self.fit_into_stop(&mut plan) {
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
         }
@@ -334,6 +342,23 @@
         });
     }
 
+    /// Returns the failure domains that a request may reach by the newest routes that this VM knows.
+    /// If it knows no route for the request and any request is restricted, this one may be too.
+    fn scope(&self, route: Option<&Route>, credential: Credential) -> Scope {
+        if !self.routes.has_regions() {
+            return Scope::ANY;
+        }
+        let Some(route) = route else {
+            return Scope::nowhere();
+        };
+        let tenant_regions = self.routes.regions_of(credential);
+        let allowed = route.regions.as_deref().into_iter();
+        Scope::new(
+            &self.options.regions,
+            allowed.chain(tenant_regions.as_deref()),
+        )
+    }
+
     /// Rejects a request because leaves are overloaded.
     fn turn_away(
         &mut self,
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -106,6 +106,10 @@
         let own = peers.iter().find(|peer| peer.name == self.options.name);
         self.delegation.own_key = own.map(|peer| peer.key.clone());
         self.apply_quota_vms(&peers);
+        let vms = peers.len() + usize::from(own.is_none());
+        if self.options.peer_listen.is_some() {
+            self.placement.set_fleet_size(vms, self.now);
+        }
         self.delegation.peers.update(peers);
         let count = self.delegation.peers.len();
         let count = i64::try_from(count).unwrap_or(i64::MAX);
@@ -134,13 +138,16 @@
         let serial = self.allocate_serial();
         let connection = &mut self.caller_connections[caller_request.caller];
         let plan = &caller_request.plan;
+        let (own_domain, regions) = (&self.options.failure_domain, &self.options.regions);
+        let scope = plan.scope.with_region_of(own_domain, regions);
         let index = self.delegation.requests.insert(Delegated {
             serial,
             request: Request::new(plan.repeat, plan.end_by)
                 .with_purpose(caller_request.purpose)
                 .with_min_attempt_time(plan.min_attempt_time)
                 .with_sends(caller_request.sends)
-                .with_earlier_run(connection.may_have_run),
+                .with_earlier_run(connection.may_have_run)
+                .within(scope),
             caller_request,
             connection: None,
             asked: 0,
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! The gateway's metrics in Prometheus format. An attempt is one try to run a part of a caller's
 //! request at one leaf.
 
+mod attempts;
 mod gauges;
 mod key_counters;
 mod quotas;
@@ -12,6 +13,7 @@
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
+use self::attempts::Attempts;
 use self::gauges::Gauges;
 use self::key_counters::KeyCounters;
 use self::quotas::Quotas;
@@ -33,10 +35,7 @@
     /// Requests by outcome, including those that were rejected.
     answers: IntCounterVec,
     answer_seconds: Histogram,
-    /// Attempts by outcome.
-    attempts: IntCounterVec,
-    /// Attempts at leaves that name a limit, by kind of attempt.
-    limited_attempts: IntCounterVec,
+    attempts: Attempts,
     /// Requests that were passed to other VMs, by outcome.
     delegations: IntCounterVec,
     keys: KeyCounters,
@@ -58,17 +57,6 @@
             "gateway_answers_total",
             "Requests by what the caller got.",
         );
-        let attempts = counter_by_outcome(
-            &registry,
-            "gateway_attempts_total",
-            "Attempts at leaves by how they ended.",
-        );
-        let limited_attempts = counter_by(
-            &registry,
-            "gateway_limited_attempts_total",
-            "Attempts at leaves that limit the requests of all VMs together.",
-            &["kind"],
-        );
         let delegations = counter_by_outcome(
             &registry,
             "gateway_delegations_total",
@@ -97,14 +85,13 @@
                 "gateway_leaf_connections_total",
                 "Connections to leaves.",
             ),
+            attempts: Attempts::new(&registry),
             gauges: Gauges::new(&registry),
             keys: KeyCounters::new(&registry),
             quotas: Quotas::new(&registry),
             registry,
             answers,
             answer_seconds,
-            attempts,
-            limited_attempts,
             delegations,
             peer_requests,
             shed,
@@ -122,12 +109,16 @@
     }
 
     pub(super) fn count_attempt(&self, outcome: &str) {
-        self.attempts.with_label_values(&[outcome]).inc();
+        self.attempts.ended.with_label_values(&[outcome]).inc();
     }
 
     pub(super) fn count_limited_attempt(&self, is_extra: bool) {
         let kind = if is_extra { "extra" } else { "first" };
-        self.limited_attempts.with_label_values(&[kind]).inc();
+        self.attempts.limited.with_label_values(&[kind]).inc();
+    }
+
+    pub(super) fn count_held_back(&self, reason: &str) {
+        self.attempts.held_back.with_label_values(&[reason]).inc();
     }
 
     pub(super) fn count_delegation(&self, outcome: &str) {
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -12,6 +12,8 @@
     /// 1 while the leaves change faster than a watch delivers the changes.
     pub(in crate::edge::gateway) is_behind: IntGauge,
     pub(in crate::edge::gateway) quarantined_requests: IntGauge,
+    pub(in crate::edge::gateway) evacuated_domains: IntGauge,
+    pub(in crate::edge::gateway) cold_leaves: IntGauge,
     /// 1 while this VM reaches no leaves.
     pub(in crate::edge::gateway) leaf_links_lost: IntGauge,
     /// Other VMs to which requests can be delegated.
@@ -39,6 +41,14 @@
                 "gateway_quarantined_requests",
                 "Requests that are withheld because they crash leaves.",
             ),
+            evacuated_domains: gauge(
+                "gateway_evacuated_domains",
+                "Failure domains whose leaves get no requests.",
+            ),
+            cold_leaves: gauge(
+                "gateway_cold_leaves",
+                "Leaves whose requests are limited because they are cold.",
+            ),
             leaf_links_lost: gauge(
                 "gateway_leaf_links_lost",
                 "1 while this VM reaches no leaves.",
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! the response. In addition, [`load_shedding`] rejects queries while leaves are overloaded, which
 //! [`fair_share`] does by priority and tenant if there are tenants,
 //! [`store_check`] detects that this VM is isolated from the other failure domains, and [`stop`]
-//! shuts the gateway down without dropping requests. [`fleet`] divides the limits of leaves between
+//! shuts the gateway down without dropping requests. [`evacuation`] keeps requests from evacuated
+//! failure domains, and [`cold_leaves`] reports leaves that become cold. [`fleet`] divides the limits of leaves between
 //! the VMs. [`crashes`] finds out which requests crash leaves, [`quarantine`] withholds them, and
 //! [`trials`] sends them once in a while. [`leaf_links`] detects that this VM reaches no leaf, and
 //! [`delegation`] then lets other VMs serve its requests. [`key_lease`] confirms that the keys of
@@ -18,7 +19,8 @@
 //! operators.
 //!
 //! The gateway runs on a single thread because a VM has only a share of one core and each handover
-//! between threads would cost a wake-up. Nothing in the event loop blocks.
+//! between threads would cost a wake-up. Nothing in the event loop blocks, except for a moment after
+//! this VM was frozen for a second or more.
 //!
 //! The platform is what the users run around the gateway: the store of the routes and of the
 //! leaves' registrations, and the readiness probes. A call is a caller's request in flight. An
@@ -30,9 +32,11 @@
 mod arrival;
 mod caller;
 mod calls;
+mod cold_leaves;
 mod crashes;
 mod datagrams;
 mod delegation;
+mod evacuation;
 mod fair_share;
 mod fleet;
 mod key_lease;
@@ -60,7 +64,8 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::mpsc;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use log::warn;
 use mio::event::Event;
@@ -103,6 +108,10 @@
 /// Maximum number of events that are handled per iteration of the event loop.
 const MAX_EVENTS: usize = 256;
 
+/// Maximum time for which the event loop waits for events. A stall during a longer wait would not be
+/// noticed.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
 /// A gateway with its listeners, connections and calls in flight.
 pub struct Gateway {
     options: Options,
@@ -241,6 +250,8 @@
             read_buf: vec![0; socket::READ_BUF_BYTES],
             now: Instant::now(),
         };
+        let tolerance = gateway.options.cold_tolerance;
+        gateway.placement.set_cold_tolerance(tolerance);
         gateway.register_listeners()?;
         Ok(gateway)
     }
@@ -263,11 +274,14 @@
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
             let wait = self.timers.time_until_next(Instant::now());
-            match self.poll.poll(&mut events, wait) {
+            let wait = wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT));
+            match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
-            self.stall.on_iteration(wait.unwrap_or_default(), self.now);
+            if self.stall.on_iteration(wait, self.now) {
+                self.await_news();
+            }
             for event in &events {
                 self.on_event(event);
             }
@@ -280,6 +294,15 @@
         }
     }
 
+    /// Lets the thread that watches the store receive what was written while this VM was stalled.
+    /// Requests that have arrived meanwhile would otherwise be sent to leaves that have been
+    /// evacuated for longer than the bound permits.
+    fn await_news(&mut self) {
+        thread::sleep(stall::SETTLING_TIME);
+        self.receive_updates();
+        self.now = Instant::now();
+    }
+
     fn register_listeners(&mut self) -> io::Result<()> {
         let registry = self.poll.registry();
         if let Some(listener) = &mut self.callers_listener {
@@ -382,6 +405,7 @@
             match update {
                 Update::Table(table) => self.apply_routes(table),
                 Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
+                Update::Evacuated(domains) => self.apply_evacuations(domains),
                 Update::FleetShare(share) => self.apply_fleet_share(share),
                 Update::Peers(peers) => self.apply_peers(peers),
                 Update::Quarantine(records) => self.merge_quarantine(records),
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -10,6 +10,7 @@
 use log::{info, warn};
 
 use super::Gateway;
+use super::cold_leaves;
 use super::leaf::LeafConnection;
 use super::timers::Timer;
 use crate::core::call::Reply;
@@ -17,6 +18,7 @@
 use crate::core::instance::Instance;
 use crate::core::placement::{LimitChange, NamedLimit, Notice, ReplicaKey, UNREGISTERED_GRACE};
 use crate::core::route::Table;
+use crate::core::scope::Scope;
 use crate::prelude::*;
 
 /// Connections that a leaf accepts from all VMs together, if the routes do not name its service.
@@ -46,13 +48,14 @@
     /// This VM's share of the connections that the leaf accepts from all VMs.
     share: ConnectionShare,
     /// Attempts that wait for a connection, in order of arrival.
-    waiting: VecDeque<AttemptId>,
+    pub(super) waiting: VecDeque<AttemptId>,
 }
 
 impl Gateway {
     /// Brings a version of the routes into force.
     pub(super) fn apply_routes(&mut self, table: Table) {
         let (version, routes) = (table.version, table.routes().len());
+        let warm_ups = table.warm_ups();
         if !self.routes.apply(table) {
             let in_force = self.routes.version();
             return warn!(
@@ -65,6 +68,8 @@
             .routes_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
         self.apply_quotas();
+        self.placement.set_warm_ups(warm_ups, self.now);
+        self.on_cold_leaves();
     }
 
     /// Replaces the list of registered leaves with that of the store in an era.
@@ -81,12 +86,14 @@
         let count = i64::try_from(instances.len()).unwrap_or(i64::MAX);
         self.metrics.gauges.registered_leaves.set(count);
         self.placement.set_era(era);
+        self.placement.set_time_of_day(cold_leaves::unix_ms());
         let has_unregistered = self.placement.update(instances, self.now);
         if has_unregistered {
             self.timers
                 .add(self.now + UNREGISTERED_GRACE, Timer::Unregistered);
         }
         self.remove_unregistered();
+        self.on_cold_leaves();
         self.prove_unregistered(instances);
     }
 
@@ -346,15 +353,19 @@
         }
     }
 
-    /// Returns whether there is an idle connection to a leaf of each service.
-    pub(super) fn has_idle_connections(&self, services: &[&ServiceName]) -> bool {
+    /// Returns whether there is an idle connection to a leaf in `scope` of each service.
+    pub(super) fn has_idle_connections(&self, services: &[&ServiceName], scope: &Scope) -> bool {
         let is_idle = |key| {
             let pool = self.search_pool(key).map(|index| &self.pools[index]);
             pool.is_ok_and(|pool| pool.idle.iter().any(|(_, until)| self.now < *until))
         };
         services.iter().all(|service| {
             let group = self.placement.group(service);
-            group.is_some_and(|group| group.replicas().iter().any(|replica| is_idle(replica.key)))
+            let mut replicas = group.into_iter().flat_map(|group| group.replicas());
+            replicas.any(|replica| {
+                let is_allowed = scope.contains(&replica.instance.domain);
+                is_allowed && !replica.is_evacuated() && is_idle(replica.key)
+            })
         })
     }
 
@@ -371,7 +382,7 @@
     }
 
     /// Returns the index of a leaf's pool, or the index at which it would be inserted.
-    fn search_pool(&self, key: ReplicaKey) -> Result<usize, usize> {
+    pub(super) fn search_pool(&self, key: ReplicaKey) -> Result<usize, usize> {
         self.pools.binary_search_by_key(&key, |pool| pool.key)
     }
 
--- a/src/geraniummount/edge/gateway/probe.rs
+++ b/src/geraniummount/edge/gateway/probe.rs
@@ -91,6 +91,7 @@
             platform::READY_PATH => (503, b"not ready\n".to_vec()),
             "/metrics" => {
                 self.measure_key_age();
+                self.count_cold_leaves();
                 (200, self.metrics.encode())
             }
             _ => (404, b"unknown path; ask for /metrics\n".to_vec()),
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,11 +2,13 @@
 
 mod api_keys;
 mod bounded;
+mod cold_leaves;
 mod crashes;
 mod cut_answers;
 mod delegation;
 mod deployment;
 mod endless;
+mod evacuation;
 mod fair_share;
 mod fixture;
 mod formats;
@@ -25,6 +27,7 @@
 mod pause;
 mod quotas;
 mod reads;
+mod regions;
 mod requests;
 mod restore;
 mod stop;
