State the time that is left when a request is written

Cause: the time left was computed from the time that the event loop had cached at the start of an iteration. A long iteration, such as a query over some hundred shards on a VM that has used up its share of the processor, makes it old: a part was written with 634 ms left when its caller had 92 ms left.

Change: the clock is read once for each write to a leaf or to another VM, and the cached time is brought up to date with it. Plan::time_to_write decides in core whether what is left is worth an attempt. An attempt without time is not sent: to a leaf it counts as withheld, to another VM as the new outcome out-of-time, which says nothing about that VM. Both leave the proof that the request has not run. The clock can be replaced, so that tests bring about a long iteration.

--- a/crates/geraniummount-test-support/src/lib.rs
+++ b/crates/geraniummount-test-support/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod raw_server;
 pub mod soak;
 pub mod testbed;
 pub mod usage;
--- a/src/geraniummount/core/call/plan.rs
+++ b/src/geraniummount/core/call/plan.rs
@@ -23,6 +23,9 @@
 /// An attempt is worth sending only if more than the target latency divided by this is left.
 const MIN_ATTEMPT_TIME_DIVISOR: u32 = 10;
 
+/// Minimum time that is stated to the receiver of a request, in which times are whole milliseconds.
+const MIN_TIME: Duration = Duration::from_millis(1);
+
 /// Maximum time for a request whose route this VM does not know.
 const MAX_TIME_WITHOUT_ROUTE: Duration = Duration::from_secs(30);
 
@@ -142,6 +145,18 @@
         self.end_by.saturating_duration_since(now) > self.min_attempt_time
     }
 
+    /// Returns the time that is left when an attempt is written at `now`, less the time `transit` that
+    /// the request takes to its receiver. Returns `None` if an attempt is no longer worth sending.
+    ///
+    /// An attempt is planned with the time at which an iteration of the event loop began. After a
+    /// query over some hundred shards on a VM that has used up its share of the processor, that time
+    /// was 542 ms old.
+    pub fn time_to_write(&self, transit: Duration, now: Instant) -> Option<Duration> {
+        let left = self.end_by.saturating_duration_since(now);
+        let left = left.saturating_sub(transit);
+        (left > self.min_attempt_time && left >= MIN_TIME).then_some(left)
+    }
+
     /// Records the request in the retry allowance (the limit on retries and hedges) of each of its
     /// services.
     ///
--- a/src/geraniummount/core/delegation/outcome.rs
+++ b/src/geraniummount/core/delegation/outcome.rs
@@ -42,6 +42,8 @@
     },
     /// The peer has not received the request.
     Unreachable,
+    /// Nothing was sent, as too little time was left when the request was to be written.
+    OutOfTime,
     /// The connection ended after the request was sent; the peer may serve the request.
     Lost,
 }
@@ -53,6 +55,7 @@
             Outcome::Answered(_) => "answered",
             Outcome::Declined { decline, .. } => decline.as_str(),
             Outcome::Unreachable => "unreachable",
+            Outcome::OutOfTime => "out-of-time",
             Outcome::Lost => "lost",
         }
     }
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -152,6 +152,10 @@
                 peers.end(&open.peer, Ending::Failed, now);
                 self.try_next(peers, now)
             }
+            Outcome::OutOfTime => {
+                peers.end(&open.peer, Ending::Abandoned, now);
+                self.give_up(peers, now)
+            }
             Outcome::Lost => {
                 peers.end(&open.peer, Ending::Failed, now);
                 self.may_have_run = true;
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -144,8 +144,9 @@
         Ok(key)
     }
 
-    /// Writes the request that a connection was assigned.
+    /// Writes the request that a connection was assigned, unless its time is over.
     fn write_delegated(&mut self, connection: usize) {
+        self.read_clock();
         let open = &mut self.delegation.connections[connection];
         let Some(index) = open.request else {
             return;
@@ -162,11 +163,14 @@
             sends: request.sends,
             credential: request.credential,
         };
-        let left = request.plan.end_by.saturating_duration_since(self.now);
+        let Some(left) = request.plan.time_to_write(round_trip, self.now) else {
+            self.keep_idle(connection);
+            return self.queue_outcome(index, Outcome::OutOfTime);
+        };
         let forwarded = &request.forwarded;
         let mut bytes = Vec::with_capacity(512 + forwarded.content.len());
         forwarded.write_head(&mut bytes);
-        headers::write_timeout(&mut bytes, left.saturating_sub(round_trip));
+        headers::write_timeout(&mut bytes, left);
         wire::write_terms(&mut bytes, &terms, &peer.key);
         forwarded.write_content(&mut bytes);
         open.reader.begin(forwarded.method == "HEAD");
@@ -279,16 +283,22 @@
         let is_clean = open.socket.input.is_empty() && !open.socket.has_pending_output();
         let is_reusable = is_clean && !open.reader.must_close && status == ReadStatus::Open;
         if is_reusable {
-            open.request = None;
-            open.idle_since = Some(self.now);
-            let timer = Timer::Peer(connection, open.serial);
-            self.timers.add(self.now + KEEP_TIME, timer);
+            self.keep_idle(connection);
         } else {
             self.delegation.connections.remove(connection);
         }
         self.queue_outcome(index, read_outcome(response));
     }
 
+    /// Keeps a connection for another request.
+    fn keep_idle(&mut self, connection: usize) {
+        let open = &mut self.delegation.connections[connection];
+        open.request = None;
+        open.idle_since = Some(self.now);
+        let timer = Timer::Peer(connection, open.serial);
+        self.timers.add(self.now + KEEP_TIME, timer);
+    }
+
     /// Closes a connection whose time to connect or to be idle is over, unless the timer was set
     /// for an earlier connection with the same key.
     pub(in crate::edge::gateway) fn on_peer_timer(&mut self, connection: usize, serial: u64) {
--- a/src/geraniummount/edge/gateway/leaf/sending.rs
+++ b/src/geraniummount/edge/gateway/leaf/sending.rs
@@ -4,6 +4,8 @@
 //! established, if the attempt may still be sent then. An attempt that is abandoned before that has
 //! not run; one that is abandoned later may have.
 
+use std::time::Duration;
+
 use super::{ABANDONED_GRACE, MIN_SILENCE};
 use crate::core::call::Reply;
 use crate::edge::gateway::Gateway;
@@ -36,14 +38,15 @@
     /// Writes the request of the attempt that an established connection is assigned to, unless the
     /// attempt may no longer be sent.
     fn write_attempt(&mut self, connection: usize, attempt: AttemptId) {
-        if !self.may_send(attempt) {
+        self.read_clock();
+        let remaining = self.may_send(attempt).then(|| self.time_to_write(attempt));
+        let Some(remaining) = remaining.flatten() else {
             self.unassign(connection);
             self.queue_reply(attempt, Reply::Withheld);
             return self.release(connection);
-        }
+        };
         let in_flight = &self.attempts[&attempt];
         let state = &self.calls[in_flight.call];
-        let remaining = state.call.plan().end_by.saturating_duration_since(self.now);
         let replica = self
             .placement
             .replica(&in_flight.service, in_flight.replica);
@@ -61,6 +64,13 @@
         self.flush_leaf(connection);
     }
 
+    /// Returns the time that is left for an attempt in flight that is written now; `None` if it is too
+    /// short.
+    fn time_to_write(&self, attempt: AttemptId) -> Option<Duration> {
+        let call = &self.calls[self.attempts[&attempt].call].call;
+        call.plan().time_to_write(Duration::ZERO, self.now)
+    }
+
     /// Returns whether an attempt may still be sent: its call is not finished and has enough time
     /// left, and its leaf accepts requests. Each attempt is checked when its request is written, as
     /// it may have waited for a connection.
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -163,8 +163,11 @@
     answered_callers: Vec<usize>,
     /// Buffer for reading from any socket.
     read_buf: Vec<u8>,
-    /// Time at which the current iteration of the event loop began.
+    /// Time at which the current iteration of the event loop began, or at which a request was written
+    /// later in that iteration.
     now: Instant,
+    /// Reads the time at which a request is written.
+    clock: fn() -> Instant,
 }
 
 impl Gateway {
@@ -220,11 +223,19 @@
             answered_callers: Vec::new(),
             read_buf: vec![0; socket::READ_BUF_BYTES],
             now: Instant::now(),
+            clock: Instant::now,
         };
         gateway.register_listeners()?;
         Ok(gateway)
     }
 
+    /// Replaces the clock that is read when a request is written. Tests use this to bring about an
+    /// iteration of the event loop that takes long.
+    #[must_use]
+    pub fn with_clock(self, clock: fn() -> Instant) -> Gateway {
+        Gateway { clock, ..self }
+    }
+
     /// Returns a sender of updates to the event loop.
     pub fn sender(&self) -> Sender {
         self.sender.clone()
@@ -348,6 +359,12 @@
         }
     }
 
+    /// Brings the cached time up to date before a request is written. What is decided after that in
+    /// the same iteration of the event loop uses the same time.
+    fn read_clock(&mut self) {
+        self.now = self.now.max((self.clock)());
+    }
+
     /// Returns a number that tells apart objects which reuse the same key.
     fn allocate_serial(&mut self) -> u64 {
         self.last_serial += 1;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -66,12 +66,31 @@
         Fixture::start_with_times("near", store, address, linger, drain)
     }
 
+    /// Starts a store and a gateway in failure domain `near` that reads the time of a write from
+    /// `clock`.
+    pub fn start_with_clock(clock: fn() -> Instant) -> Fixture {
+        let store = Store::start();
+        let address = store.address();
+        let times = (Duration::from_millis(200), Duration::from_secs(10));
+        Fixture::launch("near", store, address, times, clock)
+    }
+
     fn start_with_times(
         domain: &str,
         store: Store,
         address: SocketAddr,
         linger: Duration,
         drain: Duration,
+    ) -> Fixture {
+        Fixture::launch(domain, store, address, (linger, drain), Instant::now)
+    }
+
+    fn launch(
+        domain: &str,
+        store: Store,
+        address: SocketAddr,
+        (linger, drain): (Duration, Duration),
+        clock: fn() -> Instant,
     ) -> Fixture {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
@@ -101,7 +120,7 @@
             max_descriptors: None,
         };
         let (callers_address, ready_address) = (options.callers, options.ready);
-        let gateway = Gateway::bind(options).unwrap();
+        let gateway = Gateway::bind(options).unwrap().with_clock(clock);
         let sender = gateway.sender();
         let thread = std::thread::spawn(move || gateway.run().unwrap());
         Fixture {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod formats;
 mod isolation;
+mod late_write;
 mod leases;
 mod limits;
 mod lost_links;
