Take only 200 to 599 for a final status

Cause: util::h1::Head::parse accepted any three digits. A leaf in trouble answers 000, and the caller got that as an answer; the same with 099, 600, 999 and 101. The client of the store took an interim response for the answer, and kept its connection after an invalid status.

Change: a head with a status other than 100 or 102 to 599 is a parse error. The readers of responses of leaves, of other VMs and of the store already treat one as no response: the request may have run, the connection is closed, an idempotent request may be sent to another leaf, an order ends with 502. 101 is an error too, as no request asks for a switch of protocols. The client of the store skips interim responses. serve's client of leaves needed no change; its test passes on the code before.

Result: on the code before, of the five tests of the table, three failed: leaves ("000 None": the caller got status 0), other VMs ("000 None": 0 instead of 502), store ("100 Continue, 200 OK" was no answer). The ones for idempotent requests and for serve passed before. All pass now.

--- a/src/geraniummount/platform/store/call.rs
+++ b/src/geraniummount/platform/store/call.rs
@@ -78,12 +78,12 @@
 
     /// Parses the buffered bytes; returns the answer once it is complete.
     fn parse(&mut self) -> Result<Option<h1::Response>, Fault> {
-        if self.head.is_none()
+        while self.head.is_none()
             // `false`: the request does not have the method `HEAD`.
             && let Parsed::Complete(head, length) = Head::parse(&self.buffer, false)?
         {
             self.buffer.drain(..length);
-            self.head = Some(head);
+            self.head = Some(head).filter(|head| !head.is_interim());
         }
         let Some(head) = &mut self.head else {
             return Ok(None);
--- a/src/geraniummount/util/h1/response.rs
+++ b/src/geraniummount/util/h1/response.rs
@@ -39,7 +39,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the head is malformed or too long, or if the end of the body is ambiguous.
+    /// Returns an error if the head is malformed or too long, if the status is neither an interim nor
+    /// a final one, or if the end of the body is ambiguous.
     pub fn parse(buffer: &[u8], is_reply_to_head: bool) -> Result<Parsed<Head>, Fault> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut head = httparse::Response::new(&mut headers);
@@ -55,6 +56,9 @@
         let (Some(status), Some(minor_version)) = (head.code, head.version) else {
             return Err(Fault::Head);
         };
+        if !is_status(status) {
+            return Err(Fault::Status);
+        }
         let fields = copy_fields(head.headers);
         let declared = declared_length(&fields)?;
         let chunked = is_chunked(&fields)?;
@@ -78,10 +82,9 @@
         Ok(Parsed::Complete(head, length))
     }
 
-    /// Returns whether this is an interim response, after which the final one follows. A response
-    /// with status 101 (Switching Protocols) is not: no further HTTP/1 response follows it.
+    /// Returns whether this is an interim response, after which the final one follows.
     pub fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status) && self.status != 101
+        (100..200).contains(&self.status)
     }
 
     /// Returns the idle timeout of the connection that the server announces in `Keep-Alive`, at most
@@ -94,3 +97,10 @@
         bounded::parse_seconds(times.next()?)
     }
 }
+
+/// Returns whether a status is an interim or a final one. A server in trouble may answer 000, which
+/// says nothing about the request. No request asks for a switch of protocols, so 101 is no valid
+/// status: what follows it is not HTTP/1.
+fn is_status(status: u16) -> bool {
+    matches!(status, 100 | 102..=599)
+}
--- a/tests/testsuite/leaf_edge.rs
+++ b/tests/testsuite/leaf_edge.rs
@@ -2,6 +2,7 @@
 //! connections, cancellation and draining.
 
 mod endless;
+mod statuses;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, mpsc};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -66,6 +66,7 @@
 mod soak;
 mod split;
 mod stand_ins;
+mod status_cases;
 mod store_cache;
 mod store_sync;
 mod survey;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -23,5 +23,6 @@
 mod reads;
 mod requests;
 mod restore;
+mod statuses;
 mod stop;
 mod store;
