Test that crowds of callers stay within a VM's memory and descriptors

Cause: the limits on a single request do not bound what many callers hold together. Each test starts the real program with memory_mb = 48 and max_fds = 256, lets a crowd hold what single requests may hold and stay, and checks that the process lives, that its peak memory and its descriptors stay under these two numbers, and that an ordinary request and a readiness probe are answered.

The crowds and the bounds stay as they are when the product is changed.

--- a/crates/geraniummount-test-support/src/usage.rs
+++ b/crates/geraniummount-test-support/src/usage.rs
@@ -43,8 +43,22 @@
 }
 
 fn resident_bytes(pid: u32) -> u64 {
+    status_bytes(pid, "VmRSS:")
+}
+
+/// Returns the largest resident memory that the process with this id has had.
+pub fn peak_resident_bytes(pid: u32) -> u64 {
+    status_bytes(pid, "VmHWM:")
+}
+
+/// Returns the number of open file descriptors of the process with this id.
+pub fn open_descriptors(pid: u32) -> usize {
+    fs::read_dir(format!("/proc/{pid}/fd")).unwrap().count()
+}
+
+fn status_bytes(pid: u32, name: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let line = status.lines().find(|line| line.starts_with(name));
     let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
     kilobytes.map_or(0, |number| number.parse::<u64>().unwrap() * 1024)
 }
--- /dev/null
+++ b/tests/testsuite/platform/crowd.rs
@@ -0,0 +1,298 @@
+//! Guards against callers that nobody controls: crowds that hold as much of a VM's memory and
+//! descriptors as the limits on a single request let them, and stay.
+//!
+//! Each test starts the real program with small limits of its own, and checks what does not depend
+//! on the machine's speed: the process lives, its peak memory and its open descriptors stay under
+//! their bounds, and an ordinary request is answered while the crowd stays.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::platform::users::caller::Reply;
+use geraniummount_test_support::platform::users::{Leaf, Store};
+use geraniummount_test_support::process::binary_path;
+use geraniummount_test_support::usage;
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
+
+use super::fixture::{WAIT_TIMEOUT, document, request, service_route};
+
+/// Only one crowd runs at a time.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Memory of the VM in megabytes, which is also the bound on the process's peak.
+const MEMORY_MB: u64 = 48;
+
+/// Descriptors of the VM, which is also the bound on the process's open ones.
+const MAX_DESCRIPTORS: usize = 256;
+
+const MAX_BODY_BYTES: usize = 1_000_000;
+const MAX_HEAD_BYTES: usize = 65_536;
+
+/// Size of the answers that slow callers do not read.
+const ANSWER_BYTES: usize = 256 * 1024;
+
+/// Time that a caller waits for the VM to take more bytes.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time that an ordinary caller waits for its answer before it asks again.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time after the crowd has sent everything in which the process reads what has arrived.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
+/// Which listener the crowd uses.
+#[derive(Clone, Copy, Debug)]
+enum Door {
+    Callers,
+    Peers,
+    Readiness,
+}
+
+/// What each caller of a crowd sends before it stops and stays.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// A body but for its last byte, at once.
+    Whole,
+    /// A body but for its last byte, piece by piece.
+    Pieces,
+    /// A body in chunks of this size, without the last one.
+    Chunks(usize),
+    /// A chunk whose size line does not end.
+    ChunkExtension,
+    /// A head but for its last byte.
+    Head,
+    /// The first line of a head.
+    ShortHead,
+    /// Requests with large answers, which the caller does not read.
+    Unread,
+}
+
+struct Case {
+    kind: Kind,
+    door: Door,
+    callers: usize,
+}
+
+/// Prefixes of an idempotent route and of one for orders.
+const PREFIXES: [&str; 2] = ["/a/", "/o/"];
+
+/// A gateway process with a store and a leaf.
+struct Site {
+    store: Store,
+    _leaf: Leaf,
+    child: Child,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    ready: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Site {
+    fn start() -> Site {
+        let store = Store::start();
+        let leaf = Leaf::start(&store, "one", "near", &vec![b'x'; ANSWER_BYTES]);
+        let folder = tempfile::tempdir().unwrap();
+        let [callers, peers, ready] = [(); 3].map(|()| super::fixture::free_address());
+        let settings = folder.path().join("vm.ini");
+        let text = format!(
+            "[gateway]\nname = vm1\nfailure_domain = near\nfirst_start = true\n\
+             callers = {callers}\nready = {ready}\npeer_listen = {peers}\n\
+             [platform]\naddress = {}\n[log]\nlevel = info\n\
+             [limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = {MAX_DESCRIPTORS}\nlinger_ms = 0\n",
+            store.address()
+        );
+        std::fs::write(&settings, text).unwrap();
+        let log = File::create(folder.path().join("log")).unwrap();
+        let child = Command::new(binary_path("geraniummount"))
+            .args(["gateway", "--settings"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let site = Site {
+            store,
+            _leaf: leaf,
+            child,
+            callers,
+            peers,
+            ready,
+            _folder: folder,
+        };
+        site.configure();
+        site
+    }
+
+    fn configure(&self) {
+        let routes = [
+            service_route(PREFIXES[0], "idempotent", "one"),
+            service_route(PREFIXES[1], "non_idempotent", "one"),
+        ];
+        let mut document: Value = serde_json::from_str(&document(1, &routes)).unwrap();
+        document["limits"] = json!({
+            "maxHeaderBytes": MAX_HEAD_BYTES, "maxBodyBytes": MAX_BODY_BYTES,
+            "headerTimeoutMs": 60_000, "idleTimeoutMs": 60_000,
+        });
+        self.store.put("op/config", document.to_string());
+        self.wait_for_answer();
+    }
+
+    fn address(&self, door: Door) -> SocketAddr {
+        match door {
+            Door::Callers => self.callers,
+            Door::Peers => self.peers,
+            Door::Readiness => self.ready,
+        }
+    }
+
+    /// Waits until an ordinary request and one for readiness are answered.
+    fn wait_for_answer(&self) {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        loop {
+            let request = request("POST", "/a/x", 2_000, b"body");
+            let status = try_exchange(self.callers, &request);
+            let probe = b"GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+            let readiness = try_exchange(self.ready, probe);
+            if matches!((&status, &readiness), (Ok(200), Ok(200))) {
+                return;
+            }
+            assert!(Instant::now() < end, "answers: {status:?}, {readiness:?}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // This fails only when the process has already exited.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Sends a request on a new connection; returns the status of the answer.
+fn try_exchange(address: SocketAddr, request: &[u8]) -> io::Result<u16> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    stream.write_all(request)?;
+    Reply::read(&mut stream).map(|reply| reply.status)
+}
+
+/// Returns the bytes that a caller sends, in the pieces in which it sends them.
+fn pieces(kind: Kind, number: usize) -> Vec<Vec<u8>> {
+    let path = format!("{}{number}", PREFIXES[number % 2]);
+    let id = format!("crowd-{number}");
+    let head = format!("POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\n");
+    let length = format!("{head}Content-Length: {MAX_BODY_BYTES}\r\n\r\n");
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let body = vec![b'x'; MAX_BODY_BYTES - 1];
+    let chunks = |size: usize, count: usize| {
+        let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+        chunk.repeat(count)
+    };
+    match kind {
+        Kind::Whole => vec![[length.as_bytes(), &body].concat()],
+        Kind::Pieces => std::iter::once(length.into_bytes())
+            .chain(body.chunks(50_000).map(<[u8]>::to_vec))
+            .collect(),
+        Kind::Chunks(1) => vec![chunked.into_bytes(), chunks(1, 60_000).into_bytes()],
+        Kind::Chunks(size) => {
+            let count = MAX_BODY_BYTES / size;
+            vec![format!("{chunked}{}", chunks(size, count)).into_bytes()]
+        }
+        Kind::ChunkExtension => vec![format!("{chunked}5;{}", "x".repeat(900_000)).into_bytes()],
+        Kind::Head => {
+            let filler = "x".repeat(MAX_HEAD_BYTES - head.len() - 10);
+            vec![format!("{head}X: {filler}\r\n\r").into_bytes()]
+        }
+        Kind::ShortHead => vec![b"GET /api/ready HTTP/1.1\r\n".to_vec()],
+        Kind::Unread => {
+            let get =
+                format!("GET /a/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\n\r\n");
+            vec![get.repeat(40).into_bytes()]
+        }
+    }
+}
+
+/// Sends what a caller sends; returns its connection. The VM may refuse the caller at any time.
+fn run_caller(address: SocketAddr, kind: Kind, number: usize) -> Option<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    if matches!(kind, Kind::Unread) {
+        socket.set_recv_buffer_size(4_096).unwrap();
+    }
+    socket.connect(&address.into()).ok()?;
+    let mut stream = TcpStream::from(socket);
+    stream.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
+    for piece in pieces(kind, number) {
+        if stream.write_all(&piece).is_err() {
+            break;
+        }
+        thread::yield_now();
+    }
+    Some(stream)
+}
+
+/// Runs a crowd and checks the bounds.
+fn check(case: &Case) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut site = Site::start();
+    let pid = site.child.id();
+    let before = usage::peak_resident_bytes(pid) / (1024 * 1024);
+    let address = site.address(case.door);
+    let callers = (0..case.callers).map(|number| {
+        let kind = case.kind;
+        thread::spawn(move || run_caller(address, kind, number))
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut descriptors = 0;
+    while callers.iter().any(|caller| !caller.is_finished()) {
+        if site.child.try_wait().unwrap().is_none() {
+            descriptors = descriptors.max(usage::open_descriptors(pid));
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let open: Vec<_> = callers.into_iter().map(thread::JoinHandle::join).collect();
+    // The process goes on to read what the sockets hold.
+    thread::sleep(SETTLING_TIME);
+    assert!(site.child.try_wait().unwrap().is_none(), "process ended");
+    descriptors = descriptors.max(usage::open_descriptors(pid));
+    let peak = usage::peak_resident_bytes(pid) / (1024 * 1024);
+    eprintln!(
+        "{:?} x {} at {:?}: peak {peak} MB ({before} MB before), {descriptors} descriptors",
+        case.kind, case.callers, case.door
+    );
+    assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB} MB");
+    assert!(descriptors <= MAX_DESCRIPTORS, "{descriptors} descriptors");
+    site.wait_for_answer();
+    let peak = usage::peak_resident_bytes(pid) / (1024 * 1024);
+    assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB} MB afterwards");
+    drop(open);
+}
+
+macro_rules! crowds {
+    ($($name:ident: $kind:expr, $door:expr, $callers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check(&Case { kind: $kind, door: $door, callers: $callers });
+        }
+    )*};
+}
+
+crowds! {
+    platform_crowd_of_whole_bodies_is_bounded: Kind::Whole, Door::Callers, 150;
+    platform_crowd_of_bodies_in_pieces_is_bounded: Kind::Pieces, Door::Callers, 150;
+    platform_crowd_of_large_chunks_is_bounded: Kind::Chunks(50_000), Door::Callers, 150;
+    platform_crowd_of_tiny_chunks_is_bounded: Kind::Chunks(1), Door::Callers, 200;
+    platform_crowd_of_chunk_extensions_is_bounded: Kind::ChunkExtension, Door::Callers, 400;
+    platform_crowd_of_heads_is_bounded: Kind::Head, Door::Callers, 400;
+    platform_crowd_of_unread_answers_is_bounded: Kind::Unread, Door::Callers, 30;
+    platform_crowd_of_bodies_from_peers_is_bounded: Kind::Whole, Door::Peers, 150;
+    platform_crowd_of_probes_leaves_room_for_others: Kind::ShortHead, Door::Readiness, 150;
+}
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -256,7 +256,8 @@
     Ipv4Addr::new(127, 192 + high % 32, low, last.max(1)).into()
 }
 
-fn free_address() -> SocketAddr {
+/// Returns a free address of this machine.
+pub fn free_address() -> SocketAddr {
     free_address_of(Ipv4Addr::LOCALHOST.into())
 }
 
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod bounded;
 mod crashes;
+mod crowd;
 mod cut_answers;
 mod delegation;
 mod deployment;
