Bound what a VM holds for others, and its connections

Cause: the limits on a single request do not bound what many callers hold together. 150 bodies of 1 MB that stop one byte short of their end took 190 MB. Pipelined requests whose answers are not read were all answered into the output buffer. The connections of callers were not counted against the descriptors, and 64 silent connections kept all readiness probes out.

Change: core::memory_account owns what is held. Each buffer is kept beside a share that gives back its bytes when it is dropped, and that is resized to the capacity of the buffer after each event. The bound follows from memory_mb, that on connections from max_fds. When memory is short, the connections with the largest product of bytes and time are closed (408 with Retry-After); bodies are admitted by their announced length, chunked ones as they grow; a request that was read is refused with 503. The body of a request is no longer copied for each leaf, an answer no longer into the output buffer, and large buffers are released once they are consumed. Further pipelined requests wait while 64 KB of answers are not taken. A body without progress for the time that a head may take is ended. The oldest probe makes room for a new one.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -308,6 +308,11 @@
         included.count()
     }
 
+    /// Returns the number of bytes of the replies that are kept for the answer.
+    pub fn held_bytes(&self) -> usize {
+        self.shards.iter().map(Shard::held_bytes).sum()
+    }
+
     /// Returns whether leaves may crash one after the other if more of them get the request: some
     /// have, and none has answered it.
     fn is_unproven(&self) -> bool {
--- a/src/geraniummount/core/call/shard.rs
+++ b/src/geraniummount/core/call/shard.rs
@@ -81,6 +81,16 @@
         matches!(self.settled, Some(Settled::Included(_)))
     }
 
+    /// Returns the number of bytes of the replies that are kept.
+    pub(super) fn held_bytes(&self) -> usize {
+        let included = match &self.settled {
+            Some(Settled::Included(response)) => Some(response),
+            Some(Settled::Missing) | None => None,
+        };
+        let kept = included.into_iter().chain(&self.failure_response);
+        kept.map(|response| response.body.capacity()).sum()
+    }
+
     /// Returns whether the leaves had no capacity for the part or did not answer it in time.
     pub(super) fn is_overdue(&self) -> bool {
         match self.settled {
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -34,6 +34,7 @@
 pub mod margin;
 pub mod members;
 pub mod membership;
+pub mod memory_account;
 pub mod not_run;
 pub mod outcome;
 pub mod ownership;
--- a/src/geraniummount/core/reply_size.rs
+++ b/src/geraniummount/core/reply_size.rs
@@ -10,7 +10,7 @@
 const MAX_HELD_BYTES: usize = 32 * 1024 * 1024;
 
 /// Number of held bytes up to which a reply is not ended because of the others.
-const SMALL_REPLY_BYTES: usize = 64 * 1024;
+pub const SMALL_REPLY_BYTES: usize = 64 * 1024;
 
 /// An incomplete reply.
 #[derive(Clone, Copy, Debug)]
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -8,6 +8,7 @@
 
 use super::caller::State;
 use super::calls::{CallState, ForwardedRequest};
+use super::content::Content;
 use super::delegation::CallerRequest;
 use super::load_shedding;
 use super::trials::Waiting;
@@ -15,6 +16,7 @@
 use crate::core::call::{Call, Plan};
 use crate::core::delegation::{Decline, Handler, Terms, Unable};
 use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::memory_account::{Holder, Share};
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::route::{Route, Table, Target};
@@ -49,6 +51,9 @@
         terms: Option<Terms>,
     ) {
         let arrival = Arrival::new(key, request, content, terms.as_ref());
+        if !self.account.admits(0, arrival.content.capacity()) {
+            return self.refuse_for_memory(key, &arrival.caller_fields.id, terms.as_ref());
+        }
         if !self.has_leaf_list {
             return self.refuse_unhandled(&arrival, Unable::NoRoutes);
         }
@@ -178,7 +183,7 @@
             caller: key,
             from: terms.map(|terms| terms.from),
             call,
-            forwarded: Arc::new(arrival.into_forwarded()),
+            forwarded: Arc::new(arrival.into_forwarded(self.account.share(Holder::Requests))),
             route: route.name.clone(),
             version: table.version,
             started: self.now,
@@ -186,6 +191,7 @@
             sends: 0,
             unserved_when_due: false,
             crashes: Vec::new(),
+            parts: self.account.share(Holder::Parts),
         });
     }
 
@@ -225,7 +231,7 @@
             caller: key,
             credential,
             plan,
-            forwarded: Arc::new(arrival.into_forwarded()),
+            forwarded: Arc::new(arrival.into_forwarded(self.account.share(Holder::Requests))),
             min_version,
             started: self.now,
             sends: 0,
@@ -312,14 +318,14 @@
     }
 
     /// Returns the request as it is forwarded.
-    fn into_forwarded(self) -> ForwardedRequest {
+    fn into_forwarded(self, share: Share) -> ForwardedRequest {
         ForwardedRequest {
             id: self.caller_fields.id,
             fingerprint: self.fingerprint,
             method: self.request.method,
             target: self.request.target,
             fields: self.request.fields,
-            content: self.content,
+            content: Arc::new(Content::new(self.content, share)),
         }
     }
 }
--- a/src/geraniummount/edge/gateway/answer.rs
+++ b/src/geraniummount/edge/gateway/answer.rs
@@ -96,7 +96,7 @@
         self.write_connection_fields(&mut answer, caller);
         h1::write_head_end(&mut answer);
         answer.extend_from_slice(&body);
-        self.send_response(caller, &answer);
+        self.send_response(caller, answer);
         Outcome {
             label: "answered",
             status: 200,
@@ -146,7 +146,7 @@
         self.write_connection_fields(&mut response, caller);
         h1::write_head_end(&mut response);
         response.extend_from_slice(body);
-        self.send_response(caller, &response);
+        self.send_response(caller, response);
     }
 
     fn log_answer(&mut self, state: &CallState, outcome: &Outcome) {
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -1,5 +1,6 @@
 //! Connections from callers: accepts them and reads requests; [`writing`] writes responses.
 
+mod state;
 mod writing;
 
 use std::io;
@@ -9,11 +10,13 @@
 use mio::Interest;
 use mio::net::{TcpListener, TcpStream};
 
+pub(super) use self::state::State;
+
 use super::Gateway;
 use super::socket::{ReadStatus, Socket};
 use super::timers::Timer;
 use super::token::EventSource;
-use super::trials::Waiting;
+use crate::core::memory_account::{Holder, Share};
 use crate::core::route::Limits;
 use crate::util::h1::{self, Body, Parsed, Request};
 
@@ -21,6 +24,9 @@
 /// read events of the connection are ignored until the response is written.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Bytes of answers that a caller has not taken beyond which its next pipelined request waits.
+const MAX_BACKLOG_BYTES: usize = 64 * 1024;
+
 /// Time that a connection stays half open after a request was rejected before it was read
 /// completely. Closing it at once would reset it, and the caller could lose the response.
 const CLOSING_TIMEOUT: Duration = Duration::from_millis(500);
@@ -48,49 +54,27 @@
     pub(super) closes_after_response: bool,
     /// Whether bytes were left unread because too many were buffered while a request was in flight.
     has_unread: bool,
+    /// When bytes of the head or of the body were last received.
+    progress_at: Instant,
+    /// Memory that the body takes while it is read or waits to be admitted.
+    body_share: Share,
 }
 
-/// What a caller's connection is doing.
-#[derive(Debug)]
-pub(super) enum State {
-    /// No byte of the next request has been received.
-    Idle,
-    /// Part of a request head has been received.
-    Head,
-    /// The request head has been received, and the body is incomplete.
-    Body {
-        request: Request,
-        body: Body,
-        content: Vec<u8>,
-    },
-    /// A request has been received completely and its response is pending.
-    InFlight {
-        /// Key of the request's call.
-        call: usize,
-    },
-    /// As [`State::InFlight`]; another VM serves the request.
-    Delegated {
-        /// Key of the delegated request.
-        request: usize,
-    },
-    /// A request of another VM is held until it is known whether that VM still waits for it.
-    Held { request: Request, content: Vec<u8> },
-    /// The request is withheld, and is sent if this VM gets its trial.
-    AwaitingTrial(Box<Waiting>),
-    /// A request was rejected; input is discarded until the caller closes the connection.
-    Closing,
-}
+impl CallerConnection {
+    /// Books what the connection holds.
+    fn settle(&mut self) {
+        self.socket.settle();
+        self.body_share.resize(self.state.held_bytes());
+    }
 
-impl State {
-    /// Returns whether a request has been received completely and has no response yet.
-    fn has_request(&self) -> bool {
-        match self {
-            State::InFlight { .. }
-            | State::Delegated { .. }
-            | State::Held { .. }
-            | State::AwaitingTrial(_) => true,
-            State::Idle | State::Head | State::Body { .. } | State::Closing => false,
-        }
+    /// Returns the number of bytes that the connection holds.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.socket.held_bytes() + self.body_share.bytes()
+    }
+
+    /// Returns whether so much of the answers is not taken that no further request is read.
+    fn has_backlog(&self) -> bool {
+        self.socket.pending_output() > MAX_BACKLOG_BYTES
     }
 }
 
@@ -117,10 +101,18 @@
     }
 
     pub(super) fn add_caller(&mut self, stream: TcpStream, origin: Origin) {
+        if !self.has_descriptor_for_caller() {
+            return;
+        }
         let serial = self.allocate_serial();
+        let (input, body) = match origin {
+            Origin::Caller => (Holder::Heads, Holder::Bodies),
+            Origin::Peer => (Holder::PeerRequests, Holder::PeerRequests),
+        };
+        let output_share = self.account.share(Holder::Answers);
+        let mut socket = Socket::new(stream, self.account.share(input), output_share);
         let entry = self.caller_connections.vacant_entry();
         let key = entry.key();
-        let mut socket = Socket::new(stream);
         // With Nagle's algorithm, the second write of a response may wait for an acknowledgement.
         let _ = socket.stream.set_nodelay(true);
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -140,6 +132,8 @@
             state_since: self.now,
             closes_after_response: false,
             has_unread: false,
+            progress_at: self.now,
+            body_share: self.account.share(body),
         });
         self.metrics.caller_connections.inc();
         self.start_caller_timer(key);
@@ -152,14 +146,19 @@
             return;
         };
         let pipelined_bytes = caller.socket.input.len();
-        if caller.state.has_request() && pipelined_bytes > MAX_PIPELINED_BYTES && !closed {
+        let is_waiting = caller.state.has_request() || caller.has_backlog();
+        if is_waiting && pipelined_bytes > MAX_PIPELINED_BYTES && !closed {
             caller.has_unread = true;
             return;
         }
         let status = caller.socket.read(&mut self.read_buf, closed);
+        if caller.socket.input.len() > pipelined_bytes {
+            caller.progress_at = self.now;
+        }
         match (&caller.state, status) {
             (State::Closing, ReadStatus::Open | ReadStatus::Interrupted) => {
                 caller.socket.input.clear();
+                caller.settle();
             }
             (_, ReadStatus::Open | ReadStatus::Interrupted) => self.advance_caller(key),
             (_, ReadStatus::Eof | ReadStatus::Broken | ReadStatus::TimedOut) => {
@@ -201,7 +200,8 @@
             let Some(caller) = self.caller_connections.get_mut(key) else {
                 return;
             };
-            let has_progressed = match &mut caller.state {
+            let has_progressed = match &caller.state {
+                State::Idle | State::Head if caller.has_backlog() => false,
                 State::Idle | State::Head => self.read_head(key),
                 State::Body { .. } => self.read_body(key),
                 State::InFlight { .. }
@@ -211,14 +211,26 @@
                 | State::Closing => false,
             };
             if !has_progressed {
-                return self.resume_reading(key);
+                break;
             }
         }
+        self.resume_reading(key);
+        self.settle_caller(key);
+    }
+
+    /// Books what a connection holds, and closes connections if too much is held now.
+    fn settle_caller(&mut self, key: usize) {
+        if let Some(caller) = self.caller_connections.get_mut(key) {
+            caller.settle();
+            self.relieve_memory(key);
+        }
     }
 
     /// Lets an event report the bytes that were left unread, once fewer are buffered.
     fn resume_reading(&mut self, key: usize) {
-        let caller = &mut self.caller_connections[key];
+        let Some(caller) = self.caller_connections.get_mut(key) else {
+            return;
+        };
         if caller.has_unread && caller.socket.input.len() <= MAX_PIPELINED_BYTES {
             caller.has_unread = false;
             self.register_caller_again(key);
@@ -268,6 +280,13 @@
         {
             return self.reject(key, 413, "the body is too long; send a shorter one");
         }
+        let announced = match request.body {
+            Body::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            Body::Chunked(_) | Body::UntilClose => 0,
+        };
+        if !self.admits_body(key, announced) {
+            return self.reject_for_memory(key);
+        }
         let caller = &mut self.caller_connections[key];
         if request.expects_continue && caller.socket.input.is_empty() {
             let mut interim = Vec::new();
@@ -281,8 +300,10 @@
         caller.state = State::Body {
             body: request.body,
             request,
-            content: Vec::new(),
+            // The whole body is booked before it is read.
+            content: Vec::with_capacity(announced),
         };
+        caller.settle();
         true
     }
 
@@ -306,6 +327,7 @@
             Err(fault) => return self.reject(key, 400, &format!("{fault}; send a whole body")),
         }
         let state = std::mem::replace(&mut caller.state, State::Idle);
+        caller.settle();
         if let State::Body {
             request, content, ..
         } = state
@@ -321,12 +343,25 @@
 
     /// Answers a request that is malformed, too large or too slow, and closes the connection.
     fn reject(&mut self, key: usize, status: u16, why: &str) -> bool {
+        self.reject_until(key, status, why, None)
+    }
+
+    /// As [`Gateway::reject`], with the time after which the caller may send the request again.
+    pub(super) fn reject_until(
+        &mut self,
+        key: usize,
+        status: u16,
+        why: &str,
+        retry_after: Option<Duration>,
+    ) -> bool {
         debug!("request outcome=rejected status={status} why=\"{why}\"");
         self.metrics.count_answer("rejected");
         let caller = &mut self.caller_connections[key];
         caller.closes_after_response = true;
         caller.state = State::Closing;
-        self.write_plain(key, status, why, None);
+        caller.socket.input.clear();
+        caller.settle();
+        self.write_plain(key, status, why, retry_after);
         true
     }
 
@@ -355,6 +390,7 @@
             return;
         }
         let age = self.now.saturating_duration_since(caller.state_since);
+        let stalled = self.now.saturating_duration_since(caller.progress_at);
         match caller.state {
             State::Idle if age >= limits.idle_timeout => {
                 self.caller_connections.remove(key);
@@ -362,7 +398,9 @@
             State::Head if age >= limits.read_timeout => {
                 self.reject(key, 408, "the head took too long; send it faster");
             }
-            State::Body { .. } if age >= limits.read_timeout * 2 => {
+            State::Body { .. }
+                if age >= limits.read_timeout * 2 || stalled >= limits.read_timeout =>
+            {
                 self.reject(key, 408, "the body took too long; send it faster");
             }
             State::Closing if age >= CLOSING_TIMEOUT => {
--- a/src/geraniummount/edge/gateway/caller/writing.rs
+++ b/src/geraniummount/edge/gateway/caller/writing.rs
@@ -10,13 +10,13 @@
 
 impl Gateway {
     /// Writes a complete response and makes the connection ready for the next request.
-    pub(in crate::edge::gateway) fn send_response(&mut self, key: usize, answer: &[u8]) {
+    pub(in crate::edge::gateway) fn send_response(&mut self, key: usize, answer: Vec<u8>) {
         let must_close = self.should_close_callers();
         let Some(caller) = self.caller_connections.get_mut(key) else {
             return;
         };
         caller.closes_after_response |= must_close;
-        caller.socket.queue(answer);
+        caller.socket.queue_message(answer);
         caller.state_since = self.now;
         if !matches!(caller.state, State::Closing) {
             caller.state = State::Idle;
@@ -72,7 +72,7 @@
         h1::write_head_end(&mut answer);
         answer.extend_from_slice(why.as_bytes());
         answer.push(b'\n');
-        self.send_response(key, &answer);
+        self.send_response(key, answer);
     }
 
     /// Writes pending output. Once a connection's last response is written, closes the connection,
@@ -81,9 +81,14 @@
         let Some(caller) = self.caller_connections.get_mut(key) else {
             return;
         };
+        let had_backlog = caller.has_backlog();
         if caller.socket.flush().is_err() {
             return self.on_caller_closed(key);
         }
+        if had_backlog && !caller.has_backlog() {
+            // Requests that have waited for the backlog are read next.
+            self.answered_callers.push(key);
+        }
         let answered = matches!(caller.state, State::Idle | State::Closing);
         if !caller.closes_after_response || !answered || caller.socket.has_pending_output() {
             return;
@@ -92,6 +97,7 @@
             // If this fails, the connection is broken and the next read reports that.
             let _ = caller.socket.stream.shutdown(Shutdown::Write);
             caller.socket.input.clear();
+            caller.settle();
             return;
         }
         self.caller_connections.remove(key);
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -12,9 +12,11 @@
 use log::info;
 
 use super::Gateway;
+use super::content::Content;
 use super::timers::Timer;
 use crate::core::call::{Action, Call, Reply};
 use crate::core::fingerprint::Fingerprint;
+use crate::core::memory_account::Share;
 use crate::core::placement::ReplicaKey;
 use crate::core::quarantine::Crash;
 use crate::core::tenant::Credential;
@@ -33,7 +35,7 @@
     /// Header fields.
     pub(super) fields: Vec<Field>,
     /// Body.
-    pub(super) content: Vec<u8>,
+    pub(super) content: Arc<Content>,
 }
 
 impl ForwardedRequest {
@@ -45,13 +47,13 @@
         }
     }
 
-    /// Writes the length of the body, the end of the head and the body.
-    pub(super) fn write_content(&self, out: &mut Vec<u8>) {
-        if !self.content.is_empty() || self.method != "GET" {
-            h1::write_number_field(out, "Content-Length", self.content.len() as u64);
+    /// Writes the length of the body and the end of the head.
+    pub(super) fn write_head_end(&self, out: &mut Vec<u8>) {
+        let length = self.content.bytes().len();
+        if length > 0 || self.method != "GET" {
+            h1::write_number_field(out, "Content-Length", length as u64);
         }
         h1::write_head_end(out);
-        out.extend_from_slice(&self.content);
     }
 }
 
@@ -82,6 +84,8 @@
     pub(super) unserved_when_due: bool,
     /// Leaves that closed the connection while they had the request.
     pub(super) crashes: Vec<Crash>,
+    /// Memory that the replies take that wait for the other parts.
+    pub(super) parts: Share,
 }
 
 /// An attempt in flight at one leaf.
@@ -216,6 +220,8 @@
         let was_suspended = self.is_suspended(&in_flight);
         let call = &mut self.calls[in_flight.call].call;
         let actions = call.on_reply(attempt, reply, &mut self.placement, self.now);
+        let held = call.held_bytes();
+        self.calls[in_flight.call].parts.resize(held);
         if !was_suspended && self.is_suspended(&in_flight) {
             let (service, key) = (&in_flight.service, in_flight.replica);
             let leaf = self.placement.replica(service, key);
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use log::{debug, warn};
@@ -10,6 +11,7 @@
 
 use super::wire;
 use crate::core::delegation::{Answer, Outcome, Terms};
+use crate::core::memory_account::{Account, Holder, SMALL_BYTES};
 use crate::edge::gateway::Gateway;
 use crate::edge::gateway::response_reader::ResponseReader;
 use crate::edge::gateway::socket::{self, ReadStatus, Socket};
@@ -62,17 +64,19 @@
         address: SocketAddr,
         source: Option<IpAddr>,
         serial: u64,
+        account: &Account,
         now: Instant,
     ) -> io::Result<PeerConnection> {
         let stream = socket::connect(address, source)?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let share = || account.share(Holder::Peers);
         Ok(PeerConnection {
             serial,
             peer,
-            socket: Socket::new(stream),
+            socket: Socket::new(stream, share(), share()),
             request: None,
-            reader: ResponseReader::default(),
+            reader: ResponseReader::new(share()),
             opened_at: now,
             connected_at: None,
             has_sent_bytes: false,
@@ -130,7 +134,9 @@
         let address = address.ok_or(io::ErrorKind::NotFound)?;
         let serial = self.allocate_serial();
         let source = self.options.source;
-        let mut open = PeerConnection::connect(peer.clone(), address, source, serial, self.now)?;
+        let account = &self.account;
+        let mut open =
+            PeerConnection::connect(peer.clone(), address, source, serial, account, self.now)?;
         let entry = self.delegation.connections.vacant_entry();
         let key = entry.key();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -168,13 +174,14 @@
             return self.queue_outcome(index, Outcome::OutOfTime);
         };
         let forwarded = &request.forwarded;
-        let mut bytes = Vec::with_capacity(512 + forwarded.content.len());
+        let mut bytes = Vec::with_capacity(512);
         forwarded.write_head(&mut bytes);
         headers::write_timeout(&mut bytes, left);
         wire::write_terms(&mut bytes, &terms, &peer.key);
-        forwarded.write_content(&mut bytes);
+        forwarded.write_head_end(&mut bytes);
+        let content = Arc::clone(&forwarded.content);
         open.reader.begin(forwarded.method == "HEAD");
-        open.socket.queue(&bytes);
+        open.socket.queue_with_body(bytes, content);
         self.flush_peer(connection);
     }
 
@@ -240,13 +247,24 @@
         let received = open.received;
         match response {
             Some(response) => self.on_peer_response(connection, index, response, status),
-            None if received > self.max_answer_bytes(index) => self.fail_peer(connection),
+            None if received > self.max_answer_bytes(index)
+                || (received > SMALL_BYTES && self.account.is_over()) =>
+            {
+                self.fail_peer(connection);
+            }
             None if status == ReadStatus::Open => {}
             None if status == ReadStatus::Interrupted => self.register_peer_again(connection),
             None => self.fail_peer(connection),
         }
     }
 
+    /// Books what a connection holds.
+    pub(in crate::edge::gateway) fn settle_peer(&mut self, connection: usize) {
+        if let Some(open) = self.delegation.connections.get_mut(connection) {
+            open.socket.settle();
+        }
+    }
+
     /// Returns the maximum size of the response to a delegated request. It may contain a whole
     /// reply of a leaf for each part.
     fn max_answer_bytes(&self, index: usize) -> usize {
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -117,7 +117,7 @@
         h1::write_number_field(&mut answer, "Content-Length", 0);
         self.write_connection_fields(&mut answer, key);
         h1::write_head_end(&mut answer);
-        self.send_response(key, &answer);
+        self.send_response(key, answer);
         self.answered_callers.push(key);
     }
 }
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -19,6 +19,7 @@
 use super::token::EventSource;
 use crate::core::call::Reply;
 use crate::core::fingerprint::Fingerprint;
+use crate::core::memory_account::{Account, Holder};
 use crate::core::placement::ReplicaKey;
 use crate::core::reply_size::ReplySize;
 use crate::prelude::*;
@@ -84,16 +85,18 @@
         source: Option<IpAddr>,
         replica: ReplicaKey,
         serial: u64,
+        account: &Account,
         now: Instant,
     ) -> io::Result<LeafConnection> {
         let stream = socket::connect(address, source)?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let share = || account.share(Holder::Leaves);
         Ok(LeafConnection {
             serial,
             replica,
             address,
-            socket: Socket::new(stream),
+            socket: Socket::new(stream, share(), share()),
             attempt: None,
             is_awaiting_response: false,
             request_id: RequestId::new(),
@@ -102,7 +105,7 @@
             opened_at: now,
             has_responded: false,
             has_sent_bytes: false,
-            reader: ResponseReader::default(),
+            reader: ResponseReader::new(share()),
             received: 0,
             abandoned_at: None,
             abandoned_request: None,
@@ -174,6 +177,13 @@
         }
     }
 
+    /// Books what a connection holds.
+    pub(super) fn settle_leaf(&mut self, connection: usize) {
+        if let Some(leaf) = self.leaf_connections.get_mut(connection) {
+            leaf.socket.settle();
+        }
+    }
+
     /// Closes a connection whose time to connect, to respond to an abandoned attempt or to be idle
     /// is over, unless the timer was set for an earlier connection with the same key.
     pub(super) fn on_leaf_timer(&mut self, connection: usize, serial: u64) {
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -4,6 +4,7 @@
 use mio::Interest;
 
 use crate::core::call::Reply;
+use crate::core::reply_size::SMALL_REPLY_BYTES;
 use crate::edge::gateway::Gateway;
 use crate::edge::gateway::socket::ReadStatus;
 use crate::edge::gateway::token::EventSource;
@@ -65,7 +66,8 @@
         let size = leaf.reply_size();
         let all = self.leaf_connections.iter();
         let all_held = || all.map(|(_, leaf)| leaf.reply_size().held).sum();
-        let is_too_long = size.is_too_long(self.options.max_reply_bytes, all_held);
+        let is_too_long = size.is_too_long(self.options.max_reply_bytes, all_held)
+            || (size.held > SMALL_REPLY_BYTES && self.account.is_over());
         if is_too_long {
             let (leaf, bytes) = (self.leaf_id(leaf.replica), size.received);
             info!("leaf leaf={leaf} event=reply-too-long bytes={bytes}");
--- a/src/geraniummount/edge/gateway/leaf/sending.rs
+++ b/src/geraniummount/edge/gateway/leaf/sending.rs
@@ -4,6 +4,7 @@
 //! established, if the attempt may still be sent then. An attempt that is abandoned before that has
 //! not run; one that is abandoned later may have.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{ABANDONED_GRACE, MIN_SILENCE};
@@ -52,15 +53,16 @@
             .replica(&in_flight.service, in_flight.replica);
         let leaf_id = replica.map_or("", |replica| replica.instance.id.as_str());
         let forwarded = &state.forwarded;
-        let mut request = Vec::with_capacity(512 + forwarded.content.len());
+        let mut request = Vec::with_capacity(512);
         forwarded.write_head(&mut request);
         headers::write_leaf_fields(&mut request, remaining, leaf_id);
-        forwarded.write_content(&mut request);
+        forwarded.write_head_end(&mut request);
+        let content = Arc::clone(&forwarded.content);
         let leaf = &mut self.leaf_connections[connection];
         leaf.request_id.clone_from(&forwarded.id);
         leaf.requested_at = self.now;
         leaf.reader.begin(forwarded.method == "HEAD");
-        leaf.socket.queue(&request);
+        leaf.socket.queue_with_body(request, content);
         self.flush_leaf(connection);
     }
 
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -2,6 +2,7 @@
 //! request at one leaf.
 
 mod gauges;
+mod memory;
 
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 };
 
 use self::gauges::Gauges;
+use self::memory::MemoryMetrics;
 use crate::util::logger;
 
 /// Upper bounds of the histogram buckets of response times.
@@ -33,6 +35,7 @@
     delegations: IntCounterVec,
     /// Requests of other VMs, by whether they were served or why not.
     peer_requests: IntCounterVec,
+    pub(super) memory: MemoryMetrics,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
@@ -83,6 +86,7 @@
                 "gateway_leaf_connections_total",
                 "Connections to leaves.",
             ),
+            memory: MemoryMetrics::new(&registry),
             gauges: Gauges::new(&registry),
             registry,
             answers,
--- a/src/geraniummount/edge/gateway/metrics/gauges.rs
+++ b/src/geraniummount/edge/gateway/metrics/gauges.rs
@@ -1,6 +1,6 @@
 //! Gauges of one gateway: values that rise and fall.
 
-use prometheus::{IntGauge, Registry};
+use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
 
 use super::register;
 
@@ -55,3 +55,11 @@
     register(registry, Box::new(gauge.clone()));
     gauge
 }
+
+/// Creates a gauge for each value of a label.
+pub(super) fn gauge_by(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]);
+    let gauges = gauges.expect("metric names should be valid constants");
+    register(registry, Box::new(gauges.clone()));
+    gauges
+}
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod answer;
 mod caller;
 mod calls;
+mod content;
 mod crashes;
 mod datagrams;
 mod delegation;
@@ -32,6 +33,7 @@
 mod leaf;
 mod leaf_links;
 mod load_shedding;
+mod memory;
 mod metrics;
 mod options;
 mod pool;
@@ -71,6 +73,7 @@
 use self::fleet::Fleet;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
+use self::memory::Closed;
 use self::metrics::Metrics;
 use self::pool::Pool;
 use self::probe::Probe;
@@ -83,6 +86,7 @@
 use crate::core::delegation::Routes;
 use crate::core::isolation::Isolation;
 use crate::core::leaf_links::LeafLinks;
+use crate::core::memory_account::{Account, Limits};
 use crate::core::placement::{Placement, ReplicaKey};
 use crate::core::quarantine::Quarantine;
 use crate::core::request_rate::RequestRate;
@@ -154,6 +158,10 @@
     sharing: Sharing,
     /// Trials of these requests that this VM has claimed.
     trials: Trials,
+    /// What this VM holds for others.
+    account: Account,
+    /// Connections that were closed as memory or descriptors were short.
+    closed_for_memory: Closed,
     /// Serial number that was allocated last.
     last_serial: u64,
     /// Replies that have not been passed to their calls yet.
@@ -183,6 +191,7 @@
         let mut rng = SmallRng::seed_from_u64(rand::random());
         let split = Split::new(rng.random_range(0.0..1.0));
         let metrics = options.metrics.map(TcpListener::bind).transpose()?;
+        let limits = Limits::new(options.memory_bytes, options.max_descriptors);
         let mut gateway = Gateway {
             callers_listener: Some(TcpListener::bind(options.callers)?),
             ready_listener: TcpListener::bind(options.ready)?,
@@ -218,6 +227,8 @@
             quarantine: Quarantine::default(),
             sharing: Sharing::default(),
             trials: Trials::default(),
+            account: Account::new(limits),
+            closed_for_memory: Closed::default(),
             last_serial: 0,
             pending_replies: VecDeque::new(),
             answered_callers: Vec::new(),
@@ -325,6 +336,7 @@
                 if event.is_readable() || closed {
                     self.read_leaf(key, closed);
                 }
+                self.settle_leaf(key);
             }
             EventSource::Peer(key) => {
                 if event.is_writable() {
@@ -333,6 +345,7 @@
                 if event.is_readable() || closed {
                     self.read_peer(key, closed);
                 }
+                self.settle_peer(key);
             }
             EventSource::Probe(key) => self.serve_probe(key),
             EventSource::StoreCheck => self.on_check_event(),
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -298,7 +298,8 @@
         let (replica, address) = (pool.key, pool.address);
         pool.open_connections += 1;
         self.metrics.leaf_connections.inc();
-        match LeafConnection::connect(address, self.options.source, replica, serial, self.now) {
+        let (source, account) = (self.options.source, &self.account);
+        match LeafConnection::connect(address, source, replica, serial, account, self.now) {
             Ok(leaf) => {
                 let connection = self.leaf_connections.insert(leaf);
                 if self.register_leaf(connection) {
--- a/src/geraniummount/edge/gateway/probe.rs
+++ b/src/geraniummount/edge/gateway/probe.rs
@@ -1,12 +1,15 @@
 //! Serves metrics for operators and readiness probes of the platform, which the users run and which
 //! directs callers to VMs that are ready.
 
+use std::time::Instant;
+
 use log::debug;
 use mio::Interest;
 
 use super::Gateway;
 use super::socket::{ReadStatus, Socket};
 use super::token::EventSource;
+use crate::core::memory_account::Holder;
 use crate::platform;
 use crate::util::h1::{self, Parsed, Request};
 
@@ -16,10 +19,15 @@
 /// Number of bytes after which an incomplete request is malformed.
 const MAX_REQUEST_BYTES: usize = 16 * 1024;
 
+/// Bytes of answers that a client may leave unread before its connection is closed.
+const MAX_UNREAD_BYTES: usize = 1024 * 1024;
+
 /// A connection over which readiness or metrics are requested.
 #[derive(Debug)]
 pub(super) struct Probe {
     socket: Socket,
+    /// When a request was last answered, or when the connection was accepted.
+    active_at: Instant,
 }
 
 impl Gateway {
@@ -39,12 +47,16 @@
 
     fn add_probe(&mut self, stream: mio::net::TcpStream) {
         if self.probes.len() >= MAX_PROBES {
-            debug!("probe outcome=refused open={MAX_PROBES}");
-            return;
+            let oldest = self.probes.iter().min_by_key(|(_, probe)| probe.active_at);
+            if let Some(oldest) = oldest.map(|(key, _)| key) {
+                debug!("probe outcome=closed open={MAX_PROBES}");
+                self.probes.remove(oldest);
+            }
         }
+        let share = || self.account.share(Holder::Probes);
+        let mut socket = Socket::new(stream, share(), share());
         let entry = self.probes.vacant_entry();
         let key = entry.key();
-        let mut socket = Socket::new(stream);
         let interest = Interest::READABLE | Interest::WRITABLE;
         let token = EventSource::Probe(key).token();
         if let Err(error) = self
@@ -54,7 +66,10 @@
         {
             return self.log_accept_failure("probes", &error);
         }
-        entry.insert(Probe { socket });
+        entry.insert(Probe {
+            socket,
+            active_at: self.now,
+        });
         self.serve_probe(key);
     }
 
@@ -77,7 +92,13 @@
             };
             probe.socket.input.drain(..length);
             let answer = self.probe_response(&request);
-            self.probes[key].socket.queue(&answer);
+            let probe = &mut self.probes[key];
+            probe.active_at = self.now;
+            probe.socket.queue(&answer);
+            if probe.socket.pending_output() > MAX_UNREAD_BYTES {
+                self.probes.remove(key);
+                return;
+            }
         }
         let probe = &mut self.probes[key];
         if probe.socket.flush().is_err() || status != ReadStatus::Open {
@@ -89,7 +110,10 @@
         let (status, body) = match request.path() {
             platform::READY_PATH if self.is_ready() => (200, b"ready\n".to_vec()),
             platform::READY_PATH => (503, b"not ready\n".to_vec()),
-            "/metrics" => (200, self.metrics.encode()),
+            "/metrics" => {
+                self.measure_memory();
+                (200, self.metrics.encode())
+            }
             _ => (404, b"unknown path; ask for /metrics\n".to_vec()),
         };
         let mut answer = Vec::with_capacity(128 + body.len());
--- a/src/geraniummount/edge/gateway/response_reader.rs
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use crate::core::memory_account::Share;
 use crate::util::h1::{Body, Fault, Head, Parsed, Response};
 
 /// Reader of the responses on one connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ResponseReader {
     /// Whether the last request has the method HEAD, so that its response has no body.
     pub(super) is_head_request: bool,
@@ -19,9 +20,24 @@
     head: Option<Head>,
     /// Part of that response's body that has been received.
     content: Vec<u8>,
+    /// Memory that `content` takes.
+    share: Share,
 }
 
 impl ResponseReader {
+    /// Creates a reader whose buffer is booked in a share.
+    pub(super) fn new(share: Share) -> ResponseReader {
+        ResponseReader {
+            is_head_request: false,
+            must_close: false,
+            keep_alive: None,
+            interim: None,
+            head: None,
+            content: Vec::new(),
+            share,
+        }
+    }
+
     /// Prepares for the response to a request.
     pub(super) fn begin(&mut self, is_head_request: bool) {
         self.is_head_request = is_head_request;
@@ -52,6 +68,7 @@
                 return Ok(None);
             };
             let (taken, done) = head.body.feed(input, &mut self.content)?;
+            self.share.resize(self.content.capacity());
             input.drain(..taken);
             return Ok(if done { self.take_response() } else { None });
         }
@@ -75,6 +92,7 @@
 
     fn take_response(&mut self) -> Option<Response> {
         let content = std::mem::take(&mut self.content);
+        self.share.resize(0);
         let head = self.head.take()?;
         self.must_close |= !head.is_persistent;
         self.keep_alive = head.keep_alive().or(self.keep_alive);
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -1,11 +1,15 @@
 //! A non-blocking socket with its input and output buffers.
 
-use std::io::{self, Read, Write};
+use std::io::{self, IoSlice, Read, Write};
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use mio::net::TcpStream;
 use socket2::{Domain, Protocol, Type};
 
+use super::content::Content;
+use crate::core::memory_account::Share;
+
 /// Size of the buffer that is passed to one read.
 pub(super) const READ_BUF_BYTES: usize = 32 * 1024;
 
@@ -13,6 +17,9 @@
 /// not occupy the event loop.
 const MAX_BYTES_PER_EVENT: usize = 256 * 1024;
 
+/// Unused space that a buffer keeps for the next message.
+const KEPT_BYTES: usize = 8 * 1024;
+
 /// Begins to connect to `address` from the IP address `source`, without blocking.
 pub(super) fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
     let Some(source) = source else {
@@ -51,20 +58,46 @@
     /// Bytes that were read and have not been consumed.
     pub(super) input: Vec<u8>,
     output: Vec<u8>,
-    /// Number of bytes of `output` that have been written.
+    /// Body that is written after `output`. It is shared between all connections that carry it.
+    tail: Option<Arc<Content>>,
+    /// Number of bytes of `output` and `tail` that have been written.
     written: usize,
+    /// Memory that `input` takes.
+    input_share: Share,
+    /// Memory that `output` takes.
+    output_share: Share,
 }
 
 impl Socket {
-    pub(super) fn new(stream: TcpStream) -> Socket {
+    /// Creates a socket whose buffers are booked in the given shares.
+    pub(super) fn new(stream: TcpStream, input_share: Share, output_share: Share) -> Socket {
         Socket {
             stream,
             input: Vec::new(),
             output: Vec::new(),
+            tail: None,
             written: 0,
+            input_share,
+            output_share,
         }
     }
 
+    /// Returns the number of bytes that the buffers take.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.input_share.bytes() + self.output_share.bytes()
+    }
+
+    /// Books what the buffers take, and releases the space that was used for a large message.
+    pub(super) fn settle(&mut self) {
+        for buffer in [&mut self.input, &mut self.output] {
+            if buffer.capacity() > KEPT_BYTES.max(buffer.len().saturating_mul(2)) {
+                buffer.shrink_to(buffer.len());
+            }
+        }
+        self.input_share.resize(self.input.capacity());
+        self.output_share.resize(self.output.capacity());
+    }
+
     /// Reads the available bytes into the input buffer, at most [`MAX_BYTES_PER_EVENT`] and the
     /// rest of one read. A short read normally means that no more bytes are available and ends the
     /// loop. If `closed` is set, the peer may have closed its sending side, and reading goes on
@@ -96,12 +129,35 @@
 
     /// Appends bytes to the output buffer.
     pub(super) fn queue(&mut self, bytes: &[u8]) {
+        if let Some(tail) = self.tail.take() {
+            self.output.extend_from_slice(tail.bytes());
+        }
         self.output.extend_from_slice(bytes);
     }
 
+    /// Appends a message to the output buffer, without copying it if nothing else is pending.
+    pub(super) fn queue_message(&mut self, message: Vec<u8>) {
+        if self.has_pending_output() {
+            return self.queue(&message);
+        }
+        self.output = message;
+    }
+
+    /// Appends a head to the output buffer, and a body that is not copied.
+    pub(super) fn queue_with_body(&mut self, head: Vec<u8>, body: Arc<Content>) {
+        self.queue_message(head);
+        self.tail = Some(body);
+    }
+
+    /// Returns the number of bytes that are to be written.
+    pub(super) fn pending_output(&self) -> usize {
+        let tail = self.tail.as_ref().map_or(0, |tail| tail.bytes().len());
+        self.output.len() + tail - self.written
+    }
+
     /// Returns whether the output buffer contains unwritten bytes.
     pub(super) fn has_pending_output(&self) -> bool {
-        self.written < self.output.len()
+        self.pending_output() > 0
     }
 
     /// Returns whether any byte of the queued output has been written. Also returns `true` if the
@@ -121,6 +177,7 @@
             return false;
         }
         self.output.clear();
+        self.tail = None;
         true
     }
 
@@ -131,8 +188,14 @@
     ///
     /// Returns an error if the connection failed or could not be established.
     pub(super) fn flush(&mut self) -> io::Result<()> {
-        while self.written < self.output.len() {
-            match self.stream.write(&self.output[self.written..]) {
+        let flushed = self.write_pending();
+        self.settle();
+        flushed
+    }
+
+    fn write_pending(&mut self) -> io::Result<()> {
+        while self.has_pending_output() {
+            match self.write_once() {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => self.written += count,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -148,7 +211,20 @@
             }
         }
         self.output.clear();
+        self.tail = None;
         self.written = 0;
         Ok(())
     }
+
+    fn write_once(&mut self) -> io::Result<usize> {
+        let tail = self.tail.as_ref().map_or(&[][..], |tail| tail.bytes());
+        match self.output.get(self.written..) {
+            Some(rest) if tail.is_empty() => self.stream.write(rest),
+            Some(rest) => {
+                let parts = [IoSlice::new(rest), IoSlice::new(tail)];
+                self.stream.write_vectored(&parts)
+            }
+            None => self.stream.write(&tail[self.written - self.output.len()..]),
+        }
+    }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod leaf_queue;
 mod load_shedder;
 mod log_lines;
+mod memory_account;
 mod node;
 mod operators_listener;
 mod owner_failover;
--- a/tests/testsuite/platform/crowd.rs
+++ b/tests/testsuite/platform/crowd.rs
@@ -276,6 +276,31 @@
     drop(open);
 }
 
+/// Guards against refusals of callers that stay within the limits and read their answers.
+#[test]
+fn platform_crowd_of_ordinary_callers_meets_no_bound() {
+    const CALLERS: u64 = 4;
+    const REQUESTS: usize = 12;
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = Site::start();
+    let address = site.callers;
+    let body = vec![b'x'; MAX_BODY_BYTES];
+    thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| {
+                for number in 0..REQUESTS {
+                    let path = PREFIXES[number % 2];
+                    let bytes = request("POST", path, 2_900, &body);
+                    assert_eq!(try_exchange(address, &bytes).unwrap(), 200, "{path}");
+                    thread::sleep(Duration::from_millis(200));
+                }
+            });
+        }
+    });
+    let peak = usage::peak_resident_bytes(site.child.id()) / (1024 * 1024);
+    assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB} MB");
+}
+
 macro_rules! crowds {
     ($($name:ident: $kind:expr, $door:expr, $callers:expr;)*) => {$(
         #[test]
