--- a/src/geraniummount/core/delegation/outcome.rs
+++ b/src/geraniummount/core/delegation/outcome.rs
@@ -48,6 +48,8 @@
     },
     /// The peer has not received the request.
     Unreachable,
+    /// Nothing was sent, as too little time was left when the request was to be written.
+    OutOfTime,
     /// The connection ended after the request was sent; the peer may serve the request.
     Lost,
 }
@@ -59,6 +61,7 @@
             Outcome::Answered(_) => "answered",
             Outcome::Declined { decline, .. } => decline.as_str(),
             Outcome::Unreachable => "unreachable",
+            Outcome::OutOfTime => "out-of-time",
             Outcome::Lost => "lost",
         }
     }
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -16,6 +16,7 @@
 use crate::core::call::{Call, Plan};
 use crate::core::delegation::{Handler, Purpose, Terms, Unable, offload};
 use crate::core::key_lease::Keys;
+use crate::core::memory_account::Holder;
 use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::quota::{Decision, Source};
@@ -53,6 +54,10 @@
         terms: Option<Terms>,
     ) {
         let arrival = Arrival::new(key, request, content, terms.as_ref(), self.now);
+        let needed = arrival.request.held_bytes() + arrival.content.capacity();
+        if !self.account.admits(0, needed) {
+            return self.refuse_for_memory(key, &arrival.caller_fields.id, terms.as_ref());
+        }
         self.admit_arrival(arrival, terms);
     }
 
@@ -236,10 +241,7 @@
             self.write_failure(key, 502, "failed");
             return;
         }
-        let plan = self.plan(route, &arrival);
-        let tenant_regions = access.tenant().and_then(|tenant| tenant.regions.as_deref());
-        let allowed = route.regions.as_deref().into_iter().chain(tenant_regions);
-        let mut plan = plan.within(Scope::new(&self.options.regions, allowed));
+        let mut plan = self.plan(route, &arrival, access);
         if !self.fit_into_stop(&mut plan) {
             self.return_token(arrival.token.as_deref());
             return self.refuse_because_of_stop(key, &arrival.caller_fields.id);
@@ -279,7 +281,7 @@
             caller: key,
             from: terms.map(|terms| terms.from),
             call,
-            forwarded: Arc::new(arrival.into_forwarded()),
+            forwarded: Arc::new(arrival.into_forwarded(self.account.share(Holder::Requests))),
             route: route.name.clone(),
             version: table.version,
             started,
@@ -289,6 +291,7 @@
             is_delayed: self.now.saturating_duration_since(started) >= MAX_ADMISSION_DELAY,
             unserved_when_due: false,
             crashes: Vec::new(),
+            parts: self.account.share(Holder::Parts),
         });
     }
 
@@ -338,7 +341,7 @@
             started,
             timeout,
             sends: arrival.sends,
-            forwarded: Arc::new(arrival.into_forwarded()),
+            forwarded: Arc::new(arrival.into_forwarded(self.account.share(Holder::Requests))),
         });
     }
 
@@ -379,7 +382,7 @@
 
     /// Plans a request of a route; chooses one of the services between which the route splits its
     /// requests.
-    fn plan(&mut self, route: &Route, arrival: &Arrival) -> Plan {
+    fn plan(&mut self, route: &Route, arrival: &Arrival, access: &Access) -> Plan {
         let (service, gather) = match &route.target {
             Target::Service(service) => (Some(service.clone()), None),
             Target::Split(parts) => (self.split.choose(parts).cloned(), None),
@@ -387,7 +390,10 @@
         };
         let timeout = arrival.caller_fields.timeout;
         let plan = Plan::new(route, service, gather, timeout, arrival.arrived);
-        plan.continued(arrival.elapsed, arrival.sends, self.now)
+        let tenant_regions = access.tenant().and_then(|tenant| tenant.regions.as_deref());
+        let allowed = route.regions.as_deref().into_iter().chain(tenant_regions);
+        plan.within(Scope::new(&self.options.regions, allowed))
+            .continued(arrival.elapsed, arrival.sends, self.now)
     }
 
     fn start_call(&mut self, state: CallState) {
--- a/src/geraniummount/edge/gateway/arrival.rs
+++ b/src/geraniummount/edge/gateway/arrival.rs
@@ -1,11 +1,14 @@
 //! A request that was read completely and has no call yet.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::calls::ForwardedRequest;
+use super::content::Content;
 use super::delegation::CallerRequest;
 use crate::core::delegation::Terms;
 use crate::core::fingerprint::{self, Fingerprint};
+use crate::core::memory_account::Share;
 use crate::core::route::{Route, Table};
 use crate::core::tenant::Credential;
 use crate::platform::headers::{self, CallerFields};
@@ -69,7 +72,7 @@
             target,
             fields,
             content,
-        } = std::sync::Arc::unwrap_or_clone(offloaded.forwarded);
+        } = Arc::unwrap_or_clone(offloaded.forwarded);
         Arrival {
             key: offloaded.caller,
             caller_fields: CallerFields {
@@ -91,10 +94,15 @@
                 is_persistent: true,
                 expects_continue: false,
             },
-            content,
+            content: Content::into_bytes(content),
         }
     }
 
+    /// Returns the number of bytes that the request holds.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.request.held_bytes() + self.content.capacity()
+    }
+
     /// Returns the route of the request.
     pub(super) fn find_route<'a>(&self, table: &'a Table) -> Option<&'a Route> {
         let host = self.request.host().unwrap_or_default();
@@ -108,15 +116,16 @@
             .unwrap_or(self.arrived)
     }
 
-    /// Returns the request as it is forwarded.
-    pub(super) fn into_forwarded(self) -> ForwardedRequest {
+    /// Returns the request as it is forwarded; `share` is that of the memory which it takes.
+    pub(super) fn into_forwarded(self, share: Share) -> ForwardedRequest {
+        let head_bytes = self.request.held_bytes();
         ForwardedRequest {
             id: self.caller_fields.id,
             fingerprint: self.fingerprint,
             method: self.request.method,
             target: self.request.target,
             fields: self.request.fields,
-            content: self.content,
+            content: Arc::new(Content::new(self.content, head_bytes, share)),
         }
     }
 }
--- a/src/geraniummount/edge/gateway/leaf/sending.rs
+++ b/src/geraniummount/edge/gateway/leaf/sending.rs
@@ -4,6 +4,9 @@
 //! established, if the attempt may still be sent then. An attempt that is abandoned before that has
 //! not run; one that is abandoned later may have.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use super::{ABANDONED_GRACE, MIN_SILENCE};
 use crate::core::call::Reply;
 use crate::edge::gateway::Gateway;
@@ -36,31 +39,40 @@
     /// Writes the request of the attempt that an established connection is assigned to, unless the
     /// attempt may no longer be sent.
     fn write_attempt(&mut self, connection: usize, attempt: AttemptId) {
-        if !self.may_send(attempt) {
+        self.read_clock();
+        let remaining = self.may_send(attempt).then(|| self.time_to_write(attempt));
+        let Some(remaining) = remaining.flatten() else {
             self.unassign(connection);
             self.queue_reply(attempt, Reply::Withheld);
             return self.release(connection);
-        }
+        };
         let in_flight = &self.attempts[&attempt];
         let state = &self.calls[in_flight.call];
-        let remaining = state.call.plan().end_by.saturating_duration_since(self.now);
         let replica = self
             .placement
             .replica(&in_flight.service, in_flight.replica);
         let leaf_id = replica.map_or("", |replica| replica.instance.id.as_str());
         let forwarded = &state.forwarded;
-        let mut request = Vec::with_capacity(512 + forwarded.content.len());
+        let mut request = Vec::with_capacity(512);
         forwarded.write_head(&mut request);
         headers::write_leaf_fields(&mut request, remaining, leaf_id);
-        forwarded.write_content(&mut request);
+        forwarded.write_head_end(&mut request);
+        let content = Arc::clone(&forwarded.content);
         let leaf = &mut self.leaf_connections[connection];
         leaf.request_id.clone_from(&forwarded.id);
         leaf.requested_at = self.now;
         leaf.reader.begin(forwarded.method == "HEAD");
-        leaf.socket.queue(&request);
+        leaf.socket.queue_with_body(request, content);
         self.flush_leaf(connection);
     }
 
+    /// Returns the time that is left for an attempt in flight that is written now; `None` if it is too
+    /// short.
+    fn time_to_write(&self, attempt: AttemptId) -> Option<Duration> {
+        let call = &self.calls[self.attempts[&attempt].call].call;
+        call.plan().time_to_write(Duration::ZERO, self.now)
+    }
+
     /// Returns whether an attempt may still be sent: its call is not finished and has enough time
     /// left, and its leaf accepts requests. Each attempt is checked when its request is written, as
     /// it may have waited for a connection.
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod gauges;
 mod key_counters;
+mod memory;
 mod quotas;
 
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use self::attempts::Attempts;
 use self::gauges::Gauges;
 use self::key_counters::KeyCounters;
+use self::memory::MemoryMetrics;
 use self::quotas::Quotas;
 use crate::core::fair_share::Cause;
 use crate::util::logger;
@@ -43,6 +45,7 @@
     peer_requests: IntCounterVec,
     /// Requests that were shed in deployments with tenants, by priority and cause.
     shed: IntCounterVec,
+    pub(super) memory: MemoryMetrics,
     pub(super) caller_connections: IntCounter,
     pub(super) leaf_connections: IntCounter,
     pub(super) gauges: Gauges,
@@ -86,6 +89,7 @@
                 "Connections to leaves.",
             ),
             attempts: Attempts::new(&registry),
+            memory: MemoryMetrics::new(&registry),
             gauges: Gauges::new(&registry),
             keys: KeyCounters::new(&registry),
             quotas: Quotas::new(&registry),
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod caller;
 mod calls;
 mod cold_leaves;
+mod content;
 mod crashes;
 mod datagrams;
 mod delegation;
@@ -43,6 +44,7 @@
 mod leaf;
 mod leaf_links;
 mod load_shedding;
+mod memory;
 mod metrics;
 mod options;
 mod pool;
@@ -86,6 +88,7 @@
 use self::key_lease::KeyLease;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
+use self::memory::Closed;
 use self::metrics::Metrics;
 use self::pool::Pool;
 use self::probe::Probe;
@@ -99,6 +102,7 @@
 use crate::core::delegation::Routes;
 use crate::core::isolation::Isolation;
 use crate::core::leaf_links::LeafLinks;
+use crate::core::memory_account::{Account, Limits};
 use crate::core::placement::{Placement, ReplicaKey};
 use crate::core::quarantine::Quarantine;
 use crate::core::request_rate::RequestRate;
@@ -180,6 +184,10 @@
     sharing: Sharing,
     /// Trials of these requests that this VM has claimed.
     trials: Trials,
+    /// What this VM holds for others.
+    account: Account,
+    /// Connections that were closed as memory or descriptors were short.
+    closed_for_memory: Closed,
     /// Serial number that was allocated last.
     last_serial: u64,
     /// Replies that have not been passed to their calls yet.
@@ -187,10 +195,18 @@
     /// Keys of the callers' connections whose response has been written. Their pipelined input is
     /// parsed next.
     answered_callers: Vec<usize>,
+    /// Keys and serial numbers of the callers' connections whose input is parsed further in the next
+    /// iteration of the event loop.
+    postponed_callers: Vec<(usize, u64)>,
+    /// Number of the current iteration of the event loop.
+    iteration: u64,
     /// Buffer for reading from any socket.
     read_buf: Vec<u8>,
-    /// Time at which the current iteration of the event loop began.
+    /// Time at which the current iteration of the event loop began, or at which a request was written
+    /// later in that iteration.
     now: Instant,
+    /// Reads the time at which a request is written.
+    clock: fn() -> Instant,
 }
 
 impl Gateway {
@@ -206,6 +222,7 @@
         let mut rng = SmallRng::seed_from_u64(rand::random());
         let split = Split::new(rng.random_range(0.0..1.0));
         let metrics = options.metrics.map(TcpListener::bind).transpose()?;
+        let limits = Limits::new(options.memory_bytes, options.max_descriptors);
         let mut gateway = Gateway {
             callers_listener: Some(TcpListener::bind(options.callers)?),
             ready_listener: TcpListener::bind(options.ready)?,
@@ -244,11 +261,16 @@
             quarantine: Quarantine::default(),
             sharing: Sharing::default(),
             trials: Trials::default(),
+            account: Account::new(limits),
+            closed_for_memory: Closed::default(),
             last_serial: 0,
             pending_replies: VecDeque::new(),
             answered_callers: Vec::new(),
+            postponed_callers: Vec::new(),
+            iteration: 0,
             read_buf: vec![0; socket::READ_BUF_BYTES],
             now: Instant::now(),
+            clock: Instant::now,
         };
         let tolerance = gateway.options.cold_tolerance;
         gateway.placement.set_cold_tolerance(tolerance);
@@ -256,6 +278,13 @@
         Ok(gateway)
     }
 
+    /// Replaces the clock that is read when a request is written. Tests use this to bring about an
+    /// iteration of the event loop that takes long.
+    #[must_use]
+    pub fn with_clock(self, clock: fn() -> Instant) -> Gateway {
+        Gateway { clock, ..self }
+    }
+
     /// Returns a sender of updates to the event loop.
     pub fn sender(&self) -> Sender {
         self.sender.clone()
@@ -273,12 +302,16 @@
         watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
-            let wait = self.timers.time_until_next(Instant::now());
+            let wait = match self.postponed_callers.is_empty() {
+                true => self.timers.time_until_next(Instant::now()),
+                false => Some(Duration::ZERO),
+            };
             let wait = wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT));
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
+            self.iteration += 1;
             if self.stall.on_iteration(wait, self.now) {
                 self.await_news();
             }
@@ -286,6 +319,7 @@
                 self.on_event(event);
             }
             self.process_pending();
+            self.advance_postponed();
             self.fire_timers();
             self.process_pending();
             if let Some(finished) = self.stop_result() {
@@ -358,6 +392,7 @@
                 if event.is_readable() || closed {
                     self.read_leaf(key, closed);
                 }
+                self.settle_leaf(key);
             }
             EventSource::Peer(key) => {
                 if event.is_writable() {
@@ -366,6 +401,7 @@
                 if event.is_readable() || closed {
                     self.read_peer(key, closed);
                 }
+                self.settle_peer(key);
             }
             EventSource::Probe(key) => self.serve_probe(key),
             EventSource::StoreCheck => self.on_check_event(),
@@ -394,6 +430,12 @@
         }
     }
 
+    /// Brings the cached time up to date before a request is written. What is decided after that in
+    /// the same iteration of the event loop uses the same time.
+    fn read_clock(&mut self) {
+        self.now = self.now.max((self.clock)());
+    }
+
     /// Returns a number that tells apart objects which reuse the same key.
     fn allocate_serial(&mut self) -> u64 {
         self.last_serial += 1;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -81,6 +81,14 @@
         })
     }
 
+    /// Starts a store and a gateway in failure domain `near` that reads the time of a write from
+    /// `clock`.
+    pub fn start_with_clock(clock: fn() -> Instant) -> Fixture {
+        let store = Store::start();
+        let address = store.address();
+        Fixture::launch(Fixture::options("near", address), store, clock)
+    }
+
     /// Starts a gateway in a failure domain that reaches the store at `address`, with changed
     /// options.
     pub fn start_with_options(
@@ -91,7 +99,7 @@
     ) -> Fixture {
         let mut options = Fixture::options(domain, address);
         change(&mut options);
-        Fixture::start_by(options, store)
+        Fixture::launch(options, store, Instant::now)
     }
 
     /// Returns the options of a new VM.
@@ -125,14 +133,14 @@
         }
     }
 
-    /// Starts a gateway by its options.
-    fn start_by(options: Options, store: Store) -> Fixture {
+    /// Starts a gateway by its options that reads the time of a write from `clock`.
+    fn launch(options: Options, store: Store, clock: fn() -> Instant) -> Fixture {
         let (callers_address, ready_address) = (options.callers, options.ready);
         let ip = options.source.expect("VMs of tests have an address each");
         let peers_address = options
             .peer_listen
             .expect("VMs of tests accept requests of others");
-        let gateway = Gateway::bind(options).unwrap();
+        let gateway = Gateway::bind(options).unwrap().with_clock(clock);
         let sender = gateway.sender();
         let thread = std::thread::spawn(move || gateway.run().unwrap());
         Fixture {
@@ -268,6 +276,11 @@
     Ipv4Addr::new(127, 192 + high % 32, low, last.max(1)).into()
 }
 
+/// Returns a free address of this machine.
+pub fn free_address() -> SocketAddr {
+    free_address_of(Ipv4Addr::LOCALHOST.into())
+}
+
 /// Returns an address of a VM with a free port. The VM's IP address is its own, so that no connection
 /// of another test takes the port before the gateway listens.
 fn free_address_of(ip: IpAddr) -> SocketAddr {
