Place requests by their learned cost, behind `[gateway] placement = cost`

Cause: the choice of a leaf counts requests in flight and averages their latencies, so a 5 ms query part counts like a 120 ms fetch.

Change: `core::cost` learns the work of requests by service, route, tenant and size class in at most 512 entries; each leaf has the work left of this VM's attempts and a learned speed; `Server-Load` is read with bounded numbers and its weight halves in 100 ms. The hedge delay follows the cost of the request within its route. Refusals are unchanged. The default is `latency`: nothing is learned and `Server-Load` has no effect.

--- a/benches/gateway/main.rs
+++ b/benches/gateway/main.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniummount::core::placement::Start;
+use geraniummount::core::placement::{Policy, Start};
 use geraniummount::edge::gateway::{Gateway, Options, Update};
 use geraniummount::ops::logs::start_structured;
 use geraniummount_test_support::platform::users::caller::Request;
@@ -81,6 +81,7 @@
         quota_window: Options::DEFAULT_QUOTA_WINDOW,
         quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
         cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+        placement: Policy::Latency,
         millicores: 0,
         memory_bytes: None,
         max_descriptors: None,
--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -34,12 +34,14 @@
 mod send;
 mod shard;
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use self::overdue::Overdue;
 use self::pace::Pace;
 use self::send::RECHECK_INTERVAL;
 use self::shard::{Settled, Shard};
+use crate::core::cost::Profile;
 use crate::core::not_run::{NotRun, Progress};
 use crate::core::placement::{Ending, Placement, ReplicaKey};
 use crate::core::quarantine::UNPROVEN_CRASHES;
@@ -55,6 +57,8 @@
 #[derive(Debug)]
 pub struct Call {
     plan: Plan,
+    /// What decides the expected cost of the request.
+    profile: Arc<Profile>,
     shards: Vec<Shard>,
     /// When `advance` last ran, which hedges late parts or ends the request.
     advanced_at: Instant,
@@ -76,7 +80,9 @@
     /// Creates the state of a request without sending anything.
     pub fn new(plan: Plan, now: Instant) -> Call {
         let shards: Vec<Shard> = plan.services.iter().cloned().map(Shard::new).collect();
+        let profile = Profile::new(plan.route.clone(), None, 0);
         Call {
+            profile: Arc::new(profile),
             pace: Pace::new(shards.len(), plan.answer_by, now),
             plan,
             shards,
@@ -97,6 +103,14 @@
         }
     }
 
+    /// Sets what decides the expected cost of the request.
+    pub fn with_profile(self, profile: Profile) -> Call {
+        Call {
+            profile: Arc::new(profile),
+            ..self
+        }
+    }
+
     /// Returns whether the request has ended.
     pub fn is_finished(&self) -> bool {
         self.is_finished
@@ -131,7 +145,8 @@
         if !self.plan.has_time_for_attempt(now) {
             return Err(Refusal::NoTime);
         }
-        let choose = |shard: &Shard| placement.choose_within(&shard.service, scope, &[], now);
+        let profile = &self.profile;
+        let choose = |shard: &Shard| placement.choose_for(profile, &shard.service, scope, &[], now);
         let chosen: Vec<Option<ReplicaKey>> = self.shards.iter().map(choose).collect();
         let chosen_count = chosen.iter().flatten().count();
         if chosen_count < self.plan.min_shards() || chosen_count == 0 {
--- a/src/geraniummount/core/call/send.rs
+++ b/src/geraniummount/core/call/send.rs
@@ -32,7 +32,7 @@
         now: Instant,
     ) {
         let shard = &mut self.shards[index];
-        let attempt = placement.begin_attempt(&shard.service, replica, now);
+        let attempt = placement.begin_attempt_for(&self.profile, &shard.service, replica, now);
         shard.tried.push(replica);
         shard.sends += 1;
         shard.open_attempts.push(OpenAttempt {
@@ -43,7 +43,8 @@
         let may_hedge =
             shard.sends < self.plan.max_attempts && self.plan.repeat == Repeat::Idempotent;
         let typical = placement.route_latency(&self.plan.route, &shard.service);
-        let usual = typical.mul_f64(HEDGE_DELAY_FACTOR) + MIN_HEDGE_DELAY;
+        let factor = placement.hedge_factor(&shard.service, &self.profile, now);
+        let usual = typical.mul_f64(HEDGE_DELAY_FACTOR * factor) + MIN_HEDGE_DELAY;
         let hedge_delay = self.pace.hedge_delay(usual, now);
         shard.next_attempt_at = may_hedge.then_some(now + hedge_delay);
         self.actions.push(Action::Send {
@@ -123,7 +124,7 @@
         let is_free = shard.sends == 0;
         let is_affordable = is_free || placement.has_extra_attempt(&shard.service);
         let replica = is_affordable
-            .then(|| placement.choose_within(&shard.service, scope, &shard.tried, now))
+            .then(|| placement.choose_for(&self.profile, &shard.service, scope, &shard.tried, now))
             .flatten();
         if let Some(replica) = replica {
             if !is_free {
--- a/src/geraniummount/core/mod.rs
+++ b/src/geraniummount/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod config_check;
 pub mod connection_share;
+pub mod cost;
 pub mod coverage;
 pub mod delegation;
 pub mod duration_window;
--- a/src/geraniummount/core/placement/choice.rs
+++ b/src/geraniummount/core/placement/choice.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
+use super::by_cost::Priced;
 use super::limit::{Need, Portion};
 use super::{Group, Placement, ReplicaKey, Tier};
 use crate::core::request_rate::RequestRate;
@@ -103,42 +104,51 @@
         scope: &Scope,
         tried: &[ReplicaKey],
         now: Instant,
+    ) -> Option<ReplicaKey> {
+        self.choose_priced(service, scope, tried, None, now)
+    }
+
+    /// As [`Placement::choose_within`], by the cost of the request if it is given.
+    pub(super) fn choose_priced(
+        &mut self,
+        service: &str,
+        scope: &Scope,
+        tried: &[ReplicaKey],
+        priced: Option<Priced>,
+        now: Instant,
     ) -> Option<ReplicaKey> {
         let index = self.search(service).ok()?;
-        let mut passed_over: Vec<ReplicaKey> = Vec::new();
+        let mut excluded = tried.to_vec();
         loop {
-            let key = self.best(index, scope, tried, &passed_over, now)?;
+            let key = self.best(index, scope, &excluded, priced, now)?;
             if self.limit_permits(index, key, scope, tried, now) {
                 return Some(key);
             }
-            passed_over.push(key);
+            excluded.push(key);
         }
     }
 
-    /// Returns the best usable leaf in `scope` that is in neither list.
+    /// Returns the best usable leaf in `scope` that is not in `excluded`.
     fn best(
         &mut self,
         index: usize,
         scope: &Scope,
-        tried: &[ReplicaKey],
-        passed_over: &[ReplicaKey],
+        excluded: &[ReplicaKey],
+        priced: Option<Priced>,
         now: Instant,
     ) -> Option<ReplicaKey> {
         let group = &self.groups[index];
         let mut best: Option<(Tier, f64, ReplicaKey)> = None;
-        for replica in group.untried(scope, tried, now) {
+        for replica in group.untried(scope, excluded, now) {
             let key = replica.key;
-            if passed_over.contains(&key) {
-                continue;
-            }
             let jitter = jitter(&mut self.rng);
             let domain_factor = if replica.is_local() {
                 1.0
             } else {
                 OTHER_DOMAIN_FACTOR
             };
-            let expected =
-                group.expected_latency(replica, now).as_secs_f64() * jitter * domain_factor;
+            let expected = group.expected_latency_for(replica, priced, now);
+            let expected = expected.as_secs_f64() * jitter * domain_factor;
             let found = (replica.tier(now), expected, key);
             if best.is_none_or(|best| (found.0, found.1) < (best.0, best.1)) {
                 best = Some(found);
--- a/src/geraniummount/core/placement/mod.rs
+++ b/src/geraniummount/core/placement/mod.rs
@@ -13,6 +13,7 @@
 //! of one leaf, and a [`Group`] contains the replicas of one service. A leaf is unregistered once
 //! the platform's store no longer lists it.
 
+mod by_cost;
 mod choice;
 mod coldness;
 mod departures;
@@ -20,11 +21,13 @@
 mod group;
 mod limit;
 mod notice;
+mod policy;
 mod replica;
 mod retry_allowance;
 mod sample;
 mod tier;
 mod warm_up;
+mod work;
 
 use std::time::{Duration, Instant};
 
@@ -33,6 +36,7 @@
 use self::departures::Departures;
 use self::limit::Limit;
 use self::warm_up::WarmUps;
+use crate::core::cost::Costs;
 use crate::core::duration_window::DurationWindow;
 use crate::core::fleet::Share;
 use crate::core::instance::Instance;
@@ -42,9 +46,11 @@
 pub use self::group::Group;
 pub use self::limit::{LimitChange, LimitedAttempts};
 pub use self::notice::{MAX_HOLD, NamedLimit, Notice};
+pub use self::policy::Policy;
 pub use self::replica::{Ending, Replica, ReplicaKey};
 pub use self::retry_allowance::{RetryAllowance, Start};
 pub use self::tier::Tier;
+pub use self::work::Forecast;
 
 /// Time for which an unregistered leaf is kept as the last choice. Leaves whose registrations were
 /// lost while the platform's store was unavailable are registered again within this time.
@@ -75,6 +81,8 @@
     /// Latencies of the answers by route (the operator's rule for a host and a path prefix), sorted
     /// by the name of the route.
     route_latencies: Vec<(String, DurationWindow)>,
+    /// Learned cost of requests; `None` unless leaves are chosen by it.
+    costs: Option<Costs>,
     /// Key of the next leaf that is added.
     next_key: ReplicaKey,
     /// Id of the last attempt; ids are assigned in ascending order.
@@ -96,6 +104,7 @@
             refused_by_limits: None,
             era: 0,
             route_latencies: Vec::new(),
+            costs: None,
             next_key: 0,
             last_attempt: 0,
             rng,
@@ -285,7 +294,13 @@
         now: Instant,
     ) -> Option<Duration> {
         let index = self.search(service).ok()?;
-        self.groups[index].end_attempt(key, attempt, ending, now)
+        let group = &mut self.groups[index];
+        let replica = group.replica_mut(key);
+        let observed = replica.and_then(|replica| replica.work.end(attempt, ending, now));
+        if let Some((costs, seen)) = self.costs.as_mut().zip(observed) {
+            costs.record(service, &seen.profile, seen.work, now);
+        }
+        group.end_attempt(key, attempt, ending, now)
     }
 
     /// Records the latency of an answer to a request of a route.
--- a/src/geraniummount/core/placement/replica.rs
+++ b/src/geraniummount/core/placement/replica.rs
@@ -11,6 +11,7 @@
 use super::limit::Limit;
 use super::notice::{MAX_HOLD, Notice};
 use super::tier::Tier;
+use super::work::Work;
 use crate::core::instance::Instance;
 use crate::prelude::*;
 
@@ -34,7 +35,7 @@
 const MAX_AVOIDED_REQUESTS: u32 = 16;
 
 /// Additional latency that is assumed for a leaf in another failure domain before it is measured.
-const OTHER_DOMAIN_LATENCY: Duration = Duration::from_millis(8);
+pub(super) const OTHER_DOMAIN_LATENCY: Duration = Duration::from_millis(8);
 
 /// A request that is in flight for more than this many expected latencies indicates a pause.
 const PAUSE_FACTOR: f64 = 2.0;
@@ -123,6 +124,8 @@
     crashed_at: Option<Instant>,
     /// Attempts in flight, with the time when each was sent.
     open_attempts: Vec<(AttemptId, Instant)>,
+    /// Work left at the leaf, if leaves are chosen by cost.
+    pub(super) work: Work,
     /// When this VM learned of the registration.
     pub(super) added_at: Instant,
 }
@@ -137,6 +140,7 @@
         let mut coldness = Coldness::default();
         coldness.on_registered(instance.warm_up_left, now);
         Replica {
+            work: Work::new(is_local, instance.slots, now),
             key,
             instance,
             suspended_until: None,
@@ -281,13 +285,11 @@
         } else {
             typical + OTHER_DOMAIN_LATENCY
         };
-        let age = now.saturating_duration_since(self.measured_at);
-        let half_life = MIN_HALF_LIFE.max(interval * MIN_HALF_LIFE_REQUESTS);
-        let weight = 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64());
+        let weight = self.measurement_weight(interval, now);
         let known = self.average_latency.map_or(prior, |average| {
             average.mul_f64(weight) + prior.mul_f64(1.0 - weight)
         });
-        let known = known + typical.mul_f64(self.failure_share * weight * FAILURE_COST_FACTOR);
+        let known = known + self.failure_cost(typical, interval, now);
         let oldest = self.open_attempts.iter().map(|(_, sent)| *sent).min();
         let waiting = oldest.map_or(Duration::ZERO, |sent| now.saturating_duration_since(sent));
         let known = if waiting > known.mul_f64(PAUSE_FACTOR) {
@@ -296,10 +298,38 @@
             known
         };
         let slots = f64::from(self.instance.slots.max(1));
+        let load_factor = 1.0 + self.open_attempts.len() as f64 / slots;
+        known.mul_f64(load_factor * self.warm_up_factor(now))
+    }
+
+    /// Returns the factor on the latency of a leaf that is warming up.
+    pub(super) fn warm_up_factor(&self, now: Instant) -> f64 {
         let is_warming_up =
             now.saturating_duration_since(self.added_at) < self.instance.warm_up_left;
-        let warm_up_factor = if is_warming_up { 1.6 } else { 1.0 };
-        known.mul_f64((1.0 + self.open_attempts.len() as f64 / slots) * warm_up_factor)
+        if is_warming_up { 1.6 } else { 1.0 }
+    }
+
+    /// Returns the expected cost of a failure and the attempt that follows it.
+    pub(super) fn failure_cost(
+        &self,
+        typical: Duration,
+        interval: Duration,
+        now: Instant,
+    ) -> Duration {
+        let weight = self.measurement_weight(interval, now);
+        typical.mul_f64(self.failure_share * weight * FAILURE_COST_FACTOR)
+    }
+
+    /// Returns the weight of what was last measured, which decays with its age.
+    fn measurement_weight(&self, interval: Duration, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.measured_at);
+        let half_life = MIN_HALF_LIFE.max(interval * MIN_HALF_LIFE_REQUESTS);
+        0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+    }
+
+    /// Returns the number of attempts in flight that count as work left.
+    pub fn open_work(&self) -> usize {
+        self.work.open()
     }
 
     /// Records a request that is sent to the leaf.
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -14,6 +14,7 @@
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
+use crate::core::cost::Profile;
 use crate::core::delegation::{Handler, Purpose, Terms, Unable, offload};
 use crate::core::key_lease::Keys;
 use crate::core::not_run::NotRun;
@@ -267,9 +268,8 @@
             let tenant = access.tenant().map(|tenant| tenant.name.as_str());
             headers::replace_credential(&mut arrival.request.fields, tenant);
         }
-        let is_suspect = plan.is_gather() && self.may_end_all_leaves();
-        let earlier_crashes = earlier_crashes.max(usize::from(is_suspect));
-        let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
+        let profile = profile(&arrival, route, access);
+        let call = self.new_call(plan, profile, earlier_crashes);
         let serial = self.allocate_serial();
         let (credential, started) = (arrival.credential, arrival.started());
         let earlier_sends = arrival.sends;
@@ -292,6 +292,13 @@
         });
     }
 
+    fn new_call(&self, plan: Plan, profile: Profile, earlier_crashes: usize) -> Call {
+        let is_suspect = plan.is_gather() && self.may_end_all_leaves();
+        let earlier_crashes = earlier_crashes.max(usize::from(is_suspect));
+        let call = Call::new(plan, self.now).with_earlier_crashes(earlier_crashes);
+        call.with_profile(profile)
+    }
+
     /// Returns whether a search has perhaps just ended all leaves, and no VM knows yet which one it was.
     fn may_end_all_leaves(&self) -> bool {
         let was_lost = self.leaf_links.was_just_lost(self.now);
@@ -410,3 +417,9 @@
     };
     Plan::new(route, service, gather, timeout, now)
 }
+
+/// Returns what decides the expected cost of a request.
+fn profile(arrival: &Arrival, route: &Route, access: &Access) -> Profile {
+    let tenant = access.tenant().map(|tenant| tenant.name.clone());
+    Profile::new(route.name.clone(), tenant, arrival.content.len())
+}
--- a/src/geraniummount/edge/gateway/calls.rs
+++ b/src/geraniummount/edge/gateway/calls.rs
@@ -205,6 +205,7 @@
             );
             self.isolation.on_attempt(answered);
         }
+        let forecast = self.note_forecast(attempt, &in_flight, &reply);
         let call = &self.calls[in_flight.call];
         if !matches!(reply, Reply::Success(_)) {
             let id = &call.forwarded.id;
@@ -217,7 +218,7 @@
             let fingerprint = call.forwarded.fingerprint;
             info!(
                 "attempt id={id} fingerprint={fingerprint:032x} service={service} leaf={leaf} \
-                 outcome={outcome} at_ms={took}"
+                 outcome={outcome} at_ms={took}{forecast}"
             );
         }
         self.record_crash_or_answer(attempt, &in_flight, &reply);
@@ -233,6 +234,28 @@
         self.apply_actions(in_flight.call, actions);
     }
 
+    /// Observes the time that an answered attempt took against its forecast. Returns log fields with
+    /// the forecast of any other attempt, which are empty unless leaves are chosen by cost.
+    fn note_forecast(&self, attempt: AttemptId, in_flight: &Attempt, reply: &Reply) -> String {
+        let (service, key) = (&in_flight.service, in_flight.replica);
+        let Some((forecast, sent_at)) = self.placement.forecast_of(service, key, attempt) else {
+            return String::new();
+        };
+        if matches!(reply, Reply::Success(_)) {
+            let took = self.now.saturating_duration_since(sent_at);
+            self.metrics.observe_forecast(took, forecast.expected);
+            return String::new();
+        }
+        let age = forecast.load_age.map(|age| age.as_millis().to_string());
+        format!(
+            " work_ms={} remaining_ms={} expected_ms={} load_age_ms={}",
+            forecast.work.as_millis(),
+            forecast.remaining.as_millis(),
+            forecast.expected.as_millis(),
+            age.as_deref().unwrap_or("none")
+        )
+    }
+
     fn is_suspended(&self, attempt: &Attempt) -> bool {
         let replica = self.placement.replica(&attempt.service, attempt.replica);
         replica.is_some_and(|replica| replica.suspended_until.is_some())
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -99,6 +99,7 @@
         let notice = headers::read_notice(&response.head);
         self.apply_notice(replica, notice);
         self.apply_limit(replica, notice.limit, requested_at);
+        self.apply_load(replica, headers::read_load(&response.head));
         if self.leaf_connections[connection].is_check {
             self.prove_replaced(replica, headers::read_leaf_id(&response.head));
             self.apply_warm_up(replica, headers::read_warm_up_left(&response.head));
--- a/src/geraniummount/edge/gateway/metrics.rs
+++ b/src/geraniummount/edge/gateway/metrics.rs
@@ -112,6 +112,11 @@
         self.attempts.ended.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn observe_forecast(&self, took: Duration, expected: Duration) {
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(1e-4);
+        self.attempts.forecast_ratio.observe(ratio);
+    }
+
     pub(super) fn count_limited_attempt(&self, is_extra: bool) {
         let kind = if is_extra { "extra" } else { "first" };
         self.attempts.limited.with_label_values(&[kind]).inc();
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -252,6 +252,7 @@
         };
         let tolerance = gateway.options.cold_tolerance;
         gateway.placement.set_cold_tolerance(tolerance);
+        gateway.placement.set_policy(gateway.options.placement);
         gateway.register_listeners()?;
         Ok(gateway)
     }
--- a/src/geraniummount/edge/gateway/options.rs
+++ b/src/geraniummount/edge/gateway/options.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use crate::core::placement::Start;
+use crate::core::placement::{Policy, Start};
 use crate::core::tolerance::Tolerance;
 use crate::prelude::*;
 
@@ -54,6 +54,8 @@
     pub quota_tolerance: Tolerance,
     /// By how much the limits on cold leaves may be exceeded.
     pub cold_tolerance: Tolerance,
+    /// By what leaves are chosen.
+    pub placement: Policy,
     /// Processor share of this VM, by which VMs pass queries to stronger ones.
     pub millicores: Millicores,
     /// Memory of this VM in bytes; `None` if it is not known.
--- a/src/geraniummount/edge/gateway/pool.rs
+++ b/src/geraniummount/edge/gateway/pool.rs
@@ -15,6 +15,7 @@
 use super::timers::Timer;
 use crate::core::call::Reply;
 use crate::core::connection_share::ConnectionShare;
+use crate::core::cost::Load;
 use crate::core::instance::Instance;
 use crate::core::placement::{LimitChange, NamedLimit, Notice, ReplicaKey, UNREGISTERED_GRACE};
 use crate::core::route::Table;
@@ -177,6 +178,14 @@
         }
     }
 
+    /// Applies the load that a leaf reports, if it does.
+    pub(super) fn apply_load(&mut self, key: ReplicaKey, load: Option<Load>) {
+        if let (Ok(index), Some(load)) = (self.search_pool(key), load) {
+            let service = &self.pools[index].service;
+            self.placement.on_load(service, key, load, self.now);
+        }
+    }
+
     /// Applies the limit that a leaf names in the response to a request that was sent at `sent_at`,
     /// or that it names none. When a limit begins, the attempts that wait for a connection are
     /// passed back to their calls, as they were chosen without it.
--- a/src/geraniummount/ops/settings/gateway.rs
+++ b/src/geraniummount/ops/settings/gateway.rs
@@ -13,7 +13,7 @@
 use super::limits::{DEFAULT_MAX_REPLY_BYTES, MAX_REPLY_BYTES};
 use super::section::Section;
 use super::{Log, load_text, reject_unknown_sections};
-use crate::core::placement::Start;
+use crate::core::placement::{Policy, Start};
 use crate::core::tolerance::Tolerance;
 use crate::edge::gateway::Options;
 use crate::prelude::*;
@@ -103,6 +103,7 @@
             quota_window: bounds.quota_window,
             quota_tolerance: bounds.quota_tolerance,
             cold_tolerance: bounds.cold_tolerance,
+            placement: gateway.placement,
             memory_bytes: limits.memory_bytes,
             max_descriptors: limits.max_descriptors,
         },
@@ -133,6 +134,8 @@
     source: Option<IpAddr>,
     /// Regions of the failure domains, sorted by domain.
     regions: Vec<(DomainName, RegionName)>,
+    /// By what leaves are chosen.
+    placement: Policy,
     /// Processor share.
     millicores: Millicores,
 }
@@ -149,6 +152,7 @@
             "peer_listen",
             "source",
             "regions",
+            "placement",
             "processor_share",
         ]);
         let name = section.name("name");
@@ -160,6 +164,7 @@
         let peer_listen = section.optional_target("peer_listen");
         let source = section.optional_ip("source");
         let regions = section.pairs("regions");
+        let placement = section.choice("placement", Policy::Latency, &["latency", "cost"]);
         let cores = section.decimal("processor_share", 0.0, 0.0..=MAX_CORES);
         Some(GatewaySection {
             name: name?,
@@ -174,6 +179,7 @@
             peer_listen: peer_listen?,
             source: source?,
             regions: regions?,
+            placement: placement?,
             millicores: (cores? * f64::from(MILLICORES_PER_CORE)).round() as Millicores,
         })
     }
--- a/src/geraniummount/platform/headers.rs
+++ b/src/geraniummount/platform/headers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::core::call::{self, Reply};
+use crate::core::cost::Load;
 use crate::core::placement::{NamedLimit, Notice};
 use crate::core::tenant::{Credential, KeyDigest};
 use crate::prelude::*;
@@ -32,6 +33,9 @@
 /// Number of requests per second, with fractions, that a leaf short of capacity takes from all VMs
 /// together, for as long as its responses state it.
 const LIMIT: &str = "Server-Limit";
+/// Load of a leaf: requests that run, requests that wait, slots and, optionally, how long work takes
+/// in percent of the usual time, separated by commas.
+const LOAD: &str = "Server-Load";
 /// Time in milliseconds for which a leaf stays cold, in its response to a health request.
 const WARM_UP_LEFT_MS: &str = "Warmup-Ms";
 /// Delay in seconds, with fractions, after which a caller may retry. In a leaf's response with
@@ -55,6 +59,9 @@
 /// Status of a leaf that received a request meant for another leaf instance.
 const MISDIRECTED_STATUS: u16 = 421;
 
+/// Pace of a leaf that does not report it.
+const USUAL_PACE_PERCENT: u32 = 100;
+
 /// Fields of a caller's request that the gateway interprets.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CallerFields {
@@ -151,6 +158,27 @@
     }
 }
 
+/// Reads the load that a leaf reports. One that is malformed, has no slots or has a
+/// pace of zero is ignored.
+pub fn read_load(head: &Head) -> Option<Load> {
+    let text = h1::field_text(&head.fields, LOAD)?;
+    let mut numbers = [0, 0, 0, USUAL_PACE_PERCENT];
+    let parts: Vec<&str> = text.split(',').take(numbers.len() + 1).collect();
+    if !(3..=numbers.len()).contains(&parts.len()) {
+        return None;
+    }
+    for (number, part) in numbers.iter_mut().zip(parts) {
+        *number = bounded::parse_count(part)?;
+    }
+    let [running, waiting, slots, pace_percent] = numbers;
+    (slots > 0 && pace_percent > 0).then_some(Load {
+        running,
+        waiting,
+        slots,
+        pace_percent,
+    })
+}
+
 /// Reads the ID of the leaf instance that has responded to a health request, if the response names
 /// one.
 pub fn read_leaf_id(head: &Head) -> Option<&str> {
--- a/src/geraniummount/util/bounded.rs
+++ b/src/geraniummount/util/bounded.rs
@@ -56,6 +56,12 @@
     parse_whole(text).map(millis)
 }
 
+/// Parses a count, at most [`MAX_COUNT`]; `None` if the text is not a whole number.
+pub fn parse_count(text: &str) -> Option<u32> {
+    let count = parse_whole(text)?.min(u64::from(MAX_COUNT));
+    u32::try_from(count).ok()
+}
+
 /// Parses a whole number; the greatest one stands for a number that is too large.
 fn parse_whole(text: &str) -> Option<u64> {
     let text = text.trim();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,8 @@
 mod control_ownership;
 mod control_store;
 mod control_validation;
+mod cost;
+mod cost_replay;
 mod crashes;
 mod delegation;
 mod delegation_fleet;
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -7,7 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use geraniummount::core::placement::Start;
+use geraniummount::core::placement::{Policy, Start};
 use geraniummount::edge::gateway::{Gateway, Options, Sender, Update};
 use geraniummount_test_support::platform::users::caller::{Reply, Request};
 use geraniummount_test_support::platform::users::document::{self, Gather};
@@ -119,6 +119,7 @@
             quota_window: Options::DEFAULT_QUOTA_WINDOW,
             quota_tolerance: Options::DEFAULT_QUOTA_TOLERANCE,
             cold_tolerance: Options::DEFAULT_COLD_TOLERANCE,
+            placement: Policy::Latency,
             millicores: 0,
             memory_bytes: None,
             max_descriptors: None,
--- a/tests/testsuite/platform/formats.rs
+++ b/tests/testsuite/platform/formats.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use geraniummount::core::cost::Load;
 use geraniummount::core::placement::NamedLimit;
 use geraniummount::core::route::{Repeat, Target};
 use geraniummount::platform::{document, headers, registration, vm_rate};
+use geraniummount::util::bounded;
 use geraniummount::util::h1::{Head, Parsed};
 use serde_json::{Value, json};
 
@@ -232,6 +234,43 @@
     }
 }
 
+/// Guards against malformed or absurd loads that are taken for real ones.
+#[test]
+fn platform_formats_loads_are_read_from_the_heads_of_responses() {
+    let load = |running, waiting, slots, pace_percent| {
+        Some(Load {
+            running,
+            waiting,
+            slots,
+            pace_percent,
+        })
+    };
+    let cases = [
+        ("", None),
+        ("Server-Load: 1,2,3\r\n", load(1, 2, 3, 100)),
+        ("server-load:  1, 0 ,4 , 250\r\n", load(1, 0, 4, 250)),
+        (
+            "Server-Load: 99999999999999999999,0,1\r\n",
+            load(bounded::MAX_COUNT, 0, 1, 100),
+        ),
+        ("Server-Load: 1,2\r\n", None),
+        ("Server-Load: 1,2,3,4,5\r\n", None),
+        ("Server-Load: 1,2,0\r\n", None),
+        ("Server-Load: 1,2,3,0\r\n", None),
+        ("Server-Load: 1,2,3,\r\n", None),
+        ("Server-Load: -1,2,3\r\n", None),
+        ("Server-Load: 1.5,2,3\r\n", None),
+        ("Server-Load: \u{fffd}\r\n", None),
+    ];
+    for (field, expected) in cases {
+        let text = format!("HTTP/1.1 200 OK\r\n{field}Content-Length: 0\r\n\r\n");
+        let Ok(Parsed::Complete(head, _)) = Head::parse(text.as_bytes(), false) else {
+            panic!("{field:?} is a head");
+        };
+        assert_eq!(headers::read_load(&head), expected, "{field:?}");
+    }
+}
+
 #[test]
 fn platform_formats_rates_of_vms_are_read_as_written() {
     assert_eq!(vm_rate::read(&vm_rate::write(13.25)), Some(13.25));
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use geraniummount::core::placement::Policy;
 use geraniummount::ops::settings::{Gateway as GatewaySettings, Settings};
 
 const GOOD: &str = "\
@@ -175,12 +176,13 @@
     );
     let text = text.replace(
         "failure_domain = eu-a",
-        "failure_domain = eu-a\nregions = us-a=us, eu-b=eu,eu-a=eu,",
+        "failure_domain = eu-a\nplacement = cost\nregions = us-a=us, eu-b=eu,eu-a=eu,",
     );
     let options = GatewaySettings::parse("file.ini", &text).unwrap().options;
     let regions = [("eu-a", "eu"), ("eu-b", "eu"), ("us-a", "us")];
     let regions = regions.map(|(domain, region)| (domain.to_string(), region.to_string()));
     assert_eq!(options.regions, regions);
+    assert_eq!(options.placement, Policy::Cost);
     assert_eq!(options.revoke, Some(Duration::from_secs(4)));
     assert_eq!(options.evacuate, Duration::from_millis(2_500));
     assert_eq!(options.quota_window, Duration::from_millis(2_500));
@@ -196,6 +198,7 @@
 #[test]
 fn settings_of_a_gateway_without_them_leave_the_defaults() {
     let options = GatewaySettings::parse("file.ini", GATEWAY).unwrap().options;
+    assert_eq!(options.placement, Policy::Latency);
     assert!(options.regions.is_empty());
     assert_eq!(options.revoke, None);
     assert_eq!(options.evacuate, Duration::from_secs(5));
