Keep a leaf's slots for placement by cost up to date

Cause: the slots were taken from the first registration of a run, and a later registration of the same run may state others.

Change: each registration sets them.

Result: tests of cost, call, placement, settings, log lines, formats, limits and cold leaves pass (79). No test covers the change itself.

--- a/src/geraniummount/core/placement/group.rs
+++ b/src/geraniummount/core/placement/group.rs
@@ -141,6 +141,7 @@
         let is_same_run = |replica: &&mut Replica| replica.is_run_of(&instance);
         if let Some(known) = self.replicas.iter_mut().find(is_same_run) {
             known.unregistered_since = None;
+            known.work.set_slots(instance.slots);
             known.register(instance, now);
             return false;
         }
--- a/src/geraniummount/core/placement/work.rs
+++ b/src/geraniummount/core/placement/work.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Sets the number of slots that the leaf has registered.
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     pub(super) fn on_load(&mut self, load: Load, now: Instant) {
         self.report = Some(Report::new(load, self.open.len(), now));
     }
