Count for a domain sooner after a restart, with a start allowance

After a restart of all VMs, nobody had tokens for 1.5 s, and nobody counted for 0.65 s. Each restarted VM now passes on the time for which it waits for its portion, once. A counting VM that has itself just started accrues tokens for it, at a quarter of what the bound tolerates for the whole wait of all VMs. Loans are asked for each 250 ms, so a VM counts 325 ms after its start.

--- a/src/geraniummount/core/quota/bucket.rs
+++ b/src/geraniummount/core/quota/bucket.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::LOAN_TIME;
 use super::share::Share;
 use crate::core::boot_time::BootTime;
 use crate::core::tenant::Quota;
@@ -11,6 +12,10 @@
 /// The rest covers requests that wait for their tokens, and spare tokens.
 const RESERVE_SHARE: f64 = 0.5;
 
+/// Share of what the bound tolerates beyond the quota that accrues while all VMs wait for their
+/// portions after a restart. It is within the half that [`RESERVE_SHARE`] leaves.
+const START_SHARE: f64 = 0.25;
+
 /// Share of a bucket below which tokens are asked of other domains, before it is empty.
 const LOW_SHARE: f64 = 0.5;
 
@@ -48,12 +53,16 @@
     quota: Quota,
     /// Maximum number of tokens for the whole quota.
     capacity: f64,
+    /// Tokens that accrue for each second for which all VMs wait for their portions.
+    start_rate: f64,
     tokens: f64,
     /// Parts of tokens of a portion so small that its bucket never holds a whole one. They add up
     /// from a random start, so that over all VMs no more is granted than accrues.
     carry: f64,
     /// Total of the share up to which tokens have accrued.
     accrued: f64,
+    /// Sum of the waits of restarted VMs up to which tokens have accrued.
+    start_accrued: f64,
     /// Tokens asked for recently, whether granted or not, each weighted by its age.
     demand: f64,
     /// Spare tokens granted recently, each weighted by its age.
@@ -70,9 +79,11 @@
             tenant,
             quota,
             capacity: reserve.capacity(quota),
+            start_rate: reserve.start_rate(quota),
             tokens: 0.0,
             carry,
             accrued: 0.0,
+            start_accrued: 0.0,
             demand: 0.0,
             spare: 0.0,
             last_asker: None,
@@ -85,6 +96,7 @@
         self.settle(share);
         self.quota = quota;
         self.capacity = reserve.capacity(quota);
+        self.start_rate = reserve.start_rate(quota);
         self.settle(share);
     }
 
@@ -97,6 +109,7 @@
     /// Starts to accrue tokens from now on.
     pub(super) fn start(&mut self, share: &Share) {
         self.accrued = share.total();
+        self.start_accrued = share.start_total();
     }
 
     /// Adds the tokens that have accrued, and removes those beyond the present capacity. Has to be
@@ -104,8 +117,10 @@
     pub(super) fn settle(&mut self, share: &Share) {
         let seconds = share.total() - self.accrued;
         self.accrued = share.total();
-        let tokens = self.tokens + self.quota.per_second * seconds.max(0.0);
-        self.tokens = tokens.min(self.max_tokens(share));
+        let started = share.start_total() - self.start_accrued;
+        self.start_accrued = share.start_total();
+        let accrued = self.quota.per_second * seconds.max(0.0) + self.start_rate * started;
+        self.tokens = (self.tokens + accrued).min(self.max_tokens(share));
     }
 
     /// Records that a token is asked for.
@@ -190,15 +205,25 @@
     }
 
     fn max_tokens(&self, share: &Share) -> f64 {
-        self.capacity * share.current()
+        let start = self.start_rate * share.start_kept();
+        start.max(self.capacity * share.current())
     }
 }
 
 impl Reserve {
     /// Returns how many tokens all buckets of a tenant hold together.
     fn capacity(&self, quota: Quota) -> f64 {
+        quota.burst + RESERVE_SHARE * self.tolerated(quota)
+    }
+
+    /// Returns how many tokens of a tenant accrue for each second for which all VMs wait.
+    fn start_rate(&self, quota: Quota) -> f64 {
+        START_SHARE * self.tolerated(quota) / LOAN_TIME.as_secs_f64()
+    }
+
+    /// Returns how many requests the bound tolerates beyond a quota.
+    fn tolerated(&self, quota: Quota) -> f64 {
         let allowed = quota.per_second * self.window.as_secs_f64() + quota.burst;
-        let tolerated = allowed * self.tolerance.share + self.tolerance.requests;
-        quota.burst + RESERVE_SHARE * tolerated
+        allowed * self.tolerance.share + self.tolerance.requests
     }
 }
--- a/src/geraniummount/core/quota/claim.rs
+++ b/src/geraniummount/core/quota/claim.rs
@@ -28,6 +28,8 @@
     /// When a new VM was seen last.
     grown_at: BootTime,
     from: Option<BootTime>,
+    /// Time up to which the wait for the portion was taken with [`Claim::take_start`].
+    taken_until: BootTime,
 }
 
 impl Claim {
@@ -40,9 +42,27 @@
             registered_at: None,
             grown_at: now,
             from: None,
+            taken_until: now,
         }
     }
 
+    /// Returns whether a restarted process still waits for the loans of the process before to end.
+    pub(super) fn is_starting(&self, now: BootTime) -> bool {
+        self.is_restart && now < self.started_at.saturating_add(LOAN_TIME)
+    }
+
+    /// Takes the time for which a restarted process has waited for its portion, in seconds. Each
+    /// moment of it is returned once.
+    pub(super) fn take_start(&mut self, now: BootTime) -> f64 {
+        if !self.is_restart {
+            return 0.0;
+        }
+        let until = now.min(self.started_at.saturating_add(LOAN_TIME));
+        let waited = until.saturating_duration_since(self.taken_until);
+        self.taken_until = self.taken_until.max(until);
+        waited.as_secs_f64()
+    }
+
     /// Takes in a list of registered VMs; returns from when this VM has a portion.
     ///
     /// A VM that was registered before it started is a new process of a VM that others count
--- a/src/geraniummount/core/quota/lending.rs
+++ b/src/geraniummount/core/quota/lending.rs
@@ -10,15 +10,15 @@
 use crate::core::boot_time::BootTime;
 use crate::prelude::*;
 
-/// Interval between two questions of the counting VM to each VM of its domain. Two may be lost
+/// Interval between two questions of the counting VM to each VM of its domain. Four may be lost
 /// before a loan ends.
-const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after the last question for a loan in which a VM does not begin to count.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
 
 /// Time after its start in which a VM does not begin to count. A VM that counts asks it before.
-pub(super) const START_DELAY: Duration = Duration::from_millis(650);
+pub(super) const START_DELAY: Duration = Duration::from_millis(325);
 
 /// Time after the counting VM has begun to stop before the next one begins to count. Its messages
 /// to all others arrive meanwhile.
@@ -147,6 +147,7 @@
             let message = Message::Release { is_stopping };
             self.send(loan.lender, loan.question, message);
         }
+        self.share.end_start();
         self.settle_all();
         self.refuse_takers();
     }
@@ -160,7 +161,7 @@
         if self.round.is_some() && rank < self.census.own_rank() {
             self.stop_counting();
         }
-        let mut portion = 0.0;
+        let (mut portion, mut start) = (0.0, 0.0);
         if self.round.is_none() {
             self.asked_by = Some(Asked {
                 by: from.clone(),
@@ -170,8 +171,9 @@
             if self.may_lend_to(from, now) {
                 portion = self.lend(from, id, now);
             }
+            start = self.claim.take_start(now) * self.share.own();
         }
-        self.send(from.clone(), id, Message::Loan { portion });
+        self.send(from.clone(), id, Message::Loan { portion, start });
     }
 
     fn may_lend_to(&self, vm: &VmName, now: BootTime) -> bool {
@@ -195,7 +197,13 @@
 
     /// Takes in the portion of another VM. It may be used from now on, until a time that is counted
     /// from the question.
-    pub(super) fn on_loan(&mut self, from: &VmName, id: u64, portion: f64, now: BootTime) {
+    pub(super) fn on_loan(
+        &mut self,
+        from: &VmName,
+        id: u64,
+        (portion, start): (f64, f64),
+        now: BootTime,
+    ) {
         let Some(round) = &mut self.round else {
             return;
         };
@@ -205,6 +213,9 @@
         };
         let (.., asked_at) = round.open.swap_remove(index);
         let until = asked_at.saturating_add(LOAN_TIME);
+        if start.is_finite() && start > 0.0 && until > now {
+            self.add_start(start.min(LOAN_TIME.as_secs_f64() * self.share.own()), now);
+        }
         let is_portion = portion.is_finite() && portion > 0.0;
         if is_portion && until > now {
             self.share.add(Loan {
@@ -217,6 +228,22 @@
         }
     }
 
+    /// Adds the wait of this VM for its portion since its start, if it counts.
+    pub(super) fn add_own_start(&mut self, now: BootTime) {
+        if self.round.is_some() {
+            let seconds = self.claim.take_start(now) * self.share.own();
+            self.add_start(seconds, now);
+        }
+    }
+
+    /// Adds the wait of a VM for its portion, in seconds of the whole quota. A process that does
+    /// not wait itself discards it: it has counted before, so the domain's tokens are not lost.
+    fn add_start(&mut self, seconds: f64, now: BootTime) {
+        if self.claim.is_starting(now) && seconds > 0.0 {
+            self.share.add_start(seconds, now.saturating_add(LOAN_TIME));
+        }
+    }
+
     /// Uses this VM's portion again, which its borrower has given back.
     pub(super) fn on_release(&mut self, from: &VmName, id: u64, is_stopping: bool, now: BootTime) {
         let is_it = |lent: &Lent| lent.to == *from && lent.question == id && lent.until > now;
--- a/src/geraniummount/core/quota/message.rs
+++ b/src/geraniummount/core/quota/message.rs
@@ -14,6 +14,10 @@
     Loan {
         /// Share of the quotas, from 0 to 1; 0 if the VM lends nothing.
         portion: f64,
+        /// Time since the lender's start for which it has used no portion and has not stated this
+        /// yet, in seconds of the whole quota; 0 in answers of builds that do not state it.
+        #[serde(default)]
+        start: f64,
     },
     /// Ends the loan with which the question of the same number was answered.
     Release {
--- a/src/geraniummount/core/quota/mod.rs
+++ b/src/geraniummount/core/quota/mod.rs
@@ -238,7 +238,7 @@
         self.observe(now);
         match message {
             Message::AskLoan => self.on_ask_loan(from, id, now),
-            Message::Loan { portion } => self.on_loan(from, id, portion, now),
+            Message::Loan { portion, start } => self.on_loan(from, id, (portion, start), now),
             Message::Release { is_stopping } => self.on_release(from, id, is_stopping, now),
             Message::AskToken { tenant } => self.on_ask_token(from, id, &tenant, now),
             Message::Token { granted, wait_ms } => self.on_token(id, granted, wait_ms, now),
@@ -325,6 +325,7 @@
         let own = 1.0 / self.census.count(now) as f64;
         let is_less = own < self.share.own();
         self.share.set_own(own);
+        self.add_own_start(now);
         self.relearn_after_freeze(now);
         if has_lost || is_less {
             self.settle_all();
