Grant one token for a question that is asked again

A VM that had no answer after 30 ms asked with a new number, and the counting VM took a second token, which was lost. The number now stays the same for the same VM, and the counting VM repeats its grant for 300 ms.

--- a/src/geraniummount/core/quota/asking.rs
+++ b/src/geraniummount/core/quota/asking.rs
@@ -41,8 +41,7 @@
 pub(super) struct Waiter {
     ticket: Ticket,
     tenant: TenantName,
-    /// Numbers and times of the questions.
-    questions: Vec<(u64, BootTime)>,
+    questions: Vec<Question>,
     /// VM that was named as the counting one.
     named: Option<VmName>,
     /// Number of questions after which the wait ends. A VM that names another one does not use up
@@ -52,6 +51,16 @@
     pub(super) next_at: BootTime,
 }
 
+/// A question for a token.
+#[derive(Clone, Debug)]
+struct Question {
+    /// Number, which is the same each time the same VM is asked. So a question that is asked again
+    /// because the answer is late takes no second token.
+    id: u64,
+    to: VmName,
+    at: BootTime,
+}
+
 /// Tokens for the next requests of a tenant.
 #[derive(Debug)]
 pub(super) struct Spare {
@@ -89,8 +98,17 @@
             return false;
         };
         let tenant = waiter.tenant.clone();
-        let id = self.ask(vm, Message::AskToken { tenant });
-        waiter.questions.push((id, now));
+        let message = Message::AskToken { tenant };
+        let earlier = waiter.questions.iter().find(|question| question.to == vm);
+        let id = match earlier.map(|question| question.id) {
+            Some(id) => {
+                self.send(vm.clone(), id, message);
+                id
+            }
+            None => self.ask(vm.clone(), message),
+        };
+        let (to, at) = (vm, now);
+        waiter.questions.push(Question { id, to, at });
         let is_last = asked + 1 >= waiter.max_questions;
         let wait = if is_last {
             LAST_ANSWER_TIME
@@ -177,7 +195,7 @@
         counter: Option<&VmName>,
         now: BootTime,
     ) {
-        let is_asked = |waiter: &Waiter| waiter.questions.iter().any(|(number, _)| *number == id);
+        let is_asked = |waiter: &Waiter| waiter.questions.iter().any(|question| question.id == id);
         let waiter = self.waiters.iter_mut().find(|waiter| is_asked(waiter));
         if let (Some(waiter), Some(vm)) = (waiter, counter) {
             waiter.named = Some(vm.clone());
@@ -187,16 +205,17 @@
     }
 
     fn remove_waiter(&mut self, id: u64) -> Option<(Waiter, BootTime)> {
-        let question = |waiter: &Waiter| {
+        let asked_at = |waiter: &Waiter| {
             let mut questions = waiter.questions.iter();
-            questions.find(|(number, _)| *number == id).copied()
+            let question = questions.find(|question| question.id == id);
+            question.map(|question| question.at)
         };
         let index = self
             .waiters
             .iter()
-            .position(|waiter| question(waiter).is_some())?;
+            .position(|waiter| asked_at(waiter).is_some())?;
         let waiter = self.waiters.swap_remove(index);
-        let (_, asked_at) = question(&waiter)?;
+        let asked_at = asked_at(&waiter)?;
         Some((waiter, asked_at))
     }
 
--- a/src/geraniummount/core/quota/granting.rs
+++ b/src/geraniummount/core/quota/granting.rs
@@ -16,6 +16,20 @@
 /// Wait that is stated if it is not known when there will be a token.
 pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for which a grant is repeated if its question is asked again. The VM that asks uses no
+/// later answer.
+const REPEAT_TIME: Duration = Duration::from_millis(300);
+
+/// Tokens granted to another VM.
+#[derive(Debug)]
+pub(super) struct Grant {
+    to: VmName,
+    /// Number of the question.
+    id: u64,
+    count: u32,
+    at: BootTime,
+}
+
 /// A request that waits for a token at the counting VM.
 #[derive(Debug)]
 pub(super) struct Taker {
@@ -39,6 +53,9 @@
             let counter = self.counter(now).cloned();
             return self.send(from.clone(), id, Message::NotCounting { counter });
         }
+        if self.is_repeated(from, id, now) {
+            return;
+        }
         let Some(index) = self.bucket_index(tenant) else {
             // The other VM has another version of the configuration in force.
             return self.send_token(from.clone(), id, 1, Duration::ZERO);
@@ -48,12 +65,41 @@
         bucket.record_demand(now);
         if bucket.take(&self.share) {
             let spare = bucket.take_spare(from, &self.share, now);
-            self.send_token(from.clone(), id, 1 + spare, Duration::ZERO);
+            self.grant(from.clone(), id, 1 + spare, now);
             return self.ask_if_low(index, now);
         }
         self.queue(index, Origin::Vm(from.clone(), id), now);
     }
 
+    /// Answers a question that is asked again with the tokens granted for it before; returns
+    /// whether it is one, or waits already.
+    fn is_repeated(&mut self, from: &VmName, id: u64, now: BootTime) -> bool {
+        let is_old = |grant: &Grant| now.saturating_duration_since(grant.at) >= REPEAT_TIME;
+        while self.grants.front().is_some_and(is_old) {
+            self.grants.pop_front();
+        }
+        let mut grants = self.grants.iter().rev();
+        if let Some(grant) = grants.find(|grant| grant.id == id && grant.to == *from) {
+            let count = grant.count;
+            self.send_token(from.clone(), id, count, Duration::ZERO);
+            return true;
+        }
+        let is_it =
+            |taker: &Taker| matches!(&taker.origin, Origin::Vm(vm, of) if *of == id && vm == from);
+        self.takers.iter().any(is_it)
+    }
+
+    /// Grants tokens to another VM.
+    fn grant(&mut self, to: VmName, id: u64, count: u32, at: BootTime) {
+        self.grants.push_back(Grant {
+            to: to.clone(),
+            id,
+            count,
+            at,
+        });
+        self.send_token(to, id, count, Duration::ZERO);
+    }
+
     /// Lets a request of this VM wait for a token, or refuses it.
     pub(super) fn queue_own(&mut self, index: usize, now: BootTime) -> Decision {
         let ticket = self.next_ticket();
@@ -88,7 +134,7 @@
     }
 
     /// Grants tokens to the requests that wait for them, in order.
-    pub(super) fn serve_takers(&mut self, index: usize) {
+    pub(super) fn serve_takers(&mut self, index: usize, now: BootTime) {
         let tenant = self.buckets[index].tenant.clone();
         while let Some(place) = self.takers.iter().position(|taker| taker.tenant == tenant) {
             if !self.buckets[index].take(&self.share) {
@@ -96,7 +142,7 @@
             }
             match self.takers.remove(place).origin {
                 Origin::Own(ticket) => self.decide(ticket, Decision::Admitted(Source::Own)),
-                Origin::Vm(vm, id) => self.send_token(vm, id, 1, Duration::ZERO),
+                Origin::Vm(vm, id) => self.grant(vm, id, 1, now),
             }
         }
     }
@@ -120,7 +166,7 @@
         for tenant in tenants {
             if let Some(index) = self.bucket_index(&tenant) {
                 self.buckets[index].settle(&self.share);
-                self.serve_takers(index);
+                self.serve_takers(index, now);
             }
         }
         self.refuse_takers_if(is_due);
--- a/src/geraniummount/core/quota/mod.rs
+++ b/src/geraniummount/core/quota/mod.rs
@@ -29,6 +29,7 @@
 mod share;
 mod transfer;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub use self::action::{Action, Counter, Decision, Source, Ticket};
@@ -38,7 +39,7 @@
 use self::bucket::{Bucket, Reserve};
 use self::census::Census;
 use self::claim::Claim;
-use self::granting::Taker;
+use self::granting::{Grant, Taker};
 use self::lending::{Asked, Lent, Round};
 use self::share::Share;
 use self::transfer::Transfers;
@@ -92,6 +93,8 @@
     spares: Vec<Spare>,
     /// Requests that wait for tokens of other domains.
     takers: Vec<Taker>,
+    /// Recent grants to other VMs, oldest first.
+    grants: VecDeque<Grant>,
     transfers: Transfers,
     last_id: u64,
     last_ticket: Ticket,
@@ -120,6 +123,7 @@
             waiters: Vec::new(),
             spares: Vec::new(),
             takers: Vec::new(),
+            grants: VecDeque::new(),
             transfers: Transfers::default(),
             last_id: setup.seed >> 1,
             last_ticket: 0,
--- a/src/geraniummount/core/quota/transfer.rs
+++ b/src/geraniummount/core/quota/transfer.rs
@@ -205,7 +205,7 @@
         };
         self.buckets[index].settle(&self.share);
         self.buckets[index].receive(given);
-        self.serve_takers(index);
+        self.serve_takers(index, now);
         self.buckets[index].settle(&self.share);
         self.continue_taking(index, now);
     }
