--- a/src/geraniummount/core/quota/mod.rs
+++ b/src/geraniummount/core/quota/mod.rs
@@ -16,7 +16,8 @@
 //! from the time of its question, and that of the lender from the time of its answer, by a clock
 //! that also counts suspension. A bucket holds at most the VM's share of its capacity at that
 //! moment, and starts empty. So in any window, no more requests get tokens than the quota's rate
-//! times the window, and one capacity.
+//! times the window, and one capacity. While all VMs wait for their portions after a restart, a
+//! part of what the bound tolerates accrues, for each VM's wait once ([`claim`]).
 
 mod action;
 mod asking;
@@ -29,6 +30,7 @@
 mod share;
 mod transfer;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 pub use self::action::{Action, Counter, Decision, Source, Ticket};
@@ -38,7 +40,7 @@
 use self::bucket::{Bucket, Reserve};
 use self::census::Census;
 use self::claim::Claim;
-use self::granting::Taker;
+use self::granting::{Grant, Taker};
 use self::lending::{Asked, Lent, Round};
 use self::share::Share;
 use self::transfer::Transfers;
@@ -92,6 +94,8 @@
     spares: Vec<Spare>,
     /// Requests that wait for tokens of other domains.
     takers: Vec<Taker>,
+    /// Recent grants to other VMs, oldest first.
+    grants: VecDeque<Grant>,
     transfers: Transfers,
     last_id: u64,
     last_ticket: Ticket,
@@ -120,6 +124,7 @@
             waiters: Vec::new(),
             spares: Vec::new(),
             takers: Vec::new(),
+            grants: VecDeque::new(),
             transfers: Transfers::default(),
             last_id: setup.seed >> 1,
             last_ticket: 0,
@@ -238,7 +243,7 @@
         self.observe(now);
         match message {
             Message::AskLoan => self.on_ask_loan(from, id, now),
-            Message::Loan { portion } => self.on_loan(from, id, portion, now),
+            Message::Loan { portion, start } => self.on_loan(from, id, (portion, start), now),
             Message::Release { is_stopping } => self.on_release(from, id, is_stopping, now),
             Message::AskToken { tenant } => self.on_ask_token(from, id, &tenant, now),
             Message::Token { granted, wait_ms } => self.on_token(id, granted, wait_ms, now),
@@ -325,6 +330,7 @@
         let own = 1.0 / self.census.count(now) as f64;
         let is_less = own < self.share.own();
         self.share.set_own(own);
+        self.add_own_start(now);
         self.relearn_after_freeze(now);
         if has_lost || is_less {
             self.settle_all();
