Key lease: read the store less often

Cause: a read whose revision the watch had not reached yet was followed by a read of the whole configuration at once, each VM read the store as soon as two others had not helped, as while a new version comes into force, and reads that the store turned away were repeated by the rounds and the questions of others.

Change: the configuration is read only once the newest confirmation is 0.4 of the lease old; VMs other than the first two of their domain read the store from 0.6 on, after a VM of another domain was asked; reads that fail are followed by a pause of 0.5 s, doubling to 2 s, which ends when the store answers; nothing is read before all keys are.

--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -6,11 +6,13 @@
 pub mod caller;
 mod crashing_leaves;
 pub mod document;
+mod entrance;
 mod leaf;
 mod leases;
 mod server;
 mod store;
 
 pub use self::crashing_leaves::CrashingLeaves;
+pub use self::entrance::Entrance;
 pub use self::leaf::{Answer, Framing, Leaf, Run, signature};
 pub use self::store::{Backup, Store, WatchDelivery};
--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -13,6 +13,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
+use super::entrance::Entrance;
 use super::leases::Leases;
 use super::server::Server;
 use crate::http::{Connection, Request, Response};
@@ -52,8 +53,8 @@
     /// Status with which every call fails, during an outage.
     error_status: Option<u16>,
     calls: u64,
-    /// Reads of ranges that have to be current.
-    current_reads: u64,
+    /// Number of reads of ranges that have to be current, by prefix.
+    current_reads: BTreeMap<String, u64>,
 }
 
 /// Contents of a store at an earlier moment.
@@ -86,6 +87,12 @@
         self.server.address()
     }
 
+    /// Opens a further address of the store, which may turn away whoever uses it.
+    pub fn open_entrance(&self) -> Entrance {
+        let shared = Arc::clone(&self.state);
+        Entrance::start(move |request| answer(&shared, request))
+    }
+
     /// Writes a key.
     pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
         let value = value.into();
@@ -161,7 +168,13 @@
 
     /// Returns the number of reads of ranges so far that had to be current.
     pub fn current_reads(&self) -> u64 {
-        self.state.lock().current_reads
+        self.state.lock().current_reads.values().sum()
+    }
+
+    /// Returns the number of reads of the ranges of a prefix so far that had to be current.
+    pub fn current_reads_of(&self, prefix: &str) -> u64 {
+        let state = self.state.lock();
+        state.current_reads.get(prefix).copied().unwrap_or_default()
     }
 
     /// Returns the number of calls so far.
@@ -184,7 +197,10 @@
         state.calls += 1;
         let is_range = request.path() == "/api/kv-range";
         let is_current = request.query_number("allowStale").is_none();
-        state.current_reads += u64::from(is_range && is_current);
+        if is_range && is_current {
+            let prefix = query_text(request, "prefix");
+            *state.current_reads.entry(prefix).or_default() += 1;
+        }
         state.remove_expired();
         (state.error_status, state.era)
     });
@@ -214,7 +230,7 @@
 }
 
 /// Returns a query parameter, empty if it is absent.
-fn query_text(request: &Request, name: &str) -> String {
+pub(super) fn query_text(request: &Request, name: &str) -> String {
     let query = request
         .target
         .split_once('?')
--- a/src/geraniummount/core/key_lease/lease.rs
+++ b/src/geraniummount/core/key_lease/lease.rs
@@ -71,6 +71,12 @@
         !self.pending.is_empty()
     }
 
+    /// Returns whether everything has been read in this era, without which no read of the store's
+    /// revision counts.
+    pub fn is_complete(&self) -> bool {
+        self.applied.is_some()
+    }
+
     /// Returns the newest era of the store that is known.
     pub fn era(&self) -> Era {
         self.era
--- a/src/geraniummount/core/key_lease/renewal.rs
+++ b/src/geraniummount/core/key_lease/renewal.rs
@@ -3,6 +3,10 @@
 //! A call on the store by each VM would cost some seven times as much as one by a VM of each failure
 //! domain, so all VMs of a domain ask the same one first. Its place in the order follows from a hash
 //! of its name, so that no VM has to be chosen.
+//!
+//! A VM that is not among the first of its domain reads the store only once the lease has become
+//! short. While a new version of the configuration comes into force, VMs of different versions can't
+//! confirm anything for each other, and most often this is over before the lease is.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,6 +18,10 @@
 /// Share of the lease after which it is renewed, so that there is time for several attempts.
 const RENEWAL_SHARE: f64 = 0.3;
 
+/// Share of the lease after which each VM reads the store if no other VM helps. A read and another
+/// one after a pause fit into the rest.
+const OWN_READ_SHARE: f64 = 0.6;
+
 /// Time in which a VM has to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -46,6 +54,8 @@
     own_domain: DomainName,
     /// Age of a confirmation from which on it is renewed.
     renew_after: Duration,
+    /// Age of a confirmation from which on each VM reads the store if no other VM helps.
+    own_read_after: Duration,
     /// Sources that have not been used in this round; `None` between two rounds.
     round: Option<VecDeque<Step>>,
     /// Source that is in use, and until when its answer is awaited.
@@ -67,6 +77,7 @@
             own_name: own_name.into(),
             own_domain: own_domain.into(),
             renew_after: duration.mul_f64(RENEWAL_SHARE),
+            own_read_after: duration.mul_f64(OWN_READ_SHARE),
             round: None,
             open: None,
             pause_until: None,
@@ -96,15 +107,18 @@
         }
         self.open = None;
         self.pause_until = None;
+        let own_read_at = newest.map(|began| began.saturating_add(self.own_read_after));
+        let own_read_at = own_read_at.filter(|at| now < *at);
         let (name, domain) = (self.own_name.as_str(), self.own_domain.as_str());
         let round = self
             .round
-            .get_or_insert_with(|| sources(name, domain, peers));
+            .get_or_insert_with(|| sources(name, domain, peers, own_read_at.is_none()));
         let Some(step) = round.pop_front() else {
             self.round = None;
             let doublings = self.failures.min(MAX_DOUBLINGS);
             self.failures += 1;
-            self.pause_until = Some(now.saturating_add(INITIAL_BACKOFF * (1 << doublings)));
+            let pause_until = now.saturating_add(INITIAL_BACKOFF * (1 << doublings));
+            self.pause_until = Some(own_read_at.map_or(pause_until, |at| at.min(pause_until)));
             return None;
         };
         let timeout = match step {
@@ -135,12 +149,14 @@
 }
 
 /// Returns the sources of one round in order: the VMs that all VMs of the own failure domain ask
-/// first, the store, and one VM of another failure domain, which may reach the store when none of
-/// the own domain does. A VM reads the store in place of asking itself.
+/// first, one VM of another failure domain, which may reach the store when none of the own domain
+/// does, and the store if `reads_store`. A VM that is among the first reads the store in place of
+/// asking itself.
 fn sources<'a>(
     own_name: &str,
     own_domain: &str,
     peers: impl Iterator<Item = (&'a str, &'a str)>,
+    reads_store: bool,
 ) -> VecDeque<Step> {
     let mut peers: Vec<(&str, &str)> = peers.collect();
     peers.push((own_name, own_domain));
@@ -160,10 +176,10 @@
             steps.push_back(Step::Ask(name.to_string()));
         }
     }
-    if !steps.contains(&Step::Read) {
-        steps.push_back(Step::Read);
-    }
     let far = far.first().map(|(name, _)| Step::Ask(name.to_string()));
     steps.extend(far);
+    if reads_store && !steps.contains(&Step::Read) {
+        steps.push_back(Step::Read);
+    }
     steps
 }
--- a/src/geraniummount/core/key_lease/responder.rs
+++ b/src/geraniummount/core/key_lease/responder.rs
@@ -12,6 +12,13 @@
 /// Time after which a question is answered with what is known. The VM that asks waits for 100 ms.
 const ANSWER_TIME: Duration = Duration::from_millis(70);
 
+/// Pause after a read of the store that failed; doubles with each further failure. A call is paid
+/// for also if the store turns it away.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Maximum number of times that the pause doubles, up to 2 s.
+const MAX_DOUBLINGS: u32 = 2;
+
 /// A question of another VM that waits for its answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Question {
@@ -31,6 +38,10 @@
     read_at: Option<BootTime>,
     /// Whether that read has no answer yet.
     is_reading: bool,
+    /// Number of reads that have failed since the last one that was answered.
+    failures: u32,
+    /// Until when the store is not read; `None` if the last read was answered.
+    pause_until: Option<BootTime>,
 }
 
 impl Responder {
@@ -51,9 +62,16 @@
         !self.waiting.is_empty() && !newest.is_some_and(is_recent) && !has_read
     }
 
-    /// Records that a read of the store is begun; returns whether none is under way.
+    /// Returns whether the store has turned a read away, or not answered it, so recently that it is
+    /// not read now.
+    pub fn is_pausing(&self, now: BootTime) -> bool {
+        self.pause_until.is_some_and(|until| now < until)
+    }
+
+    /// Records that a read of the store is begun; returns whether none is under way, and none has
+    /// failed recently.
     pub fn begin_read(&mut self, now: BootTime) -> bool {
-        if self.is_reading {
+        if self.is_reading || self.is_pausing(now) {
             return false;
         }
         self.is_reading = true;
@@ -66,6 +84,19 @@
         self.is_reading = false;
     }
 
+    /// Records that the store has answered a call.
+    pub fn on_answered(&mut self) {
+        self.failures = 0;
+        self.pause_until = None;
+    }
+
+    /// Records that the store has turned a read away, or not answered it.
+    pub fn on_failure(&mut self, now: BootTime) {
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.pause_until = Some(now.saturating_add(INITIAL_BACKOFF * (1 << doublings)));
+    }
+
     /// Takes the questions that are answered now: all if the newest confirmation is recent or no
     /// read is under way that may give one, otherwise those that have waited too long.
     /// `is_pending` is whether the answer of a read waits until its revision is in force.
--- a/src/geraniummount/edge/gateway/key_lease/mod.rs
+++ b/src/geraniummount/edge/gateway/key_lease/mod.rs
@@ -3,8 +3,10 @@
 
 //!
 //! The store's revision is read first, with an answer of some bytes. If the changes up to it are not
-//! in force, the watch may be between two calls or hear nothing for a while, or the VM may be behind
-//! ([`StoreSync`]); the configuration itself is then read to see whether it is among these changes.
+//! in force, the watch is most often between two calls and delivers them soon. It may also hear
+//! nothing for a while, or the VM may be behind ([`StoreSync`]). Once the newest confirmation has
+//! reached an age, the configuration itself is therefore read to see whether it is among these
+//! changes.
 //!
 //! [`StoreSync`]: crate::core::store::sync::StoreSync
 
@@ -30,6 +32,10 @@
 /// Maximum number of questions whose answers are awaited. Later answers say less than newer ones.
 const MAX_QUESTIONS: usize = 8;
 
+/// Share of the lease after which the configuration is read if the watch has not delivered the
+/// changes up to the revision that was read. It is before the age at which each VM reads for itself.
+const DOCUMENT_SHARE: f64 = 0.4;
+
 /// What another thread tells about the store.
 #[derive(Clone, Copy, Debug)]
 pub enum Event {
@@ -53,6 +59,11 @@
     lease: Lease,
     renewal: Renewal,
     responder: Responder,
+    /// Age of a confirmation from which on the configuration is read.
+    document_after: Duration,
+    /// Whether the configuration is read at that age, as the changes up to the revision that was
+    /// read were not in force.
+    awaits_watch: bool,
     /// Channel to the thread that reads the store; `None` until it is started.
     reader: Option<mpsc::Sender<Target>>,
     /// Own questions: their numbers, whom they were sent to, and when.
@@ -72,6 +83,8 @@
             lease: Lease::new(duration),
             renewal: Renewal::new(name, domain, duration),
             responder: Responder::default(),
+            document_after: duration.mul_f64(DOCUMENT_SHARE),
+            awaits_watch: false,
             reader: None,
             questions: Vec::new(),
             wake_at: None,
@@ -84,13 +97,37 @@
         self.lease.newest().map(|newest| newest.began)
     }
 
-    /// Lets the thread read the store's revision, unless it is doing so.
+    /// Lets the thread read the store's revision, unless it is doing so, or the watch is about to
+    /// deliver the changes up to the revision that was read last.
     fn read(&mut self, now: BootTime) {
-        if self.responder.begin_read(now) {
+        if !self.awaits_watch && self.responder.begin_read(now) {
             self.send_read(Target::Revision);
         }
     }
 
+    /// Returns when the configuration is read, if the watch has not delivered the changes by then;
+    /// `None` if none are awaited.
+    fn document_at(&self, now: BootTime) -> Option<BootTime> {
+        let at = || Some(self.newest()?.saturating_add(self.document_after));
+        let may_count = self.awaits_watch && self.lease.is_complete();
+        may_count.then(|| at().unwrap_or(now))
+    }
+
+    /// Lets the thread read the configuration, if that is due.
+    fn read_document(&mut self, now: BootTime) {
+        self.awaits_watch &= self.lease.has_pending();
+        let is_due = self.document_at(now).is_some_and(|at| at <= now);
+        if is_due && self.responder.begin_read(now) {
+            self.awaits_watch = false;
+            self.send_read(Target::Document);
+        }
+    }
+
+    /// Returns whether a read of the store would confirm nothing now, or be turned away.
+    fn is_read_in_vain(&self, now: BootTime) -> bool {
+        !self.lease.is_complete() || self.responder.is_pausing(now)
+    }
+
     /// Lets the thread read; a channel that is closed counts as a failed read.
     fn send_read(&mut self, target: Target) {
         let reader = self.reader.as_ref();
@@ -100,13 +137,12 @@
     }
 
     /// Records a read of the store's revision; returns whether a newer confirmation counts now. If
-    /// the changes up to that revision are not in force, the configuration is read.
+    /// the changes up to that revision are not in force, the watch is awaited.
     fn on_revision(&mut self, read: Read) -> bool {
         let is_newer = self.lease.on_read(read);
-        match is_newer || read.era < self.lease.era() {
-            true => self.responder.end_read(),
-            false => self.send_read(Target::Document),
-        }
+        self.responder.end_read();
+        self.responder.on_answered();
+        self.awaits_watch = !is_newer && read.era == self.lease.era();
         is_newer
     }
 }
@@ -166,11 +202,18 @@
             Event::Read(read) => keys.on_revision(read),
             Event::DocumentRead(read) => {
                 keys.responder.end_read();
+                keys.responder.on_answered();
+                keys.lease.on_read(read)
+            }
+            Event::AllRead(read) => {
+                keys.responder.on_answered();
                 keys.lease.on_read(read)
             }
-            Event::AllRead(read) => keys.lease.on_read(read),
             Event::NotRead => {
                 keys.responder.end_read();
+                if let Some(now) = now() {
+                    keys.responder.on_failure(now);
+                }
                 keys.renewal.on_failed(&Step::Read);
                 false
             }
@@ -231,6 +274,9 @@
             return;
         };
         self.log_lease(now);
+        if let Some(keys) = &mut self.keys {
+            keys.read_document(now);
+        }
         if self.routes.has_tenants() {
             while let Some(step) = self.next_step(now) {
                 self.take_step(step, now);
@@ -256,6 +302,7 @@
             return;
         };
         match (step, id) {
+            (Step::Read, _) if keys.is_read_in_vain(now) => keys.renewal.on_failed(&Step::Read),
             (Step::Read, _) => keys.read(now),
             (Step::Ask(peer), Some(id)) => {
                 if keys.questions.len() == MAX_QUESTIONS {
@@ -275,7 +322,7 @@
             return;
         };
         let newest = keys.newest();
-        if keys.responder.needs_read(newest, now) {
+        if keys.responder.needs_read(newest, now) && !keys.is_read_in_vain(now) {
             keys.read(now);
         }
         let is_pending = keys.lease.has_pending();
@@ -297,7 +344,8 @@
             return;
         };
         let renewal_at = has_tenants.then(|| keys.renewal.wake_at(keys.newest(), now));
-        let next = renewal_at.into_iter().chain(keys.responder.wake_at()).min();
+        let times = renewal_at.into_iter().chain(keys.responder.wake_at());
+        let next = times.chain(keys.document_at(now)).min();
         let Some(next) = next else {
             return;
         };
--- a/tests/testsuite/key_lease.rs
+++ b/tests/testsuite/key_lease.rs
@@ -321,3 +321,50 @@
     assert!(responder.needs_read(old, at(10_600)) && responder.begin_read(at(10_600)));
     assert_eq!(responder.take_due(old, false, at(10_670)).len(), 1);
 }
+
+/// The steps of a VM whose confirmations began at 10 s, while all answers are late, with the time in
+/// milliseconds at which the first read of the store is begun.
+fn first_read(own: (&str, &str), peers: &[(&str, &str)]) -> u64 {
+    let mut renewal = Renewal::new(own.0, own.1, Duration::from_millis(REVOKE_MS));
+    let began = Some(at(10_000));
+    let mut now = at(11_500);
+    loop {
+        if renewal.next(began, peers.iter().copied(), now) == Some(Step::Read) {
+            let after = now.saturating_duration_since(at(10_000));
+            return u64::try_from(after.as_millis()).unwrap();
+        }
+        now = renewal.wake_at(began, now);
+    }
+}
+
+/// VMs that have different versions for a moment can't confirm anything for each other, and would
+/// all read the store.
+#[test]
+fn key_lease_vms_of_a_domain_read_the_store_late_and_in_time() {
+    let names: Vec<String> = (0..26).map(|number| format!("vm{number}")).collect();
+    let all: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "near")).collect();
+    let reads = all.iter().map(|own| {
+        let peers: Vec<_> = all.iter().copied().filter(|peer| peer != own).collect();
+        first_read(*own, &peers)
+    });
+    let (early, late): (Vec<u64>, Vec<u64>) = reads.partition(|ms| *ms < 3_000);
+    assert_eq!((early.len(), late.len()), (2, 24));
+    assert!(late.iter().all(|ms| *ms <= 3_300), "{late:?}");
+}
+
+#[test]
+fn key_lease_reads_that_are_turned_away_are_repeated_less_and_less() {
+    let mut responder = Responder::default();
+    let mut begun = Vec::new();
+    for ms in (10_000..20_000).step_by(50) {
+        if responder.begin_read(at(ms)) {
+            begun.push(ms - 10_000);
+            responder.end_read();
+            responder.on_failure(at(ms));
+        }
+    }
+    assert_eq!(begun, [0, 500, 1_500, 3_500, 5_500, 7_500, 9_500]);
+    assert!(!responder.begin_read(at(20_000)));
+    responder.on_answered();
+    assert!(responder.begin_read(at(20_000)));
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -15,6 +15,7 @@
 mod formats;
 mod isolation;
 mod key_lease;
+mod key_lease_calls;
 mod late_write;
 mod leases;
 mod limits;
