--- a/src/geraniummount/core/key_lease/renewal.rs
+++ b/src/geraniummount/core/key_lease/renewal.rs
@@ -4,7 +4,7 @@
 //! domain, so all VMs of a domain ask the same one first. Its place in the order follows from a hash
 //! of its name, so that no VM has to be chosen.
 //!
-//! A VM that is not among the first of its domain reads the store only once the lease has become
+//! A VM that is not among the first two of its domain reads the store only once the lease has become
 //! short. While a new version of the configuration comes into force, VMs of different versions can't
 //! confirm anything for each other, and most often this is over before the lease is.
 
@@ -150,7 +150,7 @@
 
 /// Returns the sources of one round in order: the VMs that all VMs of the own failure domain ask
 /// first, one VM of another failure domain, which may reach the store when none of the own domain
-/// does, and the store if `reads_store`. A VM that is among the first reads the store in place of
+/// does, and the store if `reads_store`. A VM that is among the first two reads the store in place of
 /// asking itself.
 fn sources<'a>(
     own_name: &str,
