Give the listeners of a test's VM different ports

Cause: gateways of tests failed to bind (Address already in use) three times today, twice of them on an address of their own. Each port was found by binding and dropping a listener, one after the other, and the system may give out the same port again. That this was the cause is by reading; it is the only way two of a VM's listeners could meet. Change: all ports of a VM are held until the last one is found.

--- a/tests/testsuite/platform/crowd.rs
+++ b/tests/testsuite/platform/crowd.rs
@@ -111,7 +111,7 @@
         let late = Leaf::start(&store, "late", "near", b"record");
         late.set_answer(Answer::Late(Duration::from_millis(2_500)));
         let folder = tempfile::tempdir().unwrap();
-        let [callers, peers, ready] = [(); 3].map(|()| super::fixture::free_address());
+        let [callers, peers, ready] = super::fixture::free_addresses();
         let settings = folder.path().join("vm.ini");
         let text = format!(
             "[gateway]\nname = vm1\nfailure_domain = near\nfirst_start = true\n\
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -106,14 +106,15 @@
     fn options(domain: &str, address: SocketAddr) -> Options {
         let number = NEXT_VM_NUMBER.fetch_add(1, Ordering::Relaxed);
         let ip = vm_ip(number);
+        let [callers, ready, peers] = free_addresses_of(ip);
         Options {
             name: format!("vm{number}"),
             failure_domain: domain.to_string(),
             start: Start::First,
-            callers: free_address_of(ip),
-            ready: free_address_of(ip),
+            callers,
+            ready,
             metrics: None,
-            peer_listen: Some(free_address_of(ip)),
+            peer_listen: Some(peers),
             source: Some(ip),
             store: address,
             max_reply_bytes: 4 * 1024 * 1024,
@@ -277,14 +278,15 @@
     Ipv4Addr::new(127, 192 + high % 32, low, last.max(1)).into()
 }
 
-/// Returns a free address of this machine.
-pub fn free_address() -> SocketAddr {
-    free_address_of(Ipv4Addr::LOCALHOST.into())
+/// Returns different free addresses of this machine.
+pub fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
+    free_addresses_of(Ipv4Addr::LOCALHOST.into())
 }
 
-/// Returns an address of a VM with a free port. The VM's IP address is its own, so that no connection
-/// of another test takes the port before the gateway listens.
-fn free_address_of(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
+/// Returns different addresses of a VM with free ports. The VM's IP address is its own, so that no
+/// connection of another test takes a port before the gateway listens. All ports are held until the
+/// last one is found, as a port that is free again may be found twice.
+fn free_addresses_of<const COUNT: usize>(ip: IpAddr) -> [SocketAddr; COUNT] {
+    let listeners = [(); COUNT].map(|()| TcpListener::bind((ip, 0)).unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
 }
