--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -4,13 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use log::info;
-
 use super::arrival::Arrival;
 use super::caller::State;
 use super::calls::CallState;
 use super::delegation::CallerRequest;
-use super::load_shedding::Overload;
 use super::trials::Waiting;
 use super::{Gateway, delegation};
 use crate::core::call::{Call, Plan};
@@ -18,18 +15,14 @@
 use crate::core::delegation::{Handler, Purpose, Terms, Unable, offload};
 use crate::core::key_lease::Keys;
 use crate::core::memory_account::Holder;
-use crate::core::not_run::NotRun;
 use crate::core::quarantine::Admission;
 use crate::core::quota::{Decision, Source};
 use crate::core::route::{Repeat, Route, Table, Target};
 use crate::core::scope::Scope;
-use crate::core::tenant::{Access, Credential, Denial, Tenant};
+use crate::core::tenant::{Access, Credential, Tenant};
 use crate::platform::headers;
 use crate::util::h1::Request;
 
-/// `Retry-After` of a request that nobody can handle yet.
-const UNHANDLED_RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// Time from the arrival of a request until its call starts from which on the request counts as
 /// delayed. A stronger VM that is frozen costs twice as much, a round trip between failure domains
 /// less.
@@ -99,18 +92,6 @@
         }
     }
 
-    /// Refuses a request that nobody can handle now.
-    fn refuse_unhandled(&mut self, arrival: &Arrival, unable: Unable) {
-        if unable == Unable::KeysUnconfirmed {
-            self.metrics.count_unconfirmed_request("refused");
-        }
-        let (id, why) = (&arrival.caller_fields.id, unable.as_str());
-        info!("request id={id} outcome=refused status=503 why={why}");
-        self.metrics.count_answer("refused");
-        let not_run = NotRun::without_attempts();
-        self.write_refusal(arrival.key, not_run, UNHANDLED_RETRY_AFTER);
-    }
-
     /// Passes a query over many shards to a stronger VM, if there is one; starts the call for any
     /// other request.
     fn admit_or_offload(&mut self, arrival: Arrival, table: &Table) {
@@ -197,34 +178,6 @@
         }
     }
 
-    /// Rejects a request that matches no route.
-    fn reject_without_route(&mut self, arrival: &Arrival, version: u64) {
-        let host = arrival.request.host().unwrap_or_default();
-        let id = &arrival.caller_fields.id;
-        info!("request id={id} outcome=no-route status=404 host={host} version={version}");
-        self.metrics.count_answer("no-route");
-        let why = "no route matches; check host and path";
-        self.write_plain(arrival.key, 404, why, None);
-    }
-
-    /// Rejects a request that shows no key of a tenant although its route requires one.
-    fn reject_unauthorized(
-        &mut self,
-        arrival: &Arrival,
-        route: &Route,
-        denial: Denial,
-        version: u64,
-    ) {
-        let (id, route, why) = (&arrival.caller_fields.id, &route.name, denial.as_str());
-        info!(
-            "request id={id} route={route} outcome=unauthorized status=401 why={why} \
-             version={version}"
-        );
-        self.metrics.count_answer("unauthorized");
-        let why = "no tenant holds this key; send Authorization: Token KEY";
-        self.write_plain(arrival.key, 401, why, None);
-    }
-
     /// Starts the call for a request, or rejects it.
     fn admit_for_leaves(
         &mut self,
@@ -369,24 +322,6 @@
         )
     }
 
-    /// Rejects a request because leaves are overloaded.
-    fn turn_away(
-        &mut self,
-        arrival: &Arrival,
-        route: &Route,
-        terms: Option<&Terms>,
-        overload: &Overload,
-    ) {
-        let (key, id, route) = (arrival.key, &arrival.caller_fields.id, &route.name);
-        let (wait, inputs) = (overload.retry_after(), overload.log_fields());
-        info!("request id={id} route={route} outcome=turned-away status=503{inputs}");
-        self.metrics.count_answer("turned-away");
-        if let Some(terms) = terms {
-            return self.decline(key, &terms.from, overload.decline(), Some(wait));
-        }
-        self.write_refusal(key, NotRun::without_attempts(), wait);
-    }
-
     /// Plans a request of a route; chooses one of the services between which the route splits its
     /// requests.
     fn plan(&mut self, route: &Route, arrival: &Arrival, access: &Access) -> Plan {
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod datagrams;
 mod delegation;
 mod evacuation;
+mod event_loop;
 mod fair_share;
 mod fleet;
 mod key_lease;
@@ -51,6 +52,7 @@
 mod probe;
 mod quarantine;
 mod quota;
+mod refusals;
 mod registrations;
 mod response_reader;
 mod socket;
@@ -66,13 +68,11 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::mpsc;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use log::warn;
-use mio::event::Event;
+use mio::Poll;
 use mio::net::{TcpListener, TcpStream};
-use mio::{Events, Interest, Poll};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use slab::Slab;
@@ -95,8 +95,7 @@
 use self::quarantine::Sharing;
 use self::quota::QuotaState;
 use self::stall::StallDetector;
-use self::timers::{Timer, Timers};
-use self::token::EventSource;
+use self::timers::Timers;
 use self::trials::Trials;
 use crate::core::call::Reply;
 use crate::core::delegation::Routes;
@@ -109,13 +108,6 @@
 use crate::core::route::Split;
 use crate::prelude::*;
 
-/// Maximum number of events that are handled per iteration of the event loop.
-const MAX_EVENTS: usize = 256;
-
-/// Maximum time for which the event loop waits for events. A stall during a longer wait would not be
-/// noticed.
-const MAX_WAIT: Duration = Duration::from_secs(1);
-
 /// A gateway with its listeners, connections and calls in flight.
 pub struct Gateway {
     options: Options,
@@ -291,174 +283,12 @@
         self.sender.clone()
     }
 
-    /// Runs until a stop was requested and all requests are answered, or until the drain time is
-    /// over. Returns whether all requests were answered.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the thread that watches the store cannot be started or polling for
-    /// events fails.
-    pub fn run(mut self) -> io::Result<bool> {
-        self.start_key_reader()?;
-        watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
-        let mut events = Events::with_capacity(MAX_EVENTS);
-        loop {
-            let wait = match self.postponed_callers.is_empty() {
-                true => self.timers.time_until_next(Instant::now()),
-                false => Some(Duration::ZERO),
-            };
-            let wait = wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT));
-            match self.poll.poll(&mut events, Some(wait)) {
-                Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
-                _ => self.now = Instant::now(),
-            }
-            self.iteration += 1;
-            if self.stall.on_iteration(wait, self.now) {
-                self.await_news();
-            }
-            for event in &events {
-                self.on_event(event);
-            }
-            self.process_pending();
-            self.advance_postponed();
-            self.fire_timers();
-            self.process_pending();
-            if let Some(finished) = self.stop_result() {
-                return Ok(finished);
-            }
-        }
-    }
-
-    /// Lets the thread that watches the store receive what was written while this VM was stalled.
-    /// Requests that have arrived meanwhile would otherwise be sent to leaves that have been
-    /// evacuated for longer than the bound permits.
-    fn await_news(&mut self) {
-        thread::sleep(stall::SETTLING_TIME);
-        self.receive_updates();
-        self.now = Instant::now();
-    }
-
-    fn register_listeners(&mut self) -> io::Result<()> {
-        let registry = self.poll.registry();
-        if let Some(listener) = &mut self.callers_listener {
-            registry.register(
-                listener,
-                EventSource::CallersListener.token(),
-                Interest::READABLE,
-            )?;
-        }
-        let ready = &mut self.ready_listener;
-        registry.register(
-            ready,
-            EventSource::ReadyListener.token(),
-            Interest::READABLE,
-        )?;
-        if let Some(listener) = &mut self.metrics_listener {
-            registry.register(
-                listener,
-                EventSource::MetricsListener.token(),
-                Interest::READABLE,
-            )?;
-        }
-        if let Some(listener) = &mut self.delegation.listener {
-            registry.register(
-                listener,
-                EventSource::PeersListener.token(),
-                Interest::READABLE,
-            )?;
-        }
-        self.datagrams.register(self.poll.registry())
-    }
-
-    fn on_event(&mut self, event: &Event) {
-        let closed = event.is_read_closed() || event.is_error();
-        match EventSource::from_token(event.token()) {
-            EventSource::Updates => self.receive_updates(),
-            EventSource::CallersListener => self.accept_callers(),
-            EventSource::PeersListener => self.accept_peers(),
-            EventSource::Datagrams => self.receive_datagrams(),
-            EventSource::ReadyListener | EventSource::MetricsListener => self.accept_probes(),
-            EventSource::Caller(key) => {
-                if event.is_writable() {
-                    self.flush_caller(key);
-                }
-                if event.is_readable() || closed {
-                    self.read_caller(key, closed);
-                }
-            }
-            EventSource::Leaf(key) => {
-                if event.is_writable() {
-                    self.flush_leaf(key);
-                }
-                if event.is_readable() || closed {
-                    self.read_leaf(key, closed);
-                }
-                self.settle_leaf(key);
-            }
-            EventSource::Peer(key) => {
-                if event.is_writable() {
-                    self.flush_peer(key);
-                }
-                if event.is_readable() || closed {
-                    self.read_peer(key, closed);
-                }
-                self.settle_peer(key);
-            }
-            EventSource::Probe(key) => self.serve_probe(key),
-            EventSource::StoreCheck => self.on_check_event(),
-        }
-    }
-
-    fn fire_timers(&mut self) {
-        while let Some(timer) = self.timers.pop(self.now) {
-            match timer {
-                Timer::Call(key, serial) => self.on_call_timer(key, serial),
-                Timer::Caller(key, serial) => self.on_caller_timer(key, serial),
-                Timer::Leaf(key, serial) => self.on_leaf_timer(key, serial),
-                Timer::Delegated(key, serial) => self.on_delegated_timer(key, serial),
-                Timer::Peer(key, serial) => self.on_peer_timer(key, serial),
-                Timer::HeldRequests => self.admit_held(),
-                Timer::Unregistered => self.remove_unregistered(),
-                Timer::Fleet => self.check_fleet(),
-                Timer::Quarantine => self.check_quarantine(),
-                Timer::Quota => self.on_quota_timer(),
-                Timer::Trials => self.end_overdue_trials(),
-                Timer::Keys => self.on_keys_timer(),
-                Timer::LeafLinks => self.on_links_timer(),
-                Timer::StoreCheck => self.on_check_timer(),
-                Timer::Stop => self.on_stop_timer(),
-            }
-        }
-    }
-
-    /// Brings the cached time up to date before a request is written. What is decided after that in
-    /// the same iteration of the event loop uses the same time.
-    fn read_clock(&mut self) {
-        self.now = self.now.max((self.clock)());
-    }
-
     /// Returns a number that tells apart objects which reuse the same key.
     fn allocate_serial(&mut self) -> u64 {
         self.last_serial += 1;
         self.last_serial
     }
 
-    fn receive_updates(&mut self) {
-        while let Ok(update) = self.updates.try_recv() {
-            match update {
-                Update::Table(table) => self.apply_routes(table),
-                Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
-                Update::Evacuated(domains) => self.apply_evacuations(domains),
-                Update::FleetShare(share) => self.apply_fleet_share(share),
-                Update::Peers(peers) => self.apply_peers(peers),
-                Update::Quarantine(records) => self.merge_quarantine(records),
-                Update::Trial(fingerprint, is_granted) => self.on_trial(fingerprint, is_granted),
-                Update::Keys(event) => self.on_keys_event(event),
-                Update::Stop => self.begin_stop(),
-            }
-        }
-    }
-
     /// Returns whether this VM can serve callers, as told to the platform's readiness probes.
     fn is_ready(&self) -> bool {
         let serves = self.routes.is_known() && self.has_leaf_list;
