Decline offloaded queries that may have been given up meanwhile

In the one looked at, two seconds after the restart of all VMs, the weak VM began to send its query 152 ms after it had got it. Suspected, from the code: the stronger VM was behind with its events, read the query after the other one had given it up, and both sent it, with a retry. Change: a query that may have waited for more than 15 ms to be read is declined before it is acknowledged.

--- a/src/geraniummount/core/delegation/offload.rs
+++ b/src/geraniummount/core/delegation/offload.rs
@@ -31,6 +31,16 @@
 /// VMs. They would wait there for about as long as their own VMs would take.
 const MAX_BACKLOG: Duration = Duration::from_millis(60);
 
+/// Time for which a query of another VM may have waited to be read. It is acknowledged, or declined,
+/// clearly before the other VM gives it up and serves it itself: both would send it to leaves, each
+/// with the attempts that the route permits.
+const MAX_READ_DELAY: Duration = Duration::from_millis(15);
+
+/// Returns whether a query of another VM that may have waited for `waited` to be read is served.
+pub fn is_read_in_time(waited: Duration) -> bool {
+    waited <= MAX_READ_DELAY
+}
+
 /// Returns whether a query with this number of parts is passed to a stronger VM.
 pub fn is_worthwhile(parts: usize) -> bool {
     parts >= MIN_PARTS
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -94,6 +94,11 @@
 
     /// Returns whether this VM has time for queries that other VMs could serve themselves.
     fn has_room_for_offloaded(&self) -> bool {
+        // A request that arrived while the events of the iteration before were handled has waited.
+        let waited = self.previous_iteration + self.iteration_began.elapsed();
+        if !offload::is_read_in_time(waited) {
+            return false;
+        }
         let calls = self.calls.iter();
         let parts = calls.map(|(_, state)| state.call.plan().services.len());
         offload::has_room(parts.sum(), self.options.millicores)
--- a/src/geraniummount/edge/gateway/event_loop.rs
+++ b/src/geraniummount/edge/gateway/event_loop.rs
@@ -31,6 +31,7 @@
         watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
+            self.previous_iteration = self.iteration_began.elapsed();
             let wait = match self.postponed_callers.is_empty() {
                 true => self.timers.time_until_next(Instant::now()),
                 false => Some(Duration::ZERO),
@@ -40,6 +41,7 @@
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
+            self.iteration_began = self.now;
             self.iteration += 1;
             if self.stall.on_iteration(wait, self.now) {
                 self.await_news();
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -68,7 +68,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::mpsc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use log::warn;
 use mio::Poll;
@@ -194,6 +194,10 @@
     iteration: u64,
     /// Buffer for reading from any socket.
     read_buf: Vec<u8>,
+    /// When the events of the current iteration of the event loop were received.
+    iteration_began: Instant,
+    /// Time that the iteration before took to handle its events.
+    previous_iteration: Duration,
     /// Time at which the current iteration of the event loop began, or at which a request was written
     /// later in that iteration.
     now: Instant,
@@ -261,6 +265,8 @@
             postponed_callers: Vec::new(),
             iteration: 0,
             read_buf: vec![0; socket::READ_BUF_BYTES],
+            iteration_began: Instant::now(),
+            previous_iteration: Duration::ZERO,
             now: Instant::now(),
             clock: Instant::now,
         };
--- a/tests/testsuite/offload.rs
+++ b/tests/testsuite/offload.rs
@@ -252,6 +252,20 @@
     assert!(!offload::is_worthwhile(20));
 }
 
+/// Guards against a query that is served by both VMs: by the stronger one, which reads it late, and by
+/// the other one, which has given it up.
+#[test]
+fn offload_declines_a_query_that_may_have_been_given_up() {
+    let now = Instant::now();
+    let mut peers = peers(&[("strong", "near", 500)]);
+    let mut request =
+        Request::new(Repeat::Idempotent, now + TIMEOUT).with_purpose(Purpose::Offload);
+    request.start(&mut peers, now);
+    let given_up_at = request.next_wake().expect("the request is not finished");
+    assert!(offload::is_read_in_time(Duration::from_millis(5)));
+    assert!(!offload::is_read_in_time((given_up_at - now) / 2));
+}
+
 /// Guards against stronger VMs of which one has all the load.
 #[test]
 fn offload_spreads_queries_over_the_stronger_vms() {
