--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -222,7 +222,7 @@
             };
             let has_progressed = match &caller.state {
                 State::Idle | State::Head if caller.has_backlog() => false,
-                State::Idle | State::Head if caller.has_used_iteration(self.iteration) => {
+                State::Idle | State::Head if caller.has_used_iteration(self.iteration.number) => {
                     self.postpone(key);
                     false
                 }
@@ -282,7 +282,7 @@
             Ok(Parsed::Partial) => false,
             Ok(Parsed::Complete(request, length)) => {
                 caller.socket.input.drain(..length);
-                caller.record_request(self.iteration);
+                caller.record_request(self.iteration.number);
                 self.begin_body(key, request, limits)
             }
             Err(fault) => self.reject(key, 400, &format!("{fault}; send HTTP/1.1")),
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -94,9 +94,7 @@
 
     /// Returns whether this VM has time for queries that other VMs could serve themselves.
     fn has_room_for_offloaded(&self) -> bool {
-        // A request that arrived while the events of the iteration before were handled has waited.
-        let waited = self.previous_iteration + self.iteration_began.elapsed();
-        if !offload::is_read_in_time(waited) {
+        if !offload::is_read_in_time(self.iteration.max_waited()) {
             return false;
         }
         let calls = self.calls.iter();
--- a/src/geraniummount/edge/gateway/event_loop.rs
+++ b/src/geraniummount/edge/gateway/event_loop.rs
@@ -31,7 +31,7 @@
         watch::start(&self.options, &self.sender, &self.metrics.gauges.is_behind)?;
         let mut events = Events::with_capacity(MAX_EVENTS);
         loop {
-            self.previous_iteration = self.iteration_began.elapsed();
+            self.iteration.end();
             let wait = match self.postponed_callers.is_empty() {
                 true => self.timers.time_until_next(Instant::now()),
                 false => Some(Duration::ZERO),
@@ -41,8 +41,7 @@
                 Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
                 _ => self.now = Instant::now(),
             }
-            self.iteration_began = self.now;
-            self.iteration += 1;
+            self.iteration.begin(self.now);
             if self.stall.on_iteration(wait, self.now) {
                 self.await_news();
             }
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod event_loop;
 mod fair_share;
 mod fleet;
+mod iteration;
 mod key_lease;
 mod leaf;
 mod leaf_links;
@@ -68,7 +69,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::sync::mpsc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use log::warn;
 use mio::Poll;
@@ -85,6 +86,7 @@
 use self::delegation::Delegation;
 use self::fair_share::Contention;
 use self::fleet::Fleet;
+use self::iteration::Iteration;
 use self::key_lease::KeyLease;
 use self::leaf::LeafConnection;
 use self::load_shedding::ShardSetShedder;
@@ -190,14 +192,10 @@
     /// Keys and serial numbers of the callers' connections whose input is parsed further in the next
     /// iteration of the event loop.
     postponed_callers: Vec<(usize, u64)>,
-    /// Number of the current iteration of the event loop.
-    iteration: u64,
+    /// The current iteration of the event loop.
+    iteration: Iteration,
     /// Buffer for reading from any socket.
     read_buf: Vec<u8>,
-    /// When the events of the current iteration of the event loop were received.
-    iteration_began: Instant,
-    /// Time that the iteration before took to handle its events.
-    previous_iteration: Duration,
     /// Time at which the current iteration of the event loop began, or at which a request was written
     /// later in that iteration.
     now: Instant,
@@ -263,10 +261,8 @@
             pending_replies: VecDeque::new(),
             answered_callers: Vec::new(),
             postponed_callers: Vec::new(),
-            iteration: 0,
+            iteration: Iteration::new(),
             read_buf: vec![0; socket::READ_BUF_BYTES],
-            iteration_began: Instant::now(),
-            previous_iteration: Duration::ZERO,
             now: Instant::now(),
             clock: Instant::now,
         };
