Let the fault soak revoke keys, lower quotas and evacuate domains

Callers send valid, revoked and unknown keys, and a Tenant field that the gateway has to replace. Leaves' heads, the gateways' logs and the requests that ran are checked against five more promises.

--- a/benches/soak.rs
+++ b/benches/soak.rs
@@ -49,6 +49,9 @@
     /// Leave out the request that crashes leaves.
     #[arg(long)]
     without_crashes: bool,
+    /// Add tenants with keys and quotas, and what the operator does to them and to failure domains.
+    #[arg(long)]
+    with_tenants: bool,
     /// Program to test; the binary of this build by default.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -83,6 +86,7 @@
             has_limits: !arguments.without_limits,
             has_lost_links: !arguments.without_lost_links,
             has_crashes: !arguments.without_crashes,
+            has_tenants: arguments.with_tenants,
         };
         let report = soak::run(&options)?;
         print!("{report}");
--- a/crates/geraniummount-test-support/src/platform/users/caller.rs
+++ b/crates/geraniummount-test-support/src/platform/users/caller.rs
@@ -47,23 +47,33 @@
     /// Fails if the connection closes or times out before the reply is complete, and with
     /// `InvalidData` if the bytes received are not exactly one reply.
     pub fn exchange(&self, stream: &mut TcpStream) -> io::Result<Reply> {
-        stream.write_all(&self.to_bytes())?;
+        self.exchange_with("", stream)
+    }
+
+    /// Sends the request with further header fields, each with its line end, and reads its reply.
+    ///
+    /// # Errors
+    ///
+    /// The same as for [`Request::exchange`].
+    pub fn exchange_with(&self, fields: &str, stream: &mut TcpStream) -> io::Result<Reply> {
+        let head = self.head(fields);
+        stream.write_all(&[head.as_bytes(), self.body].concat())?;
         Reply::read(stream)
     }
 
     /// Returns the request in HTTP/1.1 wire format.
     pub fn to_bytes(&self) -> Vec<u8> {
-        [self.head().as_bytes(), self.body].concat()
+        [self.head("").as_bytes(), self.body].concat()
     }
 
-    fn head(&self) -> String {
+    fn head(&self, fields: &str) -> String {
         let Request {
             id, method, path, ..
         } = self;
         let (deadline, length) = (self.deadline.as_millis(), self.body.len());
         format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
-             Deadline-Ms: {deadline}\r\nContent-Length: {length}\r\n\r\n"
+             Deadline-Ms: {deadline}\r\nContent-Length: {length}\r\n{fields}\r\n"
         )
     }
 }
--- a/crates/geraniummount-test-support/src/soak/caller.rs
+++ b/crates/geraniummount-test-support/src/soak/caller.rs
@@ -23,6 +23,7 @@
 use super::exchange::{Exchange, Outcome};
 use super::kind::{self, Kind};
 use super::proxied_leaf::{Identity, RECORD_BYTES};
+use super::tenant;
 use crate::platform::users::caller::{Reply, Request};
 
 /// Maximum number of records in the reply to a search.
@@ -105,8 +106,9 @@
         let prober = thread::spawn(move || probe_versions(&gateways, &catalog, &stopping));
         let crasher = options.has_crashes.then(|| {
             let (gateways, stopping) = (all_gateways, Arc::clone(&stop));
+            let fields = cluster.steady_fields();
             let end = cluster.started_at + options.fault_duration;
-            thread::spawn(move || crash::repeat(&gateways, &stopping, end))
+            thread::spawn(move || crash::repeat(&gateways, &stopping, end, &fields))
         });
         Callers {
             stop,
@@ -131,11 +133,12 @@
     }
 }
 
-/// Returns whether a gateway serves each kind of request.
-pub fn is_serving(gateway: SocketAddr) -> bool {
+/// Returns whether a gateway serves each kind of request, sent with these header fields.
+pub fn is_serving(gateway: SocketAddr, fields: &str) -> bool {
     Kind::ALL.iter().all(|kind| {
         let request = kind.request("warm-up", b"x");
-        let reply = connect(gateway).and_then(|mut stream| request.exchange(&mut stream));
+        let reply =
+            connect(gateway).and_then(|mut stream| request.exchange_with(fields, &mut stream));
         reply.is_ok_and(|reply| reply.status == 200)
     })
 }
@@ -189,12 +192,16 @@
             Kind::Order => format!("order {id}").into_bytes(),
             Kind::Search | Kind::Lookup => Vec::new(),
         };
+        let tenants = lock(&self.catalog.tenants);
+        let key = tenants.as_ref().map(|all| all.draw_key(&mut self.rng));
+        drop(tenants);
         let sent_at = Instant::now();
-        let (vm, outcome) = self.send(kind, &id, &body);
+        let (vm, outcome) = self.send(kind, &id, &body, key.as_deref());
         Exchange {
             id,
             kind,
             vm,
+            key,
             sent_at,
             ended_at: Instant::now(),
             outcome,
@@ -202,7 +209,7 @@
     }
 
     /// Sends a request over the idle connection or a new one; returns the gateway and the outcome.
-    fn send(&mut self, kind: Kind, id: &str, body: &[u8]) -> (usize, Outcome) {
+    fn send(&mut self, kind: Kind, id: &str, body: &[u8], key: Option<&str>) -> (usize, Outcome) {
         let idle = self.connection.take();
         let (vm, mut stream) = match idle {
             Some(idle) => idle,
@@ -214,7 +221,10 @@
                 }
             }
         };
-        let reply = match kind.request(id, body).exchange(&mut stream) {
+        // The gateway has to replace the tenant that the caller names.
+        let fields = key.map(|key| format!("Tenant: other\r\n{}", tenant::fields(key)));
+        let fields = fields.unwrap_or_default();
+        let reply = match kind.request(id, body).exchange_with(&fields, &mut stream) {
             Ok(reply) => reply,
             Err(error) => return (vm, failure_outcome(&error)),
         };
--- a/crates/geraniummount-test-support/src/soak/catalog.rs
+++ b/crates/geraniummount-test-support/src/soak/catalog.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::proxied_leaf::Identity;
+use super::tenant::Directory;
 
 /// A version of the routes and when it was written.
 pub type Version = (u64, Instant);
@@ -16,6 +17,8 @@
     pub leaves: Mutex<Vec<Identity>>,
     /// All versions that were written, in ascending order.
     pub versions: Mutex<Vec<Version>>,
+    /// The tenants of the newest version and their former keys; `None` in a run without tenants.
+    pub tenants: Mutex<Option<Directory>>,
 }
 
 /// Locks a mutex, also if a thread panicked while it held the lock.
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -10,7 +10,7 @@
 use super::fault::LostLinks;
 use super::kind::Kind;
 use super::report::{Promise, Violation};
-use super::{crash, limit, notice};
+use super::{crash, limit, notice, tenant_check};
 
 /// Time for which a leaf may still receive requests after it registered as leaving.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
@@ -105,6 +105,8 @@
             .extend(crash::repeated_crashes(self.cluster));
         let exceeded = limit::exceeded_limits(self.cluster, &self.requests);
         self.violations.extend(exceeded);
+        let broken = tenant_check::violations(self.cluster, &self.requests);
+        self.violations.extend(broken);
         self.check_versions(history);
         self.check_exits();
         self.check_logs();
@@ -177,16 +179,24 @@
             .cluster
             .disturbances
             .is_vm_undisturbed(request.vm, from, ended);
-        if is_in_final_check && is_undisturbed && !request.outcome.is_success() {
+        let is_served = request.outcome.is_success() || self.may_refuse(request);
+        if is_in_final_check && is_undisturbed && !is_served {
             let detail = format!("{} at vm{}: {:?}", request.id, request.vm, request.outcome);
             self.add_violation(Promise::Recovery, request.ended_at, detail);
         }
     }
 
+    /// Returns whether a request may be refused also without a fault, because of its key or the
+    /// quota of its tenant.
+    fn may_refuse(&self, request: &Exchange) -> bool {
+        let tenants = lock(&self.cluster.catalog.tenants);
+        tenants.as_ref().is_some_and(|all| all.may_refuse(request))
+    }
+
     /// Checks that a request at a gateway that has lost its links to all leaves for
     /// [`LOST_LINKS_CONTACT`] is served, unless another fault is recent.
     fn check_lost_links(&mut self, request: &Exchange) {
-        if request.outcome.is_success() {
+        if request.outcome.is_success() || self.may_refuse(request) {
             return;
         }
         let before = |time| request.sent_at.checked_sub(time).unwrap_or(request.sent_at);
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -14,9 +14,11 @@
 use super::fault::LostLinks;
 use super::follow_up::FollowUp;
 use super::link;
+use super::operator::Evacuation;
 use super::proxied_leaf::ProxiedLeaf;
 use super::routes::configuration;
 use super::schedule::Schedule;
+use super::tenant::{self, Directory};
 use super::vm::Vm;
 use super::{FINAL_CHECK_DURATION, Options, RECOVERY_TIMEOUT};
 use crate::platform::users::document::DOCUMENT_KEY;
@@ -71,6 +73,8 @@
     pub starts: Vec<(usize, Instant)>,
     /// Requests that crashed a leaf, one for each leaf.
     pub crashes: Vec<Run>,
+    /// Evacuations of failure domains, in order.
+    pub evacuations: Vec<Evacuation>,
     /// Time spans in which faults affect parts of the cluster.
     pub disturbances: Disturbances,
     /// Started leaves and written versions, shared with the callers.
@@ -109,6 +113,7 @@
             exits: Vec::new(),
             starts: Vec::new(),
             crashes: Vec::new(),
+            evacuations: Vec::new(),
             disturbances: Disturbances::default(),
             catalog: Arc::default(),
             vms: Vec::new(),
@@ -128,6 +133,11 @@
             let index = cluster.add_leaf(slot)?;
             cluster.slots.push(index);
         }
+        let mut sections = String::new();
+        if options.has_tenants {
+            *lock(&cluster.catalog.tenants) = Some(Directory::new());
+            sections = tenant::settings();
+        }
         cluster.write_version();
         for number in 0..options.vms {
             let address = cluster.store.address();
@@ -138,7 +148,10 @@
                 builds.reverse();
             }
             let binary = builds[0].unwrap_or(&options.binary);
-            let mut vm = Vm::start(binary, &folder, number, domain, address, options.seed)?;
+            let seed = options.seed;
+            let mut vm = Vm::create(binary, &folder, number, domain, address, seed)?;
+            vm.add_settings(&sections)?;
+            vm.launch()?;
             if let Some(other) = builds[1] {
                 vm.alternate_with(other);
             }
@@ -217,9 +230,10 @@
     /// Waits until all gateways serve each kind of request.
     fn wait_until_all_serve(&mut self) -> io::Result<()> {
         let end = Instant::now() + START_TIMEOUT;
+        let fields = self.steady_fields();
         let mut waiting: Vec<_> = self.vms.iter().map(|vm| vm.caller_address).collect();
         while !waiting.is_empty() {
-            waiting.retain(|address| !super::caller::is_serving(*address));
+            waiting.retain(|address| !super::caller::is_serving(*address, &fields));
             if Instant::now() > end {
                 let unready = self
                     .vms
@@ -237,6 +251,15 @@
         Ok(())
     }
 
+    /// Returns the header fields of requests that are served throughout the run.
+    pub(super) fn steady_fields(&self) -> String {
+        let has_tenants = lock(&self.catalog.tenants).is_some();
+        match has_tenants {
+            true => tenant::fields(tenant::STEADY_KEY),
+            false => String::new(),
+        }
+    }
+
     /// Starts a new leaf in the slot of a leaf that leaves or has crashed.
     pub(super) fn replace_leaf(&mut self, slot: usize) {
         match self.add_leaf(slot) {
@@ -312,12 +335,14 @@
         let numbers: Vec<u64> = versions.iter().map(|(version, _)| *version).collect();
         drop(versions);
         let version = numbers.last().copied().unwrap_or_default();
-        let document = configuration(version, &numbers, self.shards);
+        let tenants = lock(&self.catalog.tenants);
+        let document = configuration(version, &numbers, self.shards, tenants.as_ref());
+        drop(tenants);
         self.store.put(DOCUMENT_KEY, document);
     }
 }
 
 /// Returns the failure domain of a gateway or of a leaf slot.
-fn failure_domain(number: usize) -> &'static str {
+pub(super) fn failure_domain(number: usize) -> &'static str {
     ["a", "b"][number % 2]
 }
--- a/crates/geraniummount-test-support/src/soak/crash.rs
+++ b/crates/geraniummount-test-support/src/soak/crash.rs
@@ -27,8 +27,9 @@
 const MAX_RETRIES: usize = 3;
 
 /// Repeats the request through one gateway after the other until `end`, or until `stop` is set. The
-/// id of each repetition begins with the index of the gateway.
-pub(super) fn repeat(gateways: &[SocketAddr], stop: &AtomicBool, end: Instant) {
+/// id of each repetition begins with the index of the gateway, and each has the header fields
+/// `fields`.
+pub(super) fn repeat(gateways: &[SocketAddr], stop: &AtomicBool, end: Instant, fields: &str) {
     for number in 0.. {
         if stop.load(Ordering::Acquire) || Instant::now() >= end {
             return;
@@ -37,7 +38,8 @@
         let id = format!("{vm}-crash-{number}");
         let request = Kind::Lookup.request(&id, CRASH_BODY);
         // Only the leaves tell what becomes of the request.
-        let _ = connect(gateways[vm]).and_then(|mut stream| request.exchange(&mut stream));
+        let _ =
+            connect(gateways[vm]).and_then(|mut stream| request.exchange_with(fields, &mut stream));
         std::thread::sleep(REPEAT_INTERVAL);
     }
 }
--- a/crates/geraniummount-test-support/src/soak/exchange.rs
+++ b/crates/geraniummount-test-support/src/soak/exchange.rs
@@ -13,6 +13,8 @@
     pub kind: Kind,
     /// Index of the gateway that the request was sent to.
     pub vm: usize,
+    /// Key of a tenant that it was sent with; `None` in a run without tenants.
+    pub key: Option<String>,
     /// When the request was sent.
     pub sent_at: Instant,
     /// When the outcome was known.
--- a/crates/geraniummount-test-support/src/soak/fault.rs
+++ b/crates/geraniummount-test-support/src/soak/fault.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use super::operator::Action;
 use crate::platform::users::Answer;
 
 /// A fault, with the index of the VM or the slot of the leaf that it affects.
@@ -29,6 +30,8 @@
     LeafLink(usize, LinkFault),
     /// Is not a fault, but writes this number of versions of the routes in quick succession.
     WriteVersions(u32),
+    /// Is not a fault, but an action of the operator in a run with tenants.
+    Operator(Action),
 }
 
 /// A fault of a gateway's process.
--- a/crates/geraniummount-test-support/src/soak/follow_up.rs
+++ b/crates/geraniummount-test-support/src/soak/follow_up.rs
@@ -28,6 +28,8 @@
     LaunchVm(usize),
     /// Lets a leaf name no limit any more.
     EndLimit(usize),
+    /// Removes the key of the evacuation in force.
+    EndEvacuation,
     /// Lets the store come back from its oldest copy.
     GoBack,
     /// Writes the routes and the registrations of all leaves again.
--- a/crates/geraniummount-test-support/src/soak/injection.rs
+++ b/crates/geraniummount-test-support/src/soak/injection.rs
@@ -69,6 +69,7 @@
                 (0..count).for_each(|_| self.write_version());
                 None
             }
+            Fault::Operator(action) => self.operate(action),
         };
         if let Some(follow_up) = follow_up {
             self.follow_ups.push((now + step.duration, follow_up));
@@ -249,6 +250,7 @@
     /// that have stopped.
     fn rewrite_store(&mut self) {
         self.rewrite_routes();
+        self.rewrite_evacuations();
         for proxied_leaf in &self.leaves {
             match &proxied_leaf.leaf {
                 None => self.store.remove(&proxied_leaf.key()),
@@ -320,6 +322,7 @@
                     leaf.register(&self.store, "ready");
                 }
             }
+            FollowUp::EndEvacuation => self.end_evacuation(),
             FollowUp::GoBack => self.go_back(),
             FollowUp::RewriteStore => self.rewrite_store(),
             FollowUp::LaunchVm(vm) => match self.vms[vm].launch() {
--- a/crates/geraniummount-test-support/src/soak/mod.rs
+++ b/crates/geraniummount-test-support/src/soak/mod.rs
@@ -26,10 +26,13 @@
 mod limit;
 mod link;
 mod notice;
+mod operator;
 mod proxied_leaf;
 mod report;
 mod routes;
 mod schedule;
+mod tenant;
+mod tenant_check;
 mod vm;
 
 use std::path::PathBuf;
@@ -79,6 +82,10 @@
     /// Whether a request that crashes leaves is repeated while faults begin. The other faults of a
     /// seed are the same with and without.
     pub has_crashes: bool,
+    /// Whether callers send keys of tenants with quotas, keys are revoked and added, quotas are
+    /// lowered, and failure domains are evacuated. The other faults of a seed are the same with and
+    /// without.
+    pub has_tenants: bool,
 }
 
 /// Time before the first fault, in which nothing may fail.
--- a/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
+++ b/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
@@ -21,6 +21,9 @@
 /// Size of a record.
 pub const RECORD_BYTES: usize = 16;
 
+/// Header fields of a request, names and values as received.
+pub type Head = Vec<(String, String)>;
+
 /// A leaf and its proxy.
 #[derive(Debug)]
 pub struct ProxiedLeaf {
@@ -35,10 +38,14 @@
     /// When the leaf began to name a limit, and when it ended; `None` if it has not.
     pub limited_from: Option<Instant>,
     pub limited_until: Option<Instant>,
+    /// Failure domain of the leaf.
+    pub domain: &'static str,
     /// Requests that the leaf ran before it stopped; empty while it runs.
     pub runs: Vec<Run>,
     /// Requests that reached the leaf before it stopped, also those that it did not run.
     arrivals: Vec<Run>,
+    /// Header fields of these requests.
+    heads: Vec<Head>,
     /// Requests that the leaf rejected with a time without requests before it stopped.
     pauses: Vec<Run>,
     identity: Identity,
@@ -57,7 +64,7 @@
 
 impl ProxiedLeaf {
     /// Starts a leaf and its proxy without registering the leaf.
-    pub fn start(service: &str, domain: &str, seed: u64) -> io::Result<ProxiedLeaf> {
+    pub fn start(service: &str, domain: &'static str, seed: u64) -> io::Result<ProxiedLeaf> {
         let records = records(service);
         let leaf = Leaf::unregistered(service, domain, &records);
         leaf.set_answer(HEALTHY_ANSWER);
@@ -75,8 +82,10 @@
             said_leaving_since: None,
             limited_from: None,
             limited_until: None,
+            domain,
             runs: Vec::new(),
             arrivals: Vec::new(),
+            heads: Vec::new(),
             pauses: Vec::new(),
             identity,
         })
@@ -104,6 +113,7 @@
         if let Some(leaf) = self.leaf.take() {
             self.runs = leaf.timed_runs();
             self.arrivals = leaf.arrivals();
+            self.heads = leaf.heads();
             self.pauses = leaf.pauses();
         }
     }
@@ -116,6 +126,14 @@
         }
     }
 
+    /// Returns the header fields of the requests that have reached the leaf so far.
+    pub fn all_heads(&self) -> Vec<Head> {
+        match &self.leaf {
+            Some(leaf) => leaf.heads(),
+            None => self.heads.clone(),
+        }
+    }
+
     /// Returns the requests that the leaf has rejected so far with a time without requests.
     pub fn all_pauses(&self) -> Vec<Run> {
         match &self.leaf {
--- a/crates/geraniummount-test-support/src/soak/report.rs
+++ b/crates/geraniummount-test-support/src/soak/report.rs
@@ -35,6 +35,16 @@
     LimitObserved,
     /// A request that crashes the leaves that run it reaches few of them.
     FewCrashes,
+    /// Leaves get no keys and no `Authorization`, and logs contain no keys.
+    KeyHidden,
+    /// Leaves get the name of the tenant that holds the key of a request.
+    TenantNamed,
+    /// No request runs with an unknown key or with one that was revoked for too long.
+    KeysObserved,
+    /// No more requests of a tenant run than its quota allows.
+    QuotaObserved,
+    /// A leaf receives no requests while its failure domain is evacuated.
+    EvacuationObserved,
     /// A gateway applies a version of the routes in time.
     TimelyApply,
     /// A process never returns to an older version of the routes.
--- a/crates/geraniummount-test-support/src/soak/routes.rs
+++ b/crates/geraniummount-test-support/src/soak/routes.rs
@@ -1,7 +1,10 @@
 //! Builds the versions of the routes of a cluster.
 
+use serde_json::Value;
+
 use super::caller::SEARCH_TOP_K;
 use super::kind::Kind;
+use super::tenant::Directory;
 use crate::platform::users::document::{self, Gather, gather_route, service_route};
 
 /// Minimum share of the shards that a search reply includes.
@@ -10,8 +13,13 @@
 /// Returns the configuration document of a version.
 ///
 /// It includes a marker route `/v{number}/` for each number in `versions`. A probe of the marker
-/// shows whether a gateway has applied that version or a later one.
-pub fn configuration(version: u64, versions: &[u64], shards: usize) -> String {
+/// shows whether a gateway has applied that version or a later one. The markers need no key.
+pub fn configuration(
+    version: u64,
+    versions: &[u64],
+    shards: usize,
+    tenants: Option<&Directory>,
+) -> String {
     let shards: Vec<String> = (0..shards).map(|shard| format!("shard-{shard}")).collect();
     let shards: Vec<&str> = shards.iter().map(String::as_str).collect();
     let gather = Gather {
@@ -25,8 +33,18 @@
     ];
     let markers = versions.iter().map(|number| {
         let prefix = format!("/v{number}/");
-        service_route(&prefix, "idempotent", "lookup")
+        let mut route = service_route(&prefix, "idempotent", "lookup");
+        if tenants.is_some() {
+            route["allowAnonymous"] = true.into();
+        }
+        route
     });
     routes.extend(markers);
-    document::document(version, &routes, &[])
+    let text = document::document(version, &routes, &[]);
+    let Some(tenants) = tenants else {
+        return text;
+    };
+    let mut document: Value = serde_json::from_str(&text).expect("the document is JSON");
+    document["tenants"] = tenants.document();
+    document.to_string()
 }
--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::fault::{Fault, LeafFault, LostLinks};
+use super::operator::Action;
 use super::{Options, WARM_UP_DURATION};
 
 /// Range of the duration of a fault.
@@ -41,6 +42,12 @@
 /// Differs between the gateways that lose their links and the other faults of a seed.
 const LOST_LINKS_SERIES: u64 = 0x006c_6f73_745f_6c6b;
 
+/// Differs between the actions of the operator and the other faults of a seed.
+const OPERATOR_SERIES: u64 = 0x6f70_6572_6174_6f72;
+
+/// Mean time between two actions of the operator.
+const ACTION_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Number of draws of a leaf that names a limit; the same leaf may be drawn again.
 const LIMITED_LEAVES: usize = 3;
 
@@ -70,6 +77,9 @@
         if options.has_lost_links {
             schedule.steps.extend(lost_links(options));
         }
+        if options.has_tenants {
+            schedule.steps.extend(actions(options));
+        }
         schedule.steps.sort_by_key(|step| step.at);
         schedule
     }
@@ -101,6 +111,21 @@
     }
 }
 
+/// Draws the actions of the operator, all the while in which faults are injected.
+fn actions(options: &Options) -> Vec<Step> {
+    let seed = options.seed ^ OPERATOR_SERIES;
+    let drawn = Schedule::draw_series(options, seed, ACTION_INTERVAL, |rng| {
+        Fault::Operator(Action::draw(rng))
+    });
+    let mut rng = StdRng::seed_from_u64(seed);
+    let steps = drawn.steps.into_iter().map(|step| Step {
+        // Evacuations end no later than the schedule, too.
+        duration: Action::draw_duration(&mut rng).min(drawn.end - step.at),
+        ..step
+    });
+    steps.collect()
+}
+
 /// Draws the leaves that name limits, all the while in which faults are injected.
 fn limits(options: &Options, leaves: usize) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(options.seed ^ LIMIT_SERIES);
--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -61,14 +61,13 @@
     ) -> io::Result<Vm> {
         const SEED: u64 = 1;
         let mut vm = Vm::create(binary, folder, number, "near", store, SEED)?;
-        let mut settings = File::options().append(true).open(&vm.settings)?;
-        settings.write_all(sections.as_bytes())?;
+        vm.add_settings(sections)?;
         vm.launch()?;
         Ok(vm)
     }
 
     /// Allocates addresses for a gateway and writes its settings.
-    fn create(
+    pub(super) fn create(
         binary: &Path,
         folder: &Path,
         number: usize,
@@ -101,6 +100,12 @@
         })
     }
 
+    /// Appends sections to the settings.
+    pub(super) fn add_settings(&self, sections: &str) -> io::Result<()> {
+        let mut settings = File::options().append(true).open(&self.settings)?;
+        settings.write_all(sections.as_bytes())
+    }
+
     /// Lets each further start run the build that the process did not run before.
     pub fn alternate_with(&mut self, other_binary: &Path) {
         self.other_binary = Some(other_binary.to_path_buf());
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -19,6 +19,7 @@
     has_limits: bool,
     has_lost_links: bool,
     has_crashes: bool,
+    has_tenants: bool,
 }
 
 /// A small fleet with faults that rarely overlap. Each case states how it differs.
@@ -33,6 +34,7 @@
     has_limits: false,
     has_lost_links: false,
     has_crashes: false,
+    has_tenants: false,
 };
 
 const CASES: &[Case] = &[
@@ -98,6 +100,14 @@
         has_lost_links: true,
         ..BASE
     },
+    Case {
+        name: "keys that are revoked, quotas that are lowered, and domains that are evacuated",
+        seed: 46_001,
+        shards: 2,
+        has_platform_faults: true,
+        has_tenants: true,
+        ..BASE
+    },
 ];
 
 /// Mean interval at which faults overlap.
@@ -133,6 +143,7 @@
             has_limits: case.has_limits,
             has_lost_links: case.has_lost_links,
             has_crashes: case.has_crashes,
+            has_tenants: case.has_tenants,
         });
         let report = report.expect("cluster starts");
         eprintln!("{}: {report}", case.name);
