Attribute requests at leaves to the gateway that sent them in a soak with tenants

The check took the pause for one of the first gateway, asked 0.15 s after its real one, and the requests that this gateway sent after the real one for requests in the pause. The proxies now record the client of each connection, so a request belongs to the gateway whose connection brought it. Runs without tenants are checked as before.

--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -112,6 +112,8 @@
     pub id: String,
     /// When the request arrived.
     pub arrived: Instant,
+    /// Address that its connection came from; `None` if the connection ended at once.
+    pub peer: Option<SocketAddr>,
 }
 
 #[derive(Debug, Default)]
@@ -349,6 +351,7 @@
     let new_run = Run {
         id: id.clone(),
         arrived: Instant::now(),
+        peer: connection.stream().peer_addr().ok(),
     };
     let (mode, retry_after, is_down, count) = state.update(|state| {
         if state.crash_body.as_ref() == Some(&request.body) {
--- a/crates/geraniummount-test-support/src/proxy/mod.rs
+++ b/crates/geraniummount-test-support/src/proxy/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -84,6 +84,19 @@
     is_closed: bool,
     /// Connections that are open.
     connections: Vec<Connection>,
+    /// Connections to the listener so far, in order.
+    origins: Vec<Origin>,
+}
+
+/// The client of a connection from the proxy to the listener.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    /// Address that the listener sees.
+    local: SocketAddr,
+    /// IP address of the client.
+    source: IpAddr,
+    /// When the connection was opened; a later one may have the same address.
+    opened_at: Instant,
 }
 
 /// A connection through a proxy.
@@ -134,6 +147,7 @@
             rng: StdRng::seed_from_u64(seed),
             is_closed: false,
             connections: Vec::new(),
+            origins: Vec::new(),
         }));
         let accepting = Arc::clone(&state);
         let receiving = Arc::clone(&state);
@@ -193,6 +207,15 @@
         }
     }
 
+    /// Returns the IP address of the client whose connection the listener sees as one from `local`
+    /// at the time `at`.
+    pub fn source_of(&self, local: SocketAddr, at: Instant) -> Option<IpAddr> {
+        let state = self.state.lock();
+        let mut origins = state.origins.iter().rev();
+        let found = origins.find(|origin| origin.local == local && origin.opened_at <= at);
+        found.map(|origin| origin.source)
+    }
+
     /// Returns the number of connections that are open now.
     pub fn open_connections(&self) -> usize {
         self.state.lock().connections.len()
--- a/crates/geraniummount-test-support/src/proxy/tcp.rs
+++ b/crates/geraniummount-test-support/src/proxy/tcp.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
-use super::{Connection, Flow, Link, State};
+use super::{Connection, Flow, Link, Origin, State};
 use crate::interruption;
 use crate::monitor::Monitor;
 
@@ -86,6 +86,16 @@
     let Ok(mut server) = TcpStream::connect(upstream) else {
         return;
     };
+    if let Ok(local) = server.local_addr() {
+        let opened_at = Instant::now();
+        state.update(|state| {
+            state.origins.push(Origin {
+                local,
+                source,
+                opened_at,
+            });
+        });
+    }
     // A failure only costs latency.
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
--- a/crates/geraniummount-test-support/src/soak/check.rs
+++ b/crates/geraniummount-test-support/src/soak/check.rs
@@ -11,6 +11,7 @@
 use super::kind::Kind;
 use super::report::{Promise, Violation};
 use super::{crash, limit, notice, tenant_check};
+use crate::platform::users::Run;
 
 /// Time for which a leaf may still receive requests after it registered as leaving.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
@@ -41,6 +42,8 @@
     leaving_since: Option<Instant>,
     /// When the leaf received it.
     at: Instant,
+    /// The run at the leaf, which names its connection.
+    run: Run,
 }
 
 /// Stops the gateways, checks all promises and returns the violations.
@@ -63,11 +66,12 @@
     let mut executions = Vec::new();
     for (leaf, proxied_leaf) in cluster.leaves.iter().enumerate() {
         executions.extend(proxied_leaf.all_runs().into_iter().map(|run| Execution {
-            id: run.id,
+            id: run.id.clone(),
             service: proxied_leaf.identity().service.clone(),
             leaf,
             leaving_since: proxied_leaf.leaving_since,
             at: run.arrived,
+            run,
         }));
     }
     executions.sort_by(|a, b| a.id.cmp(&b.id));
@@ -259,7 +263,9 @@
             );
             self.add_violation(Promise::OnlyRequested, execution.at, detail);
         }
-        self.check_leaving(execution, request.vm);
+        let leaf = &self.cluster.leaves[execution.leaf];
+        let sender = self.cluster.sender(leaf, &execution.run, request.vm);
+        self.check_leaving(execution, sender);
     }
 
     /// Checks that a leaf received no request later than [`LEAVING_GRACE`] after it registered as
--- a/crates/geraniummount-test-support/src/soak/cluster.rs
+++ b/crates/geraniummount-test-support/src/soak/cluster.rs
@@ -204,6 +204,16 @@
         !self.starts.iter().any(|start| is_start(&start))
     }
 
+    /// Returns the gateway that a leaf got a request from. In a run with tenants, gateways that
+    /// can't confirm their keys hand requests over to others; in other runs it is taken to be the
+    /// gateway `addressee`, which the caller sent it to.
+    pub fn sender(&self, leaf: &ProxiedLeaf, run: &Run, addressee: usize) -> usize {
+        let has_tenants = lock(&self.catalog.tenants).is_some();
+        let source = leaf.source_of(run).filter(|_| has_tenants);
+        let sender = |source| self.vms.iter().position(|vm| vm.source == source);
+        source.and_then(sender).unwrap_or(addressee)
+    }
+
     /// Requests all gateways to stop and waits until they have exited.
     pub fn stop_gateways(&mut self) {
         let stop_requested_at = Instant::now();
--- a/crates/geraniummount-test-support/src/soak/limit.rs
+++ b/crates/geraniummount-test-support/src/soak/limit.rs
@@ -30,7 +30,12 @@
             continue;
         };
         let arrivals = proxied_leaf.all_arrivals();
-        let times = counted(cluster, requests, &arrivals, from, until);
+        let senders = arrivals.iter().map(|run| {
+            let addressee = vm_of(requests, &run.id)?;
+            Some(cluster.sender(proxied_leaf, run, addressee))
+        });
+        let senders: Vec<_> = senders.collect();
+        let times = counted(cluster, &senders, &arrivals, from, until);
         for (index, end) in times.iter().enumerate() {
             let first = times.partition_point(|at| *at + WINDOW < *end);
             let count = index + 1 - first;
@@ -51,15 +56,16 @@
 /// limit and that no fault has disturbed since.
 fn counted(
     cluster: &Cluster,
-    requests: &[&Exchange],
+    senders: &[Option<usize>],
     arrivals: &[Run],
     from: Instant,
     until: Instant,
 ) -> Vec<Instant> {
     let mut told: Vec<Option<Instant>> = vec![None; cluster.vms.len()];
     let mut times = Vec::new();
-    for run in arrivals.iter().filter(|run| run.arrived >= from) {
-        let Some(vm) = vm_of(requests, &run.id) else {
+    let received = arrivals.iter().zip(senders);
+    for (run, sender) in received.filter(|(run, _)| run.arrived >= from) {
+        let Some(vm) = *sender else {
             continue;
         };
         let told_at = *told[vm].get_or_insert(run.arrived);
--- a/crates/geraniummount-test-support/src/soak/notice.rs
+++ b/crates/geraniummount-test-support/src/soak/notice.rs
@@ -4,6 +4,7 @@
 
 use super::cluster::Cluster;
 use super::exchange::Exchange;
+use super::proxied_leaf::ProxiedLeaf;
 use super::report::{Promise, Violation};
 use crate::platform::users::Run;
 
@@ -34,23 +35,30 @@
                 cluster,
                 leaf,
                 vm,
-                arrivals: through(vm, &arrivals, requests),
+                arrivals: through(vm, &arrivals, requests, (cluster, proxied_leaf)),
             };
             if let Some(since) = proxied_leaf.said_leaving_since {
                 violations.extend(pair.check_leaving(since));
             }
-            let pauses = through(vm, &pauses, requests);
+            let pauses = through(vm, &pauses, requests, (cluster, proxied_leaf));
             violations.extend(pauses.iter().filter_map(|at| pair.check_pause(*at)));
         }
     }
     violations
 }
 
-/// Returns the times of the requests that came through a gateway.
-fn through(vm: usize, runs: &[Run], requests: &[&Exchange]) -> Vec<Instant> {
-    let runs = runs
-        .iter()
-        .filter(|run| vm_of(requests, &run.id) == Some(vm));
+/// Returns the times of the requests that a leaf got from a gateway.
+fn through(
+    vm: usize,
+    runs: &[Run],
+    requests: &[&Exchange],
+    (cluster, leaf): (&Cluster, &ProxiedLeaf),
+) -> Vec<Instant> {
+    let is_from = |run: &&Run| {
+        let addressee = vm_of(requests, &run.id);
+        addressee.is_some_and(|addressee| cluster.sender(leaf, run, addressee) == vm)
+    };
+    let runs = runs.iter().filter(is_from);
     runs.map(|run| run.arrived).collect()
 }
 
--- a/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
+++ b/crates/geraniummount-test-support/src/soak/proxied_leaf.rs
@@ -4,7 +4,7 @@
 //! shards.
 
 use std::io;
-use std::net::Ipv4Addr;
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
 use super::crash::CRASH_BODY;
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Returns the IP address of the gateway that sent a request to the leaf.
+    pub fn source_of(&self, run: &Run) -> Option<IpAddr> {
+        self.proxy.source_of(run.peer?, run.arrived)
+    }
+
     /// Returns the requests that the leaf has rejected so far with a time without requests.
     pub fn all_pauses(&self) -> Vec<Run> {
         match &self.leaf {
--- a/crates/geraniummount-test-support/src/soak/tenant_check.rs
+++ b/crates/geraniummount-test-support/src/soak/tenant_check.rs
@@ -220,6 +220,7 @@
                     let Some(vm) = vm_of(self.requests, &run.id).filter(|_| is_late) else {
                         continue;
                     };
+                    let vm = cluster.sender(proxied, &run, vm);
                     let from = run.arrived.checked_sub(SETTLE_DELAY).unwrap_or(run.arrived);
                     let disturbances = &cluster.disturbances;
                     if disturbances.is_vm_undisturbed(vm, from, run.arrived)
