Revoke keys while gateways of the soak are cut off from the store

Faults last up to 2.5 s, so a gateway was never cut off for longer than the lease of 3 s, and the check of revoked keys could not fail. The lease is 1.5 s now, half of the revocations follow the cut of a gateway's link to the store for some seconds, and callers send the key that was revoked last more often.

--- a/crates/geraniummount-test-support/src/soak/schedule.rs
+++ b/crates/geraniummount-test-support/src/soak/schedule.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::fault::{Fault, LeafFault, LostLinks};
+use super::fault::{Fault, LeafFault, LinkFault, LostLinks};
 use super::operator::Action;
 use super::{Options, WARM_UP_DURATION};
 
@@ -48,6 +48,10 @@
 /// Mean time between two actions of the operator.
 const ACTION_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Time from the cut of a gateway's link to the store until a key is revoked that it does not hear
+/// of.
+const CUT_LEAD: Duration = Duration::from_millis(100);
+
 /// Number of draws of a leaf that names a limit; the same leaf may be drawn again.
 const LIMITED_LEAVES: usize = 3;
 
@@ -111,19 +115,27 @@
     }
 }
 
-/// Draws the actions of the operator, all the while in which faults are injected.
+/// Draws the actions of the operator, all the while in which faults are injected. Some keys are
+/// revoked while a gateway has lost its link to the store.
 fn actions(options: &Options) -> Vec<Step> {
     let seed = options.seed ^ OPERATOR_SERIES;
     let drawn = Schedule::draw_series(options, seed, ACTION_INTERVAL, |rng| {
         Fault::Operator(Action::draw(rng))
     });
     let mut rng = StdRng::seed_from_u64(seed);
-    let steps = drawn.steps.into_iter().map(|step| Step {
-        // Evacuations end no later than the schedule, too.
-        duration: Action::draw_duration(&mut rng).min(drawn.end - step.at),
-        ..step
-    });
-    steps.collect()
+    let mut steps = Vec::new();
+    for mut step in drawn.steps {
+        // Evacuations and cut links end no later than the schedule, too.
+        step.duration = Action::draw_duration(&mut rng).min(drawn.end - step.at);
+        let (vm, is_cut) = (rng.random_range(0..options.vms), rng.random_bool(0.5));
+        if is_cut && matches!(step.fault, Fault::Operator(Action::RevokeKey(_))) {
+            let fault = Fault::StoreLink(vm, LinkFault::Cut);
+            steps.push(Step { fault, ..step });
+            step.at += CUT_LEAD;
+        }
+        steps.push(step);
+    }
+    steps
 }
 
 /// Draws the leaves that name limits, all the while in which faults are injected.
--- a/crates/geraniummount-test-support/src/soak/tenant.rs
+++ b/crates/geraniummount-test-support/src/soak/tenant.rs
@@ -11,9 +11,9 @@
 
 use super::exchange::{Exchange, Outcome};
 
-/// Bounds in the settings of the gateways. They are shorter than in deployments, so that many of
-/// them end within a run.
-pub const REVOKE_MS: u64 = 3_000;
+/// Bounds in the settings of the gateways. They are shorter than in deployments: faults of up to
+/// 2.5 s outlast the lease of keys, and the other bounds end within a run.
+pub const REVOKE_MS: u64 = 1_500;
 pub const EVACUATE_MS: u64 = 3_000;
 pub const QUOTA_WINDOW_S: f64 = 2.0;
 pub const QUOTA_OVER: f64 = 0.1;
@@ -150,19 +150,18 @@
         TENANTS.iter().enumerate().map(tenant).collect()
     }
 
-    /// Draws the key of a request: mostly a valid one, else one that was revoked or never existed.
+    /// Draws the key of a request: mostly a valid one, else the one that was revoked last, another
+    /// revoked one, or one that never existed.
     pub fn draw_key(&self, rng: &mut StdRng) -> String {
-        let wants_valid = match rng.random_range(0..20) {
-            0 => return UNKNOWN_KEY.to_string(),
-            1 | 2 => false,
-            _ => true,
+        let (valid, revoked): (Vec<&Key>, Vec<&Key>) =
+            self.keys.iter().partition(|key| key.is_valid);
+        let key = match rng.random_range(0..20) {
+            0 => None,
+            1 => revoked.get(rng.random_range(0..revoked.len().max(1))),
+            2 | 3 => revoked.iter().max_by_key(|key| key.revoked_at),
+            _ => valid.get(rng.random_range(0..valid.len().max(1))),
         };
-        let keys = self.keys.iter().filter(|key| key.is_valid == wants_valid);
-        let keys: Vec<&Key> = keys.collect();
-        let choice = rng.random_range(0..keys.len().max(1));
-        keys.get(choice)
-            .map_or(UNKNOWN_KEY, |key| key.text.as_str())
-            .to_string()
+        key.map_or(UNKNOWN_KEY, |key| key.text.as_str()).to_string()
     }
 
     /// Returns the entry of a key; `None` if it never was in a version.
