Do not offload a query a second time after it has waited here

A query that a stronger VM had not served, or that had a token of this VM's quota, was offered to a stronger VM again after it had waited for a token or a trial (found by reading).

--- a/src/geraniummount/core/placement/coldness.rs
+++ b/src/geraniummount/core/placement/coldness.rs
@@ -31,7 +31,7 @@
     started_at: Option<Instant>,
     /// Until when the leaf says that it is cold.
     until: Option<Instant>,
-    /// When the news arrived by which the leaf is cold or warm.
+    /// When the report arrived by which the leaf is cold or warm.
     heard_at: Option<Instant>,
     /// When the last health answer arrived that told how long the leaf is cold.
     answered_at: Option<Instant>,
@@ -83,7 +83,7 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Returns the age of the news by which the leaf is cold or warm.
+    /// Returns the age of the report by which the leaf is cold or warm.
     pub(super) fn news_age(&self, now: Instant) -> Option<Duration> {
         self.heard_at.map(|at| now.saturating_duration_since(at))
     }
@@ -132,7 +132,7 @@
         self.coldness.is_cold(now)
     }
 
-    /// Returns for how much longer the leaf is cold, and how old the news is by which this is known.
+    /// Returns for how much longer the leaf is cold, and how old the report is by which this is known.
     pub fn cold_left(&self, now: Instant) -> (Duration, Option<Duration>) {
         (self.coldness.left(now), self.coldness.news_age(now))
     }
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -28,14 +28,6 @@
 /// less.
 const MAX_ADMISSION_DELAY: Duration = Duration::from_millis(20);
 
-/// Whether a request may be passed to a stronger VM.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Offloading {
-    Possible,
-    /// It was passed to one, which has not served it.
-    Tried,
-}
-
 impl Gateway {
     /// Starts the call for a request that was read completely, or answers it at once if it cannot
     /// be served. `key` is that of the caller's connection. `terms` are given for a request that
@@ -67,16 +59,13 @@
                 Err(decline) => self.decline(arrival.key, &terms.from, decline, None),
             };
         }
-        self.admit_by_handler(arrival, keys, Offloading::Possible);
+        self.admit_by_handler(arrival, keys);
     }
 
     /// Lets the VM that may handle a request of a caller serve it.
-    fn admit_by_handler(&mut self, arrival: Arrival, keys: Keys, offloading: Offloading) {
+    fn admit_by_handler(&mut self, arrival: Arrival, keys: Keys) {
         match self.handler(keys) {
-            Handler::Own(table) => match offloading {
-                Offloading::Possible => self.admit_or_offload(arrival, &table),
-                Offloading::Tried => self.admit_by_routes(arrival, &table, None),
-            },
+            Handler::Own(table) => self.admit_or_offload(arrival, &table),
             Handler::OwnIfConnected(table) => self.admit_if_connected(arrival, &table),
             Handler::Peer { min_version, table } => {
                 let route = table.as_ref().and_then(|table| arrival.find_route(table));
@@ -93,14 +82,16 @@
     }
 
     /// Passes a query over many shards to a stronger VM, if there is one; starts the call for any
-    /// other request.
+    /// other request. One that a stronger VM has not served, or that has waited for a token of this
+    /// VM, is served here.
     fn admit_or_offload(&mut self, arrival: Arrival, table: &Table) {
         let route = arrival.find_route(table);
         let is_worthwhile = route.is_some_and(|route| match &route.target {
             Target::Gather(gather) => offload::is_worthwhile(gather.shards.len()),
             Target::Service(_) | Target::Split(_) => false,
         });
-        if is_worthwhile && self.delegation.has_stronger_peer(self.now) {
+        let is_tried = arrival.was_offloaded || arrival.token.is_some();
+        if is_worthwhile && !is_tried && self.delegation.has_stronger_peer(self.now) {
             let reason = (Purpose::Offload, Keys::Confirmed);
             return self.admit_for_delegation(arrival, table.version, route, reason);
         }
@@ -111,7 +102,7 @@
     pub(super) fn admit_again(&mut self, request: CallerRequest, sends: u32) {
         let arrival = Arrival::from_offloaded(request, sends);
         let keys = self.keys_of(&arrival.request, arrival.credential);
-        self.admit_by_handler(arrival, keys, Offloading::Tried);
+        self.admit_by_handler(arrival, keys);
     }
 
     /// Starts the call for a request by the given routes, or rejects it.
--- a/src/geraniummount/edge/gateway/arrival.rs
+++ b/src/geraniummount/edge/gateway/arrival.rs
@@ -34,6 +34,8 @@
     pub(super) sends: u32,
     /// Tenant of whose quota the request has a token.
     pub(super) token: Option<TenantName>,
+    /// Whether the request was passed to a stronger VM, which has not served it.
+    pub(super) was_offloaded: bool,
 }
 
 impl Arrival {
@@ -59,6 +61,7 @@
             request,
             content,
             token: None,
+            was_offloaded: false,
         }
     }
 
@@ -86,6 +89,7 @@
             elapsed: Duration::ZERO,
             sends: offloaded.sends + sends,
             token: None,
+            was_offloaded: true,
             request: Request {
                 method,
                 target,
--- a/src/geraniummount/edge/gateway/event_loop.rs
+++ b/src/geraniummount/edge/gateway/event_loop.rs
@@ -43,7 +43,7 @@
             }
             self.iteration.begin(self.now);
             if self.stall.on_iteration(wait, self.now) {
-                self.await_news();
+                self.receive_late_updates();
             }
             for event in &events {
                 self.on_event(event);
@@ -61,7 +61,7 @@
     /// Lets the thread that watches the store receive what was written while this VM was stalled.
     /// Requests that have arrived meanwhile would otherwise be sent to leaves that have been
     /// evacuated for longer than the bound permits.
-    fn await_news(&mut self) {
+    fn receive_late_updates(&mut self) {
         thread::sleep(stall::SETTLING_TIME);
         self.receive_updates();
         self.now = Instant::now();
