--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -296,6 +296,14 @@
             return;
         };
         state.wake_at = None;
+        // This VM may have been stalled since it sent the request, and the acknowledgement may have
+        // arrived meanwhile.
+        if let Some(connection) = state.connection {
+            self.read_peer(connection, false);
+        }
+        let Some(state) = self.delegation.requests.get_mut(index) else {
+            return;
+        };
         let actions = state.request.tick(&mut self.delegation.peers, self.now);
         self.apply_delegation(index, actions);
     }
