Send no offloaded query after the time at which it is given up

Change: a query is not written once its time is over, and the time for the acknowledgement runs from the write. offload_sends_no_query_that_it_is_about_to_give_up; 46 tests of offload and delegation passed.

--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -145,6 +145,17 @@
         self.open.as_ref().map(|open| &open.peer)
     }
 
+    /// Returns whether the request may still be sent to the peer: it does not count as failed yet. A
+    /// VM that was stalled while the connection was opened would give the request up right after
+    /// sending it, and both VMs would serve it.
+    pub fn may_send(&self, now: Instant) -> bool {
+        let late_at = self
+            .open
+            .as_ref()
+            .and_then(|open| open.late_at(self.purpose));
+        late_at.is_none_or(|at| now < at)
+    }
+
     /// Records that the peer may have received the request.
     pub fn on_sent(&mut self, now: Instant) {
         if let Some(open) = &mut self.open {
@@ -447,7 +458,10 @@
         match purpose {
             Purpose::Necessity => self.sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT),
             // Opening a connection within a failure domain takes a fraction of a millisecond.
-            Purpose::Offload => Some(self.chosen_at + OFFLOAD_ACKNOWLEDGE_TIMEOUT),
+            Purpose::Offload => {
+                let since = self.sent_at.unwrap_or(self.chosen_at);
+                Some(since + OFFLOAD_ACKNOWLEDGE_TIMEOUT)
+            }
         }
     }
 }
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -157,7 +157,11 @@
         let Some(index) = open.request else {
             return;
         };
-        let request = &self.delegation.requests[index].caller_request;
+        let delegated = &self.delegation.requests[index];
+        if !delegated.request.may_send(self.now) {
+            return self.fail_peer(connection);
+        }
+        let request = &delegated.caller_request;
         let Some(peer) = self.delegation.peers.get(&open.peer) else {
             return self.fail_peer(connection);
         };
--- a/tests/testsuite/offload.rs
+++ b/tests/testsuite/offload.rs
@@ -252,6 +252,24 @@
     assert!(!offload::is_worthwhile(20));
 }
 
+/// Guards against a query that a VM sends after a stall, gives up at once, and serves itself, while
+/// the stronger VM serves it too.
+#[test]
+fn offload_sends_no_query_that_it_is_about_to_give_up() {
+    let now = Instant::now();
+    let mut peers = peers(&[("strong", "near", 500)]);
+    let mut request =
+        Request::new(Repeat::Idempotent, now + TIMEOUT).with_purpose(Purpose::Offload);
+    request.start(&mut peers, now);
+    let late_at = request.next_wake().expect("the request is not finished");
+    let sent_at = late_at - Duration::from_millis(1);
+    assert!(request.may_send(sent_at));
+    assert!(!request.may_send(late_at));
+    // A query that was sent in time is given up only when the stronger VM had as long to answer.
+    request.on_sent(sent_at);
+    assert!(request.tick(&mut peers, late_at).is_empty());
+}
+
 /// Guards against a query that is served by both VMs: by the stronger one, which reads it late, and by
 /// the other one, which has given it up.
 #[test]
