Never serve a query here that was sent to a stronger VM

By the logs the stronger VM had answered a query after 34 ms, and the weak one, stalled, gave it up 7 ms later and served it with one attempt less, which is one too many beside two. Change: a query that was sent and is not acknowledged within 100 ms ends with 502, which the caller repeats; one that could not be sent within 40 ms is served here.

--- a/src/geraniummount/core/delegation/action.rs
+++ b/src/geraniummount/core/delegation/action.rs
@@ -32,8 +32,6 @@
     },
     /// Serve the request on this VM. Issued only for requests that are offloaded.
     ServeHere {
-        /// Number of leaves of each shard that may have received the request from the peer.
-        sends: u32,
         /// Whether the peer, or a leaf, may have run the request.
         may_have_run: bool,
     },
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -17,8 +17,13 @@
 /// that it was stalled. A peer that is given up too early runs the request beside the next one.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// As [`ACKNOWLEDGE_TIMEOUT`], for an offloaded request. This VM can still serve it in time then.
-const OFFLOAD_ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(40);
+/// Time from choosing a peer for an offloaded request until the request has to be sent to it. This VM
+/// can still serve it in time then.
+const OFFLOAD_SEND_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// As [`ACKNOWLEDGE_TIMEOUT`], for an offloaded request. It is not served here after that, as the
+/// peer may have used all attempts that the route permits; the caller repeats it.
+const OFFLOAD_ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Maximum time for which a request waits for peers whose routes are older than it requires. The
 /// VMs apply a change of the routes within a fraction of a second of each other.
@@ -55,8 +60,6 @@
     wait_until: Option<Instant>,
     /// Shortest time after which a peer that declined may serve the request.
     retry_after: Option<Duration>,
-    /// Number of leaves of each shard that may have received the request from the last peer.
-    peer_sends: u32,
     is_finished: bool,
 }
 
@@ -89,7 +92,6 @@
             waiting_since: None,
             wait_until: None,
             retry_after: None,
-            peer_sends: 0,
             is_finished: false,
         }
     }
@@ -219,12 +221,11 @@
                 let is_permitted = match self.purpose {
                     Purpose::Necessity => !open.is_acknowledged || take_extra(),
                     // The peer may have used all attempts that the route permits.
-                    Purpose::Offload => !open.is_acknowledged,
+                    Purpose::Offload => false,
                 };
                 if !may_repeat || !is_permitted {
                     return self.finish(End::Fail);
                 }
-                self.peer_sends = 1;
                 self.try_next(peers, now)
             }
         }
@@ -258,11 +259,13 @@
         let peer = std::mem::take(&mut open.peer);
         let is_sent = open.sent_at.is_some();
         self.may_have_run |= is_sent;
-        self.peer_sends = u32::from(is_sent);
         self.open = None;
         peers.end(&peer, Ending::Failed, now);
         let mut actions = vec![Action::Abandon];
-        actions.extend(self.try_next(peers, now));
+        actions.extend(match self.purpose {
+            Purpose::Offload if is_sent => self.finish(End::Fail),
+            Purpose::Offload | Purpose::Necessity => self.try_next(peers, now),
+        });
         actions
     }
 
@@ -358,10 +361,8 @@
 
     /// Ends an offloaded request that no peer has served.
     fn serve_here(&mut self) -> Vec<Action> {
-        self.finish(End::ServeHere {
-            sends: self.peer_sends,
-            may_have_run: self.may_have_run,
-        })
+        let may_have_run = self.may_have_run;
+        self.finish(End::ServeHere { may_have_run })
     }
 
     /// Waits for a peer whose routes are older than the request requires, or ends the request.
@@ -457,11 +458,10 @@
         }
         match purpose {
             Purpose::Necessity => self.sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT),
-            // Opening a connection within a failure domain takes a fraction of a millisecond.
-            Purpose::Offload => {
-                let since = self.sent_at.unwrap_or(self.chosen_at);
-                Some(since + OFFLOAD_ACKNOWLEDGE_TIMEOUT)
-            }
+            Purpose::Offload => Some(match self.sent_at {
+                Some(at) => at + OFFLOAD_ACKNOWLEDGE_TIMEOUT,
+                None => self.chosen_at + OFFLOAD_SEND_TIMEOUT,
+            }),
         }
     }
 }
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -99,8 +99,8 @@
     }
 
     /// Serves a request on this VM that was offloaded and that the other VM has not served.
-    pub(super) fn admit_again(&mut self, request: CallerRequest, sends: u32) {
-        let arrival = Arrival::from_offloaded(request, sends);
+    pub(super) fn admit_again(&mut self, request: CallerRequest) {
+        let arrival = Arrival::from_offloaded(request);
         let keys = self.keys_of(&arrival.request, arrival.credential);
         self.admit_by_handler(arrival, keys);
     }
--- a/src/geraniummount/edge/gateway/arrival.rs
+++ b/src/geraniummount/edge/gateway/arrival.rs
@@ -65,9 +65,8 @@
         }
     }
 
-    /// Returns a request that was passed to a stronger VM, as one that is to be served here. Up to
-    /// `sends` leaves of each shard may have received it from that VM.
-    pub(super) fn from_offloaded(offloaded: CallerRequest, sends: u32) -> Arrival {
+    /// Returns a request that was passed to a stronger VM, as one that is to be served here.
+    pub(super) fn from_offloaded(offloaded: CallerRequest) -> Arrival {
         let ForwardedRequest {
             id,
             fingerprint,
@@ -87,7 +86,7 @@
             fingerprint,
             arrived: offloaded.started,
             elapsed: Duration::ZERO,
-            sends: offloaded.sends + sends,
+            sends: offloaded.sends,
             token: None,
             was_offloaded: true,
             request: Request {
--- a/src/geraniummount/edge/gateway/delegation/finish.rs
+++ b/src/geraniummount/edge/gateway/delegation/finish.rs
@@ -42,10 +42,9 @@
         let state = self.delegation.requests.remove(index);
         let caller = state.caller_request.caller;
         let (label, status) = match end {
-            End::ServeHere {
-                sends,
-                may_have_run,
-            } => return self.serve_offloaded_here(state, sends, may_have_run),
+            End::ServeHere { may_have_run } => {
+                return self.serve_offloaded_here(state, may_have_run);
+            }
             End::Forward(answer) => {
                 let status = answer.status;
                 self.on_delegated_answer(&answer, state.caller_request.purpose);
@@ -81,17 +80,16 @@
         self.answered_callers.push(caller);
     }
 
-    /// Serves an offloaded request that the other VM has not served. Up to `sends` leaves of each
-    /// shard may have received it from that VM.
-    fn serve_offloaded_here(&mut self, state: Delegated, sends: u32, may_have_run: bool) {
+    /// Serves an offloaded request that the other VM has not served.
+    fn serve_offloaded_here(&mut self, state: Delegated, may_have_run: bool) {
         let id = &state.caller_request.forwarded.id;
-        info!("request id={id} event=not-offloaded action=serve sends={sends}");
+        info!("request id={id} event=not-offloaded action=serve");
         self.metrics.count_delegation("served-here");
         let caller = state.caller_request.caller;
         let connection = &mut self.caller_connections[caller];
         connection.state = State::Idle;
         connection.may_have_run |= may_have_run;
-        self.admit_again(state.caller_request, sends);
+        self.admit_again(state.caller_request);
         self.answered_callers.push(caller);
     }
 
