Move tests that use the platform's names into tests/testsuite/platform

Cause: three test files outside the platform folder depended on the platform's documents and header names, and the test that guards against this looked only at the product, benches and examples.

Change: the files moved; the test platform_formats_names_ now looks at tests/ as well.

--- a/tests/testsuite/leaf_edge/statuses.rs
+++ b/tests/testsuite/leaf_edge/statuses.rs
@@ -3,7 +3,7 @@
 use geraniummount_test_support::raw_server::RawServer;
 
 use super::*;
-use crate::status_cases::{CASES, response};
+use crate::platform::status_cases::{CASES, response};
 
 #[test]
 fn leaf_edge_statuses_other_than_final_ones_mean_that_the_part_may_have_run() {
--- a/tests/testsuite/check_routes.rs
+++ b/tests/testsuite/platform/check_routes.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 
 use crate::command_line::{Case, TestDir, check};
-use crate::config_check::valid;
+use crate::platform::config_check::valid;
 
 const CASES: &[Case] = &[
     Case {
--- a/tests/testsuite/platform/formats.rs
+++ b/tests/testsuite/platform/formats.rs
@@ -164,6 +164,7 @@
         root.join("benches"),
         root.join("examples"),
         root.join("crates"),
+        root.join("tests"),
     ];
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).unwrap() {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -2,7 +2,9 @@
 
 mod api_keys;
 mod bounded;
+mod check_routes;
 mod cold_leaves;
+mod config_check;
 mod crashes;
 mod crowd;
 mod cut_answers;
@@ -33,6 +35,7 @@
 mod regions;
 mod requests;
 mod restore;
+pub mod status_cases;
 mod statuses;
 mod stop;
 mod store;
--- a/tests/testsuite/platform/statuses.rs
+++ b/tests/testsuite/platform/statuses.rs
@@ -12,7 +12,7 @@
 
 use super::deployment::{Deployment, SHARDS, hang, register_vm};
 use super::fixture::{Fixture, leaf, service_route};
-use crate::status_cases::{CASES, Case, response};
+use crate::platform::status_cases::{CASES, Case, response};
 
 /// Time that callers wait, which a busy machine does not use up: an answer that comes later is 504.
 const DEADLINE_MS: u64 = 2_900;
