Pass the purpose of a delegation and the state of the keys as two arguments

Cause: admit_for_delegation took a tuple called reason, of which only the first part was a reason.

Change: two named arguments.

Measured: clippy without a finding; behaviour is unchanged, no test run.

--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -74,8 +74,8 @@
                     min_version = min_version.max(self.required_version());
                     self.metrics.count_unconfirmed_request("handed-over");
                 }
-                let reason = (Purpose::Necessity, keys);
-                self.admit_for_delegation(arrival, min_version, route, reason);
+                let purpose = Purpose::Necessity;
+                self.admit_for_delegation(arrival, min_version, route, purpose, keys);
             }
             Handler::Nobody(unable) => self.refuse_unhandled(&arrival, unable),
         }
@@ -92,8 +92,8 @@
         });
         let is_tried = arrival.was_offloaded || arrival.token.is_some();
         if is_worthwhile && !is_tried && self.delegation.has_stronger_peer(self.now) {
-            let reason = (Purpose::Offload, Keys::Confirmed);
-            return self.admit_for_delegation(arrival, table.version, route, reason);
+            let (purpose, keys) = (Purpose::Offload, Keys::Confirmed);
+            return self.admit_for_delegation(arrival, table.version, route, purpose, keys);
         }
         self.admit_by_routes(arrival, table, None);
     }
@@ -163,8 +163,8 @@
         match route.filter(is_connected) {
             Some(_) => self.admit_by_routes(arrival, table, None),
             None => {
-                let reason = (Purpose::Necessity, Keys::Confirmed);
-                self.admit_for_delegation(arrival, table.version, route, reason);
+                let (purpose, keys) = (Purpose::Necessity, Keys::Confirmed);
+                self.admit_for_delegation(arrival, table.version, route, purpose, keys);
             }
         }
     }
@@ -259,7 +259,8 @@
         mut arrival: Arrival,
         min_version: u64,
         route: Option<&Route>,
-        (purpose, keys): (Purpose, Keys),
+        purpose: Purpose,
+        keys: Keys,
     ) {
         let (key, fingerprint) = (arrival.key, arrival.fingerprint);
         if let Admission::Withheld(wait) = self.quarantine_admission(fingerprint) {
