Rename types and methods of the quotas for what they are

Cause: read by a newcomer, Census, Claim, Lent, Asked, neighbours and listens_until had to be looked up, Claim also named a type of fair sharing, counted meant two things, and on_loan took an unnamed pair.

Change: Registry, Activation, Lending, Borrower, domain_peers and counts_from; the allowance for waits after a start has one name; the constants whose values were chosen without a measurement say so.

--- a/src/geraniummount/core/quota/claim.rs
+++ b/src/geraniummount/core/quota/activation.rs
@@ -15,7 +15,7 @@
 
 /// When this VM may use a portion for the first time.
 #[derive(Debug)]
-pub(super) struct Claim {
+pub(super) struct Activation {
     started_at: BootTime,
     /// Whether the whole system starts for the first time.
     is_first_start: bool,
@@ -28,13 +28,13 @@
     /// When a new VM was seen last.
     grown_at: BootTime,
     from: Option<BootTime>,
-    /// Time up to which the wait for the portion was taken with [`Claim::take_start`].
+    /// Time up to which the wait for the portion was taken with [`Activation::take_start_wait`].
     taken_until: BootTime,
 }
 
-impl Claim {
-    pub(super) fn new(is_first_start: bool, now: BootTime) -> Claim {
-        Claim {
+impl Activation {
+    pub(super) fn new(is_first_start: bool, now: BootTime) -> Activation {
+        Activation {
             started_at: now,
             is_first_start,
             has_list: false,
@@ -53,7 +53,7 @@
 
     /// Takes the time for which a restarted process has waited for its portion, in seconds. Each
     /// moment of it is returned once.
-    pub(super) fn take_start(&mut self, now: BootTime) -> f64 {
+    pub(super) fn take_start_wait(&mut self, now: BootTime) -> f64 {
         if !self.is_restart {
             return 0.0;
         }
--- a/src/geraniummount/core/quota/asking.rs
+++ b/src/geraniummount/core/quota/asking.rs
@@ -124,12 +124,12 @@
         if asked < OWN_DOMAIN_QUESTIONS && counter.is_some() {
             return counter.cloned();
         }
-        let domains = self.census.other_domains();
+        let domains = self.registry.other_domains();
         let number = self.last_ticket.wrapping_add(u64::from(asked));
         let count = u64::try_from(domains.len()).unwrap_or(u64::MAX).max(1);
         let index = usize::try_from(number % count).unwrap_or_default();
         let other = domains.get(index);
-        let other = other.and_then(|domain| self.transfers.target(domain, &self.census));
+        let other = other.and_then(|domain| self.transfers.target(domain, &self.registry));
         other.or_else(|| counter.cloned())
     }
 
--- a/src/geraniummount/core/quota/bucket.rs
+++ b/src/geraniummount/core/quota/bucket.rs
@@ -6,6 +6,7 @@
 use super::share::Share;
 use crate::core::boot_time::BootTime;
 use crate::core::tenant::Quota;
+use crate::core::tolerance::Tolerance;
 use crate::prelude::*;
 
 /// Share of what the bound tolerates beyond the quota that buckets hold in addition to the burst.
@@ -32,10 +33,10 @@
 /// Two questions of the same VM within this time earn it spare tokens.
 const SPARE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time over which the demand for tokens is averaged, in seconds.
+/// Time constant of the demand for tokens, in seconds. Chosen, not measured.
 const DEMAND_SECONDS: f64 = 1.0;
 
-/// Longest wait that is stated.
+/// Longest wait that is stated to a caller; a portion near zero would give hours.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// What the bound tolerates beyond a quota.
@@ -43,7 +44,7 @@
 pub(super) struct Reserve {
     /// Span over which requests are counted.
     pub(super) window: Duration,
-    pub(super) tolerance: crate::core::tolerance::Tolerance,
+    pub(super) tolerance: Tolerance,
 }
 
 /// Tokens of one tenant.
@@ -109,7 +110,7 @@
     /// Starts to accrue tokens from now on.
     pub(super) fn start(&mut self, share: &Share) {
         self.accrued = share.total();
-        self.start_accrued = share.start_total();
+        self.start_accrued = share.start_allowance_total();
     }
 
     /// Adds the tokens that have accrued, and removes those beyond the present capacity. Has to be
@@ -117,8 +118,8 @@
     pub(super) fn settle(&mut self, share: &Share) {
         let seconds = share.total() - self.accrued;
         self.accrued = share.total();
-        let started = share.start_total() - self.start_accrued;
-        self.start_accrued = share.start_total();
+        let started = share.start_allowance_total() - self.start_accrued;
+        self.start_accrued = share.start_allowance_total();
         let accrued = self.quota.per_second * seconds.max(0.0) + self.start_rate * started;
         self.tokens = (self.tokens + accrued).min(self.max_tokens(share));
     }
@@ -205,7 +206,7 @@
     }
 
     fn max_tokens(&self, share: &Share) -> f64 {
-        let start = self.start_rate * share.start_kept();
+        let start = self.start_rate * share.start_allowance_kept();
         start.max(self.capacity * share.current())
     }
 }
--- a/src/geraniummount/core/quota/lending.rs
+++ b/src/geraniummount/core/quota/lending.rs
@@ -37,21 +37,21 @@
 
 /// A loan of this VM's portion.
 #[derive(Clone, Debug)]
-pub(super) struct Lent {
+pub(super) struct Lending {
     to: VmName,
     /// Number of the question that was answered with the loan.
     question: u64,
     until: BootTime,
 }
 
-/// The last question for a loan.
+/// The VM that asked for a loan last, and when.
 #[derive(Clone, Debug)]
-pub(super) struct Asked {
+pub(super) struct Borrower {
     by: VmName,
     at: BootTime,
 }
 
-/// Questions for loans.
+/// The loans that the counting VM has asked for.
 #[derive(Debug, Default)]
 pub(super) struct Round {
     /// When the VMs were asked last.
@@ -75,16 +75,16 @@
         if let Some(lent) = self.lent.as_ref().filter(|lent| lent.until > now) {
             return Some(&lent.to);
         }
-        let asked = self.asked_by.as_ref()?;
+        let asked = self.borrower.as_ref()?;
         let is_recent = now.saturating_duration_since(asked.at) < COUNTER_TIME;
         is_recent.then_some(&asked.by)
     }
 
     /// Begins to count after a delay, unless another VM asks for a loan before.
-    pub(super) fn listen(&mut self, delay: Duration, now: BootTime) {
-        let rank = u32::try_from(self.census.own_rank()).unwrap_or(u32::MAX);
+    pub(super) fn count_after(&mut self, delay: Duration, now: BootTime) {
+        let rank = u32::try_from(self.registry.own_rank()).unwrap_or(u32::MAX);
         let delay = delay.saturating_add(RANK_DELAY.saturating_mul(rank));
-        self.listens_until = Some(now.saturating_add(delay));
+        self.counts_from = Some(now.saturating_add(delay));
     }
 
     /// Waits for the questions of a VM that counts by now if this VM was frozen.
@@ -94,10 +94,10 @@
             let are_loans_over = now.saturating_duration_since(round.at) > LOAN_TIME;
             if are_loans_over {
                 self.stop_counting();
-                self.listen(START_DELAY, now);
+                self.count_after(START_DELAY, now);
             }
-        } else if self.listens_until.is_some_and(is_late) {
-            self.listen(START_DELAY, now);
+        } else if self.counts_from.is_some_and(is_late) {
+            self.count_after(START_DELAY, now);
         }
     }
 
@@ -106,12 +106,12 @@
         if self.is_stopping || self.buckets.is_empty() {
             return;
         }
-        let is_silent = self.listens_until.is_some_and(|until| until <= now);
+        let is_silent = self.counts_from.is_some_and(|until| until <= now);
         if self.round.is_none() && is_silent {
-            if !self.census.has_own() {
-                return self.listen(START_DELAY, now);
+            if !self.registry.has_own() {
+                return self.count_after(START_DELAY, now);
             }
-            self.listens_until = None;
+            self.counts_from = None;
             return self.ask_for_loans(now);
         }
         if self
@@ -129,8 +129,8 @@
         let is_open = |at: BootTime| now.saturating_duration_since(at) < LOAN_TIME;
         round.open.retain(|(.., at)| is_open(*at));
         round.at = now;
-        let neighbours: Vec<VmName> = self.census.neighbours().cloned().collect();
-        for vm in neighbours {
+        let domain_peers: Vec<VmName> = self.registry.domain_peers().cloned().collect();
+        for vm in domain_peers {
             let id = self.ask(vm.clone(), Message::AskLoan);
             round.open.push((vm, id, now));
         }
@@ -147,7 +147,7 @@
             let message = Message::Release { is_stopping };
             self.send(loan.lender, loan.question, message);
         }
-        self.share.end_start();
+        self.share.end_start_allowance();
         self.settle_all();
         self.refuse_takers();
     }
@@ -155,23 +155,23 @@
     /// Lends this VM's portion to a VM that counts, unless it is lent to another one or this VM
     /// counts itself and comes first.
     pub(super) fn on_ask_loan(&mut self, from: &VmName, id: u64, now: BootTime) {
-        let Some(rank) = self.census.rank(from) else {
+        let Some(rank) = self.registry.rank(from) else {
             return;
         };
-        if self.round.is_some() && rank < self.census.own_rank() {
+        if self.round.is_some() && rank < self.registry.own_rank() {
             self.stop_counting();
         }
         let (mut portion, mut start) = (0.0, 0.0);
         if self.round.is_none() {
-            self.asked_by = Some(Asked {
+            self.borrower = Some(Borrower {
                 by: from.clone(),
                 at: now,
             });
-            self.listen(SILENCE_TIME, now);
+            self.count_after(SILENCE_TIME, now);
             if self.may_lend_to(from, now) {
                 portion = self.lend(from, id, now);
             }
-            start = self.claim.take_start(now) * self.share.own();
+            start = self.activation.take_start_wait(now) * self.share.own();
         }
         self.send(from.clone(), id, Message::Loan { portion, start });
     }
@@ -185,7 +185,7 @@
 
     fn lend(&mut self, to: &VmName, question: u64, now: BootTime) -> f64 {
         let until = now.saturating_add(LOAN_TIME);
-        self.lent = Some(Lent {
+        self.lent = Some(Lending {
             to: to.clone(),
             question,
             until,
@@ -195,13 +195,14 @@
         self.share.own()
     }
 
-    /// Takes in the portion of another VM. It may be used from now on, until a time that is counted
-    /// from the question.
+    /// Takes in the portion of another VM, and its wait since its start, both as shares of the quotas.
+    /// The portion may be used from now on, until a time that is counted from the question.
     pub(super) fn on_loan(
         &mut self,
         from: &VmName,
         id: u64,
-        (portion, start): (f64, f64),
+        portion: f64,
+        start: f64,
         now: BootTime,
     ) {
         let Some(round) = &mut self.round else {
@@ -214,7 +215,7 @@
         let (.., asked_at) = round.open.swap_remove(index);
         let until = asked_at.saturating_add(LOAN_TIME);
         if start.is_finite() && start > 0.0 && until > now {
-            self.add_start(start.min(LOAN_TIME.as_secs_f64() * self.share.own()), now);
+            self.add_start_allowance(start.min(LOAN_TIME.as_secs_f64() * self.share.own()), now);
         }
         let is_portion = portion.is_finite() && portion > 0.0;
         if is_portion && until > now {
@@ -229,31 +230,32 @@
     }
 
     /// Adds the wait of this VM for its portion since its start, if it counts.
-    pub(super) fn add_own_start(&mut self, now: BootTime) {
+    pub(super) fn add_own_start_allowance(&mut self, now: BootTime) {
         if self.round.is_some() {
-            let seconds = self.claim.take_start(now) * self.share.own();
-            self.add_start(seconds, now);
+            let seconds = self.activation.take_start_wait(now) * self.share.own();
+            self.add_start_allowance(seconds, now);
         }
     }
 
     /// Adds the wait of a VM for its portion, in seconds of the whole quota. A process that does
     /// not wait itself discards it: it has counted before, so the domain's tokens are not lost.
-    fn add_start(&mut self, seconds: f64, now: BootTime) {
-        if self.claim.is_starting(now) && seconds > 0.0 {
-            self.share.add_start(seconds, now.saturating_add(LOAN_TIME));
+    fn add_start_allowance(&mut self, seconds: f64, now: BootTime) {
+        if self.activation.is_starting(now) && seconds > 0.0 {
+            self.share
+                .add_start_allowance(seconds, now.saturating_add(LOAN_TIME));
         }
     }
 
     /// Uses this VM's portion again, which its borrower has given back.
     pub(super) fn on_release(&mut self, from: &VmName, id: u64, is_stopping: bool, now: BootTime) {
-        let is_it = |lent: &Lent| lent.to == *from && lent.question == id && lent.until > now;
+        let is_it = |lent: &Lending| lent.to == *from && lent.question == id && lent.until > now;
         if !self.lent.as_ref().is_some_and(is_it) {
             return;
         }
         self.lent = None;
-        self.asked_by = None;
+        self.borrower = None;
         self.share.set_own_from(now);
         let delay = if is_stopping { STOP_DELAY } else { START_DELAY };
-        self.listen(delay, now);
+        self.count_after(delay, now);
     }
 }
--- a/src/geraniummount/core/quota/mod.rs
+++ b/src/geraniummount/core/quota/mod.rs
@@ -17,16 +17,16 @@
 //! that also counts suspension. A bucket holds at most the VM's share of its capacity at that
 //! moment, and starts empty. So in any window, no more requests get tokens than the quota's rate
 //! times the window, and one capacity. While all VMs wait for their portions after a restart, a
-//! part of what the bound tolerates accrues, for each VM's wait once ([`claim`]).
+//! part of what the bound tolerates accrues, for each VM's wait once ([`activation`]).
 
 mod action;
+mod activation;
 mod asking;
 mod bucket;
-mod census;
-mod claim;
 mod granting;
 mod lending;
 mod message;
+mod registry;
 mod share;
 mod transfer;
 
@@ -36,12 +36,12 @@
 pub use self::action::{Action, Counter, Decision, Source, Ticket};
 pub use self::message::Message;
 
+use self::activation::Activation;
 use self::asking::{Spare, Waiter};
 use self::bucket::{Bucket, Reserve};
-use self::census::Census;
-use self::claim::Claim;
 use self::granting::{Grant, Taker};
-use self::lending::{Asked, Lent, Round};
+use self::lending::{Borrower, Lending, Round};
+use self::registry::Registry;
 use self::share::Share;
 use self::transfer::Transfers;
 use crate::core::boot_time::BootTime;
@@ -73,8 +73,8 @@
 #[derive(Debug)]
 pub struct Quotas {
     reserve: Reserve,
-    census: Census,
-    claim: Claim,
+    registry: Registry,
+    activation: Activation,
     share: Share,
     /// Sorted by tenant.
     buckets: Vec<Bucket>,
@@ -83,11 +83,11 @@
     /// Whether this VM is stopping.
     is_stopping: bool,
     /// The loan of this VM's portion to another VM, which may be over.
-    lent: Option<Lent>,
+    lent: Option<Lending>,
     /// VM of this domain that asked for a loan last.
-    asked_by: Option<Asked>,
-    /// When this VM begins to count unless another one asks it for a loan before.
-    listens_until: Option<BootTime>,
+    borrower: Option<Borrower>,
+    /// When this VM begins to count for its domain, unless another one asks it for a loan before.
+    counts_from: Option<BootTime>,
     /// The questions for loans, if this VM counts.
     round: Option<Round>,
     waiters: Vec<Waiter>,
@@ -111,15 +111,15 @@
                 window: setup.window,
                 tolerance: setup.tolerance,
             },
-            census: Census::new(setup.name, setup.domain),
-            claim: Claim::new(setup.is_first_start, now),
+            registry: Registry::new(setup.name, setup.domain),
+            activation: Activation::new(setup.is_first_start, now),
             share: Share::default(),
             buckets: Vec::new(),
             has_tenants: false,
             is_stopping: false,
             lent: None,
-            asked_by: None,
-            listens_until: None,
+            borrower: None,
+            counts_from: None,
             round: None,
             waiters: Vec::new(),
             spares: Vec::new(),
@@ -136,18 +136,20 @@
     /// Replaces the list of registered VMs, given with their domains.
     pub fn set_vms(&mut self, vms: &[(VmName, DomainName)], now: BootTime) {
         self.observe(now);
-        let has_grown = self.census.update(vms, now);
-        let from = self.claim.on_list(self.census.has_own(), has_grown, now);
+        let has_grown = self.registry.update(vms, now);
+        let from = self
+            .activation
+            .on_list(self.registry.has_own(), has_grown, now);
         if let Some(from) = from.filter(|_| self.lent.is_none()) {
             self.share.set_own_from(from);
         }
         if has_grown
             && self.round.is_none()
-            && let Some(until) = self.listens_until
+            && let Some(until) = self.counts_from
         {
             // The place in the order has changed.
-            self.listen(lending::START_DELAY, now);
-            self.listens_until = self.listens_until.max(Some(until));
+            self.count_after(lending::START_DELAY, now);
+            self.counts_from = self.counts_from.max(Some(until));
         }
         self.observe(now);
     }
@@ -176,9 +178,9 @@
         self.has_tenants = true;
         if self.buckets.is_empty() {
             self.stop_counting();
-            self.listens_until = None;
-        } else if self.round.is_none() && self.listens_until.is_none() {
-            self.listen(lending::START_DELAY, now);
+            self.counts_from = None;
+        } else if self.round.is_none() && self.counts_from.is_none() {
+            self.count_after(lending::START_DELAY, now);
         }
     }
 
@@ -243,7 +245,7 @@
         self.observe(now);
         match message {
             Message::AskLoan => self.on_ask_loan(from, id, now),
-            Message::Loan { portion, start } => self.on_loan(from, id, (portion, start), now),
+            Message::Loan { portion, start } => self.on_loan(from, id, portion, start, now),
             Message::Release { is_stopping } => self.on_release(from, id, is_stopping, now),
             Message::AskToken { tenant } => self.on_ask_token(from, id, &tenant, now),
             Message::Token { granted, wait_ms } => self.on_token(id, granted, wait_ms, now),
@@ -272,7 +274,7 @@
         let counting = match (&self.round, self.is_stopping || self.buckets.is_empty()) {
             (_, true) => None,
             (Some(round), false) => Some(round.next_at()),
-            (None, false) => self.listens_until,
+            (None, false) => self.counts_from,
         };
         let waiters = self.waiters.iter().map(|waiter| waiter.next_at);
         let takers = self.takers.iter().map(|taker| taker.until);
@@ -298,7 +300,7 @@
 
     /// Returns the VMs whose portions this VM uses, itself included.
     pub fn owners(&self) -> impl Iterator<Item = &VmName> {
-        let own = self.share.has_own().then(|| self.census.own_name());
+        let own = self.share.has_own().then(|| self.registry.own_name());
         let loans = self.share.loans().iter();
         own.into_iter().chain(loans.map(|loan| &loan.lender))
     }
@@ -327,10 +329,10 @@
     /// this VM was frozen.
     fn observe(&mut self, now: BootTime) {
         let has_lost = self.share.advance(now);
-        let own = 1.0 / self.census.count(now) as f64;
+        let own = 1.0 / self.registry.count(now) as f64;
         let is_less = own < self.share.own();
         self.share.set_own(own);
-        self.add_own_start(now);
+        self.add_own_start_allowance(now);
         self.relearn_after_freeze(now);
         if has_lost || is_less {
             self.settle_all();
--- a/src/geraniummount/core/quota/census.rs
+++ b/src/geraniummount/core/quota/registry.rs
@@ -1,4 +1,5 @@
-//! The VMs among which quotas are divided, and the order in which they count.
+//! The VMs among which quotas are divided, and the order in which they begin to count for
+//! their domain.
 
 use std::time::Duration;
 
@@ -6,13 +7,14 @@
 use crate::core::fingerprint::{self, Fingerprint};
 use crate::prelude::*;
 
-/// Time for which a VM that is no longer registered still counts. Other VMs learn of a change
-/// later, and the sum of all portions must not exceed the whole meanwhile.
-const REMEMBERED_TIME: Duration = Duration::from_secs(10);
+/// Time for which quotas are still divided by a number that includes a VM that is no longer
+/// registered. Other VMs learn of a change later, and the sum of all portions must not exceed the
+/// whole meanwhile.
+const RETENTION_TIME: Duration = Duration::from_secs(10);
 
 /// The VMs that are registered, or were until recently.
 #[derive(Debug)]
-pub(super) struct Census {
+pub(super) struct Registry {
     own_name: VmName,
     own_domain: DomainName,
     /// Sorted by domain and rank.
@@ -29,9 +31,9 @@
     gone_at: Option<BootTime>,
 }
 
-impl Census {
-    pub(super) fn new(own_name: VmName, own_domain: DomainName) -> Census {
-        Census {
+impl Registry {
+    pub(super) fn new(own_name: VmName, own_domain: DomainName) -> Registry {
+        Registry {
             own_name,
             own_domain,
             known: Vec::new(),
@@ -55,7 +57,7 @@
             }
         }
         let has_grown = self.known.len() > before;
-        self.known.retain(|entry| entry.is_counted(now));
+        self.known.retain(|entry| entry.is_included(now));
         self.known
             .sort_by(|a, b| (&a.domain, a.rank).cmp(&(&b.domain, b.rank)));
         has_grown
@@ -63,7 +65,7 @@
 
     /// Returns the number of VMs among which the quotas are divided, which is at least 1.
     pub(super) fn count(&self, now: BootTime) -> usize {
-        let counted = self.known.iter().filter(|entry| entry.is_counted(now));
+        let counted = self.known.iter().filter(|entry| entry.is_included(now));
         counted.count().max(1)
     }
 
@@ -78,7 +80,7 @@
         own.any(|entry| entry.name == self.own_name && entry.gone_at.is_none())
     }
 
-    /// Returns the registered VMs of a domain, in the order in which they count.
+    /// Returns the registered VMs of a domain, in the order in which they begin to count.
     pub(super) fn ranked<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a VmName> {
         let of_domain = self.known.iter().filter(move |vm| vm.domain == domain);
         let registered = of_domain.filter(|entry| entry.gone_at.is_none());
@@ -86,7 +88,7 @@
     }
 
     /// Returns the other VMs of this VM's domain.
-    pub(super) fn neighbours(&self) -> impl Iterator<Item = &VmName> {
+    pub(super) fn domain_peers(&self) -> impl Iterator<Item = &VmName> {
         let all = self.ranked(&self.own_domain);
         all.filter(|name| **name != self.own_name)
     }
@@ -126,8 +128,9 @@
         }
     }
 
-    fn is_counted(&self, now: BootTime) -> bool {
+    /// Returns whether quotas are still divided by a number that includes the VM.
+    fn is_included(&self, now: BootTime) -> bool {
         let age = |at: BootTime| now.saturating_duration_since(at);
-        self.gone_at.is_none_or(|at| age(at) < REMEMBERED_TIME)
+        self.gone_at.is_none_or(|at| age(at) < RETENTION_TIME)
     }
 }
--- a/src/geraniummount/core/quota/share.rs
+++ b/src/geraniummount/core/quota/share.rs
@@ -18,11 +18,11 @@
     /// Sum over time of the share, in seconds of the whole quota.
     total: f64,
     /// Sum of the waits of restarted VMs that was added, in seconds of the whole quota.
-    start_total: f64,
-    /// The part of [`Share::start_total`] for which tokens are kept.
-    start_kept: f64,
+    start_allowance_total: f64,
+    /// The part of [`Share::start_allowance_total`] for which tokens are kept.
+    start_allowance_kept: f64,
     /// When no tokens for waits are kept any more.
-    start_until: BootTime,
+    start_allowance_until: BootTime,
 }
 
 /// A portion that this VM has borrowed.
@@ -53,34 +53,34 @@
         self.at = self.at.max(now);
         let before = self.loans.len();
         self.loans.retain(|loan| loan.until > now);
-        let is_start_over = self.start_kept > 0.0 && self.start_until <= now;
+        let is_start_over = self.start_allowance_kept > 0.0 && self.start_allowance_until <= now;
         if is_start_over {
-            self.end_start();
+            self.end_start_allowance();
         }
         self.loans.len() < before || is_start_over
     }
 
     /// Adds a part of the waits of restarted VMs, in seconds of the whole quota. Tokens for it are
     /// kept until `until`.
-    pub(super) fn add_start(&mut self, seconds: f64, until: BootTime) {
-        self.start_total += seconds;
-        self.start_kept += seconds;
-        self.start_until = until;
+    pub(super) fn add_start_allowance(&mut self, seconds: f64, until: BootTime) {
+        self.start_allowance_total += seconds;
+        self.start_allowance_kept += seconds;
+        self.start_allowance_until = until;
     }
 
     /// Removes the tokens for the waits of restarted VMs with the next settling of the buckets.
-    pub(super) fn end_start(&mut self) {
-        self.start_kept = 0.0;
+    pub(super) fn end_start_allowance(&mut self) {
+        self.start_allowance_kept = 0.0;
     }
 
     /// Returns the sum of the waits that was added, in seconds of the whole quota.
-    pub(super) fn start_total(&self) -> f64 {
-        self.start_total
+    pub(super) fn start_allowance_total(&self) -> f64 {
+        self.start_allowance_total
     }
 
     /// Returns the part of the waits for which tokens are kept, in seconds of the whole quota.
-    pub(super) fn start_kept(&self) -> f64 {
-        self.start_kept
+    pub(super) fn start_allowance_kept(&self) -> f64 {
+        self.start_allowance_kept
     }
 
     /// Returns the sum over time of the share up to the last call of [`Share::advance`].
--- a/src/geraniummount/core/quota/transfer.rs
+++ b/src/geraniummount/core/quota/transfer.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::census::Census;
+use super::registry::Registry;
 use super::{Message, Quotas};
 use crate::core::boot_time::BootTime;
 use crate::prelude::*;
@@ -52,13 +52,13 @@
 impl Transfers {
     /// Returns the VM of another domain that counts there: the one known to, or the first in the
     /// order.
-    pub(super) fn target(&self, domain: &str, census: &Census) -> Option<VmName> {
+    pub(super) fn target(&self, domain: &str, registry: &Registry) -> Option<VmName> {
         let known = self.counters.iter().find(|(name, _)| name == domain);
         let known = known.map(|(_, vm)| vm);
-        let is_registered = |vm: &&VmName| census.domain(vm).is_some_and(|name| name == domain);
+        let is_registered = |vm: &&VmName| registry.domain(vm).is_some_and(|name| name == domain);
         known
             .filter(is_registered)
-            .or_else(|| census.ranked(domain).next())
+            .or_else(|| registry.ranked(domain).next())
             .cloned()
     }
 
@@ -68,9 +68,9 @@
     }
 
     /// Turns to the next VM of a domain, as one has not answered.
-    fn pass_over(&mut self, domain: &str, census: &Census) {
-        let silent = self.target(domain, census);
-        let all: Vec<&VmName> = census.ranked(domain).collect();
+    fn pass_over(&mut self, domain: &str, registry: &Registry) {
+        let silent = self.target(domain, registry);
+        let all: Vec<&VmName> = registry.ranked(domain).collect();
         let place = all.iter().position(|vm| silent.as_ref() == Some(vm));
         let next = place.map_or(0, |place| place + 1);
         if let Some(vm) = all.get(next % all.len().max(1)) {
@@ -111,7 +111,7 @@
         let waiting = self.taker_count(&tenant) as f64;
         let wanted = self.buckets[index].room(&self.share) * WANTED_PART + waiting;
         let mut is_any_open = false;
-        for domain in self.census.other_domains() {
+        for domain in self.registry.other_domains() {
             is_any_open |= self.ask_domain(&tenant, &domain, wanted, now);
         }
         is_any_open
@@ -127,12 +127,12 @@
                 return true;
             }
             self.transfers.open.swap_remove(place);
-            self.transfers.pass_over(domain, &self.census);
+            self.transfers.pass_over(domain, &self.registry);
         }
         if wanted < MIN_WANTED || self.transfers.is_paused(tenant, domain, now) {
             return false;
         }
-        let Some(vm) = self.transfers.target(domain, &self.census) else {
+        let Some(vm) = self.transfers.target(domain, &self.registry) else {
             return false;
         };
         let question = Question {
@@ -166,7 +166,7 @@
         wanted: f64,
         now: BootTime,
     ) {
-        if let Some(domain) = self.census.domain(from).cloned() {
+        if let Some(domain) = self.registry.domain(from).cloned() {
             self.transfers.set_counter(&domain, from);
         }
         if self.round.is_none() {
@@ -230,7 +230,7 @@
             return;
         };
         let is_of_domain = |vm: &VmName| {
-            self.census
+            self.registry
                 .domain(vm)
                 .is_some_and(|name| *name == question.domain)
         };
