Give one thing one name in fair sharing, cold leaves and the memory account

Cause: read by a newcomer, patience, tilted, news_age, Priced and Books had to be looked up; a shed request was also called turned away, in a log field next to shed_share; held bytes and the larger fleet were computed twice.

Change: target_latency, unmeasured_priority_share, report_age, RequestCost, Counters, shed_request and shed_share; the two computations exist once.

--- a/src/geraniummount/core/fair_share/mod.rs
+++ b/src/geraniummount/core/fair_share/mod.rs
@@ -108,19 +108,19 @@
     }
 
     /// Decides about a recorded request. `shed_share` is the share of all requests to shed, from 0
-    /// to 1. `patience` is the target latency of the request, by which a refused caller's delay is
+    /// to 1. `target_latency` is the target latency of the request, by which a refused caller's delay is
     /// derived.
     pub fn decide(
         &mut self,
         claimant: &Claimant,
         shed_share: f64,
-        patience: Duration,
+        target_latency: Duration,
         now: Instant,
     ) -> Decision {
         if shed_share <= 0.0 {
             return Decision::Admit;
         }
-        let shed = self.assess(claimant, shed_share.min(1.0), patience, now);
+        let shed = self.assess(claimant, shed_share.min(1.0), target_latency, now);
         let is_admitted = match self.find(claimant) {
             Ok(index) => self.entries[index].take_credit(shed.admitted),
             Err(_) => true,
@@ -137,7 +137,13 @@
     }
 
     /// Returns what is admitted of the claimant's requests, and by which figures.
-    fn assess(&self, claimant: &Claimant, share: f64, patience: Duration, now: Instant) -> Shed {
+    fn assess(
+        &self,
+        claimant: &Claimant,
+        share: f64,
+        target_latency: Duration,
+        now: Instant,
+    ) -> Shed {
         let recent: f64 = self.entries.iter().map(|entry| entry.recent(now)).sum();
         let usual: f64 = self.entries.iter().map(|entry| entry.usual(now)).sum();
         let (window, seen) = match (recent >= MIN_SEEN, usual >= MIN_SEEN_USUALLY) {
@@ -147,7 +153,7 @@
         };
         let of_all = 1.0 - share;
         let of_priority = match window {
-            Window::None => self.tilted(claimant.priority, share),
+            Window::None => self.unmeasured_priority_share(claimant.priority, share),
             Window::Recent | Window::Usual => {
                 self.priority_share(claimant.priority, window, of_all, now)
             }
@@ -165,13 +171,13 @@
             retry_after: MIN_RETRY_AFTER,
         };
         if window == Window::Recent {
-            self.apply_tenant_share(&mut shed, claimant, of_all, patience, now);
+            self.apply_tenant_share(&mut shed, claimant, of_all, target_latency, now);
         }
         shed
     }
 
     /// Returns the share admitted of a priority that cannot be measured.
-    fn tilted(&self, priority: u32, share: f64) -> f64 {
+    fn unmeasured_priority_share(&self, priority: u32, share: f64) -> f64 {
         let first = self.entries.first();
         let is_first = first.is_none_or(|first| priority <= first.claimant.priority);
         let factor = if is_first { 1.0 } else { LOWER_PRIORITY_FACTOR };
@@ -205,7 +211,7 @@
         shed: &mut Shed,
         claimant: &Claimant,
         of_all: f64,
-        patience: Duration,
+        target_latency: Duration,
         now: Instant,
     ) {
         let of_priority = shed.admitted;
@@ -230,7 +236,7 @@
         }
         shed.demand = Some(own.demand * per_second);
         shed.fair_share = Some(fair_share * per_second);
-        shed.retry_after = retry_after(own.demand, fair_share, patience);
+        shed.retry_after = retry_after(own.demand, fair_share, target_latency);
     }
 
     /// Returns the demand and the weight of each entry.
@@ -285,8 +291,8 @@
 
 /// Returns the time in which the tenant's share takes what the tenant sends above it within the
 /// target latency: its backlog, if its callers wait that long.
-fn retry_after(demand: f64, fair_share: f64, patience: Duration) -> Duration {
+fn retry_after(demand: f64, fair_share: f64, target_latency: Duration) -> Duration {
     let excess = (demand / fair_share.max(1e-6) - 1.0).clamp(0.0, 1e3);
-    let wait = patience.min(MAX_RETRY_AFTER).mul_f64(excess);
+    let wait = target_latency.min(MAX_RETRY_AFTER).mul_f64(excess);
     wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
--- a/src/geraniummount/core/memory_account/limits.rs
+++ b/src/geraniummount/core/memory_account/limits.rs
@@ -4,8 +4,8 @@
 /// were measured in a debug build with one leaf.
 const PROCESS_BYTES: usize = 28 * 1024 * 1024;
 
-/// Of the rest of the memory, one part in this many is booked. The other is left for what is not
-/// booked: unused space of the allocator, buffers while they are copied, calls and their plans.
+/// Of the rest of the memory, one part in this many is recorded. The other is left for what is not
+/// recorded: unused space of the allocator, buffers while they are copied, calls and their plans.
 const MEMORY_DIVISOR: usize = 2;
 
 /// The bound is at least the memory divided by this.
--- a/src/geraniummount/core/memory_account/mod.rs
+++ b/src/geraniummount/core/memory_account/mod.rs
@@ -26,7 +26,7 @@
 pub use self::limits::Limits;
 pub use self::share::Share;
 
-use self::share::Books;
+use self::share::Counters;
 
 /// A connection is not closed for others before this time. An ordinary caller sends its request or
 /// takes its answer in a fraction of it.
@@ -46,7 +46,7 @@
 /// Account of what one VM holds.
 #[derive(Debug)]
 pub struct Account {
-    books: Arc<Books>,
+    counters: Arc<Counters>,
     limits: Limits,
 }
 
@@ -54,7 +54,7 @@
     /// Creates an account of which nothing is held.
     pub fn new(limits: Limits) -> Account {
         Account {
-            books: Arc::default(),
+            counters: Arc::default(),
             limits,
         }
     }
@@ -66,17 +66,17 @@
 
     /// Returns an empty share of a holder.
     pub fn share(&self, holder: Holder) -> Share {
-        Share::new(Arc::clone(&self.books), holder)
+        Share::new(Arc::clone(&self.counters), holder)
     }
 
     /// Returns the number of bytes that a holder holds.
     pub fn held(&self, holder: Holder) -> usize {
-        self.books.held(holder)
+        self.counters.held(holder)
     }
 
     /// Returns the number of bytes held in all.
     pub fn total(&self) -> usize {
-        self.books.total.load(Ordering::Relaxed)
+        self.counters.total.load(Ordering::Relaxed)
     }
 
     /// Returns whether more than the bound is held.
--- a/src/geraniummount/core/memory_account/share.rs
+++ b/src/geraniummount/core/memory_account/share.rs
@@ -7,48 +7,48 @@
 
 /// Bytes held in all, and by each holder.
 #[derive(Debug, Default)]
-pub(super) struct Books {
+pub(super) struct Counters {
     pub(super) total: AtomicUsize,
     by_holder: [AtomicUsize; Holder::ALL.len()],
 }
 
-impl Books {
+impl Counters {
     pub(super) fn held(&self, holder: Holder) -> usize {
         self.by_holder[holder as usize].load(Ordering::Relaxed)
     }
 }
 
-/// Bytes that one buffer holds, booked for a holder. They are given back when the share is dropped,
+/// Bytes that one buffer holds, recorded for a holder. They are given back when the share is dropped,
 /// so it is kept beside its buffer.
 #[derive(Debug)]
 pub struct Share {
-    books: Arc<Books>,
+    counters: Arc<Counters>,
     holder: Holder,
     bytes: usize,
 }
 
 impl Share {
-    pub(super) fn new(books: Arc<Books>, holder: Holder) -> Share {
+    pub(super) fn new(counters: Arc<Counters>, holder: Holder) -> Share {
         Share {
-            books,
+            counters,
             holder,
             bytes: 0,
         }
     }
 
-    /// Returns the number of bytes that are booked.
+    /// Returns the number of bytes that are recorded.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 
-    /// Books the number of bytes that the buffer holds now.
+    /// Records the number of bytes that the buffer holds now.
     pub fn resize(&mut self, bytes: usize) {
         if bytes == self.bytes {
             return;
         }
         let held = [
-            &self.books.total,
-            &self.books.by_holder[self.holder as usize],
+            &self.counters.total,
+            &self.counters.by_holder[self.holder as usize],
         ];
         for held in held {
             held.fetch_add(bytes, Ordering::Relaxed);
--- a/src/geraniummount/core/placement/by_cost.rs
+++ b/src/geraniummount/core/placement/by_cost.rs
@@ -11,7 +11,7 @@
 
 /// A request that is to be placed, if it is placed by its cost.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Priced {
+pub(super) struct RequestCost {
     /// Expected work of the request.
     work: Duration,
     /// Mean work of the requests to the service.
@@ -88,8 +88,8 @@
         costs.map_or(1.0, |costs| costs.route_factor(service, profile, now))
     }
 
-    fn price(&self, service: &str, profile: &Profile, now: Instant) -> Option<Priced> {
-        self.costs.as_ref().map(|costs| Priced {
+    fn price(&self, service: &str, profile: &Profile, now: Instant) -> Option<RequestCost> {
+        self.costs.as_ref().map(|costs| RequestCost {
             work: costs.expected(service, profile, now),
             typical: costs.typical(service),
         })
@@ -101,7 +101,7 @@
     pub(super) fn expected_latency_for(
         &self,
         replica: &Replica,
-        priced: Option<Priced>,
+        priced: Option<RequestCost>,
         now: Instant,
     ) -> Duration {
         let Some(priced) = priced else {
--- a/src/geraniummount/core/placement/choice.rs
+++ b/src/geraniummount/core/placement/choice.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
-use super::by_cost::Priced;
+use super::by_cost::RequestCost;
 use super::limit::{Need, Portion};
 use super::{Group, Placement, ReplicaKey, Tier};
 use crate::core::request_rate::RequestRate;
@@ -114,7 +114,7 @@
         service: &str,
         scope: &Scope,
         tried: &[ReplicaKey],
-        priced: Option<Priced>,
+        priced: Option<RequestCost>,
         now: Instant,
     ) -> Option<ReplicaKey> {
         let index = self.search(service).ok()?;
@@ -134,7 +134,7 @@
         index: usize,
         scope: &Scope,
         excluded: &[ReplicaKey],
-        priced: Option<Priced>,
+        priced: Option<RequestCost>,
         now: Instant,
     ) -> Option<ReplicaKey> {
         let group = &self.groups[index];
--- a/src/geraniummount/core/placement/coldness.rs
+++ b/src/geraniummount/core/placement/coldness.rs
@@ -78,13 +78,13 @@
         let Some(warm_up) = self.warm_up else {
             return Duration::ZERO;
         };
-        let young_until = self.started_at.map(|at| at + warm_up.duration);
-        let until = young_until.max(self.until);
+        let warm_at = self.started_at.map(|at| at + warm_up.duration);
+        let until = warm_at.max(self.until);
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Returns the age of the report by which the leaf is cold or warm.
-    pub(super) fn news_age(&self, now: Instant) -> Option<Duration> {
+    pub(super) fn report_age(&self, now: Instant) -> Option<Duration> {
         self.heard_at.map(|at| now.saturating_duration_since(at))
     }
 
@@ -134,7 +134,7 @@
 
     /// Returns for how much longer the leaf is cold, and how old the report is by which this is known.
     pub fn cold_left(&self, now: Instant) -> (Duration, Option<Duration>) {
-        (self.coldness.left(now), self.coldness.news_age(now))
+        (self.coldness.left(now), self.coldness.report_age(now))
     }
 
     /// Brings up to date until when the leaf is cold; returns whether it has become cold.
--- a/src/geraniummount/core/placement/warm_up.rs
+++ b/src/geraniummount/core/placement/warm_up.rs
@@ -67,8 +67,7 @@
     pub fn set_fleet_size(&mut self, vms: usize, now: Instant) {
         let last = self.warm_ups.fleet_size.filter(|last| *last > vms);
         let last = last.map(|last| (last, now + FLEET_MEMORY));
-        let larger = self.warm_ups.larger_fleet.filter(|(_, until)| now < *until);
-        self.warm_ups.larger_fleet = larger.max(last);
+        self.warm_ups.larger_fleet = self.larger_fleet(now).max(last);
         self.warm_ups.fleet_size = (vms > 0).then_some(vms);
         self.warm_ups.fleet_known_at.get_or_insert(now);
     }
@@ -112,8 +111,12 @@
 
     /// Returns the number of VMs that counts, if it is known.
     fn counted_vms(&self, now: Instant) -> Option<usize> {
-        let larger = self.warm_ups.larger_fleet.filter(|(_, until)| now < *until);
-        self.warm_ups.fleet_size.max(larger.map(|(vms, _)| vms))
+        let larger = self.larger_fleet(now).map(|(vms, _)| vms);
+        self.warm_ups.fleet_size.max(larger)
+    }
+
+    fn larger_fleet(&self, now: Instant) -> Option<(usize, Instant)> {
+        self.warm_ups.larger_fleet.filter(|(_, until)| now < *until)
     }
 
     /// Returns the equal share of each VM, if the number of VMs is known, and whether that number
--- a/src/geraniummount/edge/gateway/admission.rs
+++ b/src/geraniummount/edge/gateway/admission.rs
@@ -40,7 +40,7 @@
         terms: Option<Terms>,
     ) {
         let arrival = Arrival::new(key, request, content, terms.as_ref(), self.now);
-        let needed = arrival.request.held_bytes() + arrival.content.capacity();
+        let needed = arrival.held_bytes();
         if !self.account.admits(0, needed) {
             return self.refuse_for_memory(key, &arrival.caller_fields.id, terms.as_ref());
         }
@@ -195,7 +195,7 @@
             // Rejected requests also count towards the number of retries that is allowed.
             plan.record_requests(&mut self.placement, self.now);
             self.return_token(arrival.token.as_deref());
-            return self.turn_away(&arrival, route, terms.as_ref(), &overload);
+            return self.shed_request(&arrival, route, terms.as_ref(), &overload);
         }
         let earlier_crashes = match self.quarantine_admission(fingerprint) {
             Admission::Admitted(crashes) => crashes,
--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -67,7 +67,7 @@
 }
 
 impl CallerConnection {
-    /// Books what the connection holds.
+    /// Records what the connection holds.
     fn settle(&mut self) {
         self.socket.settle();
         self.request_share.resize(self.state.held_bytes());
@@ -243,7 +243,7 @@
         self.settle_caller(key);
     }
 
-    /// Books what a connection holds, and closes connections if too much is held now.
+    /// Records what a connection holds, and closes connections if too much is held now.
     fn settle_caller(&mut self, key: usize) {
         if let Some(caller) = self.caller_connections.get_mut(key) {
             caller.settle();
@@ -315,7 +315,7 @@
         caller.state = State::Body {
             body: request.body,
             request,
-            // The whole body is booked before it is read.
+            // The whole body is recorded before it is read.
             content: Vec::with_capacity(announced),
         };
         caller.settle();
--- a/src/geraniummount/edge/gateway/cold_leaves.rs
+++ b/src/geraniummount/edge/gateway/cold_leaves.rs
@@ -16,11 +16,11 @@
     pub(super) fn on_cold_leaves(&mut self) {
         for (service, key) in self.placement.take_cold() {
             if let Some(replica) = self.placement.replica(&service, key) {
-                let (left, news_age) = replica.cold_left(self.now);
+                let (left, report_age) = replica.cold_left(self.now);
                 let leaf = &replica.instance.id;
-                let (left, age) = (left.as_millis(), news_age.unwrap_or_default().as_millis());
+                let (left, age) = (left.as_millis(), report_age.unwrap_or_default().as_millis());
                 info!(
-                    "leaf leaf={leaf} service={service} event=cold left_ms={left} news_age_ms={age}"
+                    "leaf leaf={leaf} service={service} event=cold left_ms={left} report_age_ms={age}"
                 );
             }
             self.pass_back_waiting(key);
--- a/src/geraniummount/edge/gateway/content.rs
+++ b/src/geraniummount/edge/gateway/content.rs
@@ -13,7 +13,7 @@
 }
 
 impl Content {
-    /// Books a body in a share, together with a head of `head_bytes`.
+    /// Records a body in a share, together with a head of `head_bytes`.
     pub(super) fn new(bytes: Vec<u8>, head_bytes: usize, mut share: Share) -> Content {
         share.resize(bytes.capacity() + head_bytes);
         Content {
--- a/src/geraniummount/edge/gateway/delegation/connection.rs
+++ b/src/geraniummount/edge/gateway/delegation/connection.rs
@@ -263,7 +263,7 @@
         }
     }
 
-    /// Books what a connection holds.
+    /// Records what a connection holds.
     pub(in crate::edge::gateway) fn settle_peer(&mut self, connection: usize) {
         if let Some(open) = self.delegation.connections.get_mut(connection) {
             open.socket.settle();
--- a/src/geraniummount/edge/gateway/fair_share.rs
+++ b/src/geraniummount/edge/gateway/fair_share.rs
@@ -84,10 +84,10 @@
         let contention = self.contention_mut(plan.is_gather(), service);
         contention.demand.record(&claimant, now);
         let shed_share = shed_share.unwrap_or_else(|| contention.shortage.shed_share(now));
-        let patience = route.target_latency;
+        let target_latency = route.target_latency;
         let decision = contention
             .demand
-            .decide(&claimant, shed_share, patience, now);
+            .decide(&claimant, shed_share, target_latency, now);
         match decision {
             Decision::Admit => Ok(()),
             Decision::Shed(shed) => {
@@ -138,7 +138,7 @@
         let share = shortage.shed_share(now);
         if was_short != (share > 0.0) {
             info!(
-                "load service={service} overloaded={} turned_away={share:.2}",
+                "load service={service} overloaded={} shed_share={share:.2}",
                 !was_short
             );
         }
--- a/src/geraniummount/edge/gateway/key_lease/mod.rs
+++ b/src/geraniummount/edge/gateway/key_lease/mod.rs
@@ -1,6 +1,5 @@
 //! Confirms that the keys of the configuration in force may still be used: asks other VMs, reads the
 //! store, and answers the questions of other VMs. `core::key_lease` decides.
-
 //!
 //! The store's revision is read first, with an answer of some bytes. If the changes up to it are not
 //! in force, the watch is most often between two calls and delivers them soon. It may also hear
@@ -124,7 +123,7 @@
     }
 
     /// Returns whether a read of the store would confirm nothing now, or be turned away.
-    fn is_read_in_vain(&self, now: BootTime) -> bool {
+    fn is_read_useless(&self, now: BootTime) -> bool {
         !self.lease.is_complete() || self.responder.is_pausing(now)
     }
 
@@ -302,7 +301,7 @@
             return;
         };
         match (step, id) {
-            (Step::Read, _) if keys.is_read_in_vain(now) => keys.renewal.on_failed(&Step::Read),
+            (Step::Read, _) if keys.is_read_useless(now) => keys.renewal.on_failed(&Step::Read),
             (Step::Read, _) => keys.read(now),
             (Step::Ask(peer), Some(id)) => {
                 if keys.questions.len() == MAX_QUESTIONS {
@@ -322,7 +321,7 @@
             return;
         };
         let newest = keys.newest();
-        if keys.responder.needs_read(newest, now) && !keys.is_read_in_vain(now) {
+        if keys.responder.needs_read(newest, now) && !keys.is_read_useless(now) {
             keys.read(now);
         }
         let is_pending = keys.lease.has_pending();
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Books what a connection holds.
+    /// Records what a connection holds.
     pub(super) fn settle_leaf(&mut self, connection: usize) {
         if let Some(leaf) = self.leaf_connections.get_mut(connection) {
             leaf.socket.settle();
--- a/src/geraniummount/edge/gateway/load_shedding.rs
+++ b/src/geraniummount/edge/gateway/load_shedding.rs
@@ -109,7 +109,7 @@
         let share = shedder.shed_share();
         if was_active != shedder.is_shedding() {
             info!(
-                "load first_shard={shard} overloaded={} turned_away={share:.2}",
+                "load first_shard={shard} overloaded={} shed_share={share:.2}",
                 !was_active
             );
         }
--- a/src/geraniummount/edge/gateway/memory.rs
+++ b/src/geraniummount/edge/gateway/memory.rs
@@ -134,7 +134,7 @@
     /// Counts a connection that was closed or not accepted, and logs at intervals what is held.
     fn record_closed(&mut self, why: &str) {
         self.metrics.memory.count_closing(why);
-        let closed = &mut self.closed_for_memory;
+        let closed = &mut self.closed_connections;
         closed.count += 1;
         let age = |at: Instant| self.now.saturating_duration_since(at);
         if closed.logged_at.is_some_and(|at| age(at) < LOG_INTERVAL) {
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -181,7 +181,7 @@
     /// What this VM holds for others.
     account: Account,
     /// Connections that were closed as memory or descriptors were short.
-    closed_for_memory: Closed,
+    closed_connections: Closed,
     /// Serial number that was allocated last.
     last_serial: u64,
     /// Replies that have not been passed to their calls yet.
@@ -256,7 +256,7 @@
             sharing: Sharing::default(),
             trials: Trials::default(),
             account: Account::new(limits),
-            closed_for_memory: Closed::default(),
+            closed_connections: Closed::default(),
             last_serial: 0,
             pending_replies: VecDeque::new(),
             answered_callers: Vec::new(),
--- a/src/geraniummount/edge/gateway/refusals.rs
+++ b/src/geraniummount/edge/gateway/refusals.rs
@@ -57,7 +57,7 @@
     }
 
     /// Rejects a request because leaves are overloaded.
-    pub(super) fn turn_away(
+    pub(super) fn shed_request(
         &mut self,
         arrival: &Arrival,
         route: &Route,
--- a/src/geraniummount/edge/gateway/response_reader.rs
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -25,7 +25,7 @@
 }
 
 impl ResponseReader {
-    /// Creates a reader whose buffer is booked in a share.
+    /// Creates a reader whose buffer is recorded in a share.
     pub(super) fn new(share: Share) -> ResponseReader {
         ResponseReader {
             is_head_request: false,
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -69,7 +69,7 @@
 }
 
 impl Socket {
-    /// Creates a socket whose buffers are booked in the given shares.
+    /// Creates a socket whose buffers are recorded in the given shares.
     pub(super) fn new(stream: TcpStream, input_share: Share, output_share: Share) -> Socket {
         Socket {
             stream,
@@ -87,7 +87,7 @@
         self.input_share.bytes() + self.output_share.bytes()
     }
 
-    /// Books what the buffers take, and releases the space that was used for a large message.
+    /// Records what the buffers take, and releases the space that was used for a large message.
     pub(super) fn settle(&mut self) {
         for buffer in [&mut self.input, &mut self.output] {
             if buffer.capacity() > KEPT_BYTES.max(buffer.len().saturating_mul(2)) {
