Move the state of a request at its peer to a file of its own

Cause: the state of a delegated request and of the peer that has it stood in one file of 450 lines, under the name Open; two comments on offloading still said that a query is served here after it was sent.

--- a/src/geraniummount/core/delegation/mod.rs
+++ b/src/geraniummount/core/delegation/mod.rs
@@ -26,6 +26,7 @@
 mod decline;
 mod ending;
 mod handler;
+mod handoff;
 mod links;
 pub mod offload;
 mod outcome;
--- a/src/geraniummount/core/delegation/offload.rs
+++ b/src/geraniummount/core/delegation/offload.rs
@@ -9,8 +9,9 @@
 //! a fraction of the time, and learn from all of them. Passing a request on costs a VM no more than
 //! a few parts do.
 //!
-//! The stronger VM may be gone, frozen, overloaded, or without links to the leaves. The VM that the
-//! caller has reached then serves the query itself.
+//! If the stronger VM can't be reached, or declines the query, the VM that the caller has reached
+//! serves the query itself. Once the query was sent and has no answer, it may have used all attempts
+//! that its route permits, so it fails.
 
 use std::time::Duration;
 
@@ -31,9 +32,8 @@
 /// VMs. They would wait there for about as long as their own VMs would take.
 const MAX_BACKLOG: Duration = Duration::from_millis(60);
 
-/// Time for which a query of another VM may have waited to be read. It is acknowledged, or declined,
-/// clearly before the other VM gives it up and serves it itself: both would send it to leaves, each
-/// with the attempts that the route permits.
+/// Time for which a query of another VM may have waited to be read. One that has waited longer is
+/// declined, as the other VM soon gives it up, and its answer would be of no use.
 const MAX_READ_DELAY: Duration = Duration::from_millis(15);
 
 /// Returns whether a query of another VM that may have waited for `waited` to be read is served.
--- a/src/geraniummount/core/delegation/request.rs
+++ b/src/geraniummount/core/delegation/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::handoff::Handoff;
 use super::{Action, Answer, Decline, End, Ending, Outcome, Peers, Purpose};
 use crate::core::not_run::{NotRun, Progress};
 use crate::core::route::Repeat;
@@ -12,19 +13,6 @@
 /// each of them declines within one round trip.
 const MAX_PEERS: usize = 8;
 
-/// Time from sending a request until the peer has to acknowledge it. A packet that was lost is sent
-/// again after some 200 ms, and a slow peer reads the request later than that only if it notices
-/// that it was stalled. A peer that is given up too early runs the request beside the next one.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Time from choosing a peer for an offloaded request until the request has to be sent to it. This VM
-/// can still serve it in time then.
-const OFFLOAD_SEND_TIMEOUT: Duration = Duration::from_millis(40);
-
-/// As [`ACKNOWLEDGE_TIMEOUT`], for an offloaded request. It is not served here after that, as the
-/// peer may have used all attempts that the route permits; the caller repeats it.
-const OFFLOAD_ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Maximum time for which a request waits for peers whose routes are older than it requires. The
 /// VMs apply a change of the routes within a fraction of a second of each other.
 const MAX_OUTDATED_WAIT: Duration = Duration::from_millis(300);
@@ -51,7 +39,7 @@
     /// Failure domains of peers that have lost their links too.
     lost_domains: Vec<DomainName>,
     /// The peer that has the request.
-    open: Option<Open>,
+    open: Option<Handoff>,
     /// Whether a leaf, or a peer that did not answer, may have run the request.
     may_have_run: bool,
     /// When the request began to wait for peers whose routes are older than it requires.
@@ -63,19 +51,6 @@
     is_finished: bool,
 }
 
-/// A peer that has the request.
-#[derive(Debug)]
-struct Open {
-    peer: VmName,
-    /// When the peer was chosen.
-    chosen_at: Instant,
-    /// When the request was sent; `None` while a connection is being opened.
-    sent_at: Option<Instant>,
-    is_acknowledged: bool,
-    /// Whether the peer has been counted as failed.
-    is_late: bool,
-}
-
 impl Request {
     /// Creates the state of a request that ends at `end_by`, without passing it to a peer.
     pub fn new(repeat: Repeat, end_by: Instant) -> Request {
@@ -288,7 +263,7 @@
 
     fn forward(
         &mut self,
-        open: &Open,
+        open: &Handoff,
         answer: Answer,
         peers: &mut Peers,
         now: Instant,
@@ -302,7 +277,7 @@
 
     fn record_decline(
         &mut self,
-        open: &Open,
+        open: &Handoff,
         decline: Decline,
         retry_after: Option<Duration>,
         peers: &mut Peers,
@@ -338,13 +313,7 @@
         };
         peers.begin(&peer);
         self.tried.push(peer.clone());
-        self.open = Some(Open {
-            peer: peer.clone(),
-            chosen_at: now,
-            sent_at: None,
-            is_acknowledged: false,
-            is_late: false,
-        });
+        self.open = Some(Handoff::new(peer.clone(), now));
         vec![Action::Send(peer)]
     }
 
@@ -418,7 +387,7 @@
     /// may run it yet.
     fn not_run(&self) -> Option<NotRun> {
         let earlier = self.may_have_run.then_some(Progress::Sent);
-        let open = self.open.as_ref().map(Open::progress);
+        let open = self.open.as_ref().map(Handoff::progress);
         NotRun::prove(earlier.into_iter().chain(open))
     }
 
@@ -440,28 +409,3 @@
         vec![Action::Finish(end)]
     }
 }
-
-impl Open {
-    /// Returns how far the request has got on its way to the peer.
-    fn progress(&self) -> Progress {
-        match self.sent_at {
-            Some(_) => Progress::Sent,
-            None => Progress::Queued,
-        }
-    }
-
-    /// Returns when the peer counts as failed; `None` if it has acknowledged the request or has not
-    /// got it yet.
-    fn late_at(&self, purpose: Purpose) -> Option<Instant> {
-        if self.is_acknowledged {
-            return None;
-        }
-        match purpose {
-            Purpose::Necessity => self.sent_at.map(|at| at + ACKNOWLEDGE_TIMEOUT),
-            Purpose::Offload => Some(match self.sent_at {
-                Some(at) => at + OFFLOAD_ACKNOWLEDGE_TIMEOUT,
-                None => self.chosen_at + OFFLOAD_SEND_TIMEOUT,
-            }),
-        }
-    }
-}
