Name requests that wait for a grant, and state once which connections can be closed

Cause: Taker and Waiter could not be told apart by their names; whether a connection has a request under way was decided in two matches; two comments on transfers did not say what the constants mean.

Change: PendingGrant; the memory account's edge uses State::has_request; the comments give the rule.

--- a/src/geraniummount/core/quota/granting.rs
+++ b/src/geraniummount/core/quota/granting.rs
@@ -11,7 +11,7 @@
 
 /// Time for which a question waits for tokens of other domains: three round trips between two
 /// domains, and less than the time after which it is asked again.
-const MAX_TAKER_WAIT: Duration = Duration::from_millis(24);
+const MAX_GRANT_DELAY: Duration = Duration::from_millis(24);
 
 /// Wait that is stated if it is not known when there will be a token.
 pub(super) const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
@@ -32,7 +32,7 @@
 
 /// A request that waits for a token at the counting VM.
 #[derive(Debug)]
-pub(super) struct Taker {
+pub(super) struct PendingGrant {
     tenant: TenantName,
     origin: Origin,
     pub(super) until: BootTime,
@@ -84,9 +84,8 @@
             self.send_token(from.clone(), id, count, Duration::ZERO);
             return true;
         }
-        let is_it =
-            |taker: &Taker| matches!(&taker.origin, Origin::Vm(vm, of) if *of == id && vm == from);
-        self.takers.iter().any(is_it)
+        let is_it = |pending: &PendingGrant| matches!(&pending.origin, Origin::Vm(vm, of) if *of == id && vm == from);
+        self.pending_grants.iter().any(is_it)
     }
 
     /// Grants tokens to another VM.
@@ -116,31 +115,38 @@
 
     fn queue(&mut self, index: usize, origin: Origin, now: BootTime) {
         let tenant = self.buckets[index].tenant.clone();
-        let taker = Taker {
+        let pending = PendingGrant {
             tenant: tenant.clone(),
             origin,
-            until: now.saturating_add(MAX_TAKER_WAIT),
+            until: now.saturating_add(MAX_GRANT_DELAY),
         };
-        self.takers.push(taker);
+        self.pending_grants.push(pending);
         if !self.ask_for_transfers(index, now) {
-            self.refuse_takers_of(&tenant);
+            self.refuse_pending_grants_of(&tenant);
         }
     }
 
     /// Returns the number of requests of a tenant that wait for tokens of other domains.
-    pub(super) fn taker_count(&self, tenant: &str) -> usize {
-        let of_tenant = self.takers.iter().filter(|taker| taker.tenant == tenant);
+    pub(super) fn pending_grant_count(&self, tenant: &str) -> usize {
+        let of_tenant = self
+            .pending_grants
+            .iter()
+            .filter(|pending| pending.tenant == tenant);
         of_tenant.count()
     }
 
     /// Grants tokens to the requests that wait for them, in order.
-    pub(super) fn serve_takers(&mut self, index: usize, now: BootTime) {
+    pub(super) fn serve_pending_grants(&mut self, index: usize, now: BootTime) {
         let tenant = self.buckets[index].tenant.clone();
-        while let Some(place) = self.takers.iter().position(|taker| taker.tenant == tenant) {
+        while let Some(place) = self
+            .pending_grants
+            .iter()
+            .position(|pending| pending.tenant == tenant)
+        {
             if !self.buckets[index].take(&self.share) {
                 return;
             }
-            match self.takers.remove(place).origin {
+            match self.pending_grants.remove(place).origin {
                 Origin::Own(ticket) => self.decide(ticket, Decision::Admitted(Source::Own)),
                 Origin::Vm(vm, id) => self.grant(vm, id, 1, now),
             }
@@ -148,37 +154,37 @@
     }
 
     /// Refuses the requests of a tenant that wait, as no more tokens are expected.
-    pub(super) fn refuse_takers_of(&mut self, tenant: &str) {
-        self.refuse_takers_if(|taker| taker.tenant == tenant);
+    pub(super) fn refuse_pending_grants_of(&mut self, tenant: &str) {
+        self.refuse_pending_grants_if(|pending| pending.tenant == tenant);
     }
 
     /// Refuses all requests that wait, as this VM counts no longer.
-    pub(super) fn refuse_takers(&mut self) {
-        self.refuse_takers_if(|_| true);
+    pub(super) fn refuse_pending_grants(&mut self) {
+        self.refuse_pending_grants_if(|_| true);
     }
 
     /// Decides on the requests that have waited as long as they may.
-    pub(super) fn tick_takers(&mut self, now: BootTime) {
-        let is_due = |taker: &Taker| taker.until <= now;
-        let due = self.takers.iter().filter(|taker| is_due(taker));
-        let mut tenants: Vec<TenantName> = due.map(|taker| taker.tenant.clone()).collect();
+    pub(super) fn tick_pending_grants(&mut self, now: BootTime) {
+        let is_due = |pending: &PendingGrant| pending.until <= now;
+        let due = self.pending_grants.iter().filter(|pending| is_due(pending));
+        let mut tenants: Vec<TenantName> = due.map(|pending| pending.tenant.clone()).collect();
         tenants.dedup();
         for tenant in tenants {
             if let Some(index) = self.bucket_index(&tenant) {
                 self.buckets[index].settle(&self.share);
-                self.serve_takers(index, now);
+                self.serve_pending_grants(index, now);
             }
         }
-        self.refuse_takers_if(is_due);
+        self.refuse_pending_grants_if(is_due);
     }
 
-    fn refuse_takers_if(&mut self, is_refused: impl Fn(&Taker) -> bool) {
-        let all = std::mem::take(&mut self.takers);
+    fn refuse_pending_grants_if(&mut self, is_refused: impl Fn(&PendingGrant) -> bool) {
+        let all = std::mem::take(&mut self.pending_grants);
         let (refused, others): (Vec<_>, Vec<_>) = all.into_iter().partition(is_refused);
-        self.takers = others;
-        for taker in refused {
-            let wait = self.wait(&taker.tenant);
-            match taker.origin {
+        self.pending_grants = others;
+        for pending in refused {
+            let wait = self.wait(&pending.tenant);
+            match pending.origin {
                 Origin::Own(ticket) => {
                     self.decide(ticket, Decision::OverQuota { retry_after: wait });
                 }
--- a/src/geraniummount/core/quota/lending.rs
+++ b/src/geraniummount/core/quota/lending.rs
@@ -149,7 +149,7 @@
         }
         self.share.end_start_allowance();
         self.settle_all();
-        self.refuse_takers();
+        self.refuse_pending_grants();
     }
 
     /// Lends this VM's portion to a VM that counts, unless it is lent to another one or this VM
--- a/src/geraniummount/core/quota/mod.rs
+++ b/src/geraniummount/core/quota/mod.rs
@@ -39,7 +39,7 @@
 use self::activation::Activation;
 use self::asking::{Spare, Waiter};
 use self::bucket::{Bucket, Reserve};
-use self::granting::{Grant, Taker};
+use self::granting::{Grant, PendingGrant};
 use self::lending::{Borrower, Lending, Round};
 use self::registry::Registry;
 use self::share::Share;
@@ -93,7 +93,7 @@
     waiters: Vec<Waiter>,
     spares: Vec<Spare>,
     /// Requests that wait for tokens of other domains.
-    takers: Vec<Taker>,
+    pending_grants: Vec<PendingGrant>,
     /// Recent grants to other VMs, oldest first.
     grants: VecDeque<Grant>,
     transfers: Transfers,
@@ -123,7 +123,7 @@
             round: None,
             waiters: Vec::new(),
             spares: Vec::new(),
-            takers: Vec::new(),
+            pending_grants: Vec::new(),
             grants: VecDeque::new(),
             transfers: Transfers::default(),
             last_id: setup.seed >> 1,
@@ -265,7 +265,7 @@
     pub fn tick(&mut self, now: BootTime) {
         self.observe(now);
         self.tick_counting(now);
-        self.tick_takers(now);
+        self.tick_pending_grants(now);
         self.tick_waiters(now);
     }
 
@@ -277,8 +277,8 @@
             (None, false) => self.counts_from,
         };
         let waiters = self.waiters.iter().map(|waiter| waiter.next_at);
-        let takers = self.takers.iter().map(|taker| taker.until);
-        waiters.chain(takers).chain(counting).min()
+        let pending_grants = self.pending_grants.iter().map(|pending| pending.until);
+        waiters.chain(pending_grants).chain(counting).min()
     }
 
     /// Takes the actions that the event loop has to carry out, in order.
--- a/src/geraniummount/core/quota/transfer.rs
+++ b/src/geraniummount/core/quota/transfer.rs
@@ -17,12 +17,13 @@
 /// Time after which an answer is not used any more.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(300);
 
-/// Time for which a domain is not asked again after it gave nothing, or less than was wanted.
+/// Time for which a domain is not asked again after it gave nothing, or less than half of what it
+/// was asked for.
 const EMPTY_PAUSE: Duration = Duration::from_millis(200);
 const SCARCE_PAUSE: Duration = Duration::from_millis(60);
 
-/// Part of the tokens that are lacking that each domain is asked for. Both are asked, and what
-/// exceeds the capacity is lost.
+/// Share of the missing tokens that is asked of each other domain. With two of them that is more
+/// than the whole, as one may have little to give; what exceeds the capacity is lost.
 const WANTED_PART: f64 = 0.6;
 
 /// Fewest tokens that are asked for; less is not worth a datagram.
@@ -108,7 +109,7 @@
     /// Asks the other domains for tokens; returns whether any is expected to answer.
     pub(super) fn ask_for_transfers(&mut self, index: usize, now: BootTime) -> bool {
         let tenant = self.buckets[index].tenant.clone();
-        let waiting = self.taker_count(&tenant) as f64;
+        let waiting = self.pending_grant_count(&tenant) as f64;
         let wanted = self.buckets[index].room(&self.share) * WANTED_PART + waiting;
         let mut is_any_open = false;
         for domain in self.registry.other_domains() {
@@ -205,17 +206,17 @@
         };
         self.buckets[index].settle(&self.share);
         self.buckets[index].receive(given);
-        self.serve_takers(index, now);
+        self.serve_pending_grants(index, now);
         self.buckets[index].settle(&self.share);
-        self.continue_taking(index, now);
+        self.continue_asking(index, now);
     }
 
     /// Asks for more tokens if requests still wait for them, and refuses these if none are
     /// expected.
-    fn continue_taking(&mut self, index: usize, now: BootTime) {
+    fn continue_asking(&mut self, index: usize, now: BootTime) {
         let tenant = self.buckets[index].tenant.clone();
-        if self.taker_count(&tenant) > 0 && !self.ask_for_transfers(index, now) {
-            self.refuse_takers_of(&tenant);
+        if self.pending_grant_count(&tenant) > 0 && !self.ask_for_transfers(index, now) {
+            self.refuse_pending_grants_of(&tenant);
         }
     }
 
@@ -246,7 +247,7 @@
         }
         self.transfers.pause(&question, EMPTY_PAUSE, now);
         if let Some(index) = self.bucket_index(&question.tenant) {
-            self.continue_taking(index, now);
+            self.continue_asking(index, now);
         }
     }
 }
--- a/src/geraniummount/edge/gateway/caller/state.rs
+++ b/src/geraniummount/edge/gateway/caller/state.rs
@@ -38,7 +38,7 @@
 
 impl State {
     /// Returns whether a request has been received completely and has no response yet.
-    pub(super) fn has_request(&self) -> bool {
+    pub(in crate::edge::gateway) fn has_request(&self) -> bool {
         match self {
             State::InFlight { .. }
             | State::Delegated { .. }
--- a/src/geraniummount/edge/gateway/memory.rs
+++ b/src/geraniummount/edge/gateway/memory.rs
@@ -24,18 +24,6 @@
     logged_at: Option<Instant>,
 }
 
-/// Returns whether a connection can be closed: it has no request under way.
-fn can_close(caller: &CallerConnection) -> bool {
-    match caller.state {
-        State::Idle | State::Head | State::Body { .. } | State::Closing => true,
-        State::InFlight { .. }
-        | State::Delegated { .. }
-        | State::Held { .. }
-        | State::AwaitingTrial(_)
-        | State::AwaitingToken(_) => false,
-    }
-}
-
 impl Gateway {
     /// Makes room for a body of an announced length; returns whether it may be read.
     pub(super) fn admits_body(&mut self, key: usize, announced: usize) -> bool {
@@ -99,9 +87,10 @@
         victim.is_some()
     }
 
+    /// Returns the connections that can be closed: those without a request under way.
     fn candidates(&self) -> Vec<Candidate> {
         let callers = self.caller_connections.iter();
-        let callers = callers.filter(|(_, caller)| can_close(caller));
+        let callers = callers.filter(|(_, caller)| !caller.state.has_request());
         let candidates = callers.map(|(key, caller)| Candidate {
             key,
             bytes: caller.held_bytes(),
