--- a/review/drill-2/src/client.rs
+++ b/review/drill-2/src/client.rs
@@ -43,6 +43,24 @@
     connection.write(&format!("{method} {path} HTTP/1.1"), &fields, body)
 }
 
+/// Sends a request with a key and reads its answer.
+pub fn ask_with_key(
+    connection: &mut Connection,
+    (method, path): (&str, &str),
+    id: &str,
+    key: &str,
+) -> io::Result<Message> {
+    let authorization = format!("Token {key}");
+    let fields = [
+        ("Host", HOST),
+        ("Request-Id", id),
+        ("Deadline-Ms", "2000"),
+        ("Authorization", authorization.as_str()),
+    ];
+    connection.write(&format!("{method} {path} HTTP/1.1"), &fields, b"")?;
+    connection.read()
+}
+
 /// Sends a request and reads its answer.
 pub fn ask(
     connection: &mut Connection,
--- a/review/drill-2/src/fleet.rs
+++ b/review/drill-2/src/fleet.rs
@@ -12,7 +12,6 @@
 pub const SIGCONT: i32 = 18;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
-pub const SIGTERM: i32 = 15;
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
@@ -106,11 +105,6 @@
         self.child = Some(child.expect("the gateway can be started"));
     }
 
-    /// Returns the id of the process.
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     /// Sends a signal to the process, unless it has ended.
     pub fn signal(&mut self, signal: i32) {
         if self.ended().is_none()
@@ -147,7 +141,10 @@
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
         let mut connection = Connection::new(stream);
         let asked = connection.write("GET /api/ready HTTP/1.1", &[("Host", "ready")], b"");
-        asked.is_ok() && connection.read_head().is_ok_and(|answer| answer.status() == 200)
+        asked.is_ok()
+            && connection
+                .read_head()
+                .is_ok_and(|answer| answer.status() == 200)
     }
 
     /// Returns the last lines of the log that contain a text.
@@ -158,15 +155,6 @@
         let first = lines.len().saturating_sub(most);
         lines[first..].iter().map(|line| line.to_string()).collect()
     }
-
-    /// Returns a figure of `/proc/PID/status` in kilobytes.
-    pub fn memory_kb(&self, name: &str) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with(name));
-        let figure = line.and_then(|line| line.split_whitespace().nth(1));
-        figure.and_then(|figure| figure.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Gateway {
--- a/review/drill-2/src/leaf.rs
+++ b/review/drill-2/src/leaf.rs
@@ -12,12 +12,32 @@
 use crate::http::Connection;
 use crate::record::Record;
 
+/// A request that a leaf began to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub request: String,
+    /// Tenant that the leaf was told.
+    pub tenant: Option<String>,
+    /// Whether the leaf was shown the caller's key.
+    pub has_key: bool,
+}
+
+/// How a leaf ends the requests that it runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    Success,
+    /// It has begun to work on the request, and fails with this status.
+    Failure(u16),
+}
+
 /// What all leaves share.
 #[derive(Clone)]
 pub struct Leaves {
     record: Record,
     /// VMs that reach no leaf.
     cut: Arc<Mutex<HashSet<IpAddr>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    ending: Arc<Mutex<Ending>>,
 }
 
 /// A running leaf.
@@ -35,9 +55,23 @@
         Leaves {
             record: record.clone(),
             cut: Arc::default(),
+            runs: Arc::default(),
+            ending: Arc::new(Mutex::new(Ending::Success)),
         }
     }
 
+    /// Returns the runs of a request.
+    pub fn runs_of(&self, request: &str) -> Vec<Run> {
+        let runs = self.runs.lock().expect("the runs");
+        let found = runs.iter().filter(|run| run.request == request);
+        found.cloned().collect()
+    }
+
+    /// Sets how the leaves end the requests that they run.
+    pub fn set_ending(&self, ending: Ending) {
+        *self.ending.lock().expect("the ending") = ending;
+    }
+
     /// Sets the VMs that reach no leaf.
     pub fn set_cut(&self, vms: &[IpAddr]) {
         *self.cut.lock().expect("the cut") = vms.iter().copied().collect();
@@ -95,7 +129,18 @@
                 }
                 continue;
             }
-            self.record.add(&format!("run request={id} leaf={} path={path} vm={vm}", leaf.id));
+            let run = Run {
+                request: id.clone(),
+                tenant: request.field("Tenant").map(str::to_string),
+                has_key: request.field("Authorization").is_some(),
+            };
+            self.record.add(&format!(
+                "run request={id} leaf={} path={path} vm={vm} tenant={} shows_key={}",
+                leaf.id,
+                run.tenant.as_deref().unwrap_or("none"),
+                run.has_key
+            ));
+            self.runs.lock().expect("the runs").push(run);
             thread::sleep(work);
             if self.is_cut(vm) {
                 return;
@@ -107,7 +152,14 @@
                 ("Server-Stamp", stamp.as_str()),
                 ("Keep-Alive", "timeout=10"),
             ];
-            if connection.respond(200, &fields, body.as_bytes()).is_err() {
+            let status = match *self.ending.lock().expect("the ending") {
+                Ending::Success => 200,
+                Ending::Failure(status) => status,
+            };
+            if connection
+                .respond(status, &fields, body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
--- a/review/drill-2/src/main.rs
+++ b/review/drill-2/src/main.rs
@@ -5,12 +5,15 @@
 
 mod base64;
 mod client;
+mod failed_order;
 mod fleet;
 mod http;
 mod json;
+mod last_tenant;
 mod leaf;
 mod mixed_answers;
 mod record;
+mod restored_key;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -56,9 +59,15 @@
     };
     let verdict = match case.as_str() {
         "mixed-answers" => mixed_answers::play(&place),
+        "last-tenant" => last_tenant::play(&place),
+        "failed-order" => failed_order::play(&place),
+        "restored-key" => restored_key::play(&place),
         _ => Verdict::NotRun,
     };
-    place.record.say(&format!("verdict={verdict:?} trouble={}", place.has_trouble));
+    place.record.say(&format!(
+        "verdict={verdict:?} trouble={}",
+        place.has_trouble
+    ));
     place.record.write(&Path::new(folder).join("record.txt"));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&scratch);
--- a/review/drill-2/src/mixed_answers.rs
+++ b/review/drill-2/src/mixed_answers.rs
@@ -56,7 +56,14 @@
     ];
     let start = |(number, vm)| {
         let terms = Terms::default();
-        Gateway::start(&place.root, &place.scratch, vm, number, store.address, &terms)
+        Gateway::start(
+            &place.root,
+            &place.scratch,
+            vm,
+            number,
+            store.address,
+            &terms,
+        )
     };
     let mut gateways: Vec<Gateway> = (1..).zip(vms).map(start).collect();
     for gateway in &mut gateways {
@@ -86,7 +93,9 @@
             record.add(&format!("round {round}: the VMs of zone za are frozen"));
             freeze(&mut gateways);
         }
-        let ended = gateways.iter_mut().find_map(|vm| Some((vm.name.clone(), vm.ended()?)));
+        let ended = gateways
+            .iter_mut()
+            .find_map(|vm| Some((vm.name.clone(), vm.ended()?)));
         if ended.is_some() || seen.foreign.load(Ordering::Relaxed) > 0 {
             break;
         }
@@ -134,12 +143,16 @@
             };
             let named = answer.field("Request-Id").unwrap_or("none").to_string();
             let status = answer.status();
-            record.add(&format!("answered request={id} status={status} names={named}"));
+            record.add(&format!(
+                "answered request={id} status={status} names={named}"
+            ));
             seen.answers.fetch_add(1, Ordering::Relaxed);
             if status == 200 && named != id {
                 seen.foreign.fetch_add(1, Ordering::Relaxed);
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
-                record.say(&format!("request={id} got the answer to {named}: \"{body}\""));
+                record.say(&format!(
+                    "request={id} got the answer to {named}: \"{body}\""
+                ));
             }
             if answer.closes() {
                 break;
--- a/review/drill-2/src/store.rs
+++ b/review/drill-2/src/store.rs
@@ -25,6 +25,16 @@
     items: BTreeMap<String, Item>,
     /// Changes in order; `None` is a removal.
     history: Vec<(u64, String, Option<Item>)>,
+    /// Number of times that the store has come back from an older copy of itself.
+    era: u64,
+    /// Whether the store answers all calls with 503.
+    is_away: bool,
+}
+
+/// Contents of a store at an earlier moment.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
 }
 
 /// A running store.
@@ -58,17 +68,28 @@
         revision
     }
 
-    pub fn remove(&self, key: &str) {
-        self.update(|state| state.remove(key));
+    /// Copies the contents.
+    pub fn copy(&self) -> Copy {
+        self.update(|state| Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+        })
+    }
+
+    /// Sets whether the store answers all calls with 503.
+    pub fn set_away(&self, is_away: bool) {
+        self.update(|state| state.is_away = is_away);
         self.shared.1.notify_all();
     }
 
-    /// Returns the number of keys with a prefix.
-    pub fn count(&self, prefix: &str) -> usize {
+    /// Goes back to a copy: what was written since is lost, and its revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
         self.update(|state| {
-            let keys = state.items.keys();
-            keys.filter(|key| key.starts_with(prefix)).count()
-        })
+            state.revision = copy.revision;
+            state.items = copy.items.clone();
+            state.history.retain(|(at, ..)| *at <= copy.revision);
+            state.era += 1;
+        });
     }
 
     fn update<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
@@ -78,9 +99,16 @@
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(request) = connection.read() {
-            let (status, body) = self.answer(&request);
-            let fields = [("Content-Type", "application/json"), ("Store-Era", "0")];
-            if connection.respond(status, &fields, body.as_bytes()).is_err() {
+            let (status, body) = match self.update(|state| state.is_away) {
+                true => (503, "{}".to_string()),
+                false => self.answer(&request),
+            };
+            let era = self.update(|state| state.era).to_string();
+            let fields = [("Content-Type", "application/json"), ("Store-Era", &era)];
+            if connection
+                .respond(status, &fields, body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -92,7 +120,9 @@
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let found = pairs.find(|(key, _)| *key == name);
-            found.map(|(_, value)| value.to_string()).unwrap_or_default()
+            found
+                .map(|(_, value)| value.to_string())
+                .unwrap_or_default()
         };
         match path {
             "/api/kv-key" => self.update(|state| state.key(&parameter("key"))),
@@ -119,6 +149,12 @@
         let until = Instant::now() + wait;
         let mut state = self.shared.0.lock().expect("the store's state");
         loop {
+            if state.is_away {
+                return (503, "{}".to_string());
+            }
+            if after > state.revision {
+                return (410, "{}".to_string());
+            }
             if let Some(answer) = state.changes(prefix, after) {
                 return (200, answer);
             }
@@ -178,13 +214,20 @@
         let changes = changes.filter(|(at, key, _)| *at > after && key.starts_with(prefix));
         let changes: Vec<_> = changes.take(PAGE_ITEMS).collect();
         let last = changes.last()?.0;
-        let as_of = if changes.len() < PAGE_ITEMS { self.revision } else { last };
+        let as_of = if changes.len() < PAGE_ITEMS {
+            self.revision
+        } else {
+            last
+        };
         let events = changes.iter().map(|(at, key, item)| match item {
             Some(item) => text(key, item),
             None => format!(r#"{{"key":"{key}","revision":{at},"deleted":true}}"#),
         });
         let events: Vec<String> = events.collect();
-        Some(format!(r#"{{"events":[{}],"asOf":{as_of}}}"#, events.join(",")))
+        Some(format!(
+            r#"{{"events":[{}],"asOf":{as_of}}}"#,
+            events.join(",")
+        ))
     }
 
     fn write(&mut self, body: &str) -> (u16, String) {
