--- a/review/drill-2/src/mixed_answers.rs
+++ b/review/drill-2/src/mixed_answers.rs
@@ -2,8 +2,8 @@
 //! links too, are frozen for seconds.
 
 use std::net::IpAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use crate::store::Store;
 use crate::{Place, Verdict, client};
 
-const CONFIG: &str = r#"{"version":3,"routes":[{"name":"desk","host":"shop.example","prefix":"/desk/","type":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"backend":"desk","attempts":2}],"services":[{"name":"desk","healthPath":"/health","maxConns":100,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+const CONFIG: &str = r#"{"version":3,"routes":[{"name":"desk","host":"shop.example","prefix":"/desk/","type":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"backend":"desk","attempts":2},{"name":"order","host":"shop.example","prefix":"/order/","type":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"backend":"desk","attempts":2}],"services":[{"name":"desk","healthPath":"/health","maxConns":100,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 /// Time that a leaf works on a request.
 const WORK: Duration = Duration::from_millis(20);
@@ -26,7 +26,10 @@
 const CUT_VMS: usize = 4;
 
 /// Maximum number of times that they are frozen.
-const ROUNDS: usize = 20;
+const ROUNDS: u64 = 30;
+
+/// Number of times that a process has to end by itself for the case to end.
+const MAX_ENDS: usize = 5;
 
 /// What the clients have seen.
 #[derive(Default)]
@@ -34,6 +37,8 @@
     is_over: AtomicBool,
     answers: AtomicU64,
     foreign: AtomicU64,
+    /// Requests that may run only once.
+    orders: Mutex<Vec<String>>,
 }
 
 pub fn play(place: &Place) -> Verdict {
@@ -87,16 +92,15 @@
         record.say("the VMs of zone za are partitioned from all leaves");
         leaves.set_cut(&cut);
     }
-    for round in 0..ROUNDS as u64 {
+    let mut ends = 0;
+    for round in 0..ROUNDS {
         thread::sleep(Duration::from_millis(800 + 60 * (round % 5)));
         if place.has_trouble {
             record.add(&format!("round {round}: the VMs of zone za are frozen"));
             freeze(&mut gateways);
         }
-        let ended = gateways
-            .iter_mut()
-            .find_map(|vm| Some((vm.name.clone(), vm.ended()?)));
-        if ended.is_some() || seen.foreign.load(Ordering::Relaxed) > 0 {
+        ends += restart_ended(&mut gateways, record);
+        if seen.foreign.load(Ordering::Relaxed) > 0 || ends >= MAX_ENDS {
             break;
         }
     }
@@ -106,7 +110,24 @@
     for client in clients {
         let _ = client.join();
     }
-    judge(&mut gateways, &seen, record)
+    let orders = seen.orders.lock().expect("the orders");
+    let repeated = orders.iter().filter(|id| leaves.runs_of(id).len() > 1);
+    let repeated: Vec<&String> = repeated.collect();
+    for id in &repeated {
+        record.say(&format!("order={id} ran more than once"));
+    }
+    ends += restart_ended(&mut gateways, record);
+    let answers = seen.answers.load(Ordering::Relaxed);
+    let foreign = seen.foreign.load(Ordering::Relaxed);
+    let repeated = repeated.len();
+    record.say(&format!(
+        "answers={answers} foreign={foreign} repeated orders={repeated} ends={ends}"
+    ));
+    match (foreign > 0 || repeated > 0 || ends > 0, answers) {
+        (true, _) => Verdict::Broken,
+        (false, 0) => Verdict::NotRun,
+        (false, _) => Verdict::Held,
+    }
 }
 
 /// Freezes the other VMs of zone za for 0.4 s, and a1 from a moment later until a moment after that.
@@ -132,10 +153,19 @@
             thread::sleep(PAUSE);
             continue;
         };
-        while !seen.is_over.load(Ordering::Relaxed) {
+        for number in 0.. {
+            if seen.is_over.load(Ordering::Relaxed) {
+                return;
+            }
             let id = client::next_id();
             record.add(&format!("sent request={id}"));
-            let line = ("GET", "/desk/2f");
+            let line = match number % 2 {
+                0 => ("GET", "/desk/2f"),
+                _ => ("POST", "/order/2f"),
+            };
+            if line.0 == "POST" {
+                seen.orders.lock().expect("the orders").push(id.clone());
+            }
             let answer = client::ask(&mut connection, line, &id, Duration::from_secs(4));
             let Ok(answer) = answer else {
                 record.add(&format!("unanswered request={id}"));
@@ -162,25 +192,22 @@
     }
 }
 
-fn judge(gateways: &mut [Gateway], seen: &Seen, record: &Record) -> Verdict {
-    let (answers, foreign) = (
-        seen.answers.load(Ordering::Relaxed),
-        seen.foreign.load(Ordering::Relaxed),
-    );
-    record.say(&format!("answers={answers} foreign={foreign}"));
-    let mut has_ended = false;
+/// Starts the processes that have ended by themselves again, as the platform does; returns their
+/// number.
+fn restart_ended(gateways: &mut [Gateway], record: &Record) -> usize {
+    let mut ends = 0;
     for gateway in gateways {
-        if let Some(status) = gateway.ended() {
-            has_ended = true;
-            record.say(&format!("vm={} ended by itself: {status}", gateway.name));
-            for line in gateway.log_lines("panicked", 2) {
-                record.say(&line);
-            }
+        let Some(status) = gateway.ended() else {
+            continue;
+        };
+        ends += 1;
+        record.say(&format!("vm={} ended by itself: {status}", gateway.name));
+        for line in gateway.log_lines("panicked", 1) {
+            record.say(&line);
         }
+        thread::sleep(Duration::from_millis(300));
+        gateway.spawn();
+        gateway.wait_ready(Duration::from_secs(5));
     }
-    match (foreign > 0 || has_ended, answers) {
-        (true, _) => Verdict::Broken,
-        (false, 0) => Verdict::NotRun,
-        (false, _) => Verdict::Held,
-    }
+    ends
 }
