--- a/review/drill-2/src/mixed_answers.rs
+++ b/review/drill-2/src/mixed_answers.rs
@@ -16,10 +16,10 @@
 const CONFIG: &str = r#"{"version":3,"routes":[{"name":"desk","host":"shop.example","prefix":"/desk/","type":"idempotent","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"backend":"desk","attempts":2},{"name":"order","host":"shop.example","prefix":"/order/","type":"non_idempotent","timeoutMs":4000,"targetLatencyMs":400,"priority":1,"backend":"desk","attempts":2}],"services":[{"name":"desk","healthPath":"/health","maxConns":100,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 /// Shortest and longest time that a leaf works on a request, in milliseconds.
-const WORK: Work = 20..=150;
+const WORK: Work = 20..=400;
 
 /// Number of clients of the first VM. Each sends its next request once it has an answer.
-const CLIENTS: usize = 60;
+const CLIENTS: usize = 120;
 
 /// Pause of a client that could not connect.
 const PAUSE: Duration = Duration::from_millis(100);
