Encode the names of keys in calls on the store

What callers saw: an entry of another writer stood in the list of leafs, under a name with characters such as &, +, #, % or a blank, in a list longer than a page. All processes were restarted. From then on almost no request was served while the entry stood.

Cause: the store is read page by page, and the next page is asked for by the last key of the one before. `Store::range` put that key into the query as it was. & ended the parameter, # the target, a blank the request line; + and % were decoded to another key. A strict store refuses such a call or closes the connection, a lenient one answers from another place in the list. The read failed as a whole, so that a process that had just started had neither routes nor leaves, and asked again and again. Running processes went on with what they knew, which is why the restart brought it to light.

Ruled out: the value of the entry, which is decoded by itself (platform_odd_entries_); the watch, whose parameters are a constant prefix and numbers.

Evidence: the stand-in store now decodes a query as strictly as the users' may (400 for characters that must be encoded, incomplete encodings, unknown or repeated parameters; + is a blank).

There is no other way to write a target.

--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -9,6 +9,7 @@
 mod entrance;
 mod leaf;
 mod leases;
+mod query;
 mod server;
 mod store;
 
--- a/crates/geraniummount-test-support/src/platform/users/entrance.rs
+++ b/crates/geraniummount-test-support/src/platform/users/entrance.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::query::Query;
 use super::server::Server;
-use super::store::query_text;
 use crate::http::{Request, Response};
 use crate::monitor::Monitor;
 
@@ -74,9 +74,9 @@
     /// Records a call; returns the status with which it fails, and the time until its answer.
     fn record(&mut self, request: &Request) -> (Option<u16>, Duration) {
         let is_range = request.path() == "/api/kv-range";
-        let is_current = request.query_number("allowStale").is_none();
-        if self.error_status.is_some() && is_range && is_current {
-            self.refused.push(query_text(request, "prefix"));
+        let current = Query::of(request).filter(Query::is_current);
+        if let Some(query) = current.filter(|_| self.error_status.is_some() && is_range) {
+            self.refused.push(query.text("prefix").to_string());
         }
         (self.error_status, self.delay)
     }
--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -15,6 +15,7 @@
 
 use super::entrance::Entrance;
 use super::leases::Leases;
+use super::query::Query;
 use super::server::Server;
 use crate::http::{Connection, Request, Response};
 use crate::monitor::Monitor;
@@ -193,32 +194,33 @@
 }
 
 fn answer(state: &Monitor<State>, request: &Request) -> Response {
+    let query = Query::of(request);
     let (error_status, era) = state.update(|state| {
         state.calls += 1;
         let is_range = request.path() == "/api/kv-range";
-        let is_current = request.query_number("allowStale").is_none();
-        if is_range && is_current {
-            let prefix = query_text(request, "prefix");
+        let current = query.as_ref().filter(|query| query.is_current());
+        if let Some(query) = current.filter(|_| is_range) {
+            let prefix = query.text("prefix").to_string();
             *state.current_reads.entry(prefix).or_default() += 1;
         }
         state.remove_expired();
         (state.error_status, state.era)
     });
-    let response = match error_status {
-        Some(status) => Response::empty(status),
-        None => contents(state, request),
+    let response = match (error_status, query) {
+        (Some(status), _) => Response::empty(status),
+        (None, Some(query)) => contents(state, request, &query),
+        (None, None) => Response::empty(400),
     };
     response.with_header("Store-Era", era)
 }
 
-fn contents(state: &Monitor<State>, request: &Request) -> Response {
+fn contents(state: &Monitor<State>, request: &Request, query: &Query) -> Response {
     match request.path() {
-        "/api/kv-key" => state.lock().key(&query_text(request, "key")),
-        "/api/kv-range" => state.lock().range(
-            &query_text(request, "prefix"),
-            &query_text(request, "after"),
-        ),
-        "/api/kv-watch" => watch(state, request),
+        "/api/kv-key" => state.lock().key(query.text("key")),
+        "/api/kv-range" => state
+            .lock()
+            .range(query.text("prefix"), query.text("after")),
+        "/api/kv-watch" => watch(state, query),
         "/api/kv-lease" => state.update(|state| state.grant_lease(&request.body)),
         "/api/kv-txn" => state.update(|state| state.write(&request.body)),
         path => match path.rsplit_once('/') {
@@ -229,26 +231,12 @@
     }
 }
 
-/// Returns a query parameter, empty if it is absent.
-pub(super) fn query_text(request: &Request, name: &str) -> String {
-    let query = request
-        .target
-        .split_once('?')
-        .map_or("", |(_, query)| query);
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let mut values = pairs.filter(|(key, _)| *key == name);
-    values
-        .next()
-        .map(|(_, value)| value.to_string())
-        .unwrap_or_default()
-}
-
-fn watch(state: &Monitor<State>, request: &Request) -> Response {
-    let after = request.query_number("after").unwrap_or(0);
-    let wait = Duration::from_millis(request.query_number("waitMs").unwrap_or(0));
-    let prefix = query_text(request, "prefix");
+fn watch(state: &Monitor<State>, query: &Query) -> Response {
+    let after = query.number("after").unwrap_or(0);
+    let wait = Duration::from_millis(query.number("waitMs").unwrap_or(0));
+    let prefix = query.text("prefix");
     let until = Instant::now() + wait;
-    let found = state.wait(until, |state| state.changes(&prefix, after));
+    let found = state.wait(until, |state| state.changes(prefix, after));
     found.unwrap_or_else(|| Response::json(200, &json!({"events": [], "asOf": after})))
 }
 
--- a/src/geraniummount/platform/store.rs
+++ b/src/geraniummount/platform/store.rs
@@ -5,6 +5,7 @@
 mod client;
 mod error;
 mod message;
+mod target;
 mod watch;
 
 pub use self::client::Store;
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -18,6 +18,7 @@
 
 use super::call::Call;
 use super::message::Granted;
+use super::target::Target;
 use super::{Error, Item, LeaseId, Range, Watch};
 use crate::core::store::freshness::Freshness;
 use crate::prelude::*;
@@ -46,8 +47,8 @@
 /// copy of itself.
 const ERA: &str = "Store-Era";
 
-/// Query parameter that permits an outdated answer.
-const ALLOW_STALE: &str = "&allowStale=1";
+/// Path of the calls that write keys.
+const WRITE_PATH: &str = "/api/kv-txn";
 
 /// Prefix that matches no key. A range with this prefix returns only the store's revision.
 const NO_KEYS_PREFIX: &str = "none/";
@@ -86,12 +87,13 @@
         after: Option<&str>,
         freshness: Freshness,
     ) -> Result<Range, Error> {
-        let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
-        let stale = match freshness {
-            Freshness::Current => "",
-            Freshness::Outdated => ALLOW_STALE,
-        };
-        let target = format!("/api/kv-range?prefix={prefix}{after}{stale}");
+        let mut target = Target::new("/api/kv-range").with("prefix", prefix);
+        if let Some(key) = after {
+            target = target.with("after", key);
+        }
+        if freshness == Freshness::Outdated {
+            target = target.with("allowStale", 1);
+        }
         let response = self.call("GET", &target, b"")?;
         let range = decode(&response)?;
         Ok(Range {
@@ -151,8 +153,10 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Watch<'_>, Error> {
-        let wait_ms = wait.as_millis();
-        let target = format!("/api/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
+        let target = Target::new("/api/kv-watch")
+            .with("prefix", prefix)
+            .with("after", after)
+            .with("waitMs", wait.as_millis());
         let call = self.send("GET", &target, b"")?;
         Ok(Watch::new(self, call, Instant::now() + wait + CALL_TIMEOUT))
     }
@@ -166,7 +170,7 @@
     pub fn grant_lease(&mut self, ttl: Duration) -> Result<LeaseId, Error> {
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
         let body = json!({ "ttlMs": ttl_ms }).to_string();
-        let response = self.call("POST", "/api/kv-lease", body.as_bytes())?;
+        let response = self.call("POST", &Target::new("/api/kv-lease"), body.as_bytes())?;
         let granted: Granted = decode(&response)?;
         Ok(granted.lease)
     }
@@ -178,7 +182,8 @@
     /// Returns [`Error::LeaseEnded`] if the lease has ended, and an error if the store cannot be
     /// reached, rejects the call or sends an invalid answer.
     pub fn renew_lease(&mut self, lease: LeaseId) -> Result<(), Error> {
-        let response = self.call("POST", &format!("/api/kv-keep/{lease}"), b"")?;
+        let target = Target::new(format!("/api/kv-keep/{lease}"));
+        let response = self.call("POST", &target, b"")?;
         check_lease(&response)
     }
 
@@ -188,7 +193,8 @@
     ///
     /// Returns an error if the store cannot be reached or rejects the call.
     pub fn end_lease(&mut self, lease: LeaseId) -> Result<(), Error> {
-        self.call("DELETE", &format!("/api/kv-lease-end/{lease}"), b"")?;
+        let target = Target::new(format!("/api/kv-lease-end/{lease}"));
+        self.call("DELETE", &target, b"")?;
         Ok(())
     }
 
@@ -203,7 +209,7 @@
         let value = STANDARD.encode(value);
         let put = json!({ "key": key, "value": value, "lease": lease });
         let body = json!({ "precondition": [], "puts": [put], "remove": [] }).to_string();
-        let response = self.call("POST", "/api/kv-txn", body.as_bytes())?;
+        let response = self.call("POST", &Target::new(WRITE_PATH), body.as_bytes())?;
         check_lease(&response)
     }
 
@@ -222,7 +228,7 @@
         let value = STANDARD.encode(value);
         let put = json!({ "key": key, "value": value, "lease": 0 });
         let body = json!({ "precondition": [], "puts": [put], "remove": removed }).to_string();
-        let response = self.call("POST", "/api/kv-txn", body.as_bytes())?;
+        let response = self.call("POST", &Target::new(WRITE_PATH), body.as_bytes())?;
         match response.head.status {
             200 => Ok(()),
             status => Err(Error::Malformed(format!("status {status}"))),
@@ -236,7 +242,8 @@
     /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
     /// answer.
     pub fn get(&mut self, key: &str) -> Result<Option<Item>, Error> {
-        let response = self.call("GET", &format!("/api/kv-key?key={key}"), b"")?;
+        let target = Target::new("/api/kv-key").with("key", key);
+        let response = self.call("GET", &target, b"")?;
         match response.head.status {
             404 => Ok(None),
             _ => decode(&response).map(Some),
@@ -260,7 +267,7 @@
         let condition = json!({ "key": key, "revision": revision });
         let put = json!({ "key": key, "value": value, "lease": 0 });
         let body = json!({ "precondition": [condition], "puts": [put], "remove": [] }).to_string();
-        let response = self.call("POST", "/api/kv-txn", body.as_bytes())?;
+        let response = self.call("POST", &Target::new(WRITE_PATH), body.as_bytes())?;
         match response.head.status {
             200 => Ok(true),
             412 => Ok(false),
@@ -268,7 +275,7 @@
         }
     }
 
-    fn call(&mut self, method: &str, target: &str, body: &[u8]) -> Result<h1::Response, Error> {
+    fn call(&mut self, method: &str, target: &Target, body: &[u8]) -> Result<h1::Response, Error> {
         let deadline = Instant::now() + MAX_READ_TIME;
         let mut call = self.send(method, target, body)?;
         let response = call
@@ -277,13 +284,13 @@
         self.finish(call, response)
     }
 
-    fn send(&mut self, method: &str, target: &str, body: &[u8]) -> Result<Call, Error> {
+    fn send(&mut self, method: &str, target: &Target, body: &[u8]) -> Result<Call, Error> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect()?,
         };
         let mut head = Vec::with_capacity(128);
-        h1::write_request_line(&mut head, method, target);
+        h1::write_request_line(&mut head, method, &target.to_string());
         h1::write_field(&mut head, "Host", self.address.to_string().as_bytes());
         if !body.is_empty() {
             h1::write_field(&mut head, "Content-Type", b"application/json");
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -26,6 +26,7 @@
 mod not_run;
 mod notice;
 mod odd_entries;
+mod odd_keys;
 mod odd_numbers;
 mod offload;
 mod older_routes;
--- /dev/null
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -0,0 +1,137 @@
+//! Entries of another writer in the list of leaves whose names contain characters that mean
+//! something in a call on the store, in a head or in a log line. They stand before a VM starts, in a
+//! list of several pages, so that the VM asks for the page after each of them. The other
+//! entries hold.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniummount_test_support::platform::users::caller::Reply;
+use geraniummount_test_support::platform::users::{Leaf, Store};
+use geraniummount_test_support::process::binary_path;
+use geraniummount_test_support::soak::Vm;
+
+use super::fixture::{Fixture, WAIT_TIMEOUT, document, gather_route, request, service_route};
+
+/// Maximum number of items on a page of the stand-in store. Of as many keys in a row, one is the
+/// last of a page.
+const PAGE_ITEMS: usize = 4;
+
+/// Names of entries after the prefix.
+const NAMES: &[&str] = &[
+    "i-1&after=zzzz",
+    "i-2&allowStale=1",
+    "i-3+more",
+    "i-4#fragment",
+    "i-5%",
+    "i-6%2Fi-7",
+    "i-7%zz",
+    "i-8 with blanks ",
+    "i-9?prefix=op/",
+    "i-a=b;c,d",
+    "i-b\"quoted\\",
+    "i-c\r\nX-Smuggled: 1",
+    "i-d\u{0}\u{7f}\t",
+    "i-e/f/g",
+    "i-f\u{fc}\u{2028}\u{1f33a}",
+    "",
+    " ",
+    "&",
+    "%",
+    "../op/config",
+];
+
+/// Writes entries with a name and the same name with suffixes, so that one is the last of a page.
+fn put_odd_entries(store: &Store, name: &str) {
+    let value = "\u{0}{&";
+    store.put(&format!("servers/{name}"), value);
+    for suffix in 1..PAGE_ITEMS {
+        let suffix = "~&".repeat(suffix);
+        store.put(&format!("servers/{name}{suffix}"), value);
+    }
+}
+
+/// Writes the routes, and starts leaves of two services.
+fn put_sound_entries(store: &Store) -> Vec<Leaf> {
+    let routes = [
+        service_route("/a/", "idempotent", "one"),
+        gather_route("/g/", &["one", "two"], 5, 1.0),
+    ];
+    store.put("op/config", document(1, &routes));
+    let services = ["one", "two"].into_iter().cycle();
+    let start = |service| Leaf::start(store, service, "near", b"record-of-16-byt");
+    services.take(2 * PAGE_ITEMS).map(start).collect()
+}
+
+/// Returns whether a request to a VM is served.
+fn is_served(address: SocketAddr, path: &str) -> bool {
+    let reply = TcpStream::connect(address).and_then(|mut stream| {
+        stream.set_read_timeout(Some(WAIT_TIMEOUT))?;
+        stream.write_all(&request("GET", path, 1_000, b""))?;
+        Reply::read(&mut stream)
+    });
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+/// Waits until a VM serves both routes.
+fn wait_until_served(address: SocketAddr) {
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while !["/a/x", "/g/x"].iter().all(|path| is_served(address, path)) {
+        assert!(Instant::now() < end, "requests are not served");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn platform_odd_keys_before_the_start_keep_no_vm_from_serving() {
+    for name in NAMES {
+        eprintln!("case: {name:?}");
+        let store = Store::start();
+        let _leaves = put_sound_entries(&store);
+        put_odd_entries(&store, name);
+        let address = store.address();
+        let vm = Fixture::start_with(store, address);
+        wait_until_served(vm.callers_address);
+        for number in 0..10 {
+            assert!(is_served(vm.callers_address, &format!("/a/{number}")));
+            assert!(is_served(vm.callers_address, &format!("/g/{number}")));
+        }
+        // Later changes are followed, too.
+        vm.configure(2, &[service_route("/b/", "idempotent", "three")]);
+        let _third = Leaf::start(&vm.store, "three", "near", b"record-of-16-byt");
+        vm.wait_for_leaf("/b/x");
+    }
+}
+
+/// Replays the incident: all processes are restarted while an odd entry stands.
+#[test]
+fn platform_odd_keys_do_not_stop_the_service_when_all_processes_are_restarted() {
+    const VMS: usize = 3;
+    let store = Store::start();
+    let _leaves = put_sound_entries(&store);
+    let folder = tempfile::tempdir().unwrap();
+    let binary = binary_path("geraniummount");
+    let start = |number| {
+        let limits = "[limits]\nlinger_ms = 0\n";
+        Vm::start_with(&binary, folder.path(), number, store.address(), limits).unwrap()
+    };
+    let mut vms: Vec<Vm> = (0..VMS).map(start).collect();
+    vms.iter()
+        .for_each(|vm| wait_until_served(vm.caller_address));
+    put_odd_entries(&store, "i-0 & +#%");
+    for _ in 0..2 {
+        for vm in &mut vms {
+            vm.kill();
+            while vm.take_exit_status().is_none() {
+                thread::yield_now();
+            }
+            vm.launch().unwrap();
+        }
+        for vm in &vms {
+            wait_until_served(vm.caller_address);
+            assert!((0..20).all(|number| is_served(vm.caller_address, &format!("/g/{number}"))));
+        }
+    }
+}
