Let an entry under an odd name be no leaf, also if its value can be read

What callers saw: with an entry of another writer in the list of leafs that has an odd name and a value like that of a leaf, requests and parts of gathers went to its address, and failed there or were late. The name went into the head of requests (`Expect-Instance`) and into log lines as it was: one with a line end would have added a field to a request.

Cause: `registration::read` took whatever followed the prefix of the key for the id of a leaf, also nothing at all.

Change: an id consists of 1 to 200 ASCII letters, digits and -._~:@.

Why it works: every use of an id (heads, logs, pools, quarantine) begins at `registration::read`, which is the only place that makes an `Instance` of an entry.

--- a/src/geraniummount/edge/gateway/registrations.rs
+++ b/src/geraniummount/edge/gateway/registrations.rs
@@ -69,7 +69,7 @@
     match platform::registration::read(key, value) {
         Ok(instance) => Some(instance),
         Err(error) => {
-            warn!("leaf key={key} outcome=ignored error=\"{error}\"");
+            warn!("leaf key={key:?} outcome=ignored error=\"{error}\"");
             None
         }
     }
--- a/src/geraniummount/platform/registration.rs
+++ b/src/geraniummount/platform/registration.rs
@@ -4,11 +4,18 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::de::Error as _;
 
 use super::REGISTRATION_PREFIX;
 use crate::core::instance::Instance;
 use crate::util::bounded;
 
+/// Maximum length of the id of a leaf, which is a part of a key of the store.
+const MAX_ID_BYTES: usize = 200;
+
+/// Characters of an id other than ASCII letters and digits.
+const ID_PUNCTUATION: &[u8] = b"-._~:@";
+
 /// A registration in the format in which the leaf writes it.
 #[derive(Debug, Deserialize)]
 struct Registration {
@@ -50,14 +57,16 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the value is not a valid registration.
+/// Returns an error if the key does not name a leaf, or if the value is not a valid registration.
 pub fn read(key: &str, value: &[u8]) -> Result<Instance, serde_json::Error> {
+    let id = key.strip_prefix(REGISTRATION_PREFIX).unwrap_or(key);
+    if !is_id(id) {
+        let problem = "the key names no leaf; use letters, digits and -._~:@";
+        return Err(serde_json::Error::custom(problem));
+    }
     let registration: Registration = serde_json::from_slice(value)?;
     Ok(Instance {
-        id: key
-            .strip_prefix(REGISTRATION_PREFIX)
-            .unwrap_or(key)
-            .to_string(),
+        id: id.to_string(),
         started_at_ms: registration.born,
         heartbeat: registration.seq,
         service: registration.backend,
@@ -68,3 +77,10 @@
         warm_up_left: registration.warm_up_left,
     })
 }
+
+/// Returns whether a text can be the id of a leaf. Requests name the id in a header field, and log
+/// lines contain it.
+fn is_id(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || ID_PUNCTUATION.contains(&byte);
+    (1..=MAX_ID_BYTES).contains(&text.len()) && text.bytes().all(is_allowed)
+}
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -1,17 +1,20 @@
 //! Entries of another writer in the list of leaves whose names contain characters that mean
 //! something in a call on the store, in a head or in a log line. They stand before a VM starts, in a
-//! list of several pages, so that the VM asks for the page after each of them. The other
-//! entries hold.
+//! list of several pages, so that the VM asks for the page after each of them. They name no leaf,
+//! whether their values can be read or not, and the other entries hold.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use geraniummount::platform::registration;
 use geraniummount_test_support::platform::users::caller::Reply;
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use geraniummount_test_support::process::binary_path;
+use geraniummount_test_support::raw_server::RawServer;
 use geraniummount_test_support::soak::Vm;
+use serde_json::json;
 
 use super::fixture::{Fixture, WAIT_TIMEOUT, document, gather_route, request, service_route};
 
@@ -43,13 +46,31 @@
     "../op/config",
 ];
 
+/// Value of an odd entry.
+#[derive(Clone, Copy, Debug)]
+enum Content {
+    /// Bytes that can't be read.
+    Unreadable,
+    /// A registration that would be valid under another name.
+    Registration,
+}
+
+const CONTENTS: [Content; 2] = [Content::Unreadable, Content::Registration];
+
 /// Writes entries with a name and the same name with suffixes, so that one is the last of a page.
-fn put_odd_entries(store: &Store, name: &str) {
-    let value = "\u{0}{&";
-    store.put(&format!("servers/{name}"), value);
+fn put_odd_entries(store: &Store, name: &str, content: Content, address: SocketAddr) {
+    let registration = json!({
+        "backend": "one", "address": address.to_string(), "zone": "near", "version": "v1",
+        "concurrency": 100, "state": "ready", "warmupLeftMs": 0, "seq": 1,
+    });
+    let value = match content {
+        Content::Unreadable => "\u{0}{&".to_string(),
+        Content::Registration => registration.to_string(),
+    };
+    store.put(&format!("servers/{name}"), value.as_str());
     for suffix in 1..PAGE_ITEMS {
         let suffix = "~&".repeat(suffix);
-        store.put(&format!("servers/{name}{suffix}"), value);
+        store.put(&format!("servers/{name}{suffix}"), value.as_str());
     }
 }
 
@@ -87,21 +108,25 @@
 #[test]
 fn platform_odd_keys_before_the_start_keep_no_vm_from_serving() {
     for name in NAMES {
-        eprintln!("case: {name:?}");
-        let store = Store::start();
-        let _leaves = put_sound_entries(&store);
-        put_odd_entries(&store, name);
-        let address = store.address();
-        let vm = Fixture::start_with(store, address);
-        wait_until_served(vm.callers_address);
-        for number in 0..10 {
-            assert!(is_served(vm.callers_address, &format!("/a/{number}")));
-            assert!(is_served(vm.callers_address, &format!("/g/{number}")));
+        for content in CONTENTS {
+            eprintln!("case: {name:?}, {content:?}");
+            let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
+            let store = Store::start();
+            let _leaves = put_sound_entries(&store);
+            put_odd_entries(&store, name, content, stranger.address());
+            let address = store.address();
+            let vm = Fixture::start_with(store, address);
+            wait_until_served(vm.callers_address);
+            for number in 0..10 {
+                assert!(is_served(vm.callers_address, &format!("/a/{number}")));
+                assert!(is_served(vm.callers_address, &format!("/g/{number}")));
+            }
+            // Later changes are followed, too.
+            vm.configure(2, &[service_route("/b/", "idempotent", "three")]);
+            let _third = Leaf::start(&vm.store, "three", "near", b"record-of-16-byt");
+            vm.wait_for_leaf("/b/x");
+            assert_eq!(stranger.arrivals().len(), 0, "{name:?} names no leaf");
         }
-        // Later changes are followed, too.
-        vm.configure(2, &[service_route("/b/", "idempotent", "three")]);
-        let _third = Leaf::start(&vm.store, "three", "near", b"record-of-16-byt");
-        vm.wait_for_leaf("/b/x");
     }
 }
 
@@ -109,6 +134,7 @@
 #[test]
 fn platform_odd_keys_do_not_stop_the_service_when_all_processes_are_restarted() {
     const VMS: usize = 3;
+    let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
     let store = Store::start();
     let _leaves = put_sound_entries(&store);
     let folder = tempfile::tempdir().unwrap();
@@ -120,8 +146,8 @@
     let mut vms: Vec<Vm> = (0..VMS).map(start).collect();
     vms.iter()
         .for_each(|vm| wait_until_served(vm.caller_address));
-    put_odd_entries(&store, "i-0 & +#%");
-    for _ in 0..2 {
+    for content in CONTENTS {
+        put_odd_entries(&store, "i-0 & +#%", content, stranger.address());
         for vm in &mut vms {
             vm.kill();
             while vm.take_exit_status().is_none() {
@@ -134,4 +160,23 @@
             assert!((0..20).all(|number| is_served(vm.caller_address, &format!("/g/{number}"))));
         }
     }
+    assert_eq!(stranger.arrivals().len(), 0, "odd entries name no leaf");
+}
+
+#[test]
+fn platform_odd_keys_are_no_names_of_leaves() {
+    let value = json!({
+        "backend": "one", "address": "127.0.0.1:9", "zone": "near", "concurrency": 3,
+        "state": "ready",
+    });
+    let read = |key: &str| registration::read(key, value.to_string().as_bytes());
+    for name in NAMES {
+        assert!(read(&format!("servers/{name}")).is_err(), "{name:?}");
+    }
+    for name in ["i-7f3a91c2", "a", "A_b.c~d-9", "host:8080", "leaf@host"] {
+        let instance = read(&format!("servers/{name}")).expect(name);
+        assert_eq!(instance.id, name);
+    }
+    let long = format!("servers/{}", "i".repeat(300));
+    assert!(read(&long).is_err(), "a name that no key can have");
 }
