End a read of the store whose pages lead no further, and keep what is known

What callers saw, or would see: while the store returned a page twice, a VM that followed it asked for that page without end (4,965 calls in 2 s) and kept each copy, until its memory was used up; one that started had no routes and served nothing. After a page without items that says that more follow, or a page of which no entry can be read, the list counted as complete, and the leaves on later pages as gone.

Cause: the read went on after the last entry that could be used, with no check that it moved, and it could only end as complete. The loop stood twice.

Ruled out: overlapping pages. They were read to their end before; a key that came twice gave two leaves of one id until the next read, which the cache now rules out.

Change: `core::store::cursor` decides how a read goes on: after the last key of a page, whether or not the rest of that entry can be read, and never twice after the same key. `Store::list` is the one loop. A list that is not complete says up to which key it is; the cache replaces that part, keeps the keys after it, and the read counts as failed and is tried again after the usual backoff. The cache keeps the newest state of a key that a read contains twice.

Why it works: each page that is asked for has a key of its own, so that a read ends with the keys of the store; what was read is true whatever follows, and what was not read isn't taken back.

--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -16,4 +16,4 @@
 pub use self::crashing_leaves::CrashingLeaves;
 pub use self::entrance::Entrance;
 pub use self::leaf::{Answer, Framing, Leaf, Run, signature};
-pub use self::store::{Backup, Store, WatchDelivery};
+pub use self::store::{Backup, Paging, Store, WatchDelivery};
--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -30,6 +30,20 @@
     server: Server,
 }
 
+/// Which pages reads of ranges return.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Paging {
+    /// All pages, each after the key that the call names.
+    #[default]
+    Sound,
+    /// The first page again and again.
+    Repeated,
+    /// Pages without items after the first one, which say that more follow.
+    Empty,
+    /// Pages that begin with the last item of the page before.
+    Overlapping,
+}
+
 /// Which changes watches deliver.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum WatchDelivery {
@@ -51,6 +65,7 @@
     era: u64,
     leases: Leases,
     watch_delivery: WatchDelivery,
+    paging: Paging,
     /// Status with which every call fails, during an outage.
     error_status: Option<u16>,
     calls: u64,
@@ -71,6 +86,8 @@
     revision: u64,
     /// Lease that holds the key; 0 if there is none.
     lease: u64,
+    /// Text of the item in answers, if it is not that of a sound one.
+    odd_text: Option<Vec<u8>>,
 }
 
 impl Store {
@@ -100,6 +117,18 @@
         self.state.update(|state| state.put(key, value, 0));
     }
 
+    /// Writes a key that stands as the given text in answers, at the place of the key.
+    pub fn put_odd(&self, key: &str, text: &[u8]) {
+        self.state.update(|state| {
+            state.put(key, Vec::new(), 0);
+            let item = state.items.get_mut(key).expect("it was written");
+            item.odd_text = Some(text.to_vec());
+            let written = item.clone();
+            let (.., last) = state.history.last_mut().expect("it was recorded");
+            *last = Some(written);
+        });
+    }
+
     /// Returns the keys with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.state.update(State::remove_expired);
@@ -162,6 +191,11 @@
             .update(|state| state.watch_delivery = watch_delivery);
     }
 
+    /// Sets which pages reads of ranges return.
+    pub fn set_paging(&self, paging: Paging) {
+        self.state.update(|state| state.paging = paging);
+    }
+
     /// Sets the status with which all calls fail; `None` ends the outage.
     pub fn set_error_status(&self, error_status: Option<u16>) {
         self.state.update(|state| state.error_status = error_status);
@@ -237,7 +271,12 @@
     let prefix = query.text("prefix");
     let until = Instant::now() + wait;
     let found = state.wait(until, |state| state.changes(prefix, after));
-    found.unwrap_or_else(|| Response::json(200, &json!({"events": [], "asOf": after})))
+    found.unwrap_or_else(|| no_events(after))
+}
+
+/// Returns the answer to a watch after whose revision nothing has changed.
+fn no_events(after: u64) -> Response {
+    Response::json(200, &json!({"events": [], "asOf": after}))
 }
 
 impl State {
@@ -248,6 +287,7 @@
             value,
             revision,
             lease,
+            odd_text: None,
         };
         self.items.insert(key.to_string(), item.clone());
         self.history.push((revision, key.to_string(), Some(item)));
@@ -345,22 +385,41 @@
     }
 
     fn range(&self, prefix: &str, after: &str) -> Response {
+        let is_first = after.is_empty();
+        let after = if self.paging == Paging::Repeated {
+            ""
+        } else {
+            after
+        };
+        let is_next = |key: &str| match self.paging {
+            Paging::Overlapping => key >= after,
+            _ => key > after,
+        };
         let items = self.items.iter();
-        let mut items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let page: Vec<Value> = items
-            .by_ref()
-            .take(MAX_PAGE_ITEMS)
-            .map(|(key, item)| item.json(key))
-            .collect();
+        let mut items = items.filter(|(key, _)| key.starts_with(prefix) && is_next(key));
+        let count = match self.paging {
+            Paging::Empty if !is_first => 0,
+            _ => MAX_PAGE_ITEMS,
+        };
+        let page = items.by_ref().take(count);
+        let page: Vec<Vec<u8>> = page.map(|(key, item)| item.text(key)).collect();
         let truncated = items.next().is_some();
-        let body = json!({"items": page, "truncated": truncated, "asOf": self.revision});
-        Response::json(200, &body)
+        self.list("items", &page, &format!(r#""truncated":{truncated},"#))
+    }
+
+    /// Returns an answer with a list; `fields` is the text of further fields.
+    fn list(&self, name: &str, entries: &[Vec<u8>], fields: &str) -> Response {
+        let start = format!(r#"{{{fields}"asOf":{},"{name}":["#, self.revision);
+        let entries = entries.join(&b","[..]);
+        Response::new(200, [start.as_bytes(), &entries, b"]}"].concat())
+            .with_header("Content-Type", "application/json")
     }
 
     /// Returns the response to a watch, or `None` if it has no change to deliver yet.
     fn changes(&self, prefix: &str, after: u64) -> Option<Response> {
-        if self.watch_delivery == WatchDelivery::Nothing {
-            return None;
+        match self.watch_delivery {
+            WatchDelivery::All => {}
+            WatchDelivery::Nothing => return None,
         }
         if after < self.compacted_revision || after > self.revision {
             return Some(Response::empty(410));
@@ -369,21 +428,25 @@
             .history
             .iter()
             .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-        let events: Vec<Value> = changes
+        let events: Vec<Vec<u8>> = changes
             .map(|(revision, key, item)| match item {
-                Some(item) => item.json(key),
-                None => json!({"key": key, "revision": revision, "deleted": true}),
+                Some(item) => item.text(key),
+                None => json!({"key": key, "revision": revision, "deleted": true})
+                    .to_string()
+                    .into_bytes(),
             })
             .collect();
-        if events.is_empty() {
-            return None;
-        }
-        let body = json!({"events": events, "asOf": self.revision});
-        Some(Response::json(200, &body))
+        (!events.is_empty()).then(|| self.list("events", &events, ""))
     }
 }
 
 impl Item {
+    /// Returns the text of the item in answers with several ones.
+    fn text(&self, key: &str) -> Vec<u8> {
+        let text = || self.json(key).to_string().into_bytes();
+        self.odd_text.clone().unwrap_or_else(text)
+    }
+
     fn json(&self, key: &str) -> Value {
         json!({
             "key": key,
--- a/src/geraniummount/core/store/cache.rs
+++ b/src/geraniummount/core/store/cache.rs
@@ -95,7 +95,8 @@
         self.as_of = None;
     }
 
-    /// Replaces the cached keys with all keys of the store, read at revision `as_of`.
+    /// Replaces the cached keys with all keys of the store, read at revision `as_of`, which becomes
+    /// the revision to watch from.
     ///
     /// Returns `false` and changes nothing if the read is older than the cached data.
     pub fn replace(
@@ -103,20 +104,23 @@
         records: impl IntoIterator<Item = (String, Revision, Vec<u8>)>,
         as_of: Revision,
     ) -> bool {
-        let is_replaced = self.replace_under("", records, as_of);
+        let is_replaced = self.replace_under("", None, records, as_of);
         if is_replaced {
             self.advance(as_of);
         }
         is_replaced
     }
 
-    /// Replaces the cached keys that begin with `prefix` with all such keys of the store, read at
-    /// revision `as_of`. The revision to watch from stays, as other keys may have changed.
+    /// Replaces the cached keys that begin with `prefix`, up to the key `end` if there is one, with
+    /// the keys of the store, read at revision `as_of`. The cached keys after `end` stay, unless the
+    /// read contains newer states of them. The revision to watch from stays, as other keys may have
+    /// changed.
     ///
     /// Returns `false` and changes nothing if the read is older than the cached data.
     pub fn replace_under(
         &mut self,
         prefix: &str,
+        end: Option<&str>,
         records: impl IntoIterator<Item = (String, Revision, Vec<u8>)>,
         as_of: Revision,
     ) -> bool {
@@ -129,13 +133,29 @@
             revision,
             value,
         });
-        self.records
-            .retain(|record| !record.key.starts_with(prefix));
+        let is_replaced = |record: &Record| {
+            let is_read = end.is_none_or(|end| record.key.as_str() <= end);
+            is_read && record.key.starts_with(prefix)
+        };
+        self.records.retain(|record| !is_replaced(record));
         self.records.extend(records);
-        self.records.sort_by(|a, b| a.key.cmp(&b.key));
+        self.sort();
         true
     }
 
+    /// Sorts the records, and keeps the newest one of each key: pages of a read may overlap.
+    fn sort(&mut self) {
+        self.records
+            .sort_by(|a, b| (&a.key, a.revision).cmp(&(&b.key, b.revision)));
+        self.records.dedup_by(|newer, kept| {
+            let is_same = newer.key == kept.key;
+            if is_same {
+                std::mem::swap(newer, kept);
+            }
+            is_same
+        });
+    }
+
     /// Stores a written key; returns whether it was newer than the cached one.
     pub fn put(&mut self, key: String, revision: Revision, value: Vec<u8>) -> bool {
         let record = Record {
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -81,6 +81,8 @@
     evacuations: bool,
     /// Whether keys changed that concern none of these.
     others: bool,
+    /// Whether the response was a list of keys that is not complete.
+    is_incomplete: bool,
 }
 
 /// Starts the thread that watches the store.
@@ -117,6 +119,7 @@
         peers: true,
         evacuations: true,
         others: false,
+        is_incomplete: false,
     };
 
     const LEAVES: Changes = Changes {
@@ -126,8 +129,17 @@
         peers: false,
         evacuations: false,
         others: false,
+        is_incomplete: false,
     };
 
+    /// Returns the same changes, found in a list of keys that is not complete.
+    fn incomplete(self) -> Changes {
+        Changes {
+            is_incomplete: true,
+            ..self
+        }
+    }
+
     /// Records that a key changed.
     fn record_key(&mut self, key: &str) {
         self.routes |= key == platform::DOCUMENT_KEY;
@@ -186,6 +198,9 @@
     /// Publishes what a step changed, and pauses before the next step if more changes may arrive
     /// meanwhile. Returns whether the event loop is still running.
     fn on_changes(&mut self, changes: Changes, step: Step) -> Result<bool, Error> {
+        if changes.is_incomplete {
+            return self.publish_incomplete(changes);
+        }
         self.on_store_available();
         if !self.publish(changes) || !self.publish_progress() {
             return Ok(false);
@@ -208,6 +223,16 @@
         }
     }
 
+    /// Publishes what a list of keys changed that is not complete. The list then counts as a failed
+    /// read, and is read again after a delay. Returns whether the event loop is still running.
+    fn publish_incomplete(&mut self, changes: Changes) -> Result<bool, Error> {
+        if !self.publish(changes) {
+            return Ok(false);
+        }
+        self.has_published = true;
+        Err(Error::Incomplete)
+    }
+
     /// Requires that all keys are read again, because changes may have been missed.
     fn clear_as_of(&mut self) {
         self.store_cache.clear_as_of();
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -8,12 +8,12 @@
 
 use super::{Changes, Watcher};
 use crate::core::key_lease::Read;
-use crate::core::store::cache::AnswerEra;
+use crate::core::store::cache::{AnswerEra, StoreCache};
 use crate::core::store::freshness::Freshness;
 use crate::core::store::poll_schedule;
 use crate::edge::boot_clock;
 use crate::edge::gateway::key_lease;
-use crate::platform::{self, Error, Events, Item, WatchStatus};
+use crate::platform::{self, Error, Events, Listing, WatchStatus};
 use crate::prelude::*;
 
 /// Time for which the store holds a watch call open while nothing changes.
@@ -26,15 +26,16 @@
     /// Reads all keys.
     pub(super) fn read_all(&mut self, freshness: Freshness) -> Result<Changes, Error> {
         let began = boot_clock::now()?;
-        let (items, as_of) = self.read_under(platform::ALL_KEYS, freshness)?;
+        let listing = self.list(platform::ALL_KEYS, freshness)?;
+        let as_of = listing.as_of;
         // While only the leaves were read, the watches for the operators' keys may have delivered
         // changes that an outdated read lacks. It would take an evacuation back.
         let is_too_old = self.store_cache.is_newer_than(as_of) || as_of < self.routes_as_of;
         if freshness == Freshness::Outdated && is_too_old {
             return self.read_all(Freshness::Current);
         }
-        if !self.store_cache.replace(records(items), as_of) {
-            return Err(outdated(as_of));
+        if !self.apply(platform::ALL_KEYS, listing)? {
+            return Ok(Changes::ALL.incomplete());
         }
         self.routes_as_of = as_of;
         if freshness == Freshness::Current {
@@ -54,15 +55,13 @@
     /// faster than a watch delivers the changes.
     pub(super) fn read_leaves(&mut self) -> Result<Changes, Error> {
         let prefix = platform::REGISTRATION_PREFIX;
-        let (items, as_of) = match self.read_recent(prefix)? {
-            Some(read) => read,
-            None => self.read_under(prefix, Freshness::Current)?,
+        let listing = match self.read_recent(prefix)? {
+            Some(listing) => listing,
+            None => self.list(prefix, Freshness::Current)?,
         };
-        if !self
-            .store_cache
-            .replace_under(prefix, records(items), as_of)
-        {
-            return Err(outdated(as_of));
+        let as_of = listing.as_of;
+        if !self.apply(prefix, listing)? {
+            return Ok(Changes::LEAVES.incomplete());
         }
         if self.store_sync.on_read(as_of) {
             info!("store event=caught-up revision={as_of}");
@@ -88,36 +87,41 @@
 
     /// Reads the keys with a prefix at the lower price of outdated data. Returns `None` if the data
     /// may be too old.
-    fn read_recent(&mut self, prefix: &str) -> Result<Option<(Vec<Item>, Revision)>, Error> {
+    fn read_recent(&mut self, prefix: &str) -> Result<Option<Listing>, Error> {
         let min_revision = self.store_sync.min_read_revision();
-        let (items, as_of) = self.read_under(prefix, Freshness::Outdated)?;
+        let listing = self.list(prefix, Freshness::Outdated)?;
+        let as_of = listing.as_of;
         if as_of < min_revision || self.store_cache.is_newer_than(as_of) {
             debug!("store event=too-old revision={as_of} wanted={min_revision}");
             return Ok(None);
         }
-        Ok(Some((items, as_of)))
+        Ok(Some(listing))
     }
 
-    /// Reads the keys with a prefix, page by page. Returns them with the lowest revision at
-    /// which a page was read: later changes may be missing.
-    fn read_under(
-        &mut self,
-        prefix: &str,
-        freshness: Freshness,
-    ) -> Result<(Vec<Item>, Revision), Error> {
-        let mut page = self.store.range(prefix, None, freshness)?;
-        self.check_era(page.era)?;
-        let mut as_of = page.as_of;
-        let mut items = page.items;
-        while page.truncated {
-            let Some(last) = items.last() else { break };
-            let after = last.key.clone();
-            page = self.store.range(prefix, Some(&after), freshness)?;
-            self.check_era(page.era)?;
-            as_of = as_of.min(page.as_of);
-            items.append(&mut page.items);
+    /// Reads the keys with a prefix, which have to be of the era of the cached data.
+    fn list(&mut self, prefix: &str, freshness: Freshness) -> Result<Listing, Error> {
+        let cache = &mut self.store_cache;
+        self.store
+            .list(prefix, freshness, |era| check_era(cache, era))
+    }
+
+    /// Applies the keys with a prefix to the cache; returns whether the list is complete. What was
+    /// read of one that is not complete holds, and so does what is known of the other keys.
+    fn apply(&mut self, prefix: &str, listing: Listing) -> Result<bool, Error> {
+        let (as_of, end) = (listing.as_of, listing.complete_to);
+        let records = listing.items.into_iter();
+        let records = records.map(|item| (item.key, item.revision, item.value));
+        let cache = &mut self.store_cache;
+        let is_applied = match (prefix, &end) {
+            (platform::ALL_KEYS, None) => cache.replace(records, as_of),
+            (prefix, end) => cache.replace_under(prefix, end.as_deref(), records, as_of),
+        };
+        match is_applied {
+            true => Ok(end.is_none()),
+            false => Err(Error::Malformed(format!(
+                "revision {as_of} is older than the last known revision"
+            ))),
         }
-        Ok((items, as_of))
     }
 
     /// Waits for changes after a revision and applies them to the cache.
@@ -194,13 +198,7 @@
 
     /// Checks that an answer is of the era of the cached data.
     fn check_era(&mut self, era: Option<Era>) -> Result<(), Error> {
-        match self.store_cache.observe_era(era) {
-            AnswerEra::Current => Ok(()),
-            AnswerEra::Newer => Err(Error::Restored),
-            AnswerEra::Older => Err(Error::Malformed(
-                "it is from before the store came back from an older copy".to_string(),
-            )),
-        }
+        check_era(&mut self.store_cache, era)
     }
 
     /// Waits for changes after a revision. While the watch is silent, this reads the store's
@@ -234,15 +232,13 @@
     }
 }
 
-/// Returns what the cache keeps of items.
-fn records(items: Vec<Item>) -> impl Iterator<Item = (String, Revision, Vec<u8>)> {
-    let items = items.into_iter();
-    items.map(|item| (item.key, item.revision, item.value))
-}
-
-/// Returns the error for a read that is older than the cached data.
-fn outdated(as_of: Revision) -> Error {
-    Error::Malformed(format!(
-        "revision {as_of} is older than the last known revision"
-    ))
+/// Checks that an answer is of the era of the cached data.
+fn check_era(cache: &mut StoreCache, era: Option<Era>) -> Result<(), Error> {
+    match cache.observe_era(era) {
+        AnswerEra::Current => Ok(()),
+        AnswerEra::Newer => Err(Error::Restored),
+        AnswerEra::Older => Err(Error::Malformed(
+            "it is from before the store came back from an older copy".to_string(),
+        )),
+    }
 }
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -18,7 +18,9 @@
 mod store;
 pub mod vm_rate;
 
-pub use self::store::{Error, Event, Events, Item, LeaseId, Range, Store, Watch, WatchStatus};
+pub use self::store::{
+    Error, Event, Events, Item, LeaseId, Listing, Range, Store, Watch, WatchStatus,
+};
 
 /// Key of the operator's configuration document.
 pub const DOCUMENT_KEY: &str = "op/config";
--- a/src/geraniummount/platform/store.rs
+++ b/src/geraniummount/platform/store.rs
@@ -4,11 +4,13 @@
 mod call;
 mod client;
 mod error;
+mod listing;
 mod message;
 mod target;
 mod watch;
 
 pub use self::client::Store;
 pub use self::error::Error;
+pub use self::listing::Listing;
 pub use self::message::{Event, Events, Item, LeaseId, Range};
 pub use self::watch::{Watch, WatchStatus};
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -19,7 +19,8 @@
 use super::call::Call;
 use super::message::Granted;
 use super::target::Target;
-use super::{Error, Item, LeaseId, Range, Watch};
+use super::{Error, Item, LeaseId, Listing, Range, Watch};
+use crate::core::store::cursor::{Cursor, Step};
 use crate::core::store::freshness::Freshness;
 use crate::prelude::*;
 use crate::util::h1;
@@ -102,21 +103,48 @@
         })
     }
 
-    /// Reads all keys with a prefix, page by page.
+    /// Reads the keys with a prefix, page by page, as far as each page leads to the next one. Calls
+    /// `check` with the era of each page, and ends with the error that it returns.
     ///
     /// # Errors
     ///
     /// Returns an error if the store cannot be reached, rejects a call or sends an invalid answer.
-    pub fn read_all(&mut self, prefix: &str, freshness: Freshness) -> Result<Vec<Item>, Error> {
-        let mut page = self.range(prefix, None, freshness)?;
-        let mut items = std::mem::take(&mut page.items);
-        while page.truncated {
-            let Some(last) = items.last() else { break };
-            let after = last.key.clone();
-            page = self.range(prefix, Some(&after), freshness)?;
+    pub fn list(
+        &mut self,
+        prefix: &str,
+        freshness: Freshness,
+        mut check: impl FnMut(Option<Era>) -> Result<(), Error>,
+    ) -> Result<Listing, Error> {
+        let mut cursor = Cursor::default();
+        let mut after = None;
+        let mut items = Vec::new();
+        let mut as_of = Revision::MAX;
+        let complete_to = loop {
+            let mut page = self.range(prefix, after.as_deref(), freshness)?;
+            check(page.era)?;
+            as_of = as_of.min(page.as_of);
             items.append(&mut page.items);
-        }
-        Ok(items)
+            match cursor.on_page(page.truncated, page.last_key.as_deref()) {
+                Step::Next(key) => after = Some(key),
+                Step::Complete => break None,
+                Step::Stuck(key) => break Some(key),
+            }
+        };
+        Ok(Listing {
+            items,
+            as_of,
+            complete_to,
+        })
+    }
+
+    /// Reads all keys with a prefix, page by page.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Incomplete`] if a page does not lead to the next one, and an error if the
+    /// store cannot be reached, rejects a call or sends an invalid answer.
+    pub fn read_all(&mut self, prefix: &str, freshness: Freshness) -> Result<Vec<Item>, Error> {
+        self.list(prefix, freshness, |_| Ok(()))?.into_items()
     }
 
     /// Returns a recent revision of the store, which may be seconds old, and the era.
--- a/src/geraniummount/platform/store/error.rs
+++ b/src/geraniummount/platform/store/error.rs
@@ -20,6 +20,8 @@
     Restored,
     /// The lease has ended.
     LeaseEnded,
+    /// A page of a list states that more keys follow, but does not lead to them.
+    Incomplete,
     /// The answer is invalid.
     Malformed(String),
 }
@@ -37,6 +39,9 @@
             }
             Error::Restored => f.write_str("the store has come back from an older copy of itself"),
             Error::LeaseEnded => f.write_str("the lease has ended"),
+            Error::Incomplete => {
+                f.write_str("a page of the list of keys does not lead to the next one; look for entries that can't be read")
+            }
             Error::Malformed(what) => write!(f, "the store's answer is invalid: {what}"),
         }
     }
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -37,22 +37,59 @@
 }
 
 /// One page of the keys with a prefix.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
 pub struct Range {
     /// Keys of this page with their values, sorted by key, without those that can't be read.
-    #[serde(deserialize_with = "readable")]
     pub items: Vec<Item>,
+    /// Last key of this page that can be read, whether or not the rest of its entry can be;
+    /// `None` if there is none.
+    pub last_key: Option<String>,
     /// Whether further keys follow on the next page.
-    #[serde(default)]
     pub truncated: bool,
     /// Revision of the store at which the page was read.
-    #[serde(rename = "asOf")]
     pub as_of: Revision,
     /// Era of the store; `None` if the answer does not state it.
-    #[serde(skip)]
     pub era: Option<Era>,
 }
 
+/// A page as the store sends it.
+#[derive(Deserialize)]
+struct Page<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
+    #[serde(default)]
+    truncated: bool,
+    #[serde(rename = "asOf")]
+    as_of: Revision,
+}
+
+/// The part of an entry by which a read continues.
+#[derive(Deserialize)]
+struct Keyed {
+    key: String,
+}
+
+impl<'de> Deserialize<'de> for Range {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Range, D::Error> {
+        let page = Page::deserialize(deserializer)?;
+        Ok(Range {
+            last_key: last_key(&page.items),
+            items: read_items(page.items),
+            truncated: page.truncated,
+            as_of: page.as_of,
+            era: None,
+        })
+    }
+}
+
+fn last_key(entries: &[&RawValue]) -> Option<String> {
+    let mut keyed = entries
+        .iter()
+        .rev()
+        .filter_map(|entry| serde_json::from_str(entry.get()).ok());
+    keyed.next().map(|keyed: Keyed| keyed.key)
+}
+
 /// Changes to the keys with a prefix.
 #[derive(Debug, Deserialize)]
 pub struct Events {
@@ -95,8 +132,11 @@
 fn readable<'de, D: Deserializer<'de>, T: DeserializeOwned>(
     deserializer: D,
 ) -> Result<Vec<T>, D::Error> {
-    let entries = Vec::<&'de RawValue>::deserialize(deserializer)?;
-    Ok(json::read_entries(entries, |error| {
+    Vec::<&'de RawValue>::deserialize(deserializer).map(read_items)
+}
+
+fn read_items<T: DeserializeOwned>(entries: Vec<&RawValue>) -> Vec<T> {
+    json::read_entries(entries, |error| {
         warn!("store event=entry-unreadable action=skip error=\"{error}\"");
-    }))
+    })
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -77,6 +77,7 @@
 mod split;
 mod stand_ins;
 mod store_cache;
+mod store_cursor;
 mod store_sync;
 mod survey;
 mod tenant;
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -30,6 +30,7 @@
 mod odd_numbers;
 mod offload;
 mod older_routes;
+mod pages;
 mod pause;
 mod quotas;
 mod reads;
--- a/tests/testsuite/store_cache.rs
+++ b/tests/testsuite/store_cache.rs
@@ -152,10 +152,34 @@
     let keys = ["a/1", "b/1", "b/2", "c/1"];
     cache.replace(keys.map(|key| (key.to_string(), 1, Vec::new())), 1);
     let read = [("b/2".to_string(), 5, b"new".to_vec())];
-    assert!(cache.replace_under("b/", read, 7));
+    assert!(cache.replace_under("b/", None, read, 7));
     let under: Vec<_> = cache.iter_under("b/").collect();
     assert_eq!(under, [("b/2", 5, b"new".as_slice())]);
     assert!(cache.get("a/1").is_some() && cache.get("c/1").is_some());
     assert_eq!(cache.as_of(), Some(1), "other keys may have changed");
-    assert!(!cache.replace_under("b/", [], 6), "the read is older");
+    assert!(!cache.replace_under("b/", None, [], 6), "the read is older");
+}
+
+#[test]
+fn store_cache_keeps_the_keys_after_the_end_of_a_read_that_is_not_complete() {
+    let mut cache = StoreCache::default();
+    let keys = ["a", "b", "c", "d"];
+    cache.replace(keys.map(|key| (key.to_string(), 3, b"old".to_vec())), 4);
+    let read = [("a", 6), ("d", 7)].map(|(key, at)| (key.to_string(), at, b"new".to_vec()));
+    assert!(cache.replace_under("", Some("b"), read, 8));
+    let known: Vec<_> = cache.iter_under("").map(|(key, at, _)| (key, at)).collect();
+    assert_eq!(known, [("a", 6), ("c", 3), ("d", 7)], "b was removed");
+    assert_eq!(cache.as_of(), Some(4), "further changes may be missing");
+}
+
+#[test]
+fn store_cache_keeps_the_newest_state_of_a_key_that_a_read_contains_twice() {
+    let mut cache = StoreCache::default();
+    let read = [("a", 2), ("b", 5), ("a", 4), ("b", 1), ("a", 3)];
+    cache.replace(
+        read.map(|(key, at)| (key.to_string(), at, vec![at as u8])),
+        9,
+    );
+    let known: Vec<_> = cache.iter_under("").collect();
+    assert_eq!(known, [("a", 4, [4].as_slice()), ("b", 5, [5].as_slice())]);
 }
