Let a key that is no text cost none of the others of its page

What callers would see: with a key of another writer that consists of other bytes than UTF-8, in a store that writes it as it is, a VM that starts serves nothing, and one that runs follows no change.

Cause: the whole answer was decoded as JSON text, entry by entry only after that. One byte made the page unreadable.

Evidence: such an entry in platform_pages_end_with_entries_that_cannot_be_read; failed before ("the list is complete": invalid unicode code point).

Change: bytes that are no UTF-8 are replaced before the answer is decoded, as in log lines.

Why it works: the replaced character is none that the id of a leaf may have, so that the entry names no leaf. Pages go on after the replaced key; between it and the real one only keys that aren't ASCII can stand.

--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -378,8 +378,9 @@
         let status = response.head.status;
         return Err(Error::Malformed(format!("status {status}")));
     }
-    let body = serde_json::from_slice(&response.content);
-    body.map_err(|error| Error::Malformed(error.to_string()))
+    // A key may consist of any bytes. One that is no text must not cost the others of its page.
+    let text = String::from_utf8_lossy(&response.content);
+    serde_json::from_str(&text).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 /// Returns the era that an answer states.
--- a/tests/testsuite/platform/pages.rs
+++ b/tests/testsuite/platform/pages.rs
@@ -85,6 +85,11 @@
         end: br#"\ud800","value":"e30=","revision":3}"#,
         is_key_readable: false,
     },
+    Odd {
+        start: KEY,
+        end: b"\xff\xfe\",\"value\":\"e30=\",\"revision\":3}",
+        is_key_readable: true,
+    },
     Odd {
         start: "",
         end: br#"{"key":7,"value":"e30=","revision":3}"#,
