Apply no change of the store a second time

What callers would see: if the answer to a watch comes twice, as after a retransmission within the store, requests go to a leaf that has been removed since, until its address answers for somebody else.

Cause: a change was compared only with the cached state of its key. A removed key has none, so that the write before the removal counted as new. The same answer took the revision back up to which the routes are known, and counted as proof of it.

Evidence: platform_pages_of_changes_that_come_again_bring_no_leaf_back; before, a leaf that was removed got a request again.

Change: the changes in an answer that are not after the revision that the watch was asked for are ignored, that revision never goes back within an era, and such an answer proves nothing.

Why it works: a revision is given out once in an era, and all changes up to the asked one are in the cache.

--- a/crates/geraniummount-test-support/src/platform/users/store.rs
+++ b/crates/geraniummount-test-support/src/platform/users/store.rs
@@ -52,6 +52,10 @@
     All,
     /// No changes, neither to waiting watches nor to new ones.
     Nothing,
+    /// No changes, with an answer at once.
+    NothingAtOnce,
+    /// The first change of all, again and again.
+    First,
 }
 
 #[derive(Debug, Default)]
@@ -420,6 +424,8 @@
         match self.watch_delivery {
             WatchDelivery::All => {}
             WatchDelivery::Nothing => return None,
+            WatchDelivery::NothingAtOnce => return Some(no_events(after)),
+            WatchDelivery::First => return self.first_change(),
         }
         if after < self.compacted_revision || after > self.revision {
             return Some(Response::empty(410));
@@ -428,16 +434,26 @@
             .history
             .iter()
             .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-        let events: Vec<Vec<u8>> = changes
-            .map(|(revision, key, item)| match item {
-                Some(item) => item.text(key),
-                None => json!({"key": key, "revision": revision, "deleted": true})
-                    .to_string()
-                    .into_bytes(),
-            })
-            .collect();
+        let events: Vec<Vec<u8>> = changes.map(event).collect();
         (!events.is_empty()).then(|| self.list("events", &events, ""))
     }
+
+    /// Returns an answer with the first change of all, as if it were the newest one.
+    fn first_change(&self) -> Option<Response> {
+        let change = self.history.first()?;
+        let event = String::from_utf8_lossy(&event(change)).into_owned();
+        let body = format!(r#"{{"events":[{event}],"asOf":{}}}"#, change.0);
+        Some(Response::new(200, body))
+    }
+}
+
+/// Returns the text of a change in answers.
+fn event((revision, key, item): &(u64, String, Option<Item>)) -> Vec<u8> {
+    let removal = || json!({"key": key, "revision": revision, "deleted": true});
+    match item {
+        Some(item) => item.text(key),
+        None => removal().to_string().into_bytes(),
+    }
 }
 
 impl Item {
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -128,11 +128,11 @@
     pub(super) fn wait_for_changes(&mut self, revision: Revision) -> Result<Changes, Error> {
         let events = self.next_events(revision)?;
         self.check_era(events.era)?;
-        let (count, as_of) = (events.events.len(), events.as_of);
-        let changes = self.apply_events(events);
+        self.record_progress(&events, revision);
+        let (count, as_of) = (events.events.len(), events.as_of.max(revision));
+        let changes = self.apply_events(events, revision);
         self.store_cache.advance(as_of);
         self.routes_as_of = as_of;
-        self.record_progress(count, as_of);
         if self.store_sync.on_changes(count, as_of) {
             info!("store event=behind changes={count} revision={as_of}");
             self.is_behind.set(1);
@@ -158,27 +158,31 @@
                 return Err(Error::StalledWatch);
             };
             self.check_era(events.era)?;
-            self.routes_as_of = events.as_of;
-            self.record_progress(events.events.len(), events.as_of);
-            let changes = self.apply_events(events);
+            let after = self.routes_as_of;
+            self.routes_as_of = events.as_of.max(after);
+            self.record_progress(&events, after);
+            let changes = self.apply_events(events, after);
             if !self.publish(changes) || !self.publish_progress() {
                 return Ok(false);
             }
         }
     }
 
-    /// Records that an answer to a watch with a number of changes is complete up to a revision. One
-    /// without changes proves nothing, as a watch may hear nothing for a while although keys change.
-    fn record_progress(&mut self, changes: usize, as_of: Revision) {
-        if changes > 0 {
-            self.confirmed_as_of = Some(as_of);
+    /// Records up to which revision the answer to a watch for the changes after `after` is complete.
+    /// One without changes proves nothing, as a watch may hear nothing for a while although keys
+    /// change; neither does one that comes again.
+    fn record_progress(&mut self, events: &Events, after: Revision) {
+        if !events.events.is_empty() && events.as_of > after {
+            self.confirmed_as_of = Some(events.as_of);
         }
     }
 
-    /// Applies changes to the cache; returns what they changed.
-    fn apply_events(&mut self, events: Events) -> Changes {
+    /// Applies the changes after a revision to the cache; returns what they changed. An older one
+    /// comes again: it may be the write of a key that has been removed since.
+    fn apply_events(&mut self, events: Events, after: Revision) -> Changes {
         let mut changes = Changes::default();
-        for event in events.events {
+        let events = events.events.into_iter();
+        for event in events.filter(|event| event.revision() > after) {
             match event {
                 platform::Event::Written(item) => {
                     let key = item.key.clone();
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -119,6 +119,16 @@
     },
 }
 
+impl Event {
+    /// Returns the revision of the store at the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Event::Written(item) => item.revision,
+            Event::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 fn base64_text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
     let text = String::deserialize(deserializer)?;
     // The key is known to have changed, so the value that it had before does not hold any more.
--- a/tests/testsuite/platform/pages.rs
+++ b/tests/testsuite/platform/pages.rs
@@ -6,7 +6,7 @@
 
 use geraniummount::core::store::freshness::Freshness;
 use geraniummount::platform::{self, Item, Store as Client};
-use geraniummount_test_support::platform::users::{Leaf, Paging, Store};
+use geraniummount_test_support::platform::users::{Leaf, Paging, Store, WatchDelivery};
 
 use super::fixture::{Fixture, document, leaf, service_route};
 
@@ -211,3 +211,27 @@
         }
     }
 }
+
+/// A change that comes again, after the key was removed, must not bring a leaf back.
+#[test]
+fn platform_pages_of_changes_that_come_again_bring_no_leaf_back() {
+    let store = Store::start();
+    let gone = Leaf::start(&store, "one", "near", b"record-of-16-byt");
+    let address = store.address();
+    let vm = Fixture::start_with(store, address);
+    vm.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let _stays = leaf(&vm, "one", b"record-of-16-byt");
+    vm.wait_for_leaf("/a/x");
+    vm.store.remove(&gone.key());
+    let sends = |vm: &Fixture| {
+        let before = gone.arrivals().len();
+        (0..10).for_each(|number| drop(vm.get(&format!("/a/{number}"), 1_000)));
+        gone.arrivals().len() - before
+    };
+    vm.wait_until(|vm| sends(vm) == 0);
+    vm.store.set_watch_delivery(WatchDelivery::First);
+    // Ends the watch that waits for a further change.
+    vm.store.put("servers/i-odd", "a change");
+    std::thread::sleep(FAULT_TIME);
+    assert_eq!(sends(&vm), 0, "a leaf that was removed is used again");
+}
