Wait between watches that are answered at once without changes

What callers would see: while a store answers watches at once without changes, or another writer writes an entry that can't be read again and again, each VM calls the store as fast as it answers (26,759 calls in 2 s from one VM). All VMs together get 429 at 2,000 reading calls a second, also for the calls that they need: leaves that leave, new versions, rates.

Cause: the delay after an answer applied only if it changed something.

Evidence: platform_pages_of_changes_without_any_are_not_asked_for_without_delay; before, 26,759 calls where 80 are allowed.

Change: the next watch begins at the earliest the usual delay after a change after the last one began, also between the reads of the leaves while the VM is behind.

Why it works: the delay is the one that bounds the calls while changes arrive, and it is within the bounds on a leaving leaf and on a new version.

--- a/src/geraniummount/core/store/poll_schedule.rs
+++ b/src/geraniummount/core/store/poll_schedule.rs
@@ -95,6 +95,13 @@
         self.delay_after_change
     }
 
+    /// Returns the delay before the next call after one that took the time `took` and changed
+    /// nothing: none after a watch that has waited for changes. A watch that is answered at once, by a
+    /// store in trouble or with changes that can't be read, must not be repeated at once.
+    pub fn delay_without_change(&self, took: Duration) -> Duration {
+        self.delay_after_change.saturating_sub(took)
+    }
+
     /// Returns the delay before the next read of the leaves while they change faster than a watch
     /// delivers the changes. The time for which a leaving leaf still serves is not exceeded even if
     /// each read is as old as [`MAX_READ_AGE_SHARE`] permits. The routes are watched meanwhile.
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -172,7 +172,7 @@
                 Step::ReadLeaves => self.read_leaves(),
                 Step::Watch(revision) => self.wait_for_changes(revision),
             };
-            let result = result.and_then(|changes| self.on_changes(changes, step));
+            let result = result.and_then(|changes| self.on_changes(changes, step, began.elapsed()));
             match result {
                 Ok(true) => {}
                 Ok(false) => return,
@@ -195,9 +195,9 @@
         }
     }
 
-    /// Publishes what a step changed, and pauses before the next step if more changes may arrive
-    /// meanwhile. Returns whether the event loop is still running.
-    fn on_changes(&mut self, changes: Changes, step: Step) -> Result<bool, Error> {
+    /// Publishes what a step changed that took the time `took`, and pauses before the next step if
+    /// more changes may arrive meanwhile. Returns whether the event loop is still running.
+    fn on_changes(&mut self, changes: Changes, step: Step, took: Duration) -> Result<bool, Error> {
         if changes.is_incomplete {
             return self.publish_incomplete(changes);
         }
@@ -207,6 +207,7 @@
         }
         self.register()?;
         if !changes.any() {
+            thread::sleep(self.poll_schedule.delay_without_change(took));
             return Ok(true);
         }
         self.has_published |= changes.routes || changes.leaves;
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -1,6 +1,7 @@
 //! Steps by which the thread follows the store: it reads keys or watches them for changes, and brings
 //! the cache up to date with what it receives.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use log::{debug, info};
@@ -146,7 +147,8 @@
         let spread = rand::rng().random_range(0.0..1.0);
         let end = Instant::now() + self.poll_schedule.delay_between_reads(spread);
         loop {
-            let wait = end.saturating_duration_since(Instant::now());
+            let began = Instant::now();
+            let wait = end.saturating_duration_since(began);
             if wait.is_zero() {
                 self.store_sync.on_pause_end(self.routes_as_of);
                 return Ok(true);
@@ -165,6 +167,11 @@
             if !self.publish(changes) || !self.publish_progress() {
                 return Ok(false);
             }
+            if !changes.any() {
+                let delay = self.poll_schedule.delay_without_change(began.elapsed());
+                let left = end.saturating_duration_since(Instant::now());
+                thread::sleep(delay.min(left));
+            }
         }
     }
 
--- a/tests/testsuite/platform/pages.rs
+++ b/tests/testsuite/platform/pages.rs
@@ -212,6 +212,43 @@
     }
 }
 
+/// A store in trouble, or another writer whose entries can't be read, must not make all VMs call
+/// again and again.
+#[test]
+fn platform_pages_of_changes_without_any_are_not_asked_for_without_delay() {
+    let odd_writes = |store: &Store| {
+        let end = Instant::now() + FAULT_TIME;
+        while Instant::now() < end {
+            store.put_odd("servers/i-odd", b"null");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    };
+    let deliver = |store: &Store, delivery| {
+        store.set_watch_delivery(delivery);
+        store.disconnect_all();
+        std::thread::sleep(FAULT_TIME);
+        store.set_watch_delivery(WatchDelivery::All);
+    };
+    let faults: [(&str, &dyn Fn(&Store)); 3] = [
+        ("answers without changes", &|store| {
+            deliver(store, WatchDelivery::NothingAtOnce);
+        }),
+        ("an old change again and again", &|store| {
+            deliver(store, WatchDelivery::First);
+        }),
+        ("changes that can't be read", &odd_writes),
+    ];
+    for (name, fault) in faults {
+        eprintln!("case: {name}");
+        let vm = Fixture::start();
+        let _leaves = start_leaves(&vm.store);
+        vm.wait_until(|vm| served(vm) == LEAVES);
+        check_calls(&vm.store, || fault(&vm.store));
+        vm.configure(2, &[service_route("/b/", "idempotent", "s1")]);
+        vm.wait_for_leaf("/b/x");
+    }
+}
+
 /// A change that comes again, after the key was removed, must not bring a leaf back.
 #[test]
 fn platform_pages_of_changes_that_come_again_bring_no_leaf_back() {
