Let an entry under an odd name, or with an odd secret, be no VM

What callers would see: with an entry of another writer among those of the VMs, a VM without links to the leaves passes requests to its address. The entry's secret goes into the head of each such request as it is: one with a line end adds fields to it, or a second request. A VM took over such a secret from its own entry and kept it, so that no other VM could pass requests to it.

Cause: `peer_entry::read` took any name and any text for a secret.

Change: the name has to be one that a VM can have by its settings, the secret visible ASCII characters.

Why it works: all entries of VMs are read there, also the own one.

--- a/src/geraniummount/platform/peer_entry.rs
+++ b/src/geraniummount/platform/peer_entry.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
+use serde::de::Error as _;
 use serde::{Deserialize, Serialize};
 
 use super::PEER_PREFIX;
+use crate::core::config::validation;
 use crate::core::delegation::Peer;
 use crate::prelude::*;
 use crate::util::bounded;
@@ -53,10 +55,18 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the value is invalid.
+/// Returns an error if the key does not name a VM, or if the value is invalid.
 pub fn read(key: &str, value: &[u8]) -> Result<PeerEntry, serde_json::Error> {
-    let stored: Stored = serde_json::from_slice(value)?;
     let name = key.strip_prefix(PEER_PREFIX).unwrap_or(key);
+    if !validation::is_valid_name(name) {
+        let problem = format!("the key names no VM; use {}", validation::name_rule());
+        return Err(serde_json::Error::custom(problem));
+    }
+    let stored: Stored = serde_json::from_slice(value)?;
+    if !is_secret(&stored.key) {
+        let problem = "the secret is not usable; use visible ASCII characters";
+        return Err(serde_json::Error::custom(problem));
+    }
     Ok(PeerEntry {
         peer: Peer {
             name: name.to_string(),
@@ -68,3 +78,8 @@
         written_at_ms: stored.written_at_ms,
     })
 }
+
+/// Returns whether a text can be the secret of a VM, which requests to it contain in a header field.
+fn is_secret(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -14,8 +14,9 @@
 use geraniummount_test_support::process::binary_path;
 use geraniummount_test_support::raw_server::RawServer;
 use geraniummount_test_support::soak::Vm;
-use serde_json::json;
+use serde_json::{Value, json};
 
+use super::deployment::{Deployment, hang};
 use super::fixture::{Fixture, WAIT_TIMEOUT, document, gather_route, request, service_route};
 
 /// Maximum number of items on a page of the stand-in store. Of as many keys in a row, one is the
@@ -180,3 +181,75 @@
     let long = format!("servers/{}", "i".repeat(300));
     assert!(read(&long).is_err(), "a name that no key can have");
 }
+
+/// An entry of a VM that another writer has written.
+#[derive(Debug)]
+struct OddVm {
+    name: &'static str,
+    secret: &'static str,
+}
+
+const ODD_VMS: &[OddVm] = &[
+    OddVm {
+        name: "odd",
+        secret: "secret\r\nX-Smuggled: 1",
+    },
+    OddVm {
+        name: "odd",
+        secret: "",
+    },
+    OddVm {
+        name: "odd",
+        secret: "\u{fc}\u{0}",
+    },
+    OddVm {
+        name: "odd & +#%\r\n",
+        secret: "secret",
+    },
+    OddVm {
+        name: "",
+        secret: "secret",
+    },
+];
+
+/// A VM writes the secret of another one into the requests that it passes to it.
+#[test]
+fn platform_odd_keys_of_vms_name_no_vm() {
+    let deployment = Deployment::start(&["near", "near"]);
+    let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
+    let store = &deployment.vms[0].store;
+    for (number, vm) in ODD_VMS.iter().enumerate() {
+        let entry = json!({
+            "address": stranger.address(), "domain": "near", "key": vm.secret,
+            "written_at_ms": 4_000_000_000_000_u64,
+        });
+        let suffix = if vm.name == "odd" {
+            number.to_string()
+        } else {
+            String::new()
+        };
+        store.put(&format!("peers/{}{suffix}", vm.name), entry.to_string());
+    }
+    deployment.change_links(0, hang);
+    deployment.send_for(0, Duration::from_secs(2));
+    assert_eq!(deployment.count_served(0, 40), 40);
+    let heads = stranger.arrivals();
+    assert_eq!(heads.len(), 0, "{:?}", heads.first());
+}
+
+/// A VM takes over the secret of its own entry when it starts.
+#[test]
+fn platform_odd_keys_of_its_own_entry_are_written_anew() {
+    let vm = Fixture::start();
+    vm.wait_until(|vm| !vm.store.keys("peers/").is_empty());
+    let key = vm.store.keys("peers/").remove(0);
+    let mut entry: Value = serde_json::from_slice(&vm.store.value(&key).unwrap()).unwrap();
+    entry["key"] = json!("secret\r\nX-Smuggled: 1");
+    let odd = entry.to_string().into_bytes();
+    vm.store.put(&key, odd.clone());
+    vm.wait_until(|vm| {
+        // A VM writes its entry after an answer of the store.
+        vm.store.put("servers/i-changes", "a change");
+        vm.store.value(&key) != Some(odd.clone())
+    });
+}
