Take no response into a gathered answer whose signature reads as several

Cause: signatures are joined with commas as the leaves sent them.

Change: of a gather, a success whose signature is not one word of visible ASCII characters without commas counts as lost, so that another leaf of the shard is tried, or the part is missing.

Why it works: all replies reach a call through `on_reply`, before its answer is written.

--- a/src/geraniummount/core/call/mod.rs
+++ b/src/geraniummount/core/call/mod.rs
@@ -186,6 +186,10 @@
         let Some((index, replica)) = self.close_attempt(attempt) else {
             return Vec::new();
         };
+        let reply = match self.plan.is_gather() {
+            true => reply.into_part(),
+            false => reply,
+        };
         let service = &self.shards[index].service;
         let latency = placement.end_attempt(service, replica, attempt, reply.ending(), now);
         if let Some(latency) = latency.filter(|_| reply.ending() == Ending::Answered) {
--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -38,7 +38,25 @@
     Lost,
 }
 
+impl Response {
+    /// Returns whether the signature can stand in the list of signatures of a gathered answer: it
+    /// has to read as exactly one.
+    fn is_listable(&self) -> bool {
+        let is_plain = |byte: u8| byte.is_ascii_graphic() && byte != b',';
+        !self.signature.is_empty() && self.signature.bytes().all(is_plain)
+    }
+}
+
 impl Reply {
+    /// Returns the reply as one of many that are merged. A response whose signature would make the
+    /// merged answer wrong is unusable.
+    pub(super) fn into_part(self) -> Reply {
+        match self {
+            Reply::Success(response) if !response.is_listable() => Reply::Lost,
+            reply => reply,
+        }
+    }
+
     /// Returns how the placement rates the leaf for this reply.
     pub fn ending(&self) -> Ending {
         match self {
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -28,6 +28,7 @@
 mod odd_entries;
 mod odd_keys;
 mod odd_numbers;
+mod odd_signatures;
 mod offload;
 mod older_routes;
 mod pages;
