Keep each log line one short line, whatever it quotes

What operators would see: a name of the store with a carriage return or escape characters in a log line began another line or controlled the terminal, and one with a quote added pairs to the line. An error that quotes a value of the store wrote a line of up to a megabyte, of which 1,024 may wait: more memory than the VM has.

Cause: the logger escaped line feeds only, and took messages of any length. Errors were put between quotes as they were.

Evidence: log_lines_stay_single_lines_whatever_they_quote and log_lines_are_short_whatever_they_quote; before, a carriage return stayed as it was, and a line had 1,048,633 bytes.

Change: the logger escapes control characters, separators of lines and characters that change the direction of a text, and cuts a message to 1,024 bytes (`cut_bytes` says how many are missing). Errors about what the store holds are quoted with escapes, and `trace` reads escaped quotes and cut lines.

Why it works: every line goes through `Logger::log`.

--- a/src/geraniummount/edge/gateway/fleet.rs
+++ b/src/geraniummount/edge/gateway/fleet.rs
@@ -73,7 +73,7 @@
         if !is_needed {
             self.end_exchange();
         } else if let Err(error) = self.continue_exchange() {
-            warn!("fleet event=not-started error=\"{error}\"");
+            warn!("fleet event=not-started error={:?}", error.to_string());
         }
         self.fleet.is_checking = is_needed || self.placement.has_limits(now);
         if self.fleet.is_checking {
@@ -193,7 +193,7 @@
             }
             Err(error) => {
                 if !self.has_failed {
-                    warn!("fleet event=call-failed error=\"{error}\"");
+                    warn!("fleet event=call-failed error={:?}", error.to_string());
                 }
                 self.has_failed = true;
                 self.exchange.on_failure(Instant::now());
@@ -206,7 +206,10 @@
         if let Some(lease) = self.lease
             && let Err(error) = self.store.end_lease(lease)
         {
-            info!("fleet event=lease-left-to-expire error=\"{error}\"");
+            info!(
+                "fleet event=lease-left-to-expire error={:?}",
+                error.to_string()
+            );
         }
     }
 }
--- a/src/geraniummount/edge/gateway/key_lease/reader.rs
+++ b/src/geraniummount/edge/gateway/key_lease/reader.rs
@@ -39,7 +39,7 @@
             (Ok(read), Target::Revision) => Event::Read(read),
             (Ok(read), Target::Document) => Event::DocumentRead(read),
             (Err(error), _) => {
-                debug!("keys event=not-read error=\"{error}\"");
+                debug!("keys event=not-read error={:?}", error.to_string());
                 Event::NotRead
             }
         };
--- a/src/geraniummount/edge/gateway/registrations.rs
+++ b/src/geraniummount/edge/gateway/registrations.rs
@@ -69,7 +69,10 @@
     match platform::registration::read(key, value) {
         Ok(instance) => Some(instance),
         Err(error) => {
-            warn!("leaf key={key:?} outcome=ignored error=\"{error}\"");
+            warn!(
+                "leaf key={key:?} outcome=ignored error={:?}",
+                error.to_string()
+            );
             None
         }
     }
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -278,7 +278,10 @@
         let table = match platform::document::read(value) {
             Ok(table) => table,
             Err(error) => {
-                warn!("routes revision={revision} outcome=kept-last error=\"{error}\"");
+                warn!(
+                    "routes revision={revision} outcome=kept-last error={:?}",
+                    error.to_string()
+                );
                 return true;
             }
         };
@@ -337,7 +340,7 @@
         self.clear_as_of();
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
-            warn!("store event=lost error=\"{error}\"");
+            warn!("store event=lost error={:?}", error.to_string());
         }
         let spread = rand::rng().random_range(0.0..1.0);
         let has_data = self.has_published;
--- a/src/geraniummount/edge/gateway/watch/peers.rs
+++ b/src/geraniummount/edge/gateway/watch/peers.rs
@@ -64,7 +64,10 @@
         let peers = entries.filter_map(|(key, _, value)| match peer_entry::read(key, value) {
             Ok(entry) => Some(entry.peer),
             Err(error) => {
-                warn!("peer key={key:?} outcome=ignored error=\"{error}\"");
+                warn!(
+                    "peer key={key:?} outcome=ignored error={:?}",
+                    error.to_string()
+                );
                 None
             }
         });
--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -231,7 +231,7 @@
                     AnswerEra::Current | AnswerEra::Older => continue,
                 },
                 Err(error) => {
-                    debug!("store event=no-revision error=\"{error}\"");
+                    debug!("store event=no-revision error={:?}", error.to_string());
                     continue;
                 }
             }
--- a/src/geraniummount/edge/quarantine/mod.rs
+++ b/src/geraniummount/edge/quarantine/mod.rs
@@ -35,11 +35,17 @@
         return Vec::new();
     }
     let records = serde_json::from_slice(value).unwrap_or_else(|error| {
-        warn!("quarantine event=list-unreadable action=write-anew error=\"{error}\"");
+        warn!(
+            "quarantine event=list-unreadable action=write-anew error={:?}",
+            error.to_string()
+        );
         Vec::new()
     });
     json::read_entries(records, |error| {
-        warn!("quarantine event=record-unreadable action=skip error=\"{error}\"");
+        warn!(
+            "quarantine event=record-unreadable action=skip error={:?}",
+            error.to_string()
+        );
     })
 }
 
--- a/src/geraniummount/ops/trace.rs
+++ b/src/geraniummount/ops/trace.rs
@@ -33,7 +33,7 @@
         let mut pairs = Vec::new();
         while let Some((key, rest)) = left.split_once('=') {
             let (value, rest) = match rest.strip_prefix('"') {
-                Some(quoted) => quoted.split_once('"')?,
+                Some(quoted) => split_quoted(quoted),
                 None => rest.split_once(' ').unwrap_or((rest, "")),
             };
             let key = key.rsplit(' ').next().unwrap_or(key);
@@ -62,6 +62,18 @@
     }
 }
 
+/// Splits a text at the quote that ends its first value, and leaves the quote out. A quote after a
+/// backslash belongs to the value, and the value of a line that was cut has no end.
+fn split_quoted(text: &str) -> (&str, &str) {
+    let mut is_escaped = false;
+    let end = text.find(|character| {
+        let is_end = character == '"' && !is_escaped;
+        is_escaped = character == '\\' && !is_escaped;
+        is_end
+    });
+    end.map_or((text, ""), |end| (&text[..end], &text[end + 1..]))
+}
+
 /// Writes all lines about a request in order of time. Reads standard input if `files` is empty.
 ///
 /// # Errors
--- a/src/geraniummount/platform/store/message.rs
+++ b/src/geraniummount/platform/store/message.rs
@@ -133,7 +133,10 @@
     let text = String::deserialize(deserializer)?;
     // The key is known to have changed, so the value that it had before does not hold any more.
     Ok(STANDARD.decode(text).unwrap_or_else(|error| {
-        warn!("store event=value-unreadable action=take-as-empty error=\"{error}\"");
+        warn!(
+            "store event=value-unreadable action=take-as-empty error={:?}",
+            error.to_string()
+        );
         Vec::new()
     }))
 }
@@ -147,6 +150,9 @@
 
 fn read_items<T: DeserializeOwned>(entries: Vec<&RawValue>) -> Vec<T> {
     json::read_entries(entries, |error| {
-        warn!("store event=entry-unreadable action=skip error=\"{error}\"");
+        warn!(
+            "store event=entry-unreadable action=skip error={:?}",
+            error.to_string()
+        );
     })
 }
--- a/src/geraniummount/util/logger.rs
+++ b/src/geraniummount/util/logger.rs
@@ -1,5 +1,7 @@
 //! Non-blocking logger for structured lines, with a rate limit per event kind.
 //!
+//! Messages quote names and values from outside the process, so each line is escaped and cut here.
+//!
 //! The event kind of a line is the first word of its message.
 
 use std::fmt::Write as _;
@@ -22,6 +24,10 @@
 /// memory that lines use outside the bounded queue while a write is blocked.
 const BATCH_BYTES: usize = 16 * 1024;
 
+/// Maximum length of a message in bytes, before characters are escaped. An error may quote a value
+/// of the store, which is a megabyte long.
+const MAX_MESSAGE_BYTES: usize = 1024;
+
 /// Window of the rate limit.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -154,8 +160,8 @@
             .unwrap_or_default();
         let level = record.level().as_str().to_ascii_lowercase();
         let (seconds, vm) = (time.as_secs_f64(), &self.vm);
-        let message = message.replace('\n', "\\n");
-        let mut line = format!("t={seconds:.3} level={level} vm={vm} event={message}");
+        let mut line = format!("t={seconds:.3} level={level} vm={vm} event=");
+        append_message(&mut line, &message);
         if suppressed > 0 {
             // Writing to a string cannot fail.
             let _ = write!(line, " suppressed={suppressed}");
@@ -177,6 +183,29 @@
     }
 }
 
+/// Appends a message as a part of one line. Names and values from outside that it contains must not
+/// begin a line of their own, control a terminal, or fill the queue.
+fn append_message(line: &mut String, message: &str) {
+    let end = message.floor_char_boundary(MAX_MESSAGE_BYTES);
+    for character in message[..end].chars() {
+        match is_harmful(character) {
+            true => line.extend(character.escape_default()),
+            false => line.push(character),
+        }
+    }
+    if end < message.len() {
+        // Writing to a string cannot fail.
+        let _ = write!(line, " cut_bytes={}", message.len() - end);
+    }
+}
+
+/// Returns whether a character ends a line, controls a terminal or changes the direction of a text.
+fn is_harmful(character: char) -> bool {
+    let is_separator = matches!(character, '\u{2028}' | '\u{2029}');
+    let is_direction = matches!(character, '\u{202a}'..='\u{202e}' | '\u{2066}'..='\u{2069}');
+    character.is_control() || is_separator || is_direction
+}
+
 /// Writes the queued lines in batches until the logger is dropped.
 fn write_all(lines: &Receiver<Vec<u8>>, mut out: impl Write, processed: &AtomicU64) {
     while let Ok(mut batch) = lines.recv() {
--- a/tests/testsuite/log_lines.rs
+++ b/tests/testsuite/log_lines.rs
@@ -93,6 +93,16 @@
     assert_eq!(line.get("what"), Some("lost"));
     assert_eq!(line.get("error"), Some("it is = away"));
     assert!(Line::parse("no line of a log").is_none());
+    let quoted = r#"t=1.000 level=warn vm=vm1 event=leaf key="a\" id=7 \\" outcome=ignored"#;
+    let line = Line::parse(quoted).unwrap();
+    assert_eq!(line.get("key"), Some(r#"a\" id=7 \\"#));
+    assert_eq!(
+        (line.get("id"), line.get("outcome")),
+        (None, Some("ignored"))
+    );
+    let cut = r#"t=1.000 level=warn vm=vm1 event=leaf key="a b c cut_bytes=7"#;
+    let line = Line::parse(cut).unwrap();
+    assert_eq!(line.get("key"), Some("a b c cut_bytes=7"));
 }
 
 #[test]
@@ -115,3 +125,64 @@
     assert_eq!(String::from_utf8(out).unwrap().lines().count(), 2);
     assert!(trace::run("z", &files, false, &mut Vec::new()).is_err());
 }
+
+/// A message that quotes a value from outside, and what the line has to contain of it.
+struct Quoted {
+    message: &'static str,
+    written: &'static str,
+}
+
+const QUOTED: &[Quoted] = &[
+    Quoted {
+        message: "leaf key=a\nt=1 event=forged",
+        written: "leaf key=a\\nt=1 event=forged",
+    },
+    Quoted {
+        message: "leaf key=a\rt=1 event=forged",
+        written: "leaf key=a\\rt=1 event=forged",
+    },
+    Quoted {
+        message: "leaf key=\u{1b}[2J\u{0}\u{7f}\u{85}",
+        written: "leaf key=\\u{1b}[2J\\u{0}\\u{7f}\\u{85}",
+    },
+    Quoted {
+        message: "leaf key=a\u{2028}b\u{2029}c\u{202e}d",
+        written: "leaf key=a\\u{2028}b\\u{2029}c\\u{202e}d",
+    },
+    Quoted {
+        message: "leaf key=k\u{fc}che-\u{1f33a}",
+        written: "leaf key=k\u{fc}che-\u{1f33a}",
+    },
+];
+
+/// Returns what is written for a message.
+fn written(message: &str) -> String {
+    let buffer = SharedBuffer::default();
+    let logger = Logger::start("vm1", LevelFilter::Info, buffer.clone()).unwrap();
+    write(&logger, message);
+    logger.flush();
+    let bytes = buffer.0.lock().unwrap().clone();
+    String::from_utf8(bytes).unwrap()
+}
+
+#[test]
+fn log_lines_stay_single_lines_whatever_they_quote() {
+    for case in QUOTED {
+        let line = written(case.message);
+        let end = format!(" event={}\n", case.written);
+        assert!(line.ends_with(&end), "{:?}: {line:?}", case.message);
+    }
+}
+
+/// Errors quote values of the store, which are a megabyte long, and a thousand lines wait to be
+/// written.
+#[test]
+fn log_lines_are_short_whatever_they_quote() {
+    const MAX_LINE_BYTES: usize = 8 * 1024;
+    for quoted in ["x", "\u{fc}", "\n"] {
+        let line = written(&format!("routes error=\"{}\"", quoted.repeat(1024 * 1024)));
+        assert!(line.len() < MAX_LINE_BYTES, "{} bytes", line.len());
+        assert!(line.contains("event=routes error=") && line.contains(" cut_bytes="));
+        assert!(line.ends_with('\n'));
+    }
+}
