Encode the health path of a service as the target of a request

What leaves would see: a health path of the operator's configuration with a blank or a line end ended the request line of the check of a VM's links, or added a field or a request to it.

Cause: the path was written as it was.

Evidence: platform_odd_keys_and_paths_of_the_operator_are_encoded; failed before with "/a b#c".

Change: `platform::document` encodes what can't stand in a target, and lets the path begin with a slash. What is encoded already, and a query, stay as they are.

Result: the test passes with six paths.

Why it works: the path of a service is read there only.

--- a/src/geraniummount/platform/document.rs
+++ b/src/geraniummount/platform/document.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Deserializer};
 
+use super::path;
 use crate::core::config_check::Candidate;
 use crate::core::route::{
     Backend, Gather, Limits, Repeat, Route, Table, Target, WarmUp, WeightedService,
@@ -223,7 +224,7 @@
     Ok(Backend {
         name: entry.name,
         max_connections: entry.max_conns,
-        health_path: entry.health_path,
+        health_path: path::to_target(&entry.health_path),
         warm_up,
     })
 }
--- a/src/geraniummount/platform/mod.rs
+++ b/src/geraniummount/platform/mod.rs
@@ -13,6 +13,7 @@
 mod address;
 pub mod document;
 pub mod headers;
+mod path;
 pub mod peer_entry;
 pub mod registration;
 mod store;
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniummount::platform::registration;
+use geraniummount::platform::{self, registration};
 use geraniummount_test_support::platform::users::caller::Reply;
 use geraniummount_test_support::platform::users::{Leaf, Store};
 use geraniummount_test_support::process::binary_path;
@@ -253,3 +253,53 @@
         vm.store.value(&key) != Some(odd.clone())
     });
 }
+
+/// A health path of the operator's configuration, and the target of the requests to it.
+struct HealthPath {
+    path: &'static str,
+    target: &'static str,
+}
+
+const HEALTH_PATHS: &[HealthPath] = &[
+    HealthPath {
+        path: "/health",
+        target: "/health",
+    },
+    HealthPath {
+        path: "/a%20b/c?d=e&f=+",
+        target: "/a%20b/c?d=e&f=+",
+    },
+    HealthPath {
+        path: "/a b#c",
+        target: "/a%20b%23c",
+    },
+    HealthPath {
+        path: "/a HTTP/1.1\r\nX-Smuggled: 1\r\n\r\n",
+        target: "/a%20HTTP/1.1%0D%0AX-Smuggled:%201%0D%0A%0D%0A",
+    },
+    HealthPath {
+        path: "health/\u{fc}",
+        target: "/health/%C3%BC",
+    },
+    HealthPath {
+        path: "",
+        target: "/",
+    },
+];
+
+#[test]
+fn platform_odd_keys_and_paths_of_the_operator_are_encoded() {
+    for case in HEALTH_PATHS {
+        let routes = [service_route("/a/", "idempotent", "one")];
+        let mut value: Value = serde_json::from_str(&document(1, &routes)).unwrap();
+        value["services"][0]["healthPath"] = json!(case.path);
+        let service = value["services"][0]["name"].as_str().unwrap();
+        let table = platform::document::read(value.to_string().as_bytes()).unwrap();
+        assert_eq!(
+            table.health_path(service),
+            Some(case.target),
+            "{}",
+            case.path
+        );
+    }
+}
