Accept a bounded number of connections in a row

What callers saw: while many callers came again at once after refusals, on new connections, all others got no answer for as long as that lasted: replies of leaves weren't read, and timers didn't fire. 96 callers of a service without leaves were enough on loopback.

Cause: new connections were accepted until none was pending, and the request that has arrived with one is answered within that loop if it can't be served. A crowd that comes again at once fills the queue of new connections as fast as it is emptied, and the loop never ended.

Ruled out: memory that is short (the log has one refusal for it), and the reading of endless answers (the same with no leaf at all).

Change: 64 connections are accepted in a row, then the listener is registered again, so that a further event reports the rest. Before the listeners close in a stop, as many are accepted as can be pending. The same for the connections of other VMs.

Why it works: each iteration of the event loop reads what leaves have sent and fires timers, whatever callers do.

--- a/src/geraniummount/edge/gateway/caller.rs
+++ b/src/geraniummount/edge/gateway/caller.rs
@@ -1,16 +1,17 @@
-//! Connections from callers: accepts them and reads requests; [`writing`] writes responses.
+//! Connections from callers: [`accepting`] accepts them, this module reads requests, and [`writing`]
+//! writes responses.
 
+mod accepting;
 mod pipelining;
 mod state;
 mod timing;
 mod writing;
 
-use std::io;
 use std::time::{Duration, Instant};
 
 use log::{debug, warn};
 use mio::Interest;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpStream;
 
 pub(super) use self::state::State;
 
@@ -84,29 +85,8 @@
     }
 }
 
-/// Accepts the next pending connection; returns `None` if there is none or the listener fails.
-pub(super) fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
-    loop {
-        match listener?.accept() {
-            Ok((stream, _)) => return Some(stream),
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
-            Err(error) => {
-                warn!("accept outcome=failed error=\"{error}\"");
-                return None;
-            }
-        }
-    }
-}
-
 impl Gateway {
-    pub(super) fn accept_callers(&mut self) {
-        while let Some(stream) = accept(self.callers_listener.as_ref()) {
-            self.add_caller(stream, Origin::Caller);
-        }
-    }
-
-    pub(super) fn add_caller(&mut self, stream: TcpStream, origin: Origin) {
+    fn add_caller(&mut self, stream: TcpStream, origin: Origin) {
         if !self.has_descriptor_for_caller() {
             return;
         }
--- a/src/geraniummount/edge/gateway/delegation/mod.rs
+++ b/src/geraniummount/edge/gateway/delegation/mod.rs
@@ -18,14 +18,14 @@
 use std::time::Instant;
 
 use log::info;
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpListener;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slab::Slab;
 
 use self::caller_request::Delegated;
 use self::connection::PeerConnection;
-use super::caller::{self, State};
+use super::caller::State;
 use super::timers::Timer;
 use super::{Gateway, Options};
 use crate::core::call::Action as CallAction;
@@ -95,11 +95,6 @@
     }
 }
 
-/// Accepts the next pending connection of another VM.
-fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
-    caller::accept(listener)
-}
-
 impl Gateway {
     /// Replaces the list of VMs that are registered.
     pub(super) fn apply_peers(&mut self, peers: Vec<Peer>) {
--- a/src/geraniummount/edge/gateway/delegation/serve.rs
+++ b/src/geraniummount/edge/gateway/delegation/serve.rs
@@ -15,17 +15,11 @@
 use super::wire::{self, Credentials};
 use crate::core::delegation::{Decline, Purpose, Terms, offload};
 use crate::edge::gateway::Gateway;
-use crate::edge::gateway::caller::{CallerConnection, Origin, State};
+use crate::edge::gateway::caller::{CallerConnection, State};
 use crate::edge::gateway::timers::Timer;
 use crate::util::h1::{self, Request};
 
 impl Gateway {
-    pub(in crate::edge::gateway) fn accept_peers(&mut self) {
-        while let Some(stream) = super::accept(self.delegation.listener.as_ref()) {
-            self.add_caller(stream, Origin::Peer);
-        }
-    }
-
     /// Starts the call for a request of another VM that was read completely, or declines it.
     pub(in crate::edge::gateway) fn admit_delegated(
         &mut self,
--- a/src/geraniummount/edge/gateway/event_loop.rs
+++ b/src/geraniummount/edge/gateway/event_loop.rs
@@ -7,6 +7,7 @@
 use mio::event::Event;
 use mio::{Events, Interest};
 
+use super::caller::Origin;
 use super::timers::Timer;
 use super::token::EventSource;
 use super::{Gateway, Update, stall, watch};
@@ -103,8 +104,8 @@
         let closed = event.is_read_closed() || event.is_error();
         match EventSource::from_token(event.token()) {
             EventSource::Updates => self.receive_updates(),
-            EventSource::CallersListener => self.accept_callers(),
-            EventSource::PeersListener => self.accept_peers(),
+            EventSource::CallersListener => self.accept(Origin::Caller),
+            EventSource::PeersListener => self.accept(Origin::Peer),
             EventSource::Datagrams => self.receive_datagrams(),
             EventSource::ReadyListener | EventSource::MetricsListener => self.accept_probes(),
             EventSource::Caller(key) => {
--- a/src/geraniummount/edge/gateway/stop.rs
+++ b/src/geraniummount/edge/gateway/stop.rs
@@ -14,7 +14,7 @@
 use log::info;
 
 use super::Gateway;
-use super::caller::{CallerConnection, State};
+use super::caller::{CallerConnection, Origin, State};
 use super::timers::Timer;
 use crate::core::call::Plan;
 use crate::core::route::Repeat;
@@ -84,7 +84,7 @@
             return;
         };
         if self.now >= stop.stop_accepting_at && self.callers_listener.is_some() {
-            self.accept_callers();
+            self.accept_all(Origin::Caller);
             self.callers_listener = None;
             self.delegation.listener = None;
             self.close_idle_callers();
--- a/tests/testsuite/platform/crowd.rs
+++ b/tests/testsuite/platform/crowd.rs
@@ -9,6 +9,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -327,6 +328,36 @@
     assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB} MB");
 }
 
+/// Guards against an accept loop that never ends: requests that can't be served are refused at once,
+/// and their callers come again at once, on new connections.
+#[test]
+fn platform_crowd_of_callers_that_come_again_at_once_leaves_others_their_turn() {
+    const CALLERS: usize = 96;
+    const REQUESTS: usize = 20;
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let site = Site::start(MANY_DESCRIPTORS);
+    let address = site.callers;
+    let is_over = AtomicBool::new(false);
+    let served = thread::scope(|scope| {
+        for _ in 0..CALLERS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    // No leaf of the service of this route is registered.
+                    let _ = try_exchange(address, &request("GET", "/v1/x", 2_000, b""));
+                }
+            });
+        }
+        let served = (0..REQUESTS).map(|_| {
+            thread::sleep(Duration::from_millis(50));
+            try_exchange(address, &request("GET", "/a/x", 2_900, b"")).ok()
+        });
+        let served: Vec<Option<u16>> = served.collect();
+        is_over.store(true, Ordering::Relaxed);
+        served
+    });
+    assert_eq!(served, vec![Some(200); REQUESTS]);
+}
+
 macro_rules! crowds {
     ($($name:ident: $kind:expr, $door:expr, $callers:expr, $max_descriptors:expr;)*) => {$(
         #[test]
