Bound the interim answers, the foreign answers and the trailers of one reply

What callers saw: while ten services' leaves sent interim answers without end, 2 requests to a sound service were answered in 3 s, where 110 are while the leaves send bytes that are no HTTP; one of them with 503. With answers to other requests without end it were 7, with trailers 36. The memory held.

Cause: an interim or foreign answer of some bytes is taken out of the front of a buffer of up to 256 KB, and the rest is moved each time: gigabytes are moved for the 4 MB that one reply may have. Trailers were searched line by line as long as they came. The event loop did nothing else meanwhile.

Change: 256 interim answers before a final one, 16 answers to other requests before the awaited one, and 64 KB of trailers are too many: the reply counts as lost, and the connection is closed. The same bound on interim answers of the store.

Why it works: what a buffer can cost is now the number of messages times its size, with a small bound on the number; what is one message was bounded before.

--- a/crates/geraniummount-test-support/src/soak/vm.rs
+++ b/crates/geraniummount-test-support/src/soak/vm.rs
@@ -175,6 +175,11 @@
         Some(status)
     }
 
+    /// Returns the id of the process; `None` if its exit status was taken.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether the gateway has a process whose exit status was not taken.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
--- a/src/geraniummount/edge/gateway/leaf.rs
+++ b/src/geraniummount/edge/gateway/leaf.rs
@@ -69,6 +69,8 @@
     pub(super) reader: ResponseReader,
     /// Number of bytes received since the last request was sent.
     received: usize,
+    /// Number of responses to other requests that were received since then.
+    mismatched: u32,
     /// When the attempt was abandoned.
     abandoned_at: Option<Instant>,
     /// Fingerprint of the abandoned attempt's request, if no leaf had answered the request.
@@ -107,6 +109,7 @@
             has_sent_bytes: false,
             reader: ResponseReader::new(share()),
             received: 0,
+            mismatched: 0,
             abandoned_at: None,
             abandoned_request: None,
             is_check: false,
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -11,6 +11,10 @@
 use crate::platform::headers::{self, Answer};
 use crate::util::h1::{self, Head, Parsed};
 
+/// Maximum number of responses to other requests before the one that is awaited. An extra copy of one
+/// may arrive late; a leaf in trouble may send them without end.
+const MAX_MISMATCHED: u32 = 16;
+
 impl Gateway {
     /// Reads responses; `closed` means that the event reported the end of input or an error.
     pub(in crate::edge::gateway) fn read_leaf(&mut self, connection: usize, closed: bool) {
@@ -112,6 +116,10 @@
             Answer::Matching(reply) => reply,
             Answer::Mismatched => {
                 leaf.reader.must_close = true;
+                leaf.mismatched += 1;
+                if leaf.mismatched > MAX_MISMATCHED {
+                    self.fail_leaf(connection, Reply::Lost);
+                }
                 return;
             }
         };
--- a/src/geraniummount/edge/gateway/leaf/sending.rs
+++ b/src/geraniummount/edge/gateway/leaf/sending.rs
@@ -29,6 +29,7 @@
         leaf.requested_at = self.now;
         leaf.has_sent_bytes = false;
         leaf.received = 0;
+        leaf.mismatched = 0;
         leaf.abandoned_at = None;
         leaf.abandoned_request = None;
         if leaf.connected_at.is_some() {
--- a/src/geraniummount/edge/gateway/response_reader.rs
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::core::memory_account::Share;
-use crate::util::h1::{Body, Fault, Head, Parsed, Response};
+use crate::util::h1::{Body, Fault, Head, MAX_INTERIM_RESPONSES, Parsed, Response};
 
 /// Reader of the responses on one connection.
 #[derive(Debug)]
@@ -16,6 +16,8 @@
     pub(super) keep_alive: Option<Duration>,
     /// Head of the last interim response to the last request.
     pub(super) interim: Option<Head>,
+    /// Number of interim responses to the last request.
+    interim_count: u32,
     /// Head of the response that is being read.
     head: Option<Head>,
     /// Part of that response's body that has been received.
@@ -32,6 +34,7 @@
             must_close: false,
             keep_alive: None,
             interim: None,
+            interim_count: 0,
             head: None,
             content: Vec::new(),
             share,
@@ -42,13 +45,14 @@
     pub(super) fn begin(&mut self, is_head_request: bool) {
         self.is_head_request = is_head_request;
         self.interim = None;
+        self.interim_count = 0;
     }
 
     /// Consumes input as far as it is buffered. Returns the response once it is complete.
     ///
     /// # Errors
     ///
-    /// Returns an error if the response is malformed.
+    /// Returns an error if the response is malformed, or too many interim ones precede it.
     pub(super) fn read(&mut self, input: &mut Vec<u8>) -> Result<Option<Response>, Fault> {
         loop {
             if self.head.is_none() {
@@ -57,7 +61,7 @@
                     Parsed::Complete(head, length) => {
                         input.drain(..length);
                         if head.is_interim() {
-                            self.interim = Some(head);
+                            self.record_interim(head)?;
                             continue;
                         }
                         self.head = Some(head);
@@ -90,6 +94,15 @@
         self.content.len()
     }
 
+    fn record_interim(&mut self, head: Head) -> Result<(), Fault> {
+        self.interim = Some(head);
+        self.interim_count += 1;
+        match self.interim_count > MAX_INTERIM_RESPONSES {
+            true => Err(Fault::Interim),
+            false => Ok(()),
+        }
+    }
+
     fn take_response(&mut self) -> Option<Response> {
         let content = std::mem::take(&mut self.content);
         self.share.resize(0);
--- a/src/geraniummount/platform/store/call.rs
+++ b/src/geraniummount/platform/store/call.rs
@@ -20,6 +20,8 @@
     buffer: Vec<u8>,
     /// Head of the answer, once it is complete.
     head: Option<Head>,
+    /// Number of interim answers.
+    interim_count: u32,
     /// Body of the answer, as far as it was received.
     content: Vec<u8>,
     /// Number of bytes received so far.
@@ -32,6 +34,7 @@
             stream,
             buffer: Vec::new(),
             head: None,
+            interim_count: 0,
             content: Vec::new(),
             received: 0,
         }
@@ -83,6 +86,10 @@
             && let Parsed::Complete(head, length) = Head::parse(&self.buffer, false)?
         {
             self.buffer.drain(..length);
+            self.interim_count += u32::from(head.is_interim());
+            if self.interim_count > h1::MAX_INTERIM_RESPONSES {
+                return Err(Fault::Interim);
+            }
             self.head = Some(head).filter(|head| !head.is_interim());
         }
         let Some(head) = &mut self.head else {
--- a/src/geraniummount/util/h1/body.rs
+++ b/src/geraniummount/util/h1/body.rs
@@ -5,6 +5,9 @@
 /// Maximum length of a chunk size line or of a trailer line.
 const MAX_LINE_BYTES: usize = 4096;
 
+/// Maximum length of the trailer lines of a body together.
+const MAX_TRAILER_BYTES: usize = 64 * 1024;
+
 /// Decoder of one body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Body {
@@ -25,8 +28,9 @@
     Data(u64),
     /// The line end after the data of a chunk.
     DataEnd,
-    /// A trailer line, or the empty line that ends the body.
-    Trailer,
+    /// A trailer line, with this number of bytes remaining for all of them, or the empty line that
+    /// ends the body.
+    Trailer(usize),
 }
 
 impl Body {
@@ -75,7 +79,7 @@
             ChunkState::Size => match httparse::parse_chunk_size(input) {
                 Ok(httparse::Status::Complete((taken, size))) => {
                     *self = if size == 0 {
-                        ChunkState::Trailer
+                        ChunkState::Trailer(MAX_TRAILER_BYTES)
                     } else {
                         ChunkState::Data(size)
                     };
@@ -99,11 +103,14 @@
                 [] | [b'\r'] => Ok((0, false)),
                 _ => Err(Fault::Chunk),
             },
-            ChunkState::Trailer => {
+            ChunkState::Trailer(left) => {
                 let end = input.windows(2).position(|pair| pair == b"\r\n");
                 match end {
                     Some(0) => Ok((2, true)),
-                    Some(at) => Ok((at + 2, false)),
+                    Some(at) => {
+                        *left = left.checked_sub(at + 2).ok_or(Fault::Chunk)?;
+                        Ok((at + 2, false))
+                    }
                     None if input.len() < MAX_LINE_BYTES => Ok((0, false)),
                     None => Err(Fault::Chunk),
                 }
--- a/src/geraniummount/util/h1/fault.rs
+++ b/src/geraniummount/util/h1/fault.rs
@@ -9,6 +9,8 @@
     Head,
     /// The head is too long.
     HeadLength,
+    /// Too many interim responses precede the final one.
+    Interim,
     /// The status of a response is neither an interim nor a final one.
     Status,
     /// The head has too many fields.
@@ -26,6 +28,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Fault::Head => "the head is not HTTP/1.1",
+            Fault::Interim => "too many interim responses precede the final one",
             Fault::Status => "the status is not a valid one",
             Fault::HeadLength => "the head is too long",
             Fault::Fields => "the head has too many fields",
--- a/src/geraniummount/util/h1/mod.rs
+++ b/src/geraniummount/util/h1/mod.rs
@@ -26,6 +26,10 @@
 /// Maximum number of fields in a head.
 const MAX_FIELDS: usize = 100;
 
+/// Maximum number of interim responses before the final one. A server in trouble may send them without
+/// end, each of them some bytes long.
+pub const MAX_INTERIM_RESPONSES: u32 = 256;
+
 /// Result of parsing a head at the start of a buffer.
 #[derive(Debug)]
 pub enum Parsed<T> {
--- a/tests/testsuite/platform/endless.rs
+++ b/tests/testsuite/platform/endless.rs
@@ -3,6 +3,7 @@
 
 use geraniummount_test_support::endless::{Endless, KINDS, Kind};
 use geraniummount_test_support::platform::users::{Answer, Leaf};
+use geraniummount_test_support::raw_server::RawServer;
 
 use super::fixture::{Fixture, gather_route, leaf, service_route};
 
@@ -89,3 +90,25 @@
         assert!(reply.body == records, "{answer:?}: {}", reply.body.len());
     }
 }
+
+#[test]
+fn platform_endless_bounds_let_answers_after_many_others_through() {
+    let fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let slow = RawServer::start(|arrival| {
+        let id = arrival.field("Request-Id");
+        let interim = "HTTP/1.1 102 Wait\r\n\r\n".repeat(200);
+        let answer = |id: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s.{id}\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n{}\r\n",
+                "X-Trailer: of an answer\r\n".repeat(100)
+            )
+        };
+        format!("{interim}{}{}", answer("another").repeat(10), answer(id)).into_bytes()
+    });
+    let mut registration = Leaf::unregistered("one", "near", b"");
+    registration.register_at(&fixture.store, slow.address());
+    fixture.wait_for_leaf("/a/x");
+    assert_eq!(fixture.get("/a/x", 2_000).body, b"ok");
+}
--- a/tests/testsuite/platform/mod.rs
+++ b/tests/testsuite/platform/mod.rs
@@ -11,6 +11,7 @@
 mod delegation;
 mod deployment;
 mod endless;
+mod endless_load;
 mod evacuation;
 mod fair_share;
 mod fixture;
