Count the heads of replies, and bound them however they arrive

What callers would see: leaves that send long heads and then fall silent, or long heads on sound answers, held memory that the account didn't know: no request was refused and no reply ended for it, up to 288 KB for each connection, the head of the last interim answer on idle connections too, and the heads of the parts of each gather until it ended. A process over its memory ends.

Cause: only bodies and buffers were recorded. The bound of 64 KB applied to heads that were incomplete after a read, of up to 288 KB, not to those that were complete.

The fault is shown by what the account says.

Change: heads over 64 KB are too long, complete or not. The reader records the head of the reply that it reads; heads of interim answers of leaves are not kept; a kept reply counts as a whole, and of a part of a gather only signature and body are kept.

Why it works: what is over the bound of the settings is refused by the account, which now knows of it.

--- a/src/geraniummount/core/call/reply.rs
+++ b/src/geraniummount/core/call/reply.rs
@@ -39,6 +39,11 @@
 }
 
 impl Response {
+    /// Returns the number of bytes of memory that the response takes.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.signature.capacity() + Field::held_bytes(&self.fields) + self.body.capacity()
+    }
+
     /// Returns whether the signature can stand in the list of signatures of a gathered answer: it
     /// has to read as exactly one.
     fn is_listable(&self) -> bool {
@@ -48,11 +53,19 @@
 }
 
 impl Reply {
-    /// Returns the reply as one of many that are merged. A response whose signature would make the
-    /// merged answer wrong is unusable.
+    /// Returns the reply as one of many that are merged, without what the merged answer does not
+    /// contain. A response whose signature would make that answer wrong is unusable.
     pub(super) fn into_part(self) -> Reply {
         match self {
             Reply::Success(response) if !response.is_listable() => Reply::Lost,
+            Reply::Success(response) => Reply::Success(Response {
+                fields: Vec::new(),
+                ..response
+            }),
+            Reply::Failure(response) => Reply::Failure(Response {
+                status: response.status,
+                ..Response::default()
+            }),
             reply => reply,
         }
     }
--- a/src/geraniummount/core/call/shard.rs
+++ b/src/geraniummount/core/call/shard.rs
@@ -88,7 +88,7 @@
             Some(Settled::Missing) | None => None,
         };
         let kept = included.into_iter().chain(&self.failure_response);
-        kept.map(|response| response.body.capacity()).sum()
+        kept.map(Response::held_bytes).sum()
     }
 
     /// Returns whether the leaves had no capacity for the part or did not answer it in time.
--- a/src/geraniummount/edge/gateway/leaf/reading.rs
+++ b/src/geraniummount/edge/gateway/leaf/reading.rs
@@ -41,7 +41,10 @@
                 }
                 return;
             }
-            let response = match leaf.reader.read(&mut leaf.socket.input) {
+            let read = leaf.reader.read(&mut leaf.socket.input);
+            // An interim response of a leaf says nothing. Its head is not kept.
+            leaf.reader.interim = None;
+            let response = match read {
                 Ok(None) if status == ReadStatus::Eof => leaf.reader.read_at_eof(),
                 Ok(response) => response,
                 Err(_) => return self.fail_leaf(connection, Reply::Lost),
--- a/src/geraniummount/edge/gateway/response_reader.rs
+++ b/src/geraniummount/edge/gateway/response_reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::core::memory_account::Share;
-use crate::util::h1::{Body, Fault, Head, MAX_INTERIM_RESPONSES, Parsed, Response};
+use crate::util::h1::{Body, Fault, Field, Head, MAX_INTERIM_RESPONSES, Parsed, Response};
 
 /// Reader of the responses on one connection.
 #[derive(Debug)]
@@ -22,7 +22,7 @@
     head: Option<Head>,
     /// Part of that response's body that has been received.
     content: Vec<u8>,
-    /// Memory that `content` takes.
+    /// Memory that `head` and `content` take.
     share: Share,
 }
 
@@ -72,7 +72,8 @@
                 return Ok(None);
             };
             let (taken, done) = head.body.feed(input, &mut self.content)?;
-            self.share.resize(self.content.capacity());
+            self.share
+                .resize(self.content.capacity() + Field::held_bytes(&head.fields));
             input.drain(..taken);
             return Ok(if done { self.take_response() } else { None });
         }
@@ -89,9 +90,11 @@
         }
     }
 
-    /// Returns the number of bytes of the incomplete body.
+    /// Returns the number of bytes that an incomplete response takes.
     pub(super) fn held_bytes(&self) -> usize {
-        self.content.len()
+        let head = self.head.as_ref();
+        let fields = head.map_or(0, |head| Field::held_bytes(&head.fields));
+        self.content.len() + fields
     }
 
     fn record_interim(&mut self, head: Head) -> Result<(), Fault> {
--- a/src/geraniummount/util/h1/field.rs
+++ b/src/geraniummount/util/h1/field.rs
@@ -8,3 +8,14 @@
     /// Value, as received.
     pub value: Vec<u8>,
 }
+
+impl Field {
+    /// Returns the number of bytes of memory that the fields of a list take, without those of the
+    /// allocator.
+    pub fn held_bytes(fields: &Vec<Field>) -> usize {
+        let contents = fields
+            .iter()
+            .map(|field| field.name.capacity() + field.value.capacity());
+        fields.capacity() * size_of::<Field>() + contents.sum::<usize>()
+    }
+}
--- a/src/geraniummount/util/h1/request.rs
+++ b/src/geraniummount/util/h1/request.rs
@@ -78,10 +78,7 @@
 
     /// Returns the number of bytes of memory that the head takes, without those of the allocator.
     pub fn held_bytes(&self) -> usize {
-        let fields = self.fields.iter();
-        let fields = fields.map(|field| field.name.capacity() + field.value.capacity());
-        let list = self.fields.capacity() * size_of::<Field>();
-        self.method.capacity() + self.target.capacity() + list + fields.sum::<usize>()
+        self.method.capacity() + self.target.capacity() + Field::held_bytes(&self.fields)
     }
 
     /// Returns the path of the target, without the query.
--- a/src/geraniummount/util/h1/response.rs
+++ b/src/geraniummount/util/h1/response.rs
@@ -8,7 +8,7 @@
     Body, Fault, Field, MAX_FIELDS, Parsed, copy_fields, declared_length, is_chunked, is_persistent,
 };
 
-/// Number of bytes after which an incomplete head is an error.
+/// Maximum length of a head in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Head of a response.
@@ -45,6 +45,9 @@
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut head = httparse::Response::new(&mut headers);
         let length = match head.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) if length > MAX_HEAD_BYTES => {
+                return Err(Fault::HeadLength);
+            }
             Ok(httparse::Status::Complete(length)) => length,
             Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD_BYTES => {
                 return Err(Fault::HeadLength);
--- a/tests/testsuite/h1.rs
+++ b/tests/testsuite/h1.rs
@@ -100,6 +100,19 @@
     }
 }
 
+/// A head that arrives at once must not be longer than one that arrives in pieces.
+#[test]
+fn h1_heads_of_responses_are_too_long_however_they_arrive() {
+    const TOO_LONG: usize = 64 * 1024 + 1;
+    let head = |bytes: usize| format!("HTTP/1.1 200 OK\r\nX-Long: {}\r\n", "x".repeat(bytes));
+    let complete = |bytes| Head::parse(format!("{}\r\n", head(bytes)).as_bytes(), false);
+    let partial = |bytes| Head::parse(head(bytes).as_bytes(), false);
+    assert!(matches!(partial(TOO_LONG), Err(Fault::HeadLength)));
+    assert!(matches!(complete(TOO_LONG), Err(Fault::HeadLength)));
+    assert!(matches!(partial(60_000), Ok(Parsed::Partial)));
+    assert!(matches!(complete(60_000), Ok(Parsed::Complete(..))));
+}
+
 /// Encodes a body in chunks, with an extension on each chunk and a trailer.
 fn encode_chunks(parts: &[Vec<u8>]) -> Vec<u8> {
     let mut bytes = Vec::new();
--- a/tests/testsuite/platform/endless.rs
+++ b/tests/testsuite/platform/endless.rs
@@ -1,11 +1,18 @@
 //! Answers of a leaf that never end: a VM takes a bounded number of bytes of them, and its callers
 //! get the answer of another leaf, or a failure before their deadline.
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
 use geraniummount_test_support::endless::{Endless, KINDS, Kind};
-use geraniummount_test_support::platform::users::{Answer, Leaf};
+use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::raw_server::RawServer;
 
-use super::fixture::{Fixture, gather_route, leaf, service_route};
+use super::fixture::{
+    Fixture, WAIT_TIMEOUT, exchange, free_addresses, gather_route, leaf, service_route,
+};
 
 /// Maximum number of bytes that one request takes of such answers, including the buffers of the
 /// sockets: a small share of the 112 MB of the smallest VMs.
@@ -112,3 +119,114 @@
     fixture.wait_for_leaf("/a/x");
     assert_eq!(fixture.get("/a/x", 2_000).body, b"ok");
 }
+
+/// Returns a gauge of the bytes that a VM holds for a holder.
+fn held_bytes(metrics: SocketAddr, holder: &str) -> usize {
+    let request = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
+    let text = exchange(metrics, request).expect("metrics").body;
+    let text = String::from_utf8(text).unwrap();
+    let name = format!("gateway_memory_held_bytes{{holder=\"{holder}\"}} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&name));
+    value.expect("a gauge").parse().unwrap()
+}
+
+/// A head of which much is held while its reply goes on, and which the account of memory must know.
+struct HeldHead {
+    kind: Kind,
+    /// Requests at the same time.
+    callers: usize,
+    min_held: usize,
+    max_held: usize,
+}
+
+/// Requests that the stand-in leaves run at once, by their registrations.
+const SLOTS: usize = 2;
+
+const HELD_HEADS: &[HeldHead] = &[
+    HeldHead {
+        kind: Kind::LongHead,
+        callers: SLOTS,
+        min_held: SLOTS * 60_000,
+        max_held: SLOTS * 200_000,
+    },
+    // An interim answer of a leaf says nothing, so its head is not held.
+    HeldHead {
+        kind: Kind::LongInterim,
+        callers: SLOTS,
+        min_held: 0,
+        max_held: SLOTS * 20_000,
+    },
+];
+
+#[test]
+fn platform_endless_heads_are_accounted_for() {
+    for case in HELD_HEADS {
+        let [metrics] = free_addresses();
+        let store = Store::start();
+        let address = store.address();
+        let fixture = Fixture::start_with_options("near", store, address, |options| {
+            options.metrics = Some(metrics);
+        });
+        fixture.configure(1, &[service_route("/a/", "non_idempotent", "one")]);
+        let (endless, _registration) = endless_leaf(&fixture, "one", case.kind);
+        thread::scope(|scope| {
+            // The requests that come before the leaf is known are refused at once.
+            let end = Instant::now() + WAIT_TIMEOUT;
+            while endless.connections() < case.callers {
+                assert!(Instant::now() < end, "no leaf is asked");
+                scope.spawn(|| fixture.get("/a/x", 5_000));
+                thread::sleep(Duration::from_millis(10));
+            }
+            let mut held = 0;
+            for _ in 0..100 {
+                held = held.max(held_bytes(metrics, "leaves"));
+                thread::sleep(Duration::from_millis(10));
+            }
+            let expected = case.min_held..=case.max_held;
+            assert!(expected.contains(&held), "{:?}: {held} bytes", case.kind);
+        });
+    }
+}
+
+/// A failure that is kept for the caller, in case no other leaf answers better.
+#[test]
+fn platform_endless_heads_of_kept_failures_are_accounted_for() {
+    const LONG: usize = 50_000;
+    let [metrics] = free_addresses();
+    let store = Store::start();
+    let address = store.address();
+    let fixture = Fixture::start_with_options("near", store, address, |options| {
+        options.metrics = Some(metrics);
+    });
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    let failing = RawServer::start(|arrival| {
+        let id = arrival.field("Request-Id");
+        let long = "x".repeat(LONG);
+        format!(
+            "HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nServer-Stamp: s.{id}\r\nX-Long: {long}\r\n\
+             Content-Length: 0\r\n\r\n"
+        )
+        .into_bytes()
+    });
+    let mut registration = Leaf::unregistered("one", "near", b"");
+    registration.register_at(&fixture.store, failing.address());
+    let late = leaf(&fixture, "one", b"late");
+    late.set_answer(Answer::Late(Duration::from_millis(600)));
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    fixture.get("/a/x", 2_500);
+                }
+            });
+        }
+        let end = Instant::now() + WAIT_TIMEOUT;
+        let mut held = 0;
+        while held < LONG && Instant::now() < end {
+            held = held.max(held_bytes(metrics, "parts"));
+        }
+        is_over.store(true, Ordering::Relaxed);
+        assert!(held >= LONG, "{held} bytes");
+    });
+}
