--- a/tests/testsuite/platform/endless_load.rs
+++ b/tests/testsuite/platform/endless_load.rs
@@ -59,80 +59,106 @@
     }
 }
 
-/// Runs callers of queries and of single requests to leaves of a kind, and checks the bounds. Returns
-/// the number of requests to the sound service that were served meanwhile, one after the other.
-fn check(kind: Kind, callers: usize) -> usize {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let store = Store::start();
-    let names: Vec<String> = (0..SERVICES).map(|number| format!("e{number}")).collect();
-    let mut shards: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut routes = vec![service_route("/a/", "idempotent", "one")];
-    routes.extend(
-        shards
-            .iter()
-            .map(|name| service_route(&format!("/{name}/"), "idempotent", name)),
-    );
-    shards.push("one");
-    routes.push(gather_route("/g/", &shards, 5, 0.05));
-    store.put("op/config", document(1, &routes));
-    let sound = Leaf::start(&store, "one", "near", b"record-of-16-byt");
-    let endless = Endless::start(kind);
-    let mut registrations = Vec::new();
-    for name in &names {
-        for _ in 0..LEAVES {
+/// The real program with endless leaves of ten services, and one sound leaf.
+struct Site {
+    vm: Vm,
+    endless: Endless,
+    _store: Store,
+    _leaves: Vec<Leaf>,
+    _folder: tempfile::TempDir,
+}
+
+impl Site {
+    fn start(kind: Kind) -> Site {
+        let store = Store::start();
+        let names: Vec<String> = (0..SERVICES).map(|number| format!("e{number}")).collect();
+        let mut shards: Vec<&str> = names.iter().map(String::as_str).collect();
+        let endless_route = |name: &&str| service_route(&format!("/{name}/"), "idempotent", name);
+        let mut routes: Vec<_> = shards.iter().map(endless_route).collect();
+        shards.push("one");
+        routes.push(service_route("/a/", "idempotent", "one"));
+        routes.push(gather_route("/g/", &shards, 5, 0.05));
+        store.put("op/config", document(1, &routes));
+        let endless = Endless::start(kind);
+        let mut leaves = vec![Leaf::start(&store, "one", "near", b"record-of-16-byt")];
+        for name in names.iter().cycle().take(SERVICES * LEAVES) {
             let mut leaf = Leaf::unregistered(name, "near", b"");
             leaf.register_at(&store, endless.address());
-            registrations.push(leaf);
-        }
-    }
-    let folder = tempfile::tempdir().unwrap();
-    let binary = binary_path("geraniummount");
-    let limits = format!("[limits]\nmemory_mb = {MEMORY_MB}\nlinger_ms = 0\n");
-    let mut vm = Vm::start_with(&binary, folder.path(), 77, store.address(), &limits).unwrap();
-    let pid = vm.process_id().unwrap();
-    let address = vm.caller_address;
-    wait_until_served(address);
-    let before = usage::peak_resident_bytes(pid) / (1024 * 1024);
-    let is_over = AtomicBool::new(false);
-    let served = thread::scope(|scope| {
-        for caller in 0..callers {
-            let is_over = &is_over;
-            scope.spawn(move || {
-                while !is_over.load(Ordering::Relaxed) {
-                    let path = match caller % 2 {
-                        0 => "/g/x".to_string(),
-                        _ => format!("/e{}/x", caller % SERVICES),
-                    };
-                    send(address, &path, DEADLINE_MS);
-                }
-            });
+            leaves.push(leaf);
         }
-        let end = Instant::now() + LOAD_TIME;
-        let mut statuses = Vec::new();
-        while Instant::now() < end && vm.take_exit_status().is_none() {
-            statuses.push(send(address, "/a/x", SOUND_DEADLINE_MS));
-            thread::sleep(Duration::from_millis(20));
+        let folder = tempfile::tempdir().unwrap();
+        let binary = binary_path("geraniummount");
+        let limits = format!("[limits]\nmemory_mb = {MEMORY_MB}\nlinger_ms = 0\n");
+        let vm = Vm::start_with(&binary, folder.path(), 77, store.address(), &limits).unwrap();
+        wait_until_served(vm.caller_address);
+        Site {
+            vm,
+            endless,
+            _store: store,
+            _leaves: leaves,
+            _folder: folder,
         }
-        is_over.store(true, Ordering::Relaxed);
-        statuses
-    });
+    }
+
+    /// Returns the peak of the process's memory in megabytes.
+    fn peak_mb(&self) -> u64 {
+        let pid = self.vm.process_id().expect("the process lives");
+        usage::peak_resident_bytes(pid) / (1024 * 1024)
+    }
+
+    /// Runs callers of queries and of single requests to the endless leaves. Returns the statuses of
+    /// the requests to the sound service that were sent meanwhile, one after the other.
+    fn run(&mut self, callers: usize) -> Vec<Option<u16>> {
+        let address = self.vm.caller_address;
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            for caller in 0..callers {
+                let is_over = &is_over;
+                let path = match caller % 2 {
+                    0 => "/g/x".to_string(),
+                    _ => format!("/e{}/x", caller % SERVICES),
+                };
+                scope.spawn(move || {
+                    while !is_over.load(Ordering::Relaxed) {
+                        send(address, &path, DEADLINE_MS);
+                    }
+                });
+            }
+            let end = Instant::now() + LOAD_TIME;
+            let mut statuses = Vec::new();
+            while Instant::now() < end && self.vm.take_exit_status().is_none() {
+                statuses.push(send(address, "/a/x", SOUND_DEADLINE_MS));
+                thread::sleep(Duration::from_millis(20));
+            }
+            is_over.store(true, Ordering::Relaxed);
+            statuses
+        })
+    }
+}
+
+/// Runs callers against leaves of a kind, and checks the bounds. Returns the number of requests to the
+/// sound service that were served meanwhile.
+fn check(kind: Kind, callers: usize) -> usize {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut site = Site::start(kind);
+    let before = site.peak_mb();
+    let statuses = site.run(callers);
     assert!(
-        vm.take_exit_status().is_none() && vm.is_running(),
+        site.vm.take_exit_status().is_none() && site.vm.is_running(),
         "{kind:?}: the process has ended"
     );
-    let peak = usage::peak_resident_bytes(pid) / (1024 * 1024);
-    let (requests, connections) = (served.len(), endless.connections());
+    let (peak, connections) = (site.peak_mb(), site.endless.connections());
+    let sent = site.endless.written() / (1024 * 1024);
+    let requests = statuses.len();
     eprintln!(
         "{kind:?} x {callers}: peak {peak} MB ({before} MB before), {requests} sound requests, \
-         {connections} connections, {} MB sent",
-        endless.written() / (1024 * 1024)
+         {connections} connections, {sent} MB sent"
     );
     assert!(connections > 0, "{kind:?}: no leaf was asked");
     assert!(peak <= MEMORY_MB, "{kind:?}: {peak} MB of {MEMORY_MB} MB");
     let is_served = |status: &Option<u16>| *status == Some(200);
-    assert!(served.iter().all(is_served), "{kind:?}: {served:?}");
-    wait_until_served(address);
-    drop((sound, registrations));
+    assert!(statuses.iter().all(is_served), "{kind:?}: {statuses:?}");
+    wait_until_served(site.vm.caller_address);
     requests
 }
 
--- a/tests/testsuite/platform/pages.rs
+++ b/tests/testsuite/platform/pages.rs
@@ -212,38 +212,52 @@
     }
 }
 
+/// A reason for which answers to watches change nothing.
+struct Fault {
+    name: &'static str,
+    /// Runs for [`FAULT_TIME`].
+    run: fn(&Store),
+}
+
+const FAULTS: &[Fault] = &[
+    Fault {
+        name: "answers without changes",
+        run: |store| deliver(store, WatchDelivery::NothingAtOnce),
+    },
+    Fault {
+        name: "an old change again and again",
+        run: |store| deliver(store, WatchDelivery::First),
+    },
+    Fault {
+        name: "changes that can't be read",
+        run: |store| {
+            let end = Instant::now() + FAULT_TIME;
+            while Instant::now() < end {
+                store.put_odd("servers/i-odd", b"null");
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        },
+    },
+];
+
+/// Delivers odd changes for a while.
+fn deliver(store: &Store, delivery: WatchDelivery) {
+    store.set_watch_delivery(delivery);
+    store.disconnect_all();
+    std::thread::sleep(FAULT_TIME);
+    store.set_watch_delivery(WatchDelivery::All);
+}
+
 /// A store in trouble, or another writer whose entries can't be read, must not make all VMs call
 /// again and again.
 #[test]
 fn platform_pages_of_changes_without_any_are_not_asked_for_without_delay() {
-    let odd_writes = |store: &Store| {
-        let end = Instant::now() + FAULT_TIME;
-        while Instant::now() < end {
-            store.put_odd("servers/i-odd", b"null");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    };
-    let deliver = |store: &Store, delivery| {
-        store.set_watch_delivery(delivery);
-        store.disconnect_all();
-        std::thread::sleep(FAULT_TIME);
-        store.set_watch_delivery(WatchDelivery::All);
-    };
-    let faults: [(&str, &dyn Fn(&Store)); 3] = [
-        ("answers without changes", &|store| {
-            deliver(store, WatchDelivery::NothingAtOnce);
-        }),
-        ("an old change again and again", &|store| {
-            deliver(store, WatchDelivery::First);
-        }),
-        ("changes that can't be read", &odd_writes),
-    ];
-    for (name, fault) in faults {
-        eprintln!("case: {name}");
+    for fault in FAULTS {
+        eprintln!("case: {}", fault.name);
         let vm = Fixture::start();
         let _leaves = start_leaves(&vm.store);
         vm.wait_until(|vm| served(vm) == LEAVES);
-        check_calls(&vm.store, || fault(&vm.store));
+        check_calls(&vm.store, || (fault.run)(&vm.store));
         vm.configure(2, &[service_route("/b/", "idempotent", "s1")]);
         vm.wait_for_leaf("/b/x");
     }
