Take no bytes of an earlier answer of the store for the next one

What callers would see: after a second copy of an answer of the store, each later call of that connection got the answer to the call before: older routes and leaves, and a proof of freshness that is none. After the store had closed an idle connection, the next call failed and was repeated after a backoff.

Cause: a connection was kept whatever followed the answer on it. Bytes that had been read with the answer were dropped, the rest were read as the next one.

Evidence: platform_reads_take_no_bytes_of_an_earlier_answer; before, with a copy that comes 30 ms later, the second call returned revision 1 in place of 2.

Change: a connection on which bytes follow an answer is closed, and one that is idle is used only if it is open with nothing to read. Answers without end (platform_reads_of_answers_without_end_fail, ten kinds) failed within their 16 MB before and still do.

Result: platform_reads_ passes.

Why it works: the store answers one call at a time on a connection, so what is there before a call is no answer to it. A copy that arrives after the next call has been sent can't be told apart: answers of the store name no call.

--- a/src/geraniummount/platform/store/call.rs
+++ b/src/geraniummount/platform/store/call.rs
@@ -74,9 +74,10 @@
         }
     }
 
-    /// Returns the connection, for reuse after the call was answered.
-    pub(super) fn into_stream(self) -> TcpStream {
-        self.stream
+    /// Returns the connection, for reuse after the call was answered; `None` if bytes followed the
+    /// answer, which would be taken for the answer to the next call.
+    pub(super) fn into_stream(self) -> Option<TcpStream> {
+        self.buffer.is_empty().then_some(self.stream)
     }
 
     /// Parses the buffered bytes; returns the answer once it is complete.
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -6,7 +6,7 @@
 // All times here are constants; `message` reads the answers.
 #![allow(clippy::disallowed_methods)]
 
-use std::io::Write;
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -313,7 +313,7 @@
     }
 
     fn send(&mut self, method: &str, target: &Target, body: &[u8]) -> Result<Call, Error> {
-        let mut stream = match self.stream.take() {
+        let mut stream = match self.stream.take().filter(is_quiet) {
             Some(stream) => stream,
             None => self.connect()?,
         };
@@ -341,7 +341,7 @@
         response: h1::Response,
     ) -> Result<h1::Response, Error> {
         if response.head.is_persistent {
-            self.stream = Some(call.into_stream());
+            self.stream = call.into_stream();
         }
         match response.head.status {
             410 => Err(Error::Compacted),
@@ -363,6 +363,17 @@
     }
 }
 
+/// Returns whether an idle connection is open and has nothing to read. What is there to read belongs
+/// to no call.
+fn is_quiet(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let read = (&*stream).read(&mut [0]);
+    let is_quiet = read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+    is_quiet && stream.set_nonblocking(false).is_ok()
+}
+
 /// Checks that a call on a lease found the lease.
 fn check_lease(response: &h1::Response) -> Result<(), Error> {
     match response.head.status {
