Keep the platform's names in their folder, and give strangers an address of their own

A whole run found two faults of the new tests: platform_formats_names_ found the name of a header field in the stand-in of endless leaves, and platform_odd_keys_of_vms_name_no_vm counted a call on the store, `GET /api/kv-range?prefix=`, at the server that no VM has a reason to call. That server had got the port of a store of another test, which had ended and which a gateway still called.

The stand-in takes complete answers from the platform's folder, and the server listens on a loopback address that nothing else uses. What is checked is the same.

--- a/crates/geraniummount-test-support/src/endless.rs
+++ b/crates/geraniummount-test-support/src/endless.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::monitor::Monitor;
+use crate::platform::users::{Framing, signature};
 
 /// Number of bytes after which the leaf falls silent, so that a faulty reader does not use up the
 /// machine's memory.
@@ -177,11 +178,8 @@
 
 /// Returns a complete answer to the request with an id.
 fn complete(id: &str) -> String {
-    let length = CONTENT.len();
-    format!(
-        "{OK}Request-Id: {id}\r\nServer-Stamp: endless.{id}\r\nContent-Length: {length}\r\n\r\n\
-         {CONTENT}"
-    )
+    let answer = Framing::Length.answer(id, &signature("endless", id), CONTENT.as_bytes());
+    String::from_utf8(answer).expect("it consists of text")
 }
 
 /// Returns a field that makes a head long.
--- a/crates/geraniummount-test-support/src/platform/users/leaf.rs
+++ b/crates/geraniummount-test-support/src/platform/users/leaf.rs
@@ -65,7 +65,7 @@
 
 impl Framing {
     /// Returns an answer with a signature and a body, both of the leaf's.
-    fn answer(self, id: &str, stamp: &str, body: &[u8]) -> Vec<u8> {
+    pub(crate) fn answer(self, id: &str, stamp: &str, body: &[u8]) -> Vec<u8> {
         let length = body.len();
         let (field, start, end) = match self {
             Framing::Length => (format!("Content-Length: {length}\r\n"), String::new(), ""),
--- a/crates/geraniummount-test-support/src/raw_server.rs
+++ b/crates/geraniummount-test-support/src/raw_server.rs
@@ -1,7 +1,7 @@
 //! Server that answers requests with arbitrary bytes, valid HTTP or not, and records what it receives.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 
@@ -35,7 +35,16 @@
 impl RawServer {
     /// Listens on a free port of 127.0.0.1. `answer` returns the bytes that are sent for a request.
     pub fn start(answer: impl Fn(&Arrival) -> Vec<u8> + Send + Sync + 'static) -> RawServer {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port on 127.0.0.1");
+        RawServer::start_at(Ipv4Addr::LOCALHOST, answer)
+    }
+
+    /// As [`RawServer::start`], on another loopback address: a port of 127.0.0.1 may have been that of
+    /// a stand-in which has ended, and which somebody still calls.
+    pub fn start_at(
+        ip: Ipv4Addr,
+        answer: impl Fn(&Arrival) -> Vec<u8> + Send + Sync + 'static,
+    ) -> RawServer {
+        let listener = TcpListener::bind((ip, 0)).expect("no free port on the address");
         let address = listener
             .local_addr()
             .expect("listener has no local address");
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -4,7 +4,7 @@
 //! whether their values can be read or not, and the other entries hold.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -87,6 +87,13 @@
     services.take(2 * PAGE_ITEMS).map(start).collect()
 }
 
+/// Starts a server that nobody has a reason to call, on an address of its own.
+fn start_stranger() -> RawServer {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 250, high, low.max(1));
+    RawServer::start_at(ip, |_| b"HTTP/1.1 404 No\r\n\r\n".to_vec())
+}
+
 /// Returns whether a request to a VM is served.
 fn is_served(address: SocketAddr, path: &str) -> bool {
     let reply = TcpStream::connect(address).and_then(|mut stream| {
@@ -111,7 +118,7 @@
     for name in NAMES {
         for content in CONTENTS {
             eprintln!("case: {name:?}, {content:?}");
-            let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
+            let stranger = start_stranger();
             let store = Store::start();
             let _leaves = put_sound_entries(&store);
             put_odd_entries(&store, name, content, stranger.address());
@@ -135,7 +142,7 @@
 #[test]
 fn platform_odd_keys_do_not_stop_the_service_when_all_processes_are_restarted() {
     const VMS: usize = 3;
-    let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
+    let stranger = start_stranger();
     let store = Store::start();
     let _leaves = put_sound_entries(&store);
     let folder = tempfile::tempdir().unwrap();
@@ -216,7 +223,7 @@
 #[test]
 fn platform_odd_keys_of_vms_name_no_vm() {
     let deployment = Deployment::start(&["near", "near"]);
-    let stranger = RawServer::start(|_| b"HTTP/1.1 404 No\r\n\r\n".to_vec());
+    let stranger = start_stranger();
     let store = &deployment.vms[0].store;
     for (number, vm) in ODD_VMS.iter().enumerate() {
         let entry = json!({
