Skip an entry of the platform's list of members that can't be read

What callers would see, with `serve`: one entry of another writer in the list of members kept all VMs from reading the list. After a restart they had no hints of peers, and none learned from the list that a leaf leaves.

Cause: the list was decoded as a whole, and what could not be decoded counted as no answer.

Change: members are read one by one, as the entries of the users' store are; each one that can't be read, and a list that can't, is logged.

Why it works: the names and addresses of the list are compared, and called as addresses; no name goes into a call.

--- a/crates/geraniummount-test-support/src/platform/mod.rs
+++ b/crates/geraniummount-test-support/src/platform/mod.rs
@@ -104,6 +104,8 @@
     calls: Calls,
     store: store::Store,
     members: Vec<Member>,
+    /// Entries of the membership list that another writer has written.
+    odd_members: Vec<serde_json::Value>,
     /// Number of changes of the membership list so far.
     members_version: u64,
     window: Window,
@@ -163,6 +165,14 @@
         });
     }
 
+    /// Adds entries of another writer to the membership list.
+    pub fn set_odd_members(&self, odd_members: impl Into<Vec<serde_json::Value>>) {
+        self.state.update(|state| {
+            state.odd_members = odd_members.into();
+            state.members_version += 1;
+        });
+    }
+
     /// Returns the version and value of a key; `None` if the key does not exist.
     pub fn value(&self, key: &str) -> Option<(u64, Vec<u8>)> {
         let state = self.state.lock();
--- a/crates/geraniummount-test-support/src/platform/server.rs
+++ b/crates/geraniummount-test-support/src/platform/server.rs
@@ -238,7 +238,9 @@
     }
 
     fn list_members(&self) -> Response {
-        let body = json!({ "version": self.members_version, "members": self.members });
+        let members = self.members.iter().map(|member| json!(member));
+        let members: Vec<Value> = self.odd_members.iter().cloned().chain(members).collect();
+        let body = json!({ "version": self.members_version, "members": members });
         Response::json(200, &body).with_header("Version", self.members_version)
     }
 
--- a/src/geraniummount/edge/platform/mod.rs
+++ b/src/geraniummount/edge/platform/mod.rs
@@ -11,7 +11,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
+use log::warn;
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use ureq::Agent;
 use ureq::http::Response;
 use ureq::unversioned::transport::DefaultConnector;
@@ -19,6 +21,7 @@
 
 use crate::edge::metrics::{Call, CallResult, Metrics};
 use crate::util::fixed_resolver::FixedResolver;
+use crate::util::json;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -79,7 +82,8 @@
 pub struct Members {
     /// Version of the list, which increases with each change.
     pub version: u64,
-    /// The members.
+    /// The members, without those that can't be read.
+    #[serde(deserialize_with = "readable_members")]
     pub members: Vec<Member>,
 }
 
@@ -161,7 +165,12 @@
             return Some(None);
         }
         let body = reply.body_mut().read_to_vec().ok()?;
-        serde_json::from_slice(&body).ok().map(Some)
+        let text = String::from_utf8_lossy(&body);
+        let members = serde_json::from_str(&text);
+        if let Err(error) = &members {
+            warn!("platform: failed to decode the membership list: {error}");
+        }
+        members.ok().map(Some)
     }
 
     fn url(&self, key: &str) -> String {
@@ -194,6 +203,14 @@
     Changed(Value),
 }
 
+/// Reads the members one by one, as other writers add entries to the list, too.
+fn readable_members<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Member>, D::Error> {
+    let entries = Vec::<&'de RawValue>::deserialize(deserializer)?;
+    Ok(json::read_entries(entries, |error| {
+        warn!("platform: skipped an entry of the membership list: {error}; find who writes it");
+    }))
+}
+
 fn put_outcome(reply: &Response<Body>) -> (PutOutcome, CallResult) {
     match (reply.status().as_u16(), version_of(reply)) {
         (200, Some(version)) => (PutOutcome::Done(version), CallResult::Ok),
--- a/tests/testsuite/control_store.rs
+++ b/tests/testsuite/control_store.rs
@@ -2,6 +2,7 @@
 //! are split into several values.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use geraniummount::core::config::change::Entry;
 use geraniummount::core::config::change_log::{
@@ -16,6 +17,8 @@
 use geraniummount::util::published::Published;
 use geraniummount_test_support::platform::{self, Outage};
 
+use serde_json::json;
+
 use crate::control_change_log::leaf_put;
 
 fn store(platform: &platform::Platform) -> LogStore {
@@ -145,3 +148,36 @@
     platform.change(|behaviour| behaviour.outage = Outage::Reject);
     assert_eq!(store.load_checkpoint(), None);
 }
+
+/// An entry of another writer in the platform's list of members must cost none of the others.
+#[test]
+fn control_members_are_read_without_entries_that_cannot_be_read() {
+    let platform = platform::Platform::start().expect("start the platform");
+    let client = Platform::new(platform.address(), "test", Metrics::default());
+    let address = "127.0.0.1:9".parse().unwrap();
+    let sound = platform::Member {
+        name: "leaf-1".to_owned(),
+        address,
+        failure_domain: "a".to_owned(),
+        state: platform::MemberState::Leaving,
+    };
+    platform.set_members([sound]);
+    let odd = [
+        json!(null),
+        json!(7),
+        json!("leaf-2"),
+        json!({}),
+        json!({"name": "leaf-3", "address": "nowhere", "state": "live"}),
+        json!({"name": "leaf & +#%", "address": "127.0.0.1:9", "state": "gone"}),
+        json!({"name": 4, "address": "127.0.0.1:9", "state": "live"}),
+    ];
+    for odd in odd {
+        platform.set_odd_members([odd.clone()]);
+        let members = client.members(None, Duration::ZERO).flatten();
+        let members = members
+            .unwrap_or_else(|| panic!("no list with {odd}"))
+            .members;
+        let names: Vec<&str> = members.iter().map(|member| member.name.as_str()).collect();
+        assert_eq!(names, ["leaf-1"], "{odd}");
+    }
+}
