--- a/tests/testsuite/platform/endless.rs
+++ b/tests/testsuite/platform/endless.rs
@@ -10,6 +10,7 @@
 use geraniummount_test_support::platform::users::{Answer, Leaf, Store};
 use geraniummount_test_support::raw_server::RawServer;
 
+use super::deployment::{Deployment, hang, register_vm};
 use super::fixture::{
     Fixture, WAIT_TIMEOUT, exchange, free_addresses, gather_route, leaf, service_route,
 };
@@ -18,6 +19,10 @@
 /// sockets: a small share of the 112 MB of the smallest VMs.
 const MAX_TAKEN_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum number of bytes that one request takes of the answer of another VM, which may contain a
+/// whole reply of a leaf for each of the shards, and the buffers of the sockets.
+const MAX_TAKEN_FROM_VM_BYTES: usize = 16 * 4 * 1024 * 1024 + MAX_TAKEN_BYTES;
+
 /// Registers an endless leaf of a service and waits until the gateway has used it.
 fn endless_leaf(fixture: &Fixture, service: &str, kind: Kind) -> (Endless, Leaf) {
     let endless = Endless::start(kind);
@@ -82,6 +87,22 @@
     fixture.wait_until(|fixture| fixture.get("/g/x", 4_000).status == 502);
 }
 
+/// An entry among those of the VMs that leads to a server which sends without end.
+#[test]
+fn platform_endless_answers_of_another_vm_are_passed_over() {
+    for kind in [Kind::Junk, Kind::Interim, Kind::Trailers, Kind::Length] {
+        let deployment = Deployment::start(&["near", "near"]);
+        let endless = Endless::start(kind);
+        register_vm(&deployment.vms[0].store, "endless", endless.address());
+        deployment.change_links(0, hang);
+        deployment.send_for(0, Duration::from_secs(2));
+        assert_eq!(deployment.count_served(0, 20), 20, "{kind:?}");
+        let connections = endless.connections();
+        let taken = endless.written().checked_div(connections).unwrap_or(0);
+        assert!(taken <= MAX_TAKEN_FROM_VM_BYTES, "{kind:?}: {taken} bytes");
+    }
+}
+
 #[test]
 fn platform_endless_bounds_let_large_replies_through() {
     const REPLY_BYTES: usize = 3 * 1024 * 1024;
