Keep no value of the store that is not needed or too long

What callers would see: another writer adds keys with values of a megabyte, which the store permits. Each VM kept all of them, under any prefix, and all VMs ran out of memory at the same time: 240 MB with 120 such values, where the smallest VMs have 112 MB.

Cause: all keys are watched, as one watch covers what a VM follows, and the cache kept every value.

Evidence: platform_odd_keys_with_large_values_do_not_fill_the_memory, with the real program; before, a peak of 240 MB.

Change: while a page or a change is read, the values of keys of which only the name counts are dropped, and those of registrations and of entries of VMs over 16 KB (some hundred bytes as a rule) are taken as empty and logged. The operator's document and the shared list of requests are kept whole.

Why it works: what is kept is bounded by the number of keys; one answer of the store is bounded by 16 MB as before.

--- a/src/geraniummount/edge/gateway/watch/steps.rs
+++ b/src/geraniummount/edge/gateway/watch/steps.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use log::{debug, info};
+use log::{debug, info, warn};
 use rand::RngExt;
 
 use super::{Changes, Watcher};
@@ -14,12 +14,15 @@
 use crate::core::store::poll_schedule;
 use crate::edge::boot_clock;
 use crate::edge::gateway::key_lease;
-use crate::platform::{self, Error, Events, Listing, WatchStatus};
+use crate::platform::{self, Error, Events, Item, Listing, WatchStatus};
 use crate::prelude::*;
 
 /// Time for which the store holds a watch call open while nothing changes.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Maximum length of the value of a registration or of an entry of a VM, some hundred bytes as a rule.
+const MAX_ENTRY_BYTES: usize = 16 * 1024;
+
 /// Time in which the store has to answer a watch for the routes once its wait is over.
 const ROUTES_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -99,11 +102,14 @@
         Ok(Some(listing))
     }
 
-    /// Reads the keys with a prefix, which have to be of the era of the cached data.
+    /// Reads the keys with a prefix, which have to be of the era of the cached data. Values that are
+    /// not needed are dropped page by page.
     fn list(&mut self, prefix: &str, freshness: Freshness) -> Result<Listing, Error> {
         let cache = &mut self.store_cache;
-        self.store
-            .list(prefix, freshness, |era| check_era(cache, era))
+        self.store.list(prefix, freshness, |page| {
+            page.items.iter_mut().for_each(drop_needless_value);
+            check_era(cache, page.era)
+        })
     }
 
     /// Applies the keys with a prefix to the cache; returns whether the list is complete. What was
@@ -191,7 +197,8 @@
         let events = events.events.into_iter();
         for event in events.filter(|event| event.revision() > after) {
             match event {
-                platform::Event::Written(item) => {
+                platform::Event::Written(mut item) => {
+                    drop_needless_value(&mut item);
                     let key = item.key.clone();
                     if self.store_cache.put(item.key, item.revision, item.value) {
                         changes.record_key(&key);
@@ -243,6 +250,23 @@
     }
 }
 
+/// Drops the value of a key of which only the name counts, or which is too long for its kind. Any
+/// writer may add many keys with values of a megabyte each, more than the VM has memory.
+fn drop_needless_value(item: &mut Item) {
+    let is_shared_value =
+        item.key == platform::DOCUMENT_KEY || item.key == platform::QUARANTINE_KEY;
+    let is_entry = item.key.starts_with(platform::REGISTRATION_PREFIX)
+        || item.key.starts_with(platform::PEER_PREFIX);
+    if is_shared_value || (is_entry && item.value.len() <= MAX_ENTRY_BYTES) {
+        return;
+    }
+    if is_entry {
+        let (key, bytes) = (&item.key, item.value.len());
+        warn!("store key={key:?} bytes={bytes} event=value-too-long action=take-as-empty");
+    }
+    item.value = Vec::new();
+}
+
 /// Checks that an answer is of the era of the cached data.
 fn check_era(cache: &mut StoreCache, era: Option<Era>) -> Result<(), Error> {
     match cache.observe_era(era) {
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -104,7 +104,7 @@
     }
 
     /// Reads the keys with a prefix, page by page, as far as each page leads to the next one. Calls
-    /// `check` with the era of each page, and ends with the error that it returns.
+    /// `on_page` with each page, which may change it, and ends with the error that it returns.
     ///
     /// # Errors
     ///
@@ -113,7 +113,7 @@
         &mut self,
         prefix: &str,
         freshness: Freshness,
-        mut check: impl FnMut(Option<Era>) -> Result<(), Error>,
+        mut on_page: impl FnMut(&mut Range) -> Result<(), Error>,
     ) -> Result<Listing, Error> {
         let mut cursor = Cursor::default();
         let mut after = None;
@@ -121,7 +121,7 @@
         let mut as_of = Revision::MAX;
         let complete_to = loop {
             let mut page = self.range(prefix, after.as_deref(), freshness)?;
-            check(page.era)?;
+            on_page(&mut page)?;
             as_of = as_of.min(page.as_of);
             items.append(&mut page.items);
             match cursor.on_page(page.truncated, page.last_key.as_deref()) {
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -14,6 +14,7 @@
 use geraniummount_test_support::process::binary_path;
 use geraniummount_test_support::raw_server::RawServer;
 use geraniummount_test_support::soak::Vm;
+use geraniummount_test_support::usage;
 use serde_json::{Value, json};
 
 use super::deployment::{Deployment, hang};
@@ -171,6 +172,45 @@
     assert_eq!(stranger.arrivals().len(), 0, "odd entries name no leaf");
 }
 
+/// Values of another writer may be as large as the store permits. A VM must not keep them: it has little
+/// memory, and so have all others.
+#[test]
+fn platform_odd_keys_with_large_values_do_not_fill_the_memory() {
+    // That of the smallest VMs.
+    const MEMORY_MB: u64 = 112;
+    const VALUE_BYTES: usize = 1024 * 1024;
+    const PER_PREFIX: usize = 30;
+    let store = Store::start();
+    let _leaves = put_sound_entries(&store);
+    for prefix in ["servers/a-", "peers/a-", "another/a-"] {
+        for number in 0..PER_PREFIX {
+            store.put(&format!("{prefix}{number}"), vec![b'x'; VALUE_BYTES]);
+        }
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let binary = binary_path("geraniummount");
+    let limits = format!("[limits]\nmemory_mb = {MEMORY_MB}\nlinger_ms = 0\n");
+    let mut vm = Vm::start_with(&binary, folder.path(), 9, store.address(), &limits).unwrap();
+    wait_until_served(vm.caller_address);
+    for number in 0..PER_PREFIX {
+        store.put(&format!("servers/b-{number}"), vec![b'x'; VALUE_BYTES]);
+    }
+    // The last change shows that the ones before were received.
+    store.put(
+        "op/config",
+        document(2, &[service_route("/c/", "idempotent", "one")]),
+    );
+    let end = Instant::now() + WAIT_TIMEOUT;
+    while !is_served(vm.caller_address, "/c/x") {
+        assert!(Instant::now() < end, "the new version is not applied");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let pid = vm.process_id().unwrap();
+    let peak = usage::peak_resident_bytes(pid) / (1024 * 1024);
+    assert!(vm.take_exit_status().is_none(), "the process has ended");
+    assert!(peak <= MEMORY_MB, "{peak} MB of {MEMORY_MB} MB");
+}
+
 #[test]
 fn platform_odd_keys_are_no_names_of_leaves() {
     let value = json!({
