Split the client of the store and its stand-in, and wrap long comments

Three doc comments were longer than a line.

No behaviour changes; platform_leases_, platform_store_, platform_reads_, platform_pages_ and platform_odd_keys_of_ pass.

--- a/crates/geraniummount-test-support/src/platform/users.rs
+++ b/crates/geraniummount-test-support/src/platform/users.rs
@@ -4,6 +4,7 @@
 //! faults while the stand-ins run.
 
 pub mod caller;
+mod contents;
 mod crashing_leaves;
 pub mod document;
 mod entrance;
--- a/src/geraniummount/edge/gateway/socket.rs
+++ b/src/geraniummount/edge/gateway/socket.rs
@@ -104,9 +104,10 @@
         self.read_up_to(scratch, closed, MAX_BYTES_PER_EVENT)
     }
 
-    /// Reads the available bytes into the input buffer, at most `max_bytes` and the rest of one read. A short read normally means that no more bytes are available and ends the
-    /// loop. If `closed` is set, the peer may have closed its sending side, and reading goes on
-    /// after a short read to reach the end of the stream.
+    /// Reads the available bytes into the input buffer, at most `max_bytes` and the rest of one read.
+    /// A short read normally means that no more bytes are available and ends the loop. If `closed` is
+    /// set, the peer may have closed its sending side, and reading goes on after a short read to
+    /// reach the end of the stream.
     pub(super) fn read_up_to(
         &mut self,
         scratch: &mut [u8],
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -334,8 +334,8 @@
         self.sender.send(Update::Quarantine(records))
     }
 
-    /// Waits with backoff after a step that failed after the time `took`. Changes around the failure may never be reported, so
-    /// all keys are read again.
+    /// Waits with backoff after a step that failed after the time `took`. Changes around the failure
+    /// may never be reported, so all keys are read again.
     fn on_store_failure(&mut self, error: &Error, took: Duration) {
         self.clear_as_of();
         if self.lost_at.is_none() {
--- a/src/geraniummount/platform/store.rs
+++ b/src/geraniummount/platform/store.rs
@@ -4,6 +4,7 @@
 mod call;
 mod client;
 mod error;
+mod lease;
 mod listing;
 mod message;
 mod target;
--- a/src/geraniummount/platform/store/client.rs
+++ b/src/geraniummount/platform/store/client.rs
@@ -17,9 +17,8 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::call::Call;
-use super::message::Granted;
 use super::target::Target;
-use super::{Error, Item, LeaseId, Listing, Range, Watch};
+use super::{Error, Item, Listing, Range, Watch};
 use crate::core::store::cursor::{Cursor, Step};
 use crate::core::store::freshness::Freshness;
 use crate::prelude::*;
@@ -49,7 +48,7 @@
 const ERA: &str = "Store-Era";
 
 /// Path of the calls that write keys.
-const WRITE_PATH: &str = "/api/kv-txn";
+pub(super) const WRITE_PATH: &str = "/api/kv-txn";
 
 /// Prefix that matches no key. A range with this prefix returns only the store's revision.
 const NO_KEYS_PREFIX: &str = "none/";
@@ -189,58 +188,6 @@
         Ok(Watch::new(self, call, Instant::now() + wait + CALL_TIMEOUT))
     }
 
-    /// Requests a lease for a time that runs from the arrival of the call.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the store cannot be reached, rejects the call or sends an invalid
-    /// answer. The lease may have been granted nevertheless; it ends by itself.
-    pub fn grant_lease(&mut self, ttl: Duration) -> Result<LeaseId, Error> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let body = json!({ "ttlMs": ttl_ms }).to_string();
-        let response = self.call("POST", &Target::new("/api/kv-lease"), body.as_bytes())?;
-        let granted: Granted = decode(&response)?;
-        Ok(granted.lease)
-    }
-
-    /// Renews a lease for the time for which it was granted.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::LeaseEnded`] if the lease has ended, and an error if the store cannot be
-    /// reached, rejects the call or sends an invalid answer.
-    pub fn renew_lease(&mut self, lease: LeaseId) -> Result<(), Error> {
-        let target = Target::new(format!("/api/kv-keep/{lease}"));
-        let response = self.call("POST", &target, b"")?;
-        check_lease(&response)
-    }
-
-    /// Ends a lease; the keys that it holds are removed.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the store cannot be reached or rejects the call.
-    pub fn end_lease(&mut self, lease: LeaseId) -> Result<(), Error> {
-        let target = Target::new(format!("/api/kv-lease-end/{lease}"));
-        self.call("DELETE", &target, b"")?;
-        Ok(())
-    }
-
-    /// Writes a key that is removed when the lease ends.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::LeaseEnded`] if the lease has ended, and an error if the store cannot be
-    /// reached, rejects the call or sends an invalid answer. In the latter case the key may have
-    /// been written.
-    pub fn put(&mut self, key: &str, value: &[u8], lease: LeaseId) -> Result<(), Error> {
-        let value = STANDARD.encode(value);
-        let put = json!({ "key": key, "value": value, "lease": lease });
-        let body = json!({ "precondition": [], "puts": [put], "remove": [] }).to_string();
-        let response = self.call("POST", &Target::new(WRITE_PATH), body.as_bytes())?;
-        check_lease(&response)
-    }
-
     /// Writes a key without a lease, and removes other keys in the same step.
     ///
     /// # Errors
@@ -303,7 +250,12 @@
         }
     }
 
-    fn call(&mut self, method: &str, target: &Target, body: &[u8]) -> Result<h1::Response, Error> {
+    pub(super) fn call(
+        &mut self,
+        method: &str,
+        target: &Target,
+        body: &[u8],
+    ) -> Result<h1::Response, Error> {
         let deadline = Instant::now() + MAX_READ_TIME;
         let mut call = self.send(method, target, body)?;
         let response = call
@@ -374,15 +326,6 @@
     is_quiet && stream.set_nonblocking(false).is_ok()
 }
 
-/// Checks that a call on a lease found the lease.
-fn check_lease(response: &h1::Response) -> Result<(), Error> {
-    match response.head.status {
-        200 => Ok(()),
-        404 => Err(Error::LeaseEnded),
-        status => Err(Error::Malformed(format!("status {status}"))),
-    }
-}
-
 /// Decodes the JSON body of a response with status 200.
 pub(super) fn decode<T: DeserializeOwned>(response: &h1::Response) -> Result<T, Error> {
     if response.head.status != 200 {
--- a/src/geraniummount/util/h1/mod.rs
+++ b/src/geraniummount/util/h1/mod.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 parser and writer that work on byte buffers, without sockets.
 //!
 //! The gateway forwards the messages that it reads between callers and leaves, the servers that run
-//! the requests. It must therefore agree with both on where a message ends. Ambiguous messages are rejected: those with two different
-//! lengths, with both a length and a transfer coding, or with an unknown transfer coding.
-//! `httparse` splits heads into fields; this module implements the rules about the length of bodies.
+//! the requests. It must therefore agree with both on where a message ends. Ambiguous messages are
+//! rejected: those with two different lengths, with both a length and a transfer coding, or with an
+//! unknown transfer coding. `httparse` splits heads into fields; this module implements the rules
+//! about the length of bodies.
 
 #![deny(clippy::disallowed_methods)]
 
