End the thread that watches the store with its VM, also while the store is away

What was seen: stand-ins of tests got calls on the store, `GET /api/kv-range?prefix=`, of VMs that had stopped; their ports had been those of stores that had ended. Each VM of a test that outlived its store went on calling it, every two seconds at most, until the test process ended. A process that stops ends all its threads, so callers were not affected.

Cause: the thread noticed the end of the event loop only when it had something to send. A store that is away, or has no changes, gives it nothing.

Change: the sender of updates knows whether the receiving side still exists, and the thread asks before each step.

Why it works: the receiving side is dropped with the event loop.

--- a/src/geraniummount/edge/gateway/event_loop.rs
+++ b/src/geraniummount/edge/gateway/event_loop.rs
@@ -168,7 +168,7 @@
     }
 
     fn receive_updates(&mut self) {
-        while let Ok(update) = self.updates.try_recv() {
+        while let Some(update) = self.updates.next() {
             match update {
                 Update::Table(table) => self.apply_routes(table),
                 Update::Leaves(instances, era) => self.apply_leaves(&instances, era),
--- a/src/geraniummount/edge/gateway/mod.rs
+++ b/src/geraniummount/edge/gateway/mod.rs
@@ -68,7 +68,6 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::sync::mpsc;
 use std::time::Instant;
 
 use log::warn;
@@ -115,7 +114,7 @@
     options: Options,
     poll: Poll,
     /// Updates from other threads.
-    updates: mpsc::Receiver<Update>,
+    updates: update::Receiver,
     /// Sender of `updates`, for other threads.
     sender: Sender,
     /// Listener for callers; `None` once a stop has closed it.
--- a/src/geraniummount/edge/gateway/update.rs
+++ b/src/geraniummount/edge/gateway/update.rs
@@ -1,7 +1,7 @@
 //! Channel over which other threads send updates to the event loop.
 
 use std::io;
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, Weak, mpsc};
 
 use mio::{Poll, Waker};
 
@@ -43,20 +43,48 @@
 pub struct Sender {
     updates: mpsc::Sender<Update>,
     waker: Arc<Waker>,
+    /// Dead once the receiving side is gone.
+    receiver: Weak<()>,
+}
+
+/// Receiving side of the channel.
+#[derive(Debug)]
+pub(super) struct Receiver {
+    updates: mpsc::Receiver<Update>,
+    /// Lives as long as the receiving side.
+    _alive: Arc<()>,
 }
 
 /// Creates the channel of updates to an event loop. Each update wakes the event loop.
-pub(super) fn channel(poll: &Poll) -> io::Result<(Sender, mpsc::Receiver<Update>)> {
+pub(super) fn channel(poll: &Poll) -> io::Result<(Sender, Receiver)> {
     let waker = Waker::new(poll.registry(), EventSource::Updates.token())?;
     let (updates, receiver) = mpsc::channel();
+    let alive = Arc::new(());
     let sender = Sender {
         updates,
         waker: Arc::new(waker),
+        receiver: Arc::downgrade(&alive),
+    };
+    let receiver = Receiver {
+        updates: receiver,
+        _alive: alive,
     };
     Ok((sender, receiver))
 }
 
+impl Receiver {
+    /// Returns the next update; `None` if there is none.
+    pub(super) fn next(&self) -> Option<Update> {
+        self.updates.try_recv().ok()
+    }
+}
+
 impl Sender {
+    /// Returns whether the event loop is still running. A thread that has nothing to send ends by this.
+    pub(super) fn is_open(&self) -> bool {
+        self.receiver.strong_count() > 0
+    }
+
     /// Sends an update; returns whether the event loop is still running.
     pub fn send(&self, update: Update) -> bool {
         self.updates.send(update).is_ok() && self.waker.wake().is_ok()
--- a/src/geraniummount/edge/gateway/watch/mod.rs
+++ b/src/geraniummount/edge/gateway/watch/mod.rs
@@ -164,7 +164,8 @@
 impl Watcher {
     /// Runs until the event loop has ended.
     fn run(mut self) {
-        loop {
+        // Without this, the thread would call a store that is away, or has no changes, forever.
+        while self.sender.is_open() {
             let step = self.store_sync.next(self.store_cache.as_of());
             let began = Instant::now();
             let result = match step {
--- a/tests/testsuite/platform/store.rs
+++ b/tests/testsuite/platform/store.rs
@@ -163,3 +163,19 @@
     });
     assert_eq!(silent.runs().len(), runs_before + 1);
 }
+
+/// A VM that has stopped calls a store that is away no more.
+#[test]
+fn platform_store_is_not_called_after_the_vm_has_stopped() {
+    const MAX_BACKOFF: Duration = Duration::from_secs(2);
+    let mut fixture = Fixture::start();
+    fixture.configure(1, &[service_route("/a/", "idempotent", "one")]);
+    fixture.store.set_error_status(Some(503));
+    fixture.store.disconnect_all();
+    fixture.stop();
+    assert!(fixture.join());
+    std::thread::sleep(MAX_BACKOFF);
+    let calls = fixture.store.calls();
+    std::thread::sleep(2 * MAX_BACKOFF);
+    assert_eq!(fixture.store.calls(), calls);
+}
