--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -297,6 +297,13 @@
     panic!("no free ports after {MAX_BINDS} tries");
 }
 
+/// Returns a loopback address that no stand-in listens on but those of which every call is counted.
+/// A port of 127.0.0.1 may have been that of a stand-in which has ended, and which somebody calls.
+pub fn quiet_ip() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 250, high, low.max(1))
+}
+
 /// Returns different free addresses of this machine.
 pub fn free_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
     free_addresses_of(Ipv4Addr::LOCALHOST.into())
--- a/tests/testsuite/platform/odd_keys.rs
+++ b/tests/testsuite/platform/odd_keys.rs
@@ -4,7 +4,7 @@
 //! whether their values can be read or not, and the other entries hold.
 
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,9 @@
 use serde_json::{Value, json};
 
 use super::deployment::{Deployment, hang};
-use super::fixture::{Fixture, WAIT_TIMEOUT, document, gather_route, request, service_route};
+use super::fixture::{
+    Fixture, WAIT_TIMEOUT, document, gather_route, quiet_ip, request, service_route,
+};
 
 /// Maximum number of items on a page of the stand-in store. Of as many keys in a row, one is the
 /// last of a page.
@@ -90,9 +92,7 @@
 
 /// Starts a server that nobody has a reason to call, on an address of its own.
 fn start_stranger() -> RawServer {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 250, high, low.max(1));
-    RawServer::start_at(ip, |_| b"HTTP/1.1 404 No\r\n\r\n".to_vec())
+    RawServer::start_at(quiet_ip(), |_| b"HTTP/1.1 404 No\r\n\r\n".to_vec())
 }
 
 /// Returns whether a request to a VM is served.
--- a/tests/testsuite/platform/statuses.rs
+++ b/tests/testsuite/platform/statuses.rs
@@ -8,10 +8,10 @@
 use geraniummount::core::store::freshness::Freshness;
 use geraniummount::platform::Store;
 use geraniummount_test_support::platform::users::Leaf;
-use geraniummount_test_support::raw_server::RawServer;
+use geraniummount_test_support::raw_server::{Arrival, RawServer};
 
 use super::deployment::{Deployment, SHARDS, hang, register_vm};
-use super::fixture::{Fixture, leaf, service_route};
+use super::fixture::{Fixture, leaf, quiet_ip, service_route};
 use crate::platform::status_cases::{CASES, Case, response};
 
 /// Time that callers wait, which a busy machine does not use up: an answer that comes later is 504.
@@ -120,7 +120,8 @@
     vm.configure(2, &routes);
     let start = Arc::new(Mutex::new("200 OK"));
     let current = Arc::clone(&start);
-    let server = RawServer::start(move |arrival| response(*current.lock().unwrap(), arrival));
+    let answer = move |arrival: &Arrival| response(*current.lock().unwrap(), arrival);
+    let server = RawServer::start_at(quiet_ip(), answer);
     register_vm(&vm.store, "raw", server.address());
     deployment.change_links(0, hang);
     let wait_for_arrival = || {
