--- a/tests/testsuite/platform/endless_load.rs
+++ b/tests/testsuite/platform/endless_load.rs
@@ -34,17 +34,21 @@
 /// Pause of a caller between two requests, which leaves the machine to the tests beside these.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Callers in most tests, and in those of leaves that fall silent.
+/// Callers at the same time.
 const CALLERS: usize = 4;
+
+/// Callers of leaves that fall silent: each of their connections holds what has arrived.
 const MANY_CALLERS: usize = 48;
 
-/// The other callers get at least the usual number of turns divided by this.
+/// A kind of leaf leaves the other callers at least the answers that the first kind leaves them,
+/// divided by this.
 const MIN_TURNS_DIVISOR: usize = 10;
 
 /// Time that a caller waits for an answer, in milliseconds.
 const DEADLINE_MS: u64 = 2_000;
 
-/// Time that a caller of the sound service waits, in milliseconds: no more than the load lasts.
+/// Time that a caller of the sound service waits, in milliseconds. The load goes on until it is
+/// answered.
 const SOUND_DEADLINE_MS: u64 = 5_000;
 
 /// Sends a request on a new connection; returns the status of the answer, if there is one.
--- a/tests/testsuite/platform/fixture.rs
+++ b/tests/testsuite/platform/fixture.rs
@@ -297,8 +297,8 @@
     panic!("no free ports after {MAX_BINDS} tries");
 }
 
-/// Returns a loopback address that no stand-in listens on but those of which every call is counted.
-/// A port of 127.0.0.1 may have been that of a stand-in which has ended, and which somebody calls.
+/// Returns a loopback address for servers that count the calls which they get. A port of 127.0.0.1 may
+/// have been that of a stand-in which has ended, and which a VM of another test still calls.
 pub fn quiet_ip() -> Ipv4Addr {
     let [.., high, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, 250, high, low.max(1))
--- a/tests/testsuite/platform/reads.rs
+++ b/tests/testsuite/platform/reads.rs
@@ -130,8 +130,7 @@
 /// Time after an answer at which a store sends more.
 const LATER: Duration = Duration::from_millis(30);
 
-/// Answers two calls with the revisions 1 and 2, until the client closes the
-/// connection, and sends more after the first answer of all.
+/// Answers two calls with the revisions 1 and 2, and sends more after the first answer.
 fn serve_with_extra(listener: &TcpListener, extra: &Extra) {
     let mut revision = 0;
     // The second connection is opened because the first one is not reused.
