--- /dev/null
+++ b/review/drill-3/src/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases.
+
+pub mod attempts;
+pub mod foreign;
+pub mod quota_again;
+pub mod quota_stale;
