--- a/review/drill-3/src/http.rs
+++ b/review/drill-3/src/http.rs
@@ -60,6 +60,16 @@
 
     /// Reads a message; `Ok(None)` if the connection ends before its first byte.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        self.read_message(true)
+    }
+
+    /// Reads the response to a request with the method HEAD, which has no body whatever length it
+    /// states.
+    pub fn read_without_body(&mut self) -> io::Result<Option<Message>> {
+        self.read_message(false)
+    }
+
+    fn read_message(&mut self, has_body: bool) -> io::Result<Option<Message>> {
         let ended = || io::Error::from(io::ErrorKind::UnexpectedEof);
         let end = loop {
             if let Some(at) = self.buffer.windows(4).position(|four| four == b"\r\n\r\n") {
@@ -88,7 +98,7 @@
         let length = message
             .field("Content-Length")
             .and_then(|text| text.parse().ok());
-        let length: usize = length.unwrap_or(0);
+        let length: usize = length.filter(|_| has_body).unwrap_or(0);
         while self.buffer.len() < length {
             if self.fill()? == 0 {
                 return Err(ended());
@@ -114,6 +124,21 @@
         self.stream.write_all(&out)
     }
 
+    /// Writes the response to a request with the method HEAD, which has no body.
+    pub fn respond_to_head(&mut self, status: u16, fields: &[(&str, String)]) -> io::Result<()> {
+        let mut out = format!("HTTP/1.1 {status} S\r\n");
+        for (name, value) in fields {
+            out.push_str(&format!("{name}: {value}\r\n"));
+        }
+        out.push_str("\r\n");
+        self.stream.write_all(out.as_bytes())
+    }
+
+    /// Returns the bytes that were read ahead and belong to no message yet.
+    pub fn ahead(&self) -> &[u8] {
+        &self.buffer
+    }
+
     /// Writes a request.
     pub fn request(
         &mut self,
--- a/review/drill-3/src/leaf.rs
+++ b/review/drill-3/src/leaf.rs
@@ -4,8 +4,8 @@
 use crate::record::Record;
 use crate::store::Store;
 use std::collections::BTreeSet;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -83,6 +83,9 @@
     seq: AtomicU64,
     busy: Mutex<(usize, usize)>,
     freed: Condvar,
+    /// Whether the leaf has crashed: it closes all connections and accepts none.
+    has_crashed: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Leaf {
@@ -101,6 +104,8 @@
             seq: AtomicU64::new(0),
             busy: Mutex::new((0, 0)),
             freed: Condvar::new(),
+            has_crashed: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
         leaf.beat();
         let beating = Arc::clone(&leaf);
@@ -111,20 +116,43 @@
             }
         });
         let serving = Arc::clone(&leaf);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let leaf = Arc::clone(&serving);
-                thread::spawn(move || leaf.serve(stream));
-            }
-        });
+        listener
+            .set_nonblocking(true)
+            .expect("a listener that does not block");
+        thread::spawn(move || serving.accept(&listener));
         leaf
     }
 
+    /// Accepts connections until the leaf crashes, which closes the listener.
+    fn accept(self: Arc<Leaf>, listener: &TcpListener) {
+        while !self.has_crashed.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            self.connections.lock().unwrap().extend(stream.try_clone());
+            let leaf = Arc::clone(&self);
+            thread::spawn(move || leaf.serve(stream));
+        }
+    }
+
+    /// Crashes the leaf: its connections end, its port is closed, and it sends no heartbeat any more.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn key(&self) -> String {
         format!("servers/{}", self.manner.id)
     }
 
     fn beat(&self) {
+        if self.has_crashed.load(Ordering::Relaxed) {
+            return;
+        }
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
         let Manner {
             service,
@@ -210,6 +238,9 @@
         self.leave();
         self.field.wait_for_link(machine);
         fields.push(("Server-Stamp", format!("{own}.{id}")));
+        if request.first.first().is_some_and(|method| method == "HEAD") {
+            return connection.respond_to_head(200, &fields);
+        }
         connection.respond(200, &fields, b"0123456789abcdef")
     }
 
