--- a/review/drill-3/src/scene.rs
+++ b/review/drill-3/src/scene.rs
@@ -61,7 +61,9 @@
 
     /// Writes a configuration as the operator.
     pub fn configure(&self, document: &str) -> u64 {
-        self.store.put("op/config", Some(document));
+        while !self.store.put("op/config", Some(document)) {
+            thread::sleep(Duration::from_millis(50));
+        }
         let version = document
             .split("\"version\":")
             .nth(1)
