--- a/review/drill-3/src/cases/mod.rs
+++ b/review/drill-3/src/cases/mod.rs
@@ -3,5 +3,5 @@
 pub mod attempts;
 pub mod foreign;
 pub mod head;
+pub mod quota_again;
 pub mod quota_stale;
-pub mod revoked;
--- a/review/drill-3/src/main.rs
+++ b/review/drill-3/src/main.rs
@@ -33,8 +33,8 @@
     record.say(format!("case {case}, disruption: {trouble}"));
     let verdict = match case.as_str() {
         "quota-stale" => cases::quota_stale::play(&record, trouble),
+        "quota-again" => cases::quota_again::play(&record, trouble),
         "head" => cases::head::play(&record, trouble),
-        "revoked" => cases::revoked::play(&record, trouble),
         "foreign" => cases::foreign::play(&record, trouble),
         "attempts" => cases::attempts::play(&record, trouble),
         _ => Verdict::NotRun("no such case".to_string()),
